--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,22 @@
+import eslint from '@eslint/js';
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['dist/**', 'node_modules/**', 'src/protocol/peer/generated/**'] },
+  eslint.configs.recommended,
+  ...tseslint.configs.strict,
+  {
+    rules: {
+      '@typescript-eslint/no-extraneous-class': 'off',
+      '@typescript-eslint/no-invalid-void-type': 'off',
+      '@typescript-eslint/consistent-type-imports': 'off',
+      eqeqeq: 'error',
+      'max-lines': ['error', { max: 350, skipBlankLines: true, skipComments: true }],
+      complexity: ['error', 12],
+    },
+  },
+  {
+    files: ['scripts/**', '*.cjs', '*.mjs'],
+    languageOptions: { globals: { process: 'readonly', console: 'readonly', module: 'writable' } },
+  },
+);
--- /dev/null
+++ b/src/cli/daemon-commands.ts
@@ -0,0 +1,64 @@
+/** `peatspan agent` and `peatspan router`. */
+import type { Argv } from 'yargs';
+import { startAgent } from '../programs/agent-program.js';
+import { stopOnSignal } from '../programs/lifecycle.js';
+import { startRouter } from '../programs/router-program.js';
+import { loadSettings } from '../settings/load-settings.js';
+import { agentSettingsSchema, routerSettingsSchema } from '../settings/schemas.js';
+import { ConsoleLogger } from '../telemetry/console-logger.js';
+import { withSettings } from './options.js';
+
+/** Adds the daemons' commands. */
+export function addDaemonCommands(yargs: Argv): Argv {
+  return yargs
+    .command(
+      'agent',
+      "the callers' door, beside each caller",
+      (command) =>
+        withSettings(command)
+          .option('id', { type: 'string', describe: 'node identifier' })
+          .option('zone', { type: 'string', describe: 'zone of this node' })
+          .option('callers', { type: 'string', describe: 'address for callers (HTTP)' })
+          .option('operations', { type: 'string', describe: 'address for metrics and health' })
+          .option('router', { type: 'array', string: true, describe: 'peer address of a router' }),
+      async (argv) => {
+        const settings = loadSettings(agentSettingsSchema, argv.settings, {
+          'node.id': argv.id,
+          'node.zone': argv.zone,
+          'listen.callers': argv.callers,
+          'listen.operations': argv.operations,
+          log_level: argv.logLevel,
+          ...(argv.router ? { routers: argv.router as never } : {}),
+        });
+        const logger = new ConsoleLogger(settings.log_level, settings.node.id);
+        const agent = await startAgent(settings, logger);
+        stopOnSignal(logger, () => agent.stop());
+      },
+    )
+    .command(
+      'router',
+      'routes requests, one of many nodes',
+      (command) =>
+        withSettings(command)
+          .option('id', { type: 'string', describe: 'node identifier' })
+          .option('zone', { type: 'string', describe: 'zone of this node' })
+          .option('region', { type: 'string', describe: 'region of this node' })
+          .option('peer', { type: 'string', describe: 'address for agents and routers (TCP)' })
+          .option('gossip', { type: 'string', describe: 'address for membership (UDP)' })
+          .option('operations', { type: 'string', describe: 'address for metrics and health' }),
+      async (argv) => {
+        const settings = loadSettings(routerSettingsSchema, argv.settings, {
+          'node.id': argv.id,
+          'node.zone': argv.zone,
+          'node.region': argv.region,
+          'listen.peer': argv.peer,
+          'listen.gossip': argv.gossip,
+          'listen.operations': argv.operations,
+          log_level: argv.logLevel,
+        });
+        const logger = new ConsoleLogger(settings.log_level, settings.node.id);
+        const router = await startRouter(settings, logger);
+        stopOnSignal(logger, () => router.stop());
+      },
+    );
+}
--- /dev/null
+++ b/src/coordination/agent/agent-node.ts
@@ -0,0 +1,174 @@
+/** One agent: the callers' door, beside each caller. */
+import { inject, injectable } from 'tsyringe';
+import type { Clock } from '../../runtime/clock.js';
+import type { Hasher } from '../../runtime/hasher.js';
+import type { Logger } from '../../runtime/logger.js';
+import { type RandomSource, randomIdentifier } from '../../runtime/random.js';
+import { CLOCK, FRAME_TRANSPORT, HASHER, LOGGER, RANDOM } from '../../runtime/tokens.js';
+import type { FrameTransport } from '../../transport/frame-transport.js';
+import type { PeerBody } from '../../protocol/peer/peer-channel.js';
+import { chainSeed, prefixRoot } from '../../state/prefix-chain.js';
+import { Configuration, MACHINES_DOCUMENT, TEMPLATES_DOCUMENT } from '../shared/configuration.js';
+import { DocumentSpreader } from '../shared/document-spreader.js';
+import { AgentCall } from './agent-call.js';
+import type { CallerHandle, CallerRequest, CallerSink } from './caller.js';
+import { IdempotencyKeys } from './idempotency-keys.js';
+import type { RouterLink } from './router-link.js';
+import { RouterLinks } from './router-links.js';
+import type { AgentSettings } from './settings.js';
+
+/** Injection token of an agent's settings. */
+export const AGENT_SETTINGS = Symbol('AgentSettings');
+
+/** Counters of an agent. */
+export interface AgentStatistics {
+  requests: number;
+  finished: number;
+  failed: number;
+  texts: number;
+}
+
+/** One agent node. */
+@injectable()
+export class AgentNode {
+  readonly configuration: Configuration;
+  readonly statistics: AgentStatistics = { requests: 0, finished: 0, failed: 0, texts: 0 };
+  private readonly spreader = new DocumentSpreader([TEMPLATES_DOCUMENT, MACHINES_DOCUMENT]);
+  private readonly links: RouterLinks;
+  private readonly calls = new Set<AgentCall>();
+  private readonly keys: IdempotencyKeys;
+  private leaving = false;
+  private onIdle: (() => void) | undefined;
+
+  constructor(
+    @inject(AGENT_SETTINGS) readonly settings: AgentSettings,
+    @inject(CLOCK) private readonly clock: Clock,
+    @inject(RANDOM) private readonly random: RandomSource,
+    @inject(HASHER) private readonly hasher: Hasher,
+    @inject(LOGGER) private readonly logger: Logger,
+    @inject(FRAME_TRANSPORT) frames: FrameTransport,
+  ) {
+    this.configuration = new Configuration(logger);
+    this.keys = new IdempotencyKeys(clock.now(), settings.firstInstallation, () => clock.now());
+    this.links = new RouterLinks(settings, frames, clock, hasher, logger, {
+      // The digest hands a restarted router the configuration even while the object API is down.
+      onOpen: (link) => this.spreader.sendDigest(link.channel),
+      onMessage: (link, body) => this.onMessage(link, body),
+    });
+    this.spreader.onChange((name, document) => {
+      if (name === TEMPLATES_DOCUMENT) this.configuration.loadTemplates(document);
+    });
+  }
+
+  /** Serves callers: has a configuration. */
+  get isReady(): boolean {
+    return !this.leaving && this.configuration.isReady;
+  }
+
+  get runningCalls(): number {
+    return this.calls.size;
+  }
+
+  get openLinks(): number {
+    return this.links.openLinks;
+  }
+
+  start(): void {
+    this.links.start();
+    this.logger.info('agent_started', { node: this.settings.nodeId });
+  }
+
+  /** Planned stop: the edge takes no new requests by now; waits for the running ones. */
+  async stop(): Promise<void> {
+    this.leaving = true;
+    if (this.calls.size > 0) {
+      await new Promise<void>((resolve) => {
+        this.onIdle = resolve;
+      });
+    }
+    this.links.stop();
+    this.logger.info('agent_stopped', { node: this.settings.nodeId });
+  }
+
+  /** Ends at once, as a crash does. */
+  kill(): void {
+    this.links.destroy();
+  }
+
+  /** A new request identifier. */
+  mintRequestId(): string {
+    return randomIdentifier(this.random);
+  }
+
+  /**
+   * The identifier for a caller's idempotency key, and how long ago it may first have been used.
+   * It depends on tenant and key alone, so that any agent gives the same.
+   */
+  identifierForKey(tenant: string, key: string): { requestId: string; ageMs: number } {
+    return this.keys.identifierFor(tenant, key);
+  }
+
+  /** Starts a request; the sink hears how it goes. */
+  submit(request: CallerRequest, sink: CallerSink): CallerHandle {
+    this.statistics.requests += 1;
+    const { clock, random, logger, links } = this;
+    const counted = this.counting(sink);
+    const call = new AgentCall(request, counted, { clock, random, logger, links }, () =>
+      this.ended(call),
+    );
+    this.calls.add(call);
+    call.run();
+    return call;
+  }
+
+  /** Key by which a generation's home is found: the first mark of its chain. */
+  routeKeyOf(tenant: string, model: string, prompt: Uint8Array, requestId: string): bigint {
+    const allowed = this.configuration.allowedModel(tenant, model);
+    if (!allowed) return this.operationKeyOf(requestId);
+    const seed = chainSeed(this.hasher, {
+      tenant,
+      model,
+      weightsDigest: allowed.version.weights_digest,
+      adapterDigest: allowed.version.adapter_digest,
+    });
+    // A prompt too short for a mark has no home; any router serves it as well.
+    return prefixRoot(this.hasher, seed, prompt) ?? this.operationKeyOf(requestId);
+  }
+
+  /** Key that spreads operations over all routers. */
+  operationKeyOf(requestId: string): bigint {
+    return this.hasher.hashText(requestId, 0n);
+  }
+
+  private counting(sink: CallerSink): CallerSink {
+    const { statistics } = this;
+    return {
+      onTexts: (sequence, texts) => {
+        statistics.texts += texts.length;
+        sink.onTexts(sequence, texts);
+      },
+      onFinished: (reason, usage) => {
+        statistics.finished += 1;
+        sink.onFinished(reason, usage);
+      },
+      onOutcome: (status, body) => {
+        statistics.finished += 1;
+        sink.onOutcome(status, body);
+      },
+      onFailed: (failed) => {
+        statistics.failed += 1;
+        sink.onFailed(failed);
+      },
+    };
+  }
+
+  private ended(call: AgentCall): void {
+    this.calls.delete(call);
+    if (this.calls.size === 0) this.onIdle?.();
+  }
+
+  private onMessage(link: RouterLink, body: PeerBody): void {
+    if (this.spreader.handle(link.channel, body)) return;
+    if (body.case === 'routerTable') this.links.takeTable(body.value);
+  }
+}
--- /dev/null
+++ b/src/coordination/agent/router-link.ts
@@ -0,0 +1,107 @@
+/** One channel to a router: numbers the calls on it and notices when the router falls silent. */
+import { create } from '@bufbuild/protobuf';
+import { type Clock, type Timer, repeat } from '../../runtime/clock.js';
+import type { FrameConnection } from '../../transport/frame-transport.js';
+import { PingSchema } from '../../protocol/peer/generated/peer_pb.js';
+import {
+  type NodeIntroduction,
+  type PeerBody,
+  PeerChannel,
+} from '../../protocol/peer/peer-channel.js';
+
+const PING_PERIOD_MS = 500;
+/** A router silent for so long is taken for lost, though its connection stands. */
+const SILENCE_LIMIT_MS = 2_500;
+
+/** Receives what concerns one call. */
+export interface LinkCallListener {
+  onMessage(body: PeerBody): void;
+  /** The link was lost; what became of the call is not known. */
+  onLost(): void;
+}
+
+/** What a link tells its owner. */
+export interface RouterLinkEvents {
+  onOpen(link: RouterLink): void;
+  /** A message that belongs to no call. */
+  onMessage(link: RouterLink, body: PeerBody): void;
+  onClose(link: RouterLink): void;
+}
+
+/** A channel to one router. */
+export class RouterLink {
+  readonly channel: PeerChannel;
+  private readonly calls = new Map<number, LinkCallListener>();
+  private readonly heartbeat: Timer;
+  private nextCallNumber = 1;
+  private heardMs: number;
+
+  constructor(
+    readonly address: string,
+    connection: FrameConnection,
+    introduction: NodeIntroduction,
+    private readonly clock: Clock,
+    private readonly events: RouterLinkEvents,
+  ) {
+    this.heardMs = clock.now();
+    this.channel = new PeerChannel(connection, introduction, {
+      onOpen: () => events.onOpen(this),
+      onMessage: (_channel, body) => this.receive(body),
+      onClose: () => this.closed(),
+    });
+    this.heartbeat = repeat(clock, PING_PERIOD_MS, () => this.beat());
+  }
+
+  get nodeId(): string {
+    return this.channel.peerId;
+  }
+
+  /** Registers a call; its messages carry the returned number. */
+  register(listener: LinkCallListener): number {
+    const callNumber = this.nextCallNumber;
+    this.nextCallNumber += 1;
+    this.calls.set(callNumber, listener);
+    return callNumber;
+  }
+
+  /** Forgets a call; what still comes for it is dropped. */
+  unregister(callNumber: number): void {
+    this.calls.delete(callNumber);
+  }
+
+  send(body: PeerBody): void {
+    this.channel.send(body);
+  }
+
+  private receive(body: PeerBody): void {
+    this.heardMs = this.clock.now();
+    const callNumber = callNumberOf(body);
+    if (callNumber === undefined) this.events.onMessage(this, body);
+    else this.calls.get(callNumber)?.onMessage(body);
+  }
+
+  private beat(): void {
+    if (this.clock.now() - this.heardMs > SILENCE_LIMIT_MS) this.channel.destroy();
+    else if (this.channel.isOpen) this.send({ case: 'ping', value: create(PingSchema) });
+  }
+
+  private closed(): void {
+    this.heartbeat.cancel();
+    const lost = [...this.calls.values()];
+    this.calls.clear();
+    this.events.onClose(this);
+    for (const listener of lost) listener.onLost();
+  }
+}
+
+function callNumberOf(body: PeerBody): number | undefined {
+  switch (body.case) {
+    case 'callRunning':
+    case 'callChunk':
+    case 'callFinished':
+    case 'callFailed':
+      return body.value.callNumber;
+    default:
+      return undefined;
+  }
+}
--- /dev/null
+++ b/src/coordination/router/claim-service.ts
@@ -0,0 +1,232 @@
+/**
+ * Claims a request that may not be repeated at a majority of three routers in different zones, and
+ * answers the claims of other routers from this router's own table.
+ */
+import { create } from '@bufbuild/protobuf';
+import type { Clock, Timer } from '../../runtime/clock.js';
+import type { Hasher } from '../../runtime/hasher.js';
+import {
+  type ClaimReply,
+  ClaimReplySchema,
+  type ClaimRequest,
+  ClaimRequestSchema,
+  ClaimVerdict as WireVerdict,
+  type RecordOutcome,
+  RecordOutcomeSchema,
+  RecordedOutcomeSchema,
+} from '../../protocol/peer/generated/peer_pb.js';
+import type { PeerBody, PeerChannel } from '../../protocol/peer/peer-channel.js';
+import { ClaimTable, type ClaimVerdict, type RecordedOutcome } from '../../state/claim-table.js';
+import type { MemberUpdate } from '../../state/membership.js';
+import { rankByRendezvous } from '../../state/rendezvous.js';
+
+/** Replicas of each claim. */
+const CLAIM_REPLICAS = 3;
+const MAJORITY = 2;
+/** Wait for the replicas' answers. */
+const CLAIM_TIMEOUT_MS = 600;
+
+/** What a claim came to. */
+export type ClaimResult =
+  /** This router, and no other, may dispatch. */
+  | { readonly kind: 'granted' }
+  /** Another router may have dispatched. */
+  | { readonly kind: 'held' }
+  | { readonly kind: 'settled'; readonly outcome: RecordedOutcome }
+  /** No majority answered, or it can't tell. */
+  | { readonly kind: 'no-majority' };
+
+/** What the service needs of its router. */
+export interface ClaimGroup {
+  /** All members, the dead of the last minutes among them, so that replica sets stay put. */
+  members(): readonly MemberUpdate[];
+  /** False until a whole member table was seen: a part of it would name wrong replicas. */
+  isViewComplete(): boolean;
+  send(nodeId: string, body: PeerBody): void;
+}
+
+interface Exchange {
+  readonly verdicts: ClaimVerdict[];
+  /** Replicas still to answer. */
+  left: number;
+  readonly resolve: (result: ClaimResult) => void;
+  readonly timer: Timer;
+}
+
+/** Claims of one router, in both roles. */
+export class ClaimService {
+  private readonly table: ClaimTable;
+  private readonly exchanges = new Map<number, Exchange>();
+  private nextExchange = 1;
+  private claimants = 0;
+
+  constructor(
+    private readonly nodeId: string,
+    private readonly group: ClaimGroup,
+    private readonly clock: Clock,
+    private readonly hasher: Hasher,
+  ) {
+    this.table = new ClaimTable(clock.now(), () => clock.now());
+  }
+
+  /** A claimant of its own for each claim, so that one router's two calls can't both be granted. */
+  createClaimant(): string {
+    this.claimants += 1;
+    return `${this.nodeId}/${this.clock.now()}/${this.claimants}`;
+  }
+
+  /** Asks for the right to dispatch. */
+  claim(requestId: string, claimant: string, identifierAgeMs: number): Promise<ClaimResult> {
+    if (!this.group.isViewComplete()) return Promise.resolve({ kind: 'no-majority' });
+    const replicas = this.replicasOf(requestId);
+    const exchange = this.nextExchange;
+    this.nextExchange += 1;
+    const value = create(ClaimRequestSchema, {
+      exchange,
+      requestId,
+      claimant,
+      identifierAgeMs: Math.ceil(identifierAgeMs),
+    });
+    return new Promise((resolve) => {
+      const timer = this.clock.setTimer(CLAIM_TIMEOUT_MS, () => this.conclude(exchange));
+      this.exchanges.set(exchange, { verdicts: [], left: replicas.length, resolve, timer });
+      for (const replica of replicas) {
+        if (replica === this.nodeId) this.collect(exchange, this.decide(value));
+        else this.group.send(replica, { case: 'claimRequest', value });
+      }
+    });
+  }
+
+  /** Tells the replicas how a request ended. */
+  recordOutcome(requestId: string, outcome: RecordedOutcome): void {
+    this.conclusion(
+      create(RecordOutcomeSchema, {
+        requestId,
+        outcome: create(RecordedOutcomeSchema, outcome),
+      }),
+    );
+  }
+
+  /** Gives a claim back after it is proven that the request was not run. */
+  release(requestId: string, claimant: string): void {
+    this.conclusion(create(RecordOutcomeSchema, { requestId, claimant }));
+  }
+
+  private conclusion(value: RecordOutcome): void {
+    for (const replica of this.replicasOf(value.requestId)) {
+      if (replica === this.nodeId) this.record(value);
+      else this.group.send(replica, { case: 'recordOutcome', value });
+    }
+  }
+
+  private record(message: RecordOutcome): void {
+    const { requestId, outcome, claimant } = message;
+    if (outcome) this.table.recordOutcome(requestId, outcome, claimant);
+    else this.table.release(requestId, claimant);
+  }
+
+  /** Handles the three claim messages; false for any other. */
+  handle(channel: PeerChannel, body: PeerBody): boolean {
+    switch (body.case) {
+      case 'claimRequest':
+        channel.send({ case: 'claimReply', value: this.reply(body.value) });
+        return true;
+      case 'claimReply':
+        this.collect(body.value.exchange, verdictOf(body.value));
+        return true;
+      case 'recordOutcome':
+        this.record(body.value);
+        return true;
+      default:
+        return false;
+    }
+  }
+
+  private decide(request: ClaimRequest): ClaimVerdict {
+    return this.table.claim(request, this.clock.now());
+  }
+
+  private reply(request: ClaimRequest): ClaimReply {
+    const { exchange } = request;
+    const verdict = this.decide(request);
+    switch (verdict.kind) {
+      case 'granted':
+        return create(ClaimReplySchema, { exchange, verdict: WireVerdict.GRANTED });
+      case 'held':
+        return create(ClaimReplySchema, {
+          exchange,
+          verdict: WireVerdict.HELD,
+          holder: verdict.holder,
+        });
+      case 'settled':
+        return create(ClaimReplySchema, {
+          exchange,
+          verdict: WireVerdict.SETTLED,
+          outcome: create(RecordedOutcomeSchema, verdict.outcome),
+        });
+      case 'abstained':
+        return create(ClaimReplySchema, { exchange, verdict: WireVerdict.ABSTAINED });
+    }
+  }
+
+  private collect(exchangeNumber: number, verdict: ClaimVerdict): void {
+    const exchange = this.exchanges.get(exchangeNumber);
+    if (!exchange) return;
+    exchange.verdicts.push(verdict);
+    exchange.left -= 1;
+    const { kind } = resultOf(exchange.verdicts);
+    // A single `held` may still be outvoted by a majority of grants.
+    const decided = kind === 'granted' || kind === 'settled';
+    if (decided || exchange.left === 0) this.conclude(exchangeNumber);
+  }
+
+  private conclude(exchangeNumber: number): void {
+    const exchange = this.exchanges.get(exchangeNumber);
+    if (!exchange) return;
+    this.exchanges.delete(exchangeNumber);
+    exchange.timer.cancel();
+    exchange.resolve(resultOf(exchange.verdicts));
+  }
+
+  /** The first three of the request's order, in different zones as far as there are enough. */
+  private replicasOf(requestId: string): string[] {
+    const members = new Map(this.group.members().map((member) => [member.nodeId, member]));
+    const key = this.hasher.hashText(requestId, 0n);
+    const ranked = rankByRendezvous(this.hasher, key, [...members.keys()]);
+    const chosen: string[] = [];
+    const zones = new Set<string>();
+    for (const nodeId of ranked) {
+      const zone = members.get(nodeId)?.zone ?? '';
+      if (chosen.length >= CLAIM_REPLICAS || zones.has(zone)) continue;
+      zones.add(zone);
+      chosen.push(nodeId);
+    }
+    for (const nodeId of ranked) {
+      if (chosen.length < CLAIM_REPLICAS && !chosen.includes(nodeId)) chosen.push(nodeId);
+    }
+    return chosen;
+  }
+}
+
+/** A known outcome wins, then a majority of grants, then any word of another claimant. */
+function resultOf(verdicts: readonly ClaimVerdict[]): ClaimResult {
+  const settled = verdicts.find((verdict) => verdict.kind === 'settled');
+  if (settled) return settled;
+  const granted = verdicts.filter((verdict) => verdict.kind === 'granted').length;
+  if (granted >= MAJORITY) return { kind: 'granted' };
+  if (verdicts.some((verdict) => verdict.kind === 'held')) return { kind: 'held' };
+  return { kind: 'no-majority' };
+}
+
+function verdictOf(reply: ClaimReply): ClaimVerdict {
+  switch (reply.verdict) {
+    case WireVerdict.GRANTED:
+      return { kind: 'granted' };
+    case WireVerdict.HELD:
+      return { kind: 'held', holder: reply.holder };
+    case WireVerdict.SETTLED:
+      return reply.outcome ? { kind: 'settled', outcome: reply.outcome } : { kind: 'abstained' };
+    default:
+      return { kind: 'abstained' };
+  }
+}
--- /dev/null
+++ b/src/coordination/router/platform-reader.ts
@@ -0,0 +1,114 @@
+/**
+ * Reads the object API and the machine list for a region and feeds the replicated documents.
+ * Only the first routers of a region by rank read; reading twice is harmless, so no lease is needed.
+ */
+import { type Clock, sleep } from '../../runtime/clock.js';
+import type { Logger } from '../../runtime/logger.js';
+import type { RandomSource } from '../../runtime/random.js';
+import { describeProtocolError, toProtocolError } from '../../protocol/errors.js';
+import type { MachineListPort } from '../../protocol/machine-list/port.js';
+import type { ObjectApiPort } from '../../protocol/object-api/port.js';
+import { backoffDelayMs } from '../../state/backoff.js';
+import { splitTemplateSet } from '../../state/template-sections.js';
+import { checkTemplateSet } from '../../state/template-set.js';
+import { MACHINES_DOCUMENT, TEMPLATES_DOCUMENT } from '../shared/configuration.js';
+import type { DocumentSpreader } from '../shared/document-spreader.js';
+
+/** Object that holds models, services, templates and tenants. */
+export const TEMPLATES_OBJECT = 'templates';
+
+/** Readers a region. */
+export const READERS_PER_REGION = 2;
+
+const WATCH_WAIT_MS = 10_000;
+/** How often a router that is no reader looks whether it has become one. */
+const IDLE_MS = 500;
+
+/** One router's reading of the platform. */
+export class PlatformReader {
+  private stopped = false;
+
+  constructor(
+    private readonly objects: ObjectApiPort,
+    private readonly machines: MachineListPort,
+    private readonly spreader: DocumentSpreader,
+    /** Whether this router is one of its region's readers now. */
+    private readonly isReader: () => boolean,
+    private readonly clock: Clock,
+    private readonly random: RandomSource,
+    private readonly logger: Logger,
+  ) {}
+
+  start(): void {
+    void this.loop('templates', () => this.readTemplates());
+    void this.loop('machines', () => this.readMachines());
+  }
+
+  stop(): void {
+    this.stopped = true;
+  }
+
+  private async loop(source: string, read: () => Promise<void>): Promise<void> {
+    let failures = 0;
+    while (!this.stopped) {
+      if (!this.isReader()) {
+        await sleep(this.clock, IDLE_MS);
+        continue;
+      }
+      try {
+        await read();
+        failures = 0;
+      } catch (error) {
+        if (failures === 0) this.logFailure(source, error);
+        await sleep(this.clock, backoffDelayMs(this.random, failures) + 1);
+        failures += 1;
+      }
+    }
+  }
+
+  private logFailure(source: string, error: unknown): void {
+    const reason = describeProtocolError(toProtocolError(error, source));
+    this.logger.warn('platform_read_failed', { source, reason });
+  }
+
+  private async readTemplates(): Promise<void> {
+    const document = this.spreader.document(TEMPLATES_DOCUMENT);
+    const after = Number(document.revision);
+    const object = await this.objects.watch(TEMPLATES_OBJECT, after, WATCH_WAIT_MS);
+    if (!object || this.stopped) return;
+    const verdict = checkTemplateSet(parseContent(object.content));
+    if (verdict.kind === 'invalid') {
+      const [problem] = verdict.problems;
+      this.logger.error('stored_configuration_invalid', {
+        version: object.version,
+        path: problem?.path,
+        reason: problem?.message,
+      });
+      // The object stays invalid until the next write; asking at once would only repeat this.
+      await sleep(this.clock, WATCH_WAIT_MS);
+      return;
+    }
+    const delta = document.deltaTo(BigInt(object.version), splitTemplateSet(verdict.set));
+    this.spreader.apply(TEMPLATES_DOCUMENT, delta);
+  }
+
+  private async readMachines(): Promise<void> {
+    const document = this.spreader.document(MACHINES_DOCUMENT);
+    const list = await this.machines.watch(Number(document.revision), WATCH_WAIT_MS);
+    if (!list || this.stopped) return;
+    const contents = new Map(
+      list.machines.map((machine) => [machine.id, JSON.stringify(machine)] as const),
+    );
+    this.spreader.apply(MACHINES_DOCUMENT, document.deltaTo(BigInt(list.version), contents));
+  }
+}
+
+/** The stored object's contents besides what writers note in it. */
+function parseContent(content: string): unknown {
+  try {
+    const parsed = JSON.parse(content) as { configuration?: unknown };
+    return parsed.configuration;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/coordination/router/router-node.ts
@@ -0,0 +1,390 @@
+/** One router: puts its services together and passes messages between them. */
+import { create } from '@bufbuild/protobuf';
+import { inject, injectable } from 'tsyringe';
+import { type Clock, type Timer, repeat } from '../../runtime/clock.js';
+import type { Hasher } from '../../runtime/hasher.js';
+import type { Logger } from '../../runtime/logger.js';
+import { type RandomSource, randomInteger } from '../../runtime/random.js';
+import {
+  CLOCK,
+  DATAGRAM_TRANSPORT,
+  FRAME_TRANSPORT,
+  HASHER,
+  LOGGER,
+  RANDOM,
+} from '../../runtime/tokens.js';
+import type { DatagramTransport } from '../../transport/datagram-transport.js';
+import type { FrameListener, FrameTransport } from '../../transport/frame-transport.js';
+import type { EnginePort } from '../../protocol/engine/port.js';
+import type { MachineListPort } from '../../protocol/machine-list/port.js';
+import type { ObjectApiPort } from '../../protocol/object-api/port.js';
+import {
+  type DocumentRevision,
+  type Hello,
+  MemberTableSchema,
+  NodeRole,
+  PongSchema,
+  RouterEntrySchema,
+  RouterTableSchema,
+} from '../../protocol/peer/generated/peer_pb.js';
+import type { PeerBody, PeerChannel } from '../../protocol/peer/peer-channel.js';
+import type { PlainBackendPort } from '../../protocol/plain-backend/port.js';
+import { Admission } from '../../state/admission.js';
+import { EngineTable } from '../../state/engine-table.js';
+import { MemberStatus, PROBE_PERIOD_MS, isWorking } from '../../state/membership.js';
+import { PrefixDirectory } from '../../state/prefix-directory.js';
+import { RetryBudget } from '../../state/retry-budget.js';
+import { Configuration, MACHINES_DOCUMENT, TEMPLATES_DOCUMENT } from '../shared/configuration.js';
+import { DocumentSpreader } from '../shared/document-spreader.js';
+import { BackendTable } from './backend-table.js';
+import { CallServer } from './call-server.js';
+import { ClaimService } from './claim-service.js';
+import { EngineOwnership } from './engine-ownership.js';
+import { EngineSelector } from './engine-selector.js';
+import { GossipService } from './gossip-service.js';
+import { decodeMemberUpdate, encodeMemberUpdate } from './member-codec.js';
+import { PeerPool } from './peer-pool.js';
+import { PlatformReader, READERS_PER_REGION } from './platform-reader.js';
+import type { RouterContext } from './router-context.js';
+import { type RouterStatistics, createRouterStatistics } from './router-statistics.js';
+import type { Protections, RouterSettings } from './settings.js';
+import {
+  BACKEND_PORT,
+  ENGINE_PORT,
+  MACHINE_LIST_PORT,
+  OBJECT_API_PORT,
+  PROTECTIONS,
+  ROUTER_SETTINGS,
+} from './tokens.js';
+
+/** Time a router that leaves waits after telling, so that no new call is under way to it. */
+const LEAVE_NOTICE_MS = 300;
+/** A router that hears of nobody for so long takes itself for the first. */
+const ALONE_AFTER_MS = 3_000;
+const TABLE_PERIOD_MS = 1_000;
+/** A member refutes whatever is said of an earlier life, so the first incarnation may be random. */
+const FIRST_INCARNATIONS = 1_000;
+
+/** One router node. */
+@injectable()
+export class RouterNode {
+  readonly statistics: RouterStatistics = createRouterStatistics();
+  readonly engines = new EngineTable();
+  readonly directory = new PrefixDirectory();
+  readonly configuration: Configuration;
+  private readonly spreader = new DocumentSpreader([TEMPLATES_DOCUMENT, MACHINES_DOCUMENT]);
+  private readonly backends = new BackendTable();
+  private readonly admission = new Admission();
+  private readonly budgets = new Map<string, RetryBudget>();
+  private readonly pool: PeerPool;
+  private readonly claims: ClaimService;
+  private readonly calls: CallServer;
+  private readonly reader: PlatformReader;
+  private readonly ownership: EngineOwnership;
+  private readonly selector: EngineSelector;
+  private readonly startedMs: number;
+  private gossip: GossipService | undefined;
+  private listener: FrameListener | undefined;
+  private tableTimer: Timer | undefined;
+  private tableReceived = false;
+  private leaving = false;
+
+  constructor(
+    @inject(ROUTER_SETTINGS) private readonly settings: RouterSettings,
+    @inject(PROTECTIONS) private readonly protections: Protections,
+    @inject(CLOCK) private readonly clock: Clock,
+    @inject(RANDOM) private readonly random: RandomSource,
+    @inject(HASHER) private readonly hasher: Hasher,
+    @inject(LOGGER) private readonly logger: Logger,
+    @inject(FRAME_TRANSPORT) private readonly frames: FrameTransport,
+    @inject(DATAGRAM_TRANSPORT) private readonly datagrams: DatagramTransport,
+    @inject(ENGINE_PORT) private readonly enginePort: EnginePort,
+    @inject(BACKEND_PORT) private readonly backendPort: PlainBackendPort,
+    @inject(OBJECT_API_PORT) objects: ObjectApiPort,
+    @inject(MACHINE_LIST_PORT) machines: MachineListPort,
+  ) {
+    const { nodeId, zone } = settings;
+    this.startedMs = clock.now();
+    this.configuration = new Configuration(logger);
+    this.pool = new PeerPool(
+      { nodeId, zone, role: NodeRole.ROUTER },
+      frames,
+      { addressOf: (id) => this.members().find((member) => member.nodeId === id)?.peerAddress },
+      {
+        onOpen: (channel, hello) => this.onOpen(channel, hello),
+        onMessage: (channel, body) => this.onMessage(channel, body),
+        onClose: (channel) => this.calls.onClose(channel),
+      },
+      logger,
+    );
+    const group = {
+      members: () => this.members(),
+      isViewComplete: () => this.isViewComplete,
+      send: (id: string, body: PeerBody) => this.pool.send(id, body),
+    };
+    this.claims = new ClaimService(nodeId, group, clock, hasher);
+    this.selector = new EngineSelector(zone, this.engines, this.directory, clock, random);
+    this.calls = new CallServer(this.createContext());
+    this.reader = new PlatformReader(
+      objects,
+      machines,
+      this.spreader,
+      () => this.isReader(),
+      clock,
+      random,
+      logger,
+    );
+    this.ownership = this.createOwnership();
+    this.spreader.onChange((name) => this.onDocument(name));
+  }
+
+  /** Address that agents and routers connect to, once started. */
+  get peerAddress(): string {
+    return this.listener?.address ?? this.settings.peerAddress;
+  }
+
+  /** Serves calls: has a configuration and a machine list. */
+  get isReady(): boolean {
+    return !this.leaving && this.configuration.isReady && this.configuration.hasMachines;
+  }
+
+  /** Address of membership datagrams, once started. */
+  get gossipAddress(): string {
+    return this.gossip?.membership.own.gossipAddress ?? this.settings.gossipAddress;
+  }
+
+  /** Whether every engine of the machine list has reported, to this router or through a peer. */
+  get knowsAllEngines(): boolean {
+    return [...this.engines.all()].every((record) => record.report !== undefined);
+  }
+
+  get runningCalls(): number {
+    return this.calls.runningCalls;
+  }
+
+  /** Working routers as this one sees them. */
+  get workingRouters(): string[] {
+    return this.gossip?.membership.working().map((member) => member.nodeId) ?? [];
+  }
+
+  async start(): Promise<void> {
+    this.listener = await this.frames.listen(this.settings.peerAddress, (connection) =>
+      this.pool.accept(connection),
+    );
+    const incarnation = randomInteger(this.random, FIRST_INCARNATIONS);
+    this.gossip = await GossipService.open(
+      this.settings,
+      this.listener.address,
+      incarnation,
+      this.datagrams,
+      this.clock,
+      this.random,
+      {
+        revisions: () => this.spreader.revisions(),
+        onRevisions: (nodeId, revisions) => this.onRevisions(nodeId, revisions),
+        onViewChange: () => this.onViewChange(),
+      },
+    );
+    this.gossip.start(this.random.next() * PROBE_PERIOD_MS);
+    this.reader.start();
+    this.tableTimer = repeat(this.clock, TABLE_PERIOD_MS, () => this.refresh());
+    this.logger.info('router_started', { node: this.settings.nodeId, peer: this.peerAddress });
+  }
+
+  /** Planned stop: leaves the group, finishes what runs, then closes. */
+  async stop(): Promise<void> {
+    this.leaving = true;
+    this.gossip?.leave();
+    this.sendRouterTable();
+    await new Promise<void>((resolve) => {
+      this.clock.setTimer(LEAVE_NOTICE_MS, resolve);
+    });
+    await this.calls.drain();
+    this.close();
+    this.pool.close();
+    this.logger.info('router_stopped', { node: this.settings.nodeId });
+  }
+
+  /** Ends at once without a word, as a crash does. */
+  kill(): void {
+    this.close();
+    this.pool.destroy();
+  }
+
+  private close(): void {
+    this.tableTimer?.cancel();
+    this.reader.stop();
+    this.ownership.stop();
+    this.gossip?.stop();
+    this.listener?.close();
+  }
+
+  private createContext(): RouterContext {
+    return {
+      nodeId: this.settings.nodeId,
+      zone: this.settings.zone,
+      clock: this.clock,
+      random: this.random,
+      hasher: this.hasher,
+      logger: this.logger,
+      configuration: this.configuration,
+      engines: this.engines,
+      directory: this.directory,
+      selector: this.selector,
+      backends: this.backends,
+      enginePort: this.enginePort,
+      backendPort: this.backendPort,
+      claims: this.claims,
+      admission: this.admission,
+      protections: this.protections,
+      statistics: this.statistics,
+      retryBudgetOf: (tenant) => this.retryBudgetOf(tenant),
+    };
+  }
+
+  private createOwnership(): EngineOwnership {
+    return new EngineOwnership(
+      this.settings.nodeId,
+      this.enginePort,
+      this.engines,
+      this.directory,
+      {
+        working: () => this.workingRouters,
+        viewVersion: () => this.gossip?.membership.version ?? 0,
+        send: (nodeId, body) => this.pool.send(nodeId, body),
+      },
+      this.clock,
+      this.hasher,
+      this.logger,
+    );
+  }
+
+  private members(): ReturnType<GossipService['membership']['all']> {
+    return this.gossip?.membership.all() ?? [];
+  }
+
+  private get isViewComplete(): boolean {
+    return this.tableReceived || this.clock.now() - this.startedMs >= ALONE_AFTER_MS;
+  }
+
+  private retryBudgetOf(tenant: string): RetryBudget {
+    let budget = this.budgets.get(tenant);
+    if (!budget) {
+      budget = new RetryBudget();
+      this.budgets.set(tenant, budget);
+    }
+    return budget;
+  }
+
+  /** The first routers of the region by identifier read the platform. */
+  private isReader(): boolean {
+    const { region, nodeId } = this.settings;
+    const ranked = this.members()
+      .filter((member) => member.region === region && isWorking(member))
+      .map((member) => member.nodeId)
+      .sort();
+    return ranked.slice(0, READERS_PER_REGION).includes(nodeId);
+  }
+
+  private onOpen(channel: PeerChannel, hello: Hello): void {
+    this.spreader.sendDigest(channel);
+    if (hello.role === NodeRole.AGENT) {
+      channel.send({ case: 'routerTable', value: this.routerTable() });
+      return;
+    }
+    const members = this.members().map(encodeMemberUpdate);
+    channel.send({ case: 'memberTable', value: create(MemberTableSchema, { members }) });
+  }
+
+  private onMessage(channel: PeerChannel, body: PeerBody): void {
+    if (this.calls.handle(channel, body)) return;
+    if (this.spreader.handle(channel, body)) return;
+    if (this.claims.handle(channel, body)) return;
+    switch (body.case) {
+      case 'memberTable':
+        this.gossip?.mergeTable(body.value.members.map(decodeMemberUpdate));
+        this.tableReceived = true;
+        break;
+      case 'directoryUpdate':
+        this.ownership.takeUpdate(body.value);
+        break;
+      case 'engineReport':
+        this.ownership.takeReport(body.value);
+        break;
+      case 'ping':
+        channel.send({ case: 'pong', value: create(PongSchema) });
+        break;
+      default:
+        this.logger.debug('message_ignored', { peer: channel.peerId, message: body.case });
+    }
+  }
+
+  private onRevisions(nodeId: string, revisions: readonly DocumentRevision[]): void {
+    if (!this.spreader.isBehind(revisions)) return;
+    // The digest makes the peer send what is lacking here.
+    this.pool.send(nodeId, { case: 'documentDigest', value: this.spreader.digest() });
+  }
+
+  private onViewChange(): void {
+    if (!this.tableReceived) this.askForTable();
+    this.ownership.refresh();
+    this.sendRouterTable();
+  }
+
+  /** A channel to any member brings its whole table. */
+  private askForTable(): void {
+    const other = this.members().find(
+      (member) => member.nodeId !== this.settings.nodeId && isWorking(member),
+    );
+    if (other) this.pool.ensure(other.nodeId);
+  }
+
+  private refresh(): void {
+    if (!this.tableReceived) this.askForTable();
+    this.ownership.refresh();
+  }
+
+  private onDocument(name: string): void {
+    const document = this.spreader.document(name);
+    if (name === TEMPLATES_DOCUMENT) this.configuration.loadTemplates(document);
+    else this.loadMachines();
+    for (const channel of this.pool.agentChannels()) this.spreader.sendDigest(channel);
+    this.gossip?.announceRevisions();
+  }
+
+  private loadMachines(): void {
+    this.configuration.loadMachines(this.spreader.document(MACHINES_DOCUMENT));
+    const { machines } = this.configuration;
+    const seen = this.protections.respectLeaving
+      ? machines
+      : machines.map((machine) => ({ ...machine, leaving: false }));
+    this.backends.replaceMachines(seen.filter((machine) => machine.kind === 'backend'));
+    this.ownership.assign(seen);
+  }
+
+  private sendRouterTable(): void {
+    const value = this.routerTable();
+    for (const channel of this.pool.agentChannels()) channel.send({ case: 'routerTable', value });
+  }
+
+  private routerTable(): ReturnType<typeof createTable> {
+    return createTable(
+      this.members()
+        .filter((member) => member.status !== MemberStatus.Dead)
+        .map((member) => ({
+          nodeId: member.nodeId,
+          address: member.peerAddress,
+          zone: member.zone,
+          leaving: member.status === MemberStatus.Leaving,
+        })),
+    );
+  }
+}
+
+function createTable(
+  entries: readonly { nodeId: string; address: string; zone: string; leaving: boolean }[],
+): ReturnType<typeof create<typeof RouterTableSchema>> {
+  return create(RouterTableSchema, {
+    routers: entries.map((entry) => create(RouterEntrySchema, entry)),
+  });
+}
--- /dev/null
+++ b/src/coordination/shared/document-spreader.ts
@@ -0,0 +1,141 @@
+/** Spreads replicated documents over peer channels: digests tell revisions, pulls fetch what lacks. */
+import { create } from '@bufbuild/protobuf';
+import {
+  type DocumentDelta as WireDelta,
+  DocumentDeltaSchema,
+  type DocumentDigest,
+  DocumentDigestSchema,
+  DocumentPullSchema,
+  type DocumentRevision,
+  DocumentRevisionSchema,
+  DocumentSectionSchema,
+} from '../../protocol/peer/generated/peer_pb.js';
+import type { PeerBody, PeerChannel } from '../../protocol/peer/peer-channel.js';
+import { type DocumentDelta, ReplicatedDocument } from '../../state/replicated-document.js';
+
+const encoder = new TextEncoder();
+const decoder = new TextDecoder();
+
+/** One node's copies of all documents. */
+export class DocumentSpreader {
+  private readonly documents = new Map<string, ReplicatedDocument>();
+  private readonly listeners: ((name: string, document: ReplicatedDocument) => void)[] = [];
+
+  constructor(names: readonly string[]) {
+    for (const name of names) this.documents.set(name, new ReplicatedDocument());
+  }
+
+  /** Calls back after a document took a newer revision. */
+  onChange(listener: (name: string, document: ReplicatedDocument) => void): void {
+    this.listeners.push(listener);
+  }
+
+  document(name: string): ReplicatedDocument {
+    const document = this.documents.get(name);
+    if (!document) throw new Error(`no document named ${name}`);
+    return document;
+  }
+
+  /** The revisions held here. */
+  revisions(): DocumentRevision[] {
+    return [...this.documents].map(([document, copy]) =>
+      create(DocumentRevisionSchema, { document, revision: copy.revision }),
+    );
+  }
+
+  /** What is held here, as a message. */
+  digest(): DocumentDigest {
+    return create(DocumentDigestSchema, { revisions: this.revisions() });
+  }
+
+  /** Tells a peer what is held here. */
+  sendDigest(channel: PeerChannel): void {
+    channel.send({ case: 'documentDigest', value: this.digest() });
+  }
+
+  /** Whether a peer's revisions show that it has something newer. */
+  isBehind(revisions: readonly DocumentRevision[]): boolean {
+    return revisions.some(({ document, revision }) => {
+      const copy = this.documents.get(document);
+      return copy !== undefined && revision > copy.revision;
+    });
+  }
+
+  /** Handles the three document messages; false for any other. */
+  handle(channel: PeerChannel, body: PeerBody): boolean {
+    switch (body.case) {
+      case 'documentDigest':
+        this.answerDigest(channel, body.value.revisions);
+        return true;
+      case 'documentPull':
+        this.sendDelta(channel, body.value.document, body.value.haveRevision);
+        return true;
+      case 'documentDelta':
+        this.takeDelta(channel, body.value);
+        return true;
+      default:
+        return false;
+    }
+  }
+
+  /** Applies a delta read from the source of a document. */
+  apply(name: string, delta: DocumentDelta): boolean {
+    const document = this.document(name);
+    if (document.applyDelta(delta) !== 'applied') return false;
+    for (const listener of this.listeners) listener(name, document);
+    return true;
+  }
+
+  private answerDigest(channel: PeerChannel, revisions: readonly DocumentRevision[]): void {
+    for (const { document, revision } of revisions) {
+      const copy = this.documents.get(document);
+      if (!copy) continue;
+      if (revision > copy.revision) this.sendPull(channel, document, copy.revision);
+      else if (revision < copy.revision) this.sendDelta(channel, document, revision);
+    }
+  }
+
+  private sendPull(channel: PeerChannel, document: string, haveRevision: bigint): void {
+    const value = create(DocumentPullSchema, { document, haveRevision });
+    channel.send({ case: 'documentPull', value });
+  }
+
+  private sendDelta(channel: PeerChannel, name: string, since: bigint): void {
+    const copy = this.documents.get(name);
+    if (!copy || copy.revision <= since) return;
+    const delta = copy.deltaSince(since);
+    const sections = delta.sections.map((section) =>
+      create(DocumentSectionSchema, {
+        name: section.name,
+        changedAt: section.changedAt,
+        removed: section.removed,
+        content: encoder.encode(section.content),
+      }),
+    );
+    const { baseRevision, revision } = delta;
+    const value = create(DocumentDeltaSchema, {
+      document: name,
+      baseRevision,
+      revision,
+      sections,
+    });
+    channel.send({ case: 'documentDelta', value });
+  }
+
+  private takeDelta(channel: PeerChannel, wire: WireDelta): void {
+    const copy = this.documents.get(wire.document);
+    if (!copy) return;
+    if (wire.baseRevision > copy.revision) {
+      this.sendPull(channel, wire.document, copy.revision);
+      return;
+    }
+    const sections = wire.sections.map((section) => ({
+      name: section.name,
+      changedAt: section.changedAt,
+      removed: section.removed,
+      content: decoder.decode(section.content),
+    }));
+    const { baseRevision, revision } = wire;
+    this.apply(wire.document, { baseRevision, revision, sections });
+  }
+}
--- /dev/null
+++ b/src/edge/caller-api/api-error.ts
@@ -0,0 +1,95 @@
+/** Errors as callers see them: `{error: {type, message, not_run, request_id}}`. */
+import type Hapi from '@hapi/hapi';
+import { type FailedCall, retryAfterOf } from '../../coordination/errors.js';
+
+/** An error response. */
+export interface ApiError {
+  readonly status: number;
+  readonly type: string;
+  readonly message: string;
+  readonly notRun: boolean;
+  /** Seconds after which to come again; 0 for none. */
+  readonly retryAfterSeconds: number;
+}
+
+const BAD_REQUEST = 400;
+const UNAUTHORIZED = 401;
+const FORBIDDEN = 403;
+const NOT_FOUND = 404;
+const CONFLICT = 409;
+const TOO_MANY_REQUESTS = 429;
+const UNAVAILABLE = 503;
+const TIMEOUT = 504;
+
+const MS_PER_SECOND = 1_000;
+
+/** An error found before anything was sent. */
+function unsent(status: number, type: string, message: string): ApiError {
+  return { status, type, message, notRun: true, retryAfterSeconds: 0 };
+}
+
+export const invalidRequest = (message: string): ApiError =>
+  unsent(BAD_REQUEST, 'invalid_request_error', message);
+export const invalidKey = (): ApiError =>
+  unsent(UNAUTHORIZED, 'authentication_error', 'the bearer key is missing or not known');
+export const notFound = (message: string): ApiError => unsent(NOT_FOUND, 'not_found', message);
+export const forbidden = (message: string): ApiError =>
+  unsent(FORBIDDEN, 'permission_error', message);
+export const notReady = (): ApiError => ({
+  ...unsent(UNAVAILABLE, 'unavailable', 'no configuration has been received yet'),
+  retryAfterSeconds: 1,
+});
+
+/** Turns a failed call into the response the caller gets. */
+export function apiErrorOf(failed: FailedCall): ApiError {
+  const { failure, notRun } = failed;
+  const retryAfterSeconds = Math.ceil(retryAfterOf(failure) / MS_PER_SECOND);
+  const error = (status: number, type: string): ApiError => ({
+    status,
+    type,
+    message: failure.message,
+    notRun,
+    retryAfterSeconds,
+  });
+  switch (failure.kind) {
+    case 'overloaded':
+      return error(TOO_MANY_REQUESTS, 'overloaded');
+    case 'unavailable':
+      return error(UNAVAILABLE, 'unavailable');
+    case 'try-another-router':
+      return { ...error(UNAVAILABLE, 'unavailable'), retryAfterSeconds: 1 };
+    case 'deadline':
+      return error(TIMEOUT, 'deadline_exceeded');
+    case 'forbidden':
+      return error(FORBIDDEN, 'permission_error');
+    case 'invalid':
+      return error(NOT_FOUND, 'not_found');
+    case 'outcome-unknown':
+      return error(CONFLICT, 'outcome_unknown');
+  }
+}
+
+/** The JSON body of an error. */
+export function errorBody(error: ApiError, requestId: string): object {
+  return {
+    error: {
+      type: error.type,
+      message: error.message,
+      not_run: error.notRun,
+      ...(error.type === 'outcome_unknown' ? { outcome_unknown: true } : {}),
+      request_id: requestId,
+    },
+  };
+}
+
+/** Answers with an error. */
+export function respondError(
+  h: Hapi.ResponseToolkit,
+  error: ApiError,
+  requestId: string,
+): Hapi.ResponseObject {
+  const response = h.response(errorBody(error, requestId)).code(error.status);
+  response.header('x-request-id', requestId);
+  if (error.retryAfterSeconds > 0) response.header('retry-after', String(error.retryAfterSeconds));
+  return response;
+}
--- /dev/null
+++ b/src/edge/caller-api/generation-handler.ts
@@ -0,0 +1,170 @@
+/** Handles chat completions and completions, streamed and whole. */
+import { PassThrough } from 'node:stream';
+import type Hapi from '@hapi/hapi';
+import type { AgentNode } from '../../coordination/agent/agent-node.js';
+import type {
+  CallerSink,
+  CallerUsage,
+  GenerationRequest,
+} from '../../coordination/agent/caller.js';
+import type { FailedCall } from '../../coordination/errors.js';
+import {
+  type ApiError,
+  apiErrorOf,
+  forbidden,
+  invalidRequest,
+  notFound,
+  respondError,
+} from './api-error.js';
+import {
+  type CompletionShape,
+  type GenerationBody,
+  type ResponseIdentity,
+  parseBody,
+  wholeBody,
+} from './generation-bodies.js';
+import { type RequestContext, readContext } from './request-context.js';
+import { StreamWriter } from './stream-writer.js';
+
+const MS_PER_SECOND = 1_000;
+
+/** The handler of one shape. */
+export function generationHandler(agent: AgentNode, shape: CompletionShape): Hapi.Lifecycle.Method {
+  return (request, h) => {
+    const read = readContext(agent, request);
+    if (read.kind === 'refused') return respondError(h, read.error, '');
+    const { context } = read;
+    const parsed = parseBody(shape, request.payload);
+    if (parsed.kind === 'malformed') {
+      return respondError(h, invalidRequest(parsed.message), context.requestId);
+    }
+    const { body } = parsed;
+    const refusal = modelRefusal(agent, context.tenant, body.model);
+    if (refusal) return respondError(h, refusal, context.requestId);
+    const identity = {
+      shape,
+      requestId: context.requestId,
+      model: body.model,
+      created: Math.floor(Date.now() / MS_PER_SECOND),
+    };
+    const generation = generationRequest(agent, context, body);
+    return body.stream
+      ? streamed(agent, h, generation, identity, body.includeUsage)
+      : whole(agent, request, h, generation, identity);
+  };
+}
+
+function modelRefusal(agent: AgentNode, tenant: string, model: string): ApiError | undefined {
+  if (agent.configuration.allowedModel(tenant, model)) return undefined;
+  if (agent.configuration.knowsModel(model)) {
+    return forbidden(`the key's tenant may not use model "${model}"`);
+  }
+  return notFound(`no model named "${model}"`);
+}
+
+function generationRequest(
+  agent: AgentNode,
+  context: RequestContext,
+  body: GenerationBody,
+): GenerationRequest {
+  const prompt = Buffer.from(body.prompt, 'utf8');
+  const routeKey = agent.routeKeyOf(context.tenant, body.model, prompt, context.requestId);
+  const { model, maxTokens } = body;
+  return { kind: 'generation', ...context, model, prompt, maxTokens, routeKey };
+}
+
+function streamed(
+  agent: AgentNode,
+  h: Hapi.ResponseToolkit,
+  generation: GenerationRequest,
+  identity: ResponseIdentity,
+  includeUsage: boolean,
+): Promise<Hapi.ResponseObject> {
+  const output = new PassThrough();
+  const writer = new StreamWriter(output, identity, includeUsage);
+  return new Promise((resolve) => {
+    const opening = new StreamOpening(writer, (failed) => {
+      resolve(
+        failed
+          ? respondError(h, apiErrorOf(failed), identity.requestId)
+          : h
+              .response(output)
+              .type('text/event-stream')
+              .header('cache-control', 'no-cache')
+              .header('x-request-id', identity.requestId),
+      );
+    });
+    writer.handle = agent.submit(generation, opening);
+  });
+}
+
+/**
+ * Holds back the status line until the first text, so that a request refused before is answered
+ * with a proper status.
+ */
+class StreamOpening implements CallerSink {
+  private opened = false;
+
+  constructor(
+    private readonly writer: StreamWriter,
+    private readonly open: (failed?: FailedCall) => void,
+  ) {}
+
+  onTexts(sequence: number, texts: readonly string[]): void {
+    this.ensureOpen();
+    this.writer.onTexts(sequence, texts);
+  }
+
+  onFinished(finishReason: string, usage: CallerUsage): void {
+    this.ensureOpen();
+    this.writer.onFinished(finishReason, usage);
+  }
+
+  onOutcome(): void {
+    this.writer.onOutcome();
+  }
+
+  onFailed(failed: FailedCall): void {
+    if (this.opened) this.writer.onFailed(failed);
+    else this.open(failed);
+  }
+
+  private ensureOpen(): void {
+    if (this.opened) return;
+    this.opened = true;
+    this.open();
+  }
+}
+
+function whole(
+  agent: AgentNode,
+  request: Hapi.Request,
+  h: Hapi.ResponseToolkit,
+  generation: GenerationRequest,
+  identity: ResponseIdentity,
+): Promise<Hapi.ResponseObject> {
+  return new Promise((resolve) => {
+    const texts: string[] = [];
+    let ended = false;
+    const answer = (response: Hapi.ResponseObject): void => {
+      ended = true;
+      resolve(response.header('x-request-id', identity.requestId));
+    };
+    const handle = agent.submit(generation, {
+      onTexts: (_sequence, fresh) => {
+        texts.push(...fresh);
+        handle.consumed(fresh.length);
+      },
+      onFinished: (reason, usage) => {
+        answer(h.response(wholeBody(identity, texts.join(''), reason, usage)));
+      },
+      onOutcome: () => undefined,
+      onFailed: (failed) => {
+        answer(respondError(h, apiErrorOf(failed), identity.requestId));
+      },
+    });
+    request.raw.res.once('close', () => {
+      if (!ended) handle.cancel();
+    });
+  });
+}
--- /dev/null
+++ b/src/edge/caller-api/server.ts
@@ -0,0 +1,97 @@
+/** The callers' door: the chat-completions interface over HTTP (docs/INTERFACES.md). */
+import Hapi from '@hapi/hapi';
+import type { AgentNode } from '../../coordination/agent/agent-node.js';
+import { formatAddress, parseAddress } from '../../transport/address.js';
+import { errorBody, invalidRequest, notFound, respondError } from './api-error.js';
+import { generationHandler } from './generation-handler.js';
+import { readContext } from './request-context.js';
+import { serviceHandler } from './service-handler.js';
+
+const MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
+const HTTP_NOT_FOUND = 404;
+const HTTP_TOO_LARGE = 413;
+const MS_PER_SECOND = 1_000;
+
+/** The running interface. */
+export interface CallerApi {
+  /** Bound `HOST:PORT`. */
+  readonly address: string;
+  /** Takes no new connections; answers what runs, then closes. */
+  stop(timeoutMs: number): Promise<void>;
+}
+
+/** Starts the interface of an agent. */
+export async function startCallerApi(agent: AgentNode, address: string): Promise<CallerApi> {
+  const { host, port } = parseAddress(address);
+  const server = Hapi.server({
+    host,
+    port,
+    compression: false,
+    routes: {
+      payload: { maxBytes: MAXIMUM_BODY_BYTES, allow: ['application/json'] },
+      state: { parse: false },
+    },
+  });
+  server.listener.on('connection', (socket) => socket.setNoDelay(true));
+  addRoutes(server, agent);
+  shapeErrors(server);
+  await server.start();
+  return {
+    address: formatAddress(host, Number(server.info.port)),
+    stop: (timeoutMs) => server.stop({ timeout: timeoutMs }),
+  };
+}
+
+function addRoutes(server: Hapi.Server, agent: AgentNode): void {
+  server.route({
+    method: 'POST',
+    path: '/v1/chat/completions',
+    handler: generationHandler(agent, 'chat'),
+  });
+  server.route({
+    method: 'POST',
+    path: '/v1/completions',
+    handler: generationHandler(agent, 'text'),
+  });
+  server.route({
+    method: 'POST',
+    path: '/v1/services/{service}/{operation}',
+    handler: serviceHandler(agent),
+  });
+  server.route({
+    method: 'GET',
+    path: '/v1/models',
+    handler: (request, h) => {
+      const read = readContext(agent, request);
+      if (read.kind === 'refused') return respondError(h, read.error, '');
+      const models = agent.configuration.parametersOf(read.context.tenant)?.models ?? {};
+      const created = Math.floor(Date.now() / MS_PER_SECOND);
+      const data = Object.keys(models).map((id) => ({
+        id,
+        object: 'model',
+        created,
+        owned_by: 'peatspan',
+      }));
+      return { object: 'list', data };
+    },
+  });
+}
+
+/** Gives errors that hapi raises itself (malformed JSON, body too large, no route) the same shape. */
+function shapeErrors(server: Hapi.Server): void {
+  server.ext('onPreResponse', (request, h) => {
+    const { response } = request;
+    if (!('isBoom' in response)) return h.continue;
+    const { statusCode: status } = response.output;
+    const message = response.message;
+    if (status === HTTP_NOT_FOUND) {
+      return respondError(h, notFound(`no such path: ${request.path}`), '');
+    }
+    if (status === HTTP_TOO_LARGE) {
+      const error = { ...invalidRequest(`body over ${MAXIMUM_BODY_BYTES} bytes`), status };
+      return respondError(h, error, '');
+    }
+    const error = { ...invalidRequest(message), status };
+    return h.response(errorBody(error, '')).code(status);
+  });
+}
--- /dev/null
+++ b/src/edge/caller-api/stream-writer.ts
@@ -0,0 +1,72 @@
+/** Writes a generation to the caller as server-sent events, no faster than the caller reads. */
+import type { PassThrough } from 'node:stream';
+import type { CallerHandle, CallerSink, CallerUsage } from '../../coordination/agent/caller.js';
+import type { FailedCall } from '../../coordination/errors.js';
+import { apiErrorOf, errorBody } from './api-error.js';
+import {
+  type ResponseIdentity,
+  chunkBody,
+  lastChunkBody,
+  usageChunkBody,
+} from './generation-bodies.js';
+
+/** The stream of one response. */
+export class StreamWriter implements CallerSink {
+  /** Set once the request was submitted. */
+  handle: CallerHandle | undefined;
+  private unacknowledged = 0;
+  private first = true;
+  private ended = false;
+
+  constructor(
+    private readonly output: PassThrough,
+    private readonly identity: ResponseIdentity,
+    private readonly includeUsage: boolean,
+  ) {
+    output.on('drain', () => this.acknowledge());
+    output.on('close', () => {
+      if (!this.ended) this.handle?.cancel();
+    });
+  }
+
+  onTexts(sequence: number, texts: readonly string[]): void {
+    const body = chunkBody(this.identity, texts.join(''), this.first);
+    this.first = false;
+    this.unacknowledged += texts.length;
+    const lastSequence = sequence + texts.length - 1;
+    if (this.write(body, lastSequence)) this.acknowledge();
+  }
+
+  onFinished(finishReason: string, usage: CallerUsage): void {
+    this.write(lastChunkBody(this.identity, finishReason));
+    if (this.includeUsage) this.write(usageChunkBody(this.identity, usage));
+    this.output.write('data: [DONE]\n\n');
+    this.finish();
+  }
+
+  onOutcome(): void {
+    throw new Error('outcome of an operation in a stream');
+  }
+
+  /** The status line is out by now, so that the error is the stream's last event. */
+  onFailed(failed: FailedCall): void {
+    this.write(errorBody(apiErrorOf(failed), this.identity.requestId));
+    this.finish();
+  }
+
+  private finish(): void {
+    this.ended = true;
+    this.output.end();
+  }
+
+  private write(body: object, sequence?: number): boolean {
+    const id = sequence === undefined ? '' : `id: ${sequence}\n`;
+    return this.output.write(`${id}data: ${JSON.stringify(body)}\n\n`);
+  }
+
+  private acknowledge(): void {
+    const chunks = this.unacknowledged;
+    this.unacknowledged = 0;
+    this.handle?.consumed(chunks);
+  }
+}
--- /dev/null
+++ b/src/lab/backend/backend-core.ts
@@ -0,0 +1,112 @@
+/** The stand-in plain back end: flag state, audit, booking. Records each run by request identifier. */
+import { type Clock, sleep } from '../../runtime/clock.js';
+import type {
+  BackendAnswer,
+  BackendInvocation,
+  LookupResult,
+} from '../../protocol/plain-backend/port.js';
+
+/** Speed and limits of a stand-in back end. */
+export interface BackendSettings {
+  readonly backendId: string;
+  readonly workMs: number;
+  readonly maximumRunning: number;
+}
+
+/** Result of an invocation inside the back end. */
+export type RunResult =
+  | { readonly kind: 'answered'; readonly answer: BackendAnswer }
+  | { readonly kind: 'refused'; readonly reason: string }
+  | { readonly kind: 'lost' };
+
+const HTTP_OK = 200;
+const FENCED = 'fenced';
+
+/** State of requests shared by all machines of one service, as a database behind them would be. */
+export class BackendStore {
+  private readonly fenced = new Set<string>();
+  private readonly answers = new Map<string, BackendAnswer>();
+  /** Runs by request identifier, for the oracle. */
+  readonly runs = new Map<string, number>();
+
+  /** Notes the start of a run; false where the identifier is fenced. */
+  begin(requestId: string): boolean {
+    if (this.fenced.has(requestId)) return false;
+    this.runs.set(requestId, (this.runs.get(requestId) ?? 0) + 1);
+    return true;
+  }
+
+  finish(requestId: string, answer: BackendAnswer): void {
+    this.answers.set(requestId, answer);
+  }
+
+  /** What is known of a request; one never seen is fenced from now on. */
+  lookup(requestId: string): LookupResult {
+    const answer = this.answers.get(requestId);
+    if (answer) return { kind: 'answered', answer };
+    if (this.runs.has(requestId)) return { kind: 'running' };
+    this.fenced.add(requestId);
+    return { kind: 'fenced' };
+  }
+}
+
+/** One back end machine. */
+export class BackendCore {
+  leaving = false;
+  private alive = true;
+  private running = 0;
+  private life = 0;
+
+  constructor(
+    readonly settings: BackendSettings,
+    private readonly store: BackendStore,
+    private readonly clock: Clock,
+  ) {}
+
+  get isAlive(): boolean {
+    return this.alive;
+  }
+
+  /** Requests running. */
+  get activeRequests(): number {
+    return this.running;
+  }
+
+  async run(invocation: BackendInvocation): Promise<RunResult> {
+    if (!this.alive) return { kind: 'lost' };
+    if (this.leaving) return { kind: 'refused', reason: 'leaving' };
+    if (this.running >= this.settings.maximumRunning) {
+      return { kind: 'refused', reason: 'overloaded' };
+    }
+    if (!this.store.begin(invocation.requestId)) return { kind: 'refused', reason: FENCED };
+    const life = this.life;
+    this.running += 1;
+    await sleep(this.clock, this.settings.workMs);
+    if (life !== this.life) return { kind: 'lost' };
+    this.running -= 1;
+    const answer = { status: HTTP_OK, body: answerOf(invocation) };
+    this.store.finish(invocation.requestId, answer);
+    return { kind: 'answered', answer };
+  }
+
+  lookup(requestId: string): LookupResult {
+    return this.alive ? this.store.lookup(requestId) : { kind: 'unavailable' };
+  }
+
+  /** Loses what runs; a run that began may or may not have taken effect. */
+  crash(): void {
+    this.alive = false;
+    this.running = 0;
+    this.life += 1;
+  }
+
+  restart(): void {
+    this.alive = true;
+  }
+}
+
+function answerOf(invocation: BackendInvocation): Uint8Array {
+  const { service, operation, tenant, requestId } = invocation;
+  const text = JSON.stringify({ service, operation, tenant, request_id: requestId, done: true });
+  return new TextEncoder().encode(text);
+}
--- /dev/null
+++ b/src/lab/backend/http-face.ts
@@ -0,0 +1,55 @@
+/** The stand-in plain back end over HTTP (docs/INTERFACES.md, "Plain back end"). */
+import { z } from 'zod';
+import { type StandInServer, createStandInServer, startStandIn } from '../http-server.js';
+import type { BackendCore } from './backend-core.js';
+
+const HTTP_BAD_REQUEST = 400;
+const HTTP_UNAVAILABLE = 503;
+const OPERATION_TIMEOUT_MS = 60_000;
+
+const invocationSchema = z.object({
+  request_id: z.string().min(1),
+  tenant: z.string(),
+  arguments: z.unknown(),
+});
+
+/** Starts the HTTP face of a back end. */
+export function startBackendFace(core: BackendCore, address: string): Promise<StandInServer> {
+  const server = createStandInServer(address);
+  server.route({
+    method: 'POST',
+    path: '/v1/{service}/{operation}',
+    handler: async (request, h) => {
+      const body = invocationSchema.safeParse(request.payload);
+      if (!body.success) return h.response({ error: 'malformed' }).code(HTTP_BAD_REQUEST);
+      const result = await core.run({
+        requestId: body.data.request_id,
+        tenant: body.data.tenant,
+        service: String(request.params.service),
+        operation: String(request.params.operation),
+        payload: new Uint8Array(),
+        timeoutMs: OPERATION_TIMEOUT_MS,
+      });
+      if (result.kind === 'refused') {
+        return h.response({ not_run: true, reason: result.reason }).code(HTTP_UNAVAILABLE);
+      }
+      if (result.kind === 'lost') {
+        request.raw.req.socket.destroy();
+        return h.abandon;
+      }
+      const text = Buffer.from(result.answer.body).toString('utf8');
+      return h.response(text).type('application/json').code(result.answer.status);
+    },
+  });
+  server.route({
+    method: 'GET',
+    path: '/v1/requests/{id}',
+    handler: (request) => {
+      const lookup = core.lookup(String(request.params.id));
+      if (lookup.kind !== 'answered') return { state: lookup.kind };
+      const body = JSON.parse(Buffer.from(lookup.answer.body).toString('utf8')) as unknown;
+      return { state: 'answered', status: lookup.answer.status, body };
+    },
+  });
+  return startStandIn(server);
+}
--- /dev/null
+++ b/src/lab/platform/http-face.ts
@@ -0,0 +1,128 @@
+/** The stand-in platform over HTTP: object API and machine list (docs/INTERFACES.md). */
+import type Hapi from '@hapi/hapi';
+import { z } from 'zod';
+import { type Clock, sleep } from '../../runtime/clock.js';
+import { machineSchema } from '../../protocol/machine-list/http-client.js';
+import {
+  type StandInServer,
+  createStandInServer,
+  queryNumber,
+  startStandIn,
+} from '../http-server.js';
+import type { MachineRegistry } from './machine-registry.js';
+import type { ObjectStore } from './object-store.js';
+
+const HTTP_BAD_REQUEST = 400;
+const HTTP_NOT_FOUND = 404;
+const HTTP_CONFLICT = 409;
+const HTTP_NOT_MODIFIED = 304;
+const HTTP_NO_CONTENT = 204;
+
+const writeSchema = z.strictObject({
+  content: z.string(),
+  expected_version: z.number().int().min(0),
+});
+
+const faultsSchema = z.strictObject({
+  down: z.boolean().optional(),
+  delay_ms: z.number().min(0).optional(),
+  lose_write_answers: z.number().int().min(0).optional(),
+});
+
+/** Starts the HTTP face of the platform. */
+export function startPlatformFace(
+  store: ObjectStore,
+  machines: MachineRegistry,
+  clock: Clock,
+  address: string,
+): Promise<StandInServer> {
+  const server = createStandInServer(address);
+  server.ext('onPreHandler', async (request, h) => {
+    if (request.path.startsWith('/lab/')) return h.continue;
+    await sleep(clock, store.faults.delayMs);
+    if (!store.faults.down) return h.continue;
+    request.raw.req.socket.destroy();
+    return h.abandon;
+  });
+  addObjectRoutes(server, store);
+  addMachineRoutes(server, machines);
+  addFaultRoute(server, store);
+  return startStandIn(server);
+}
+
+function addObjectRoutes(server: Hapi.Server, store: ObjectStore): void {
+  server.route({
+    method: 'GET',
+    path: '/objects/{name}',
+    handler: async (request, h) => {
+      const name = String(request.params.name);
+      const after = queryNumber(request, 'after', -1);
+      if (after < 0) return store.read(name) ?? h.response({}).code(HTTP_NOT_FOUND);
+      const object = await store.watch(name, after, queryNumber(request, 'wait_ms', 0));
+      return object ?? h.response().code(HTTP_NOT_MODIFIED);
+    },
+  });
+  server.route({
+    method: 'PUT',
+    path: '/objects/{name}',
+    handler: (request, h) => {
+      const body = writeSchema.safeParse(request.payload);
+      if (!body.success) return h.response({ error: 'malformed' }).code(HTTP_BAD_REQUEST);
+      const { content, expected_version: expectedVersion } = body.data;
+      const result = store.write(String(request.params.name), content, expectedVersion);
+      if (store.faults.loseWriteAnswers > 0) {
+        store.faults.loseWriteAnswers -= 1;
+        request.raw.req.socket.destroy();
+        return h.abandon;
+      }
+      if (result.kind === 'written') return { version: result.version };
+      return h.response({ version: result.presentVersion }).code(HTTP_CONFLICT);
+    },
+  });
+}
+
+function addMachineRoutes(server: Hapi.Server, machines: MachineRegistry): void {
+  server.route({
+    method: 'GET',
+    path: '/machines',
+    handler: async (request, h) => {
+      const after = queryNumber(request, 'after', -1);
+      const list = await machines.watch(after, queryNumber(request, 'wait_ms', 0));
+      return list ?? h.response().code(HTTP_NOT_MODIFIED);
+    },
+  });
+  server.route({
+    method: 'PUT',
+    path: '/machines/{id}',
+    handler: (request, h) => {
+      const machine = machineSchema.safeParse(request.payload);
+      if (!machine.success) return h.response({ error: 'malformed' }).code(HTTP_BAD_REQUEST);
+      machines.put(machine.data);
+      return h.response().code(HTTP_NO_CONTENT);
+    },
+  });
+  server.route({
+    method: 'DELETE',
+    path: '/machines/{id}',
+    handler: (request, h) => {
+      machines.remove(String(request.params.id));
+      return h.response().code(HTTP_NO_CONTENT);
+    },
+  });
+}
+
+function addFaultRoute(server: Hapi.Server, store: ObjectStore): void {
+  server.route({
+    method: 'POST',
+    path: '/lab/faults',
+    handler: (request, h) => {
+      const faults = faultsSchema.safeParse(request.payload);
+      if (!faults.success) return h.response({ error: 'malformed' }).code(HTTP_BAD_REQUEST);
+      store.faults.down = faults.data.down ?? store.faults.down;
+      store.faults.delayMs = faults.data.delay_ms ?? store.faults.delayMs;
+      store.faults.loseWriteAnswers =
+        faults.data.lose_write_answers ?? store.faults.loseWriteAnswers;
+      return h.response().code(HTTP_NO_CONTENT);
+    },
+  });
+}
--- /dev/null
+++ b/src/programs/stand-in-programs.ts
@@ -0,0 +1,102 @@
+/** The stand-ins as programs: platform, engine, plain back end. */
+import { BackendCore, BackendStore } from '../lab/backend/backend-core.js';
+import { startBackendFace } from '../lab/backend/http-face.js';
+import { EngineCore } from '../lab/engine/engine-core.js';
+import { startEngineFace } from '../lab/engine/http-face.js';
+import { DEFAULT_ENGINE_SETTINGS, type EngineModelSettings } from '../lab/engine/settings.js';
+import { createTokenModel } from '../lab/engine/token-model.js';
+import type { StandInServer } from '../lab/http-server.js';
+import { startPlatformFace } from '../lab/platform/http-face.js';
+import { MachineRegistry } from '../lab/platform/machine-registry.js';
+import { ObjectStore } from '../lab/platform/object-store.js';
+import type { Machine } from '../protocol/machine-list/port.js';
+import { SystemClock } from '../runtime/clock.js';
+import { createHasher } from '../runtime/hasher.js';
+import { SystemRandom } from '../runtime/random.js';
+import type { EngineBehaviour } from '../settings/schemas.js';
+import { TEMPLATES_OBJECT } from '../coordination/router/platform-reader.js';
+
+/** Identity of a stand-in engine. */
+export interface EngineIdentity {
+  readonly engineId: string;
+  readonly model: string;
+  readonly weightsDigest: string;
+  readonly adapterDigest: string;
+}
+
+/** Lays given behaviour over the defaults. */
+export function engineSettingsOf(
+  identity: EngineIdentity,
+  behaviour: EngineBehaviour,
+): EngineModelSettings {
+  const base = DEFAULT_ENGINE_SETTINGS;
+  return {
+    ...base,
+    ...identity,
+    prefillTokensPerSecond: behaviour.prefill_tokens_per_second ?? base.prefillTokensPerSecond,
+    prefillChunkTokens: behaviour.prefill_chunk_tokens ?? base.prefillChunkTokens,
+    decodeStepMs: behaviour.decode_step_ms ?? base.decodeStepMs,
+    maximumRunning: behaviour.maximum_running ?? base.maximumRunning,
+    maximumWaiting: behaviour.maximum_waiting ?? base.maximumWaiting,
+    cacheBlocks: behaviour.cache_blocks ?? base.cacheBlocks,
+    loadLagMs: behaviour.load_lag_ms ?? base.loadLagMs,
+    eventDelayMs: behaviour.event_delay_ms ?? base.eventDelayMs,
+    eventLossChance: behaviour.event_loss_chance ?? base.eventLossChance,
+    streamRetentionMs: behaviour.stream_retention_ms ?? base.streamRetentionMs,
+  };
+}
+
+/** A running stand-in engine. */
+export interface RunningEngine {
+  readonly core: EngineCore;
+  readonly server: StandInServer;
+}
+
+/** Starts a stand-in engine. Its incarnation is the time of its start in milliseconds. */
+export async function startEngine(
+  settings: EngineModelSettings,
+  address: string,
+): Promise<RunningEngine> {
+  const clock = new SystemClock();
+  const hasher = await createHasher();
+  const model = await createTokenModel();
+  const core = new EngineCore(settings, clock, new SystemRandom(), hasher, model, Date.now());
+  return { core, server: await startEngineFace(core, clock, address) };
+}
+
+/** Starts a stand-in back end; machines of one service share a store where they share a process. */
+export function startBackend(
+  backendId: string,
+  workMs: number,
+  maximumRunning: number,
+  store: BackendStore,
+  address: string,
+): Promise<StandInServer> {
+  const core = new BackendCore({ backendId, workMs, maximumRunning }, store, new SystemClock());
+  return startBackendFace(core, address);
+}
+
+/** A running stand-in platform. */
+export interface RunningPlatform {
+  readonly store: ObjectStore;
+  readonly machines: MachineRegistry;
+  readonly server: StandInServer;
+}
+
+/** Starts the stand-in platform with a first configuration and machines. */
+export async function startPlatform(
+  address: string,
+  machineListLagMs: number,
+  templates: unknown,
+  machines: readonly Machine[],
+): Promise<RunningPlatform> {
+  const clock = new SystemClock();
+  const store = new ObjectStore(clock);
+  const registry = new MachineRegistry(clock, machineListLagMs);
+  if (templates !== undefined) {
+    store.write(TEMPLATES_OBJECT, JSON.stringify({ configuration: templates }), 0);
+  }
+  for (const machine of machines) registry.put(machine);
+  const server = await startPlatformFace(store, registry, clock, address);
+  return { store, machines: registry, server };
+}
--- /dev/null
+++ b/src/protocol/engine/http-client.ts
@@ -0,0 +1,191 @@
+/** The engine port over HTTP and server-sent events (docs/INTERFACES.md, "Model engine"). */
+import type { IncomingMessage } from 'node:http';
+import { type EventSourceParser, createParser } from 'eventsource-parser';
+import { ProtocolFailure, toProtocolError } from '../errors.js';
+import { exchangeJson, openHttp, parseJson } from '../http-json.js';
+import Wreck from '@hapi/wreck';
+import type {
+  EngineEventBatch,
+  EngineFailure,
+  EngineGeneration,
+  EnginePort,
+  EngineSnapshot,
+  EngineStream,
+  EngineStreamListener,
+} from './port.js';
+import { eventBatchSchema, refusalSchema, snapshotSchema, streamEventSchema } from './wire.js';
+import {
+  batchFromWire,
+  generationToWire,
+  loadFromWire,
+  snapshotFromWire,
+  usageFromWire,
+} from './wire-mapping.js';
+
+const HTTP_OK = 200;
+const HTTP_NOT_FOUND = 404;
+/** Time beyond the engine's own wait that an answer may take. */
+const ANSWER_TIMEOUT_MS = 2_000;
+
+/** One stream being read. */
+class HttpEngineStream implements EngineStream {
+  private response: IncomingMessage | undefined;
+  private parser: EventSourceParser | undefined;
+  private closed = false;
+  private paused = false;
+
+  constructor(
+    private readonly address: string,
+    private readonly engineRequestId: string,
+    private readonly listener: EngineStreamListener,
+  ) {}
+
+  async open(method: string, path: string, payload?: unknown): Promise<void> {
+    let response: IncomingMessage;
+    try {
+      response = await openHttp(method, this.address, path, payload);
+    } catch (error) {
+      this.fail(failureOf(error, this.address));
+      return;
+    }
+    if (this.closed) response.destroy();
+    else if (response.statusCode === HTTP_OK) this.read(response);
+    else this.fail(await refusalOf(response));
+  }
+
+  pause(): void {
+    this.paused = true;
+    this.response?.pause();
+  }
+
+  resume(): void {
+    this.paused = false;
+    this.response?.resume();
+  }
+
+  cancel(): void {
+    this.detach();
+    const path = `/v1/requests/${encodeURIComponent(this.engineRequestId)}`;
+    // A lost cancellation costs only the engine's time; the stream ends by its token limit.
+    exchangeJson('DELETE', this.address, path, undefined, ANSWER_TIMEOUT_MS).catch(() => undefined);
+  }
+
+  detach(): void {
+    this.closed = true;
+    this.response?.destroy();
+  }
+
+  private read(response: IncomingMessage): void {
+    this.response = response;
+    this.parser = createParser({ onEvent: (event) => this.take(event.data) });
+    response.setEncoding('utf8');
+    response.on('data', (text: string) => this.parser?.feed(text));
+    response.on('error', () => undefined);
+    response.on('close', () => this.fail({ kind: 'interrupted', reason: 'stream closed' }));
+    if (this.paused) response.pause();
+  }
+
+  private take(data: string): void {
+    if (this.closed) return;
+    const event = streamEventSchema.safeParse(parseQuietly(data));
+    if (!event.success) {
+      this.fail({ kind: 'interrupted', reason: 'malformed stream event' });
+      return;
+    }
+    switch (event.data.type) {
+      case 'start':
+        this.listener.onStart({
+          incarnation: event.data.incarnation,
+          promptTokens: event.data.prompt_tokens,
+          cachedTokens: event.data.cached_tokens,
+          load: loadFromWire(event.data.load),
+        });
+        break;
+      case 'tokens':
+        this.listener.onTokens(event.data.offset, event.data.texts);
+        break;
+      case 'end':
+        this.closed = true;
+        this.listener.onEnd(event.data.finish_reason, usageFromWire(event.data.usage));
+    }
+  }
+
+  private fail(failure: EngineFailure): void {
+    if (this.closed) return;
+    this.detach();
+    this.listener.onFailure(failure);
+  }
+}
+
+/** Engines reached over HTTP. */
+export class HttpEngineClient implements EnginePort {
+  generate(
+    address: string,
+    generation: EngineGeneration,
+    listener: EngineStreamListener,
+  ): EngineStream {
+    const stream = new HttpEngineStream(address, generation.engineRequestId, listener);
+    void stream.open('POST', '/v1/generate', generationToWire(generation));
+    return stream;
+  }
+
+  resume(
+    address: string,
+    engineRequestId: string,
+    offset: number,
+    listener: EngineStreamListener,
+  ): EngineStream {
+    const stream = new HttpEngineStream(address, engineRequestId, listener);
+    const path = `/v1/requests/${encodeURIComponent(engineRequestId)}/stream?offset=${offset}`;
+    void stream.open('GET', path);
+    return stream;
+  }
+
+  async events(address: string, fromSequence: number, waitMs: number): Promise<EngineEventBatch> {
+    const path = `/v1/cache/events?from=${fromSequence}&wait_ms=${waitMs}`;
+    const body = await getJson(address, path, waitMs + ANSWER_TIMEOUT_MS);
+    const batch = eventBatchSchema.safeParse(body);
+    if (!batch.success) throw new ProtocolFailure({ kind: 'malformed', reason: 'event batch' });
+    return batchFromWire(batch.data);
+  }
+
+  async snapshot(address: string): Promise<EngineSnapshot> {
+    const snapshot = snapshotSchema.safeParse(
+      await getJson(address, '/v1/cache/snapshot', ANSWER_TIMEOUT_MS),
+    );
+    if (!snapshot.success) throw new ProtocolFailure({ kind: 'malformed', reason: 'snapshot' });
+    return snapshotFromWire(snapshot.data);
+  }
+}
+
+async function getJson(address: string, path: string, timeoutMs: number): Promise<unknown> {
+  const answer = await exchangeJson('GET', address, path, undefined, timeoutMs);
+  if (answer.status !== HTTP_OK) {
+    throw new ProtocolFailure({ kind: 'rejected', status: answer.status, reason: path });
+  }
+  return answer.body;
+}
+
+function failureOf(error: unknown, address: string): EngineFailure {
+  const cause = toProtocolError(error, address);
+  if (cause.kind === 'unreachable') return { kind: 'unreachable', reason: cause.reason };
+  return { kind: 'interrupted', reason: 'connection lost' };
+}
+
+/** Only a body that says `not_run` proves a refusal; any other status leaves it open. */
+async function refusalOf(response: IncomingMessage): Promise<EngineFailure> {
+  const status = response.statusCode ?? 0;
+  const text = await Wreck.read(response, {}).then(String, () => '');
+  const refusal = refusalSchema.safeParse(parseQuietly(text));
+  if (refusal.success) return { kind: 'refused', reason: refusal.data.reason };
+  if (status === HTTP_NOT_FOUND) return { kind: 'not-found' };
+  return { kind: 'interrupted', reason: `status ${status}` };
+}
+
+function parseQuietly(text: string): unknown {
+  try {
+    return parseJson(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/protocol/plain-backend/http-client.ts
@@ -0,0 +1,71 @@
+/** The plain back end port over HTTP (docs/INTERFACES.md, "Plain back end"). */
+import { z } from 'zod';
+import { toProtocolError } from '../errors.js';
+import { type JsonAnswer, exchangeJson } from '../http-json.js';
+import type {
+  BackendAnswer,
+  BackendInvocation,
+  InvocationResult,
+  LookupResult,
+  PlainBackendPort,
+} from './port.js';
+
+const HTTP_SERVER_ERROR = 500;
+const LOOKUP_TIMEOUT_MS = 1_000;
+
+const refusalSchema = z.object({ not_run: z.literal(true), reason: z.string() });
+const lookupSchema = z.discriminatedUnion('state', [
+  z.object({ state: z.literal('answered'), status: z.number().int(), body: z.unknown() }),
+  z.object({ state: z.literal('running') }),
+  z.object({ state: z.literal('fenced') }),
+]);
+
+/** Plain back ends reached over HTTP. */
+export class HttpPlainBackendClient implements PlainBackendPort {
+  async invoke(address: string, invocation: BackendInvocation): Promise<InvocationResult> {
+    const { requestId, tenant, service, operation, timeoutMs } = invocation;
+    const path = `/v1/${encodeURIComponent(service)}/${encodeURIComponent(operation)}`;
+    const payload = {
+      request_id: requestId,
+      tenant,
+      arguments: JSON.parse(Buffer.from(invocation.payload).toString('utf8')) as unknown,
+    };
+    try {
+      return resultOf(await exchangeJson('POST', address, path, payload, timeoutMs));
+    } catch (error) {
+      return failureOf(error, address);
+    }
+  }
+
+  async lookup(address: string, requestId: string): Promise<LookupResult> {
+    const path = `/v1/requests/${encodeURIComponent(requestId)}`;
+    try {
+      const answer = await exchangeJson('GET', address, path, undefined, LOOKUP_TIMEOUT_MS);
+      const lookup = lookupSchema.safeParse(answer.body);
+      if (!lookup.success) return { kind: 'unavailable' };
+      if (lookup.data.state !== 'answered') return { kind: lookup.data.state };
+      return { kind: 'answered', answer: answerOf(lookup.data.status, lookup.data.body) };
+    } catch {
+      return { kind: 'unavailable' };
+    }
+  }
+}
+
+function resultOf(answer: JsonAnswer): InvocationResult {
+  const refusal = refusalSchema.safeParse(answer.body);
+  if (refusal.success) return { kind: 'refused', reason: refusal.data.reason };
+  if (answer.status >= HTTP_SERVER_ERROR) {
+    return { kind: 'interrupted', reason: `status ${answer.status}` };
+  }
+  return { kind: 'answered', answer: answerOf(answer.status, answer.body) };
+}
+
+function failureOf(error: unknown, address: string): InvocationResult {
+  const cause = toProtocolError(error, address);
+  if (cause.kind === 'unreachable') return { kind: 'unreachable', reason: cause.reason };
+  return { kind: 'interrupted', reason: 'connection lost' };
+}
+
+function answerOf(status: number, body: unknown): BackendAnswer {
+  return { status, body: new TextEncoder().encode(JSON.stringify(body)) };
+}
--- /dev/null
+++ b/src/runtime/tokens.ts
@@ -0,0 +1,7 @@
+/** Injection tokens of what a node takes from its surroundings. */
+export const HASHER = Symbol('Hasher');
+export const CLOCK = Symbol('Clock');
+export const RANDOM = Symbol('RandomSource');
+export const LOGGER = Symbol('Logger');
+export const FRAME_TRANSPORT = Symbol('FrameTransport');
+export const DATAGRAM_TRANSPORT = Symbol('DatagramTransport');
--- /dev/null
+++ b/src/state/claim-table.ts
@@ -0,0 +1,84 @@
+/**
+ * The claims one replica holds: which router may dispatch a request that may not be repeated.
+ *
+ * A replica grants an identifier to one claimant only. After a restart its memory is empty; it then
+ * abstains for identifiers that may have been claimed before it started (identifier age above its
+ * own uptime), and so never grants a second time what it granted before.
+ */
+import { LRUCache } from 'lru-cache';
+
+/** How long a claim is kept. An identifier must not be used again after that. */
+export const CLAIM_RETENTION_MS = 10 * 60 * 1000;
+
+/** Claims kept at most; the oldest go first. */
+const MAXIMUM_CLAIMS = 100_000;
+
+/** The recorded answer of a request. */
+export interface RecordedOutcome {
+  readonly status: number;
+  readonly body: Uint8Array;
+}
+
+/** A replica's answer to a claim. */
+export type ClaimVerdict =
+  | { readonly kind: 'granted' }
+  | { readonly kind: 'held'; readonly holder: string }
+  | { readonly kind: 'settled'; readonly outcome: RecordedOutcome }
+  | { readonly kind: 'abstained' };
+
+interface Claim {
+  readonly holder: string;
+  outcome?: RecordedOutcome;
+}
+
+/** What a claimant asks for. */
+export interface ClaimRequest {
+  readonly requestId: string;
+  /** Unique for each claim, not only for each router: one router may get an identifier twice. */
+  readonly claimant: string;
+  /** Milliseconds since the identifier may first have been used; 0 for a first use. */
+  readonly identifierAgeMs: number;
+}
+
+/** One replica's table. */
+export class ClaimTable {
+  private readonly claims: LRUCache<string, Claim>;
+
+  constructor(
+    private readonly startedAtMs: number,
+    now: () => number,
+  ) {
+    this.claims = new LRUCache({
+      max: MAXIMUM_CLAIMS,
+      ttl: CLAIM_RETENTION_MS,
+      ttlResolution: 0,
+      perf: { now: () => Math.max(1, now()) },
+    });
+  }
+
+  /** Grants, refuses or abstains. */
+  claim(request: ClaimRequest, nowMs: number): ClaimVerdict {
+    const present = this.claims.get(request.requestId);
+    if (present) return verdictOf(present);
+    const uptimeMs = nowMs - this.startedAtMs;
+    if (request.identifierAgeMs > uptimeMs) return { kind: 'abstained' };
+    this.claims.set(request.requestId, { holder: request.claimant });
+    return { kind: 'granted' };
+  }
+
+  /** Gives a claim back after its holder proved that the request was not run. */
+  release(requestId: string, claimant: string): void {
+    if (this.claims.peek(requestId)?.holder === claimant) this.claims.delete(requestId);
+  }
+
+  /** Keeps the answer, so that the same identifier is answered with it. */
+  recordOutcome(requestId: string, outcome: RecordedOutcome, recorder: string): void {
+    const holder = this.claims.peek(requestId)?.holder ?? recorder;
+    this.claims.set(requestId, { holder, outcome });
+  }
+}
+
+function verdictOf(claim: Claim): ClaimVerdict {
+  if (claim.outcome) return { kind: 'settled', outcome: claim.outcome };
+  return { kind: 'held', holder: claim.holder };
+}
