--- a/src/coordination/agent/agent-node.ts
+++ b/src/coordination/agent/agent-node.ts
@@ -12,7 +12,7 @@
 import { DocumentSpreader } from '../shared/document-spreader.js';
 import { AgentCall } from './agent-call.js';
 import type { CallerHandle, CallerRequest, CallerSink } from './caller.js';
-import { IdempotencyKeys } from './idempotency-keys.js';
+import { IdempotencyKeys, type KeyedIdentifier } from './idempotency-keys.js';
 import type { RouterLink } from './router-link.js';
 import { RouterLinks } from './router-links.js';
 import type { AgentSettings } from './settings.js';
@@ -102,10 +102,10 @@
 
   /**
    * The identifier for a caller's idempotency key, and how long ago it may first have been used.
-   * It depends on tenant and key alone, so that any agent gives the same.
+   * It depends on tenant, scope (what is asked for) and key alone, so that any agent gives the same.
    */
-  identifierForKey(tenant: string, key: string): { requestId: string; ageMs: number } {
-    return this.keys.identifierFor(tenant, key);
+  identifierForKey(tenant: string, scope: string, key: string): KeyedIdentifier {
+    return this.keys.identifierFor(tenant, scope, key);
   }
 
   /** Starts a request; the sink hears how it goes. */
--- a/src/coordination/agent/idempotency-keys.ts
+++ b/src/coordination/agent/idempotency-keys.ts
@@ -1,6 +1,7 @@
 /** Turns callers' idempotency keys into request identifiers and remembers when each was first seen. */
 import { createHash } from 'node:crypto';
-import { LRUCache } from 'lru-cache';
+import type { LRUCache } from 'lru-cache';
+import { createBoundedCache } from '../../state/bounded-cache.js';
 import { CLAIM_RETENTION_MS } from '../../state/claim-table.js';
 
 const MAXIMUM_KEYS = 50_000;
@@ -26,17 +27,13 @@
     private readonly firstInstallation: boolean,
     private readonly now: () => number,
   ) {
-    this.firstSeenMs = new LRUCache({
-      max: MAXIMUM_KEYS,
-      ttl: CLAIM_RETENTION_MS,
-      ttlResolution: 0,
-      perf: { now: () => Math.max(1, now()) },
-    });
+    this.firstSeenMs = createBoundedCache(MAXIMUM_KEYS, { retentionMs: CLAIM_RETENTION_MS, now });
   }
 
-  identifierFor(tenant: string, key: string): KeyedIdentifier {
+  /** `scope` names what is asked for, so that a key used for two things stands for two requests. */
+  identifierFor(tenant: string, scope: string, key: string): KeyedIdentifier {
     const requestId = createHash('sha256')
-      .update(JSON.stringify([tenant, key]))
+      .update(JSON.stringify([tenant, scope, key]))
       .digest('hex')
       .slice(0, IDENTIFIER_DIGITS);
     const nowMs = this.now();
--- a/src/edge/caller-api/request-context.ts
+++ b/src/edge/caller-api/request-context.ts
@@ -47,7 +47,7 @@
   const identified =
     idempotencyKey === undefined
       ? { requestId: agent.mintRequestId(), ageMs: 0 }
-      : agent.identifierForKey(tenant, idempotencyKey);
+      : agent.identifierForKey(tenant, request.path, idempotencyKey);
   const { requestId, ageMs: identifierAgeMs } = identified;
   return { kind: 'ok', context: { tenant, requestId, identifierAgeMs, deadlineMs, priority } };
 }
--- a/src/lab/engine/engine-core.ts
+++ b/src/lab/engine/engine-core.ts
@@ -60,6 +60,8 @@
   readonly eventFaults: EventFaults;
   /** Hears of each use of a kept block; set by tests. */
   onReuse: ((audit: ReuseAudit) => void) | undefined;
+  /** Hears of each generation taken; set by tests. */
+  onAccept: ((generation: EngineGeneration) => void) | undefined;
   leaving = false;
   private alive = true;
   private incarnation: number;
@@ -112,6 +114,7 @@
     this.sequences.set(generation.engineRequestId, sequence);
     this.enqueue(sequence);
     this.totals.accepted += 1;
+    this.onAccept?.(generation);
     this.scheduleStep();
     return { kind: 'accepted', sequence };
   }
--- /dev/null
+++ b/src/lab/simulation/observed-request.ts
@@ -0,0 +1,61 @@
+/** A request as the oracle sees it: what was asked and all that the caller heard. */
+import type { CallerHandle, CallerRequest, CallerSink } from '../../coordination/agent/caller.js';
+import type { FailedCall } from '../../coordination/errors.js';
+
+/** How a request ended for its caller. */
+export type ObservedEnd =
+  | { readonly kind: 'finished' }
+  | { readonly kind: 'outcome'; readonly body: Uint8Array }
+  | { readonly kind: 'failed'; readonly failed: FailedCall }
+  | { readonly kind: 'hung-up' };
+
+/** One request and its record. */
+export class ObservedRequest implements CallerSink {
+  readonly texts: string[] = [];
+  readonly ends: ObservedEnd[] = [];
+  /** Faults of the stream itself, as they were seen. */
+  readonly faults: string[] = [];
+  handle: CallerHandle | undefined;
+  lastTextMs: number;
+  longestPauseMs = 0;
+
+  constructor(
+    readonly request: CallerRequest,
+    readonly submittedMs: number,
+    private readonly now: () => number,
+  ) {
+    this.lastTextMs = submittedMs;
+  }
+
+  get isEnded(): boolean {
+    return this.ends.length > 0;
+  }
+
+  onTexts(sequence: number, texts: readonly string[]): void {
+    if (sequence !== this.texts.length) this.faults.push(`text ${sequence} after ${this.texts.length}`);
+    if (this.isEnded) this.faults.push('text after the end');
+    this.texts.push(...texts);
+    const nowMs = this.now();
+    this.longestPauseMs = Math.max(this.longestPauseMs, nowMs - this.lastTextMs);
+    this.lastTextMs = nowMs;
+    this.handle?.consumed(texts.length);
+  }
+
+  onFinished(): void {
+    this.ends.push({ kind: 'finished' });
+  }
+
+  onOutcome(_status: number, body: Uint8Array): void {
+    this.ends.push({ kind: 'outcome', body });
+  }
+
+  onFailed(failed: FailedCall): void {
+    this.ends.push({ kind: 'failed', failed });
+  }
+
+  hangUp(): void {
+    if (this.isEnded) return;
+    this.ends.push({ kind: 'hung-up' });
+    this.handle?.cancel();
+  }
+}
--- /dev/null
+++ b/src/lab/simulation/simulated-network.ts
@@ -0,0 +1,121 @@
+/** A network between simulated hosts that delays, drops, duplicates, reorders and cuts. */
+import type { Clock } from '../../runtime/clock.js';
+import type { RandomSource } from '../../runtime/random.js';
+import type { HostClock } from './host-clock.js';
+
+/** How the network misbehaves; changed while it runs. */
+export interface NetworkFaults {
+  /** Shortest way, in milliseconds. */
+  minimumDelayMs: number;
+  /** Random addition to it. */
+  jitterMs: number;
+  /** Chance that a datagram is lost. */
+  datagramLoss: number;
+  /** Chance that a datagram arrives twice. */
+  datagramDuplication: number;
+}
+
+/** Retry period of an ordered delivery across a cut. */
+const CUT_RETRY_MS = 50;
+
+/** Names of two hosts in a fixed order. */
+function pairOf(left: string, right: string): string {
+  return left < right ? `${left}|${right}` : `${right}|${left}`;
+}
+
+/** Hosts by name and the ways between them. */
+export class SimulatedNetwork {
+  readonly faults: NetworkFaults = {
+    minimumDelayMs: 1,
+    jitterMs: 1,
+    datagramLoss: 0,
+    datagramDuplication: 0,
+  };
+  private readonly hosts = new Map<string, HostClock>();
+  private readonly cuts = new Set<string>();
+
+  constructor(
+    readonly clock: Clock,
+    readonly random: RandomSource,
+  ) {}
+
+  /** Adds a host, or replaces it after a crash. */
+  attach(name: string, host: HostClock): void {
+    this.hosts.set(name, host);
+  }
+
+  /** The running process of a host name; undefined where it is down. */
+  hostOf(name: string): HostClock | undefined {
+    const host = this.hosts.get(name);
+    return host?.isStopped ? undefined : host;
+  }
+
+  cut(left: string, right: string): void {
+    this.cuts.add(pairOf(left, right));
+  }
+
+  /** Ends all cuts. */
+  heal(): void {
+    this.cuts.clear();
+  }
+
+  get hasCuts(): boolean {
+    return this.cuts.size > 0;
+  }
+
+  isCut(left: string, right: string): boolean {
+    return this.cuts.has(pairOf(left, right));
+  }
+
+  delayMs(): number {
+    return this.faults.minimumDelayMs + this.random.next() * this.faults.jitterMs;
+  }
+
+  /** Delivers without order or promise. */
+  sendLossy(from: string, to: string, action: () => void): void {
+    if (this.isCut(from, to) || this.random.next() < this.faults.datagramLoss) return;
+    const copies = this.random.next() < this.faults.datagramDuplication ? 2 : 1;
+    for (let copy = 0; copy < copies; copy += 1) {
+      this.clock.setTimer(this.delayMs(), () => this.hostOf(to)?.deliver(action));
+    }
+  }
+}
+
+/** One direction of a connection: delivers in order, waits across cuts, ends with its receiver. */
+export class OrderedPipe {
+  private queue: (() => void)[] = [];
+  private nextFreeMs = 0;
+  private closed = false;
+
+  constructor(
+    private readonly network: SimulatedNetwork,
+    private readonly from: string,
+    private readonly to: string,
+    /** The receiving process; what comes after its crash is lost. */
+    private readonly receiver: HostClock,
+  ) {}
+
+  send(action: () => void): void {
+    if (this.closed) return;
+    this.queue.push(action);
+    const nowMs = this.network.clock.now();
+    this.nextFreeMs = Math.max(this.nextFreeMs, nowMs + this.network.delayMs());
+    this.network.clock.setTimer(this.nextFreeMs - nowMs, () => this.pump());
+  }
+
+  /** Drops all that is under way. */
+  close(): void {
+    this.closed = true;
+    this.queue = [];
+  }
+
+  private pump(): void {
+    if (this.closed || this.queue.length === 0) return;
+    if (this.network.isCut(this.from, this.to)) {
+      this.network.clock.setTimer(CUT_RETRY_MS, () => this.pump());
+      return;
+    }
+    const action = this.queue.shift();
+    if (action) this.receiver.deliver(action);
+  }
+}
--- /dev/null
+++ b/src/lab/simulation/simulated-transports.ts
@@ -0,0 +1,203 @@
+/** Frame and datagram transports over the simulated network. Addresses are `HOSTNAME:PORT`. */
+import type { DatagramSocket, DatagramTransport } from '../../transport/datagram-transport.js';
+import { TransportFailure } from '../../transport/errors.js';
+import type {
+  FrameConnection,
+  FrameListener,
+  FrameTransport,
+} from '../../transport/frame-transport.js';
+import type { HostClock } from './host-clock.js';
+import { OrderedPipe, type SimulatedNetwork } from './simulated-network.js';
+
+const CONNECT_TIMEOUT_MS = 2_000;
+
+/** Name of the host in an address. */
+export function hostNameOf(address: string): string {
+  return address.slice(0, address.indexOf(':'));
+}
+
+/** What listens where, over all hosts. */
+export class SimulatedSockets {
+  readonly listeners = new Map<string, (connection: SimulatedConnection) => void>();
+  readonly datagramReceivers = new Map<string, (datagram: Uint8Array) => void>();
+  readonly connections = new Set<SimulatedConnection>();
+
+  constructor(readonly network: SimulatedNetwork) {}
+
+  /** Resets all connections of a host, as its crash or a broken switch does. */
+  resetConnections(hostName: string): void {
+    for (const connection of [...this.connections]) {
+      if (connection.localHost === hostName) connection.destroy();
+    }
+  }
+
+  /** Forgets what a crashed host listened on. */
+  forget(hostName: string): void {
+    for (const table of [this.listeners, this.datagramReceivers]) {
+      for (const address of [...table.keys()]) {
+        if (hostNameOf(address) === hostName) table.delete(address);
+      }
+    }
+  }
+}
+
+/** One end of a simulated connection. */
+export class SimulatedConnection implements FrameConnection {
+  other: SimulatedConnection | undefined;
+  private outgoing: OrderedPipe | undefined;
+  private receiver: (frame: Uint8Array) => void = () => undefined;
+  private early: Uint8Array[] = [];
+  private hasReceiver = false;
+  private closeCallbacks: (() => void)[] = [];
+  private closed = false;
+
+  constructor(
+    private readonly sockets: SimulatedSockets,
+    readonly localHost: string,
+    readonly remoteAddress: string,
+  ) {
+    sockets.connections.add(this);
+  }
+
+  /** Joins two ends. */
+  join(other: SimulatedConnection, remoteHost: string, receiver: HostClock): void {
+    this.other = other;
+    this.outgoing = new OrderedPipe(this.sockets.network, this.localHost, remoteHost, receiver);
+  }
+
+  send(frame: Uint8Array): boolean {
+    const { other } = this;
+    if (!this.closed && other) this.outgoing?.send(() => other.receive(frame));
+    return true;
+  }
+
+  close(): void {
+    const { other } = this;
+    if (this.closed || !other) return;
+    this.outgoing?.send(() => other.ended());
+    this.ended();
+  }
+
+  destroy(): void {
+    const { other, outgoing } = this;
+    if (this.closed || !other) return;
+    outgoing?.close();
+    // The reset overtakes nothing: what was under way is lost with it.
+    const reset = this.sockets.network.delayMs();
+    this.sockets.network.clock.setTimer(reset, () => other.ended());
+    this.ended();
+  }
+
+  onFrame(receiver: (frame: Uint8Array) => void): void {
+    this.receiver = receiver;
+    this.hasReceiver = true;
+    for (const frame of this.early.splice(0)) receiver(frame);
+  }
+
+  onClose(callback: () => void): void {
+    if (this.closed) queueMicrotask(callback);
+    else this.closeCallbacks.push(callback);
+  }
+
+  onDrain(): void {
+    // The simulated send buffer never fills.
+  }
+
+  private receive(frame: Uint8Array): void {
+    if (this.closed) return;
+    if (this.hasReceiver) this.receiver(frame);
+    else this.early.push(frame);
+  }
+
+  private ended(): void {
+    if (this.closed) return;
+    this.closed = true;
+    this.sockets.connections.delete(this);
+    const callbacks = this.closeCallbacks;
+    this.closeCallbacks = [];
+    const host = this.sockets.network.hostOf(this.localHost);
+    for (const callback of callbacks) host?.deliver(callback);
+  }
+}
+
+/** Frame transport of one host. */
+export class SimulatedFrameTransport implements FrameTransport {
+  constructor(
+    private readonly sockets: SimulatedSockets,
+    private readonly hostName: string,
+    private readonly host: HostClock,
+  ) {}
+
+  listen(
+    address: string,
+    onConnection: (connection: FrameConnection) => void,
+  ): Promise<FrameListener> {
+    this.sockets.listeners.set(address, onConnection);
+    return Promise.resolve({
+      address,
+      close: () => {
+        this.sockets.listeners.delete(address);
+      },
+    });
+  }
+
+  connect(address: string): Promise<FrameConnection> {
+    const { network } = this.sockets;
+    const remoteHost = hostNameOf(address);
+    return new Promise((resolve, reject) => {
+      const fail = (reason: string): void => {
+        const failure = new TransportFailure({ kind: 'connect-failed', address, reason });
+        this.host.deliver(() => reject(failure));
+      };
+      if (network.isCut(this.hostName, remoteHost)) {
+        network.clock.setTimer(CONNECT_TIMEOUT_MS, () => fail('timeout'));
+        return;
+      }
+      network.clock.setTimer(2 * network.delayMs(), () => {
+        const remote = network.hostOf(remoteHost);
+        const onConnection = this.sockets.listeners.get(address);
+        if (!remote || !onConnection) fail('refused');
+        else this.host.deliver(() => resolve(this.establish(address, remote, onConnection)));
+      });
+    });
+  }
+
+  private establish(
+    address: string,
+    remote: HostClock,
+    onConnection: (connection: SimulatedConnection) => void,
+  ): FrameConnection {
+    const remoteHost = hostNameOf(address);
+    const near = new SimulatedConnection(this.sockets, this.hostName, address);
+    const far = new SimulatedConnection(this.sockets, remoteHost, `${this.hostName}:0`);
+    near.join(far, remoteHost, remote);
+    far.join(near, this.hostName, this.host);
+    remote.deliver(() => onConnection(far));
+    return near;
+  }
+}
+
+/** Datagram transport of one host. */
+export class SimulatedDatagramTransport implements DatagramTransport {
+  constructor(
+    private readonly sockets: SimulatedSockets,
+    private readonly hostName: string,
+  ) {}
+
+  bind(address: string, onDatagram: (datagram: Uint8Array) => void): Promise<DatagramSocket> {
+    this.sockets.datagramReceivers.set(address, onDatagram);
+    return Promise.resolve({
+      address,
+      send: (to, datagram) => this.send(to, datagram),
+      close: () => {
+        this.sockets.datagramReceivers.delete(address);
+      },
+    });
+  }
+
+  private send(to: string, datagram: Uint8Array): void {
+    this.sockets.network.sendLossy(this.hostName, hostNameOf(to), () => {
+      this.sockets.datagramReceivers.get(to)?.(datagram);
+    });
+  }
+}
--- /dev/null
+++ b/src/lab/simulation/world.ts
@@ -0,0 +1,469 @@
+/** A whole small deployment in one process, on a virtual clock and a simulated network. */
+import 'reflect-metadata';
+import { type DependencyContainer, container as rootContainer } from 'tsyringe';
+import type { AgentNode } from '../../coordination/agent/agent-node.js';
+import { createAgent } from '../../coordination/agent/create-agent.js';
+import { createRouter } from '../../coordination/router/create-router.js';
+import { TEMPLATES_OBJECT } from '../../coordination/router/platform-reader.js';
+import type { RouterNode } from '../../coordination/router/router-node.js';
+import { ALL_PROTECTIONS, type Protections } from '../../coordination/router/settings.js';
+import {
+  BACKEND_PORT,
+  ENGINE_PORT,
+  MACHINE_LIST_PORT,
+  OBJECT_API_PORT,
+} from '../../coordination/router/tokens.js';
+import type { Machine } from '../../protocol/machine-list/port.js';
+import { type Hasher, createHasher } from '../../runtime/hasher.js';
+import { SilentLogger } from '../../runtime/logger.js';
+import { SeededRandom, randomInteger } from '../../runtime/random.js';
+import {
+  CLOCK,
+  DATAGRAM_TRANSPORT,
+  FRAME_TRANSPORT,
+  HASHER,
+  LOGGER,
+  RANDOM,
+} from '../../runtime/tokens.js';
+import { VirtualClock } from '../../runtime/virtual-clock.js';
+import { BackendCore, BackendStore } from '../backend/backend-core.js';
+import { EngineCore } from '../engine/engine-core.js';
+import { DEFAULT_ENGINE_SETTINGS } from '../engine/settings.js';
+import { type TokenModel, createTokenModel } from '../engine/token-model.js';
+import { MachineRegistry } from '../platform/machine-registry.js';
+import { ObjectStore } from '../platform/object-store.js';
+import { HostClock } from './host-clock.js';
+import { ObservedRequest } from './observed-request.js';
+import { SimulatedEnginePort } from './simulated-engine-port.js';
+import { SimulatedNetwork } from './simulated-network.js';
+import {
+  SimulatedBackendPort,
+  SimulatedMachineList,
+  SimulatedObjectApi,
+} from './simulated-platform-ports.js';
+import {
+  SimulatedDatagramTransport,
+  SimulatedFrameTransport,
+  SimulatedSockets,
+} from './simulated-transports.js';
+import {
+  WORLD_AGENTS,
+  WORLD_BACKENDS,
+  WORLD_ENGINES,
+  WORLD_MODEL,
+  WORLD_ROUTERS,
+  WORLD_SERVICE,
+  WORLD_WEIGHTS,
+  WORLD_ZONES,
+  type WorldVersion,
+  worldTemplates,
+} from './world-settings.js';
+
+const PORT = 1;
+const MACHINE_LIST_LAG_MS = 500;
+const SEED_RANGE = 0x7fffffff;
+const CLUSTER_KEY = 'simulated-cluster-key';
+const REGION = 'region';
+
+/** A process of the deployment and its host. */
+export interface Hosted<T> {
+  readonly name: string;
+  readonly host: HostClock;
+  readonly node: T;
+  /** Leaves by plan. */
+  stopping: boolean;
+}
+
+/** A generation taken by an engine. */
+export interface EngineAcceptance {
+  readonly engineId: string;
+  readonly engineRequestId: string;
+  readonly atMs: number;
+  /** Since when the deployment was undisturbed at that moment; Infinity while it was not. */
+  readonly quietSinceMs: number;
+}
+
+/** A use of kept cache that must not be. */
+export interface ReuseViolation {
+  readonly usedBy: string;
+  readonly createdBy: string;
+  readonly reason: string;
+}
+
+/** The deployment. */
+export class World {
+  readonly clock = new VirtualClock();
+  readonly network: SimulatedNetwork;
+  readonly sockets: SimulatedSockets;
+  readonly store: ObjectStore;
+  readonly machines: MachineRegistry;
+  readonly engines: EngineCore[] = [];
+  readonly backends: BackendCore[] = [];
+  readonly backendStore = new BackendStore();
+  readonly routers: Hosted<RouterNode>[] = [];
+  readonly agents: Hosted<AgentNode>[] = [];
+  readonly requests: ObservedRequest[] = [];
+  readonly acceptances: EngineAcceptance[] = [];
+  readonly reuseViolations: ReuseViolation[] = [];
+  /** When the machine list was told that an engine leaves. */
+  readonly leavingSinceMs = new Map<string, number>();
+  /** Since when nothing is cut, paused or down; Infinity while something is. */
+  private quietSinceMs = 0;
+  private readonly random: SeededRandom;
+  private readonly tenantOfRequest = new Map<string, string>();
+  private prompts = 0;
+
+  private constructor(
+    seed: number,
+    private readonly protections: Protections,
+    private readonly hasher: Hasher,
+    readonly tokenModel: TokenModel,
+  ) {
+    this.random = new SeededRandom(seed);
+    this.network = new SimulatedNetwork(this.clock, this.random);
+    this.sockets = new SimulatedSockets(this.network);
+    this.store = new ObjectStore(this.clock);
+    this.machines = new MachineRegistry(this.clock, MACHINE_LIST_LAG_MS);
+  }
+
+  /** Builds the deployment and lets it come up. */
+  static async create(seed: number, protections = ALL_PROTECTIONS): Promise<World> {
+    const world = new World(seed, protections, await createHasher(), await createTokenModel());
+    world.createPlatform();
+    for (let index = 0; index < WORLD_ROUTERS; index += 1) {
+      world.routers.push(world.startRouter(index));
+    }
+    for (let index = 0; index < WORLD_AGENTS; index += 1) {
+      world.agents.push(world.startAgent(index, true));
+    }
+    const SETTLING_MS = 3_000;
+    await world.clock.advance(SETTLING_MS);
+    return world;
+  }
+
+  /** Crashes a router: its process is gone, its connections break. */
+  crashRouter(index: number): void {
+    const router = this.routers[index];
+    if (!router || router.host.isStopped) return;
+    this.crash(router);
+  }
+
+  /** Brings a crashed or stopped router back, empty. */
+  restartRouter(index: number): void {
+    if (!this.routers[index]?.host.isStopped) return;
+    this.routers[index] = this.startRouter(index);
+  }
+
+  /** Stops a router by plan; its host ends when it is done. */
+  stopRouter(index: number): Promise<void> {
+    const router = this.routers[index];
+    return router ? this.stopByPlan(router) : Promise.resolve();
+  }
+
+  /** Stops an agent by plan. */
+  stopAgent(index: number): Promise<void> {
+    const agent = this.agents[index];
+    return agent ? this.stopByPlan(agent) : Promise.resolve();
+  }
+
+  restartAgent(index: number): void {
+    if (!this.agents[index]?.host.isStopped) return;
+    this.agents[index] = this.startAgent(index, false);
+  }
+
+  /** Writes a configuration as an operator would; answers its version. */
+  writeTemplates(version: WorldVersion, priority: number): number {
+    const present = this.store.read(TEMPLATES_OBJECT)?.version ?? 0;
+    const content = JSON.stringify({ configuration: worldTemplates(version, priority) });
+    const result = this.store.write(TEMPLATES_OBJECT, content, present);
+    return result.kind === 'written' ? result.version : present;
+  }
+
+  weightsOf(version: WorldVersion): string {
+    return WORLD_WEIGHTS[version];
+  }
+
+  get configurationVersion(): number {
+    return this.store.read(TEMPLATES_OBJECT)?.version ?? 0;
+  }
+
+  setLeaving(engineIndex: number, leaving: boolean): void {
+    const engineId = this.engines[engineIndex]?.settings.engineId;
+    if (engineId === undefined) return;
+    this.machines.setLeaving(engineId, leaving);
+    if (leaving) this.leavingSinceMs.set(engineId, this.clock.now());
+    else this.leavingSinceMs.delete(engineId);
+  }
+
+  /** Cuts the way between two hosts. */
+  cut(left: string, right: string): void {
+    this.network.cut(left, right);
+    this.quietSinceMs = Number.POSITIVE_INFINITY;
+  }
+
+  /** Freezes a router. */
+  pauseRouter(index: number): void {
+    this.routers[index]?.host.pause();
+    this.quietSinceMs = Number.POSITIVE_INFINITY;
+  }
+
+  setPlatformDown(down: boolean): void {
+    this.store.faults.down = down;
+    if (down) this.quietSinceMs = Number.POSITIVE_INFINITY;
+    else this.noteIfQuiet();
+  }
+
+  /** Ends all cuts and pauses. */
+  heal(): void {
+    this.network.heal();
+    for (const { host } of this.routers) host.unpause();
+    this.noteIfQuiet();
+  }
+
+  /** Ends every fault, brings everything back and waits until nothing is under way. */
+  async settle(): Promise<void> {
+    this.setPlatformDown(false);
+    this.store.faults.delayMs = 0;
+    this.heal();
+    Object.assign(this.network.faults, { jitterMs: 1, datagramLoss: 0, datagramDuplication: 0 });
+    for (const core of this.engines) if (!core.isAlive) core.restart();
+    for (const core of this.backends) if (!core.isAlive) core.restart();
+    for (const index of this.routers.keys()) this.restartRouter(index);
+    for (const index of this.agents.keys()) this.restartAgent(index);
+    const ALL_ENDED_LIMIT_MS = 25_000;
+    const STEP_MS = 250;
+    const ended = (): boolean => this.requests.every((request) => request.isEnded);
+    await this.clock.advanceUntil(ended, ALL_ENDED_LIMIT_MS, STEP_MS);
+    const CONVERGENCE_MS = 8_000;
+    await this.clock.advance(CONVERGENCE_MS);
+  }
+
+  /** Asks for a generation over a prompt with a shared beginning. */
+  generate(agentIndex: number, tenant: string, branch: number, deadlineMs: number): void {
+    const agent = this.agents[agentIndex];
+    if (!agent || agent.stopping || !agent.host.isRunning) return;
+    this.prompts += 1;
+    const SHARED = 40;
+    const BRANCH = 20;
+    // The same text for both tenants, so that only the salt keeps their caches apart.
+    const text =
+      'shared beginning of all prompts. '.repeat(SHARED) +
+      `branch ${branch} of them. `.repeat(BRANCH) +
+      `question ${this.prompts}`;
+    const prompt = new TextEncoder().encode(text);
+    const requestId = agent.node.mintRequestId();
+    const MINIMUM_TOKENS = 3;
+    const TOKEN_RANGE = 60;
+    this.submit(agent.node, {
+      kind: 'generation',
+      requestId,
+      tenant,
+      deadlineMs,
+      priority: 0,
+      identifierAgeMs: 0,
+      routeKey: agent.node.routeKeyOf(tenant, WORLD_MODEL, prompt, requestId),
+      model: WORLD_MODEL,
+      prompt,
+      maxTokens: MINIMUM_TOKENS + randomInteger(this.random, TOKEN_RANGE),
+    });
+  }
+
+  /** Asks for an operation, perhaps under an idempotency key that others use too. */
+  operate(
+    agentIndex: number,
+    tenant: string,
+    operation: 'menu' | 'hold',
+    key: string | undefined,
+    deadlineMs: number,
+  ): void {
+    const agent = this.agents[agentIndex];
+    if (!agent || agent.stopping || !agent.host.isRunning) return;
+    const identified =
+      key === undefined
+        ? { requestId: agent.node.mintRequestId(), ageMs: 0 }
+        : agent.node.identifierForKey(tenant, operation, key);
+    this.submit(agent.node, {
+      kind: 'operation',
+      requestId: identified.requestId,
+      tenant,
+      deadlineMs,
+      priority: 0,
+      identifierAgeMs: identified.ageMs,
+      routeKey: agent.node.operationKeyOf(identified.requestId),
+      service: WORLD_SERVICE,
+      operation,
+      payload: new TextEncoder().encode('{}'),
+      repeatable: operation === 'menu',
+    });
+  }
+
+  private noteIfQuiet(): void {
+    const paused = this.routers.some(({ host }) => !host.isRunning && !host.isStopped);
+    if (this.store.faults.down || paused || this.network.hasCuts) return;
+    this.quietSinceMs = this.clock.now();
+  }
+
+  private submit(agent: AgentNode, request: ObservedRequest['request']): void {
+    const observed = new ObservedRequest(request, this.clock.now(), () => this.clock.now());
+    this.requests.push(observed);
+    this.tenantOfRequest.set(request.requestId, request.tenant);
+    observed.handle = agent.submit(request, observed);
+  }
+
+  private createPlatform(): void {
+    this.writeTemplates('v1', 0);
+    for (let index = 0; index < WORLD_ENGINES; index += 1) this.createEngine(index);
+    for (let index = 0; index < WORLD_BACKENDS; index += 1) this.createBackend(index);
+  }
+
+  private createEngine(index: number): void {
+    const engineId = `engine-${index}`;
+    const CACHE_BLOCKS = 200;
+    const core = new EngineCore(
+      {
+        ...DEFAULT_ENGINE_SETTINGS,
+        engineId,
+        model: WORLD_MODEL,
+        weightsDigest: WORLD_WEIGHTS.v1,
+        cacheBlocks: CACHE_BLOCKS,
+      },
+      this.clock,
+      this.random,
+      this.hasher,
+      this.tokenModel,
+      1,
+    );
+    core.onAccept = ({ engineRequestId }) =>
+      this.acceptances.push({
+        engineId,
+        engineRequestId,
+        atMs: this.clock.now(),
+        quietSinceMs: this.quietSinceMs,
+      });
+    core.onReuse = (audit) => this.auditReuse(audit);
+    this.engines.push(core);
+    this.machines.put(this.machineOf(engineId, 'engine', index, []));
+  }
+
+  private createBackend(index: number): void {
+    const backendId = `backend-${index}`;
+    const WORK_MS = 30;
+    const MAXIMUM_RUNNING = 16;
+    const settings = { backendId, workMs: WORK_MS, maximumRunning: MAXIMUM_RUNNING };
+    this.backends.push(new BackendCore(settings, this.backendStore, this.clock));
+    this.machines.put(this.machineOf(backendId, 'backend', index, [WORLD_SERVICE]));
+  }
+
+  private machineOf(
+    id: string,
+    kind: Machine['kind'],
+    index: number,
+    services: readonly string[],
+  ): Machine {
+    const place = WORLD_ZONES[index % WORLD_ZONES.length] ?? WORLD_ZONES[0];
+    return { id, kind, address: `${id}:${PORT}`, ...place, services, leaving: false };
+  }
+
+  private auditReuse(audit: Parameters<NonNullable<EngineCore['onReuse']>>[0]): void {
+    const { usedBy, createdBy, createdWeights, usedWeights } = audit;
+    if (createdWeights !== usedWeights) {
+      this.reuseViolations.push({ usedBy, createdBy, reason: 'older weights' });
+    }
+    if (this.tenantOf(usedBy) !== this.tenantOf(createdBy)) {
+      this.reuseViolations.push({ usedBy, createdBy, reason: 'another tenant' });
+    }
+  }
+
+  /** Tenant of the request an engine's identifier belongs to. */
+  private tenantOf(engineRequestId: string): string | undefined {
+    return this.tenantOfRequest.get(requestIdOf(engineRequestId));
+  }
+
+  private startRouter(index: number): Hosted<RouterNode> {
+    const name = `router-${index}`;
+    const { host, container } = this.createHost(name);
+    const { network, store, machines } = this;
+    const findEngine = (hostName: string): EngineCore | undefined =>
+      this.engines.find((core) => core.settings.engineId === hostName);
+    const findBackend = (hostName: string): BackendCore | undefined =>
+      this.backends.find((core) => core.settings.backendId === hostName);
+    container.register(ENGINE_PORT, {
+      useValue: new SimulatedEnginePort(network, name, host, findEngine),
+    });
+    container.register(BACKEND_PORT, {
+      useValue: new SimulatedBackendPort(network, name, host, findBackend),
+    });
+    container.register(OBJECT_API_PORT, {
+      useValue: new SimulatedObjectApi(network, name, host, store),
+    });
+    container.register(MACHINE_LIST_PORT, {
+      useValue: new SimulatedMachineList(network, name, host, machines, store),
+    });
+    const node = createRouter(
+      container,
+      {
+        nodeId: name,
+        zone: (WORLD_ZONES[index % WORLD_ZONES.length] ?? WORLD_ZONES[0]).zone,
+        region: REGION,
+        peerAddress: `${name}:${PORT}`,
+        gossipAddress: `${name}:${PORT}`,
+        seeds: Array.from({ length: WORLD_ROUTERS }, (_, other) => `router-${other}:${PORT}`),
+        clusterKey: CLUSTER_KEY,
+      },
+      this.protections,
+    );
+    void node.start();
+    return { name, host, node, stopping: false };
+  }
+
+  private startAgent(index: number, firstInstallation: boolean): Hosted<AgentNode> {
+    const name = `agent-${index}`;
+    const { host, container } = this.createHost(name);
+    const DEADLINE_MS = 10_000;
+    const node = createAgent(container, {
+      nodeId: name,
+      zone: (WORLD_ZONES[index % WORLD_ZONES.length] ?? WORLD_ZONES[0]).zone,
+      routers: Array.from({ length: WORLD_ROUTERS }, (_, other) => `router-${other}:${PORT}`),
+      defaultDeadlineMs: DEADLINE_MS,
+      firstInstallation,
+    });
+    node.start();
+    return { name, host, node, stopping: false };
+  }
+
+  private createHost(name: string): { host: HostClock; container: DependencyContainer } {
+    const host = new HostClock(this.clock);
+    this.network.attach(name, host);
+    const container = rootContainer.createChildContainer();
+    const seed = randomInteger(this.random, SEED_RANGE);
+    container.register(CLOCK, { useValue: host });
+    container.register(RANDOM, { useValue: new SeededRandom(seed) });
+    container.register(HASHER, { useValue: this.hasher });
+    container.register(LOGGER, { useValue: new SilentLogger() });
+    container.register(FRAME_TRANSPORT, {
+      useValue: new SimulatedFrameTransport(this.sockets, name, host),
+    });
+    container.register(DATAGRAM_TRANSPORT, {
+      useValue: new SimulatedDatagramTransport(this.sockets, name),
+    });
+    return { host, container };
+  }
+
+  private crash(hosted: Hosted<unknown>): void {
+    hosted.host.stop();
+    this.sockets.resetConnections(hosted.name);
+    this.sockets.forget(hosted.name);
+  }
+
+  private async stopByPlan(hosted: Hosted<{ stop(): Promise<void> }>): Promise<void> {
+    if (hosted.stopping || !hosted.host.isRunning) return;
+    hosted.stopping = true;
+    await hosted.node.stop();
+    this.crash(hosted);
+  }
+}
+
+/** The request that an engine's identifier `REQUEST.ROUTER-ATTEMPT.ENGINE-ATTEMPT` belongs to. */
+export function requestIdOf(engineRequestId: string): string {
+  return engineRequestId.slice(0, engineRequestId.indexOf('.'));
+}
--- a/src/state/claim-table.ts
+++ b/src/state/claim-table.ts
@@ -5,7 +5,8 @@
  * abstains for identifiers that may have been claimed before it started (identifier age above its
  * own uptime), and so never grants a second time what it granted before.
  */
-import { LRUCache } from 'lru-cache';
+import type { LRUCache } from 'lru-cache';
+import { createBoundedCache } from './bounded-cache.js';
 
 /** How long a claim is kept. An identifier must not be used again after that. */
 export const CLAIM_RETENTION_MS = 10 * 60 * 1000;
@@ -48,12 +49,7 @@
     private readonly startedAtMs: number,
     now: () => number,
   ) {
-    this.claims = new LRUCache({
-      max: MAXIMUM_CLAIMS,
-      ttl: CLAIM_RETENTION_MS,
-      ttlResolution: 0,
-      perf: { now: () => Math.max(1, now()) },
-    });
+    this.claims = createBoundedCache(MAXIMUM_CLAIMS, { retentionMs: CLAIM_RETENTION_MS, now });
   }
 
   /** Grants, refuses or abstains. */
--- a/src/state/prefix-directory.ts
+++ b/src/state/prefix-directory.ts
@@ -5,7 +5,7 @@
  * one costs recomputation, never a wrong answer, since the engine itself matches hashes. Memory is
  * bounded: the marks unused for longest are forgotten first.
  */
-import { LRUCache } from 'lru-cache';
+import { createBoundedCache } from './bounded-cache.js';
 
 /** Marks kept at most: 200,000 marks stand for 3.2 million blocks. */
 const MAXIMUM_MARKS = 200_000;
@@ -33,7 +33,7 @@
 
 /** One router's share of the directory. */
 export class PrefixDirectory {
-  private readonly marks = new LRUCache<bigint, Map<string, Belief>>({ max: MAXIMUM_MARKS });
+  private readonly marks = createBoundedCache<bigint, Map<string, Belief>>(MAXIMUM_MARKS);
   private readonly incarnations = new Map<string, number>();
   private readonly doubted = new Set<string>();
 
