Let the back end decide where claim memory is lost; judge first use by wall clock

Cause: the fuzz ran a hold twice: an idempotency key used through two agents was taken for new by replicas restarted in a herd, and an age counted in transit time let a held-up claim look young. Change: claims name when an identifier may first have been used by the wall clock; replicas that may have forgotten abstain; the back end's lookup closes an unseen identifier and gives exactly one asker the right to its second one; claims proven unused are given back; keys are bound to what they ask for.

--- a/fuzz/commands.ts
+++ b/fuzz/commands.ts
@@ -17,7 +17,10 @@
 export type WorldCommand = fc.AsyncCommand<NoModel, World>;
 
 /** Makes a command from a description and an action. */
-function command(description: string, action: (world: World) => Promise<void> | void): WorldCommand {
+function command(
+  description: string,
+  action: (world: World) => Promise<void> | void,
+): WorldCommand {
   return {
     check: () => true,
     run: async (_model, world) => {
@@ -110,6 +113,19 @@
   }),
 );
 
+const loadWeights = fc
+  .tuple(engine, version)
+  .map(([index, name]) =>
+    command(`loadWeights(${index}, ${name})`, (world) => world.loadWeights(index, name)),
+  );
+
+const upgrade = version.map((name) =>
+  command(`upgrade(${name})`, (world) => {
+    for (let index = 0; index < WORLD_ENGINES; index += 1) world.loadWeights(index, name);
+    world.writeTemplates(name, 0);
+  }),
+);
+
 const crashBackend = backend.map((index) =>
   command(`crashBackend(${index})`, (world) => world.backends[index]?.crash()),
 );
@@ -134,15 +150,19 @@
 
 const heal = fc.constant(undefined).map(() => command('heal', (world) => world.heal()));
 
-const platform = fc
-  .constantFrom('down', 'up', 'slow')
-  .map((state) =>
-    command(`platform(${state})`, (world) => {
-      const SLOW_MS = 1_500;
-      world.store.faults.delayMs = state === 'slow' ? SLOW_MS : 0;
-      world.setPlatformDown(state === 'down');
-    }),
-  );
+const platform = fc.constantFrom('down', 'up', 'slow').map((state) =>
+  command(`platform(${state})`, (world) => {
+    const SLOW_MS = 1_500;
+    world.store.faults.delayMs = state === 'slow' ? SLOW_MS : 0;
+    world.setPlatformDown(state === 'down');
+  }),
+);
+
+const staleWatches = fc.integer({ min: 1, max: 4 }).map((count) =>
+  command(`staleWatches(${count})`, (world) => {
+    world.store.faults.staleWatches = count;
+  }),
+);
 
 const network = fc
   .tuple(fc.constantFrom(1, 20, 150), fc.constantFrom(0, 0.05, 0.3))
@@ -156,13 +176,14 @@
     }),
   );
 
-const feedFaults = fc.tuple(engine, fc.constantFrom(0, 0.2), fc.constantFrom(50, 2_000)).map(
-  ([index, lossChance, delayMs]) =>
+const feedFaults = fc
+  .tuple(engine, fc.constantFrom(0, 0.2), fc.constantFrom(50, 2_000))
+  .map(([index, lossChance, delayMs]) =>
     command(`feedFaults(${index}, ${lossChance}, ${delayMs})`, (world) => {
       const core = world.engines[index];
       if (core) Object.assign(core.eventFaults, { lossChance, delayMs });
     }),
-);
+  );
 
 const leaving = fc
   .tuple(engine, fc.boolean())
@@ -182,10 +203,15 @@
     [
       generate,
       generate,
+      generate,
+      generate,
+      operate,
       operate,
       operate,
       advance,
       advance,
+      advance,
+      advance,
       hangUp,
       crashRouter,
       restartRouters,
@@ -194,15 +220,19 @@
       stopAgent,
       crashEngine,
       restartEngine,
+      loadWeights,
+      upgrade,
       crashBackend,
       restartBackends,
       pauseRouter,
       cut,
       heal,
       platform,
+      staleWatches,
       network,
       feedFaults,
       leaving,
+      leaving,
       configure,
     ] as fc.Arbitrary<WorldCommand>[],
     { maxCommands: maximum, size: 'max' },
--- a/fuzz/run.ts
+++ b/fuzz/run.ts
@@ -6,7 +6,7 @@
 import { type WorldCommand, worldCommands } from './commands.js';
 
 /** Commands in one run at most. */
-export const MAXIMUM_COMMANDS = 30;
+export const MAXIMUM_COMMANDS = 45;
 
 /** Result of a fuzz. */
 export type FuzzResult =
--- a/src/coordination/agent/agent-call.ts
+++ b/src/coordination/agent/agent-call.ts
@@ -20,6 +20,7 @@
 } from '../../protocol/peer/generated/peer_pb.js';
 import type { PeerBody } from '../../protocol/peer/peer-channel.js';
 import { backoffDelayMs } from '../../state/backoff.js';
+import { CLAIM_RETENTION_MS } from '../../state/claim-table.js';
 import { RequestEvent, RequestLedger } from '../../state/request-ledger.js';
 import type { CallFailure, FailedCall } from '../errors.js';
 import { decodeFailure } from '../shared/failure-codec.js';
@@ -47,8 +48,10 @@
 
 /** A request at the agent. */
 export class AgentCall implements LinkCallListener {
-  private readonly ledger = new RequestLedger(false);
+  private readonly ledger: RequestLedger;
   private readonly acceptedMs: number;
+  /** The same moment by the wall clock. */
+  private readonly acceptedAtMs: number;
   private readonly deadlineAtMs: number;
   private readonly delivered: string[] = [];
   private readonly tried = new Set<string>();
@@ -65,7 +68,9 @@
     private readonly context: AgentCallContext,
     private readonly onEnded: () => void,
   ) {
+    this.ledger = new RequestLedger(request.keyed);
     this.acceptedMs = context.clock.now();
+    this.acceptedAtMs = context.clock.wallNow();
     this.deadlineAtMs = this.acceptedMs + request.deadlineMs;
     this.deadlineTimer = context.clock.setTimer(request.deadlineMs + LAST_WORD_MS, () =>
       this.failUnanswered('no answer before the deadline'),
@@ -162,7 +167,6 @@
     const { request } = this;
     const nowMs = this.context.clock.now();
     const isGeneration = request.kind === 'generation';
-    const age = request.identifierAgeMs + (this.attempt > 1 ? nowMs - this.acceptedMs : 0);
     const start = create(StartCallSchema, {
       callNumber: this.callNumber,
       requestId: request.requestId,
@@ -171,7 +175,8 @@
       kind: isGeneration ? CallKind.GENERATION : CallKind.OPERATION,
       deadlineMs: Math.max(1, Math.floor(this.deadlineAtMs - nowMs)),
       priority: request.priority,
-      identifierAgeMs: Math.ceil(age),
+      firstUseAtMs: BigInt(this.firstUseAtMs()),
+      firstUseProven: !earlierUnproven && !request.keyed,
       initialCredit: INITIAL_CREDIT,
       earlierUnproven,
     });
@@ -192,6 +197,12 @@
     return start;
   }
 
+  /** Wall clock time at which the identifier may first have been used. */
+  private firstUseAtMs(): number {
+    const oldestMs = this.request.keyed ? CLAIM_RETENTION_MS : 0;
+    return Math.floor(this.acceptedAtMs - oldestMs);
+  }
+
   /** Passes on what is new; a gap means that the router's stream can't be trusted. */
   private takeChunk(sequence: number, texts: readonly string[]): void {
     if (sequence > this.delivered.length) {
--- a/src/coordination/agent/agent-node.ts
+++ b/src/coordination/agent/agent-node.ts
@@ -12,7 +12,6 @@
 import { DocumentSpreader } from '../shared/document-spreader.js';
 import { AgentCall } from './agent-call.js';
 import type { CallerHandle, CallerRequest, CallerSink } from './caller.js';
-import { IdempotencyKeys, type KeyedIdentifier } from './idempotency-keys.js';
 import type { RouterLink } from './router-link.js';
 import { RouterLinks } from './router-links.js';
 import type { AgentSettings } from './settings.js';
@@ -36,7 +35,6 @@
   private readonly spreader = new DocumentSpreader([TEMPLATES_DOCUMENT, MACHINES_DOCUMENT]);
   private readonly links: RouterLinks;
   private readonly calls = new Set<AgentCall>();
-  private readonly keys: IdempotencyKeys;
   private leaving = false;
   private onIdle: (() => void) | undefined;
 
@@ -49,7 +47,6 @@
     @inject(FRAME_TRANSPORT) frames: FrameTransport,
   ) {
     this.configuration = new Configuration(logger);
-    this.keys = new IdempotencyKeys(clock.now(), settings.firstInstallation, () => clock.now());
     this.links = new RouterLinks(settings, frames, clock, hasher, logger, {
       // The digest hands a restarted router the configuration even while the object API is down.
       onOpen: (link) => this.spreader.sendDigest(link.channel),
@@ -100,14 +97,6 @@
     return randomIdentifier(this.random);
   }
 
-  /**
-   * The identifier for a caller's idempotency key, and how long ago it may first have been used.
-   * It depends on tenant, scope (what is asked for) and key alone, so that any agent gives the same.
-   */
-  identifierForKey(tenant: string, scope: string, key: string): KeyedIdentifier {
-    return this.keys.identifierFor(tenant, scope, key);
-  }
-
   /** Starts a request; the sink hears how it goes. */
   submit(request: CallerRequest, sink: CallerSink): CallerHandle {
     this.statistics.requests += 1;
--- a/src/coordination/agent/caller.ts
+++ b/src/coordination/agent/caller.ts
@@ -6,8 +6,8 @@
   readonly tenant: string;
   readonly deadlineMs: number;
   readonly priority: number;
-  /** Milliseconds since the identifier may first have been used; 0 for one minted here. */
-  readonly identifierAgeMs: number;
+  /** True where the identifier comes from a caller's key, which may have been used elsewhere. */
+  readonly keyed: boolean;
   /** Key by which routers are ranked for the request. */
   readonly routeKey: bigint;
 }
--- a/src/coordination/agent/settings.ts
+++ b/src/coordination/agent/settings.ts
@@ -8,9 +8,4 @@
   readonly routers: readonly string[];
   /** Longest time a request may take where the caller names none. */
   readonly defaultDeadlineMs: number;
-  /**
-   * True for the first start of an installation: no caller can have used an idempotency key before.
-   * Otherwise a key not seen yet may have been used through the agent's earlier life.
-   */
-  readonly firstInstallation: boolean;
 }
--- a/src/coordination/router/claim-service.ts
+++ b/src/coordination/router/claim-service.ts
@@ -16,7 +16,12 @@
   RecordedOutcomeSchema,
 } from '../../protocol/peer/generated/peer_pb.js';
 import type { PeerBody, PeerChannel } from '../../protocol/peer/peer-channel.js';
-import { ClaimTable, type ClaimVerdict, type RecordedOutcome } from '../../state/claim-table.js';
+import {
+  ClaimTable,
+  type ClaimVerdict,
+  type FirstUse,
+  type RecordedOutcome,
+} from '../../state/claim-table.js';
 import type { MemberUpdate } from '../../state/membership.js';
 import { rankByRendezvous } from '../../state/rendezvous.js';
 
@@ -66,7 +71,7 @@
     private readonly clock: Clock,
     private readonly hasher: Hasher,
   ) {
-    this.table = new ClaimTable(clock.now(), () => clock.now());
+    this.table = new ClaimTable(clock.wallNow(), () => clock.wallNow());
   }
 
   /** A claimant of its own for each claim, so that one router's two calls can't both be granted. */
@@ -76,7 +81,7 @@
   }
 
   /** Asks for the right to dispatch. */
-  claim(requestId: string, claimant: string, identifierAgeMs: number): Promise<ClaimResult> {
+  claim(requestId: string, claimant: string, firstUse: FirstUse): Promise<ClaimResult> {
     if (!this.group.isViewComplete()) return Promise.resolve({ kind: 'no-majority' });
     const replicas = this.replicasOf(requestId);
     const exchange = this.nextExchange;
@@ -85,7 +90,8 @@
       exchange,
       requestId,
       claimant,
-      identifierAgeMs: Math.ceil(identifierAgeMs),
+      firstUseAtMs: BigInt(firstUse.atMs),
+      firstUseProven: firstUse.proven,
     });
     return new Promise((resolve) => {
       const timer = this.clock.setTimer(CLAIM_TIMEOUT_MS, () => this.conclude(exchange));
@@ -143,7 +149,9 @@
   }
 
   private decide(request: ClaimRequest): ClaimVerdict {
-    return this.table.claim(request, this.clock.now());
+    const { requestId, claimant } = request;
+    const firstUse = { atMs: Number(request.firstUseAtMs), proven: request.firstUseProven };
+    return this.table.claim({ requestId, claimant, firstUse });
   }
 
   private reply(request: ClaimRequest): ClaimReply {
--- a/src/coordination/router/operation-call.ts
+++ b/src/coordination/router/operation-call.ts
@@ -3,8 +3,14 @@
  * may not be repeated is claimed first, sent once, and afterwards only looked up.
  */
 import { type Timer, sleep } from '../../runtime/clock.js';
-import type { BackendAnswer, InvocationResult } from '../../protocol/plain-backend/port.js';
+import {
+  type BackendAnswer,
+  FENCED_REASON,
+  SECOND_IDENTIFIER_SUFFIX,
+  type InvocationResult,
+} from '../../protocol/plain-backend/port.js';
 import type { StartCall } from '../../protocol/peer/generated/peer_pb.js';
+import type { FirstUse } from '../../state/claim-table.js';
 import { backoffDelayMs } from '../../state/backoff.js';
 import { RequestEvent, RequestLedger, RequestState } from '../../state/request-ledger.js';
 import type { OperationPolicy, TenantParameters } from '../../state/template-set.js';
@@ -29,6 +35,8 @@
   private readonly startedMs: number;
   private readonly excluded = new Set<string>();
   private deadlineTimer: Timer | undefined;
+  /** The first identifier is closed at the back end. */
+  private usesSecondIdentifier = false;
 
   constructor(
     private readonly start: StartCall,
@@ -119,9 +127,9 @@
       await this.dispatchOnce();
       return;
     }
-    const { requestId, identifierAgeMs } = this.start;
+    const { requestId } = this.start;
     const claimant = this.context.claims.createClaimant();
-    const claim = await this.context.claims.claim(requestId, claimant, identifierAgeMs);
+    const claim = await this.context.claims.claim(requestId, claimant, this.firstUse);
     if (this.ledger.isSettled) {
       // Given up while asking, and so never sent: the identifier may be claimed by another.
       if (claim.kind === 'granted') this.context.claims.release(requestId, claimant);
@@ -130,6 +138,8 @@
     switch (claim.kind) {
       case 'granted':
         this.ledger.apply(RequestEvent.Claim);
+        // Whoever claimed it before has given it back, which it may do only where nothing ran.
+        this.ledger.proveEarlierNotRun();
         await this.dispatchOnce();
         if (this.ledger.notRunProven) this.context.claims.release(requestId, claimant);
         return;
@@ -140,8 +150,8 @@
         await this.settleByLookup();
         return;
       case 'no-majority':
-        if (this.start.earlierUnproven) await this.settleByLookup();
-        else this.failUnavailable('no majority to claim the request at');
+        if (this.firstUse.proven) this.failUnavailable('no majority to claim the request at');
+        else await this.settleByLookup();
     }
   }
 
@@ -164,7 +174,9 @@
         this.succeed(result.answer);
         return;
       }
-      if (result.kind === 'interrupted') {
+      if (result.kind === 'interrupted' || result.reason === FENCED_REASON) {
+        // Whoever closed the identifier may run the request under its second one.
+        if (result.kind !== 'interrupted') this.ledger.doubtEarlier();
         await this.settleByLookup();
         return;
       }
@@ -174,27 +186,49 @@
     this.failUnavailable('the back ends refused it');
   }
 
-  /** Asks the back ends what became of the request; never sends it. */
+  /**
+   * Asks the back ends what became of the request. Asking closes an identifier that they never saw:
+   * it can't run any more. The one asker who is told so first may run the request under its second
+   * identifier, so that the back end decides between routers that know nothing of each other. Once
+   * the second is closed too, the request is proven not run for good.
+   */
   private async settleByLookup(): Promise<void> {
     const { requestId } = this.start;
     while (!this.ledger.isSettled) {
       for (const record of this.context.backends.all(this.service)) {
-        const lookup = await this.context.backendPort.lookup(record.machine.address, requestId);
+        const { address } = record.machine;
+        const lookup = await this.context.backendPort.lookup(address, this.identifier);
         if (this.ledger.isSettled) return;
         if (lookup.kind === 'answered') {
           this.context.claims.recordOutcome(requestId, lookup.answer);
           this.succeed(lookup.answer);
           return;
         }
-        if (lookup.kind === 'fenced') {
-          this.failFenced();
+        if (lookup.kind !== 'fenced') continue;
+        if (this.usesSecondIdentifier) {
+          this.failClosed();
           return;
         }
+        this.usesSecondIdentifier = true;
+        if (!lookup.first) break;
+        this.ledger.proveFencedNotRun();
+        await this.dispatchOnce();
+        return;
       }
       await sleep(this.context.clock, LOOKUP_PERIOD_MS);
     }
   }
 
+  /** Identifier under which the back end knows the request now. */
+  private get identifier(): string {
+    const { requestId } = this.start;
+    return this.usesSecondIdentifier ? requestId + SECOND_IDENTIFIER_SUFFIX : requestId;
+  }
+
+  private get firstUse(): FirstUse {
+    return { atMs: Number(this.start.firstUseAtMs), proven: this.start.firstUseProven };
+  }
+
   private get service(): string {
     return this.start.operation?.service ?? '';
   }
@@ -214,9 +248,9 @@
   }
 
   private async send(record: BackendRecord): Promise<InvocationResult> {
-    const { requestId, tenant, operation } = this.start;
+    const { tenant, operation } = this.start;
     const result = await this.context.backendPort.invoke(record.machine.address, {
-      requestId,
+      requestId: this.identifier,
       tenant,
       service: this.service,
       operation: operation?.operation ?? '',
@@ -258,9 +292,9 @@
     this.fail({ kind: 'unavailable', message, retryAfterMs: UNAVAILABLE_RETRY_MS });
   }
 
-  /** The back end refuses the identifier from now on, which proves that it has not run. */
-  private failFenced(): void {
-    const message = 'the request was not run; its identifier is now closed';
+  /** The back end refuses both identifiers from now on, which proves that nothing has run or will. */
+  private failClosed(): void {
+    const message = 'the request was not run and its key is closed; send it anew under another key';
     this.failWith({ kind: 'unavailable', message, retryAfterMs: UNAVAILABLE_RETRY_MS }, true);
   }
 
--- a/src/coordination/router/router-node.ts
+++ b/src/coordination/router/router-node.ts
@@ -72,7 +72,7 @@
   readonly engines = new EngineTable();
   readonly directory = new PrefixDirectory();
   readonly configuration: Configuration;
-  private readonly spreader = new DocumentSpreader([TEMPLATES_DOCUMENT, MACHINES_DOCUMENT]);
+  private readonly spreader: DocumentSpreader;
   private readonly backends = new BackendTable();
   private readonly admission = new Admission();
   private readonly budgets = new Map<string, RetryBudget>();
@@ -105,6 +105,10 @@
   ) {
     const { nodeId, zone } = settings;
     this.startedMs = clock.now();
+    this.spreader = new DocumentSpreader(
+      [TEMPLATES_DOCUMENT, MACHINES_DOCUMENT],
+      !protections.monotonicRevisions,
+    );
     this.configuration = new Configuration(logger);
     this.pool = new PeerPool(
       { nodeId, zone, role: NodeRole.ROUTER },
--- a/src/coordination/shared/document-spreader.ts
+++ b/src/coordination/shared/document-spreader.ts
@@ -21,8 +21,8 @@
   private readonly documents = new Map<string, ReplicatedDocument>();
   private readonly listeners: ((name: string, document: ReplicatedDocument) => void)[] = [];
 
-  constructor(names: readonly string[]) {
-    for (const name of names) this.documents.set(name, new ReplicatedDocument());
+  constructor(names: readonly string[], acceptsOlder = false) {
+    for (const name of names) this.documents.set(name, new ReplicatedDocument(acceptsOlder));
   }
 
   /** Calls back after a document took a newer revision. */
--- a/src/edge/caller-api/generation-handler.ts
+++ b/src/edge/caller-api/generation-handler.ts
@@ -70,7 +70,9 @@
   const prompt = Buffer.from(body.prompt, 'utf8');
   const routeKey = agent.routeKeyOf(context.tenant, body.model, prompt, context.requestId);
   const { model, maxTokens } = body;
-  return { kind: 'generation', ...context, model, prompt, maxTokens, routeKey };
+  const { tenant, requestId, deadlineMs, priority } = context;
+  const common = { tenant, requestId, deadlineMs, priority, keyed: false, routeKey };
+  return { kind: 'generation', ...common, model, prompt, maxTokens };
 }
 
 function streamed(
--- a/src/edge/caller-api/request-context.ts
+++ b/src/edge/caller-api/request-context.ts
@@ -7,7 +7,8 @@
 export interface RequestContext {
   readonly tenant: string;
   readonly requestId: string;
-  readonly identifierAgeMs: number;
+  /** The caller's own key for the request; undefined where it gave none. */
+  readonly idempotencyKey: string | undefined;
   readonly deadlineMs: number;
   readonly priority: number;
 }
@@ -44,12 +45,8 @@
   if (idempotencyKey !== undefined && idempotencyKey.length > MAXIMUM_KEY_LENGTH) {
     return refused(invalidRequest('idempotency-key: expected at most 255 characters'));
   }
-  const identified =
-    idempotencyKey === undefined
-      ? { requestId: agent.mintRequestId(), ageMs: 0 }
-      : agent.identifierForKey(tenant, request.path, idempotencyKey);
-  const { requestId, ageMs: identifierAgeMs } = identified;
-  return { kind: 'ok', context: { tenant, requestId, identifierAgeMs, deadlineMs, priority } };
+  const requestId = agent.mintRequestId();
+  return { kind: 'ok', context: { tenant, requestId, idempotencyKey, deadlineMs, priority } };
 }
 
 function header(request: Hapi.Request, name: string): string | undefined {
--- a/src/edge/caller-api/service-handler.ts
+++ b/src/edge/caller-api/service-handler.ts
@@ -1,6 +1,7 @@
 /** Handles operations of plain services. */
 import type Hapi from '@hapi/hapi';
 import type { AgentNode } from '../../coordination/agent/agent-node.js';
+import { identifierForKey } from '../../coordination/agent/idempotency-keys.js';
 import type { OperationRequest } from '../../coordination/agent/caller.js';
 import { apiErrorOf, notFound, respondError } from './api-error.js';
 import { readContext } from './request-context.js';
@@ -18,14 +19,23 @@
       const error = notFound(`no operation "${service}/${operation}" for the key's tenant`);
       return respondError(h, error, context.requestId);
     }
+    const { tenant, deadlineMs, priority, idempotencyKey } = context;
+    // What may be repeated needs no identity beyond this one call.
+    const key = policy.repeatable ? undefined : idempotencyKey;
+    const scope = `${service}/${operation}`;
+    const requestId = key === undefined ? context.requestId : identifierForKey(tenant, scope, key);
     return submit(agent, request, h, {
       kind: 'operation',
-      ...context,
+      tenant,
+      requestId,
+      deadlineMs,
+      priority,
+      keyed: key !== undefined,
       service,
       operation,
       payload: Buffer.from(JSON.stringify(request.payload ?? {}), 'utf8'),
       repeatable: policy.repeatable,
-      routeKey: agent.operationKeyOf(context.requestId),
+      routeKey: agent.operationKeyOf(requestId),
     });
   };
 }
--- a/src/lab/backend/backend-core.ts
+++ b/src/lab/backend/backend-core.ts
@@ -1,9 +1,12 @@
 /** The stand-in plain back end: flag state, audit, booking. Records each run by request identifier. */
+
 import { type Clock, sleep } from '../../runtime/clock.js';
-import type {
-  BackendAnswer,
-  BackendInvocation,
-  LookupResult,
+import {
+  type BackendAnswer,
+  type BackendInvocation,
+  FENCED_REASON,
+  SECOND_IDENTIFIER_SUFFIX,
+  type LookupResult,
 } from '../../protocol/plain-backend/port.js';
 
 /** Speed and limits of a stand-in back end. */
@@ -20,22 +23,38 @@
   | { readonly kind: 'lost' };
 
 const HTTP_OK = 200;
-const FENCED = 'fenced';
 
 /** State of requests shared by all machines of one service, as a database behind them would be. */
 export class BackendStore {
   private readonly fenced = new Set<string>();
   private readonly answers = new Map<string, BackendAnswer>();
-  /** Runs by request identifier, for the oracle. */
-  readonly runs = new Map<string, number>();
+  /** Start of each run by identifier at the back end, in milliseconds. */
+  private readonly runs = new Map<string, number[]>();
 
   /** Notes the start of a run; false where the identifier is fenced. */
-  begin(requestId: string): boolean {
+  begin(requestId: string, nowMs: number): boolean {
     if (this.fenced.has(requestId)) return false;
-    this.runs.set(requestId, (this.runs.get(requestId) ?? 0) + 1);
+    const starts = this.runs.get(requestId) ?? [];
+    this.runs.set(requestId, [...starts, nowMs]);
     return true;
   }
 
+  /** Runs of a caller's request under any of its identifiers. */
+  runsOf(requestId: string): number {
+    return this.startsOf(requestId).length;
+  }
+
+  /** When a caller's request first ran; undefined where it never did. */
+  firstRunMs(requestId: string): number | undefined {
+    const starts = this.startsOf(requestId);
+    return starts.length === 0 ? undefined : Math.min(...starts);
+  }
+
+  private startsOf(requestId: string): number[] {
+    const second = requestId + SECOND_IDENTIFIER_SUFFIX;
+    return [...(this.runs.get(requestId) ?? []), ...(this.runs.get(second) ?? [])];
+  }
+
   finish(requestId: string, answer: BackendAnswer): void {
     this.answers.set(requestId, answer);
   }
@@ -45,8 +64,9 @@
     const answer = this.answers.get(requestId);
     if (answer) return { kind: 'answered', answer };
     if (this.runs.has(requestId)) return { kind: 'running' };
+    const first = !this.fenced.has(requestId);
     this.fenced.add(requestId);
-    return { kind: 'fenced' };
+    return { kind: 'fenced', first };
   }
 }
 
@@ -78,7 +98,8 @@
     if (this.running >= this.settings.maximumRunning) {
       return { kind: 'refused', reason: 'overloaded' };
     }
-    if (!this.store.begin(invocation.requestId)) return { kind: 'refused', reason: FENCED };
+    if (!this.store.begin(invocation.requestId, this.clock.now()))
+      return { kind: 'refused', reason: FENCED_REASON };
     const life = this.life;
     this.running += 1;
     await sleep(this.clock, this.settings.workMs);
--- a/src/lab/backend/http-face.ts
+++ b/src/lab/backend/http-face.ts
@@ -46,6 +46,7 @@
     path: '/v1/requests/{id}',
     handler: (request) => {
       const lookup = core.lookup(String(request.params.id));
+      if (lookup.kind === 'fenced') return { state: lookup.kind, first: lookup.first };
       if (lookup.kind !== 'answered') return { state: lookup.kind };
       const body = JSON.parse(Buffer.from(lookup.answer.body).toString('utf8')) as unknown;
       return { state: 'answered', status: lookup.answer.status, body };
--- a/src/lab/platform/object-store.ts
+++ b/src/lab/platform/object-store.ts
@@ -10,6 +10,8 @@
   delayMs: number;
   /** The next writes take effect and their answers are lost. */
   loseWriteAnswers: number;
+  /** The next watches are answered from a replica that lags by one version. */
+  staleWatches: number;
 }
 
 /** Result of a write. */
@@ -26,8 +28,14 @@
 
 /** Objects in memory. */
 export class ObjectStore {
-  readonly faults: ObjectStoreFaults = { down: false, delayMs: 0, loseWriteAnswers: 0 };
+  readonly faults: ObjectStoreFaults = {
+    down: false,
+    delayMs: 0,
+    loseWriteAnswers: 0,
+    staleWatches: 0,
+  };
   private readonly objects = new Map<string, StoredObject>();
+  private readonly previous = new Map<string, StoredObject>();
   private readonly watchers = new Set<Watcher>();
   /** Calls by kind, for measurements. */
   readonly calls = { reads: 0, writes: 0, watches: 0 };
@@ -48,6 +56,8 @@
     const presentVersion = this.objects.get(name)?.version ?? 0;
     if (presentVersion !== expectedVersion) return { kind: 'conflict', presentVersion };
     const object = { version: presentVersion + 1, content };
+    const before = this.objects.get(name);
+    if (before) this.previous.set(name, before);
     this.objects.set(name, object);
     this.wake(name, object);
     return { kind: 'written', version: object.version };
@@ -57,6 +67,11 @@
   watch(name: string, afterVersion: number, waitMs: number): Promise<StoredObject | undefined> {
     this.calls.watches += 1;
     const present = this.objects.get(name);
+    const stale = this.previous.get(name);
+    if (stale && this.faults.staleWatches > 0) {
+      this.faults.staleWatches -= 1;
+      return Promise.resolve(stale);
+    }
     if (present && present.version > afterVersion) return Promise.resolve(present);
     return new Promise((resolve) => {
       const timer = this.clock.setTimer(waitMs, () => {
--- a/src/lab/simulation/host-clock.ts
+++ b/src/lab/simulation/host-clock.ts
@@ -15,7 +15,11 @@
   private state = HostState.Running;
   private due: (() => void)[] = [];
 
-  constructor(private readonly common: Clock) {}
+  /** `wallSkewMs`: how far this machine's wall clock is off. */
+  constructor(
+    private readonly common: Clock,
+    private readonly wallSkewMs = 0,
+  ) {}
 
   get isRunning(): boolean {
     return this.state === HostState.Running;
@@ -29,6 +33,10 @@
     return this.common.now();
   }
 
+  wallNow(): number {
+    return this.common.wallNow() + this.wallSkewMs;
+  }
+
   setTimer(delayMs: number, callback: () => void): Timer {
     let cancelled = false;
     const run = (): void => {
--- a/src/lab/simulation/observed-request.ts
+++ b/src/lab/simulation/observed-request.ts
@@ -18,6 +18,7 @@
   handle: CallerHandle | undefined;
   lastTextMs: number;
   longestPauseMs = 0;
+  endedMs = 0;
 
   constructor(
     readonly request: CallerRequest,
@@ -32,7 +33,8 @@
   }
 
   onTexts(sequence: number, texts: readonly string[]): void {
-    if (sequence !== this.texts.length) this.faults.push(`text ${sequence} after ${this.texts.length}`);
+    if (sequence !== this.texts.length)
+      this.faults.push(`text ${sequence} after ${this.texts.length}`);
     if (this.isEnded) this.faults.push('text after the end');
     this.texts.push(...texts);
     const nowMs = this.now();
@@ -42,20 +44,25 @@
   }
 
   onFinished(): void {
-    this.ends.push({ kind: 'finished' });
+    this.end({ kind: 'finished' });
   }
 
   onOutcome(_status: number, body: Uint8Array): void {
-    this.ends.push({ kind: 'outcome', body });
+    this.end({ kind: 'outcome', body });
   }
 
   onFailed(failed: FailedCall): void {
-    this.ends.push({ kind: 'failed', failed });
+    this.end({ kind: 'failed', failed });
   }
 
   hangUp(): void {
     if (this.isEnded) return;
-    this.ends.push({ kind: 'hung-up' });
+    this.end({ kind: 'hung-up' });
     this.handle?.cancel();
   }
+
+  private end(end: ObservedEnd): void {
+    this.ends.push(end);
+    this.endedMs = this.now();
+  }
 }
--- a/src/lab/simulation/oracle.ts
+++ b/src/lab/simulation/oracle.ts
@@ -1,4 +1,5 @@
 /** Checks the invariants of the brief over all that a simulated deployment did. */
+import { SECOND_IDENTIFIER_SUFFIX } from '../../protocol/plain-backend/port.js';
 import { expectedText } from '../engine/token-model.js';
 import type { ObservedRequest } from './observed-request.js';
 import { type World, requestIdOf } from './world.js';
@@ -63,7 +64,8 @@
 function checkOutcome(observed: ObservedRequest, body: Uint8Array): Violation[] {
   const { requestId, tenant } = observed.request;
   const answer = JSON.parse(new TextDecoder().decode(body)) as Record<string, unknown>;
-  if (answer.request_id === requestId && answer.tenant === tenant) return [];
+  const own = [requestId, requestId + SECOND_IDENTIFIER_SUFFIX];
+  if (own.includes(String(answer.request_id)) && answer.tenant === tenant) return [];
   return [{ invariant: 4, detail: `${requestId} got the answer of ${String(answer.request_id)}` }];
 }
 
@@ -73,18 +75,23 @@
   const ran =
     kind === 'generation'
       ? world.acceptances.some((entry) => requestIdOf(entry.engineRequestId) === requestId)
-      : (world.backendStore.runs.get(requestId) ?? 0) > successesOf(world, requestId);
+      : ranWhenRefused(world, observed);
   return ran ? [{ invariant: 5, detail: `${requestId} was refused as not run and ran` }] : [];
 }
 
-/** A key may be refused to one caller and served to another that used it too. */
-function successesOf(world: World, requestId: string): number {
-  const others = world.requests.filter(({ request }) => request.requestId === requestId);
-  return others.some(({ ends }) => ends.some((end) => !isNotRun(end))) ? 1 : 0;
-}
-
-function isNotRun(end: ObservedRequest['ends'][number]): boolean {
-  return end.kind === 'failed' && end.failed.notRun;
+/**
+ * A key refused to one caller may be used by another at the same time or later; only then may it run
+ * after the refusal.
+ */
+function ranWhenRefused(world: World, observed: ObservedRequest): boolean {
+  const { requestId } = observed.request;
+  const firstRunMs = world.backendStore.firstRunMs(requestId);
+  if (firstRunMs === undefined) return false;
+  if (firstRunMs <= observed.endedMs) return true;
+  const others = world.requests.filter(
+    (other) => other !== observed && other.request.requestId === requestId,
+  );
+  return !others.some((other) => other.endedMs > observed.endedMs);
 }
 
 /** 6: what may not be repeated ran at most once. */
@@ -95,7 +102,7 @@
     if (request.kind === 'operation' && !request.repeatable) once.add(request.requestId);
   }
   for (const requestId of once) {
-    const runs = world.backendStore.runs.get(requestId) ?? 0;
+    const runs = world.backendStore.runsOf(requestId);
     if (runs > 1) violations.push({ invariant: 6, detail: `${requestId} ran ${runs} times` });
   }
   return violations;
@@ -116,14 +123,16 @@
     }));
 }
 
-/** 9: the accepted configuration is in force at every node that runs. */
+/** 9: the accepted configuration is in force at every node that runs, and never went back. */
 function checkConvergence(world: World): Violation[] {
   const wanted = BigInt(world.configurationVersion);
-  return [...world.routers, ...world.agents]
+  const regressions = world.regressions.map((detail) => ({ invariant: 9, detail }));
+  const behind = [...world.routers, ...world.agents]
     .filter(({ host, stopping }) => host.isRunning && !stopping)
     .filter(({ node }) => node.configuration.revision !== wanted)
     .map(({ name, node }) => ({
       invariant: 9,
       detail: `${name} has revision ${node.configuration.revision}, accepted is ${wanted}`,
     }));
+  return [...regressions, ...behind];
 }
--- a/src/lab/simulation/world.ts
+++ b/src/lab/simulation/world.ts
@@ -2,7 +2,9 @@
 import 'reflect-metadata';
 import { type DependencyContainer, container as rootContainer } from 'tsyringe';
 import type { AgentNode } from '../../coordination/agent/agent-node.js';
+import { CLOCK_TOLERANCE_MS } from '../../state/claim-table.js';
 import { createAgent } from '../../coordination/agent/create-agent.js';
+import { identifierForKey } from '../../coordination/agent/idempotency-keys.js';
 import { createRouter } from '../../coordination/router/create-router.js';
 import { TEMPLATES_OBJECT } from '../../coordination/router/platform-reader.js';
 import type { RouterNode } from '../../coordination/router/router-node.js';
@@ -14,6 +16,7 @@
   OBJECT_API_PORT,
 } from '../../coordination/router/tokens.js';
 import type { Machine } from '../../protocol/machine-list/port.js';
+import { repeat } from '../../runtime/clock.js';
 import { type Hasher, createHasher } from '../../runtime/hasher.js';
 import { SilentLogger } from '../../runtime/logger.js';
 import { SeededRandom, randomInteger } from '../../runtime/random.js';
@@ -107,6 +110,9 @@
   readonly reuseViolations: ReuseViolation[] = [];
   /** When the machine list was told that an engine leaves. */
   readonly leavingSinceMs = new Map<string, number>();
+  /** Nodes whose configuration fell back. */
+  readonly regressions: string[] = [];
+  private readonly seenRevisions = new Map<HostClock, bigint>();
   /** Since when nothing is cut, paused or down; Infinity while something is. */
   private quietSinceMs = 0;
   private readonly random: SeededRandom;
@@ -134,8 +140,10 @@
       world.routers.push(world.startRouter(index));
     }
     for (let index = 0; index < WORLD_AGENTS; index += 1) {
-      world.agents.push(world.startAgent(index, true));
+      world.agents.push(world.startAgent(index));
     }
+    const OBSERVATION_MS = 50;
+    repeat(world.clock, OBSERVATION_MS, () => world.observeRevisions());
     const SETTLING_MS = 3_000;
     await world.clock.advance(SETTLING_MS);
     return world;
@@ -168,7 +176,7 @@
 
   restartAgent(index: number): void {
     if (!this.agents[index]?.host.isStopped) return;
-    this.agents[index] = this.startAgent(index, false);
+    this.agents[index] = this.startAgent(index);
   }
 
   /** Writes a configuration as an operator would; answers its version. */
@@ -187,6 +195,12 @@
     return this.store.read(TEMPLATES_OBJECT)?.version ?? 0;
   }
 
+  /** Loads other weights into a running engine, which keeps the cache it has. */
+  loadWeights(engineIndex: number, version: WorldVersion): void {
+    const core = this.engines[engineIndex];
+    if (core) core.settings.weightsDigest = WORLD_WEIGHTS[version];
+  }
+
   setLeaving(engineIndex: number, leaving: boolean): void {
     const engineId = this.engines[engineIndex]?.settings.engineId;
     if (engineId === undefined) return;
@@ -228,12 +242,13 @@
     Object.assign(this.network.faults, { jitterMs: 1, datagramLoss: 0, datagramDuplication: 0 });
     for (const core of this.engines) if (!core.isAlive) core.restart();
     for (const core of this.backends) if (!core.isAlive) core.restart();
-    for (const index of this.routers.keys()) this.restartRouter(index);
-    for (const index of this.agents.keys()) this.restartAgent(index);
+    this.restartAll();
     const ALL_ENDED_LIMIT_MS = 25_000;
     const STEP_MS = 250;
     const ended = (): boolean => this.requests.every((request) => request.isEnded);
     await this.clock.advanceUntil(ended, ALL_ENDED_LIMIT_MS, STEP_MS);
+    // Planned stops ended with the last request; those processes come back too.
+    this.restartAll();
     const CONVERGENCE_MS = 8_000;
     await this.clock.advance(CONVERGENCE_MS);
   }
@@ -260,7 +275,7 @@
       tenant,
       deadlineMs,
       priority: 0,
-      identifierAgeMs: 0,
+      keyed: false,
       routeKey: agent.node.routeKeyOf(tenant, WORLD_MODEL, prompt, requestId),
       model: WORLD_MODEL,
       prompt,
@@ -278,18 +293,18 @@
   ): void {
     const agent = this.agents[agentIndex];
     if (!agent || agent.stopping || !agent.host.isRunning) return;
-    const identified =
-      key === undefined
-        ? { requestId: agent.node.mintRequestId(), ageMs: 0 }
-        : agent.node.identifierForKey(tenant, operation, key);
+    const isKeyed = key !== undefined && operation === 'hold';
+    const requestId = isKeyed
+      ? identifierForKey(tenant, operation, key)
+      : agent.node.mintRequestId();
     this.submit(agent.node, {
       kind: 'operation',
-      requestId: identified.requestId,
+      requestId,
       tenant,
       deadlineMs,
       priority: 0,
-      identifierAgeMs: identified.ageMs,
-      routeKey: agent.node.operationKeyOf(identified.requestId),
+      keyed: isKeyed,
+      routeKey: agent.node.operationKeyOf(requestId),
       service: WORLD_SERVICE,
       operation,
       payload: new TextEncoder().encode('{}'),
@@ -297,10 +312,24 @@
     });
   }
 
+  private observeRevisions(): void {
+    for (const { name, host, node } of [...this.routers, ...this.agents]) {
+      const { revision } = node.configuration;
+      const seen = this.seenRevisions.get(host) ?? 0n;
+      if (revision < seen) this.regressions.push(`${name} fell from ${seen} to ${revision}`);
+      this.seenRevisions.set(host, revision);
+    }
+  }
+
+  private restartAll(): void {
+    for (const index of this.routers.keys()) this.restartRouter(index);
+    for (const index of this.agents.keys()) this.restartAgent(index);
+  }
+
   private noteIfQuiet(): void {
     const paused = this.routers.some(({ host }) => !host.isRunning && !host.isStopped);
     if (this.store.faults.down || paused || this.network.hasCuts) return;
-    this.quietSinceMs = this.clock.now();
+    if (this.quietSinceMs === Number.POSITIVE_INFINITY) this.quietSinceMs = this.clock.now();
   }
 
   private submit(agent: AgentNode, request: ObservedRequest['request']): void {
@@ -416,7 +445,7 @@
     return { name, host, node, stopping: false };
   }
 
-  private startAgent(index: number, firstInstallation: boolean): Hosted<AgentNode> {
+  private startAgent(index: number): Hosted<AgentNode> {
     const name = `agent-${index}`;
     const { host, container } = this.createHost(name);
     const DEADLINE_MS = 10_000;
@@ -425,14 +454,14 @@
       zone: (WORLD_ZONES[index % WORLD_ZONES.length] ?? WORLD_ZONES[0]).zone,
       routers: Array.from({ length: WORLD_ROUTERS }, (_, other) => `router-${other}:${PORT}`),
       defaultDeadlineMs: DEADLINE_MS,
-      firstInstallation,
     });
     node.start();
     return { name, host, node, stopping: false };
   }
 
   private createHost(name: string): { host: HostClock; container: DependencyContainer } {
-    const host = new HostClock(this.clock);
+    const skewMs = (this.random.next() - 0.5) * CLOCK_TOLERANCE_MS;
+    const host = new HostClock(this.clock, skewMs);
     this.network.attach(name, host);
     const container = rootContainer.createChildContainer();
     const seed = randomInteger(this.random, SEED_RANGE);
--- a/src/programs/agent-program.ts
+++ b/src/programs/agent-program.ts
@@ -29,7 +29,6 @@
     zone: settings.node.zone,
     routers: settings.routers,
     defaultDeadlineMs: settings.default_deadline_ms,
-    firstInstallation: settings.first_installation,
   });
   node.start();
   const callerApi = await startCallerApi(node, settings.listen.callers);
--- a/src/programs/lab-up.ts
+++ b/src/programs/lab-up.ts
@@ -196,7 +196,6 @@
           listen: { callers, operations: formatAddress(LOOPBACK, ANY_PORT) },
           routers: routers.map((router) => router.node.peerAddress),
           default_deadline_ms: DEADLINE_MS,
-          first_installation: true,
           log_level: 'info',
         },
         loggerOf(id),
--- a/src/protocol/plain-backend/http-client.ts
+++ b/src/protocol/plain-backend/http-client.ts
@@ -17,7 +17,7 @@
 const lookupSchema = z.discriminatedUnion('state', [
   z.object({ state: z.literal('answered'), status: z.number().int(), body: z.unknown() }),
   z.object({ state: z.literal('running') }),
-  z.object({ state: z.literal('fenced') }),
+  z.object({ state: z.literal('fenced'), first: z.boolean() }),
 ]);
 
 /** Plain back ends reached over HTTP. */
@@ -43,14 +43,24 @@
       const answer = await exchangeJson('GET', address, path, undefined, LOOKUP_TIMEOUT_MS);
       const lookup = lookupSchema.safeParse(answer.body);
       if (!lookup.success) return { kind: 'unavailable' };
-      if (lookup.data.state !== 'answered') return { kind: lookup.data.state };
-      return { kind: 'answered', answer: answerOf(lookup.data.status, lookup.data.body) };
+      return lookupOf(lookup.data);
     } catch {
       return { kind: 'unavailable' };
     }
   }
 }
 
+function lookupOf(body: z.infer<typeof lookupSchema>): LookupResult {
+  switch (body.state) {
+    case 'answered':
+      return { kind: 'answered', answer: answerOf(body.status, body.body) };
+    case 'running':
+      return { kind: 'running' };
+    case 'fenced':
+      return { kind: 'fenced', first: body.first };
+  }
+}
+
 function resultOf(answer: JsonAnswer): InvocationResult {
   const refusal = refusalSchema.safeParse(answer.body);
   if (refusal.success) return { kind: 'refused', reason: refusal.data.reason };
--- a/src/protocol/plain-backend/port.ts
+++ b/src/protocol/plain-backend/port.ts
@@ -17,6 +17,12 @@
   readonly body: Uint8Array;
 }
 
+/** Ends a request's second identifier, used where the first one was closed unused. */
+export const SECOND_IDENTIFIER_SUFFIX = '~2';
+
+/** Reason of a refusal whose identifier a lookup has closed. */
+export const FENCED_REASON = 'fenced';
+
 /** Result of an invocation. */
 export type InvocationResult =
   | { readonly kind: 'answered'; readonly answer: BackendAnswer }
@@ -31,8 +37,11 @@
 export type LookupResult =
   | { readonly kind: 'answered'; readonly answer: BackendAnswer }
   | { readonly kind: 'running' }
-  /** Never seen, and from now on refused: it has not run and will not. */
-  | { readonly kind: 'fenced' }
+  /**
+   * Never seen, and from now on refused: it has not run and will not. `first` for exactly one asker,
+   * who may then run it under another identifier.
+   */
+  | { readonly kind: 'fenced'; readonly first: boolean }
   /** No answer, or the back end offers no lookup. */
   | { readonly kind: 'unavailable' };
 
--- a/src/runtime/clock.ts
+++ b/src/runtime/clock.ts
@@ -10,6 +10,8 @@
 export interface Clock {
   /** Milliseconds since an arbitrary start; never goes back. */
   now(): number;
+  /** Milliseconds since 1970, as far as this machine's clock is right. */
+  wallNow(): number;
   /** Runs the callback once after `delayMs`. */
   setTimer(delayMs: number, callback: () => void): Timer;
 }
@@ -20,6 +22,10 @@
     return performance.now();
   }
 
+  wallNow(): number {
+    return Date.now();
+  }
+
   setTimer(delayMs: number, callback: () => void): Timer {
     const handle = setTimeout(callback, Math.max(0, delayMs));
     return { cancel: () => clearTimeout(handle) };
--- a/src/runtime/virtual-clock.ts
+++ b/src/runtime/virtual-clock.ts
@@ -1,6 +1,9 @@
 /** A clock whose time moves only when told, for tests and experiments. */
 import type { Clock, Timer } from './clock.js';
 
+/** Wall clock time at the virtual start: 2026-01-01. */
+const WALL_START_MS = Date.UTC(2026, 0, 1);
+
 interface Entry {
   dueMs: number;
   order: number;
@@ -24,6 +27,10 @@
     return this.currentMs;
   }
 
+  wallNow(): number {
+    return WALL_START_MS + this.currentMs;
+  }
+
   setTimer(delayMs: number, callback: () => void): Timer {
     this.created += 1;
     const dueMs = this.currentMs + Math.max(0, delayMs);
--- a/src/settings/schemas.ts
+++ b/src/settings/schemas.ts
@@ -40,7 +40,6 @@
   /** Peer addresses of some routers. */
   routers: z.array(addressSchema).min(1),
   default_deadline_ms: z.number().int().min(1).default(60_000),
-  first_installation: z.boolean().default(false),
   log_level: logLevelSchema.default('info'),
 });
 
--- a/src/state/claim-table.ts
+++ b/src/state/claim-table.ts
@@ -2,8 +2,9 @@
  * The claims one replica holds: which router may dispatch a request that may not be repeated.
  *
  * A replica grants an identifier to one claimant only. After a restart its memory is empty; it then
- * abstains for identifiers that may have been claimed before it started (identifier age above its
- * own uptime), and so never grants a second time what it granted before.
+ * abstains for identifiers that may have been claimed before it started, and so never grants a second
+ * time what it granted before. Both times are wall clock times, since a message may be under way for
+ * any time; the machines' clocks are assumed to agree within {@link CLOCK_TOLERANCE_MS}.
  */
 import type { LRUCache } from 'lru-cache';
 import { createBoundedCache } from './bounded-cache.js';
@@ -11,6 +12,12 @@
 /** How long a claim is kept. An identifier must not be used again after that. */
 export const CLAIM_RETENTION_MS = 10 * 60 * 1000;
 
+/** How far apart two machines' wall clocks may be. */
+export const CLOCK_TOLERANCE_MS = 2_000;
+
+/** A proven first attempt counts as such for so long, clock tolerance included. */
+const FRESH_MS = 3_000;
+
 /** Claims kept at most; the oldest go first. */
 const MAXIMUM_CLAIMS = 100_000;
 
@@ -32,13 +39,20 @@
   outcome?: RecordedOutcome;
 }
 
+/** What is known of an identifier's first use. */
+export interface FirstUse {
+  /** Wall clock time at which it may first have been used, in milliseconds. */
+  readonly atMs: number;
+  /** True where this very attempt is the first. */
+  readonly proven: boolean;
+}
+
 /** What a claimant asks for. */
 export interface ClaimRequest {
   readonly requestId: string;
   /** Unique for each claim, not only for each router: one router may get an identifier twice. */
   readonly claimant: string;
-  /** Milliseconds since the identifier may first have been used; 0 for a first use. */
-  readonly identifierAgeMs: number;
+  readonly firstUse: FirstUse;
 }
 
 /** One replica's table. */
@@ -46,22 +60,30 @@
   private readonly claims: LRUCache<string, Claim>;
 
   constructor(
+    /** Wall clock time of this replica's start. */
     private readonly startedAtMs: number,
-    now: () => number,
+    private readonly now: () => number,
   ) {
     this.claims = createBoundedCache(MAXIMUM_CLAIMS, { retentionMs: CLAIM_RETENTION_MS, now });
   }
 
   /** Grants, refuses or abstains. */
-  claim(request: ClaimRequest, nowMs: number): ClaimVerdict {
+  claim(request: ClaimRequest): ClaimVerdict {
     const present = this.claims.get(request.requestId);
     if (present) return verdictOf(present);
-    const uptimeMs = nowMs - this.startedAtMs;
-    if (request.identifierAgeMs > uptimeMs) return { kind: 'abstained' };
+    if (this.mayHaveForgotten(request)) return { kind: 'abstained' };
     this.claims.set(request.requestId, { holder: request.claimant });
     return { kind: 'granted' };
   }
 
+  private mayHaveForgotten(request: ClaimRequest): boolean {
+    const { atMs, proven } = request.firstUse;
+    // A first attempt that was held up on its way may have been overtaken by a second one.
+    const isFresh = this.now() - atMs <= FRESH_MS;
+    if (proven && isFresh) return false;
+    return atMs - CLOCK_TOLERANCE_MS <= this.startedAtMs;
+  }
+
   /** Gives a claim back after its holder proved that the request was not run. */
   release(requestId: string, claimant: string): void {
     if (this.claims.peek(requestId)?.holder === claimant) this.claims.delete(requestId);
--- a/src/state/replicated-document.ts
+++ b/src/state/replicated-document.ts
@@ -31,6 +31,9 @@
   private currentRevision = 0n;
   private readonly sections = new Map<string, DocumentSection>();
 
+  /** `acceptsOlder` is for mutation tests only: it lets a copy fall back. */
+  constructor(private readonly acceptsOlder = false) {}
+
   /** Revision of the copy; 0 before the first. */
   get revision(): bigint {
     return this.currentRevision;
@@ -53,7 +56,8 @@
 
   /** Takes a delta from a peer. A gap means that this copy is older than the delta's base. */
   applyDelta(delta: DocumentDelta): DeltaVerdict {
-    if (delta.revision <= this.currentRevision) return 'not-newer';
+    if (delta.revision === this.currentRevision) return 'not-newer';
+    if (delta.revision < this.currentRevision && !this.acceptsOlder) return 'not-newer';
     if (delta.baseRevision > this.currentRevision) return 'gap';
     for (const section of delta.sections) this.sections.set(section.name, section);
     this.currentRevision = delta.revision;
--- a/src/state/request-ledger.ts
+++ b/src/state/request-ledger.ts
@@ -82,7 +82,23 @@
   private provenNotRun = 0;
 
   /** `earlierAttemptsUnproven`: another node may have dispatched this request before. */
-  constructor(private readonly earlierAttemptsUnproven: boolean) {}
+  constructor(private earlierAttemptsUnproven: boolean) {}
+
+  /** It is proven by now that no other node's attempt has run or can still run. */
+  proveEarlierNotRun(): void {
+    this.earlierAttemptsUnproven = false;
+  }
+
+  /** Another node may run the request after all. */
+  doubtEarlier(): void {
+    this.earlierAttemptsUnproven = true;
+  }
+
+  /** A back end proved that no attempt, here or elsewhere, has run or can still run. */
+  proveFencedNotRun(): void {
+    this.earlierAttemptsUnproven = false;
+    this.provenNotRun = this.dispatches;
+  }
 
   get state(): RequestState {
     return this.current;
