--- /dev/null
+++ b/src/lab/simulation/simulated-cluster.ts
@@ -0,0 +1,172 @@
+/** Starts and ends real routers and agents on simulated hosts, in one process on a virtual clock. */
+import 'reflect-metadata';
+import { type DependencyContainer, container as rootContainer } from 'tsyringe';
+import type { AgentNode } from '../../coordination/agent/agent-node.js';
+import { createAgent } from '../../coordination/agent/create-agent.js';
+import { createRouter } from '../../coordination/router/create-router.js';
+import type { RouterNode } from '../../coordination/router/router-node.js';
+import type { Protections } from '../../coordination/router/settings.js';
+import {
+  BACKEND_PORT,
+  ENGINE_PORT,
+  MACHINE_LIST_PORT,
+  OBJECT_API_PORT,
+} from '../../coordination/router/tokens.js';
+import type { Hasher } from '../../runtime/hasher.js';
+import { SilentLogger } from '../../runtime/logger.js';
+import { SeededRandom, randomInteger } from '../../runtime/random.js';
+import * as tokens from '../../runtime/tokens.js';
+import { VirtualClock } from '../../runtime/virtual-clock.js';
+import { CLOCK_TOLERANCE_MS } from '../../state/claim-table.js';
+import type { TokenModel } from '../engine/token-model.js';
+import { HostClock } from './host-clock.js';
+import { SimulatedEnginePort } from './simulated-engine-port.js';
+import { SimulatedNetwork } from './simulated-network.js';
+import {
+  SimulatedBackendPort,
+  SimulatedMachineList,
+  SimulatedObjectApi,
+} from './simulated-platform-ports.js';
+import {
+  SimulatedDatagramTransport,
+  SimulatedFrameTransport,
+  SimulatedSockets,
+} from './simulated-transports.js';
+import { SIMULATED_PORT, StandInFleet } from './stand-in-fleet.js';
+
+const SEED_RANGE = 0x7fffffff;
+const CLUSTER_KEY = 'simulated-cluster-key';
+
+/** A process of the deployment and its host. */
+export interface Hosted<T> {
+  readonly name: string;
+  readonly host: HostClock;
+  readonly node: T;
+  /** Leaves by plan. */
+  stopping: boolean;
+}
+
+/** Where a simulated node stands and how it finds the others. */
+export interface SimulatedNodeSettings {
+  readonly name: string;
+  readonly zone: string;
+  readonly region: string;
+  /** Host names of some routers. */
+  readonly contacts: readonly string[];
+}
+
+/** Hosts, network and stand-ins of one simulated deployment. */
+export class SimulatedCluster {
+  readonly clock = new VirtualClock();
+  readonly random: SeededRandom;
+  readonly network: SimulatedNetwork;
+  readonly sockets: SimulatedSockets;
+  readonly fleet: StandInFleet;
+
+  constructor(
+    seed: number,
+    private readonly protections: Protections,
+    private readonly hasher: Hasher,
+    tokenModel: TokenModel,
+    machineListLagMs: number,
+  ) {
+    this.random = new SeededRandom(seed);
+    this.network = new SimulatedNetwork(this.clock, this.random);
+    this.sockets = new SimulatedSockets(this.network);
+    const { clock, random } = this;
+    this.fleet = new StandInFleet(clock, random, hasher, tokenModel, machineListLagMs);
+  }
+
+  startRouter(settings: SimulatedNodeSettings): Hosted<RouterNode> {
+    const { name, zone, region, contacts } = settings;
+    const { host, container } = this.createHost(name);
+    this.registerPorts(container, name, host);
+    const node = createRouter(
+      container,
+      {
+        nodeId: name,
+        zone,
+        region,
+        peerAddress: addressOf(name),
+        gossipAddress: addressOf(name),
+        seeds: contacts.map(addressOf),
+        clusterKey: CLUSTER_KEY,
+      },
+      this.protections,
+    );
+    void node.start();
+    return { name, host, node, stopping: false };
+  }
+
+  startAgent(settings: SimulatedNodeSettings): Hosted<AgentNode> {
+    const { name, zone, contacts } = settings;
+    const { host, container } = this.createHost(name);
+    const DEADLINE_MS = 10_000;
+    const node = createAgent(container, {
+      nodeId: name,
+      zone,
+      routers: contacts.map(addressOf),
+      defaultDeadlineMs: DEADLINE_MS,
+    });
+    node.start();
+    return { name, host, node, stopping: false };
+  }
+
+  /** The process is gone at once, its connections break. */
+  crash(hosted: Hosted<unknown>): void {
+    hosted.host.stop();
+    this.sockets.resetConnections(hosted.name);
+    this.sockets.forget(hosted.name);
+  }
+
+  /** Lets the process leave; its host ends when it is done. */
+  async stopByPlan(hosted: Hosted<{ stop(): Promise<void> }>): Promise<void> {
+    if (hosted.stopping || !hosted.host.isRunning) return;
+    hosted.stopping = true;
+    await hosted.node.stop();
+    this.crash(hosted);
+  }
+
+  private registerPorts(container: DependencyContainer, name: string, host: HostClock): void {
+    const { network, fleet } = this;
+    const { store, machines } = fleet;
+    const findEngine = (id: string): ReturnType<StandInFleet['findEngine']> => fleet.findEngine(id);
+    const findBackend = (id: string): ReturnType<StandInFleet['findBackend']> =>
+      fleet.findBackend(id);
+    container.register(ENGINE_PORT, {
+      useValue: new SimulatedEnginePort(network, name, host, findEngine),
+    });
+    container.register(BACKEND_PORT, {
+      useValue: new SimulatedBackendPort(network, name, host, findBackend),
+    });
+    container.register(OBJECT_API_PORT, {
+      useValue: new SimulatedObjectApi(network, name, host, store),
+    });
+    container.register(MACHINE_LIST_PORT, {
+      useValue: new SimulatedMachineList(network, name, host, machines, store),
+    });
+  }
+
+  private createHost(name: string): { host: HostClock; container: DependencyContainer } {
+    const skewMs = (this.random.next() - 0.5) * CLOCK_TOLERANCE_MS;
+    const host = new HostClock(this.clock, skewMs);
+    this.network.attach(name, host);
+    const container = rootContainer.createChildContainer();
+    const seed = randomInteger(this.random, SEED_RANGE);
+    container.register(tokens.CLOCK, { useValue: host });
+    container.register(tokens.RANDOM, { useValue: new SeededRandom(seed) });
+    container.register(tokens.HASHER, { useValue: this.hasher });
+    container.register(tokens.LOGGER, { useValue: new SilentLogger() });
+    container.register(tokens.FRAME_TRANSPORT, {
+      useValue: new SimulatedFrameTransport(this.sockets, name, host),
+    });
+    container.register(tokens.DATAGRAM_TRANSPORT, {
+      useValue: new SimulatedDatagramTransport(this.sockets, name),
+    });
+    return { host, container };
+  }
+}
+
+function addressOf(name: string): string {
+  return `${name}:${SIMULATED_PORT}`;
+}
--- a/src/lab/simulation/world.ts
+++ b/src/lab/simulation/world.ts
@@ -1,54 +1,23 @@
 /** A whole small deployment in one process, on a virtual clock and a simulated network. */
-import 'reflect-metadata';
-import { type DependencyContainer, container as rootContainer } from 'tsyringe';
 import type { AgentNode } from '../../coordination/agent/agent-node.js';
-import { CLOCK_TOLERANCE_MS } from '../../state/claim-table.js';
-import { createAgent } from '../../coordination/agent/create-agent.js';
 import { identifierForKey } from '../../coordination/agent/idempotency-keys.js';
-import { createRouter } from '../../coordination/router/create-router.js';
 import { TEMPLATES_OBJECT } from '../../coordination/router/platform-reader.js';
 import type { RouterNode } from '../../coordination/router/router-node.js';
-import { ALL_PROTECTIONS, type Protections } from '../../coordination/router/settings.js';
-import {
-  BACKEND_PORT,
-  ENGINE_PORT,
-  MACHINE_LIST_PORT,
-  OBJECT_API_PORT,
-} from '../../coordination/router/tokens.js';
-import type { Machine } from '../../protocol/machine-list/port.js';
+import { ALL_PROTECTIONS } from '../../coordination/router/settings.js';
 import { repeat } from '../../runtime/clock.js';
-import { type Hasher, createHasher } from '../../runtime/hasher.js';
-import { SilentLogger } from '../../runtime/logger.js';
-import { SeededRandom, randomInteger } from '../../runtime/random.js';
-import {
-  CLOCK,
-  DATAGRAM_TRANSPORT,
-  FRAME_TRANSPORT,
-  HASHER,
-  LOGGER,
-  RANDOM,
-} from '../../runtime/tokens.js';
-import { VirtualClock } from '../../runtime/virtual-clock.js';
-import { BackendCore, BackendStore } from '../backend/backend-core.js';
-import { EngineCore } from '../engine/engine-core.js';
+import { createHasher } from '../../runtime/hasher.js';
+import { randomInteger } from '../../runtime/random.js';
+import type { VirtualClock } from '../../runtime/virtual-clock.js';
+import type { BackendCore, BackendStore } from '../backend/backend-core.js';
+import type { EngineCore } from '../engine/engine-core.js';
 import { DEFAULT_ENGINE_SETTINGS } from '../engine/settings.js';
 import { type TokenModel, createTokenModel } from '../engine/token-model.js';
-import { MachineRegistry } from '../platform/machine-registry.js';
-import { ObjectStore } from '../platform/object-store.js';
-import { HostClock } from './host-clock.js';
+import type { ObjectStore } from '../platform/object-store.js';
+import type { HostClock } from './host-clock.js';
 import { ObservedRequest } from './observed-request.js';
-import { SimulatedEnginePort } from './simulated-engine-port.js';
-import { SimulatedNetwork } from './simulated-network.js';
-import {
-  SimulatedBackendPort,
-  SimulatedMachineList,
-  SimulatedObjectApi,
-} from './simulated-platform-ports.js';
-import {
-  SimulatedDatagramTransport,
-  SimulatedFrameTransport,
-  SimulatedSockets,
-} from './simulated-transports.js';
+import { type Hosted, SimulatedCluster, type SimulatedNodeSettings } from './simulated-cluster.js';
+import type { SimulatedNetwork } from './simulated-network.js';
+import type { SimulatedPlace, StandInFleet } from './stand-in-fleet.js';
 import {
   WORLD_AGENTS,
   WORLD_BACKENDS,
@@ -62,21 +31,9 @@
   worldTemplates,
 } from './world-settings.js';
 
-const PORT = 1;
 const MACHINE_LIST_LAG_MS = 500;
-const SEED_RANGE = 0x7fffffff;
-const CLUSTER_KEY = 'simulated-cluster-key';
 const REGION = 'region';
 
-/** A process of the deployment and its host. */
-export interface Hosted<T> {
-  readonly name: string;
-  readonly host: HostClock;
-  readonly node: T;
-  /** Leaves by plan. */
-  stopping: boolean;
-}
-
 /** A generation taken by an engine. */
 export interface EngineAcceptance {
   readonly engineId: string;
@@ -95,14 +52,12 @@
 
 /** The deployment. */
 export class World {
-  readonly clock = new VirtualClock();
+  readonly clock: VirtualClock;
   readonly network: SimulatedNetwork;
-  readonly sockets: SimulatedSockets;
   readonly store: ObjectStore;
-  readonly machines: MachineRegistry;
-  readonly engines: EngineCore[] = [];
-  readonly backends: BackendCore[] = [];
-  readonly backendStore = new BackendStore();
+  readonly engines: readonly EngineCore[];
+  readonly backends: readonly BackendCore[];
+  readonly backendStore: BackendStore;
   readonly routers: Hosted<RouterNode>[] = [];
   readonly agents: Hosted<AgentNode>[] = [];
   readonly requests: ObservedRequest[] = [];
@@ -115,26 +70,28 @@
   private readonly seenRevisions = new Map<HostClock, bigint>();
   /** Since when nothing is cut, paused or down; Infinity while something is. */
   private quietSinceMs = 0;
-  private readonly random: SeededRandom;
+  private readonly cluster: SimulatedCluster;
+  private readonly fleet: StandInFleet;
   private readonly tenantOfRequest = new Map<string, string>();
   private prompts = 0;
 
-  private constructor(
-    seed: number,
-    private readonly protections: Protections,
-    private readonly hasher: Hasher,
-    readonly tokenModel: TokenModel,
-  ) {
-    this.random = new SeededRandom(seed);
-    this.network = new SimulatedNetwork(this.clock, this.random);
-    this.sockets = new SimulatedSockets(this.network);
-    this.store = new ObjectStore(this.clock);
-    this.machines = new MachineRegistry(this.clock, MACHINE_LIST_LAG_MS);
+  private constructor(cluster: SimulatedCluster) {
+    this.cluster = cluster;
+    this.fleet = cluster.fleet;
+    this.clock = cluster.clock;
+    this.network = cluster.network;
+    this.store = cluster.fleet.store;
+    this.engines = cluster.fleet.engines;
+    this.backends = cluster.fleet.backends;
+    this.backendStore = cluster.fleet.backendStore;
   }
 
   /** Builds the deployment and lets it come up. */
   static async create(seed: number, protections = ALL_PROTECTIONS): Promise<World> {
-    const world = new World(seed, protections, await createHasher(), await createTokenModel());
+    const hasher = await createHasher();
+    const model = await createTokenModel();
+    const cluster = new SimulatedCluster(seed, protections, hasher, model, MACHINE_LIST_LAG_MS);
+    const world = new World(cluster);
     world.createPlatform();
     for (let index = 0; index < WORLD_ROUTERS; index += 1) {
       world.routers.push(world.startRouter(index));
@@ -153,7 +110,7 @@
   crashRouter(index: number): void {
     const router = this.routers[index];
     if (!router || router.host.isStopped) return;
-    this.crash(router);
+    this.cluster.crash(router);
   }
 
   /** Brings a crashed or stopped router back, empty. */
@@ -165,13 +122,13 @@
   /** Stops a router by plan; its host ends when it is done. */
   stopRouter(index: number): Promise<void> {
     const router = this.routers[index];
-    return router ? this.stopByPlan(router) : Promise.resolve();
+    return router ? this.cluster.stopByPlan(router) : Promise.resolve();
   }
 
   /** Stops an agent by plan. */
   stopAgent(index: number): Promise<void> {
     const agent = this.agents[index];
-    return agent ? this.stopByPlan(agent) : Promise.resolve();
+    return agent ? this.cluster.stopByPlan(agent) : Promise.resolve();
   }
 
   restartAgent(index: number): void {
@@ -187,6 +144,10 @@
     return result.kind === 'written' ? result.version : present;
   }
 
+  get tokenModel(): TokenModel {
+    return this.fleet.tokenModel;
+  }
+
   weightsOf(version: WorldVersion): string {
     return WORLD_WEIGHTS[version];
   }
@@ -204,7 +165,7 @@
   setLeaving(engineIndex: number, leaving: boolean): void {
     const engineId = this.engines[engineIndex]?.settings.engineId;
     if (engineId === undefined) return;
-    this.machines.setLeaving(engineId, leaving);
+    this.fleet.machines.setLeaving(engineId, leaving);
     if (leaving) this.leavingSinceMs.set(engineId, this.clock.now());
     else this.leavingSinceMs.delete(engineId);
   }
@@ -279,7 +240,7 @@
       routeKey: agent.node.routeKeyOf(tenant, WORLD_MODEL, prompt, requestId),
       model: WORLD_MODEL,
       prompt,
-      maxTokens: MINIMUM_TOKENS + randomInteger(this.random, TOKEN_RANGE),
+      maxTokens: MINIMUM_TOKENS + randomInteger(this.cluster.random, TOKEN_RANGE),
     });
   }
 
@@ -348,7 +309,7 @@
   private createEngine(index: number): void {
     const engineId = `engine-${index}`;
     const CACHE_BLOCKS = 200;
-    const core = new EngineCore(
+    const core = this.fleet.addEngine(
       {
         ...DEFAULT_ENGINE_SETTINGS,
         engineId,
@@ -356,11 +317,7 @@
         weightsDigest: WORLD_WEIGHTS.v1,
         cacheBlocks: CACHE_BLOCKS,
       },
-      this.clock,
-      this.random,
-      this.hasher,
-      this.tokenModel,
-      1,
+      placeOf(index),
     );
     core.onAccept = ({ engineRequestId }) =>
       this.acceptances.push({
@@ -370,27 +327,11 @@
         quietSinceMs: this.quietSinceMs,
       });
     core.onReuse = (audit) => this.auditReuse(audit);
-    this.engines.push(core);
-    this.machines.put(this.machineOf(engineId, 'engine', index, []));
   }
 
   private createBackend(index: number): void {
-    const backendId = `backend-${index}`;
     const WORK_MS = 30;
-    const MAXIMUM_RUNNING = 16;
-    const settings = { backendId, workMs: WORK_MS, maximumRunning: MAXIMUM_RUNNING };
-    this.backends.push(new BackendCore(settings, this.backendStore, this.clock));
-    this.machines.put(this.machineOf(backendId, 'backend', index, [WORLD_SERVICE]));
-  }
-
-  private machineOf(
-    id: string,
-    kind: Machine['kind'],
-    index: number,
-    services: readonly string[],
-  ): Machine {
-    const place = WORLD_ZONES[index % WORLD_ZONES.length] ?? WORLD_ZONES[0];
-    return { id, kind, address: `${id}:${PORT}`, ...place, services, leaving: false };
+    this.fleet.addBackend(`backend-${index}`, WORK_MS, [WORLD_SERVICE], placeOf(index));
   }
 
   private auditReuse(audit: Parameters<NonNullable<EngineCore['onReuse']>>[0]): void {
@@ -409,87 +350,21 @@
   }
 
   private startRouter(index: number): Hosted<RouterNode> {
-    const name = `router-${index}`;
-    const { host, container } = this.createHost(name);
-    const { network, store, machines } = this;
-    const findEngine = (hostName: string): EngineCore | undefined =>
-      this.engines.find((core) => core.settings.engineId === hostName);
-    const findBackend = (hostName: string): BackendCore | undefined =>
-      this.backends.find((core) => core.settings.backendId === hostName);
-    container.register(ENGINE_PORT, {
-      useValue: new SimulatedEnginePort(network, name, host, findEngine),
-    });
-    container.register(BACKEND_PORT, {
-      useValue: new SimulatedBackendPort(network, name, host, findBackend),
-    });
-    container.register(OBJECT_API_PORT, {
-      useValue: new SimulatedObjectApi(network, name, host, store),
-    });
-    container.register(MACHINE_LIST_PORT, {
-      useValue: new SimulatedMachineList(network, name, host, machines, store),
-    });
-    const node = createRouter(
-      container,
-      {
-        nodeId: name,
-        zone: (WORLD_ZONES[index % WORLD_ZONES.length] ?? WORLD_ZONES[0]).zone,
-        region: REGION,
-        peerAddress: `${name}:${PORT}`,
-        gossipAddress: `${name}:${PORT}`,
-        seeds: Array.from({ length: WORLD_ROUTERS }, (_, other) => `router-${other}:${PORT}`),
-        clusterKey: CLUSTER_KEY,
-      },
-      this.protections,
-    );
-    void node.start();
-    return { name, host, node, stopping: false };
+    return this.cluster.startRouter(nodeSettings(`router-${index}`, index));
   }
 
   private startAgent(index: number): Hosted<AgentNode> {
-    const name = `agent-${index}`;
-    const { host, container } = this.createHost(name);
-    const DEADLINE_MS = 10_000;
-    const node = createAgent(container, {
-      nodeId: name,
-      zone: (WORLD_ZONES[index % WORLD_ZONES.length] ?? WORLD_ZONES[0]).zone,
-      routers: Array.from({ length: WORLD_ROUTERS }, (_, other) => `router-${other}:${PORT}`),
-      defaultDeadlineMs: DEADLINE_MS,
-    });
-    node.start();
-    return { name, host, node, stopping: false };
-  }
-
-  private createHost(name: string): { host: HostClock; container: DependencyContainer } {
-    const skewMs = (this.random.next() - 0.5) * CLOCK_TOLERANCE_MS;
-    const host = new HostClock(this.clock, skewMs);
-    this.network.attach(name, host);
-    const container = rootContainer.createChildContainer();
-    const seed = randomInteger(this.random, SEED_RANGE);
-    container.register(CLOCK, { useValue: host });
-    container.register(RANDOM, { useValue: new SeededRandom(seed) });
-    container.register(HASHER, { useValue: this.hasher });
-    container.register(LOGGER, { useValue: new SilentLogger() });
-    container.register(FRAME_TRANSPORT, {
-      useValue: new SimulatedFrameTransport(this.sockets, name, host),
-    });
-    container.register(DATAGRAM_TRANSPORT, {
-      useValue: new SimulatedDatagramTransport(this.sockets, name),
-    });
-    return { host, container };
+    return this.cluster.startAgent(nodeSettings(`agent-${index}`, index));
   }
+}
 
-  private crash(hosted: Hosted<unknown>): void {
-    hosted.host.stop();
-    this.sockets.resetConnections(hosted.name);
-    this.sockets.forget(hosted.name);
-  }
+function placeOf(index: number): SimulatedPlace {
+  return WORLD_ZONES[index % WORLD_ZONES.length] ?? WORLD_ZONES[0];
+}
 
-  private async stopByPlan(hosted: Hosted<{ stop(): Promise<void> }>): Promise<void> {
-    if (hosted.stopping || !hosted.host.isRunning) return;
-    hosted.stopping = true;
-    await hosted.node.stop();
-    this.crash(hosted);
-  }
+function nodeSettings(name: string, index: number): SimulatedNodeSettings {
+  const contacts = Array.from({ length: WORLD_ROUTERS }, (_, other) => `router-${other}`);
+  return { name, zone: placeOf(index).zone, region: REGION, contacts };
 }
 
 /** The request that an engine's identifier `REQUEST.ROUTER-ATTEMPT.ENGINE-ATTEMPT` belongs to. */
--- a/src/state/bounded-cache.ts
+++ b/src/state/bounded-cache.ts
@@ -11,7 +11,7 @@
  * At most `maximumEntries`, the least recently used out first. The bound is given as a size, since
  * `lru-cache` allocates its whole index at once for a bound by count.
  */
-export function createBoundedCache<Key extends {}, Value extends {}>(
+export function createBoundedCache<Key extends string | bigint, Value extends object | number>(
   maximumEntries: number,
   retention?: Retention,
 ): LRUCache<Key, Value> {
