--- a/src/coordination/agent/agent-node.ts
+++ b/src/coordination/agent/agent-node.ts
@@ -72,7 +72,7 @@
 
   start(): void {
     this.links.start();
-    this.logger.info('agent_started', { node: this.settings.nodeId });
+    this.logger.info('agent_started');
   }
 
   /** Planned stop: the edge takes no new requests by now; waits for the running ones. */
@@ -84,7 +84,7 @@
       });
     }
     this.links.stop();
-    this.logger.info('agent_stopped', { node: this.settings.nodeId });
+    this.logger.info('agent_stopped');
   }
 
   /** Ends at once, as a crash does. */
--- a/src/coordination/router/router-node.ts
+++ b/src/coordination/router/router-node.ts
@@ -192,7 +192,7 @@
     this.gossip.start(this.random.next() * PROBE_PERIOD_MS);
     this.reader.start();
     this.tableTimer = repeat(this.clock, TABLE_PERIOD_MS, () => this.refresh());
-    this.logger.info('router_started', { node: this.settings.nodeId, peer: this.peerAddress });
+    this.logger.info('router_started', { peer: this.peerAddress, gossip: this.gossipAddress });
   }
 
   /** Planned stop: leaves the group, finishes what runs, then closes. */
@@ -206,7 +206,7 @@
     await this.calls.drain();
     this.close();
     this.pool.close();
-    this.logger.info('router_stopped', { node: this.settings.nodeId });
+    this.logger.info('router_stopped');
   }
 
   /** Ends at once without a word, as a crash does. */
--- a/src/programs/agent-program.ts
+++ b/src/programs/agent-program.ts
@@ -37,6 +37,8 @@
     metricsOf('peatspan_agent', node.statistics),
     () => node.isReady,
   );
+  logger.info('operations_started', { address: operations.address });
+  logger.info('caller_api_started', { address: callerApi.address });
   return {
     node,
     callerApi,
--- a/src/programs/router-program.ts
+++ b/src/programs/router-program.ts
@@ -35,6 +35,7 @@
     routerMetrics(node),
     () => node.isReady,
   );
+  logger.info('operations_started', { address: operations.address });
   return {
     node,
     stop: async () => {
