Measure the relay, the decision and the feed with npm run bench

Cause: the targets for added latency, relaying and state had no measurement. Change: a bench with the router as a process of its own beside engine, agent and caller.

--- /dev/null
+++ b/bench/relay.ts
@@ -0,0 +1,138 @@
+/** What agent and router add to the time to the first token, and what a relayed chunk costs. */
+import http from 'node:http';
+import { type Histogram, build } from 'hdr-histogram-js';
+import { sendRequest } from '../src/lab/load/load-generator.js';
+import type { CallerProfile } from '../src/lab/load/workload.js';
+import { HttpEngineClient } from '../src/protocol/engine/http-client.js';
+import { startBenchDeployment } from './deployment.js';
+import type { BenchResult } from './result.js';
+
+const MICROSECONDS_PER_MS = 1_000;
+const PROMPT_CHARACTERS = 4_000;
+const WARM_UP = 100;
+const SAMPLES = 1_000;
+const STREAMS = 48;
+const STREAM_TOKENS = 1_500;
+
+const PROMPT = 'a prompt of some length that begins like all others. '
+  .repeat(100)
+  .slice(0, PROMPT_CHARACTERS);
+
+/** Added time to the first token on an unloaded path. */
+export async function benchFirstToken(): Promise<BenchResult[]> {
+  const deployment = await startBenchDeployment({ decode_step_ms: 0 });
+  const agent = new http.Agent({ keepAlive: true });
+  const direct = createHistogram();
+  const relayed = createHistogram();
+  // One after the other in turn, so that both see the same machine.
+  for (let index = 0; index < WARM_UP + SAMPLES; index += 1) {
+    const directMs = await firstTokenDirect(deployment.engineAddress, index);
+    const relayedMs = await firstTokenRelayed(deployment.agentAddress, agent);
+    if (index < WARM_UP) continue;
+    direct.recordValue(Math.round(directMs * MICROSECONDS_PER_MS));
+    relayed.recordValue(Math.round(relayedMs * MICROSECONDS_PER_MS));
+  }
+  const restBytes = await deployment.routerMetric('process_resident_memory_bytes');
+  agent.destroy();
+  await deployment.stop();
+  const addedMs = (percent: number): number =>
+    (relayed.getValueAtPercentile(percent) - direct.getValueAtPercentile(percent)) /
+    MICROSECONDS_PER_MS;
+  const BYTES_PER_MB = 1_000_000;
+  return [
+    { name: 'added time to first token, p50', value: addedMs(50), unit: 'ms' },
+    { name: 'added time to first token, p99', value: addedMs(99), unit: 'ms', target: '<= 3' },
+    {
+      name: 'memory of a router after 1,100 requests',
+      value: restBytes / BYTES_PER_MB,
+      unit: 'MB',
+      target: '< 100 at rest',
+    },
+  ];
+}
+
+/** Chunks relayed for each second of the router's processor time, one token a chunk. */
+export async function benchChunks(): Promise<BenchResult[]> {
+  const deployment = await startBenchDeployment({ decode_step_ms: 2, maximum_running: STREAMS });
+  const agent = new http.Agent({ keepAlive: true });
+  await firstTokenRelayed(deployment.agentAddress, agent);
+  const cpuBefore = await deployment.routerMetric('process_cpu_seconds_total');
+  const chunksBefore = await deployment.routerMetric('peatspan_router_chunks_total');
+  const profile = { ...PROFILE, maxTokens: STREAM_TOKENS };
+  await Promise.all(
+    Array.from({ length: STREAMS }, () => sendProfile(deployment.agentAddress, profile, agent)),
+  );
+  const cpu = (await deployment.routerMetric('process_cpu_seconds_total')) - cpuBefore;
+  const chunks = (await deployment.routerMetric('peatspan_router_chunks_total')) - chunksBefore;
+  agent.destroy();
+  await deployment.stop();
+  return [
+    {
+      name: 'chunks relayed a second of router processor time',
+      value: chunks / cpu,
+      unit: '1/s',
+      target: '>= 50,000',
+    },
+  ];
+}
+
+const PROFILE: CallerProfile = {
+  tenant: 'tenant-a',
+  key: 'key-tenant-a',
+  model: 'model',
+  sharedCharacters: 0,
+  branchCharacters: 0,
+  branches: 1,
+  weight: 1,
+  maxTokens: 2,
+};
+
+function createHistogram(): Histogram {
+  return build({ numberOfSignificantValueDigits: 3 });
+}
+
+async function sendProfile(
+  address: string,
+  profile: CallerProfile,
+  agent: http.Agent,
+): Promise<number> {
+  const sample = { profile, branch: 0, prompt: PROMPT, knownCharacters: 0 };
+  const measurement = await sendRequest(address, sample, agent);
+  if (measurement.error !== '') throw new Error(`request failed: ${measurement.error}`);
+  return measurement.firstTokenMs;
+}
+
+function firstTokenRelayed(address: string, agent: http.Agent): Promise<number> {
+  return sendProfile(address, PROFILE, agent);
+}
+
+const engineClient = new HttpEngineClient();
+
+function firstTokenDirect(address: string, index: number): Promise<number> {
+  const startedMs = performance.now();
+  return new Promise((resolve, reject) => {
+    let firstMs = 0;
+    engineClient.generate(
+      address,
+      {
+        engineRequestId: `direct-${index}`,
+        model: 'model',
+        weightsDigest: 'weights-one',
+        adapterDigest: '',
+        cacheSalt: '0000000000000000',
+        prompt: Buffer.from(PROMPT, 'utf8'),
+        continuation: '',
+        maxTokens: PROFILE.maxTokens,
+        priority: 0,
+      },
+      {
+        onStart: () => undefined,
+        onTokens: () => {
+          if (firstMs === 0) firstMs = performance.now() - startedMs;
+        },
+        onEnd: () => resolve(firstMs),
+        onFailure: (failure) => reject(new Error(failure.kind)),
+      },
+    );
+  });
+}
--- /dev/null
+++ b/bench/state.ts
@@ -0,0 +1,122 @@
+/** What single steps of the decision cost, measured in this process. */
+import { createHasher } from '../src/runtime/hasher.js';
+import { SeededRandom } from '../src/runtime/random.js';
+import { chooseEngine } from '../src/state/engine-choice.js';
+import { EngineTable } from '../src/state/engine-table.js';
+import { EventFeed } from '../src/state/event-feed.js';
+import { BLOCK_BYTES, MARK_BLOCKS, hashBlocks, selectMarks } from '../src/state/prefix-chain.js';
+import { PrefixDirectory } from '../src/state/prefix-directory.js';
+import type { BenchResult } from './result.js';
+
+const ENGINES = 730;
+const PROMPT_BYTES = 128_000;
+const FEED_BLOCKS = 52_000;
+const MICROSECONDS_PER_MS = 1_000;
+
+/** Median time of one call, in microseconds. */
+function medianMicroseconds(rounds: number, callsPerRound: number, call: () => void): number {
+  const times: number[] = [];
+  for (let round = 0; round < rounds; round += 1) {
+    const startedMs = performance.now();
+    for (let index = 0; index < callsPerRound; index += 1) call();
+    times.push(((performance.now() - startedMs) * MICROSECONDS_PER_MS) / callsPerRound);
+  }
+  times.sort((left, right) => left - right);
+  return times[rounds >> 1] ?? 0;
+}
+
+/** All figures of this file. */
+export async function benchState(): Promise<BenchResult[]> {
+  return [await benchChain(), ...(await benchDecision()), ...(await benchFeed())];
+}
+
+async function benchChain(): Promise<BenchResult> {
+  const hasher = await createHasher();
+  const prompt = Buffer.alloc(PROMPT_BYTES, 'a prompt of 32,000 tokens ');
+  const time = medianMicroseconds(40, 10, () => {
+    hashBlocks(hasher, 1n, prompt);
+  });
+  const name = 'chain over a prompt of 32,000 tokens';
+  return { name, value: time / MICROSECONDS_PER_MS, unit: 'ms', target: '< 0.5' };
+}
+
+function createTable(): EngineTable {
+  const table = new EngineTable();
+  const ids = Array.from({ length: ENGINES }, (_, index) => `engine-${index}`);
+  table.replaceMachines(
+    ids.map((engineId, index) => ({
+      engineId,
+      address: '127.0.0.1:1',
+      zone: `zone-${index % 6}`,
+      site: `site-${index % 2}`,
+      leaving: false,
+    })),
+  );
+  for (const [index, engineId] of ids.entries()) {
+    table.putReport({
+      engineId,
+      incarnation: 1,
+      model: 'model',
+      weightsDigest: 'weights',
+      adapterDigest: '',
+      leaving: false,
+      load: {
+        waitingTokens: (index * 37) % 5_000,
+        requests: index % 20,
+        maximumRequests: 32,
+        prefillTokensPerSecond: 20_000,
+      },
+    });
+  }
+  return table;
+}
+
+async function benchDecision(): Promise<BenchResult[]> {
+  const hasher = await createHasher();
+  const table = createTable();
+  const directory = new PrefixDirectory();
+  const prompt = Buffer.alloc(BLOCK_BYTES * MARK_BLOCKS * 20, 'a shared beginning ');
+  const marks = selectMarks(hashBlocks(hasher, 1n, prompt));
+  for (let index = 0; index < 5; index += 1) {
+    for (const mark of marks) directory.hear(`engine-${index}`, 1, mark, true, 0);
+  }
+  const random = new SeededRandom(1);
+  const request = {
+    model: 'model',
+    weightsDigest: 'weights',
+    adapterDigest: '',
+    promptTokens: 6_000,
+    sites: new Set(['site-0', 'site-1']),
+    zone: 'zone-0',
+    recomputeWeight: 0.5,
+    excluded: new Set<string>(),
+  };
+  const time = medianMicroseconds(60, 50, () => {
+    chooseEngine(table.all(), directory.depths(marks, 1), request, random, 1);
+  });
+  return [{ name: 'decision over 730 engines, median', value: time, unit: 'us', target: '< 10' }];
+}
+
+async function benchFeed(): Promise<BenchResult[]> {
+  const hasher = await createHasher();
+  const chain = hashBlocks(hasher, 2n, Buffer.alloc(BLOCK_BYTES * FEED_BLOCKS, 'blocks '));
+  const heapBefore = process.memoryUsage().heapUsed;
+  const feed = new EventFeed();
+  const startedMs = performance.now();
+  let parent: bigint | undefined;
+  for (const block of chain) {
+    feed.apply({ kind: 'stored', block, parent });
+    parent = block;
+  }
+  const seconds = (performance.now() - startedMs) / 1_000;
+  const bytes = (process.memoryUsage().heapUsed - heapBefore) / feed.size;
+  return [
+    {
+      name: 'decoded cache events applied a second',
+      value: chain.length / seconds,
+      unit: '1/s',
+      target: '>= 1,000,000',
+    },
+    { name: 'memory of a believed block at its owner', value: bytes, unit: 'B', target: '< 100' },
+  ];
+}
