Spread what engines serve by gossip; assign owners step by step; run hollow routers at scale

Cause: at 390 nodes every change of the group cost each router 730 x 390 hashes (85 ms, once a second), and each owner told all nodes of its engines every 15 s (3.1 KB/s a node of the 7 allowed). Change: owners are kept up to date with one hash an engine and newcomer; identity of engines travels as rumors in membership datagrams, loads only to homes and at most every 3 s, fresher ones with answers; joining routers ask one random member for its table; channels to the dead are ended; the group is a module of its own. `peatspan lab scale` runs the real router code on simulated hosts and measures.

--- a/bench/state.ts
+++ b/bench/state.ts
@@ -64,6 +64,7 @@
       weightsDigest: 'weights',
       adapterDigest: '',
       leaving: false,
+      observedAtMs: 0,
       load: {
         waitingTokens: (index * 37) % 5_000,
         requests: index % 20,
--- a/src/cli/lab-commands.ts
+++ b/src/cli/lab-commands.ts
@@ -16,16 +16,16 @@
   platformSettingsSchema,
 } from '../settings/schemas.js';
 import { ConsoleLogger } from '../telemetry/console-logger.js';
+import { addScaleCommand } from './lab-scale-command.js';
 import { addUpCommand } from './lab-up-command.js';
 import { withSettings } from './options.js';
 
 /** Adds the laboratory's commands. */
 export function addLabCommands(yargs: Argv): Argv {
   return yargs.command('lab', 'stand-ins, sample traffic and experiments', (lab) =>
-    addUpCommand(addBackendCommand(addEngineCommand(addPlatformCommand(lab)))).demandCommand(
-      1,
-      'name a laboratory command',
-    ),
+    addScaleCommand(
+      addUpCommand(addBackendCommand(addEngineCommand(addPlatformCommand(lab)))),
+    ).demandCommand(1, 'name a laboratory command'),
   );
 }
 
--- a/src/coordination/router/engine-ownership.ts
+++ b/src/coordination/router/engine-ownership.ts
@@ -16,32 +16,35 @@
 import type { PeerBody } from '../../protocol/peer/peer-channel.js';
 import type { EngineMachine, EngineReport, EngineTable } from '../../state/engine-table.js';
 import type { PrefixDirectory } from '../../state/prefix-directory.js';
+import { RendezvousAssignment } from '../../state/rendezvous-assignment.js';
 import { pickByRendezvous } from '../../state/rendezvous.js';
 import { EngineFeeds } from './engine-feeds.js';
 
-/** An engine's identity is told to all routers again after this, in case a message was lost. */
-const IDENTITY_PERIOD_MS = 15_000;
 /** Waiting tokens are told in steps of this, so that small changes stay untold. */
 const LOAD_STEP_TOKENS = 512;
+/** Shortest time between two reports of load to the homes; answers bring them fresher figures. */
+const LOAD_PERIOD_MS = 3_000;
 
 /** What ownership needs to know of the group. */
 export interface OwnershipGroup {
   working(): string[];
   viewVersion(): number;
   send(nodeId: string, body: PeerBody): void;
+  /** Passes a change of what an engine serves on to all routers. */
+  spread(report: WireReport): void;
 }
 
 interface Told {
   identity: string;
   load: string;
-  identityAtMs: number;
-  viewVersion: number;
+  loadAtMs: number;
 }
 
 /** Engine knowledge of one router. */
 export class EngineOwnership {
   private readonly feeds: EngineFeeds;
   private readonly told = new Map<string, Told>();
+  private readonly owners: RendezvousAssignment;
   private owned = new Set<string>();
   private homesVersion = -1;
   private homes: string[] = [];
@@ -64,6 +67,7 @@
       onStatus: (status: EngineStatus, homes: ReadonlySet<string>) => this.onStatus(status, homes),
       onUnreachable: (engineId: string) => this.onUnreachable(engineId),
     };
+    this.owners = new RendezvousAssignment(hasher);
     this.feeds = new EngineFeeds(port, output, clock, logger);
   }
 
@@ -72,8 +76,9 @@
     this.machines = machines;
     const engines = machines.filter((machine) => machine.kind === 'engine').map(engineMachineOf);
     this.engines.replaceMachines(engines);
-    const working = this.group.working();
-    const mine = engines.filter((engine) => this.ownerOf(engine.engineId, working) === this.nodeId);
+    const engineIds = engines.map((engine) => engine.engineId);
+    this.owners.update(engineIds, this.group.working());
+    const mine = engines.filter((engine) => this.owners.ownerOf(engine.engineId) === this.nodeId);
     this.owned = new Set(mine.map((engine) => engine.engineId));
     this.feeds.setOwned(mine);
   }
@@ -87,10 +92,24 @@
     this.feeds.stop();
   }
 
-  /** Takes a report that another owner sent. */
-  takeReport(wire: WireReport): void {
-    this.engines.putReport(reportFromWire(wire));
-    this.directory.setIncarnation(wire.engineId, Number(wire.incarnation));
+  /** Engines on the machine list of which nothing was heard yet. */
+  get hasUnknownEngines(): boolean {
+    for (const record of this.engines.all()) if (!record.report) return true;
+    return false;
+  }
+
+  /** All reports known, for a router that joins. */
+  reports(): WireReport[] {
+    return [...this.engines.all()].flatMap(({ report }) => (report ? [reportToWire(report)] : []));
+  }
+
+  /** Takes a report that came from elsewhere; answers whether it was news. */
+  takeReport(wire: WireReport): boolean {
+    const report = reportFromWire(wire);
+    const before = this.engines.get(report.engineId)?.report;
+    if (!this.engines.putReport(report)) return false;
+    this.directory.setIncarnation(report.engineId, report.incarnation);
+    return !before || identityOf(before) !== identityOf(report);
   }
 
   /** Takes news of prefixes this router is home of. */
@@ -103,10 +122,6 @@
     }
   }
 
-  private ownerOf(engineId: string, working: readonly string[]): string | undefined {
-    return pickByRendezvous(this.hasher, this.hasher.hashText(engineId, 0n), working);
-  }
-
   private homeOf(root: bigint): string {
     const version = this.group.viewVersion();
     if (version !== this.homesVersion) {
@@ -125,36 +140,29 @@
     this.engines.get(engineId)?.breaker.onFailure(this.clock.now());
   }
 
-  /** Tells identity to all routers and load to the homes of the engine's prefixes, on change. */
+  /** Spreads what the engine serves to all routers, and its load to homes of its prefixes. */
   private onStatus(status: EngineStatus, homes: ReadonlySet<string>): void {
-    if (!this.owned.has(status.engineId)) return;
-    this.engines.putReport(status);
-    this.directory.setIncarnation(status.engineId, status.incarnation);
-    const now: Told = {
-      identity: identityOf(status),
-      load: loadOf(status),
-      identityAtMs: this.clock.now(),
-      viewVersion: this.group.viewVersion(),
-    };
-    const before = this.told.get(status.engineId);
-    if (!before || this.isIdentityDue(before, now)) {
-      this.told.set(status.engineId, now);
-      this.tell(status, this.group.working());
-    } else if (before.load !== now.load) {
-      before.load = now.load;
-      this.tell(status, homes);
+    const { engineId, incarnation } = status;
+    if (!this.owned.has(engineId)) return;
+    const report = { ...status, observedAtMs: Math.floor(this.clock.wallNow()) };
+    this.engines.putReport(report);
+    this.directory.setIncarnation(engineId, incarnation);
+    const nowMs = this.clock.now();
+    const now: Told = { identity: identityOf(report), load: loadOf(report), loadAtMs: nowMs };
+    const before = this.told.get(engineId);
+    if (before?.identity !== now.identity) {
+      this.told.set(engineId, now);
+      this.group.spread(reportToWire(report));
+    } else if (before.load !== now.load && nowMs - before.loadAtMs >= LOAD_PERIOD_MS) {
+      this.told.set(engineId, now);
+      this.tellLoad(report, homes);
     }
   }
 
-  private isIdentityDue(before: Told, now: Told): boolean {
-    if (before.identity !== now.identity || before.viewVersion !== now.viewVersion) return true;
-    return now.identityAtMs - before.identityAtMs >= IDENTITY_PERIOD_MS;
-  }
-
-  private tell(status: EngineStatus, nodes: Iterable<string>): void {
-    const value = reportToWire(status);
-    for (const node of nodes) {
-      if (node !== this.nodeId) this.group.send(node, { case: 'engineReport', value });
+  private tellLoad(report: EngineReport, homes: Iterable<string>): void {
+    const value = reportToWire(report);
+    for (const home of homes) {
+      if (home !== this.nodeId) this.group.send(home, { case: 'engineReport', value });
     }
   }
 }
@@ -164,18 +172,18 @@
   return { engineId: id, address, zone, site, leaving };
 }
 
-function identityOf(status: EngineStatus): string {
+function identityOf(status: EngineReport): string {
   const { incarnation, model, weightsDigest, adapterDigest, leaving } = status;
   return JSON.stringify([incarnation, model, weightsDigest, adapterDigest, leaving]);
 }
 
-function loadOf(status: EngineStatus): string {
+function loadOf(status: EngineReport): string {
   const { waitingTokens, requests, maximumRequests } = status.load;
   const quarter = Math.max(1, maximumRequests / 4);
   return `${Math.ceil(waitingTokens / LOAD_STEP_TOKENS)}/${Math.ceil(requests / quarter)}`;
 }
 
-function reportToWire(status: EngineStatus): WireReport {
+function reportToWire(status: EngineReport): WireReport {
   const { load } = status;
   return create(EngineReportSchema, {
     engineId: status.engineId,
@@ -188,6 +196,7 @@
     requests: load.requests,
     maximumRequests: load.maximumRequests,
     prefillTokensPerSecond: Math.round(load.prefillTokensPerSecond),
+    observedAtMs: BigInt(status.observedAtMs),
   });
 }
 
@@ -199,6 +208,7 @@
     weightsDigest: wire.weightsDigest,
     adapterDigest: wire.adapterDigest,
     leaving: wire.leaving,
+    observedAtMs: Number(wire.observedAtMs),
     load: {
       waitingTokens: wire.waitingTokens,
       requests: wire.requests,
--- a/src/coordination/router/generation-call.ts
+++ b/src/coordination/router/generation-call.ts
@@ -218,6 +218,7 @@
   private onStart(attempt: Attempt, start: EngineStreamStart): void {
     const { record } = attempt;
     record.breaker.onSuccess();
+    record.setLoad(start.load);
     this.answering(attempt);
     const { engineId } = record.machine;
     const keptMarks = Math.floor(start.cachedTokens / MARK_TOKENS);
--- a/src/coordination/router/gossip-service.ts
+++ b/src/coordination/router/gossip-service.ts
@@ -2,7 +2,11 @@
 import { type Clock, type Timer, repeat } from '../../runtime/clock.js';
 import type { RandomSource } from '../../runtime/random.js';
 import type { DatagramSocket, DatagramTransport } from '../../transport/datagram-transport.js';
-import type { DocumentRevision, GossipDatagram } from '../../protocol/peer/generated/peer_pb.js';
+import type {
+  DocumentRevision,
+  EngineReport,
+  GossipDatagram,
+} from '../../protocol/peer/generated/peer_pb.js';
 import { decodeGossip, encodeGossip } from '../../protocol/peer/gossip-codec.js';
 import {
   type GossipMessage,
@@ -10,6 +14,7 @@
   type OutgoingGossip,
   PROBE_PERIOD_MS,
 } from '../../state/membership.js';
+import { RumorQueue } from '../../state/rumor-queue.js';
 import {
   decodeGossipKind,
   decodeMemberUpdate,
@@ -22,6 +27,8 @@
 const CHECK_PERIOD_MS = 100;
 /** Members told at once of a new revision. */
 const EAGER_FANOUT = 3;
+/** Reports of engines in a datagram; with the members' updates it stays under 1,400 bytes. */
+const ENGINES_PER_DATAGRAM = 4;
 
 /** What the service asks of and tells its router. */
 export interface GossipEvents {
@@ -29,6 +36,8 @@
   revisions(): DocumentRevision[];
   /** A member has these revisions. */
   onRevisions(nodeId: string, revisions: readonly DocumentRevision[]): void;
+  /** News of engines came with a datagram. */
+  onEngineReports(reports: readonly EngineReport[]): void;
   /** The view of the group changed. */
   onViewChange(): void;
 }
@@ -36,6 +45,7 @@
 /** Membership of one router. */
 export class GossipService {
   private readonly timers: Timer[] = [];
+  private readonly engineNews = new RumorQueue<string, EngineReport>();
   private seenVersion = -1;
   private stopped = false;
 
@@ -84,6 +94,12 @@
     this.transmit(this.membership.announce(EAGER_FANOUT));
   }
 
+  /** Passes news of an engine on with the next datagrams, some of which leave at once. */
+  spreadEngineReport(report: EngineReport): void {
+    this.engineNews.put(report.engineId, report, this.membership.spreadCount);
+    this.transmit(this.membership.announce(EAGER_FANOUT));
+  }
+
   /** Announces that this node leaves. */
   leave(): void {
     this.transmit(this.membership.leave());
@@ -113,6 +129,7 @@
     if (!decoded || !message || this.stopped) return;
     this.transmit(this.membership.receive(message, this.clock.now()));
     this.reportView();
+    if (decoded.engines.length > 0) this.events.onEngineReports(decoded.engines);
     this.events.onRevisions(decoded.sender, decoded.revisions);
   }
 
@@ -127,6 +144,7 @@
         subject: message.subject,
         updates: message.updates.map(encodeMemberUpdate),
         revisions,
+        engines: this.engineNews.take(ENGINES_PER_DATAGRAM),
       };
       this.socket.send(address, encodeGossip(contents, this.clusterKey));
     }
--- a/src/coordination/router/peer-pool.ts
+++ b/src/coordination/router/peer-pool.ts
@@ -67,11 +67,9 @@
     }
   }
 
-  /** Makes sure that a channel to a router exists or is being opened. */
-  ensure(nodeId: string): void {
-    if (this.routers.get(nodeId)?.isOpen || this.pending.has(nodeId)) return;
-    this.pending.set(nodeId, []);
-    void this.connect(nodeId);
+  /** Ends the channel to a router that the group holds for dead. */
+  drop(nodeId: string): void {
+    this.routers.get(nodeId)?.destroy();
   }
 
   /** Ends all channels after what is queued was sent. */
--- a/src/coordination/router/router-node.ts
+++ b/src/coordination/router/router-node.ts
@@ -4,7 +4,7 @@
 import { type Clock, type Timer, repeat } from '../../runtime/clock.js';
 import type { Hasher } from '../../runtime/hasher.js';
 import type { Logger } from '../../runtime/logger.js';
-import { type RandomSource, randomInteger } from '../../runtime/random.js';
+import type { RandomSource } from '../../runtime/random.js';
 import {
   CLOCK,
   DATAGRAM_TRANSPORT,
@@ -20,20 +20,20 @@
 import type { ObjectApiPort } from '../../protocol/object-api/port.js';
 import {
   type DocumentRevision,
+  type EngineReport,
   type Hello,
   MemberTableSchema,
   NodeRole,
   PongSchema,
-  RouterEntrySchema,
-  RouterTableSchema,
+  TableRequestSchema,
 } from '../../protocol/peer/generated/peer_pb.js';
 import type { PeerBody, PeerChannel } from '../../protocol/peer/peer-channel.js';
 import type { PlainBackendPort } from '../../protocol/plain-backend/port.js';
 import { Admission } from '../../state/admission.js';
 import { EngineTable } from '../../state/engine-table.js';
-import { MemberStatus, PROBE_PERIOD_MS, isWorking } from '../../state/membership.js';
+import { MemberStatus, type Membership } from '../../state/membership.js';
 import { PrefixDirectory } from '../../state/prefix-directory.js';
-import { RetryBudget } from '../../state/retry-budget.js';
+import { RetryBudgets } from '../../state/retry-budget.js';
 import { Configuration, MACHINES_DOCUMENT, TEMPLATES_DOCUMENT } from '../shared/configuration.js';
 import { DocumentSpreader } from '../shared/document-spreader.js';
 import { BackendTable } from './backend-table.js';
@@ -41,10 +41,10 @@
 import { ClaimService } from './claim-service.js';
 import { EngineOwnership } from './engine-ownership.js';
 import { EngineSelector } from './engine-selector.js';
-import { GossipService } from './gossip-service.js';
+import { RouterGroup } from './router-group.js';
 import { decodeMemberUpdate, encodeMemberUpdate } from './member-codec.js';
 import { PeerPool } from './peer-pool.js';
-import { PlatformReader, READERS_PER_REGION } from './platform-reader.js';
+import { PlatformReader } from './platform-reader.js';
 import type { RouterContext } from './router-context.js';
 import { type RouterStatistics, createRouterStatistics } from './router-statistics.js';
 import type { Protections, RouterSettings } from './settings.js';
@@ -59,11 +59,7 @@
 
 /** Time a router that leaves waits after telling, so that no new call is under way to it. */
 const LEAVE_NOTICE_MS = 300;
-/** A router that hears of nobody for so long takes itself for the first. */
-const ALONE_AFTER_MS = 3_000;
-const TABLE_PERIOD_MS = 1_000;
-/** A member refutes whatever is said of an earlier life, so the first incarnation may be random. */
-const FIRST_INCARNATIONS = 1_000;
+const REFRESH_PERIOD_MS = 500;
 
 /** One router node. */
 @injectable()
@@ -75,18 +71,16 @@
   private readonly spreader: DocumentSpreader;
   private readonly backends = new BackendTable();
   private readonly admission = new Admission();
-  private readonly budgets = new Map<string, RetryBudget>();
+  private readonly budgets = new RetryBudgets();
+  private readonly group: RouterGroup;
   private readonly pool: PeerPool;
   private readonly claims: ClaimService;
   private readonly calls: CallServer;
   private readonly reader: PlatformReader;
   private readonly ownership: EngineOwnership;
   private readonly selector: EngineSelector;
-  private readonly startedMs: number;
-  private gossip: GossipService | undefined;
   private listener: FrameListener | undefined;
   private tableTimer: Timer | undefined;
-  private tableReceived = false;
   private leaving = false;
 
   constructor(
@@ -97,23 +91,27 @@
     @inject(HASHER) private readonly hasher: Hasher,
     @inject(LOGGER) private readonly logger: Logger,
     @inject(FRAME_TRANSPORT) private readonly frames: FrameTransport,
-    @inject(DATAGRAM_TRANSPORT) private readonly datagrams: DatagramTransport,
+    @inject(DATAGRAM_TRANSPORT) datagrams: DatagramTransport,
     @inject(ENGINE_PORT) private readonly enginePort: EnginePort,
     @inject(BACKEND_PORT) private readonly backendPort: PlainBackendPort,
     @inject(OBJECT_API_PORT) objects: ObjectApiPort,
     @inject(MACHINE_LIST_PORT) machines: MachineListPort,
   ) {
     const { nodeId, zone } = settings;
-    this.startedMs = clock.now();
     this.spreader = new DocumentSpreader(
       [TEMPLATES_DOCUMENT, MACHINES_DOCUMENT],
       !protections.monotonicRevisions,
     );
     this.configuration = new Configuration(logger);
+    this.group = new RouterGroup(settings, datagrams, clock, random, {
+      revisions: () => this.spreader.revisions(),
+      onRevisions: (id, revisions) => this.onRevisions(id, revisions),
+      onEngineReports: (reports) => this.takeEngineReports(reports),
+    });
     this.pool = new PeerPool(
       { nodeId, zone, role: NodeRole.ROUTER },
       frames,
-      { addressOf: (id) => this.members().find((member) => member.nodeId === id)?.peerAddress },
+      this.group,
       {
         onOpen: (channel, hello) => this.onOpen(channel, hello),
         onMessage: (channel, body) => this.onMessage(channel, body),
@@ -121,19 +119,19 @@
       },
       logger,
     );
-    const group = {
-      members: () => this.members(),
-      isViewComplete: () => this.isViewComplete,
+    const claimGroup = {
+      members: () => this.group.members(),
+      isViewComplete: () => this.group.isViewComplete(),
       send: (id: string, body: PeerBody) => this.pool.send(id, body),
     };
-    this.claims = new ClaimService(nodeId, group, clock, hasher);
+    this.claims = new ClaimService(nodeId, claimGroup, clock, hasher);
     this.selector = new EngineSelector(zone, this.engines, this.directory, clock, random);
     this.calls = new CallServer(this.createContext());
     this.reader = new PlatformReader(
       objects,
       machines,
       this.spreader,
-      () => this.isReader(),
+      () => this.group.isReader(),
       clock,
       random,
       logger,
@@ -154,7 +152,7 @@
 
   /** Address of membership datagrams, once started. */
   get gossipAddress(): string {
-    return this.gossip?.membership.own.gossipAddress ?? this.settings.gossipAddress;
+    return this.group.gossipAddress;
   }
 
   /** Whether every engine of the machine list has reported, to this router or through a peer. */
@@ -162,43 +160,34 @@
     return [...this.engines.all()].every((record) => record.report !== undefined);
   }
 
+  /** Suspicions raised and deaths declared by this router. */
+  get membershipCounters(): Membership['counters'] {
+    return this.group.counters;
+  }
+
   get runningCalls(): number {
     return this.calls.runningCalls;
   }
 
   /** Working routers as this one sees them. */
   get workingRouters(): string[] {
-    return this.gossip?.membership.working().map((member) => member.nodeId) ?? [];
+    return this.group.working();
   }
 
   async start(): Promise<void> {
     this.listener = await this.frames.listen(this.settings.peerAddress, (connection) =>
       this.pool.accept(connection),
     );
-    const incarnation = randomInteger(this.random, FIRST_INCARNATIONS);
-    this.gossip = await GossipService.open(
-      this.settings,
-      this.listener.address,
-      incarnation,
-      this.datagrams,
-      this.clock,
-      this.random,
-      {
-        revisions: () => this.spreader.revisions(),
-        onRevisions: (nodeId, revisions) => this.onRevisions(nodeId, revisions),
-        onViewChange: () => this.onViewChange(),
-      },
-    );
-    this.gossip.start(this.random.next() * PROBE_PERIOD_MS);
+    await this.group.start(this.listener.address);
     this.reader.start();
-    this.tableTimer = repeat(this.clock, TABLE_PERIOD_MS, () => this.refresh());
+    this.tableTimer = repeat(this.clock, REFRESH_PERIOD_MS, () => this.refresh());
     this.logger.info('router_started', { peer: this.peerAddress, gossip: this.gossipAddress });
   }
 
   /** Planned stop: leaves the group, finishes what runs, then closes. */
   async stop(): Promise<void> {
     this.leaving = true;
-    this.gossip?.leave();
+    this.group.leave();
     this.sendRouterTable();
     await new Promise<void>((resolve) => {
       this.clock.setTimer(LEAVE_NOTICE_MS, resolve);
@@ -219,7 +208,7 @@
     this.tableTimer?.cancel();
     this.reader.stop();
     this.ownership.stop();
-    this.gossip?.stop();
+    this.group.stop();
     this.listener?.close();
   }
 
@@ -242,7 +231,7 @@
       admission: this.admission,
       protections: this.protections,
       statistics: this.statistics,
-      retryBudgetOf: (tenant) => this.retryBudgetOf(tenant),
+      retryBudgetOf: (tenant) => this.budgets.of(tenant),
     };
   }
 
@@ -253,9 +242,10 @@
       this.engines,
       this.directory,
       {
-        working: () => this.workingRouters,
-        viewVersion: () => this.gossip?.membership.version ?? 0,
+        working: () => this.group.working(),
+        viewVersion: () => this.group.viewVersion(),
         send: (nodeId, body) => this.pool.send(nodeId, body),
+        spread: (report) => this.group.spreadEngineReport(report),
       },
       this.clock,
       this.hasher,
@@ -263,41 +253,29 @@
     );
   }
 
-  private members(): ReturnType<GossipService['membership']['all']> {
-    return this.gossip?.membership.all() ?? [];
-  }
-
-  private get isViewComplete(): boolean {
-    return this.tableReceived || this.clock.now() - this.startedMs >= ALONE_AFTER_MS;
+  private onOpen(channel: PeerChannel, hello: Hello): void {
+    this.spreader.sendDigest(channel);
+    if (hello.role === NodeRole.AGENT) {
+      channel.send({ case: 'routerTable', value: this.group.routerTable() });
+      return;
+    }
+    if (this.group.lacksTable) this.requestTable(channel);
   }
 
-  private retryBudgetOf(tenant: string): RetryBudget {
-    let budget = this.budgets.get(tenant);
-    if (!budget) {
-      budget = new RetryBudget();
-      this.budgets.set(tenant, budget);
-    }
-    return budget;
+  private requestTable(channel: PeerChannel): void {
+    channel.send({ case: 'tableRequest', value: create(TableRequestSchema) });
   }
 
-  /** The first routers of the region by identifier read the platform. */
-  private isReader(): boolean {
-    const { region, nodeId } = this.settings;
-    const ranked = this.members()
-      .filter((member) => member.region === region && isWorking(member))
-      .map((member) => member.nodeId)
-      .sort();
-    return ranked.slice(0, READERS_PER_REGION).includes(nodeId);
+  private sendTable(channel: PeerChannel): void {
+    const members = this.group.members().map(encodeMemberUpdate);
+    const engines = this.ownership.reports();
+    channel.send({ case: 'memberTable', value: create(MemberTableSchema, { members, engines }) });
   }
 
-  private onOpen(channel: PeerChannel, hello: Hello): void {
-    this.spreader.sendDigest(channel);
-    if (hello.role === NodeRole.AGENT) {
-      channel.send({ case: 'routerTable', value: this.routerTable() });
-      return;
+  private takeEngineReports(reports: readonly EngineReport[]): void {
+    for (const report of reports) {
+      if (this.ownership.takeReport(report)) this.group.spreadEngineReport(report);
     }
-    const members = this.members().map(encodeMemberUpdate);
-    channel.send({ case: 'memberTable', value: create(MemberTableSchema, { members }) });
   }
 
   private onMessage(channel: PeerChannel, body: PeerBody): void {
@@ -306,8 +284,11 @@
     if (this.claims.handle(channel, body)) return;
     switch (body.case) {
       case 'memberTable':
-        this.gossip?.mergeTable(body.value.members.map(decodeMemberUpdate));
-        this.tableReceived = true;
+        this.group.mergeTable(body.value.members.map(decodeMemberUpdate));
+        for (const report of body.value.engines) this.ownership.takeReport(report);
+        break;
+      case 'tableRequest':
+        this.sendTable(channel);
         break;
       case 'directoryUpdate':
         this.ownership.takeUpdate(body.value);
@@ -329,23 +310,22 @@
     this.pool.send(nodeId, { case: 'documentDigest', value: this.spreader.digest() });
   }
 
-  private onViewChange(): void {
-    if (!this.tableReceived) this.askForTable();
-    this.ownership.refresh();
-    this.sendRouterTable();
-  }
-
-  /** A channel to any member brings its whole table. */
+  /** Any member's table will do; a random one, so that a herd does not ask the same. */
   private askForTable(): void {
-    const other = this.members().find(
-      (member) => member.nodeId !== this.settings.nodeId && isWorking(member),
-    );
-    if (other) this.pool.ensure(other.nodeId);
+    const other = this.group.randomOther();
+    if (other === undefined) return;
+    this.pool.send(other, { case: 'tableRequest', value: create(TableRequestSchema) });
   }
 
+  /** Acts on a changed view once a period, however many members changed in it. */
   private refresh(): void {
-    if (!this.tableReceived) this.askForTable();
+    if (this.group.lacksTable || this.ownership.hasUnknownEngines) this.askForTable();
+    if (!this.group.takeViewChange()) return;
+    for (const member of this.group.members()) {
+      if (member.status === MemberStatus.Dead) this.pool.drop(member.nodeId);
+    }
     this.ownership.refresh();
+    this.sendRouterTable();
   }
 
   private onDocument(name: string): void {
@@ -353,7 +333,7 @@
     if (name === TEMPLATES_DOCUMENT) this.configuration.loadTemplates(document);
     else this.loadMachines();
     for (const channel of this.pool.agentChannels()) this.spreader.sendDigest(channel);
-    this.gossip?.announceRevisions();
+    this.group.announceRevisions();
   }
 
   private loadMachines(): void {
@@ -367,28 +347,7 @@
   }
 
   private sendRouterTable(): void {
-    const value = this.routerTable();
+    const value = this.group.routerTable();
     for (const channel of this.pool.agentChannels()) channel.send({ case: 'routerTable', value });
   }
-
-  private routerTable(): ReturnType<typeof createTable> {
-    return createTable(
-      this.members()
-        .filter((member) => member.status !== MemberStatus.Dead)
-        .map((member) => ({
-          nodeId: member.nodeId,
-          address: member.peerAddress,
-          zone: member.zone,
-          leaving: member.status === MemberStatus.Leaving,
-        })),
-    );
-  }
-}
-
-function createTable(
-  entries: readonly { nodeId: string; address: string; zone: string; leaving: boolean }[],
-): ReturnType<typeof create<typeof RouterTableSchema>> {
-  return create(RouterTableSchema, {
-    routers: entries.map((entry) => create(RouterEntrySchema, entry)),
-  });
 }
--- a/src/lab/simulation/simulated-cluster.ts
+++ b/src/lab/simulation/simulated-cluster.ts
@@ -12,6 +12,7 @@
   MACHINE_LIST_PORT,
   OBJECT_API_PORT,
 } from '../../coordination/router/tokens.js';
+import type { EnginePort } from '../../protocol/engine/port.js';
 import type { Hasher } from '../../runtime/hasher.js';
 import { SilentLogger } from '../../runtime/logger.js';
 import { SeededRandom, randomInteger } from '../../runtime/random.js';
@@ -62,6 +63,8 @@
   readonly network: SimulatedNetwork;
   readonly sockets: SimulatedSockets;
   readonly fleet: StandInFleet;
+  /** Replaces the way to engines; hollow runs set it. */
+  createEnginePort: ((name: string, host: HostClock) => EnginePort) | undefined;
 
   constructor(
     seed: number,
@@ -133,9 +136,10 @@
     const findEngine = (id: string): ReturnType<StandInFleet['findEngine']> => fleet.findEngine(id);
     const findBackend = (id: string): ReturnType<StandInFleet['findBackend']> =>
       fleet.findBackend(id);
-    container.register(ENGINE_PORT, {
-      useValue: new SimulatedEnginePort(network, name, host, findEngine),
-    });
+    const enginePort =
+      this.createEnginePort?.(name, host) ??
+      new SimulatedEnginePort(network, name, host, findEngine);
+    container.register(ENGINE_PORT, { useValue: enginePort });
     container.register(BACKEND_PORT, {
       useValue: new SimulatedBackendPort(network, name, host, findBackend),
     });
--- a/src/lab/simulation/simulated-network.ts
+++ b/src/lab/simulation/simulated-network.ts
@@ -33,6 +33,8 @@
   };
   private readonly hosts = new Map<string, HostClock>();
   private readonly cuts = new Set<string>();
+  /** Says whether two hosts are on different sides of a larger cut. */
+  private partition: ((left: string, right: string) => boolean) | undefined;
 
   constructor(
     readonly clock: Clock,
@@ -54,17 +56,24 @@
     this.cuts.add(pairOf(left, right));
   }
 
+  /** Cuts all ways for which the function says so. */
+  cutAll(partition: (left: string, right: string) => boolean): void {
+    this.partition = partition;
+  }
+
   /** Ends all cuts. */
   heal(): void {
     this.cuts.clear();
+    this.partition = undefined;
   }
 
   get hasCuts(): boolean {
-    return this.cuts.size > 0;
+    return this.cuts.size > 0 || this.partition !== undefined;
   }
 
   isCut(left: string, right: string): boolean {
-    return this.cuts.has(pairOf(left, right));
+    if (this.partition?.(left, right)) return true;
+    return this.cuts.size > 0 && this.cuts.has(pairOf(left, right));
   }
 
   delayMs(): number {
@@ -81,10 +90,16 @@
   }
 }
 
+interface PipedAction {
+  readonly dueMs: number;
+  readonly action: () => void;
+}
+
 /** One direction of a connection: delivers in order, waits across cuts, ends with its receiver. */
 export class OrderedPipe {
-  private queue: (() => void)[] = [];
-  private nextFreeMs = 0;
+  private queue: PipedAction[] = [];
+  private lastDueMs = 0;
+  private isScheduled = false;
   private closed = false;
 
   constructor(
@@ -97,10 +112,10 @@
 
   send(action: () => void): void {
     if (this.closed) return;
-    this.queue.push(action);
-    const nowMs = this.network.clock.now();
-    this.nextFreeMs = Math.max(this.nextFreeMs, nowMs + this.network.delayMs());
-    this.network.clock.setTimer(this.nextFreeMs - nowMs, () => this.pump());
+    const dueMs = Math.max(this.lastDueMs, this.network.clock.now() + this.network.delayMs());
+    this.lastDueMs = dueMs;
+    this.queue.push({ dueMs, action });
+    this.schedule();
   }
 
   /** Drops all that is under way. */
@@ -109,13 +124,30 @@
     this.queue = [];
   }
 
+  private schedule(atLeastMs = 0): void {
+    const [head] = this.queue;
+    if (this.isScheduled || !head) return;
+    this.isScheduled = true;
+    const waitMs = Math.max(atLeastMs, head.dueMs - this.network.clock.now());
+    this.network.clock.setTimer(waitMs, () => {
+      this.isScheduled = false;
+      this.pump();
+    });
+  }
+
   private pump(): void {
-    if (this.closed || this.queue.length === 0) return;
     if (this.network.isCut(this.from, this.to)) {
-      this.network.clock.setTimer(CUT_RETRY_MS, () => this.pump());
+      this.schedule(CUT_RETRY_MS);
       return;
     }
-    const action = this.queue.shift();
-    if (action) this.receiver.deliver(action);
+    const nowMs = this.network.clock.now();
+    let delivered = 0;
+    for (const { dueMs, action } of this.queue) {
+      if (dueMs > nowMs) break;
+      delivered += 1;
+      this.receiver.deliver(action);
+    }
+    this.queue.splice(0, delivered);
+    this.schedule();
   }
 }
--- a/src/lab/simulation/simulated-transports.ts
+++ b/src/lab/simulation/simulated-transports.ts
@@ -7,6 +7,7 @@
   FrameTransport,
 } from '../../transport/frame-transport.js';
 import type { HostClock } from './host-clock.js';
+import { TrafficMeter } from './traffic-meter.js';
 import { OrderedPipe, type SimulatedNetwork } from './simulated-network.js';
 
 const CONNECT_TIMEOUT_MS = 2_000;
@@ -21,6 +22,7 @@
   readonly listeners = new Map<string, (connection: SimulatedConnection) => void>();
   readonly datagramReceivers = new Map<string, (datagram: Uint8Array) => void>();
   readonly connections = new Set<SimulatedConnection>();
+  readonly traffic = new TrafficMeter();
 
   constructor(readonly network: SimulatedNetwork) {}
 
@@ -67,7 +69,9 @@
 
   send(frame: Uint8Array): boolean {
     const { other } = this;
-    if (!this.closed && other) this.outgoing?.send(() => other.receive(frame));
+    if (this.closed || !other) return true;
+    this.sockets.traffic.countFrame(frame);
+    this.outgoing?.send(() => other.receive(frame));
     return true;
   }
 
@@ -196,6 +200,7 @@
   }
 
   private send(to: string, datagram: Uint8Array): void {
+    this.sockets.traffic.countDatagram(datagram);
     this.sockets.network.sendLossy(this.hostName, hostNameOf(to), () => {
       this.sockets.datagramReceivers.get(to)?.(datagram);
     });
--- a/src/lab/simulation/stand-in-fleet.ts
+++ b/src/lab/simulation/stand-in-fleet.ts
@@ -62,6 +62,11 @@
     this.machines.put(machineOf(backendId, 'backend', place, services));
   }
 
+  /** Puts a machine on the list that no stand-in answers for, as hollow runs do. */
+  addHollowEngine(engineId: string, place: SimulatedPlace): void {
+    this.machines.put(machineOf(engineId, 'engine', place, []));
+  }
+
   findEngine(engineId: string): EngineCore | undefined {
     return this.enginesById.get(engineId);
   }
--- a/src/state/engine-table.ts
+++ b/src/state/engine-table.ts
@@ -25,6 +25,8 @@
   readonly incarnation: number;
   readonly leaving: boolean;
   readonly load: EngineLoad;
+  /** Wall clock time at which the owner of the engine's feed read it, in milliseconds. */
+  readonly observedAtMs: number;
 }
 
 /** Load of an engine, as of its last report. */
@@ -58,8 +60,13 @@
 
   /** Takes over a report and reckons from it what the choice reads for every request. */
   setReport(report: EngineReport): void {
-    const { waitingTokens, requests, maximumRequests, prefillTokensPerSecond } = report.load;
     this.report = report;
+    this.setLoad(report.load);
+  }
+
+  /** Takes over a load alone, as an answer of the engine brought it. */
+  setLoad(load: EngineLoad): void {
+    const { waitingTokens, requests, maximumRequests, prefillTokensPerSecond } = load;
     this.tokenMs = MS_PER_SECOND / Math.max(1, prefillTokensPerSecond);
     const overflow = Math.max(0, requests - maximumRequests);
     this.waitMs =
@@ -112,7 +119,7 @@
   }
 
   /**
-   * Takes a report. One of an earlier incarnation is late and dropped (answers false).
+   * Takes a report. One older than the present one is late and dropped (answers false).
    * A new incarnation closes the breaker: the failures belonged to the one before.
    */
   putReport(report: EngineReport): boolean {
@@ -122,7 +129,7 @@
       return true;
     }
     const present = record.report;
-    if (present && present.incarnation > report.incarnation) return false;
+    if (present && !isNewer(report, present)) return false;
     if (present && present.incarnation < report.incarnation) record.breaker.onSuccess();
     if (!present || groupKeyOf(present) !== groupKeyOf(report)) this.groups = undefined;
     record.setReport(report);
@@ -183,6 +190,11 @@
   group.engines.push(record);
 }
 
+function isNewer(report: EngineReport, present: EngineReport): boolean {
+  if (report.incarnation !== present.incarnation) return report.incarnation > present.incarnation;
+  return report.observedAtMs > present.observedAtMs;
+}
+
 const NO_ENGINES: readonly EngineGroup[] = [];
 
 function groupKeyOf(served: ServedModel): string {
--- a/src/state/membership.ts
+++ b/src/state/membership.ts
@@ -103,6 +103,8 @@
   private round: string[] = [];
   private readonly relayed = new Map<number, RelayedProbe>();
   private view = 0;
+  /** Suspicions raised and deaths declared by this node itself, not heard from others. */
+  readonly counters = { suspicions: 0, deaths: 0 };
 
   constructor(
     identity: MemberIdentity,
@@ -312,11 +314,13 @@
   }
 
   private declare(member: Member, status: MemberStatus, nowMs: number): void {
+    if (status === MemberStatus.Suspect) this.counters.suspicions += 1;
+    if (status === MemberStatus.Dead) this.counters.deaths += 1;
     this.put({ ...member.update, status }, nowMs);
   }
 
   private put(update: MemberUpdate, nowMs: number): void {
-    const transmissions = this.spreadCount();
+    const transmissions = this.spreadCount;
     this.members.set(update.nodeId, { update, changedMs: nowMs, transmissions });
     this.view += 1;
   }
@@ -342,7 +346,8 @@
     this.self = { ...this.self, incarnation: update.incarnation + 1 };
   }
 
-  private spreadCount(): number {
+  /** How often a node passes one piece of news on. */
+  get spreadCount(): number {
     return Math.ceil(SPREAD_FACTOR * Math.log2(this.members.size + 2));
   }
 
--- a/src/state/retry-budget.ts
+++ b/src/state/retry-budget.ts
@@ -19,3 +19,17 @@
     return true;
   }
 }
+
+/** The budgets of all tenants at one router, made when first asked for. */
+export class RetryBudgets {
+  private readonly budgets = new Map<string, RetryBudget>();
+
+  of(tenant: string): RetryBudget {
+    let budget = this.budgets.get(tenant);
+    if (!budget) {
+      budget = new RetryBudget();
+      this.budgets.set(tenant, budget);
+    }
+    return budget;
+  }
+}
