Treat a report of an unlisted engine as news only once

Ruled out: the ordered pipes, whose queues were empty. Change: reports that come before the machine list are compared with the last one like any other.

--- a/src/coordination/router/engine-ownership.ts
+++ b/src/coordination/router/engine-ownership.ts
@@ -106,7 +106,7 @@
   /** Takes a report that came from elsewhere; answers whether it was news. */
   takeReport(wire: WireReport): boolean {
     const report = reportFromWire(wire);
-    const before = this.engines.get(report.engineId)?.report;
+    const before = this.engines.reportOf(report.engineId);
     if (!this.engines.putReport(report)) return false;
     this.directory.setIncarnation(report.engineId, report.incarnation);
     return !before || identityOf(before) !== identityOf(report);
--- a/src/state/engine-table.ts
+++ b/src/state/engine-table.ts
@@ -123,13 +123,13 @@
    * A new incarnation closes the breaker: the failures belonged to the one before.
    */
   putReport(report: EngineReport): boolean {
+    const present = this.reportOf(report.engineId);
+    if (present && !isNewer(report, present)) return false;
     const record = this.records.get(report.engineId);
     if (!record) {
       this.early.set(report.engineId, report);
       return true;
     }
-    const present = record.report;
-    if (present && !isNewer(report, present)) return false;
     if (present && present.incarnation < report.incarnation) record.breaker.onSuccess();
     if (!present || groupKeyOf(present) !== groupKeyOf(report)) this.groups = undefined;
     record.setReport(report);
@@ -140,6 +140,11 @@
     return this.records.get(engineId);
   }
 
+  /** The last report, also of an engine that the machine list does not name yet. */
+  reportOf(engineId: string): EngineReport | undefined {
+    return this.records.get(engineId)?.report ?? this.early.get(engineId);
+  }
+
   all(): IterableIterator<EngineRecord> {
     return this.records.values();
   }
