Tell new homes only of the roots that moved

Cause: each change of the group made every owner send all marks of its engines again; at the join of 48 nodes that was 34,300 directory messages and 22 s of processor time, most of it encoding. Change: owners of engines and homes of roots are one assignment that is kept up to date and names the keys that moved; only marks below moved roots are sent again. Conclusion: the cost of a membership change is now bounded by what it moves.

--- a/src/coordination/router/engine-feeds.ts
+++ b/src/coordination/router/engine-feeds.ts
@@ -25,8 +25,8 @@
 export interface FeedOutput {
   /** Home of a root now. */
   homeOf(root: bigint): string;
-  /** Changes whenever homes may have moved. */
-  viewVersion(): number;
+  /** No engine followed here keeps the root any more, as far as one feed tells. */
+  forgetRoot(root: bigint): void;
   sendUpdate(home: string, update: DirectoryUpdate): void;
   /** The engine's status, with the homes that keep beliefs about it. */
   onStatus(status: EngineStatus, homes: ReadonlySet<string>): void;
@@ -41,7 +41,6 @@
   private nextSequence = 1;
   private doubted = false;
   private stopped = false;
-  private sentViewVersion = -1;
   private homes = new Set<string>();
 
   constructor(
@@ -122,15 +121,14 @@
   }
 
   private publish(changes: readonly (MarkChange | undefined)[]): void {
-    const viewVersion = this.output.viewVersion();
-    if (viewVersion !== this.sentViewVersion) {
-      // Homes may have moved: the new ones get everything, not only what changed.
-      this.sentViewVersion = viewVersion;
-      this.distribute([...this.feed.marks()]);
-    }
     this.distribute(changes.filter((change) => change !== undefined));
   }
 
+  /** Tells the new homes of these roots all that is kept below them. */
+  resend(roots: ReadonlySet<bigint>): void {
+    this.distribute([...this.feed.marks()].filter(({ root }) => roots.has(root)));
+  }
+
   private distribute(changes: readonly MarkChange[]): void {
     const byHome = new Map<string, MarkChange[]>();
     for (const change of changes) {
@@ -138,6 +136,7 @@
       const list = byHome.get(home);
       if (list) list.push(change);
       else byHome.set(home, [change]);
+      if (!change.present && change.mark === change.root) this.output.forgetRoot(change.root);
     }
     for (const [home, list] of byHome) {
       this.homes.add(home);
@@ -180,6 +179,11 @@
     for (const machine of wanted.values()) this.follow(machine);
   }
 
+  /** Homes of these roots moved. */
+  resend(roots: ReadonlySet<bigint>): void {
+    for (const { reader } of this.readers.values()) reader.resend(roots);
+  }
+
   stop(): void {
     this.setOwned([]);
   }
--- a/src/coordination/router/engine-ownership.ts
+++ b/src/coordination/router/engine-ownership.ts
@@ -17,7 +17,6 @@
 import type { EngineMachine, EngineReport, EngineTable } from '../../state/engine-table.js';
 import type { PrefixDirectory } from '../../state/prefix-directory.js';
 import { RendezvousAssignment } from '../../state/rendezvous-assignment.js';
-import { pickByRendezvous } from '../../state/rendezvous.js';
 import { EngineFeeds } from './engine-feeds.js';
 
 /** Waiting tokens are told in steps of this, so that small changes stay untold. */
@@ -28,7 +27,6 @@
 /** What ownership needs to know of the group. */
 export interface OwnershipGroup {
   working(): string[];
-  viewVersion(): number;
   send(nodeId: string, body: PeerBody): void;
   /** Passes a change of what an engine serves on to all routers. */
   spread(report: WireReport): void;
@@ -44,10 +42,11 @@
 export class EngineOwnership {
   private readonly feeds: EngineFeeds;
   private readonly told = new Map<string, Told>();
-  private readonly owners: RendezvousAssignment;
+  /** Which router follows an engine's feed. */
+  private readonly owners: RendezvousAssignment<string>;
+  /** Which router is home of a prefix root. */
+  private readonly homes: RendezvousAssignment<bigint>;
   private owned = new Set<string>();
-  private homesVersion = -1;
-  private homes: string[] = [];
   private machines: readonly Machine[] = [];
 
   constructor(
@@ -57,17 +56,18 @@
     private readonly directory: PrefixDirectory,
     private readonly group: OwnershipGroup,
     private readonly clock: Clock,
-    private readonly hasher: Hasher,
+    hasher: Hasher,
     logger: Logger,
   ) {
     const output = {
       homeOf: (root: bigint) => this.homeOf(root),
-      viewVersion: () => group.viewVersion(),
+      forgetRoot: (root: bigint) => this.homes.forget(root),
       sendUpdate: (home: string, update: DirectoryUpdate) => this.sendUpdate(home, update),
       onStatus: (status: EngineStatus, homes: ReadonlySet<string>) => this.onStatus(status, homes),
       onUnreachable: (engineId: string) => this.onUnreachable(engineId),
     };
-    this.owners = new RendezvousAssignment(hasher);
+    this.owners = new RendezvousAssignment(hasher, (engineId) => hasher.hashText(engineId, 0n));
+    this.homes = new RendezvousAssignment(hasher, (root) => root);
     this.feeds = new EngineFeeds(port, output, clock, logger);
   }
 
@@ -76,16 +76,18 @@
     this.machines = machines;
     const engines = machines.filter((machine) => machine.kind === 'engine').map(engineMachineOf);
     this.engines.replaceMachines(engines);
-    const engineIds = engines.map((engine) => engine.engineId);
-    this.owners.update(engineIds, this.group.working());
     const mine = engines.filter((engine) => this.owners.ownerOf(engine.engineId) === this.nodeId);
     this.owned = new Set(mine.map((engine) => engine.engineId));
     this.feeds.setOwned(mine);
   }
 
-  /** Divides again after a change of the group. */
+  /** Divides engines and roots again after a change of the group. */
   refresh(): void {
+    const working = this.group.working();
+    this.owners.setCandidates(working);
+    const moved = this.homes.setCandidates(working);
     this.assign(this.machines);
+    if (moved.length > 0) this.feeds.resend(new Set(moved));
   }
 
   stop(): void {
@@ -123,12 +125,7 @@
   }
 
   private homeOf(root: bigint): string {
-    const version = this.group.viewVersion();
-    if (version !== this.homesVersion) {
-      this.homesVersion = version;
-      this.homes = this.group.working();
-    }
-    return pickByRendezvous(this.hasher, root, this.homes) ?? this.nodeId;
+    return this.homes.ownerOf(root) ?? this.nodeId;
   }
 
   private sendUpdate(home: string, update: DirectoryUpdate): void {
--- a/src/coordination/router/router-group.ts
+++ b/src/coordination/router/router-group.ts
@@ -88,11 +88,6 @@
     return this.gossip?.membership.working().map((member) => member.nodeId) ?? [];
   }
 
-  /** Changes with every change of the view. */
-  viewVersion(): number {
-    return this.gossip?.membership.version ?? 0;
-  }
-
   /** Suspicions raised and deaths declared by this router. */
   get counters(): Membership['counters'] {
     return this.gossip?.membership.counters ?? { suspicions: 0, deaths: 0 };
--- a/src/coordination/router/router-node.ts
+++ b/src/coordination/router/router-node.ts
@@ -243,7 +243,6 @@
       this.directory,
       {
         working: () => this.group.working(),
-        viewVersion: () => this.group.viewVersion(),
         send: (nodeId, body) => this.pool.send(nodeId, body),
         spread: (report) => this.group.spreadEngineReport(report),
       },
--- a/src/state/rendezvous-assignment.ts
+++ b/src/state/rendezvous-assignment.ts
@@ -1,52 +1,65 @@
 /**
- * Assigns keys to candidates by rendezvous and keeps the assignment up to date: a change of one
- * candidate costs one hash a key at most, not one a key and candidate.
+ * Owners of keys by rendezvous, kept up to date: a candidate that comes costs one hash a key, one
+ * that goes costs a full weighing of its own keys only.
  */
 import type { Hasher } from '../runtime/hasher.js';
 
 interface Owner {
-  candidate: string;
-  weight: bigint;
+  readonly candidate: string;
+  readonly weight: bigint;
 }
 
-/** Owners of a set of keys. */
-export class RendezvousAssignment {
-  private candidates = new Set<string>();
-  private readonly owners = new Map<string, Owner>();
+/** Owners of the keys asked for so far. */
+export class RendezvousAssignment<Key> {
+  private candidates: readonly string[] = [];
+  private readonly owners = new Map<Key, Owner>();
 
-  constructor(private readonly hasher: Hasher) {}
+  /** `seedOf` gives the hash of a key, under which candidates are weighed. */
+  constructor(
+    private readonly hasher: Hasher,
+    private readonly seedOf: (key: Key) => bigint,
+  ) {}
 
-  /** Owner of a key; undefined for an unknown key or without candidates. */
-  ownerOf(key: string): string | undefined {
-    return this.owners.get(key)?.candidate;
+  /** Owner of a key; undefined without candidates. */
+  ownerOf(key: Key): string | undefined {
+    const present = this.owners.get(key);
+    if (present) return present.candidate;
+    const best = this.best(this.seedOf(key), this.candidates, undefined);
+    if (best) this.owners.set(key, best);
+    return best?.candidate;
   }
 
-  /** Assigns exactly these keys among exactly these candidates. */
-  update(keys: readonly string[], candidates: readonly string[]): void {
-    const next = new Set(candidates);
-    const added = candidates.filter((candidate) => !this.candidates.has(candidate));
-    const wanted = new Set(keys);
-    for (const key of [...this.owners.keys()]) if (!wanted.has(key)) this.owners.delete(key);
-    for (const key of wanted) {
-      const owner = this.owners.get(key);
-      // Without its owner, a key is weighed against all; with it, only against the newcomers.
-      const rivals = owner && next.has(owner.candidate) ? added : candidates;
-      const start = rivals === added ? owner : undefined;
-      const best = this.best(key, rivals, start);
+  /** Forgets a key that is no longer of interest. */
+  forget(key: Key): void {
+    this.owners.delete(key);
+  }
+
+  /** Takes over the candidates; answers the keys whose owner changed. */
+  setCandidates(candidates: readonly string[]): Key[] {
+    const before = new Set(this.candidates);
+    const now = new Set(candidates);
+    const added = candidates.filter((candidate) => !before.has(candidate));
+    this.candidates = candidates;
+    const moved: Key[] = [];
+    for (const [key, owner] of this.owners) {
+      const stays = now.has(owner.candidate);
+      if (stays && added.length === 0) continue;
+      const seed = this.seedOf(key);
+      const best = stays ? this.best(seed, added, owner) : this.best(seed, candidates, undefined);
+      if (best === owner) continue;
+      moved.push(key);
       if (best) this.owners.set(key, best);
       else this.owners.delete(key);
     }
-    this.candidates = next;
+    return moved;
   }
 
   private best(
-    key: string,
+    seed: bigint,
     rivals: readonly string[],
     start: Owner | undefined,
   ): Owner | undefined {
     let best = start;
-    if (rivals.length === 0) return best;
-    const seed = this.hasher.hashText(key, 0n);
     for (const candidate of rivals) {
       const weight = this.hasher.hashText(candidate, seed);
       const wins =
