--- a/src/main.ts
+++ b/src/main.ts
@@ -5,6 +5,7 @@
 import { hideBin } from 'yargs/helpers';
 import { addDaemonCommands } from './cli/daemon-commands.js';
 import { addLabCommands } from './cli/lab-commands.js';
+import { addTemplateCommands } from './cli/template-commands.js';
 import { ExitCode } from './cli/options.js';
 import { SettingsError } from './settings/settings-error.js';
 
@@ -28,4 +29,4 @@
     fail(`${message} (see --help)`, ExitCode.Usage);
   });
 
-await addLabCommands(addDaemonCommands(base)).parseAsync();
+await addLabCommands(addTemplateCommands(addDaemonCommands(base))).parseAsync();
--- /dev/null
+++ b/src/operator/tenant-parameter.ts
@@ -0,0 +1,25 @@
+/** Sets one parameter of one tenant, as `peatspan set TENANT PARAMETER=VALUE` does. */
+import { parse } from 'yaml';
+import { type TemplateSet, type TemplateVerdict, checkTemplateSet } from '../state/template-set.js';
+
+/** The changed configuration, or what is wrong with the change. */
+export function setTenantParameter(
+  set: TemplateSet,
+  tenant: string,
+  assignment: string,
+): TemplateVerdict {
+  const separator = assignment.indexOf('=');
+  if (separator < 1) return invalid(assignment, 'expected PARAMETER=VALUE');
+  if (!set.tenants[tenant]) return invalid(`tenants.${tenant}`, 'no such tenant');
+  const name = assignment.slice(0, separator);
+  const changed = structuredClone(set) as unknown as {
+    tenants: Record<string, { parameters: Record<string, unknown> }>;
+  };
+  const entry = changed.tenants[tenant];
+  if (entry) entry.parameters[name] = parse(assignment.slice(separator + 1)) as unknown;
+  return checkTemplateSet(changed);
+}
+
+function invalid(path: string, message: string): TemplateVerdict {
+  return { kind: 'invalid', problems: [{ path, message }] };
+}
--- a/test/rendezvous.test.ts
+++ b/test/rendezvous.test.ts
@@ -3,7 +3,10 @@
 import { pickByRendezvous, rankByRendezvous } from '../src/state/rendezvous.js';
 import { RendezvousAssignment } from '../src/state/rendezvous-assignment.js';
 
-const candidateSets = fc.array(fc.uniqueArray(fc.constantFrom(...'abcdefghij')), { minLength: 1, maxLength: 6 });
+const candidateSets = fc.array(fc.uniqueArray(fc.constantFrom(...'abcdefghij')), {
+  minLength: 1,
+  maxLength: 6,
+});
 const KEYS = Array.from({ length: 40 }, (_, index) => BigInt(index) * 0x9e3779b97f4a7c15n);
 
 testProp(
--- /dev/null
+++ b/test/template-store.test.ts
@@ -0,0 +1,72 @@
+/** Operators' writes against a store that loses answers and against each other. */
+import test from 'ava';
+import { differencesBetween } from '../src/operator/template-difference.js';
+import { TemplateStore } from '../src/operator/template-store.js';
+import { setTenantParameter } from '../src/operator/tenant-parameter.js';
+import { ProtocolFailure } from '../src/protocol/errors.js';
+import type { ObjectApiPort } from '../src/protocol/object-api/port.js';
+import { ObjectStore } from '../src/lab/platform/object-store.js';
+import { VirtualClock } from '../src/runtime/virtual-clock.js';
+import { worldTemplates } from '../src/lab/simulation/world-settings.js';
+
+/** A port straight to a store; `lose` answers are lost before or after the write takes effect. */
+function portOf(store: ObjectStore, lose: 'none' | 'before' | 'after'): ObjectApiPort {
+  const lost = new ProtocolFailure({ kind: 'interrupted', address: 'store', reason: 'lost' });
+  return {
+    read: (name) => Promise.resolve(store.read(name)),
+    write: (name, content, expected) => {
+      if (lose === 'before') return Promise.reject(lost);
+      const result = store.write(name, content, expected);
+      if (lose === 'after') return Promise.reject(lost);
+      if (result.kind === 'written') return Promise.resolve(result.version);
+      const { presentVersion } = result;
+      return Promise.reject(new ProtocolFailure({ kind: 'conflict', presentVersion }));
+    },
+    watch: () => Promise.resolve(undefined),
+  };
+}
+
+test('a write whose answer was lost after the change is found by reading back', async (t) => {
+  const clock = new VirtualClock();
+  const store = new TemplateStore(portOf(new ObjectStore(clock), 'after'), clock);
+  t.deepEqual(await store.write(worldTemplates('v1', 0), 0, 'operation-1'), {
+    kind: 'written',
+    version: 1,
+  });
+});
+
+test('a write that never arrived is called uncertain, not done', async (t) => {
+  const clock = new VirtualClock();
+  const store = new TemplateStore(portOf(new ObjectStore(clock), 'before'), clock);
+  const writing = store.write(worldTemplates('v1', 0), 0, 'operation-1');
+  for (let step = 0; step < 10; step += 1) await clock.advance(1_000);
+  t.is((await writing).kind, 'uncertain');
+});
+
+test('of two operators who race, one gets a conflict with the other side', async (t) => {
+  const clock = new VirtualClock();
+  const objects = new ObjectStore(clock);
+  const store = new TemplateStore(portOf(objects, 'none'), clock);
+  await store.write(worldTemplates('v1', 0), 0, 'first');
+  t.is((await store.write(worldTemplates('v1', 1), 1, 'mine')).kind, 'written');
+  const outcome = await store.write(worldTemplates('v2', 0), 1, 'theirs');
+  t.is(outcome.kind, 'conflict');
+  if (outcome.kind !== 'conflict') return;
+  t.is(outcome.present.operationId, 'mine');
+  const differences = differencesBetween(worldTemplates('v1', 0), outcome.present.set);
+  t.deepEqual(
+    differences.map(({ entry }) => entry),
+    ['templates/standard'],
+  );
+});
+
+test('a parameter is set for one tenant, and a bad one names its path', (t) => {
+  const set = worldTemplates('v1', 0);
+  const verdict = setTenantParameter(set, 'tenant-a', 'priority=5');
+  t.is(verdict.kind === 'valid' ? verdict.set.tenants['tenant-a']?.parameters.priority : 0, 5);
+  const refused = setTenantParameter(set, 'tenant-a', 'site_shares={old: 0.5, new: 0.4}');
+  t.is(
+    refused.kind === 'invalid' ? refused.problems[0]?.path : '',
+    'tenants.tenant-a.parameters.site_shares',
+  );
+});
