Carry loads on directory updates; compare policies in an experiment tool

Cause: load reports went to every home, and their number grows with the group: 762 B/s a node at 24 nodes, 1,439 at 48, beyond the whole budget at 390. No tool compared the decision with other policies. Change: a directory update carries the engine's load, separate load messages are gone; answers bring fresher ones. `peatspan lab experiment` runs the product's decision code and the stand-in engines on a virtual clock against random, least loaded, prefix hashing and perfect knowledge, same arrivals.

--- a/fuzz/commands.ts
+++ b/fuzz/commands.ts
@@ -222,6 +222,7 @@
       restartEngine,
       loadWeights,
       upgrade,
+      upgrade,
       crashBackend,
       restartBackends,
       pauseRouter,
--- a/fuzz/mutations.ts
+++ b/fuzz/mutations.ts
@@ -12,11 +12,11 @@
 
 /** The list; docs/design/0002-proof.md shows what each run found. */
 export const MUTATIONS: readonly Mutation[] = [
-  { protection: 'claims', invariant: 6, seed: 1, runs: 300 },
-  { protection: 'tenantSalt', invariant: 1, seed: 1, runs: 100 },
-  { protection: 'weightsSalt', invariant: 1, seed: 1, runs: 300 },
-  { protection: 'monotonicRevisions', invariant: 9, seed: 1, runs: 300 },
-  { protection: 'respectLeaving', invariant: 7, seed: 1, runs: 300 },
-  { protection: 'proveNotRun', invariant: 5, seed: 1, runs: 300 },
-  { protection: 'continueStreams', invariant: 2, seed: 1, runs: 300 },
+  { protection: 'claims', invariant: 6, seed: 1, runs: 600 },
+  { protection: 'tenantSalt', invariant: 1, seed: 1, runs: 600 },
+  { protection: 'weightsSalt', invariant: 1, seed: 1, runs: 600 },
+  { protection: 'monotonicRevisions', invariant: 9, seed: 1, runs: 600 },
+  { protection: 'respectLeaving', invariant: 7, seed: 1, runs: 600 },
+  { protection: 'proveNotRun', invariant: 5, seed: 1, runs: 600 },
+  { protection: 'continueStreams', invariant: 2, seed: 1, runs: 600 },
 ];
--- a/src/cli/lab-commands.ts
+++ b/src/cli/lab-commands.ts
@@ -16,6 +16,7 @@
   platformSettingsSchema,
 } from '../settings/schemas.js';
 import { ConsoleLogger } from '../telemetry/console-logger.js';
+import { addExperimentCommand } from './lab-experiment-command.js';
 import { addScaleCommand } from './lab-scale-command.js';
 import { addUpCommand } from './lab-up-command.js';
 import { withSettings } from './options.js';
@@ -23,9 +24,16 @@
 /** Adds the laboratory's commands. */
 export function addLabCommands(yargs: Argv): Argv {
   return yargs.command('lab', 'stand-ins, sample traffic and experiments', (lab) =>
-    addScaleCommand(
-      addUpCommand(addBackendCommand(addEngineCommand(addPlatformCommand(lab)))),
-    ).demandCommand(1, 'name a laboratory command'),
+    [
+      addPlatformCommand,
+      addEngineCommand,
+      addBackendCommand,
+      addUpCommand,
+      addScaleCommand,
+      addExperimentCommand,
+    ]
+      .reduce((command, add) => add(command), lab)
+      .demandCommand(1, 'name a laboratory command'),
   );
 }
 
--- /dev/null
+++ b/src/cli/lab-experiment-command.ts
@@ -0,0 +1,109 @@
+/** `peatspan lab experiment`: policies side by side on the same arrivals. */
+import { mkdirSync, writeFileSync } from 'node:fs';
+import path from 'node:path';
+import type { Argv } from 'yargs';
+import { z } from 'zod';
+import {
+  type Experiment,
+  POLICY_NAMES,
+  type PolicyFigures,
+  runPolicy,
+} from '../lab/experiment/experiment-run.js';
+import { profileOf } from '../programs/sample-profile.js';
+import { readDeployment } from '../programs/lab-up.js';
+import { engineSettingsOf } from '../programs/stand-in-programs.js';
+import { checkSettings, readYaml } from '../settings/load-settings.js';
+
+const experimentSchema = z.strictObject({
+  name: z.string().min(1),
+  /** Folder of the deployment, relative to this file. */
+  deployment: z.string().min(1),
+  requests_per_second: z.number().positive(),
+  seconds: z.number().positive(),
+  warm_up_seconds: z.number().min(0).default(10),
+  shift_seconds: z.number().min(0).default(0),
+  recompute_weight: z.number().min(0).max(1),
+  /** Kept blocks of each engine as a share of the deployment's. */
+  cache_share: z.number().positive().default(1),
+});
+
+/** Adds `lab experiment`. */
+export function addExperimentCommand(yargs: Argv): Argv {
+  return yargs.command(
+    'experiment <file>',
+    'compare policies on the same arrivals',
+    (command) =>
+      command
+        .positional('file', { type: 'string', demandOption: true, describe: 'experiment (YAML)' })
+        .option('seed', { type: 'number', default: 1, describe: 'first seed' })
+        .option('seeds', { type: 'number', default: 1, describe: 'how many seeds' })
+        .option('out', { type: 'string', describe: 'folder for results.json' }),
+    async (argv) => {
+      const experiment = readExperiment(argv.file);
+      const results: (PolicyFigures & { seed: number })[] = [];
+      for (let seed = argv.seed; seed < argv.seed + argv.seeds; seed += 1) {
+        for (const policy of POLICY_NAMES) {
+          process.stderr.write(`seed ${seed}: ${policy}\n`);
+          results.push({ seed, ...(await runPolicy(experiment, policy, seed)) });
+        }
+      }
+      process.stdout.write(`${formatTable(results)}\n`);
+      if (argv.out !== undefined) {
+        mkdirSync(argv.out, { recursive: true });
+        const file = path.join(argv.out, 'results.json');
+        writeFileSync(file, `${JSON.stringify(results, undefined, 2)}\n`);
+      }
+    },
+  );
+}
+
+function readExperiment(file: string): Experiment {
+  const settings = checkSettings(experimentSchema, readYaml(file), file);
+  const folder = path.resolve(path.dirname(file), settings.deployment);
+  const { deployment, templates } = readDeployment(folder);
+  const engines = deployment.engines.map((engine) => {
+    const weightsDigest =
+      templates.models[engine.model]?.versions[engine.version]?.weights_digest ?? '';
+    const identity = { engineId: engine.id, model: engine.model, weightsDigest, adapterDigest: '' };
+    const full = engineSettingsOf(identity, engine.behaviour);
+    return { ...full, cacheBlocks: Math.ceil(full.cacheBlocks * settings.cache_share) };
+  });
+  return {
+    engines,
+    profiles: deployment.sample.callers.map(profileOf),
+    requestsPerSecond: settings.requests_per_second,
+    seconds: settings.seconds,
+    shiftSeconds: settings.shift_seconds,
+    warmUpSeconds: settings.warm_up_seconds,
+    recomputeWeight: settings.recompute_weight,
+  };
+}
+
+/** Medians over the seeds, with the spread in brackets. */
+function formatTable(results: readonly PolicyFigures[]): string {
+  const PERCENT = 100;
+  const header =
+    'policy             hit rate %           wasted %             p50 ms               p99 ms               errors';
+  const lines = POLICY_NAMES.map((policy) => {
+    const rows = results.filter((row) => row.policy === policy);
+    const cell = (read: (row: PolicyFigures) => number): string =>
+      spread(rows.map(read)).padEnd(20);
+    return [
+      policy.padEnd(18),
+      cell((row) => row.hitRate * PERCENT),
+      cell((row) => row.wastedShare * PERCENT),
+      cell((row) => row.firstTokenMs.p50),
+      cell((row) => row.firstTokenMs.p99),
+      String(rows.reduce((sum, row) => sum + row.errors, 0)),
+    ].join(' ');
+  });
+  return [header, ...lines].join('\n');
+}
+
+function spread(values: readonly number[]): string {
+  const sorted = [...values].sort((left, right) => left - right);
+  const median = sorted[sorted.length >> 1] ?? 0;
+  const [least = 0] = sorted;
+  const most = sorted[sorted.length - 1] ?? 0;
+  return `${median.toFixed(1)} (${least.toFixed(1)}-${most.toFixed(1)})`;
+}
--- a/src/cli/lab-up-command.ts
+++ b/src/cli/lab-up-command.ts
@@ -4,13 +4,14 @@
 import type { Argv } from 'yargs';
 import { generateLoad } from '../lab/load/load-generator.js';
 import { formatSummary } from '../lab/load/measurements.js';
-import { type CallerProfile, Workload } from '../lab/load/workload.js';
+import { Workload } from '../lab/load/workload.js';
 import {
   type DeploymentFolder,
   type RunningDeployment,
   readDeployment,
   startDeployment,
 } from '../programs/lab-up.js';
+import { profileOf } from '../programs/sample-profile.js';
 import { stopOnSignal } from '../programs/lifecycle.js';
 import { SeededRandom } from '../runtime/random.js';
 import { ConsoleLogger, type LogLevel } from '../telemetry/console-logger.js';
@@ -83,21 +84,6 @@
   return summary.errors;
 }
 
-type SampleCaller = DeploymentFolder['deployment']['sample']['callers'][number];
-
-function profileOf(caller: SampleCaller): CallerProfile {
-  return {
-    tenant: caller.tenant,
-    key: caller.key,
-    model: caller.model,
-    sharedCharacters: caller.shared_characters,
-    branchCharacters: caller.branch_characters,
-    branches: caller.branches,
-    weight: caller.weight,
-    maxTokens: caller.max_tokens,
-  };
-}
-
 function describeDeployment(folder: DeploymentFolder, deployment: RunningDeployment): string {
   const { name, engines, backends } = folder.deployment;
   const routers = deployment.routers.map(({ node }) => node.peerAddress).join(', ');
--- a/src/coordination/router/engine-feeds.ts
+++ b/src/coordination/router/engine-feeds.ts
@@ -5,7 +5,7 @@
 import { create } from '@bufbuild/protobuf';
 import { type Clock, sleep } from '../../runtime/clock.js';
 import type { Logger } from '../../runtime/logger.js';
-import type { EnginePort, EngineStatus } from '../../protocol/engine/port.js';
+import type { EngineLoadReport, EnginePort, EngineStatus } from '../../protocol/engine/port.js';
 import {
   type DirectoryUpdate,
   DirectoryUpdateSchema,
@@ -28,8 +28,7 @@
   /** No engine followed here keeps the root any more, as far as one feed tells. */
   forgetRoot(root: bigint): void;
   sendUpdate(home: string, update: DirectoryUpdate): void;
-  /** The engine's status, with the homes that keep beliefs about it. */
-  onStatus(status: EngineStatus, homes: ReadonlySet<string>): void;
+  onStatus(status: EngineStatus): void;
   /** The engine did not answer. */
   onUnreachable(engineId: string): void;
 }
@@ -40,6 +39,7 @@
   private incarnation = 0;
   private nextSequence = 1;
   private doubted = false;
+  private load: EngineLoadReport | undefined;
   private stopped = false;
   private homes = new Set<string>();
 
@@ -72,6 +72,7 @@
   private async readOnce(): Promise<void> {
     const batch = await this.port.events(this.address, this.nextSequence, EVENT_WAIT_MS);
     if (this.stopped) return;
+    this.load = batch.status.load;
     if (batch.incarnation !== this.incarnation) {
       this.begin(batch.incarnation);
     } else if (batch.events.length > 0 && batch.firstSequence !== this.nextSequence) {
@@ -84,7 +85,7 @@
       this.nextSequence += batch.events.length;
       this.publish(batch.events.map((event) => this.feed.apply(event)));
     }
-    this.output.onStatus(batch.status, this.homes);
+    this.output.onStatus(batch.status);
   }
 
   /** A new incarnation keeps nothing of the one before. */
@@ -150,10 +151,11 @@
     const marks = changes.map((change) => create(PrefixMarkSchema, change));
     const { engineId, doubted } = this;
     const incarnation = BigInt(this.incarnation);
-    this.output.sendUpdate(
-      home,
-      create(DirectoryUpdateSchema, { engineId, incarnation, marks, doubted }),
-    );
+    // The load rides along: homes hear of it as often as of the engine's prefixes.
+    const waitingTokens = Math.round(this.load?.waitingTokens ?? 0);
+    const requests = this.load?.requests ?? 0;
+    const update = { engineId, incarnation, marks, doubted, waitingTokens, requests };
+    this.output.sendUpdate(home, create(DirectoryUpdateSchema, update));
   }
 }
 
--- a/src/coordination/router/engine-ownership.ts
+++ b/src/coordination/router/engine-ownership.ts
@@ -19,11 +19,6 @@
 import { RendezvousAssignment } from '../../state/rendezvous-assignment.js';
 import { EngineFeeds } from './engine-feeds.js';
 
-/** Waiting tokens are told in steps of this, so that small changes stay untold. */
-const LOAD_STEP_TOKENS = 512;
-/** Shortest time between two reports of load to the homes; answers bring them fresher figures. */
-const LOAD_PERIOD_MS = 3_000;
-
 /** What ownership needs to know of the group. */
 export interface OwnershipGroup {
   working(): string[];
@@ -32,16 +27,11 @@
   spread(report: WireReport): void;
 }
 
-interface Told {
-  identity: string;
-  load: string;
-  loadAtMs: number;
-}
-
 /** Engine knowledge of one router. */
 export class EngineOwnership {
   private readonly feeds: EngineFeeds;
-  private readonly told = new Map<string, Told>();
+  /** Identity last spread of each owned engine. */
+  private readonly told = new Map<string, string>();
   /** Which router follows an engine's feed. */
   private readonly owners: RendezvousAssignment<string>;
   /** Which router is home of a prefix root. */
@@ -63,7 +53,7 @@
       homeOf: (root: bigint) => this.homeOf(root),
       forgetRoot: (root: bigint) => this.homes.forget(root),
       sendUpdate: (home: string, update: DirectoryUpdate) => this.sendUpdate(home, update),
-      onStatus: (status: EngineStatus, homes: ReadonlySet<string>) => this.onStatus(status, homes),
+      onStatus: (status: EngineStatus) => this.onStatus(status),
       onUnreachable: (engineId: string) => this.onUnreachable(engineId),
     };
     this.owners = new RendezvousAssignment(hasher, (engineId) => hasher.hashText(engineId, 0n));
@@ -119,6 +109,8 @@
     const nowMs = this.clock.now();
     const incarnation = Number(update.incarnation);
     this.directory.setDoubted(update.engineId, update.doubted);
+    const { waitingTokens, requests } = update;
+    this.engines.get(update.engineId)?.mergeLoad(waitingTokens, requests);
     for (const { mark, present } of update.marks) {
       this.directory.hear(update.engineId, incarnation, mark, present, nowMs);
     }
@@ -137,30 +129,17 @@
     this.engines.get(engineId)?.breaker.onFailure(this.clock.now());
   }
 
-  /** Spreads what the engine serves to all routers, and its load to homes of its prefixes. */
-  private onStatus(status: EngineStatus, homes: ReadonlySet<string>): void {
+  /** Spreads a change of what the engine serves to all routers. */
+  private onStatus(status: EngineStatus): void {
     const { engineId, incarnation } = status;
     if (!this.owned.has(engineId)) return;
     const report = { ...status, observedAtMs: Math.floor(this.clock.wallNow()) };
     this.engines.putReport(report);
     this.directory.setIncarnation(engineId, incarnation);
-    const nowMs = this.clock.now();
-    const now: Told = { identity: identityOf(report), load: loadOf(report), loadAtMs: nowMs };
-    const before = this.told.get(engineId);
-    if (before?.identity !== now.identity) {
-      this.told.set(engineId, now);
-      this.group.spread(reportToWire(report));
-    } else if (before.load !== now.load && nowMs - before.loadAtMs >= LOAD_PERIOD_MS) {
-      this.told.set(engineId, now);
-      this.tellLoad(report, homes);
-    }
-  }
-
-  private tellLoad(report: EngineReport, homes: Iterable<string>): void {
-    const value = reportToWire(report);
-    for (const home of homes) {
-      if (home !== this.nodeId) this.group.send(home, { case: 'engineReport', value });
-    }
+    const identity = identityOf(report);
+    if (this.told.get(engineId) === identity) return;
+    this.told.set(engineId, identity);
+    this.group.spread(reportToWire(report));
   }
 }
 
@@ -174,12 +153,6 @@
   return JSON.stringify([incarnation, model, weightsDigest, adapterDigest, leaving]);
 }
 
-function loadOf(status: EngineReport): string {
-  const { waitingTokens, requests, maximumRequests } = status.load;
-  const quarter = Math.max(1, maximumRequests / 4);
-  return `${Math.ceil(waitingTokens / LOAD_STEP_TOKENS)}/${Math.ceil(requests / quarter)}`;
-}
-
 function reportToWire(status: EngineReport): WireReport {
   const { load } = status;
   return create(EngineReportSchema, {
--- a/src/lab/engine/engine-core.ts
+++ b/src/lab/engine/engine-core.ts
@@ -160,6 +160,17 @@
     };
   }
 
+  /** Leading blocks of a chain that are kept, without marking them used: for perfect knowledge. */
+  countKept(chain: readonly bigint[]): number {
+    const missing = chain.findIndex((hash) => !this.cache.get(hash));
+    return missing < 0 ? chain.length : missing;
+  }
+
+  /** Load at this moment, without the lag of {@link status}. */
+  presentLoad(): EngineLoadReport {
+    return this.currentLoad();
+  }
+
   /** All kept blocks. */
   snapshot(): EngineSnapshot {
     const blocks = this.cache.parentsFirst().map((block) => ({
--- a/src/lab/load/workload.ts
+++ b/src/lab/load/workload.ts
@@ -26,6 +26,8 @@
 }
 
 const QUESTION_CHARACTERS = 160;
+/** How far the hottest branch moves at a shift. */
+const BRANCH_STRIDE = 3;
 const FILLER = 'the record of changes and rules that stands before every question of this kind. ';
 
 /** Draws requests; the same random source gives the same requests. */
@@ -33,6 +35,7 @@
   private readonly texts = new Map<string, string>();
   private readonly seen = new Set<string>();
   private drawn = 0;
+  private branchOffset = 0;
 
   constructor(
     private readonly profiles: readonly CallerProfile[],
@@ -60,10 +63,16 @@
     return this.profiles[this.profiles.length - 1] as CallerProfile;
   }
 
+  /** Moves the hot branches on, as they shift from hour to hour. */
+  shiftBranches(): void {
+    this.branchOffset += 1;
+  }
+
   /** Low branches are hot: the square of a uniform draw. */
   private drawBranch(profile: CallerProfile): number {
     const draw = this.random.next();
-    return Math.floor(draw * draw * profile.branches);
+    const rank = Math.floor(draw * draw * profile.branches);
+    return (rank + this.branchOffset * BRANCH_STRIDE) % profile.branches;
   }
 
   private knownCharacters(profile: CallerProfile, branch: number): number {
--- a/src/state/engine-table.ts
+++ b/src/state/engine-table.ts
@@ -73,6 +73,11 @@
       waitingTokens * this.tokenMs + overflow * QUEUED_REQUEST_MS + requests * BATCHED_REQUEST_MS;
   }
 
+  /** Takes over what changes of a load; speed and size stay as last reported. */
+  mergeLoad(waitingTokens: number, requests: number): void {
+    if (this.report) this.setLoad({ ...this.report.load, waitingTokens, requests });
+  }
+
   /** Counts prompt tokens this router sent, which the next report will contain. */
   addUnreported(tokens: number): void {
     this.waitMs += tokens * this.tokenMs;
