--- a/src/cli/lab-experiment-command.ts
+++ b/src/cli/lab-experiment-command.ts
@@ -7,6 +7,7 @@
   type Experiment,
   POLICY_NAMES,
   type PolicyFigures,
+  type PolicyName,
   runPolicy,
 } from '../lab/experiment/experiment-run.js';
 import { profileOf } from '../programs/sample-profile.js';
@@ -37,12 +38,19 @@
         .positional('file', { type: 'string', demandOption: true, describe: 'experiment (YAML)' })
         .option('seed', { type: 'number', default: 1, describe: 'first seed' })
         .option('seeds', { type: 'number', default: 1, describe: 'how many seeds' })
+        .option('policies', {
+          type: 'array',
+          string: true,
+          choices: POLICY_NAMES,
+          default: POLICY_NAMES,
+          describe: 'policies to compare',
+        })
         .option('out', { type: 'string', describe: 'folder for results.json' }),
     async (argv) => {
       const experiment = readExperiment(argv.file);
       const results: (PolicyFigures & { seed: number })[] = [];
       for (let seed = argv.seed; seed < argv.seed + argv.seeds; seed += 1) {
-        for (const policy of POLICY_NAMES) {
+        for (const policy of argv.policies as readonly PolicyName[]) {
           process.stderr.write(`seed ${seed}: ${policy}\n`);
           results.push({ seed, ...(await runPolicy(experiment, policy, seed)) });
         }
@@ -84,7 +92,8 @@
   const PERCENT = 100;
   const header =
     'policy             hit rate %           wasted %             p50 ms               p99 ms               errors';
-  const lines = POLICY_NAMES.map((policy) => {
+  const shown = POLICY_NAMES.filter((policy) => results.some((row) => row.policy === policy));
+  const lines = shown.map((policy) => {
     const rows = results.filter((row) => row.policy === policy);
     const cell = (read: (row: PolicyFigures) => number): string =>
       spread(rows.map(read)).padEnd(20);
