--- a/src/coordination/router/generation-call.ts
+++ b/src/coordination/router/generation-call.ts
@@ -222,10 +222,9 @@
     this.answering(attempt);
     const { engineId } = record.machine;
     const keptMarks = Math.floor(start.cachedTokens / MARK_TOKENS);
-    this.context.directory.setIncarnation(engineId, start.incarnation);
-    this.context.directory.correct(engineId, this.marks, keptMarks);
-    // Prefill is over, so that the engine keeps the whole prompt now.
-    this.context.directory.assume(engineId, this.marks, this.context.clock.now());
+    const { directory, clock } = this.context;
+    directory.correct(engineId, this.marks, keptMarks);
+    directory.confirm(engineId, start.incarnation, this.marks, clock.now());
     this.firstUsage ??= start;
   }
 
--- a/src/lab/experiment/peatspan-policy.ts
+++ b/src/lab/experiment/peatspan-policy.ts
@@ -83,7 +83,7 @@
     const { engineId } = engine.settings;
     table.get(engineId)?.setLoad(engine.status().load);
     directory.correct(engineId, request.marks, Math.floor(cachedTokens / MARK_TOKENS));
-    directory.assume(engineId, request.marks, nowMs);
+    directory.confirm(engineId, engine.currentIncarnation, request.marks, nowMs);
   }
 
   refresh(nowMs: number): void {
--- a/src/state/prefix-directory.ts
+++ b/src/state/prefix-directory.ts
@@ -79,6 +79,11 @@
     }
   }
 
+  /** The engine has just computed the prompt, and so keeps all its marks now. */
+  confirm(engineId: string, incarnation: number, marks: readonly bigint[], nowMs: number): void {
+    for (const mark of marks) this.hear(engineId, incarnation, mark, true, nowMs);
+  }
+
   /** An answer said how many marks were really kept: beliefs beyond those were wrong. */
   correct(engineId: string, marks: readonly bigint[], keptMarks: number): void {
     for (const mark of marks.slice(keptMarks)) this.remove(mark, engineId);
