--- a/src/cli/daemon-commands.ts
+++ b/src/cli/daemon-commands.ts
@@ -1,8 +1,6 @@
 /** `peatspan agent` and `peatspan router`. */
 import type { Argv } from 'yargs';
-import { startAgent } from '../programs/agent-program.js';
 import { stopOnSignal } from '../programs/lifecycle.js';
-import { startRouter } from '../programs/router-program.js';
 import { loadSettings } from '../settings/load-settings.js';
 import { agentSettingsSchema, routerSettingsSchema } from '../settings/schemas.js';
 import { ConsoleLogger } from '../telemetry/console-logger.js';
@@ -31,6 +29,7 @@
           ...(argv.router ? { routers: argv.router as never } : {}),
         });
         const logger = new ConsoleLogger(settings.log_level, settings.node.id);
+        const { startAgent } = await import('../programs/agent-program.js');
         const agent = await startAgent(settings, logger);
         stopOnSignal(logger, () => agent.stop());
       },
@@ -57,6 +56,7 @@
           log_level: argv.logLevel,
         });
         const logger = new ConsoleLogger(settings.log_level, settings.node.id);
+        const { startRouter } = await import('../programs/router-program.js');
         const router = await startRouter(settings, logger);
         stopOnSignal(logger, () => router.stop());
       },
--- a/src/main.ts
+++ b/src/main.ts
@@ -4,8 +4,6 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { addDaemonCommands } from './cli/daemon-commands.js';
-import { addLabCommands } from './cli/lab-commands.js';
-import { addTemplateCommands } from './cli/template-commands.js';
 import { ExitCode } from './cli/options.js';
 import { SettingsError } from './settings/settings-error.js';
 
@@ -29,4 +27,12 @@
     fail(`${message} (see --help)`, ExitCode.Usage);
   });
 
-await addLabCommands(addTemplateCommands(addDaemonCommands(base))).parseAsync();
+// Each group of commands is loaded only where it is used: a daemon must not carry the laboratory.
+const [group] = hideBin(process.argv);
+const isHelp = group === undefined || group.startsWith('-') || group === 'completion';
+const commands = addDaemonCommands(base);
+if (isHelp || group === 'template' || group === 'set') {
+  (await import('./cli/template-commands.js')).addTemplateCommands(commands);
+}
+if (isHelp || group === 'lab') (await import('./cli/lab-commands.js')).addLabCommands(commands);
+await commands.parseAsync();
