--- a/fuzz/commands.ts
+++ b/fuzz/commands.ts
@@ -126,6 +126,14 @@
   }),
 );
 
+const stallEngine = fc
+  .tuple(engine, fc.boolean())
+  .map(([index, stalled]) =>
+    command(`stallEngine(${index}, ${stalled})`, (world) =>
+      world.engines[index]?.setStalled(stalled),
+    ),
+  );
+
 const crashBackend = backend.map((index) =>
   command(`crashBackend(${index})`, (world) => world.backends[index]?.crash()),
 );
@@ -223,6 +231,7 @@
       loadWeights,
       upgrade,
       upgrade,
+      stallEngine,
       crashBackend,
       restartBackends,
       pauseRouter,
--- a/src/cli/lab-scale-command.ts
+++ b/src/cli/lab-scale-command.ts
@@ -2,7 +2,7 @@
 import { mkdirSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
 import type { Argv } from 'yargs';
-import { type ScaleFigures, runScale } from '../lab/scale/scale-run.js';
+import { type RecoveryFigures, type ScaleFigures, runScale } from '../lab/scale/scale-run.js';
 
 /** Adds `lab scale`. */
 export function addScaleCommand(yargs: Argv): Argv {
@@ -18,6 +18,11 @@
         .option('blocks', { type: 'number', default: 26_000, describe: 'kept blocks an engine' })
         .option('loss', { type: 'number', default: 0.05, describe: 'share of datagrams lost' })
         .option('simulated-minutes', { type: 'number', default: 1, describe: 'steady phase' })
+        .option('recovery', {
+          type: 'boolean',
+          default: true,
+          describe: 'measure failures too; --no-recovery ends after the configuration phase',
+        })
         .option('seed', { type: 'number', default: 1 })
         .option('out', { type: 'string', describe: 'folder for scale.json' }),
     async (argv) => {
@@ -33,7 +38,7 @@
       };
       const SECONDS_PER_MINUTE = 60;
       const steadySeconds = argv.simulatedMinutes * SECONDS_PER_MINUTE;
-      const figures = await runScale(size, steadySeconds, (phase) => {
+      const figures = await runScale(size, steadySeconds, argv.recovery, (phase) => {
         const seconds = ((performance.now() - startedMs) / 1_000).toFixed(0);
         process.stderr.write(`${seconds} s: ${phase}\n`);
       });
@@ -48,7 +53,7 @@
 }
 
 function formatFigures(figures: ScaleFigures): string {
-  const { size, steady, inForceSeconds } = figures;
+  const { size, steady, inForceSeconds, recovery } = figures;
   const nodeSeconds = size.nodes * steady.seconds;
   const kinds = steady.byKind.map(([kind, { bytes, messages }]) => {
     const bytesPerSecond = (bytes / nodeSeconds).toFixed(0);
@@ -65,9 +70,15 @@
     `false suspicions, deaths    ${steady.falseSuspicions}, ${steady.falseDeaths} in ${steady.seconds} s`,
     `open watches at the API     ${steady.openWatches}`,
     `configuration in force      p50 ${inForceSeconds.p50.toFixed(2)} s, p99 ${inForceSeconds.p99.toFixed(2)} s, worst ${inForceSeconds.worst.toFixed(2)} s`,
-    `crash known to all          ${figures.detectSeconds.toFixed(1)} s`,
-    `half restarted: ready       ${figures.herdReadySeconds.toFixed(1)} s, all see all ${figures.herdViewSeconds.toFixed(1)} s`,
-    `regions cut 120 s: healed   ${figures.regionHealSeconds.toFixed(1)} s`,
-    `restart without object API  ${figures.restartWithoutApiSeconds.toFixed(1)} s`,
+    ...(recovery ? formatRecovery(recovery) : ['failures and recovery       not run']),
   ].join('\n');
 }
+
+function formatRecovery(recovery: RecoveryFigures): string[] {
+  return [
+    `crash known to all          ${recovery.detectSeconds.toFixed(1)} s`,
+    `half restarted: ready       ${recovery.herdReadySeconds.toFixed(1)} s, all see all ${recovery.herdViewSeconds.toFixed(1)} s`,
+    `regions cut 120 s: healed   ${recovery.regionHealSeconds.toFixed(1)} s`,
+    `restart without object API  ${recovery.restartWithoutApiSeconds.toFixed(1)} s`,
+  ];
+}
--- a/src/coordination/router/generation-call.ts
+++ b/src/coordination/router/generation-call.ts
@@ -38,6 +38,10 @@
 /** How long a broken stream waits for an engine to continue on. */
 const CONTINUATION_WAIT_MS = 3_000;
 const CONTINUATION_POLL_MS = 100;
+/** A stream that has begun and shows no token for so long is taken for lost. */
+const STALL_LIMIT_MS = 4_000;
+/** An engine that has not computed a prompt by then is left, queue or not. */
+const FIRST_TOKEN_LIMIT_MS = 12_000;
 
 /** One attempt at one engine. Its listener goes deaf once it is given up. */
 interface Attempt {
@@ -62,6 +66,7 @@
   private firstUsage: EngineStreamStart | undefined;
   private continueUntilMs: number | undefined;
   private timers = new Set<Timer>();
+  private stallTimer: Timer | undefined;
 
   constructor(
     private readonly start: StartCall,
@@ -192,6 +197,7 @@
     const attempt: Attempt = { record, baseSequence, engineRequestId, stream, answered: false };
     this.attempt = attempt;
     this.ledger.apply(RequestEvent.Dispatch);
+    this.watchForStall(attempt, FIRST_TOKEN_LIMIT_MS);
     this.output.running({
       engineId: record.machine.engineId,
       incarnation: record.report?.incarnation ?? 0,
@@ -228,8 +234,23 @@
     this.firstUsage ??= start;
   }
 
+  /** An engine may hang with its connections open; only the lack of tokens shows it. */
+  private watchForStall(attempt: Attempt, limitMs: number): void {
+    this.stallTimer?.cancel();
+    this.stallTimer = this.context.clock.setTimer(limitMs, () => {
+      if (this.attempt !== attempt || this.ledger.isSettled) return;
+      // A caller that reads slowly has paused the stream; that is no fault of the engine.
+      if (this.relay.isFull || this.finish) this.watchForStall(attempt, limitMs);
+      else {
+        attempt.stream?.cancel();
+        this.onFailure(attempt, { kind: 'interrupted', reason: 'engine stalled' });
+      }
+    });
+  }
+
   private onTokens(attempt: Attempt, offset: number, texts: readonly string[]): void {
     this.answering(attempt);
+    this.watchForStall(attempt, STALL_LIMIT_MS);
     this.context.statistics.chunks += texts.length;
     if (!this.relay.take(attempt.baseSequence + offset, texts)) {
       this.onFailure(attempt, { kind: 'interrupted', reason: 'tokens missing' });
@@ -344,6 +365,7 @@
 
   private end(result: string): void {
     this.attempt = undefined;
+    this.stallTimer?.cancel();
     for (const timer of this.timers) timer.cancel();
     this.timers.clear();
     this.context.logger.info('request_ended', {
--- a/src/lab/engine/engine-core.ts
+++ b/src/lab/engine/engine-core.ts
@@ -72,6 +72,7 @@
   private running: EngineSequence[] = [];
   private arrivals = 0;
   private stepTimer: Timer | undefined;
+  private isStalled = false;
   private shownLoad: EngineLoadReport;
   private shownAtMs = Number.NEGATIVE_INFINITY;
 
@@ -181,6 +182,12 @@
     return { incarnation: this.incarnation, nextSequence: this.log.nextSequence, blocks };
   }
 
+  /** Hangs: takes requests and answers status, but computes nothing until released. */
+  setStalled(stalled: boolean): void {
+    this.isStalled = stalled;
+    if (!stalled) this.scheduleStep();
+  }
+
   /** Loses everything; refuses until {@link restart}. */
   crash(): void {
     this.alive = false;
@@ -251,7 +258,7 @@
   }
 
   private scheduleStep(): void {
-    if (this.stepTimer || !this.alive || this.activeRequests === 0) return;
+    if (this.stepTimer || !this.alive || this.isStalled || this.activeRequests === 0) return;
     this.admit();
     const prefilled = this.planPrefill();
     const prefillMs = (prefilled / this.settings.prefillTokensPerSecond) * MS_PER_SECOND;
--- a/src/lab/scale/scale-run.ts
+++ b/src/lab/scale/scale-run.ts
@@ -16,6 +16,12 @@
   readonly steady: SteadyFigures;
   /** From the write to force at every node, over all nodes and writes. */
   readonly inForceSeconds: { readonly p50: number; readonly p99: number; readonly worst: number };
+  /** Undefined where the run ended after the configuration phase. */
+  readonly recovery: RecoveryFigures | undefined;
+}
+
+/** How the group comes back from failures. Times in seconds of virtual time. */
+export interface RecoveryFigures {
   /** From a crash to the last node that knows. */
   readonly detectSeconds: number;
   /** From a restart of half the nodes until all are ready, and until all see all. */
@@ -44,10 +50,11 @@
 /** Hears which phase begins. */
 export type PhaseListener = (phase: string) => void;
 
-/** Runs all phases at one size. */
+/** Runs the phases at one size; failures and recovery only where asked for. */
 export async function runScale(
   size: ScaleSize,
   steadySeconds: number,
+  withRecovery: boolean,
   onPhase: PhaseListener,
 ): Promise<ScaleFigures> {
   const scale = await ScaleCluster.create(size);
@@ -57,6 +64,14 @@
   const steady = await measureSteady(scale, steadySeconds);
   onPhase('configuration');
   const inForceSeconds = await measureInForce(scale);
+  const recovery = withRecovery ? await measureRecovery(scale, onPhase) : undefined;
+  return { size, joinSeconds, steady, inForceSeconds, recovery };
+}
+
+async function measureRecovery(
+  scale: ScaleCluster,
+  onPhase: PhaseListener,
+): Promise<RecoveryFigures> {
   onPhase('detection');
   const detectSeconds = await measureDetection(scale);
   onPhase('herd restart');
@@ -66,10 +81,6 @@
   onPhase('restart without object API');
   const restartWithoutApiSeconds = await measureRestartWithoutApi(scale);
   return {
-    size,
-    joinSeconds,
-    steady,
-    inForceSeconds,
     detectSeconds,
     herdReadySeconds: herd.ready,
     herdViewSeconds: herd.view,
--- a/src/lab/simulation/world.ts
+++ b/src/lab/simulation/world.ts
@@ -201,7 +201,10 @@
     this.store.faults.delayMs = 0;
     this.heal();
     Object.assign(this.network.faults, { jitterMs: 1, datagramLoss: 0, datagramDuplication: 0 });
-    for (const core of this.engines) if (!core.isAlive) core.restart();
+    for (const core of this.engines) {
+      core.setStalled(false);
+      if (!core.isAlive) core.restart();
+    }
     for (const core of this.backends) if (!core.isAlive) core.restart();
     this.restartAll();
     const ALL_ENDED_LIMIT_MS = 25_000;
--- a/test/survival.test.ts
+++ b/test/survival.test.ts
@@ -48,6 +48,18 @@
   t.deepEqual(failuresOf(world), []);
 });
 
+test('streams outlive an engine that hangs with its connections open', async (t) => {
+  const world = await World.create(6);
+  await streamsInProgress(world);
+  world.engines[0]?.setStalled(true);
+  world.engines[2]?.setStalled(true);
+  await world.clock.advance(LONG_MS);
+  t.true(world.requests.every((request) => request.isEnded));
+  await world.settle();
+  t.deepEqual(findViolations(world), []);
+  t.deepEqual(failuresOf(world), []);
+});
+
 test('a rolling planned stop of all routers and agents cuts nothing', async (t) => {
   const world = await World.create(7);
   const load = async (): Promise<void> => {
