--- a/test/survival.test.ts
+++ b/test/survival.test.ts
@@ -1,6 +1,8 @@
 /** Named failures on the simulated deployment, each a promise of the brief. */
 import test from 'ava';
+import { INITIAL_CREDIT } from '../src/coordination/agent/agent-call.js';
 import { ALL_PROTECTIONS } from '../src/coordination/router/settings.js';
+import { expectedText } from '../src/lab/engine/token-model.js';
 import { findViolations } from '../src/lab/simulation/oracle.js';
 import { World } from '../src/lab/simulation/world.js';
 
@@ -60,6 +62,46 @@
   t.deepEqual(failuresOf(world), []);
 });
 
+test('a slow caller holds its stream back at the engine, and still gets it whole', async (t) => {
+  const world = await World.create(12);
+  const agent = world.agents[0]?.node;
+  if (!agent) throw new Error('no agent');
+  const MAX_TOKENS = 1_200;
+  const prompt = 'a caller that reads slowly';
+  const texts: string[] = [];
+  let finished = false;
+  const handle = agent.submit(
+    {
+      kind: 'generation',
+      requestId: 'slow',
+      tenant: 'tenant-a',
+      deadlineMs: 120_000,
+      priority: 0,
+      keyed: false,
+      routeKey: 1n,
+      model: 'model',
+      prompt: new TextEncoder().encode(prompt),
+      maxTokens: MAX_TOKENS,
+    },
+    {
+      onTexts: (_sequence, fresh) => texts.push(...fresh),
+      onFinished: () => (finished = true),
+      onOutcome: () => undefined,
+      onFailed: (failed) => t.fail(failed.failure.message),
+    },
+  );
+  await world.clock.advance(30_000);
+  t.is(texts.length, INITIAL_CREDIT);
+  const relayed = world.routers.reduce((sum, { node }) => sum + node.statistics.chunks, 0);
+  t.true(relayed < 2 * INITIAL_CREDIT, 'a router holds no more than its mark beyond the credit');
+  for (let taken = 0; taken < 10 && !finished; taken += 1) {
+    handle.consumed(INITIAL_CREDIT);
+    await world.clock.advance(5_000);
+  }
+  t.true(finished);
+  t.is(texts.join(''), expectedText(world.tokenModel, prompt, MAX_TOKENS));
+});
+
 test('a rolling planned stop of all routers and agents cuts nothing', async (t) => {
   const world = await World.create(7);
   const load = async (): Promise<void> => {
