--- a/src/edge/caller-api/api-error.ts
+++ b/src/edge/caller-api/api-error.ts
@@ -1,4 +1,5 @@
 /** Errors as callers see them: `{error: {type, message, not_run, request_id}}`. */
+import { HttpStatus } from '../../protocol/http-status.js';
 import type Hapi from '@hapi/hapi';
 import { type FailedCall, retryAfterOf } from '../../coordination/errors.js';
 
@@ -12,15 +13,6 @@
   readonly retryAfterSeconds: number;
 }
 
-const BAD_REQUEST = 400;
-const UNAUTHORIZED = 401;
-const FORBIDDEN = 403;
-const NOT_FOUND = 404;
-const CONFLICT = 409;
-const TOO_MANY_REQUESTS = 429;
-const UNAVAILABLE = 503;
-const TIMEOUT = 504;
-
 const MS_PER_SECOND = 1_000;
 
 /** An error found before anything was sent. */
@@ -29,14 +21,15 @@
 }
 
 export const invalidRequest = (message: string): ApiError =>
-  unsent(BAD_REQUEST, 'invalid_request_error', message);
+  unsent(HttpStatus.BadRequest, 'invalid_request_error', message);
 export const invalidKey = (): ApiError =>
-  unsent(UNAUTHORIZED, 'authentication_error', 'the bearer key is missing or not known');
-export const notFound = (message: string): ApiError => unsent(NOT_FOUND, 'not_found', message);
+  unsent(HttpStatus.Unauthorized, 'authentication_error', 'the bearer key is missing or not known');
+export const notFound = (message: string): ApiError =>
+  unsent(HttpStatus.NotFound, 'not_found', message);
 export const forbidden = (message: string): ApiError =>
-  unsent(FORBIDDEN, 'permission_error', message);
+  unsent(HttpStatus.Forbidden, 'permission_error', message);
 export const notReady = (): ApiError => ({
-  ...unsent(UNAVAILABLE, 'unavailable', 'no configuration has been received yet'),
+  ...unsent(HttpStatus.Unavailable, 'unavailable', 'no configuration has been received yet'),
   retryAfterSeconds: 1,
 });
 
@@ -53,19 +46,19 @@
   });
   switch (failure.kind) {
     case 'overloaded':
-      return error(TOO_MANY_REQUESTS, 'overloaded');
+      return error(HttpStatus.TooManyRequests, 'overloaded');
     case 'unavailable':
-      return error(UNAVAILABLE, 'unavailable');
+      return error(HttpStatus.Unavailable, 'unavailable');
     case 'try-another-router':
-      return { ...error(UNAVAILABLE, 'unavailable'), retryAfterSeconds: 1 };
+      return { ...error(HttpStatus.Unavailable, 'unavailable'), retryAfterSeconds: 1 };
     case 'deadline':
-      return error(TIMEOUT, 'deadline_exceeded');
+      return error(HttpStatus.GatewayTimeout, 'deadline_exceeded');
     case 'forbidden':
-      return error(FORBIDDEN, 'permission_error');
+      return error(HttpStatus.Forbidden, 'permission_error');
     case 'invalid':
-      return error(NOT_FOUND, 'not_found');
+      return error(HttpStatus.NotFound, 'not_found');
     case 'outcome-unknown':
-      return error(CONFLICT, 'outcome_unknown');
+      return error(HttpStatus.Conflict, 'outcome_unknown');
   }
 }
 
--- a/src/edge/caller-api/server.ts
+++ b/src/edge/caller-api/server.ts
@@ -1,4 +1,5 @@
 /** The callers' door: the chat-completions interface over HTTP (docs/INTERFACES.md). */
+import { HttpStatus } from '../../protocol/http-status.js';
 import Hapi from '@hapi/hapi';
 import type { AgentNode } from '../../coordination/agent/agent-node.js';
 import { formatAddress, parseAddress } from '../../transport/address.js';
@@ -8,8 +9,6 @@
 import { serviceHandler } from './service-handler.js';
 
 const MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
-const HTTP_NOT_FOUND = 404;
-const HTTP_TOO_LARGE = 413;
 const MS_PER_SECOND = 1_000;
 
 /** The running interface. */
@@ -84,10 +83,10 @@
     if (!('isBoom' in response)) return h.continue;
     const { statusCode: status } = response.output;
     const message = response.message;
-    if (status === HTTP_NOT_FOUND) {
+    if (status === HttpStatus.NotFound) {
       return respondError(h, notFound(`no such path: ${request.path}`), '');
     }
-    if (status === HTTP_TOO_LARGE) {
+    if (status === HttpStatus.ContentTooLarge) {
       const error = { ...invalidRequest(`body over ${MAXIMUM_BODY_BYTES} bytes`), status };
       return respondError(h, error, '');
     }
--- a/src/lab/backend/backend-core.ts
+++ b/src/lab/backend/backend-core.ts
@@ -1,5 +1,6 @@
 /** The stand-in plain back end: flag state, audit, booking. Records each run by request identifier. */
 
+import { HttpStatus } from '../../protocol/http-status.js';
 import { type Clock, sleep } from '../../runtime/clock.js';
 import {
   type BackendAnswer,
@@ -22,8 +23,6 @@
   | { readonly kind: 'refused'; readonly reason: string }
   | { readonly kind: 'lost' };
 
-const HTTP_OK = 200;
-
 /** State of requests shared by all machines of one service, as a database behind them would be. */
 export class BackendStore {
   private readonly fenced = new Set<string>();
@@ -105,7 +104,7 @@
     await sleep(this.clock, this.settings.workMs);
     if (life !== this.life) return { kind: 'lost' };
     this.running -= 1;
-    const answer = { status: HTTP_OK, body: answerOf(invocation) };
+    const answer = { status: HttpStatus.Ok, body: answerOf(invocation) };
     this.store.finish(invocation.requestId, answer);
     return { kind: 'answered', answer };
   }
--- a/src/lab/backend/http-face.ts
+++ b/src/lab/backend/http-face.ts
@@ -1,10 +1,9 @@
 /** The stand-in plain back end over HTTP (docs/INTERFACES.md, "Plain back end"). */
+import { HttpStatus } from '../../protocol/http-status.js';
 import { z } from 'zod';
 import { type StandInServer, createStandInServer, startStandIn } from '../http-server.js';
 import type { BackendCore } from './backend-core.js';
 
-const HTTP_BAD_REQUEST = 400;
-const HTTP_UNAVAILABLE = 503;
 const OPERATION_TIMEOUT_MS = 60_000;
 
 const invocationSchema = z.object({
@@ -21,7 +20,7 @@
     path: '/v1/{service}/{operation}',
     handler: async (request, h) => {
       const body = invocationSchema.safeParse(request.payload);
-      if (!body.success) return h.response({ error: 'malformed' }).code(HTTP_BAD_REQUEST);
+      if (!body.success) return h.response({ error: 'malformed' }).code(HttpStatus.BadRequest);
       const result = await core.run({
         requestId: body.data.request_id,
         tenant: body.data.tenant,
@@ -31,7 +30,7 @@
         timeoutMs: OPERATION_TIMEOUT_MS,
       });
       if (result.kind === 'refused') {
-        return h.response({ not_run: true, reason: result.reason }).code(HTTP_UNAVAILABLE);
+        return h.response({ not_run: true, reason: result.reason }).code(HttpStatus.Unavailable);
       }
       if (result.kind === 'lost') {
         request.raw.req.socket.destroy();
--- a/src/lab/engine/http-face.ts
+++ b/src/lab/engine/http-face.ts
@@ -1,4 +1,5 @@
 /** The stand-in engine over HTTP, as docs/INTERFACES.md describes a model engine. */
+import { HttpStatus } from '../../protocol/http-status.js';
 import { PassThrough } from 'node:stream';
 import type Hapi from '@hapi/hapi';
 import { z } from 'zod';
@@ -23,10 +24,6 @@
 import type { EngineSequence } from './sequence.js';
 import { StreamCursor } from './stream-cursor.js';
 
-const HTTP_BAD_REQUEST = 400;
-const HTTP_NOT_FOUND = 404;
-const HTTP_NO_CONTENT = 204;
-const HTTP_UNAVAILABLE = 503;
 const EVENT_POLL_MS = 40;
 
 const faultsSchema = z.strictObject({
@@ -60,9 +57,9 @@
     path: '/v1/generate',
     handler: (request, h) => {
       const body = generationSchema.safeParse(request.payload);
-      if (!body.success) return refuse(h, HTTP_BAD_REQUEST, 'malformed');
+      if (!body.success) return refuse(h, HttpStatus.BadRequest, 'malformed');
       const result = core.accept(generationFromWire(body.data));
-      if (result.kind === 'refused') return refuse(h, HTTP_UNAVAILABLE, result.reason);
+      if (result.kind === 'refused') return refuse(h, HttpStatus.Unavailable, result.reason);
       return streamFrom(h, core, result.sequence, 0);
     },
   });
@@ -71,7 +68,7 @@
     path: '/v1/requests/{id}/stream',
     handler: (request, h) => {
       const sequence = core.find(String(request.params.id));
-      if (!sequence) return h.response({ error: 'no such stream' }).code(HTTP_NOT_FOUND);
+      if (!sequence) return h.response({ error: 'no such stream' }).code(HttpStatus.NotFound);
       return streamFrom(h, core, sequence, queryNumber(request, 'offset', 0));
     },
   });
@@ -80,7 +77,7 @@
     path: '/v1/requests/{id}',
     handler: (request, h) => {
       core.cancel(String(request.params.id));
-      return h.response().code(HTTP_NO_CONTENT);
+      return h.response().code(HttpStatus.NoContent);
     },
   });
 }
@@ -118,9 +115,9 @@
     path: '/lab/faults',
     handler: (request, h) => {
       const faults = faultsSchema.safeParse(request.payload);
-      if (!faults.success) return h.response({ error: 'malformed' }).code(HTTP_BAD_REQUEST);
+      if (!faults.success) return h.response({ error: 'malformed' }).code(HttpStatus.BadRequest);
       applyFaults(core, faults.data);
-      return h.response().code(HTTP_NO_CONTENT);
+      return h.response().code(HttpStatus.NoContent);
     },
   });
 }
--- a/src/lab/load/load-generator.ts
+++ b/src/lab/load/load-generator.ts
@@ -1,4 +1,5 @@
 /** Sends sample traffic to an agent as an ordinary caller would, over HTTP. */
+import { HttpStatus } from '../../protocol/http-status.js';
 import Wreck from '@hapi/wreck';
 import http from 'node:http';
 import { createParser } from 'eventsource-parser';
@@ -6,7 +7,6 @@
 import { Measurements, type RequestMeasurement } from './measurements.js';
 import type { SampleRequest, Workload } from './workload.js';
 
-const HTTP_OK = 200;
 const DONE = '[DONE]';
 
 interface StreamChunk {
@@ -100,7 +100,7 @@
       stream_options: { include_usage: true },
     }),
   });
-  if (response.statusCode !== HTTP_OK) {
+  if (response.statusCode !== HttpStatus.Ok) {
     state.error = `status_${response.statusCode ?? 0}`;
     response.resume();
     return;
--- a/src/lab/platform/http-face.ts
+++ b/src/lab/platform/http-face.ts
@@ -1,4 +1,5 @@
 /** The stand-in platform over HTTP: object API and machine list (docs/INTERFACES.md). */
+import { HttpStatus } from '../../protocol/http-status.js';
 import type Hapi from '@hapi/hapi';
 import { z } from 'zod';
 import { type Clock, sleep } from '../../runtime/clock.js';
@@ -12,12 +13,6 @@
 import type { MachineRegistry } from './machine-registry.js';
 import type { ObjectStore } from './object-store.js';
 
-const HTTP_BAD_REQUEST = 400;
-const HTTP_NOT_FOUND = 404;
-const HTTP_CONFLICT = 409;
-const HTTP_NOT_MODIFIED = 304;
-const HTTP_NO_CONTENT = 204;
-
 const writeSchema = z.strictObject({
   content: z.string(),
   expected_version: z.number().int().min(0),
@@ -57,9 +52,9 @@
     handler: async (request, h) => {
       const name = String(request.params.name);
       const after = queryNumber(request, 'after', -1);
-      if (after < 0) return store.read(name) ?? h.response({}).code(HTTP_NOT_FOUND);
+      if (after < 0) return store.read(name) ?? h.response({}).code(HttpStatus.NotFound);
       const object = await store.watch(name, after, queryNumber(request, 'wait_ms', 0));
-      return object ?? h.response().code(HTTP_NOT_MODIFIED);
+      return object ?? h.response().code(HttpStatus.NotModified);
     },
   });
   server.route({
@@ -67,7 +62,7 @@
     path: '/objects/{name}',
     handler: (request, h) => {
       const body = writeSchema.safeParse(request.payload);
-      if (!body.success) return h.response({ error: 'malformed' }).code(HTTP_BAD_REQUEST);
+      if (!body.success) return h.response({ error: 'malformed' }).code(HttpStatus.BadRequest);
       const { content, expected_version: expectedVersion } = body.data;
       const result = store.write(String(request.params.name), content, expectedVersion);
       if (store.faults.loseWriteAnswers > 0) {
@@ -76,7 +71,7 @@
         return h.abandon;
       }
       if (result.kind === 'written') return { version: result.version };
-      return h.response({ version: result.presentVersion }).code(HTTP_CONFLICT);
+      return h.response({ version: result.presentVersion }).code(HttpStatus.Conflict);
     },
   });
 }
@@ -88,7 +83,7 @@
     handler: async (request, h) => {
       const after = queryNumber(request, 'after', -1);
       const list = await machines.watch(after, queryNumber(request, 'wait_ms', 0));
-      return list ?? h.response().code(HTTP_NOT_MODIFIED);
+      return list ?? h.response().code(HttpStatus.NotModified);
     },
   });
   server.route({
@@ -96,9 +91,9 @@
     path: '/machines/{id}',
     handler: (request, h) => {
       const machine = machineSchema.safeParse(request.payload);
-      if (!machine.success) return h.response({ error: 'malformed' }).code(HTTP_BAD_REQUEST);
+      if (!machine.success) return h.response({ error: 'malformed' }).code(HttpStatus.BadRequest);
       machines.put(machine.data);
-      return h.response().code(HTTP_NO_CONTENT);
+      return h.response().code(HttpStatus.NoContent);
     },
   });
   server.route({
@@ -106,7 +101,7 @@
     path: '/machines/{id}',
     handler: (request, h) => {
       machines.remove(String(request.params.id));
-      return h.response().code(HTTP_NO_CONTENT);
+      return h.response().code(HttpStatus.NoContent);
     },
   });
 }
@@ -117,12 +112,12 @@
     path: '/lab/faults',
     handler: (request, h) => {
       const faults = faultsSchema.safeParse(request.payload);
-      if (!faults.success) return h.response({ error: 'malformed' }).code(HTTP_BAD_REQUEST);
+      if (!faults.success) return h.response({ error: 'malformed' }).code(HttpStatus.BadRequest);
       store.faults.down = faults.data.down ?? store.faults.down;
       store.faults.delayMs = faults.data.delay_ms ?? store.faults.delayMs;
       store.faults.loseWriteAnswers =
         faults.data.lose_write_answers ?? store.faults.loseWriteAnswers;
-      return h.response().code(HTTP_NO_CONTENT);
+      return h.response().code(HttpStatus.NoContent);
     },
   });
 }
--- a/src/protocol/engine/http-client.ts
+++ b/src/protocol/engine/http-client.ts
@@ -1,4 +1,5 @@
 /** The engine port over HTTP and server-sent events (docs/INTERFACES.md, "Model engine"). */
+import { HttpStatus } from '../http-status.js';
 import type { IncomingMessage } from 'node:http';
 import { type EventSourceParser, createParser } from 'eventsource-parser';
 import { ProtocolFailure, toProtocolError } from '../errors.js';
@@ -22,8 +23,6 @@
   usageFromWire,
 } from './wire-mapping.js';
 
-const HTTP_OK = 200;
-const HTTP_NOT_FOUND = 404;
 /** Time beyond the engine's own wait that an answer may take. */
 const ANSWER_TIMEOUT_MS = 2_000;
 
@@ -49,7 +48,7 @@
       return;
     }
     if (this.closed) response.destroy();
-    else if (response.statusCode === HTTP_OK) this.read(response);
+    else if (response.statusCode === HttpStatus.Ok) this.read(response);
     else this.fail(await refusalOf(response));
   }
 
@@ -160,7 +159,7 @@
 
 async function getJson(address: string, path: string, timeoutMs: number): Promise<unknown> {
   const answer = await exchangeJson('GET', address, path, undefined, timeoutMs);
-  if (answer.status !== HTTP_OK) {
+  if (answer.status !== HttpStatus.Ok) {
     throw new ProtocolFailure({ kind: 'rejected', status: answer.status, reason: path });
   }
   return answer.body;
@@ -178,7 +177,7 @@
   const text = await Wreck.read(response, {}).then(String, () => '');
   const refusal = refusalSchema.safeParse(parseQuietly(text));
   if (refusal.success) return { kind: 'refused', reason: refusal.data.reason };
-  if (status === HTTP_NOT_FOUND) return { kind: 'not-found' };
+  if (status === HttpStatus.NotFound) return { kind: 'not-found' };
   return { kind: 'interrupted', reason: `status ${status}` };
 }
 
--- a/src/protocol/machine-list/http-client.ts
+++ b/src/protocol/machine-list/http-client.ts
@@ -1,11 +1,10 @@
 /** The machine list port over HTTP (docs/INTERFACES.md, "Machine list"). */
+import { HttpStatus } from '../http-status.js';
 import { z } from 'zod';
 import { ProtocolFailure } from '../errors.js';
 import { exchangeJson } from '../http-json.js';
 import type { MachineList, MachineListPort } from './port.js';
 
-const HTTP_OK = 200;
-const HTTP_NOT_MODIFIED = 304;
 const ANSWER_TIMEOUT_MS = 2_000;
 
 /** One machine, in JSON as in the replicated document. */
@@ -29,9 +28,9 @@
     const path = `/machines?after=${afterVersion}&wait_ms=${waitMs}`;
     const timeoutMs = waitMs + ANSWER_TIMEOUT_MS;
     const answer = await exchangeJson('GET', this.address, path, undefined, timeoutMs);
-    if (answer.status === HTTP_NOT_MODIFIED) return undefined;
+    if (answer.status === HttpStatus.NotModified) return undefined;
     const list = listSchema.safeParse(answer.body);
-    if (answer.status !== HTTP_OK || !list.success) {
+    if (answer.status !== HttpStatus.Ok || !list.success) {
       const { status } = answer;
       throw new ProtocolFailure({ kind: 'rejected', status, reason: 'machine list' });
     }
--- a/src/protocol/object-api/http-client.ts
+++ b/src/protocol/object-api/http-client.ts
@@ -1,13 +1,10 @@
 /** The object API port over HTTP (docs/INTERFACES.md, "Object API"). */
+import { HttpStatus } from '../http-status.js';
 import { z } from 'zod';
 import { ProtocolFailure } from '../errors.js';
 import { type JsonAnswer, exchangeJson } from '../http-json.js';
 import type { ObjectApiPort, StoredObject } from './port.js';
 
-const HTTP_OK = 200;
-const HTTP_NOT_MODIFIED = 304;
-const HTTP_NOT_FOUND = 404;
-const HTTP_CONFLICT = 409;
 const ANSWER_TIMEOUT_MS = 2_000;
 
 const objectSchema = z.object({ version: z.number().int(), content: z.string() });
@@ -25,7 +22,7 @@
       undefined,
       ANSWER_TIMEOUT_MS,
     );
-    return answer.status === HTTP_NOT_FOUND ? undefined : objectOf(answer);
+    return answer.status === HttpStatus.NotFound ? undefined : objectOf(answer);
   }
 
   async write(name: string, content: string, expectedVersion: number): Promise<number> {
@@ -38,10 +35,10 @@
       ANSWER_TIMEOUT_MS,
     );
     const written = writtenSchema.safeParse(answer.body);
-    if (answer.status === HTTP_CONFLICT && written.success) {
+    if (answer.status === HttpStatus.Conflict && written.success) {
       throw new ProtocolFailure({ kind: 'conflict', presentVersion: written.data.version });
     }
-    if (answer.status !== HTTP_OK || !written.success) throw rejected(answer);
+    if (answer.status !== HttpStatus.Ok || !written.success) throw rejected(answer);
     return written.data.version;
   }
 
@@ -53,7 +50,7 @@
     const path = `${pathOf(name)}?after=${afterVersion}&wait_ms=${waitMs}`;
     const timeoutMs = waitMs + ANSWER_TIMEOUT_MS;
     const answer = await exchangeJson('GET', this.address, path, undefined, timeoutMs);
-    return answer.status === HTTP_NOT_MODIFIED ? undefined : objectOf(answer);
+    return answer.status === HttpStatus.NotModified ? undefined : objectOf(answer);
   }
 }
 
@@ -63,7 +60,7 @@
 
 function objectOf(answer: JsonAnswer): StoredObject {
   const object = objectSchema.safeParse(answer.body);
-  if (answer.status !== HTTP_OK || !object.success) throw rejected(answer);
+  if (answer.status !== HttpStatus.Ok || !object.success) throw rejected(answer);
   return object.data;
 }
 
--- a/src/protocol/plain-backend/http-client.ts
+++ b/src/protocol/plain-backend/http-client.ts
@@ -1,4 +1,5 @@
 /** The plain back end port over HTTP (docs/INTERFACES.md, "Plain back end"). */
+import { HttpStatus } from '../http-status.js';
 import { z } from 'zod';
 import { toProtocolError } from '../errors.js';
 import { type JsonAnswer, exchangeJson } from '../http-json.js';
@@ -10,7 +11,6 @@
   PlainBackendPort,
 } from './port.js';
 
-const HTTP_SERVER_ERROR = 500;
 const LOOKUP_TIMEOUT_MS = 1_000;
 
 const refusalSchema = z.object({ not_run: z.literal(true), reason: z.string() });
@@ -64,7 +64,7 @@
 function resultOf(answer: JsonAnswer): InvocationResult {
   const refusal = refusalSchema.safeParse(answer.body);
   if (refusal.success) return { kind: 'refused', reason: refusal.data.reason };
-  if (answer.status >= HTTP_SERVER_ERROR) {
+  if (answer.status >= HttpStatus.ServerError) {
     return { kind: 'interrupted', reason: `status ${answer.status}` };
   }
   return { kind: 'answered', answer: answerOf(answer.status, answer.body) };
--- a/src/telemetry/operations-server.ts
+++ b/src/telemetry/operations-server.ts
@@ -1,10 +1,9 @@
 /** The operations port of a daemon: `/metrics`, `/healthz`, `/readyz`. */
+import { HttpStatus } from '../protocol/http-status.js';
 import Hapi from '@hapi/hapi';
 import { Gauge, Registry, collectDefaultMetrics } from 'prom-client';
 import { formatAddress, parseAddress } from '../transport/address.js';
 
-const HTTP_UNAVAILABLE = 503;
-
 /** A figure shown on the metrics page. */
 export interface Metric {
   readonly name: string;
@@ -50,7 +49,7 @@
     method: 'GET',
     path: '/readyz',
     handler: (_request, h) =>
-      isReady() ? 'ready\n' : h.response('not ready\n').code(HTTP_UNAVAILABLE),
+      isReady() ? 'ready\n' : h.response('not ready\n').code(HttpStatus.Unavailable),
   });
   await server.start();
   return {
