--- a/src/lab/simulation/world.ts
+++ b/src/lab/simulation/world.ts
@@ -211,7 +211,9 @@
     const STEP_MS = 250;
     const ended = (): boolean => this.requests.every((request) => request.isEnded);
     await this.clock.advanceUntil(ended, ALL_ENDED_LIMIT_MS, STEP_MS);
-    // Planned stops ended with the last request; those processes come back too.
+    // Planned stops end soon after the last request; those processes come back too.
+    const STOPS_MS = 1_000;
+    await this.clock.advance(STOPS_MS);
     this.restartAll();
     const CONVERGENCE_MS = 8_000;
     await this.clock.advance(CONVERGENCE_MS);
