--- a/src/coordination/agent/agent-node.ts
+++ b/src/coordination/agent/agent-node.ts
@@ -87,11 +87,6 @@
     this.logger.info('agent_stopped');
   }
 
-  /** Ends at once, as a crash does. */
-  kill(): void {
-    this.links.destroy();
-  }
-
   /** A new request identifier. */
   mintRequestId(): string {
     return randomIdentifier(this.random);
--- a/src/coordination/agent/router-links.ts
+++ b/src/coordination/agent/router-links.ts
@@ -58,13 +58,6 @@
     for (const link of [...this.links.values()]) link.channel.close();
   }
 
-  /** Ends all links at once, as a crash does. */
-  destroy(): void {
-    this.stopped = true;
-    this.upkeep?.cancel();
-    for (const link of [...this.links.values()]) link.channel.destroy();
-  }
-
   get openLinks(): number {
     return this.links.size;
   }
--- a/src/coordination/router/generation-call.ts
+++ b/src/coordination/router/generation-call.ts
@@ -29,6 +29,7 @@
 import type { CallEnded, RouterCall } from './call.js';
 import type { CallOutput } from './call-output.js';
 import type { RouterContext } from './router-context.js';
+import { FIRST_TOKEN_LIMIT_MS, STALL_LIMIT_MS, StallWatch } from './stall-watch.js';
 import { TokenRelay } from './token-relay.js';
 
 /** Dispatches of one request at one router at most. */
@@ -38,10 +39,6 @@
 /** How long a broken stream waits for an engine to continue on. */
 const CONTINUATION_WAIT_MS = 3_000;
 const CONTINUATION_POLL_MS = 100;
-/** A stream that has begun and shows no token for so long is taken for lost. */
-const STALL_LIMIT_MS = 4_000;
-/** An engine that has not computed a prompt by then is left, queue or not. */
-const FIRST_TOKEN_LIMIT_MS = 12_000;
 
 /** One attempt at one engine. Its listener goes deaf once it is given up. */
 interface Attempt {
@@ -66,7 +63,7 @@
   private firstUsage: EngineStreamStart | undefined;
   private continueUntilMs: number | undefined;
   private timers = new Set<Timer>();
-  private stallTimer: Timer | undefined;
+  private readonly stallWatch: StallWatch;
 
   constructor(
     private readonly start: StartCall,
@@ -79,6 +76,10 @@
     this.startedMs = context.clock.now();
     this.ledger = new RequestLedger(start.earlierUnproven);
     this.relay = new TokenRelay(output, this.generation.deliveredChunks, start.initialCredit);
+    this.stallWatch = new StallWatch(
+      context.clock,
+      () => this.relay.isFull || this.finish !== undefined,
+    );
     this.seed = chainSeed(context.hasher, {
       tenant: context.protections.tenantSalt ? start.tenant : '',
       model: allowed.model,
@@ -236,15 +237,10 @@
 
   /** An engine may hang with its connections open; only the lack of tokens shows it. */
   private watchForStall(attempt: Attempt, limitMs: number): void {
-    this.stallTimer?.cancel();
-    this.stallTimer = this.context.clock.setTimer(limitMs, () => {
+    this.stallWatch.expectWithin(limitMs, () => {
       if (this.attempt !== attempt || this.ledger.isSettled) return;
-      // A caller that reads slowly has paused the stream; that is no fault of the engine.
-      if (this.relay.isFull || this.finish) this.watchForStall(attempt, limitMs);
-      else {
-        attempt.stream?.cancel();
-        this.onFailure(attempt, { kind: 'interrupted', reason: 'engine stalled' });
-      }
+      attempt.stream?.cancel();
+      this.onFailure(attempt, { kind: 'interrupted', reason: 'engine stalled' });
     });
   }
 
@@ -365,7 +361,7 @@
 
   private end(result: string): void {
     this.attempt = undefined;
-    this.stallTimer?.cancel();
+    this.stallWatch.stop();
     for (const timer of this.timers) timer.cancel();
     this.timers.clear();
     this.context.logger.info('request_ended', {
--- a/src/coordination/router/peer-pool.ts
+++ b/src/coordination/router/peer-pool.ts
@@ -78,12 +78,6 @@
     for (const channel of this.channels) channel.close();
   }
 
-  /** Ends all channels at once, as a crash does. */
-  destroy(): void {
-    this.stopped = true;
-    for (const channel of [...this.channels]) channel.destroy();
-  }
-
   onOpen(channel: PeerChannel, hello: Hello): void {
     if (hello.role === NodeRole.AGENT) this.agents.add(channel);
     else this.adopt(channel, hello.nodeId);
--- a/src/coordination/router/router-node.ts
+++ b/src/coordination/router/router-node.ts
@@ -198,12 +198,6 @@
     this.logger.info('router_stopped');
   }
 
-  /** Ends at once without a word, as a crash does. */
-  kill(): void {
-    this.close();
-    this.pool.destroy();
-  }
-
   private close(): void {
     this.tableTimer?.cancel();
     this.reader.stop();
