Do not warn of the platform after a router was told to stop

Cause: stopping a whole deployment logged four warnings of lost reads, from readers already stopped. Conclusion: the log of a planned stop holds only what matters.

--- a/src/coordination/router/platform-reader.ts
+++ b/src/coordination/router/platform-reader.ts
@@ -59,6 +59,8 @@
         await read();
         failures = 0;
       } catch (error) {
+        // The platform may go first where everything is stopped at once.
+        if (this.stopped) return;
         if (failures === 0) this.logFailure(source, error);
         await sleep(this.clock, backoffDelayMs(this.random, failures) + 1);
         failures += 1;
