--- a/bench/deployment.ts
+++ b/bench/deployment.ts
@@ -8,6 +8,7 @@
 import { engineSettingsOf, startEngine, startPlatform } from '../src/programs/stand-in-programs.js';
 import type { EngineBehaviour } from '../src/settings/schemas.js';
 import { SilentLogger } from '../src/runtime/logger.js';
+import { readMetric } from '../src/telemetry/read-metric.js';
 import { Program, waitUntilOk } from '../test/helpers/processes.js';
 
 const ANY = '127.0.0.1:0';
@@ -85,9 +86,3 @@
   );
   return new Program(['router', '--settings', file]);
 }
-
-async function readMetric(address: string, name: string): Promise<number> {
-  const page = await (await fetch(`http://${address}/metrics`)).text();
-  const line = page.split('\n').find((each) => each.startsWith(`${name} `));
-  return Number(line?.slice(name.length));
-}
--- a/src/coordination/router/engine-feeds.ts
+++ b/src/coordination/router/engine-feeds.ts
@@ -100,18 +100,10 @@
   /** Replaces what is known by the engine's snapshot and tells the difference. */
   private async resynchronize(): Promise<void> {
     this.doubt(true);
-    const before = new Map([...this.feed.marks()].map((change) => [change.mark, change]));
     const snapshot = await this.port.snapshot(this.address);
     if (this.stopped || snapshot.incarnation !== this.incarnation) return;
-    this.feed = new EventFeed();
-    const changes: MarkChange[] = [];
-    for (const block of snapshot.blocks) {
-      const change = this.feed.apply(block);
-      if (change && !before.delete(change.mark)) changes.push(change);
-    }
-    for (const lost of before.values()) changes.push({ ...lost, present: false });
     this.nextSequence = snapshot.nextSequence;
-    this.publish(changes);
+    this.publish(this.feed.replaceBy(snapshot.blocks));
     this.doubt(false);
   }
 
--- a/src/coordination/router/engine-ownership.ts
+++ b/src/coordination/router/engine-ownership.ts
@@ -63,6 +63,8 @@
 
   /** Takes over a machine list and divides the engines anew. */
   assign(machines: readonly Machine[]): void {
+    const listed = new Set(machines.map((machine) => machine.id));
+    for (const { id } of this.machines) if (!listed.has(id)) this.forgetEngine(id);
     this.machines = machines;
     const engines = machines.filter((machine) => machine.kind === 'engine').map(engineMachineOf);
     this.engines.replaceMachines(engines);
@@ -116,6 +118,12 @@
     }
   }
 
+  private forgetEngine(engineId: string): void {
+    this.owners.forget(engineId);
+    this.told.delete(engineId);
+    this.directory.dropEngine(engineId);
+  }
+
   private homeOf(root: bigint): string {
     return this.homes.ownerOf(root) ?? this.nodeId;
   }
--- a/src/coordination/router/router-node.ts
+++ b/src/coordination/router/router-node.ts
@@ -157,7 +157,7 @@
 
   /** Whether every engine of the machine list has reported, to this router or through a peer. */
   get knowsAllEngines(): boolean {
-    return [...this.engines.all()].every((record) => record.report !== undefined);
+    return !this.ownership.hasUnknownEngines;
   }
 
   /** Suspicions raised and deaths declared by this router. */
--- a/src/lab/experiment/peatspan-policy.ts
+++ b/src/lab/experiment/peatspan-policy.ts
@@ -121,11 +121,9 @@
   }
 
   private resynchronize(core: EngineCore, followed: FollowedFeed, nowMs: number): void {
-    const before = [...followed.feed.marks()];
     const snapshot = core.snapshot();
-    followed.feed = new EventFeed();
-    for (const change of before) this.tell(core, { ...change, present: false }, nowMs);
-    for (const block of snapshot.blocks) this.tell(core, followed.feed.apply(block), nowMs);
+    const changes = followed.feed.replaceBy(snapshot.blocks);
+    for (const change of changes) this.tell(core, change, nowMs);
     followed.nextSequence = snapshot.nextSequence;
   }
 
--- a/src/operator/template-store.ts
+++ b/src/operator/template-store.ts
@@ -4,12 +4,11 @@
  */
 import { z } from 'zod';
 import { type Clock, sleep } from '../runtime/clock.js';
+import { TEMPLATES_OBJECT } from '../coordination/router/platform-reader.js';
 import { ProtocolFailure } from '../protocol/errors.js';
 import type { ObjectApiPort } from '../protocol/object-api/port.js';
 import { type TemplateSet, checkTemplateSet } from '../state/template-set.js';
 
-/** Object that holds the configuration. */
-const OBJECT_NAME = 'templates';
 const READ_BACK_TRIES = 5;
 const READ_BACK_PAUSE_MS = 400;
 
@@ -41,7 +40,7 @@
   ) {}
 
   async read(): Promise<StoredTemplates> {
-    const object = await this.objects.read(OBJECT_NAME);
+    const object = await this.objects.read(TEMPLATES_OBJECT);
     if (!object) return { version: 0, set: undefined, operationId: '' };
     const stored = storedSchema.safeParse(parseQuietly(object.content));
     const verdict = checkTemplateSet(stored.data?.configuration);
@@ -60,7 +59,7 @@
   ): Promise<WriteOutcome> {
     const content = JSON.stringify({ configuration: set, operation_id: operationId });
     try {
-      const version = await this.objects.write(OBJECT_NAME, content, expectedVersion);
+      const version = await this.objects.write(TEMPLATES_OBJECT, content, expectedVersion);
       return { kind: 'written', version };
     } catch (error) {
       return this.explain(error, expectedVersion, operationId);
--- a/src/operator/wait-in-force.ts
+++ b/src/operator/wait-in-force.ts
@@ -1,5 +1,6 @@
 /** Waits until routers say that a configuration is in force. */
 import { setTimeout as pause } from 'node:timers/promises';
+import { readMetric } from '../telemetry/read-metric.js';
 
 const REVISION_METRIC = 'peatspan_router_configuration_revision';
 const POLL_MS = 200;
@@ -27,9 +28,8 @@
 /** Revision in force at a router; 0 where it can't be reached. */
 async function revisionAt(address: string): Promise<number> {
   try {
-    const page = await (await fetch(`http://${address}/metrics`)).text();
-    const line = page.split('\n').find((each) => each.startsWith(`${REVISION_METRIC} `));
-    return Number(line?.slice(REVISION_METRIC.length) ?? 0);
+    const revision = await readMetric(address, REVISION_METRIC);
+    return Number.isNaN(revision) ? 0 : revision;
   } catch {
     return 0;
   }
--- a/src/state/event-feed.ts
+++ b/src/state/event-feed.ts
@@ -46,6 +46,21 @@
     return event.kind === 'stored' ? this.store(event) : this.remove(event.block);
   }
 
+  /** Takes a snapshot's blocks, parents first, for all that is kept; answers what differs. */
+  replaceBy(blocks: Iterable<CacheEvent>): MarkChange[] {
+    const lost = new Map([...this.marks()].map((change) => [change.mark, change]));
+    this.places.clear();
+    this.roots.length = 1;
+    this.freeRoots.length = 0;
+    const changes: MarkChange[] = [];
+    for (const block of blocks) {
+      const change = this.apply(block);
+      if (change && !lost.delete(change.mark)) changes.push(change);
+    }
+    for (const change of lost.values()) changes.push({ ...change, present: false });
+    return changes;
+  }
+
   /** All marks kept, for a home that has just taken over. */
   *marks(): Generator<MarkChange> {
     for (const [mark, place] of this.places) {
