--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -17,6 +17,8 @@
     layer('coordination-below-programs', '^src/coordination', '^src/(lab|cli|settings|edge)'),
     layer('edge-below-programs', '^src/edge', '^src/(lab|cli)'),
     layer('lab-below-cli', '^src/lab', '^src/cli'),
+    layer('platform-is-imported-by-nothing', '^(src|bench|fuzz)', '^platform'),
+    layer('platform-uses-no-programs', '^platform', '^src/(lab|cli|programs|operator|edge)'),
   ],
   options: {
     tsPreCompilationDeps: true,
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,15 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['dist/**', 'node_modules/**', 'src/protocol/peer/generated/**'] },
+  {
+    ignores: [
+      'dist/**',
+      'target/**',
+      'journal/**',
+      'node_modules/**',
+      'src/protocol/peer/generated/**',
+    ],
+  },
   eslint.configs.recommended,
   ...tseslint.configs.strict,
   {
--- a/scripts/generated-hash.mjs
+++ b/scripts/generated-hash.mjs
@@ -5,7 +5,12 @@
 import { createHash } from 'node:crypto';
 import { readFileSync, writeFileSync } from 'node:fs';
 
-const SOURCES = ['proto/peer.proto', 'src/protocol/peer/generated/peer_pb.ts'];
+const SOURCES = [
+  'proto/peer.proto',
+  'proto/cluster.proto',
+  'src/protocol/peer/generated/peer_pb.ts',
+  'src/protocol/peer/generated/cluster_pb.ts',
+];
 const HASH_FILE = 'src/protocol/peer/generated/source.sha256';
 
 const hash = createHash('sha256');
--- /dev/null
+++ b/src/coordination/gateway/gateway-context.ts
@@ -0,0 +1,60 @@
+/** Everything the calls of one router share. */
+import type { Clock } from '../../runtime/clock.js';
+import type { Hasher } from '../../runtime/hasher.js';
+import type { Logger } from '../../runtime/logger.js';
+import type { RandomSource } from '../../runtime/random.js';
+import type { InferencePort } from '../../protocol/inference/port.js';
+import type { ConfigurationState } from '../../state/routing/configuration-state.js';
+import type { EngineHealth } from '../../state/routing/engine-health.js';
+import type { EngineRegistry } from '../../state/routing/engine-registry.js';
+import type { KeptPrefixes } from '../../state/routing/kept-prefixes.js';
+import type { LoadTable } from '../../state/routing/load-table.js';
+import {
+  type RetryBudgetSettings,
+  SharedRetryBudget,
+} from '../../state/routing/shared-retry-budget.js';
+import type { TrafficSplit } from '../../state/routing/traffic-split.js';
+import type { WeightVersions } from '../../state/routing/weight-versions.js';
+import type { GatewayStatistics } from './gateway-statistics.js';
+
+/** Retry budgets of all services, made when first asked for. */
+export class ServiceRetryBudgets {
+  private readonly budgets = new Map<string, SharedRetryBudget>();
+
+  constructor(private readonly settings: RetryBudgetSettings) {}
+
+  of(service: string): SharedRetryBudget {
+    let budget = this.budgets.get(service);
+    if (!budget) {
+      budget = new SharedRetryBudget(this.settings);
+      this.budgets.set(service, budget);
+    }
+    return budget;
+  }
+}
+
+/** Who works beside this router. */
+export interface GroupView {
+  /** Routers believed to work, this one included; 1 or more. */
+  readonly size: number;
+}
+
+/** Shared by all calls. */
+export interface GatewayContext {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly hasher: Hasher;
+  readonly logger: Logger;
+  readonly engines: InferencePort;
+  readonly configuration: ConfigurationState;
+  readonly registry: EngineRegistry;
+  readonly loads: LoadTable;
+  readonly health: EngineHealth;
+  readonly kept: KeptPrefixes;
+  readonly versions: WeightVersions;
+  readonly split: TrafficSplit;
+  readonly retryBudgets: ServiceRetryBudgets;
+  readonly group: GroupView;
+  readonly statistics: GatewayStatistics;
+  readonly zone: string;
+}
--- /dev/null
+++ b/src/coordination/gateway/gateway-node.ts
@@ -0,0 +1,343 @@
+/** One router: follows the store, takes part in the group, serves requests, leaves in order. */
+import { type Clock, type Timer, repeat } from '../../runtime/clock.js';
+import type { Hasher } from '../../runtime/hasher.js';
+import type { Logger } from '../../runtime/logger.js';
+import { type RandomSource, randomIdentifier } from '../../runtime/random.js';
+import type { DatagramTransport } from '../../transport/datagram-transport.js';
+import type { InferencePort } from '../../protocol/inference/port.js';
+import type { ObjectStorePort, StoredObject } from '../../protocol/object-store/port.js';
+import { ConfigurationState } from '../../state/routing/configuration-state.js';
+import type { IngressLimits } from '../../state/routing/configuration.js';
+import { EngineHealth } from '../../state/routing/engine-health.js';
+import { EngineRegistry } from '../../state/routing/engine-registry.js';
+import { KeptPrefixes } from '../../state/routing/kept-prefixes.js';
+import { LoadTable } from '../../state/routing/load-table.js';
+import { TrafficSplit } from '../../state/routing/traffic-split.js';
+import { WeightLease } from '../../state/routing/weight-lease.js';
+import { WeightVersions } from '../../state/routing/weight-versions.js';
+import { type CallerPlace, addressesFor } from './directory-answer.js';
+import { type GatewayContext, ServiceRetryBudgets } from './gateway-context.js';
+import type { GatewaySettings } from './gateway-settings.js';
+import { GatewayStatistics } from './gateway-statistics.js';
+import { type GroupEvents, GroupMembership, type WeightsNews } from './group-membership.js';
+import { LeaseKeeper } from './lease-keeper.js';
+import type { ObjectDecoder } from './object-decoder.js';
+import { ObjectFollower } from './object-follower.js';
+import type { InboundRequest, Reply } from './reply.js';
+import { RequestCall } from './request-call.js';
+import { WeightCoordinator } from './weight-coordinator.js';
+
+/** What a router takes from its surroundings. */
+export interface GatewaySurroundings {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly hasher: Hasher;
+  readonly logger: Logger;
+  readonly datagrams: DatagramTransport;
+  readonly store: ObjectStorePort;
+  readonly engines: InferencePort;
+  readonly decoder: ObjectDecoder;
+}
+
+/** Weights named before this router started are taken to be this old. */
+const UNSEEN_AGE_MS = 4_000;
+const UPKEEP_PERIOD_MS = 1_000;
+/** A starting router joins without engines after this long. */
+const STARTUP_PATIENCE_MS = 3_000;
+
+/** A router of the gateway. */
+export class GatewayNode {
+  readonly statistics = new GatewayStatistics();
+  readonly configuration: ConfigurationState;
+  private readonly registry = new EngineRegistry();
+  private readonly loads: LoadTable;
+  private readonly health = new EngineHealth();
+  private readonly kept = new KeptPrefixes();
+  private readonly versions: WeightVersions;
+  private readonly split = new TrafficSplit();
+  private readonly followers: ObjectFollower[] = [];
+  private readonly calls = new Set<RequestCall>();
+  private readonly context: GatewayContext;
+  private readonly coordinator: WeightCoordinator;
+  private readonly timers: Timer[] = [];
+  private readonly startedMs: number;
+  private hasEngineList = false;
+  private isLeaving = false;
+
+  private constructor(
+    private readonly settings: GatewaySettings,
+    private readonly surroundings: GatewaySurroundings,
+    private readonly group: GroupMembership,
+    parts: GatewayParts,
+  ) {
+    const { clock, random, hasher, logger, engines, store } = surroundings;
+    this.startedMs = clock.now();
+    this.loads = parts.loads;
+    this.configuration = new ConfigurationState(settings.proofLifetimeMs);
+    this.versions = new WeightVersions(settings.rollout.graceMs);
+    this.context = {
+      clock,
+      random,
+      hasher,
+      logger,
+      engines,
+      group,
+      configuration: this.configuration,
+      registry: this.registry,
+      loads: this.loads,
+      health: this.health,
+      kept: this.kept,
+      versions: this.versions,
+      split: this.split,
+      retryBudgets: new ServiceRetryBudgets(settings.retryBudget),
+      statistics: this.statistics,
+      zone: settings.zone,
+    };
+    const lease = new WeightLease({
+      holder: settings.nodeId,
+      life: randomIdentifier(random),
+      leaseMs: settings.leaseMs,
+      actMs: settings.leaseActMs,
+    });
+    this.coordinator = new WeightCoordinator(
+      {
+        registry: this.registry,
+        versions: this.versions,
+        loads: this.loads,
+        health: this.health,
+        kept: this.kept,
+        engines,
+        lease: new LeaseKeeper(settings.kinds.leases, lease, store, clock, logger),
+        statistics: this.statistics,
+        clock,
+        logger,
+      },
+      {
+        holder: settings.nodeId,
+        rollout: settings.rollout,
+        rank: () => this.rank(),
+        announce: () => group.reportNow(),
+      },
+    );
+    parts.connect(this.coordinator);
+  }
+
+  /** Opens the group's socket; call {@link start} next. */
+  static async open(
+    settings: GatewaySettings,
+    surroundings: GatewaySurroundings,
+  ): Promise<GatewayNode> {
+    const parts = new GatewayParts();
+    const { clock, random, logger, datagrams } = surroundings;
+    const { nodeId, zone, region, frontendAddress, gossipAddress, seeds } = settings;
+    const identity = { nodeId, zone, region, gossipAddress, peerAddress: frontendAddress };
+    const group = await GroupMembership.open(
+      { identity, seeds },
+      datagrams,
+      parts.loads,
+      parts,
+      clock,
+      random,
+      logger,
+    );
+    return new GatewayNode(settings, surroundings, group, parts);
+  }
+
+  start(): void {
+    this.follow(this.settings.kinds.configuration, this.settings.configurationWatchMs, {
+      onObject: (object, callBeganMs) => this.takeConfiguration(object, callBeganMs),
+      onAnswer: (callBeganMs) => this.configuration.prove(callBeganMs),
+    });
+    this.follow(this.settings.kinds.engines, this.settings.engineWatchMs, {
+      onList: (objects) => this.takeEngineList(objects),
+      onObject: (object) => this.takeEngine(object),
+      onGone: (name) => this.removeEngine(name),
+    });
+    this.follow(this.settings.kinds.weightVersions, this.settings.versionWatchMs, {
+      onList: (objects) => this.takeVersions(objects, this.startedMs - UNSEEN_AGE_MS),
+      onObject: (object, callBeganMs) => this.takeVersions([object], callBeganMs),
+    });
+    this.timers.push(
+      repeat(this.surroundings.clock, UPKEEP_PERIOD_MS, () => this.upkeep()),
+      this.surroundings.clock.setTimer(STARTUP_PATIENCE_MS, () => this.joinWhenReady()),
+    );
+    this.coordinator.start();
+  }
+
+  /** Whether callers should be sent here. */
+  get isReady(): boolean {
+    return !this.isLeaving && this.configuration.current !== undefined && this.hasEngineList;
+  }
+
+  get runningCalls(): number {
+    return this.calls.size;
+  }
+
+  get limits(): IngressLimits | undefined {
+    return this.configuration.current?.configuration.limits;
+  }
+
+  /** Addresses a caller may connect to; empty while this router knows of none. */
+  resolve(place: CallerPlace): string[] {
+    if (this.configuration.current === undefined) return [];
+    const members = this.group.working.filter(
+      (member) => member.nodeId !== this.settings.nodeId || this.isReady,
+    );
+    return addressesFor(place, members, this.surroundings.random);
+  }
+
+  /** Serves one request. */
+  handle(request: InboundRequest, reply: Reply): void {
+    const call = new RequestCall(request, reply, this.context, () => this.calls.delete(call));
+    this.calls.add(call);
+    call.start();
+  }
+
+  /** Takes no new callers from now on; what runs goes on. */
+  leave(): void {
+    if (this.isLeaving) return;
+    this.isLeaving = true;
+    this.group.leave();
+    this.coordinator.stop();
+  }
+
+  /** Ends all that still runs and closes. */
+  stop(): void {
+    for (const call of this.calls) call.endForStop();
+    for (const follower of this.followers) follower.stop();
+    for (const timer of this.timers) timer.cancel();
+    this.coordinator.stop();
+    this.group.stop();
+  }
+
+  private follow(
+    kind: string,
+    watchMs: number,
+    handlers: Partial<FollowHandlers> & Pick<FollowHandlers, 'onObject'>,
+  ): void {
+    const { store, clock, random, logger } = this.surroundings;
+    const follower = new ObjectFollower(
+      { kind, watchMs },
+      store,
+      {
+        onList: (objects, callBeganMs) => {
+          if (handlers.onList) handlers.onList(objects, callBeganMs);
+          else for (const object of objects) handlers.onObject(object, callBeganMs);
+        },
+        onObject: handlers.onObject,
+        onGone: (name) => handlers.onGone?.(name),
+        onAnswer: (callBeganMs) => handlers.onAnswer?.(callBeganMs),
+      },
+      clock,
+      random,
+      logger,
+    );
+    this.followers.push(follower);
+    follower.start();
+  }
+
+  private takeConfiguration(object: StoredObject, callBeganMs: number): void {
+    const { decoder, logger } = this.surroundings;
+    const configuration = decoder.configuration(object);
+    if (!configuration) {
+      logger.error('configuration_malformed', { object: object.name, revision: object.revision });
+      return;
+    }
+    if (!this.configuration.adopt(configuration, callBeganMs)) return;
+    this.split.retain(new Set(configuration.routes.map((route) => route.name)));
+    logger.info('configuration_in_force', {
+      version: configuration.version,
+      revision: object.revision,
+      routes: configuration.routes.length,
+    });
+    this.joinWhenReady();
+  }
+
+  private takeEngineList(objects: readonly StoredObject[]): void {
+    const records = objects.flatMap((object) => this.surroundings.decoder.engine(object) ?? []);
+    this.registry.replaceAll(records);
+    this.hasEngineList = true;
+    this.noteEngines('list');
+    this.joinWhenReady();
+  }
+
+  private takeEngine(object: StoredObject): void {
+    const record = this.surroundings.decoder.engine(object);
+    if (!record) return;
+    const before = this.registry.find(record.id)?.record;
+    this.registry.put(record);
+    if (before?.isDraining !== record.isDraining) {
+      this.surroundings.logger.info('engine_changed', {
+        engine: record.id,
+        service: record.service,
+        address: record.address,
+        draining: record.isDraining,
+        revision: object.revision,
+      });
+    }
+  }
+
+  private removeEngine(id: string): void {
+    this.registry.remove(id);
+    this.noteEngines(id);
+  }
+
+  private noteEngines(cause: string): void {
+    const { logger, engines } = this.surroundings;
+    logger.info('engines_changed', { cause, engines: this.registry.ids.size });
+    engines.retain(this.registry.ids);
+    this.health.retain(this.registry.ids);
+    const stores = this.configuration.current?.cacheStores ?? [];
+    const addresses = stores.flatMap(({ cacheStore }) => cacheStore?.address ?? []);
+    this.kept.retain(new Set([...this.registry.ids, ...addresses]));
+  }
+
+  private takeVersions(objects: readonly StoredObject[], namedMs: number): void {
+    const { decoder, logger } = this.surroundings;
+    for (const object of objects) {
+      const named = decoder.weights(object);
+      if (named && this.versions.note(named.model, named.version, namedMs)) {
+        logger.info('weights_named', { model: named.model, version: named.version });
+      }
+    }
+  }
+
+  private joinWhenReady(): void {
+    if (this.isReady) this.group.start();
+  }
+
+  private upkeep(): void {
+    this.loads.expire(this.surroundings.clock.now());
+  }
+
+  /** Place among the working routers, by identifier. */
+  private rank(): number {
+    const { nodeId } = this.settings;
+    return this.group.working.filter((member) => member.nodeId < nodeId).length;
+  }
+}
+
+type FollowHandlers = {
+  onList(objects: readonly StoredObject[], callBeganMs: number): void;
+  onObject(object: StoredObject, callBeganMs: number): void;
+  onGone(name: string): void;
+  onAnswer(callBeganMs: number): void;
+};
+
+/** What must exist before the group's socket is bound; the coordinator is connected after. */
+class GatewayParts implements GroupEvents {
+  readonly loads = new LoadTable();
+  private coordinator: WeightCoordinator | undefined;
+
+  connect(coordinator: WeightCoordinator): void {
+    this.coordinator = coordinator;
+  }
+
+  weightsNews(): readonly WeightsNews[] {
+    return this.coordinator?.news ?? [];
+  }
+
+  onWeightsNews(news: WeightsNews): void {
+    this.coordinator?.receiveNews(news);
+  }
+}
--- /dev/null
+++ b/src/coordination/gateway/gateway-settings.ts
@@ -0,0 +1,28 @@
+/** Settings of one router of the gateway. Times in milliseconds. */
+import type { RetryBudgetSettings } from '../../state/routing/shared-retry-budget.js';
+import type { RolloutSettings } from '../../state/routing/weight-rollout.js';
+import type { ObjectKinds } from './object-decoder.js';
+
+/** What a router must be told. */
+export interface GatewaySettings {
+  readonly nodeId: string;
+  readonly zone: string;
+  readonly region: string;
+  /** Where callers reach this router, HOST:PORT. */
+  readonly frontendAddress: string;
+  /** Where the other routers reach it by datagram, HOST:PORT. */
+  readonly gossipAddress: string;
+  /** Datagram addresses of a few routers; some may be stale. */
+  readonly seeds: readonly string[];
+  readonly kinds: ObjectKinds;
+  /** How long an answer of the store proves the configuration current. */
+  readonly proofLifetimeMs: number;
+  readonly configurationWatchMs: number;
+  readonly engineWatchMs: number;
+  readonly versionWatchMs: number;
+  readonly retryBudget: RetryBudgetSettings;
+  readonly rollout: RolloutSettings;
+  readonly leaseMs: number;
+  /** How long after its last write to the lease its holder gives orders. */
+  readonly leaseActMs: number;
+}
--- /dev/null
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -0,0 +1,21 @@
+/** Counters of one router, shown on its metrics page. */
+
+/** Totals since the start. */
+export class GatewayStatistics {
+  requests = 0;
+  answered = 0;
+  refused = 0;
+  failed = 0;
+  abandonedByCaller = 0;
+  sends = 0;
+  repeatedSends = 0;
+  resumedStreams = 0;
+  enginesUnreachable = 0;
+  engineRefusals = 0;
+  unknownOutcomes = 0;
+  cutAnswers = 0;
+  staleProofRefusals = 0;
+  orders = 0;
+  sharedTokensRead = 0;
+  sharedTokensKept = 0;
+}
--- /dev/null
+++ b/src/coordination/gateway/group-membership.ts
@@ -0,0 +1,263 @@
+/** The group of routers: who works, and what each has under way at the engines. */
+import { create } from '@bufbuild/protobuf';
+import { type Clock, type Timer, repeat } from '../../runtime/clock.js';
+import type { Logger } from '../../runtime/logger.js';
+import { type RandomSource, randomInteger } from '../../runtime/random.js';
+import type { DatagramSocket, DatagramTransport } from '../../transport/datagram-transport.js';
+import {
+  decodeClusterDatagram,
+  encodeClusterGossip,
+  encodeLoadReport,
+} from '../../protocol/peer/cluster-codec.js';
+import {
+  EngineWeightsSchema,
+  EngineWorkSchema,
+  type LoadReport,
+  LoadReportSchema,
+} from '../../protocol/peer/generated/cluster_pb.js';
+import {
+  type GossipDatagram,
+  GossipDatagramSchema,
+} from '../../protocol/peer/generated/peer_pb.js';
+import type { LoadTable } from '../../state/routing/load-table.js';
+import {
+  type MemberIdentity,
+  type MemberUpdate,
+  Membership,
+  type OutgoingGossip,
+  PROBE_PERIOD_MS,
+} from '../../state/membership.js';
+import {
+  decodeGossipKind,
+  decodeMemberUpdate,
+  encodeGossipKind,
+  encodeMemberUpdate,
+} from '../router/member-codec.js';
+import type { GroupView } from './gateway-context.js';
+
+/** What a router knows of the weights at an engine before the platform lists it. */
+export interface WeightsNews {
+  readonly engineId: string;
+  readonly model: string;
+  readonly version: number;
+  /** Whether the engine still refuses work for the model. */
+  readonly isLoading: boolean;
+}
+
+/** How this router takes part. */
+export interface GroupSettings {
+  /** `peerAddress` is where callers reach the member. */
+  readonly identity: MemberIdentity;
+  /** Datagram addresses of a few members; some may be stale. */
+  readonly seeds: readonly string[];
+}
+
+/** What the group asks of and tells its router. */
+export interface GroupEvents {
+  /** News to tell the others with the next report. */
+  weightsNews(): readonly WeightsNews[];
+  onWeightsNews(news: WeightsNews): void;
+}
+
+const CHECK_PERIOD_MS = 100;
+const REPORT_PERIOD_MS = 250;
+/** Members that get each report; beyond that a random sample does. */
+const REPORT_FANOUT = 12;
+const NEWS_FANOUT = 3;
+const NEWS_DELAY_MS = 50;
+/** An idle router repeats that it is idle only this often. */
+const IDLE_REPORTS_SKIPPED = 3;
+
+/** Runs the membership state machine and the load reports over one datagram socket. */
+export class GroupMembership implements GroupView {
+  private readonly timers: Timer[] = [];
+  private reportSequence = 0;
+  private idleReports = 0;
+  private seenView = -1;
+  private isAnnouncing = false;
+  private isStopped = false;
+  private isStarted = false;
+
+  private constructor(
+    private readonly membership: Membership,
+    private readonly socket: DatagramSocket,
+    private readonly seedCount: number,
+    private readonly loads: LoadTable,
+    private readonly events: GroupEvents,
+    private readonly clock: Clock,
+    private readonly random: RandomSource,
+    private readonly logger: Logger,
+  ) {}
+
+  static async open(
+    settings: GroupSettings,
+    transport: DatagramTransport,
+    loads: LoadTable,
+    events: GroupEvents,
+    clock: Clock,
+    random: RandomSource,
+    logger: Logger,
+  ): Promise<GroupMembership> {
+    let receive: (datagram: Uint8Array) => void = () => undefined;
+    const { identity, seeds } = settings;
+    const socket = await transport.bind(identity.gossipAddress, (datagram) => receive(datagram));
+    const membership = new Membership(identity, clock.wallNow(), seeds, random);
+    const group = new GroupMembership(
+      membership,
+      socket,
+      seeds.length,
+      loads,
+      events,
+      clock,
+      random,
+      logger,
+    );
+    receive = (datagram) => group.receive(datagram);
+    return group;
+  }
+
+  /** Members known, even ones that fell silent: what must be shared is shared with them too. */
+  get size(): number {
+    return Math.max(this.seedCount, this.membership.all().length);
+  }
+
+  /** Members that take work, this one included while it does. */
+  get working(): MemberUpdate[] {
+    return this.membership.working();
+  }
+
+  /** Joins; call once this router can serve. */
+  start(): void {
+    if (this.isStarted) return;
+    this.isStarted = true;
+    this.tick();
+    const firstDelayMs = this.random.next() * PROBE_PERIOD_MS;
+    this.timers.push(
+      this.clock.setTimer(firstDelayMs, () => {
+        this.timers.push(repeat(this.clock, PROBE_PERIOD_MS, () => this.tick()));
+      }),
+      repeat(this.clock, CHECK_PERIOD_MS, () =>
+        this.transmit(this.membership.checkDirectTimeout(this.clock.now())),
+      ),
+      repeat(this.clock, REPORT_PERIOD_MS, () => this.reportLoads()),
+    );
+  }
+
+  /** Says that this router takes no new work. */
+  leave(): void {
+    if (this.isStarted) this.transmit(this.membership.leave());
+  }
+
+  stop(): void {
+    this.isStopped = true;
+    for (const timer of this.timers) timer.cancel();
+    this.socket.close();
+  }
+
+  /** Sends the load report now, for news that can't wait. */
+  reportNow(): void {
+    if (this.isStarted) this.sendReport();
+  }
+
+  private tick(): void {
+    this.transmit(this.membership.tick(this.clock.now()));
+    this.noteView();
+  }
+
+  private receive(datagram: Uint8Array): void {
+    if (this.isStopped) return;
+    const body = decodeClusterDatagram(datagram);
+    if (body?.case === 'gossip') this.receiveGossip(body.value);
+    else if (body?.case === 'loadReport') this.receiveReport(body.value);
+  }
+
+  private receiveGossip(gossip: GossipDatagram): void {
+    const kind = decodeGossipKind(gossip.kind);
+    if (!kind) return;
+    const { sender, sequence, subject } = gossip;
+    const updates = gossip.updates.map(decodeMemberUpdate);
+    const answer = this.membership.receive(
+      { kind, sender, sequence, subject, updates },
+      this.clock.now(),
+    );
+    if (this.isStarted) this.transmit(answer);
+    this.noteView();
+  }
+
+  private receiveReport(report: LoadReport): void {
+    const loads = new Map(
+      report.engines.map(({ engineId, requests, unreadTokens, heldTokens }) => [
+        engineId,
+        { requests, unreadTokens, heldTokens },
+      ]),
+    );
+    this.loads.receive(report.sender, report.sequence, loads, this.clock.now());
+    for (const { engineId, model, version, isLoading } of report.weights) {
+      this.events.onWeightsNews({ engineId, model, version, isLoading });
+    }
+  }
+
+  private reportLoads(): void {
+    this.loads.expire(this.clock.now());
+    const isIdle = this.loads.ownLoads.size === 0 && this.events.weightsNews().length === 0;
+    this.idleReports = isIdle ? this.idleReports + 1 : 0;
+    if (isIdle && this.idleReports % IDLE_REPORTS_SKIPPED !== 1) return;
+    this.sendReport();
+  }
+
+  private sendReport(): void {
+    if (this.isStopped) return;
+    this.reportSequence += 1;
+    const engines = [...this.loads.ownLoads].map(([engineId, load]) =>
+      create(EngineWorkSchema, { engineId, ...load }),
+    );
+    const weights = this.events.weightsNews().map((news) => create(EngineWeightsSchema, news));
+    const report = create(LoadReportSchema, {
+      sender: this.membership.own.nodeId,
+      sequence: this.reportSequence,
+      engines,
+      weights,
+    });
+    const datagram = encodeLoadReport(report);
+    for (const address of this.reportTargets()) this.socket.send(address, datagram);
+  }
+
+  private reportTargets(): string[] {
+    const own = this.membership.own.nodeId;
+    const others = this.working.filter((member) => member.nodeId !== own);
+    while (others.length > REPORT_FANOUT)
+      others.splice(randomInteger(this.random, others.length), 1);
+    return others.map((member) => member.gossipAddress);
+  }
+
+  private transmit(outgoing: readonly OutgoingGossip[]): void {
+    if (this.isStopped) return;
+    for (const { address, message } of outgoing) {
+      const { sender, sequence, subject } = message;
+      const gossip = create(GossipDatagramSchema, {
+        sender,
+        sequence,
+        subject,
+        kind: encodeGossipKind(message.kind),
+        updates: message.updates.map(encodeMemberUpdate),
+      });
+      this.socket.send(address, encodeClusterGossip(gossip));
+    }
+  }
+
+  /** Logs a changed view and passes the news on soon; a herd of news makes one announcement. */
+  private noteView(): void {
+    if (this.membership.version === this.seenView) return;
+    this.seenView = this.membership.version;
+    this.logger.info('group_changed', {
+      working: this.working.length,
+      known: this.membership.all().length,
+    });
+    if (this.isAnnouncing || !this.isStarted) return;
+    this.isAnnouncing = true;
+    this.clock.setTimer(NEWS_DELAY_MS, () => {
+      this.isAnnouncing = false;
+      this.transmit(this.membership.announce(NEWS_FANOUT));
+    });
+  }
+}
--- /dev/null
+++ b/src/coordination/gateway/lease-keeper.ts
@@ -0,0 +1,93 @@
+/** Takes, renews and reads the lease on orders in the store, as the lease's state machine says. */
+import { z } from 'zod';
+import type { Clock } from '../../runtime/clock.js';
+import type { Logger } from '../../runtime/logger.js';
+import type {
+  ObjectStorePort,
+  StoredObject,
+  WriteResult,
+} from '../../protocol/object-store/port.js';
+import { describeProtocolError, toProtocolError } from '../../protocol/errors.js';
+import {
+  type LeaseRecord,
+  LeaseStep,
+  type LeaseView,
+  WeightLease,
+} from '../../state/routing/weight-lease.js';
+
+const LEASE_NAME = 'weights';
+
+const leaseRecordSchema = z.object({
+  holder: z.string(),
+  life: z.string(),
+  fencingToken: z.number().int(),
+});
+
+/** Keeps the lease of one router. */
+export class LeaseKeeper {
+  private isCalling = false;
+
+  constructor(
+    private readonly kind: string,
+    private readonly lease: WeightLease,
+    private readonly store: ObjectStorePort,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {}
+
+  /** The token while orders may be given at this moment; check before each order. */
+  get activeToken(): number | undefined {
+    const mayAct = this.lease.next(this.clock.now()) === LeaseStep.Act;
+    return mayAct ? this.lease.fencingToken : undefined;
+  }
+
+  /** Makes the call that is due, if any; resolves when it was answered or failed. */
+  async advance(): Promise<void> {
+    if (this.isCalling) return;
+    this.isCalling = true;
+    try {
+      await this.call(this.lease.next(this.clock.now()));
+    } catch (cause) {
+      this.lease.noteUnanswered();
+      const reason = describeProtocolError(toProtocolError(cause, 'store'));
+      this.logger.warn('lease_call_failed', { reason });
+    } finally {
+      this.isCalling = false;
+    }
+  }
+
+  private async call(step: LeaseStep): Promise<void> {
+    if (step === LeaseStep.Act || step === LeaseStep.Wait) return;
+    const beganMs = this.clock.now();
+    if (step === LeaseStep.Read) {
+      const object = await this.store.read(this.kind, LEASE_NAME);
+      this.lease.observe(object && viewOf(object), this.clock.now());
+      return;
+    }
+    const record = this.lease.recordFor(step);
+    const result = await this.write(step, record);
+    if (result.kind === 'written') {
+      this.lease.noteWritten({ record, revision: result.object.revision }, beganMs);
+      if (step !== LeaseStep.Renew) {
+        this.logger.info('lease_taken', { token: record.fencingToken, step });
+      }
+      return;
+    }
+    const present = result.kind === 'conflict' ? result.present : undefined;
+    if (present) this.lease.observe(viewOf(present), this.clock.now());
+    else this.lease.noteUnanswered();
+    this.logger.info('lease_lost', { step, present: present?.revision });
+  }
+
+  private write(step: LeaseStep, record: LeaseRecord): Promise<WriteResult> {
+    if (step === LeaseStep.Create) return this.store.create(this.kind, LEASE_NAME, record);
+    return this.store.replace(this.kind, LEASE_NAME, record, this.lease.revision);
+  }
+}
+
+/** A record that can't be read is treated as another holder's, so that it is waited out. */
+function viewOf(object: StoredObject): LeaseView {
+  const parsed = leaseRecordSchema.safeParse(object.spec);
+  const record = parsed.success ? parsed.data : { holder: '', life: '', fencingToken: 0 };
+  return { record, revision: object.revision };
+}
--- /dev/null
+++ b/src/coordination/gateway/object-follower.ts
@@ -0,0 +1,111 @@
+/**
+ * Follows all objects of one kind in the store: a list, then watches from its revision. A watch that
+ * was cut goes on from where it stood; lost history is read again as a list.
+ */
+import { type Clock, sleep } from '../../runtime/clock.js';
+import type { Logger } from '../../runtime/logger.js';
+import type { RandomSource } from '../../runtime/random.js';
+import type { ObjectStorePort, StoredObject } from '../../protocol/object-store/port.js';
+import { describeProtocolError, toProtocolError } from '../../protocol/errors.js';
+
+/** Receives what the store tells. `callBeganMs`: when the call began that was answered. */
+export interface FollowerEvents {
+  /** The whole kind as it is. */
+  onList(objects: readonly StoredObject[], callBeganMs: number): void;
+  onObject(object: StoredObject, callBeganMs: number): void;
+  onGone(name: string): void;
+  /** A call was answered, whether or not it brought a change. */
+  onAnswer(callBeganMs: number): void;
+}
+
+/** How one kind is followed. */
+export interface FollowerSettings {
+  readonly kind: string;
+  /** A watch waits this long at most; the answer of an idle one proves that nothing changed. */
+  readonly watchMs: number;
+}
+
+const FIRST_PAUSE_MS = 60;
+const LONGEST_PAUSE_MS = 500;
+/** Failures in a row after which the revision is not trusted any more. */
+const FAILURES_BEFORE_LIST = 4;
+
+/** Follows one kind until stopped. */
+export class ObjectFollower {
+  private revision: number | undefined;
+  private failures = 0;
+  private isStopped = false;
+
+  constructor(
+    private readonly settings: FollowerSettings,
+    private readonly store: ObjectStorePort,
+    private readonly events: FollowerEvents,
+    private readonly clock: Clock,
+    private readonly random: RandomSource,
+    private readonly logger: Logger,
+  ) {}
+
+  start(): void {
+    void this.run();
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  private async run(): Promise<void> {
+    while (!this.isStopped) {
+      try {
+        await this.step();
+        this.noteAnswer();
+      } catch (cause) {
+        await this.noteFailure(cause);
+      }
+    }
+  }
+
+  private async step(): Promise<void> {
+    const { kind, watchMs } = this.settings;
+    const callBeganMs = this.clock.now();
+    if (this.revision === undefined) {
+      const list = await this.store.list(kind);
+      if (this.isStopped) return;
+      this.revision = list.revision;
+      this.events.onList(list.objects, callBeganMs);
+      this.events.onAnswer(callBeganMs);
+      return;
+    }
+    const result = await this.store.watch(kind, this.revision, watchMs);
+    if (this.isStopped) return;
+    if (result.kind === 'history-gone') {
+      this.logger.warn('store_history_gone', { kind, revision: this.revision });
+      this.revision = undefined;
+      return;
+    }
+    for (const { object, isGone } of result.events) {
+      if (isGone) this.events.onGone(object.name);
+      else this.events.onObject(object, callBeganMs);
+    }
+    this.revision = Math.max(this.revision, result.revision);
+    this.events.onAnswer(callBeganMs);
+  }
+
+  private noteAnswer(): void {
+    if (this.failures > 0) {
+      this.logger.info('store_regained', { kind: this.settings.kind, failures: this.failures });
+    }
+    this.failures = 0;
+  }
+
+  private async noteFailure(cause: unknown): Promise<void> {
+    if (this.isStopped) return;
+    this.failures += 1;
+    if (this.failures === 1) {
+      const reason = describeProtocolError(toProtocolError(cause, 'store'));
+      this.logger.warn('store_lost', { kind: this.settings.kind, reason });
+    }
+    if (this.failures >= FAILURES_BEFORE_LIST) this.revision = undefined;
+    const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (this.failures - 1));
+    await sleep(this.clock, pauseMs * (0.5 + this.random.next()));
+  }
+}
--- /dev/null
+++ b/src/coordination/gateway/request-call.ts
@@ -0,0 +1,416 @@
+/**
+ * One request from its arrival to its answer: admission, choice of an engine, sends, retries, resumed
+ * streams, deadlines.
+ *
+ * What may be told the caller hangs on two facts that only grow: whether a send may have run
+ * (`mayHaveRun`), and whether the head of an answer was written (`hasBegun`). A refusal with a promise
+ * (503) is given only while neither holds.
+ */
+import type { Timer } from '../../runtime/clock.js';
+import type { AnswerHead, ExchangeFailure } from '../../protocol/inference/port.js';
+import type { Service } from '../../state/routing/configuration.js';
+import type { Placement } from '../../state/routing/placement.js';
+import { AnswerBuffer } from './answer-buffer.js';
+import { EventBoundary } from './event-boundary.js';
+import type { GatewayContext } from './gateway-context.js';
+import { type Grant, admitRequest, serviceOf } from './request-admission.js';
+import type { InboundRequest, OwnAnswer, Reply } from './reply.js';
+import { Send, type SendEvents, placeCall, sendOptionsOf } from './send.js';
+
+/** Where a call stands. */
+export enum CallState {
+  /** No send is under way. */
+  Choosing = 'choosing',
+  /** A send is under way and its answer has not begun. */
+  Sent = 'sent',
+  /** An answer is being passed on or gathered. */
+  Answering = 'answering',
+  Finished = 'finished',
+}
+
+/** Connections that may fail for one request before it is refused. */
+const MAXIMUM_CONNECT_FAILURES = 3;
+/** With less time than this left, a send would be for nothing. */
+const MINIMUM_BUDGET_MS = 15;
+/** A repeatable request is sent elsewhere after this many objectives without an answer. */
+const PATIENCE_FACTOR = 1.25;
+const MINIMUM_PATIENCE_MS = 300;
+/** A resumable stream that stands still for this long continues elsewhere. */
+const STALL_MS = 1_200;
+const RETRY_AFTER_MS = 100;
+const BUSY_RETRY_AFTER_MS = 300;
+/** An engine that refused work is left alone for this long. */
+const BUSY_PAUSE_MS = 150;
+const MISDIRECTED_PAUSE_MS = 600;
+const MISDIRECTED = 421;
+const SERVER_ERROR = 500;
+
+/** A request on its way. */
+export class RequestCall implements SendEvents {
+  private state = CallState.Choosing;
+  private grant: Grant | undefined;
+  private service: Service | undefined;
+  private send: Send | undefined;
+  private sends = 0;
+  private connectFailures = 0;
+  private readonly excluded = new Set<string>();
+  private mayHaveRun = false;
+  private hasBegun = false;
+  private deadlineMs = Infinity;
+  private deadlineTimer: Timer | undefined;
+  private patienceTimer: Timer | undefined;
+  private readonly boundary = new EventBoundary();
+  private buffer: AnswerBuffer | undefined;
+  private firstChunkMs: number | undefined;
+
+  constructor(
+    private readonly request: InboundRequest,
+    private readonly reply: Reply,
+    private readonly context: GatewayContext,
+    private readonly onFinished: () => void,
+  ) {}
+
+  start(): void {
+    this.context.statistics.requests += 1;
+    this.reply.onClose(() => this.abandon());
+    this.reply.onDrain(() => this.send?.resume());
+    if (!this.admit()) return;
+    const { route } = this.grant as Grant;
+    const limitMs = Math.min(route.timeoutMs, this.request.budgetMs ?? Infinity);
+    this.deadlineMs = this.request.arrivedMs + limitMs;
+    this.deadlineTimer = this.context.clock.setTimer(this.remainingMs, () => this.onDeadline());
+    this.dispatch();
+  }
+
+  onHead(send: Send, head: AnswerHead): void {
+    this.cancelPatience();
+    this.state = CallState.Answering;
+    if (!head.isAttested) {
+      this.giveUpSend(send, { kind: 'unknown', reason: `unattested-${head.status}` });
+      return;
+    }
+    if (head.status >= SERVER_ERROR && this.mayRepeat) {
+      this.context.health.noteFailure(send.engineId, this.now);
+      this.mayHaveRun = true;
+      if (this.hasBegun || this.canSendAgain()) {
+        this.giveUpSend(send, { kind: 'unknown', reason: `engine-status-${head.status}` });
+        return;
+      }
+    }
+    if (this.hasBegun) {
+      this.watchStall();
+      return;
+    }
+    if (this.isStream(head)) this.beginAnswer(head);
+    else this.buffer = new AnswerBuffer(head);
+  }
+
+  onChunk(send: Send, chunk: Uint8Array): void {
+    this.firstChunkMs ??= this.now;
+    if (this.buffer) {
+      if (this.buffer.take(chunk)) return;
+      // Too long to be gathered: from here on it is passed through.
+      const { head, chunks } = this.buffer;
+      this.buffer = undefined;
+      this.beginAnswer(head);
+      for (const each of chunks) this.pass(send, each);
+      return;
+    }
+    if (!this.grant?.route.isResumable) {
+      this.pass(send, chunk);
+      return;
+    }
+    this.watchStall();
+    const whole = this.boundary.take(chunk);
+    if (whole) this.pass(send, whole);
+  }
+
+  onEnd(send: Send): void {
+    if (this.buffer) {
+      const { head, chunks } = this.buffer;
+      this.beginAnswer(head);
+      for (const chunk of chunks) this.reply.write(chunk);
+    }
+    const rest = this.boundary.takeRest();
+    if (rest.length > 0) this.reply.write(rest);
+    this.reply.end();
+    this.context.statistics.answered += 1;
+    this.finish('answered', 0, send.engineId);
+  }
+
+  onFailure(send: Send, failure: ExchangeFailure): void {
+    this.cancelPatience();
+    this.buffer = undefined;
+    this.boundary.dropRest();
+    this.state = CallState.Choosing;
+    this.excluded.add(send.engineId);
+    this.judge(send, failure);
+    this.logFailure(send, failure);
+    if (this.hasBegun) this.resumeElsewhere(failure);
+    else this.tryAgain(failure);
+  }
+
+  /** Ends the request because the process ends. */
+  endForStop(): void {
+    if (this.hasBegun) this.abort('stopping');
+    else this.refuseFinally('stopping');
+  }
+
+  private get now(): number {
+    return this.context.clock.now();
+  }
+
+  private get remainingMs(): number {
+    return this.deadlineMs - this.now;
+  }
+
+  private get mayRepeat(): boolean {
+    return this.grant?.route.isRepeatable ?? false;
+  }
+
+  /** Admits the request, or answers it; call before each dispatch. */
+  private admit(): boolean {
+    const admission = admitRequest(this.request, this.context, this.now);
+    if (admission.kind === 'granted') {
+      this.grant = admission.grant;
+      return true;
+    }
+    if (this.hasBegun) this.abort(admission.answer.reason);
+    else if (this.mayHaveRun) this.refuse({ status: 502, reason: admission.answer.reason });
+    else this.refuse(admission.answer);
+    return false;
+  }
+
+  /** Chooses an engine and sends; answers the caller where that can't be done. */
+  private dispatch(): void {
+    const grant = this.grant as Grant;
+    this.service ??= serviceOf(grant, this.context);
+    if (!this.service) {
+      this.refuseFinally('no-service');
+      return;
+    }
+    if (this.remainingMs < MINIMUM_BUDGET_MS) {
+      this.refuseFinally('no-time-left');
+      return;
+    }
+    const placed = placeCall(this.request, grant, this.service, this.excluded, this.context);
+    if (typeof placed === 'string') this.refuseFinally(placed);
+    else this.sendTo(placed, grant, this.service);
+  }
+
+  private sendTo(placement: Placement, grant: Grant, service: Service): void {
+    this.sends += 1;
+    if (this.sends === 1) this.context.retryBudgets.of(service.name).noteRequest(this.now);
+    else this.context.statistics.repeatedSends += 1;
+    const resumeAfter = this.boundary.lastEventId ?? this.request.resumeAfter;
+    const options = sendOptionsOf(placement, grant, this.remainingMs, resumeAfter);
+    this.logDispatch(placement);
+    this.state = CallState.Sent;
+    this.startPatience(grant);
+    this.send = new Send(placement, this.request, options, this, this.context);
+  }
+
+  private isStream(head: AnswerHead): boolean {
+    return (this.grant?.route.isStreaming ?? false) && head.status < 300;
+  }
+
+  private beginAnswer(head: AnswerHead): void {
+    this.hasBegun = true;
+    const isSpliced = this.grant?.route.isResumable ?? false;
+    this.reply.begin(head.status, head.headers, isSpliced ? undefined : head.contentLength);
+    if (isSpliced) this.watchStall();
+  }
+
+  private pass(send: Send, chunk: Uint8Array): void {
+    if (!this.reply.write(chunk)) send.pause();
+  }
+
+  /** Cancels a send whose answer is of no use and goes on as if it had failed. */
+  private giveUpSend(send: Send, failure: ExchangeFailure): void {
+    send.cancel();
+    this.onFailure(send, failure);
+  }
+
+  /** What the failure tells about the engine and about whether the request ran. */
+  private judge(send: Send, failure: ExchangeFailure): void {
+    const { health, statistics } = this.context;
+    switch (failure.kind) {
+      case 'not-sent':
+        statistics.enginesUnreachable += 1;
+        health.noteUnreachable(send.engineId, this.now);
+        this.sends -= 1;
+        this.connectFailures += 1;
+        return;
+      case 'refused': {
+        statistics.engineRefusals += 1;
+        const isMisdirected = failure.status === MISDIRECTED;
+        const pauseMs = isMisdirected ? MISDIRECTED_PAUSE_MS : BUSY_PAUSE_MS;
+        health.noteBusy(send.engineId, this.now, pauseMs);
+        return;
+      }
+      case 'unknown':
+        statistics.unknownOutcomes += 1;
+        this.mayHaveRun = true;
+        health.noteFailure(send.engineId, this.now);
+        return;
+      case 'cut':
+        statistics.cutAnswers += 1;
+        this.mayHaveRun = true;
+        health.noteFailure(send.engineId, this.now);
+    }
+  }
+
+  /** Another engine before any part of an answer was given. */
+  private tryAgain(failure: ExchangeFailure): void {
+    if (failure.kind === 'not-sent' && this.connectFailures > MAXIMUM_CONNECT_FAILURES) {
+      this.refuseFinally('engines-unreachable');
+      return;
+    }
+    const isSafe = this.mayRepeat || !this.mayHaveRun;
+    if (!isSafe || !this.canSendAgain() || !this.spendRetry(failure)) {
+      this.refuseFinally(failure.reason);
+      return;
+    }
+    if (this.admit()) this.dispatch();
+  }
+
+  /** The rest of a stream from another engine. */
+  private resumeElsewhere(failure: ExchangeFailure): void {
+    const isResumable = this.grant?.route.isResumable ?? false;
+    if (!isResumable || !this.canSendAgain() || !this.spendRetry(failure)) {
+      this.abort(failure.reason);
+      return;
+    }
+    this.context.statistics.resumedStreams += 1;
+    if (this.admit()) this.dispatch();
+  }
+
+  private canSendAgain(): boolean {
+    const limit = this.grant?.route.maximumAttempts ?? 1;
+    return this.sends < limit && this.remainingMs >= MINIMUM_BUDGET_MS;
+  }
+
+  /** A send that did not reach its engine costs nothing. */
+  private spendRetry(failure: ExchangeFailure): boolean {
+    if (failure.kind === 'not-sent' || !this.service) return true;
+    const budget = this.context.retryBudgets.of(this.service.name);
+    return budget.trySpend(this.now, this.context.group.size);
+  }
+
+  private startPatience(grant: Grant): void {
+    if (!this.mayRepeat || this.sends >= grant.route.maximumAttempts) return;
+    const patienceMs = Math.max(MINIMUM_PATIENCE_MS, grant.route.objectiveMs * PATIENCE_FACTOR);
+    if (patienceMs >= this.remainingMs) return;
+    this.patienceTimer = this.context.clock.setTimer(patienceMs, () =>
+      this.onImpatient('no-answer'),
+    );
+  }
+
+  /** Starts the wait for the next part of a stream that could continue elsewhere. */
+  private watchStall(): void {
+    this.cancelPatience();
+    if (!this.grant?.route.isResumable) return;
+    this.patienceTimer = this.context.clock.setTimer(STALL_MS, () => this.onImpatient('stalled'));
+  }
+
+  private onImpatient(reason: string): void {
+    const { send } = this;
+    if (!send || !this.canSendAgain() || this.state === CallState.Finished) return;
+    this.giveUpSend(send, { kind: 'unknown', reason });
+  }
+
+  private cancelPatience(): void {
+    this.patienceTimer?.cancel();
+    this.patienceTimer = undefined;
+  }
+
+  private onDeadline(): void {
+    this.send?.cancel();
+    if (this.hasBegun) this.abort('deadline');
+    else if (this.sends > 0) this.refuse({ status: 504, reason: 'deadline' });
+    else this.refuseFinally('deadline');
+  }
+
+  private abandon(): void {
+    if (this.state === CallState.Finished) return;
+    this.send?.cancel();
+    this.context.statistics.abandonedByCaller += 1;
+    this.finish('caller-left', 0, this.send?.engineId);
+  }
+
+  /** The last answer: a promise that nothing ran where that is so. */
+  private refuseFinally(reason: string): void {
+    this.send?.cancel();
+    const isUnanswered = this.state === CallState.Sent;
+    if (this.hasBegun) this.abort(reason);
+    else if (this.mayHaveRun || isUnanswered) this.refuse({ status: 502, reason });
+    else this.refuse({ status: 503, reason, retryAfterMs: this.retryAfterMs(reason) });
+  }
+
+  private retryAfterMs(reason: string): number {
+    const baseMs = reason === 'all-busy' ? BUSY_RETRY_AFTER_MS : RETRY_AFTER_MS;
+    return Math.round(baseMs * (1 + this.context.random.next()));
+  }
+
+  private refuse(answer: OwnAnswer): void {
+    if (answer.status === 503) this.context.statistics.refused += 1;
+    else this.context.statistics.failed += 1;
+    this.reply.refuse(answer);
+    this.finish(answer.reason, answer.status, this.send?.engineId);
+  }
+
+  private abort(reason: string): void {
+    this.context.statistics.failed += 1;
+    this.reply.abort();
+    this.finish(`aborted-${reason}`, 0, this.send?.engineId);
+  }
+
+  private finish(outcome: string, ownStatus: number, engine: string | undefined): void {
+    this.state = CallState.Finished;
+    this.deadlineTimer?.cancel();
+    this.cancelPatience();
+    const { arrivedMs, id } = this.request;
+    this.context.logger.info('request_finished', {
+      request: id,
+      outcome,
+      own_status: ownStatus === 0 ? undefined : ownStatus,
+      route: this.grant?.route.name,
+      engine,
+      sends: this.sends,
+      first_ms: this.firstChunkMs && Math.round(this.firstChunkMs - arrivedMs),
+      took_ms: Math.round(this.now - arrivedMs),
+    });
+    this.onFinished();
+  }
+
+  private logDispatch(placement: Placement): void {
+    const { configuration, registry, loads, logger, group } = this.context;
+    const { id, address } = placement.engine.record;
+    logger.info('request_sent', {
+      request: this.request.id,
+      send: this.sends,
+      engine: id,
+      address,
+      version: placement.expectedVersion,
+      cost_ms: Math.round(placement.costMs),
+      unread: Math.round(placement.unreadTokens),
+      fetch: placement.fetchFrom,
+      engine_requests: loads.at(id).requests,
+      configuration: configuration.version,
+      proof_age_ms: Math.round(configuration.proofAgeMs(this.now)),
+      engine_view: registry.version,
+      group: group.size,
+    });
+  }
+
+  private logFailure(send: Send, failure: ExchangeFailure): void {
+    this.context.logger.info('send_failed', {
+      request: this.request.id,
+      send: this.sends,
+      engine: send.engineId,
+      kind: failure.kind,
+      status: failure.kind === 'refused' ? failure.status : undefined,
+      reason: failure.reason,
+    });
+  }
+}
--- /dev/null
+++ b/src/coordination/gateway/send.ts
@@ -0,0 +1,157 @@
+/** One send of a request to one engine: where it goes, under what conditions, what it costs there. */
+import type {
+  AnswerHead,
+  Exchange,
+  ExchangeFailure,
+  ExchangeListener,
+  SendOptions,
+} from '../../protocol/inference/port.js';
+import type { Service } from '../../state/routing/configuration.js';
+import { type Placement, placeRequest } from '../../state/routing/placement.js';
+import type { GatewayContext } from './gateway-context.js';
+import { LoadShare } from './load-share.js';
+import type { Grant } from './request-admission.js';
+import type { InboundRequest } from './reply.js';
+
+/** Most urgent and least urgent rank an engine knows. */
+const LEAST_URGENT = 9;
+/** Connections kept free for routers that this one has not heard of. */
+const UNKNOWN_ROUTERS = 1;
+
+/** Chooses an engine for a request. */
+export function placeCall(
+  request: InboundRequest,
+  grant: Grant,
+  service: Service,
+  excluded: ReadonlySet<string>,
+  context: GatewayContext,
+): ReturnType<typeof placeRequest> {
+  const stores = grant.table.cacheStores.flatMap(({ cacheStore }) => cacheStore ?? []);
+  const connectionShare = Math.max(
+    1,
+    Math.floor(service.maximumConnections / (context.group.size + UNKNOWN_ROUTERS)),
+  );
+  return placeRequest(
+    {
+      candidates: context.registry.ofService(service.name),
+      profile: service.engine,
+      generation: service.engine ? request.generation : undefined,
+      isolatedTenant: grant.tenant?.isIsolated ? grant.tenant.name : undefined,
+      excluded,
+      zone: context.zone,
+      stores,
+      connectionShare,
+    },
+    context,
+    context.clock.now(),
+  );
+}
+
+/** The conditions under which a placed request is sent. */
+export function sendOptionsOf(
+  placement: Placement,
+  grant: Grant,
+  remainingMs: number,
+  resumeAfter: string | undefined,
+): SendOptions {
+  return {
+    budgetMs: Math.max(1, Math.floor(remainingMs)),
+    tenant: grant.tenant?.name,
+    expectedInstance: placement.engine.record.id,
+    expectedVersion: placement.expectedVersion,
+    cacheSalt: placement.cacheSalt,
+    urgency: placement.cacheSalt === undefined ? undefined : Math.min(LEAST_URGENT, grant.priority),
+    fetchFrom: placement.fetchFrom,
+    saveTo: placement.saveTo,
+    resumeAfter,
+  };
+}
+
+/** Receives the events of one send, unless it was given up before. */
+export interface SendEvents {
+  onHead(send: Send, head: AnswerHead): void;
+  onChunk(send: Send, chunk: Uint8Array): void;
+  onEnd(send: Send): void;
+  onFailure(send: Send, failure: ExchangeFailure): void;
+}
+
+/** A send under way. After its end, failure or cancellation it passes no event on. */
+export class Send implements ExchangeListener {
+  private readonly exchange: Exchange;
+  private readonly load: LoadShare;
+  private isOver = false;
+  private isPromptRead = false;
+
+  constructor(
+    readonly placement: Placement,
+    private readonly request: InboundRequest,
+    options: SendOptions,
+    private readonly events: SendEvents,
+    private readonly context: GatewayContext,
+  ) {
+    const { id } = placement.engine.record;
+    const generation = placement.cacheSalt === undefined ? undefined : request.generation;
+    this.load = new LoadShare(context.loads, id, generation, placement.unreadTokens);
+    context.statistics.sends += 1;
+    this.exchange = context.engines.send(placement.engine.record, request, options, this);
+  }
+
+  get engineId(): string {
+    return this.placement.engine.record.id;
+  }
+
+  onHead(head: AnswerHead): void {
+    if (!this.isOver) this.events.onHead(this, head);
+  }
+
+  onChunk(chunk: Uint8Array): void {
+    if (this.isOver) return;
+    this.notePromptRead();
+    this.events.onChunk(this, chunk);
+  }
+
+  onEnd(): void {
+    if (this.isOver) return;
+    this.close();
+    this.context.health.noteSuccess(this.engineId);
+    this.events.onEnd(this);
+  }
+
+  onFailure(failure: ExchangeFailure): void {
+    if (this.isOver) return;
+    this.close();
+    this.events.onFailure(this, failure);
+  }
+
+  /** Closes the connection to the engine; no event follows. */
+  cancel(): void {
+    if (this.isOver) return;
+    this.close();
+    this.exchange.cancel();
+  }
+
+  pause(): void {
+    this.exchange.pause();
+  }
+
+  resume(): void {
+    this.exchange.resume();
+  }
+
+  private close(): void {
+    this.isOver = true;
+    this.load.release();
+  }
+
+  /** The first bytes of a generation show that the engine has read, and so keeps, the prompt. */
+  private notePromptRead(): void {
+    if (this.isPromptRead) return;
+    this.isPromptRead = true;
+    this.load.notePromptRead();
+    const { cacheSalt, saveTo } = this.placement;
+    const { generation } = this.request;
+    if (cacheSalt === undefined || !generation) return;
+    this.context.kept.notePrompt(this.engineId, cacheSalt, generation.parts);
+    if (saveTo !== undefined) this.context.kept.notePrompt(saveTo, cacheSalt, generation.parts);
+  }
+}
--- /dev/null
+++ b/src/coordination/gateway/weight-coordinator.ts
@@ -0,0 +1,273 @@
+/**
+ * Brings the engines to the versions of weights that operators name. One router holds the lease and
+ * gives the orders; the others stand by, each a little later than the one before.
+ */
+import { type Clock, type Timer, repeat } from '../../runtime/clock.js';
+import type { Logger } from '../../runtime/logger.js';
+import type { InferencePort, OrderResult, WeightOrder } from '../../protocol/inference/port.js';
+import type { EngineHealth } from '../../state/routing/engine-health.js';
+import {
+  type Engine,
+  type EngineRegistry,
+  versionAt,
+} from '../../state/routing/engine-registry.js';
+import type { KeptPrefixes } from '../../state/routing/kept-prefixes.js';
+import type { LoadTable } from '../../state/routing/load-table.js';
+import {
+  type RolloutPlan,
+  type RolloutSettings,
+  planRollout,
+} from '../../state/routing/weight-rollout.js';
+import type { WeightVersions } from '../../state/routing/weight-versions.js';
+import type { GatewayStatistics } from './gateway-statistics.js';
+import type { WeightsNews } from './group-membership.js';
+import type { LeaseKeeper } from './lease-keeper.js';
+
+/** What a coordinator works with. */
+export interface CoordinatorParts {
+  readonly registry: EngineRegistry;
+  readonly versions: WeightVersions;
+  readonly loads: LoadTable;
+  readonly health: EngineHealth;
+  readonly kept: KeptPrefixes;
+  readonly engines: InferencePort;
+  readonly lease: LeaseKeeper;
+  readonly statistics: GatewayStatistics;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** How a coordinator takes part. */
+export interface CoordinatorSettings {
+  readonly holder: string;
+  readonly rollout: RolloutSettings;
+  /** Place of this router among the working ones; 0 acts first. */
+  rank(): number;
+  /** Tells the other routers of news at once. */
+  announce(): void;
+}
+
+interface GivenOrder {
+  readonly model: string;
+  readonly version: number;
+  readonly givenMs: number;
+  isDone: boolean;
+  /** When the news of it need not be told any more. */
+  forgetMs: number;
+}
+
+const TICK_MS = 150;
+/** How much later the next in rank acts, if nothing happens. */
+const RANK_DELAY_MS = 1_500;
+/** An order that shows no effect for this long may be given again. */
+const ORDER_PATIENCE_MS = 4_000;
+/** An engine that rejected an order, since another runs, is given the next after this. */
+const REJECTED_PAUSE_MS = 500;
+const NEWS_LIFETIME_MS = 2_500;
+/** Routers leave an engine alone for this long after hearing that it loads. */
+const LOADING_PAUSE_MS = 500;
+const POLL_PERIOD_MS = 300;
+
+/** The coordinator of one router. */
+export class WeightCoordinator {
+  private readonly orders = new Map<string, GivenOrder>();
+  private behindSinceMs: number | undefined;
+  private timer: Timer | undefined;
+  private isActing = false;
+  private lastPollMs = -Infinity;
+
+  constructor(
+    private readonly parts: CoordinatorParts,
+    private readonly settings: CoordinatorSettings,
+  ) {}
+
+  start(): void {
+    this.timer = repeat(this.parts.clock, TICK_MS, () => void this.tick());
+  }
+
+  stop(): void {
+    this.timer?.cancel();
+  }
+
+  /** What the other routers should know. */
+  get news(): WeightsNews[] {
+    return [...this.orders].map(([engineId, order]) => ({
+      engineId,
+      model: order.model,
+      version: order.version,
+      isLoading: !order.isDone,
+    }));
+  }
+
+  /** Takes what another router tells. */
+  receiveNews(news: WeightsNews): void {
+    const engine = this.parts.registry.find(news.engineId);
+    if (!engine) return;
+    if (news.isLoading) this.avoidWhileLoading(news.engineId);
+    else this.noteVersion(engine, news.model, news.version);
+  }
+
+  private get now(): number {
+    return this.parts.clock.now();
+  }
+
+  private async tick(): Promise<void> {
+    this.expireOrders();
+    if (this.isActing) return;
+    this.isActing = true;
+    try {
+      await this.pollLoading();
+      await this.act();
+    } finally {
+      this.isActing = false;
+    }
+  }
+
+  private async act(): Promise<void> {
+    const plans = this.plans();
+    if (plans.length === 0) {
+      this.behindSinceMs = undefined;
+      return;
+    }
+    this.behindSinceMs ??= this.now;
+    if (this.now - this.behindSinceMs < this.settings.rank() * RANK_DELAY_MS) return;
+    if (this.parts.lease.activeToken === undefined) {
+      await this.parts.lease.advance();
+      if (this.parts.lease.activeToken === undefined) return;
+    }
+    // Planned again: the call to the store took time.
+    await Promise.all(this.plans().map((plan) => this.carryOut(plan)));
+  }
+
+  private plans(): RolloutPlan[] {
+    const { registry, versions, loads } = this.parts;
+    return versions.models.flatMap((model) => {
+      const plan = planRollout(
+        model,
+        registry.holdersOf(model),
+        versions,
+        (engineId) => this.isLoading(engineId),
+        (engineId) => loads.at(engineId).requests,
+        this.settings.rollout,
+        this.now,
+      );
+      return plan ?? [];
+    });
+  }
+
+  private isLoading(engineId: string): boolean {
+    const order = this.orders.get(engineId);
+    return order !== undefined && !order.isDone;
+  }
+
+  private async carryOut(plan: RolloutPlan): Promise<void> {
+    await Promise.all(plan.engines.map((engine) => this.order(engine, plan.model, plan.version)));
+  }
+
+  private async order(engine: Engine, model: string, version: number): Promise<void> {
+    const { id } = engine.record;
+    this.orders.set(id, {
+      model,
+      version,
+      givenMs: this.now,
+      isDone: false,
+      forgetMs: this.now + ORDER_PATIENCE_MS,
+    });
+    const expectedSequence = engine.observedOrders ?? (await this.askForSequence(engine, model));
+    const fencingToken = this.parts.lease.activeToken;
+    if (expectedSequence === undefined || fencingToken === undefined) {
+      this.orders.delete(id);
+      return;
+    }
+    this.avoidWhileLoading(id);
+    this.settings.announce();
+    this.parts.statistics.orders += 1;
+    const { holder } = this.settings;
+    const order = { model, version, holder, fencingToken, expectedSequence };
+    this.noteResult(engine, order, await this.parts.engines.order(engine.record, order));
+  }
+
+  private async askForSequence(engine: Engine, model: string): Promise<number | undefined> {
+    const state = await this.parts.engines.weightState(engine.record, model);
+    return state?.orderSequence;
+  }
+
+  private noteResult(engine: Engine, order: WeightOrder, result: OrderResult): void {
+    const { id } = engine.record;
+    const { model, version, expectedSequence, fencingToken } = order;
+    this.parts.logger.info('weights_ordered', {
+      engine: id,
+      model,
+      version,
+      sequence: expectedSequence,
+      token: fencingToken,
+      result: result.kind,
+      status: result.kind === 'rejected' ? result.status : undefined,
+    });
+    // Where it is not sure that just this order was taken, the engine is asked before the next.
+    engine.observedOrders = result.kind === 'accepted' ? expectedSequence + 1 : undefined;
+    if (result.kind === 'already-done') this.finishOrder(engine, model, version);
+    const given = this.orders.get(id);
+    if (result.kind === 'rejected' && given) given.forgetMs = this.now + REJECTED_PAUSE_MS;
+  }
+
+  /** Asks the engines under orders how far they are. */
+  private async pollLoading(): Promise<void> {
+    const open = [...this.orders].filter(([, order]) => !order.isDone);
+    if (open.length === 0 || this.now - this.lastPollMs < POLL_PERIOD_MS) return;
+    this.lastPollMs = this.now;
+    await Promise.all(open.map(([engineId, order]) => this.pollEngine(engineId, order)));
+  }
+
+  private async pollEngine(engineId: string, order: GivenOrder): Promise<void> {
+    const engine = this.parts.registry.find(engineId);
+    if (!engine) {
+      this.orders.delete(engineId);
+      return;
+    }
+    this.avoidWhileLoading(engineId);
+    const listed = versionAt(engine, order.model) ?? 0;
+    if (listed >= order.version) {
+      this.finishOrder(engine, order.model, order.version);
+      return;
+    }
+    const state = await this.parts.engines.weightState(engine.record, order.model);
+    if (state && !state.isBusy && state.version >= order.version) {
+      this.finishOrder(engine, order.model, state.version);
+    }
+  }
+
+  private finishOrder(engine: Engine, model: string, version: number): void {
+    const order = this.orders.get(engine.record.id);
+    if (order && !order.isDone) {
+      order.isDone = true;
+      order.forgetMs = this.now + NEWS_LIFETIME_MS;
+      this.parts.logger.info('weights_loaded', {
+        engine: engine.record.id,
+        model,
+        version,
+        took_ms: Math.round(this.now - order.givenMs),
+      });
+    }
+    this.noteVersion(engine, model, version);
+    this.settings.announce();
+  }
+
+  private noteVersion(engine: Engine, model: string, version: number): void {
+    if ((versionAt(engine, model) ?? 0) < version) {
+      engine.observedVersions.set(model, version);
+      this.parts.kept.forget(engine.record.id);
+      this.parts.health.endPause(engine.record.id);
+    }
+  }
+
+  private avoidWhileLoading(engineId: string): void {
+    this.parts.health.noteBusy(engineId, this.now, LOADING_PAUSE_MS);
+  }
+
+  private expireOrders(): void {
+    for (const [engineId, order] of this.orders) {
+      if (this.now >= order.forgetMs) this.orders.delete(engineId);
+    }
+  }
+}
--- /dev/null
+++ b/src/protocol/inference/port.ts
@@ -0,0 +1,125 @@
+/** The port to engines: one exchange is one send of a request to one engine. */
+
+/** A header as it stands on the wire; names keep their spelling, duplicates stay apart. */
+export type HeaderLine = readonly [name: string, value: string];
+
+/** A request as it is passed on, the same for every engine. */
+export interface ForwardedRequest {
+  readonly id: string;
+  readonly method: string;
+  /** Path and query, unchanged. */
+  readonly target: string;
+  /** The host header, unchanged. */
+  readonly hostHeader: string;
+  readonly headers: readonly HeaderLine[];
+  readonly body: Uint8Array;
+}
+
+/** What differs from send to send. */
+export interface SendOptions {
+  /** Time the client will still wait, in milliseconds. */
+  readonly budgetMs: number;
+  readonly tenant: string | undefined;
+  /** Only this incarnation of the engine may run it. */
+  readonly expectedInstance: string;
+  /** Only an engine with these weights may run it. */
+  readonly expectedVersion: number | undefined;
+  /** Engines look up kept prompts only under the same salt. */
+  readonly cacheSalt: string | undefined;
+  /** 0 (first) to 9. */
+  readonly urgency: number | undefined;
+  /** Engine or store to take kept prompts from, HOST:PORT. */
+  readonly fetchFrom: string | undefined;
+  /** Store that gets what was read, HOST:PORT. */
+  readonly saveTo: string | undefined;
+  /** Continue after this event of the stream. */
+  readonly resumeAfter: string | undefined;
+}
+
+/** Status line and headers of an engine's answer. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly headers: readonly HeaderLine[];
+  /** Declared length of the body in bytes; undefined where it is not declared. */
+  readonly contentLength: number | undefined;
+  /** Whether the engine attests that it ran the request and made this answer. */
+  readonly isAttested: boolean;
+}
+
+/** Why an exchange ended without a whole answer. */
+export type ExchangeFailure =
+  /** No byte of the request left this router. */
+  | { readonly kind: 'not-sent'; readonly reason: string }
+  /** The engine attests that it has not run the request. */
+  | { readonly kind: 'refused'; readonly status: number; readonly reason: string }
+  /** It may have run. */
+  | { readonly kind: 'unknown'; readonly reason: string }
+  /** The answer began and broke off. */
+  | { readonly kind: 'cut'; readonly reason: string };
+
+/** Receives one answer: a head, any number of chunks, then one end or failure. */
+export interface ExchangeListener {
+  onHead(head: AnswerHead): void;
+  onChunk(chunk: Uint8Array): void;
+  onEnd(): void;
+  onFailure(failure: ExchangeFailure): void;
+}
+
+/** A send under way. */
+export interface Exchange {
+  /** Closes the connection, so that the engine stops. No event follows. */
+  cancel(): void;
+  pause(): void;
+  resume(): void;
+}
+
+/** The engine a request is sent to. */
+export interface EngineEndpoint {
+  /** Incarnation of the engine. */
+  readonly id: string;
+  /** HOST:PORT. */
+  readonly address: string;
+}
+
+/** An order to take other weights. */
+export interface WeightOrder {
+  readonly model: string;
+  readonly version: number;
+  /** Name of the machine that holds the lease. */
+  readonly holder: string;
+  readonly fencingToken: number;
+  /** Orders the engine must have taken so far. */
+  readonly expectedSequence: number;
+}
+
+/** Outcome of an order. */
+export type OrderResult =
+  | { readonly kind: 'accepted' }
+  | { readonly kind: 'already-done' }
+  | { readonly kind: 'rejected'; readonly status: number }
+  /** Not answered: it may be carried out, even later. */
+  | { readonly kind: 'unknown'; readonly reason: string };
+
+/** What an engine tells of one model's weights; some hundred milliseconds old. */
+export interface WeightState {
+  readonly version: number;
+  /** Whether an order is under way. */
+  readonly isBusy: boolean;
+  /** Orders taken since the engine started. */
+  readonly orderSequence: number;
+}
+
+/** Access to engines. */
+export interface InferencePort {
+  send(
+    endpoint: EngineEndpoint,
+    request: ForwardedRequest,
+    options: SendOptions,
+    listener: ExchangeListener,
+  ): Exchange;
+  order(endpoint: EngineEndpoint, order: WeightOrder): Promise<OrderResult>;
+  /** Undefined where the engine does not answer. */
+  weightState(endpoint: EngineEndpoint, model: string): Promise<WeightState | undefined>;
+  /** Closes idle connections to engines that are not listed any more. */
+  retain(engineIds: ReadonlySet<string>): void;
+}
--- /dev/null
+++ b/src/protocol/object-store/port.ts
@@ -0,0 +1,46 @@
+/** The port to the platform's store of versioned objects. */
+
+/** One object as the store holds it. */
+export interface StoredObject {
+  readonly name: string;
+  /** Revision of its last change. */
+  readonly revision: number;
+  /** Written by the owner of the object; checked by whoever reads it. */
+  readonly spec: unknown;
+}
+
+/** All objects of a kind at one revision of the store. */
+export interface ObjectList {
+  readonly objects: readonly StoredObject[];
+  readonly revision: number;
+}
+
+/** A change of one object. */
+export interface ObjectEvent {
+  readonly object: StoredObject;
+  readonly isGone: boolean;
+}
+
+/** What a watch answers: the changes up to a revision, or that the history is gone. */
+export type WatchResult =
+  | { readonly kind: 'events'; readonly events: readonly ObjectEvent[]; readonly revision: number }
+  | { readonly kind: 'history-gone' };
+
+/** What a conditional write answers. */
+export type WriteResult =
+  | { readonly kind: 'written'; readonly object: StoredObject }
+  /** Another revision was found; the object as it is, where the store tells it. */
+  | { readonly kind: 'conflict'; readonly present: StoredObject | undefined }
+  | { readonly kind: 'missing' };
+
+/** Calls reject with a `ProtocolFailure`; a write without an answer may still be done later. */
+export interface ObjectStorePort {
+  list(kind: string): Promise<ObjectList>;
+  /** Waits up to `waitMs` for changes after `revision`. */
+  watch(kind: string, revision: number, waitMs: number): Promise<WatchResult>;
+  /** Undefined where there is no such object. */
+  read(kind: string, name: string): Promise<StoredObject | undefined>;
+  create(kind: string, name: string, spec: unknown): Promise<WriteResult>;
+  /** Replaces the object if its revision still is `revision`. */
+  replace(kind: string, name: string, spec: unknown, revision: number): Promise<WriteResult>;
+}
--- /dev/null
+++ b/src/state/routing/engine-health.ts
@@ -0,0 +1,80 @@
+/** What answers tell of an engine's health: how long it is left alone after failures. */
+
+interface Health {
+  /** Moving share of failures among the last answers, 0 to 1. */
+  failureShare: number;
+  avoidedUntilMs: number;
+  pauseMs: number;
+}
+
+/** Weight of the newest answer in the moving share. */
+const NEWEST_WEIGHT = 0.25;
+/** At this share of failures the engine is left alone for a while. */
+const FAILURE_SHARE_TO_AVOID = 0.4;
+const FIRST_PAUSE_MS = 700;
+const LONGEST_PAUSE_MS = 4_000;
+/** A connection that can't be opened says more than a failed answer. */
+const UNREACHABLE_PAUSE_MS = 1_000;
+/** Below this share an engine counts as well again and its pauses start short. */
+const RECOVERED_SHARE = 0.1;
+
+/** Health of all engines, by incarnation. */
+export class EngineHealth {
+  private readonly engines = new Map<string, Health>();
+
+  noteSuccess(engineId: string): void {
+    const health = this.engines.get(engineId);
+    if (!health) return;
+    health.failureShare *= 1 - NEWEST_WEIGHT;
+    if (health.failureShare < RECOVERED_SHARE) this.engines.delete(engineId);
+  }
+
+  noteFailure(engineId: string, nowMs: number): void {
+    const health = this.of(engineId);
+    health.failureShare = health.failureShare * (1 - NEWEST_WEIGHT) + NEWEST_WEIGHT;
+    if (health.failureShare < FAILURE_SHARE_TO_AVOID) return;
+    if (nowMs < health.avoidedUntilMs) return;
+    health.avoidedUntilMs = nowMs + health.pauseMs;
+    health.pauseMs = Math.min(LONGEST_PAUSE_MS, health.pauseMs * 2);
+  }
+
+  noteUnreachable(engineId: string, nowMs: number): void {
+    const health = this.of(engineId);
+    health.failureShare = 1;
+    health.avoidedUntilMs = Math.max(health.avoidedUntilMs, nowMs + UNREACHABLE_PAUSE_MS);
+  }
+
+  /** The engine said that it takes no work for a moment. */
+  noteBusy(engineId: string, nowMs: number, pauseMs: number): void {
+    const health = this.of(engineId);
+    health.avoidedUntilMs = Math.max(health.avoidedUntilMs, nowMs + pauseMs);
+  }
+
+  /** The reason for a pause is gone. */
+  endPause(engineId: string): void {
+    const health = this.engines.get(engineId);
+    if (health) health.avoidedUntilMs = -Infinity;
+  }
+
+  isAvoided(engineId: string, nowMs: number): boolean {
+    return nowMs < (this.engines.get(engineId)?.avoidedUntilMs ?? -Infinity);
+  }
+
+  /** Moving share of failures, 0 where nothing is known. */
+  failureShare(engineId: string): number {
+    return this.engines.get(engineId)?.failureShare ?? 0;
+  }
+
+  retain(engineIds: ReadonlySet<string>): void {
+    for (const id of this.engines.keys()) if (!engineIds.has(id)) this.engines.delete(id);
+  }
+
+  private of(engineId: string): Health {
+    let health = this.engines.get(engineId);
+    if (!health) {
+      health = { failureShare: 0, avoidedUntilMs: -Infinity, pauseMs: FIRST_PAUSE_MS };
+      this.engines.set(engineId, health);
+    }
+    return health;
+  }
+}
--- /dev/null
+++ b/src/state/routing/route-table.ts
@@ -0,0 +1,56 @@
+/** Finds the route of a request and the tenant of a key in one configuration. */
+import type { Route, RoutingConfiguration, Service, Tenant } from './configuration.js';
+
+/** An index over one {@link RoutingConfiguration}. */
+export class RouteTable {
+  private readonly routesByHost = new Map<string, Map<string, Route>>();
+  private readonly tenantsByKey = new Map<string, Tenant>();
+  private readonly servicesByName = new Map<string, Service>();
+
+  constructor(readonly configuration: RoutingConfiguration) {
+    for (const route of configuration.routes) this.indexRoute(route);
+    for (const tenant of configuration.tenants ?? []) {
+      for (const key of tenant.keys) this.tenantsByKey.set(key, tenant);
+    }
+    for (const service of configuration.services) this.servicesByName.set(service.name, service);
+  }
+
+  get needsKeys(): boolean {
+    return this.configuration.tenants !== undefined;
+  }
+
+  /** The cache stores of the configuration. */
+  get cacheStores(): Service[] {
+    return this.configuration.services.filter((service) => service.cacheStore);
+  }
+
+  /** The route with the longest prefix; the path is without its query. */
+  findRoute(host: string, path: string): Route | undefined {
+    const routes = this.routesByHost.get(host);
+    if (!routes) return undefined;
+    let end = path.lastIndexOf('/');
+    while (end >= 0) {
+      const route = routes.get(path.slice(0, end + 1));
+      if (route) return route;
+      end = end === 0 ? -1 : path.lastIndexOf('/', end - 1);
+    }
+    return undefined;
+  }
+
+  findTenant(key: string): Tenant | undefined {
+    return this.tenantsByKey.get(key);
+  }
+
+  findService(name: string): Service | undefined {
+    return this.servicesByName.get(name);
+  }
+
+  private indexRoute(route: Route): void {
+    let routes = this.routesByHost.get(route.host);
+    if (!routes) {
+      routes = new Map();
+      this.routesByHost.set(route.host, routes);
+    }
+    routes.set(route.pathPrefix, route);
+  }
+}
--- /dev/null
+++ b/src/state/routing/weight-lease.ts
@@ -0,0 +1,127 @@
+/**
+ * The lease on giving orders to engines, as one router sees it.
+ *
+ * One object in the store names the holder and a fencing token. The holder writes the object anew
+ * before each batch of orders and gives orders only for a short while after that call began. Whoever
+ * takes over has seen the object unchanged for the lease time and that while, so the last order of
+ * the old holder is a lease time old.
+ */
+
+/** What the object holds. */
+export interface LeaseRecord {
+  readonly holder: string;
+  /** Tells two lives of one router apart. */
+  readonly life: string;
+  readonly fencingToken: number;
+}
+
+/** The object at one revision. */
+export interface LeaseView {
+  readonly record: LeaseRecord;
+  readonly revision: number;
+}
+
+/** What the router may do next. */
+export enum LeaseStep {
+  /** Nothing is known: read the object. */
+  Read = 'read',
+  /** There is no object: create it with the first token. */
+  Create = 'create',
+  /** Write the own record anew. */
+  Renew = 'renew',
+  /** Replace the other holder's record, with a higher token. */
+  TakeOver = 'take-over',
+  /** Another holder may still give orders. */
+  Wait = 'wait',
+  /** Orders may be given now. */
+  Act = 'act',
+}
+
+/** Times in milliseconds. */
+export interface LeaseSettings {
+  readonly holder: string;
+  readonly life: string;
+  /** Holders must not take turns within this time. */
+  readonly leaseMs: number;
+  /** The holder may act for this long after its last write began. */
+  readonly actMs: number;
+}
+
+/** Tolerance for clocks that run at different speeds and calls that were on their way. */
+const MARGIN_MS = 300;
+/** What is known of the object is read again after this long. */
+const VIEW_LIFETIME_MS = 1_000;
+const FIRST_TOKEN = 1;
+
+/** State machine of the lease; every call comes with the time. */
+export class WeightLease {
+  private view: LeaseView | undefined;
+  private isMissing = false;
+  /** When a call was answered that showed the present revision for the first time. */
+  private firstSeenMs = -Infinity;
+  private lastReadMs = -Infinity;
+  private actUntilMs = -Infinity;
+
+  constructor(private readonly settings: LeaseSettings) {}
+
+  /** The token of this router; undefined while it does not hold the lease. */
+  get fencingToken(): number | undefined {
+    return this.isOwn ? this.view?.record.fencingToken : undefined;
+  }
+
+  get revision(): number {
+    return this.view?.revision ?? 0;
+  }
+
+  next(nowMs: number): LeaseStep {
+    if (this.isMissing) return LeaseStep.Create;
+    if (!this.view) return LeaseStep.Read;
+    if (this.isOwn) return nowMs < this.actUntilMs ? LeaseStep.Act : LeaseStep.Renew;
+    // An earlier life of this router gives no orders any more: no wait is due.
+    if (this.view.record.holder === this.settings.holder) return LeaseStep.TakeOver;
+    const { leaseMs, actMs } = this.settings;
+    if (nowMs - this.firstSeenMs >= leaseMs + actMs + MARGIN_MS) return LeaseStep.TakeOver;
+    return nowMs - this.lastReadMs >= VIEW_LIFETIME_MS ? LeaseStep.Read : LeaseStep.Wait;
+  }
+
+  /** The record to write for a step that writes. */
+  recordFor(step: LeaseStep.Create | LeaseStep.Renew | LeaseStep.TakeOver): LeaseRecord {
+    const present = this.view?.record.fencingToken ?? FIRST_TOKEN - 1;
+    const { holder, life } = this.settings;
+    const fencingToken = step === LeaseStep.Renew ? present : present + 1;
+    return { holder, life, fencingToken };
+  }
+
+  /** A read or a conflict showed the object; `undefined`: there is none. */
+  observe(view: LeaseView | undefined, answeredMs: number): void {
+    this.lastReadMs = answeredMs;
+    this.isMissing = view === undefined;
+    if (view?.revision !== this.view?.revision) {
+      // The holder may have written until just before the answer was made.
+      this.firstSeenMs = answeredMs;
+      this.actUntilMs = -Infinity;
+    }
+    this.view = view;
+  }
+
+  /** The own write was acknowledged. */
+  noteWritten(view: LeaseView, callBeganMs: number): void {
+    this.isMissing = false;
+    this.view = view;
+    this.firstSeenMs = callBeganMs;
+    this.lastReadMs = callBeganMs;
+    this.actUntilMs = callBeganMs + this.settings.actMs;
+  }
+
+  /** A write was not answered: it may be in the store, or come there later. */
+  noteUnanswered(): void {
+    this.view = undefined;
+    this.isMissing = false;
+    this.actUntilMs = -Infinity;
+  }
+
+  private get isOwn(): boolean {
+    const record = this.view?.record;
+    return record?.holder === this.settings.holder && record.life === this.settings.life;
+  }
+}
--- /dev/null
+++ b/src/state/routing/weight-versions.ts
@@ -0,0 +1,46 @@
+/** The versions of weights that operators have named, and until when older ones may be used. */
+
+interface NamedVersion {
+  readonly version: number;
+  /** When this router may first have been able to know of it. */
+  readonly namedMs: number;
+}
+
+/** Named versions of all models. */
+export class WeightVersions {
+  private readonly byModel = new Map<string, NamedVersion[]>();
+
+  /** @param graceMs time from the naming of a version until older ones may serve no new request */
+  constructor(private readonly graceMs: number) {}
+
+  /** Notes a version; false where it is known already or older than the newest. */
+  note(model: string, version: number, namedMs: number): boolean {
+    const versions = this.byModel.get(model) ?? [];
+    const newest = versions.at(-1);
+    if (newest && newest.version >= version) return false;
+    versions.push({ version, namedMs });
+    this.byModel.set(model, versions);
+    return true;
+  }
+
+  get models(): string[] {
+    return [...this.byModel.keys()];
+  }
+
+  newest(model: string): number | undefined {
+    return this.byModel.get(model)?.at(-1)?.version;
+  }
+
+  /** The lowest version that may still serve a request begun now. */
+  minimum(model: string, nowMs: number): number {
+    const versions = this.byModel.get(model) ?? [];
+    const due = versions.filter((named) => nowMs >= named.namedMs + this.graceMs).at(-1);
+    return due?.version ?? 0;
+  }
+
+  /** When the first version above `version` must be in force; undefined where there is none. */
+  dueMs(model: string, version: number): number | undefined {
+    const next = (this.byModel.get(model) ?? []).find((named) => named.version > version);
+    return next && next.namedMs + this.graceMs;
+  }
+}
