Let one router act on named weights, and count a version's age from its news

Cause: standbys did not count engines that another router was loading and took the lease over in the middle of a rollout (three holders, 62 orders with 409s); a version's age was counted from the start of the watch that told of it, up to 10 s too early, so orders began 0.3 s after the naming. Change: news of loading engines counts at all routers, keeps them from being chosen and puts the standbys' turn off; the age counts from the news.

--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -39,7 +39,7 @@
   readonly decoder: ObjectDecoder;
 }
 
-/** Weights named before this router started are taken to be this old. */
+/** Weights found in a list, not heard of by a watch, are taken to be named this long ago. */
 const UNSEEN_AGE_MS = 4_000;
 const UPKEEP_PERIOD_MS = 1_000;
 /** A starting router joins without engines after this long. */
@@ -60,7 +60,6 @@
   private readonly context: GatewayContext;
   private readonly coordinator: WeightCoordinator;
   private readonly timers: Timer[] = [];
-  private readonly startedMs: number;
   private hasEngineList = false;
   private isLeaving = false;
 
@@ -71,7 +70,6 @@
     parts: GatewayParts,
   ) {
     const { clock, random, hasher, logger, engines, store } = surroundings;
-    this.startedMs = clock.now();
     this.loads = parts.loads;
     this.configuration = new ConfigurationState(settings.proofLifetimeMs);
     this.versions = new WeightVersions(settings.rollout.graceMs);
@@ -154,8 +152,8 @@
       onGone: (name) => this.removeEngine(name),
     });
     this.follow(this.settings.kinds.weightVersions, this.settings.versionWatchMs, {
-      onList: (objects) => this.takeVersions(objects, this.startedMs - UNSEEN_AGE_MS),
-      onObject: (object, callBeganMs) => this.takeVersions([object], callBeganMs),
+      onList: (objects) => this.takeVersions(objects, UNSEEN_AGE_MS),
+      onObject: (object) => this.takeVersions([object], 0),
     });
     this.timers.push(
       repeat(this.surroundings.clock, UPKEEP_PERIOD_MS, () => this.upkeep()),
@@ -292,8 +290,10 @@
     this.kept.retain(new Set([...this.registry.ids, ...addresses]));
   }
 
-  private takeVersions(objects: readonly StoredObject[], namedMs: number): void {
-    const { decoder, logger } = this.surroundings;
+  /** @param ageMs how long the versions may have been named already */
+  private takeVersions(objects: readonly StoredObject[], ageMs: number): void {
+    const { decoder, logger, clock } = this.surroundings;
+    const namedMs = clock.now() - ageMs;
     for (const object of objects) {
       const named = decoder.weights(object);
       if (named && this.versions.note(named.model, named.version, namedMs)) {
--- a/src/coordination/gateway/weight-coordinator.ts
+++ b/src/coordination/gateway/weight-coordinator.ts
@@ -64,8 +64,6 @@
 /** An engine that rejected an order, since another runs, is given the next after this. */
 const REJECTED_PAUSE_MS = 500;
 const NEWS_LIFETIME_MS = 2_500;
-/** Routers leave an engine alone for this long after hearing that it loads. */
-const LOADING_PAUSE_MS = 500;
 const POLL_PERIOD_MS = 300;
 
 /** The coordinator of one router. */
@@ -103,8 +101,11 @@
   receiveNews(news: WeightsNews): void {
     const engine = this.parts.registry.find(news.engineId);
     if (!engine) return;
-    if (news.isLoading) this.avoidWhileLoading(news.engineId);
-    else this.noteVersion(engine, news.model, news.version);
+    if (news.isLoading) {
+      this.parts.health.noteLoading(news.engineId, this.now);
+      // Somebody acts, so this router's turn starts anew.
+      this.behindSinceMs = undefined;
+    } else this.noteVersion(engine, news.model, news.version);
   }
 
   private get now(): number {
@@ -157,7 +158,8 @@
 
   private isLoading(engineId: string): boolean {
     const order = this.orders.get(engineId);
-    return order !== undefined && !order.isDone;
+    if (order) return !order.isDone;
+    return this.parts.health.isLoading(engineId, this.now);
   }
 
   private async carryOut(plan: RolloutPlan): Promise<void> {
@@ -179,7 +181,7 @@
       this.orders.delete(id);
       return;
     }
-    this.avoidWhileLoading(id);
+    this.parts.health.noteLoading(id, this.now);
     this.settings.announce();
     this.parts.statistics.orders += 1;
     const { holder } = this.settings;
@@ -225,7 +227,7 @@
       this.orders.delete(engineId);
       return;
     }
-    this.avoidWhileLoading(engineId);
+    this.parts.health.noteLoading(engineId, this.now);
     const listed = versionAt(engine, order.model) ?? 0;
     if (listed >= order.version) {
       this.finishOrder(engine, order.model, order.version);
@@ -257,12 +259,8 @@
     if ((versionAt(engine, model) ?? 0) < version) {
       engine.observedVersions.set(model, version);
       this.parts.kept.forget(engine.record.id);
-      this.parts.health.endPause(engine.record.id);
     }
-  }
-
-  private avoidWhileLoading(engineId: string): void {
-    this.parts.health.noteBusy(engineId, this.now, LOADING_PAUSE_MS);
+    this.parts.health.noteLoaded(engine.record.id);
   }
 
   private expireOrders(): void {
--- a/src/state/routing/engine-health.ts
+++ b/src/state/routing/engine-health.ts
@@ -18,9 +18,13 @@
 /** Below this share an engine counts as well again and its pauses start short. */
 const RECOVERED_SHARE = 0.1;
 
+/** An engine that takes weights refuses work; news of it comes several times within this time. */
+const LOADING_LIFETIME_MS = 900;
+
 /** Health of all engines, by incarnation. */
 export class EngineHealth {
   private readonly engines = new Map<string, Health>();
+  private readonly loadingUntilMs = new Map<string, number>();
 
   noteSuccess(engineId: string): void {
     const health = this.engines.get(engineId);
@@ -50,12 +54,22 @@
     health.avoidedUntilMs = Math.max(health.avoidedUntilMs, nowMs + pauseMs);
   }
 
-  /** The reason for a pause is gone. */
-  endPause(engineId: string): void {
+  /** The engine takes other weights, so it is certain to refuse; repeat while it lasts. */
+  noteLoading(engineId: string, nowMs: number): void {
+    this.loadingUntilMs.set(engineId, nowMs + LOADING_LIFETIME_MS);
+  }
+
+  /** The engine takes work again. */
+  noteLoaded(engineId: string): void {
+    if (!this.loadingUntilMs.delete(engineId)) return;
     const health = this.engines.get(engineId);
     if (health) health.avoidedUntilMs = -Infinity;
   }
 
+  isLoading(engineId: string, nowMs: number): boolean {
+    return nowMs < (this.loadingUntilMs.get(engineId) ?? -Infinity);
+  }
+
   isAvoided(engineId: string, nowMs: number): boolean {
     return nowMs < (this.engines.get(engineId)?.avoidedUntilMs ?? -Infinity);
   }
@@ -67,6 +81,9 @@
 
   retain(engineIds: ReadonlySet<string>): void {
     for (const id of this.engines.keys()) if (!engineIds.has(id)) this.engines.delete(id);
+    for (const id of this.loadingUntilMs.keys()) {
+      if (!engineIds.has(id)) this.loadingUntilMs.delete(id);
+    }
   }
 
   private of(engineId: string): Health {
--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -119,7 +119,8 @@
   tables: PlacementTables,
   nowMs: number,
 ): boolean {
-  if (engine.record.isDraining || request.excluded.has(engine.record.id)) return false;
+  const { id, isDraining } = engine.record;
+  if (isDraining || request.excluded.has(id) || tables.health.isLoading(id, nowMs)) return false;
   if (!request.generation) return true;
   const { model } = request.generation;
   const version = versionAt(engine, model);
