Follow the cache events of engines and stores

Change: each router follows the event feed of every engine and store (rank below the calls that one holds) and notes what is kept, under its salt.

--- /dev/null
+++ b/src/coordination/gateway/cache-feeds.ts
@@ -0,0 +1,115 @@
+/**
+ * Follows what engines and cache stores say they keep. Events are late and some are lost, so what is
+ * learned is a belief: a wrong one costs a fetch that finds nothing.
+ */
+import { type Clock, sleep } from '../../runtime/clock.js';
+import type { Logger } from '../../runtime/logger.js';
+import type { RandomSource } from '../../runtime/random.js';
+import type { CacheEventPage, InferencePort } from '../../protocol/inference/port.js';
+import type { KeptPrefixes } from '../../state/routing/kept-prefixes.js';
+
+/** An engine or cache store whose events are followed. */
+export interface FeedSource {
+  /** Identity of the holder in {@link KeptPrefixes}. */
+  readonly holder: string;
+  /** HOST:PORT. */
+  readonly address: string;
+}
+
+/** What the feeds work with. */
+export interface FeedParts {
+  readonly kept: KeptPrefixes;
+  readonly engines: InferencePort;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+}
+
+/** A call is held this long; shorter ones would be paid as probes. */
+const WAIT_MS = 1_000;
+/** Between calls, so that several events come with one answer. */
+const PAUSE_MS = 150;
+const FIRST_FAILURE_PAUSE_MS = 300;
+const LONGEST_FAILURE_PAUSE_MS = 3_000;
+
+/** The feeds of all holders. */
+export class CacheFeeds {
+  private readonly feeds = new Map<string, CacheFeed>();
+
+  constructor(private readonly parts: FeedParts) {}
+
+  /** Follows just these from now on. */
+  follow(sources: readonly FeedSource[]): void {
+    const wanted = new Map(sources.map((source) => [source.holder, source]));
+    for (const [holder, feed] of this.feeds) {
+      if (wanted.has(holder)) continue;
+      feed.stop();
+      this.feeds.delete(holder);
+    }
+    for (const [holder, source] of wanted) {
+      if (this.feeds.has(holder)) continue;
+      const feed = new CacheFeed(source, this.parts);
+      this.feeds.set(holder, feed);
+      feed.start();
+    }
+  }
+
+  stop(): void {
+    this.follow([]);
+  }
+}
+
+class CacheFeed {
+  private since = 0;
+  private epoch: number | undefined;
+  private failures = 0;
+  private isStopped = false;
+
+  constructor(
+    private readonly source: FeedSource,
+    private readonly parts: FeedParts,
+  ) {}
+
+  start(): void {
+    void this.run();
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  private async run(): Promise<void> {
+    while (!this.isStopped) {
+      const pauseMs = await this.step();
+      await sleep(this.parts.clock, pauseMs);
+    }
+  }
+
+  /** One call; answers the pause before the next. */
+  private async step(): Promise<number> {
+    const { engines, random } = this.parts;
+    try {
+      const page = await engines.cacheEvents(this.source.address, this.since, WAIT_MS);
+      if (!this.isStopped) this.take(page);
+      this.failures = 0;
+      return PAUSE_MS;
+    } catch {
+      this.failures += 1;
+      const pauseMs = FIRST_FAILURE_PAUSE_MS * 2 ** (this.failures - 1);
+      return Math.min(LONGEST_FAILURE_PAUSE_MS, pauseMs) * (0.5 + random.next());
+    }
+  }
+
+  private take(page: CacheEventPage): void {
+    const { kept, logger } = this.parts;
+    const { holder } = this.source;
+    const hasRestarted = this.epoch !== undefined && this.epoch !== page.epoch;
+    if (hasRestarted) kept.forget(holder);
+    if (hasRestarted || (page.hasGap && this.since > 0)) {
+      logger.info('cache_feed_gap', { holder, restarted: hasRestarted, since: this.since });
+    }
+    this.epoch = page.epoch;
+    this.since = page.next;
+    for (const { salt, partId, tokens } of page.events) kept.note(holder, salt, partId, tokens);
+  }
+}
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -15,6 +15,7 @@
 import { TrafficSplit } from '../../state/routing/traffic-split.js';
 import { WeightLease } from '../../state/routing/weight-lease.js';
 import { WeightVersions } from '../../state/routing/weight-versions.js';
+import { CacheFeeds, type FeedSource } from './cache-feeds.js';
 import { type CallerPlace, addressesFor } from './directory-answer.js';
 import { type GatewayContext, ServiceRetryBudgets } from './gateway-context.js';
 import type { GatewaySettings } from './gateway-settings.js';
@@ -42,6 +43,8 @@
 /** Weights found in a list, not heard of by a watch, are taken to be named this long ago. */
 const UNSEEN_AGE_MS = 4_000;
 const UPKEEP_PERIOD_MS = 1_000;
+/** Event calls at each engine that are left to routers whose rank is not settled. */
+const EVENT_CALLS_KEPT_FREE = 2;
 /** A starting router joins without engines after this long. */
 const STARTUP_PATIENCE_MS = 3_000;
 
@@ -59,6 +62,7 @@
   private readonly calls = new Set<RequestCall>();
   private readonly context: GatewayContext;
   private readonly coordinator: WeightCoordinator;
+  private readonly feeds: CacheFeeds;
   private readonly timers: Timer[] = [];
   private hasEngineList = false;
   private isLeaving = false;
@@ -91,6 +95,7 @@
       statistics: this.statistics,
       zone: settings.zone,
     };
+    this.feeds = new CacheFeeds({ kept: this.kept, engines, clock, random, logger });
     const lease = new WeightLease({
       holder: settings.nodeId,
       life: randomIdentifier(random),
@@ -205,6 +210,7 @@
     for (const follower of this.followers) follower.stop();
     for (const timer of this.timers) timer.cancel();
     this.coordinator.stop();
+    this.feeds.stop();
     this.group.stop();
   }
 
@@ -308,6 +314,25 @@
 
   private upkeep(): void {
     this.loads.expire(this.surroundings.clock.now());
+    this.followFeeds();
+  }
+
+  /** Follows the engines and stores that hold few enough callers to serve every router. */
+  private followFeeds(): void {
+    const table = this.configuration.current;
+    if (!table) return;
+    const rank = this.rank();
+    const sources: FeedSource[] = [];
+    for (const { name, engine, cacheStore } of table.configuration.services) {
+      const limit = engine?.maximumEventCalls ?? cacheStore?.maximumEventCalls ?? 0;
+      if (rank >= limit - EVENT_CALLS_KEPT_FREE) continue;
+      if (cacheStore) sources.push({ holder: cacheStore.address, address: cacheStore.address });
+      if (!engine) continue;
+      for (const { record } of this.registry.ofService(name)) {
+        sources.push({ holder: record.id, address: record.address });
+      }
+    }
+    this.feeds.follow(sources);
   }
 
   /** Place among the working routers, by identifier. */
--- a/src/protocol/inference/port.ts
+++ b/src/protocol/inference/port.ts
@@ -109,6 +109,25 @@
   readonly orderSequence: number;
 }
 
+/** One change of what an engine or a cache store keeps. */
+export interface CacheEvent {
+  readonly salt: string;
+  readonly partId: string;
+  /** Tokens of the part kept now; 0 where it is gone. */
+  readonly tokens: number;
+}
+
+/** An answer of an event feed. */
+export interface CacheEventPage {
+  /** Changes when the holder restarts. */
+  readonly epoch: number;
+  /** Where the next call continues. */
+  readonly next: number;
+  /** Whether events between `since` and the first of this page are gone. */
+  readonly hasGap: boolean;
+  readonly events: readonly CacheEvent[];
+}
+
 /** Access to engines. */
 export interface InferencePort {
   send(
@@ -120,6 +139,8 @@
   order(endpoint: EngineEndpoint, order: WeightOrder): Promise<OrderResult>;
   /** Undefined where the engine does not answer. */
   weightState(endpoint: EngineEndpoint, model: string): Promise<WeightState | undefined>;
+  /** Rejects with a `ProtocolFailure`. Held up to `waitMs` until there are events. */
+  cacheEvents(address: string, since: number, waitMs: number): Promise<CacheEventPage>;
   /** Closes idle connections to engines that are not listed any more. */
   retain(engineIds: ReadonlySet<string>): void;
 }
