--- /dev/null
+++ b/test/platform/engine-exchange.test.ts
@@ -0,0 +1,161 @@
+/** Answers of engines over real connections on loopback: whole, cut, crossed, refused. */
+import net from 'node:net';
+import test, { type ExecutionContext } from 'ava';
+import { EngineClient } from '../../platform/engine-client.js';
+import type {
+  AnswerHead,
+  ExchangeFailure,
+  ForwardedRequest,
+  SendOptions,
+} from '../../src/protocol/inference/port.js';
+
+const REQUEST: ForwardedRequest = {
+  id: 'request-1',
+  method: 'POST',
+  target: '/a/b?c=d',
+  hostHeader: 'host.example',
+  headers: [['X-Peatspan-Attempt-Id', 'request-1']],
+  body: Buffer.from('body'),
+};
+
+const OPTIONS: SendOptions = {
+  budgetMs: 500,
+  tenant: 'tenant-1',
+  expectedInstance: 'engine-1',
+  expectedVersion: undefined,
+  cacheSalt: undefined,
+  urgency: undefined,
+  fetchFrom: undefined,
+  saveTo: undefined,
+  resumeAfter: undefined,
+};
+
+const HEAD =
+  'HTTP/1.1 200 OK\r\nX-Peatspan-Attempt-Id: request-1\r\nX-Peatspan-Response-Seal: s\r\n';
+
+interface Outcome {
+  head?: AnswerHead;
+  body: string;
+  end: 'whole' | ExchangeFailure;
+}
+
+/** Serves every connection with a script; answers how the exchange ended for the router. */
+async function exchangeWith(
+  t: ExecutionContext,
+  script: (socket: net.Socket, received: string) => void,
+): Promise<Outcome> {
+  const server = net.createServer((socket) => {
+    let received = '';
+    socket.on('error', () => undefined);
+    socket.on('data', (chunk) => {
+      received += chunk.toString('latin1');
+      if (received.endsWith('body')) script(socket, received);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  t.teardown(() => server.close());
+  const { port } = server.address() as net.AddressInfo;
+  return new Promise((resolve) => {
+    const outcome: Outcome = { body: '', end: 'whole' };
+    new EngineClient().send({ id: 'engine-1', address: `127.0.0.1:${port}` }, REQUEST, OPTIONS, {
+      onHead: (head) => (outcome.head = head),
+      onChunk: (chunk) => (outcome.body += Buffer.from(chunk).toString('latin1')),
+      onEnd: () => resolve(outcome),
+      onFailure: (failure) => resolve({ ...outcome, end: failure }),
+    });
+  });
+}
+
+test('an answer with a length is whole', async (t) => {
+  const outcome = await exchangeWith(t, (socket) => {
+    socket.write(`${HEAD}Content-Length: 5\r\n\r\nhello`);
+  });
+  t.is(outcome.end, 'whole');
+  t.is(outcome.body, 'hello');
+  t.true(outcome.head?.isAttested);
+});
+
+test('an answer without a length that ends with its connection is whole', async (t) => {
+  const outcome = await exchangeWith(t, (socket) => socket.end(`${HEAD}\r\nhello`));
+  t.is(outcome.end, 'whole');
+  t.is(outcome.body, 'hello');
+});
+
+test('an answer without a length is cut where a reset comes with its last bytes', async (t) => {
+  const outcome = await exchangeWith(t, (socket) => {
+    socket.write(`${HEAD}\r\nhel`);
+    socket.resetAndDestroy();
+  });
+  t.not(outcome.end, 'whole');
+});
+
+test('an answer without a length is cut where a reset comes later', async (t) => {
+  const outcome = await exchangeWith(t, (socket) => {
+    socket.write(`${HEAD}\r\nhel`, () => setTimeout(() => socket.resetAndDestroy(), 30));
+  });
+  t.not(outcome.end, 'whole');
+});
+
+test('an answer shorter than its length is cut', async (t) => {
+  const outcome = await exchangeWith(t, (socket) => {
+    socket.end(`${HEAD}Content-Length: 50\r\n\r\nhello`);
+  });
+  t.is((outcome.end as ExchangeFailure).kind, 'cut');
+});
+
+test('an answer to another request is of no use and leaves the outcome unknown', async (t) => {
+  const other = HEAD.replace('request-1', 'request-0');
+  const outcome = await exchangeWith(t, (socket) => {
+    socket.write(`${other}Content-Length: 5\r\n\r\nhello`);
+  });
+  t.is((outcome.end as ExchangeFailure).kind, 'unknown');
+  t.is(outcome.head, undefined);
+});
+
+test('a refusal that says so proves that nothing ran', async (t) => {
+  const outcome = await exchangeWith(t, (socket) => {
+    socket.write(
+      'HTTP/1.1 503 Busy\r\nX-Peatspan-Not-Executed: 1\r\nX-Peatspan-Attempt-Id: request-1\r\nContent-Length: 0\r\n\r\n',
+    );
+  });
+  t.is((outcome.end as ExchangeFailure).kind, 'refused');
+});
+
+test('a refusal that does not say so proves nothing', async (t) => {
+  const outcome = await exchangeWith(t, (socket) => {
+    socket.write('HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n');
+  });
+  t.is((outcome.end as ExchangeFailure).kind, 'unknown');
+});
+
+test('bytes that are no answer leave the outcome unknown', async (t) => {
+  const outcome = await exchangeWith(t, (socket) => {
+    socket.write('nonsense\r\n\r\n');
+  });
+  t.is((outcome.end as ExchangeFailure).kind, 'unknown');
+});
+
+test('an engine that is not there was sent nothing', async (t) => {
+  const outcome = await new Promise<ExchangeFailure>((resolve) => {
+    new EngineClient().send({ id: 'engine-1', address: '127.0.0.1:1' }, REQUEST, OPTIONS, {
+      onHead: () => undefined,
+      onChunk: () => undefined,
+      onEnd: () => undefined,
+      onFailure: resolve,
+    });
+  });
+  t.is(outcome.kind, 'not-sent');
+});
+
+test('method, target, body and headers arrive as they were sent', async (t) => {
+  let seen = '';
+  await exchangeWith(t, (socket, received) => {
+    seen = received;
+    socket.write(`${HEAD}Content-Length: 0\r\n\r\n`);
+  });
+  t.true(seen.startsWith('POST /a/b?c=d HTTP/1.1\r\nHost: host.example\r\n'));
+  t.true(seen.includes('X-Peatspan-Expect-Instance: engine-1\r\n'));
+  t.true(seen.includes('X-Peatspan-Tenant: tenant-1\r\n'));
+  t.true(seen.includes('X-Peatspan-Time-Budget-Ms: 500\r\n'));
+  t.true(seen.endsWith('\r\n\r\nbody'));
+});
