--- a/fuzz/gateway-commands.ts
+++ b/fuzz/gateway-commands.ts
@@ -1,8 +1,9 @@
 /** Commands of the gateway's fuzz: requests of each kind and the faults of routers, engines and store. */
 import fc from 'fast-check';
-import type { GatewayWorld, RequestKind } from '../src/lab/gateway-world/gateway-world.js';
+import type { GatewayWorld } from '../src/lab/gateway-world/gateway-world.js';
 import { EngineMode } from '../src/lab/gateway-world/simulated-engines.js';
 import type { WriteFault } from '../src/lab/gateway-world/simulated-object-store.js';
+import type { RequestKind } from '../src/lab/gateway-world/world-fixtures.js';
 
 /** The oracle reads the world; commands remember nothing. */
 export type NoModel = Record<string, never>;
--- a/src/lab/gateway-world/gateway-world.ts
+++ b/src/lab/gateway-world/gateway-world.ts
@@ -1,13 +1,11 @@
 /** A whole deployment in one process on a virtual clock: routers, store, engines, callers. */
 import { GatewayNode } from '../../coordination/gateway/gateway-node.js';
 import type { GatewaySettings } from '../../coordination/gateway/gateway-settings.js';
-import type { ObjectDecoder, ObjectKinds } from '../../coordination/gateway/object-decoder.js';
-import type { InboundRequest } from '../../coordination/gateway/reply.js';
+import type { ObjectDecoder } from '../../coordination/gateway/object-decoder.js';
 import { type Hasher, createHasher } from '../../runtime/hasher.js';
 import { SilentLogger } from '../../runtime/logger.js';
 import { SeededRandom } from '../../runtime/random.js';
 import { VirtualClock } from '../../runtime/virtual-clock.js';
-import type { RoutingConfiguration } from '../../state/routing/configuration.js';
 import type { EngineRecord } from '../../state/routing/engine-registry.js';
 import { HostClock } from '../simulation/host-clock.js';
 import { SimulatedNetwork } from '../simulation/simulated-network.js';
@@ -18,9 +16,20 @@
 import { RecordedReply } from './recorded-reply.js';
 import { EngineObservations, SimulatedEngine, SimulatedInference } from './simulated-engines.js';
 import { SimulatedObjectStore, SimulatedStorePort } from './simulated-object-store.js';
-
-/** Kinds of request the callers of the simulation send. */
-export type RequestKind = 'plain-unsafe' | 'plain-safe' | 'stream-resumable' | 'stream-once';
+import {
+  DECODER,
+  GENERATION_SERVICE,
+  KEYS,
+  KINDS,
+  PLAIN_SERVICE,
+  ROUTERS,
+  type RequestKind,
+  WORLD_MODEL,
+  inboundRequest,
+  routerName,
+  worldConfiguration,
+  worldSettings,
+} from './world-fixtures.js';
 
 /** A request and what became of it. */
 export interface ObservedRequest {
@@ -41,26 +50,8 @@
   readonly atMs: number;
 }
 
-/** Bounds of the simulated deployment, in milliseconds. */
-export const WORLD_BOUNDS = { revokeMs: 5_000, drainMs: 2_000, leaseMs: 3_000 } as const;
-
-export const WORLD_MODEL = 'model-a';
-export const ISOLATED_TENANT = 'tenant-1';
-const GENERATION_SERVICE = 'generation';
-const PLAIN_SERVICE = 'plain';
-const ROUTERS = 3;
 const GENERATION_ENGINES = 3;
 const PLAIN_ENGINES = 2;
-const KINDS: ObjectKinds = {
-  configuration: 'configuration',
-  engines: 'engines',
-  weightVersions: 'weights',
-  leases: 'leases',
-};
-const KEYS = new Map([
-  ['tenant-1', ['key-1a', 'key-1b']],
-  ['tenant-2', ['key-2a', 'key-2b']],
-]);
 const STARTUP_MS = 1_500;
 const SETTLE_MS = 20_000;
 
@@ -76,12 +67,6 @@
   readonly inference: SimulatedInference;
 }
 
-const DECODER: ObjectDecoder = {
-  configuration: (object) => object.spec as RoutingConfiguration,
-  engine: (object) => object.spec as EngineRecord,
-  weights: (object) => object.spec as { model: string; version: number },
-};
-
 /** The deployment. */
 export class GatewayWorld {
   readonly clock = new VirtualClock();
@@ -311,117 +296,3 @@
     node.start();
   }
 }
-
-function routerName(index: number): string {
-  return `router-${index % ROUTERS}`;
-}
-
-function worldSettings(name: string): GatewaySettings {
-  return {
-    nodeId: name,
-    zone: 'zone-a',
-    region: 'region-a',
-    frontendAddress: `${name}:80`,
-    gossipAddress: `${name}:7000`,
-    seeds: [0, 1, 2].map((index) => `${routerName(index)}:7000`),
-    kinds: KINDS,
-    proofLifetimeMs: WORLD_BOUNDS.revokeMs * 0.92,
-    configurationWatchMs: 1_500,
-    engineWatchMs: 3_000,
-    versionWatchMs: 10_000,
-    retryBudget: { ratio: 0.2, windowMs: 10_000, allowance: 54 },
-    rollout: { graceMs: 7_000, batchMs: 1_000, batches: 2, marginMs: 500 },
-    leaseMs: WORLD_BOUNDS.leaseMs,
-    leaseActMs: 500,
-  };
-}
-
-function worldConfiguration(
-  version: number,
-  tenants: readonly { name: string; keys: string[] }[],
-): RoutingConfiguration {
-  const route = (kind: RequestKind, service: string) => ({
-    name: kind,
-    host: 'host.example',
-    pathPrefix: `/${pathOf(kind)}/`,
-    targets: [{ service, weight: 1 }],
-    isRepeatable: kind === 'plain-safe' || kind === 'stream-resumable',
-    isStreaming: kind.startsWith('stream'),
-    isResumable: kind === 'stream-resumable',
-    timeoutMs: 4_000,
-    objectiveMs: 400,
-    priority: 1,
-    maximumAttempts: 3,
-    isPublic: false,
-  });
-  const plain = { maximumConnections: 100, cacheStore: undefined };
-  return {
-    version,
-    routes: [
-      route('plain-unsafe', PLAIN_SERVICE),
-      route('plain-safe', PLAIN_SERVICE),
-      route('stream-resumable', GENERATION_SERVICE),
-      route('stream-once', GENERATION_SERVICE),
-    ],
-    services: [
-      { ...plain, name: PLAIN_SERVICE, engine: undefined },
-      {
-        ...plain,
-        name: GENERATION_SERVICE,
-        engine: {
-          slots: 8,
-          cacheCapacityTokens: 100_000,
-          cacheTokenBytes: 100,
-          linkMbps: 10_000,
-          maximumEventCalls: 8,
-        },
-      },
-    ],
-    tenants: tenants.map(({ name, keys }) => ({
-      name,
-      keys,
-      priority: undefined,
-      isIsolated: name === ISOLATED_TENANT,
-    })),
-    limits: {
-      maximumHeaderBytes: 16_384,
-      maximumBodyBytes: 1_000_000,
-      headerTimeoutMs: 3_000,
-      idleTimeoutMs: 15_000,
-    },
-  };
-}
-
-function pathOf(kind: RequestKind): string {
-  return kind.startsWith('stream') ? `stream/${kind}` : `plain/${kind}`;
-}
-
-function inboundRequest(
-  id: string,
-  kind: RequestKind,
-  key: string,
-  arrivedMs: number,
-): InboundRequest {
-  const path = `/${pathOf(kind)}/x`;
-  const parts = [
-    { id: 'shared', tokens: 800 },
-    { id, tokens: 100 },
-  ];
-  return {
-    id,
-    method: 'POST',
-    target: path,
-    path,
-    host: 'host.example',
-    hostHeader: 'host.example',
-    headers: [],
-    body: Buffer.from(id),
-    apiKey: key,
-    budgetMs: 3_000,
-    generation: kind.startsWith('stream')
-      ? { model: WORLD_MODEL, parts, promptTokens: 900, maximumOutputTokens: 10 }
-      : undefined,
-    resumeAfter: undefined,
-    arrivedMs,
-  };
-}
--- a/src/lab/gateway-world/recorded-reply.ts
+++ b/src/lab/gateway-world/recorded-reply.ts
@@ -1,5 +1,4 @@
 /** A caller's side of one request: keeps what arrived and how it ended. */
-import type { HeaderLine } from '../../protocol/inference/port.js';
 import type { OwnAnswer, Reply } from '../../coordination/gateway/reply.js';
 
 /** How an answer ended for the caller. */
@@ -13,7 +12,7 @@
   body = '';
   private closeListener: () => void = () => undefined;
 
-  begin(status: number, _headers: readonly HeaderLine[]): void {
+  begin(status: number): void {
     this.status = status;
   }
 
--- /dev/null
+++ b/src/lab/gateway-world/world-fixtures.ts
@@ -0,0 +1,156 @@
+/** What the simulated deployment is set up with: settings, configuration, requests. */
+import type { GatewaySettings } from '../../coordination/gateway/gateway-settings.js';
+import type { ObjectDecoder, ObjectKinds } from '../../coordination/gateway/object-decoder.js';
+import type { InboundRequest } from '../../coordination/gateway/reply.js';
+import type { RoutingConfiguration } from '../../state/routing/configuration.js';
+import type { EngineRecord } from '../../state/routing/engine-registry.js';
+
+/** Kinds of request the callers of the simulation send. */
+export type RequestKind = 'plain-unsafe' | 'plain-safe' | 'stream-resumable' | 'stream-once';
+
+/** Bounds of the simulated deployment, in milliseconds. */
+export const WORLD_BOUNDS = { revokeMs: 5_000, drainMs: 2_000, leaseMs: 3_000 } as const;
+
+export const WORLD_MODEL = 'model-a';
+export const ISOLATED_TENANT = 'tenant-1';
+/** Services of the deployment. */
+export const GENERATION_SERVICE = 'generation';
+export const PLAIN_SERVICE = 'plain';
+/** Routers of the deployment. */
+export const ROUTERS = 3;
+
+/** Kinds of object. */
+export const KINDS: ObjectKinds = {
+  configuration: 'configuration',
+  engines: 'engines',
+  weightVersions: 'weights',
+  leases: 'leases',
+};
+/** All keys that tenants ever hold. */
+export const KEYS = new Map([
+  ['tenant-1', ['key-1a', 'key-1b']],
+  ['tenant-2', ['key-2a', 'key-2b']],
+]);
+/** Objects of the simulation hold the product's values as they are. */
+export const DECODER: ObjectDecoder = {
+  configuration: (object) => object.spec as RoutingConfiguration,
+  engine: (object) => object.spec as EngineRecord,
+  weights: (object) => object.spec as { model: string; version: number },
+};
+
+/** Name of a router's machine. */
+export function routerName(index: number): string {
+  return `router-${index % ROUTERS}`;
+}
+/** Settings of one router. */
+export function worldSettings(name: string): GatewaySettings {
+  return {
+    nodeId: name,
+    zone: 'zone-a',
+    region: 'region-a',
+    frontendAddress: `${name}:80`,
+    gossipAddress: `${name}:7000`,
+    seeds: [0, 1, 2].map((index) => `${routerName(index)}:7000`),
+    kinds: KINDS,
+    proofLifetimeMs: WORLD_BOUNDS.revokeMs * 0.92,
+    configurationWatchMs: 1_500,
+    engineWatchMs: 3_000,
+    versionWatchMs: 10_000,
+    retryBudget: { ratio: 0.2, windowMs: 10_000, allowance: 54 },
+    rollout: { graceMs: 7_000, batchMs: 1_000, batches: 2, marginMs: 500 },
+    leaseMs: WORLD_BOUNDS.leaseMs,
+    leaseActMs: 500,
+  };
+}
+
+/** A configuration with all kinds of route. */
+export function worldConfiguration(
+  version: number,
+  tenants: readonly { name: string; keys: string[] }[],
+): RoutingConfiguration {
+  const route = (kind: RequestKind, service: string) => ({
+    name: kind,
+    host: 'host.example',
+    pathPrefix: `/${pathOf(kind)}/`,
+    targets: [{ service, weight: 1 }],
+    isRepeatable: kind === 'plain-safe' || kind === 'stream-resumable',
+    isStreaming: kind.startsWith('stream'),
+    isResumable: kind === 'stream-resumable',
+    timeoutMs: 4_000,
+    objectiveMs: 400,
+    priority: 1,
+    maximumAttempts: 3,
+    isPublic: false,
+  });
+  const plain = { maximumConnections: 100, cacheStore: undefined };
+  return {
+    version,
+    routes: [
+      route('plain-unsafe', PLAIN_SERVICE),
+      route('plain-safe', PLAIN_SERVICE),
+      route('stream-resumable', GENERATION_SERVICE),
+      route('stream-once', GENERATION_SERVICE),
+    ],
+    services: [
+      { ...plain, name: PLAIN_SERVICE, engine: undefined },
+      {
+        ...plain,
+        name: GENERATION_SERVICE,
+        engine: {
+          slots: 8,
+          cacheCapacityTokens: 100_000,
+          cacheTokenBytes: 100,
+          linkMbps: 10_000,
+          maximumEventCalls: 8,
+        },
+      },
+    ],
+    tenants: tenants.map(({ name, keys }) => ({
+      name,
+      keys,
+      priority: undefined,
+      isIsolated: name === ISOLATED_TENANT,
+    })),
+    limits: {
+      maximumHeaderBytes: 16_384,
+      maximumBodyBytes: 1_000_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+  };
+}
+
+function pathOf(kind: RequestKind): string {
+  return kind.startsWith('stream') ? `stream/${kind}` : `plain/${kind}`;
+}
+
+/** A request as a caller sends it. */
+export function inboundRequest(
+  id: string,
+  kind: RequestKind,
+  key: string,
+  arrivedMs: number,
+): InboundRequest {
+  const path = `/${pathOf(kind)}/x`;
+  const parts = [
+    { id: 'shared', tokens: 800 },
+    { id, tokens: 100 },
+  ];
+  return {
+    id,
+    method: 'POST',
+    target: path,
+    path,
+    host: 'host.example',
+    hostHeader: 'host.example',
+    headers: [],
+    body: Buffer.from(id),
+    apiKey: key,
+    budgetMs: 3_000,
+    generation: kind.startsWith('stream')
+      ? { model: WORLD_MODEL, parts, promptTokens: 900, maximumOutputTokens: 10 }
+      : undefined,
+    resumeAfter: undefined,
+    arrivedMs,
+  };
+}
