Do not wait for unanswered orders, let the holder go on, load a quarter of the engines at once

Change: orders run beside the loop, an unanswered one is settled by the engine's report, standbys leave a router alone whose orders were heard of in 2.5 s, a quarter of the engines loads at once.

--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -40,8 +40,10 @@
   readonly decoder: ObjectDecoder;
 }
 
-/** Weights found in a list, not heard of by a watch, are taken to be named this long ago. */
+/** Weights found by a router that has just started are taken to be named this long ago. */
 const UNSEEN_AGE_MS = 4_000;
+/** Weights found after a watch had failed; their time counts from when the store was sound again. */
+const MISSED_AGE_MS = 1_000;
 const UPKEEP_PERIOD_MS = 1_000;
 /** Event calls at each engine that are left to routers whose rank is not settled. */
 const EVENT_CALLS_KEPT_FREE = 2;
@@ -65,6 +67,7 @@
   private readonly feeds: CacheFeeds;
   private readonly timers: Timer[] = [];
   private hasEngineList = false;
+  private hasVersionList = false;
   private isLeaving = false;
 
   private constructor(
@@ -157,7 +160,7 @@
       onGone: (name) => this.removeEngine(name),
     });
     this.follow(this.settings.kinds.weightVersions, this.settings.versionWatchMs, {
-      onList: (objects) => this.takeVersions(objects, UNSEEN_AGE_MS),
+      onList: (objects) => this.takeVersionList(objects),
       onObject: (object) => this.takeVersions([object], 0),
     });
     this.timers.push(
@@ -296,6 +299,11 @@
     this.kept.retain(new Set([...this.registry.ids, ...addresses]));
   }
 
+  private takeVersionList(objects: readonly StoredObject[]): void {
+    this.takeVersions(objects, this.hasVersionList ? MISSED_AGE_MS : UNSEEN_AGE_MS);
+    this.hasVersionList = true;
+  }
+
   /** @param ageMs how long the versions may have been named already */
   private takeVersions(objects: readonly StoredObject[], ageMs: number): void {
     const { decoder, logger, clock } = this.surroundings;
--- a/src/coordination/gateway/weight-coordinator.ts
+++ b/src/coordination/gateway/weight-coordinator.ts
@@ -48,6 +48,8 @@
 }
 
 interface GivenOrder {
+  /** Whether the engine may still carry it out. */
+  isOpen: boolean;
   readonly model: string;
   readonly version: number;
   readonly givenMs: number;
@@ -56,20 +58,26 @@
   forgetMs: number;
 }
 
-const TICK_MS = 150;
+const TICK_MS = 100;
 /** How much later the next in rank acts, if nothing happens. */
 const RANK_DELAY_MS = 1_500;
 /** An order that shows no effect for this long may be given again. */
 const ORDER_PATIENCE_MS = 4_000;
-/** An engine that rejected an order, since another runs, is given the next after this. */
-const REJECTED_PAUSE_MS = 500;
+/** An engine that has not taken an order is given the next after this. */
+const RETRY_PAUSE_MS = 400;
+/** A router whose orders were heard of within this time is left to go on. */
+const INCUMBENT_PATIENCE_MS = 2_500;
 const NEWS_LIFETIME_MS = 2_500;
-const POLL_PERIOD_MS = 300;
+const POLL_PERIOD_MS = 200;
+/** No load is done sooner. */
+const SHORTEST_LOAD_MS = 400;
 
 /** The coordinator of one router. */
 export class WeightCoordinator {
   private readonly orders = new Map<string, GivenOrder>();
   private behindSinceMs: number | undefined;
+  /** When another router last told of an order it gave. */
+  private otherActedMs = -Infinity;
   private timer: Timer | undefined;
   private isActing = false;
   private lastPollMs = -Infinity;
@@ -89,7 +97,8 @@
 
   /** What the other routers should know. */
   get news(): WeightsNews[] {
-    return [...this.orders].map(([engineId, order]) => ({
+    const told = [...this.orders].filter(([, order]) => order.isOpen);
+    return told.map(([engineId, order]) => ({
       engineId,
       model: order.model,
       version: order.version,
@@ -103,8 +112,7 @@
     if (!engine) return;
     if (news.isLoading) {
       this.parts.health.noteLoading(news.engineId, this.now);
-      // Somebody acts, so this router's turn starts anew.
-      this.behindSinceMs = undefined;
+      this.otherActedMs = this.now;
     } else this.noteVersion(engine, news.model, news.version);
   }
 
@@ -131,13 +139,16 @@
       return;
     }
     this.behindSinceMs ??= this.now;
-    if (this.now - this.behindSinceMs < this.settings.rank() * RANK_DELAY_MS) return;
+    const idleSinceMs = Math.max(this.behindSinceMs, this.otherActedMs + INCUMBENT_PATIENCE_MS);
+    if (this.now - idleSinceMs < this.settings.rank() * RANK_DELAY_MS) return;
     if (this.parts.lease.activeToken === undefined) {
       await this.parts.lease.advance();
       if (this.parts.lease.activeToken === undefined) return;
     }
     // Planned again: the call to the store took time.
-    await Promise.all(this.plans().map((plan) => this.carryOut(plan)));
+    for (const { model, version, engines } of this.plans()) {
+      for (const engine of engines) void this.order(engine, model, version);
+    }
   }
 
   private plans(): RolloutPlan[] {
@@ -162,23 +173,20 @@
     return this.parts.health.isLoading(engineId, this.now);
   }
 
-  private async carryOut(plan: RolloutPlan): Promise<void> {
-    await Promise.all(plan.engines.map((engine) => this.order(engine, plan.model, plan.version)));
-  }
-
   private async order(engine: Engine, model: string, version: number): Promise<void> {
     const { id } = engine.record;
     this.orders.set(id, {
       model,
       version,
       givenMs: this.now,
+      isOpen: true,
       isDone: false,
       forgetMs: this.now + ORDER_PATIENCE_MS,
     });
     const expectedSequence = engine.observedOrders ?? (await this.askForSequence(engine, model));
     const fencingToken = this.parts.lease.activeToken;
     if (expectedSequence === undefined || fencingToken === undefined) {
-      this.orders.delete(id);
+      this.giveOrderUp(id);
       return;
     }
     this.parts.health.noteLoading(id, this.now);
@@ -209,16 +217,37 @@
     // Where it is not sure that just this order was taken, the engine is asked before the next.
     engine.observedOrders = result.kind === 'accepted' ? expectedSequence + 1 : undefined;
     if (result.kind === 'already-done') this.finishOrder(engine, model, version);
-    const given = this.orders.get(id);
-    if (result.kind === 'rejected' && given) given.forgetMs = this.now + REJECTED_PAUSE_MS;
+    if (result.kind === 'rejected') this.giveOrderUp(id);
+    if (result.kind === 'unknown') void this.settleUnanswered(engine, order);
+  }
+
+  /** Lets the engine serve on; after a pause it may be given the next order. */
+  private giveOrderUp(engineId: string): void {
+    const order = this.orders.get(engineId);
+    if (order) {
+      order.isOpen = false;
+      order.forgetMs = this.now + RETRY_PAUSE_MS;
+    }
+    this.parts.health.noteLoaded(engineId);
+  }
+
+  /**
+   * An order without an answer may have been taken, may come late or never. Where the engine has not
+   * taken it, the next one carries the same number, so that only one of the two is carried out.
+   */
+  private async settleUnanswered(engine: Engine, order: WeightOrder): Promise<void> {
+    const state = await this.parts.engines.weightState(engine.record, order.model);
+    const isTaken = state && (state.isBusy || state.orderSequence > order.expectedSequence);
+    if (!isTaken) this.giveOrderUp(engine.record.id);
   }
 
   /** Asks the engines under orders how far they are. */
   private async pollLoading(): Promise<void> {
-    const open = [...this.orders].filter(([, order]) => !order.isDone);
+    const open = [...this.orders].filter(([, order]) => order.isOpen && !order.isDone);
     if (open.length === 0 || this.now - this.lastPollMs < POLL_PERIOD_MS) return;
     this.lastPollMs = this.now;
-    await Promise.all(open.map(([engineId, order]) => this.pollEngine(engineId, order)));
+    const due = open.filter(([, order]) => this.now - order.givenMs >= SHORTEST_LOAD_MS);
+    await Promise.all(due.map(([engineId, order]) => this.pollEngine(engineId, order)));
   }
 
   private async pollEngine(engineId: string, order: GivenOrder): Promise<void> {
--- a/src/state/routing/weight-rollout.ts
+++ b/src/state/routing/weight-rollout.ts
@@ -44,7 +44,7 @@
   const behind = active.filter((engine) => (versionAt(engine, model) ?? 0) < newest);
   if (behind.length === 0) return undefined;
   const dueMs = earliestDueMs(model, behind, versions);
-  const batchSize = Math.max(1, Math.ceil(active.length / settings.batches));
+  const batchSize = Math.max(1, Math.floor(active.length / settings.batches));
   const batchesLeft = Math.ceil(behind.length / batchSize);
   const startMs = dueMs - settings.marginMs - batchesLeft * settings.batchMs;
   if (nowMs < startMs) return undefined;
