Ask holders for all they keep when a router starts

Change: the first feeds of a router begin with the holder's list (again after a gap, at most each 6 s); what a store has is believed from its events only.

--- a/src/coordination/gateway/cache-feeds.ts
+++ b/src/coordination/gateway/cache-feeds.ts
@@ -5,7 +5,11 @@
 import { type Clock, sleep } from '../../runtime/clock.js';
 import type { Logger } from '../../runtime/logger.js';
 import type { RandomSource } from '../../runtime/random.js';
-import type { CacheEventPage, InferencePort } from '../../protocol/inference/port.js';
+import type {
+  CacheContents,
+  CacheEventPage,
+  InferencePort,
+} from '../../protocol/inference/port.js';
 import type { KeptPrefixes } from '../../state/routing/kept-prefixes.js';
 
 /** An engine or cache store whose events are followed. */
@@ -29,17 +33,25 @@
 const WAIT_MS = 1_000;
 /** Between calls, so that several events come with one answer. */
 const PAUSE_MS = 150;
+/** After a gap a holder is asked for all it keeps, but not more often than this. */
+const CONTENTS_PERIOD_MS = 6_000;
 const FIRST_FAILURE_PAUSE_MS = 300;
 const LONGEST_FAILURE_PAUSE_MS = 3_000;
 
 /** The feeds of all holders. */
 export class CacheFeeds {
   private readonly feeds = new Map<string, CacheFeed>();
+  private hasFollowed = false;
 
   constructor(private readonly parts: FeedParts) {}
 
-  /** Follows just these from now on. */
+  /**
+   * Follows just these from now on. Holders that were there before this router are asked for all they
+   * keep first; new ones keep nothing yet.
+   */
   follow(sources: readonly FeedSource[]): void {
+    const mayKeepMuch = !this.hasFollowed;
+    this.hasFollowed ||= sources.length > 0;
     const wanted = new Map(sources.map((source) => [source.holder, source]));
     for (const [holder, feed] of this.feeds) {
       if (wanted.has(holder)) continue;
@@ -48,7 +60,7 @@
     }
     for (const [holder, source] of wanted) {
       if (this.feeds.has(holder)) continue;
-      const feed = new CacheFeed(source, this.parts);
+      const feed = new CacheFeed(source, mayKeepMuch, this.parts);
       this.feeds.set(holder, feed);
       feed.start();
     }
@@ -63,10 +75,12 @@
   private since = 0;
   private epoch: number | undefined;
   private failures = 0;
+  private contentsMs = -Infinity;
   private isStopped = false;
 
   constructor(
     private readonly source: FeedSource,
+    private needsContents: boolean,
     private readonly parts: FeedParts,
   ) {}
 
@@ -89,6 +103,11 @@
   private async step(): Promise<number> {
     const { engines, random } = this.parts;
     try {
+      if (this.needsContents) {
+        const contents = await engines.cacheContents(this.source.address);
+        if (!this.isStopped) this.takeContents(contents);
+        return 0;
+      }
       const page = await engines.cacheEvents(this.source.address, this.since, WAIT_MS);
       if (!this.isStopped) this.take(page);
       this.failures = 0;
@@ -100,13 +119,25 @@
     }
   }
 
+  private takeContents(contents: CacheContents): void {
+    const { kept, clock } = this.parts;
+    const { holder } = this.source;
+    this.needsContents = false;
+    this.contentsMs = clock.now();
+    this.epoch = contents.epoch;
+    this.since = contents.next;
+    kept.forget(holder);
+    for (const { salt, partId, tokens } of contents.held) kept.note(holder, salt, partId, tokens);
+  }
+
   private take(page: CacheEventPage): void {
-    const { kept, logger } = this.parts;
+    const { kept, logger, clock } = this.parts;
     const { holder } = this.source;
     const hasRestarted = this.epoch !== undefined && this.epoch !== page.epoch;
     if (hasRestarted) kept.forget(holder);
     if (hasRestarted || (page.hasGap && this.since > 0)) {
       logger.info('cache_feed_gap', { holder, restarted: hasRestarted, since: this.since });
+      this.needsContents = clock.now() - this.contentsMs >= CONTENTS_PERIOD_MS;
     }
     this.epoch = page.epoch;
     this.since = page.next;
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -47,8 +47,8 @@
 const UPKEEP_PERIOD_MS = 1_000;
 /** Event calls at each engine that are left to routers whose rank is not settled. */
 const EVENT_CALLS_KEPT_FREE = 2;
-/** A starting router joins without engines after this long. */
-const STARTUP_PATIENCE_MS = 3_000;
+/** A router that joins has heard of most others after this long, and so knows its rank. */
+const RANK_SETTLING_MS = 250;
 
 /** A router of the gateway. */
 export class GatewayNode {
@@ -68,6 +68,7 @@
   private readonly timers: Timer[] = [];
   private hasEngineList = false;
   private hasVersionList = false;
+  private hasJoined = false;
   private isLeaving = false;
 
   private constructor(
@@ -163,10 +164,7 @@
       onList: (objects) => this.takeVersionList(objects),
       onObject: (object) => this.takeVersions([object], 0),
     });
-    this.timers.push(
-      repeat(this.surroundings.clock, UPKEEP_PERIOD_MS, () => this.upkeep()),
-      this.surroundings.clock.setTimer(STARTUP_PATIENCE_MS, () => this.joinWhenReady()),
-    );
+    this.timers.push(repeat(this.surroundings.clock, UPKEEP_PERIOD_MS, () => this.upkeep()));
     this.coordinator.start();
   }
 
@@ -317,12 +315,15 @@
   }
 
   private joinWhenReady(): void {
-    if (this.isReady) this.group.start();
+    if (!this.isReady || this.hasJoined) return;
+    this.hasJoined = true;
+    this.group.start();
+    this.timers.push(this.surroundings.clock.setTimer(RANK_SETTLING_MS, () => this.followFeeds()));
   }
 
   private upkeep(): void {
     this.loads.expire(this.surroundings.clock.now());
-    this.followFeeds();
+    if (this.hasJoined) this.followFeeds();
   }
 
   /** Follows the engines and stores that hold few enough callers to serve every router. */
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -148,10 +148,9 @@
     if (this.isPromptRead) return;
     this.isPromptRead = true;
     this.load.notePromptRead();
-    const { cacheSalt, saveTo } = this.placement;
+    const { cacheSalt } = this.placement;
     const { generation } = this.request;
     if (cacheSalt === undefined || !generation) return;
     this.context.kept.notePrompt(this.engineId, cacheSalt, generation.parts);
-    if (saveTo !== undefined) this.context.kept.notePrompt(saveTo, cacheSalt, generation.parts);
   }
 }
--- a/src/lab/gateway-world/simulated-engines.ts
+++ b/src/lab/gateway-world/simulated-engines.ts
@@ -1,6 +1,7 @@
 /** Stand-ins of engines behind the inference port, with the faults that real ones show. */
 import type {
   AnswerHead,
+  CacheContents,
   CacheEventPage,
   EngineEndpoint,
   Exchange,
@@ -139,6 +140,10 @@
     });
   }
 
+  cacheContents(): Promise<CacheContents> {
+    return Promise.resolve({ epoch: 1, next: 0, held: [] });
+  }
+
   retain(): void {
     // Simulated connections cost nothing.
   }
--- a/src/protocol/inference/port.ts
+++ b/src/protocol/inference/port.ts
@@ -128,6 +128,15 @@
   readonly events: readonly CacheEvent[];
 }
 
+/** All that an engine or a cache store keeps. */
+export interface CacheContents {
+  /** Changes when the holder restarts. */
+  readonly epoch: number;
+  /** Where the event feed continues from this state. */
+  readonly next: number;
+  readonly held: readonly CacheEvent[];
+}
+
 /** Access to engines. */
 export interface InferencePort {
   send(
@@ -141,6 +150,8 @@
   weightState(endpoint: EngineEndpoint, model: string): Promise<WeightState | undefined>;
   /** Rejects with a `ProtocolFailure`. Held up to `waitMs` until there are events. */
   cacheEvents(address: string, since: number, waitMs: number): Promise<CacheEventPage>;
+  /** Rejects with a `ProtocolFailure`. Holds up the holder's work, so it is called rarely. */
+  cacheContents(address: string): Promise<CacheContents>;
   /** Closes idle connections to engines that are not listed any more. */
   retain(engineIds: ReadonlySet<string>): void;
 }
