Let a leaving coordinator watch its orders to their end

Change: leaving ends new orders only; the standby reads the lease as soon as there is work ahead; an engine is left out when a request would begin there after the old weights' time. Test: weight-handover.test.ts, its first case failed before; the fuzz stops routers and asks for the newest weights at the end.

--- a/fuzz/gateway-commands.ts
+++ b/fuzz/gateway-commands.ts
@@ -101,6 +101,12 @@
     command(`killRouter(${index}, ${downMs})`, (world) => world.killRouter(index, downMs)),
   );
 
+const stopRouter = fc
+  .tuple(router, fc.constantFrom(3_500, 7_500))
+  .map(([index, graceMs]) =>
+    command(`stopRouter(${index}, ${graceMs})`, (world) => world.stopRouter(index, graceMs)),
+  );
+
 const freezeRouter = fc
   .tuple(router, durationMs)
   .map(([index, forMs]) =>
@@ -157,6 +163,7 @@
     nameWeights,
     nameWeights,
     killRouter,
+    stopRouter,
     freezeRouter,
     cutFromStore,
     removeKeyBehindCut,
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -202,7 +202,7 @@
     if (this.isLeaving) return;
     this.isLeaving = true;
     this.group.leave();
-    this.coordinator.stop();
+    this.coordinator.leave();
   }
 
   /** Ends all that still runs and closes. */
--- a/src/coordination/gateway/lease-keeper.ts
+++ b/src/coordination/gateway/lease-keeper.ts
@@ -41,6 +41,11 @@
     return mayAct ? this.lease.fencingToken : undefined;
   }
 
+  /** Whether this router has yet to read who holds the lease. */
+  get isUnknown(): boolean {
+    return this.lease.next(this.clock.now()) === LeaseStep.Read;
+  }
+
   /** Makes the call that is due, if any; resolves when it was answered or failed. */
   async advance(): Promise<void> {
     if (this.isCalling) return;
--- a/src/coordination/gateway/weight-coordinator.ts
+++ b/src/coordination/gateway/weight-coordinator.ts
@@ -80,6 +80,8 @@
   private otherActedMs = -Infinity;
   private timer: Timer | undefined;
   private isActing = false;
+  private isLeaving = false;
+  private hasLookedAtLease = false;
   private lastPollMs = -Infinity;
 
   constructor(
@@ -91,6 +93,11 @@
     this.timer = repeat(this.parts.clock, TICK_MS, () => void this.tick());
   }
 
+  /** Gives no further orders; those under way are watched to their end. */
+  leave(): void {
+    this.isLeaving = true;
+  }
+
   stop(): void {
     this.timer?.cancel();
   }
@@ -126,13 +133,14 @@
     this.isActing = true;
     try {
       await this.pollLoading();
-      await this.act();
+      if (!this.isLeaving) await this.act();
     } finally {
       this.isActing = false;
     }
   }
 
   private async act(): Promise<void> {
+    await this.lookAtLeaseEarly();
     const plans = this.plans();
     if (plans.length === 0) {
       this.behindSinceMs = undefined;
@@ -151,6 +159,24 @@
     }
   }
 
+  /**
+   * Reads the lease as soon as there is work ahead, so that the time a successor must wait has passed
+   * by the time the work is due.
+   */
+  private async lookAtLeaseEarly(): Promise<void> {
+    const { versions, registry, lease } = this.parts;
+    const hasWorkAhead = versions.models.some((model) =>
+      registry.holdersOf(model).some((engine) => isBehind(engine, model, versions)),
+    );
+    if (!hasWorkAhead) {
+      this.hasLookedAtLease = false;
+      return;
+    }
+    if (this.hasLookedAtLease || this.settings.rank() > 0) return;
+    this.hasLookedAtLease = true;
+    if (lease.isUnknown) await lease.advance();
+  }
+
   private plans(): RolloutPlan[] {
     const { registry, versions, loads } = this.parts;
     return versions.models.flatMap((model) => {
@@ -298,3 +324,7 @@
     }
   }
 }
+
+function isBehind(engine: Engine, model: string, versions: WeightVersions): boolean {
+  return (versionAt(engine, model) ?? 0) < (versions.newest(model) ?? 0);
+}
--- a/src/lab/gateway-world/gateway-oracle.ts
+++ b/src/lab/gateway-world/gateway-oracle.ts
@@ -15,7 +15,8 @@
   | 'one-holder'
   | 'own-salt'
   | 'answered-in-time'
-  | 'one-run-at-a-time';
+  | 'one-run-at-a-time'
+  | 'weights-in-force';
 
 /** A broken rule. */
 export interface RuleBreach {
@@ -37,7 +38,18 @@
   const breaches = world.requests.flatMap((request) =>
     judgeRequest(request, runsById.get(request.id) ?? [], world),
   );
-  return [...breaches, ...judgeDrains(world), ...judgeOrders(world)];
+  return [...breaches, ...judgeDrains(world), ...judgeOrders(world), ...judgeWeights(world)];
+}
+
+/** Once everything has come to rest, each engine has the newest weights. */
+function judgeWeights(world: GatewayWorld): RuleBreach[] {
+  const behind = world.generationEngines.filter(
+    (engine) => engine.weightsVersion < world.namedVersion,
+  );
+  return behind.map((engine) => ({
+    rule: 'weights-in-force' as const,
+    detail: `${engine.id} has ${engine.weightsVersion} of ${world.namedVersion}`,
+  }));
 }
 
 function groupRuns(runs: readonly ObservedRun[]): Map<string, ObservedRun[]> {
--- a/src/lab/gateway-world/gateway-world.ts
+++ b/src/lab/gateway-world/gateway-world.ts
@@ -53,6 +53,7 @@
 const GENERATION_ENGINES = 3;
 const PLAIN_ENGINES = 2;
 const STARTUP_MS = 1_500;
+const RESTART_MS = 800;
 const SETTLE_MS = 20_000;
 
 /** Parts of a deployment that a mutation may weaken, to see that the oracle finds it. */
@@ -199,6 +200,26 @@
     this.clock.setTimer(downMs, () => void this.startRouter(index));
   }
 
+  /** A planned stop: the router leaves the group, serves on for a while, ends and starts again. */
+  stopRouter(index: number, graceMs: number): void {
+    const router = this.routers.get(routerName(index));
+    if (!router?.host.isRunning) return;
+    router.node.leave();
+    this.clock.setTimer(graceMs, () => {
+      if (this.routers.get(routerName(index)) === router) this.killRouter(index, RESTART_MS);
+    });
+  }
+
+  /** The running engines that hold the model. */
+  get generationEngines(): SimulatedEngine[] {
+    return this.engines.filter((engine) => engine.isRunning && engine.model !== undefined);
+  }
+
+  /** Newest version of the weights that was named. */
+  get namedVersion(): number {
+    return (this.store.get(KINDS.weightVersions, WORLD_MODEL)?.spec as { version: number }).version;
+  }
+
   freezeRouter(index: number, forMs: number): void {
     const name = routerName(index);
     const router = this.routers.get(name);
--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -124,7 +124,10 @@
   if (!request.generation) return true;
   const { model } = request.generation;
   const version = versionAt(engine, model);
-  return version !== undefined && version >= tables.versions.minimum(model, nowMs);
+  if (version === undefined) return false;
+  // A request that waits at the engine until older weights are out would begin on them.
+  const beginsMs = nowMs + tables.loads.at(id).unreadTokens / READ_TOKENS_PER_MS;
+  return version >= tables.versions.minimum(model, beginsMs);
 }
 
 function weighPlain(engine: Engine, request: PlacementRequest, tables: PlacementTables): Placement {
--- /dev/null
+++ b/test/gateway/weight-handover.test.ts
@@ -0,0 +1,58 @@
+/** A router that gives orders for new weights may stop, die or lose its way to the store. */
+import test from 'ava';
+import { findBreaches } from '../../src/lab/gateway-world/gateway-oracle.js';
+import { GatewayWorld } from '../../src/lab/gateway-world/gateway-world.js';
+
+const STEP_MS = 50;
+const BOUND_MS = 8_000;
+
+/** Names weights, waits for the first order and answers which router gave it. */
+async function untilFirstOrder(world: GatewayWorld): Promise<number> {
+  const before = world.observations.orders.length;
+  world.nameWeights();
+  for (let spentMs = 0; spentMs < BOUND_MS; spentMs += STEP_MS) {
+    await world.clock.advance(STEP_MS);
+    const order = world.observations.orders[before];
+    if (order) return Number(order.holder.at(-1));
+  }
+  throw new Error('no order was given');
+}
+
+/** Requests for `spanMs`, and how many of them an engine answered. */
+async function servedShare(world: GatewayWorld, spanMs: number): Promise<number> {
+  const first = world.requests.length;
+  for (let spentMs = 0; spentMs < spanMs; spentMs += STEP_MS) {
+    world.request(spentMs / STEP_MS, 'stream-resumable', 'tenant-2', 0);
+    await world.clock.advance(STEP_MS);
+  }
+  await world.clock.advance(1_000);
+  const sent = world.requests.slice(first);
+  return sent.filter((request) => request.reply.status === 200).length / sent.length;
+}
+
+test('engines that a leaving router was loading are used again, and others go on', async (t) => {
+  const world = await GatewayWorld.create(1);
+  const holder = await untilFirstOrder(world);
+  world.stopRouter(holder, 7_500);
+  t.true((await servedShare(world, 7_000)) > 0.9);
+  t.true(world.generationEngines.every((engine) => engine.weightsVersion === 2));
+  t.deepEqual(findBreaches(world), []);
+});
+
+test('another router goes on where the holder dies', async (t) => {
+  const world = await GatewayWorld.create(2);
+  const holder = await untilFirstOrder(world);
+  world.killRouter(holder, 20_000);
+  await world.clock.advance(12_000);
+  t.true(world.generationEngines.every((engine) => engine.weightsVersion === 2));
+  t.deepEqual(findBreaches(world), []);
+});
+
+test('another router goes on where the holder has no way to the store', async (t) => {
+  const world = await GatewayWorld.create(3);
+  const holder = await untilFirstOrder(world);
+  world.cutFromStore(holder, 30_000);
+  await world.clock.advance(14_000);
+  t.true(world.generationEngines.every((engine) => engine.weightsVersion === 2));
+  t.deepEqual(findBreaches(world), []);
+});
