Write logs to standard output without blocking, in bounds

Cause: lines went to standard error by blocking writes; the users ask for standard output, bounded, never blocking. Change: BoundedLineWriter: one write at a time, at most 1 MB waiting, lines beyond that are dropped and counted in the log.

--- /dev/null
+++ b/src/telemetry/bounded-line-writer.ts
@@ -0,0 +1,70 @@
+/** Writes log lines to a file descriptor without ever blocking; drops lines when too many wait. */
+import { write } from 'node:fs';
+
+/** Writes bytes to a descriptor and calls back; `fs.write`, or a stand-in in tests. */
+export type WriteBytes = (
+  descriptor: number,
+  bytes: Buffer,
+  onDone: (error: Error | null, written: number) => void,
+) => void;
+
+/** Bytes that may wait; further lines are counted and dropped. */
+const MAXIMUM_WAITING_BYTES = 1_048_576;
+
+const writeToDescriptor: WriteBytes = (descriptor, bytes, onDone) => {
+  write(descriptor, bytes, onDone);
+};
+
+/** One write is under way at a time; what comes meanwhile goes out together with the next. */
+export class BoundedLineWriter {
+  private waiting: Buffer[] = [];
+  private waitingBytes = 0;
+  private dropped = 0;
+  private isWriting = false;
+
+  constructor(
+    private readonly descriptor: number,
+    private readonly writeBytes: WriteBytes = writeToDescriptor,
+    private readonly maximumBytes = MAXIMUM_WAITING_BYTES,
+  ) {}
+
+  /** Lines dropped and not yet told of. */
+  get droppedLines(): number {
+    return this.dropped;
+  }
+
+  writeLine(line: string): void {
+    const bytes = Buffer.from(`${line}\n`);
+    if (this.waitingBytes + bytes.length > this.maximumBytes) {
+      this.dropped += 1;
+      return;
+    }
+    this.waiting.push(bytes);
+    this.waitingBytes += bytes.length;
+    if (!this.isWriting) this.writeNext();
+  }
+
+  private writeNext(): void {
+    if (this.dropped > 0) {
+      this.waiting.push(Buffer.from(`event=log_lines_dropped count=${this.dropped}\n`));
+      this.dropped = 0;
+    }
+    const bytes = Buffer.concat(this.waiting);
+    this.waiting = [];
+    this.waitingBytes = 0;
+    if (bytes.length === 0) {
+      this.isWriting = false;
+      return;
+    }
+    this.isWriting = true;
+    this.writeAll(bytes);
+  }
+
+  private writeAll(bytes: Buffer): void {
+    this.writeBytes(this.descriptor, bytes, (error, written) => {
+      // A reader that is gone can't be told; the lines are lost and the process goes on.
+      if (error || written >= bytes.length) this.writeNext();
+      else this.writeAll(bytes.subarray(written));
+    });
+  }
+}
--- a/src/telemetry/console-logger.ts
+++ b/src/telemetry/console-logger.ts
@@ -19,16 +19,18 @@
 export class ConsoleLogger implements Logger {
   private readonly consola: ConsolaInstance;
 
+  /** @param writeLine takes each line; standard error where none is given */
   constructor(
     level: LogLevel,
     private readonly nodeId: string,
+    writeLine: (line: string) => void = (line) => void process.stderr.write(`${line}\n`),
   ) {
     this.consola = createConsola({
       level: LEVELS[level],
       reporters: [
         {
           log: ({ date, type, args }) => {
-            process.stderr.write(`time=${date.toISOString()} level=${type} ${args.join(' ')}\n`);
+            writeLine(`time=${date.toISOString()} level=${type} ${args.join(' ')}`);
           },
         },
       ],
