Keep engines whose entries lapsed with the store

Change: EngineList: an entry missing within 3 s of a failed call is gone only if it stays missing for 1.5 s, less than drain_ms; the engine list has a file of its own. Test: entry-lapse.test.ts, failed before.

--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -17,6 +17,7 @@
 import { WeightVersions } from '../../state/routing/weight-versions.js';
 import { CacheFeeds, type FeedSource } from './cache-feeds.js';
 import { type CallerPlace, addressesFor } from './directory-answer.js';
+import { EngineList } from './engine-list.js';
 import { type GatewayContext, ServiceRetryBudgets } from './gateway-context.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import { GatewayStatistics } from './gateway-statistics.js';
@@ -65,8 +66,8 @@
   private readonly context: GatewayContext;
   private readonly coordinator: WeightCoordinator;
   private readonly feeds: CacheFeeds;
+  private readonly engineList: EngineList;
   private readonly timers: Timer[] = [];
-  private hasEngineList = false;
   private hasVersionList = false;
   private hasJoined = false;
   private isLeaving = false;
@@ -100,6 +101,9 @@
       zone: settings.zone,
     };
     this.feeds = new CacheFeeds({ kept: this.kept, engines, clock, random, logger });
+    this.engineList = new EngineList(this.registry, surroundings.decoder, clock, logger, () =>
+      this.noteEngines(),
+    );
     const lease = new WeightLease({
       holder: settings.nodeId,
       life: randomIdentifier(random),
@@ -156,9 +160,10 @@
       onAnswer: (callBeganMs) => this.configuration.prove(callBeganMs),
     });
     this.follow(this.settings.kinds.engines, this.settings.engineWatchMs, {
-      onList: (objects) => this.takeEngineList(objects),
-      onObject: (object) => this.takeEngine(object),
-      onGone: (name) => this.removeEngine(name),
+      onList: (objects) => this.engineList.takeAll(objects),
+      onObject: (object) => this.engineList.take(object),
+      onGone: (name) => this.engineList.takeGone(name),
+      onFailure: () => this.engineList.noteFailure(),
     });
     this.follow(this.settings.kinds.weightVersions, this.settings.versionWatchMs, {
       onList: (objects) => this.takeVersionList(objects),
@@ -170,7 +175,7 @@
 
   /** Whether callers should be sent here. */
   get isReady(): boolean {
-    return !this.isLeaving && this.configuration.current !== undefined && this.hasEngineList;
+    return !this.isLeaving && this.configuration.current !== undefined && this.engineList.isKnown;
   }
 
   get runningCalls(): number {
@@ -232,6 +237,7 @@
         onObject: handlers.onObject,
         onGone: (name) => handlers.onGone?.(name),
         onAnswer: (callBeganMs) => handlers.onAnswer?.(callBeganMs),
+        onFailure: () => handlers.onFailure?.(),
       },
       clock,
       random,
@@ -258,43 +264,15 @@
     this.joinWhenReady();
   }
 
-  private takeEngineList(objects: readonly StoredObject[]): void {
-    const records = objects.flatMap((object) => this.surroundings.decoder.engine(object) ?? []);
-    this.registry.replaceAll(records);
-    this.hasEngineList = true;
-    this.noteEngines('list');
-    this.joinWhenReady();
-  }
-
-  private takeEngine(object: StoredObject): void {
-    const record = this.surroundings.decoder.engine(object);
-    if (!record) return;
-    const before = this.registry.find(record.id)?.record;
-    this.registry.put(record);
-    if (before?.isDraining !== record.isDraining) {
-      this.surroundings.logger.info('engine_changed', {
-        engine: record.id,
-        service: record.service,
-        address: record.address,
-        draining: record.isDraining,
-        revision: object.revision,
-      });
-    }
-  }
-
-  private removeEngine(id: string): void {
-    this.registry.remove(id);
-    this.noteEngines(id);
-  }
-
-  private noteEngines(cause: string): void {
-    const { logger, engines } = this.surroundings;
-    logger.info('engines_changed', { cause, engines: this.registry.ids.size });
+  /** The list of engines has changed: what was kept for those that are gone goes too. */
+  private noteEngines(): void {
+    const { engines } = this.surroundings;
     engines.retain(this.registry.ids);
     this.health.retain(this.registry.ids);
     const stores = this.configuration.current?.cacheStores ?? [];
     const addresses = stores.flatMap(({ cacheStore }) => cacheStore?.address ?? []);
     this.kept.retain(new Set([...this.registry.ids, ...addresses]));
+    this.joinWhenReady();
   }
 
   private takeVersionList(objects: readonly StoredObject[]): void {
@@ -356,6 +334,7 @@
   onObject(object: StoredObject, callBeganMs: number): void;
   onGone(name: string): void;
   onAnswer(callBeganMs: number): void;
+  onFailure(): void;
 };
 
 /** What must exist before the group's socket is bound; the coordinator is connected after. */
--- a/src/coordination/gateway/object-follower.ts
+++ b/src/coordination/gateway/object-follower.ts
@@ -16,6 +16,8 @@
   onGone(name: string): void;
   /** A call was answered, whether or not it brought a change. */
   onAnswer(callBeganMs: number): void;
+  /** A call was not answered. */
+  onFailure(): void;
 }
 
 /** How one kind is followed. */
@@ -100,6 +102,7 @@
   private async noteFailure(cause: unknown): Promise<void> {
     if (this.isStopped) return;
     this.failures += 1;
+    this.events.onFailure();
     if (this.failures === 1) {
       const reason = describeProtocolError(toProtocolError(cause, 'store'));
       this.logger.warn('store_lost', { kind: this.settings.kind, reason });
--- a/src/lab/gateway-world/gateway-world.ts
+++ b/src/lab/gateway-world/gateway-world.ts
@@ -244,6 +244,19 @@
     });
   }
 
+  /** The store is down, and entries of engines run out meanwhile; living engines enter again. */
+  lapseEntries(forMs: number, reenterMs: number): void {
+    this.stopStore(forMs);
+    const entries = this.store.all(KINDS.engines);
+    for (const entry of entries) this.store.remove(KINDS.engines, entry.name);
+    this.clock.setTimer(forMs + reenterMs, () => {
+      for (const { name, spec } of entries) {
+        const isAlive = this.engines.some((engine) => engine.id === name && engine.isRunning);
+        if (isAlive) this.store.put(KINDS.engines, name, spec);
+      }
+    });
+  }
+
   /** Ends every fault and lets everything come to rest. */
   async settle(): Promise<void> {
     this.store.isDown = false;
--- a/src/state/routing/engine-registry.ts
+++ b/src/state/routing/engine-registry.ts
@@ -57,14 +57,6 @@
     return [...this.engines.values()].filter((engine) => engine.record.modelVersions.has(model));
   }
 
-  /** Replaces the whole list. */
-  replaceAll(records: readonly EngineRecord[]): void {
-    const listed = new Set(records.map((record) => record.id));
-    for (const id of this.engines.keys()) if (!listed.has(id)) this.engines.delete(id);
-    for (const record of records) this.store(record);
-    this.regroup();
-  }
-
   put(record: EngineRecord): void {
     this.store(record);
     this.regroup();
--- /dev/null
+++ b/test/gateway/entry-lapse.test.ts
@@ -0,0 +1,42 @@
+/** Entries of engines that run out while the store is down come back with the next heartbeat. */
+import test from 'ava';
+import { findBreaches } from '../../src/lab/gateway-world/gateway-oracle.js';
+import { GatewayWorld } from '../../src/lab/gateway-world/gateway-world.js';
+
+const DOWN_MS = 2_000;
+const REENTER_MS = 1_000;
+const STEP_MS = 20;
+
+test('engines whose entries lapsed with the store go on serving', async (t) => {
+  const world = await GatewayWorld.create(1);
+  world.lapseEntries(DOWN_MS, REENTER_MS);
+  await world.clock.advance(DOWN_MS);
+  const first = world.requests.length;
+  for (let spentMs = 0; spentMs < REENTER_MS; spentMs += STEP_MS) {
+    world.request(spentMs / STEP_MS, 'plain-safe', 'tenant-2', 0);
+    await world.clock.advance(STEP_MS);
+  }
+  await world.settle();
+  const sent = world.requests.slice(first);
+  t.deepEqual(
+    sent.filter((request) => request.reply.status !== 200).map((request) => request.reply.own),
+    [],
+  );
+  t.deepEqual(findBreaches(world), []);
+});
+
+test('an engine that was gone when the store came back is left out soon', async (t) => {
+  const world = await GatewayWorld.create(2);
+  const gone = world.engine(4);
+  world.lapseEntries(DOWN_MS, REENTER_MS);
+  gone.crash();
+  await world.clock.advance(DOWN_MS + 2 * REENTER_MS + 1_000);
+  const sends = world.observations.runs.length;
+  for (let turn = 0; turn < 30; turn += 1) {
+    world.request(turn, 'plain-unsafe', 'tenant-2', 0);
+    await world.clock.advance(STEP_MS);
+  }
+  await world.settle();
+  t.is(world.observations.runs.length - sends, 30);
+  t.deepEqual(findBreaches(world), []);
+});
