Bound what a router follows and weighs at large services; keep prefixes by part

Change: each router follows a stretch of at most 48 holders, all of them in a small deployment; kept parts are looked up once for a prompt and salt; of a large service the holders and a random sample are weighed; patience asks for an alternative first; log lines of a call have a file of their own. Test: routing-state.test.ts, by properties against plain tables.

--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -15,10 +15,11 @@
 import { TrafficSplit } from '../../state/routing/traffic-split.js';
 import { WeightLease } from '../../state/routing/weight-lease.js';
 import { WeightVersions } from '../../state/routing/weight-versions.js';
-import { CacheFeeds, type FeedSource } from './cache-feeds.js';
+import { CacheFeeds } from './cache-feeds.js';
 import { type CallerPlace, addressesFor } from './directory-answer.js';
 import { EngineList } from './engine-list.js';
 import { type GatewayContext, ServiceRetryBudgets } from './gateway-context.js';
+import { type HeldFeed, ownShareOfFeeds } from '../../state/routing/feed-share.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import { GatewayStatistics } from './gateway-statistics.js';
 import { type GroupEvents, GroupMembership, type WeightsNews } from './group-membership.js';
@@ -46,8 +47,6 @@
 /** Weights found after a watch had failed; their time counts from when the store was sound again. */
 const MISSED_AGE_MS = 1_000;
 const UPKEEP_PERIOD_MS = 1_000;
-/** Event calls at each engine that are left to routers whose rank is not settled. */
-const EVENT_CALLS_KEPT_FREE = 2;
 /** A router that joins has heard of most others after this long, and so knows its rank. */
 const RANK_SETTLING_MS = 250;
 
@@ -304,22 +303,22 @@
     if (this.hasJoined) this.followFeeds();
   }
 
-  /** Follows the engines and stores that hold few enough callers to serve every router. */
   private followFeeds(): void {
     const table = this.configuration.current;
     if (!table) return;
-    const rank = this.rank();
-    const sources: FeedSource[] = [];
+    const sources: HeldFeed[] = [];
     for (const { name, engine, cacheStore } of table.configuration.services) {
-      const limit = engine?.maximumEventCalls ?? cacheStore?.maximumEventCalls ?? 0;
-      if (rank >= limit - EVENT_CALLS_KEPT_FREE) continue;
-      if (cacheStore) sources.push({ holder: cacheStore.address, address: cacheStore.address });
+      if (cacheStore) {
+        const { address, maximumEventCalls } = cacheStore;
+        sources.push({ holder: address, address, maximumCalls: maximumEventCalls });
+      }
       if (!engine) continue;
       for (const { record } of this.registry.ofService(name)) {
-        sources.push({ holder: record.id, address: record.address });
+        const { id: holder, address } = record;
+        sources.push({ holder, address, maximumCalls: engine.maximumEventCalls });
       }
     }
-    this.feeds.follow(sources);
+    this.feeds.follow(ownShareOfFeeds(sources, this.rank(), this.group.working.length));
   }
 
   /** Place among the working routers, by identifier. */
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -10,6 +10,7 @@
 import type { AnswerHead, ExchangeFailure } from '../../protocol/inference/port.js';
 import type { Service } from '../../state/routing/configuration.js';
 import type { Placement } from '../../state/routing/placement.js';
+import { logSend, logSendFailure } from './call-log.js';
 import { AnswerBuffer } from './answer-buffer.js';
 import { EventBoundary } from './event-boundary.js';
 import type { GatewayContext } from './gateway-context.js';
@@ -145,7 +146,7 @@
     this.state = CallState.Choosing;
     this.excluded.add(send.engineId);
     this.judge(send, failure);
-    this.logFailure(send, failure);
+    logSendFailure(this.request.id, this.sends, send.engineId, failure, this.context.logger);
     if (this.hasBegun) this.resumeElsewhere(failure);
     else this.tryAgain(failure);
   }
@@ -204,7 +205,7 @@
     else this.context.statistics.repeatedSends += 1;
     const resumeAfter = this.boundary.lastEventId ?? this.request.resumeAfter;
     const options = sendOptionsOf(placement, grant, this.remainingMs, resumeAfter);
-    this.logDispatch(placement);
+    logSend(this.request.id, this.sends, placement, this.context);
     this.state = CallState.Sent;
     this.startPatience(grant);
     this.send = new Send(placement, this.request, options, this, this.context);
@@ -315,10 +316,21 @@
 
   private onImpatient(reason: string): void {
     const { send } = this;
-    if (!send || !this.canSendAgain() || this.state === CallState.Finished) return;
+    if (!send || this.state === CallState.Finished) return;
+    if (!this.canSendAgain() || !this.hasAlternative(send)) return;
     this.giveUpSend(send, { kind: 'unknown', reason });
   }
 
+  /** Whether the request could really go on elsewhere: an engine is open and a retry is left. */
+  private hasAlternative(send: Send): boolean {
+    const { grant, service, context } = this;
+    if (!grant || !service) return false;
+    const budget = context.retryBudgets.of(service.name);
+    if (!budget.canSpend(this.now, context.group.size)) return false;
+    const excluded = new Set([...this.excluded, send.engineId]);
+    return typeof placeCall(this.request, grant, service, excluded, context) !== 'string';
+  }
+
   private cancelPatience(): void {
     this.patienceTimer?.cancel();
     this.patienceTimer = undefined;
@@ -382,35 +394,4 @@
     });
     this.onFinished();
   }
-
-  private logDispatch(placement: Placement): void {
-    const { configuration, registry, loads, logger, group } = this.context;
-    const { id, address } = placement.engine.record;
-    logger.info('request_sent', {
-      request: this.request.id,
-      send: this.sends,
-      engine: id,
-      address,
-      version: placement.expectedVersion,
-      cost_ms: Math.round(placement.costMs),
-      unread: Math.round(placement.unreadTokens),
-      fetch: placement.fetchFrom,
-      engine_requests: loads.at(id).requests,
-      configuration: configuration.version,
-      proof_age_ms: Math.round(configuration.proofAgeMs(this.now)),
-      engine_view: registry.version,
-      group: group.size,
-    });
-  }
-
-  private logFailure(send: Send, failure: ExchangeFailure): void {
-    this.context.logger.info('send_failed', {
-      request: this.request.id,
-      send: this.sends,
-      engine: send.engineId,
-      kind: failure.kind,
-      status: failure.kind === 'refused' ? failure.status : undefined,
-      reason: failure.reason,
-    });
-  }
 }
--- a/src/state/routing/kept-prefixes.ts
+++ b/src/state/routing/kept-prefixes.ts
@@ -6,18 +6,15 @@
 
 /** Beliefs about all holders. A holder is an engine's incarnation or a store's address. */
 export class KeptPrefixes {
-  private readonly holders = new Map<string, Map<string, number>>();
+  /** Tokens kept by holder, for each part under its salt. */
+  private readonly holdersByPart = new Map<string, Map<string, number>>();
+  private readonly partsByHolder = new Map<string, Set<string>>();
 
   /** Notes that a holder keeps `tokens` of a part; 0 where it dropped the part. */
   note(holder: string, salt: string, partId: string, tokens: number): void {
-    let parts = this.holders.get(holder);
-    if (!parts) {
-      parts = new Map();
-      this.holders.set(holder, parts);
-    }
     const key = keyOf(salt, partId);
-    if (tokens > 0) parts.set(key, tokens);
-    else parts.delete(key);
+    if (tokens > 0) this.add(holder, key, tokens);
+    else this.drop(holder, key);
   }
 
   /** Notes that a holder has read a whole prompt. */
@@ -25,34 +22,63 @@
     for (const part of parts) this.note(holder, salt, part.id, part.tokens);
   }
 
-  /** Tokens of the prompt's beginning that the holder keeps. */
-  leadingTokens(holder: string, salt: string, parts: readonly PromptPart[]): number {
-    const kept = this.holders.get(holder);
-    if (!kept) return 0;
-    let leading = 0;
+  /** Tokens of the prompt's beginning by holder; holders of nothing are left out. */
+  leadingTokens(salt: string, parts: readonly PromptPart[]): Map<string, number> {
+    const leading = new Map<string, number>();
+    let unbroken: Iterable<string> | undefined;
     for (const part of parts) {
-      const tokens = kept.get(keyOf(salt, part.id)) ?? 0;
-      leading += Math.min(tokens, part.tokens);
-      if (tokens < part.tokens) break;
+      const kept = this.holdersByPart.get(keyOf(salt, part.id));
+      if (!kept) break;
+      const next: string[] = [];
+      for (const holder of unbroken ?? kept.keys()) {
+        const tokens = Math.min(kept.get(holder) ?? 0, part.tokens);
+        if (tokens === 0) continue;
+        leading.set(holder, (leading.get(holder) ?? 0) + tokens);
+        if (tokens === part.tokens) next.push(holder);
+      }
+      unbroken = next;
     }
     return leading;
   }
 
   /** Forgets a holder: it restarted, left or took other weights. */
   forget(holder: string): void {
-    this.holders.delete(holder);
+    for (const key of [...(this.partsByHolder.get(holder) ?? [])]) this.drop(holder, key);
+    this.partsByHolder.delete(holder);
   }
 
   /** Forgets all holders that are not listed. */
   retain(holders: ReadonlySet<string>): void {
-    for (const holder of this.holders.keys()) {
-      if (!holders.has(holder)) this.holders.delete(holder);
+    for (const holder of [...this.partsByHolder.keys()]) {
+      if (!holders.has(holder)) this.forget(holder);
     }
   }
 
   /** Parts believed kept by one holder. */
   sizeOf(holder: string): number {
-    return this.holders.get(holder)?.size ?? 0;
+    return this.partsByHolder.get(holder)?.size ?? 0;
+  }
+
+  private add(holder: string, key: string, tokens: number): void {
+    let holders = this.holdersByPart.get(key);
+    if (!holders) {
+      holders = new Map();
+      this.holdersByPart.set(key, holders);
+    }
+    holders.set(holder, tokens);
+    let parts = this.partsByHolder.get(holder);
+    if (!parts) {
+      parts = new Set();
+      this.partsByHolder.set(holder, parts);
+    }
+    parts.add(key);
+  }
+
+  private drop(holder: string, key: string): void {
+    const holders = this.holdersByPart.get(key);
+    if (!holders?.delete(holder)) return;
+    if (holders.size === 0) this.holdersByPart.delete(key);
+    this.partsByHolder.get(holder)?.delete(key);
   }
 }
 
--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -1,6 +1,6 @@
 /** The decision: which engine answers a request, and where it takes kept prompts from. Pure. */
 import type { Hasher } from '../../runtime/hasher.js';
-import type { RandomSource } from '../../runtime/random.js';
+import { type RandomSource, randomInteger } from '../../runtime/random.js';
 import { pickByRendezvous } from '../rendezvous.js';
 import type { CacheStore, EngineProfile } from './configuration.js';
 import type { EngineHealth } from './engine-health.js';
@@ -67,7 +67,11 @@
 const FULL_MEMORY_MS = 2_000;
 /** A cost that only an engine under suspicion has. */
 const FAILING_MS = 400;
-const MEGABIT_PER_MS = 1_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+const BITS_PER_BYTE = 8;
+const BITS_PER_MEGABIT = 1e6;
+/** Engines weighed for one request, besides those that keep something of its prompt. */
+const MAXIMUM_WEIGHED = 48;
 
 /** Chooses the engine of lowest cost. */
 export function placeRequest(
@@ -75,7 +79,9 @@
   tables: PlacementTables,
   nowMs: number,
 ): Placement | PlacementFailure {
-  const usable = usableEngines(request, tables, nowMs);
+  const kept = new KeptBySalt(request, tables);
+  const considered = narrowEngines(request, kept, tables);
+  const usable = usableEngines(considered, request, tables, nowMs);
   if (usable.length === 0) return 'no-engine';
   const open = usable.filter(
     (engine) => tables.loads.ownRequestsAt(engine.record.id) < request.connectionShare,
@@ -84,7 +90,94 @@
   const { generation } = request;
   if (!generation) return cheapest(open.map((engine) => weighPlain(engine, request, tables)));
   const home = homeOf(generation, usable, tables.hasher);
-  return cheapest(open.map((engine) => weighGeneration(engine, home, generation, request, tables)));
+  return cheapest(
+    open.map((engine) => weighGeneration(engine, home, kept, generation, request, tables)),
+  );
+}
+
+/** What is kept of one prompt, looked up once for each salt that engines have. */
+class KeptBySalt {
+  private readonly bySalt = new Map<string, KeptPrompt>();
+
+  constructor(
+    private readonly request: PlacementRequest,
+    private readonly tables: PlacementTables,
+  ) {}
+
+  /** Salt of a version of the request's model. */
+  saltOf(generation: GenerationShape, version: number): string {
+    return cacheSaltOf(generation.model, version, this.request.isolatedTenant);
+  }
+
+  of(salt: string): KeptPrompt {
+    let kept = this.bySalt.get(salt);
+    if (!kept) {
+      kept = this.lookUp(salt);
+      this.bySalt.set(salt, kept);
+    }
+    return kept;
+  }
+
+  private lookUp(salt: string): KeptPrompt {
+    const { generation, profile, stores, candidates } = this.request;
+    const tokensByHolder = this.tables.kept.leadingTokens(salt, generation?.parts ?? []);
+    const sources: KeptSource[] = [];
+    if (tokensByHolder.size === 0 || !profile) return { tokensByHolder, sources };
+    for (const { record } of candidates) {
+      const tokens = tokensByHolder.get(record.id);
+      if (tokens === undefined) continue;
+      sources.push({
+        tokens,
+        address: record.address,
+        zone: record.zone,
+        linkMbps: profile.linkMbps,
+      });
+    }
+    for (const { address, zone, linkMbps } of stores) {
+      const tokens = tokensByHolder.get(address);
+      if (tokens === undefined) continue;
+      sources.push({ tokens, address, zone, linkMbps: Math.min(linkMbps, profile.linkMbps) });
+    }
+    return { tokensByHolder, sources };
+  }
+}
+
+/** Who keeps how much of a prompt under one salt. */
+interface KeptPrompt {
+  readonly tokensByHolder: ReadonlyMap<string, number>;
+  readonly sources: readonly KeptSource[];
+}
+
+/** An engine or store that keeps a beginning of the prompt. */
+interface KeptSource {
+  readonly tokens: number;
+  readonly address: string;
+  readonly zone: string;
+  readonly linkMbps: number;
+}
+
+/**
+ * The engines to weigh. Of a large service: those that keep something of the prompt, and a random
+ * sample, which is as good as all where loads are even.
+ */
+function narrowEngines(
+  request: PlacementRequest,
+  kept: KeptBySalt,
+  tables: PlacementTables,
+): readonly Engine[] {
+  const { candidates, generation } = request;
+  if (candidates.length <= MAXIMUM_WEIGHED) return candidates;
+  const chosen = new Set<Engine>();
+  for (let turn = 0; turn < MAXIMUM_WEIGHED; turn += 1) {
+    chosen.add(candidates[randomInteger(tables.random, candidates.length)] as Engine);
+  }
+  if (!generation) return [...chosen];
+  for (const engine of candidates) {
+    const version = versionAt(engine, generation.model) ?? 0;
+    const { tokensByHolder } = kept.of(kept.saltOf(generation, version));
+    if (tokensByHolder.has(engine.record.id)) chosen.add(engine);
+  }
+  return [...chosen];
 }
 
 /** The engine that every router agrees on for the subject of a prompt. */
@@ -104,11 +197,12 @@
 
 /** Engines in good standing; where there are none, the ones left alone for failures. */
 function usableEngines(
+  considered: readonly Engine[],
   request: PlacementRequest,
   tables: PlacementTables,
   nowMs: number,
 ): Engine[] {
-  const allowed = request.candidates.filter((engine) => isAllowed(engine, request, tables, nowMs));
+  const allowed = considered.filter((engine) => isAllowed(engine, request, tables, nowMs));
   const trusted = allowed.filter((engine) => !tables.health.isAvoided(engine.record.id, nowMs));
   return trusted.length > 0 ? trusted : allowed;
 }
@@ -165,14 +259,16 @@
 function weighGeneration(
   engine: Engine,
   home: string | undefined,
+  kept: KeptBySalt,
   generation: GenerationShape,
   request: PlacementRequest,
   tables: PlacementTables,
 ): Placement {
   const version = versionAt(engine, generation.model) ?? 0;
-  const salt = cacheSaltOf(generation.model, version, request.isolatedTenant);
-  const ownTokens = tables.kept.leadingTokens(engine.record.id, salt, generation.parts);
-  const source = bestSource(engine, salt, ownTokens, generation, request, tables);
+  const salt = kept.saltOf(generation, version);
+  const keptPrompt = kept.of(salt);
+  const ownTokens = keptPrompt.tokensByHolder.get(engine.record.id) ?? 0;
+  const source = bestSource(engine, ownTokens, keptPrompt.sources, request.profile);
   const fetchedTokens = source ? source.tokens - ownTokens : 0;
   const unreadTokens = Math.max(0, generation.promptTokens - ownTokens - fetchedTokens);
   const nobodyKeeps = ownTokens === 0 && fetchedTokens === 0;
@@ -189,7 +285,7 @@
     expectedVersion: version,
     cacheSalt: salt,
     fetchFrom: source?.address,
-    saveTo: storeToSave(salt, generation, request, tables),
+    saveTo: storeToSave(keptPrompt, generation, request),
     unreadTokens,
     costMs,
   };
@@ -216,50 +312,37 @@
 /** Where more of the prompt is kept than at the engine itself, if taking it pays. */
 function bestSource(
   engine: Engine,
-  salt: string,
   ownTokens: number,
-  generation: GenerationShape,
-  request: PlacementRequest,
-  tables: PlacementTables,
+  sources: readonly KeptSource[],
+  profile: EngineProfile | undefined,
 ): Source | undefined {
-  const { profile } = request;
   if (!profile) return undefined;
   let best: Source | undefined;
   let bestGainMs = 0;
-  const offer = (holder: string, address: string, zone: string, linkMbps: number): void => {
-    const tokens = tables.kept.leadingTokens(holder, salt, generation.parts);
-    if (tokens <= ownTokens) return;
+  for (const { address, tokens, zone, linkMbps } of sources) {
+    if (tokens <= ownTokens || address === engine.record.address) continue;
     const fetched = tokens - ownTokens;
-    const megabits = (fetched * profile.cacheTokenBytes * 8) / 1e6;
+    const megabits = (fetched * profile.cacheTokenBytes * BITS_PER_BYTE) / BITS_PER_MEGABIT;
     const zoneFactor = zone === engine.record.zone ? 1 : OTHER_ZONE_LINK_FACTOR;
-    const fetchMs = (megabits / linkMbps) * MEGABIT_PER_MS * zoneFactor;
+    const fetchMs = (megabits / linkMbps) * MILLISECONDS_PER_SECOND * zoneFactor;
     const gainMs = fetched / READ_TOKENS_PER_MS - fetchMs;
-    if (gainMs <= bestGainMs) return;
+    if (gainMs <= bestGainMs) continue;
     bestGainMs = gainMs;
     best = { address, tokens, fetchMs };
-  };
-  for (const other of request.candidates) {
-    if (other === engine) continue;
-    offer(other.record.id, other.record.address, other.record.zone, profile.linkMbps);
-  }
-  for (const store of request.stores) {
-    offer(store.address, store.address, store.zone, Math.min(store.linkMbps, profile.linkMbps));
   }
   return best;
 }
 
 /** The store that should get this prompt's shared parts; undefined where it has them. */
 function storeToSave(
-  salt: string,
+  kept: KeptPrompt,
   generation: GenerationShape,
   request: PlacementRequest,
-  tables: PlacementTables,
 ): string | undefined {
-  const shared = sharedPartsOf(generation);
-  if (shared.length === 0) return undefined;
-  const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0);
+  const sharedTokens = sharedPartsOf(generation).reduce((sum, part) => sum + part.tokens, 0);
+  if (sharedTokens === 0) return undefined;
   const lacking = request.stores.find(
-    (store) => tables.kept.leadingTokens(store.address, salt, shared) < sharedTokens,
+    (store) => (kept.tokensByHolder.get(store.address) ?? 0) < sharedTokens,
   );
   return lacking?.address;
 }
--- a/src/state/routing/shared-retry-budget.ts
+++ b/src/state/routing/shared-retry-budget.ts
@@ -27,14 +27,19 @@
     this.expire(this.requests, nowMs);
   }
 
-  /** Takes one repeat; false where the share of this router is spent. */
-  trySpend(nowMs: number, groupSize: number): boolean {
+  /** Whether a repeat may be taken now. */
+  canSpend(nowMs: number, groupSize: number): boolean {
     this.expire(this.requests, nowMs);
     this.expire(this.repeats, nowMs);
     const { ratio, allowance } = this.settings;
     const earned = ratio * this.requests.length;
     const limit = USED_SHARE * (earned + allowance / Math.max(1, groupSize));
-    if (this.repeats.length + 1 > limit) return false;
+    return this.repeats.length + 1 <= limit;
+  }
+
+  /** Takes one repeat; false where the share of this router is spent. */
+  trySpend(nowMs: number, groupSize: number): boolean {
+    if (!this.canSpend(nowMs, groupSize)) return false;
     this.repeats.push(nowMs);
     return true;
   }
--- /dev/null
+++ b/test/gateway/routing-state.test.ts
@@ -0,0 +1,116 @@
+/** Pure parts of the routing state, by properties. */
+import test from 'ava';
+import fc from 'fast-check';
+import { KeptPrefixes } from '../../src/state/routing/kept-prefixes.js';
+import { type HeldFeed, ownShareOfFeeds } from '../../src/state/routing/feed-share.js';
+import { SharedRetryBudget } from '../../src/state/routing/shared-retry-budget.js';
+import { TrafficSplit } from '../../src/state/routing/traffic-split.js';
+import type { Route } from '../../src/state/routing/configuration.js';
+
+const SEED = { seed: 77, numRuns: 300 };
+
+test('kept prefixes answer as a plain table would', (t) => {
+  const holder = fc.constantFrom('a', 'b', 'c');
+  const salt = fc.constantFrom('s1', 's2');
+  const part = fc.constantFrom('p', 'q', 'r');
+  const note = fc.tuple(holder, salt, part, fc.constantFrom(0, 5, 10));
+  const property = fc.property(fc.array(note, { maxLength: 40 }), (notes) => {
+    const kept = new KeptPrefixes();
+    const table = new Map<string, number>();
+    for (const [name, salted, id, tokens] of notes) {
+      kept.note(name, salted, id, tokens);
+      table.set(`${name}/${salted}/${id}`, tokens);
+    }
+    const parts = ['p', 'q', 'r'].map((id) => ({ id, tokens: 10 }));
+    for (const salted of ['s1', 's2']) {
+      const leading = kept.leadingTokens(salted, parts);
+      for (const name of ['a', 'b', 'c']) {
+        let expected = 0;
+        for (const { id } of parts) {
+          const tokens = table.get(`${name}/${salted}/${id}`) ?? 0;
+          expected += tokens;
+          if (tokens < 10) break;
+        }
+        t.is(leading.get(name) ?? 0, expected);
+      }
+    }
+    kept.forget('a');
+    t.is(kept.leadingTokens('s1', parts).get('a') ?? 0, 0);
+    t.is(kept.sizeOf('a'), 0);
+  });
+  fc.assert(property, SEED);
+});
+
+test('no holder is followed by more routers than it serves, no router follows too many', (t) => {
+  const property = fc.property(
+    fc.integer({ min: 1, max: 120 }),
+    fc.integer({ min: 1, max: 120 }),
+    fc.constantFrom(3, 12),
+    (holders, routers, maximumCalls) => {
+      const feeds: HeldFeed[] = Array.from({ length: holders }, (_, index) => ({
+        holder: `engine-${index}`,
+        address: `10.0.0.${index}:1`,
+        maximumCalls,
+      }));
+      const followers = new Map<string, number>();
+      for (let rank = 0; rank < routers; rank += 1) {
+        const own = ownShareOfFeeds(feeds, rank, routers);
+        t.true(own.length <= 48);
+        t.is(new Set(own.map((feed) => feed.holder)).size, own.length);
+        for (const { holder } of own) followers.set(holder, (followers.get(holder) ?? 0) + 1);
+      }
+      for (const count of followers.values()) t.true(count <= maximumCalls);
+    },
+  );
+  fc.assert(property, SEED);
+});
+
+test('in a small deployment every router follows every holder', (t) => {
+  const feeds = Array.from({ length: 14 }, (_, index) => ({
+    holder: `engine-${index}`,
+    address: 'a:1',
+    maximumCalls: 12,
+  }));
+  for (let rank = 0; rank < 7; rank += 1) t.is(ownShareOfFeeds(feeds, rank, 7).length, 14);
+});
+
+test('repeats stay within the share of the window', (t) => {
+  const event = fc.tuple(fc.boolean(), fc.integer({ min: 0, max: 400 }));
+  const property = fc.property(fc.array(event, { maxLength: 300 }), (events) => {
+    const budget = new SharedRetryBudget({ ratio: 0.2, windowMs: 10_000, allowance: 54 });
+    let nowMs = 0;
+    const requests: number[] = [];
+    const repeats: number[] = [];
+    for (const [isRequest, gapMs] of events) {
+      nowMs += gapMs;
+      if (isRequest) {
+        budget.noteRequest(nowMs);
+        requests.push(nowMs);
+      } else if (budget.trySpend(nowMs, 7)) repeats.push(nowMs);
+      const within = (times: number[]): number =>
+        times.filter((timeMs) => timeMs > nowMs - 10_000).length;
+      t.true(within(repeats) <= 0.2 * within(requests) + 54 / 7 + 10);
+    }
+  });
+  fc.assert(property, SEED);
+});
+
+test('a split gives each part its weight within one request', (t) => {
+  const weights = fc.array(fc.integer({ min: 1, max: 100 }), { minLength: 2, maxLength: 5 });
+  const property = fc.property(weights, fc.integer({ min: 1, max: 400 }), (parts, count) => {
+    const targets = parts.map((weight, index) => ({ service: `s${index}`, weight }));
+    const route = { name: 'r', targets } as unknown as Route;
+    const split = new TrafficSplit();
+    const total = parts.reduce((sum, weight) => sum + weight, 0);
+    const taken = new Map<string, number>();
+    for (let turn = 0; turn < count; turn += 1) {
+      const service = split.next(route) as string;
+      taken.set(service, (taken.get(service) ?? 0) + 1);
+    }
+    for (const { service, weight } of targets) {
+      const share = (count * weight) / total;
+      t.true(Math.abs((taken.get(service) ?? 0) - share) <= parts.length);
+    }
+  });
+  fc.assert(property, SEED);
+});
