Test the platform's settings, store client and formats

Change: tests against a small stand-in of the store over loopback: pages of a list, watches, lost history, conflicts, silence; settings with every fault in one line.

--- /dev/null
+++ b/test/platform/object-store-client.test.ts
@@ -0,0 +1,152 @@
+/** The client of the platform's store against a small stand-in over HTTP on loopback. */
+import { type IncomingMessage, type ServerResponse, createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import test, { type ExecutionContext } from 'ava';
+import { platformDecoder } from '../../platform/formats.js';
+import { ObjectStoreClient } from '../../platform/object-store-client.js';
+
+interface Call {
+  readonly method: string;
+  readonly url: URL;
+  readonly body: string;
+}
+
+type Answer = (call: Call) => { status: number; body?: unknown } | undefined;
+
+/** Serves calls with a function; a call without an answer has its connection broken. */
+async function storeWith(t: ExecutionContext, answer: Answer): Promise<ObjectStoreClient> {
+  const server = createServer((request: IncomingMessage, response: ServerResponse) => {
+    let body = '';
+    request.on('data', (chunk: Buffer) => (body += chunk.toString()));
+    request.on('end', () => {
+      const url = new URL(request.url ?? '/', 'http://store');
+      const answered = answer({ method: request.method ?? '', url, body });
+      if (!answered) {
+        request.socket.resetAndDestroy();
+        return;
+      }
+      response.writeHead(answered.status, { 'content-type': 'application/json' });
+      response.end(answered.body === undefined ? '' : JSON.stringify(answered.body));
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const client = new ObjectStoreClient(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+  t.teardown(() => {
+    client.close();
+    server.close();
+  });
+  return client;
+}
+
+function object(name: string, revision: number, spec: unknown = {}): unknown {
+  return { metadata: { name, revision, made: 1, finalizers: [], deleting: false }, spec };
+}
+
+test('a list of several pages is read from the revision of its first', async (t) => {
+  const client = await storeWith(t, ({ url }) => {
+    const isFirst = url.searchParams.get('after') === null;
+    const items = isFirst ? [object('a', 1), object('b', 2)] : [object('c', 9)];
+    return { status: 200, body: { items, more: isFirst, at: isFirst ? 5 : 9 } };
+  });
+  const list = await client.list('servers');
+  t.deepEqual(
+    list.objects.map(({ name }) => name),
+    ['a', 'b', 'c'],
+  );
+  t.is(list.revision, 5);
+});
+
+test('a watch tells changes, removals and lost history', async (t) => {
+  const client = await storeWith(t, ({ url }) => {
+    if (url.searchParams.get('watch') === '1') return { status: 410 };
+    const events = [
+      { gone: false, object: object('a', 6) },
+      { gone: true, object: object('b', 7) },
+    ];
+    return { status: 200, body: { events, at: 7 } };
+  });
+  t.deepEqual(await client.watch('servers', 1, 100), { kind: 'history-gone' });
+  const result = await client.watch('servers', 5, 100);
+  t.is(result.kind, 'events');
+  if (result.kind !== 'events') return;
+  t.deepEqual(
+    result.events.map(({ isGone, object: { name } }) => [name, isGone]),
+    [
+      ['a', false],
+      ['b', true],
+    ],
+  );
+  t.is(result.revision, 7);
+});
+
+test('a write names the revision it replaces and a conflict shows the object', async (t) => {
+  const calls: Call[] = [];
+  const client = await storeWith(t, (call) => {
+    calls.push(call);
+    return { status: 409, body: object('lease', 12, { holder: 'other' }) };
+  });
+  const result = await client.replace('leases', 'lease', { holder: 'own' }, 11);
+  t.is(result.kind, 'conflict');
+  if (result.kind === 'conflict') t.is(result.present?.revision, 12);
+  t.is(calls[0]?.method, 'PUT');
+  t.is(JSON.parse(calls[0]?.body ?? '').metadata.revision, 11);
+});
+
+test('a call without an answer or with a refusal rejects', async (t) => {
+  const silent = await storeWith(t, () => undefined);
+  await t.throwsAsync(() => silent.list('config'));
+  const busy = await storeWith(t, () => ({ status: 503 }));
+  await t.throwsAsync(() => busy.read('config', 'main'));
+  const garbled = await storeWith(t, () => ({ status: 200, body: { items: 'none' } }));
+  await t.throwsAsync(() => garbled.list('config'));
+});
+
+test('an object that is not there is told as such', async (t) => {
+  const client = await storeWith(t, () => ({ status: 404 }));
+  t.is(await client.read('leases', 'lease'), undefined);
+  t.deepEqual(await client.replace('leases', 'lease', {}, 1), { kind: 'missing' });
+});
+
+test('the configuration is decoded into the words of the product, other objects are not', (t) => {
+  const spec = {
+    version: 7,
+    routes: [
+      {
+        name: 'r-1',
+        host: 'Host.Example',
+        path_prefix: '/a/',
+        kind: 'streaming',
+        timeout_ms: 6_000,
+        target_latency_ms: 800,
+        priority: 1,
+        traffic_split: [
+          { service: 'llm', weight: 90 },
+          { service: 'other', weight: 10 },
+        ],
+        max_attempts: 2,
+        resumable: true,
+      },
+      { name: 'r-2', host: 'h', path_prefix: '/b/', kind: 'unsafe', timeout_ms: 100, service: 's' },
+    ],
+    services: [{ name: 'kept', kv_store_address: '1.2.3.4:5', zone: 'a', kv_capacity_tokens: 9 }],
+    limits: {
+      max_header_bytes: 1,
+      max_body_bytes: 2,
+      header_timeout_ms: 3,
+      idle_timeout_ms: 4,
+    },
+    tenants: [{ name: 't', api_keys: ['k'], isolated: true }],
+  };
+  const decoded = platformDecoder.configuration({ name: 'main', revision: 1, spec });
+  t.like(decoded, {
+    version: 7,
+    routes: [
+      { host: 'host.example', isRepeatable: true, isResumable: true },
+      { isRepeatable: false, targets: [{ service: 's', weight: 1 }] },
+    ],
+    services: [{ cacheStore: { address: '1.2.3.4:5' } }],
+    tenants: [{ isIsolated: true }],
+  });
+  t.is(platformDecoder.configuration({ name: 'draft', revision: 1, spec }), undefined);
+  t.is(platformDecoder.configuration({ name: 'main', revision: 1, spec: {} }), undefined);
+});
--- /dev/null
+++ b/test/platform/settings.test.ts
@@ -0,0 +1,60 @@
+/** The platform's settings file: what is required, what is passed over, how faults are told. */
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import test from 'ava';
+import {
+  checkSettings,
+  gatewaySettingsOf,
+  metricsDoorOf,
+  readSettings,
+} from '../../platform/settings.js';
+
+const SETTINGS = {
+  node_name: 'frontend-a-1',
+  ip: '10.1.0.30',
+  zone: 'a',
+  region: 'r',
+  listen_addresses: {
+    frontend: '10.1.0.30:8782',
+    ready: '10.1.0.30:8789',
+    directory: '10.1.0.30:8780',
+  },
+  internal_port_range: [7340, 7355],
+  seeds: ['10.2.0.22:8783'],
+  bounds: { retry_budget_ratio: 0.2, retry_window_s: 10, retry_slack: 54, revoke_ms: 4_000 },
+  platform: { address: '10.200.1.7:8784', form: 'objects' },
+  a_field_of_tomorrow: true,
+};
+
+test('unknown fields are passed over and bounds become the product’s settings', (t) => {
+  const settings = gatewaySettingsOf(checkSettings('node.json', SETTINGS));
+  t.is(settings.gossipAddress, '10.1.0.30:7340');
+  t.deepEqual(settings.seeds, ['10.2.0.22:7340']);
+  t.true(settings.proofLifetimeMs < 4_000);
+  t.is(settings.retryBudget.windowMs, 10_000);
+});
+
+test('every fault is told in one line', (t) => {
+  const broken = { ...SETTINGS, zone: 7, platform: { address: 'nowhere' }, bounds: {} };
+  const error = t.throws(() => checkSettings('node.json', broken));
+  for (const name of ['node.json', 'zone', 'platform.address', 'bounds.retry_window_s']) {
+    t.true(error.message.includes(name), `${name}: ${error.message}`);
+  }
+  t.false(error.message.includes('\n'));
+});
+
+test('a file that is not there or not JSON is told by its name', (t) => {
+  t.throws(() => readSettings('/nowhere/node.json'), { message: /\/nowhere\/node\.json/ });
+  const folder = mkdtempSync(path.join(tmpdir(), 'settings-'));
+  t.teardown(() => rmSync(folder, { recursive: true }));
+  const file = path.join(folder, 'node.json');
+  writeFileSync(file, '{');
+  t.throws(() => readSettings(file), { message: /node\.json/ });
+});
+
+test('metrics are served where the settings name a port and a path', (t) => {
+  t.is(metricsDoorOf(checkSettings('f', SETTINGS)), undefined);
+  const settings = checkSettings('f', { ...SETTINGS, metrics: '8790/figures' });
+  t.deepEqual(metricsDoorOf(settings), { address: '10.1.0.30:8790', path: '/figures' });
+});
