--- /dev/null
+++ b/test/days/play.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Plays each day of this folder on each site: test/days/play.sh BENCH SITE [SITE ...]
+# BENCH is the users' bench program; it is not part of this repository, so CI does not run this.
+set -euo pipefail
+bench=$1
+shift
+cd "$(dirname "$0")/../.."
+for site in "$@"; do
+  for day in test/days/*.toml; do
+    echo "== $(basename "$site") $(basename "$day")"
+    "$bench" run "$site" "$day" --why "own day $(basename "$day" .toml)" | sed -n '2,3p'
+  done
+done
