Follow the store through a few readers in a large group

An answer carries the age of the call that proved it, counted from when the asker asked, so that nothing on the way makes a proof younger. A reader that falls silent or stale is left within 1.4 s and the store is asked instead. The same way serves a router that has itself no way to the store, and one that starts while the store is down.

--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -4,6 +4,7 @@
 import type { Logger } from '../../runtime/logger.js';
 import { type RandomSource, randomIdentifier } from '../../runtime/random.js';
 import type { DatagramTransport } from '../../transport/datagram-transport.js';
+import type { FrameTransport } from '../../transport/frame-transport.js';
 import type { InferencePort } from '../../protocol/inference/port.js';
 import type { ObjectStorePort, StoredObject } from '../../protocol/object-store/port.js';
 import { ConfigurationState } from '../../state/routing/configuration-state.js';
@@ -28,6 +29,7 @@
 import { ObjectFollower } from './object-follower.js';
 import type { InboundRequest, Reply } from './reply.js';
 import { RequestCall } from './request-call.js';
+import { StoreRelay } from './store-relay/store-relay.js';
 import { WeightCoordinator } from './weight-coordinator.js';
 
 /** What a router takes from its surroundings. */
@@ -37,6 +39,7 @@
   readonly hasher: Hasher;
   readonly logger: Logger;
   readonly datagrams: DatagramTransport;
+  readonly frames: FrameTransport;
   readonly store: ObjectStorePort;
   readonly engines: InferencePort;
   readonly decoder: ObjectDecoder;
@@ -75,9 +78,10 @@
     private readonly settings: GatewaySettings,
     private readonly surroundings: GatewaySurroundings,
     private readonly group: GroupMembership,
+    private readonly relay: StoreRelay,
     parts: GatewayParts,
   ) {
-    const { clock, random, hasher, logger, engines, store } = surroundings;
+    const { clock, random, hasher, logger, engines } = surroundings;
     this.loads = parts.loads;
     this.configuration = new ConfigurationState(settings.proofLifetimeMs);
     this.versions = new WeightVersions(settings.rollout.graceMs);
@@ -117,7 +121,7 @@
         health: this.health,
         kept: this.kept,
         engines,
-        lease: new LeaseKeeper(settings.kinds.leases, lease, store, clock, logger),
+        lease: new LeaseKeeper(settings.kinds.leases, lease, relay.store, clock, logger),
         statistics: this.statistics,
         clock,
         logger,
@@ -150,13 +154,14 @@
       random,
       logger,
     );
-    return new GatewayNode(settings, surroundings, group, parts);
+    const relay = await StoreRelay.open(settings.relay, group, surroundings);
+    return new GatewayNode(settings, surroundings, group, relay, parts);
   }
 
   start(): void {
     this.follow(this.settings.kinds.configuration, this.settings.configurationWatchMs, {
-      onObject: (object, callBeganMs) => this.takeConfiguration(object, callBeganMs),
-      onAnswer: (callBeganMs) => this.configuration.prove(callBeganMs),
+      onObject: (object, provenMs) => this.takeConfiguration(object, provenMs),
+      onAnswer: (provenMs) => this.configuration.prove(provenMs),
     });
     this.follow(this.settings.kinds.engines, this.settings.engineWatchMs, {
       onList: (objects) => this.engineList.takeAll(objects),
@@ -216,6 +221,7 @@
     for (const timer of this.timers) timer.cancel();
     this.coordinator.stop();
     this.feeds.stop();
+    this.relay.stop();
     this.group.stop();
   }
 
@@ -224,18 +230,18 @@
     watchMs: number,
     handlers: Partial<FollowHandlers> & Pick<FollowHandlers, 'onObject'>,
   ): void {
-    const { store, clock, random, logger } = this.surroundings;
+    const { clock, random, logger } = this.surroundings;
     const follower = new ObjectFollower(
       { kind, watchMs },
-      store,
+      this.relay.store,
       {
-        onList: (objects, callBeganMs) => {
-          if (handlers.onList) handlers.onList(objects, callBeganMs);
-          else for (const object of objects) handlers.onObject(object, callBeganMs);
+        onList: (objects, provenMs) => {
+          if (handlers.onList) handlers.onList(objects, provenMs);
+          else for (const object of objects) handlers.onObject(object, provenMs);
         },
         onObject: handlers.onObject,
         onGone: (name) => handlers.onGone?.(name),
-        onAnswer: (callBeganMs) => handlers.onAnswer?.(callBeganMs),
+        onAnswer: (provenMs) => handlers.onAnswer?.(provenMs),
         onFailure: () => handlers.onFailure?.(),
       },
       clock,
@@ -246,14 +252,14 @@
     follower.start();
   }
 
-  private takeConfiguration(object: StoredObject, callBeganMs: number): void {
+  private takeConfiguration(object: StoredObject, provenMs: number): void {
     const { decoder, logger } = this.surroundings;
     const configuration = decoder.configuration(object);
     if (!configuration) {
       logger.error('configuration_malformed', { object: object.name, revision: object.revision });
       return;
     }
-    if (!this.configuration.adopt(configuration, callBeganMs)) return;
+    if (!this.configuration.adopt(configuration, provenMs)) return;
     this.split.retain(new Set(configuration.routes.map((route) => route.name)));
     logger.info('configuration_in_force', {
       version: configuration.version,
@@ -329,10 +335,10 @@
 }
 
 type FollowHandlers = {
-  onList(objects: readonly StoredObject[], callBeganMs: number): void;
-  onObject(object: StoredObject, callBeganMs: number): void;
+  onList(objects: readonly StoredObject[], provenMs: number): void;
+  onObject(object: StoredObject, provenMs: number): void;
   onGone(name: string): void;
-  onAnswer(callBeganMs: number): void;
+  onAnswer(provenMs: number): void;
   onFailure(): void;
 };
 
--- a/src/coordination/gateway/gateway-settings.ts
+++ b/src/coordination/gateway/gateway-settings.ts
@@ -2,6 +2,7 @@
 import type { RetryBudgetSettings } from '../../state/routing/shared-retry-budget.js';
 import type { RolloutSettings } from '../../state/routing/weight-rollout.js';
 import type { ObjectKinds } from './object-decoder.js';
+import type { RelaySettings } from './store-relay/relayed-object-store.js';
 
 /** What a router must be told. */
 export interface GatewaySettings {
@@ -10,7 +11,7 @@
   readonly region: string;
   /** Where callers reach this router, HOST:PORT. */
   readonly frontendAddress: string;
-  /** Where the other routers reach it by datagram, HOST:PORT. */
+  /** Where the other routers reach it by datagram and by connection, HOST:PORT. */
   readonly gossipAddress: string;
   /** Datagram addresses of a few routers; some may be stale. */
   readonly seeds: readonly string[];
@@ -20,6 +21,8 @@
   readonly configurationWatchMs: number;
   readonly engineWatchMs: number;
   readonly versionWatchMs: number;
+  /** How the store is followed in a large group. */
+  readonly relay: RelaySettings;
   readonly retryBudget: RetryBudgetSettings;
   readonly rollout: RolloutSettings;
   readonly leaseMs: number;
--- a/src/coordination/gateway/group-membership.ts
+++ b/src/coordination/gateway/group-membership.ts
@@ -81,7 +81,8 @@
   private constructor(
     private readonly membership: Membership,
     private readonly socket: DatagramSocket,
-    private readonly seedCount: number,
+    /** Datagram addresses of a few members; some may be stale. */
+    readonly seeds: readonly string[],
     private readonly loads: LoadTable,
     private readonly events: GroupEvents,
     private readonly clock: Clock,
@@ -105,7 +106,7 @@
     const group = new GroupMembership(
       membership,
       socket,
-      seeds.length,
+      seeds,
       loads,
       events,
       clock,
@@ -118,7 +119,12 @@
 
   /** Members known, even ones that fell silent: what must be shared is shared with them too. */
   get size(): number {
-    return Math.max(this.seedCount, this.membership.all().length);
+    return Math.max(this.seeds.length, this.membership.all().length);
+  }
+
+  /** What this router says of itself. */
+  get own(): MemberUpdate {
+    return this.membership.own;
   }
 
   /** Members that take work, this one included while it does. */
--- a/src/coordination/gateway/object-follower.ts
+++ b/src/coordination/gateway/object-follower.ts
@@ -8,14 +8,14 @@
 import type { ObjectStorePort, StoredObject } from '../../protocol/object-store/port.js';
 import { describeProtocolError, toProtocolError } from '../../protocol/errors.js';
 
-/** Receives what the store tells. `callBeganMs`: when the call began that was answered. */
+/** Receives what the store tells. `provenMs`: a moment at which that was the newest there was. */
 export interface FollowerEvents {
   /** The whole kind as it is. */
-  onList(objects: readonly StoredObject[], callBeganMs: number): void;
-  onObject(object: StoredObject, callBeganMs: number): void;
+  onList(objects: readonly StoredObject[], provenMs: number): void;
+  onObject(object: StoredObject, provenMs: number): void;
   onGone(name: string): void;
   /** A call was answered, whether or not it brought a change. */
-  onAnswer(callBeganMs: number): void;
+  onAnswer(provenMs: number): void;
   /** A call was not answered. */
   onFailure(): void;
 }
@@ -73,8 +73,9 @@
       const list = await this.store.list(kind);
       if (this.isStopped) return;
       this.revision = list.revision;
-      this.events.onList(list.objects, callBeganMs);
-      this.events.onAnswer(callBeganMs);
+      const provenMs = list.provenMs ?? callBeganMs;
+      this.events.onList(list.objects, provenMs);
+      this.events.onAnswer(provenMs);
       return;
     }
     const result = await this.store.watch(kind, this.revision, watchMs);
@@ -84,12 +85,13 @@
       this.revision = undefined;
       return;
     }
+    const provenMs = result.provenMs ?? callBeganMs;
     for (const { object, isGone } of result.events) {
       if (isGone) this.events.onGone(object.name);
-      else this.events.onObject(object, callBeganMs);
+      else this.events.onObject(object, provenMs);
     }
     this.revision = Math.max(this.revision, result.revision);
-    this.events.onAnswer(callBeganMs);
+    this.events.onAnswer(provenMs);
   }
 
   private noteAnswer(): void {
--- /dev/null
+++ b/src/coordination/gateway/store-relay/object-mirror.ts
@@ -0,0 +1,88 @@
+/**
+ * What one router knows of one kind of object in the store: the objects, the changes that led there,
+ * and when that was proved current. Other routers are answered from it. Pure.
+ */
+import type { ObjectEvent, StoredObject } from '../../../protocol/object-store/port.js';
+
+/** Changes that one answer of the store brought. */
+interface ChangeBatch {
+  /** Revision of the store after these changes. */
+  readonly revision: number;
+  readonly events: readonly ObjectEvent[];
+}
+
+/** Batches kept for routers that are a little behind. */
+const MAXIMUM_BATCHES = 128;
+
+/** The mirror of one kind. */
+export class ObjectMirror {
+  private readonly objects = new Map<string, StoredObject>();
+  private batches: ChangeBatch[] = [];
+  /** Changes after this revision are all kept. */
+  private oldestRevision = 0;
+  private latestRevision = 0;
+  private provenAtMs = -Infinity;
+
+  /** Whether the kind has been read once. */
+  get isFilled(): boolean {
+    return this.latestRevision > 0;
+  }
+
+  get revision(): number {
+    return this.latestRevision;
+  }
+
+  /** All objects of the kind. */
+  get all(): StoredObject[] {
+    return [...this.objects.values()];
+  }
+
+  /** Milliseconds since the call began that proved the present revision to be the newest. */
+  proofAgeMs(nowMs: number): number {
+    return nowMs - this.provenAtMs;
+  }
+
+  /** Takes the whole kind; what came before is not known any more. */
+  takeList(objects: readonly StoredObject[], revision: number, provenMs: number): void {
+    this.objects.clear();
+    for (const object of objects) this.objects.set(object.name, object);
+    this.batches = [];
+    this.oldestRevision = revision;
+    this.latestRevision = revision;
+    this.prove(provenMs);
+  }
+
+  /** Takes the changes up to a revision; an answer that was overtaken by a newer one is dropped. */
+  takeChanges(events: readonly ObjectEvent[], revision: number, provenMs: number): void {
+    if (!this.isFilled || revision < this.latestRevision) return;
+    for (const { object, isGone } of events) {
+      if (isGone) this.objects.delete(object.name);
+      else this.objects.set(object.name, object);
+    }
+    if (events.length > 0) this.keepBatch({ revision, events });
+    this.latestRevision = revision;
+    this.prove(provenMs);
+  }
+
+  /**
+   * The changes after a revision, in order; undefined where they are not all kept. The removal of an
+   * object carries the revision of its last change, so removals may be told again: that is harmless.
+   */
+  changesAfter(revision: number): ObjectEvent[] | undefined {
+    if (!this.isFilled || revision < this.oldestRevision) return undefined;
+    const later = this.batches.filter((batch) => batch.revision > revision);
+    const events = later.flatMap((batch) => batch.events);
+    return events.filter(({ object, isGone }) => isGone || object.revision > revision);
+  }
+
+  private keepBatch(batch: ChangeBatch): void {
+    this.batches.push(batch);
+    if (this.batches.length <= MAXIMUM_BATCHES) return;
+    const dropped = this.batches.shift();
+    if (dropped) this.oldestRevision = dropped.revision;
+  }
+
+  private prove(provenMs: number): void {
+    this.provenAtMs = Math.max(this.provenAtMs, provenMs);
+  }
+}
--- /dev/null
+++ b/src/coordination/gateway/store-relay/object-mirrors.ts
@@ -0,0 +1,16 @@
+/** The mirrors of all kinds of object that this router follows. */
+import { ObjectMirror } from './object-mirror.js';
+
+/** Mirrors by kind, made when first used. */
+export class ObjectMirrors {
+  private readonly mirrors = new Map<string, ObjectMirror>();
+
+  of(kind: string): ObjectMirror {
+    let mirror = this.mirrors.get(kind);
+    if (!mirror) {
+      mirror = new ObjectMirror();
+      this.mirrors.set(kind, mirror);
+    }
+    return mirror;
+  }
+}
--- /dev/null
+++ b/src/coordination/gateway/store-relay/store-relay.ts
@@ -0,0 +1,53 @@
+/** One router's part in relaying the store: its own view of it, and what it serves to others. */
+import type { Clock } from '../../../runtime/clock.js';
+import type { Logger } from '../../../runtime/logger.js';
+import type { FrameListener, FrameTransport } from '../../../transport/frame-transport.js';
+import type { ObjectStorePort } from '../../../protocol/object-store/port.js';
+import type { GroupMembership } from '../group-membership.js';
+import { ObjectMirrors } from './object-mirrors.js';
+import { RelayClient } from './relay-client.js';
+import { RelayServer } from './relay-server.js';
+import { type RelaySettings, RelayedObjectStore } from './relayed-object-store.js';
+
+/** What a relay takes from its surroundings. */
+export interface RelaySurroundings {
+  readonly store: ObjectStorePort;
+  readonly frames: FrameTransport;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** Both ends of the relay at one router. */
+export class StoreRelay {
+  private constructor(
+    /** The store as this router's followers and its lease see it. */
+    readonly store: RelayedObjectStore,
+    private readonly client: RelayClient,
+    private readonly server: RelayServer,
+    private readonly listener: FrameListener,
+  ) {}
+
+  /** Listens for other routers at this router's group address. */
+  static async open(
+    settings: RelaySettings,
+    group: GroupMembership,
+    surroundings: RelaySurroundings,
+  ): Promise<StoreRelay> {
+    const { store, frames, clock, logger } = surroundings;
+    const mirrors = new ObjectMirrors();
+    const client = new RelayClient(frames, clock);
+    const server = new RelayServer(mirrors, settings.freshMs, clock);
+    const { own } = group;
+    const listener = await frames.listen(own.gossipAddress, (connection) =>
+      server.accept(connection),
+    );
+    const parts = { store, mirrors, client, server, group, clock, logger };
+    return new StoreRelay(new RelayedObjectStore(own, settings, parts), client, server, listener);
+  }
+
+  stop(): void {
+    this.listener.close();
+    this.server.stop();
+    this.client.stop();
+  }
+}
--- a/src/lab/gateway-world/gateway-world.ts
+++ b/src/lab/gateway-world/gateway-world.ts
@@ -6,11 +6,11 @@
 import { SilentLogger } from '../../runtime/logger.js';
 import { SeededRandom } from '../../runtime/random.js';
 import { VirtualClock } from '../../runtime/virtual-clock.js';
-import type { EngineRecord } from '../../state/routing/engine-registry.js';
 import { HostClock } from '../simulation/host-clock.js';
 import { SimulatedNetwork } from '../simulation/simulated-network.js';
 import {
   SimulatedDatagramTransport,
+  SimulatedFrameTransport,
   SimulatedSockets,
 } from '../simulation/simulated-transports.js';
 import { RecordedReply } from './recorded-reply.js';
@@ -24,6 +24,7 @@
   PLAIN_SERVICE,
   ROUTERS,
   type RequestKind,
+  type StoredEngine,
   WORLD_MODEL,
   inboundRequest,
   routerName,
@@ -149,7 +150,7 @@
   /** An engine says that it leaves, serves a while longer and ends. */
   drainEngine(index: number): void {
     const engine = this.engine(index);
-    const listed = this.store.get(KINDS.engines, engine.id)?.spec as EngineRecord | undefined;
+    const listed = this.store.get(KINDS.engines, engine.id)?.spec as StoredEngine | undefined;
     if (!engine.isRunning || !listed || listed.isDraining || this.store.isDown) return;
     this.store.put(KINDS.engines, engine.id, { ...listed, isDraining: true });
     this.acknowledgements.push({ kind: 'engine-draining', subject: engine.id, atMs: this.now });
@@ -278,14 +279,14 @@
     const named = this.store.get(KINDS.weightVersions, WORLD_MODEL)?.spec as { version: number };
     engine.weightsVersion = named.version;
     this.engines.push(engine);
-    const record: EngineRecord = {
+    const record: StoredEngine = {
       id,
       service,
       address: engine.address,
       zone: 'zone-a',
       slots: 8,
       isDraining: false,
-      modelVersions: new Map(model ? [[model, engine.weightsVersion]] : []),
+      modelVersions: model ? [[model, engine.weightsVersion]] : [],
     };
     this.store.put(KINDS.engines, id, record);
   }
@@ -321,6 +322,7 @@
         hasher: this.hasher,
         logger: new SilentLogger(),
         datagrams: new SimulatedDatagramTransport(this.sockets, name),
+        frames: new SimulatedFrameTransport(this.sockets, name, host),
         store: new SimulatedStorePort(this.store, name, host),
         engines: inference,
         decoder: this.mutation.decoder?.(DECODER) ?? DECODER,
--- a/src/lab/gateway-world/world-fixtures.ts
+++ b/src/lab/gateway-world/world-fixtures.ts
@@ -31,10 +31,17 @@
   ['tenant-1', ['key-1a', 'key-1b']],
   ['tenant-2', ['key-2a', 'key-2b']],
 ]);
-/** Objects of the simulation hold the product's values as they are. */
+/** An engine's entry as the store holds it: values that JSON can carry. */
+export type StoredEngine = Omit<EngineRecord, 'modelVersions'> & {
+  readonly modelVersions: readonly (readonly [model: string, version: number])[];
+};
+/** Objects of the simulation hold the product's values, but for what JSON can't carry. */
 export const DECODER: ObjectDecoder = {
   configuration: (object) => object.spec as RoutingConfiguration,
-  engine: (object) => object.spec as EngineRecord,
+  engine: (object) => {
+    const { modelVersions, ...record } = object.spec as StoredEngine;
+    return { ...record, modelVersions: new Map(modelVersions) };
+  },
   weights: (object) => object.spec as { model: string; version: number },
 };
 
@@ -56,6 +63,13 @@
     configurationWatchMs: 1_500,
     engineWatchMs: 3_000,
     versionWatchMs: 10_000,
+    relay: {
+      directGroupSize: 1,
+      routersPerReader: 2,
+      minimumReaders: 1,
+      watchMs: 600,
+      freshMs: 1_400,
+    },
     retryBudget: { ratio: 0.2, windowMs: 10_000, allowance: 54 },
     rollout: { graceMs: 7_000, batchMs: 1_000, batches: 2, marginMs: 500 },
     leaseMs: WORLD_BOUNDS.leaseMs,
--- a/src/protocol/object-store/port.ts
+++ b/src/protocol/object-store/port.ts
@@ -13,6 +13,8 @@
 export interface ObjectList {
   readonly objects: readonly StoredObject[];
   readonly revision: number;
+  /** Moment on the steady clock at which the list was current; left out: when the call began. */
+  readonly provenMs?: number;
 }
 
 /** A change of one object. */
@@ -23,7 +25,13 @@
 
 /** What a watch answers: the changes up to a revision, or that the history is gone. */
 export type WatchResult =
-  | { readonly kind: 'events'; readonly events: readonly ObjectEvent[]; readonly revision: number }
+  | {
+      readonly kind: 'events';
+      readonly events: readonly ObjectEvent[];
+      readonly revision: number;
+      /** Moment at which the revision was the newest; left out: when the call began. */
+      readonly provenMs?: number;
+    }
   | { readonly kind: 'history-gone' };
 
 /** What a conditional write answers. */
