Agree on a subject's home in large services and guess that it keeps the prompt

Change: the home is ranked over all engines that may be used; the first three are always weighed. Where no holder is known, an engine takes the shared parts from the home, the home from the subject's store: a miss costs a millisecond. The look-ups of kept prompts are a module of their own.

--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -1,12 +1,12 @@
 /** Everything the calls of one router share. */
 import type { Clock } from '../../runtime/clock.js';
-import type { Hasher } from '../../runtime/hasher.js';
 import type { Logger } from '../../runtime/logger.js';
 import type { RandomSource } from '../../runtime/random.js';
 import type { InferencePort } from '../../protocol/inference/port.js';
 import type { ConfigurationState } from '../../state/routing/configuration-state.js';
 import type { EngineHealth } from '../../state/routing/engine-health.js';
 import type { EngineRegistry } from '../../state/routing/engine-registry.js';
+import type { HomeRanking } from '../../state/routing/home-ranking.js';
 import type { KeptPrefixes } from '../../state/routing/kept-prefixes.js';
 import type { LoadTable } from '../../state/routing/load-table.js';
 import {
@@ -43,7 +43,7 @@
 export interface GatewayContext {
   readonly clock: Clock;
   readonly random: RandomSource;
-  readonly hasher: Hasher;
+  readonly homes: HomeRanking;
   readonly logger: Logger;
   readonly engines: InferencePort;
   readonly configuration: ConfigurationState;
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -11,6 +11,7 @@
 import type { IngressLimits } from '../../state/routing/configuration.js';
 import { EngineHealth } from '../../state/routing/engine-health.js';
 import { EngineRegistry } from '../../state/routing/engine-registry.js';
+import { HomeRanking } from '../../state/routing/home-ranking.js';
 import { KeptPrefixes } from '../../state/routing/kept-prefixes.js';
 import { LoadTable } from '../../state/routing/load-table.js';
 import { TrafficSplit } from '../../state/routing/traffic-split.js';
@@ -88,7 +89,7 @@
     this.context = {
       clock,
       random,
-      hasher,
+      homes: new HomeRanking(hasher),
       logger,
       engines,
       group,
--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -1,13 +1,19 @@
 /** The decision: which engine answers a request, and where it takes kept prompts from. Pure. */
-import type { Hasher } from '../../runtime/hasher.js';
 import { type RandomSource, randomInteger } from '../../runtime/random.js';
-import { pickByRendezvous } from '../rendezvous.js';
 import type { CacheStore, EngineProfile } from './configuration.js';
 import type { EngineHealth } from './engine-health.js';
 import { type Engine, versionAt } from './engine-registry.js';
-import { type GenerationShape, cacheSaltOf, sharedPartsOf, subjectOf } from './generation.js';
+import { type GenerationShape, subjectOf } from './generation.js';
+import type { HomeRanking } from './home-ranking.js';
 import type { KeptPrefixes } from './kept-prefixes.js';
 import type { LoadTable } from './load-table.js';
+import {
+  KeptBySalt,
+  type KeptPrompt,
+  READ_TOKENS_PER_MS,
+  bestSource,
+  sharedTokensOf,
+} from './prompt-sources.js';
 import type { WeightVersions } from './weight-versions.js';
 
 /** What a placement is decided from. */
@@ -49,11 +55,9 @@
   readonly kept: KeptPrefixes;
   readonly versions: WeightVersions;
   readonly random: RandomSource;
-  readonly hasher: Hasher;
+  readonly homes: HomeRanking;
 }
 
-/** Prompt tokens an engine reads in a millisecond; engines do not tell it. */
-const READ_TOKENS_PER_MS = 40;
 /** The first token of a request that waits behind another comes this much later. */
 const RUNNING_REQUEST_MS = 1;
 /** Cost of taking memory for a second copy, for each 1,000 tokens. */
@@ -61,136 +65,88 @@
 /** Preference for the engine that all routers agree on for a subject nobody keeps. */
 const NOT_HOME_MS = 40;
 const OTHER_ZONE_MS = 8;
-const OTHER_ZONE_LINK_FACTOR = 2;
 /** Memory beyond this share of an engine makes requests give way. */
 const FULL_MEMORY_SHARE = 0.92;
 const FULL_MEMORY_MS = 2_000;
 /** A cost that only an engine under suspicion has. */
 const FAILING_MS = 400;
-const MILLISECONDS_PER_SECOND = 1_000;
-const BITS_PER_BYTE = 8;
-const BITS_PER_MEGABIT = 1e6;
 /** Engines weighed for one request, besides those that keep something of its prompt. */
 const MAXIMUM_WEIGHED = 48;
 
+/** Engines of a subject's ranking that are weighed in any case. */
+const HOMES_WEIGHED = 3;
+
 /** Chooses the engine of lowest cost. */
 export function placeRequest(
   request: PlacementRequest,
   tables: PlacementTables,
   nowMs: number,
 ): Placement | PlacementFailure {
-  const kept = new KeptBySalt(request, tables);
-  const considered = narrowEngines(request, kept, tables);
+  const prompt = request.generation && promptView(request, request.generation, tables, nowMs);
+  const considered = narrowEngines(request, prompt, tables);
   const usable = usableEngines(considered, request, tables, nowMs);
   if (usable.length === 0) return 'no-engine';
   const open = usable.filter(
     (engine) => tables.loads.ownRequestsAt(engine.record.id) < request.connectionShare,
   );
   if (open.length === 0) return 'all-busy';
-  const { generation } = request;
-  if (!generation) return cheapest(open.map((engine) => weighPlain(engine, request, tables)));
-  const home = homeOf(generation, usable, tables.hasher);
-  return cheapest(
-    open.map((engine) => weighGeneration(engine, home, kept, generation, request, tables)),
-  );
+  if (!prompt) return cheapest(open.map((engine) => weighPlain(engine, request, tables)));
+  return cheapest(open.map((engine) => weighGeneration(engine, prompt, request, tables)));
 }
 
-/** What is kept of one prompt, looked up once for each salt that engines have. */
-class KeptBySalt {
-  private readonly bySalt = new Map<string, KeptPrompt>();
-
-  constructor(
-    private readonly request: PlacementRequest,
-    private readonly tables: PlacementTables,
-  ) {}
-
-  /** Salt of a version of the request's model. */
-  saltOf(generation: GenerationShape, version: number): string {
-    return cacheSaltOf(generation.model, version, this.request.isolatedTenant);
-  }
-
-  of(salt: string): KeptPrompt {
-    let kept = this.bySalt.get(salt);
-    if (!kept) {
-      kept = this.lookUp(salt);
-      this.bySalt.set(salt, kept);
-    }
-    return kept;
-  }
-
-  private lookUp(salt: string): KeptPrompt {
-    const { generation, profile, stores, candidates } = this.request;
-    const tokensByHolder = this.tables.kept.leadingTokens(salt, generation?.parts ?? []);
-    const sources: KeptSource[] = [];
-    if (tokensByHolder.size === 0 || !profile) return { tokensByHolder, sources };
-    for (const { record } of candidates) {
-      const tokens = tokensByHolder.get(record.id);
-      if (tokens === undefined) continue;
-      sources.push({
-        tokens,
-        address: record.address,
-        zone: record.zone,
-        linkMbps: profile.linkMbps,
-      });
-    }
-    for (const { address, zone, linkMbps } of stores) {
-      const tokens = tokensByHolder.get(address);
-      if (tokens === undefined) continue;
-      sources.push({ tokens, address, zone, linkMbps: Math.min(linkMbps, profile.linkMbps) });
-    }
-    return { tokensByHolder, sources };
-  }
+/** What one placement knows of its prompt. */
+interface PromptView {
+  readonly generation: GenerationShape;
+  readonly kept: KeptBySalt;
+  /** First engines of the subject's ranking that may be used now. */
+  readonly homes: readonly Engine[];
+  /** The store that all routers agree on for the subject. */
+  readonly store: CacheStore | undefined;
 }
 
-/** Who keeps how much of a prompt under one salt. */
-interface KeptPrompt {
-  readonly tokensByHolder: ReadonlyMap<string, number>;
-  readonly sources: readonly KeptSource[];
-}
-
-/** An engine or store that keeps a beginning of the prompt. */
-interface KeptSource {
-  readonly tokens: number;
-  readonly address: string;
-  readonly zone: string;
-  readonly linkMbps: number;
+function promptView(
+  request: PlacementRequest,
+  generation: GenerationShape,
+  tables: PlacementTables,
+  nowMs: number,
+): PromptView {
+  const { candidates, stores } = request;
+  const subject = subjectOf(generation);
+  const sound = candidates.filter(
+    (engine) =>
+      isAllowed(engine, request, tables, nowMs) &&
+      !tables.health.isAvoided(engine.record.id, nowMs),
+  );
+  const homes = tables.homes.first(subject, sound, (each) => each.record.id, HOMES_WEIGHED);
+  const [store] = tables.homes.first(subject, stores, (each) => each.address, 1);
+  const kept = new KeptBySalt({ ...request, generation }, tables.kept);
+  return { generation, kept, homes, store };
 }
 
 /**
- * The engines to weigh. Of a large service: those that keep something of the prompt, and a random
- * sample, which is as good as all where loads are even.
+ * The engines to weigh. Of a large service: the subject's homes, those that keep something of the
+ * prompt, and a random sample, which is as good as all where loads are even.
  */
 function narrowEngines(
   request: PlacementRequest,
-  kept: KeptBySalt,
+  prompt: PromptView | undefined,
   tables: PlacementTables,
 ): readonly Engine[] {
-  const { candidates, generation } = request;
+  const { candidates } = request;
   if (candidates.length <= MAXIMUM_WEIGHED) return candidates;
-  const chosen = new Set<Engine>();
-  for (let turn = 0; turn < MAXIMUM_WEIGHED; turn += 1) {
+  const chosen = new Set<Engine>(prompt?.homes);
+  while (chosen.size < MAXIMUM_WEIGHED) {
     chosen.add(candidates[randomInteger(tables.random, candidates.length)] as Engine);
   }
-  if (!generation) return [...chosen];
+  if (!prompt) return [...chosen];
   for (const engine of candidates) {
-    const version = versionAt(engine, generation.model) ?? 0;
-    const { tokensByHolder } = kept.of(kept.saltOf(generation, version));
+    const version = versionAt(engine, prompt.generation.model) ?? 0;
+    const { tokensByHolder } = prompt.kept.of(prompt.kept.saltOf(version));
     if (tokensByHolder.has(engine.record.id)) chosen.add(engine);
   }
   return [...chosen];
 }
 
-/** The engine that every router agrees on for the subject of a prompt. */
-function homeOf(
-  generation: GenerationShape,
-  engines: readonly Engine[],
-  hasher: Hasher,
-): string | undefined {
-  const key = hasher.hashText(subjectOf(generation), 0n);
-  const ids = engines.map((engine) => engine.record.id);
-  return pickByRendezvous(hasher, key, ids);
-}
-
 function cheapest(placements: readonly Placement[]): Placement {
   return placements.reduce((best, each) => (each.costMs < best.costMs ? each : best));
 }
@@ -249,23 +205,15 @@
   };
 }
 
-/** A place kept prompts may be taken from. */
-interface Source {
-  readonly address: string;
-  readonly tokens: number;
-  readonly fetchMs: number;
-}
-
 function weighGeneration(
   engine: Engine,
-  home: string | undefined,
-  kept: KeptBySalt,
-  generation: GenerationShape,
+  prompt: PromptView,
   request: PlacementRequest,
   tables: PlacementTables,
 ): Placement {
+  const { generation, kept, homes } = prompt;
   const version = versionAt(engine, generation.model) ?? 0;
-  const salt = kept.saltOf(generation, version);
+  const salt = kept.saltOf(version);
   const keptPrompt = kept.of(salt);
   const ownTokens = keptPrompt.tokensByHolder.get(engine.record.id) ?? 0;
   const source = bestSource(engine, ownTokens, keptPrompt.sources, request.profile);
@@ -277,15 +225,15 @@
     unreadTokens / READ_TOKENS_PER_MS +
     (source?.fetchMs ?? 0) +
     (fetchedTokens / 1_000) * COPY_MS_PER_KILOTOKEN +
-    (nobodyKeeps && engine.record.id !== home ? NOT_HOME_MS : 0) +
+    (nobodyKeeps && engine !== homes[0] ? NOT_HOME_MS : 0) +
     (engine.record.zone === request.zone ? 0 : OTHER_ZONE_MS) +
     suspicionMs(engine, tables);
   return {
     engine,
     expectedVersion: version,
     cacheSalt: salt,
-    fetchFrom: source?.address,
-    saveTo: storeToSave(keptPrompt, generation, request),
+    fetchFrom: source?.address ?? guessedSource(engine, ownTokens, version, prompt),
+    saveTo: storeToSave(keptPrompt, prompt),
     unreadTokens,
     costMs,
   };
@@ -309,40 +257,27 @@
   return tables.health.failureShare(engine.record.id) * FAILING_MS;
 }
 
-/** Where more of the prompt is kept than at the engine itself, if taking it pays. */
-function bestSource(
+/**
+ * Where shared parts may be kept though this router has not heard of it: at the subject's home, or, for
+ * the home itself, in the store. A wrong guess costs a millisecond, reading again a hundred times that.
+ */
+function guessedSource(
   engine: Engine,
   ownTokens: number,
-  sources: readonly KeptSource[],
-  profile: EngineProfile | undefined,
-): Source | undefined {
-  if (!profile) return undefined;
-  let best: Source | undefined;
-  let bestGainMs = 0;
-  for (const { address, tokens, zone, linkMbps } of sources) {
-    if (tokens <= ownTokens || address === engine.record.address) continue;
-    const fetched = tokens - ownTokens;
-    const megabits = (fetched * profile.cacheTokenBytes * BITS_PER_BYTE) / BITS_PER_MEGABIT;
-    const zoneFactor = zone === engine.record.zone ? 1 : OTHER_ZONE_LINK_FACTOR;
-    const fetchMs = (megabits / linkMbps) * MILLISECONDS_PER_SECOND * zoneFactor;
-    const gainMs = fetched / READ_TOKENS_PER_MS - fetchMs;
-    if (gainMs <= bestGainMs) continue;
-    bestGainMs = gainMs;
-    best = { address, tokens, fetchMs };
-  }
-  return best;
+  version: number,
+  { generation, homes, store }: PromptView,
+): string | undefined {
+  if (ownTokens >= sharedTokensOf(generation)) return undefined;
+  const home = homes.find(
+    (each) => each !== engine && versionAt(each, generation.model) === version,
+  );
+  return engine === homes[0] || !home ? store?.address : home.record.address;
 }
 
 /** The store that should get this prompt's shared parts; undefined where it has them. */
-function storeToSave(
-  kept: KeptPrompt,
-  generation: GenerationShape,
-  request: PlacementRequest,
-): string | undefined {
-  const sharedTokens = sharedPartsOf(generation).reduce((sum, part) => sum + part.tokens, 0);
-  if (sharedTokens === 0) return undefined;
-  const lacking = request.stores.find(
-    (store) => (kept.tokensByHolder.get(store.address) ?? 0) < sharedTokens,
-  );
-  return lacking?.address;
+function storeToSave(kept: KeptPrompt, prompt: PromptView): string | undefined {
+  const sharedTokens = sharedTokensOf(prompt.generation);
+  if (sharedTokens === 0 || !prompt.store) return undefined;
+  const { address } = prompt.store;
+  return (kept.tokensByHolder.get(address) ?? 0) < sharedTokens ? address : undefined;
 }
--- /dev/null
+++ b/src/state/routing/prompt-sources.ts
@@ -0,0 +1,116 @@
+/** Who keeps how much of one prompt, and from where an engine best takes what it lacks. Pure. */
+import type { CacheStore, EngineProfile } from './configuration.js';
+import type { Engine } from './engine-registry.js';
+import { type GenerationShape, cacheSaltOf, sharedPartsOf } from './generation.js';
+import type { KeptPrefixes } from './kept-prefixes.js';
+
+/** Prompt tokens an engine reads in a millisecond; engines do not tell it. */
+export const READ_TOKENS_PER_MS = 40;
+const OTHER_ZONE_LINK_FACTOR = 2;
+const MILLISECONDS_PER_SECOND = 1_000;
+const BITS_PER_BYTE = 8;
+const BITS_PER_MEGABIT = 1e6;
+
+/** What the look-ups for one prompt need. */
+export interface PromptQuestion {
+  readonly generation: GenerationShape;
+  /** Tenant whose cached prompts are its own; undefined where they are shared. */
+  readonly isolatedTenant: string | undefined;
+  readonly candidates: readonly Engine[];
+  readonly profile: EngineProfile | undefined;
+  readonly stores: readonly CacheStore[];
+}
+
+/** Who keeps how much of a prompt under one salt. */
+export interface KeptPrompt {
+  /** Tokens of the prompt's beginning, by holder: an engine's incarnation or a store's address. */
+  readonly tokensByHolder: ReadonlyMap<string, number>;
+  readonly sources: readonly KeptSource[];
+}
+
+/** An engine or store that keeps a beginning of the prompt. */
+interface KeptSource {
+  readonly tokens: number;
+  readonly address: string;
+  readonly zone: string;
+  readonly linkMbps: number;
+}
+
+/** The place from where an engine best takes kept prompts. */
+export interface BestSource {
+  readonly address: string;
+  readonly tokens: number;
+  readonly fetchMs: number;
+}
+
+/** What is kept of one prompt, looked up once for each salt that engines have. */
+export class KeptBySalt {
+  private readonly bySalt = new Map<string, KeptPrompt>();
+
+  constructor(
+    private readonly question: PromptQuestion,
+    private readonly kept: KeptPrefixes,
+  ) {}
+
+  /** Salt of a version of the prompt's model. */
+  saltOf(version: number): string {
+    return cacheSaltOf(this.question.generation.model, version, this.question.isolatedTenant);
+  }
+
+  of(salt: string): KeptPrompt {
+    let kept = this.bySalt.get(salt);
+    if (!kept) {
+      kept = this.lookUp(salt);
+      this.bySalt.set(salt, kept);
+    }
+    return kept;
+  }
+
+  private lookUp(salt: string): KeptPrompt {
+    const { generation, profile, stores, candidates } = this.question;
+    const tokensByHolder = this.kept.leadingTokens(salt, generation.parts);
+    const sources: KeptSource[] = [];
+    if (tokensByHolder.size === 0 || !profile) return { tokensByHolder, sources };
+    for (const { record } of candidates) {
+      const tokens = tokensByHolder.get(record.id);
+      if (tokens === undefined) continue;
+      const { address, zone } = record;
+      sources.push({ tokens, address, zone, linkMbps: profile.linkMbps });
+    }
+    for (const { address, zone, linkMbps } of stores) {
+      const tokens = tokensByHolder.get(address);
+      if (tokens === undefined) continue;
+      sources.push({ tokens, address, zone, linkMbps: Math.min(linkMbps, profile.linkMbps) });
+    }
+    return { tokensByHolder, sources };
+  }
+}
+
+/** Where more of the prompt is kept than at the engine itself, if taking it pays. */
+export function bestSource(
+  engine: Engine,
+  ownTokens: number,
+  sources: readonly KeptSource[],
+  profile: EngineProfile | undefined,
+): BestSource | undefined {
+  if (!profile) return undefined;
+  let best: BestSource | undefined;
+  let bestGainMs = 0;
+  for (const { address, tokens, zone, linkMbps } of sources) {
+    if (tokens <= ownTokens || address === engine.record.address) continue;
+    const fetched = tokens - ownTokens;
+    const megabits = (fetched * profile.cacheTokenBytes * BITS_PER_BYTE) / BITS_PER_MEGABIT;
+    const zoneFactor = zone === engine.record.zone ? 1 : OTHER_ZONE_LINK_FACTOR;
+    const fetchMs = (megabits / linkMbps) * MILLISECONDS_PER_SECOND * zoneFactor;
+    const gainMs = fetched / READ_TOKENS_PER_MS - fetchMs;
+    if (gainMs <= bestGainMs) continue;
+    bestGainMs = gainMs;
+    best = { address, tokens, fetchMs };
+  }
+  return best;
+}
+
+/** Tokens of the parts that other requests may share. */
+export function sharedTokensOf(generation: GenerationShape): number {
+  return sharedPartsOf(generation).reduce((sum, part) => sum + part.tokens, 0);
+}
