Let the time of named weights stand still while the store is out

Change: a router remembers when it could not reach the store (nor a peer in its place) and leaves that time out of the deadline, less the time it takes to notice the store's return. Failed lease calls are followed by pauses that double, 0.1 to 1.6 s.

--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -14,6 +14,7 @@
 import { HomeRanking } from '../../state/routing/home-ranking.js';
 import { KeptPrefixes } from '../../state/routing/kept-prefixes.js';
 import { LoadTable } from '../../state/routing/load-table.js';
+import { StoreOutages } from '../../state/routing/store-outages.js';
 import { TrafficSplit } from '../../state/routing/traffic-split.js';
 import { WeightLease } from '../../state/routing/weight-lease.js';
 import { WeightVersions } from '../../state/routing/weight-versions.js';
@@ -62,6 +63,7 @@
   private readonly loads: LoadTable;
   private readonly health = new EngineHealth();
   private readonly kept = new KeptPrefixes();
+  private readonly outages = new StoreOutages();
   private readonly versions: WeightVersions;
   private readonly split = new TrafficSplit();
   private readonly followers: ObjectFollower[] = [];
@@ -85,7 +87,7 @@
     const { clock, random, hasher, logger, engines } = surroundings;
     this.loads = parts.loads;
     this.configuration = new ConfigurationState(settings.proofLifetimeMs);
-    this.versions = new WeightVersions(settings.rollout.graceMs);
+    this.versions = new WeightVersions(settings.rollout.graceMs, this.outages);
     this.context = {
       clock,
       random,
@@ -242,8 +244,14 @@
         },
         onObject: handlers.onObject,
         onGone: (name) => handlers.onGone?.(name),
-        onAnswer: (provenMs) => handlers.onAnswer?.(provenMs),
-        onFailure: () => handlers.onFailure?.(),
+        onAnswer: (provenMs) => {
+          this.outages.noteAnswer(clock.now());
+          handlers.onAnswer?.(provenMs);
+        },
+        onFailure: () => {
+          this.outages.noteFailure(clock.now());
+          handlers.onFailure?.();
+        },
       },
       clock,
       random,
--- a/src/coordination/gateway/lease-keeper.ts
+++ b/src/coordination/gateway/lease-keeper.ts
@@ -23,9 +23,15 @@
   fencingToken: z.number().int(),
 });
 
+/** Pause after the first call that failed; it doubles with each further one. */
+const FIRST_PAUSE_MS = 100;
+const LONGEST_PAUSE_MS = 1_600;
+
 /** Keeps the lease of one router. */
 export class LeaseKeeper {
   private isCalling = false;
+  private failures = 0;
+  private nextCallMs = -Infinity;
 
   constructor(
     private readonly kind: string,
@@ -48,19 +54,27 @@
 
   /** Makes the call that is due, if any; resolves when it was answered or failed. */
   async advance(): Promise<void> {
-    if (this.isCalling) return;
+    if (this.isCalling || this.clock.now() < this.nextCallMs) return;
     this.isCalling = true;
     try {
       await this.call(this.lease.next(this.clock.now()));
+      this.failures = 0;
     } catch (cause) {
-      this.lease.noteUnanswered();
-      const reason = describeProtocolError(toProtocolError(cause, 'store'));
-      this.logger.warn('lease_call_failed', { reason });
+      this.noteFailure(cause);
     } finally {
       this.isCalling = false;
     }
   }
 
+  private noteFailure(cause: unknown): void {
+    this.lease.noteUnanswered();
+    this.failures += 1;
+    const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (this.failures - 1));
+    this.nextCallMs = this.clock.now() + pauseMs;
+    const reason = describeProtocolError(toProtocolError(cause, 'store'));
+    this.logger.warn('lease_call_failed', { reason, failures: this.failures, pause_ms: pauseMs });
+  }
+
   private async call(step: LeaseStep): Promise<void> {
     if (step === LeaseStep.Act || step === LeaseStep.Wait) return;
     const beganMs = this.clock.now();
--- a/src/state/routing/weight-rollout.ts
+++ b/src/state/routing/weight-rollout.ts
@@ -43,7 +43,7 @@
   const active = engines.filter((engine) => !engine.record.isDraining);
   const behind = active.filter((engine) => (versionAt(engine, model) ?? 0) < newest);
   if (behind.length === 0) return undefined;
-  const dueMs = earliestDueMs(model, behind, versions);
+  const dueMs = earliestDueMs(model, behind, versions, nowMs);
   const batchSize = Math.max(1, Math.floor(active.length / settings.batches));
   const batchesLeft = Math.ceil(behind.length / batchSize);
   const startMs = dueMs - settings.marginMs - batchesLeft * settings.batchMs;
@@ -58,7 +58,12 @@
   return next.length === 0 ? undefined : { model, version: newest, engines: next };
 }
 
-function earliestDueMs(model: string, behind: readonly Engine[], versions: WeightVersions): number {
-  const dues = behind.map((engine) => versions.dueMs(model, versionAt(engine, model) ?? 0));
+function earliestDueMs(
+  model: string,
+  behind: readonly Engine[],
+  versions: WeightVersions,
+  nowMs: number,
+): number {
+  const dues = behind.map((engine) => versions.dueMs(model, versionAt(engine, model) ?? 0, nowMs));
   return Math.min(...dues.map((due) => due ?? Infinity));
 }
--- a/src/state/routing/weight-versions.ts
+++ b/src/state/routing/weight-versions.ts
@@ -1,5 +1,7 @@
 /** The versions of weights that operators have named, and until when older ones may be used. */
 
+import type { StoreOutages } from './store-outages.js';
+
 interface NamedVersion {
   readonly version: number;
   /** When this router may first have been able to know of it. */
@@ -10,8 +12,14 @@
 export class WeightVersions {
   private readonly byModel = new Map<string, NamedVersion[]>();
 
-  /** @param graceMs time from the naming of a version until older ones may serve no new request */
-  constructor(private readonly graceMs: number) {}
+  /**
+   * @param graceMs time from the naming of a version until older ones may serve no new request, not
+   *   counting the time in which the store is out
+   */
+  constructor(
+    private readonly graceMs: number,
+    private readonly outages: StoreOutages,
+  ) {}
 
   /** Notes a version; false where it is known already or older than the newest. */
   note(model: string, version: number, namedMs: number): boolean {
@@ -34,13 +42,20 @@
   /** The lowest version that may still serve a request begun now. */
   minimum(model: string, nowMs: number): number {
     const versions = this.byModel.get(model) ?? [];
-    const due = versions.filter((named) => nowMs >= named.namedMs + this.graceMs).at(-1);
+    const due = versions.filter((named) => nowMs >= this.dueOf(named, nowMs)).at(-1);
     return due?.version ?? 0;
   }
 
-  /** When the first version above `version` must be in force; undefined where there is none. */
-  dueMs(model: string, version: number): number | undefined {
+  /**
+   * When the first version above `version` must be in force, as far as is known now; undefined where
+   * there is none.
+   */
+  dueMs(model: string, version: number, nowMs: number): number | undefined {
     const next = (this.byModel.get(model) ?? []).find((named) => named.version > version);
-    return next && next.namedMs + this.graceMs;
+    return next && this.dueOf(next, nowMs);
+  }
+
+  private dueOf({ namedMs }: NamedVersion, nowMs: number): number {
+    return namedMs + this.graceMs + this.outages.within(namedMs, nowMs);
   }
 }
--- /dev/null
+++ b/test/gateway/placement.test.ts
@@ -0,0 +1,168 @@
+/** Placement in large services: routers agree on a subject's home and guess where it is kept. */
+import { fc } from '@fast-check/ava';
+import test from 'ava';
+import { createHasher } from '../../src/runtime/hasher.js';
+import { SeededRandom } from '../../src/runtime/random.js';
+import { EngineHealth } from '../../src/state/routing/engine-health.js';
+import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
+import { HomeRanking } from '../../src/state/routing/home-ranking.js';
+import { KeptPrefixes } from '../../src/state/routing/kept-prefixes.js';
+import { LoadTable } from '../../src/state/routing/load-table.js';
+import {
+  type Placement,
+  type PlacementRequest,
+  type PlacementTables,
+  placeRequest,
+} from '../../src/state/routing/placement.js';
+import { StoreOutages } from '../../src/state/routing/store-outages.js';
+import { WeightVersions } from '../../src/state/routing/weight-versions.js';
+
+const hasher = await createHasher();
+const MODEL = 'model-a';
+const STORE = 'store:1';
+
+function registryOf(engines: number): EngineRegistry {
+  const registry = new EngineRegistry();
+  for (let index = 0; index < engines; index += 1) {
+    registry.put({
+      id: `engine-${index}`,
+      service: 'generation',
+      address: `engine-${index}:1`,
+      zone: `zone-${index % 3}`,
+      slots: 16,
+      isDraining: false,
+      modelVersions: new Map([[MODEL, 1]]),
+    });
+  }
+  return registry;
+}
+
+function tablesOf(seed: number): PlacementTables {
+  return {
+    loads: new LoadTable(),
+    health: new EngineHealth(),
+    kept: new KeptPrefixes(),
+    versions: new WeightVersions(7_000, new StoreOutages()),
+    random: new SeededRandom(seed),
+    homes: new HomeRanking(hasher),
+  };
+}
+
+function requestAbout(subject: string, registry: EngineRegistry, zone: string): PlacementRequest {
+  return {
+    candidates: registry.ofService('generation'),
+    profile: {
+      slots: 16,
+      cacheCapacityTokens: 90_000,
+      cacheTokenBytes: 163_840,
+      linkMbps: 1_000_000,
+      maximumEventCalls: 12,
+    },
+    generation: {
+      model: MODEL,
+      parts: [
+        { id: 'common', tokens: 2_500 },
+        { id: subject, tokens: 3_800 },
+        { id: `${subject}-own`, tokens: 2_900 },
+      ],
+      promptTokens: 9_200,
+      maximumOutputTokens: 10,
+    },
+    isolatedTenant: undefined,
+    excluded: new Set(),
+    zone,
+    stores: [
+      {
+        address: STORE,
+        zone: 'zone-0',
+        linkMbps: 400_000,
+        maximumEventCalls: 12,
+        capacityTokens: 1_000_000,
+      },
+    ],
+    connectionShare: 10,
+  };
+}
+
+function place(request: PlacementRequest, tables: PlacementTables): Placement {
+  const placed = placeRequest(request, tables, 0);
+  if (typeof placed === 'string') throw new Error(placed);
+  return placed;
+}
+
+test('the first of a ranking are those a full sort puts first', (t) => {
+  const homes = new HomeRanking(hasher);
+  const ids = fc.uniqueArray(fc.stringMatching(/^[a-z0-9]{1,6}$/), { minLength: 1, maxLength: 60 });
+  const property = fc.property(
+    ids,
+    fc.string(),
+    fc.integer({ min: 1, max: 5 }),
+    (all, key, count) => {
+      const whole = homes.first(key, all, (id) => id, all.length);
+      const few = homes.first(key, all, (id) => id, count);
+      const shuffled = homes.first(key, [...all].reverse(), (id) => id, count);
+      t.deepEqual(few, whole.slice(0, count));
+      t.deepEqual(shuffled, few);
+    },
+  );
+  fc.assert(property, { seed: 1, numRuns: 300 });
+});
+
+test('a holder that leaves moves only its own subjects', (t) => {
+  const homes = new HomeRanking(hasher);
+  const all = Array.from({ length: 90 }, (_, index) => `engine-${index}`);
+  const fewer = all.slice(1);
+  for (let turn = 0; turn < 300; turn += 1) {
+    const [before] = homes.first(`subject-${turn}`, all, (id) => id, 1);
+    const [after] = homes.first(`subject-${turn}`, fewer, (id) => id, 1);
+    if (before !== 'engine-0') t.is(after, before);
+  }
+});
+
+test('routers of all zones choose the same engine for a subject that nobody is known to keep', (t) => {
+  const registry = registryOf(200);
+  for (let subject = 0; subject < 40; subject += 1) {
+    const chosen = [1, 2, 3].map((seed) => {
+      const request = requestAbout(`subject-${subject}`, registry, `zone-${seed % 3}`);
+      return place(request, tablesOf(seed)).engine.record.id;
+    });
+    t.is(new Set(chosen).size, 1, `subject ${subject}: ${chosen.join(', ')}`);
+  }
+});
+
+test('an engine that stands in for a busy home takes the shared parts from it', (t) => {
+  const registry = registryOf(90);
+  const tables = tablesOf(4);
+  const request = requestAbout('subject', registry, 'zone-0');
+  const home = place(request, tables);
+  t.is(home.fetchFrom, STORE);
+  tables.loads.change(home.engine.record.id, {
+    requests: 1,
+    unreadTokens: 40_000,
+    heldTokens: 40_000,
+  });
+  const other = place(request, tables);
+  t.not(other.engine.record.id, home.engine.record.id);
+  t.is(other.fetchFrom, home.engine.record.address);
+});
+
+test('nothing is guessed where the engine keeps all that is shared', (t) => {
+  const registry = registryOf(90);
+  const tables = tablesOf(5);
+  const request = requestAbout('subject', registry, 'zone-0');
+  const home = place(request, tables).engine.record.id;
+  tables.kept.notePrompt(home, `${MODEL}@1`, request.generation?.parts.slice(0, 2) ?? []);
+  const placed = place(request, tables);
+  t.is(placed.engine.record.id, home);
+  t.is(placed.fetchFrom, undefined);
+});
+
+test('an engine of another version is no source', (t) => {
+  const registry = registryOf(90);
+  const tables = tablesOf(6);
+  const request = requestAbout('subject', registry, 'zone-0');
+  const home = place(request, tables).engine;
+  home.observedVersions.set(MODEL, 2);
+  tables.loads.change(home.record.id, { requests: 1, unreadTokens: 40_000, heldTokens: 40_000 });
+  t.not(place(request, tables).fetchFrom, home.record.address);
+});
--- /dev/null
+++ b/test/gateway/weight-outage.test.ts
@@ -0,0 +1,90 @@
+/** New weights while the store is out: their time stands still, and the lease is not asked for in vain. */
+import { fc } from '@fast-check/ava';
+import test from 'ava';
+import { LeaseKeeper } from '../../src/coordination/gateway/lease-keeper.js';
+import { findBreaches } from '../../src/lab/gateway-world/gateway-oracle.js';
+import { GatewayWorld } from '../../src/lab/gateway-world/gateway-world.js';
+import { ProtocolFailure } from '../../src/protocol/errors.js';
+import type { ObjectStorePort } from '../../src/protocol/object-store/port.js';
+import { SilentLogger } from '../../src/runtime/logger.js';
+import { VirtualClock } from '../../src/runtime/virtual-clock.js';
+import { StoreOutages } from '../../src/state/routing/store-outages.js';
+import { WeightLease } from '../../src/state/routing/weight-lease.js';
+
+const STEP_MS = 20;
+
+test('time out of reach counts for no bound, and never more than it was', (t) => {
+  const gaps = fc.array(
+    fc.tuple(fc.integer({ min: 1, max: 3_000 }), fc.integer({ min: 1, max: 6_000 })),
+    {
+      maxLength: 10,
+    },
+  );
+  const property = fc.property(gaps, fc.nat(40_000), fc.nat(40_000), (spans, left, right) => {
+    const outages = new StoreOutages();
+    const [fromMs, toMs] = [Math.min(left, right), Math.max(left, right)];
+    let now = 0;
+    let longestMs = 0;
+    for (const [soundMs, outMs] of spans) {
+      now += soundMs;
+      outages.noteFailure(now);
+      outages.noteFailure(now);
+      longestMs += Math.max(0, Math.min(toMs, now + outMs) - Math.max(fromMs, now));
+      now += outMs;
+      outages.noteAnswer(now);
+    }
+    return outages.within(fromMs, toMs) <= longestMs;
+  });
+  fc.assert(property, { seed: 9, numRuns: 300 });
+  const outages = new StoreOutages();
+  outages.noteFailure(1_000);
+  t.is(outages.within(0, 5_000), 3_250);
+  outages.noteAnswer(3_000);
+  t.is(outages.within(0, 5_000), 1_250);
+});
+
+test('weights named before an outage do not leave the service without an engine', async (t) => {
+  const OUTAGE_MS = 6_500;
+  const world = await GatewayWorld.create(11);
+  world.nameWeights();
+  await world.clock.advance(1_000);
+  world.stopStore(OUTAGE_MS);
+  await world.clock.advance(OUTAGE_MS);
+  const first = world.requests.length;
+  // Until the routers have proved their configuration again, and then through the whole rollout.
+  await world.clock.advance(800);
+  for (let spentMs = 0; spentMs < 9_000; spentMs += STEP_MS) {
+    world.request(spentMs / STEP_MS, 'stream-resumable', 'tenant-2', 0);
+    await world.clock.advance(STEP_MS);
+  }
+  await world.settle();
+  const refused = world.requests
+    .slice(first)
+    .filter((request) => request.reply.own?.reason === 'no-engine');
+  t.is(refused.length, 0);
+  t.true(world.generationEngines.every((engine) => engine.weightsVersion === 2));
+  t.deepEqual(findBreaches(world), []);
+});
+
+test('a lease that the store refuses is asked for with growing pauses', async (t) => {
+  const clock = new VirtualClock();
+  let calls = 0;
+  const refuse = (): Promise<never> => {
+    calls += 1;
+    return Promise.reject(new ProtocolFailure({ kind: 'rejected', status: 503, reason: 'read' }));
+  };
+  const store: ObjectStorePort = {
+    list: refuse,
+    watch: refuse,
+    read: refuse,
+    create: refuse,
+    replace: refuse,
+  };
+  const lease = new WeightLease({ holder: 'a', life: '1', leaseMs: 3_000, actMs: 500 });
+  const keeper = new LeaseKeeper('leases', lease, store, clock, new SilentLogger());
+  for (let spentMs = 0; spentMs < 6_000; spentMs += 100) {
+    await keeper.advance();
+    await clock.advance(100);
+  }
+  t.true(calls >= 4 && calls <= 8, `${calls} calls`);
+});
