--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -27,4 +27,12 @@
     files: ['scripts/**', '*.cjs', '*.mjs'],
     languageOptions: { globals: { process: 'readonly', console: 'readonly', module: 'writable' } },
   },
+  {
+    files: ['scripts/*.cjs'],
+    languageOptions: {
+      sourceType: 'commonjs',
+      globals: { require: 'readonly', __dirname: 'readonly' },
+    },
+    rules: { '@typescript-eslint/no-require-imports': 'off' },
+  },
 );
