Spare a large group what it can't use: partial cache feeds, loads that are out of date

A router followed 8 of 66 cache feeds, several calls a second each at over a millisecond, for knowledge of an eighth of the engines; it heard 48 load reports a second, most about requests that had ended. News that an engine loads weights reached 12 of 79 routers: engines refused 977 of 7,923 arrivals.

Change: a router follows feeds only where it can follow half of the holders; what it knows of others from its own sends is forgotten after 6 to 12 s. Loads go to 4 members at random in groups of more than 13, news of weights to all at once. The fuzz drains engines behind a reader that is cut off, and a mutation that believes relayed views of any age is found.

--- a/fuzz/gateway-commands.ts
+++ b/fuzz/gateway-commands.ts
@@ -131,6 +131,23 @@
   }),
 );
 
+/** Routers that follow the store through one that is cut off must hear of a leaving engine all the same. */
+const drainBehindCut = fc.tuple(router, engine, tenant).map(([index, leaving, name]) =>
+  command(`drainBehindCut(${index}, ${leaving}, ${name})`, async (world) => {
+    const CUT_MS = 6_000;
+    const BEYOND_BOUND_MS = 2_200;
+    const REQUESTS = 12;
+    world.cutFromStore(index, CUT_MS);
+    await world.clock.advance(50);
+    world.drainEngine(leaving);
+    await world.clock.advance(BEYOND_BOUND_MS);
+    for (let turn = 0; turn < REQUESTS; turn += 1) {
+      world.request(index + 1 + (turn % 2), turn % 4 < 2 ? 'plain-safe' : 'stream-once', name, 0);
+      await world.clock.advance(10);
+    }
+  }),
+);
+
 const stopStore = durationMs.map((forMs) =>
   command(`stopStore(${forMs})`, (world) => world.stopStore(forMs)),
 );
@@ -167,6 +184,7 @@
     freezeRouter,
     cutFromStore,
     removeKeyBehindCut,
+    drainBehindCut,
     stopStore,
     compact,
     faultWrites,
--- a/fuzz/gateway-mutations.ts
+++ b/fuzz/gateway-mutations.ts
@@ -2,6 +2,7 @@
 import type { ObjectDecoder } from '../src/coordination/gateway/object-decoder.js';
 import type { GatewayRule } from '../src/lab/gateway-world/gateway-oracle.js';
 import type { WorldMutation } from '../src/lab/gateway-world/gateway-world.js';
+import { worldSettings } from '../src/lab/gateway-world/world-fixtures.js';
 import type { RoutingConfiguration } from '../src/state/routing/configuration.js';
 
 /** A weakened router. */
@@ -38,6 +39,13 @@
     rule: 'one-holder',
     mutation: { settings: { leaseMs: -5_000 } },
   },
+  {
+    name: 'what a router relays is taken however old it is',
+    rule: 'engine-drained',
+    mutation: {
+      settings: { relay: { ...worldSettings('any').relay, freshMs: Infinity } },
+    },
+  },
   {
     name: 'draining engines are taken for ready',
     rule: 'engine-drained',
--- a/src/coordination/gateway/cache-feeds.ts
+++ b/src/coordination/gateway/cache-feeds.ts
@@ -66,6 +66,10 @@
     }
   }
 
+  isFollowed(holder: string): boolean {
+    return this.feeds.has(holder);
+  }
+
   stop(): void {
     this.follow([]);
   }
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -52,6 +52,8 @@
 /** Weights found after a watch had failed; their time counts from when the store was sound again. */
 const MISSED_AGE_MS = 1_000;
 const UPKEEP_PERIOD_MS = 1_000;
+/** What holders without a feed keep is believed for one to two of these. */
+const KEPT_TURN_MS = 6_000;
 /** A router that joins has heard of most others after this long, and so knows its rank. */
 const RANK_SETTLING_MS = 250;
 
@@ -176,7 +178,11 @@
       onList: (objects) => this.takeVersionList(objects),
       onObject: (object) => this.takeVersions([object], 0),
     });
-    this.timers.push(repeat(this.surroundings.clock, UPKEEP_PERIOD_MS, () => this.upkeep()));
+    const { clock } = this.surroundings;
+    this.timers.push(
+      repeat(clock, UPKEEP_PERIOD_MS, () => this.upkeep()),
+      repeat(clock, KEPT_TURN_MS, () => this.kept.expire((id) => this.feeds.isFollowed(id))),
+    );
     this.coordinator.start();
   }
 
--- a/src/coordination/gateway/group-membership.ts
+++ b/src/coordination/gateway/group-membership.ts
@@ -61,8 +61,13 @@
 
 const CHECK_PERIOD_MS = 100;
 const REPORT_PERIOD_MS = 250;
-/** Members that get each report; beyond that a random sample does. */
+/** Members that get each report of loads in a small group. */
 const REPORT_FANOUT = 12;
+/**
+ * Members that do in a larger one, chosen at random: a router can't hear of all loads while they last,
+ * so the reports only keep routers from meeting at one engine by accident.
+ */
+const SAMPLED_FANOUT = 4;
 const NEWS_FANOUT = 3;
 const NEWS_DELAY_MS = 50;
 /** An idle router repeats that it is idle only this often. */
@@ -225,15 +230,25 @@
       weights,
     });
     const datagram = encodeLoadReport(report);
-    for (const address of this.reportTargets()) this.socket.send(address, datagram);
+    // News of weights concerns every router at once; only the one that gives orders has any.
+    const targets = weights.length > 0 ? this.others() : this.sampledOthers();
+    for (const { gossipAddress } of targets) this.socket.send(gossipAddress, datagram);
   }
 
-  private reportTargets(): string[] {
+  private others(): MemberUpdate[] {
     const own = this.membership.own.nodeId;
-    const others = this.working.filter((member) => member.nodeId !== own);
-    while (others.length > REPORT_FANOUT)
-      others.splice(randomInteger(this.random, others.length), 1);
-    return others.map((member) => member.gossipAddress);
+    return this.working.filter((member) => member.nodeId !== own);
+  }
+
+  /** All others of a small group, or a random sample. */
+  private sampledOthers(): MemberUpdate[] {
+    const others = this.others();
+    if (others.length <= REPORT_FANOUT) return others;
+    const sample = new Set<MemberUpdate>();
+    while (sample.size < SAMPLED_FANOUT) {
+      sample.add(others[randomInteger(this.random, others.length)] as MemberUpdate);
+    }
+    return [...sample];
   }
 
   private transmit(outgoing: readonly OutgoingGossip[]): void {
--- a/src/state/routing/kept-prefixes.ts
+++ b/src/state/routing/kept-prefixes.ts
@@ -8,7 +8,9 @@
 export class KeptPrefixes {
   /** Tokens kept by holder, for each part under its salt. */
   private readonly holdersByPart = new Map<string, Map<string, number>>();
-  private readonly partsByHolder = new Map<string, Set<string>>();
+  /** Turn in which each part was noted last, by holder. */
+  private readonly partsByHolder = new Map<string, Map<string, number>>();
+  private turn = 0;
 
   /** Notes that a holder keeps `tokens` of a part; 0 where it dropped the part. */
   note(holder: string, salt: string, partId: string, tokens: number): void {
@@ -43,7 +45,7 @@
 
   /** Forgets a holder: it restarted, left or took other weights. */
   forget(holder: string): void {
-    for (const key of [...(this.partsByHolder.get(holder) ?? [])]) this.drop(holder, key);
+    for (const key of [...(this.partsByHolder.get(holder)?.keys() ?? [])]) this.drop(holder, key);
     this.partsByHolder.delete(holder);
   }
 
@@ -54,6 +56,20 @@
     }
   }
 
+  /**
+   * Begins a new turn: of holders that nobody reports on, what was not noted in this turn or the one
+   * before is forgotten, since nothing would tell that they dropped it.
+   */
+  expire(isReportedOn: (holder: string) => boolean): void {
+    for (const [holder, parts] of this.partsByHolder) {
+      if (isReportedOn(holder)) continue;
+      for (const [key, notedTurn] of [...parts]) {
+        if (notedTurn < this.turn) this.drop(holder, key);
+      }
+    }
+    this.turn += 1;
+  }
+
   /** Parts believed kept by one holder. */
   sizeOf(holder: string): number {
     return this.partsByHolder.get(holder)?.size ?? 0;
@@ -68,10 +84,10 @@
     holders.set(holder, tokens);
     let parts = this.partsByHolder.get(holder);
     if (!parts) {
-      parts = new Set();
+      parts = new Map();
       this.partsByHolder.set(holder, parts);
     }
-    parts.add(key);
+    parts.set(key, this.turn);
   }
 
   private drop(holder: string, key: string): void {
--- a/test/gateway/routing-state.test.ts
+++ b/test/gateway/routing-state.test.ts
@@ -65,6 +65,29 @@
   fc.assert(property, SEED);
 });
 
+test('where a router could follow only a few of many holders it follows none', (t) => {
+  const feeds = Array.from({ length: 66 }, (_, index) => ({
+    holder: `engine-${index}`,
+    address: 'a:1',
+    maximumCalls: 12,
+  }));
+  t.is(ownShareOfFeeds(feeds, 5, 79).length, 0);
+  t.is(ownShareOfFeeds(feeds, 5, 12).length, 48);
+});
+
+test('what a holder without a feed keeps is forgotten after a while, unless noted again', (t) => {
+  const kept = new KeptPrefixes();
+  const tokensAt = (holder: string): number =>
+    kept.leadingTokens('salt', [{ id: 'part', tokens: 5 }]).get(holder) ?? 0;
+  for (const holder of ['reported', 'silent', 'used']) kept.note(holder, 'salt', 'part', 5);
+  const isReportedOn = (holder: string): boolean => holder === 'reported';
+  kept.expire(isReportedOn);
+  t.is(tokensAt('silent'), 5);
+  kept.note('used', 'salt', 'part', 5);
+  kept.expire(isReportedOn);
+  t.deepEqual(['reported', 'silent', 'used'].map(tokensAt), [5, 0, 5]);
+});
+
 test('in a small deployment every router follows every holder', (t) => {
   const feeds = Array.from({ length: 14 }, (_, index) => ({
     holder: `engine-${index}`,
