Divide the simulated engines by concept; one fault route for all stand-ins

Change: simulated-engine, simulated-exchange, simulated-inference; addFaultRoute, malformed and done in lab/http-server.

--- a/fuzz/gateway-commands.ts
+++ b/fuzz/gateway-commands.ts
@@ -1,7 +1,7 @@
 /** Commands of the gateway's fuzz: requests of each kind and the faults of routers, engines and store. */
 import fc from 'fast-check';
 import type { GatewayWorld } from '../src/lab/gateway-world/gateway-world.js';
-import { EngineMode } from '../src/lab/gateway-world/simulated-engines.js';
+import { EngineMode } from '../src/lab/gateway-world/simulated-engine.js';
 import type { WriteFault } from '../src/lab/gateway-world/simulated-object-store.js';
 import type { RequestKind } from '../src/lab/gateway-world/world-fixtures.js';
 
--- a/src/lab/backend/http-face.ts
+++ b/src/lab/backend/http-face.ts
@@ -1,7 +1,12 @@
 /** The stand-in plain back end over HTTP (docs/INTERFACES.md, "Plain back end"). */
 import { HttpStatus } from '../../protocol/http-status.js';
 import { z } from 'zod';
-import { type StandInServer, createStandInServer, startStandIn } from '../http-server.js';
+import {
+  type StandInServer,
+  createStandInServer,
+  malformed,
+  startStandIn,
+} from '../http-server.js';
 import type { BackendCore } from './backend-core.js';
 
 const OPERATION_TIMEOUT_MS = 60_000;
@@ -20,7 +25,7 @@
     path: '/v1/{service}/{operation}',
     handler: async (request, h) => {
       const body = invocationSchema.safeParse(request.payload);
-      if (!body.success) return h.response({ error: 'malformed' }).code(HttpStatus.BadRequest);
+      if (!body.success) return malformed(h);
       const result = await core.run({
         requestId: body.data.request_id,
         tenant: body.data.tenant,
--- a/src/lab/engine/http-face.ts
+++ b/src/lab/engine/http-face.ts
@@ -16,7 +16,9 @@
 } from '../../protocol/engine/wire-mapping.js';
 import {
   type StandInServer,
+  addFaultRoute,
   createStandInServer,
+  done,
   queryNumber,
   startStandIn,
 } from '../http-server.js';
@@ -47,7 +49,7 @@
   });
   addStreamRoutes(server, core);
   addCacheRoutes(server, core, clock);
-  addFaultRoute(server, core);
+  addFaultRoute(server, faultsSchema, (faults) => applyFaults(core, faults));
   return startStandIn(server);
 }
 
@@ -77,7 +79,7 @@
     path: '/v1/requests/{id}',
     handler: (request, h) => {
       core.cancel(String(request.params.id));
-      return h.response().code(HttpStatus.NoContent);
+      return done(h);
     },
   });
 }
@@ -109,19 +111,6 @@
   });
 }
 
-function addFaultRoute(server: Hapi.Server, core: EngineCore): void {
-  server.route({
-    method: 'POST',
-    path: '/lab/faults',
-    handler: (request, h) => {
-      const faults = faultsSchema.safeParse(request.payload);
-      if (!faults.success) return h.response({ error: 'malformed' }).code(HttpStatus.BadRequest);
-      applyFaults(core, faults.data);
-      return h.response().code(HttpStatus.NoContent);
-    },
-  });
-}
-
 function applyFaults(core: EngineCore, faults: z.infer<typeof faultsSchema>): void {
   core.eventFaults.delayMs = faults.event_delay_ms ?? core.eventFaults.delayMs;
   core.eventFaults.lossChance = faults.event_loss_chance ?? core.eventFaults.lossChance;
--- a/src/lab/gateway-world/gateway-oracle.ts
+++ b/src/lab/gateway-world/gateway-oracle.ts
@@ -1,7 +1,8 @@
 /** Judges a finished run of the simulated deployment by what callers, engines and operator saw. */
 import { cacheSaltOf } from '../../state/routing/generation.js';
 import type { GatewayWorld, ObservedRequest } from './gateway-world.js';
-import { type ObservedRun, STREAM_PIECES, pieceOf, plainBodyOf } from './simulated-engines.js';
+import type { ObservedRun } from './simulated-engine.js';
+import { STREAM_PIECES, pieceOf, plainBodyOf } from './simulated-exchange.js';
 import { ISOLATED_TENANT, WORLD_BOUNDS, WORLD_MODEL } from './world-fixtures.js';
 
 /** The rules that are judged. */
--- a/src/lab/gateway-world/gateway-world.ts
+++ b/src/lab/gateway-world/gateway-world.ts
@@ -14,7 +14,8 @@
   SimulatedSockets,
 } from '../simulation/simulated-transports.js';
 import { RecordedReply } from './recorded-reply.js';
-import { EngineObservations, SimulatedEngine, SimulatedInference } from './simulated-engines.js';
+import { EngineObservations, SimulatedEngine } from './simulated-engine.js';
+import { SimulatedInference } from './simulated-inference.js';
 import { SimulatedObjectStore, SimulatedStorePort } from './simulated-object-store.js';
 import {
   DECODER,
--- a/src/lab/http-server.ts
+++ b/src/lab/http-server.ts
@@ -1,5 +1,7 @@
 /** What the HTTP faces of all stand-ins share. */
 import Hapi from '@hapi/hapi';
+import type { z } from 'zod';
+import { HttpStatus } from '../protocol/http-status.js';
 import { formatAddress, parseAddress } from '../transport/address.js';
 
 /** Largest request body a stand-in takes. */
@@ -35,6 +37,34 @@
   };
 }
 
+/** The answer to a body that does not follow the interface. */
+export function malformed(h: Hapi.ResponseToolkit): Hapi.ResponseObject {
+  return h.response({ error: 'malformed' }).code(HttpStatus.BadRequest);
+}
+
+/** The answer to a call that is done and has nothing to tell. */
+export function done(h: Hapi.ResponseToolkit): Hapi.ResponseObject {
+  return h.response().code(HttpStatus.NoContent);
+}
+
+/** Adds the route by which the laboratory sets the faults of a stand-in. */
+export function addFaultRoute<Schema extends z.ZodType>(
+  server: Hapi.Server,
+  schema: Schema,
+  apply: (faults: z.infer<Schema>) => void,
+): void {
+  server.route({
+    method: 'POST',
+    path: '/lab/faults',
+    handler: (request, h) => {
+      const faults = schema.safeParse(request.payload);
+      if (!faults.success) return malformed(h);
+      apply(faults.data);
+      return done(h);
+    },
+  });
+}
+
 /** A whole number from a query, or the default. */
 export function queryNumber(request: Hapi.Request, name: string, fallback: number): number {
   const value = Number((request.query as Record<string, unknown>)[name] ?? fallback);
--- a/src/lab/platform/http-face.ts
+++ b/src/lab/platform/http-face.ts
@@ -6,7 +6,10 @@
 import { machineSchema } from '../../protocol/machine-list/http-client.js';
 import {
   type StandInServer,
+  addFaultRoute,
   createStandInServer,
+  done,
+  malformed,
   queryNumber,
   startStandIn,
 } from '../http-server.js';
@@ -41,7 +44,7 @@
   });
   addObjectRoutes(server, store);
   addMachineRoutes(server, machines);
-  addFaultRoute(server, store);
+  addFaultRoute(server, faultsSchema, (faults) => applyFaults(store, faults));
   return startStandIn(server);
 }
 
@@ -62,7 +65,7 @@
     path: '/objects/{name}',
     handler: (request, h) => {
       const body = writeSchema.safeParse(request.payload);
-      if (!body.success) return h.response({ error: 'malformed' }).code(HttpStatus.BadRequest);
+      if (!body.success) return malformed(h);
       const { content, expected_version: expectedVersion } = body.data;
       const result = store.write(String(request.params.name), content, expectedVersion);
       if (store.faults.loseWriteAnswers > 0) {
@@ -91,9 +94,9 @@
     path: '/machines/{id}',
     handler: (request, h) => {
       const machine = machineSchema.safeParse(request.payload);
-      if (!machine.success) return h.response({ error: 'malformed' }).code(HttpStatus.BadRequest);
+      if (!machine.success) return malformed(h);
       machines.put(machine.data);
-      return h.response().code(HttpStatus.NoContent);
+      return done(h);
     },
   });
   server.route({
@@ -101,23 +104,13 @@
     path: '/machines/{id}',
     handler: (request, h) => {
       machines.remove(String(request.params.id));
-      return h.response().code(HttpStatus.NoContent);
+      return done(h);
     },
   });
 }
 
-function addFaultRoute(server: Hapi.Server, store: ObjectStore): void {
-  server.route({
-    method: 'POST',
-    path: '/lab/faults',
-    handler: (request, h) => {
-      const faults = faultsSchema.safeParse(request.payload);
-      if (!faults.success) return h.response({ error: 'malformed' }).code(HttpStatus.BadRequest);
-      store.faults.down = faults.data.down ?? store.faults.down;
-      store.faults.delayMs = faults.data.delay_ms ?? store.faults.delayMs;
-      store.faults.loseWriteAnswers =
-        faults.data.lose_write_answers ?? store.faults.loseWriteAnswers;
-      return h.response().code(HttpStatus.NoContent);
-    },
-  });
+function applyFaults({ faults }: ObjectStore, wanted: z.infer<typeof faultsSchema>): void {
+  faults.down = wanted.down ?? faults.down;
+  faults.delayMs = wanted.delay_ms ?? faults.delayMs;
+  faults.loseWriteAnswers = wanted.lose_write_answers ?? faults.loseWriteAnswers;
 }
