--- /dev/null
+++ b/test/platform/code-cache.test.ts
@@ -0,0 +1,37 @@
+/** The starter of the bundled program: with compiled code, without it, and with code it can't take. */
+import { spawnSync } from 'node:child_process';
+import { copyFileSync, existsSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import test from 'ava';
+
+const STARTER = 'scripts/start-from-code-cache.cjs';
+const PROGRAM =
+  "process.stdout.write(['runs', typeof require, __filename.endsWith('router.cjs')].join(' '));";
+
+/** A folder with the starter and a small program in place of the router. */
+function bundleFolder(): string {
+  const folder = mkdtempSync(path.join(tmpdir(), 'peatspan-start-'));
+  copyFileSync(STARTER, path.join(folder, 'peatspan.cjs'));
+  writeFileSync(path.join(folder, 'router.cjs'), PROGRAM);
+  return folder;
+}
+
+function start(folder: string, ...words: string[]): string {
+  const result = spawnSync(process.execPath, [path.join(folder, 'peatspan.cjs'), ...words]);
+  return `${result.stdout.toString()}${result.stderr.toString()}`;
+}
+
+test('the program runs the same with compiled code, without it and with useless code', (t) => {
+  const folder = bundleFolder();
+  t.teardown(() => rmSync(folder, { recursive: true }));
+  const cache = path.join(folder, 'router.cache');
+  const expected = 'runs function true';
+  t.is(start(folder), expected);
+  t.false(existsSync(cache));
+  t.is(start(folder, '--write-code-cache'), expected);
+  t.true(existsSync(cache));
+  t.is(start(folder), expected);
+  writeFileSync(cache, 'no compiled code');
+  t.is(start(folder), expected);
+});
