--- a/src/lab/engine/engine-core.ts
+++ b/src/lab/engine/engine-core.ts
@@ -21,7 +21,9 @@
 } from '../../state/prefix-chain.js';
 import { BlockCache, type CachedBlock } from './block-cache.js';
 import { type EventFaults, EventLog } from './event-log.js';
+import { LaggingLoad } from './lagging-load.js';
 import { EngineSequence, SequenceState } from './sequence.js';
+import { SequenceQueue } from './sequence-queue.js';
 import type { EngineModelSettings } from './settings.js';
 import type { TokenModel } from './token-model.js';
 
@@ -68,13 +70,11 @@
   private cache: BlockCache;
   private log: EventLog;
   private readonly sequences = new Map<string, EngineSequence>();
-  private waiting: EngineSequence[] = [];
-  private running: EngineSequence[] = [];
+  private readonly queue = new SequenceQueue();
   private arrivals = 0;
   private stepTimer: Timer | undefined;
   private isStalled = false;
-  private shownLoad: EngineLoadReport;
-  private shownAtMs = Number.NEGATIVE_INFINITY;
+  private readonly load: LaggingLoad;
 
   constructor(
     readonly settings: EngineModelSettings,
@@ -91,7 +91,7 @@
     };
     this.log = new EventLog(this.eventFaults, random);
     this.cache = this.createCache();
-    this.shownLoad = this.currentLoad();
+    this.load = new LaggingLoad(settings.loadLagMs, clock, () => this.presentLoad());
   }
 
   get isAlive(): boolean {
@@ -104,7 +104,7 @@
 
   /** Requests waiting or running. */
   get activeRequests(): number {
-    return this.waiting.length + this.running.length;
+    return this.queue.size;
   }
 
   /** Takes a generation into the queue, or says why not; a refused one runs nothing. */
@@ -113,7 +113,7 @@
     if (refusal !== undefined) return { kind: 'refused', reason: refusal };
     const sequence = this.createSequence(generation);
     this.sequences.set(generation.engineRequestId, sequence);
-    this.enqueue(sequence);
+    this.queue.enqueue(sequence);
     this.totals.accepted += 1;
     this.onAccept?.(generation);
     this.scheduleStep();
@@ -135,7 +135,6 @@
   /** Status with the load as of some time ago. */
   status(): EngineStatus {
     const { engineId, model, weightsDigest, adapterDigest } = this.settings;
-    this.refreshShownLoad();
     return {
       engineId,
       incarnation: this.incarnation,
@@ -143,7 +142,7 @@
       weightsDigest,
       adapterDigest,
       leaving: this.leaving,
-      load: this.shownLoad,
+      load: this.load.report,
     };
   }
 
@@ -169,7 +168,15 @@
 
   /** Load at this moment, without the lag of {@link status}. */
   presentLoad(): EngineLoadReport {
-    return this.currentLoad();
+    let waitingTokens = 0;
+    for (const sequence of this.queue.waiting) waitingTokens += sequence.promptTokens;
+    for (const sequence of this.queue.running) waitingTokens += sequence.prefillLeft;
+    return {
+      waitingTokens,
+      requests: this.activeRequests,
+      maximumRequests: this.settings.maximumRunning,
+      prefillTokensPerSecond: this.settings.prefillTokensPerSecond,
+    };
   }
 
   /** All kept blocks. */
@@ -195,8 +202,7 @@
     this.stepTimer = undefined;
     const lost = [...this.sequences.values()];
     this.sequences.clear();
-    this.waiting = [];
-    this.running = [];
+    this.queue.clear();
     this.cache.clear();
     for (const sequence of lost) {
       const readers = [...sequence.readers];
@@ -227,7 +233,7 @@
     if (generation.model !== this.settings.model) return 'wrong-model';
     if (generation.weightsDigest !== this.settings.weightsDigest) return 'wrong-weights';
     if (generation.adapterDigest !== this.settings.adapterDigest) return 'wrong-adapter';
-    if (this.waiting.length >= this.settings.maximumWaiting) return 'overloaded';
+    if (this.queue.waiting.length >= this.settings.maximumWaiting) return 'overloaded';
     if (this.sequences.has(generation.engineRequestId)) return 'duplicate';
     return undefined;
   }
@@ -250,13 +256,6 @@
     );
   }
 
-  /** Higher priority first, then arrival. */
-  private enqueue(sequence: EngineSequence): void {
-    const index = this.waiting.findIndex((other) => other.priority < sequence.priority);
-    if (index < 0) this.waiting.push(sequence);
-    else this.waiting.splice(index, 0, sequence);
-  }
-
   private scheduleStep(): void {
     if (this.stepTimer || !this.alive || this.isStalled || this.activeRequests === 0) return;
     this.admit();
@@ -271,12 +270,11 @@
   }
 
   private admit(): void {
-    while (this.running.length < this.settings.maximumRunning) {
-      const sequence = this.waiting.shift();
+    while (this.queue.running.length < this.settings.maximumRunning) {
+      const sequence = this.queue.admitNext();
       if (!sequence) return;
       this.matchCache(sequence);
       sequence.state = SequenceState.Prefilling;
-      this.running.push(sequence);
     }
   }
 
@@ -307,7 +305,7 @@
   /** Spends the step's prefill budget in order of admission; answers the tokens computed. */
   private planPrefill(): number {
     let budget = this.settings.prefillChunkTokens;
-    for (const sequence of this.running) {
+    for (const sequence of this.queue.running) {
       if (sequence.state !== SequenceState.Prefilling) continue;
       const tokens = Math.min(budget, sequence.prefillLeft);
       sequence.prefillLeft -= tokens;
@@ -318,7 +316,7 @@
   }
 
   private finishStep(): void {
-    for (const sequence of [...this.running]) {
+    for (const sequence of [...this.queue.running]) {
       if (sequence.state === SequenceState.Decoding) this.decode(sequence);
       else if (sequence.state === SequenceState.Prefilling && sequence.prefillLeft === 0) {
         this.storeBlocks(sequence);
@@ -357,8 +355,7 @@
     sequence.finishedAtMs = this.clock.now();
     for (const block of sequence.usedBlocks) block.users -= 1;
     sequence.usedBlocks = [];
-    this.running = this.running.filter((other) => other !== sequence);
-    this.waiting = this.waiting.filter((other) => other !== sequence);
+    this.queue.remove(sequence);
   }
 
   private forgetOld(): void {
@@ -369,23 +366,4 @@
       }
     }
   }
-
-  private currentLoad(): EngineLoadReport {
-    let waitingTokens = 0;
-    for (const sequence of this.waiting) waitingTokens += sequence.promptTokens;
-    for (const sequence of this.running) waitingTokens += sequence.prefillLeft;
-    return {
-      waitingTokens,
-      requests: this.activeRequests,
-      maximumRequests: this.settings.maximumRunning,
-      prefillTokensPerSecond: this.settings.prefillTokensPerSecond,
-    };
-  }
-
-  private refreshShownLoad(): void {
-    const nowMs = this.clock.now();
-    if (nowMs - this.shownAtMs < this.settings.loadLagMs) return;
-    this.shownAtMs = nowMs;
-    this.shownLoad = this.currentLoad();
-  }
 }
