Give old weights up in time on a router that has just started

A router that starts finds the newest version and took it to be named 4 s before; older weights were then good for 3.3 s, but 3 s after its start it is judged, and a version named earlier was past its 8 s by then.

Change: the age follows from the bounds: the time a version may take less the time after which a router is judged (5 s on the standard sites).

Measured: the new test fails with 4 s.

--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -47,8 +47,6 @@
   readonly decoder: ObjectDecoder;
 }
 
-/** Weights found by a router that has just started are taken to be named this long ago. */
-const UNSEEN_AGE_MS = 4_000;
 /** Weights found after a watch had failed; their time counts from when the store was sound again. */
 const MISSED_AGE_MS = 1_000;
 const UPKEEP_PERIOD_MS = 1_000;
@@ -296,7 +294,8 @@
   }
 
   private takeVersionList(objects: readonly StoredObject[]): void {
-    this.takeVersions(objects, this.hasVersionList ? MISSED_AGE_MS : UNSEEN_AGE_MS);
+    const { unseenVersionAgeMs } = this.settings;
+    this.takeVersions(objects, this.hasVersionList ? MISSED_AGE_MS : unseenVersionAgeMs);
     this.hasVersionList = true;
   }
 
--- a/src/coordination/gateway/gateway-settings.ts
+++ b/src/coordination/gateway/gateway-settings.ts
@@ -25,6 +25,8 @@
   readonly relay: RelaySettings;
   readonly retryBudget: RetryBudgetSettings;
   readonly rollout: RolloutSettings;
+  /** Weights found by a router that has just started are taken to be named this long ago. */
+  readonly unseenVersionAgeMs: number;
   readonly leaseMs: number;
   /** How long after its last write to the lease its holder gives orders. */
   readonly leaseActMs: number;
--- a/src/lab/gateway-world/world-fixtures.ts
+++ b/src/lab/gateway-world/world-fixtures.ts
@@ -72,6 +72,7 @@
     },
     retryBudget: { ratio: 0.2, windowMs: 10_000, allowance: 54 },
     rollout: { graceMs: 7_000, batchMs: 1_000, batches: 2, marginMs: 500 },
+    unseenVersionAgeMs: 5_000,
     leaseMs: WORLD_BOUNDS.leaseMs,
     leaseActMs: 500,
   };
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -58,3 +58,16 @@
   const settings = checkSettings('f', { ...SETTINGS, metrics: '8790/figures' });
   t.deepEqual(metricsDoorOf(settings), { address: '10.1.0.30:8790', path: '/figures' });
 });
+
+test('a router that has just started gives old weights up before it is judged by them', (t) => {
+  const MARGIN_MS = 700;
+  for (const bounds of [
+    { version_ms: 8_000, contact_ms: 3_000 },
+    { version_ms: 10_000, contact_ms: 4_000 },
+  ]) {
+    const value = { ...SETTINGS, bounds: { ...SETTINGS.bounds, ...bounds } };
+    const { rollout, unseenVersionAgeMs } = gatewaySettingsOf(checkSettings('node.json', value));
+    // Whenever the version was named before the start: what is sent by then begins within the margin.
+    t.true(rollout.graceMs - unseenVersionAgeMs + MARGIN_MS <= bounds.contact_ms);
+  }
+});
