--- a/src/state/routing/weight-rollout.ts
+++ b/src/state/routing/weight-rollout.ts
@@ -18,7 +18,7 @@
 export interface RolloutPlan {
   readonly model: string;
   readonly version: number;
-  /** Engines to order now, the least busy first. */
+  /** Engines to order now: those of the oldest weights first, then the least busy. */
   readonly engines: readonly Engine[];
 }
 
@@ -53,7 +53,11 @@
   const room = nowMs >= dueMs ? behind.length : batchSize - loading;
   const next = behind
     .filter((engine) => !isLoading(engine.record.id))
-    .sort((left, right) => requestsAt(left.record.id) - requestsAt(right.record.id))
+    .sort(
+      (left, right) =>
+        (versionAt(left, model) ?? 0) - (versionAt(right, model) ?? 0) ||
+        requestsAt(left.record.id) - requestsAt(right.record.id),
+    )
     .slice(0, Math.max(0, room));
   return next.length === 0 ? undefined : { model, version: newest, engines: next };
 }
