--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -9,6 +9,7 @@
 import type { HomeRanking } from '../../state/routing/home-ranking.js';
 import type { KeptPrefixes } from '../../state/routing/kept-prefixes.js';
 import type { LoadTable } from '../../state/routing/load-table.js';
+import type { RequestRate } from '../../state/routing/request-rate.js';
 import {
   type RetryBudgetSettings,
   SharedRetryBudget,
@@ -52,6 +53,7 @@
   readonly health: EngineHealth;
   readonly kept: KeptPrefixes;
   readonly versions: WeightVersions;
+  readonly requestRate: RequestRate;
   readonly split: TrafficSplit;
   readonly retryBudgets: ServiceRetryBudgets;
   readonly group: GroupView;
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -14,6 +14,7 @@
 import { HomeRanking } from '../../state/routing/home-ranking.js';
 import { KeptPrefixes } from '../../state/routing/kept-prefixes.js';
 import { LoadTable } from '../../state/routing/load-table.js';
+import { RequestRate } from '../../state/routing/request-rate.js';
 import { StoreOutages } from '../../state/routing/store-outages.js';
 import { TrafficSplit } from '../../state/routing/traffic-split.js';
 import { WeightLease } from '../../state/routing/weight-lease.js';
@@ -65,6 +66,7 @@
   private readonly kept = new KeptPrefixes();
   private readonly outages = new StoreOutages();
   private readonly versions: WeightVersions;
+  private readonly requestRate = new RequestRate();
   private readonly split = new TrafficSplit();
   private readonly followers: ObjectFollower[] = [];
   private readonly calls = new Set<RequestCall>();
@@ -101,6 +103,7 @@
       health: this.health,
       kept: this.kept,
       versions: this.versions,
+      requestRate: this.requestRate,
       split: this.split,
       retryBudgets: new ServiceRetryBudgets(settings.retryBudget),
       statistics: this.statistics,
@@ -125,6 +128,7 @@
         kept: this.kept,
         engines,
         lease: new LeaseKeeper(settings.kinds.leases, lease, relay.store, clock, logger),
+        requestRate: this.requestRate,
         statistics: this.statistics,
         clock,
         logger,
@@ -133,6 +137,7 @@
         holder: settings.nodeId,
         rollout: settings.rollout,
         rank: () => this.rank(),
+        groupSize: () => group.working.length,
         announce: () => group.reportNow(),
       },
     );
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -201,7 +201,7 @@
 
   private sendTo(placement: Placement, grant: Grant, service: Service): void {
     this.sends += 1;
-    if (this.sends === 1) this.context.retryBudgets.of(service.name).noteRequest(this.now);
+    if (this.sends === 1) this.noteFirstSend(service);
     else this.context.statistics.repeatedSends += 1;
     const resumeAfter = this.boundary.lastEventId ?? this.request.resumeAfter;
     const options = sendOptionsOf(placement, grant, this.remainingMs, resumeAfter);
@@ -211,6 +211,12 @@
     this.send = new Send(placement, this.request, options, this, this.context);
   }
 
+  private noteFirstSend(service: Service): void {
+    this.context.retryBudgets.of(service.name).noteRequest(this.now);
+    const { generation } = this.request;
+    if (generation) this.context.requestRate.note(generation.model, this.now);
+  }
+
   private isStream(head: AnswerHead): boolean {
     return (this.grant?.route.isStreaming ?? false) && head.status < 300;
   }
--- a/src/coordination/gateway/weight-coordinator.ts
+++ b/src/coordination/gateway/weight-coordinator.ts
@@ -13,9 +13,12 @@
 } from '../../state/routing/engine-registry.js';
 import type { KeptPrefixes } from '../../state/routing/kept-prefixes.js';
 import type { LoadTable } from '../../state/routing/load-table.js';
+import type { RequestRate } from '../../state/routing/request-rate.js';
 import {
+  type RolloutObservations,
   type RolloutPlan,
   type RolloutSettings,
+  type RolloutView,
   planRollout,
 } from '../../state/routing/weight-rollout.js';
 import type { WeightVersions } from '../../state/routing/weight-versions.js';
@@ -32,6 +35,7 @@
   readonly kept: KeptPrefixes;
   readonly engines: InferencePort;
   readonly lease: LeaseKeeper;
+  readonly requestRate: RequestRate;
   readonly statistics: GatewayStatistics;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -43,6 +47,8 @@
   readonly rollout: RolloutSettings;
   /** Place of this router among the working ones; 0 acts first. */
   rank(): number;
+  /** Routers that work, this one included. */
+  groupSize(): number;
   /** Tells the other routers of news at once. */
   announce(): void;
 }
@@ -59,6 +65,8 @@
 }
 
 const TICK_MS = 100;
+/** Over this span it is observed how often versions are named. */
+const NAMES_SPAN_MS = 20_000;
 /** How much later the next in rank acts, if nothing happens. */
 const RANK_DELAY_MS = 1_500;
 /** An order that shows no effect for this long may be given again. */
@@ -180,19 +188,27 @@
   private plans(): RolloutPlan[] {
     const { registry, versions, loads } = this.parts;
     return versions.models.flatMap((model) => {
-      const plan = planRollout(
+      const view: RolloutView = {
         model,
-        registry.holdersOf(model),
+        engines: registry.holdersOf(model),
         versions,
-        (engineId) => this.isLoading(engineId),
-        (engineId) => loads.at(engineId).requests,
-        this.settings.rollout,
-        this.now,
-      );
+        observed: this.observe(model),
+        isLoading: (engineId) => this.isLoading(engineId),
+        requestsAt: (engineId) => loads.at(engineId).requests,
+      };
+      const plan = planRollout(view, this.settings.rollout, this.now);
       return plan ?? [];
     });
   }
 
+  private observe(model: string): RolloutObservations {
+    const { versions, requestRate } = this.parts;
+    // The directory sends callers to all routers alike.
+    const requestsPerSecond = requestRate.perSecond(model, this.now) * this.settings.groupSize();
+    const namesPerSecond = versions.namesPerSecond(model, NAMES_SPAN_MS, this.now);
+    return { requestsPerSecond, namesPerSecond };
+  }
+
   private isLoading(engineId: string): boolean {
     const order = this.orders.get(engineId);
     if (order) return !order.isDone;
--- a/src/state/routing/weight-rollout.ts
+++ b/src/state/routing/weight-rollout.ts
@@ -12,54 +12,104 @@
   readonly batches: number;
   /** Kept free at the end. */
   readonly marginMs: number;
+  /** Time another router needs to take over from one that fails while it gives orders. */
+  readonly handoverMs: number;
+  /** Share of a request's worth that is lost when it begins on replaced weights. */
+  readonly replacedWeightsLoss: number;
+  /** What a load costs, with the time the engine is out of service, in requests' worth. */
+  readonly loadCostRequests: number;
+}
+
+/** What a rollout is weighed by. */
+export interface RolloutObservations {
+  /** Requests for the model that the group sends to engines, each second. */
+  readonly requestsPerSecond: number;
+  /** Versions of the model that operators name, each second. */
+  readonly namesPerSecond: number;
+}
+
+/** Why a rollout starts now. */
+export enum RolloutReason {
+  /** What requests on replaced weights lose is more than what a wait may save. */
+  Worth = 'worth',
+  /** The earliest deadline allows no longer wait. */
+  Deadline = 'deadline',
 }
 
 /** What to do for one model now. */
 export interface RolloutPlan {
   readonly model: string;
   readonly version: number;
+  readonly reason: RolloutReason;
   /** Engines to order now: those of the oldest weights first, then the least busy. */
   readonly engines: readonly Engine[];
 }
 
-/** Whether an engine is being changed by an order that was given. */
-export type IsLoading = (engineId: string) => boolean;
+/** What a rollout of one model is planned from. */
+export interface RolloutView {
+  readonly model: string;
+  /** All that hold the model. */
+  readonly engines: readonly Engine[];
+  readonly versions: WeightVersions;
+  readonly observed: RolloutObservations;
+  /** Whether an engine is being changed by an order that was given. */
+  isLoading(engineId: string): boolean;
+  /** Requests under way at an engine. */
+  requestsAt(engineId: string): number;
+}
 
 /**
- * The engines to order now. Rolling starts as late as the earliest deadline allows, so that a version
- * named shortly after is met by the same load.
+ * The engines to order now. A rollout starts at once where requests on replaced weights lose more than
+ * a wait may save; otherwise as late as the earliest deadline allows, so that a version named shortly
+ * after is met by the same load.
  */
 export function planRollout(
-  model: string,
-  engines: readonly Engine[],
-  versions: WeightVersions,
-  isLoading: IsLoading,
-  requestsAt: (engineId: string) => number,
+  view: RolloutView,
   settings: RolloutSettings,
   nowMs: number,
 ): RolloutPlan | undefined {
+  const { model, versions } = view;
   const newest = versions.newest(model);
   if (newest === undefined) return undefined;
-  const active = engines.filter((engine) => !engine.record.isDraining);
+  const active = view.engines.filter((engine) => !engine.record.isDraining);
   const behind = active.filter((engine) => (versionAt(engine, model) ?? 0) < newest);
   if (behind.length === 0) return undefined;
   const dueMs = earliestDueMs(model, behind, versions, nowMs);
-  const batchSize = Math.max(1, Math.floor(active.length / settings.batches));
+  const batchSize = Math.max(1, Math.round(active.length / settings.batches));
   const batchesLeft = Math.ceil(behind.length / batchSize);
-  const startMs = dueMs - settings.marginMs - batchesLeft * settings.batchMs;
-  if (nowMs < startMs) return undefined;
-  const loading = behind.filter((engine) => isLoading(engine.record.id)).length;
+  const rollingMs = batchesLeft * settings.batchMs + settings.handoverMs;
+  const isDue = nowMs >= dueMs - settings.marginMs - rollingMs;
+  const isWorth = paysNow(behind.length, active.length, view.observed, settings);
+  if (!isDue && !isWorth) return undefined;
+  const loading = behind.filter((engine) => view.isLoading(engine.record.id)).length;
   // Past the deadline the engines behind serve nothing, so there is nothing to spare.
   const room = nowMs >= dueMs ? behind.length : batchSize - loading;
   const next = behind
-    .filter((engine) => !isLoading(engine.record.id))
+    .filter((engine) => !view.isLoading(engine.record.id))
     .sort(
       (left, right) =>
         (versionAt(left, model) ?? 0) - (versionAt(right, model) ?? 0) ||
-        requestsAt(left.record.id) - requestsAt(right.record.id),
+        view.requestsAt(left.record.id) - view.requestsAt(right.record.id),
     )
     .slice(0, Math.max(0, room));
-  return next.length === 0 ? undefined : { model, version: newest, engines: next };
+  if (next.length === 0) return undefined;
+  const reason = isDue ? RolloutReason.Deadline : RolloutReason.Worth;
+  return { model, version: newest, reason, engines: next };
+}
+
+/**
+ * Whether a second of waiting loses more than it may save: requests at the engines behind lose a share
+ * of their worth, and a version named within that second would spare a load of each of them.
+ */
+export function paysNow(
+  behind: number,
+  active: number,
+  { requestsPerSecond, namesPerSecond }: RolloutObservations,
+  { replacedWeightsLoss, loadCostRequests }: RolloutSettings,
+): boolean {
+  const lost = requestsPerSecond * (behind / active) * replacedWeightsLoss;
+  const saved = namesPerSecond * behind * loadCostRequests;
+  return lost > saved;
 }
 
 function earliestDueMs(
--- a/src/state/routing/weight-versions.ts
+++ b/src/state/routing/weight-versions.ts
@@ -2,6 +2,8 @@
 
 import type { StoreOutages } from './store-outages.js';
 
+const MILLISECONDS_PER_SECOND = 1_000;
+
 interface NamedVersion {
   readonly version: number;
   /** When this router may first have been able to know of it. */
@@ -39,6 +41,12 @@
     return this.byModel.get(model)?.at(-1)?.version;
   }
 
+  /** Versions named a second over a span that ends now, in milliseconds. */
+  namesPerSecond(model: string, spanMs: number, nowMs: number): number {
+    const named = (this.byModel.get(model) ?? []).filter(({ namedMs }) => namedMs > nowMs - spanMs);
+    return (named.length * MILLISECONDS_PER_SECOND) / spanMs;
+  }
+
   /** The lowest version that may still serve a request begun now. */
   minimum(model: string, nowMs: number): number {
     const versions = this.byModel.get(model) ?? [];
--- a/test/gateway/routing-state.test.ts
+++ b/test/gateway/routing-state.test.ts
@@ -1,9 +1,6 @@
 /** Pure parts of the routing state, by properties. */
 import test from 'ava';
 import fc from 'fast-check';
-import { StoreOutages } from '../../src/state/routing/store-outages.js';
-import { planRollout } from '../../src/state/routing/weight-rollout.js';
-import { WeightVersions } from '../../src/state/routing/weight-versions.js';
 import { KeptPrefixes } from '../../src/state/routing/kept-prefixes.js';
 import { type HeldFeed, ownShareOfFeeds } from '../../src/state/routing/feed-share.js';
 import { SharedRetryBudget } from '../../src/state/routing/shared-retry-budget.js';
@@ -140,40 +137,3 @@
   });
   fc.assert(property, SEED);
 });
-
-test('engines of the oldest weights are ordered first, then the least busy', (t) => {
-  const versions = new WeightVersions(7_000, new StoreOutages());
-  versions.note('model-a', 2, 0);
-  versions.note('model-a', 3, 4_000);
-  const engines = [2, 1, 2, 1, 1, 2, 2, 2].map((version, index) => ({
-    record: {
-      id: `engine-${index}`,
-      service: 'generation',
-      address: `engine-${index}:1`,
-      zone: 'zone-a',
-      slots: 8,
-      isDraining: false,
-      modelVersions: new Map([['model-a', version]]),
-    },
-    observedVersions: new Map<string, number>(),
-    observedOrders: undefined,
-  }));
-  const requests = new Map([
-    ['engine-1', 9],
-    ['engine-3', 7],
-    ['engine-4', 8],
-  ]);
-  const plan = planRollout(
-    'model-a',
-    engines,
-    versions,
-    () => false,
-    (engineId) => requests.get(engineId) ?? 0,
-    { graceMs: 7_000, batchMs: 850, batches: 4, marginMs: 500 },
-    5_000,
-  );
-  t.deepEqual(
-    plan?.engines.map((engine) => engine.record.id),
-    ['engine-3', 'engine-4'],
-  );
-});
--- /dev/null
+++ b/test/gateway/weight-rollout.test.ts
@@ -0,0 +1,114 @@
+/** When engines take new weights, and which ones first. */
+import test from 'ava';
+import { type Engine } from '../../src/state/routing/engine-registry.js';
+import { RequestRate } from '../../src/state/routing/request-rate.js';
+import { StoreOutages } from '../../src/state/routing/store-outages.js';
+import {
+  type RolloutObservations,
+  RolloutReason,
+  type RolloutSettings,
+  type RolloutView,
+  planRollout,
+} from '../../src/state/routing/weight-rollout.js';
+import { WeightVersions } from '../../src/state/routing/weight-versions.js';
+
+const MODEL = 'model-a';
+const GRACE_MS = 9_000;
+const SETTINGS: RolloutSettings = {
+  graceMs: GRACE_MS,
+  batchMs: 850,
+  batches: 4,
+  marginMs: 500,
+  handoverMs: 2_000,
+  replacedWeightsLoss: 0.2,
+  loadCostRequests: 2,
+};
+const BUSY: RolloutObservations = { requestsPerSecond: 50, namesPerSecond: 0.25 };
+const IDLE: RolloutObservations = { requestsPerSecond: 2, namesPerSecond: 0.25 };
+
+function enginesOf(versions: readonly number[]): Engine[] {
+  return versions.map((version, index) => ({
+    record: {
+      id: `engine-${index}`,
+      service: 'generation',
+      address: `engine-${index}:1`,
+      zone: 'zone-a',
+      slots: 8,
+      isDraining: false,
+      modelVersions: new Map([[MODEL, version]]),
+    },
+    observedVersions: new Map<string, number>(),
+    observedOrders: undefined,
+  }));
+}
+
+function viewOf(
+  engines: readonly Engine[],
+  observed: RolloutObservations,
+  requests: ReadonlyMap<string, number> = new Map(),
+): RolloutView {
+  const versions = new WeightVersions(GRACE_MS, new StoreOutages());
+  versions.note(MODEL, 2, 0);
+  versions.note(MODEL, 3, 4_000);
+  return {
+    model: MODEL,
+    engines,
+    versions,
+    observed,
+    isLoading: () => false,
+    requestsAt: (engineId) => requests.get(engineId) ?? 0,
+  };
+}
+
+test('engines of the oldest weights are ordered first, then the least busy', (t) => {
+  const engines = enginesOf([2, 1, 2, 1, 1, 2, 2, 2]);
+  const requests = new Map([
+    ['engine-1', 9],
+    ['engine-3', 7],
+    ['engine-4', 8],
+  ]);
+  const plan = planRollout(viewOf(engines, BUSY, requests), SETTINGS, 5_000);
+  t.deepEqual(
+    plan?.engines.map((engine) => engine.record.id),
+    ['engine-3', 'engine-4'],
+  );
+});
+
+test('a rollout starts at once where requests on replaced weights lose more than a load costs', (t) => {
+  const plan = planRollout(viewOf(enginesOf([2, 2, 2, 2]), BUSY), SETTINGS, 4_000);
+  t.is(plan?.reason, RolloutReason.Worth);
+  t.is(plan?.version, 3);
+});
+
+test('where little is asked a rollout waits, but leaves time for another router to take over', (t) => {
+  const view = viewOf(enginesOf([2, 2, 2, 2]), IDLE);
+  t.is(planRollout(view, SETTINGS, 4_000), undefined);
+  // Four batches, the handover and the margin before the deadline.
+  const latestMs = 4_000 + GRACE_MS - 500 - 2_000 - 4 * 850;
+  t.is(planRollout(view, SETTINGS, latestMs - 1), undefined);
+  t.is(planRollout(view, SETTINGS, latestMs)?.reason, RolloutReason.Deadline);
+});
+
+test('no more engines load at once than a share of those that serve', (t) => {
+  for (const [engines, atOnce] of [
+    [1, 1],
+    [3, 1],
+    [7, 2],
+    [8, 2],
+    [13, 3],
+    [63, 16],
+  ] as const) {
+    const behind = enginesOf(Array.from({ length: engines }, () => 2));
+    const observed = { requestsPerSecond: 10 * engines, namesPerSecond: 0.25 };
+    t.is(planRollout(viewOf(behind, observed), SETTINGS, 4_000)?.engines.length, atOnce);
+  }
+});
+
+test('the rate of requests is the mean of the last whole spans', (t) => {
+  const rate = new RequestRate();
+  for (let nowMs = 0; nowMs < 6_000; nowMs += 100) rate.note(MODEL, nowMs);
+  t.is(rate.perSecond(MODEL, 6_000), 10);
+  t.is(rate.perSecond(MODEL, 7_500), 5);
+  t.is(rate.perSecond(MODEL, 60_000), 0);
+  t.is(rate.perSecond('another', 6_000), 0);
+});
