--- a/scripts/count-outcomes.mjs
+++ b/scripts/count-outcomes.mjs
@@ -52,12 +52,12 @@
     failedSends.add(`${event.kind} ${event.reason}`);
     lastFailure.set(event.request, event.reason);
   } else if (event.event === 'request_finished') {
-    const status = event.own_status === undefined ? '' : ` (${event.own_status})`;
-    outcomes.add(`${event.outcome}${status}`);
+    const status = event.own_status ?? event.answer_status;
+    const outcome = status === undefined ? event.outcome : `${event.outcome} (${status})`;
+    outcomes.add(outcome);
     const reason = lastFailure.get(event.request);
     if (reason === undefined) continue;
-    const isServed = event.outcome === 'answered';
-    repeats.add(`after ${reason}, ${event.sends} sends: ${isServed ? 'answered' : event.outcome}`);
+    repeats.add(`after ${reason}, ${event.sends} sends: ${outcome}`);
     lastFailure.delete(event.request);
   }
 }
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -33,6 +33,7 @@
 import type { InboundRequest, Reply } from './reply.js';
 import { RequestCall } from './request-call.js';
 import { StoreRelay } from './store-relay/store-relay.js';
+import { VersionNews, type VersionNotice } from './version-news.js';
 import { WeightCoordinator } from './weight-coordinator.js';
 
 /** What a router takes from its surroundings. */
@@ -48,8 +49,6 @@
   readonly decoder: ObjectDecoder;
 }
 
-/** Weights found after a watch had failed; their time counts from when the store was sound again. */
-const MISSED_AGE_MS = 1_000;
 const UPKEEP_PERIOD_MS = 1_000;
 /** What holders without a feed keep is believed for one to two of these. */
 const KEPT_TURN_MS = 6_000;
@@ -72,10 +71,10 @@
   private readonly calls = new Set<RequestCall>();
   private readonly context: GatewayContext;
   private readonly coordinator: WeightCoordinator;
+  private readonly versionNews: VersionNews;
   private readonly feeds: CacheFeeds;
   private readonly engineList: EngineList;
   private readonly timers: Timer[] = [];
-  private hasVersionList = false;
   private hasJoined = false;
   private isLeaving = false;
 
@@ -136,12 +135,16 @@
       {
         holder: settings.nodeId,
         rollout: settings.rollout,
-        rank: () => this.rank(),
-        groupSize: () => group.working.length,
+        workingRouters: () => group.working.map((member) => member.nodeId),
         announce: () => group.reportNow(),
       },
     );
-    parts.connect(this.coordinator);
+    this.versionNews = new VersionNews(
+      { versions: this.versions, decoder: surroundings.decoder, clock, logger },
+      settings.unseenVersionAgeMs,
+      () => group.reportNow(),
+    );
+    parts.connect(this.coordinator, this.versionNews);
   }
 
   /** Opens the group's socket; call {@link start} next. */
@@ -178,8 +181,8 @@
       onFailure: () => this.engineList.noteFailure(),
     });
     this.follow(this.settings.kinds.weightVersions, this.settings.versionWatchMs, {
-      onList: (objects) => this.takeVersionList(objects),
-      onObject: (object) => this.takeVersions([object], 0),
+      onList: (objects) => this.versionNews.takeList(objects),
+      onObject: (object) => this.versionNews.takeChange(object),
     });
     const { clock } = this.surroundings;
     this.timers.push(
@@ -298,24 +301,6 @@
     this.joinWhenReady();
   }
 
-  private takeVersionList(objects: readonly StoredObject[]): void {
-    const { unseenVersionAgeMs } = this.settings;
-    this.takeVersions(objects, this.hasVersionList ? MISSED_AGE_MS : unseenVersionAgeMs);
-    this.hasVersionList = true;
-  }
-
-  /** @param ageMs how long the versions may have been named already */
-  private takeVersions(objects: readonly StoredObject[], ageMs: number): void {
-    const { decoder, logger, clock } = this.surroundings;
-    const namedMs = clock.now() - ageMs;
-    for (const object of objects) {
-      const named = decoder.weights(object);
-      if (named && this.versions.note(named.model, named.version, namedMs)) {
-        logger.info('weights_named', { model: named.model, version: named.version });
-      }
-    }
-  }
-
   private joinWhenReady(): void {
     if (!this.isReady || this.hasJoined) return;
     this.hasJoined = true;
@@ -361,13 +346,15 @@
   onFailure(): void;
 };
 
-/** What must exist before the group's socket is bound; the coordinator is connected after. */
+/** What must exist before the group's socket is bound; whom it serves is connected after. */
 class GatewayParts implements GroupEvents {
   readonly loads = new LoadTable();
   private coordinator: WeightCoordinator | undefined;
+  private versionNews: VersionNews | undefined;
 
-  connect(coordinator: WeightCoordinator): void {
+  connect(coordinator: WeightCoordinator, versionNews: VersionNews): void {
     this.coordinator = coordinator;
+    this.versionNews = versionNews;
   }
 
   weightsNews(): readonly WeightsNews[] {
@@ -377,4 +364,20 @@
   onWeightsNews(news: WeightsNews): void {
     this.coordinator?.receiveNews(news);
   }
+
+  heldLease(): number | undefined {
+    return this.coordinator?.heldLease;
+  }
+
+  onHeldLease(holder: string, revision: number): void {
+    this.coordinator?.receiveLease(holder, revision);
+  }
+
+  versionNotices(): readonly VersionNotice[] {
+    return this.versionNews?.notices ?? [];
+  }
+
+  onVersionNotice(notice: VersionNotice): void {
+    this.versionNews?.receive(notice);
+  }
 }
--- a/src/coordination/gateway/group-membership.ts
+++ b/src/coordination/gateway/group-membership.ts
@@ -14,6 +14,7 @@
   EngineWorkSchema,
   type LoadReport,
   LoadReportSchema,
+  NamedWeightsSchema,
 } from '../../protocol/peer/generated/cluster_pb.js';
 import {
   type GossipDatagram,
@@ -34,6 +35,7 @@
   encodeMemberUpdate,
 } from '../router/member-codec.js';
 import type { GroupView } from './gateway-context.js';
+import type { VersionNotice } from './version-news.js';
 
 /** What a router knows of the weights at an engine before the platform lists it. */
 export interface WeightsNews {
@@ -57,6 +59,12 @@
   /** News to tell the others with the next report. */
   weightsNews(): readonly WeightsNews[];
   onWeightsNews(news: WeightsNews): void;
+  /** Revision of the lease on orders, while this router holds it. */
+  heldLease(): number | undefined;
+  onHeldLease(holder: string, revision: number): void;
+  /** Versions of weights that operators named lately, to tell with each report. */
+  versionNotices(): readonly VersionNotice[];
+  onVersionNotice(notice: VersionNotice): void;
 }
 
 const CHECK_PERIOD_MS = 100;
@@ -206,6 +214,11 @@
     for (const { engineId, model, version, isLoading } of report.weights) {
       this.events.onWeightsNews({ engineId, model, version, isLoading });
     }
+    const leaseRevision = Number(report.heldLeaseRevision);
+    if (leaseRevision > 0) this.events.onHeldLease(report.sender, leaseRevision);
+    for (const { model, version, ageMs } of report.named) {
+      this.events.onVersionNotice({ model, version, ageMs });
+    }
   }
 
   private reportLoads(): void {
@@ -228,6 +241,8 @@
       sequence: this.reportSequence,
       engines,
       weights,
+      named: this.events.versionNotices().map((notice) => create(NamedWeightsSchema, notice)),
+      heldLeaseRevision: BigInt(this.events.heldLease() ?? 0),
     });
     const datagram = encodeLoadReport(report);
     // News of weights concerns every router at once; only the one that gives orders has any.
--- a/src/coordination/gateway/lease-keeper.ts
+++ b/src/coordination/gateway/lease-keeper.ts
@@ -52,6 +52,16 @@
     return this.lease.next(this.clock.now()) === LeaseStep.Read;
   }
 
+  /** The revision under which this router holds the lease, to tell the others. */
+  get heldRevision(): number | undefined {
+    return this.lease.heldRevision;
+  }
+
+  /** Takes the revision that another holder tells. */
+  hear(revision: number): void {
+    this.lease.hear(revision, this.clock.now());
+  }
+
   /** Makes the call that is due, if any; resolves when it was answered or failed. */
   async advance(): Promise<void> {
     if (this.isCalling || this.clock.now() < this.nextCallMs) return;
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -63,6 +63,8 @@
   private readonly boundary = new EventBoundary();
   private buffer: AnswerBuffer | undefined;
   private firstChunkMs: number | undefined;
+  /** Status of the engine's answer that is passed on. */
+  private answerStatus: number | undefined;
 
   constructor(
     private readonly request: InboundRequest,
@@ -223,6 +225,7 @@
 
   private beginAnswer(head: AnswerHead): void {
     this.hasBegun = true;
+    this.answerStatus = head.status;
     const isSpliced = this.grant?.route.isResumable ?? false;
     this.reply.begin(head.status, head.headers, isSpliced ? undefined : head.contentLength);
     if (isSpliced) this.watchStall();
@@ -392,6 +395,7 @@
       request: id,
       outcome,
       own_status: ownStatus === 0 ? undefined : ownStatus,
+      answer_status: this.answerStatus,
       route: this.grant?.route.name,
       engine,
       sends: this.sends,
--- /dev/null
+++ b/src/coordination/gateway/version-news.ts
@@ -0,0 +1,96 @@
+/**
+ * Takes the versions of weights that operators name: from the store, and from routers that saw them
+ * there. Versions only rise, so what another router tells may be taken freely; it carries the time
+ * since that router could first know of it.
+ */
+import type { Clock } from '../../runtime/clock.js';
+import type { Logger } from '../../runtime/logger.js';
+import type { StoredObject } from '../../protocol/object-store/port.js';
+import type { WeightVersions } from '../../state/routing/weight-versions.js';
+import type { ObjectDecoder } from './object-decoder.js';
+
+/** A version as one router tells it to another. */
+export interface VersionNotice {
+  readonly model: string;
+  readonly version: number;
+  /** Time since the teller can first have known of it, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/** What the news work with. */
+export interface VersionNewsParts {
+  readonly versions: WeightVersions;
+  readonly decoder: ObjectDecoder;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** Weights found after a watch had failed; their time counts from when the store was sound again. */
+const MISSED_AGE_MS = 1_000;
+/** A version is told for this long; longer than any bound on replaced weights. */
+const TOLD_FOR_MS = 15_000;
+
+/** Where a router heard of a version. */
+type VersionOrigin = 'watch' | 'list' | 'router';
+
+/** The versions that one router has heard of. */
+export class VersionNews {
+  private hasList = false;
+
+  /**
+   * @param unseenAgeMs weights found by a router that has just started are taken to be named this long
+   *   ago
+   * @param announce tells the other routers at once
+   */
+  constructor(
+    private readonly parts: VersionNewsParts,
+    private readonly unseenAgeMs: number,
+    private readonly announce: () => void,
+  ) {}
+
+  /** Takes the store's list: when its versions were named is not known. */
+  takeList(objects: readonly StoredObject[]): void {
+    const ageMs = this.hasList ? MISSED_AGE_MS : this.unseenAgeMs;
+    this.hasList = true;
+    for (const object of objects) this.takeObject(object, 'list', ageMs);
+  }
+
+  /** Takes a change that a watch showed. */
+  takeChange(object: StoredObject): void {
+    if (this.takeObject(object, 'watch', 0)) this.announce();
+  }
+
+  /** Takes what another router tells. */
+  receive({ model, version, ageMs }: VersionNotice): void {
+    this.note(model, version, 'router', ageMs);
+  }
+
+  /** What the other routers should know. */
+  get notices(): VersionNotice[] {
+    const { versions, clock } = this.parts;
+    const nowMs = clock.now();
+    return versions.models.flatMap((model) =>
+      versions.witnessedSince(model, nowMs - TOLD_FOR_MS).map(({ version, namedMs }) => ({
+        model,
+        version,
+        ageMs: Math.max(0, Math.round(nowMs - namedMs)),
+      })),
+    );
+  }
+
+  private takeObject(object: StoredObject, origin: VersionOrigin, ageMs: number): boolean {
+    const named = this.parts.decoder.weights(object);
+    return named !== undefined && this.note(named.model, named.version, origin, ageMs);
+  }
+
+  private note(model: string, version: number, origin: VersionOrigin, ageMs: number): boolean {
+    const { versions, clock, logger } = this.parts;
+    const namedMs = clock.now() - ageMs;
+    const isNew = versions.note(model, { version, namedMs, isWitnessed: origin !== 'list' });
+    if (isNew) {
+      const known_after_ms = Math.round(ageMs);
+      logger.info('weights_named', { model, version, origin, known_after_ms });
+    }
+    return isNew;
+  }
+}
--- a/src/coordination/gateway/weight-coordinator.ts
+++ b/src/coordination/gateway/weight-coordinator.ts
@@ -45,10 +45,8 @@
 export interface CoordinatorSettings {
   readonly holder: string;
   readonly rollout: RolloutSettings;
-  /** Place of this router among the working ones; 0 acts first. */
-  rank(): number;
-  /** Routers that work, this one included. */
-  groupSize(): number;
+  /** Identifiers of the routers that work, this one included. */
+  workingRouters(): readonly string[];
   /** Tells the other routers of news at once. */
   announce(): void;
 }
@@ -67,14 +65,14 @@
 const TICK_MS = 100;
 /** Over this span it is observed how often versions are named. */
 const NAMES_SPAN_MS = 20_000;
-/** How much later the next in rank acts, if nothing happens. */
-const RANK_DELAY_MS = 1_500;
+/** How much later the next in line acts, if nothing happens. */
+const STANDBY_DELAY_MS = 1_000;
 /** An order that shows no effect for this long may be given again. */
 const ORDER_PATIENCE_MS = 4_000;
 /** An engine that has not taken an order is given the next after this. */
 const RETRY_PAUSE_MS = 400;
 /** A router whose orders were heard of within this time is left to go on. */
-const INCUMBENT_PATIENCE_MS = 2_500;
+const INCUMBENT_PATIENCE_MS = 1_500;
 const NEWS_LIFETIME_MS = 2_500;
 const POLL_PERIOD_MS = 200;
 /** No load is done sooner. */
@@ -86,6 +84,9 @@
   private behindSinceMs: number | undefined;
   /** When another router last told of an order it gave. */
   private otherActedMs = -Infinity;
+  /** The router that told of the newest write to the lease. */
+  private incumbent: string | undefined;
+  private incumbentRevision = 0;
   private timer: Timer | undefined;
   private isActing = false;
   private isLeaving = false;
@@ -131,6 +132,19 @@
     } else this.noteVersion(engine, news.model, news.version);
   }
 
+  /** The revision under which this router holds the lease. */
+  get heldLease(): number | undefined {
+    return this.parts.lease.heldRevision;
+  }
+
+  /** Takes that another router holds the lease. */
+  receiveLease(holder: string, revision: number): void {
+    this.parts.lease.hear(revision);
+    if (revision < this.incumbentRevision) return;
+    this.incumbent = holder;
+    this.incumbentRevision = revision;
+  }
+
   private get now(): number {
     return this.parts.clock.now();
   }
@@ -155,8 +169,7 @@
       return;
     }
     this.behindSinceMs ??= this.now;
-    const idleSinceMs = Math.max(this.behindSinceMs, this.otherActedMs + INCUMBENT_PATIENCE_MS);
-    if (this.now - idleSinceMs < this.settings.rank() * RANK_DELAY_MS) return;
+    if (this.now < this.turnMs(this.behindSinceMs)) return;
     if (this.parts.lease.activeToken === undefined) {
       await this.parts.lease.advance();
       if (this.parts.lease.activeToken === undefined) return;
@@ -167,6 +180,20 @@
     }
   }
 
+  /** When this router may act on work that is there since a moment. */
+  private turnMs(behindSinceMs: number): number {
+    if (this.parts.lease.heldRevision !== undefined) return behindSinceMs;
+    const idleSinceMs = Math.max(behindSinceMs, this.otherActedMs + INCUMBENT_PATIENCE_MS);
+    return idleSinceMs + this.routersBefore * STANDBY_DELAY_MS;
+  }
+
+  /** Working routers that come before this one: the holder of the lease, then by identifier. */
+  private get routersBefore(): number {
+    const { holder, workingRouters } = this.settings;
+    const others = workingRouters().filter((router) => router !== holder);
+    return others.filter((router) => router === this.incumbent || router < holder).length;
+  }
+
   /**
    * Reads the lease as soon as there is work ahead, so that the time a successor must wait has passed
    * by the time the work is due.
@@ -180,7 +207,7 @@
       this.hasLookedAtLease = false;
       return;
     }
-    if (this.hasLookedAtLease || this.settings.rank() > 0) return;
+    if (this.hasLookedAtLease || this.routersBefore > 0) return;
     this.hasLookedAtLease = true;
     if (lease.isUnknown) await lease.advance();
   }
@@ -204,7 +231,8 @@
   private observe(model: string): RolloutObservations {
     const { versions, requestRate } = this.parts;
     // The directory sends callers to all routers alike.
-    const requestsPerSecond = requestRate.perSecond(model, this.now) * this.settings.groupSize();
+    const requestsPerSecond =
+      requestRate.perSecond(model, this.now) * this.settings.workingRouters().length;
     const namesPerSecond = versions.namesPerSecond(model, NAMES_SPAN_MS, this.now);
     return { requestsPerSecond, namesPerSecond };
   }
--- a/src/state/routing/weight-lease.ts
+++ b/src/state/routing/weight-lease.ts
@@ -4,7 +4,8 @@
  * One object in the store names the holder and a fencing token. The holder writes the object anew
  * before each batch of orders and gives orders only for a short while after that call began. Whoever
  * takes over has seen the object unchanged for the lease time and that while, so the last order of
- * the old holder is a lease time old.
+ * the old holder is a lease time old. The holder tells the revision of its last write to the others:
+ * whoever heard it knows the object unchanged since then, without reading it meanwhile.
  */
 
 /** What the object holds. */
@@ -47,8 +48,16 @@
   readonly actMs: number;
 }
 
-/** Tolerance for clocks that run at different speeds and calls that were on their way. */
-const MARGIN_MS = 300;
+/** A revision that the holder told after it had been written. */
+interface HeardRevision {
+  readonly revision: number;
+  readonly heardMs: number;
+}
+
+/** An order that its holder gave in time reaches its engine this much later at most. */
+const ORDER_TRANSIT_MS = 500;
+/** Tolerance for clocks that run at different speeds. */
+const CLOCK_MARGIN_MS = 200;
 /** What is known of the object is read again after this long. */
 const VIEW_LIFETIME_MS = 1_000;
 const FIRST_TOKEN = 1;
@@ -57,6 +66,7 @@
 export class WeightLease {
   private view: LeaseView | undefined;
   private isMissing = false;
+  private heard: HeardRevision | undefined;
   /** When a call was answered that showed the present revision for the first time. */
   private firstSeenMs = -Infinity;
   private lastReadMs = -Infinity;
@@ -69,18 +79,24 @@
     return this.isOwn ? this.view?.record.fencingToken : undefined;
   }
 
+  /** The revision of the own last write; undefined while another holds the lease, as far as is known. */
+  get heldRevision(): number | undefined {
+    return this.isOwn && !this.isOutOfDate ? this.revision : undefined;
+  }
+
   get revision(): number {
     return this.view?.revision ?? 0;
   }
 
   next(nowMs: number): LeaseStep {
     if (this.isMissing) return LeaseStep.Create;
-    if (!this.view) return LeaseStep.Read;
+    if (!this.view || this.isOutOfDate) return LeaseStep.Read;
     if (this.isOwn) return nowMs < this.actUntilMs ? LeaseStep.Act : LeaseStep.Renew;
     // An earlier life of this router gives no orders any more: no wait is due.
     if (this.view.record.holder === this.settings.holder) return LeaseStep.TakeOver;
     const { leaseMs, actMs } = this.settings;
-    if (nowMs - this.firstSeenMs >= leaseMs + actMs + MARGIN_MS) return LeaseStep.TakeOver;
+    const waitMs = leaseMs + actMs + ORDER_TRANSIT_MS + CLOCK_MARGIN_MS;
+    if (nowMs - this.firstSeenMs >= waitMs) return LeaseStep.TakeOver;
     return nowMs - this.lastReadMs >= VIEW_LIFETIME_MS ? LeaseStep.Read : LeaseStep.Wait;
   }
 
@@ -92,13 +108,17 @@
     return { holder, life, fencingToken };
   }
 
+  /** The holder told the revision of its last write. */
+  hear(revision: number, heardMs: number): void {
+    if (revision > (this.heard?.revision ?? 0)) this.heard = { revision, heardMs };
+  }
+
   /** A read or a conflict showed the object; `undefined`: there is none. */
   observe(view: LeaseView | undefined, answeredMs: number): void {
     this.lastReadMs = answeredMs;
     this.isMissing = view === undefined;
     if (view?.revision !== this.view?.revision) {
-      // The holder may have written until just before the answer was made.
-      this.firstSeenMs = answeredMs;
+      this.firstSeenMs = this.firstSeenOf(view, answeredMs);
       this.actUntilMs = -Infinity;
     }
     this.view = view;
@@ -120,6 +140,18 @@
     this.actUntilMs = -Infinity;
   }
 
+  private firstSeenOf(view: LeaseView | undefined, answeredMs: number): number {
+    const { heard } = this;
+    if (heard && heard.revision === view?.revision) return heard.heardMs;
+    // The holder may have written until just before the answer was made.
+    return answeredMs;
+  }
+
+  /** Whether another holder is known to have written since the object was seen last. */
+  private get isOutOfDate(): boolean {
+    return (this.heard?.revision ?? 0) > this.revision;
+  }
+
   private get isOwn(): boolean {
     const record = this.view?.record;
     return record?.holder === this.settings.holder && record.life === this.settings.life;
--- a/src/state/routing/weight-versions.ts
+++ b/src/state/routing/weight-versions.ts
@@ -4,12 +4,21 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
-interface NamedVersion {
+/** A version that an operator named. */
+export interface NamedVersion {
   readonly version: number;
-  /** When this router may first have been able to know of it. */
+  /** When this router, or the one that told it, may first have been able to know of it. */
   readonly namedMs: number;
+  /**
+   * Whether somebody followed the store when the version came; otherwise it was found there later and
+   * its time is a guess.
+   */
+  readonly isWitnessed: boolean;
 }
 
+/** Versions remembered of each model; older ones are out of their time. */
+const MAXIMUM_REMEMBERED = 16;
+
 /** Named versions of all models. */
 export class WeightVersions {
   private readonly byModel = new Map<string, NamedVersion[]>();
@@ -23,14 +32,25 @@
     private readonly outages: StoreOutages,
   ) {}
 
-  /** Notes a version; false where it is known already or older than the newest. */
-  note(model: string, version: number, namedMs: number): boolean {
+  /**
+   * Notes a version; true where it is newer than all known. The time somebody witnessed goes before one
+   * that was guessed, the earlier of two before the later.
+   */
+  note(model: string, named: NamedVersion): boolean {
+    const versions = this.byModel.get(model) ?? [];
+    const newest = versions.at(-1)?.version ?? 0;
+    const known = versions.find((each) => each.version === named.version);
+    const others = versions.filter((each) => each !== known);
+    const kept = known ? surer(known, named) : named;
+    const sorted = [...others, kept].sort((left, right) => left.version - right.version);
+    this.byModel.set(model, sorted.slice(-MAXIMUM_REMEMBERED));
+    return named.version > newest;
+  }
+
+  /** Versions of a model that somebody saw being named since a moment. */
+  witnessedSince(model: string, sinceMs: number): NamedVersion[] {
     const versions = this.byModel.get(model) ?? [];
-    const newest = versions.at(-1);
-    if (newest && newest.version >= version) return false;
-    versions.push({ version, namedMs });
-    this.byModel.set(model, versions);
-    return true;
+    return versions.filter(({ isWitnessed, namedMs }) => isWitnessed && namedMs >= sinceMs);
   }
 
   get models(): string[] {
@@ -67,3 +87,8 @@
     return namedMs + this.graceMs + this.outages.within(namedMs, nowMs);
   }
 }
+
+function surer(left: NamedVersion, right: NamedVersion): NamedVersion {
+  if (left.isWitnessed !== right.isWitnessed) return left.isWitnessed ? left : right;
+  return left.namedMs <= right.namedMs ? left : right;
+}
--- a/test/gateway/weight-handover.test.ts
+++ b/test/gateway/weight-handover.test.ts
@@ -56,3 +56,54 @@
   t.true(world.generationEngines.every((engine) => engine.weightsVersion === 2));
   t.deepEqual(findBreaches(world), []);
 });
+
+/** Requests all the while, until the engines have the newest weights; how long that took. */
+async function loadedAfterMs(world: GatewayWorld, limitMs: number): Promise<number> {
+  let spentMs = 0;
+  while (world.generationEngines.some((engine) => engine.weightsVersion < world.namedVersion)) {
+    if (spentMs >= limitMs) return Infinity;
+    world.request(spentMs / STEP_MS, 'stream-resumable', 'tenant-2', 0);
+    await world.clock.advance(STEP_MS);
+    spentMs += STEP_MS;
+  }
+  return spentMs;
+}
+
+/** Requests for some seconds, so that routers know what is asked. */
+async function warmUp(world: GatewayWorld): Promise<void> {
+  for (let spentMs = 0; spentMs < 3_500; spentMs += STEP_MS) {
+    world.request(spentMs / STEP_MS, 'stream-resumable', 'tenant-2', 0);
+    await world.clock.advance(STEP_MS);
+  }
+}
+
+test('where much is asked, engines take new weights at once', async (t) => {
+  const world = await GatewayWorld.create(4);
+  await warmUp(world);
+  world.nameWeights();
+  t.true((await loadedAfterMs(world, 12_000)) < 4_000);
+  await world.settle();
+  t.deepEqual(findBreaches(world), []);
+});
+
+test('a holder that loses its way to the store in the middle is replaced within the lease time', async (t) => {
+  const world = await GatewayWorld.create(5);
+  await warmUp(world);
+  const holder = await untilFirstOrder(world);
+  world.cutFromStore(holder, 30_000);
+  t.true((await loadedAfterMs(world, 14_000)) < 7_000);
+  await world.settle();
+  t.deepEqual(findBreaches(world), []);
+});
+
+test('a router without a way to the store hears of new weights from the others', async (t) => {
+  const world = await GatewayWorld.create(6);
+  await warmUp(world);
+  const holder = await untilFirstOrder(world);
+  await world.clock.advance(8_000);
+  world.cutFromStore(holder, 30_000);
+  world.nameWeights();
+  t.true((await loadedAfterMs(world, 14_000)) < 7_000);
+  await world.settle();
+  t.deepEqual(findBreaches(world), []);
+});
--- /dev/null
+++ b/test/gateway/weight-lease.test.ts
@@ -0,0 +1,90 @@
+/** The lease on orders: holders never take turns within the lease time, whatever is heard and lost. */
+import test from 'ava';
+import fc from 'fast-check';
+import { LeaseStep, WeightLease } from '../../src/state/routing/weight-lease.js';
+
+const LEASE_MS = 3_000;
+const ACT_MS = 500;
+const SEED = { seed: 5, numRuns: 400 };
+/** An order given at the last moment may reach its engine this much later. */
+const TRANSIT_MS = 500;
+/** A holder's write reaches the store, and its word the standby, this much later. */
+const DELAY_MS = 2;
+
+function leaseOf(holder: string): WeightLease {
+  return new WeightLease({ holder, life: holder, leaseMs: LEASE_MS, actMs: ACT_MS });
+}
+
+test('a successor takes over only after the lease time has passed since the last order', (t) => {
+  // Pauses between the holder's writes, and whether each write's news reach the standby.
+  const writes = fc.array(fc.tuple(fc.integer({ min: 100, max: 5_000 }), fc.boolean()), {
+    minLength: 1,
+    maxLength: 8,
+  });
+  const property = fc.property(writes, fc.integer({ min: 0, max: 9_000 }), (plan, looksMs) => {
+    const standby = leaseOf('standby');
+    const record = { holder: 'holder', life: 'holder', fencingToken: 1 };
+    const written: number[] = [];
+    let nowMs = 0;
+    for (const [pauseMs] of plan) {
+      nowMs += pauseMs;
+      written.push(nowMs);
+    }
+    const revisionAt = (timeMs: number): number =>
+      written.filter((each) => each + DELAY_MS <= timeMs).length;
+    for (let timeMs = looksMs; timeMs < 60_000; timeMs += 10) {
+      plan.forEach(([, isHeard], index) => {
+        const heardMs = (written[index] ?? 0) + DELAY_MS;
+        if (isHeard && heardMs > timeMs - 10 && heardMs <= timeMs) standby.hear(index + 1, timeMs);
+      });
+      const step = standby.next(timeMs);
+      const revision = revisionAt(timeMs);
+      if (step === LeaseStep.Read) {
+        standby.observe(revision === 0 ? undefined : { record, revision }, timeMs);
+      } else if (step === LeaseStep.TakeOver) {
+        // The write is refused where the holder has written since.
+        if (standby.revision !== revision) standby.observe({ record, revision }, timeMs);
+        else {
+          const lastActMs = (written[revision - 1] ?? 0) + ACT_MS;
+          t.true(timeMs - lastActMs - TRANSIT_MS >= LEASE_MS);
+          return;
+        }
+      } else if (step === LeaseStep.Create) {
+        if (revision === 0) return;
+        standby.observe({ record, revision }, timeMs);
+      }
+    }
+    t.fail('nobody took over');
+  });
+  fc.assert(property, SEED);
+});
+
+test('a revision that was heard counts from then on, without a look at the store meanwhile', (t) => {
+  const standby = leaseOf('standby');
+  const view = { record: { holder: 'holder', life: 'holder', fencingToken: 1 }, revision: 7 };
+  standby.hear(7, 1_000);
+  t.is(standby.next(5_200), LeaseStep.Read);
+  standby.observe(view, 5_200);
+  t.is(standby.next(5_200), LeaseStep.TakeOver);
+});
+
+test('without word of the holder the wait counts from the first look', (t) => {
+  const standby = leaseOf('standby');
+  const view = { record: { holder: 'holder', life: 'holder', fencingToken: 1 }, revision: 7 };
+  standby.observe(view, 5_000);
+  t.is(standby.next(9_100), LeaseStep.Read);
+  standby.observe(view, 9_100);
+  t.is(standby.next(9_200), LeaseStep.TakeOver);
+});
+
+test('a holder that hears of a newer write gives no orders', (t) => {
+  const holder = leaseOf('holder');
+  holder.observe(undefined, 0);
+  const record = holder.recordFor(LeaseStep.Create);
+  holder.noteWritten({ record, revision: 3 }, 100);
+  t.is(holder.next(200), LeaseStep.Act);
+  t.is(holder.heldRevision, 3);
+  holder.hear(4, 250);
+  t.is(holder.next(300), LeaseStep.Read);
+  t.is(holder.heldRevision, undefined);
+});
--- a/test/gateway/weight-rollout.test.ts
+++ b/test/gateway/weight-rollout.test.ts
@@ -48,8 +48,8 @@
   requests: ReadonlyMap<string, number> = new Map(),
 ): RolloutView {
   const versions = new WeightVersions(GRACE_MS, new StoreOutages());
-  versions.note(MODEL, 2, 0);
-  versions.note(MODEL, 3, 4_000);
+  versions.note(MODEL, { version: 2, namedMs: 0, isWitnessed: true });
+  versions.note(MODEL, { version: 3, namedMs: 4_000, isWitnessed: true });
   return {
     model: MODEL,
     engines,
