--- a/src/coordination/gateway/cache-feeds.ts
+++ b/src/coordination/gateway/cache-feeds.ts
@@ -58,6 +58,7 @@
       feed.stop();
       this.feeds.delete(holder);
     }
+    this.parts.kept.setReported(new Set(wanted.keys()));
     for (const [holder, source] of wanted) {
       if (this.feeds.has(holder)) continue;
       const feed = new CacheFeed(source, mayKeepMuch, this.parts);
@@ -66,10 +67,6 @@
     }
   }
 
-  isFollowed(holder: string): boolean {
-    return this.feeds.has(holder);
-  }
-
   stop(): void {
     this.follow([]);
   }
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -16,6 +16,7 @@
 import { LoadTable } from '../../state/routing/load-table.js';
 import { RequestRate } from '../../state/routing/request-rate.js';
 import { StoreOutages } from '../../state/routing/store-outages.js';
+import { byCapability } from '../../state/routing/store-readers.js';
 import { TrafficSplit } from '../../state/routing/traffic-split.js';
 import { WeightLease } from '../../state/routing/weight-lease.js';
 import { WeightVersions } from '../../state/routing/weight-versions.js';
@@ -26,14 +27,15 @@
 import { type HeldFeed, ownShareOfFeeds } from '../../state/routing/feed-share.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import { GatewayStatistics } from './gateway-statistics.js';
-import { type GroupEvents, GroupMembership, type WeightsNews } from './group-membership.js';
+import { GroupEventTarget } from './group-event-target.js';
+import { GroupMembership } from './group-membership.js';
 import { LeaseKeeper } from './lease-keeper.js';
 import type { ObjectDecoder } from './object-decoder.js';
 import { ObjectFollower } from './object-follower.js';
 import type { InboundRequest, Reply } from './reply.js';
 import { RequestCall } from './request-call.js';
 import { StoreRelay } from './store-relay/store-relay.js';
-import { VersionNews, type VersionNotice } from './version-news.js';
+import { VersionNews } from './version-news.js';
 import { WeightCoordinator } from './weight-coordinator.js';
 
 /** What a router takes from its surroundings. */
@@ -83,7 +85,7 @@
     private readonly surroundings: GatewaySurroundings,
     private readonly group: GroupMembership,
     private readonly relay: StoreRelay,
-    parts: GatewayParts,
+    parts: GroupEventTarget,
   ) {
     const { clock, random, hasher, logger, engines } = surroundings;
     this.loads = parts.loads;
@@ -135,7 +137,8 @@
       {
         holder: settings.nodeId,
         rollout: settings.rollout,
-        workingRouters: () => group.working.map((member) => member.nodeId),
+        workingRouters: () => [...group.working].sort(byCapability).map(({ nodeId }) => nodeId),
+        shareOfTraffic: () => this.shareOfTraffic(),
         announce: () => group.reportNow(),
       },
     );
@@ -152,10 +155,17 @@
     settings: GatewaySettings,
     surroundings: GatewaySurroundings,
   ): Promise<GatewayNode> {
-    const parts = new GatewayParts();
+    const parts = new GroupEventTarget();
     const { clock, random, logger, datagrams } = surroundings;
-    const { nodeId, zone, region, frontendAddress, gossipAddress, seeds } = settings;
-    const identity = { nodeId, zone, region, gossipAddress, peerAddress: frontendAddress };
+    const { nodeId, zone, region, frontendAddress, gossipAddress, seeds, capacity } = settings;
+    const identity = {
+      nodeId,
+      zone,
+      region,
+      gossipAddress,
+      peerAddress: frontendAddress,
+      capacity,
+    };
     const group = await GroupMembership.open(
       { identity, seeds },
       datagrams,
@@ -187,7 +197,7 @@
     const { clock } = this.surroundings;
     this.timers.push(
       repeat(clock, UPKEEP_PERIOD_MS, () => this.upkeep()),
-      repeat(clock, KEPT_TURN_MS, () => this.kept.expire((id) => this.feeds.isFollowed(id))),
+      repeat(clock, KEPT_TURN_MS, () => this.kept.expire()),
     );
     this.coordinator.start();
   }
@@ -264,6 +274,7 @@
           this.outages.noteFailure(clock.now());
           handlers.onFailure?.();
         },
+        onHistoryGone: () => this.refreshOthers(follower),
       },
       clock,
       random,
@@ -273,6 +284,11 @@
     follower.start();
   }
 
+  /** What one watch found out holds for the others too; they would find it only when they end. */
+  private refreshOthers(finder: ObjectFollower): void {
+    for (const follower of this.followers) if (follower !== finder) void follower.refresh();
+  }
+
   private takeConfiguration(object: StoredObject, provenMs: number): void {
     const { decoder, logger } = this.surroundings;
     const configuration = decoder.configuration(object);
@@ -331,6 +347,14 @@
     this.feeds.follow(ownShareOfFeeds(sources, this.rank(), this.group.working.length));
   }
 
+  /** The directory sends callers to routers by their capacity. */
+  private shareOfTraffic(): number {
+    const { working } = this.group;
+    const total = working.reduce((sum, member) => sum + member.capacity, 0);
+    const { capacity } = this.settings;
+    return total > 0 && capacity > 0 ? Math.min(1, capacity / total) : 1 / working.length;
+  }
+
   /** Place among the working routers, by identifier. */
   private rank(): number {
     const { nodeId } = this.settings;
@@ -345,39 +369,3 @@
   onAnswer(provenMs: number): void;
   onFailure(): void;
 };
-
-/** What must exist before the group's socket is bound; whom it serves is connected after. */
-class GatewayParts implements GroupEvents {
-  readonly loads = new LoadTable();
-  private coordinator: WeightCoordinator | undefined;
-  private versionNews: VersionNews | undefined;
-
-  connect(coordinator: WeightCoordinator, versionNews: VersionNews): void {
-    this.coordinator = coordinator;
-    this.versionNews = versionNews;
-  }
-
-  weightsNews(): readonly WeightsNews[] {
-    return this.coordinator?.news ?? [];
-  }
-
-  onWeightsNews(news: WeightsNews): void {
-    this.coordinator?.receiveNews(news);
-  }
-
-  heldLease(): number | undefined {
-    return this.coordinator?.heldLease;
-  }
-
-  onHeldLease(holder: string, revision: number): void {
-    this.coordinator?.receiveLease(holder, revision);
-  }
-
-  versionNotices(): readonly VersionNotice[] {
-    return this.versionNews?.notices ?? [];
-  }
-
-  onVersionNotice(notice: VersionNotice): void {
-    this.versionNews?.receive(notice);
-  }
-}
--- a/src/coordination/gateway/gateway-settings.ts
+++ b/src/coordination/gateway/gateway-settings.ts
@@ -9,6 +9,8 @@
   readonly nodeId: string;
   readonly zone: string;
   readonly region: string;
+  /** Share of a processor core that this router may use, in thousandths. */
+  readonly capacity: number;
   /** Where callers reach this router, HOST:PORT. */
   readonly frontendAddress: string;
   /** Where the other routers reach it by datagram and by connection, HOST:PORT. */
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -16,6 +16,9 @@
   cutAnswers = 0;
   staleProofRefusals = 0;
   orders = 0;
+  rolloutWaits = 0;
+  rolloutsForWorth = 0;
+  rolloutsForDeadline = 0;
   sharedTokensRead = 0;
   sharedTokensKept = 0;
 }
--- a/src/coordination/gateway/group-membership.ts
+++ b/src/coordination/gateway/group-membership.ts
@@ -10,6 +10,7 @@
   encodeLoadReport,
 } from '../../protocol/peer/cluster-codec.js';
 import {
+  type EngineWeights,
   EngineWeightsSchema,
   EngineWorkSchema,
   type LoadReport,
@@ -21,6 +22,7 @@
   GossipDatagramSchema,
 } from '../../protocol/peer/generated/peer_pb.js';
 import type { LoadTable } from '../../state/routing/load-table.js';
+import { type WeightsNews, WeightsNewsBoard } from '../../state/routing/weights-news.js';
 import {
   type MemberIdentity,
   type MemberUpdate,
@@ -37,15 +39,6 @@
 import type { GroupView } from './gateway-context.js';
 import type { VersionNotice } from './version-news.js';
 
-/** What a router knows of the weights at an engine before the platform lists it. */
-export interface WeightsNews {
-  readonly engineId: string;
-  readonly model: string;
-  readonly version: number;
-  /** Whether the engine still refuses work for the model. */
-  readonly isLoading: boolean;
-}
-
 /** How this router takes part. */
 export interface GroupSettings {
   /** `peerAddress` is where callers reach the member. */
@@ -73,9 +66,15 @@
 const REPORT_FANOUT = 12;
 /**
  * Members that do in a larger one, chosen at random: a router can't hear of all loads while they last,
- * so the reports only keep routers from meeting at one engine by accident.
+ * so the reports only keep routers from meeting at one engine by accident. Those that hear news in a
+ * larger group pass them on to as many.
  */
 const SAMPLED_FANOUT = 4;
+/** Members of a larger group that the origin of news tells at once. */
+const ORIGIN_FANOUT = 8;
+/** News of so short a time leave in one report. */
+const GATHERING_MS = 5;
+const LARGE_GROUP_GATHERING_MS = 40;
 const NEWS_FANOUT = 3;
 const NEWS_DELAY_MS = 50;
 /** An idle router repeats that it is idle only this often. */
@@ -88,6 +87,8 @@
   private idleReports = 0;
   private seenView = -1;
   private isAnnouncing = false;
+  private readonly board = new WeightsNewsBoard();
+  private pendingFanout = 0;
   private isStopped = false;
   private isStarted = false;
 
@@ -173,9 +174,9 @@
     this.socket.close();
   }
 
-  /** Sends the load report now, for news that can't wait. */
+  /** Sends what is new without waiting for the next report. */
   reportNow(): void {
-    if (this.isStarted) this.sendReport();
+    this.tellSoon(ORIGIN_FANOUT);
   }
 
   private tick(): void {
@@ -210,10 +211,9 @@
         { requests, unreadTokens, heldTokens },
       ]),
     );
-    this.loads.receive(report.sender, report.sequence, loads, this.clock.now());
-    for (const { engineId, model, version, isLoading } of report.weights) {
-      this.events.onWeightsNews({ engineId, model, version, isLoading });
-    }
+    const nowMs = this.clock.now();
+    if (!report.withoutLoads) this.loads.receive(report.sender, report.sequence, loads, nowMs);
+    this.receiveNews(report.weights, nowMs);
     const leaseRevision = Number(report.heldLeaseRevision);
     if (leaseRevision > 0) this.events.onHeldLease(report.sender, leaseRevision);
     for (const { model, version, ageMs } of report.named) {
@@ -221,21 +221,51 @@
     }
   }
 
+  /** Takes news and, in a large group, passes on what is new. */
+  private receiveNews(weights: readonly EngineWeights[], nowMs: number): void {
+    let isAnyNew = false;
+    for (const { engineId, model, version, isLoading, ageMs } of weights) {
+      const news: WeightsNews = { engineId, model, version, isLoading, ageMs };
+      if (!this.board.take(news, nowMs)) continue;
+      isAnyNew = true;
+      this.events.onWeightsNews(news);
+    }
+    if (isAnyNew && this.isLarge) this.tellSoon(SAMPLED_FANOUT);
+  }
+
+  private get isLarge(): boolean {
+    return this.working.length > REPORT_FANOUT + 1;
+  }
+
+  /** Gathers the news of a short while into one report; the widest audience asked for gets it. */
+  private tellSoon(fanout: number): void {
+    const isPending = this.pendingFanout > 0;
+    this.pendingFanout = Math.max(this.pendingFanout, fanout);
+    if (isPending || !this.isStarted) return;
+    this.clock.setTimer(this.isLarge ? LARGE_GROUP_GATHERING_MS : GATHERING_MS, () => {
+      const audience = this.pendingFanout;
+      this.pendingFanout = 0;
+      this.sendReport(audience, this.isLarge);
+    });
+  }
+
   private reportLoads(): void {
     this.loads.expire(this.clock.now());
     const isIdle = this.loads.ownLoads.size === 0 && this.events.weightsNews().length === 0;
     this.idleReports = isIdle ? this.idleReports + 1 : 0;
     if (isIdle && this.idleReports % IDLE_REPORTS_SKIPPED !== 1) return;
-    this.sendReport();
+    this.sendReport(SAMPLED_FANOUT, false);
   }
 
-  private sendReport(): void {
+  /** @param fanout members of a large group that get it; those of a small one all do */
+  private sendReport(fanout: number, withoutLoads: boolean): void {
     if (this.isStopped) return;
     this.reportSequence += 1;
-    const engines = [...this.loads.ownLoads].map(([engineId, load]) =>
+    const loads = withoutLoads ? [] : [...this.loads.ownLoads];
+    const engines = loads.map(([engineId, load]) =>
       create(EngineWorkSchema, { engineId, ...load }),
     );
-    const weights = this.events.weightsNews().map((news) => create(EngineWeightsSchema, news));
+    const weights = this.newsToTell().map((news) => create(EngineWeightsSchema, news));
     const report = create(LoadReportSchema, {
       sender: this.membership.own.nodeId,
       sequence: this.reportSequence,
@@ -243,11 +273,19 @@
       weights,
       named: this.events.versionNotices().map((notice) => create(NamedWeightsSchema, notice)),
       heldLeaseRevision: BigInt(this.events.heldLease() ?? 0),
+      withoutLoads,
     });
     const datagram = encodeLoadReport(report);
-    // News of weights concerns every router at once; only the one that gives orders has any.
-    const targets = weights.length > 0 ? this.others() : this.sampledOthers();
-    for (const { gossipAddress } of targets) this.socket.send(gossipAddress, datagram);
+    for (const { gossipAddress } of this.audience(fanout))
+      this.socket.send(gossipAddress, datagram);
+  }
+
+  /** The own news; in a large group also those of others that are still fresh. */
+  private newsToTell(): readonly WeightsNews[] {
+    const own = this.events.weightsNews();
+    const nowMs = this.clock.now();
+    for (const news of own) this.board.take(news, nowMs);
+    return this.isLarge ? this.board.toTell(nowMs) : own;
   }
 
   private others(): MemberUpdate[] {
@@ -255,12 +293,12 @@
     return this.working.filter((member) => member.nodeId !== own);
   }
 
-  /** All others of a small group, or a random sample. */
-  private sampledOthers(): MemberUpdate[] {
+  /** All others of a small group, or so many of a large one, chosen at random. */
+  private audience(fanout: number): MemberUpdate[] {
     const others = this.others();
-    if (others.length <= REPORT_FANOUT) return others;
+    if (!this.isLarge) return others;
     const sample = new Set<MemberUpdate>();
-    while (sample.size < SAMPLED_FANOUT) {
+    while (sample.size < fanout) {
       sample.add(others[randomInteger(this.random, others.length)] as MemberUpdate);
     }
     return [...sample];
--- a/src/coordination/gateway/object-follower.ts
+++ b/src/coordination/gateway/object-follower.ts
@@ -18,6 +18,8 @@
   onAnswer(provenMs: number): void;
   /** A call was not answered. */
   onFailure(): void;
+  /** The store has forgotten its history: other watches may be waiting in vain. */
+  onHistoryGone(): void;
 }
 
 /** How one kind is followed. */
@@ -37,6 +39,7 @@
   private revision: number | undefined;
   private failures = 0;
   private isStopped = false;
+  private isRefreshing = false;
 
   constructor(
     private readonly settings: FollowerSettings,
@@ -55,6 +58,23 @@
     this.isStopped = true;
   }
 
+  /**
+   * Reads the whole kind beside a watch that may be waiting in vain. What that watch answers in the end
+   * is dropped: the next one goes on from the list.
+   */
+  async refresh(): Promise<void> {
+    if (this.revision === undefined || this.isRefreshing) return;
+    this.isRefreshing = true;
+    try {
+      await this.list();
+    } catch (cause) {
+      const reason = describeProtocolError(toProtocolError(cause, 'store'));
+      this.logger.warn('store_refresh_failed', { kind: this.settings.kind, reason });
+    } finally {
+      this.isRefreshing = false;
+    }
+  }
+
   private async run(): Promise<void> {
     while (!this.isStopped) {
       try {
@@ -67,22 +87,16 @@
   }
 
   private async step(): Promise<void> {
+    const { revision: askedRevision } = this;
+    if (askedRevision === undefined) return this.list();
     const { kind, watchMs } = this.settings;
     const callBeganMs = this.clock.now();
-    if (this.revision === undefined) {
-      const list = await this.store.list(kind);
-      if (this.isStopped) return;
-      this.revision = list.revision;
-      const provenMs = list.provenMs ?? callBeganMs;
-      this.events.onList(list.objects, provenMs);
-      this.events.onAnswer(provenMs);
-      return;
-    }
-    const result = await this.store.watch(kind, this.revision, watchMs);
-    if (this.isStopped) return;
+    const result = await this.store.watch(kind, askedRevision, watchMs);
+    if (this.isStopped || this.revision !== askedRevision) return;
     if (result.kind === 'history-gone') {
-      this.logger.warn('store_history_gone', { kind, revision: this.revision });
+      this.logger.warn('store_history_gone', { kind, revision: askedRevision });
       this.revision = undefined;
+      this.events.onHistoryGone();
       return;
     }
     const provenMs = result.provenMs ?? callBeganMs;
@@ -90,7 +104,18 @@
       if (isGone) this.events.onGone(object.name);
       else this.events.onObject(object, provenMs);
     }
-    this.revision = Math.max(this.revision, result.revision);
+    this.revision = Math.max(askedRevision, result.revision);
+    this.events.onAnswer(provenMs);
+  }
+
+  private async list(): Promise<void> {
+    const callBeganMs = this.clock.now();
+    const list = await this.store.list(this.settings.kind);
+    const isOvertaken = this.revision !== undefined && list.revision < this.revision;
+    if (this.isStopped || isOvertaken) return;
+    this.revision = list.revision;
+    const provenMs = list.provenMs ?? callBeganMs;
+    this.events.onList(list.objects, provenMs);
     this.events.onAnswer(provenMs);
   }
 
--- /dev/null
+++ b/src/coordination/gateway/rollout-report.ts
@@ -0,0 +1,39 @@
+/** Tells operators, in the log and by counters, why a rollout of weights goes on or waits. */
+import type { Logger } from '../../runtime/logger.js';
+import {
+  type RolloutObservations,
+  type RolloutPlan,
+  RolloutReason,
+} from '../../state/routing/weight-rollout.js';
+import type { GatewayStatistics } from './gateway-statistics.js';
+
+/** What was decided about each model, told once for each change. */
+export class RolloutReport {
+  private readonly toldDecisions = new Map<string, string>();
+
+  constructor(
+    private readonly statistics: GatewayStatistics,
+    private readonly logger: Logger,
+  ) {}
+
+  tell({ model, version, reason, behind }: RolloutPlan, observed: RolloutObservations): void {
+    const decision = `${version} ${reason}`;
+    if (this.toldDecisions.get(model) === decision) return;
+    this.toldDecisions.set(model, decision);
+    this.count(reason);
+    this.logger.info('rollout_decided', {
+      model,
+      version,
+      reason,
+      behind,
+      requests_per_s: observed.requestsPerSecond.toFixed(1),
+      names_per_s: observed.namesPerSecond.toFixed(3),
+    });
+  }
+
+  private count(reason: RolloutReason): void {
+    if (reason === RolloutReason.Waiting) this.statistics.rolloutWaits += 1;
+    if (reason === RolloutReason.Worth) this.statistics.rolloutsForWorth += 1;
+    if (reason === RolloutReason.Deadline) this.statistics.rolloutsForDeadline += 1;
+  }
+}
--- a/src/coordination/gateway/weight-coordinator.ts
+++ b/src/coordination/gateway/weight-coordinator.ts
@@ -13,6 +13,8 @@
 } from '../../state/routing/engine-registry.js';
 import type { KeptPrefixes } from '../../state/routing/kept-prefixes.js';
 import type { LoadTable } from '../../state/routing/load-table.js';
+import { type GivenOrder, OrderBook } from '../../state/routing/order-book.js';
+import { OrderTurn } from '../../state/routing/order-turn.js';
 import type { RequestRate } from '../../state/routing/request-rate.js';
 import {
   type RolloutObservations,
@@ -21,10 +23,11 @@
   type RolloutView,
   planRollout,
 } from '../../state/routing/weight-rollout.js';
+import type { WeightsNews } from '../../state/routing/weights-news.js';
 import type { WeightVersions } from '../../state/routing/weight-versions.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
-import type { WeightsNews } from './group-membership.js';
 import type { LeaseKeeper } from './lease-keeper.js';
+import { RolloutReport } from './rollout-report.js';
 
 /** What a coordinator works with. */
 export interface CoordinatorParts {
@@ -45,48 +48,25 @@
 export interface CoordinatorSettings {
   readonly holder: string;
   readonly rollout: RolloutSettings;
-  /** Identifiers of the routers that work, this one included. */
+  /** Identifiers of the routers that work, this one included, in the order in which they stand in. */
   workingRouters(): readonly string[];
+  /** Share of the group's requests that come to this router, above 0 to 1. */
+  shareOfTraffic(): number;
   /** Tells the other routers of news at once. */
   announce(): void;
 }
 
-interface GivenOrder {
-  /** Whether the engine may still carry it out. */
-  isOpen: boolean;
-  readonly model: string;
-  readonly version: number;
-  readonly givenMs: number;
-  isDone: boolean;
-  /** When the news of it need not be told any more. */
-  forgetMs: number;
-}
-
 const TICK_MS = 100;
 /** Over this span it is observed how often versions are named. */
 const NAMES_SPAN_MS = 20_000;
-/** How much later the next in line acts, if nothing happens. */
-const STANDBY_DELAY_MS = 1_000;
-/** An order that shows no effect for this long may be given again. */
-const ORDER_PATIENCE_MS = 4_000;
-/** An engine that has not taken an order is given the next after this. */
-const RETRY_PAUSE_MS = 400;
-/** A router whose orders were heard of within this time is left to go on. */
-const INCUMBENT_PATIENCE_MS = 1_500;
-const NEWS_LIFETIME_MS = 2_500;
 const POLL_PERIOD_MS = 200;
-/** No load is done sooner. */
-const SHORTEST_LOAD_MS = 400;
 
 /** The coordinator of one router. */
 export class WeightCoordinator {
-  private readonly orders = new Map<string, GivenOrder>();
+  private readonly orders = new OrderBook();
+  private readonly turn: OrderTurn;
+  private readonly report: RolloutReport;
   private behindSinceMs: number | undefined;
-  /** When another router last told of an order it gave. */
-  private otherActedMs = -Infinity;
-  /** The router that told of the newest write to the lease. */
-  private incumbent: string | undefined;
-  private incumbentRevision = 0;
   private timer: Timer | undefined;
   private isActing = false;
   private isLeaving = false;
@@ -96,7 +76,10 @@
   constructor(
     private readonly parts: CoordinatorParts,
     private readonly settings: CoordinatorSettings,
-  ) {}
+  ) {
+    this.turn = new OrderTurn(settings.holder, settings.workingRouters);
+    this.report = new RolloutReport(parts.statistics, parts.logger);
+  }
 
   start(): void {
     this.timer = repeat(this.parts.clock, TICK_MS, () => void this.tick());
@@ -113,13 +96,7 @@
 
   /** What the other routers should know. */
   get news(): WeightsNews[] {
-    const told = [...this.orders].filter(([, order]) => order.isOpen);
-    return told.map(([engineId, order]) => ({
-      engineId,
-      model: order.model,
-      version: order.version,
-      isLoading: !order.isDone,
-    }));
+    return this.orders.news(this.now);
   }
 
   /** Takes what another router tells. */
@@ -127,8 +104,8 @@
     const engine = this.parts.registry.find(news.engineId);
     if (!engine) return;
     if (news.isLoading) {
-      this.parts.health.noteLoading(news.engineId, this.now);
-      this.otherActedMs = this.now;
+      this.parts.health.noteLoading(news.engineId, this.now - news.ageMs);
+      this.turn.noteOrder(this.now);
     } else this.noteVersion(engine, news.model, news.version);
   }
 
@@ -140,9 +117,7 @@
   /** Takes that another router holds the lease. */
   receiveLease(holder: string, revision: number): void {
     this.parts.lease.hear(revision);
-    if (revision < this.incumbentRevision) return;
-    this.incumbent = holder;
-    this.incumbentRevision = revision;
+    this.turn.noteHolder(holder, revision);
   }
 
   private get now(): number {
@@ -150,7 +125,7 @@
   }
 
   private async tick(): Promise<void> {
-    this.expireOrders();
+    this.orders.expire(this.now);
     if (this.isActing) return;
     this.isActing = true;
     try {
@@ -164,12 +139,13 @@
   private async act(): Promise<void> {
     await this.lookAtLeaseEarly();
     const plans = this.plans();
-    if (plans.length === 0) {
+    this.tellDecisions(plans);
+    if (plans.every((plan) => plan.engines.length === 0)) {
       this.behindSinceMs = undefined;
       return;
     }
     this.behindSinceMs ??= this.now;
-    if (this.now < this.turnMs(this.behindSinceMs)) return;
+    if (!this.mayBegin(this.behindSinceMs)) return;
     if (this.parts.lease.activeToken === undefined) {
       await this.parts.lease.advance();
       if (this.parts.lease.activeToken === undefined) return;
@@ -180,18 +156,9 @@
     }
   }
 
-  /** When this router may act on work that is there since a moment. */
-  private turnMs(behindSinceMs: number): number {
-    if (this.parts.lease.heldRevision !== undefined) return behindSinceMs;
-    const idleSinceMs = Math.max(behindSinceMs, this.otherActedMs + INCUMBENT_PATIENCE_MS);
-    return idleSinceMs + this.routersBefore * STANDBY_DELAY_MS;
-  }
-
-  /** Working routers that come before this one: the holder of the lease, then by identifier. */
-  private get routersBefore(): number {
-    const { holder, workingRouters } = this.settings;
-    const others = workingRouters().filter((router) => router !== holder);
-    return others.filter((router) => router === this.incumbent || router < holder).length;
+  private mayBegin(behindSinceMs: number): boolean {
+    if (this.parts.lease.heldRevision !== undefined) return true;
+    return this.now >= this.turn.beginsMs(behindSinceMs);
   }
 
   /**
@@ -207,7 +174,7 @@
       this.hasLookedAtLease = false;
       return;
     }
-    if (this.hasLookedAtLease || this.routersBefore > 0) return;
+    if (this.hasLookedAtLease || this.turn.routersBefore > 0) return;
     this.hasLookedAtLease = true;
     if (lease.isUnknown) await lease.advance();
   }
@@ -221,6 +188,7 @@
         versions,
         observed: this.observe(model),
         isLoading: (engineId) => this.isLoading(engineId),
+        isPaused: (engineId) => this.orders.isPaused(engineId, this.now),
         requestsAt: (engineId) => loads.at(engineId).requests,
       };
       const plan = planRollout(view, this.settings.rollout, this.now);
@@ -228,31 +196,28 @@
     });
   }
 
+  /** Decisions are told by the router whose turn it is. */
+  private tellDecisions(plans: readonly RolloutPlan[]): void {
+    const isTurn = this.parts.lease.heldRevision !== undefined || this.turn.routersBefore === 0;
+    if (!isTurn) return;
+    for (const plan of plans) this.report.tell(plan, this.observe(plan.model));
+  }
+
   private observe(model: string): RolloutObservations {
     const { versions, requestRate } = this.parts;
-    // The directory sends callers to all routers alike.
     const requestsPerSecond =
-      requestRate.perSecond(model, this.now) * this.settings.workingRouters().length;
+      requestRate.perSecond(model, this.now) / this.settings.shareOfTraffic();
     const namesPerSecond = versions.namesPerSecond(model, NAMES_SPAN_MS, this.now);
     return { requestsPerSecond, namesPerSecond };
   }
 
   private isLoading(engineId: string): boolean {
-    const order = this.orders.get(engineId);
-    if (order) return !order.isDone;
-    return this.parts.health.isLoading(engineId, this.now);
+    return this.orders.isLoading(engineId) ?? this.parts.health.isLoading(engineId, this.now);
   }
 
   private async order(engine: Engine, model: string, version: number): Promise<void> {
     const { id } = engine.record;
-    this.orders.set(id, {
-      model,
-      version,
-      givenMs: this.now,
-      isOpen: true,
-      isDone: false,
-      forgetMs: this.now + ORDER_PATIENCE_MS,
-    });
+    this.orders.open(id, model, version, this.now);
     const expectedSequence = engine.observedOrders ?? (await this.askForSequence(engine, model));
     const fencingToken = this.parts.lease.activeToken;
     if (expectedSequence === undefined || fencingToken === undefined) {
@@ -288,16 +253,21 @@
     engine.observedOrders = result.kind === 'accepted' ? expectedSequence + 1 : undefined;
     if (result.kind === 'already-done') this.finishOrder(engine, model, version);
     if (result.kind === 'rejected') this.giveOrderUp(id);
+    if (result.kind === 'replaced') this.noteReplaced(id);
     if (result.kind === 'unknown') void this.settleUnanswered(engine, order);
   }
 
+  /** A list that is out of date still names the engine; no request can reach it any more. */
+  private noteReplaced(engineId: string): void {
+    this.orders.forget(engineId);
+    if (this.parts.registry.noteReplaced(engineId)) {
+      this.parts.logger.info('engine_replaced', { engine: engineId, found_by: 'order' });
+    }
+  }
+
   /** Lets the engine serve on; after a pause it may be given the next order. */
   private giveOrderUp(engineId: string): void {
-    const order = this.orders.get(engineId);
-    if (order) {
-      order.isOpen = false;
-      order.forgetMs = this.now + RETRY_PAUSE_MS;
-    }
+    this.orders.giveUp(engineId, this.now);
     this.parts.health.noteLoaded(engineId);
   }
 
@@ -313,17 +283,17 @@
 
   /** Asks the engines under orders how far they are. */
   private async pollLoading(): Promise<void> {
-    const open = [...this.orders].filter(([, order]) => order.isOpen && !order.isDone);
-    if (open.length === 0 || this.now - this.lastPollMs < POLL_PERIOD_MS) return;
+    if (this.now - this.lastPollMs < POLL_PERIOD_MS) return;
+    const due = this.orders.toPoll(this.now);
+    if (due.length === 0) return;
     this.lastPollMs = this.now;
-    const due = open.filter(([, order]) => this.now - order.givenMs >= SHORTEST_LOAD_MS);
     await Promise.all(due.map(([engineId, order]) => this.pollEngine(engineId, order)));
   }
 
   private async pollEngine(engineId: string, order: GivenOrder): Promise<void> {
     const engine = this.parts.registry.find(engineId);
     if (!engine) {
-      this.orders.delete(engineId);
+      this.orders.forget(engineId);
       return;
     }
     this.parts.health.noteLoading(engineId, this.now);
@@ -339,15 +309,13 @@
   }
 
   private finishOrder(engine: Engine, model: string, version: number): void {
-    const order = this.orders.get(engine.record.id);
-    if (order && !order.isDone) {
-      order.isDone = true;
-      order.forgetMs = this.now + NEWS_LIFETIME_MS;
+    const tookMs = this.orders.finish(engine.record.id, this.now);
+    if (tookMs !== undefined) {
       this.parts.logger.info('weights_loaded', {
         engine: engine.record.id,
         model,
         version,
-        took_ms: Math.round(this.now - order.givenMs),
+        took_ms: Math.round(tookMs),
       });
     }
     this.noteVersion(engine, model, version);
@@ -361,12 +329,6 @@
     }
     this.parts.health.noteLoaded(engine.record.id);
   }
-
-  private expireOrders(): void {
-    for (const [engineId, order] of this.orders) {
-      if (this.now >= order.forgetMs) this.orders.delete(engineId);
-    }
-  }
 }
 
 function isBehind(engine: Engine, model: string, versions: WeightVersions): boolean {
--- a/src/coordination/router/gossip-service.ts
+++ b/src/coordination/router/gossip-service.ts
@@ -73,7 +73,8 @@
     let receive: (datagram: Uint8Array) => void = () => undefined;
     const socket = await transport.bind(settings.gossipAddress, (datagram) => receive(datagram));
     const { nodeId, zone, region, seeds, clusterKey } = settings;
-    const identity = { nodeId, peerAddress, gossipAddress: socket.address, zone, region };
+    const place = { zone, region, capacity: 0 };
+    const identity = { nodeId, peerAddress, gossipAddress: socket.address, ...place };
     const membership = new Membership(identity, incarnation, seeds, random);
     const service = new GossipService(membership, socket, clusterKey, clock, events);
     receive = (datagram) => service.receive(datagram);
--- a/src/coordination/router/member-codec.ts
+++ b/src/coordination/router/member-codec.ts
@@ -43,6 +43,7 @@
     gossipAddress: update.gossipAddress,
     zone: update.zone,
     region: update.region,
+    capacity: update.capacity,
   });
 }
 
@@ -56,6 +57,7 @@
     gossipAddress: wire.gossipAddress,
     zone: wire.zone,
     region: wire.region,
+    capacity: wire.capacity,
   };
 }
 
--- a/src/lab/gateway-world/world-fixtures.ts
+++ b/src/lab/gateway-world/world-fixtures.ts
@@ -55,6 +55,7 @@
     nodeId: name,
     zone: 'zone-a',
     region: 'region-a',
+    capacity: 1_000,
     frontendAddress: `${name}:80`,
     gossipAddress: `${name}:7000`,
     seeds: [0, 1, 2].map((index) => `${routerName(index)}:7000`),
--- a/src/protocol/inference/port.ts
+++ b/src/protocol/inference/port.ts
@@ -97,6 +97,8 @@
   | { readonly kind: 'accepted' }
   | { readonly kind: 'already-done' }
   | { readonly kind: 'rejected'; readonly status: number }
+  /** Another incarnation lives at the address: the engine that was meant is gone. */
+  | { readonly kind: 'replaced' }
   /** Not answered: it may be carried out, even later. */
   | { readonly kind: 'unknown'; readonly reason: string };
 
--- a/src/state/membership.ts
+++ b/src/state/membership.ts
@@ -22,6 +22,8 @@
   readonly gossipAddress: string;
   readonly zone: string;
   readonly region: string;
+  /** Share of a processor core that the member may use, in thousandths. */
+  readonly capacity: number;
 }
 
 /** A statement about a member. */
--- a/src/state/routing/engine-health.ts
+++ b/src/state/routing/engine-health.ts
@@ -18,8 +18,8 @@
 /** Below this share an engine counts as well again and its pauses start short. */
 const RECOVERED_SHARE = 0.1;
 
-/** An engine that takes weights refuses work; news of it comes several times within this time. */
-const LOADING_LIFETIME_MS = 900;
+/** An engine that takes weights refuses work; news of a load that lasts come again within this time. */
+const LOADING_LIFETIME_MS = 1_600;
 
 /** Health of all engines, by incarnation. */
 export class EngineHealth {
--- a/src/state/routing/engine-registry.ts
+++ b/src/state/routing/engine-registry.ts
@@ -23,10 +23,15 @@
   observedOrders: number | undefined;
 }
 
+/** Replaced incarnations remembered; lists drop them within seconds. */
+const MAXIMUM_REPLACED = 4_096;
+
 /** Engines by incarnation, grouped by service. */
 export class EngineRegistry {
   private readonly engines = new Map<string, Engine>();
   private readonly byService = new Map<string, Engine[]>();
+  /** Incarnations that were found replaced; they never come back, whatever an old list says. */
+  private readonly replaced = new Set<string>();
   private view = 0;
 
   /** Changes with every change of the list. */
@@ -58,6 +63,7 @@
   }
 
   put(record: EngineRecord): void {
+    if (this.replaced.has(record.id)) return;
     this.store(record);
     this.regroup();
   }
@@ -66,6 +72,15 @@
     if (this.engines.delete(id)) this.regroup();
   }
 
+  /** Another incarnation answered at the engine's address: this one is gone for good. */
+  noteReplaced(id: string): boolean {
+    if (!this.engines.has(id)) return false;
+    if (this.replaced.size >= MAXIMUM_REPLACED) this.replaced.clear();
+    this.replaced.add(id);
+    this.remove(id);
+    return true;
+  }
+
   private store(record: EngineRecord): void {
     const present = this.engines.get(record.id);
     if (!present) {
--- a/src/state/routing/kept-prefixes.ts
+++ b/src/state/routing/kept-prefixes.ts
@@ -11,6 +11,7 @@
   /** Turn in which each part was noted last, by holder. */
   private readonly partsByHolder = new Map<string, Map<string, number>>();
   private turn = 0;
+  private reported: ReadonlySet<string> = new Set();
 
   /** Notes that a holder keeps `tokens` of a part; 0 where it dropped the part. */
   note(holder: string, salt: string, partId: string, tokens: number): void {
@@ -56,13 +57,23 @@
     }
   }
 
+  /** Sets which holders report what they keep and drop; nothing tells that of the others. */
+  setReported(holders: ReadonlySet<string>): void {
+    this.reported = holders;
+  }
+
+  /** Whether what is believed of a holder follows its own reports. */
+  isReported(holder: string): boolean {
+    return this.reported.has(holder);
+  }
+
   /**
-   * Begins a new turn: of holders that nobody reports on, what was not noted in this turn or the one
-   * before is forgotten, since nothing would tell that they dropped it.
+   * Begins a new turn: of holders that do not report, what was not noted in this turn or the one before
+   * is forgotten, since nothing would tell that they dropped it.
    */
-  expire(isReportedOn: (holder: string) => boolean): void {
+  expire(): void {
     for (const [holder, parts] of this.partsByHolder) {
-      if (isReportedOn(holder)) continue;
+      if (this.isReported(holder)) continue;
       for (const [key, notedTurn] of [...parts]) {
         if (notedTurn < this.turn) this.drop(holder, key);
       }
--- /dev/null
+++ b/src/state/routing/order-turn.ts
@@ -0,0 +1,57 @@
+/**
+ * Which router gives orders for new weights. The holder of the lease goes on; the others stand by, each
+ * a little later than the one before it, and only while the holder is silent. That only spares calls and
+ * quarrels: the lease itself keeps two routers from giving orders at once. Pure.
+ */
+
+/** How much later the next in line acts, if nothing happens. */
+const STANDBY_DELAY_MS = 1_000;
+/** A router whose orders were heard of within this time is left to go on. */
+const INCUMBENT_PATIENCE_MS = 1_500;
+
+/** The line of routers, as one of them sees it. */
+export class OrderTurn {
+  /** When another router last told of an order it gave. */
+  private otherActedMs = -Infinity;
+  /** The router that told of the newest write to the lease. */
+  private incumbent: string | undefined;
+  private incumbentRevision = 0;
+
+  /**
+   * @param own identifier of this router
+   * @param workingRouters identifiers of the routers that work, in the order in which they stand in
+   */
+  constructor(
+    private readonly own: string,
+    private readonly workingRouters: () => readonly string[],
+  ) {}
+
+  /** Another router told of an order it gave. */
+  noteOrder(nowMs: number): void {
+    this.otherActedMs = nowMs;
+  }
+
+  /** Another router told that it holds the lease, and the revision of its last write. */
+  noteHolder(router: string, revision: number): void {
+    if (revision < this.incumbentRevision) return;
+    this.incumbent = router;
+    this.incumbentRevision = revision;
+  }
+
+  /** When this router, which does not hold the lease, may act on work that is there since a moment. */
+  beginsMs(workSinceMs: number): number {
+    const idleSinceMs = Math.max(workSinceMs, this.otherActedMs + INCUMBENT_PATIENCE_MS);
+    return idleSinceMs + this.routersBefore * STANDBY_DELAY_MS;
+  }
+
+  /** Working routers that come before this one: the holder of the lease, then the order of all. */
+  get routersBefore(): number {
+    const routers = this.workingRouters();
+    const before = new Set(routers.slice(0, Math.max(0, routers.indexOf(this.own))));
+    const { incumbent } = this;
+    if (incumbent !== undefined && incumbent !== this.own && routers.includes(incumbent)) {
+      before.add(incumbent);
+    }
+    return before.size;
+  }
+}
--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -8,10 +8,12 @@
 import type { KeptPrefixes } from './kept-prefixes.js';
 import type { LoadTable } from './load-table.js';
 import {
+  type BestSource,
   KeptBySalt,
   type KeptPrompt,
   READ_TOKENS_PER_MS,
   bestSource,
+  paysToFetch,
   sharedTokensOf,
 } from './prompt-sources.js';
 import type { WeightVersions } from './weight-versions.js';
@@ -232,7 +234,7 @@
     engine,
     expectedVersion: version,
     cacheSalt: salt,
-    fetchFrom: source?.address ?? guessedSource(engine, ownTokens, version, prompt),
+    fetchFrom: sourceAddress(engine, ownTokens, source, prompt, request.profile),
     saveTo: storeToSave(keptPrompt, prompt),
     unreadTokens,
     costMs,
@@ -258,20 +260,28 @@
 }
 
 /**
- * Where shared parts may be kept though this router has not heard of it: at the subject's home, or, for
- * the home itself, in the store. A wrong guess costs a millisecond, reading again a hundred times that.
+ * From where the engine takes what it lacks. Of holders that do not report, a router knows only what it
+ * sent there itself a while ago, and memory gives way within seconds: there the store goes first, and it
+ * is named even where the engine is believed to keep all. Where nothing is known it is a guess; a wrong
+ * one costs a millisecond, reading again a hundred times that.
  */
-function guessedSource(
+function sourceAddress(
   engine: Engine,
   ownTokens: number,
-  version: number,
-  { generation, homes, store }: PromptView,
+  known: BestSource | undefined,
+  { generation, homes, store, kept }: PromptView,
+  profile: EngineProfile | undefined,
 ): string | undefined {
-  if (ownTokens >= sharedTokensOf(generation)) return undefined;
+  if (known?.isReported) return known.address;
+  const keepsAll = ownTokens >= sharedTokensOf(generation);
+  if (keepsAll && kept.isReported(engine.record.id)) return undefined;
+  if (store && profile && paysToFetch(engine, store, profile)) return store.address;
+  if (known || keepsAll) return known?.address;
+  const version = versionAt(engine, generation.model);
   const home = homes.find(
     (each) => each !== engine && versionAt(each, generation.model) === version,
   );
-  return engine === homes[0] || !home ? store?.address : home.record.address;
+  return home?.record.address;
 }
 
 /** The store that should get this prompt's shared parts; undefined where it has them. */
--- a/src/state/routing/prompt-sources.ts
+++ b/src/state/routing/prompt-sources.ts
@@ -34,6 +34,8 @@
   readonly address: string;
   readonly zone: string;
   readonly linkMbps: number;
+  /** Whether it reports what it keeps; otherwise it may have dropped it since. */
+  readonly isReported: boolean;
 }
 
 /** The place from where an engine best takes kept prompts. */
@@ -41,6 +43,8 @@
   readonly address: string;
   readonly tokens: number;
   readonly fetchMs: number;
+  /** Whether it reports what it keeps; otherwise it may have dropped it since. */
+  readonly isReported: boolean;
 }
 
 /** What is kept of one prompt, looked up once for each salt that engines have. */
@@ -57,6 +61,10 @@
     return cacheSaltOf(this.question.generation.model, version, this.question.isolatedTenant);
   }
 
+  isReported(holder: string): boolean {
+    return this.kept.isReported(holder);
+  }
+
   of(salt: string): KeptPrompt {
     let kept = this.bySalt.get(salt);
     if (!kept) {
@@ -75,12 +83,15 @@
       const tokens = tokensByHolder.get(record.id);
       if (tokens === undefined) continue;
       const { address, zone } = record;
-      sources.push({ tokens, address, zone, linkMbps: profile.linkMbps });
+      const isReported = this.kept.isReported(record.id);
+      sources.push({ tokens, address, zone, linkMbps: profile.linkMbps, isReported });
     }
     for (const { address, zone, linkMbps } of stores) {
       const tokens = tokensByHolder.get(address);
       if (tokens === undefined) continue;
-      sources.push({ tokens, address, zone, linkMbps: Math.min(linkMbps, profile.linkMbps) });
+      const slowestMbps = Math.min(linkMbps, profile.linkMbps);
+      const isReported = this.kept.isReported(address);
+      sources.push({ tokens, address, zone, linkMbps: slowestMbps, isReported });
     }
     return { tokensByHolder, sources };
   }
@@ -96,20 +107,35 @@
   if (!profile) return undefined;
   let best: BestSource | undefined;
   let bestGainMs = 0;
-  for (const { address, tokens, zone, linkMbps } of sources) {
+  for (const { address, tokens, zone, linkMbps, isReported } of sources) {
     if (tokens <= ownTokens || address === engine.record.address) continue;
     const fetched = tokens - ownTokens;
-    const megabits = (fetched * profile.cacheTokenBytes * BITS_PER_BYTE) / BITS_PER_MEGABIT;
-    const zoneFactor = zone === engine.record.zone ? 1 : OTHER_ZONE_LINK_FACTOR;
-    const fetchMs = (megabits / linkMbps) * MILLISECONDS_PER_SECOND * zoneFactor;
+    const fetchMs = fetched * moveMsPerToken(engine, zone, linkMbps, profile);
     const gainMs = fetched / READ_TOKENS_PER_MS - fetchMs;
     if (gainMs <= bestGainMs) continue;
     bestGainMs = gainMs;
-    best = { address, tokens, fetchMs };
+    best = { address, tokens, fetchMs, isReported };
   }
   return best;
 }
 
+/** Whether an engine takes tokens from a store sooner than it reads them. */
+export function paysToFetch(engine: Engine, store: CacheStore, profile: EngineProfile): boolean {
+  const linkMbps = Math.min(store.linkMbps, profile.linkMbps);
+  return moveMsPerToken(engine, store.zone, linkMbps, profile) < 1 / READ_TOKENS_PER_MS;
+}
+
+function moveMsPerToken(
+  engine: Engine,
+  zone: string,
+  linkMbps: number,
+  profile: EngineProfile,
+): number {
+  const megabits = (profile.cacheTokenBytes * BITS_PER_BYTE) / BITS_PER_MEGABIT;
+  const zoneFactor = zone === engine.record.zone ? 1 : OTHER_ZONE_LINK_FACTOR;
+  return (megabits / linkMbps) * MILLISECONDS_PER_SECOND * zoneFactor;
+}
+
 /** Tokens of the parts that other requests may share. */
 export function sharedTokensOf(generation: GenerationShape): number {
   return sharedPartsOf(generation).reduce((sum, part) => sum + part.tokens, 0);
--- a/src/state/routing/store-readers.ts
+++ b/src/state/routing/store-readers.ts
@@ -8,6 +8,8 @@
 export interface GroupPlace {
   readonly nodeId: string;
   readonly zone: string;
+  /** Share of a processor core, in thousandths: the most capable of a zone read. */
+  readonly capacity: number;
 }
 
 /** How many routers read. */
@@ -54,7 +56,15 @@
   return choices[Math.max(0, place) % Math.max(1, choices.length)];
 }
 
+/** The most capable first, then by identifier, so that all routers order alike. */
+export function byCapability(
+  left: Pick<GroupPlace, 'nodeId' | 'capacity'>,
+  right: Pick<GroupPlace, 'nodeId' | 'capacity'>,
+): number {
+  return right.capacity - left.capacity || (left.nodeId < right.nodeId ? -1 : 1);
+}
+
 function membersOf<Member extends GroupPlace>(zone: string, members: readonly Member[]): Member[] {
   const inZone = members.filter((member) => member.zone === zone);
-  return inZone.sort((left, right) => (left.nodeId < right.nodeId ? -1 : 1));
+  return inZone.sort(byCapability);
 }
--- a/src/state/routing/weight-rollout.ts
+++ b/src/state/routing/weight-rollout.ts
@@ -28,8 +28,10 @@
   readonly namesPerSecond: number;
 }
 
-/** Why a rollout starts now. */
+/** Why a rollout goes on now, or waits. */
 export enum RolloutReason {
+  /** A version named soon may spare more loads than the wait loses. */
+  Waiting = 'waiting',
   /** What requests on replaced weights lose is more than what a wait may save. */
   Worth = 'worth',
   /** The earliest deadline allows no longer wait. */
@@ -41,7 +43,9 @@
   readonly model: string;
   readonly version: number;
   readonly reason: RolloutReason;
-  /** Engines to order now: those of the oldest weights first, then the least busy. */
+  /** Engines that have older weights. */
+  readonly behind: number;
+  /** Engines to order now: those of the oldest weights first, then the least busy; none while waiting. */
   readonly engines: readonly Engine[];
 }
 
@@ -54,12 +58,14 @@
   readonly observed: RolloutObservations;
   /** Whether an engine is being changed by an order that was given. */
   isLoading(engineId: string): boolean;
+  /** Whether an engine is left alone because it did not take an order; others go first meanwhile. */
+  isPaused(engineId: string): boolean;
   /** Requests under way at an engine. */
   requestsAt(engineId: string): number;
 }
 
 /**
- * The engines to order now. A rollout starts at once where requests on replaced weights lose more than
+ * The engines to order now; undefined where all have the newest weights. A rollout starts at once where requests on replaced weights lose more than
  * a wait may save; otherwise as late as the earliest deadline allows, so that a version named shortly
  * after is met by the same load.
  */
@@ -80,21 +86,27 @@
   const rollingMs = batchesLeft * settings.batchMs + settings.handoverMs;
   const isDue = nowMs >= dueMs - settings.marginMs - rollingMs;
   const isWorth = paysNow(behind.length, active.length, view.observed, settings);
-  if (!isDue && !isWorth) return undefined;
-  const loading = behind.filter((engine) => view.isLoading(engine.record.id)).length;
-  // Past the deadline the engines behind serve nothing, so there is nothing to spare.
-  const room = nowMs >= dueMs ? behind.length : batchSize - loading;
-  const next = behind
-    .filter((engine) => !view.isLoading(engine.record.id))
-    .sort(
-      (left, right) =>
-        (versionAt(left, model) ?? 0) - (versionAt(right, model) ?? 0) ||
-        view.requestsAt(left.record.id) - view.requestsAt(right.record.id),
-    )
-    .slice(0, Math.max(0, room));
-  if (next.length === 0) return undefined;
+  const plan = { model, version: newest, behind: behind.length };
+  if (!isDue && !isWorth) return { ...plan, reason: RolloutReason.Waiting, engines: [] };
   const reason = isDue ? RolloutReason.Deadline : RolloutReason.Worth;
-  return { model, version: newest, reason, engines: next };
+  // Past the deadline the engines behind serve nothing, so there is nothing to spare.
+  const atOnce = nowMs >= dueMs ? behind.length : batchSize;
+  return { ...plan, reason, engines: nextEngines(behind, atOnce, view) };
+}
+
+/** Engines to order beside those that load already: the oldest weights first, then the least busy. */
+function nextEngines(behind: readonly Engine[], atOnce: number, view: RolloutView): Engine[] {
+  const { model } = view;
+  const isLoading = (engine: Engine): boolean => view.isLoading(engine.record.id);
+  const loading = behind.filter(isLoading).length;
+  const idle = behind.filter((engine) => !isLoading(engine) && !view.isPaused(engine.record.id));
+  const room = atOnce === behind.length ? idle.length : atOnce - loading;
+  const sorted = idle.sort(
+    (left, right) =>
+      (versionAt(left, model) ?? 0) - (versionAt(right, model) ?? 0) ||
+      view.requestsAt(left.record.id) - view.requestsAt(right.record.id),
+  );
+  return sorted.slice(0, Math.max(0, room));
 }
 
 /**
--- a/src/state/routing/weight-versions.ts
+++ b/src/state/routing/weight-versions.ts
@@ -61,10 +61,20 @@
     return this.byModel.get(model)?.at(-1)?.version;
   }
 
-  /** Versions named a second over a span that ends now, in milliseconds. */
+  /**
+   * How often versions are named: from the pauses between those of a span that ends now, in
+   * milliseconds, and from the present pause where it is longer than these.
+   */
   namesPerSecond(model: string, spanMs: number, nowMs: number): number {
     const named = (this.byModel.get(model) ?? []).filter(({ namedMs }) => namedMs > nowMs - spanMs);
-    return (named.length * MILLISECONDS_PER_SECOND) / spanMs;
+    const overSpan = named.length / spanMs;
+    const [first, last] = [named[0], named.at(-1)];
+    if (!first || !last || first === last) return overSpan * MILLISECONDS_PER_SECOND;
+    const pauses = named.length - 1;
+    const meanPauseMs = (last.namedMs - first.namedMs) / pauses;
+    const overdueMs = Math.max(0, nowMs - last.namedMs - meanPauseMs);
+    const byPauses = pauses / Math.max(1, meanPauseMs * pauses + overdueMs);
+    return Math.max(overSpan, byPauses) * MILLISECONDS_PER_SECOND;
   }
 
   /** The lowest version that may still serve a request begun now. */
--- /dev/null
+++ b/test/gateway/object-follower.test.ts
@@ -0,0 +1,103 @@
+/** A watch that waits in vain does not keep its follower from what a fresh list shows. */
+import test from 'ava';
+import { ObjectFollower } from '../../src/coordination/gateway/object-follower.js';
+import type { ObjectStorePort, WatchResult } from '../../src/protocol/object-store/port.js';
+import { SilentLogger } from '../../src/runtime/logger.js';
+import { SeededRandom } from '../../src/runtime/random.js';
+import { VirtualClock } from '../../src/runtime/virtual-clock.js';
+
+/** A store whose watches end only when the test says so. */
+class WaitingStore implements Pick<ObjectStorePort, 'list' | 'watch'> {
+  revision = 1;
+  lists = 0;
+  readonly watches: { readonly from: number; readonly end: (result: WatchResult) => void }[] = [];
+
+  list(): ReturnType<ObjectStorePort['list']> {
+    this.lists += 1;
+    const objects = [{ name: 'object', revision: this.revision, spec: this.revision }];
+    return Promise.resolve({ objects, revision: this.revision });
+  }
+
+  watch(_kind: string, from: number): Promise<WatchResult> {
+    return new Promise((end) => this.watches.push({ from, end }));
+  }
+}
+
+test('a refresh shows what a silent watch does not, and the watch is taken up from there', async (t) => {
+  const clock = new VirtualClock();
+  const store = new WaitingStore();
+  const seen: unknown[] = [];
+  let historyGone = 0;
+  const follower = new ObjectFollower(
+    { kind: 'kind', watchMs: 10_000 },
+    store as unknown as ObjectStorePort,
+    {
+      onList: (objects) => seen.push(...objects.map(({ spec }) => spec)),
+      onObject: (object) => seen.push(object.spec),
+      onGone: () => undefined,
+      onAnswer: () => undefined,
+      onFailure: () => undefined,
+      onHistoryGone: () => {
+        historyGone += 1;
+      },
+    },
+    clock,
+    new SeededRandom(1),
+    new SilentLogger(),
+  );
+  follower.start();
+  await clock.advance(10);
+  t.deepEqual(seen, [1]);
+  store.revision = 5;
+  await follower.refresh();
+  t.deepEqual(seen, [1, 5]);
+  // The old watch ends with the loss of the history, which the list has made up for.
+  store.watches[0]?.end({ kind: 'history-gone' });
+  await clock.advance(10);
+  t.is(historyGone, 0);
+  t.is(store.lists, 2);
+  t.is(store.watches[1]?.from, 5);
+  store.watches[1]?.end({ kind: 'history-gone' });
+  await clock.advance(10);
+  t.is(historyGone, 1);
+  t.is(store.lists, 3);
+  follower.stop();
+});
+
+test('a list that a watch has overtaken meanwhile is dropped', async (t) => {
+  const clock = new VirtualClock();
+  const store = new WaitingStore();
+  const seen: unknown[] = [];
+  const follower = new ObjectFollower(
+    { kind: 'kind', watchMs: 10_000 },
+    store as unknown as ObjectStorePort,
+    {
+      onList: (objects) => seen.push(...objects.map(({ spec }) => spec)),
+      onObject: (object) => seen.push(object.spec),
+      onGone: () => undefined,
+      onAnswer: () => undefined,
+      onFailure: () => undefined,
+      onHistoryGone: () => undefined,
+    },
+    clock,
+    new SeededRandom(1),
+    new SilentLogger(),
+  );
+  follower.start();
+  await clock.advance(10);
+  let answerList: (() => void) | undefined;
+  store.list = () =>
+    new Promise((resolve) => {
+      answerList = () => {
+        resolve({ objects: [{ name: 'object', revision: 2, spec: 'old' }], revision: 2 });
+      };
+    });
+  const refresh = follower.refresh();
+  const object = { name: 'object', revision: 3, spec: 'new' };
+  store.watches[0]?.end({ kind: 'events', events: [{ object, isGone: false }], revision: 3 });
+  await clock.advance(10);
+  answerList?.();
+  await refresh;
+  t.deepEqual(seen, [1, 'new']);
+  follower.stop();
+});
