--- a/src/state/routing/weight-rollout.ts
+++ b/src/state/routing/weight-rollout.ts
@@ -88,7 +88,7 @@
   const isWorth = paysNow(behind.length, active.length, view.observed, settings);
   const plan = { model, version: newest, behind: behind.length };
   if (!isDue && !isWorth) return { ...plan, reason: RolloutReason.Waiting, engines: [] };
-  const reason = isDue ? RolloutReason.Deadline : RolloutReason.Worth;
+  const reason = isWorth ? RolloutReason.Worth : RolloutReason.Deadline;
   // Past the deadline the engines behind serve nothing, so there is nothing to spare.
   const atOnce = nowMs >= dueMs ? behind.length : batchSize;
   return { ...plan, reason, engines: nextEngines(behind, atOnce, view) };
