--- a/src/coordination/gateway/weight-coordinator.ts
+++ b/src/coordination/gateway/weight-coordinator.ts
@@ -156,6 +156,7 @@
     }
   }
 
+  /** Whether it is this router's turn at work that is there since a moment. */
   private mayBegin(behindSinceMs: number): boolean {
     if (this.parts.lease.heldRevision !== undefined) return true;
     return this.now >= this.turn.beginsMs(behindSinceMs);
