Call a store in trouble less than a calm one; fewer readers in a large group

A peer's answer counts only where it brings changes or a newer proof. Without a recent proof at any reader the readers try the store, the others ask readers and other routers, and one of them in the mean tries the store in a round. History is listed again only where an answer can't be read or it is gone; lists come from a reader. One reader for 80 routers, two at least, spread over the zones (one a zone for 40 before). Changes of engines' entries are gathered for 200 ms. Entries that lapsed with the store are waited for up to 2.3 s (1.5 s before), as the bound on draining allows: the platform says about two seconds.

--- a/src/coordination/gateway/engine-list.ts
+++ b/src/coordination/gateway/engine-list.ts
@@ -7,8 +7,13 @@
 
 /** For this long after a failed call, a missing entry may have lapsed with the store. */
 const LAPSE_WINDOW_MS = 3_000;
-/** Time for an engine to enter again; less than the time in which a leaving one must be left out. */
-const LAPSE_GRACE_MS = 1_500;
+/**
+ * Time for an engine to enter again: the platform says about two seconds after the store's return. Of
+ * the bound on engines that drain this is at most three quarters, but for the least.
+ */
+const LONGEST_LAPSE_GRACE_MS = 2_300;
+const SHORTEST_LAPSE_GRACE_MS = 1_500;
+const LAPSE_GRACE_SHARE = 0.75;
 
 /** The list of engines as one router follows it. */
 export class EngineList {
@@ -16,6 +21,7 @@
   /** Engines whose entries were missing after the store had been down. */
   private readonly missing = new Set<string>();
   private hasList = false;
+  private readonly lapseGraceMs: number;
 
   constructor(
     private readonly registry: EngineRegistry,
@@ -23,7 +29,12 @@
     private readonly clock: Clock,
     private readonly logger: Logger,
     private readonly onChanged: () => void,
-  ) {}
+    /** Time after which a draining engine must get no new work, in milliseconds. */
+    drainMs: number,
+  ) {
+    const ofBoundMs = Math.min(LONGEST_LAPSE_GRACE_MS, drainMs * LAPSE_GRACE_SHARE);
+    this.lapseGraceMs = Math.max(SHORTEST_LAPSE_GRACE_MS, ofBoundMs);
+  }
 
   /** Whether the list has been read once. */
   get isKnown(): boolean {
@@ -76,7 +87,7 @@
       return;
     }
     this.missing.add(id);
-    this.clock.setTimer(LAPSE_GRACE_MS, () => {
+    this.clock.setTimer(this.lapseGraceMs, () => {
       if (this.missing.delete(id)) this.drop(id);
     });
   }
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -6,7 +6,11 @@
 import type { DatagramTransport } from '../../transport/datagram-transport.js';
 import type { FrameTransport } from '../../transport/frame-transport.js';
 import type { InferencePort } from '../../protocol/inference/port.js';
-import type { ObjectStorePort, StoredObject } from '../../protocol/object-store/port.js';
+import {
+  ListFreshness,
+  type ObjectStorePort,
+  type StoredObject,
+} from '../../protocol/object-store/port.js';
 import { ConfigurationState } from '../../state/routing/configuration-state.js';
 import type { IngressLimits } from '../../state/routing/configuration.js';
 import { EngineHealth } from '../../state/routing/engine-health.js';
@@ -31,9 +35,9 @@
 import { GroupMembership } from './group-membership.js';
 import { LeaseKeeper } from './lease-keeper.js';
 import type { ObjectDecoder } from './object-decoder.js';
-import { ObjectFollower } from './object-follower.js';
 import type { InboundRequest, Reply } from './reply.js';
 import { RequestCall } from './request-call.js';
+import { StoreFollowers } from './store-followers.js';
 import { StoreRelay } from './store-relay/store-relay.js';
 import { VersionNews } from './version-news.js';
 import { WeightCoordinator } from './weight-coordinator.js';
@@ -54,6 +58,14 @@
 const UPKEEP_PERIOD_MS = 1_000;
 /** What holders without a feed keep is believed for one to two of these. */
 const KEPT_TURN_MS = 6_000;
+/**
+ * Changes of engines' entries that come within this time are read with one call: a rollout changes an
+ * entry for each load. Small against the bounds on engines that drain, 2 s and more.
+ */
+const ENGINE_GATHER_MS = 200;
+/** How current the first list of a kind is. */
+const CURRENT_FIRST = { firstList: ListFreshness.Current } as const;
+const OLD_FIRST = { firstList: ListFreshness.MayBeOld } as const;
 /** A router that joins has heard of most others after this long, and so knows its rank. */
 const RANK_SETTLING_MS = 250;
 
@@ -69,7 +81,7 @@
   private readonly versions: WeightVersions;
   private readonly requestRate = new RequestRate();
   private readonly split = new TrafficSplit();
-  private readonly followers: ObjectFollower[] = [];
+  private readonly followers: StoreFollowers;
   private readonly calls = new Set<RequestCall>();
   private readonly context: GatewayContext;
   private readonly coordinator: WeightCoordinator;
@@ -91,6 +103,7 @@
     this.loads = parts.loads;
     this.configuration = new ConfigurationState(settings.proofLifetimeMs);
     this.versions = new WeightVersions(settings.rollout.graceMs, this.outages);
+    this.followers = new StoreFollowers(relay.store, this.outages, clock, random, logger);
     this.context = {
       clock,
       random,
@@ -111,8 +124,13 @@
       zone: settings.zone,
     };
     this.feeds = new CacheFeeds({ kept: this.kept, engines, clock, random, logger });
-    this.engineList = new EngineList(this.registry, surroundings.decoder, clock, logger, () =>
-      this.noteEngines(),
+    this.engineList = new EngineList(
+      this.registry,
+      surroundings.decoder,
+      clock,
+      logger,
+      () => this.noteEngines(),
+      settings.drainMs,
     );
     const lease = new WeightLease({
       holder: settings.nodeId,
@@ -180,20 +198,31 @@
   }
 
   start(): void {
-    this.follow(this.settings.kinds.configuration, this.settings.configurationWatchMs, {
-      onObject: (object, provenMs) => this.takeConfiguration(object, provenMs),
-      onAnswer: (provenMs) => this.configuration.prove(provenMs),
-    });
-    this.follow(this.settings.kinds.engines, this.settings.engineWatchMs, {
-      onList: (objects) => this.engineList.takeAll(objects),
-      onObject: (object) => this.engineList.take(object),
-      onGone: (name) => this.engineList.takeGone(name),
-      onFailure: () => this.engineList.noteFailure(),
-    });
-    this.follow(this.settings.kinds.weightVersions, this.settings.versionWatchMs, {
-      onList: (objects) => this.versionNews.takeList(objects),
-      onObject: (object) => this.versionNews.takeChange(object),
-    });
+    const { kinds, configurationWatchMs, engineWatchMs, versionWatchMs } = this.settings;
+    // Requests with a key wait for a proof, so a router that starts asks for a current list.
+    this.followers.follow(
+      { kind: kinds.configuration, watchMs: configurationWatchMs, gatherMs: 0, ...CURRENT_FIRST },
+      {
+        onObject: (object, provenMs) => this.takeConfiguration(object, provenMs),
+        onAnswer: (provenMs) => this.configuration.prove(provenMs),
+      },
+    );
+    this.followers.follow(
+      { kind: kinds.engines, watchMs: engineWatchMs, gatherMs: ENGINE_GATHER_MS, ...OLD_FIRST },
+      {
+        onList: (objects) => this.engineList.takeAll(objects),
+        onObject: (object) => this.engineList.take(object),
+        onGone: (name) => this.engineList.takeGone(name),
+        onFailure: () => this.engineList.noteFailure(),
+      },
+    );
+    this.followers.follow(
+      { kind: kinds.weightVersions, watchMs: versionWatchMs, gatherMs: 0, ...OLD_FIRST },
+      {
+        onList: (objects) => this.versionNews.takeList(objects),
+        onObject: (object) => this.versionNews.takeChange(object),
+      },
+    );
     const { clock } = this.surroundings;
     this.timers.push(
       repeat(clock, UPKEEP_PERIOD_MS, () => this.upkeep()),
@@ -242,7 +271,7 @@
   /** Ends all that still runs and closes. */
   stop(): void {
     for (const call of this.calls) call.endForStop();
-    for (const follower of this.followers) follower.stop();
+    this.followers.stop();
     for (const timer of this.timers) timer.cancel();
     this.coordinator.stop();
     this.feeds.stop();
@@ -250,45 +279,6 @@
     this.group.stop();
   }
 
-  private follow(
-    kind: string,
-    watchMs: number,
-    handlers: Partial<FollowHandlers> & Pick<FollowHandlers, 'onObject'>,
-  ): void {
-    const { clock, random, logger } = this.surroundings;
-    const follower = new ObjectFollower(
-      { kind, watchMs },
-      this.relay.store,
-      {
-        onList: (objects, provenMs) => {
-          if (handlers.onList) handlers.onList(objects, provenMs);
-          else for (const object of objects) handlers.onObject(object, provenMs);
-        },
-        onObject: handlers.onObject,
-        onGone: (name) => handlers.onGone?.(name),
-        onAnswer: (provenMs) => {
-          this.outages.noteAnswer(clock.now());
-          handlers.onAnswer?.(provenMs);
-        },
-        onFailure: () => {
-          this.outages.noteFailure(clock.now());
-          handlers.onFailure?.();
-        },
-        onHistoryGone: () => this.refreshOthers(follower),
-      },
-      clock,
-      random,
-      logger,
-    );
-    this.followers.push(follower);
-    follower.start();
-  }
-
-  /** What one watch found out holds for the others too; they would find it only when they end. */
-  private refreshOthers(finder: ObjectFollower): void {
-    for (const follower of this.followers) if (follower !== finder) void follower.refresh();
-  }
-
   private takeConfiguration(object: StoredObject, provenMs: number): void {
     const { decoder, logger } = this.surroundings;
     const configuration = decoder.configuration(object);
@@ -361,11 +351,3 @@
     return this.group.working.filter((member) => member.nodeId < nodeId).length;
   }
 }
-
-type FollowHandlers = {
-  onList(objects: readonly StoredObject[], provenMs: number): void;
-  onObject(object: StoredObject, provenMs: number): void;
-  onGone(name: string): void;
-  onAnswer(provenMs: number): void;
-  onFailure(): void;
-};
--- a/src/coordination/gateway/gateway-settings.ts
+++ b/src/coordination/gateway/gateway-settings.ts
@@ -25,6 +25,8 @@
   readonly versionWatchMs: number;
   /** How the store is followed in a large group. */
   readonly relay: RelaySettings;
+  /** Time after which an engine that drains, or whose entry is gone, must get no new work. */
+  readonly drainMs: number;
   readonly retryBudget: RetryBudgetSettings;
   readonly rollout: RolloutSettings;
   /** Weights found by a router that has just started are taken to be named this long ago. */
--- a/src/coordination/gateway/object-follower.ts
+++ b/src/coordination/gateway/object-follower.ts
@@ -5,8 +5,16 @@
 import { type Clock, sleep } from '../../runtime/clock.js';
 import type { Logger } from '../../runtime/logger.js';
 import type { RandomSource } from '../../runtime/random.js';
-import type { ObjectStorePort, StoredObject } from '../../protocol/object-store/port.js';
-import { describeProtocolError, toProtocolError } from '../../protocol/errors.js';
+import {
+  ListFreshness,
+  type ObjectStorePort,
+  type StoredObject,
+} from '../../protocol/object-store/port.js';
+import {
+  type ProtocolError,
+  describeProtocolError,
+  toProtocolError,
+} from '../../protocol/errors.js';
 
 /** Receives what the store tells. `provenMs`: a moment at which that was the newest there was. */
 export interface FollowerEvents {
@@ -27,16 +35,28 @@
   readonly kind: string;
   /** A watch waits this long at most; the answer of an idle one proves that nothing changed. */
   readonly watchMs: number;
+  /** Pause after an answer that brought changes, so that one call brings the next few of them. */
+  readonly gatherMs: number;
+  /**
+   * Pause between the first list and the first watch: meanwhile a router that joins hears of the group
+   * and then follows through a router that reads the store.
+   */
+  readonly settleMs: number;
+  /** How current the first list must be; what it lacks comes with the first watch. */
+  readonly firstList: ListFreshness;
 }
 
+/** Statuses by which a store says that it did nothing and that the caller should come again. */
+const RetryLaterStatus = { TooManyRequests: 429, ServiceUnavailable: 503 } as const;
+/** First pause after a call that failed; it doubles with each further failure. */
 const FIRST_PAUSE_MS = 60;
+/** Longest such pause: a store that is back is found within a second. */
 const LONGEST_PAUSE_MS = 500;
-/** Failures in a row after which the revision is not trusted any more. */
-const FAILURES_BEFORE_LIST = 4;
 
 /** Follows one kind until stopped. */
 export class ObjectFollower {
   private revision: number | undefined;
+  private hasListed = false;
   private failures = 0;
   private isStopped = false;
   private isRefreshing = false;
@@ -66,7 +86,7 @@
     if (this.revision === undefined || this.isRefreshing) return;
     this.isRefreshing = true;
     try {
-      await this.list();
+      await this.list(ListFreshness.Current);
     } catch (cause) {
       const reason = describeProtocolError(toProtocolError(cause, 'store'));
       this.logger.warn('store_refresh_failed', { kind: this.settings.kind, reason });
@@ -78,26 +98,28 @@
   private async run(): Promise<void> {
     while (!this.isStopped) {
       try {
-        await this.step();
+        const pauseMs = await this.step();
         this.noteAnswer();
+        if (pauseMs > 0) await sleep(this.clock, pauseMs);
       } catch (cause) {
         await this.noteFailure(cause);
       }
     }
   }
 
-  private async step(): Promise<void> {
+  /** One call; answers the pause before the next. */
+  private async step(): Promise<number> {
     const { revision: askedRevision } = this;
-    if (askedRevision === undefined) return this.list();
-    const { kind, watchMs } = this.settings;
+    if (askedRevision === undefined) return this.listFirst();
+    const { kind, watchMs, gatherMs } = this.settings;
     const callBeganMs = this.clock.now();
     const result = await this.store.watch(kind, askedRevision, watchMs);
-    if (this.isStopped || this.revision !== askedRevision) return;
+    if (this.isStopped || this.revision !== askedRevision) return 0;
     if (result.kind === 'history-gone') {
       this.logger.warn('store_history_gone', { kind, revision: askedRevision });
       this.revision = undefined;
       this.events.onHistoryGone();
-      return;
+      return 0;
     }
     const provenMs = result.provenMs ?? callBeganMs;
     for (const { object, isGone } of result.events) {
@@ -106,11 +128,22 @@
     }
     this.revision = Math.max(askedRevision, result.revision);
     this.events.onAnswer(provenMs);
+    return result.events.length > 0 ? gatherMs : 0;
+  }
+
+  /** Lists where no revision is known; answers the pause before the first watch. */
+  private async listFirst(): Promise<number> {
+    const { firstList, settleMs } = this.settings;
+    const isFirst = !this.hasListed;
+    // A list that may be old is worth one try; where it fails, the next one is a current one.
+    this.hasListed = true;
+    await this.list(isFirst ? firstList : ListFreshness.Current);
+    return isFirst ? settleMs : 0;
   }
 
-  private async list(): Promise<void> {
+  private async list(freshness: ListFreshness): Promise<void> {
     const callBeganMs = this.clock.now();
-    const list = await this.store.list(this.settings.kind);
+    const list = await this.store.list(this.settings.kind, freshness);
     const isOvertaken = this.revision !== undefined && list.revision < this.revision;
     if (this.isStopped || isOvertaken) return;
     this.revision = list.revision;
@@ -130,12 +163,21 @@
     if (this.isStopped) return;
     this.failures += 1;
     this.events.onFailure();
+    const error = toProtocolError(cause, 'store');
     if (this.failures === 1) {
-      const reason = describeProtocolError(toProtocolError(cause, 'store'));
+      const reason = describeProtocolError(error);
       this.logger.warn('store_lost', { kind: this.settings.kind, reason });
     }
-    if (this.failures >= FAILURES_BEFORE_LIST) this.revision = undefined;
+    if (isRevisionInDoubt(error)) this.revision = undefined;
     const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (this.failures - 1));
     await sleep(this.clock, pauseMs * (0.5 + this.random.next()));
   }
 }
+
+/** A store that is down or busy keeps its history; one whose answer can't be read may have lost it. */
+function isRevisionInDoubt(error: ProtocolError): boolean {
+  if (error.kind === 'malformed') return true;
+  const { TooManyRequests, ServiceUnavailable } = RetryLaterStatus;
+  const isRefused = error.kind === 'rejected';
+  return isRefused && error.status !== TooManyRequests && error.status !== ServiceUnavailable;
+}
--- a/src/coordination/gateway/store-relay/object-mirror.ts
+++ b/src/coordination/gateway/store-relay/object-mirror.ts
@@ -28,6 +28,11 @@
     return this.latestRevision > 0;
   }
 
+  /** Whether an answer of the store has shown at some moment that this was current. */
+  get isProven(): boolean {
+    return this.provenAtMs > -Infinity;
+  }
+
   get revision(): number {
     return this.latestRevision;
   }
--- a/src/coordination/gateway/store-relay/relay-server.ts
+++ b/src/coordination/gateway/store-relay/relay-server.ts
@@ -23,6 +23,8 @@
   readonly query: RelayQuery;
   readonly connection: FrameConnection;
   readonly receivedMs: number;
+  /** The kind was not proved current when the query came: it is held until it is. */
+  readonly isAwaitingProof: boolean;
   timer: Timer | undefined;
 }
 
@@ -51,7 +53,7 @@
     connection.onClose(() => this.drop(connection));
   }
 
-  /** The mirror of a kind has changed: whoever waits for it is told soon. */
+  /** The mirror of a kind has changed or has its first proof: whoever waits for that is told soon. */
   noteChange(kind: string): void {
     if (this.gathering.has(kind) || (this.held.get(kind)?.size ?? 0) === 0) return;
     this.gathering.add(kind);
@@ -77,6 +79,7 @@
       query,
       connection,
       receivedMs: this.clock.now(),
+      isAwaitingProof: !this.mirrors.of(query.kind).isProven,
       timer: undefined,
     };
     if (query.revision === 0) this.answerWithAll(held);
@@ -86,8 +89,11 @@
   private hold(held: HeldQuery): void {
     const { kind, waitMs } = held.query;
     const mirror = this.mirrors.of(kind);
-    const untilStaleMs = this.freshMs - mirror.proofAgeMs(this.clock.now());
-    const holdMs = Math.min(waitMs, LONGEST_HOLD_MS, untilStaleMs);
+    const now = this.clock.now();
+    const leftMs = waitMs - (now - held.receivedMs);
+    const untilOutdatedMs = this.freshMs - mirror.proofAgeMs(now);
+    const limitMs = held.isAwaitingProof ? LONGEST_HOLD_MS : untilOutdatedMs;
+    const holdMs = Math.min(leftMs, LONGEST_HOLD_MS, limitMs);
     if (this.hasNews(held, mirror) || holdMs <= 0) {
       this.answerWithChanges(held);
       return;
@@ -119,6 +125,7 @@
   }
 
   private hasNews(held: HeldQuery, mirror: ObjectMirror): boolean {
+    if (held.isAwaitingProof) return mirror.isProven;
     return mirror.changesAfter(held.query.revision)?.length !== 0;
   }
 
--- a/src/coordination/gateway/store-relay/relayed-object-store.ts
+++ b/src/coordination/gateway/store-relay/relayed-object-store.ts
@@ -4,10 +4,16 @@
  *
  * What is relayed carries its proof: the age of the call to the store that found the revision current.
  * The asker counts that age from when it asked, so no delay on the way makes a proof seem younger.
+ *
+ * Where no reader has a recent proof the store is taken to be out for the whole group. Then the readers
+ * go on trying, the others ask readers and other routers, and only now and then one of them tries the
+ * store itself: an outage costs fewer calls than calm, and one router that gets through is found by all.
  */
 import type { Clock } from '../../../runtime/clock.js';
 import type { Logger } from '../../../runtime/logger.js';
+import { type RandomSource, randomInteger } from '../../../runtime/random.js';
 import type {
+  ListFreshness,
   ObjectList,
   ObjectStorePort,
   StoredObject,
@@ -20,7 +26,11 @@
   toProtocolError,
 } from '../../../protocol/errors.js';
 import type { RelayAnswer } from '../../../protocol/peer/relay-codec.js';
-import { type ReaderPolicy, readerFor } from '../../../state/routing/store-readers.js';
+import {
+  type ReaderPolicy,
+  chooseReaders,
+  readerFor,
+} from '../../../state/routing/store-readers.js';
 import type { MemberUpdate } from '../../../state/membership.js';
 import type { ObjectMirrors } from './object-mirrors.js';
 import type { RelayClient } from './relay-client.js';
@@ -53,6 +63,7 @@
   readonly server: RelayServer;
   readonly group: RelayGroup;
   readonly clock: Clock;
+  readonly random: RandomSource;
   readonly logger: Logger;
 }
 
@@ -61,40 +72,61 @@
 type ProvenResult = Exclude<WatchResult, { kind: 'events' }> | ProvenChanges;
 type ProvenChanges = Extract<WatchResult, { kind: 'events' }> & { readonly provenMs: number };
 
-/** A reader that did not answer well is left alone for this long. */
+/** A reader that did not answer, or without a recent proof, is left alone for this long. */
 const AVOID_MS = 3_000;
-/** How long another router may hold a query that stands in for a failed watch. */
-const STAND_IN_WAIT_MS = 400;
-/** How much older than a whole watch a stand-in's proof may be. */
-const STAND_IN_SLACK_MS = 1_000;
+/** How long another router may hold a query that replaces a failed watch. */
+const PEER_WAIT_MS = 400;
+/** How much older than a whole watch the proof of such a router may be. */
+const PEER_SLACK_MS = 1_000;
+/** For this long after its start a router's watches are as short as those of a reader. */
+const YOUNG_MS = 3_000;
+/** Wait of the first watch after a list that may be old. */
+const FIRST_PROOF_WAIT_MS = 1;
+/** Longest wait of a watch that only tries whether the store answers again. */
+const PROBE_WAIT_MS = 100;
+/**
+ * Routers of the whole group that try the store at one round of attempts, in the mean, while it is out
+ * for the readers. Followers make some two rounds a second, so that is a few calls a second for each
+ * kind, whatever the size of the group.
+ */
+const PROBES_PER_ROUND = 1;
+/** A proof that is newer by less than this is no progress that is worth another question at once. */
+const PROGRESS_MS = 50;
 /** Routers asked for a whole kind while the store can't be read. */
 const MAXIMUM_LIST_ASKS = 3;
 
 /** The store port of one router. */
 export class RelayedObjectStore implements ObjectStorePort {
-  private readonly avoidedUntilMs = new Map<string, number>();
+  /** Readers that did not answer, with the time until which they are left alone. */
+  private readonly silentUntilMs = new Map<string, number>();
+  /** Readers that answered without a recent proof: their way to the store is lost. */
+  private readonly outdatedUntilMs = new Map<string, number>();
+  private readonly openedMs: number;
+  /** When a call of this router's own was last answered by the store. */
+  private storeAnsweredMs = -Infinity;
 
   constructor(
     private readonly own: MemberUpdate,
     private readonly settings: RelaySettings,
     private readonly parts: RelayParts,
-  ) {}
+  ) {
+    this.openedMs = parts.clock.now();
+  }
 
-  async list(kind: string): Promise<ProvenList> {
-    const list = await this.listAnyway(kind);
+  async list(kind: string, freshness: ListFreshness): Promise<ProvenList> {
+    const list = (await this.listFromReader(kind)) ?? (await this.listAnyway(kind, freshness));
     this.parts.mirrors.of(kind).takeList(list.objects, list.revision, list.provenMs);
     this.parts.server.noteChange(kind);
     return list;
   }
 
   async watch(kind: string, revision: number, waitMs: number): Promise<ProvenResult> {
-    const reader = this.reader();
-    const result = reader
-      ? await this.watchThrough(reader, kind, revision, waitMs)
-      : await this.watchDirectly(kind, revision, waitMs);
+    const mirror = this.parts.mirrors.of(kind);
+    const result = await this.watchBestWay(kind, revision, waitMs);
     if (result.kind === 'events') {
-      this.parts.mirrors.of(kind).takeChanges(result.events, result.revision, result.provenMs);
-      if (result.events.length > 0) this.parts.server.noteChange(kind);
+      const wasProven = mirror.isProven;
+      mirror.takeChanges(result.events, result.revision, result.provenMs);
+      if (!wasProven || result.events.length > 0) this.parts.server.noteChange(kind);
     }
     return result;
   }
@@ -119,11 +151,39 @@
     return this.parts.group.working.length > this.settings.directGroupSize;
   }
 
-  /** The reader to follow through; undefined where this router reads the store itself. */
+  /** The reader to follow through; undefined where there is none to be asked now. */
   private reader(): MemberUpdate | undefined {
-    const isAvoided = (nodeId: string): boolean =>
-      this.now < (this.avoidedUntilMs.get(nodeId) ?? -Infinity);
-    return readerFor(this.own, this.parts.group.working, this.settings, isAvoided);
+    const { group } = this.parts;
+    return readerFor(this.own, group.working, this.settings, (nodeId) => this.isAvoided(nodeId));
+  }
+
+  private isAvoided(nodeId: string): boolean {
+    const isSilent = this.now < (this.silentUntilMs.get(nodeId) ?? -Infinity);
+    return isSilent || this.isOutdated(nodeId);
+  }
+
+  private isOutdated(nodeId: string): boolean {
+    return this.now < (this.outdatedUntilMs.get(nodeId) ?? -Infinity);
+  }
+
+  /** Readers that this router may ask; none in a small group or where it is a reader itself. */
+  private get askedReaders(): MemberUpdate[] {
+    if (!this.isLargeGroup) return [];
+    const readers = chooseReaders(this.parts.group.working, this.settings);
+    return readers.some(({ nodeId }) => nodeId === this.own.nodeId) ? [] : readers;
+  }
+
+  private watchBestWay(kind: string, revision: number, waitMs: number): Promise<ProvenResult> {
+    const reader = this.reader();
+    if (reader) return this.watchThrough(reader, kind, revision, waitMs);
+    const isOutForReaders = this.askedReaders.some(({ nodeId }) => this.isOutdated(nodeId));
+    if (!isOutForReaders) return this.watchDirectly(kind, revision, waitMs);
+    // A store that answered this router just now is followed by it until a reader has a recent proof.
+    if (this.now - this.storeAnsweredMs < AVOID_MS) {
+      return this.watchStore(kind, revision, Math.min(waitMs, this.settings.watchMs));
+    }
+    if (this.mayProbe()) return this.probe(kind, revision, waitMs);
+    return this.askAnyone(kind, revision);
   }
 
   private async watchThrough(
@@ -133,13 +193,59 @@
     waitMs: number,
   ): Promise<ProvenResult> {
     const heldMs = Math.min(waitMs, this.settings.watchMs);
+    let answer: PeerAnswer;
     try {
-      return await this.ask(reader, kind, revision, heldMs, this.settings.freshMs);
+      answer = await this.ask(reader, kind, revision, heldMs);
     } catch (cause) {
-      this.avoidedUntilMs.set(reader.nodeId, this.now + AVOID_MS);
+      this.silentUntilMs.set(reader.nodeId, this.now + AVOID_MS);
       this.logChangeOfWay('relay_lost', kind, reader.nodeId, cause);
       return this.watchStore(kind, revision, heldMs);
     }
+    if (answer.isRecent) return answer.result;
+    this.outdatedUntilMs.set(reader.nodeId, this.now + AVOID_MS);
+    this.parts.logger.warn('relay_outdated', {
+      kind,
+      peer: reader.nodeId,
+      proof_age_ms: Math.round(answer.proofAgeMs),
+    });
+    // An old proof may still be newer than the own one; then it is used, and the next question goes on.
+    if (this.isProgress(kind, answer.result)) return answer.result;
+    return this.watchBestWay(kind, revision, waitMs);
+  }
+
+  /** Only as many routers try a store that is out as are needed to find it back soon. */
+  private mayProbe(): boolean {
+    const followers = this.parts.group.working.length - this.askedReaders.length;
+    return this.parts.random.next() < PROBES_PER_ROUND / Math.max(1, followers);
+  }
+
+  private async probe(kind: string, revision: number, waitMs: number): Promise<ProvenResult> {
+    const result = await this.watchStore(kind, revision, Math.min(waitMs, PROBE_WAIT_MS));
+    this.parts.logger.info('store_probe_answered', { kind });
+    return result;
+  }
+
+  /** A reader or any other router, by turns of chance: one of them may have got through. */
+  private async askAnyone(kind: string, revision: number): Promise<ProvenResult> {
+    const { random } = this.parts;
+    const choices = random.next() < 0.5 ? this.askedReaders : this.others;
+    const peer = choices[randomInteger(random, Math.max(1, choices.length))];
+    if (!peer) throw storeIsOut('no router to ask');
+    const { result, isRecent, proofAgeMs } = await this.ask(peer, kind, revision, 0);
+    if (isRecent) this.outdatedUntilMs.delete(peer.nodeId);
+    if (isRecent || this.isProgress(kind, result)) return result;
+    throw storeIsOut(`proof of ${peer.nodeId} is ${Math.round(proofAgeMs)} ms old`);
+  }
+
+  /** Whether a result brings changes or a newer proof. */
+  private isProgress(kind: string, result: ProvenResult): boolean {
+    if (result.kind !== 'events') return false;
+    const proofAgeMs = this.parts.mirrors.of(kind).proofAgeMs(this.now);
+    return result.events.length > 0 || this.now - result.provenMs < proofAgeMs - PROGRESS_MS;
+  }
+
+  private get others(): MemberUpdate[] {
+    return this.parts.group.working.filter(({ nodeId }) => nodeId !== this.own.nodeId);
   }
 
   private async watchDirectly(
@@ -147,60 +253,83 @@
     revision: number,
     waitMs: number,
   ): Promise<ProvenResult> {
-    const limitMs = this.isLargeGroup ? Math.min(waitMs, this.settings.watchMs) : waitMs;
+    // A router that has just started may not have heard of its group yet.
+    const isLargeOrYoung = this.isLargeGroup || this.now - this.openedMs < YOUNG_MS;
+    const limitMs = isLargeOrYoung ? Math.min(waitMs, this.settings.watchMs) : waitMs;
     try {
       return await this.watchStore(kind, revision, limitMs);
     } catch (cause) {
-      const peer = this.standIn();
+      const peer = this.nextPeer();
       if (!peer) throw cause;
       this.logChangeOfWay('store_read_through_peer', kind, peer.nodeId, cause);
-      const oldestMs = limitMs + STAND_IN_SLACK_MS;
-      return this.ask(peer, kind, revision, STAND_IN_WAIT_MS, oldestMs).catch(() => {
-        throw cause;
-      });
+      const oldestMs = limitMs + PEER_SLACK_MS;
+      const answer = await this.ask(peer, kind, revision, PEER_WAIT_MS).catch(() => undefined);
+      if (!answer || answer.proofAgeMs > oldestMs) throw cause;
+      // What the other router knows through this one is no way to the store.
+      if (!this.isProgress(kind, answer.result)) throw cause;
+      return answer.result;
     }
   }
 
   private async watchStore(kind: string, revision: number, waitMs: number): Promise<ProvenResult> {
     const beganMs = this.now;
-    const result = await this.parts.store.watch(kind, revision, waitMs);
+    // After a list that may be old the first answer proves at once what is current.
+    const isProven = this.parts.mirrors.of(kind).isProven;
+    const limitMs = isProven ? waitMs : Math.min(waitMs, FIRST_PROOF_WAIT_MS);
+    const result = await this.parts.store.watch(kind, revision, limitMs);
+    this.storeAnsweredMs = this.now;
     return result.kind === 'events' ? { ...result, provenMs: beganMs } : result;
   }
 
   /** Another router to ask while this one has no way to the store: a different one each time. */
-  private standIn(): MemberUpdate | undefined {
-    const others = this.parts.group.working.filter(({ nodeId }) => nodeId !== this.own.nodeId);
-    const turn = Math.floor(this.now / STAND_IN_WAIT_MS);
+  private nextPeer(): MemberUpdate | undefined {
+    const { others } = this;
+    const turn = Math.floor(this.now / PEER_WAIT_MS);
     return others[turn % Math.max(1, others.length)];
   }
 
-  /** One query; rejects where the answer is too old or from behind. */
+  /** One query; rejects where no answer comes or the other router knows less than this one. */
   private async ask(
     peer: MemberUpdate,
     kind: string,
     revision: number,
     waitMs: number,
-    oldestMs: number,
-  ): Promise<ProvenResult> {
+  ): Promise<PeerAnswer> {
     const askedMs = this.now;
     const answer = await this.parts.client.query(peer.gossipAddress, kind, revision, waitMs);
-    const isBehind = answer.revision < revision;
-    if (isBehind || answer.proofAgeMs > oldestMs) throw staleAnswer(peer.gossipAddress, answer);
-    if (!answer.isKnown) return { kind: 'history-gone' };
-    return {
-      kind: 'events',
-      events: answer.events,
-      revision: answer.revision,
-      provenMs: askedMs + answer.heldMs - answer.proofAgeMs,
-    };
+    if (answer.revision < revision) throw storeIsOut(`${peer.nodeId} is at an older revision`);
+    const { proofAgeMs } = answer;
+    const isRecent = proofAgeMs <= this.settings.freshMs;
+    if (!answer.isKnown) return { result: { kind: 'history-gone' }, proofAgeMs, isRecent };
+    const provenMs = askedMs + answer.heldMs - proofAgeMs;
+    const { events } = answer;
+    const result = { kind: 'events' as const, events, revision: answer.revision, provenMs };
+    return { result, proofAgeMs, isRecent };
+  }
+
+  /** A reader's list, where this router follows through one whose proof is recent. */
+  private async listFromReader(kind: string): Promise<ProvenList | undefined> {
+    const reader = this.reader();
+    if (!reader) return undefined;
+    const askedMs = this.now;
+    try {
+      const answer = await this.parts.client.query(reader.gossipAddress, kind, 0, 0);
+      if (!answer.isKnown || answer.proofAgeMs > this.settings.freshMs) return undefined;
+      return listOf(answer, askedMs);
+    } catch (cause) {
+      this.silentUntilMs.set(reader.nodeId, this.now + AVOID_MS);
+      this.logChangeOfWay('relay_lost', kind, reader.nodeId, cause);
+      return undefined;
+    }
   }
 
   /** The store's list, or another router's while the store can't be read. */
-  private async listAnyway(kind: string): Promise<ProvenList> {
+  private async listAnyway(kind: string, freshness: ListFreshness): Promise<ProvenList> {
     const beganMs = this.now;
     try {
-      const list = await this.parts.store.list(kind);
-      return { ...list, provenMs: beganMs };
+      const list = await this.parts.store.list(kind, freshness);
+      this.storeAnsweredMs = this.now;
+      return { ...list, provenMs: list.provenMs ?? beganMs };
     } catch (cause) {
       const list = await this.listFromPeers(kind);
       if (!list) throw cause;
@@ -220,9 +349,7 @@
       (best, each) => (best && each && best.revision >= each.revision ? best : each),
       undefined,
     );
-    if (!newest) return undefined;
-    const objects = newest.events.map((event) => event.object);
-    return { objects, revision: newest.revision, provenMs: askedMs - newest.proofAgeMs };
+    return newest && listOf(newest, askedMs);
   }
 
   private listSources(): string[] {
@@ -239,7 +366,18 @@
   }
 }
 
-function staleAnswer(address: string, answer: RelayAnswer): ProtocolFailure {
-  const reason = `proof of revision ${answer.revision} is ${answer.proofAgeMs} ms old`;
-  return new ProtocolFailure({ kind: 'interrupted', address, reason });
+/** What another router answered, and how old its proof was when it answered. */
+interface PeerAnswer {
+  readonly result: ProvenResult;
+  readonly proofAgeMs: number;
+  readonly isRecent: boolean;
+}
+
+function listOf(answer: RelayAnswer, askedMs: number): ProvenList {
+  const objects = answer.events.map((event) => event.object);
+  return { objects, revision: answer.revision, provenMs: askedMs - answer.proofAgeMs };
+}
+
+function storeIsOut(reason: string): ProtocolFailure {
+  return new ProtocolFailure({ kind: 'interrupted', address: 'store', reason });
 }
--- a/src/coordination/gateway/store-relay/store-relay.ts
+++ b/src/coordination/gateway/store-relay/store-relay.ts
@@ -1,6 +1,7 @@
 /** One router's part in relaying the store: its own view of it, and what it serves to others. */
 import type { Clock } from '../../../runtime/clock.js';
 import type { Logger } from '../../../runtime/logger.js';
+import type { RandomSource } from '../../../runtime/random.js';
 import type { FrameListener, FrameTransport } from '../../../transport/frame-transport.js';
 import type { ObjectStorePort } from '../../../protocol/object-store/port.js';
 import type { GroupMembership } from '../group-membership.js';
@@ -14,6 +15,7 @@
   readonly store: ObjectStorePort;
   readonly frames: FrameTransport;
   readonly clock: Clock;
+  readonly random: RandomSource;
   readonly logger: Logger;
 }
 
@@ -33,7 +35,7 @@
     group: GroupMembership,
     surroundings: RelaySurroundings,
   ): Promise<StoreRelay> {
-    const { store, frames, clock, logger } = surroundings;
+    const { store, frames, clock, random, logger } = surroundings;
     const mirrors = new ObjectMirrors();
     const client = new RelayClient(frames, clock);
     const server = new RelayServer(mirrors, settings.freshMs, clock);
@@ -41,7 +43,7 @@
     const listener = await frames.listen(own.gossipAddress, (connection) =>
       server.accept(connection),
     );
-    const parts = { store, mirrors, client, server, group, clock, logger };
+    const parts = { store, mirrors, client, server, group, clock, random, logger };
     return new StoreRelay(new RelayedObjectStore(own, settings, parts), client, server, listener);
   }
 
--- a/src/lab/gateway-world/simulated-object-store.ts
+++ b/src/lab/gateway-world/simulated-object-store.ts
@@ -33,6 +33,10 @@
   private latest = 1;
   private oldestKnown = 0;
   isDown = false;
+  /** Refuses every call at once, as a store does that is busy. */
+  isBusy = false;
+  /** Calls that came, answered or not. */
+  calls = 0;
   /** Routers that get no answer. */
   readonly unreachableFor = new Set<string>();
   readonly writeFaults: WriteFault[] = [];
@@ -121,6 +125,8 @@
   }
 
   watch(kind: string, revision: number, waitMs: number): Promise<WatchResult> {
+    this.store.calls += 1;
+    if (this.store.isBusy) return this.refusal();
     return new Promise((resolve, reject) => {
       const { store } = this;
       let isOver = false;
@@ -178,6 +184,8 @@
   }
 
   private call<Result>(action: () => Result): Promise<Result> {
+    this.store.calls += 1;
+    if (this.store.isBusy) return this.refusal();
     return new Promise((resolve, reject) => {
       this.store.clock.setTimer(LATENCY_MS, () => {
         if (this.isSilent) {
@@ -190,6 +198,13 @@
     });
   }
 
+  private refusal<Result>(): Promise<Result> {
+    return new Promise((_resolve, reject) => {
+      const failure = new ProtocolFailure({ kind: 'rejected', status: 503, reason: 'busy' });
+      this.store.clock.setTimer(2 * LATENCY_MS, () => this.host.deliver(() => reject(failure)));
+    });
+  }
+
   private silence<Result>(): Promise<Result> {
     return new Promise((_resolve, reject) => {
       this.store.clock.setTimer(SILENCE_MS, () => this.host.deliver(() => reject(noAnswer())));
--- a/src/lab/gateway-world/world-fixtures.ts
+++ b/src/lab/gateway-world/world-fixtures.ts
@@ -71,6 +71,7 @@
       watchMs: 600,
       freshMs: 1_400,
     },
+    drainMs: WORLD_BOUNDS.drainMs,
     retryBudget: { ratio: 0.2, windowMs: 10_000, allowance: 54 },
     rollout: {
       graceMs: 7_000,
--- a/src/protocol/object-store/port.ts
+++ b/src/protocol/object-store/port.ts
@@ -13,7 +13,10 @@
 export interface ObjectList {
   readonly objects: readonly StoredObject[];
   readonly revision: number;
-  /** Moment on the steady clock at which the list was current; left out: when the call began. */
+  /**
+   * Moment on the steady clock at which the list was current, -Infinity where that is not known; left
+   * out: when the call began.
+   */
   readonly provenMs?: number;
 }
 
@@ -41,9 +44,17 @@
   | { readonly kind: 'conflict'; readonly present: StoredObject | undefined }
   | { readonly kind: 'missing' };
 
+/** How current a list must be. */
+export enum ListFreshness {
+  /** No change acknowledged before the call is missing. */
+  Current = 'current',
+  /** It may lack the changes of the last seconds, and costs the store less. */
+  MayBeOld = 'may-be-old',
+}
+
 /** Calls reject with a `ProtocolFailure`; a write without an answer may still be done later. */
 export interface ObjectStorePort {
-  list(kind: string): Promise<ObjectList>;
+  list(kind: string, freshness: ListFreshness): Promise<ObjectList>;
   /** Waits up to `waitMs` for changes after `revision`. */
   watch(kind: string, revision: number, waitMs: number): Promise<WatchResult>;
   /** Undefined where there is no such object. */
--- a/src/state/routing/store-readers.ts
+++ b/src/state/routing/store-readers.ts
@@ -16,29 +16,36 @@
 export interface ReaderPolicy {
   /** In a group of this size or less every router reads the store itself. */
   readonly directGroupSize: number;
-  /** Routers of a zone for which one of them reads. */
+  /** Routers of a group for which one of them reads. */
   readonly routersPerReader: number;
   readonly minimumReaders: number;
 }
 
-/** The readers among the members; all members of a small group. */
+/**
+ * The readers among the members; all members of a small group. They are spread over the zones: none has
+ * two more of them than another that has members left.
+ */
 export function chooseReaders<Member extends GroupPlace>(
   members: readonly Member[],
   policy: ReaderPolicy,
 ): Member[] {
   if (members.length <= policy.directGroupSize) return [...members];
-  const zones = [...new Set(members.map((member) => member.zone))];
-  const leastPerZone = Math.ceil(policy.minimumReaders / zones.length);
-  return zones.flatMap((zone) => {
-    const inZone = membersOf(zone, members);
-    const wanted = Math.max(leastPerZone, Math.ceil(inZone.length / policy.routersPerReader));
-    return inZone.slice(0, wanted);
-  });
+  const bySize = Math.ceil(members.length / policy.routersPerReader);
+  const wanted = Math.min(members.length, Math.max(policy.minimumReaders, bySize));
+  const zones = [...membersByZone(members).values()];
+  // Zones with the most capable members come first.
+  zones.sort((left, right) => byCapability(left[0] as Member, right[0] as Member));
+  const readers: Member[] = [];
+  for (let rank = 0; readers.length < wanted; rank += 1) {
+    const ofRank = zones.flatMap((inZone) => inZone[rank] ?? []);
+    readers.push(...ofRank.slice(0, wanted - readers.length));
+  }
+  return readers;
 }
 
 /**
- * The reader that a router should ask; undefined where it reads the store itself, because it is a
- * reader or because no reader is left that is not avoided.
+ * The reader that a router should ask, one of its own zone where there is any; undefined where it reads
+ * the store itself, because it is a reader or because no reader is left that is not avoided.
  */
 export function readerFor<Member extends GroupPlace>(
   own: GroupPlace,
@@ -52,8 +59,8 @@
   const usable = readers.filter((reader) => !isAvoided(reader.nodeId));
   const near = usable.filter((reader) => reader.zone === own.zone);
   const choices = near.length > 0 ? near : usable;
-  const place = membersOf(own.zone, members).findIndex(({ nodeId }) => nodeId === own.nodeId);
-  return choices[Math.max(0, place) % Math.max(1, choices.length)];
+  const place = members.filter(({ nodeId }) => nodeId < own.nodeId).length;
+  return choices[place % Math.max(1, choices.length)];
 }
 
 /** The most capable first, then by identifier, so that all routers order alike. */
@@ -64,7 +71,15 @@
   return right.capacity - left.capacity || (left.nodeId < right.nodeId ? -1 : 1);
 }
 
-function membersOf<Member extends GroupPlace>(zone: string, members: readonly Member[]): Member[] {
-  const inZone = members.filter((member) => member.zone === zone);
-  return inZone.sort(byCapability);
+/** The members of each zone, the most capable first. */
+function membersByZone<Member extends GroupPlace>(
+  members: readonly Member[],
+): Map<string, Member[]> {
+  const byZone = new Map<string, Member[]>();
+  for (const member of [...members].sort(byCapability)) {
+    const inZone = byZone.get(member.zone);
+    if (inZone) inZone.push(member);
+    else byZone.set(member.zone, [member]);
+  }
+  return byZone;
 }
--- a/test/gateway/entry-lapse.test.ts
+++ b/test/gateway/entry-lapse.test.ts
@@ -25,6 +25,24 @@
   t.deepEqual(findBreaches(world), []);
 });
 
+test('entries that come back two seconds after the store find their engines in service', async (t) => {
+  const world = await GatewayWorld.create(3, { settings: { drainMs: 4_000 } });
+  const LATE_REENTER_MS = 2_000;
+  world.lapseEntries(DOWN_MS, LATE_REENTER_MS);
+  await world.clock.advance(DOWN_MS + 1_000);
+  const first = world.requests.length;
+  for (let spentMs = 1_000; spentMs < LATE_REENTER_MS + 500; spentMs += STEP_MS) {
+    world.request(spentMs / STEP_MS, 'plain-safe', 'tenant-2', 0);
+    await world.clock.advance(STEP_MS);
+  }
+  await world.settle();
+  const refused = world.requests.slice(first).filter((request) => request.reply.status !== 200);
+  t.deepEqual(
+    refused.map((request) => request.reply.own),
+    [],
+  );
+});
+
 test('an engine that was gone when the store came back is left out soon', async (t) => {
   const world = await GatewayWorld.create(2);
   const gone = world.engine(4);
--- a/test/gateway/object-follower.test.ts
+++ b/test/gateway/object-follower.test.ts
@@ -1,7 +1,11 @@
 /** A watch that waits in vain does not keep its follower from what a fresh list shows. */
 import test from 'ava';
 import { ObjectFollower } from '../../src/coordination/gateway/object-follower.js';
-import type { ObjectStorePort, WatchResult } from '../../src/protocol/object-store/port.js';
+import {
+  ListFreshness,
+  type ObjectStorePort,
+  type WatchResult,
+} from '../../src/protocol/object-store/port.js';
 import { SilentLogger } from '../../src/runtime/logger.js';
 import { SeededRandom } from '../../src/runtime/random.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
@@ -31,7 +35,7 @@
   onHistoryGone: () => void,
 ): ObjectFollower {
   return new ObjectFollower(
-    { kind: 'kind', watchMs: 10_000 },
+    { kind: 'kind', watchMs: 10_000, gatherMs: 0, settleMs: 0, firstList: ListFreshness.Current },
     store as unknown as ObjectStorePort,
     {
       onList: (objects) => seen.push(...objects.map(({ spec }) => spec)),
--- /dev/null
+++ b/test/gateway/store-outage.test.ts
@@ -0,0 +1,87 @@
+/** What a store in trouble costs a large group, and how the group finds it back. */
+import test from 'ava';
+import { ObjectFollower } from '../../src/coordination/gateway/object-follower.js';
+import type { RelaySettings } from '../../src/coordination/gateway/store-relay/relayed-object-store.js';
+import type { HostClock } from '../../src/lab/simulation/host-clock.js';
+import { ListFreshness } from '../../src/protocol/object-store/port.js';
+import { SilentLogger } from '../../src/runtime/logger.js';
+import { SeededRandom } from '../../src/runtime/random.js';
+import { chooseReaders } from '../../src/state/routing/store-readers.js';
+import { KIND, RelayWorld, member } from '../helpers/relay-world.js';
+
+/** Settings of a deployment of many routers before one store. */
+const LARGE: RelaySettings = {
+  directGroupSize: 12,
+  routersPerReader: 80,
+  minimumReaders: 2,
+  watchMs: 600,
+  freshMs: 1_400,
+};
+
+/** A large group whose routers all follow one kind; `provenMs` is each router's newest proof. */
+async function followedGroup(routers: number) {
+  const world = await RelayWorld.create(routers, LARGE);
+  world.store.put(KIND, 'first', { value: 1 });
+  const provenMs = world.stores.map(() => -Infinity);
+  for (const [index, store] of world.stores.entries()) {
+    const noteAnswer = (atMs: number): void => {
+      provenMs[index] = Math.max(provenMs[index] ?? -Infinity, atMs);
+    };
+    const follower = new ObjectFollower(
+      {
+        kind: KIND,
+        watchMs: 1_500,
+        gatherMs: 0,
+        settleMs: 500,
+        firstList: ListFreshness.Current,
+      },
+      store,
+      {
+        onList: () => undefined,
+        onObject: () => undefined,
+        onGone: () => undefined,
+        onAnswer: noteAnswer,
+        onFailure: () => undefined,
+        onHistoryGone: () => undefined,
+      },
+      world.hosts[index] as HostClock,
+      new SeededRandom(500 + index),
+      new SilentLogger(),
+    );
+    follower.start();
+  }
+  await world.clock.advance(4_000);
+  const oldestProofAgeMs = (): number => world.clock.now() - Math.min(...provenMs);
+  return { world, oldestProofAgeMs };
+}
+
+test('a store that refuses all gets no more calls from a large group than a calm one', async (t) => {
+  const { world, oldestProofAgeMs } = await followedGroup(60);
+  const CALM_MS = 5_000;
+  const beforeCalm = world.store.calls;
+  await world.clock.advance(CALM_MS);
+  const calm = world.store.calls - beforeCalm;
+  world.store.isBusy = true;
+  const beforeOutage = world.store.calls;
+  await world.clock.advance(CALM_MS);
+  const during = world.store.calls - beforeOutage;
+  // Each reader tries twice a second, and so does one other router in the mean.
+  t.true(during <= 3 * calm && during <= 60, `${during} calls, ${calm} while calm`);
+  world.store.isBusy = false;
+  const beforeReturn = world.store.calls;
+  await world.clock.advance(3_500);
+  t.true(oldestProofAgeMs() <= 2 * LARGE.freshMs, `oldest proof ${oldestProofAgeMs()} ms`);
+  t.true(world.store.calls - beforeReturn <= 60, `${world.store.calls - beforeReturn} calls`);
+});
+
+test('a group whose readers are turned away by the store follows through another router', async (t) => {
+  const { world, oldestProofAgeMs } = await followedGroup(40);
+  for (const reader of chooseReaders(
+    world.hosts.map((_, index) => member(`node-${index}`)),
+    LARGE,
+  )) {
+    world.store.unreachableFor.add(reader.nodeId);
+  }
+  await world.clock.advance(8_000);
+  t.true(oldestProofAgeMs() <= 3 * LARGE.freshMs, `oldest proof ${oldestProofAgeMs()} ms`);
+});
--- /dev/null
+++ b/test/helpers/relay-world.ts
@@ -0,0 +1,106 @@
+/** Routers before one simulated store, each with both ends of the relay. */
+import { ObjectMirrors } from '../../src/coordination/gateway/store-relay/object-mirrors.js';
+import { RelayClient } from '../../src/coordination/gateway/store-relay/relay-client.js';
+import { RelayServer } from '../../src/coordination/gateway/store-relay/relay-server.js';
+import {
+  type RelaySettings,
+  RelayedObjectStore,
+} from '../../src/coordination/gateway/store-relay/relayed-object-store.js';
+import {
+  SimulatedObjectStore,
+  SimulatedStorePort,
+} from '../../src/lab/gateway-world/simulated-object-store.js';
+import { HostClock } from '../../src/lab/simulation/host-clock.js';
+import { SimulatedNetwork } from '../../src/lab/simulation/simulated-network.js';
+import {
+  SimulatedFrameTransport,
+  SimulatedSockets,
+} from '../../src/lab/simulation/simulated-transports.js';
+import { SilentLogger } from '../../src/runtime/logger.js';
+import { SeededRandom } from '../../src/runtime/random.js';
+import { VirtualClock } from '../../src/runtime/virtual-clock.js';
+import { MemberStatus, type MemberUpdate } from '../../src/state/membership.js';
+
+export const KIND = 'things';
+export const SETTINGS: RelaySettings = {
+  directGroupSize: 1,
+  routersPerReader: 40,
+  minimumReaders: 1,
+  watchMs: 600,
+  freshMs: 1_400,
+};
+
+/** A router of one zone. */
+export function member(nodeId: string): MemberUpdate {
+  return {
+    nodeId,
+    zone: 'zone-a',
+    region: 'region-a',
+    capacity: 1_000,
+    peerAddress: `${nodeId}:80`,
+    gossipAddress: `${nodeId}:7000`,
+    status: MemberStatus.Alive,
+    incarnation: 1,
+  };
+}
+
+/** Routers before one store, each with both ends of the relay. `node-0` is the reader. */
+export class RelayWorld {
+  readonly clock = new VirtualClock();
+  readonly network = new SimulatedNetwork(this.clock, new SeededRandom(5));
+  readonly sockets = new SimulatedSockets(this.network);
+  readonly store = new SimulatedObjectStore(this.clock);
+  readonly hosts: HostClock[] = [];
+  readonly stores: RelayedObjectStore[] = [];
+  /** Calls that reached the store, by router. */
+  readonly calls: number[] = [];
+
+  private constructor(private readonly settings: RelaySettings) {}
+
+  static async create(routers: number, settings = SETTINGS): Promise<RelayWorld> {
+    const world = new RelayWorld(settings);
+    const working = Array.from({ length: routers }, (_, index) => member(`node-${index}`));
+    for (const [index, own] of working.entries()) await world.addRouter(index, own, working);
+    return world;
+  }
+
+  /** Runs a call to its end, however long it takes. */
+  async run<Result>(call: Promise<Result>, limitMs = 10_000): Promise<Result | Error> {
+    let outcome: Result | Error | undefined;
+    call.then(
+      (result) => (outcome = result),
+      (error: Error) => (outcome = error),
+    );
+    for (let spentMs = 0; outcome === undefined && spentMs < limitMs; spentMs += 10) {
+      await this.clock.advance(10);
+    }
+    return outcome ?? new Error('never ended');
+  }
+
+  private async addRouter(
+    index: number,
+    own: MemberUpdate,
+    working: MemberUpdate[],
+  ): Promise<void> {
+    const host = new HostClock(this.clock);
+    this.hosts.push(host);
+    this.calls.push(0);
+    this.network.attach(own.nodeId, host);
+    const port = new SimulatedStorePort(this.store, own.nodeId, host);
+    const frames = new SimulatedFrameTransport(this.sockets, own.nodeId, host);
+    const mirrors = new ObjectMirrors();
+    const server = new RelayServer(mirrors, SETTINGS.freshMs, host);
+    const client = new RelayClient(frames, host);
+    await frames.listen(own.gossipAddress, (connection) => server.accept(connection));
+    const counted = Object.create(port) as SimulatedStorePort;
+    counted.watch = (kind, revision, waitMs) => {
+      this.calls[index] = (this.calls[index] ?? 0) + 1;
+      return port.watch(kind, revision, waitMs);
+    };
+    const logger = new SilentLogger();
+    const group = { working, seeds: working.map((each) => each.gossipAddress) };
+    const random = new SeededRandom(100 + index);
+    const parts = { store: counted, mirrors, client, server, group, clock: host, random, logger };
+    this.stores.push(new RelayedObjectStore(own, this.settings, parts));
+  }
+}
--- a/test/platform/object-store-client.test.ts
+++ b/test/platform/object-store-client.test.ts
@@ -2,6 +2,7 @@
 import { type IncomingMessage, type ServerResponse, createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import test, { type ExecutionContext } from 'ava';
+import { ListFreshness } from '../../src/protocol/object-store/port.js';
 import { platformDecoder } from '../../platform/formats.js';
 import { ObjectStoreClient } from '../../platform/object-store-client.js';
 
@@ -48,7 +49,7 @@
     const items = isFirst ? [object('a', 1), object('b', 2)] : [object('c', 9)];
     return { status: 200, body: { items, more: isFirst, at: isFirst ? 5 : 9 } };
   });
-  const list = await client.list('servers');
+  const list = await client.list('servers', ListFreshness.Current);
   t.deepEqual(
     list.objects.map(({ name }) => name),
     ['a', 'b', 'c'],
@@ -94,11 +95,11 @@
 
 test('a call without an answer or with a refusal rejects', async (t) => {
   const silent = await storeWith(t, () => undefined);
-  await t.throwsAsync(() => silent.list('config'));
+  await t.throwsAsync(() => silent.list('config', ListFreshness.Current));
   const busy = await storeWith(t, () => ({ status: 503 }));
   await t.throwsAsync(() => busy.read('config', 'main'));
   const garbled = await storeWith(t, () => ({ status: 200, body: { items: 'none' } }));
-  await t.throwsAsync(() => garbled.list('config'));
+  await t.throwsAsync(() => garbled.list('config', ListFreshness.Current));
 });
 
 test('an object that is not there is told as such', async (t) => {
