Let long prompts wait for their home, short ones go where least waits; ask a warm engine after a load

Pull to homes. Cause: an engine other than a subject's home cost a fixed 40 ms. Reading 6,300 shared tokens again costs three times what a late answer loses, while a prompt with 198 shared tokens was kept from an idle engine by the same 40 ms. Change: the cost is twice the time to read the shared parts, by the place in the subject's ranking (none at the first home, then a third each).

Sources after a load. What saves carry was found with two small twins: without fetching, 519 saves moved 3.3 million tokens for prompts of 3.0 million: each request saves its whole prompt, kept or not. On the whole site that is more than the stores' links carry, so just after new weights, when nothing is kept, fetches find little. Change: for 3 s after its load an engine takes the parts that many subjects share from an engine that took the same weights earlier, of its zone where there is one.

--- /dev/null
+++ b/src/coordination/gateway/store-relay/peer-queries.ts
@@ -0,0 +1,85 @@
+/** Questions to other routers about the store, and what their answers prove. */
+import type { Clock } from '../../../runtime/clock.js';
+import type { ObjectList, WatchResult } from '../../../protocol/object-store/port.js';
+import { ProtocolFailure } from '../../../protocol/errors.js';
+import type { RelayAnswer } from '../../../protocol/peer/relay-codec.js';
+import type { MemberUpdate } from '../../../state/membership.js';
+import type { RelayClient } from './relay-client.js';
+
+/** Results that always tell the moment at which they were current, on the steady clock. */
+export type ProvenList = ObjectList & { readonly provenMs: number };
+export type ProvenResult = Exclude<WatchResult, { kind: 'events' }> | ProvenChanges;
+type ProvenChanges = Extract<WatchResult, { kind: 'events' }> & { readonly provenMs: number };
+
+/** What another router answered, and how old its proof was when it answered. */
+export interface PeerAnswer {
+  readonly result: ProvenResult;
+  readonly proofAgeMs: number;
+  /** Whether the proof is young enough for that router to be followed. */
+  readonly isRecent: boolean;
+}
+
+/** Asks other routers. */
+export class PeerQueries {
+  /** @param freshMs a proof older than this is not recent */
+  constructor(
+    private readonly client: RelayClient,
+    private readonly freshMs: number,
+    private readonly clock: Clock,
+  ) {}
+
+  /**
+   * Asks for the changes of a kind after a revision. Rejects with a `ProtocolFailure` where no answer
+   * comes or the other router knows less than this one.
+   */
+  async changes(
+    peer: MemberUpdate,
+    kind: string,
+    revision: number,
+    waitMs: number,
+  ): Promise<PeerAnswer> {
+    const askedMs = this.clock.now();
+    const answer = await this.client.query(peer.gossipAddress, kind, revision, waitMs);
+    if (answer.revision < revision) throw storeIsOut(`${peer.nodeId} is at an older revision`);
+    const { proofAgeMs, events } = answer;
+    const isRecent = proofAgeMs <= this.freshMs;
+    if (!answer.isKnown) return { result: { kind: 'history-gone' }, proofAgeMs, isRecent };
+    // No delay on the way makes a proof seem younger: its age counts from when the question left.
+    const provenMs = askedMs + answer.heldMs - proofAgeMs;
+    const result = { kind: 'events' as const, events, revision: answer.revision, provenMs };
+    return { result, proofAgeMs, isRecent };
+  }
+
+  /** A whole kind from one router; undefined where its proof is not recent. Rejects without an answer. */
+  async recentList(peer: MemberUpdate, kind: string): Promise<ProvenList | undefined> {
+    const askedMs = this.clock.now();
+    const answer = await this.client.query(peer.gossipAddress, kind, 0, 0);
+    if (!answer.isKnown || answer.proofAgeMs > this.freshMs) return undefined;
+    return listOf(answer, askedMs);
+  }
+
+  /** The newest list of several routers, however old; undefined where none of them knows the kind. */
+  async newestList(addresses: readonly string[], kind: string): Promise<ProvenList | undefined> {
+    const askedMs = this.clock.now();
+    // A router that does not answer is one of several; the others decide.
+    const asked = addresses.map((address) =>
+      this.client.query(address, kind, 0, 0).catch(() => undefined),
+    );
+    const answers = (await Promise.all(asked)).filter((answer) => answer?.isKnown);
+    const newest = answers.reduce(
+      (best, each) => (best && each && best.revision >= each.revision ? best : each),
+      undefined,
+    );
+    return newest && listOf(newest, askedMs);
+  }
+}
+
+/** The failure of a call that no router could answer in the store's place. */
+export function storeIsOut(reason: string): ProtocolFailure {
+  return new ProtocolFailure({ kind: 'interrupted', address: 'store', reason });
+}
+
+function listOf(answer: RelayAnswer, askedMs: number): ProvenList {
+  const objects = answer.events.map((event) => event.object);
+  return { objects, revision: answer.revision, provenMs: askedMs - answer.proofAgeMs };
+}
--- /dev/null
+++ b/src/coordination/gateway/store-relay/reader-choice.ts
@@ -0,0 +1,85 @@
+/**
+ * Which router one router follows the store through, by what its questions have met: readers that do not
+ * answer, or whose own way to the store is lost, are left alone for a while.
+ */
+import type { Clock } from '../../../runtime/clock.js';
+import type { MemberUpdate } from '../../../state/membership.js';
+import {
+  type ReaderPolicy,
+  chooseReaders,
+  readerFor,
+} from '../../../state/routing/store-readers.js';
+
+/** The group, as far as the relay needs it. */
+export interface RelayGroup {
+  /** Working routers, this one included. */
+  readonly working: readonly MemberUpdate[];
+  /** Relay addresses to ask before any member is known. */
+  readonly seeds: readonly string[];
+}
+
+/** A reader that did not answer, or without a recent proof, is left alone for this long. */
+export const AVOID_MS = 3_000;
+
+/** The choice of one router. */
+export class ReaderChoice {
+  /** Readers that did not answer, with the time until which they are left alone. */
+  private readonly silentUntilMs = new Map<string, number>();
+  /** Readers that answered without a recent proof: their way to the store is lost. */
+  private readonly outdatedUntilMs = new Map<string, number>();
+
+  constructor(
+    private readonly own: MemberUpdate,
+    private readonly policy: ReaderPolicy,
+    private readonly group: RelayGroup,
+    private readonly clock: Clock,
+  ) {}
+
+  get isLargeGroup(): boolean {
+    return this.group.working.length > this.policy.directGroupSize;
+  }
+
+  /** The reader to follow through; undefined where there is none to be asked now. */
+  get reader(): MemberUpdate | undefined {
+    const isAvoided = (nodeId: string): boolean =>
+      isAhead(this.silentUntilMs.get(nodeId), this.clock) || this.isOutdated(nodeId);
+    return readerFor(this.own, this.group.working, this.policy, isAvoided);
+  }
+
+  /** Readers that this router may ask; none in a small group or where it is a reader itself. */
+  get readers(): readonly MemberUpdate[] {
+    if (!this.isLargeGroup) return [];
+    const readers = chooseReaders(this.group.working, this.policy);
+    return readers.some(({ nodeId }) => nodeId === this.own.nodeId) ? [] : readers;
+  }
+
+  /** Whether a reader was found to have lost the store; asked where none is left to follow through. */
+  get isStoreOut(): boolean {
+    return this.readers.some(({ nodeId }) => this.isOutdated(nodeId));
+  }
+
+  /** All other working routers. */
+  get others(): readonly MemberUpdate[] {
+    return this.group.working.filter(({ nodeId }) => nodeId !== this.own.nodeId);
+  }
+
+  noteSilent({ nodeId }: MemberUpdate): void {
+    this.silentUntilMs.set(nodeId, this.clock.now() + AVOID_MS);
+  }
+
+  noteOutdated({ nodeId }: MemberUpdate): void {
+    this.outdatedUntilMs.set(nodeId, this.clock.now() + AVOID_MS);
+  }
+
+  noteRecent({ nodeId }: MemberUpdate): void {
+    this.outdatedUntilMs.delete(nodeId);
+  }
+
+  private isOutdated(nodeId: string): boolean {
+    return isAhead(this.outdatedUntilMs.get(nodeId), this.clock);
+  }
+}
+
+function isAhead(momentMs: number | undefined, clock: Clock): boolean {
+  return clock.now() < (momentMs ?? -Infinity);
+}
--- a/src/coordination/gateway/store-relay/relayed-object-store.ts
+++ b/src/coordination/gateway/store-relay/relayed-object-store.ts
@@ -3,7 +3,6 @@
  * through one of these; where the chosen way fails, the other one is tried.
  *
  * What is relayed carries its proof: the age of the call to the store that found the revision current.
- * The asker counts that age from when it asked, so no delay on the way makes a proof seem younger.
  *
  * Where no reader has a recent proof the store is taken to be out for the whole group. Then the readers
  * go on trying, the others ask readers and other routers, and only now and then one of them tries the
@@ -14,25 +13,22 @@
 import { type RandomSource, randomInteger } from '../../../runtime/random.js';
 import type {
   ListFreshness,
-  ObjectList,
   ObjectStorePort,
   StoredObject,
-  WatchResult,
   WriteResult,
 } from '../../../protocol/object-store/port.js';
-import {
-  ProtocolFailure,
-  describeProtocolError,
-  toProtocolError,
-} from '../../../protocol/errors.js';
-import type { RelayAnswer } from '../../../protocol/peer/relay-codec.js';
-import {
-  type ReaderPolicy,
-  chooseReaders,
-  readerFor,
-} from '../../../state/routing/store-readers.js';
+import { describeProtocolError, toProtocolError } from '../../../protocol/errors.js';
 import type { MemberUpdate } from '../../../state/membership.js';
+import type { ReaderPolicy } from '../../../state/routing/store-readers.js';
 import type { ObjectMirrors } from './object-mirrors.js';
+import {
+  type PeerAnswer,
+  PeerQueries,
+  type ProvenList,
+  type ProvenResult,
+  storeIsOut,
+} from './peer-queries.js';
+import { AVOID_MS, ReaderChoice, type RelayGroup } from './reader-choice.js';
 import type { RelayClient } from './relay-client.js';
 import type { RelayServer } from './relay-server.js';
 
@@ -47,14 +43,6 @@
   readonly freshMs: number;
 }
 
-/** The group, as far as the relay needs it. */
-export interface RelayGroup {
-  /** Working routers, this one included. */
-  readonly working: readonly MemberUpdate[];
-  /** Relay addresses to ask before any member is known. */
-  readonly seeds: readonly string[];
-}
-
 /** What the relay works with. */
 export interface RelayParts {
   readonly store: ObjectStorePort;
@@ -67,13 +55,6 @@
   readonly logger: Logger;
 }
 
-/** Results whose proof is always told. */
-type ProvenList = ObjectList & { readonly provenMs: number };
-type ProvenResult = Exclude<WatchResult, { kind: 'events' }> | ProvenChanges;
-type ProvenChanges = Extract<WatchResult, { kind: 'events' }> & { readonly provenMs: number };
-
-/** A reader that did not answer, or without a recent proof, is left alone for this long. */
-const AVOID_MS = 3_000;
 /** How long another router may hold a query that replaces a failed watch. */
 const PEER_WAIT_MS = 400;
 /** How much older than a whole watch the proof of such a router may be. */
@@ -95,10 +76,8 @@
 
 /** The store port of one router. */
 export class RelayedObjectStore implements ObjectStorePort {
-  /** Readers that did not answer, with the time until which they are left alone. */
-  private readonly silentUntilMs = new Map<string, number>();
-  /** Readers that answered without a recent proof: their way to the store is lost. */
-  private readonly outdatedUntilMs = new Map<string, number>();
+  private readonly choice: ReaderChoice;
+  private readonly peers: PeerQueries;
   private readonly openedMs: number;
   /** Kinds whose last watch at the store was not answered, or is not yet. */
   private readonly failedKinds = new Set<string>();
@@ -110,7 +89,10 @@
     private readonly settings: RelaySettings,
     private readonly parts: RelayParts,
   ) {
-    this.openedMs = parts.clock.now();
+    const { client, group, clock } = parts;
+    this.choice = new ReaderChoice(own, settings, group, clock);
+    this.peers = new PeerQueries(client, settings.freshMs, clock);
+    this.openedMs = clock.now();
   }
 
   async list(kind: string, freshness: ListFreshness): Promise<ProvenList> {
@@ -147,37 +129,10 @@
     return this.parts.clock.now();
   }
 
-  private get isLargeGroup(): boolean {
-    return this.parts.group.working.length > this.settings.directGroupSize;
-  }
-
-  /** The reader to follow through; undefined where there is none to be asked now. */
-  private reader(): MemberUpdate | undefined {
-    const { group } = this.parts;
-    return readerFor(this.own, group.working, this.settings, (nodeId) => this.isAvoided(nodeId));
-  }
-
-  private isAvoided(nodeId: string): boolean {
-    const isSilent = this.now < (this.silentUntilMs.get(nodeId) ?? -Infinity);
-    return isSilent || this.isOutdated(nodeId);
-  }
-
-  private isOutdated(nodeId: string): boolean {
-    return this.now < (this.outdatedUntilMs.get(nodeId) ?? -Infinity);
-  }
-
-  /** Readers that this router may ask; none in a small group or where it is a reader itself. */
-  private get askedReaders(): MemberUpdate[] {
-    if (!this.isLargeGroup) return [];
-    const readers = chooseReaders(this.parts.group.working, this.settings);
-    return readers.some(({ nodeId }) => nodeId === this.own.nodeId) ? [] : readers;
-  }
-
   private watchBestWay(kind: string, revision: number, waitMs: number): Promise<ProvenResult> {
-    const reader = this.reader();
+    const { reader } = this.choice;
     if (reader) return this.watchThrough(reader, kind, revision, waitMs);
-    const isOutForReaders = this.askedReaders.some(({ nodeId }) => this.isOutdated(nodeId));
-    if (!isOutForReaders) return this.watchDirectly(kind, revision, waitMs);
+    if (!this.choice.isStoreOut) return this.watchDirectly(kind, revision, waitMs);
     // A store that answered this router just now is followed by it until a reader has a recent proof.
     if (this.now - this.storeAnsweredMs < AVOID_MS) {
       return this.watchStore(kind, revision, Math.min(waitMs, this.settings.watchMs));
@@ -195,14 +150,14 @@
     const heldMs = Math.min(waitMs, this.settings.watchMs);
     let answer: PeerAnswer;
     try {
-      answer = await this.ask(reader, kind, revision, heldMs);
+      answer = await this.peers.changes(reader, kind, revision, heldMs);
     } catch (cause) {
-      this.silentUntilMs.set(reader.nodeId, this.now + AVOID_MS);
+      this.choice.noteSilent(reader);
       this.logChangeOfWay('relay_lost', kind, reader.nodeId, cause);
       return this.watchStore(kind, revision, heldMs);
     }
     if (answer.isRecent) return answer.result;
-    this.outdatedUntilMs.set(reader.nodeId, this.now + AVOID_MS);
+    this.choice.noteOutdated(reader);
     this.parts.logger.warn('relay_outdated', {
       kind,
       peer: reader.nodeId,
@@ -215,7 +170,7 @@
 
   /** Only as many routers try a store that is out as are needed to find it back soon. */
   private mayProbe(): boolean {
-    const followers = this.parts.group.working.length - this.askedReaders.length;
+    const followers = this.parts.group.working.length - this.choice.readers.length;
     return this.parts.random.next() < PROBES_PER_ROUND / Math.max(1, followers);
   }
 
@@ -229,11 +184,11 @@
   /** A reader or any other router, by turns of chance: one of them may have got through. */
   private async askAnyone(kind: string, revision: number): Promise<ProvenResult> {
     const { random } = this.parts;
-    const choices = random.next() < 0.5 ? this.askedReaders : this.others;
+    const choices = random.next() < 0.5 ? this.choice.readers : this.choice.others;
     const peer = choices[randomInteger(random, Math.max(1, choices.length))];
     if (!peer) throw storeIsOut('no router to ask');
-    const { result, isRecent, proofAgeMs } = await this.ask(peer, kind, revision, 0);
-    if (isRecent) this.outdatedUntilMs.delete(peer.nodeId);
+    const { result, isRecent, proofAgeMs } = await this.peers.changes(peer, kind, revision, 0);
+    if (isRecent) this.choice.noteRecent(peer);
     if (isRecent || this.isProgress(kind, result)) return result;
     throw storeIsOut(`proof of ${peer.nodeId} is ${Math.round(proofAgeMs)} ms old`);
   }
@@ -245,17 +200,13 @@
     return result.events.length > 0 || this.now - result.provenMs < proofAgeMs - PROGRESS_MS;
   }
 
-  private get others(): MemberUpdate[] {
-    return this.parts.group.working.filter(({ nodeId }) => nodeId !== this.own.nodeId);
-  }
-
   private async watchDirectly(
     kind: string,
     revision: number,
     waitMs: number,
   ): Promise<ProvenResult> {
     // A router that has just started may not have heard of its group yet.
-    const isLargeOrYoung = this.isLargeGroup || this.now - this.openedMs < YOUNG_MS;
+    const isLargeOrYoung = this.choice.isLargeGroup || this.now - this.openedMs < YOUNG_MS;
     const limitMs = isLargeOrYoung ? Math.min(waitMs, this.settings.watchMs) : waitMs;
     try {
       return await this.watchStore(kind, revision, limitMs);
@@ -264,7 +215,9 @@
       if (!peer) throw cause;
       this.logChangeOfWay('store_read_through_peer', kind, peer.nodeId, cause);
       const oldestMs = limitMs + PEER_SLACK_MS;
-      const answer = await this.ask(peer, kind, revision, PEER_WAIT_MS).catch(() => undefined);
+      const asked = this.peers.changes(peer, kind, revision, PEER_WAIT_MS);
+      // A router that does not answer changes nothing: the failure of the store is reported.
+      const answer = await asked.catch(() => undefined);
       if (!answer || answer.proofAgeMs > oldestMs) throw cause;
       // What the other router knows through this one is no way to the store.
       if (!this.isProgress(kind, answer.result)) throw cause;
@@ -286,41 +239,19 @@
 
   /** Another router to ask while this one has no way to the store: a different one each time. */
   private nextPeer(): MemberUpdate | undefined {
-    const { others } = this;
+    const { others } = this.choice;
     const turn = Math.floor(this.now / PEER_WAIT_MS);
     return others[turn % Math.max(1, others.length)];
   }
 
-  /** One query; rejects where no answer comes or the other router knows less than this one. */
-  private async ask(
-    peer: MemberUpdate,
-    kind: string,
-    revision: number,
-    waitMs: number,
-  ): Promise<PeerAnswer> {
-    const askedMs = this.now;
-    const answer = await this.parts.client.query(peer.gossipAddress, kind, revision, waitMs);
-    if (answer.revision < revision) throw storeIsOut(`${peer.nodeId} is at an older revision`);
-    const { proofAgeMs } = answer;
-    const isRecent = proofAgeMs <= this.settings.freshMs;
-    if (!answer.isKnown) return { result: { kind: 'history-gone' }, proofAgeMs, isRecent };
-    const provenMs = askedMs + answer.heldMs - proofAgeMs;
-    const { events } = answer;
-    const result = { kind: 'events' as const, events, revision: answer.revision, provenMs };
-    return { result, proofAgeMs, isRecent };
-  }
-
   /** A reader's list, where this router follows through one whose proof is recent. */
   private async listFromReader(kind: string): Promise<ProvenList | undefined> {
-    const reader = this.reader();
+    const { reader } = this.choice;
     if (!reader) return undefined;
-    const askedMs = this.now;
     try {
-      const answer = await this.parts.client.query(reader.gossipAddress, kind, 0, 0);
-      if (!answer.isKnown || answer.proofAgeMs > this.settings.freshMs) return undefined;
-      return listOf(answer, askedMs);
+      return await this.peers.recentList(reader, kind);
     } catch (cause) {
-      this.silentUntilMs.set(reader.nodeId, this.now + AVOID_MS);
+      this.choice.noteSilent(reader);
       this.logChangeOfWay('relay_lost', kind, reader.nodeId, cause);
       return undefined;
     }
@@ -334,27 +265,13 @@
       this.storeAnsweredMs = this.now;
       return { ...list, provenMs: list.provenMs ?? beganMs };
     } catch (cause) {
-      const list = await this.listFromPeers(kind);
+      const list = await this.peers.newestList(this.listSources(), kind);
       if (!list) throw cause;
       this.logChangeOfWay('store_read_through_peer', kind, 'any', cause);
       return list;
     }
   }
 
-  /** The newest of the first few answers. */
-  private async listFromPeers(kind: string): Promise<ProvenList | undefined> {
-    const askedMs = this.now;
-    const asked = this.listSources().map((address) =>
-      this.parts.client.query(address, kind, 0, 0).catch(() => undefined),
-    );
-    const answers = (await Promise.all(asked)).filter((answer) => answer?.isKnown);
-    const newest = answers.reduce(
-      (best, each) => (best && each && best.revision >= each.revision ? best : each),
-      undefined,
-    );
-    return newest && listOf(newest, askedMs);
-  }
-
   private listSources(): string[] {
     const { working, seeds } = this.parts.group;
     const members = working.map((member) => member.gossipAddress);
@@ -368,19 +285,3 @@
     this.parts.logger.warn(event, { kind, peer, reason });
   }
 }
-
-/** What another router answered, and how old its proof was when it answered. */
-interface PeerAnswer {
-  readonly result: ProvenResult;
-  readonly proofAgeMs: number;
-  readonly isRecent: boolean;
-}
-
-function listOf(answer: RelayAnswer, askedMs: number): ProvenList {
-  const objects = answer.events.map((event) => event.object);
-  return { objects, revision: answer.revision, provenMs: askedMs - answer.proofAgeMs };
-}
-
-function storeIsOut(reason: string): ProtocolFailure {
-  return new ProtocolFailure({ kind: 'interrupted', address: 'store', reason });
-}
--- a/src/coordination/gateway/weight-coordinator.ts
+++ b/src/coordination/gateway/weight-coordinator.ts
@@ -336,6 +336,7 @@
   private noteVersion(engine: Engine, model: string, version: number): void {
     if ((versionAt(engine, model) ?? 0) < version) {
       engine.observedVersions.set(model, version);
+      engine.loadedMs = this.now;
       this.parts.kept.forget(engine.record.id);
     }
     this.parts.health.noteLoaded(engine.record.id);
--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -7,15 +7,8 @@
 import type { HomeRanking } from './home-ranking.js';
 import type { KeptPrefixes } from './kept-prefixes.js';
 import type { LoadTable } from './load-table.js';
-import {
-  type BestSource,
-  KeptBySalt,
-  type KeptPrompt,
-  READ_TOKENS_PER_MS,
-  bestSource,
-  paysToFetch,
-  sharedTokensOf,
-} from './prompt-sources.js';
+import { type PromptView, sourceAddress, storeToSave } from './prompt-source-choice.js';
+import { KeptBySalt, READ_TOKENS_PER_MS, bestSource, sharedTokensOf } from './prompt-sources.js';
 import type { WeightVersions } from './weight-versions.js';
 
 /** What a placement is decided from. */
@@ -64,8 +57,13 @@
 const RUNNING_REQUEST_MS = 1;
 /** Cost of taking memory for a second copy, for each 1,000 tokens. */
 const COPY_MS_PER_KILOTOKEN = 8;
-/** Preference for the engine that all routers agree on for a subject nobody keeps. */
-const NOT_HOME_MS = 40;
+/**
+ * Preference for the first engine of the ranking that all routers agree on, for a subject nobody is known
+ * to keep, in times that an engine needs to read the shared parts: reading them again costs more than a
+ * late answer. Short prompts so go where least waits. The next of the ranking are preferred by less, so
+ * that what a busy home leaves over meets at a few engines. Measured on the large fleets.
+ */
+const AWAY_FROM_HOME_READINGS = 2;
 const OTHER_ZONE_MS = 8;
 /** Memory beyond this share of an engine makes requests give way. */
 const FULL_MEMORY_SHARE = 0.92;
@@ -96,16 +94,6 @@
   return cheapest(open.map((engine) => weighGeneration(engine, prompt, request, tables)));
 }
 
-/** What one placement knows of its prompt. */
-interface PromptView {
-  readonly generation: GenerationShape;
-  readonly kept: KeptBySalt;
-  /** First engines of the subject's ranking that may be used now. */
-  readonly homes: readonly Engine[];
-  /** The store that all routers agree on for the subject. */
-  readonly store: CacheStore | undefined;
-}
-
 function promptView(
   request: PlacementRequest,
   generation: GenerationShape,
@@ -122,7 +110,7 @@
   const homes = tables.homes.first(subject, sound, (each) => each.record.id, HOMES_WEIGHED);
   const [store] = tables.homes.first(subject, stores, (each) => each.address, 1);
   const kept = new KeptBySalt({ ...request, generation }, tables.kept);
-  return { generation, kept, homes, store };
+  return { generation, kept, homes, store, candidates, random: tables.random, nowMs };
 }
 
 /**
@@ -213,7 +201,7 @@
   request: PlacementRequest,
   tables: PlacementTables,
 ): Placement {
-  const { generation, kept, homes } = prompt;
+  const { generation, kept } = prompt;
   const version = versionAt(engine, generation.model) ?? 0;
   const salt = kept.saltOf(version);
   const keptPrompt = kept.of(salt);
@@ -227,7 +215,7 @@
     unreadTokens / READ_TOKENS_PER_MS +
     (source?.fetchMs ?? 0) +
     (fetchedTokens / 1_000) * COPY_MS_PER_KILOTOKEN +
-    (nobodyKeeps && engine !== homes[0] ? NOT_HOME_MS : 0) +
+    (nobodyKeeps ? awayFromHomeMs(engine, prompt) : 0) +
     (engine.record.zone === request.zone ? 0 : OTHER_ZONE_MS) +
     suspicionMs(engine, tables);
   return {
@@ -241,6 +229,14 @@
   };
 }
 
+/** Grows with the place in the subject's ranking. */
+function awayFromHomeMs(engine: Engine, { homes, generation }: PromptView): number {
+  const readingMs = sharedTokensOf(generation) / READ_TOKENS_PER_MS;
+  const place = homes.indexOf(engine);
+  const share = place < 0 ? 1 : place / HOMES_WEIGHED;
+  return AWAY_FROM_HOME_READINGS * readingMs * share;
+}
+
 /** Waiting at the engine: prompts to be read first, running requests, memory that is full. */
 function waitMs(engine: Engine, request: PlacementRequest, tables: PlacementTables): number {
   const load = tables.loads.at(engine.record.id);
@@ -258,36 +254,3 @@
 function suspicionMs(engine: Engine, tables: PlacementTables): number {
   return tables.health.failureShare(engine.record.id) * FAILING_MS;
 }
-
-/**
- * From where the engine takes what it lacks. Of holders that do not report, a router knows only what it
- * sent there itself a while ago, and memory gives way within seconds: there the store goes first, and it
- * is named even where the engine is believed to keep all. Where nothing is known it is a guess; a wrong
- * one costs a millisecond, reading again a hundred times that.
- */
-function sourceAddress(
-  engine: Engine,
-  ownTokens: number,
-  known: BestSource | undefined,
-  { generation, homes, store, kept }: PromptView,
-  profile: EngineProfile | undefined,
-): string | undefined {
-  if (known?.isReported) return known.address;
-  const keepsAll = ownTokens >= sharedTokensOf(generation);
-  if (keepsAll && kept.isReported(engine.record.id)) return undefined;
-  if (store && profile && paysToFetch(engine, store, profile)) return store.address;
-  if (known || keepsAll) return known?.address;
-  const version = versionAt(engine, generation.model);
-  const home = homes.find(
-    (each) => each !== engine && versionAt(each, generation.model) === version,
-  );
-  return home?.record.address;
-}
-
-/** The store that should get this prompt's shared parts; undefined where it has them. */
-function storeToSave(kept: KeptPrompt, prompt: PromptView): string | undefined {
-  const sharedTokens = sharedTokensOf(prompt.generation);
-  if (sharedTokens === 0 || !prompt.store) return undefined;
-  const { address } = prompt.store;
-  return (kept.tokensByHolder.get(address) ?? 0) < sharedTokens ? address : undefined;
-}
--- /dev/null
+++ b/src/state/routing/prompt-source-choice.ts
@@ -0,0 +1,106 @@
+/** From where an engine takes the parts of a prompt that it lacks, and where they are saved. Pure. */
+import { type RandomSource, randomInteger } from '../../runtime/random.js';
+import type { CacheStore, EngineProfile } from './configuration.js';
+import { type Engine, type EngineRecord, versionAt } from './engine-registry.js';
+import { type GenerationShape, sharedPartsOf } from './generation.js';
+import {
+  type BestSource,
+  type KeptBySalt,
+  type KeptPrompt,
+  paysToFetch,
+  sharedTokensOf,
+} from './prompt-sources.js';
+
+/** What one placement knows of its prompt. */
+export interface PromptView {
+  readonly generation: GenerationShape;
+  readonly kept: KeptBySalt;
+  /** First engines of the subject's ranking that may be used now. */
+  readonly homes: readonly Engine[];
+  /** The store that all routers agree on for the subject. */
+  readonly store: CacheStore | undefined;
+  /** Engines of the service. */
+  readonly candidates: readonly Engine[];
+  readonly random: RandomSource;
+  readonly nowMs: number;
+}
+
+/**
+ * For this long after it took other weights an engine is taken to lack even the parts that many subjects
+ * share; at some two prompts a second it has met most of a handful of them by then.
+ */
+const COLD_MS = 3_000;
+
+/**
+ * From where the engine takes what it lacks. Of holders that do not report, a router knows only what it
+ * sent there itself a while ago, and memory is evicted within seconds: there the store goes first, and it
+ * is named even where the engine is believed to keep all. Where nothing is known it is a guess; a wrong
+ * one costs a millisecond, reading again a hundred times that.
+ */
+export function sourceAddress(
+  engine: Engine,
+  ownTokens: number,
+  known: BestSource | undefined,
+  prompt: PromptView,
+  profile: EngineProfile | undefined,
+): string | undefined {
+  if (known?.isReported) return known.address;
+  const keepsAll = ownTokens >= sharedTokensOf(prompt.generation);
+  if (keepsAll && prompt.kept.isReported(engine.record.id)) return undefined;
+  const lastResort = keepsAll ? undefined : otherHome(engine, prompt);
+  const source =
+    warmPeer(engine, prompt) ?? storeToAsk(engine, prompt.store, profile) ?? known ?? lastResort;
+  return source?.address;
+}
+
+/** The store, where an engine takes tokens from it sooner than it reads them. */
+function storeToAsk(
+  engine: Engine,
+  store: CacheStore | undefined,
+  profile: EngineProfile | undefined,
+): CacheStore | undefined {
+  if (!store || !profile) return undefined;
+  return paysToFetch(engine, store, profile) ? store : undefined;
+}
+
+/** The first other engine of the subject's ranking that has the same weights. */
+function otherHome(engine: Engine, { generation, homes }: PromptView): EngineRecord | undefined {
+  const version = versionAt(engine, generation.model);
+  const home = homes.find(
+    (each) => each !== engine && versionAt(each, generation.model) === version,
+  );
+  return home?.record;
+}
+
+/**
+ * A warm engine of the same weights for one that has just taken them: the parts that many subjects share
+ * are at every engine soon, while the stores are sent all prompts at once just then.
+ */
+function warmPeer(engine: Engine, prompt: PromptView): EngineRecord | undefined {
+  const { generation, kept, nowMs, candidates, random } = prompt;
+  const hasCommonParts = sharedPartsOf(generation).length > 1;
+  if (!hasCommonParts || !isCold(engine, nowMs)) return undefined;
+  if (kept.isReported(engine.record.id)) return undefined;
+  const version = versionAt(engine, generation.model);
+  const warm = candidates.filter(
+    (each) =>
+      versionAt(each, generation.model) === version &&
+      !isCold(each, nowMs) &&
+      !each.record.isDraining,
+  );
+  const near = warm.filter((each) => each.record.zone === engine.record.zone);
+  const choices = near.length > 0 ? near : warm;
+  return choices[randomInteger(random, Math.max(1, choices.length))]?.record;
+}
+
+function isCold(engine: Engine, nowMs: number): boolean {
+  return engine.loadedMs !== undefined && nowMs - engine.loadedMs < COLD_MS;
+}
+
+/** The store that should get this prompt's shared parts; undefined where it has them. */
+export function storeToSave(kept: KeptPrompt, prompt: PromptView): string | undefined {
+  const sharedTokens = sharedTokensOf(prompt.generation);
+  if (sharedTokens === 0 || !prompt.store) return undefined;
+  const { address } = prompt.store;
+  return (kept.tokensByHolder.get(address) ?? 0) < sharedTokens ? address : undefined;
+}
--- a/src/state/routing/prompt-sources.ts
+++ b/src/state/routing/prompt-sources.ts
@@ -6,6 +6,7 @@
 
 /** Prompt tokens an engine reads in a millisecond; engines do not tell it. */
 export const READ_TOKENS_PER_MS = 40;
+/** Moves between zones take this many times as long (the users' page on the cache). */
 const OTHER_ZONE_LINK_FACTOR = 2;
 const MILLISECONDS_PER_SECOND = 1_000;
 const BITS_PER_BYTE = 8;
--- a/test/gateway/placement.test.ts
+++ b/test/gateway/placement.test.ts
@@ -152,6 +152,62 @@
   t.is(other.fetchFrom, STORE);
 });
 
+test('what a busy home leaves over meets at the next engines of the ranking', (t) => {
+  const registry = registryOf(90);
+  const chosen = new Set<string>();
+  for (let seed = 1; seed <= 20; seed += 1) {
+    const tables = tablesOf(seed);
+    const request = requestAbout('subject', registry, `zone-${seed % 3}`);
+    makeBusy(place(request, tables).engine.record.id, tables);
+    chosen.add(place(request, tables).engine.record.id);
+  }
+  t.is(chosen.size, 1);
+});
+
+test('a short prompt goes where least waits, a long one waits a while for its home', (t) => {
+  const registry = registryOf(90);
+  const chosenBeside = (sharedTokens: number): boolean => {
+    const tables = tablesOf(4);
+    const base = requestAbout('subject', registry, 'zone-0');
+    const parts = [
+      { id: 'common', tokens: sharedTokens / 2 },
+      { id: 'subject', tokens: sharedTokens / 2 },
+      { id: 'own', tokens: 400 },
+    ];
+    const promptTokens = sharedTokens + 400;
+    const generation = { model: MODEL, parts, promptTokens, maximumOutputTokens: 10 };
+    const request = { ...base, generation };
+    const home = place(request, tables).engine.record.id;
+    // 100 ms of reading wait at the home.
+    tables.loads.change(home, { requests: 1, unreadTokens: 4_000, heldTokens: 4_000 });
+    return place(request, tables).engine.record.id === home;
+  };
+  t.true(chosenBeside(6_300));
+  t.false(chosenBeside(200));
+});
+
+test('an engine that has just taken its weights asks a warm one of the same weights', (t) => {
+  const registry = registryOf(12);
+  const tables = tablesOf(8);
+  const request = requestAbout('subject', registry, 'zone-0');
+  const home = place(request, tables).engine;
+  home.loadedMs = -500;
+  for (const engine of registry.ofService('generation')) {
+    const isOfOtherWeights = engine !== home && engine.record.zone !== home.record.zone;
+    if (isOfOtherWeights) engine.observedVersions.set(MODEL, 2);
+  }
+  const placed = place(request, tables);
+  t.is(placed.engine.record.id, home.record.id);
+  const source = registry
+    .ofService('generation')
+    .find((engine) => engine.record.address === placed.fetchFrom);
+  t.is(source?.record.zone, home.record.zone);
+  t.not(source?.record.id, home.record.id);
+  // A while later it has met the common parts itself: what it lacks then is the subject's.
+  home.loadedMs = -10_000;
+  t.is(place(request, tables).fetchFrom, STORE);
+});
+
 test('where the store is slower than reading, a stand-in takes the shared parts from the home', (t) => {
   const registry = registryOf(90);
   const tables = tablesOf(4);
--- a/test/gateway/weight-rollout.test.ts
+++ b/test/gateway/weight-rollout.test.ts
@@ -38,6 +38,7 @@
       modelVersions: new Map([[MODEL, version]]),
     },
     observedVersions: new Map<string, number>(),
+    loadedMs: undefined,
     observedOrders: undefined,
   }));
 }
