Send stores under pressure only mostly shared prompts; let routers join before they watch

Cause: each request saves its whole prompt. On the large sites that is 1.4 million tokens a second to stores of 2.3 million each: what they keep is 3 s old, half of it parts that nobody else uses. Change: where the stores would keep a prompt for less than 10 s (reckoned from the own rate of prompt tokens, the share of the traffic and the stores' stated capacity) and do not report what they keep, only prompts are saved of which four fifths are shared.

Warm engines as sources after a load: reverted.

Cause: 1,726 calls to the store in the first second of 195 routers, 2,900 with a longer wait: a router joins when it knows a configuration, the first one came a second after the start, so no wait by time alone helps, and each change of an engine's entry woke 195 watches. Change: the first watches of engines and versions wait until this router has joined and its view of the group is calm; that of the configuration does where it is known.

--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -9,7 +9,7 @@
 import type { HomeRanking } from '../../state/routing/home-ranking.js';
 import type { KeptPrefixes } from '../../state/routing/kept-prefixes.js';
 import type { LoadTable } from '../../state/routing/load-table.js';
-import type { RequestRate } from '../../state/routing/request-rate.js';
+import type { SendRate } from '../../state/routing/send-rate.js';
 import {
   type RetryBudgetSettings,
   SharedRetryBudget,
@@ -53,7 +53,12 @@
   readonly health: EngineHealth;
   readonly kept: KeptPrefixes;
   readonly versions: WeightVersions;
-  readonly requestRate: RequestRate;
+  /** Requests this router has sent to engines. */
+  readonly requestRate: SendRate;
+  /** Tokens of their prompts. */
+  readonly promptTokenRate: SendRate;
+  /** Share of the group's requests that come to this router, above 0 to 1. */
+  shareOfTraffic(): number;
   readonly split: TrafficSplit;
   readonly retryBudgets: ServiceRetryBudgets;
   readonly group: GroupView;
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -18,7 +18,7 @@
 import { HomeRanking } from '../../state/routing/home-ranking.js';
 import { KeptPrefixes } from '../../state/routing/kept-prefixes.js';
 import { LoadTable } from '../../state/routing/load-table.js';
-import { RequestRate } from '../../state/routing/request-rate.js';
+import { SendRate } from '../../state/routing/send-rate.js';
 import { StoreOutages } from '../../state/routing/store-outages.js';
 import { byCapability } from '../../state/routing/store-readers.js';
 import { TrafficSplit } from '../../state/routing/traffic-split.js';
@@ -37,7 +37,7 @@
 import { type ObjectDecoder, valueOrLog } from './object-decoder.js';
 import type { InboundRequest, Reply } from './reply.js';
 import { RequestCall } from './request-call.js';
-import { StoreFollowers } from './store-followers.js';
+import { FirstWatch, StoreFollowers } from './store-followers.js';
 import { StoreRelay } from './store-relay/store-relay.js';
 import { VersionNews } from './version-news.js';
 import { WeightCoordinator } from './weight-coordinator.js';
@@ -82,7 +82,8 @@
   private readonly kept = new KeptPrefixes();
   private readonly outages = new StoreOutages();
   private readonly versions: WeightVersions;
-  private readonly requestRate = new RequestRate();
+  private readonly requestRate = new SendRate();
+  private readonly promptTokenRate = new SendRate();
   private readonly split = new TrafficSplit();
   private readonly followers: StoreFollowers;
   private readonly calls = new Set<RequestCall>();
@@ -122,6 +123,8 @@
       kept: this.kept,
       versions: this.versions,
       requestRate: this.requestRate,
+      promptTokenRate: this.promptTokenRate,
+      shareOfTraffic: () => this.shareOfTraffic(),
       split: this.split,
       retryBudgets: new ServiceRetryBudgets(settings.retryBudget),
       statistics: this.statistics,
@@ -207,6 +210,7 @@
     // Requests with a key wait for a proof, so a router that starts asks for a current list.
     this.followers.follow(
       { kind: kinds.configuration, watchMs: configurationWatchMs, gatherMs: 0, ...CURRENT_FIRST },
+      FirstWatch.IfJoined,
       {
         onObject: (object, provenMs) => this.takeConfiguration(object, provenMs),
         onAnswer: (provenMs) => this.configuration.prove(provenMs),
@@ -214,6 +218,7 @@
     );
     this.followers.follow(
       { kind: kinds.engines, watchMs: engineWatchMs, gatherMs: ENGINE_GATHER_MS, ...OLD_FIRST },
+      FirstWatch.AfterJoining,
       {
         onList: (objects) => this.engineList.takeAll(objects),
         onObject: (object) => this.engineList.take(object),
@@ -223,6 +228,7 @@
     );
     this.followers.follow(
       { kind: kinds.weightVersions, watchMs: versionWatchMs, gatherMs: 0, ...OLD_FIRST },
+      FirstWatch.AfterJoining,
       {
         onList: (objects) => this.versionNews.takeList(objects),
         onObject: (object) => this.versionNews.takeChange(object),
--- a/src/coordination/gateway/group-membership.ts
+++ b/src/coordination/gateway/group-membership.ts
@@ -142,6 +142,11 @@
     return Math.max(this.seeds.length, this.membership.all().length);
   }
 
+  /** Whether this router takes part. */
+  get hasJoined(): boolean {
+    return this.isStarted;
+  }
+
   /** Changes with every change of the view. */
   get version(): number {
     return this.membership.version;
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -216,7 +216,9 @@
   private noteFirstSend(service: Service): void {
     this.context.retryBudgets.of(service.name).noteRequest(this.now);
     const { generation } = this.request;
-    if (generation) this.context.requestRate.note(generation.model, this.now);
+    if (!generation) return;
+    this.context.requestRate.note(generation.model, 1, this.now);
+    this.context.promptTokenRate.note(generation.model, generation.promptTokens, this.now);
   }
 
   private isStream(head: AnswerHead): boolean {
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -6,8 +6,9 @@
   ExchangeListener,
   SendOptions,
 } from '../../protocol/inference/port.js';
-import type { Service } from '../../state/routing/configuration.js';
+import type { CacheStore, Service } from '../../state/routing/configuration.js';
 import { type Placement, placeRequest } from '../../state/routing/placement.js';
+import { StorePressure, storePressure } from '../../state/routing/save-choice.js';
 import type { GatewayContext } from './gateway-context.js';
 import { LoadShare } from './load-share.js';
 import type { Grant } from './request-admission.js';
@@ -40,6 +41,7 @@
       excluded,
       zone: context.zone,
       stores,
+      storePressure: pressureOf(request, stores, context),
       connectionShare,
     },
     context,
@@ -47,6 +49,17 @@
   );
 }
 
+/** Reckoned from this router's own prompts and its share of the group's requests. */
+function pressureOf(
+  { generation }: InboundRequest,
+  stores: readonly CacheStore[],
+  context: GatewayContext,
+): StorePressure {
+  if (!generation) return StorePressure.Low;
+  const ownRate = context.promptTokenRate.perSecond(generation.model, context.clock.now());
+  return storePressure(ownRate / context.shareOfTraffic(), stores);
+}
+
 /** The conditions under which a placed request is sent. */
 export function sendOptionsOf(
   placement: Placement,
--- a/src/coordination/gateway/store-followers.ts
+++ b/src/coordination/gateway/store-followers.ts
@@ -19,17 +19,33 @@
 
 /** The group, as far as this needs it. */
 export interface SettlingGroup {
+  /** Whether this router takes part: it does as soon as it knows a configuration and the engines. */
+  readonly hasJoined: boolean;
   /** Changes with every change of the group. */
   readonly version: number;
 }
 
+/** How the first watch of a kind waits for the group. */
+export enum FirstWatch {
+  /** It begins at once where this router has not joined: it may bring what joining needs. */
+  IfJoined = 'if-joined',
+  /** It waits until this router has joined and knows its group. */
+  AfterJoining = 'after-joining',
+}
+
+/** Lists of all kinds are answered within this time of each other; then a router joins or lacks something. */
+const JOINING_MS = 100;
 /**
- * A router that starts begins to watch when its view of the group has stood still for this long: only
+ * A router that has joined begins to watch when its view of the group has stood still for this long: only
  * then does it know the router to follow through.
  */
 const GROUP_CALM_MS = 300;
-/** It waits no longer than this; 170 of 195 routers that start together are known after 0.8 s. */
+/** It waits at least this long: routers of a deployment start within 0.3 s and then join. */
+const SHORTEST_SETTLING_MS = 800;
+/** It waits no longer than this after joining; 170 of 195 that start together are known after 0.8 s. */
 const LONGEST_SETTLING_MS = 1_200;
+/** Without a configuration no router joins; the first one may come this long after the start. */
+const LONGEST_JOINING_MS = 3_000;
 const SETTLING_CHECK_MS = 100;
 
 /** Follows kinds until stopped. */
@@ -46,10 +62,14 @@
   ) {}
 
   /** Follows one more kind. */
-  follow(settings: Omit<FollowerSettings, 'settled'>, handlers: FollowHandlers): void {
+  follow(
+    settings: Omit<FollowerSettings, 'settled'>,
+    firstWatch: FirstWatch,
+    handlers: FollowHandlers,
+  ): void {
     const { clock, random, logger } = this;
     const follower = new ObjectFollower(
-      { ...settings, settled: () => this.waitForGroup() },
+      { ...settings, settled: () => this.waitForGroup(firstWatch) },
       this.store,
       {
         onList: (objects, provenMs) => {
@@ -80,12 +100,26 @@
     for (const follower of this.followers) follower.stop();
   }
 
-  private async waitForGroup(): Promise<void> {
+  private async waitForGroup(firstWatch: FirstWatch): Promise<void> {
+    const { clock, group } = this;
+    await sleep(clock, JOINING_MS);
+    if (firstWatch === FirstWatch.IfJoined && !group.hasJoined) return;
+    const latestMs = clock.now() + LONGEST_JOINING_MS;
+    while (!group.hasJoined && clock.now() < latestMs) await sleep(clock, SETTLING_CHECK_MS);
+    if (group.hasJoined) await this.waitUntilCalm();
+  }
+
+  private async waitUntilCalm(): Promise<void> {
     const { clock, group } = this;
-    const latestMs = clock.now() + LONGEST_SETTLING_MS;
+    const beganMs = clock.now();
     let seenVersion = group.version;
-    let changedMs = clock.now();
-    while (clock.now() < latestMs && clock.now() - changedMs < GROUP_CALM_MS) {
+    let changedMs = beganMs;
+    const isSettled = (): boolean => {
+      const waitedMs = clock.now() - beganMs;
+      const isCalm = clock.now() - changedMs >= GROUP_CALM_MS;
+      return waitedMs >= LONGEST_SETTLING_MS || (isCalm && waitedMs >= SHORTEST_SETTLING_MS);
+    };
+    while (!isSettled()) {
       await sleep(clock, SETTLING_CHECK_MS);
       if (group.version !== seenVersion) changedMs = clock.now();
       seenVersion = group.version;
--- a/src/coordination/gateway/weight-coordinator.ts
+++ b/src/coordination/gateway/weight-coordinator.ts
@@ -15,7 +15,7 @@
 import type { LoadTable } from '../../state/routing/load-table.js';
 import { type GivenOrder, OrderBook } from '../../state/routing/order-book.js';
 import { OrderTurn } from '../../state/routing/order-turn.js';
-import type { RequestRate } from '../../state/routing/request-rate.js';
+import type { SendRate } from '../../state/routing/send-rate.js';
 import {
   type RolloutObservations,
   type RolloutPlan,
@@ -38,7 +38,7 @@
   readonly kept: KeptPrefixes;
   readonly engines: InferencePort;
   readonly lease: LeaseKeeper;
-  readonly requestRate: RequestRate;
+  readonly requestRate: SendRate;
   readonly statistics: GatewayStatistics;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -336,7 +336,6 @@
   private noteVersion(engine: Engine, model: string, version: number): void {
     if ((versionAt(engine, model) ?? 0) < version) {
       engine.observedVersions.set(model, version);
-      engine.loadedMs = this.now;
       this.parts.kept.forget(engine.record.id);
     }
     this.parts.health.noteLoaded(engine.record.id);
--- a/src/state/routing/engine-registry.ts
+++ b/src/state/routing/engine-registry.ts
@@ -19,11 +19,6 @@
   record: EngineRecord;
   /** Versions this router knows to be newer than the listed ones, from orders and answers. */
   readonly observedVersions: Map<string, number>;
-  /**
-   * When this router heard, on the steady clock, that the engine has taken its present weights and so
-   * keeps nothing of before; undefined where it has had them for as long as this router knows it.
-   */
-  loadedMs: number | undefined;
   /** Orders taken, as the engine itself told; undefined where that must be asked for. */
   observedOrders: number | undefined;
 }
@@ -92,7 +87,6 @@
       this.engines.set(record.id, {
         record,
         observedVersions: new Map(),
-        loadedMs: undefined,
         observedOrders: undefined,
       });
       return;
--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -9,6 +9,7 @@
 import type { LoadTable } from './load-table.js';
 import { type PromptView, sourceAddress, storeToSave } from './prompt-source-choice.js';
 import { KeptBySalt, READ_TOKENS_PER_MS, bestSource, sharedTokensOf } from './prompt-sources.js';
+import type { StorePressure } from './save-choice.js';
 import type { WeightVersions } from './weight-versions.js';
 
 /** What a placement is decided from. */
@@ -23,6 +24,8 @@
   /** Zone of this router. */
   readonly zone: string;
   readonly stores: readonly CacheStore[];
+  /** How the cache stores stand to what the group sends to them. */
+  readonly storePressure: StorePressure;
   /** Requests this router may have at one engine at once. */
   readonly connectionShare: number;
 }
@@ -110,7 +113,8 @@
   const homes = tables.homes.first(subject, sound, (each) => each.record.id, HOMES_WEIGHED);
   const [store] = tables.homes.first(subject, stores, (each) => each.address, 1);
   const kept = new KeptBySalt({ ...request, generation }, tables.kept);
-  return { generation, kept, homes, store, candidates, random: tables.random, nowMs };
+  const { storePressure } = request;
+  return { generation, kept, homes, store, storePressure };
 }
 
 /**
--- a/src/state/routing/prompt-source-choice.ts
+++ b/src/state/routing/prompt-source-choice.ts
@@ -1,8 +1,7 @@
 /** From where an engine takes the parts of a prompt that it lacks, and where they are saved. Pure. */
-import { type RandomSource, randomInteger } from '../../runtime/random.js';
 import type { CacheStore, EngineProfile } from './configuration.js';
 import { type Engine, type EngineRecord, versionAt } from './engine-registry.js';
-import { type GenerationShape, sharedPartsOf } from './generation.js';
+import type { GenerationShape } from './generation.js';
 import {
   type BestSource,
   type KeptBySalt,
@@ -10,6 +9,7 @@
   paysToFetch,
   sharedTokensOf,
 } from './prompt-sources.js';
+import { type StorePressure, isWorthSaving } from './save-choice.js';
 
 /** What one placement knows of its prompt. */
 export interface PromptView {
@@ -19,18 +19,9 @@
   readonly homes: readonly Engine[];
   /** The store that all routers agree on for the subject. */
   readonly store: CacheStore | undefined;
-  /** Engines of the service. */
-  readonly candidates: readonly Engine[];
-  readonly random: RandomSource;
-  readonly nowMs: number;
+  readonly storePressure: StorePressure;
 }
 
-/**
- * For this long after it took other weights an engine is taken to lack even the parts that many subjects
- * share; at some two prompts a second it has met most of a handful of them by then.
- */
-const COLD_MS = 3_000;
-
 /**
  * From where the engine takes what it lacks. Of holders that do not report, a router knows only what it
  * sent there itself a while ago, and memory is evicted within seconds: there the store goes first, and it
@@ -48,8 +39,7 @@
   const keepsAll = ownTokens >= sharedTokensOf(prompt.generation);
   if (keepsAll && prompt.kept.isReported(engine.record.id)) return undefined;
   const lastResort = keepsAll ? undefined : otherHome(engine, prompt);
-  const source =
-    warmPeer(engine, prompt) ?? storeToAsk(engine, prompt.store, profile) ?? known ?? lastResort;
+  const source = storeToAsk(engine, prompt.store, profile) ?? known ?? lastResort;
   return source?.address;
 }
 
@@ -72,35 +62,12 @@
   return home?.record;
 }
 
-/**
- * A warm engine of the same weights for one that has just taken them: the parts that many subjects share
- * are at every engine soon, while the stores are sent all prompts at once just then.
- */
-function warmPeer(engine: Engine, prompt: PromptView): EngineRecord | undefined {
-  const { generation, kept, nowMs, candidates, random } = prompt;
-  const hasCommonParts = sharedPartsOf(generation).length > 1;
-  if (!hasCommonParts || !isCold(engine, nowMs)) return undefined;
-  if (kept.isReported(engine.record.id)) return undefined;
-  const version = versionAt(engine, generation.model);
-  const warm = candidates.filter(
-    (each) =>
-      versionAt(each, generation.model) === version &&
-      !isCold(each, nowMs) &&
-      !each.record.isDraining,
-  );
-  const near = warm.filter((each) => each.record.zone === engine.record.zone);
-  const choices = near.length > 0 ? near : warm;
-  return choices[randomInteger(random, Math.max(1, choices.length))]?.record;
-}
-
-function isCold(engine: Engine, nowMs: number): boolean {
-  return engine.loadedMs !== undefined && nowMs - engine.loadedMs < COLD_MS;
-}
-
 /** The store that should get this prompt's shared parts; undefined where it has them. */
 export function storeToSave(kept: KeptPrompt, prompt: PromptView): string | undefined {
   const sharedTokens = sharedTokensOf(prompt.generation);
   if (sharedTokens === 0 || !prompt.store) return undefined;
   const { address } = prompt.store;
+  const isReported = prompt.kept.isReported(address);
+  if (!isReported && !isWorthSaving(prompt.generation, prompt.storePressure)) return undefined;
   return (kept.tokensByHolder.get(address) ?? 0) < sharedTokens ? address : undefined;
 }
