Take a version that the first watch shows as named a while ago

A version that it shows was taken as named at that moment, so a router that had started could use older weights longer than the bound allows. Change: until the first watch was answered a version's time counts as unknown, as one that a list shows; a router that saw it being named still knows better. Test: version-news, the first fails without the change.

--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -232,6 +232,7 @@
       {
         onList: (objects) => this.versionNews.takeList(objects),
         onObject: (object) => this.versionNews.takeChange(object),
+        onAnswer: () => this.versionNews.noteAnswer(),
       },
     );
     const { clock } = this.surroundings;
--- a/src/coordination/gateway/version-news.ts
+++ b/src/coordination/gateway/version-news.ts
@@ -30,12 +30,16 @@
 /** A version is told for this long; longer than any bound on replaced weights. */
 const TOLD_FOR_MS = 15_000;
 
+/** The list and the first watch; from then on a change is shown as soon as it is there. */
+const ANSWERS_UNTIL_FOLLOWED = 2;
+
 /** Where a router heard of a version. */
 type VersionOrigin = 'watch' | 'list' | 'router';
 
 /** The versions that one router has heard of. */
 export class VersionNews {
   private hasList = false;
+  private answers = 0;
 
   /**
    * @param unseenAgeMs weights found by a router that has just started are taken to be named this long
@@ -55,11 +59,23 @@
     for (const object of objects) this.takeObject(object, 'list', ageMs);
   }
 
-  /** Takes a change that a watch showed. */
+  /**
+   * Takes a change that a watch showed. The first watch begins a while after the list, which may itself be
+   * old: what it shows may have been named before, so its time is not known either.
+   */
   takeChange(object: StoredObject): void {
+    if (this.answers < ANSWERS_UNTIL_FOLLOWED) {
+      this.takeObject(object, 'list', this.unseenAgeMs);
+      return;
+    }
     if (this.takeObject(object, 'watch', 0)) this.announce();
   }
 
+  /** The store, or another router in its place, has answered; call after its changes were taken. */
+  noteAnswer(): void {
+    this.answers += 1;
+  }
+
   /** Takes what another router tells. */
   receive({ model, version, ageMs }: VersionNotice): void {
     this.note(model, version, 'router', ageMs);
--- /dev/null
+++ b/test/gateway/version-news.test.ts
@@ -0,0 +1,60 @@
+/** When a version of weights was named, as far as a router can know it. */
+import test from 'ava';
+import { VersionNews } from '../../src/coordination/gateway/version-news.js';
+import { DECODER, WORLD_MODEL } from '../../src/lab/gateway-world/world-fixtures.js';
+import { SilentLogger } from '../../src/runtime/logger.js';
+import { VirtualClock } from '../../src/runtime/virtual-clock.js';
+import { StoreOutages } from '../../src/state/routing/store-outages.js';
+import { WeightVersions } from '../../src/state/routing/weight-versions.js';
+
+const GRACE_MS = 9_000;
+const UNSEEN_AGE_MS = 5_000;
+
+function namedObject(version: number) {
+  return { name: WORLD_MODEL, revision: version, spec: { model: WORLD_MODEL, version } };
+}
+
+function newsWorld() {
+  const clock = new VirtualClock();
+  const versions = new WeightVersions(GRACE_MS, new StoreOutages());
+  let announcements = 0;
+  const parts = { versions, decoder: DECODER, clock, logger: new SilentLogger() };
+  const news = new VersionNews(parts, UNSEEN_AGE_MS, () => (announcements += 1));
+  return { clock, versions, news, announced: () => announcements };
+}
+
+test('what the first watch after a list shows may have been named before it began', async (t) => {
+  const { clock, versions, news, announced } = newsWorld();
+  await clock.advance(20_000);
+  news.takeList([namedObject(1)]);
+  news.noteAnswer();
+  await clock.advance(1_200);
+  news.takeChange(namedObject(2));
+  news.noteAnswer();
+  t.is(versions.dueMs(WORLD_MODEL, 1, clock.now()), clock.now() - UNSEEN_AGE_MS + GRACE_MS);
+  t.is(announced(), 0);
+  t.deepEqual(news.notices, []);
+});
+
+test('a change that a later watch shows was named just now, and is announced', async (t) => {
+  const { clock, versions, news, announced } = newsWorld();
+  await clock.advance(20_000);
+  news.takeList([namedObject(1)]);
+  news.noteAnswer();
+  news.noteAnswer();
+  await clock.advance(1_000);
+  news.takeChange(namedObject(2));
+  t.is(versions.dueMs(WORLD_MODEL, 1, clock.now()), clock.now() + GRACE_MS);
+  t.is(announced(), 1);
+});
+
+test('a router that saw the version being named knows its time better', async (t) => {
+  const { clock, versions, news } = newsWorld();
+  await clock.advance(20_000);
+  news.takeList([namedObject(1)]);
+  news.noteAnswer();
+  news.takeChange(namedObject(2));
+  news.noteAnswer();
+  news.receive({ model: WORLD_MODEL, version: 2, ageMs: 2_500 });
+  t.is(versions.dueMs(WORLD_MODEL, 1, clock.now()), clock.now() - 2_500 + GRACE_MS);
+});
