--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -63,9 +63,6 @@
  * entry for each load. Small against the bounds on engines that drain, 2 s and more.
  */
 const ENGINE_GATHER_MS = 200;
-/** How current the first list of a kind is. */
-const CURRENT_FIRST = { firstList: ListFreshness.Current } as const;
-const OLD_FIRST = { firstList: ListFreshness.MayBeOld } as const;
 /**
  * A router that joins has heard of most others after this long, and so knows its rank and how many share
  * the feeds: of 195 routers that started together, 170 were known after 0.8 s and 179 after a second.
@@ -93,7 +90,6 @@
   private readonly feeds: CacheFeeds;
   private readonly engineList: EngineList;
   private readonly timers: Timer[] = [];
-  private hasJoined = false;
   private isRankKnown = false;
   private isLeaving = false;
 
@@ -209,7 +205,12 @@
     const { kinds, configurationWatchMs, engineWatchMs, versionWatchMs } = this.settings;
     // Requests with a key wait for a proof, so a router that starts asks for a current list.
     this.followers.follow(
-      { kind: kinds.configuration, watchMs: configurationWatchMs, gatherMs: 0, ...CURRENT_FIRST },
+      {
+        kind: kinds.configuration,
+        watchMs: configurationWatchMs,
+        gatherMs: 0,
+        firstList: ListFreshness.Current,
+      },
       FirstWatch.IfJoined,
       {
         onObject: (object, provenMs) => this.takeConfiguration(object, provenMs),
@@ -217,7 +218,12 @@
       },
     );
     this.followers.follow(
-      { kind: kinds.engines, watchMs: engineWatchMs, gatherMs: ENGINE_GATHER_MS, ...OLD_FIRST },
+      {
+        kind: kinds.engines,
+        watchMs: engineWatchMs,
+        gatherMs: ENGINE_GATHER_MS,
+        firstList: ListFreshness.MayBeOld,
+      },
       FirstWatch.AfterJoining,
       {
         onList: (objects) => this.engineList.takeAll(objects),
@@ -227,7 +233,12 @@
       },
     );
     this.followers.follow(
-      { kind: kinds.weightVersions, watchMs: versionWatchMs, gatherMs: 0, ...OLD_FIRST },
+      {
+        kind: kinds.weightVersions,
+        watchMs: versionWatchMs,
+        gatherMs: 0,
+        firstList: ListFreshness.MayBeOld,
+      },
       FirstWatch.AfterJoining,
       {
         onList: (objects) => this.versionNews.takeList(objects),
@@ -317,8 +328,7 @@
   }
 
   private joinWhenReady(): void {
-    if (!this.isReady || this.hasJoined) return;
-    this.hasJoined = true;
+    if (!this.isReady || this.group.hasJoined) return;
     this.group.start();
     const { clock } = this.surroundings;
     this.timers.push(
--- a/src/coordination/gateway/store-relay/peer-queries.ts
+++ b/src/coordination/gateway/store-relay/peer-queries.ts
@@ -6,7 +6,7 @@
 import type { MemberUpdate } from '../../../state/membership.js';
 import type { RelayClient } from './relay-client.js';
 
-/** Results that always tell the moment at which they were current, on the steady clock. */
+/** Results that always carry the moment at which they were current, on the steady clock. */
 export type ProvenList = ObjectList & { readonly provenMs: number };
 export type ProvenResult = Exclude<WatchResult, { kind: 'events' }> | ProvenChanges;
 type ProvenChanges = Extract<WatchResult, { kind: 'events' }> & { readonly provenMs: number };
--- a/src/state/routing/save-choice.ts
+++ b/src/state/routing/save-choice.ts
@@ -34,9 +34,8 @@
   return isShort ? StorePressure.High : StorePressure.Low;
 }
 
-/** Whether a prompt is worth its place in a store that does not report. */
+/** Whether a prompt that has shared parts is worth its place in a store that does not report. */
 export function isWorthSaving(generation: GenerationShape, pressure: StorePressure): boolean {
-  const sharedTokens = sharedTokensOf(generation);
-  if (sharedTokens === 0) return false;
-  return pressure === StorePressure.Low || sharedTokens >= generation.promptTokens * MOSTLY_SHARED;
+  if (pressure === StorePressure.Low) return true;
+  return sharedTokensOf(generation) >= generation.promptTokens * MOSTLY_SHARED;
 }
