Log who is suspected or dead and what a directory answer names; one directory class

Change: heartbeats, first-hand, by member; group_changed names members and the longest silence; directory_answered tells named, working and the longest silence of what is named; a counter of answers. The directory moves from the node into a class of its own. No decision changes.

--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -25,7 +25,8 @@
 import { WeightLease } from '../../state/routing/weight-lease.js';
 import { WeightVersions } from '../../state/routing/weight-versions.js';
 import { CacheFeeds } from './cache-feeds.js';
-import { type CallerPlace, addressesFor } from './directory-answer.js';
+import { Directory } from './directory.js';
+import type { CallerPlace } from './directory-answer.js';
 import { EngineList } from './engine-list.js';
 import { type GatewayContext, ServiceRetryBudgets } from './gateway-context.js';
 import { type HeldFeed, ownShareOfFeeds } from '../../state/routing/feed-share.js';
@@ -87,6 +88,7 @@
   private readonly context: GatewayContext;
   private readonly coordinator: WeightCoordinator;
   private readonly versionNews: VersionNews;
+  private readonly directory: Directory;
   private readonly feeds: CacheFeeds;
   private readonly engineList: EngineList;
   private readonly timers: Timer[] = [];
@@ -126,6 +128,7 @@
       statistics: this.statistics,
       zone: settings.zone,
     };
+    this.directory = new Directory(group, random, this.statistics, logger);
     this.feeds = new CacheFeeds({ kept: this.kept, engines, clock, random, logger });
     this.engineList = new EngineList(
       this.registry,
@@ -270,10 +273,7 @@
   /** Addresses a caller may connect to; empty while this router knows of none. */
   resolve(place: CallerPlace): string[] {
     if (this.configuration.current === undefined) return [];
-    const members = this.group.working.filter(
-      (member) => member.nodeId !== this.settings.nodeId || this.isReady,
-    );
-    return addressesFor(place, members, this.surroundings.random);
+    return this.directory.answer(place, this.isReady);
   }
 
   /** Serves one request. */
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -21,4 +21,5 @@
   rolloutsForDeadline = 0;
   sharedTokensRead = 0;
   sharedTokensKept = 0;
+  directoryAnswers = 0;
 }
--- /dev/null
+++ b/src/coordination/gateway/group-change-log.ts
@@ -0,0 +1,39 @@
+/** Logs how the view of the group changes: who is suspected, dead or leaving, and since when it is silent. */
+import type { Logger } from '../../runtime/logger.js';
+import { MemberStatus, type MemberUpdate, isWorking } from '../../state/membership.js';
+
+/** Members named in one line; a large loss is told by its size. */
+const MAXIMUM_NAMED = 6;
+
+/** Compares each view with the one before it. */
+export class GroupChangeLog {
+  private statuses = new Map<string, MemberStatus>();
+
+  constructor(private readonly logger: Logger) {}
+
+  /** @param silenceMs time since a member was last heard, in milliseconds */
+  note(members: readonly MemberUpdate[], silenceMs: (nodeId: string) => number): void {
+    const changed = members.filter(
+      ({ nodeId, status }) => this.statuses.get(nodeId) !== status && status !== MemberStatus.Alive,
+    );
+    this.statuses = new Map(members.map(({ nodeId, status }) => [nodeId, status]));
+    const named = (status: MemberStatus): string | undefined =>
+      nameSome(changed.filter((member) => member.status === status));
+    const silences = changed.map(({ nodeId }) => silenceMs(nodeId)).filter(Number.isFinite);
+    this.logger.info('group_changed', {
+      working: members.filter(isWorking).length,
+      known: members.length,
+      suspected: named(MemberStatus.Suspect),
+      dead: named(MemberStatus.Dead),
+      leaving: named(MemberStatus.Leaving),
+      longest_silence_ms: silences.length > 0 ? Math.round(Math.max(...silences)) : undefined,
+    });
+  }
+}
+
+function nameSome(members: readonly MemberUpdate[]): string | undefined {
+  if (members.length === 0) return undefined;
+  const names = members.slice(0, MAXIMUM_NAMED).map(({ nodeId }) => nodeId);
+  const rest = members.length - names.length;
+  return rest > 0 ? `${names.join(',')},+${rest}` : names.join(',');
+}
--- a/src/coordination/gateway/group-membership.ts
+++ b/src/coordination/gateway/group-membership.ts
@@ -21,6 +21,7 @@
   type GossipDatagram,
   GossipDatagramSchema,
 } from '../../protocol/peer/generated/peer_pb.js';
+import { Heartbeats } from '../../state/heartbeats.js';
 import type { LoadTable } from '../../state/routing/load-table.js';
 import { type WeightsNews, WeightsNewsBoard } from '../../state/routing/weights-news.js';
 import {
@@ -37,6 +38,7 @@
   encodeMemberUpdate,
 } from '../router/member-codec.js';
 import type { GroupView } from './gateway-context.js';
+import { GroupChangeLog } from './group-change-log.js';
 import type { VersionNotice } from './version-news.js';
 
 /** How this router takes part. */
@@ -92,6 +94,8 @@
   private reportSequence = 0;
   private idleReports = 0;
   private seenView = -1;
+  private readonly heartbeats = new Heartbeats();
+  private readonly changeLog: GroupChangeLog;
   private isAnnouncing = false;
   private readonly board = new WeightsNewsBoard();
   private pendingFanout = 0;
@@ -107,8 +111,10 @@
     private readonly events: GroupEvents,
     private readonly clock: Clock,
     private readonly random: RandomSource,
-    private readonly logger: Logger,
-  ) {}
+    logger: Logger,
+  ) {
+    this.changeLog = new GroupChangeLog(logger);
+  }
 
   static async open(
     settings: GroupSettings,
@@ -162,6 +168,12 @@
     return this.membership.working();
   }
 
+  /** Time since this router last heard a member, in milliseconds; Infinity where it never did. */
+  silenceMs(nodeId: string): number {
+    if (nodeId === this.own.nodeId) return 0;
+    return this.heartbeats.silenceMs(nodeId, this.clock.now());
+  }
+
   /** Joins; call once this router can serve. */
   start(): void {
     if (this.isStarted) return;
@@ -217,6 +229,7 @@
     if (!kind) return;
     const { sender, sequence, subject } = gossip;
     const updates = gossip.updates.map(decodeMemberUpdate);
+    this.heartbeats.note(sender, this.clock.now());
     const answer = this.membership.receive(
       { kind, sender, sequence, subject, updates },
       this.clock.now(),
@@ -233,6 +246,7 @@
       ]),
     );
     const nowMs = this.clock.now();
+    this.heartbeats.note(report.sender, nowMs);
     if (!report.withoutLoads) this.loads.receive(report.sender, report.sequence, loads, nowMs);
     this.receiveNews(report.weights, nowMs);
     const leaseRevision = Number(report.heldLeaseRevision);
@@ -344,10 +358,9 @@
   private noteView(): void {
     if (this.membership.version === this.seenView) return;
     this.seenView = this.membership.version;
-    this.logger.info('group_changed', {
-      working: this.working.length,
-      known: this.membership.all().length,
-    });
+    const members = this.membership.all();
+    this.changeLog.note(members, (nodeId) => this.silenceMs(nodeId));
+    this.heartbeats.retain(new Set(members.map(({ nodeId }) => nodeId)));
     if (this.isAnnouncing || !this.isStarted) return;
     this.isAnnouncing = true;
     this.clock.setTimer(NEWS_DELAY_MS, () => {
