--- /dev/null
+++ b/test/helpers/group-world.ts
@@ -0,0 +1,120 @@
+/** A group of routers with their directories, on simulated hosts that can lose their power. */
+import { Directory } from '../../src/coordination/gateway/directory.js';
+import { GatewayStatistics } from '../../src/coordination/gateway/gateway-statistics.js';
+import { GroupEventTarget } from '../../src/coordination/gateway/group-event-target.js';
+import { GroupMembership } from '../../src/coordination/gateway/group-membership.js';
+import { HostClock } from '../../src/lab/simulation/host-clock.js';
+import { SimulatedNetwork } from '../../src/lab/simulation/simulated-network.js';
+import {
+  SimulatedDatagramTransport,
+  SimulatedSockets,
+} from '../../src/lab/simulation/simulated-transports.js';
+import { SilentLogger } from '../../src/runtime/logger.js';
+import { SeededRandom } from '../../src/runtime/random.js';
+import { VirtualClock } from '../../src/runtime/virtual-clock.js';
+
+/** Routers start within this time of each other, as machines of one deployment do. */
+const START_SPREAD_MS = 300;
+const ZONES = 4;
+const SEEDS = 3;
+
+/** A router of the group; `host` is its present process. */
+export interface GroupRouter {
+  readonly name: string;
+  host: HostClock;
+  group: GroupMembership;
+  directory: Directory;
+}
+
+/** The group. */
+export class GroupWorld {
+  readonly clock = new VirtualClock();
+  readonly network: SimulatedNetwork;
+  readonly routers: GroupRouter[] = [];
+  /** When a router lost its power, by the address that the directory names. */
+  private readonly offSinceMs = new Map<string, number>();
+  private readonly sockets: SimulatedSockets;
+  private starts = 0;
+
+  private constructor(private readonly seed: number) {
+    this.network = new SimulatedNetwork(this.clock, new SeededRandom(seed));
+    this.sockets = new SimulatedSockets(this.network);
+  }
+
+  static async create(routers: number, seed: number): Promise<GroupWorld> {
+    const world = new GroupWorld(seed);
+    for (let index = 0; index < routers; index += 1) {
+      await world.start(index);
+      await world.clock.advance(Math.floor(START_SPREAD_MS / routers));
+    }
+    return world;
+  }
+
+  get running(): GroupRouter[] {
+    return this.routers.filter(({ host }) => host.isRunning);
+  }
+
+  /** The process of a router ends without a word, and nothing answers at its address. */
+  powerOff(index: number): void {
+    const router = this.routers[index] as GroupRouter;
+    router.host.stop();
+    this.sockets.forget(router.name);
+    this.offSinceMs.set(addressOf(router.name), this.clock.now());
+  }
+
+  /** Starts a router, for the first time or again. */
+  async start(index: number): Promise<void> {
+    const name = `router-${index}`;
+    this.starts += 1;
+    const host = new HostClock(this.clock);
+    this.network.attach(name, host);
+    this.offSinceMs.delete(addressOf(name));
+    const random = new SeededRandom(this.seed * 1_000 + this.starts);
+    const events = new GroupEventTarget();
+    const group = await GroupMembership.open(
+      { identity: identityOf(index), seeds: seedAddresses() },
+      new SimulatedDatagramTransport(this.sockets, name),
+      events.loads,
+      events,
+      host,
+      random,
+      new SilentLogger(),
+    );
+    group.start();
+    const statistics = new GatewayStatistics();
+    const directory = new Directory(group, random, statistics, new SilentLogger());
+    this.routers[index] = { name, host, group, directory };
+  }
+
+  /** How long the longest dead of the routers that any directory names now has been off; 0: none is. */
+  longestNamedOffMs(): number {
+    const now = this.clock.now();
+    let longestMs = 0;
+    for (const { directory, group } of this.running) {
+      for (const address of directory.answer(group.own, true)) {
+        longestMs = Math.max(longestMs, now - (this.offSinceMs.get(address) ?? now));
+      }
+    }
+    return longestMs;
+  }
+}
+
+function addressOf(name: string): string {
+  return `${name}:80`;
+}
+
+function identityOf(index: number) {
+  const name = `router-${index}`;
+  return {
+    nodeId: name,
+    zone: `zone-${index % ZONES}`,
+    region: 'region-a',
+    capacity: 1_000,
+    peerAddress: addressOf(name),
+    gossipAddress: `${name}:7000`,
+  };
+}
+
+function seedAddresses(): string[] {
+  return Array.from({ length: SEEDS }, (_, index) => `router-${index}:7000`);
+}
