Name only routers that were heard lately in the directory's answers

Cause: the directory answered with all members that the membership had not declared dead. Suspected ones are among them, so a router without power was named until the wait for its probe, the probe and the suspicion time were over: no bound where most routers are lost, since the survivors probe one member a second each. Change: two decisions with two bounds. Every datagram of a member is a heartbeat; who was not heard for 2.5 s is left out of answers, at any size of group and of loss. Declaring dead stays as it is: it costs a rejoin. What other routers say is no evidence, so a router that starts does not name the dead it hears of; what a router reads just after it stood still is none either.

--- a/src/coordination/gateway/directory.ts
+++ b/src/coordination/gateway/directory.ts
@@ -1,4 +1,8 @@
-/** Answers callers that ask which routers they may connect to. */
+/**
+ * Answers callers that ask which routers they may connect to. It names routers by its own evidence that
+ * they run, never by the group's view alone: the view keeps a silent member until it is declared dead,
+ * which takes the longer the larger the group and the more of it is gone.
+ */
 import type { Logger } from '../../runtime/logger.js';
 import type { RandomSource } from '../../runtime/random.js';
 import type { MemberUpdate } from '../../state/membership.js';
@@ -11,6 +15,8 @@
   readonly own: MemberUpdate;
   /** Members that take work, this one included while it does. */
   readonly working: readonly MemberUpdate[];
+  /** Those of them that were heard lately. */
+  readonly responding: readonly MemberUpdate[];
   /** Time since a member was last heard, in milliseconds; 0 for this router. */
   silenceMs(nodeId: string): number;
 }
@@ -30,8 +36,8 @@
    * @param isOwnReady whether this router itself takes callers
    */
   answer(place: CallerPlace, isOwnReady: boolean): string[] {
-    const { own, working } = this.group;
-    const candidates = working.filter((member) => member.nodeId !== own.nodeId || isOwnReady);
+    const { own, responding } = this.group;
+    const candidates = responding.filter((member) => member.nodeId !== own.nodeId || isOwnReady);
     const addresses = addressesFor(place, candidates, this.random);
     this.note(place, candidates, addresses);
     return addresses;
@@ -49,6 +55,7 @@
     this.logger.info('directory_answered', {
       zone: place.zone,
       named: named.length,
+      responding: candidates.length,
       working: this.group.working.length,
       longest_silence_ms: silences.length > 0 ? Math.round(Math.max(...silences)) : undefined,
     });
--- a/src/coordination/gateway/group-membership.ts
+++ b/src/coordination/gateway/group-membership.ts
@@ -2,6 +2,7 @@
 import { create } from '@bufbuild/protobuf';
 import { type Clock, type Timer, repeat } from '../../runtime/clock.js';
 import type { Logger } from '../../runtime/logger.js';
+import { PauseDetector } from '../../runtime/pause-detector.js';
 import { type RandomSource, randomInteger } from '../../runtime/random.js';
 import type { DatagramSocket, DatagramTransport } from '../../transport/datagram-transport.js';
 import {
@@ -63,6 +64,12 @@
 }
 
 const CHECK_PERIOD_MS = 100;
+/**
+ * A member that was not heard for longer does not respond: three reports of an idle router have failed to
+ * come. Whether it is declared dead is the membership's decision and takes longer, since a member that
+ * was declared dead wrongly has to join again, while one that is only passed over loses nothing.
+ */
+export const LONGEST_SILENCE_MS = 2_500;
 const REPORT_PERIOD_MS = 250;
 /** Members that get each report of loads in a small group. */
 const REPORT_FANOUT = 12;
@@ -95,6 +102,7 @@
   private idleReports = 0;
   private seenView = -1;
   private readonly heartbeats = new Heartbeats();
+  private readonly pauses: PauseDetector;
   private readonly changeLog: GroupChangeLog;
   private isAnnouncing = false;
   private readonly board = new WeightsNewsBoard();
@@ -114,6 +122,7 @@
     logger: Logger,
   ) {
     this.changeLog = new GroupChangeLog(logger);
+    this.pauses = new PauseDetector(clock.now());
   }
 
   static async open(
@@ -168,6 +177,11 @@
     return this.membership.working();
   }
 
+  /** Working members that this router has heard lately itself, and this router while it works. */
+  get responding(): MemberUpdate[] {
+    return this.working.filter(({ nodeId }) => this.silenceMs(nodeId) <= LONGEST_SILENCE_MS);
+  }
+
   /** Time since this router last heard a member, in milliseconds; Infinity where it never did. */
   silenceMs(nodeId: string): number {
     if (nodeId === this.own.nodeId) return 0;
@@ -184,9 +198,7 @@
       this.clock.setTimer(firstDelayMs, () => {
         this.timers.push(repeat(this.clock, PROBE_PERIOD_MS, () => this.tick()));
       }),
-      repeat(this.clock, CHECK_PERIOD_MS, () =>
-        this.transmit(this.membership.checkDirectTimeout(this.clock.now())),
-      ),
+      repeat(this.clock, CHECK_PERIOD_MS, () => this.check()),
       repeat(this.clock, REPORT_PERIOD_MS, () => this.reportLoads()),
     );
   }
@@ -217,6 +229,11 @@
     this.noteView();
   }
 
+  private check(): void {
+    this.pauses.note(this.clock.now());
+    this.transmit(this.membership.checkDirectTimeout(this.clock.now()));
+  }
+
   private receive(datagram: Uint8Array): void {
     if (this.isStopped) return;
     const body = decodeClusterDatagram(datagram);
@@ -229,7 +246,7 @@
     if (!kind) return;
     const { sender, sequence, subject } = gossip;
     const updates = gossip.updates.map(decodeMemberUpdate);
-    this.heartbeats.note(sender, this.clock.now());
+    this.noteHeartbeat(sender);
     const answer = this.membership.receive(
       { kind, sender, sequence, subject, updates },
       this.clock.now(),
@@ -238,6 +255,12 @@
     this.noteView();
   }
 
+  /** A datagram that waited in the socket while this process stood still shows nothing of its sender. */
+  private noteHeartbeat(sender: string): void {
+    const nowMs = this.clock.now();
+    if (this.pauses.isSettled(nowMs)) this.heartbeats.note(sender, nowMs);
+  }
+
   private receiveReport(report: LoadReport): void {
     const loads = new Map(
       report.engines.map(({ engineId, requests, unreadTokens, heldTokens }) => [
@@ -246,7 +269,7 @@
       ]),
     );
     const nowMs = this.clock.now();
-    this.heartbeats.note(report.sender, nowMs);
+    this.noteHeartbeat(report.sender);
     if (!report.withoutLoads) this.loads.receive(report.sender, report.sequence, loads, nowMs);
     this.receiveNews(report.weights, nowMs);
     const leaseRevision = Number(report.heldLeaseRevision);
--- a/test/helpers/group-world.ts
+++ b/test/helpers/group-world.ts
@@ -91,14 +91,19 @@
     const now = this.clock.now();
     let longestMs = 0;
     for (const { directory, group } of this.running) {
-      for (const address of directory.answer(group.own, true)) {
-        longestMs = Math.max(longestMs, now - (this.offSinceMs.get(address) ?? now));
-      }
+      const places = zoneNames().map((zone) => ({ zone, region: group.own.region }));
+      const addresses = places.flatMap((place) => directory.answer(place, true));
+      const offMs = addresses.map((address) => now - (this.offSinceMs.get(address) ?? now));
+      longestMs = Math.max(longestMs, ...offMs);
     }
     return longestMs;
   }
 }
 
+function zoneNames(): string[] {
+  return Array.from({ length: ZONES }, (_, index) => `zone-${index}`);
+}
+
 function addressOf(name: string): string {
   return `${name}:80`;
 }
