Let the standby of the lease on orders pass over routers that were not heard

Cause: the same view of the group: a router stood by one second for each member before it in line, dead ones among them until they were declared dead. Change: the line holds routers that were heard lately; the present holder counts while nothing speaks against it. Routers of a large group hear a sample of it, so a few may ask for the lease together; the lease decides, as before. Tested and left as they are: followers of dead readers keep a proof younger than its lifetime, also in a view that never heals.

--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -161,7 +161,8 @@
       {
         holder: settings.nodeId,
         rollout: settings.rollout,
-        workingRouters: () => [...group.working].sort(byCapability).map(({ nodeId }) => nodeId),
+        respondingRouters: () => group.responding.sort(byCapability).map(({ nodeId }) => nodeId),
+        isAvailable: (router) => group.isAvailable(router),
         shareOfTraffic: () => this.shareOfTraffic(),
         announce: () => group.reportNow(),
         announcementMs: () => group.announcementMs,
--- a/src/coordination/gateway/group-membership.ts
+++ b/src/coordination/gateway/group-membership.ts
@@ -27,6 +27,7 @@
 import { type WeightsNews, WeightsNewsBoard } from '../../state/routing/weights-news.js';
 import {
   type MemberIdentity,
+  MemberStatus,
   type MemberUpdate,
   Membership,
   type OutgoingGossip,
@@ -182,6 +183,16 @@
     return this.working.filter(({ nodeId }) => this.silenceMs(nodeId) <= LONGEST_SILENCE_MS);
   }
 
+  /**
+   * Whether nothing speaks against a member: it is not suspected, and in a small group, where each hears
+   * all others several times a second, it was heard lately.
+   */
+  isAvailable(nodeId: string): boolean {
+    const member = this.working.find((each) => each.nodeId === nodeId);
+    if (member?.status !== MemberStatus.Alive) return false;
+    return this.isLarge || this.silenceMs(nodeId) <= LONGEST_SILENCE_MS;
+  }
+
   /** Time since this router last heard a member, in milliseconds; Infinity where it never did. */
   silenceMs(nodeId: string): number {
     if (nodeId === this.own.nodeId) return 0;
--- a/src/coordination/gateway/weight-coordinator.ts
+++ b/src/coordination/gateway/weight-coordinator.ts
@@ -48,8 +48,10 @@
 export interface CoordinatorSettings {
   readonly holder: string;
   readonly rollout: RolloutSettings;
-  /** Identifiers of the routers that work, this one included, in the order in which they stand in. */
-  workingRouters(): readonly string[];
+  /** Identifiers of the routers heard lately, this one included, in the order in which they stand by. */
+  respondingRouters(): readonly string[];
+  /** Whether nothing speaks against a router that may not have been heard lately. */
+  isAvailable(router: string): boolean;
   /** Share of the group's requests that come to this router, above 0 to 1. */
   shareOfTraffic(): number;
   /** Sends the other routers at once what is new. */
@@ -79,7 +81,8 @@
     private readonly parts: CoordinatorParts,
     private readonly settings: CoordinatorSettings,
   ) {
-    this.turn = new OrderTurn(settings.holder, settings.workingRouters);
+    const { holder, respondingRouters, isAvailable } = settings;
+    this.turn = new OrderTurn(holder, respondingRouters, isAvailable);
     this.report = new RolloutReport(parts.statistics, parts.logger);
   }
 
--- a/src/state/routing/order-turn.ts
+++ b/src/state/routing/order-turn.ts
@@ -19,11 +19,14 @@
 
   /**
    * @param own identifier of this router
-   * @param workingRouters identifiers of the routers that work, in the order in which they stand in
+   * @param respondingRouters identifiers of the routers that were heard lately, this one included, in the
+   *   order in which they stand by. Routers that hear few of their group begin together; the lease decides.
+   * @param isAvailable whether nothing speaks against a router that may not have been heard lately
    */
   constructor(
     private readonly own: string,
-    private readonly workingRouters: () => readonly string[],
+    private readonly respondingRouters: () => readonly string[],
+    private readonly isAvailable: (router: string) => boolean,
   ) {}
 
   /** Another router told of an order it gave. */
@@ -44,12 +47,12 @@
     return idleSinceMs + this.routersBefore * STANDBY_DELAY_MS;
   }
 
-  /** Working routers that come before this one: the holder of the lease, then the order of all. */
+  /** Routers that come before this one: the holder of the lease, then the order of all. */
   get routersBefore(): number {
-    const routers = this.workingRouters();
+    const routers = this.respondingRouters();
     const before = new Set(routers.slice(0, Math.max(0, routers.indexOf(this.own))));
     const { incumbent } = this;
-    if (incumbent !== undefined && incumbent !== this.own && routers.includes(incumbent)) {
+    if (incumbent !== undefined && incumbent !== this.own && this.isAvailable(incumbent)) {
       before.add(incumbent);
     }
     return before.size;
--- a/test/gateway/order-book.test.ts
+++ b/test/gateway/order-book.test.ts
@@ -51,7 +51,14 @@
 
 test('the holder comes first, then the others in their order, while it is silent', (t) => {
   const routers = ['a', 'b', 'c', 'd'];
-  const turns = routers.map((own) => new OrderTurn(own, () => routers));
+  const turns = routers.map(
+    (own) =>
+      new OrderTurn(
+        own,
+        () => routers,
+        (router) => routers.includes(router),
+      ),
+  );
   const before = (): number[] => turns.map((turn) => turn.routersBefore);
   t.deepEqual(before(), [0, 1, 2, 3]);
   for (const turn of turns) turn.noteHolder('c', 7);
--- a/test/gateway/store-outage.test.ts
+++ b/test/gateway/store-outage.test.ts
@@ -53,7 +53,7 @@
   }
   await world.clock.advance(4_000);
   const oldestProofAgeMs = (): number => world.clock.now() - Math.min(...provenMs);
-  return { world, oldestProofAgeMs };
+  return { world, oldestProofAgeMs, provenMs };
 }
 
 test('a store that refuses all gets no more calls from a large group than a calm one', async (t) => {
@@ -89,3 +89,20 @@
   await world.clock.advance(8_000);
   t.true(oldestProofAgeMs() <= 3 * LARGE.freshMs, `oldest proof ${oldestProofAgeMs()} ms`);
 });
+
+test('followers of readers that lost their power go on proving what is current', async (t) => {
+  const { world, provenMs } = await followedGroup(40);
+  const group = world.hosts.map((_, index) => member(`node-${index}`));
+  const lost = new Set(chooseReaders(group, LARGE).map(({ nodeId }) => nodeId));
+  const isLost = (index: number): boolean => lost.has(`node-${index}`);
+  for (const [index, host] of world.hosts.entries()) if (isLost(index)) host.stop();
+  let oldestMs = 0;
+  // The view of this world never changes: the dead readers are members for good.
+  for (let spentMs = 0; spentMs < 12_000; spentMs += 100) {
+    await world.clock.advance(100);
+    const ofSurvivors = provenMs.filter((_, index) => !isLost(index));
+    oldestMs = Math.max(oldestMs, world.clock.now() - Math.min(...ofSurvivors));
+  }
+  const LIFETIME_OF_PROOFS_MS = 4_600;
+  t.true(oldestMs <= LIFETIME_OF_PROOFS_MS, `oldest proof ${oldestMs} ms`);
+});
--- a/test/gateway/weight-handover.test.ts
+++ b/test/gateway/weight-handover.test.ts
@@ -107,3 +107,19 @@
   await world.settle();
   t.deepEqual(findBreaches(world), []);
 });
+
+test('the last router does not wait for those that have just died', async (t) => {
+  const world = await GatewayWorld.create(7);
+  await warmUp(world);
+  await untilFirstOrder(world);
+  await world.clock.advance(8_000);
+  const LONG_MS = 60_000;
+  world.killRouter(0, LONG_MS);
+  world.killRouter(1, LONG_MS);
+  // Their silence shows, though the membership still suspects them.
+  await world.clock.advance(3_000);
+  world.nameWeights();
+  const tookMs = await loadedAfterMs(world, 14_000);
+  t.true(tookMs < 2_500, `loaded after ${tookMs} ms`);
+  t.deepEqual(findBreaches(world), []);
+});
