Explain a request and summarize failures from logs: peatspan logs explain, logs summary

Cause: on-call engineers have only logs; the story of a request was put together by hand with grep, and a script outside the product counted outcomes. Change: two commands that read logs of several machines, also gzip and standard input; explain shows the last beliefs that decided a request and their age, summary also the time that callers waited for a rejection.

--- a/src/main.ts
+++ b/src/main.ts
@@ -34,5 +34,8 @@
 if (isHelp || group === 'template' || group === 'set') {
   (await import('./cli/template-commands.js')).addTemplateCommands(commands);
 }
+if (isHelp || group === 'logs') {
+  (await import('./cli/logs-commands.js')).addLogsCommands(commands);
+}
 if (isHelp || group === 'lab') (await import('./cli/lab-commands.js')).addLabCommands(commands);
 await commands.parseAsync();
--- /dev/null
+++ b/src/operator/log-reader.ts
@@ -0,0 +1,31 @@
+/** Reads log lines of several machines from files, plain or gzip, or from standard input. */
+import { createReadStream } from 'node:fs';
+import { createInterface } from 'node:readline';
+import type { Readable } from 'node:stream';
+import { createGunzip } from 'node:zlib';
+import { type LogLine, parseLogLine } from './log-line.js';
+
+const GZIP_SUFFIX = '.gz';
+const STANDARD_INPUT = '-';
+
+/** All events of the files in turn; no files or `-`: standard input. Rejects where a file can't be read. */
+export async function* readLogs(files: readonly string[]): AsyncGenerator<LogLine> {
+  const names = files.length > 0 ? files : [STANDARD_INPUT];
+  for (const name of names) {
+    for await (const text of createInterface({ input: await open(name) })) {
+      const line = parseLogLine(text);
+      if (line) yield line;
+    }
+  }
+}
+
+async function open(name: string): Promise<Readable> {
+  if (name === STANDARD_INPUT) return process.stdin;
+  const file = createReadStream(name);
+  // A file that is not there shows before it is read.
+  await new Promise((resolve, reject) => {
+    file.once('open', resolve);
+    file.once('error', reject);
+  });
+  return name.endsWith(GZIP_SUFFIX) ? file.pipe(createGunzip()) : file;
+}
--- /dev/null
+++ b/src/operator/request-story.ts
@@ -0,0 +1,92 @@
+/**
+ * What became of one request, from the logs of all machines: its own lines in order, and before them the
+ * beliefs that decided it, as the router that wrote a line had formed them. Pure.
+ */
+import type { LogLine } from './log-line.js';
+
+/** Events by which a router changes what it believes of the configuration, the store or the group. */
+const BELIEF_EVENTS: ReadonlySet<string> = new Set([
+  'configuration_in_force',
+  'store_lost',
+  'store_regained',
+  'store_history_gone',
+  'relay_lost',
+  'relay_outdated',
+  'engines_changed',
+  'group_changed',
+  'starting',
+  'stopping',
+]);
+/** Events about one engine that change whether it is given work. */
+const ENGINE_EVENTS: ReadonlySet<string> = new Set([
+  'engine_changed',
+  'engine_replaced',
+  'weights_ordered',
+  'weights_loaded',
+]);
+/** Pairs that a line of the story shows by other means. */
+const SHOWN_APART: ReadonlySet<string> = new Set(['time', 'level', 'node', 'event', 'request']);
+
+/** Gathers the story while the logs are read. */
+export class RequestStory {
+  private readonly lines: LogLine[] = [];
+  private readonly beliefs: LogLine[] = [];
+
+  constructor(private readonly requestId: string) {}
+
+  add(line: LogLine): void {
+    if (line.fields.get('request') === this.requestId) this.lines.push(line);
+    else if (BELIEF_EVENTS.has(line.event) || ENGINE_EVENTS.has(line.event)) {
+      this.beliefs.push(line);
+    }
+  }
+
+  /** The story, a line each; empty where no log speaks of the request. */
+  format(): string[] {
+    const own = [...this.lines].sort(byTime);
+    const [first] = own;
+    if (!first) return [];
+    const beginsMs = first.timeMs ?? 0;
+    const deciding = this.decidingBeliefs(own);
+    return [
+      ...deciding.map((line) => `${describeAge(beginsMs, line)} ${describe(line)}`),
+      ...own.map((line) => `${describeOffset(beginsMs, line)} ${describe(line)}`),
+    ];
+  }
+
+  /** The last of each belief, of the routers and about the engines of the request, before it began. */
+  private decidingBeliefs(own: readonly LogLine[]): LogLine[] {
+    const [first] = own;
+    const beginsMs = first?.timeMs ?? 0;
+    const nodes = new Set(own.map(({ node }) => node));
+    const engines = new Set(own.flatMap(({ fields }) => fields.get('engine') ?? []));
+    const last = new Map<string, LogLine>();
+    for (const line of [...this.beliefs].sort(byTime)) {
+      if ((line.timeMs ?? 0) > beginsMs) continue;
+      const engine = line.fields.get('engine');
+      const isAboutEngine = ENGINE_EVENTS.has(line.event);
+      const concerns = isAboutEngine ? engines.has(engine ?? '') : nodes.has(line.node);
+      if (concerns) last.set(`${line.event} ${isAboutEngine ? engine : line.node}`, line);
+    }
+    return [...last.values()].sort(byTime);
+  }
+}
+
+function byTime(left: LogLine, right: LogLine): number {
+  return (left.timeMs ?? 0) - (right.timeMs ?? 0);
+}
+
+function describeAge(beginsMs: number, line: LogLine): string {
+  const agoMs = beginsMs - (line.timeMs ?? beginsMs);
+  return `${`-${agoMs} ms`.padStart(12)} believed`;
+}
+
+function describeOffset(beginsMs: number, line: LogLine): string {
+  const afterMs = (line.timeMs ?? beginsMs) - beginsMs;
+  return `${`+${afterMs} ms`.padStart(12)} request `;
+}
+
+function describe({ node, event, fields }: LogLine): string {
+  const pairs = [...fields].filter(([key]) => !SHOWN_APART.has(key));
+  return [node, event, ...pairs.map(([key, value]) => `${key}=${value}`)].join(' ');
+}
--- /dev/null
+++ b/test/logs.test.ts
@@ -0,0 +1,67 @@
+/** From a complaint to its cause: what the `logs` commands make of log lines. */
+import test from 'ava';
+import { parseLogLine } from '../src/operator/log-line.js';
+import { LogSummary } from '../src/operator/log-summary.js';
+import { RequestStory } from '../src/operator/request-story.js';
+import { ConsoleLogger } from '../src/telemetry/console-logger.js';
+
+const BASE = '2026-06-21T12:40:0';
+
+/** Lines as routers write them, `SECONDS NODE PAIRS`. */
+const LINES = [
+  '1.000Z a configuration_in_force version=4 revision=2',
+  '2.000Z b configuration_in_force version=3 revision=1',
+  '2.500Z a engine_changed engine=e1 draining=true',
+  '2.600Z a engine_changed engine=e2 draining=true',
+  '3.000Z a request_sent request=r1 send=1 engine=e1',
+  '3.200Z a send_failed request=r1 engine=e1 kind=refused reason=engine-refused-503',
+  '3.300Z a request_finished request=r1 outcome=all-busy own_status=503 sends=1 took_ms=300',
+  '3.400Z a configuration_in_force version=5 revision=3',
+  '4.400Z b request_finished request=r2 outcome=answered answer_status=200 sends=1 took_ms=40',
+].map((text) => {
+  const [seconds = '', node = '', event = '', ...pairs] = text.split(' ');
+  const line = `time=${BASE}${seconds} level=info event=${event} node=${node} ${pairs.join(' ')}`;
+  const parsed = parseLogLine(`   3.1 collector-prefix ${line}`);
+  if (!parsed) throw new Error(`no event in ${text}`);
+  return parsed;
+});
+
+test('what the logger writes is read back, quoted values too', (t) => {
+  const written: string[] = [];
+  const logger = new ConsoleLogger('info', 'node-1', (line) => written.push(line));
+  logger.info('send_failed', { reason: 'socket "hang up" = bad', took_ms: 12, empty: '' });
+  const line = parseLogLine(`12.5 node-1 ${written[0] ?? ''}`);
+  t.is(line?.event, 'send_failed');
+  t.is(line?.node, 'node-1');
+  t.is(typeof line?.timeMs, 'number');
+  t.is(line?.fields.get('reason'), 'socket "hang up" = bad');
+  t.is(line?.fields.get('took_ms'), '12');
+  t.is(line?.fields.get('empty'), '');
+  t.is(parseLogLine('a line of something else'), undefined);
+});
+
+test('a story holds the lines of the request and the last beliefs that decided it, with their age', (t) => {
+  const story = new RequestStory('r1');
+  for (const line of [...LINES].reverse()) story.add(line);
+  t.deepEqual(
+    story.format().map((line) => line.trim()),
+    [
+      '-2000 ms believed a configuration_in_force version=4 revision=2',
+      '-500 ms believed a engine_changed engine=e1 draining=true',
+      '+0 ms request  a request_sent send=1 engine=e1',
+      '+200 ms request  a send_failed engine=e1 kind=refused reason=engine-refused-503',
+      '+300 ms request  a request_finished outcome=all-busy own_status=503 sends=1 took_ms=300',
+    ],
+  );
+  t.deepEqual(new RequestStory('unknown').format(), []);
+});
+
+test('a summary counts outcomes by cause and tells how long rejections took', (t) => {
+  const summary = new LogSummary();
+  for (const line of LINES) summary.add(line);
+  const text = summary.format(true).join('\n');
+  t.regex(text, /Requests by outcome: 2\n +1 {2}all-busy \(503\)\n +1 {2}answered \(200\)/);
+  t.regex(text, /after engine-refused-503, 1 sends: all-busy \(503\)/);
+  t.regex(text, /1 {2}all-busy: p50 300, p99 300, most 300/);
+  t.regex(text, /Without an answer, second 2: 1/);
+});
