Share the ages of heartbeats in a large group, so that answers name nearly all that run

Cause: since the directory names only routers heard within 2.5 s, a router of a large group named the few that it heard itself. An age only grows on its way, so the bound holds.

--- a/src/coordination/gateway/group-membership.ts
+++ b/src/coordination/gateway/group-membership.ts
@@ -2,7 +2,6 @@
 import { create } from '@bufbuild/protobuf';
 import { type Clock, type Timer, repeat } from '../../runtime/clock.js';
 import type { Logger } from '../../runtime/logger.js';
-import { PauseDetector } from '../../runtime/pause-detector.js';
 import { type RandomSource, randomInteger } from '../../runtime/random.js';
 import type { DatagramSocket, DatagramTransport } from '../../transport/datagram-transport.js';
 import {
@@ -22,7 +21,6 @@
   type GossipDatagram,
   GossipDatagramSchema,
 } from '../../protocol/peer/generated/peer_pb.js';
-import { Heartbeats } from '../../state/heartbeats.js';
 import type { LoadTable } from '../../state/routing/load-table.js';
 import { type WeightsNews, WeightsNewsBoard } from '../../state/routing/weights-news.js';
 import {
@@ -41,6 +39,7 @@
 } from '../router/member-codec.js';
 import type { GroupView } from './gateway-context.js';
 import { GroupChangeLog } from './group-change-log.js';
+import { GroupHeartbeats } from './group-heartbeats.js';
 import type { VersionNotice } from './version-news.js';
 
 /** How this router takes part. */
@@ -102,8 +101,7 @@
   private reportSequence = 0;
   private idleReports = 0;
   private seenView = -1;
-  private readonly heartbeats = new Heartbeats();
-  private readonly pauses: PauseDetector;
+  private readonly heartbeats: GroupHeartbeats;
   private readonly changeLog: GroupChangeLog;
   private isAnnouncing = false;
   private readonly board = new WeightsNewsBoard();
@@ -123,7 +121,7 @@
     logger: Logger,
   ) {
     this.changeLog = new GroupChangeLog(logger);
-    this.pauses = new PauseDetector(clock.now());
+    this.heartbeats = new GroupHeartbeats(clock, random);
   }
 
   static async open(
@@ -178,7 +176,7 @@
     return this.membership.working();
   }
 
-  /** Working members that this router has heard lately itself, and this router while it works. */
+  /** Working members that were heard lately, by this router or one that told it, and itself. */
   get responding(): MemberUpdate[] {
     return this.working.filter(({ nodeId }) => this.silenceMs(nodeId) <= LONGEST_SILENCE_MS);
   }
@@ -193,10 +191,10 @@
     return this.isLarge || this.silenceMs(nodeId) <= LONGEST_SILENCE_MS;
   }
 
-  /** Time since this router last heard a member, in milliseconds; Infinity where it never did. */
+  /** Time since a member was last heard, in milliseconds; Infinity where it never was. */
   silenceMs(nodeId: string): number {
     if (nodeId === this.own.nodeId) return 0;
-    return this.heartbeats.silenceMs(nodeId, this.clock.now());
+    return this.heartbeats.silenceMs(nodeId);
   }
 
   /** Joins; call once this router can serve. */
@@ -241,7 +239,7 @@
   }
 
   private check(): void {
-    this.pauses.note(this.clock.now());
+    this.heartbeats.noteRunning();
     this.transmit(this.membership.checkDirectTimeout(this.clock.now()));
   }
 
@@ -257,7 +255,7 @@
     if (!kind) return;
     const { sender, sequence, subject } = gossip;
     const updates = gossip.updates.map(decodeMemberUpdate);
-    this.noteHeartbeat(sender);
+    this.heartbeats.noteHeard(sender);
     const answer = this.membership.receive(
       { kind, sender, sequence, subject, updates },
       this.clock.now(),
@@ -266,12 +264,6 @@
     this.noteView();
   }
 
-  /** A datagram that waited in the socket while this process stood still shows nothing of its sender. */
-  private noteHeartbeat(sender: string): void {
-    const nowMs = this.clock.now();
-    if (this.pauses.isSettled(nowMs)) this.heartbeats.note(sender, nowMs);
-  }
-
   private receiveReport(report: LoadReport): void {
     const loads = new Map(
       report.engines.map(({ engineId, requests, unreadTokens, heldTokens }) => [
@@ -280,7 +272,8 @@
       ]),
     );
     const nowMs = this.clock.now();
-    this.noteHeartbeat(report.sender);
+    this.heartbeats.noteHeard(report.sender);
+    this.heartbeats.take(report);
     if (!report.withoutLoads) this.loads.receive(report.sender, report.sequence, loads, nowMs);
     this.receiveNews(report.weights, nowMs);
     const leaseRevision = Number(report.heldLeaseRevision);
@@ -343,6 +336,8 @@
       named: this.events.versionNotices().map((notice) => create(NamedWeightsSchema, notice)),
       heldLeaseRevision: BigInt(this.events.heldLease() ?? 0),
       withoutLoads,
+      // In a small group all hear each other.
+      ...(this.isLarge ? this.heartbeats.share() : {}),
     });
     const datagram = encodeLoadReport(report);
     for (const { gossipAddress } of this.audience(fanout))
@@ -394,7 +389,7 @@
     this.seenView = this.membership.version;
     const members = this.membership.all();
     this.changeLog.note(members, (nodeId) => this.silenceMs(nodeId));
-    this.heartbeats.retain(new Set(members.map(({ nodeId }) => nodeId)));
+    this.heartbeats.retain(members.map(({ nodeId }) => nodeId));
     if (this.isAnnouncing || !this.isStarted) return;
     this.isAnnouncing = true;
     this.clock.setTimer(NEWS_DELAY_MS, () => {
--- a/src/state/heartbeats.ts
+++ b/src/state/heartbeats.ts
@@ -1,15 +1,23 @@
 /**
- * When each member of the group was last heard by this router itself: every datagram that a member sends
- * is a heartbeat. What others say of a member is none, so the age of a heartbeat never depends on how
- * news travel or on another router's clock. Pure.
+ * When each member of the group last sent something. Every datagram that a member sends is a heartbeat;
+ * routers of a large group share the ages of those they heard. An age only grows on its way, so nothing
+ * makes a silent member seem younger: not how news travel, nor another router's clock. Pure.
  */
 
+/** A member and how long ago it was heard. */
+export interface HeartbeatAge {
+  readonly nodeId: string;
+  readonly ageMs: number;
+}
+
 /** Last heartbeats by member. */
 export class Heartbeats {
   private readonly heardMs = new Map<string, number>();
 
-  note(nodeId: string, nowMs: number): void {
-    this.heardMs.set(nodeId, nowMs);
+  /** @param ageMs how long ago the heartbeat was, where it was heard by another */
+  note(nodeId: string, nowMs: number, ageMs = 0): void {
+    const atMs = nowMs - ageMs;
+    if (atMs > (this.heardMs.get(nodeId) ?? -Infinity)) this.heardMs.set(nodeId, atMs);
   }
 
   /** Milliseconds since the member was last heard; Infinity where it never was. */
@@ -17,6 +25,13 @@
     return nowMs - (this.heardMs.get(nodeId) ?? -Infinity);
   }
 
+  /** Members heard within a span, in no particular order. */
+  within(spanMs: number, nowMs: number): HeartbeatAge[] {
+    return [...this.heardMs]
+      .map(([nodeId, atMs]) => ({ nodeId, ageMs: nowMs - atMs }))
+      .filter(({ ageMs }) => ageMs <= spanMs);
+  }
+
   /** Forgets all but these members. */
   retain(nodeIds: ReadonlySet<string>): void {
     for (const nodeId of this.heardMs.keys()) {
--- a/test/gateway/directory-bound.test.ts
+++ b/test/gateway/directory-bound.test.ts
@@ -85,3 +85,12 @@
     for (const { group } of world.running) t.is(group.responding.length, 8);
   }
 });
+
+test('in a large group nearly all that run are named, though each hears few of them itself', async (t) => {
+  const world = await GroupWorld.create(60, 25);
+  await world.clock.advance(SETTLING_MS);
+  await world.clock.advance(2_000);
+  const shares = world.running.map(({ group }) => group.responding.length / 60);
+  const mean = shares.reduce((sum, share) => sum + share, 0) / shares.length;
+  t.true(mean > 0.75, `${mean} of the group`);
+});
