--- /dev/null
+++ b/soak/deployment.ts
@@ -0,0 +1,314 @@
+/** The processes of one soak: routers, engines, the store, and the proxies between them. */
+import { type ChildProcess, fork } from 'node:child_process';
+import { once } from 'node:events';
+import { fileURLToPath } from 'node:url';
+import { CALL_PATHS, type CallKind, type CallerKey } from './callers.js';
+import type { EngineBehavior, EngineReport, ReportedRun, StoreCommand } from './messages.js';
+import { findFreePorts } from './free-ports.js';
+import { BOUNDS, RouterProcess } from './router-process.js';
+import { TcpProxy } from './tcp-proxy.js';
+import { HOST, MODEL, Service, WireKind, callJson } from './wire.js';
+
+/** What engines and operator saw. */
+export interface Observations {
+  readonly runs: ReportedRun[];
+  readonly arrivals: {
+    readonly requestId: string;
+    readonly service: string;
+    readonly atMs: number;
+  }[];
+  /** When the store took that an engine leaves. */
+  readonly drains: Map<string, number>;
+  readonly orders: Extract<EngineReport, { kind: 'order' }>[];
+  /** When the store took that a key is gone; undefined again once it is back. */
+  readonly keyRemovals: {
+    readonly key: string;
+    readonly atMs: number;
+    untilMs: number | undefined;
+  }[];
+  /** Spans in which some engine was not sound, or the way to it. */
+  readonly engineTroubles: { readonly fromMs: number; readonly untilMs: number }[];
+  /** Spans in which the store was not sound. */
+  readonly storeTroubles: { readonly fromMs: number; untilMs: number | undefined }[];
+}
+
+interface Engine {
+  readonly id: string;
+  readonly service: string;
+  readonly child: ChildProcess;
+  readonly proxy: TcpProxy;
+  isLeaving: boolean;
+}
+
+/** Size of a soak. */
+export interface DeploymentSize {
+  readonly routers: number;
+  readonly plainEngines: number;
+  readonly generationEngines: number;
+}
+
+const STORE_PROGRAM = fileURLToPath(new URL('./store-program.js', import.meta.url));
+const ENGINE_PROGRAM = fileURLToPath(new URL('./engine-program.js', import.meta.url));
+const SEEDS = 3;
+/** Host numbers of the routers' addresses begin here. */
+const FIRST_HOST = 10;
+/** For callers, the directory, readiness, and what routers say to each other. */
+const PORTS_PER_ROUTER = 4;
+const RETRY_MS = 100;
+
+/** A running deployment. */
+export class Deployment {
+  readonly routers: RouterProcess[] = [];
+  readonly observations: Observations = {
+    runs: [],
+    arrivals: [],
+    drains: new Map(),
+    orders: [],
+    keyRemovals: [],
+    engineTroubles: [],
+    storeTroubles: [],
+  };
+  private readonly storeProxies: TcpProxy[] = [];
+  private engines: Engine[] = [];
+  private engineCount = 0;
+  private configurationVersion = 0;
+  private weightsVersion = 1;
+  private readonly removedKeys = new Set<string>();
+
+  private constructor(
+    private readonly store: ChildProcess,
+    private readonly storeAddress: string,
+    private readonly keys: readonly CallerKey[],
+  ) {}
+
+  /** @param folder for settings and logs */
+  static async start(
+    size: DeploymentSize,
+    keys: readonly CallerKey[],
+    folder: string,
+    program: string,
+  ): Promise<Deployment> {
+    const store = fork(STORE_PROGRAM);
+    const port = await listeningPort(store);
+    const deployment = new Deployment(store, `127.0.0.1:${port}`, keys);
+    await deployment.write(WireKind.weights, MODEL, { model: MODEL, version: 1 });
+    await deployment.writeConfiguration();
+    for (let index = 0; index < size.plainEngines; index += 1) {
+      await deployment.addEngine(Service.plain);
+    }
+    for (let index = 0; index < size.generationEngines; index += 1) {
+      await deployment.addEngine(Service.generation);
+    }
+    await deployment.startRouters(size.routers, folder, program);
+    return deployment;
+  }
+
+  get directories(): string[] {
+    return this.routers.map(({ place }) => `${place.ip}:${place.ports.directory}`);
+  }
+
+  /** Engines that have not been told to leave. */
+  get staying(): readonly Engine[] {
+    return this.engines.filter((engine) => !engine.isLeaving);
+  }
+
+  storeProxy(router: number): TcpProxy {
+    return this.storeProxies[router % this.storeProxies.length] as TcpProxy;
+  }
+
+  tellStore(command: StoreCommand): void {
+    this.store.send(command);
+  }
+
+  /** The store stops answering, or refuses, for a while. */
+  troubleStore(condition: 'silent' | 'busy', forMs: number): void {
+    const trouble = { fromMs: Date.now(), untilMs: undefined as number | undefined };
+    this.observations.storeTroubles.push(trouble);
+    this.tellStore({ kind: 'condition', condition });
+    setTimeout(() => {
+      this.tellStore({ kind: 'condition', condition: 'sound' });
+      trouble.untilMs = Date.now();
+    }, forMs);
+  }
+
+  behave(engine: Engine, behavior: EngineBehavior): void {
+    engine.child.send({ kind: 'behave', behavior });
+  }
+
+  /** The engine leaves as planned, and another takes its place. */
+  async replaceEngine(engine: Engine): Promise<void> {
+    engine.isLeaving = true;
+    await this.addEngine(engine.service);
+    engine.child.send({ kind: 'drain' });
+  }
+
+  noteEngineTrouble(forMs: number): void {
+    const fromMs = Date.now();
+    this.observations.engineTroubles.push({ fromMs, untilMs: fromMs + forMs });
+  }
+
+  /** The engine's process is killed, and another takes its place. */
+  async crashEngine(engine: Engine): Promise<void> {
+    engine.isLeaving = true;
+    const FOUND_MS = 5_000;
+    this.noteEngineTrouble(FOUND_MS);
+    engine.child.kill('SIGKILL');
+    await this.addEngine(engine.service);
+  }
+
+  /** Takes a key away, or gives it back. */
+  async toggleKey(key: string): Promise<void> {
+    const isRemoval = !this.removedKeys.has(key);
+    if (isRemoval) this.removedKeys.add(key);
+    else this.removedKeys.delete(key);
+    const last = this.observations.keyRemovals.findLast((removal) => removal.key === key);
+    // From the moment of asking the key may be honoured again.
+    if (!isRemoval && last) last.untilMs = Date.now();
+    await this.writeConfiguration();
+    if (isRemoval) {
+      this.observations.keyRemovals.push({ key, atMs: Date.now(), untilMs: undefined });
+    }
+  }
+
+  async nameWeights(): Promise<void> {
+    this.weightsVersion += 1;
+    await this.write(WireKind.weights, MODEL, { model: MODEL, version: this.weightsVersion });
+  }
+
+  /** Ends every process that was started. */
+  async end(): Promise<void> {
+    await Promise.all(this.routers.map((router) => router.end()));
+    for (const { child, proxy } of this.engines) {
+      child.kill('SIGKILL');
+      proxy.close();
+    }
+    for (const proxy of this.storeProxies) proxy.close();
+    this.store.kill('SIGKILL');
+  }
+
+  private async startRouters(count: number, folder: string, program: string): Promise<void> {
+    const ips = Array.from({ length: count }, (_, index) => `127.0.0.${FIRST_HOST + index}`);
+    // Routers use the same ports, each at an address of its own; of seeds only the host counts.
+    const portBase = await findFreePorts(ips, PORTS_PER_ROUTER);
+    const seeds = ips.slice(0, SEEDS).map((ip) => `${ip}:1`);
+    for (const [index, ip] of ips.entries()) {
+      const proxy = await TcpProxy.open();
+      proxy.targetPort = Number(this.storeAddress.split(':')[1]);
+      this.storeProxies.push(proxy);
+      const router = new RouterProcess({
+        name: `router-${index}`,
+        ip,
+        ports: { frontend: portBase, directory: portBase + 1, ready: portBase + 2 },
+        gossipPort: portBase + 3,
+        storeAddress: proxy.address,
+        seeds,
+        folder,
+        program,
+      });
+      this.routers.push(router);
+      router.start();
+    }
+  }
+
+  private async addEngine(service: string): Promise<void> {
+    this.engineCount += 1;
+    const id = `engine-${this.engineCount}`;
+    const proxy = await TcpProxy.open();
+    const child = fork(ENGINE_PROGRAM, [
+      id,
+      service,
+      proxy.address,
+      this.storeAddress,
+      String(this.weightsVersion),
+    ]);
+    child.on('message', (message) => this.note(message as EngineReport));
+    child.once('exit', () => proxy.close());
+    proxy.targetPort = await listeningPort(child);
+    this.engines = [...this.engines, { id, service, child, proxy, isLeaving: false }];
+  }
+
+  private note(report: EngineReport): void {
+    if (report.kind === 'run') this.observations.runs.push(report);
+    if (report.kind === 'arrival') this.observations.arrivals.push(report);
+    if (report.kind === 'draining') this.observations.drains.set(report.engineId, report.atMs);
+    if (report.kind === 'order') this.observations.orders.push(report);
+  }
+
+  private async writeConfiguration(): Promise<void> {
+    this.configurationVersion += 1;
+    await this.write(WireKind.configuration, 'main', this.configuration());
+  }
+
+  /** Writes until the store has taken it. */
+  private async write(kind: string, name: string, spec: object): Promise<void> {
+    const path = `/objects/${kind}/${name}`;
+    for (;;) {
+      const answer = await callJson(this.storeAddress, 'PUT', path, {
+        metadata: { name },
+        spec,
+      }).catch(() => undefined);
+      if (answer?.status === 200) return;
+      await new Promise((resolve) => setTimeout(resolve, RETRY_MS));
+    }
+  }
+
+  private configuration(): object {
+    const tenants = [...new Set(this.keys.map(({ tenant }) => tenant))].map((name) => ({
+      name,
+      api_keys: this.keys
+        .filter(({ tenant, key }) => tenant === name && !this.removedKeys.has(key))
+        .map(({ key }) => key),
+    }));
+    return {
+      version: this.configurationVersion,
+      routes: (Object.keys(CALL_PATHS) as CallKind[]).map(routeOf),
+      services: [
+        { name: Service.plain, max_connections: 200 },
+        {
+          name: Service.generation,
+          max_connections: 200,
+          engine: {
+            slots: 32,
+            kv_capacity_tokens: 100_000,
+            kv_token_bytes: 100,
+            link_mbps: 10_000,
+            max_in_flight: 12,
+          },
+        },
+      ],
+      tenants,
+      limits: {
+        max_header_bytes: 16_384,
+        max_body_bytes: 1_000_000,
+        header_timeout_ms: 3_000,
+        idle_timeout_ms: 15_000,
+      },
+    };
+  }
+}
+
+function routeOf(kind: CallKind): object {
+  const isStream = kind.startsWith('stream');
+  return {
+    name: kind,
+    host: HOST,
+    path_prefix: CALL_PATHS[kind],
+    service: isStream ? Service.generation : Service.plain,
+    kind: isStream ? 'streaming' : kind === 'plain-safe' ? 'safe' : 'unsafe',
+    resumable: kind === 'stream-resumable',
+    timeout_ms: 3_000,
+    target_latency_ms: 400,
+    priority: isStream ? 1 : 0,
+    max_attempts: 3,
+  };
+}
+
+async function listeningPort(child: ChildProcess): Promise<number> {
+  for (;;) {
+    const [message] = (await once(child, 'message')) as [{ kind: string; port: number }];
+    if (message.kind === 'listening') return message.port;
+  }
+}
+
+/** Bounds that the oracle judges by. */
+export { BOUNDS };
--- /dev/null
+++ b/soak/engine-program.ts
@@ -0,0 +1,234 @@
+/**
+ * A process that stands in for an engine of the users' platform: plain calls and streams, its entry in the
+ * store, orders for weights. Arguments: id, service, address that the store tells, address of the store.
+ */
+import { type IncomingMessage, type ServerResponse, createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { EngineBehavior, type EngineCommand, type EngineReport } from './messages.js';
+import { STREAM_EVENTS } from './stream-events.js';
+import { MODEL, Service, WireHeader, WireKind, answerJson, callJson, readBody } from './wire.js';
+
+const [id = '', service = '', publicAddress = '', storeAddress = ''] = process.argv.slice(2);
+
+const HEARTBEAT_MS = 1_200;
+const PLAIN_WORK_MS = 25;
+const EVENT_GAP_MS = 15;
+const SLOTS = 32;
+const LOAD_MS = 300;
+/** An engine that leaves serves on for this long after the store knows. */
+const SERVES_ON_MS = 9_000;
+
+let behavior = EngineBehavior.Sound;
+let isDraining = false;
+let running = 0;
+let weightsVersion = Number(process.argv[6] ?? 1);
+let loading: number | undefined;
+let sequence = 0;
+let highestToken = 0;
+
+function report(message: EngineReport): void {
+  process.send?.(message);
+}
+
+function entry(): object {
+  const models = service === Service.generation ? [{ name: MODEL, version: weightsVersion }] : [];
+  return {
+    service,
+    address: publicAddress,
+    zone: 'zone-a',
+    slots: SLOTS,
+    state: isDraining ? 'draining' : 'ready',
+    stage: 'both',
+    models,
+  };
+}
+
+async function writeEntry(): Promise<boolean> {
+  const path = `/objects/${WireKind.engines}/${id}`;
+  const body = { metadata: { name: id }, spec: entry() };
+  try {
+    const { status } = await callJson(storeAddress, 'PUT', path, body);
+    return status === 200;
+  } catch {
+    // The store is away; the next heartbeat tries again.
+    return false;
+  }
+}
+
+async function drain(): Promise<void> {
+  isDraining = true;
+  while (!(await writeEntry())) await new Promise((resolve) => setTimeout(resolve, 100));
+  report({ kind: 'draining', engineId: id, atMs: Date.now() });
+  setTimeout(() => process.exit(0), SERVES_ON_MS);
+}
+
+function refuse(response: ServerResponse, status: number, requestId: string): void {
+  response.writeHead(status, {
+    [WireHeader.notExecuted]: '1',
+    [WireHeader.attemptId]: requestId,
+    'Content-Length': '0',
+  });
+  response.end();
+}
+
+/** Status with which a request is refused, not run; undefined where it runs. */
+function refusalOf({ headers }: IncomingMessage): number | undefined {
+  const MISDIRECTED = 421;
+  const expectedId = headers[WireHeader.expectInstance];
+  if (expectedId !== undefined && expectedId !== id) return MISDIRECTED;
+  const expectedVersion = headers[WireHeader.expectVersion];
+  if (expectedVersion !== undefined && Number(expectedVersion) !== weightsVersion) {
+    return MISDIRECTED;
+  }
+  const hasNoPlace = running >= SLOTS || loading !== undefined;
+  return hasNoPlace || behavior === EngineBehavior.Busy ? 503 : undefined;
+}
+
+async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  const requestId = String(request.headers[WireHeader.attemptId] ?? '');
+  report({ kind: 'arrival', requestId, service, atMs: Date.now() });
+  const body = await readBody(request);
+  const refusal = refusalOf(request);
+  if (refusal !== undefined) {
+    refuse(response, refusal, requestId);
+    return;
+  }
+  reportRun(request, requestId);
+  running += 1;
+  response.once('close', () => (running -= 1));
+  if (behavior === EngineBehavior.Hanging) return;
+  const status = behavior === EngineBehavior.Failing ? 500 : 200;
+  const headers = {
+    [WireHeader.attemptId]: requestId,
+    [WireHeader.seal]: `${id}.${requestId}`,
+    [WireHeader.weightVersions]: String(weightsVersion),
+  };
+  if (service === Service.generation && status === 200) {
+    stream(request, response, requestId, headers);
+  } else {
+    setTimeout(() => answerPlain(response, status, headers, `${requestId}:${body}`), PLAIN_WORK_MS);
+  }
+}
+
+function reportRun({ headers }: IncomingMessage, requestId: string): void {
+  const text = (name: string): string | undefined => headers[name]?.toString();
+  report({
+    kind: 'run',
+    requestId,
+    engineId: id,
+    service,
+    tenant: text(WireHeader.tenant),
+    salt: text(WireHeader.salt),
+    weightsVersion,
+    startedMs: Date.now(),
+  });
+}
+
+function answerPlain(
+  response: ServerResponse,
+  status: number,
+  headers: Record<string, string>,
+  body: string,
+): void {
+  response.writeHead(status, { ...headers, 'Content-Length': String(Buffer.byteLength(body)) });
+  if (behavior === EngineBehavior.Cutting) {
+    response.write(body.slice(0, body.length / 2));
+    setTimeout(() => response.destroy(), 1);
+  } else response.end(body);
+}
+
+function stream(
+  request: IncomingMessage,
+  response: ServerResponse,
+  requestId: string,
+  headers: Record<string, string>,
+): void {
+  response.writeHead(200, { ...headers, 'Content-Type': 'text/event-stream' });
+  let number = Number(request.headers[WireHeader.lastEventId] ?? 0);
+  const cutAfter = behavior === EngineBehavior.Cutting ? STREAM_EVENTS / 2 : Infinity;
+  const timer = setInterval(() => {
+    number += 1;
+    if (number > cutAfter) {
+      clearInterval(timer);
+      // Engines break off within an event, too.
+      response.write(`id: ${number}\ndata: `, () => response.destroy());
+      return;
+    }
+    response.write(`id: ${number}\ndata: ${requestId} ${number}\n\n`);
+    if (number < STREAM_EVENTS) return;
+    clearInterval(timer);
+    response.end();
+  }, EVENT_GAP_MS);
+  response.once('close', () => clearInterval(timer));
+}
+
+interface Order {
+  readonly version: number;
+  readonly holder: string;
+  readonly fencing_token: number;
+  readonly expected_revision?: number;
+}
+
+/** Takes an order; answers its status. */
+function takeOrder(order: Order): number {
+  if (order.fencing_token < highestToken) return 412;
+  highestToken = order.fencing_token;
+  const token = order.fencing_token;
+  report({ kind: 'order', engineId: id, holder: order.holder, token, atMs: Date.now() });
+  if (loading !== undefined) return 409;
+  if (order.expected_revision !== undefined && order.expected_revision !== sequence) return 409;
+  if (order.version <= weightsVersion) return 200;
+  sequence += 1;
+  loading = order.version;
+  setTimeout(() => {
+    weightsVersion = loading ?? weightsVersion;
+    loading = undefined;
+    void writeEntry();
+  }, LOAD_MS);
+  return 202;
+}
+
+function answerReport(response: ServerResponse): void {
+  answerJson(response, 200, {
+    stage: 'both',
+    models: [{ name: MODEL, version: weightsVersion, adapters: [] }],
+    busy: loading !== undefined,
+    sequence,
+    queued: 0,
+    running,
+    kv_used: 0,
+    kv_total: 100_000,
+    handles: 0,
+  });
+}
+
+async function answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  const path = (request.url ?? '/').split('?')[0];
+  if (path === '/report') answerReport(response);
+  else if (path === '/order') {
+    const order = JSON.parse(await readBody(request)) as Order;
+    answerJson(response, takeOrder(order), {});
+  } else if (path === '/kv-events') {
+    const events = { boot_epoch: 1, next_page_token: 0, lost: false, events: [] };
+    setTimeout(() => answerJson(response, 200, events), 500);
+  } else if (path === '/kv-list') {
+    answerJson(response, 200, { boot_epoch: 1, next_page_token: 0, held: [] });
+  } else await serve(request, response);
+}
+
+const server = createServer((request, response) => {
+  // A caller that leaves while its request is read needs no answer.
+  answer(request, response).catch(() => response.destroy());
+});
+server.keepAliveTimeout = 5_000;
+server.listen(0, '127.0.0.1', () => {
+  report({ kind: 'listening', port: (server.address() as AddressInfo).port });
+});
+process.on('message', (message) => {
+  const command = message as EngineCommand;
+  if (command.kind === 'behave') behavior = command.behavior;
+  else void drain();
+});
+process.on('disconnect', () => process.exit(0));
+setInterval(() => void writeEntry(), HEARTBEAT_MS);
+void writeEntry();
--- /dev/null
+++ b/soak/free-ports.ts
@@ -0,0 +1,42 @@
+/** Finds ports that are free at several addresses of the loopback range. */
+import { type AddressInfo, type Server, createServer } from 'node:net';
+
+const MAXIMUM_TRIES = 50;
+
+/** First of `count` ports in a row that are free at all the addresses. Rejects where none are found. */
+export async function findFreePorts(ips: readonly string[], count: number): Promise<number> {
+  for (let tries = 0; tries < MAXIMUM_TRIES; tries += 1) {
+    const probe = await listen(ips[0] ?? '127.0.0.1', 0);
+    const first = (probe?.address() as AddressInfo).port;
+    await close(probe);
+    if (await areFree(ips, first, count)) return first;
+  }
+  throw new Error(`no ${count} free ports in a row`);
+}
+
+async function areFree(ips: readonly string[], first: number, count: number): Promise<boolean> {
+  const servers: (Server | undefined)[] = [];
+  for (const ip of ips) {
+    for (let offset = 0; offset < count; offset += 1) {
+      servers.push(await listen(ip, first + offset));
+    }
+  }
+  await Promise.all(servers.map(close));
+  return servers.every((server) => server !== undefined);
+}
+
+/** Undefined where the port is taken. */
+function listen(ip: string, port: number): Promise<Server | undefined> {
+  const server = createServer();
+  return new Promise((resolve) => {
+    server.once('error', () => resolve(undefined));
+    server.listen(port, ip, () => resolve(server));
+  });
+}
+
+function close(server: Server | undefined): Promise<void> {
+  return new Promise((resolve) => {
+    if (server) server.close(() => resolve());
+    else resolve();
+  });
+}
--- /dev/null
+++ b/soak/messages.ts
@@ -0,0 +1,67 @@
+/** What the processes of the soak tell each other. All moments are of the machine's wall clock. */
+
+/** How an engine treats its requests. */
+export enum EngineBehavior {
+  Sound = 'sound',
+  /** Refuses, and says so. */
+  Busy = 'busy',
+  /** Runs and answers with its own failure. */
+  Failing = 'failing',
+  /** Runs and breaks its answer off. */
+  Cutting = 'cutting',
+  /** Runs and never answers. */
+  Hanging = 'hanging',
+}
+
+/** To an engine. */
+export type EngineCommand =
+  | { readonly kind: 'behave'; readonly behavior: EngineBehavior }
+  /** It says that it leaves, serves on for a while and ends. */
+  | { readonly kind: 'drain' };
+
+/** One run of a request at an engine. */
+export interface ReportedRun {
+  readonly kind: 'run';
+  readonly requestId: string;
+  readonly engineId: string;
+  readonly service: string;
+  readonly tenant: string | undefined;
+  readonly salt: string | undefined;
+  readonly weightsVersion: number;
+  readonly startedMs: number;
+}
+
+/** From an engine. */
+export type EngineReport =
+  | { readonly kind: 'listening'; readonly port: number }
+  | ReportedRun
+  /** A request came, run or not. */
+  | {
+      readonly kind: 'arrival';
+      readonly requestId: string;
+      readonly service: string;
+      readonly atMs: number;
+    }
+  /** The store has taken that this engine leaves. */
+  | { readonly kind: 'draining'; readonly engineId: string; readonly atMs: number }
+  | {
+      readonly kind: 'order';
+      readonly engineId: string;
+      readonly holder: string;
+      readonly token: number;
+      readonly atMs: number;
+    };
+
+/** To the store. */
+export type StoreCommand =
+  | { readonly kind: 'condition'; readonly condition: 'sound' | 'silent' | 'busy' }
+  /** It forgets its history. */
+  | { readonly kind: 'compact' }
+  /** The next lists are answered later by these times, in milliseconds. */
+  | { readonly kind: 'delay-lists'; readonly delaysMs: readonly number[] };
+
+/** From the store. */
+export interface StoreReport {
+  readonly kind: 'listening';
+  readonly port: number;
+}
--- /dev/null
+++ b/soak/mutations.ts
@@ -0,0 +1,130 @@
+/**
+ * `node dist/soak/mutations.js`: switches protections of the program off, one by one, and reports whether
+ * the soak finds that a promise is broken. Run by hand; takes some minutes.
+ */
+import { mkdtempSync, readFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { build } from 'esbuild';
+import type { SoakPromise } from './oracle.js';
+import { runSoak } from './soak-run.js';
+
+/** A protection that is switched off by a change of its source. */
+interface Mutation {
+  readonly name: string;
+  readonly promise: SoakPromise;
+  /** Source file, from the repository's root. */
+  readonly file: string;
+  readonly text: string;
+  readonly replacement: string;
+}
+
+const MUTATIONS: readonly Mutation[] = [
+  {
+    name: 'silent routers are named until they are declared dead',
+    promise: 'directory',
+    file: 'src/coordination/gateway/group-membership.ts',
+    text: 'LONGEST_SILENCE_MS = 2_500',
+    replacement: 'LONGEST_SILENCE_MS = 60_000',
+  },
+  {
+    name: 'engines that drain are given work',
+    promise: 'engine-drained',
+    file: 'src/state/routing/placement.ts',
+    text: 'if (isDraining || ',
+    replacement: 'if (',
+  },
+  {
+    name: 'proofs of the configuration hold for ever',
+    promise: 'key-removed',
+    file: 'platform/settings.ts',
+    text: 'PROOF_SHARE = 0.92',
+    replacement: 'PROOF_SHARE = 1_000',
+  },
+  {
+    name: 'every request is repeated',
+    promise: 'at-most-once',
+    file: 'platform/formats.ts',
+    text: "isRepeatable: route.kind === 'safe' || isResumable",
+    replacement: 'isRepeatable: true',
+  },
+  {
+    name: 'every stream is resumed',
+    promise: 'at-most-once',
+    file: 'platform/formats.ts',
+    text: 'const isResumable = isStreaming && (route.resumable ?? false)',
+    replacement: 'const isResumable = isStreaming',
+  },
+  {
+    name: 'what may have run is rejected with a promise',
+    promise: 'not-run',
+    file: 'src/coordination/gateway/request-call.ts',
+    text: 'else if (this.mayHaveRun || isUnanswered) this.refuse',
+    replacement: 'else if (this.request.id === "") this.refuse',
+  },
+  {
+    name: 'a planned stop ends the process at once',
+    promise: 'planned-stop',
+    file: 'platform/stop-sequence.ts',
+    text: 'this.node.leave();',
+    replacement: 'process.exit(0);',
+  },
+  {
+    name: 'a part of an event is passed on before the stream goes on elsewhere',
+    promise: 'whole-answer',
+    file: 'src/coordination/gateway/request-call.ts',
+    text: 'if (!this.grant?.route.isResumable) {',
+    replacement: 'if (this.grant) {',
+  },
+];
+const SEEDS_PER_MUTATION = 8;
+const SPAN_MS = 20_000;
+
+async function bundleWith({ file, text, replacement }: Mutation, program: string): Promise<void> {
+  const source = readFileSync(file, 'utf8');
+  if (!source.includes(text)) throw new Error(`${file} does not hold: ${text}`);
+  await build({
+    entryPoints: ['platform/main.ts'],
+    outfile: program,
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    logLevel: 'error',
+    plugins: [
+      {
+        name: 'mutation',
+        setup: ({ onLoad }) => {
+          const filter = new RegExp(`${file.replaceAll('.', '\\.')}$`);
+          onLoad({ filter }, () => ({
+            contents: source.replace(text, replacement),
+            loader: 'ts',
+          }));
+        },
+      },
+    ],
+  });
+}
+
+/** The first seed with which the soak finds the mutation; undefined where none does. */
+async function findingSeed(mutation: Mutation): Promise<number | undefined> {
+  const folder = mkdtempSync(join(tmpdir(), 'peatspan-soak-mutation-'));
+  const program = join(folder, 'mutated.cjs');
+  await bundleWith(mutation, program);
+  for (let seed = 1; seed <= SEEDS_PER_MUTATION; seed += 1) {
+    const runFolder = join(folder, String(seed));
+    const options = { seed, spanMs: SPAN_MS, routers: 4, callers: 12, folder: runFolder, program };
+    const { breaches } = await runSoak(options);
+    if (breaches.some(({ promise }) => promise === mutation.promise)) return seed;
+  }
+  return undefined;
+}
+
+const results = await Promise.all(
+  MUTATIONS.map(async (mutation) => ({ mutation, seed: await findingSeed(mutation) })),
+);
+for (const { mutation, seed } of results) {
+  const verdict = seed === undefined ? 'NOT FOUND' : `found with seed ${seed}`;
+  process.stdout.write(`${verdict}: ${mutation.name} (${mutation.promise})\n`);
+}
+process.exitCode = results.some(({ seed }) => seed === undefined) ? 1 : 0;
--- /dev/null
+++ b/soak/schedule.ts
@@ -0,0 +1,189 @@
+/** A seeded series of faults and planned work; they overlap. */
+import type { RandomSource } from '../src/runtime/random.js';
+import { randomElement, randomInteger } from '../src/runtime/random.js';
+import type { Deployment } from './deployment.js';
+import { EngineBehavior } from './messages.js';
+import { DisturbanceKind } from './router-process.js';
+import { ProxyMode } from './tcp-proxy.js';
+
+/** Something that is done to the deployment. */
+export interface Step {
+  /** From the start of the traffic, in milliseconds. */
+  readonly atMs: number;
+  readonly name: string;
+  run(deployment: Deployment): void | Promise<void>;
+}
+
+/** Routers that no unplanned fault strikes, so that something is served all the while. */
+const SPARED_ROUTERS = 1;
+const SHORTEST_MS = 300;
+const LONGEST_MS = 5_000;
+/** Longer than every bound of the deployment, with the slack of the oracle. */
+const LONG_MS = 9_000;
+
+type Maker = (random: RandomSource, routers: number) => Omit<Step, 'atMs'>;
+
+/** A router that faults may strike; the first ones are spared. */
+function anyRouter(random: RandomSource, routers: number): number {
+  return SPARED_ROUTERS + randomInteger(random, Math.max(1, routers - SPARED_ROUTERS));
+}
+
+function duration(random: RandomSource): number {
+  return Math.round(SHORTEST_MS + random.next() * (LONGEST_MS - SHORTEST_MS));
+}
+
+/** The way of one router to the store is faulty for a while. */
+function disturbStoreWay(
+  deployment: Deployment,
+  index: number,
+  mode: ProxyMode,
+  forMs: number,
+): void {
+  const disturbance = deployment.routers[index]?.disturb(DisturbanceKind.StoreWay);
+  const proxy = deployment.storeProxy(index);
+  proxy.mode = mode;
+  setTimeout(() => {
+    proxy.mode = ProxyMode.Pass;
+    if (disturbance) disturbance.untilMs = Date.now();
+  }, forMs);
+}
+
+const MAKERS: readonly Maker[] = [
+  (random, routers) => {
+    const index = anyRouter(random, routers);
+    return { name: `stop router-${index}`, run: ({ routers: all }) => all[index]?.stop() };
+  },
+  (random, routers) => {
+    const index = anyRouter(random, routers);
+    // Longer than the directory may go on naming it.
+    const downMs = random.next() < 0.5 ? duration(random) : LONG_MS;
+    return {
+      name: `kill router-${index} for ${downMs} ms`,
+      run: ({ routers: all }) => all[index]?.kill(downMs),
+    };
+  },
+  (random, routers) => {
+    const index = anyRouter(random, routers);
+    const forMs = duration(random);
+    return {
+      name: `freeze router-${index} for ${forMs} ms`,
+      run: ({ routers: all }) => all[index]?.freeze(forMs),
+    };
+  },
+  (_random, routers) => ({
+    name: 'stop all routers in turn',
+    run: async ({ routers: all }) => {
+      for (let index = 0; index < routers; index += 1) {
+        all[index]?.stop();
+        await new Promise((resolve) => setTimeout(resolve, 1_500));
+      }
+    },
+  }),
+  (random) => ({
+    name: 'reload the settings of all',
+    run: ({ routers }) => {
+      for (const router of routers) if (random.next() < 0.7) router.reload();
+    },
+  }),
+  (random, routers) => {
+    const index = anyRouter(random, routers);
+    const forMs = duration(random);
+    const modes = [ProxyMode.Silent, ProxyMode.OneWay, ProxyMode.Slow, ProxyMode.Reset];
+    const mode = randomElement(random, modes) ?? ProxyMode.Silent;
+    return {
+      name: `store ${mode} for router-${index} for ${forMs} ms`,
+      run: (deployment) => disturbStoreWay(deployment, index, mode, forMs),
+    };
+  },
+  (random) => {
+    const forMs = duration(random);
+    const condition = random.next() < 0.5 ? 'silent' : 'busy';
+    return {
+      name: `store ${condition} for ${forMs} ms`,
+      run: (deployment) => deployment.troubleStore(condition, forMs),
+    };
+  },
+  (random) => {
+    const delaysMs = Array.from({ length: 6 }, () => randomInteger(random, 900));
+    return {
+      name: `store forgets its history, lists late by ${delaysMs.join(',')}`,
+      run: (deployment) => {
+        deployment.tellStore({ kind: 'delay-lists', delaysMs });
+        deployment.tellStore({ kind: 'compact' });
+      },
+    };
+  },
+  (random) => ({
+    name: 'an engine is replaced as planned',
+    run: (deployment) => {
+      const engine = randomElement(random, deployment.staying);
+      return engine && deployment.replaceEngine(engine);
+    },
+  }),
+  (random) => ({
+    name: 'an engine crashes',
+    run: (deployment) => {
+      const engine = randomElement(random, deployment.staying);
+      return engine && deployment.crashEngine(engine);
+    },
+  }),
+  (random) => {
+    const forMs = duration(random);
+    const behavior = randomElement(random, Object.values(EngineBehavior)) ?? EngineBehavior.Busy;
+    return {
+      name: `an engine is ${behavior} for ${forMs} ms`,
+      run: (deployment) => {
+        const engine = randomElement(random, deployment.staying);
+        if (!engine) return;
+        deployment.behave(engine, behavior);
+        deployment.noteEngineTrouble(forMs);
+        setTimeout(() => {
+          if (engine.child.connected) deployment.behave(engine, EngineBehavior.Sound);
+        }, forMs);
+      },
+    };
+  },
+  (random) => {
+    const forMs = duration(random);
+    const mode = randomElement(random, [ProxyMode.Silent, ProxyMode.Reset, ProxyMode.Slow]);
+    return {
+      name: `way to an engine ${mode ?? ''} for ${forMs} ms`,
+      run: (deployment) => {
+        const engine = randomElement(random, deployment.staying);
+        if (!engine || !mode) return;
+        deployment.noteEngineTrouble(forMs);
+        engine.proxy.mode = mode;
+        setTimeout(() => (engine.proxy.mode = ProxyMode.Pass), forMs);
+      },
+    };
+  },
+  (random) => {
+    const key = randomElement(random, ['key-1b', 'key-2b']) ?? 'key-1b';
+    return { name: `toggle ${key}`, run: (deployment) => deployment.toggleKey(key) };
+  },
+  (random, routers) => {
+    const index = anyRouter(random, routers);
+    const key = randomElement(random, ['key-1b', 'key-2b']) ?? 'key-1b';
+    return {
+      name: `toggle ${key} while router-${index} has no way to the store`,
+      run: async (deployment) => {
+        disturbStoreWay(deployment, index, ProxyMode.Silent, LONG_MS);
+        await deployment.toggleKey(key);
+      },
+    };
+  },
+  () => ({ name: 'name weights', run: (deployment) => deployment.nameWeights() }),
+];
+
+/** Steps for a span; each comes up to two seconds after the one before. */
+export function makeSchedule(random: RandomSource, routers: number, spanMs: number): Step[] {
+  const MAXIMUM_GAP_MS = 2_000;
+  const steps: Step[] = [];
+  let atMs = 1_000;
+  while (atMs < spanMs) {
+    const make = randomElement(random, MAKERS) as Maker;
+    steps.push({ atMs, ...make(random, routers) });
+    atMs += Math.round(random.next() * MAXIMUM_GAP_MS);
+  }
+  return steps;
+}
--- /dev/null
+++ b/test/soak.test.ts
@@ -0,0 +1,32 @@
+/** A short soak of real processes; longer ones are run by hand with `npm run soak`. */
+import { mkdtempSync, readFileSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import test from 'ava';
+import { BUNDLE, runSoak } from '../soak/soak-run.js';
+
+/** A run that once broke a promise. */
+interface RegressionSeed {
+  readonly seed: number;
+  readonly seconds: number;
+  readonly routers: number;
+  /** What was at fault. */
+  readonly cause: string;
+}
+
+const REGRESSIONS = JSON.parse(
+  readFileSync(new URL('../../soak/regression-seeds.json', import.meta.url), 'utf8'),
+) as RegressionSeed[];
+const FIRST: RegressionSeed = { seed: 1, seconds: 16, routers: 4, cause: 'none: the short soak' };
+
+for (const { seed, seconds, routers, cause } of [FIRST, ...REGRESSIONS]) {
+  test.serial(`no promise is broken in a soak with seed ${seed} (${cause})`, async (t) => {
+    t.timeout(170_000);
+    const folder = mkdtempSync(join(tmpdir(), `peatspan-soak-${seed}-`));
+    const spanMs = seconds * 1_000;
+    const result = await runSoak({ seed, spanMs, routers, callers: 8, folder, program: BUNDLE });
+    t.deepEqual(result.breaches, [], `evidence and logs: ${folder}`);
+    t.true(result.calls > 0);
+    rmSync(folder, { recursive: true });
+  });
+}
