Reject at once what would end after the caller's deadline; tell callers when to come back by what is known

Retry-After was a constant for each of two cases, whatever the load or the age of an outage. What a failed send means moved to a file of its own.

--- /dev/null
+++ b/src/coordination/gateway/failed-send.ts
@@ -0,0 +1,47 @@
+/** What a send that failed tells of its engine, and of whether the request may have run. */
+import type { ExchangeFailure } from '../../protocol/inference/port.js';
+import { RejectionReason } from '../../state/routing/rejection.js';
+import type { GatewayContext } from './gateway-context.js';
+
+/** An engine that refused work is left alone for this long. */
+const BUSY_PAUSE_MS = 150;
+const MISDIRECTED_PAUSE_MS = 600;
+/** Status by which an engine says that it is another than the one named, or has other weights. */
+const MISDIRECTED = 421;
+
+/** Notes the failure at the engine; answers whether the request may have run there. */
+export function noteFailedSend(
+  engineId: string,
+  failure: ExchangeFailure,
+  { health, statistics, clock }: GatewayContext,
+): boolean {
+  const now = clock.now();
+  switch (failure.kind) {
+    case 'not-sent':
+      statistics.enginesUnreachable += 1;
+      health.noteUnreachable(engineId, now);
+      return false;
+    case 'refused':
+      statistics.engineRefusals += 1;
+      health.noteBusy(engineId, now, isMisdirected(failure) ? MISDIRECTED_PAUSE_MS : BUSY_PAUSE_MS);
+      return false;
+    case 'unknown':
+      statistics.unknownOutcomes += 1;
+      health.noteFailure(engineId, now);
+      return true;
+    case 'cut':
+      statistics.cutAnswers += 1;
+      health.noteFailure(engineId, now);
+      return true;
+  }
+}
+
+/** Why a request is rejected whose last send failed so and did not run. */
+export function rejectionReasonOf(failure: ExchangeFailure): RejectionReason {
+  if (failure.kind === 'not-sent') return RejectionReason.EnginesUnreachable;
+  return isMisdirected(failure) ? RejectionReason.NoEngine : RejectionReason.EnginesFull;
+}
+
+function isMisdirected(failure: ExchangeFailure): boolean {
+  return failure.kind === 'refused' && failure.status === MISDIRECTED;
+}
--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -17,6 +17,7 @@
 import type { TrafficSplit } from '../../state/routing/traffic-split.js';
 import type { WeightVersions } from '../../state/routing/weight-versions.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
+import type { Rejections } from './rejections.js';
 
 /** Retry budgets of all services, made when first asked for. */
 export class ServiceRetryBudgets {
@@ -62,6 +63,7 @@
   readonly split: TrafficSplit;
   readonly retryBudgets: ServiceRetryBudgets;
   readonly group: GroupView;
+  readonly rejections: Rejections;
   readonly statistics: GatewayStatistics;
   readonly zone: string;
 }
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -36,6 +36,7 @@
 import { GroupMembership } from './group-membership.js';
 import { LeaseKeeper } from './lease-keeper.js';
 import { type ObjectDecoder, valueOrLog } from './object-decoder.js';
+import { Rejections } from './rejections.js';
 import type { InboundRequest, Reply } from './reply.js';
 import { RequestCall } from './request-call.js';
 import { FirstWatch, StoreFollowers } from './store-followers.js';
@@ -125,6 +126,13 @@
       shareOfTraffic: () => this.shareOfTraffic(),
       split: this.split,
       retryBudgets: new ServiceRetryBudgets(settings.retryBudget),
+      rejections: new Rejections({
+        clock,
+        random,
+        outages: this.outages,
+        statistics: this.statistics,
+        hasPeers: () => group.responding.length > 1,
+      }),
       statistics: this.statistics,
       zone: settings.zone,
     };
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -15,6 +15,13 @@
   unknownOutcomes = 0;
   cutAnswers = 0;
   staleProofRefusals = 0;
+  /** Rejected, since the last token was expected after the caller's deadline. */
+  tooLateRejections = 0;
+  /** Sent all the same, to see whether the estimate holds, and how many of these ended in time. */
+  tooLateSamples = 0;
+  tooLateSamplesInTime = 0;
+  /** Admitted by the estimate and ended by the caller's deadline. */
+  admittedPastDeadline = 0;
   orders = 0;
   rolloutWaits = 0;
   rolloutsForWorth = 0;
--- a/src/coordination/gateway/request-admission.ts
+++ b/src/coordination/gateway/request-admission.ts
@@ -1,5 +1,6 @@
 /** Checks a request against the configuration in force: route, key, proof that both are current. */
 import type { Route, Service, Tenant } from '../../state/routing/configuration.js';
+import { RejectionReason } from '../../state/routing/rejection.js';
 import type { RouteTable } from '../../state/routing/route-table.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { InboundRequest, OwnAnswer } from './reply.js';
@@ -14,23 +15,24 @@
   readonly priority: number;
 }
 
-/** Admitted, or the answer to give. */
-export type Admission =
+/** Admitted, denied for good, or rejected for now. */
+export type RequestAdmission =
   | { readonly kind: 'granted'; readonly grant: Grant }
-  | { readonly kind: 'denied'; readonly answer: OwnAnswer };
+  | { readonly kind: 'denied'; readonly answer: OwnAnswer }
+  | { readonly kind: 'rejected'; readonly reason: RejectionReason; readonly priority: number };
 
-/** Where the store has to be reached first, the caller may come again after this. */
-const UNPROVEN_RETRY_MS = 400;
+/** Rank of a request whose route is not known yet. */
+const UNKNOWN_PRIORITY = 0;
 
 /** Checks a request; call again before each dispatch, since the configuration may have changed. */
 export function admitRequest(
   request: InboundRequest,
   context: GatewayContext,
   nowMs: number,
-): Admission {
+): RequestAdmission {
   const table = context.configuration.current;
   if (!table) {
-    return denied({ status: 503, reason: 'no-configuration', retryAfterMs: UNPROVEN_RETRY_MS });
+    return rejected(RejectionReason.NoConfiguration, UNKNOWN_PRIORITY);
   }
   const route = table.findRoute(request.host, request.path);
   if (!route) return denied({ status: 404, reason: 'no-route' });
@@ -39,11 +41,7 @@
   }
   if (!context.configuration.isProven(nowMs)) {
     context.statistics.staleProofRefusals += 1;
-    return denied({
-      status: 503,
-      reason: 'configuration-unproven',
-      retryAfterMs: UNPROVEN_RETRY_MS,
-    });
+    return rejected(RejectionReason.ConfigurationUnproven, route.priority);
   }
   const tenant = request.apiKey === undefined ? undefined : table.findTenant(request.apiKey);
   if (!tenant) return denied({ status: 401, reason: 'unknown-key' });
@@ -56,10 +54,14 @@
   return name === undefined ? undefined : grant.table.findService(name);
 }
 
-function granted(grant: Grant): Admission {
+function granted(grant: Grant): RequestAdmission {
   return { kind: 'granted', grant };
 }
 
-function denied(answer: OwnAnswer): Admission {
+function rejected(reason: RejectionReason, priority: number): RequestAdmission {
+  return { kind: 'rejected', reason, priority };
+}
+
+function denied(answer: OwnAnswer): RequestAdmission {
   return { kind: 'denied', answer };
 }
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -10,7 +10,9 @@
 import type { AnswerHead, ExchangeFailure } from '../../protocol/inference/port.js';
 import type { Service } from '../../state/routing/configuration.js';
 import type { Placement } from '../../state/routing/placement.js';
+import { RejectionReason } from '../../state/routing/rejection.js';
 import { logSend, logSendFailure } from './call-log.js';
+import { noteFailedSend, rejectionReasonOf } from './failed-send.js';
 import { AnswerBuffer } from './answer-buffer.js';
 import { EventBoundary } from './event-boundary.js';
 import type { GatewayContext } from './gateway-context.js';
@@ -29,6 +31,16 @@
   Finished = 'finished',
 }
 
+/** What is known of a rejection besides its reason. */
+interface RejectionDetails {
+  /** What failed, where the request may have run. */
+  readonly detail?: string;
+  /** By how much the estimate passes the deadline, in milliseconds. */
+  readonly excessMs?: number | undefined;
+  /** Where no grant tells it. */
+  readonly priority?: number;
+}
+
 /** Connections that may fail for one request before it is refused. */
 const MAXIMUM_CONNECT_FAILURES = 3;
 /** With less time than this left, a send would be for nothing. */
@@ -38,12 +50,6 @@
 const MINIMUM_PATIENCE_MS = 300;
 /** A resumable stream that stands still for this long continues elsewhere. */
 const STALL_MS = 1_200;
-const RETRY_AFTER_MS = 100;
-const BUSY_RETRY_AFTER_MS = 300;
-/** An engine that refused work is left alone for this long. */
-const BUSY_PAUSE_MS = 150;
-const MISDIRECTED_PAUSE_MS = 600;
-const MISDIRECTED = 421;
 const SERVER_ERROR = 500;
 
 /** A request on its way. */
@@ -63,6 +69,8 @@
   private readonly boundary = new EventBoundary();
   private buffer: AnswerBuffer | undefined;
   private firstChunkMs: number | undefined;
+  /** Sent though the estimate said that it would end too late. */
+  private isSample = false;
   /** Status of the engine's answer that is passed on. */
   private answerStatus: number | undefined;
 
@@ -138,6 +146,7 @@
     if (rest.length > 0) this.reply.write(rest);
     this.reply.end();
     this.context.statistics.answered += 1;
+    if (this.isSample) this.context.statistics.tooLateSamplesInTime += 1;
     this.finish('answered', 0, send.engineId);
   }
 
@@ -156,7 +165,7 @@
   /** Ends the request because the process ends. */
   endForStop(): void {
     if (this.hasBegun) this.abort('stopping');
-    else this.refuseFinally('stopping');
+    else this.reject(RejectionReason.Stopping);
   }
 
   private get now(): number {
@@ -178,9 +187,9 @@
       this.grant = admission.grant;
       return true;
     }
-    if (this.hasBegun) this.abort(admission.answer.reason);
-    else if (this.mayHaveRun) this.refuse({ status: 502, reason: admission.answer.reason });
-    else this.refuse(admission.answer);
+    if (admission.kind === 'rejected')
+      this.reject(admission.reason, { priority: admission.priority });
+    else this.deny(admission.answer);
     return false;
   }
 
@@ -189,16 +198,28 @@
     const grant = this.grant as Grant;
     this.service ??= serviceOf(grant, this.context);
     if (!this.service) {
-      this.refuseFinally('no-service');
+      this.reject(RejectionReason.NoService);
       return;
     }
     if (this.remainingMs < MINIMUM_BUDGET_MS) {
-      this.refuseFinally('no-time-left');
+      this.reject(RejectionReason.NoTimeLeft);
       return;
     }
     const placed = placeCall(this.request, grant, this.service, this.excluded, this.context);
-    if (typeof placed === 'string') this.refuseFinally(placed);
-    else this.sendTo(placed, grant, this.service);
+    if (typeof placed === 'string') this.reject(placed);
+    else if (this.endsInTime(placed)) this.sendTo(placed, grant, this.service);
+  }
+
+  /** Whether the placed request may end before its deadline; rejects it where that is not expected. */
+  private endsInTime(placement: Placement): boolean {
+    const { generation } = this.request;
+    // What may have run has no other answer to hope for than that of the next send.
+    if (!generation || this.mayHaveRun || this.hasBegun) return true;
+    const verdict = this.context.rejections.admit(generation, placement, this.remainingMs);
+    this.isSample = verdict.kind === 'sample';
+    if (verdict.kind !== 'too-late') return true;
+    this.reject(RejectionReason.TooLate, { excessMs: verdict.excessMs });
+    return false;
   }
 
   private sendTo(placement: Placement, grant: Grant, service: Service): void {
@@ -243,44 +264,23 @@
     this.onFailure(send, failure);
   }
 
-  /** What the failure tells about the engine and about whether the request ran. */
+  /** Takes what the failure tells; a send that did not reach its engine does not count as one. */
   private judge(send: Send, failure: ExchangeFailure): void {
-    const { health, statistics } = this.context;
-    switch (failure.kind) {
-      case 'not-sent':
-        statistics.enginesUnreachable += 1;
-        health.noteUnreachable(send.engineId, this.now);
-        this.sends -= 1;
-        this.connectFailures += 1;
-        return;
-      case 'refused': {
-        statistics.engineRefusals += 1;
-        const isMisdirected = failure.status === MISDIRECTED;
-        const pauseMs = isMisdirected ? MISDIRECTED_PAUSE_MS : BUSY_PAUSE_MS;
-        health.noteBusy(send.engineId, this.now, pauseMs);
-        return;
-      }
-      case 'unknown':
-        statistics.unknownOutcomes += 1;
-        this.mayHaveRun = true;
-        health.noteFailure(send.engineId, this.now);
-        return;
-      case 'cut':
-        statistics.cutAnswers += 1;
-        this.mayHaveRun = true;
-        health.noteFailure(send.engineId, this.now);
-    }
+    if (noteFailedSend(send.engineId, failure, this.context)) this.mayHaveRun = true;
+    if (failure.kind !== 'not-sent') return;
+    this.sends -= 1;
+    this.connectFailures += 1;
   }
 
   /** Another engine before any part of an answer was given. */
   private tryAgain(failure: ExchangeFailure): void {
     if (failure.kind === 'not-sent' && this.connectFailures > MAXIMUM_CONNECT_FAILURES) {
-      this.refuseFinally('engines-unreachable');
+      this.reject(RejectionReason.EnginesUnreachable);
       return;
     }
     const isSafe = this.mayRepeat || !this.mayHaveRun;
     if (!isSafe || !this.canSendAgain() || !this.spendRetry(failure)) {
-      this.refuseFinally(failure.reason);
+      this.reject(rejectionReasonOf(failure), { detail: failure.reason });
       return;
     }
     if (this.admit()) this.dispatch();
@@ -349,9 +349,10 @@
 
   private onDeadline(): void {
     this.send?.cancel();
+    if (this.sends > 0 && !this.isSample) this.context.statistics.admittedPastDeadline += 1;
     if (this.hasBegun) this.abort('deadline');
     else if (this.sends > 0) this.refuse({ status: 504, reason: 'deadline' });
-    else this.refuseFinally('deadline');
+    else this.reject(RejectionReason.NoTimeLeft);
   }
 
   private abandon(): void {
@@ -361,18 +362,28 @@
     this.finish('caller-left', 0, this.send?.engineId);
   }
 
-  /** The last answer: a promise that nothing ran where that is so. */
-  private refuseFinally(reason: string): void {
+  /**
+   * The last answer: a promise that nothing ran where that is so, with a time to come back; else the
+   * detail of what failed.
+   */
+  private reject(reason: RejectionReason, details: RejectionDetails = {}): void {
     this.send?.cancel();
+    const { detail = reason, excessMs } = details;
     const isUnanswered = this.state === CallState.Sent;
-    if (this.hasBegun) this.abort(reason);
-    else if (this.mayHaveRun || isUnanswered) this.refuse({ status: 502, reason });
-    else this.refuse({ status: 503, reason, retryAfterMs: this.retryAfterMs(reason) });
+    if (this.hasBegun) this.abort(detail);
+    else if (this.mayHaveRun || isUnanswered) this.refuse({ status: 502, reason: detail });
+    else {
+      const service = this.service?.name ?? '';
+      const priority = details.priority ?? this.grant?.priority ?? 0;
+      this.refuse(this.context.rejections.answer({ reason, service, priority, excessMs }));
+    }
   }
 
-  private retryAfterMs(reason: string): number {
-    const baseMs = reason === 'all-busy' ? BUSY_RETRY_AFTER_MS : RETRY_AFTER_MS;
-    return Math.round(baseMs * (1 + this.context.random.next()));
+  /** An answer that holds for good, unless something has run already. */
+  private deny(answer: OwnAnswer): void {
+    if (this.hasBegun) this.abort(answer.reason);
+    else if (this.mayHaveRun) this.refuse({ status: 502, reason: answer.reason });
+    else this.refuse(answer);
   }
 
   private refuse(answer: OwnAnswer): void {
@@ -392,6 +403,7 @@
     this.state = CallState.Finished;
     this.deadlineTimer?.cancel();
     this.cancelPatience();
+    if (this.service && this.sends > 0) this.context.rejections.noteFinish(this.service.name);
     const { arrivedMs, id } = this.request;
     this.context.logger.info('request_finished', {
       request: id,
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -10,6 +10,7 @@
 import { type Placement, placeRequest } from '../../state/routing/placement.js';
 import { StorePressure, storePressure } from '../../state/routing/save-choice.js';
 import type { GatewayContext } from './gateway-context.js';
+import type { GenerationShape } from '../../state/routing/generation.js';
 import { LoadShare } from './load-share.js';
 import type { Grant } from './request-admission.js';
 import type { InboundRequest } from './reply.js';
@@ -92,8 +93,11 @@
 export class Send implements ExchangeListener {
   private readonly exchange: Exchange;
   private readonly load: LoadShare;
+  private readonly sentMs: number;
+  private firstChunkMs: number | undefined;
+  private lastChunkMs: number | undefined;
+  private chunks = 0;
   private isOver = false;
-  private isPromptRead = false;
 
   constructor(
     readonly placement: Placement,
@@ -103,9 +107,9 @@
     private readonly context: GatewayContext,
   ) {
     const { id } = placement.engine.record;
-    const generation = placement.cacheSalt === undefined ? undefined : request.generation;
-    this.load = new LoadShare(context.loads, id, generation, placement.unreadTokens);
+    this.load = new LoadShare(context.loads, id, this.generation, placement.unreadTokens);
     context.statistics.sends += 1;
+    this.sentMs = context.clock.now();
     this.exchange = context.engines.send(placement.engine.record, request, options, this);
   }
 
@@ -119,12 +123,13 @@
 
   onChunk(chunk: Uint8Array): void {
     if (this.isOver) return;
-    this.notePromptRead();
+    this.noteChunk();
     this.events.onChunk(this, chunk);
   }
 
   onEnd(): void {
     if (this.isOver) return;
+    this.learnTiming();
     this.close();
     this.context.health.noteSuccess(this.engineId);
     this.events.onEnd(this);
@@ -151,15 +156,41 @@
     this.exchange.resume();
   }
 
+  /** The generation that was sent; undefined where the service makes none. */
+  private get generation(): GenerationShape | undefined {
+    return this.placement.cacheSalt === undefined ? undefined : this.request.generation;
+  }
+
+  private noteChunk(): void {
+    const { generation, lastChunkMs, context } = this;
+    const now = context.clock.now();
+    this.notePromptRead(now);
+    this.chunks += 1;
+    this.lastChunkMs = now;
+    if (!generation || lastChunkMs === undefined) return;
+    context.rejections.notePause(generation.model, now - lastChunkMs);
+  }
+
+  private learnTiming(): void {
+    const { placement, firstChunkMs, generation, context } = this;
+    if (!generation || firstChunkMs === undefined) return;
+    context.rejections.noteEnd(generation.model, {
+      expectedMs: placement.expectedMs,
+      firstTokenMs: firstChunkMs - this.sentMs,
+      pieces: this.chunks,
+      outputTokens: generation.maximumOutputTokens,
+    });
+  }
+
   private close(): void {
     this.isOver = true;
     this.load.release();
   }
 
   /** The first bytes of a generation show that the engine has read, and so keeps, the prompt. */
-  private notePromptRead(): void {
-    if (this.isPromptRead) return;
-    this.isPromptRead = true;
+  private notePromptRead(nowMs: number): void {
+    if (this.firstChunkMs !== undefined) return;
+    this.firstChunkMs = nowMs;
     this.load.notePromptRead();
     const { cacheSalt } = this.placement;
     const { generation } = this.request;
--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -9,6 +9,7 @@
 import type { LoadTable } from './load-table.js';
 import { type PromptView, sourceAddress, storeToSave } from './prompt-source-choice.js';
 import { KeptBySalt, READ_TOKENS_PER_MS, bestSource, sharedTokensOf } from './prompt-sources.js';
+import { RejectionReason } from './rejection.js';
 import type { StorePressure } from './save-choice.js';
 import type { WeightVersions } from './weight-versions.js';
 
@@ -39,12 +40,14 @@
   readonly saveTo: string | undefined;
   /** Prompt tokens the engine is expected to read itself. */
   readonly unreadTokens: number;
-  /** What the choice compared, in milliseconds. */
+  /** Time until the first token, as far as loads and what is kept tell, in milliseconds. */
+  readonly expectedMs: number;
+  /** What the choice compared, in milliseconds: the expected time and preferences. */
   readonly costMs: number;
 }
 
 /** Why no engine was chosen. */
-export type PlacementFailure = 'no-engine' | 'all-busy';
+export type PlacementFailure = RejectionReason.NoEngine | RejectionReason.AllBusy;
 
 /** The tables a placement reads. */
 export interface PlacementTables {
@@ -88,11 +91,11 @@
   const prompt = request.generation && promptView(request, request.generation, tables, nowMs);
   const considered = narrowEngines(request, prompt, tables);
   const usable = usableEngines(considered, request, tables, nowMs);
-  if (usable.length === 0) return 'no-engine';
+  if (usable.length === 0) return RejectionReason.NoEngine;
   const open = usable.filter(
     (engine) => tables.loads.ownRequestsAt(engine.record.id) < request.connectionShare,
   );
-  if (open.length === 0) return 'all-busy';
+  if (open.length === 0) return RejectionReason.AllBusy;
   if (!prompt) return cheapest(open.map((engine) => weighPlain(engine, request, tables)));
   return cheapest(open.map((engine) => weighGeneration(engine, prompt, request, tables)));
 }
@@ -195,6 +198,7 @@
     fetchFrom: undefined,
     saveTo: undefined,
     unreadTokens: 0,
+    expectedMs: queueMs,
     costMs,
   };
 }
@@ -214,10 +218,10 @@
   const fetchedTokens = source ? source.tokens - ownTokens : 0;
   const unreadTokens = Math.max(0, generation.promptTokens - ownTokens - fetchedTokens);
   const nobodyKeeps = ownTokens === 0 && fetchedTokens === 0;
+  const expectedMs =
+    waitMs(engine, request, tables) + unreadTokens / READ_TOKENS_PER_MS + (source?.fetchMs ?? 0);
   const costMs =
-    waitMs(engine, request, tables) +
-    unreadTokens / READ_TOKENS_PER_MS +
-    (source?.fetchMs ?? 0) +
+    expectedMs +
     (fetchedTokens / 1_000) * COPY_MS_PER_KILOTOKEN +
     (nobodyKeeps ? awayFromHomeMs(engine, prompt) : 0) +
     (engine.record.zone === request.zone ? 0 : OTHER_ZONE_MS) +
@@ -229,6 +233,7 @@
     fetchFrom: sourceAddress(engine, ownTokens, source, prompt, request.profile),
     saveTo: storeToSave(keptPrompt, prompt),
     unreadTokens,
+    expectedMs,
     costMs,
   };
 }
--- a/src/state/routing/store-outages.ts
+++ b/src/state/routing/store-outages.ts
@@ -39,6 +39,12 @@
     return spans.reduce((sum, spanMs) => sum + spanMs, 0);
   }
 
+  /** For how long the store has been out of reach; 0 while it is not. */
+  outForMs(nowMs: number): number {
+    const { current } = this;
+    return current ? nowMs - current.beganMs : 0;
+  }
+
   private get current(): Outage | undefined {
     const last = this.outages.at(-1);
     return last && last.endedMs === undefined ? last : undefined;
