Ask for a short probe of the store by its wait, not by marking the kind as failed

Change: probe() passes the wait it means. Behaviour is meant to be the same. Measured: 18 tests of the store's followers and relay pass.

--- a/src/coordination/gateway/store-relay/relayed-object-store.ts
+++ b/src/coordination/gateway/store-relay/relayed-object-store.ts
@@ -61,7 +61,7 @@
 const PEER_SLACK_MS = 1_000;
 /** For this long after its start a router's watches are as short as those of a reader. */
 const YOUNG_MS = 3_000;
-/** Wait of the first watch after a failure or a list that may be old. */
+/** Wait of a probe, and of the first watch after a failure or a list that may be old. */
 const FIRST_PROOF_WAIT_MS = 1;
 /**
  * Routers of the whole group that try the store at one round of attempts, in the mean, while it is out
@@ -175,8 +175,8 @@
   }
 
   private async probe(kind: string, revision: number, waitMs: number): Promise<ProvenResult> {
-    this.failedKinds.add(kind);
-    const result = await this.watchStore(kind, revision, waitMs);
+    const limitMs = Math.min(waitMs, FIRST_PROOF_WAIT_MS);
+    const result = await this.watchStore(kind, revision, limitMs);
     this.parts.logger.info('store_probe_answered', { kind });
     return result;
   }
