Divide the group's reports from its membership; news before joining no longer silence a router

Found on the way: a router of a large group that heard news before it had joined kept them as pending without a timer, and so never again told anything without waiting for its next report: neither news it passed on nor the announcement of its own orders. Change: GroupReports holds reports and news; what is to be told before joining is not kept.

--- a/src/coordination/gateway/group-event-target.ts
+++ b/src/coordination/gateway/group-event-target.ts
@@ -1,7 +1,7 @@
 /** Connects the group's socket, which is bound first, with those who hear of and tell its news. */
 import { LoadTable } from '../../state/routing/load-table.js';
 import type { WeightsNews } from '../../state/routing/weights-news.js';
-import type { GroupEvents } from './group-membership.js';
+import type { GroupEvents } from './group-reports.js';
 import type { VersionNews, VersionNotice } from './version-news.js';
 import type { WeightCoordinator } from './weight-coordinator.js';
 
--- /dev/null
+++ b/src/coordination/gateway/group-reports.ts
@@ -0,0 +1,215 @@
+/**
+ * Reports between the routers of a group: the work that each has under way, news of weights, of named
+ * versions and of the lease on orders. In a small group all hear all; in a large one each report goes to a
+ * few, and those to whom news are new pass them on.
+ */
+import { create } from '@bufbuild/protobuf';
+import type { Clock } from '../../runtime/clock.js';
+import { type RandomSource, randomInteger } from '../../runtime/random.js';
+import type { DatagramSocket } from '../../transport/datagram-transport.js';
+import { encodeLoadReport } from '../../protocol/peer/cluster-codec.js';
+import {
+  type EngineWeights,
+  EngineWeightsSchema,
+  EngineWorkSchema,
+  type LoadReport,
+  LoadReportSchema,
+  NamedWeightsSchema,
+} from '../../protocol/peer/generated/cluster_pb.js';
+import type { MemberUpdate } from '../../state/membership.js';
+import type { LoadTable } from '../../state/routing/load-table.js';
+import { type WeightsNews, WeightsNewsBoard } from '../../state/routing/weights-news.js';
+import type { GroupHeartbeats } from './group-heartbeats.js';
+import type { VersionNotice } from './version-news.js';
+
+/** What the reports ask of and tell their router. */
+export interface GroupEvents {
+  /** News to tell the others with the next report. */
+  weightsNews(): readonly WeightsNews[];
+  onWeightsNews(news: WeightsNews): void;
+  /** Revision of the lease on orders, while this router holds it. */
+  heldLease(): number | undefined;
+  onHeldLease(holder: string, revision: number): void;
+  /** Versions of weights that operators named lately, to tell with each report. */
+  versionNotices(): readonly VersionNotice[];
+  onVersionNotice(notice: VersionNotice): void;
+}
+
+/** The group, as far as reports need it. */
+export interface ReportGroup {
+  readonly own: MemberUpdate;
+  /** Members that take work, this one included while it does. */
+  readonly working: readonly MemberUpdate[];
+  /** Whether this router takes part; before, it only listens. */
+  readonly hasJoined: boolean;
+}
+
+/** What the reports work with. */
+export interface ReportParts {
+  readonly group: ReportGroup;
+  readonly socket: DatagramSocket;
+  readonly loads: LoadTable;
+  readonly events: GroupEvents;
+  readonly heartbeats: GroupHeartbeats;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+}
+
+/** How often a router reports. */
+export const REPORT_PERIOD_MS = 250;
+/** Members that get each report of loads in a small group. */
+const REPORT_FANOUT = 12;
+/**
+ * Members that do in a larger one, chosen at random: a router can't hear of all loads while they last,
+ * so the reports only keep routers from meeting at one engine by accident. Those that hear news in a
+ * larger group pass them on to as many.
+ */
+const SAMPLED_FANOUT = 4;
+/** Members of a larger group that the origin of news tells at once. */
+const ORIGIN_FANOUT = 8;
+/** News of so short a time leave in one report. */
+const GATHERING_MS = 5;
+const LARGE_GROUP_GATHERING_MS = 40;
+/**
+ * Time in which an announcement reaches nearly all. In a large group it is handed on three times after
+ * it was gathered (8, then 4 each: 8 + 32 + 128 and more for 195 routers), each time gathered again.
+ */
+const ANNOUNCEMENT_MS = 10;
+const LARGE_GROUP_ANNOUNCEMENT_MS = 4 * LARGE_GROUP_GATHERING_MS;
+/** An idle router repeats that it is idle only this often. */
+const IDLE_REPORTS_SKIPPED = 3;
+
+/** The reports of one router. */
+export class GroupReports {
+  private sequence = 0;
+  private idleReports = 0;
+  private readonly board = new WeightsNewsBoard();
+  private pendingFanout = 0;
+  private isStopped = false;
+
+  constructor(private readonly parts: ReportParts) {}
+
+  /** Whether the group is so large that a report goes only to a few of it. */
+  get isLarge(): boolean {
+    return this.parts.group.working.length > REPORT_FANOUT + 1;
+  }
+
+  /** Time in which what {@link reportNow} sends reaches nearly all routers, in milliseconds. */
+  get announcementMs(): number {
+    return this.isLarge ? LARGE_GROUP_ANNOUNCEMENT_MS : ANNOUNCEMENT_MS;
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  /** Sends what is new without waiting for the next report. */
+  reportNow(): void {
+    this.tellSoon(ORIGIN_FANOUT);
+  }
+
+  /** Takes another router's report. */
+  receive(report: LoadReport): void {
+    const loads = new Map(
+      report.engines.map(({ engineId, requests, unreadTokens, heldTokens }) => [
+        engineId,
+        { requests, unreadTokens, heldTokens },
+      ]),
+    );
+    const nowMs = this.parts.clock.now();
+    this.parts.heartbeats.noteHeard(report.sender);
+    this.parts.heartbeats.take(report);
+    if (!report.withoutLoads)
+      this.parts.loads.receive(report.sender, report.sequence, loads, nowMs);
+    this.receiveNews(report.weights, nowMs);
+    const leaseRevision = Number(report.heldLeaseRevision);
+    if (leaseRevision > 0) this.parts.events.onHeldLease(report.sender, leaseRevision);
+    for (const { model, version, ageMs } of report.named) {
+      this.parts.events.onVersionNotice({ model, version, ageMs });
+    }
+  }
+
+  /** Takes news and, in a large group, passes on what is new. */
+  private receiveNews(weights: readonly EngineWeights[], nowMs: number): void {
+    let isAnyNew = false;
+    for (const { engineId, model, version, isLoading, ageMs } of weights) {
+      const news: WeightsNews = { engineId, model, version, isLoading, ageMs };
+      if (!this.board.take(news, nowMs)) continue;
+      isAnyNew = true;
+      this.parts.events.onWeightsNews(news);
+    }
+    if (isAnyNew && this.isLarge) this.tellSoon(SAMPLED_FANOUT);
+  }
+
+  /** Gathers the news of a short while into one report; the widest audience asked for gets it. */
+  private tellSoon(fanout: number): void {
+    if (!this.parts.group.hasJoined) return;
+    const isPending = this.pendingFanout > 0;
+    this.pendingFanout = Math.max(this.pendingFanout, fanout);
+    if (isPending) return;
+    this.parts.clock.setTimer(this.isLarge ? LARGE_GROUP_GATHERING_MS : GATHERING_MS, () => {
+      const audience = this.pendingFanout;
+      this.pendingFanout = 0;
+      this.sendReport(audience, this.isLarge);
+    });
+  }
+
+  /** Reports the work under way; call once a {@link REPORT_PERIOD_MS}. */
+  reportLoads(): void {
+    this.parts.loads.expire(this.parts.clock.now());
+    const isIdle =
+      this.parts.loads.ownLoads.size === 0 && this.parts.events.weightsNews().length === 0;
+    this.idleReports = isIdle ? this.idleReports + 1 : 0;
+    if (isIdle && this.idleReports % IDLE_REPORTS_SKIPPED !== 1) return;
+    this.sendReport(SAMPLED_FANOUT, false);
+  }
+
+  /** @param fanout members of a large group that get it; those of a small one all do */
+  private sendReport(fanout: number, withoutLoads: boolean): void {
+    if (this.isStopped) return;
+    this.sequence += 1;
+    const loads = withoutLoads ? [] : [...this.parts.loads.ownLoads];
+    const engines = loads.map(([engineId, load]) =>
+      create(EngineWorkSchema, { engineId, ...load }),
+    );
+    const weights = this.newsToTell().map((news) => create(EngineWeightsSchema, news));
+    const report = create(LoadReportSchema, {
+      sender: this.parts.group.own.nodeId,
+      sequence: this.sequence,
+      engines,
+      weights,
+      named: this.parts.events.versionNotices().map((notice) => create(NamedWeightsSchema, notice)),
+      heldLeaseRevision: BigInt(this.parts.events.heldLease() ?? 0),
+      withoutLoads,
+      // In a small group all hear each other.
+      ...(this.isLarge ? this.parts.heartbeats.share() : {}),
+    });
+    const datagram = encodeLoadReport(report);
+    for (const { gossipAddress } of this.audience(fanout))
+      this.parts.socket.send(gossipAddress, datagram);
+  }
+
+  /** The own news; in a large group also those of others that are still fresh. */
+  private newsToTell(): readonly WeightsNews[] {
+    const own = this.parts.events.weightsNews();
+    const nowMs = this.parts.clock.now();
+    for (const news of own) this.board.take(news, nowMs);
+    return this.isLarge ? this.board.toTell(nowMs) : own;
+  }
+
+  private others(): MemberUpdate[] {
+    const own = this.parts.group.own.nodeId;
+    return this.parts.group.working.filter((member) => member.nodeId !== own);
+  }
+
+  /** All others of a small group, or so many of a large one, chosen at random. */
+  private audience(fanout: number): MemberUpdate[] {
+    const others = this.others();
+    if (!this.isLarge) return others;
+    const sample = new Set<MemberUpdate>();
+    while (sample.size < fanout) {
+      sample.add(others[randomInteger(this.parts.random, others.length)] as MemberUpdate);
+    }
+    return [...sample];
+  }
+}
--- a/test/gateway/weights-news.test.ts
+++ b/test/gateway/weights-news.test.ts
@@ -1,10 +1,8 @@
 /** How news of weights spread in a large group, and which of two news counts. */
 import test from 'ava';
 import fc from 'fast-check';
-import {
-  type GroupEvents,
-  GroupMembership,
-} from '../../src/coordination/gateway/group-membership.js';
+import { GroupMembership } from '../../src/coordination/gateway/group-membership.js';
+import type { GroupEvents } from '../../src/coordination/gateway/group-reports.js';
 import { HostClock } from '../../src/lab/simulation/host-clock.js';
 import { SimulatedNetwork } from '../../src/lab/simulation/simulated-network.js';
 import {
@@ -144,3 +142,66 @@
   for (const { heard } of peers.slice(1)) t.is(heard.length, ENGINES);
   for (const { group } of peers) group.stop();
 });
+
+test('what was to be told before a router joined does not keep it from telling news later', async (t) => {
+  const clock = new VirtualClock();
+  const sockets = new SimulatedSockets(new SimulatedNetwork(clock, new SeededRandom(1)));
+  const host = new HostClock(clock);
+  sockets.network.attach('router-0', host);
+  const transport = new CountingTransport(new SimulatedDatagramTransport(sockets, 'router-0'));
+  const events: GroupEvents = {
+    weightsNews: () => [],
+    onWeightsNews: () => undefined,
+    versionNotices: () => [],
+    onVersionNotice: () => undefined,
+    heldLease: () => undefined,
+    onHeldLease: () => undefined,
+  };
+  const group = await GroupMembership.open(
+    {
+      identity: {
+        nodeId: 'router-0',
+        zone: 'zone-a',
+        region: 'region-a',
+        capacity: 1_000,
+        gossipAddress: 'router-0:7000',
+        peerAddress: 'router-0:80',
+      },
+      seeds: ['router-1:7000'],
+    },
+    transport,
+    new LoadTable(),
+    events,
+    clock,
+    new SeededRandom(2),
+    new SilentLogger(),
+  );
+  const other = await GroupMembership.open(
+    {
+      identity: {
+        nodeId: 'router-1',
+        zone: 'zone-a',
+        region: 'region-a',
+        capacity: 1_000,
+        gossipAddress: 'router-1:7000',
+        peerAddress: 'router-1:80',
+      },
+      seeds: ['router-0:7000'],
+    },
+    new SimulatedDatagramTransport(sockets, 'router-1'),
+    new LoadTable(),
+    events,
+    clock,
+    new SeededRandom(3),
+    new SilentLogger(),
+  );
+  sockets.network.attach('router-1', new HostClock(clock));
+  group.reportNow();
+  group.start();
+  other.start();
+  await clock.advance(1_000);
+  const before = transport.sent;
+  group.reportNow();
+  await clock.advance(8);
+  t.is(transport.sent, before + 1);
+});
