Soak: close connections that can't be reset, end what is left of a run

Cause: npm test hung for ten minutes once ('Failed to exit when running dist/test/soak.test.js'), though all its tests had passed, and again in four of six runs by hand: Node.js 20 can't reset a socket whose end is on the way, keeps it, and spins at the exit. A silent proxy also lost sight of one side of a pair. Change: such sockets are closed; pairs are kept until both sides have ended; writes stop with the deployment.

--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -74,6 +74,7 @@
   private configurationVersion = 0;
   private weightsVersion = 1;
   private readonly removedKeys = new Set<string>();
+  private isOver = false;
 
   private constructor(
     private readonly store: ChildProcess,
@@ -177,6 +178,7 @@
 
   /** Ends every process that was started. */
   async end(): Promise<void> {
+    this.isOver = true;
     await Promise.all(this.routers.map((router) => router.end()));
     for (const { child, proxy } of this.engines) {
       child.kill('SIGKILL');
@@ -242,7 +244,7 @@
   /** Writes until the store has taken it. */
   private async write(kind: string, name: string, spec: object): Promise<void> {
     const path = `/objects/${kind}/${name}`;
-    for (;;) {
+    while (!this.isOver) {
       const answer = await callJson(this.storeAddress, 'PUT', path, {
         metadata: { name },
         spec,
--- a/soak/tcp-proxy.ts
+++ b/soak/tcp-proxy.ts
@@ -57,9 +57,10 @@
 
   /** Resets the connections that are open now. */
   resetAll(): void {
-    for (const { near, far } of [...this.pairs]) {
-      near.resetAndDestroy();
-      far.resetAndDestroy();
+    for (const pair of [...this.pairs]) {
+      this.pairs.delete(pair);
+      reset(pair.near);
+      reset(pair.far);
     }
   }
 
@@ -70,7 +71,7 @@
 
   private accept(near: Socket): void {
     if (this.currentMode === ProxyMode.Reset) {
-      near.resetAndDestroy();
+      reset(near);
       return;
     }
     const far = connect(this.targetPort, '127.0.0.1');
@@ -96,13 +97,15 @@
       if (this.currentMode !== ProxyMode.Silent) setTimeout(() => other.end(), this.endDelayMs);
     });
     // A reset of one side shows as a reset at the other; 'close' follows.
-    side.on('error', () => other.resetAndDestroy());
+    side.on('error', () => {
+      if (this.currentMode !== ProxyMode.Silent) reset(other);
+    });
     side.on('close', () => {
+      // The other side hears nothing while the way is silent; it is reset with the pair later.
+      if (this.currentMode === ProxyMode.Silent) return;
       this.pairs.delete(pair);
-      if (side.errored) other.resetAndDestroy();
-      else if (this.currentMode !== ProxyMode.Silent) {
-        setTimeout(() => other.destroySoon(), this.endDelayMs);
-      }
+      if (side.errored) reset(other);
+      else setTimeout(() => other.destroySoon(), this.endDelayMs);
     });
   }
 
@@ -111,3 +114,12 @@
     return this.currentMode === ProxyMode.Slow ? SLOW_MS + 1 : 0;
   }
 }
+
+/**
+ * Resets a connection. One that has been ended is only closed: Node.js 20 can't reset it while its end is on
+ * the way, and then keeps the socket open for good.
+ */
+function reset(socket: Socket): void {
+  if (socket.writableEnded) socket.destroy();
+  else socket.resetAndDestroy();
+}
