--- a/src/coordination/gateway/failed-send.ts
+++ b/src/coordination/gateway/failed-send.ts
@@ -1,4 +1,4 @@
-/** What a send that failed tells of its engine, and of whether the request may have run. */
+/** What a failed send shows about its engine, and whether the request may have run. */
 import type { ExchangeFailure } from '../../protocol/inference/port.js';
 import { RejectionReason } from '../../state/routing/rejection.js';
 import type { GatewayContext } from './gateway-context.js';
--- a/src/coordination/gateway/group-change-log.ts
+++ b/src/coordination/gateway/group-change-log.ts
@@ -2,7 +2,7 @@
 import type { Logger } from '../../runtime/logger.js';
 import { MemberStatus, type MemberUpdate, isWorking } from '../../state/membership.js';
 
-/** Members named in one line; a large loss is told by its size. */
+/** Members named in one line; of a larger loss only the size is logged. */
 const MAXIMUM_NAMED = 6;
 
 /** Compares each view with the one before it. */
--- a/src/coordination/gateway/group-heartbeats.ts
+++ b/src/coordination/gateway/group-heartbeats.ts
@@ -32,7 +32,7 @@
     this.pauses = new PauseDetector(clock.now());
   }
 
-  /** Tells that this process runs; call several times a second. */
+  /** Notes that this process runs; call several times a second. */
   noteRunning(): void {
     this.pauses.note(this.clock.now());
   }
--- a/src/coordination/gateway/group-membership.ts
+++ b/src/coordination/gateway/group-membership.ts
@@ -135,7 +135,7 @@
     return this.membership.working();
   }
 
-  /** Working members that were heard lately, by this router or one that told it, and itself. */
+  /** Working members that were heard lately, by this router or by one that reported it, and itself. */
   get responding(): MemberUpdate[] {
     return this.working.filter(({ nodeId }) => this.silenceMs(nodeId) <= LONGEST_SILENCE_MS);
   }
--- a/src/coordination/gateway/group-reports.ts
+++ b/src/coordination/gateway/group-reports.ts
@@ -22,15 +22,15 @@
 import type { GroupHeartbeats } from './group-heartbeats.js';
 import type { VersionNotice } from './version-news.js';
 
-/** What the reports ask of and tell their router. */
+/** Where the reports take their contents from, and who receives those of other routers. */
 export interface GroupEvents {
-  /** News to tell the others with the next report. */
+  /** News for the next report. */
   weightsNews(): readonly WeightsNews[];
   onWeightsNews(news: WeightsNews): void;
   /** Revision of the lease on orders, while this router holds it. */
   heldLease(): number | undefined;
   onHeldLease(holder: string, revision: number): void;
-  /** Versions of weights that operators named lately, to tell with each report. */
+  /** Versions of weights that operators named lately, for each report. */
   versionNotices(): readonly VersionNotice[];
   onVersionNotice(notice: VersionNotice): void;
 }
@@ -65,7 +65,7 @@
  * larger group pass them on to as many.
  */
 const SAMPLED_FANOUT = 4;
-/** Members of a larger group that the origin of news tells at once. */
+/** Members of a larger group to which the origin of news sends it at once. */
 const ORIGIN_FANOUT = 8;
 /** News of so short a time leave in one report. */
 const GATHERING_MS = 5;
--- a/src/coordination/gateway/rejections.ts
+++ b/src/coordination/gateway/rejections.ts
@@ -1,6 +1,6 @@
 /**
- * What one router tells callers that it does not serve, and whether a generation can be served in time at
- * all: the one place where rejections are decided.
+ * How one router answers requests that it does not serve, and whether a generation can be served in time
+ * at all: the one place where rejections are decided.
  */
 import type { Clock } from '../../runtime/clock.js';
 import type { RandomSource } from '../../runtime/random.js';
@@ -13,7 +13,7 @@
 import type { GatewayStatistics } from './gateway-statistics.js';
 import type { OwnAnswer } from './reply.js';
 
-/** What the rejections of one router are told from. */
+/** What the rejections of one router are decided from. */
 export interface RejectionParts {
   readonly clock: Clock;
   readonly random: RandomSource;
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -37,7 +37,7 @@
   readonly detail?: string;
   /** By how much the estimate passes the deadline, in milliseconds. */
   readonly excessMs?: number | undefined;
-  /** Where no grant tells it. */
+  /** Where there is no grant to take it from. */
   readonly priority?: number;
 }
 
@@ -264,7 +264,7 @@
     this.onFailure(send, failure);
   }
 
-  /** Takes what the failure tells; a send that did not reach its engine does not count as one. */
+  /** Takes note of the failure; a send that did not reach its engine does not count as one. */
   private judge(send: Send, failure: ExchangeFailure): void {
     if (noteFailedSend(send.engineId, failure, this.context)) this.mayHaveRun = true;
     if (failure.kind !== 'not-sent') return;
--- a/src/coordination/gateway/store-relay/object-mirror.ts
+++ b/src/coordination/gateway/store-relay/object-mirror.ts
@@ -75,7 +75,7 @@
 
   /**
    * The changes after a revision, in order; undefined where they are not all kept. The removal of an
-   * object carries the revision of its last change, so a removal may be told again; not that of an object
+   * object carries the revision of its last change, so a removal may be repeated; not that of an object
    * that is back, which the asker may know already.
    */
   changesAfter(revision: number): ObjectEvent[] | undefined {
--- a/src/runtime/pause-detector.ts
+++ b/src/runtime/pause-detector.ts
@@ -1,7 +1,7 @@
 /**
- * Tells whether the process has stood still lately, frozen or without a turn on its processor. What it
+ * Detects whether the process has stood still lately, frozen or without a turn on its processor. What it
  * reads just after such a pause may have waited in the buffers of its sockets, so it shows nothing of the
- * present. Pure; it must be asked or told of the time several times within {@link PAUSE_MS}.
+ * present. Pure; it must be called several times within {@link PAUSE_MS}.
  */
 
 /** A longer gap between two looks at the clock is a pause: five of the checks that the group runs. */
--- a/src/state/routing/finish-estimate.ts
+++ b/src/state/routing/finish-estimate.ts
@@ -1,7 +1,7 @@
 /**
  * When a generation would be finished, as learnt from the answers of its model's engines: the time to the
  * first token against what the placement expected, and the pace of the tokens after it. The pace is taken
- * from the streams that run, since those that have ended tell how it was when they began. Pure.
+ * from the streams that run, since those that have ended show how it was when they began. Pure.
  */
 
 /** What one answer showed, from its send to its end. Times in milliseconds. */
--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -40,7 +40,7 @@
   readonly saveTo: string | undefined;
   /** Prompt tokens the engine is expected to read itself. */
   readonly unreadTokens: number;
-  /** Time until the first token, as far as loads and what is kept tell, in milliseconds. */
+  /** Time until the first token, as estimated from loads and what is kept, in milliseconds. */
   readonly expectedMs: number;
   /** What the choice compared, in milliseconds: the expected time and preferences. */
   readonly costMs: number;
--- a/src/state/routing/rejection.ts
+++ b/src/state/routing/rejection.ts
@@ -43,9 +43,9 @@
   readonly hasPeers: boolean;
 }
 
-/** Shortest time told: a caller that comes at once meets the same state. */
+/** Shortest time to come back: a caller that comes at once meets the same state. */
 const SHORTEST_MS = 100;
-/** Longest time told; beyond it nothing is foreseen. */
+/** Longest time to come back; beyond it nothing is foreseen. */
 const LONGEST_MS = 3_000;
 /** Where another router may help, a caller is sent on soon. */
 const ANOTHER_ROUTER_MS = 150;
@@ -58,7 +58,7 @@
 /** Times are drawn from the time foreseen to this much more. */
 const JITTER_SHARE = 0.3;
 
-/** Tells callers when to come back. */
+/** Decides when callers may come back. */
 export class RejectionAdvice {
   private readonly schedules = new Map<string, ReturnSchedule>();
 
--- a/src/state/routing/return-schedule.ts
+++ b/src/state/routing/return-schedule.ts
@@ -7,14 +7,14 @@
 const MOST_URGENT = 0;
 const LEAST_URGENT = 9;
 
-/** The times at which callers were told to come back, by priority. */
+/** The times at which callers may come back, by priority. */
 export class ReturnSchedule {
-  /** Latest return that was told, by priority. */
+  /** Latest return that was booked, by priority. */
   private readonly latestMs = new Map<number, number>();
 
   /**
    * Books the next free moment at or after `earliestMs`, behind the returns of the same and of more urgent
-   * priorities; answers that moment. What lies beyond the horizon is not foreseen: the horizon is told, and
+   * priorities; answers that moment. What lies beyond the horizon is not foreseen: the horizon is answered, and
    * nothing is booked further ahead.
    *
    * @param returnsPerSecond how many callers may come back in a second, above 0
