--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -75,6 +75,7 @@
   private weightsVersion = 1;
   private readonly removedKeys = new Set<string>();
   private isOver = false;
+  private lastWrite = Promise.resolve();
 
   private constructor(
     private readonly store: ChildProcess,
@@ -236,9 +237,13 @@
     if (report.kind === 'order') this.observations.orders.push(report);
   }
 
-  private async writeConfiguration(): Promise<void> {
-    this.configurationVersion += 1;
-    await this.write(WireKind.configuration, 'main', this.configuration());
+  /** An operator writes one version after the other: an older one never overwrites a newer one. */
+  private writeConfiguration(): Promise<void> {
+    this.lastWrite = this.lastWrite.then(() => {
+      this.configurationVersion += 1;
+      return this.write(WireKind.configuration, 'main', this.configuration());
+    });
+    return this.lastWrite;
   }
 
   /** Writes until the store has taken it. */
