Tell crashes of engines from cut answers in the log, and name the requests that broke with them

Cause: logs could not tell which of the requests that broke with an engine comes again under another id, nor that the engine crashed at all. Change: a fingerprint of caller, host, method, path and body on each break, one attempt to connect after it, engine_crashed and engine_checked lines, a counter; nothing is decided by it yet.

--- a/src/coordination/gateway/call-log.ts
+++ b/src/coordination/gateway/call-log.ts
@@ -30,12 +30,17 @@
   });
 }
 
-/** A send ended without an answer to pass on. */
+/**
+ * A send ended without an answer to pass on.
+ *
+ * @param fingerprint names the request when it comes again; only where the connection broke
+ */
 export function logSendFailure(
   requestId: string,
   send: number,
   engineId: string,
   failure: ExchangeFailure,
+  fingerprint: string | undefined,
   logger: Logger,
 ): void {
   logger.info('send_failed', {
@@ -45,5 +50,6 @@
     kind: failure.kind,
     status: failure.kind === 'refused' ? failure.status : undefined,
     reason: failure.reason,
+    fingerprint,
   });
 }
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -27,6 +27,7 @@
 import { CacheFeeds } from './cache-feeds.js';
 import { Directory } from './directory.js';
 import type { CallerPlace } from './directory-answer.js';
+import { EngineCrashDetector } from './engine-crash-detector.js';
 import { EngineList } from './engine-list.js';
 import { type GatewayContext, ServiceRetryBudgets } from './gateway-context.js';
 import { type HeldFeed, ownShareOfFeeds } from '../../state/routing/feed-share.js';
@@ -126,6 +127,10 @@
       shareOfTraffic: () => this.shareOfTraffic(),
       split: this.split,
       retryBudgets: new ServiceRetryBudgets(settings.retryBudget),
+      crashes: new EngineCrashDetector(
+        { engines, registry: this.registry, statistics: this.statistics, clock, logger },
+        () => undefined,
+      ),
       rejections: new Rejections({
         clock,
         random,
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -22,6 +22,8 @@
   tooLateSamplesInTime = 0;
   /** Admitted by the estimate and ended by the caller's deadline. */
   admittedPastDeadline = 0;
+  /** Engines that broke requests of this router and then refused connections. */
+  engineCrashes = 0;
   orders = 0;
   rolloutWaits = 0;
   rolloutsForWorth = 0;
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -10,6 +10,7 @@
 import type { AnswerHead, ExchangeFailure } from '../../protocol/inference/port.js';
 import type { Service } from '../../state/routing/configuration.js';
 import type { Placement } from '../../state/routing/placement.js';
+import { fingerprintOf } from '../../state/routing/request-fingerprint.js';
 import { RejectionReason } from '../../state/routing/rejection.js';
 import { logSend, logSendFailure } from './call-log.js';
 import { noteFailedSend, rejectionReasonOf } from './failed-send.js';
@@ -157,7 +158,9 @@
     this.state = CallState.Choosing;
     this.excluded.add(send.engineId);
     this.judge(send, failure);
-    logSendFailure(this.request.id, this.sends, send.engineId, failure, this.context.logger);
+    const fingerprint = this.noteDisconnect(send, failure);
+    const { logger } = this.context;
+    logSendFailure(this.request.id, this.sends, send.engineId, failure, fingerprint, logger);
     if (this.hasBegun) this.resumeElsewhere(failure);
     else this.tryAgain(failure);
   }
@@ -272,6 +275,15 @@
     this.connectFailures += 1;
   }
 
+  /** An engine whose connection breaks may have crashed; answers the fingerprint it was noted with. */
+  private noteDisconnect(send: Send, failure: ExchangeFailure): string | undefined {
+    const isDisconnect = 'isDisconnect' in failure && failure.isDisconnect === true;
+    if (!isDisconnect) return undefined;
+    const fingerprint = fingerprintOf({ ...this.request, tenant: this.grant?.tenant?.name });
+    this.context.crashes.noteBreak(send.engineId, fingerprint, this.now - send.sentMs);
+    return fingerprint;
+  }
+
   /** Another engine before any part of an answer was given. */
   private tryAgain(failure: ExchangeFailure): void {
     if (failure.kind === 'not-sent' && this.connectFailures > MAXIMUM_CONNECT_FAILURES) {
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -93,7 +93,7 @@
 export class Send implements ExchangeListener {
   private readonly exchange: Exchange;
   private readonly load: LoadShare;
-  private readonly sentMs: number;
+  readonly sentMs: number;
   private firstChunkMs: number | undefined;
   private lastChunkMs: number | undefined;
   private chunks = 0;
--- a/src/lab/gateway-world/simulated-exchange.ts
+++ b/src/lab/gateway-world/simulated-exchange.ts
@@ -2,6 +2,7 @@
 import type {
   AnswerHead,
   Exchange,
+  ExchangeFailure,
   ExchangeListener,
   ForwardedRequest,
   SendOptions,
@@ -62,7 +63,9 @@
   }
 
   fail(kind: 'not-sent' | 'unknown' | 'cut'): void {
-    this.deliverLast(() => this.listener.onFailure({ kind, reason: kind }));
+    const failure: ExchangeFailure =
+      kind === 'not-sent' ? { kind, reason: kind } : { kind, reason: kind, isDisconnect: true };
+    this.deliverLast(() => this.listener.onFailure(failure));
   }
 
   /** The connection breaks at the engine's side. */
--- a/src/lab/gateway-world/simulated-inference.ts
+++ b/src/lab/gateway-world/simulated-inference.ts
@@ -1,16 +1,17 @@
 /** One router's access to the simulated engines: the inference port without sockets. */
-import type {
-  CacheContents,
-  CacheEventPage,
-  EngineEndpoint,
-  Exchange,
-  ExchangeListener,
-  ForwardedRequest,
-  InferencePort,
-  OrderResult,
-  SendOptions,
-  WeightOrder,
-  WeightState,
+import {
+  type CacheContents,
+  type CacheEventPage,
+  type EngineEndpoint,
+  type Exchange,
+  type ExchangeListener,
+  type ForwardedRequest,
+  type InferencePort,
+  ListenerState,
+  type OrderResult,
+  type SendOptions,
+  type WeightOrder,
+  type WeightState,
 } from '../../protocol/inference/port.js';
 import type { Clock } from '../../runtime/clock.js';
 import type { HostClock } from '../simulation/host-clock.js';
@@ -49,6 +50,13 @@
     return exchange;
   }
 
+  checkListener(endpoint: EngineEndpoint): Promise<ListenerState> {
+    return this.answer(() => {
+      const isRunning = this.engineAt(endpoint.address)?.isRunning ?? false;
+      return isRunning ? ListenerState.Listening : ListenerState.Refused;
+    }, ListenerState.Silent);
+  }
+
   order(endpoint: EngineEndpoint, order: WeightOrder): Promise<OrderResult> {
     return this.answer(() => this.takeOrder(endpoint, order), {
       kind: 'unknown',
--- a/src/protocol/inference/port.ts
+++ b/src/protocol/inference/port.ts
@@ -46,16 +46,29 @@
   readonly isAttested: boolean;
 }
 
-/** Why an exchange ended without a whole answer. */
+/**
+ * Why an exchange ended without a whole answer. `isDisconnect`: the connection broke at the engine's side
+ * after the request was sent, as it does when the engine crashes.
+ */
 export type ExchangeFailure =
   /** No byte of the request left this router. */
   | { readonly kind: 'not-sent'; readonly reason: string }
   /** The engine attests that it has not run the request. */
   | { readonly kind: 'refused'; readonly status: number; readonly reason: string }
   /** It may have run. */
-  | { readonly kind: 'unknown'; readonly reason: string }
+  | { readonly kind: 'unknown'; readonly reason: string; readonly isDisconnect?: boolean }
   /** The answer began and broke off. */
-  | { readonly kind: 'cut'; readonly reason: string };
+  | { readonly kind: 'cut'; readonly reason: string; readonly isDisconnect?: boolean };
+
+/** What an attempt to connect to an engine's address shows. */
+export enum ListenerState {
+  /** Somebody accepts connections there. */
+  Listening = 'listening',
+  /** The machine answers that nobody does. */
+  Refused = 'refused',
+  /** No answer in time. */
+  Silent = 'silent',
+}
 
 /** Receives one answer: a head, any number of chunks, then one end or failure. */
 export interface ExchangeListener {
@@ -147,6 +160,8 @@
     options: SendOptions,
     listener: ExchangeListener,
   ): Exchange;
+  /** Tries to connect, without a request. */
+  checkListener(endpoint: EngineEndpoint): Promise<ListenerState>;
   order(endpoint: EngineEndpoint, order: WeightOrder): Promise<OrderResult>;
   /** Undefined where the engine does not answer. */
   weightState(endpoint: EngineEndpoint, model: string): Promise<WeightState | undefined>;
--- /dev/null
+++ b/test/platform/listener-check.test.ts
@@ -0,0 +1,15 @@
+/** What an attempt to connect to an address shows. */
+import { type AddressInfo, createServer } from 'node:net';
+import test from 'ava';
+import { checkListener } from '../../platform/listener-check.js';
+import { ListenerState } from '../../src/protocol/inference/port.js';
+
+test('an address is listening while somebody accepts connections there, refused after', async (t) => {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const address = `127.0.0.1:${port}`;
+  t.is(await checkListener(address), ListenerState.Listening);
+  await new Promise((resolve) => server.close(resolve));
+  t.is(await checkListener(address), ListenerState.Refused);
+});
