--- a/src/lab/gateway-world/gateway-oracle.ts
+++ b/src/lab/gateway-world/gateway-oracle.ts
@@ -1,6 +1,6 @@
 /** Judges a finished run of the simulated deployment by what callers, engines and operator saw. */
 import { cacheSaltOf } from '../../state/routing/generation.js';
-import type { GatewayWorld, ObservedRequest } from './gateway-world.js';
+import { CONTACT_MS, type GatewayWorld, type ObservedRequest } from './gateway-world.js';
 import type { ObservedRun } from './simulated-engine.js';
 import { STREAM_PIECES, pieceOf, plainBodyOf } from './simulated-exchange.js';
 import { ISOLATED_TENANT, WORLD_BOUNDS, WORLD_MODEL } from './world-fixtures.js';
@@ -17,7 +17,8 @@
   | 'own-salt'
   | 'answered-in-time'
   | 'one-run-at-a-time'
-  | 'weights-in-force';
+  | 'weights-in-force'
+  | 'crashes-bounded';
 
 /** A broken rule. */
 export interface RuleBreach {
@@ -33,13 +34,40 @@
 /** The engine before must have stopped this soon after a request went on elsewhere. */
 const OVERLAP_MS = 400;
 
+/** After so many crashes a request is known to crash engines. */
+const CRASHES_TO_KNOW = 3;
+/** Engines that it may reach from then on. */
+const MAXIMUM_LATE_CRASHES = 3;
+
 /** All broken rules of a run. */
 export function findBreaches(world: GatewayWorld): RuleBreach[] {
   const runsById = groupRuns(world.observations.runs);
   const breaches = world.requests.flatMap((request) =>
     judgeRequest(request, runsById.get(request.id) ?? [], world),
   );
-  return [...breaches, ...judgeDrains(world), ...judgeOrders(world), ...judgeWeights(world)];
+  return [
+    ...breaches,
+    ...judgeDrains(world),
+    ...judgeOrders(world),
+    ...judgeWeights(world),
+    ...judgeCrashes(world),
+  ];
+}
+
+/** A request under which three engines have crashed reaches at most three more, a while later. */
+function judgeCrashes(world: GatewayWorld): RuleBreach[] {
+  const { crashes } = world.observations;
+  return [...new Set(crashes.map(({ body }) => body))].flatMap((body) => {
+    const own = crashes.filter((crash) => crash.body === body);
+    const crashedMs = own.flatMap((crash) => crash.crashedMs ?? []).sort((a, b) => a - b);
+    const knownMs = (crashedMs[CRASHES_TO_KNOW - 1] ?? Infinity) + CONTACT_MS;
+    const late = own.filter(
+      ({ arrivedMs, router }) => arrivedMs > knownMs && !world.isDisturbed(router, arrivedMs),
+    );
+    if (late.length <= MAXIMUM_LATE_CRASHES) return [];
+    const detail = `${body}: ${late.length} arrivals later, ${crashedMs.length} crashes`;
+    return [{ rule: 'crashes-bounded' as const, detail }];
+  });
 }
 
 /** Once everything has come to rest, each engine has the newest weights. */
--- a/src/lab/gateway-world/gateway-world.ts
+++ b/src/lab/gateway-world/gateway-world.ts
@@ -60,12 +60,16 @@
 }
 
 /** A router is held to its bounds again this long after a disturbance has ended. */
-const CONTACT_MS = 3_000;
+export const CONTACT_MS = 3_000;
 const GENERATION_ENGINES = 3;
 const PLAIN_ENGINES = 2;
 const STARTUP_MS = 1_500;
 const RESTART_MS = 800;
 const SETTLE_MS = 20_000;
+/** An engine that a request has crashed is back after this time. */
+const CRASH_RESTART_MS = 3_000;
+/** The entry of a crashed engine lapses after this time. */
+const ENTRY_LAPSE_MS = 3_600;
 
 /** Parts of a deployment that a mutation may weaken, to see that the oracle finds it. */
 export interface WorldMutation {
@@ -126,8 +130,18 @@
     return this.clock.now();
   }
 
-  /** Sends a request through a router; nothing where the router is down. */
-  request(routerIndex: number, kind: RequestKind, tenant: string, keyIndex: number): void {
+  /**
+   * Sends a request through a router; nothing where the router is down.
+   *
+   * @param body makes it the same request as others of that body; left out: a request of its own
+   */
+  request(
+    routerIndex: number,
+    kind: RequestKind,
+    tenant: string,
+    keyIndex: number,
+    body?: string,
+  ): void {
     const name = routerName(routerIndex);
     const router = this.routers.get(name);
     const key = KEYS.get(tenant)?.[keyIndex];
@@ -135,7 +149,7 @@
     const id = `request-${this.requests.length}`;
     const reply = new RecordedReply();
     this.requests.push({ id, kind, tenant, key, router: name, sentMs: this.now, reply });
-    router.node.handle(inboundRequest(id, kind, key, this.now), reply);
+    router.node.handle(inboundRequest(id, kind, key, this.now, body), reply);
   }
 
   /** The caller of one of the last requests leaves. */
@@ -300,6 +314,7 @@
     const engine = new SimulatedEngine(id, address ?? `${id}:1`, service, model);
     const named = this.store.get(KINDS.weightVersions, WORLD_MODEL)?.spec as { version: number };
     engine.weightsVersion = named.version;
+    engine.onCrashed = () => this.restartCrashed(engine);
     this.engines.push(engine);
     const record: StoredEngine = {
       id,
@@ -313,6 +328,12 @@
     this.store.put(KINDS.engines, id, record);
   }
 
+  /** A crashed engine comes back at its address as a new incarnation; its old entry lapses meanwhile. */
+  private restartCrashed(engine: SimulatedEngine): void {
+    this.clock.setTimer(CRASH_RESTART_MS, () => this.addEngine(engine.service, engine.address));
+    this.clock.setTimer(ENTRY_LAPSE_MS, () => this.store.remove(KINDS.engines, engine.id));
+  }
+
   private putConfiguration(): void {
     this.configurationVersion += 1;
     const tenants = [...this.keys].map(([name, keys]) => ({ name, keys: [...keys] }));
--- a/src/lab/gateway-world/simulated-engine.ts
+++ b/src/lab/gateway-world/simulated-engine.ts
@@ -28,6 +28,16 @@
   endedMs: number | undefined;
 }
 
+/** One arrival of a request that crashes engines. */
+export interface ObservedCrash {
+  /** The body of the request, which stays the same when it comes again. */
+  readonly body: string;
+  readonly router: string;
+  readonly arrivedMs: number;
+  /** Undefined where the engine was gone before. */
+  crashedMs: number | undefined;
+}
+
 /** One order that an engine took. */
 export interface ObservedOrder {
   readonly engineId: string;
@@ -51,6 +61,8 @@
   highestToken = 0;
   isLoading = false;
   readonly running = new Set<RunningRequest>();
+  /** Called when a request has crashed it. */
+  onCrashed: () => void = () => undefined;
 
   constructor(
     readonly id: string,
@@ -64,10 +76,17 @@
     this.isRunning = false;
     for (const exchange of [...this.running]) exchange.breakOff();
   }
+
+  /** Ends since a request that it ran has crashed it. */
+  crashByRequest(): void {
+    this.crash();
+    this.onCrashed();
+  }
 }
 
 /** What all engines saw, for the oracle. */
 export class EngineObservations {
   readonly runs: ObservedRun[] = [];
   readonly orders: ObservedOrder[] = [];
+  readonly crashes: ObservedCrash[] = [];
 }
--- a/src/lab/gateway-world/simulated-exchange.ts
+++ b/src/lab/gateway-world/simulated-exchange.ts
@@ -11,6 +11,7 @@
 import type { HostClock } from '../simulation/host-clock.js';
 import {
   EngineMode,
+  type ObservedCrash,
   type ObservedRun,
   type RunningRequest,
   type SimulatedEngine,
@@ -37,11 +38,18 @@
     private readonly host: HostClock,
   ) {}
 
+  /** The engine has taken the request, which crashes it when it begins to run. */
+  crash(engine: SimulatedEngine, run: ObservedRun, crash: ObservedCrash): void {
+    this.take(engine, run);
+    this.later(PIECE_MS, () => {
+      crash.crashedMs = this.clock.now();
+      engine.crashByRequest();
+    });
+  }
+
   /** The engine has taken the request. */
   run(engine: SimulatedEngine, run: ObservedRun): void {
-    this.engine = engine;
-    this.observed = run;
-    engine.running.add(this);
+    this.take(engine, run);
     switch (engine.mode) {
       case EngineMode.Failing:
         this.later(PIECE_MS, () => this.answerFailure());
@@ -56,6 +64,12 @@
     }
   }
 
+  private take(engine: SimulatedEngine, run: ObservedRun): void {
+    this.engine = engine;
+    this.observed = run;
+    engine.running.add(this);
+  }
+
   refuse(status: number): void {
     this.deliverLast(() =>
       this.listener.onFailure({ kind: 'refused', status, reason: `refused-${status}` }),
--- a/src/lab/gateway-world/simulated-inference.ts
+++ b/src/lab/gateway-world/simulated-inference.ts
@@ -22,6 +22,7 @@
   type SimulatedEngine,
 } from './simulated-engine.js';
 import { SimulatedExchange, WAY_MS } from './simulated-exchange.js';
+import { CRASHING_BODY } from './world-fixtures.js';
 
 const LOAD_MS = 300;
 const REPORT_TIMEOUT_MS = 400;
@@ -132,7 +133,14 @@
       endedMs: undefined,
     };
     this.observations.runs.push(run);
-    exchange.run(engine, run);
+    const body = Buffer.from(request.body).toString();
+    if (!body.startsWith(CRASHING_BODY)) {
+      exchange.run(engine, run);
+      return;
+    }
+    const crash = { body, router: this.router, arrivedMs: this.clock.now(), crashedMs: undefined };
+    this.observations.crashes.push(crash);
+    exchange.crash(engine, run, crash);
   }
 
   private takeOrder(endpoint: EngineEndpoint, order: WeightOrder): OrderResult {
--- a/src/lab/gateway-world/world-fixtures.ts
+++ b/src/lab/gateway-world/world-fixtures.ts
@@ -152,17 +152,21 @@
   return kind.startsWith('stream') ? `stream/${kind}` : `plain/${kind}`;
 }
 
-/** A request as a caller sends it. */
+/** Bodies that begin so crash each engine that runs them. */
+export const CRASHING_BODY = 'crashes-engines';
+
+/** A request as a caller sends it; the same body makes it the same request under another identifier. */
 export function inboundRequest(
   id: string,
   kind: RequestKind,
   key: string,
   arrivedMs: number,
+  body = id,
 ): InboundRequest {
   const path = `/${pathOf(kind)}/x`;
   const parts = [
     { id: 'shared', tokens: 800 },
-    { id, tokens: 100 },
+    { id: body, tokens: 100 },
   ];
   return {
     id,
@@ -172,7 +176,7 @@
     host: 'host.example',
     hostHeader: 'host.example',
     headers: [],
-    body: Buffer.from(id),
+    body: Buffer.from(body),
     apiKey: key,
     budgetMs: 3_000,
     generation: kind.startsWith('stream')
