Quarantine requests that crash three engines

Cause: crashes were counted by attempt and incarnation, both new each time, so every attempt of a request that crashes engines cost one. Change: crashes are counted under a fingerprint of caller, path and body, shared between routers, kept in the store; three engines put a request in quarantine (422), a good end clears it. The fuzz draws such requests, a mutation without the bound is found.

--- a/fuzz/gateway-commands.ts
+++ b/fuzz/gateway-commands.ts
@@ -3,7 +3,7 @@
 import type { GatewayWorld } from '../src/lab/gateway-world/gateway-world.js';
 import { EngineMode } from '../src/lab/gateway-world/simulated-engine.js';
 import type { WriteFault } from '../src/lab/gateway-world/simulated-object-store.js';
-import type { RequestKind } from '../src/lab/gateway-world/world-fixtures.js';
+import { CRASHING_BODY, type RequestKind } from '../src/lab/gateway-world/world-fixtures.js';
 
 /** The oracle reads the world; commands remember nothing. */
 export type NoModel = Record<string, never>;
@@ -63,6 +63,21 @@
     }),
   );
 
+/** A request that crashes each engine that runs it comes again and again, through all routers. */
+const crashingRequest = fc
+  .tuple(requestKind, tenant, fc.nat(1), fc.constantFrom(6, 20), fc.constantFrom(40, 700, 1_500))
+  .map(([kind, name, which, count, gapMs]) =>
+    command(
+      `crashingRequest(${kind}, ${name}, ${which}, ${count} each ${gapMs} ms)`,
+      async (world) => {
+        for (let turn = 0; turn < count; turn += 1) {
+          world.request(turn, kind, name, 0, `${CRASHING_BODY}-${which}`);
+          await world.clock.advance(gapMs);
+        }
+      },
+    ),
+  );
+
 const advance = fc
   .constantFrom(5, 12, 30, 200, 1_000, 3_000, 6_000)
   .map((spanMs) => command(`advance(${spanMs})`, (world) => world.clock.advance(spanMs)));
@@ -83,6 +98,10 @@
   command(`replaceEngine(${index})`, (world) => world.replaceEngine(index)),
 );
 
+const crashEngine = engine.map((index) =>
+  command(`crashEngine(${index})`, (world) => world.crashEngine(index)),
+);
+
 const drainEngine = engine.map((index) =>
   command(`drainEngine(${index})`, (world) => world.drainEngine(index)),
 );
@@ -178,12 +197,13 @@
     request,
     request,
     traffic,
+    crashingRequest,
     advance,
     advance,
     leave,
     setMode,
     setMode,
-    replaceEngine,
+    fc.oneof(replaceEngine, crashEngine),
     drainEngine,
     toggleKey,
     nameWeights,
--- a/fuzz/gateway-mutations.ts
+++ b/fuzz/gateway-mutations.ts
@@ -40,6 +40,11 @@
     rule: 'one-holder',
     mutation: { settings: { leaseMs: -5_000 } },
   },
+  {
+    name: 'requests that crash engines are never stopped',
+    rule: 'crashes-bounded',
+    mutation: { settings: { quarantine: { crashes: Infinity } } },
+  },
   {
     name: 'what a router relays is taken however old it is',
     rule: 'engine-drained',
--- a/fuzz/gateway-suite.ts
+++ b/fuzz/gateway-suite.ts
@@ -4,7 +4,7 @@
 import { fuzzGateway } from './gateway-run.js';
 
 const RUNS_PER_SEED = 200;
-const MUTATION_RUNS = 600;
+const MUTATION_RUNS = 900;
 const TIMEOUT_MS = 170_000;
 
 /** Declares one test for each seed: no rule is broken. */
--- a/src/coordination/gateway/call-log.ts
+++ b/src/coordination/gateway/call-log.ts
@@ -3,6 +3,7 @@
 import type { Logger } from '../../runtime/logger.js';
 import type { Placement } from '../../state/routing/placement.js';
 import type { GatewayContext } from './gateway-context.js';
+import type { InboundRequest } from './reply.js';
 
 /** A request goes to an engine; the fields are what decided it. */
 export function logSend(
@@ -30,26 +31,67 @@
   });
 }
 
+/** Which send of which request. */
+export interface SendName {
+  readonly request: string;
+  /** 1 for the first one that reached an engine. */
+  readonly send: number;
+  readonly engine: string;
+}
+
 /**
  * A send ended without an answer to pass on.
  *
  * @param fingerprint names the request when it comes again; only where the connection broke
  */
 export function logSendFailure(
-  requestId: string,
-  send: number,
-  engineId: string,
+  name: SendName,
   failure: ExchangeFailure,
   fingerprint: string | undefined,
   logger: Logger,
 ): void {
   logger.info('send_failed', {
-    request: requestId,
-    send,
-    engine: engineId,
+    ...name,
     kind: failure.kind,
     status: failure.kind === 'refused' ? failure.status : undefined,
     reason: failure.reason,
     fingerprint,
   });
 }
+
+/** How a request ended. */
+export interface RequestEnd {
+  readonly outcome: string;
+  /** Status of the router's own answer; 0 where it gave none. */
+  readonly ownStatus: number;
+  /** Status of the engine's answer that was passed on. */
+  readonly answerStatus: number | undefined;
+  readonly route: string | undefined;
+  readonly fingerprint: string | undefined;
+  /** The engine of the last send. */
+  readonly engine: string | undefined;
+  readonly sends: number;
+  /** When the first bytes of an answer came, on the steady clock. */
+  readonly firstChunkMs: number | undefined;
+}
+
+/** The caller has its answer. */
+export function logFinish(
+  { id, arrivedMs }: InboundRequest,
+  end: RequestEnd,
+  { logger, clock }: GatewayContext,
+): void {
+  const { outcome, ownStatus, answerStatus, route, fingerprint, engine, sends, firstChunkMs } = end;
+  logger.info('request_finished', {
+    request: id,
+    outcome,
+    own_status: ownStatus === 0 ? undefined : ownStatus,
+    answer_status: answerStatus,
+    route,
+    fingerprint,
+    engine,
+    sends,
+    first_ms: firstChunkMs && Math.round(firstChunkMs - arrivedMs),
+    took_ms: Math.round(clock.now() - arrivedMs),
+  });
+}
--- /dev/null
+++ b/src/coordination/gateway/crash-guard.ts
@@ -0,0 +1,187 @@
+/**
+ * Keeps requests that crash engines away from them: counts the crashes under each request, with what the
+ * other routers saw; answers whether a request is in quarantine; takes a good end as proof of innocence.
+ */
+import type { Clock } from '../../runtime/clock.js';
+import type { Logger } from '../../runtime/logger.js';
+import {
+  type CrashNews,
+  CrashNewsBoard,
+  type EngineCrashNotice,
+  type QuarantineNotice,
+} from '../../state/routing/crash-news-board.js';
+import {
+  QuarantineChange,
+  type QuarantinePolicy,
+  RequestQuarantine,
+} from '../../state/routing/request-quarantine.js';
+import type { EngineCrash } from './engine-crash-detector.js';
+import type { GatewayStatistics } from './gateway-statistics.js';
+
+/** What a guard works with. */
+export interface CrashGuardParts {
+  readonly policy: QuarantinePolicy | undefined;
+  readonly statistics: GatewayStatistics;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Sends the other routers at once what is new. */
+  announce(): void;
+}
+
+/** How a router came to know of a change. */
+export type QuarantineSource = 'own' | 'router' | 'store';
+
+/** Receives what the guard finds out. */
+export interface QuarantineListener {
+  /** No engine may be sent the request any more. */
+  onQuarantined(fingerprint: string, source: QuarantineSource): void;
+  onLifted(fingerprint: string, source: QuarantineSource): void;
+}
+
+/** After so many crashes this router does not by itself send a request on when it breaks once more. */
+const CRASHES_WITHOUT_REPEAT = 2;
+
+/** The guard of one router. */
+export class CrashGuard {
+  private readonly quarantine: RequestQuarantine;
+  private readonly board = new CrashNewsBoard();
+  private listener: QuarantineListener | undefined;
+
+  constructor(private readonly parts: CrashGuardParts) {
+    this.quarantine = new RequestQuarantine(parts.policy);
+  }
+
+  /** Must be called before the first request. */
+  connect(listener: QuarantineListener): void {
+    this.listener = listener;
+  }
+
+  /** Whether any request is suspected, so that fingerprints are of use. */
+  get isWatching(): boolean {
+    return !this.quarantine.isEmpty;
+  }
+
+  /** Whether there is anything new to tell the other routers. */
+  get hasNews(): boolean {
+    return this.board.hasNews;
+  }
+
+  isQuarantined(fingerprint: string): boolean {
+    return this.quarantine.isQuarantined(fingerprint);
+  }
+
+  /** Whether a router should leave it to the caller to send this request again. */
+  isDoubtful(fingerprint: string): boolean {
+    return this.quarantine.crashedEngines(fingerprint).length >= CRASHES_WITHOUT_REPEAT;
+  }
+
+  /** Requests in quarantine and since when. */
+  get quarantinedSince(): ReadonlyMap<string, number> {
+    return this.quarantine.quarantinedSince;
+  }
+
+  /** Engines that crashed under the request, as far as this router heard. */
+  crashedEngines(fingerprint: string): string[] {
+    return this.quarantine.crashedEngines(fingerprint);
+  }
+
+  /** This router found an engine crashed. */
+  noteCrash({ engineId, fingerprints }: EngineCrash): void {
+    const now = this.parts.clock.now();
+    this.board.addCrash(engineId, fingerprints, now);
+    this.countCrash({ engineId, fingerprints, ageMs: 0 }, 'own');
+    this.parts.announce();
+  }
+
+  /** An engine ran the request to a good end. */
+  noteGoodEnd(fingerprint: string): void {
+    this.clear(fingerprint, 'own');
+  }
+
+  /** An operator has removed the request's entry from the store. */
+  noteRemoved(fingerprint: string): void {
+    this.clear(fingerprint, 'store');
+  }
+
+  /** The store holds the request in quarantine since `ageMs` ago. */
+  noteStored(fingerprint: string, ageMs: number): void {
+    const sinceMs = this.parts.clock.now() - ageMs;
+    this.report(this.quarantine.noteQuarantined(fingerprint, sinceMs), fingerprint, 'store');
+  }
+
+  /** What the next report to other routers tells. */
+  takeNews(): CrashNews {
+    return this.board.take(this.quarantine.quarantinedSince, this.parts.clock.now());
+  }
+
+  /** Takes another router's report; true where it told something new. */
+  receive({ crashes, quarantine }: CrashNews): boolean {
+    const isNewCrash = crashes.map((notice) => this.receiveCrash(notice)).some(Boolean);
+    const isNewVerdict = quarantine.map((notice) => this.receiveVerdict(notice)).some(Boolean);
+    return isNewCrash || isNewVerdict;
+  }
+
+  /** Forgets what is too old; answers the fingerprints whose quarantine has run out. */
+  expire(): string[] {
+    const expired = this.quarantine.expire(this.parts.clock.now());
+    for (const fingerprint of expired) this.logLifted(fingerprint, 'expired');
+    return expired;
+  }
+
+  private receiveCrash(notice: EngineCrashNotice): boolean {
+    const news = this.countCrash(notice, 'router');
+    if (news.length === 0) return false;
+    this.board.addCrash(notice.engineId, news, this.parts.clock.now() - notice.ageMs);
+    return true;
+  }
+
+  private receiveVerdict({ fingerprint, isCleared, ageMs }: QuarantineNotice): boolean {
+    const atMs = this.parts.clock.now() - ageMs;
+    const change = isCleared
+      ? this.quarantine.noteCleared(fingerprint, atMs)
+      : this.quarantine.noteQuarantined(fingerprint, atMs);
+    if (change === QuarantineChange.Cleared) this.board.addClearance(fingerprint, atMs);
+    this.report(change, fingerprint, 'router');
+    return change !== QuarantineChange.None;
+  }
+
+  /** Answers the requests of which this crash was not known. */
+  private countCrash(
+    { engineId, fingerprints, ageMs }: EngineCrashNotice,
+    source: QuarantineSource,
+  ): string[] {
+    const atMs = this.parts.clock.now() - ageMs;
+    return fingerprints.filter((fingerprint) => {
+      const change = this.quarantine.noteCrash(fingerprint, engineId, atMs);
+      this.report(change, fingerprint, source);
+      return change !== QuarantineChange.None;
+    });
+  }
+
+  private clear(fingerprint: string, source: QuarantineSource): void {
+    const now = this.parts.clock.now();
+    const change = this.quarantine.noteCleared(fingerprint, now);
+    if (change !== QuarantineChange.Cleared) return;
+    this.board.addClearance(fingerprint, now);
+    this.report(change, fingerprint, source);
+    this.parts.announce();
+  }
+
+  private report(change: QuarantineChange, fingerprint: string, source: QuarantineSource): void {
+    const { statistics, logger } = this.parts;
+    if (change === QuarantineChange.Quarantined) {
+      statistics.quarantinedRequests += 1;
+      const engines = this.quarantine.crashedEngines(fingerprint).join(',');
+      logger.warn('request_quarantined', { fingerprint, source, engines });
+      this.listener?.onQuarantined(fingerprint, source);
+    }
+    if (change !== QuarantineChange.Cleared) return;
+    this.logLifted(fingerprint, source);
+    this.listener?.onLifted(fingerprint, source);
+  }
+
+  private logLifted(fingerprint: string, cause: QuarantineSource | 'expired'): void {
+    this.parts.statistics.quarantineLifted += 1;
+    this.parts.logger.info('request_cleared', { fingerprint, cause });
+  }
+}
--- /dev/null
+++ b/src/coordination/gateway/crash-news-codec.ts
@@ -0,0 +1,45 @@
+/** What reports tell of crashed engines and of requests in quarantine, as messages and as the router's values. */
+import { create } from '@bufbuild/protobuf';
+import type { CrashNews } from '../../state/routing/crash-news-board.js';
+import {
+  EngineCrashSchema,
+  type LoadReport,
+  QuarantinedRequestSchema,
+} from '../../protocol/peer/generated/cluster_pb.js';
+
+/** The fields of a report that hold crash news. */
+export type CrashNewsFields = Pick<LoadReport, 'crashes' | 'quarantine'>;
+
+export function encodeCrashNews({ crashes, quarantine }: CrashNews): CrashNewsFields {
+  return {
+    crashes: crashes.map(({ engineId, fingerprints, ageMs }) =>
+      create(EngineCrashSchema, { engineId, fingerprints: fingerprints.map(toBytes), ageMs }),
+    ),
+    quarantine: quarantine.map(({ fingerprint, isCleared, ageMs }) =>
+      create(QuarantinedRequestSchema, { fingerprint: toBytes(fingerprint), isCleared, ageMs }),
+    ),
+  };
+}
+
+export function decodeCrashNews({ crashes, quarantine }: CrashNewsFields): CrashNews {
+  return {
+    crashes: crashes.map(({ engineId, fingerprints, ageMs }) => ({
+      engineId,
+      fingerprints: fingerprints.map(toText),
+      ageMs,
+    })),
+    quarantine: quarantine.map(({ fingerprint, isCleared, ageMs }) => ({
+      fingerprint: toText(fingerprint),
+      isCleared,
+      ageMs,
+    })),
+  };
+}
+
+function toBytes(fingerprint: string): Uint8Array<ArrayBuffer> {
+  return new Uint8Array(Buffer.from(fingerprint, 'hex'));
+}
+
+function toText(fingerprint: Uint8Array): string {
+  return Buffer.from(fingerprint).toString('hex');
+}
--- a/src/coordination/gateway/failed-send.ts
+++ b/src/coordination/gateway/failed-send.ts
@@ -42,6 +42,11 @@
   return isMisdirected(failure) ? RejectionReason.NoEngine : RejectionReason.EnginesFull;
 }
 
+/** Whether the connection broke at the engine's side, as it does when the engine crashes. */
+export function isDisconnect(failure: ExchangeFailure): boolean {
+  return 'isDisconnect' in failure && failure.isDisconnect === true;
+}
+
 function isMisdirected(failure: ExchangeFailure): boolean {
   return failure.kind === 'refused' && failure.status === MISDIRECTED;
 }
--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -16,7 +16,7 @@
 } from '../../state/routing/shared-retry-budget.js';
 import type { TrafficSplit } from '../../state/routing/traffic-split.js';
 import type { WeightVersions } from '../../state/routing/weight-versions.js';
-import type { EngineCrashDetector } from './engine-crash-detector.js';
+import type { CrashProtection } from './crash-protection.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
 import type { Rejections } from './rejections.js';
 
@@ -64,7 +64,7 @@
   readonly split: TrafficSplit;
   readonly retryBudgets: ServiceRetryBudgets;
   readonly group: GroupView;
-  readonly crashes: EngineCrashDetector;
+  readonly crashes: CrashProtection;
   readonly rejections: Rejections;
   readonly statistics: GatewayStatistics;
   readonly zone: string;
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -27,10 +27,10 @@
 import { CacheFeeds } from './cache-feeds.js';
 import { Directory } from './directory.js';
 import type { CallerPlace } from './directory-answer.js';
-import { EngineCrashDetector } from './engine-crash-detector.js';
+import { CrashProtection } from './crash-protection.js';
 import { EngineList } from './engine-list.js';
+import { FollowedFeeds } from './followed-feeds.js';
 import { type GatewayContext, ServiceRetryBudgets } from './gateway-context.js';
-import { type HeldFeed, ownShareOfFeeds } from '../../state/routing/feed-share.js';
 import type { GatewaySettings } from './gateway-settings.js';
 import { GatewayStatistics } from './gateway-statistics.js';
 import { GroupEventTarget } from './group-event-target.js';
@@ -88,10 +88,12 @@
   private readonly followers: StoreFollowers;
   private readonly calls = new Set<RequestCall>();
   private readonly context: GatewayContext;
+  private readonly crashes: CrashProtection;
   private readonly coordinator: WeightCoordinator;
   private readonly versionNews: VersionNews;
   private readonly directory: Directory;
   private readonly feeds: CacheFeeds;
+  private readonly followedFeeds: FollowedFeeds;
   private readonly engineList: EngineList;
   private readonly timers: Timer[] = [];
   private isRankKnown = false;
@@ -109,6 +111,19 @@
     this.configuration = new ConfigurationState(settings.proofLifetimeMs);
     this.versions = new WeightVersions(settings.rollout.graceMs, this.outages);
     this.followers = new StoreFollowers(relay.store, group, this.outages, clock, random, logger);
+    this.crashes = new CrashProtection({
+      policy: settings.quarantine,
+      kind: settings.kinds.quarantine,
+      store: surroundings.store,
+      engines,
+      registry: this.registry,
+      statistics: this.statistics,
+      clock,
+      random,
+      logger,
+      announce: () => group.reportNow(),
+      endCalls: (fingerprint) => this.endQuarantined(fingerprint),
+    });
     this.context = {
       clock,
       random,
@@ -127,10 +142,7 @@
       shareOfTraffic: () => this.shareOfTraffic(),
       split: this.split,
       retryBudgets: new ServiceRetryBudgets(settings.retryBudget),
-      crashes: new EngineCrashDetector(
-        { engines, registry: this.registry, statistics: this.statistics, clock, logger },
-        () => undefined,
-      ),
+      crashes: this.crashes,
       rejections: new Rejections({
         clock,
         random,
@@ -143,6 +155,7 @@
     };
     this.directory = new Directory(group, random, this.statistics, logger);
     this.feeds = new CacheFeeds({ kept: this.kept, engines, clock, random, logger });
+    this.followedFeeds = new FollowedFeeds(this.feeds, this.configuration, this.registry, group);
     this.engineList = new EngineList(
       this.registry,
       surroundings.decoder,
@@ -186,7 +199,7 @@
       settings.unseenVersionAgeMs,
       () => group.reportNow(),
     );
-    parts.connect(this.coordinator, this.versionNews);
+    parts.connect(this.coordinator, this.versionNews, this.crashes.guard);
   }
 
   /** Opens the group's socket; call {@link start} next. */
@@ -269,6 +282,7 @@
       repeat(clock, KEPT_TURN_MS, () => this.kept.expire()),
     );
     this.coordinator.start();
+    this.crashes.start();
   }
 
   /** Whether callers should be sent here. */
@@ -311,6 +325,7 @@
     this.followers.stop();
     for (const timer of this.timers) timer.cancel();
     this.coordinator.stop();
+    this.crashes.stop();
     this.feeds.stop();
     this.relay.stop();
     this.group.stop();
@@ -348,32 +363,20 @@
     this.timers.push(
       clock.setTimer(RANK_SETTLING_MS, () => {
         this.isRankKnown = true;
-        this.followFeeds();
+        this.followedFeeds.update();
       }),
     );
   }
 
-  private upkeep(): void {
-    this.loads.expire(this.surroundings.clock.now());
-    if (this.isRankKnown) this.followFeeds();
+  /** What is under way of a request that entered quarantine may not reach one more engine. */
+  private endQuarantined(fingerprint: string): void {
+    for (const call of this.calls) call.endIfQuarantined(fingerprint);
   }
 
-  private followFeeds(): void {
-    const table = this.configuration.current;
-    if (!table) return;
-    const sources: HeldFeed[] = [];
-    for (const { name, engine, cacheStore } of table.configuration.services) {
-      if (cacheStore) {
-        const { address, maximumEventCalls } = cacheStore;
-        sources.push({ holder: address, address, maximumCalls: maximumEventCalls });
-      }
-      if (!engine) continue;
-      for (const { record } of this.registry.ofService(name)) {
-        const { id: holder, address } = record;
-        sources.push({ holder, address, maximumCalls: engine.maximumEventCalls });
-      }
-    }
-    this.feeds.follow(ownShareOfFeeds(sources, this.rank(), this.group.working.length));
+  private upkeep(): void {
+    this.loads.expire(this.surroundings.clock.now());
+    this.crashes.expire();
+    if (this.isRankKnown) this.followedFeeds.update();
   }
 
   /** The directory sends callers to routers by their capacity. */
@@ -383,10 +386,4 @@
     const { capacity } = this.settings;
     return total > 0 && capacity > 0 ? Math.min(1, capacity / total) : 1 / working.length;
   }
-
-  /** Place among the working routers, by identifier. */
-  private rank(): number {
-    const { nodeId } = this.settings;
-    return this.group.working.filter((member) => member.nodeId < nodeId).length;
-  }
 }
--- a/src/coordination/gateway/gateway-settings.ts
+++ b/src/coordination/gateway/gateway-settings.ts
@@ -1,4 +1,5 @@
 /** Settings of one router of the gateway. Times in milliseconds. */
+import type { QuarantinePolicy } from '../../state/routing/request-quarantine.js';
 import type { RetryBudgetSettings } from '../../state/routing/shared-retry-budget.js';
 import type { RolloutSettings } from '../../state/routing/weight-rollout.js';
 import type { ObjectKinds } from './object-decoder.js';
@@ -34,4 +35,6 @@
   readonly leaseMs: number;
   /** How long after its last write to the lease its holder gives orders. */
   readonly leaseActMs: number;
+  /** When a request counts as the cause of crashes; left out: the default. */
+  readonly quarantine?: QuarantinePolicy;
 }
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -24,6 +24,10 @@
   admittedPastDeadline = 0;
   /** Engines that broke requests of this router and then refused connections. */
   engineCrashes = 0;
+  /** Requests that entered quarantine, left it, and attempts of such requests that were turned away. */
+  quarantinedRequests = 0;
+  quarantineLifted = 0;
+  quarantineRejections = 0;
   orders = 0;
   rolloutWaits = 0;
   rolloutsForWorth = 0;
--- a/src/coordination/gateway/group-event-target.ts
+++ b/src/coordination/gateway/group-event-target.ts
@@ -1,19 +1,37 @@
 /** Connects the group's socket, which is bound first, with those who hear of and tell its news. */
+import type { CrashNews } from '../../state/routing/crash-news-board.js';
 import { LoadTable } from '../../state/routing/load-table.js';
 import type { WeightsNews } from '../../state/routing/weights-news.js';
+import type { CrashGuard } from './crash-guard.js';
 import type { GroupEvents } from './group-reports.js';
 import type { VersionNews, VersionNotice } from './version-news.js';
 import type { WeightCoordinator } from './weight-coordinator.js';
 
+const NO_CRASH_NEWS: CrashNews = { crashes: [], quarantine: [] };
+
 /** What must exist before the group's socket is bound; whom it serves is connected after. */
 export class GroupEventTarget implements GroupEvents {
   readonly loads = new LoadTable();
   private coordinator: WeightCoordinator | undefined;
   private versionNews: VersionNews | undefined;
+  private crashGuard: CrashGuard | undefined;
 
-  connect(coordinator: WeightCoordinator, versionNews: VersionNews): void {
+  connect(coordinator: WeightCoordinator, versionNews: VersionNews, crashGuard: CrashGuard): void {
     this.coordinator = coordinator;
     this.versionNews = versionNews;
+    this.crashGuard = crashGuard;
+  }
+
+  get hasCrashNews(): boolean {
+    return this.crashGuard?.hasNews ?? false;
+  }
+
+  takeCrashNews(): CrashNews {
+    return this.crashGuard?.takeNews() ?? NO_CRASH_NEWS;
+  }
+
+  onCrashNews(news: CrashNews): boolean {
+    return this.crashGuard?.receive(news) ?? false;
   }
 
   weightsNews(): readonly WeightsNews[] {
--- a/src/coordination/gateway/group-reports.ts
+++ b/src/coordination/gateway/group-reports.ts
@@ -17,8 +17,10 @@
   NamedWeightsSchema,
 } from '../../protocol/peer/generated/cluster_pb.js';
 import type { MemberUpdate } from '../../state/membership.js';
+import type { CrashNews } from '../../state/routing/crash-news-board.js';
 import type { LoadTable } from '../../state/routing/load-table.js';
 import { type WeightsNews, WeightsNewsBoard } from '../../state/routing/weights-news.js';
+import { decodeCrashNews, encodeCrashNews } from './crash-news-codec.js';
 import type { GroupHeartbeats } from './group-heartbeats.js';
 import type { VersionNotice } from './version-news.js';
 
@@ -33,6 +35,12 @@
   /** Versions of weights that operators named lately, for each report. */
   versionNotices(): readonly VersionNotice[];
   onVersionNotice(notice: VersionNotice): void;
+  /** Whether {@link takeCrashNews} has anything that was not told before. */
+  readonly hasCrashNews: boolean;
+  /** Crashed engines and requests in quarantine, for one report. */
+  takeCrashNews(): CrashNews;
+  /** True where it told something new. */
+  onCrashNews(news: CrashNews): boolean;
 }
 
 /** The group, as far as reports need it. */
@@ -127,6 +135,8 @@
     for (const { model, version, ageMs } of report.named) {
       this.parts.events.onVersionNotice({ model, version, ageMs });
     }
+    const isNew = this.parts.events.onCrashNews(decodeCrashNews(report));
+    if (isNew && this.isLarge) this.tellSoon(SAMPLED_FANOUT);
   }
 
   /** Takes news and, in a large group, passes on what is new. */
@@ -157,8 +167,9 @@
   /** Reports the work under way; call once a {@link REPORT_PERIOD_MS}. */
   reportLoads(): void {
     this.parts.loads.expire(this.parts.clock.now());
+    const { loads, events } = this.parts;
     const isIdle =
-      this.parts.loads.ownLoads.size === 0 && this.parts.events.weightsNews().length === 0;
+      loads.ownLoads.size === 0 && events.weightsNews().length === 0 && !events.hasCrashNews;
     this.idleReports = isIdle ? this.idleReports + 1 : 0;
     if (isIdle && this.idleReports % IDLE_REPORTS_SKIPPED !== 1) return;
     this.sendReport(SAMPLED_FANOUT, false);
@@ -181,6 +192,7 @@
       named: this.parts.events.versionNotices().map((notice) => create(NamedWeightsSchema, notice)),
       heldLeaseRevision: BigInt(this.parts.events.heldLease() ?? 0),
       withoutLoads,
+      ...encodeCrashNews(this.parts.events.takeCrashNews()),
       // In a small group all hear each other.
       ...(this.isLarge ? this.parts.heartbeats.share() : {}),
     });
--- a/src/coordination/gateway/object-decoder.ts
+++ b/src/coordination/gateway/object-decoder.ts
@@ -44,4 +44,5 @@
   readonly engines: string;
   readonly weightVersions: string;
   readonly leases: string;
+  readonly quarantine: string;
 }
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -10,28 +10,19 @@
 import type { AnswerHead, ExchangeFailure } from '../../protocol/inference/port.js';
 import type { Service } from '../../state/routing/configuration.js';
 import type { Placement } from '../../state/routing/placement.js';
-import { fingerprintOf } from '../../state/routing/request-fingerprint.js';
 import { RejectionReason } from '../../state/routing/rejection.js';
-import { logSend, logSendFailure } from './call-log.js';
+import { logFinish, logSend, logSendFailure } from './call-log.js';
 import { noteFailedSend, rejectionReasonOf } from './failed-send.js';
 import { AnswerBuffer } from './answer-buffer.js';
+import { CallCrashes } from './call-crashes.js';
+import { CallState } from './call-state.js';
+import { CallPatience, type ImpatienceReason } from './call-patience.js';
 import { EventBoundary } from './event-boundary.js';
 import type { GatewayContext } from './gateway-context.js';
 import { type Grant, admitRequest, serviceOf } from './request-admission.js';
 import type { InboundRequest, OwnAnswer, Reply } from './reply.js';
 import { Send, type SendEvents, placeCall, sendOptionsOf } from './send.js';
 
-/** Where a call stands. */
-export enum CallState {
-  /** No send is under way. */
-  Choosing = 'choosing',
-  /** A send is under way and its answer has not begun. */
-  Sent = 'sent',
-  /** An answer is being passed on or gathered. */
-  Answering = 'answering',
-  Finished = 'finished',
-}
-
 /** What is known of a rejection besides its reason. */
 interface RejectionDetails {
   /** What failed, where the request may have run. */
@@ -46,12 +37,9 @@
 const MAXIMUM_CONNECT_FAILURES = 3;
 /** With less time than this left, a send would be for nothing. */
 const MINIMUM_BUDGET_MS = 15;
-/** A repeatable request is sent elsewhere after this many objectives without an answer. */
-const PATIENCE_FACTOR = 1.25;
-const MINIMUM_PATIENCE_MS = 300;
-/** A resumable stream that stands still for this long continues elsewhere. */
-const STALL_MS = 1_200;
 const SERVER_ERROR = 500;
+/** The request itself can't be processed, so the caller's library must not send it again. */
+const CRASHES_ENGINES: OwnAnswer = { status: 422, reason: 'request-crashes-engines' };
 
 /** A request on its way. */
 export class RequestCall implements SendEvents {
@@ -66,7 +54,7 @@
   private hasBegun = false;
   private deadlineMs = Infinity;
   private deadlineTimer: Timer | undefined;
-  private patienceTimer: Timer | undefined;
+  private readonly patience: CallPatience;
   private readonly boundary = new EventBoundary();
   private buffer: AnswerBuffer | undefined;
   private firstChunkMs: number | undefined;
@@ -74,13 +62,17 @@
   private isSample = false;
   /** Status of the engine's answer that is passed on. */
   private answerStatus: number | undefined;
+  private readonly crashes: CallCrashes;
 
   constructor(
     private readonly request: InboundRequest,
     private readonly reply: Reply,
     private readonly context: GatewayContext,
     private readonly onFinished: () => void,
-  ) {}
+  ) {
+    this.patience = new CallPatience(context.clock, (reason) => this.onImpatient(reason));
+    this.crashes = new CallCrashes(request, context.crashes, () => this.grant);
+  }
 
   start(): void {
     this.context.statistics.requests += 1;
@@ -95,7 +87,7 @@
   }
 
   onHead(send: Send, head: AnswerHead): void {
-    this.cancelPatience();
+    this.patience.cancel();
     this.state = CallState.Answering;
     if (!head.isAttested) {
       this.giveUpSend(send, { kind: 'unknown', reason: `unattested-${head.status}` });
@@ -146,25 +138,37 @@
     const rest = this.boundary.takeRest();
     if (rest.length > 0) this.reply.write(rest);
     this.reply.end();
+    if ((this.answerStatus ?? SERVER_ERROR) < SERVER_ERROR) this.crashes.noteGoodEnd();
     this.context.statistics.answered += 1;
     if (this.isSample) this.context.statistics.tooLateSamplesInTime += 1;
     this.finish('answered', 0, send.engineId);
   }
 
   onFailure(send: Send, failure: ExchangeFailure): void {
-    this.cancelPatience();
+    this.patience.cancel();
     this.buffer = undefined;
     this.boundary.dropRest();
     this.state = CallState.Choosing;
     this.excluded.add(send.engineId);
     this.judge(send, failure);
-    const fingerprint = this.noteDisconnect(send, failure);
-    const { logger } = this.context;
-    logSendFailure(this.request.id, this.sends, send.engineId, failure, fingerprint, logger);
+    this.crashes.noteFailure(send.engineId, failure, this.now - send.sentMs);
+    logSendFailure(
+      { request: this.request.id, send: this.sends, engine: send.engineId },
+      failure,
+      this.crashes.knownFingerprint,
+      this.context.logger,
+    );
     if (this.hasBegun) this.resumeElsewhere(failure);
     else this.tryAgain(failure);
   }
 
+  /** Ends the request where it is the one that entered quarantine. */
+  endIfQuarantined(fingerprint: string): void {
+    if (this.state === CallState.Finished || !this.crashes.matches(fingerprint)) return;
+    this.send?.cancel();
+    this.turnAwayQuarantined();
+  }
+
   /** Ends the request because the process ends. */
   endForStop(): void {
     if (this.hasBegun) this.abort('stopping');
@@ -188,7 +192,9 @@
     const admission = admitRequest(this.request, this.context, this.now);
     if (admission.kind === 'granted') {
       this.grant = admission.grant;
-      return true;
+      if (!this.crashes.isQuarantined) return true;
+      this.turnAwayQuarantined();
+      return false;
     }
     if (admission.kind === 'rejected')
       this.reject(admission.reason, { priority: admission.priority });
@@ -275,15 +281,6 @@
     this.connectFailures += 1;
   }
 
-  /** An engine whose connection breaks may have crashed; answers the fingerprint it was noted with. */
-  private noteDisconnect(send: Send, failure: ExchangeFailure): string | undefined {
-    const isDisconnect = 'isDisconnect' in failure && failure.isDisconnect === true;
-    if (!isDisconnect) return undefined;
-    const fingerprint = fingerprintOf({ ...this.request, tenant: this.grant?.tenant?.name });
-    this.context.crashes.noteBreak(send.engineId, fingerprint, this.now - send.sentMs);
-    return fingerprint;
-  }
-
   /** Another engine before any part of an answer was given. */
   private tryAgain(failure: ExchangeFailure): void {
     if (failure.kind === 'not-sent' && this.connectFailures > MAXIMUM_CONNECT_FAILURES) {
@@ -291,7 +288,8 @@
       return;
     }
     const isSafe = this.mayRepeat || !this.mayHaveRun;
-    if (!isSafe || !this.canSendAgain() || !this.spendRetry(failure)) {
+    const isRepeated = isSafe && this.canSendAgain() && !this.crashes.mayHaveCaused(failure);
+    if (!isRepeated || !this.spendRetry(failure)) {
       this.reject(rejectionReasonOf(failure), { detail: failure.reason });
       return;
     }
@@ -301,7 +299,8 @@
   /** The rest of a stream from another engine. */
   private resumeElsewhere(failure: ExchangeFailure): void {
     const isResumable = this.grant?.route.isResumable ?? false;
-    if (!isResumable || !this.canSendAgain() || !this.spendRetry(failure)) {
+    const isResumed = isResumable && this.canSendAgain() && !this.crashes.mayHaveCaused(failure);
+    if (!isResumed || !this.spendRetry(failure)) {
       this.abort(failure.reason);
       return;
     }
@@ -323,21 +322,16 @@
 
   private startPatience(grant: Grant): void {
     if (!this.mayRepeat || this.sends >= grant.route.maximumAttempts) return;
-    const patienceMs = Math.max(MINIMUM_PATIENCE_MS, grant.route.objectiveMs * PATIENCE_FACTOR);
-    if (patienceMs >= this.remainingMs) return;
-    this.patienceTimer = this.context.clock.setTimer(patienceMs, () =>
-      this.onImpatient('no-answer'),
-    );
+    this.patience.awaitAnswer(grant.route.objectiveMs, this.remainingMs);
   }
 
   /** Starts the wait for the next part of a stream that could continue elsewhere. */
   private watchStall(): void {
-    this.cancelPatience();
-    if (!this.grant?.route.isResumable) return;
-    this.patienceTimer = this.context.clock.setTimer(STALL_MS, () => this.onImpatient('stalled'));
+    if (this.grant?.route.isResumable) this.patience.awaitPart();
+    else this.patience.cancel();
   }
 
-  private onImpatient(reason: string): void {
+  private onImpatient(reason: ImpatienceReason): void {
     const { send } = this;
     if (!send || this.state === CallState.Finished) return;
     if (!this.canSendAgain() || !this.hasAlternative(send)) return;
@@ -354,11 +348,6 @@
     return typeof placeCall(this.request, grant, service, excluded, context) !== 'string';
   }
 
-  private cancelPatience(): void {
-    this.patienceTimer?.cancel();
-    this.patienceTimer = undefined;
-  }
-
   private onDeadline(): void {
     this.send?.cancel();
     if (this.sends > 0 && !this.isSample) this.context.statistics.admittedPastDeadline += 1;
@@ -398,6 +387,13 @@
     else this.refuse(answer);
   }
 
+  /** Final, whatever ran before: no time to come back, since no engine will ever serve it. */
+  private turnAwayQuarantined(): void {
+    this.context.statistics.quarantineRejections += 1;
+    if (this.hasBegun) this.abort(CRASHES_ENGINES.reason);
+    else this.refuse(CRASHES_ENGINES);
+  }
+
   private refuse(answer: OwnAnswer): void {
     if (answer.status === 503) this.context.statistics.refused += 1;
     else this.context.statistics.failed += 1;
@@ -414,20 +410,19 @@
   private finish(outcome: string, ownStatus: number, engine: string | undefined): void {
     this.state = CallState.Finished;
     this.deadlineTimer?.cancel();
-    this.cancelPatience();
+    this.patience.cancel();
     if (this.service && this.sends > 0) this.context.rejections.noteFinish(this.service.name);
-    const { arrivedMs, id } = this.request;
-    this.context.logger.info('request_finished', {
-      request: id,
+    const end = {
       outcome,
-      own_status: ownStatus === 0 ? undefined : ownStatus,
-      answer_status: this.answerStatus,
+      ownStatus,
+      answerStatus: this.answerStatus,
       route: this.grant?.route.name,
+      fingerprint: this.crashes.knownFingerprint,
       engine,
       sends: this.sends,
-      first_ms: this.firstChunkMs && Math.round(this.firstChunkMs - arrivedMs),
-      took_ms: Math.round(this.now - arrivedMs),
-    });
+      firstChunkMs: this.firstChunkMs,
+    };
+    logFinish(this.request, end, this.context);
     this.onFinished();
   }
 }
--- a/src/coordination/gateway/store-relay/relayed-object-store.ts
+++ b/src/coordination/gateway/store-relay/relayed-object-store.ts
@@ -125,6 +125,10 @@
     return this.parts.store.replace(kind, name, spec, revision);
   }
 
+  remove(kind: string, name: string): Promise<void> {
+    return this.parts.store.remove(kind, name);
+  }
+
   private get now(): number {
     return this.parts.clock.now();
   }
--- a/src/lab/gateway-world/gateway-oracle.ts
+++ b/src/lab/gateway-world/gateway-oracle.ts
@@ -57,15 +57,15 @@
 /** A request under which three engines have crashed reaches at most three more, a while later. */
 function judgeCrashes(world: GatewayWorld): RuleBreach[] {
   const { crashes } = world.observations;
-  return [...new Set(crashes.map(({ body }) => body))].flatMap((body) => {
-    const own = crashes.filter((crash) => crash.body === body);
+  return [...new Set(crashes.map(({ request }) => request))].flatMap((request) => {
+    const own = crashes.filter((crash) => crash.request === request);
     const crashedMs = own.flatMap((crash) => crash.crashedMs ?? []).sort((a, b) => a - b);
     const knownMs = (crashedMs[CRASHES_TO_KNOW - 1] ?? Infinity) + CONTACT_MS;
     const late = own.filter(
       ({ arrivedMs, router }) => arrivedMs > knownMs && !world.isDisturbed(router, arrivedMs),
     );
     if (late.length <= MAXIMUM_LATE_CRASHES) return [];
-    const detail = `${body}: ${late.length} arrivals later, ${crashedMs.length} crashes`;
+    const detail = `${request}: ${late.length} arrivals later, ${crashedMs.length} crashes`;
     return [{ rule: 'crashes-bounded' as const, detail }];
   });
 }
--- a/src/lab/gateway-world/gateway-world.ts
+++ b/src/lab/gateway-world/gateway-world.ts
@@ -171,6 +171,12 @@
     this.clock.setTimer(REUSE_AFTER_MS, () => this.addEngine(engine.service, engine.address));
   }
 
+  /** An engine crashes without a request being the cause, and comes back as it does after one. */
+  crashEngine(index: number): void {
+    const engine = this.engine(index);
+    if (engine.isRunning) engine.crashAndRestart();
+  }
+
   /** An engine says that it leaves, serves a while longer and ends. */
   drainEngine(index: number): void {
     const engine = this.engine(index);
--- a/src/lab/gateway-world/simulated-engine.ts
+++ b/src/lab/gateway-world/simulated-engine.ts
@@ -30,8 +30,8 @@
 
 /** One arrival of a request that crashes engines. */
 export interface ObservedCrash {
-  /** The body of the request, which stays the same when it comes again. */
-  readonly body: string;
+  /** Caller, path and body, which stay the same when the request comes again. */
+  readonly request: string;
   readonly router: string;
   readonly arrivedMs: number;
   /** Undefined where the engine was gone before. */
@@ -61,7 +61,7 @@
   highestToken = 0;
   isLoading = false;
   readonly running = new Set<RunningRequest>();
-  /** Called when a request has crashed it. */
+  /** Called when it has crashed. */
   onCrashed: () => void = () => undefined;
 
   constructor(
@@ -77,8 +77,8 @@
     for (const exchange of [...this.running]) exchange.breakOff();
   }
 
-  /** Ends since a request that it ran has crashed it. */
-  crashByRequest(): void {
+  /** Crashes, by a request that it ran or by a fault of its own, and is started again. */
+  crashAndRestart(): void {
     this.crash();
     this.onCrashed();
   }
--- a/src/lab/gateway-world/simulated-exchange.ts
+++ b/src/lab/gateway-world/simulated-exchange.ts
@@ -43,7 +43,7 @@
     this.take(engine, run);
     this.later(PIECE_MS, () => {
       crash.crashedMs = this.clock.now();
-      engine.crashByRequest();
+      engine.crashAndRestart();
     });
   }
 
--- a/src/lab/gateway-world/simulated-inference.ts
+++ b/src/lab/gateway-world/simulated-inference.ts
@@ -138,7 +138,12 @@
       exchange.run(engine, run);
       return;
     }
-    const crash = { body, router: this.router, arrivedMs: this.clock.now(), crashedMs: undefined };
+    const crash = {
+      request: [options.tenant, request.target, body].join(' '),
+      router: this.router,
+      arrivedMs: this.clock.now(),
+      crashedMs: undefined,
+    };
     this.observations.crashes.push(crash);
     exchange.crash(engine, run, crash);
   }
--- a/src/lab/gateway-world/simulated-object-store.ts
+++ b/src/lab/gateway-world/simulated-object-store.ts
@@ -177,6 +177,10 @@
     });
   }
 
+  remove(kind: string, name: string): Promise<void> {
+    return this.call(() => this.store.remove(kind, name));
+  }
+
   private get isSilent(): boolean {
     return this.store.isDown || this.store.unreachableFor.has(this.routerName);
   }
--- a/src/lab/gateway-world/world-fixtures.ts
+++ b/src/lab/gateway-world/world-fixtures.ts
@@ -25,6 +25,7 @@
   engines: 'engines',
   weightVersions: 'weights',
   leases: 'leases',
+  quarantine: 'quarantine',
 };
 /** All keys that tenants ever hold. */
 export const KEYS = new Map([
--- a/src/protocol/object-store/port.ts
+++ b/src/protocol/object-store/port.ts
@@ -62,4 +62,6 @@
   create(kind: string, name: string, spec: unknown): Promise<WriteResult>;
   /** Replaces the object if its revision still is `revision`. */
   replace(kind: string, name: string, spec: unknown, revision: number): Promise<WriteResult>;
+  /** Removes an object; resolves also where there is none. */
+  remove(kind: string, name: string): Promise<void>;
 }
--- /dev/null
+++ b/src/state/routing/crash-news-board.ts
@@ -0,0 +1,120 @@
+/**
+ * What a router tells the others of crashed engines and of requests in quarantine. Datagrams get lost, so
+ * each notice goes into several reports; requests in quarantine are repeated for as long as they are in it,
+ * by turns, so that a router that starts or was cut off hears of all of them within seconds.
+ */
+
+/** An engine that crashed, and requests that broke with it. */
+export interface EngineCrashNotice {
+  readonly engineId: string;
+  readonly fingerprints: readonly string[];
+  /** Time since the crash was found, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/** A request that entered quarantine, or that was cleared. */
+export interface QuarantineNotice {
+  readonly fingerprint: string;
+  readonly isCleared: boolean;
+  /** Time since then, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/** What one report tells. */
+export interface CrashNews {
+  readonly crashes: readonly EngineCrashNotice[];
+  readonly quarantine: readonly QuarantineNotice[];
+}
+
+interface Pending {
+  readonly atMs: number;
+  remaining: number;
+}
+
+interface PendingCrash extends Pending {
+  readonly engineId: string;
+  readonly fingerprints: readonly string[];
+}
+
+interface PendingClearance extends Pending {
+  readonly fingerprint: string;
+}
+
+/** Reports that carry a notice: with a tenth of the datagrams lost, one router in 10,000 hears none. */
+const REPEATS = 4;
+/** Of a crash one notice names this many requests at most, so that a report fits one datagram. */
+const FINGERPRINTS_PER_NOTICE = 16;
+const CRASHES_PER_REPORT = 3;
+const CLEARANCES_PER_REPORT = 8;
+/** Requests in quarantine that each report repeats. */
+const QUARANTINED_PER_REPORT = 8;
+/** Notices that wait; a loss of all engines at once makes fewer. */
+const MAXIMUM_PENDING = 512;
+
+/** Notices that wait to be told. */
+export class CrashNewsBoard {
+  private crashes: PendingCrash[] = [];
+  private clearances: PendingClearance[] = [];
+  private turn = 0;
+
+  /** Whether there is anything new to tell. */
+  get hasNews(): boolean {
+    return this.crashes.length > 0 || this.clearances.length > 0;
+  }
+
+  addCrash(engineId: string, fingerprints: readonly string[], atMs: number): void {
+    for (let start = 0; start < fingerprints.length; start += FINGERPRINTS_PER_NOTICE) {
+      if (this.crashes.length >= MAXIMUM_PENDING) this.crashes.shift();
+      const named = fingerprints.slice(start, start + FINGERPRINTS_PER_NOTICE);
+      this.crashes.push({ engineId, fingerprints: named, atMs, remaining: REPEATS });
+    }
+  }
+
+  addClearance(fingerprint: string, atMs: number): void {
+    if (this.clearances.length >= MAXIMUM_PENDING) this.clearances.shift();
+    this.clearances.push({ fingerprint, atMs, remaining: REPEATS });
+  }
+
+  /** What the next report tells; call once a report. */
+  take(quarantinedSince: ReadonlyMap<string, number>, nowMs: number): CrashNews {
+    const crashes = takeFirst(this.crashes, CRASHES_PER_REPORT);
+    const clearances = takeFirst(this.clearances, CLEARANCES_PER_REPORT);
+    this.crashes = this.crashes.filter(({ remaining }) => remaining > 0);
+    this.clearances = this.clearances.filter(({ remaining }) => remaining > 0);
+    const age = (atMs: number): number => Math.max(0, Math.round(nowMs - atMs));
+    return {
+      crashes: crashes.map(({ engineId, fingerprints, atMs }) => ({
+        engineId,
+        fingerprints,
+        ageMs: age(atMs),
+      })),
+      quarantine: [
+        ...clearances.map(({ fingerprint, atMs }) => ({
+          fingerprint,
+          isCleared: true,
+          ageMs: age(atMs),
+        })),
+        ...this.nextQuarantined(quarantinedSince).map(([fingerprint, sinceMs]) => ({
+          fingerprint,
+          isCleared: false,
+          ageMs: age(sinceMs),
+        })),
+      ],
+    };
+  }
+
+  private nextQuarantined(since: ReadonlyMap<string, number>): [string, number][] {
+    const all = [...since];
+    if (all.length <= QUARANTINED_PER_REPORT) return all;
+    const start = (this.turn * QUARANTINED_PER_REPORT) % all.length;
+    this.turn += 1;
+    return [...all.slice(start), ...all.slice(0, start)].slice(0, QUARANTINED_PER_REPORT);
+  }
+}
+
+/** The notices told least often, each counted as told once more. */
+function takeFirst<Notice extends Pending>(pending: readonly Notice[], count: number): Notice[] {
+  const first = [...pending].sort((a, b) => b.remaining - a.remaining).slice(0, count);
+  for (const notice of first) notice.remaining -= 1;
+  return first;
+}
--- a/test/gateway/store-order.test.ts
+++ b/test/gateway/store-order.test.ts
@@ -74,6 +74,10 @@
   replace(): never {
     throw new Error('not used');
   }
+
+  remove(): never {
+    throw new Error('not used');
+  }
 }
 
 test('a list older than what is known is not taken when the history was lost', async (t) => {
--- a/test/gateway/weight-outage.test.ts
+++ b/test/gateway/weight-outage.test.ts
@@ -79,6 +79,7 @@
     read: refuse,
     create: refuse,
     replace: refuse,
+    remove: refuse,
   };
   const lease = new WeightLease({ holder: 'a', life: '1', leaseMs: 3_000, actMs: 500 });
   const keeper = new LeaseKeeper('leases', lease, store, clock, new SilentLogger());
--- a/test/gateway/weights-news.test.ts
+++ b/test/gateway/weights-news.test.ts
@@ -2,7 +2,6 @@
 import test from 'ava';
 import fc from 'fast-check';
 import { GroupMembership } from '../../src/coordination/gateway/group-membership.js';
-import type { GroupEvents } from '../../src/coordination/gateway/group-reports.js';
 import { HostClock } from '../../src/lab/simulation/host-clock.js';
 import { SimulatedNetwork } from '../../src/lab/simulation/simulated-network.js';
 import {
@@ -15,6 +14,7 @@
 import { LoadTable } from '../../src/state/routing/load-table.js';
 import { type WeightsNews, WeightsNewsBoard } from '../../src/state/routing/weights-news.js';
 import type { DatagramTransport } from '../../src/transport/datagram-transport.js';
+import { silentGroupEvents } from '../helpers/silent-group-events.js';
 
 const MODEL = 'model-a';
 const ROUTERS = 40;
@@ -91,14 +91,10 @@
     const transport = new CountingTransport(new SimulatedDatagramTransport(sockets, name));
     const heard: WeightsNews[] = [];
     const peer = { transport, heard, own: [] as WeightsNews[] };
-    const events: GroupEvents = {
+    const events = silentGroupEvents({
       weightsNews: () => peer.own,
       onWeightsNews: (news) => heard.push(news),
-      versionNotices: () => [],
-      onVersionNotice: () => undefined,
-      heldLease: () => undefined,
-      onHeldLease: () => undefined,
-    };
+    });
     const address = `${name}:7000`;
     const identity = {
       nodeId: name,
@@ -149,14 +145,7 @@
   const host = new HostClock(clock);
   sockets.network.attach('router-0', host);
   const transport = new CountingTransport(new SimulatedDatagramTransport(sockets, 'router-0'));
-  const events: GroupEvents = {
-    weightsNews: () => [],
-    onWeightsNews: () => undefined,
-    versionNotices: () => [],
-    onVersionNotice: () => undefined,
-    heldLease: () => undefined,
-    onHeldLease: () => undefined,
-  };
+  const events = silentGroupEvents();
   const group = await GroupMembership.open(
     {
       identity: {
