--- a/bench/state.ts
+++ b/bench/state.ts
@@ -8,6 +8,7 @@
 import { EventFeed } from '../src/state/event-feed.js';
 import { BLOCK_BYTES, MARK_BLOCKS, hashBlocks, selectMarks } from '../src/state/prefix-chain.js';
 import { PrefixDirectory } from '../src/state/prefix-directory.js';
+import { fingerprintOf } from '../src/state/routing/request-fingerprint.js';
 import type { BenchResult } from './result.js';
 
 const ENGINES = 730;
@@ -31,7 +32,12 @@
 
 /** All figures of this file. */
 export async function benchState(): Promise<BenchResult[]> {
-  return [await benchChain(), ...(await benchDecision()), ...(await benchFeed())];
+  return [
+    await benchChain(),
+    benchFingerprint(),
+    ...(await benchDecision()),
+    ...(await benchFeed()),
+  ];
 }
 
 async function benchChain(): Promise<BenchResult> {
@@ -44,6 +50,23 @@
   return { name, value: time / MICROSECONDS_PER_MS, unit: 'ms', target: '< 0.5' };
 }
 
+/** Taken of requests that broke with an engine, and of all while any request is suspected. */
+function benchFingerprint(): BenchResult {
+  const body = Buffer.alloc(PROMPT_BYTES, 'a prompt of 32,000 tokens ');
+  const identity = {
+    tenant: 'tenant',
+    host: 'host.example',
+    method: 'POST',
+    path: '/chat/x',
+    body,
+  };
+  const time = medianMicroseconds(40, 10, () => {
+    fingerprintOf(identity);
+  });
+  const name = 'fingerprint of a request with a prompt of 32,000 tokens';
+  return { name, value: time / MICROSECONDS_PER_MS, unit: 'ms', target: '< 0.5' };
+}
+
 function createTable(): EngineTable {
   const table = new EngineTable();
   const ids = Array.from({ length: ENGINES }, (_, index) => `engine-${index}`);
