Soak: requests that crash engines

Cause: each new kind of trouble enters the soak. Change: a step of the schedule sends a request that ends each engine which runs it, again and again under new identifiers; ended engines come back as other incarnations; the oracle bounds what such a request may reach; a mutation without the bound, and an argument that runs one promise's mutations.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -21,6 +21,8 @@
   readonly key: CallerKey;
   readonly router: string;
   readonly sentMs: number;
+  /** Body of the request; the same one makes it the same request under another identifier. */
+  readonly sentBody: string;
   endedMs: number | undefined;
   status: number | undefined;
   /** Whether the answer was whole by the protocol. */
@@ -44,7 +46,8 @@
 const DIRECTORY_TIMEOUT_MS = 1_000;
 /** Share of the requests that go to a router to which a connection is open. */
 const OPEN_CONNECTION_SHARE = 0.6;
-const KINDS: readonly CallKind[] = [
+/** All kinds of request. */
+export const KINDS: readonly CallKind[] = [
   'plain-safe',
   'plain-unsafe',
   'stream-resumable',
@@ -75,17 +78,23 @@
     private readonly answers: DirectoryRecord[],
   ) {}
 
-  /** Sends one request and resolves when it has ended. */
-  async call(): Promise<void> {
+  /**
+   * Sends one request and resolves when it has ended.
+   *
+   * @param fixed kind and body of a request that comes again; left out: one of its own
+   */
+  async call(fixed?: { readonly kind: CallKind; readonly body: string }): Promise<void> {
     const address = await this.chooseAddress();
     if (address === undefined) return;
     this.count += 1;
+    const id = `${this.name}-${this.count}`;
     const record: CallRecord = {
-      id: `${this.name}-${this.count}`,
-      kind: randomElement(this.random, KINDS) ?? 'plain-safe',
+      id,
+      kind: fixed?.kind ?? randomElement(this.random, KINDS) ?? 'plain-safe',
       key: randomElement(this.random, this.keys) as CallerKey,
       router: address,
       sentMs: Date.now(),
+      sentBody: fixed?.body ?? id,
       endedMs: undefined,
       status: undefined,
       isWhole: false,
@@ -162,7 +171,7 @@
       request.on('close', () => clearTimeout(timer));
       request.on('error', (error) => fail(error.message));
       request.on('response', (response) => readAnswer(response, record, fail, resolve));
-      request.end(record.id);
+      request.end(record.sentBody);
     });
   }
 
--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -20,6 +20,8 @@
   /** When the store took that an engine leaves. */
   readonly drains: Map<string, number>;
   readonly orders: Extract<EngineReport, { kind: 'order' }>[];
+  /** Engines that a request has ended. */
+  readonly crashes: Extract<EngineReport, { kind: 'crash' }>[];
   /** When the store took that a key is gone; undefined again once it is back. */
   readonly keyRemovals: {
     readonly key: string;
@@ -64,6 +66,7 @@
     arrivals: [],
     drains: new Map(),
     orders: [],
+    crashes: [],
     keyRemovals: [],
     engineTroubles: [],
     storeTroubles: [],
@@ -225,9 +228,24 @@
       String(this.weightsVersion),
     ]);
     child.on('message', (message) => this.note(message as EngineReport));
-    child.once('exit', () => proxy.close());
+    const engine: Engine = { id, service, child, proxy, isLeaving: false };
+    child.once('exit', () => {
+      proxy.close();
+      if (!engine.isLeaving && !this.isOver) this.restartCrashed(engine);
+    });
     proxy.targetPort = await listeningPort(child);
-    this.engines = [...this.engines, { id, service, child, proxy, isLeaving: false }];
+    this.engines = [...this.engines, engine];
+  }
+
+  /** An engine that a request has ended is started again as another incarnation. */
+  private restartCrashed(engine: Engine): void {
+    engine.isLeaving = true;
+    const RESTART_MS = 1_500;
+    const FOUND_MS = 5_000;
+    this.noteEngineTrouble(FOUND_MS);
+    setTimeout(() => {
+      if (!this.isOver) void this.addEngine(engine.service);
+    }, RESTART_MS);
   }
 
   private note(report: EngineReport): void {
@@ -235,6 +253,7 @@
     if (report.kind === 'arrival') this.observations.arrivals.push(report);
     if (report.kind === 'draining') this.observations.drains.set(report.engineId, report.atMs);
     if (report.kind === 'order') this.observations.orders.push(report);
+    if (report.kind === 'crash') this.observations.crashes.push(report);
   }
 
   /** An operator writes one version after the other: an older one never overwrites a newer one. */
--- a/soak/engine-program.ts
+++ b/soak/engine-program.ts
@@ -4,7 +4,12 @@
  */
 import { type IncomingMessage, type ServerResponse, createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { EngineBehavior, type EngineCommand, type EngineReport } from './messages.js';
+import {
+  CRASHING_BODY,
+  EngineBehavior,
+  type EngineCommand,
+  type EngineReport,
+} from './messages.js';
 import { STREAM_EVENTS } from './stream-events.js';
 import { MODEL, Service, WireHeader, WireKind, answerJson, callJson, readBody } from './wire.js';
 
@@ -17,6 +22,7 @@
 const LOAD_MS = 300;
 /** An engine that leaves serves on for this long after the store knows. */
 const SERVES_ON_MS = 9_000;
+const CRASH_DELAY_MS = 40;
 
 let behavior = EngineBehavior.Sound;
 let isDraining = false;
@@ -96,6 +102,7 @@
   reportRun(request, requestId);
   running += 1;
   response.once('close', () => (running -= 1));
+  if (body.startsWith(CRASHING_BODY)) crash(requestId);
   if (behavior === EngineBehavior.Hanging) return;
   const status = behavior === EngineBehavior.Failing ? 500 : 200;
   const headers = {
@@ -110,6 +117,15 @@
   }
 }
 
+/** Ends this process a little later, as a fault in the engine's own code would. */
+function crash(requestId: string): void {
+  setTimeout(() => {
+    process.send?.({ kind: 'crash', requestId, atMs: Date.now() } satisfies EngineReport, () =>
+      process.exit(1),
+    );
+  }, CRASH_DELAY_MS);
+}
+
 function reportRun({ headers }: IncomingMessage, requestId: string): void {
   const text = (name: string): string | undefined => headers[name]?.toString();
   report({
--- a/soak/messages.ts
+++ b/soak/messages.ts
@@ -19,6 +19,9 @@
   /** It says that it leaves, serves on for a while and ends. */
   | { readonly kind: 'drain' };
 
+/** A request whose body begins so ends each engine that runs it. */
+export const CRASHING_BODY = 'crashes-engines';
+
 /** One run of a request at an engine. */
 export interface ReportedRun {
   readonly kind: 'run';
@@ -42,6 +45,8 @@
       readonly service: string;
       readonly atMs: number;
     }
+  /** A request is about to end this engine. */
+  | { readonly kind: 'crash'; readonly requestId: string; readonly atMs: number }
   /** The store has taken that this engine leaves. */
   | { readonly kind: 'draining'; readonly engineId: string; readonly atMs: number }
   | {
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -1,6 +1,7 @@
 /**
  * `node dist/soak/mutations.js`: switches protections of the program off, one by one, and reports whether
- * the soak finds that a promise is broken. Run by hand; takes some minutes.
+ * the soak finds that a promise is broken. Run by hand; takes some minutes. An argument names the promise
+ * whose mutations are to be tried; left out: all.
  */
 import { mkdtempSync, readFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
@@ -76,6 +77,13 @@
     text: 'if (!this.grant?.route.isResumable) {',
     replacement: 'if (this.grant) {',
   },
+  {
+    name: 'requests that crash engines are never stopped',
+    promise: 'crashes-bounded',
+    file: 'src/state/routing/request-quarantine.ts',
+    text: '{ crashes: 3 }',
+    replacement: '{ crashes: Infinity }',
+  },
 ];
 const SEEDS_PER_MUTATION = 8;
 const SPAN_MS = 20_000;
@@ -120,8 +128,12 @@
   return undefined;
 }
 
+const [onlyPromise] = process.argv.slice(2);
 const results = await Promise.all(
-  MUTATIONS.map(async (mutation) => ({ mutation, seed: await findingSeed(mutation) })),
+  MUTATIONS.filter(({ promise }) => (onlyPromise ?? promise) === promise).map(async (mutation) => ({
+    mutation,
+    seed: await findingSeed(mutation),
+  })),
 );
 for (const { mutation, seed } of results) {
   const verdict = seed === undefined ? 'NOT FOUND' : `found with seed ${seed}`;
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -17,6 +17,7 @@
   | 'retry-budget'
   | 'one-holder'
   | 'no-crash'
+  | 'crashes-bounded'
   | 'recovery';
 
 /** A promise that was broken. */
@@ -45,6 +46,10 @@
 const LOSS_SLACK_MS = 400;
 /** Share of the calls at rest that must be served. */
 const SERVED_AT_REST = 0.95;
+/** After so many crashes a request is known to crash engines. */
+const CRASHES_TO_KNOW = 3;
+/** Engines that it may reach from then on. */
+const MAXIMUM_LATE_CRASHES = 3;
 const PROMISE_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -81,6 +86,7 @@
       ...answers.flatMap((answer) => this.judgeAnswer(answer)),
       ...this.judgeBudget(),
       ...this.judgeHolders(),
+      ...this.judgeCrashes(),
       ...routers.flatMap(({ crashes }) => crashes).map((detail) => breach('no-crash', detail)),
       ...this.judgeRest(),
     ];
@@ -191,6 +197,34 @@
     });
   }
 
+  /** A request under which three engines have ended reaches at most three more, a while later. */
+  private judgeCrashes(): Breach[] {
+    const { crashes, runs } = this.record.observations;
+    const nameOf = (requestId: string): string => {
+      const call = this.callsById.get(requestId);
+      return call ? [call.kind, call.key.tenant, call.sentBody].join(' ') : requestId;
+    };
+    return [...new Set(crashes.map(({ requestId }) => nameOf(requestId)))].flatMap((name) => {
+      const ends = crashes.filter(({ requestId }) => nameOf(requestId) === name);
+      const thirdMs = ends.map(({ atMs }) => atMs).sort((a, b) => a - b)[CRASHES_TO_KNOW - 1];
+      const knownMs = (thirdMs ?? Infinity) + CONTACT_MS;
+      const late = runs.filter(
+        ({ requestId, startedMs }) =>
+          startedMs > knownMs &&
+          nameOf(requestId) === name &&
+          !this.isExcused(requestId, startedMs),
+      );
+      if (late.length <= MAXIMUM_LATE_CRASHES) return [];
+      return [breach('crashes-bounded', `${name}: ${late.length} runs later, ${ends.length} ends`)];
+    });
+  }
+
+  private isExcused(requestId: string, atMs: number): boolean {
+    const call = this.callsById.get(requestId);
+    const router = call && this.routersByAddress.get(call.router);
+    return router === undefined || this.isDisturbed(router, atMs, atMs);
+  }
+
   private judgeRest(): Breach[] {
     const { callsAtRest } = this.record;
     const served = callsAtRest.filter(({ status, isWhole }) => status === 200 && isWhole).length;
@@ -227,10 +261,10 @@
 }
 
 /** A whole answer is all of the engine's; one that was cut is a beginning of it. */
-function isBodyRight({ id, kind, body, isWhole }: CallRecord): boolean {
+function isBodyRight({ id, kind, sentBody, body, isWhole }: CallRecord): boolean {
   const whole = kind.startsWith('stream')
     ? Array.from({ length: STREAM_EVENTS }, (_, index) => eventOf(id, index + 1)).join('')
-    : `${id}:${id}`;
+    : `${id}:${sentBody}`;
   return isWhole ? body === whole : whole.startsWith(body);
 }
 
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -1,17 +1,25 @@
 /** A seeded series of faults and planned work; they overlap. */
 import type { RandomSource } from '../src/runtime/random.js';
 import { randomElement, randomInteger } from '../src/runtime/random.js';
+import { type CallKind, KINDS } from './callers.js';
 import type { Deployment } from './deployment.js';
-import { EngineBehavior } from './messages.js';
+import { CRASHING_BODY, EngineBehavior } from './messages.js';
 import { DisturbanceKind } from './router-process.js';
 import { ProxyMode } from './tcp-proxy.js';
 
+/** Sends one request again and again, under new identifiers and to whatever routers are found. */
+export type Resender = (
+  request: { readonly kind: CallKind; readonly body: string },
+  times: number,
+  gapMs: number,
+) => Promise<void>;
+
 /** Something that is done to the deployment. */
 export interface Step {
   /** From the start of the traffic, in milliseconds. */
   readonly atMs: number;
   readonly name: string;
-  run(deployment: Deployment): void | Promise<void>;
+  run(deployment: Deployment, resender: Resender): void | Promise<void>;
 }
 
 /** Routers that no unplanned fault strikes, so that something is served all the while. */
@@ -172,6 +180,16 @@
       },
     };
   },
+  (random) => {
+    const kind = randomElement(random, KINDS) ?? 'stream-once';
+    const times = 6 + randomInteger(random, 14);
+    const gapMs = 50 + randomInteger(random, 700);
+    const body = `${CRASHING_BODY}-${randomInteger(random, 2)}`;
+    return {
+      name: `${kind} that crashes engines, ${times} times each ${gapMs} ms`,
+      run: (_deployment, resend) => resend({ kind, body }, times, gapMs),
+    };
+  },
   () => ({ name: 'name weights', run: (deployment) => deployment.nameWeights() }),
 ];
 
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -6,7 +6,7 @@
 import { type CallRecord, Caller, type CallerKey, type DirectoryRecord } from './callers.js';
 import { Deployment } from './deployment.js';
 import { type Breach, judgeSoak } from './oracle.js';
-import { makeSchedule } from './schedule.js';
+import { type Resender, makeSchedule } from './schedule.js';
 
 /** What a soak is made of. */
 export interface SoakOptions {
@@ -62,7 +62,8 @@
     const traffic = new Traffic(options, deployment, calls, answers);
     traffic.start();
     for (const step of steps) {
-      setTimeout(() => void Promise.resolve(step.run(deployment)), step.atMs);
+      const resend: Resender = (...args) => traffic.sendAgain(...args);
+      setTimeout(() => void Promise.resolve(step.run(deployment, resend)), step.atMs);
     }
     await pause(spanMs + SETTLING_MS);
     await traffic.stop();
@@ -86,6 +87,7 @@
 class Traffic {
   private isOver = false;
   private loops: Promise<void>[] = [];
+  private resenders = 0;
 
   constructor(
     private readonly options: SoakOptions,
@@ -109,6 +111,21 @@
     });
   }
 
+  /** A caller of its own sends the same request again and again, always with the same key. */
+  async sendAgain(...[request, times, gapMs]: Parameters<Resender>): Promise<void> {
+    this.resenders += 1;
+    const name = `again${this.resenders}`;
+    const random = new SeededRandom(this.options.seed * 1_000 + 500 + this.resenders);
+    const { directories } = this.deployment;
+    const keys = LASTING_KEYS.slice(0, 1);
+    const caller = new Caller(name, directories, keys, random, this.calls, this.answers);
+    for (let count = 0; count < times && !this.isOver; count += 1) {
+      await caller.call(request);
+      await pause(gapMs);
+    }
+    caller.close();
+  }
+
   async stop(): Promise<void> {
     this.isOver = true;
     await Promise.all(this.loops);
