Soak: a request that ends its engine is not answered before

Conclusion: no fault of the product; what ends its engine after a whole answer is not noticed, by design.

--- a/soak/engine-program.ts
+++ b/soak/engine-program.ts
@@ -102,7 +102,11 @@
   reportRun(request, requestId);
   running += 1;
   response.once('close', () => (running -= 1));
-  if (body.startsWith(CRASHING_BODY)) crash(requestId);
+  if (body.startsWith(CRASHING_BODY)) {
+    // It ends within its run: an answer that comes before would clear the request.
+    crash(requestId);
+    if (service !== Service.generation) return;
+  }
   if (behavior === EngineBehavior.Hanging) return;
   const status = behavior === EngineBehavior.Failing ? 500 : 200;
   const headers = {
