Say announce and carry where routers gossip

Cause: reading the change again, comments used words of our own. Measured: none needed. Conclusion: none.

--- a/src/coordination/gateway/crash-guard.ts
+++ b/src/coordination/gateway/crash-guard.ts
@@ -61,7 +61,7 @@
     return !this.quarantine.isEmpty;
   }
 
-  /** Whether there is anything new to tell the other routers. */
+  /** Whether there is anything new to announce to the other routers. */
   get hasNews(): boolean {
     return this.board.hasNews;
   }
@@ -109,7 +109,7 @@
     this.report(this.quarantine.noteQuarantined(fingerprint, sinceMs), fingerprint, 'store');
   }
 
-  /** What the next report to other routers tells. */
+  /** What the next report to other routers carries. */
   takeNews(): CrashNews {
     return this.board.take(this.quarantine.quarantinedSince, this.parts.clock.now());
   }
--- a/src/coordination/gateway/crash-news-codec.ts
+++ b/src/coordination/gateway/crash-news-codec.ts
@@ -1,4 +1,4 @@
-/** What reports tell of crashed engines and of requests in quarantine, as messages and as the router's values. */
+/** What reports carry of crashed engines and of requests in quarantine, as messages and as the router's values. */
 import { create } from '@bufbuild/protobuf';
 import type { CrashNews } from '../../state/routing/crash-news-board.js';
 import {
--- a/src/coordination/gateway/quarantine-store.ts
+++ b/src/coordination/gateway/quarantine-store.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps requests in quarantine in the store, so that they stay known when all routers lose their memory,
  * and so that operators see them and can lift them by removing an object. Nothing here is on a request's
- * way: one write a quarantined request, one cheap list now and then; other routers are told directly.
+ * way: one write a quarantined request, one cheap list now and then; other routers hear of it by gossip.
  */
 import { z } from 'zod';
 import { type Clock, type Timer } from '../../runtime/clock.js';
--- a/src/state/routing/crash-news-board.ts
+++ b/src/state/routing/crash-news-board.ts
@@ -1,5 +1,5 @@
 /**
- * What a router tells the others of crashed engines and of requests in quarantine. Datagrams get lost, so
+ * What a router announces of crashed engines and of requests in quarantine. Datagrams get lost, so
  * each notice goes into several reports; requests in quarantine are repeated for as long as they are in it,
  * by turns, so that a router that starts or was cut off hears of all of them within seconds.
  */
@@ -20,7 +20,7 @@
   readonly ageMs: number;
 }
 
-/** What one report tells. */
+/** What one report carries. */
 export interface CrashNews {
   readonly crashes: readonly EngineCrashNotice[];
   readonly quarantine: readonly QuarantineNotice[];
@@ -51,13 +51,13 @@
 /** Notices that wait; a loss of all engines at once makes fewer. */
 const MAXIMUM_PENDING = 512;
 
-/** Notices that wait to be told. */
+/** Notices that wait to be announced. */
 export class CrashNewsBoard {
   private crashes: PendingCrash[] = [];
   private clearances: PendingClearance[] = [];
   private turn = 0;
 
-  /** Whether there is anything new to tell. */
+  /** Whether there is anything new to announce. */
   get hasNews(): boolean {
     return this.crashes.length > 0 || this.clearances.length > 0;
   }
@@ -75,7 +75,7 @@
     this.clearances.push({ fingerprint, atMs, remaining: REPEATS });
   }
 
-  /** What the next report tells; call once a report. */
+  /** What the next report carries; call once a report. */
   take(quarantinedSince: ReadonlyMap<string, number>, nowMs: number): CrashNews {
     const crashes = takeFirst(this.crashes, CRASHES_PER_REPORT);
     const clearances = takeFirst(this.clearances, CLEARANCES_PER_REPORT);
@@ -112,7 +112,7 @@
   }
 }
 
-/** The notices told least often, each counted as told once more. */
+/** The notices announced least often, each counted as announced once more. */
 function takeFirst<Notice extends Pending>(pending: readonly Notice[], count: number): Notice[] {
   const first = [...pending].sort((a, b) => b.remaining - a.remaining).slice(0, count);
   for (const notice of first) notice.remaining -= 1;
