Tests of directory, draining engines and retry budget after a suspension

Cause: the account of time says why these may stay on the steady clock; nothing showed it. Change: three tests.

--- a/test/gateway/suspended-machine.test.ts
+++ b/test/gateway/suspended-machine.test.ts
@@ -10,10 +10,16 @@
   type TimeSources,
 } from '../../src/runtime/suspension-meter.js';
 import { LeaseStep, WeightLease } from '../../src/state/routing/weight-lease.js';
+import { LONGEST_SILENCE_MS } from '../../src/coordination/gateway/group-membership.js';
+import { SharedRetryBudget } from '../../src/state/routing/shared-retry-budget.js';
+import { GroupWorld } from '../helpers/group-world.js';
 import { findBreaches } from '../../src/lab/gateway-world/gateway-oracle.js';
 
 const SUSPENDED_MS = 7_000;
 const CUT_MS = 9_000;
+const GROUP_SETTLED_MS = 4_000;
+/** Routers report to each other at least this often. */
+const REPORT_MS = 750;
 
 /** A key is taken away while a router is suspended; it is asked with that key in the moment it wakes. */
 async function askAsItWakes(mutation: WorldMutation): Promise<GatewayWorld> {
@@ -129,3 +135,49 @@
   t.is(meter.passedMs(), 3_010);
   t.deepEqual(jumps, [-3_000, 3_000]);
 });
+
+test('a router that wakes names one that died meanwhile no longer than others name a dead one', async (t) => {
+  const world = await GroupWorld.create(8, 22);
+  await world.clock.advance(GROUP_SETTLED_MS);
+  const suspended = world.routers[0]?.host;
+  suspended?.suspend();
+  await world.clock.advance(1_000);
+  world.powerOff(3);
+  await world.clock.advance(SUSPENDED_MS);
+  suspended?.wake();
+  await world.clock.advance(LONGEST_SILENCE_MS + REPORT_MS);
+  t.is(world.longestNamedOffMs(), 0);
+});
+
+test('an engine that drained while a router was suspended gets no work from it once its list is read', async (t) => {
+  const world = await GatewayWorld.create(34);
+  world.suspendRouter(0, SUSPENDED_MS);
+  await world.clock.advance(100);
+  const draining = world.engine(0);
+  world.drainEngine(0);
+  await world.clock.advance(SUSPENDED_MS);
+  for (let turn = 0; turn < 20; turn += 1) {
+    world.request(0, 'stream-once', 'tenant-1', 0);
+    await world.clock.advance(20);
+  }
+  const late = world.observations.runs.filter(({ engineId }) => engineId === draining.id);
+  t.deepEqual(late, []);
+  await world.settle();
+  t.deepEqual(findBreaches(world), []);
+});
+
+test('a window of the retry budget reaches further back after a suspension, never less far', async (t) => {
+  const clock = new VirtualClock();
+  const host = new HostClock(clock);
+  const budget = new SharedRetryBudget({ ratio: 0, windowMs: 10_000, allowance: 10 });
+  const spend = (): boolean => budget.trySpend(host.now(), 1);
+  while (spend()) await clock.advance(1);
+  host.suspend();
+  await clock.advance(9_000);
+  host.wake();
+  t.false(spend());
+  await clock.advance(5_000);
+  t.false(spend());
+  await clock.advance(6_000);
+  t.true(spend());
+});
