Take SIGHUP from the first line of the program on

Change: the starter installs a handler first; the soak sends SIGHUP only to a process that has written a line. The bundle itself is the same. Conclusion: a fault of the product, mended.

--- a/scripts/start-from-code-cache.cjs
+++ b/scripts/start-from-code-cache.cjs
@@ -8,6 +8,10 @@
 const path = require('node:path');
 const { Script } = require('node:vm');
 
+// A signal to read the settings again ends a process that has no handler; the program installs its own
+// only when it has started, and has read its settings a moment before.
+process.on('SIGHUP', () => {});
+
 const programFile = path.join(__dirname, 'router.cjs');
 const cacheFile = path.join(__dirname, 'router.cache');
 
--- a/soak/router-process.ts
+++ b/soak/router-process.ts
@@ -61,6 +61,8 @@
   /** Ends that nobody asked for, with their code. */
   readonly crashes: string[] = [];
   private isEndExpected = false;
+  /** Whether the present process has written a line. */
+  private hasBegun = false;
 
   constructor(readonly place: RouterPlace) {
     mkdirSync(place.folder, { recursive: true });
@@ -89,6 +91,8 @@
     child.stdout.pipe(log);
     child.stderr.pipe(log);
     child.once('exit', (code, signal) => this.onExit(code, signal));
+    child.stdout.once('data', () => (this.hasBegun = true));
+    this.hasBegun = false;
     this.child = child;
   }
 
@@ -128,9 +132,9 @@
     return disturbance;
   }
 
-  /** SIGHUP: the settings file is read again. */
+  /** SIGHUP: the settings file is read again. Before its first line a process has no code that could take it. */
   reload(): void {
-    this.child?.kill('SIGHUP');
+    if (this.hasBegun) this.child?.kill('SIGHUP');
   }
 
   /** Ends the process for good. */
