Keep token quotas of tenants over all routers

Change: each tenant's account is kept by one router that all agree on. Far from the limit a request is served at once and entered afterwards, near it a router asks first; a router that reaches no account spends its own share; accounts that begin hold a quarter of the excess allowed.

--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -18,6 +18,7 @@
 import type { WeightVersions } from '../../state/routing/weight-versions.js';
 import type { CrashProtection } from './crash-protection.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
+import type { TenantQuotas } from './quota/tenant-quotas.js';
 import type { Rejections } from './rejections.js';
 
 /** Retry budgets of all services, made when first asked for. */
@@ -66,6 +67,7 @@
   readonly group: GroupView;
   readonly crashes: CrashProtection;
   readonly rejections: Rejections;
+  readonly quotas: TenantQuotas;
   readonly statistics: GatewayStatistics;
   readonly zone: string;
 }
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -30,10 +30,12 @@
 import { FollowedFeeds } from './followed-feeds.js';
 import { followKinds } from './followed-kinds.js';
 import { type GatewayContext, ServiceRetryBudgets } from './gateway-context.js';
-import type { GatewaySettings } from './gateway-settings.js';
+import { DEFAULT_QUOTA_TOLERANCE, type GatewaySettings } from './gateway-settings.js';
 import { GatewayStatistics } from './gateway-statistics.js';
 import { GroupEventTarget } from './group-event-target.js';
-import { GroupMembership } from './group-membership.js';
+import { GroupMembership, SETTLING_MS } from './group-membership.js';
+import { GroupQuotaView } from './quota/group-quota-view.js';
+import { TenantQuotas } from './quota/tenant-quotas.js';
 import { LeaseKeeper } from './lease-keeper.js';
 import { type ObjectDecoder, valueOrLog } from './object-decoder.js';
 import { Rejections } from './rejections.js';
@@ -60,11 +62,6 @@
 const UPKEEP_PERIOD_MS = 1_000;
 /** What holders without a feed keep is believed for one to two of these. */
 const KEPT_TURN_MS = 6_000;
-/**
- * A router that joins has heard of most others after this long, and so knows its rank and how many share
- * the feeds: of 195 routers that started together, 170 were known after 0.8 s and 179 after a second.
- */
-const RANK_SETTLING_MS = 1_000;
 
 /** A router of the gateway. */
 export class GatewayNode {
@@ -83,6 +80,7 @@
   private readonly calls = new Set<RequestCall>();
   private readonly context: GatewayContext;
   private readonly crashes: CrashProtection;
+  private readonly quotas: TenantQuotas;
   private readonly coordinator: WeightCoordinator;
   private readonly versionNews: VersionNews;
   private readonly directory: Directory;
@@ -118,10 +116,20 @@
       announce: () => group.reportNow(),
       endCalls: (fingerprint) => this.endQuarantined(fingerprint),
     });
+    const homes = new HomeRanking(hasher);
+    this.quotas = new TenantQuotas({
+      group: new GroupQuotaView(group, () => this.shareOfTraffic()),
+      configuration: this.configuration,
+      homes,
+      tolerance: settings.quotaTolerance ?? DEFAULT_QUOTA_TOLERANCE,
+      statistics: this.statistics,
+      clock,
+      logger,
+    });
     this.context = {
       clock,
       random,
-      homes: new HomeRanking(hasher),
+      homes,
       logger,
       engines,
       group,
@@ -144,6 +152,7 @@
         statistics: this.statistics,
         hasPeers: () => group.responding.length > 1,
       }),
+      quotas: this.quotas,
       statistics: this.statistics,
       zone: settings.zone,
     };
@@ -193,6 +202,7 @@
       settings.unseenVersionAgeMs,
       () => group.reportNow(),
     );
+    group.onQuotaDatagram = (body) => this.quotas.receive(body);
     parts.connect(this.coordinator, this.versionNews, this.crashes.guard);
   }
 
@@ -300,6 +310,7 @@
     this.followers.stop();
     for (const timer of this.timers) timer.cancel();
     this.coordinator.stop();
+    this.quotas.stop();
     this.crashes.stop();
     this.feeds.stop();
     this.relay.stop();
@@ -336,7 +347,7 @@
     this.group.start();
     const { clock } = this.surroundings;
     this.timers.push(
-      clock.setTimer(RANK_SETTLING_MS, () => {
+      clock.setTimer(SETTLING_MS, () => {
         this.isRankKnown = true;
         this.followedFeeds.update();
       }),
--- a/src/coordination/gateway/gateway-settings.ts
+++ b/src/coordination/gateway/gateway-settings.ts
@@ -1,5 +1,6 @@
 /** Settings of one router of the gateway. Times in milliseconds. */
 import type { QuarantinePolicy } from '../../state/routing/request-quarantine.js';
+import type { QuotaTolerance } from '../../state/routing/quota/tenant-limit.js';
 import type { RetryBudgetSettings } from '../../state/routing/shared-retry-budget.js';
 import type { RolloutSettings } from '../../state/routing/weight-rollout.js';
 import type { ObjectKinds } from './object-decoder.js';
@@ -29,6 +30,8 @@
   /** Time after which an engine that drains, or whose entry is gone, must get no new work. */
   readonly drainMs: number;
   readonly retryBudget: RetryBudgetSettings;
+  /** How far the limits of tenants may be passed; left out: {@link DEFAULT_QUOTA_TOLERANCE}. */
+  readonly quotaTolerance?: QuotaTolerance | undefined;
   readonly rollout: RolloutSettings;
   /** Weights found by a router that has just started are taken to be named this long ago. */
   readonly unseenVersionAgeMs: number;
@@ -38,3 +41,10 @@
   /** When a request counts as the cause of crashes; left out: the default. */
   readonly quarantine?: QuarantinePolicy;
 }
+
+/** Where operators do not say how far a tenant's limit may be passed: by a tenth, in any 10 s. */
+export const DEFAULT_QUOTA_TOLERANCE: QuotaTolerance = {
+  windowMs: 10_000,
+  overageShare: 0.1,
+  slack: 0,
+};
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -28,6 +28,11 @@
   quarantinedRequests = 0;
   quarantineLifted = 0;
   quarantineRejections = 0;
+  /** Requests beyond their tenant's limit. */
+  quotaDenials = 0;
+  /** Charges for which another router was asked, and requests decided while none could be reached. */
+  quotaQuestions = 0;
+  quotaIsolated = 0;
   /** Times the machine was suspended or its time of day was set. */
   clockJumps = 0;
   orders = 0;
--- a/src/coordination/gateway/group-membership.ts
+++ b/src/coordination/gateway/group-membership.ts
@@ -4,7 +4,11 @@
 import type { Logger } from '../../runtime/logger.js';
 import type { RandomSource } from '../../runtime/random.js';
 import type { DatagramSocket, DatagramTransport } from '../../transport/datagram-transport.js';
-import { decodeClusterDatagram, encodeClusterGossip } from '../../protocol/peer/cluster-codec.js';
+import {
+  type QuotaDatagram,
+  decodeClusterDatagram,
+  encodeClusterGossip,
+} from '../../protocol/peer/cluster-codec.js';
 import {
   type GossipDatagram,
   GossipDatagramSchema,
@@ -44,6 +48,13 @@
  * was declared dead wrongly has to join again, while one that is only passed over loses nothing.
  */
 export const LONGEST_SILENCE_MS = 2_500;
+/**
+ * A router that joins has heard of most others after this long, and so knows its rank and how many share
+ * the work: of 195 routers that started together, 170 were known after 0.8 s and 179 after a second.
+ */
+export const SETTLING_MS = 1_000;
+/** In a small group each hears all others directly, the idle ones each 0.75 s. */
+const LONGEST_SMALL_GROUP_SILENCE_MS = 1_250;
 const NEWS_FANOUT = 3;
 const NEWS_DELAY_MS = 50;
 
@@ -57,6 +68,9 @@
   private readonly reports: GroupReports;
   private isStopped = false;
   private isStarted = false;
+  private startedMs = 0;
+  /** Receives what the quotas of other routers send. */
+  onQuotaDatagram: (body: QuotaDatagram) => void = () => undefined;
 
   private constructor(
     private readonly membership: Membership,
@@ -120,6 +134,16 @@
     return this.isStarted;
   }
 
+  /** Whether it has taken part so long that it has heard of most others. */
+  get isSettled(): boolean {
+    return this.isStarted && this.clock.now() - this.startedMs >= SETTLING_MS;
+  }
+
+  /** Steady time, in milliseconds. */
+  get now(): number {
+    return this.clock.now();
+  }
+
   /** Changes with every change of the view. */
   get version(): number {
     return this.membership.version;
@@ -140,6 +164,17 @@
     return this.working.filter(({ nodeId }) => this.silenceMs(nodeId) <= LONGEST_SILENCE_MS);
   }
 
+  /** Whether it is so large that routers do not all hear each other directly. */
+  get isLarge(): boolean {
+    return this.reports.isLarge;
+  }
+
+  /** Working members that this router is in touch with now, as far as it can tell, and itself. */
+  get reachable(): MemberUpdate[] {
+    const longestMs = this.reports.isLarge ? LONGEST_SILENCE_MS : LONGEST_SMALL_GROUP_SILENCE_MS;
+    return this.working.filter(({ nodeId }) => this.silenceMs(nodeId) <= longestMs);
+  }
+
   /**
    * Whether nothing speaks against a member: it is not suspected, and in a small group, where each hears
    * all others several times a second, it was heard lately.
@@ -160,6 +195,7 @@
   start(): void {
     if (this.isStarted) return;
     this.isStarted = true;
+    this.startedMs = this.clock.now();
     this.tick();
     const firstDelayMs = this.random.next() * PROBE_PERIOD_MS;
     this.timers.push(
@@ -171,6 +207,11 @@
     );
   }
 
+  /** Sends one datagram to another router. */
+  send(address: string, datagram: Uint8Array): void {
+    if (!this.isStopped) this.socket.send(address, datagram);
+  }
+
   /** Says that this router takes no new work. */
   leave(): void {
     if (this.isStarted) this.transmit(this.membership.leave());
@@ -208,6 +249,7 @@
     const body = decodeClusterDatagram(datagram);
     if (body?.case === 'gossip') this.receiveGossip(body.value);
     else if (body?.case === 'loadReport') this.reports.receive(body.value);
+    else if (body?.case !== undefined) this.onQuotaDatagram(body);
   }
 
   private receiveGossip(gossip: GossipDatagram): void {
--- /dev/null
+++ b/src/coordination/gateway/quota/quota-questions.ts
@@ -0,0 +1,125 @@
+/** Questions of this router to the routers that keep accounts: sent, sent again, passed on to the next. */
+import { create } from '@bufbuild/protobuf';
+import type { Clock, Timer } from '../../../runtime/clock.js';
+import type { Logger } from '../../../runtime/logger.js';
+import { encodeQuotaQuestion } from '../../../protocol/peer/cluster-codec.js';
+import {
+  type QuotaAnswer,
+  QuotaQuestionSchema,
+} from '../../../protocol/peer/generated/cluster_pb.js';
+import type { AccountantRanking } from '../../../state/routing/quota/accountant-ranking.js';
+import type { ChargeRequest } from '../../../state/routing/quota/tenant-account.js';
+import type { AccountedVerdict } from './quota-accounts.js';
+import type { QuotaGroup } from './quota-group.js';
+
+/** A charge that is asked for. */
+export interface Question extends ChargeRequest {
+  readonly tenant: string;
+  /** Whether it is asked for another router. */
+  readonly isForwarded: boolean;
+}
+
+/** Undefined: no router that may keep the account could be reached. */
+export type OnVerdict = (verdict: AccountedVerdict | undefined) => void;
+
+/**
+ * Time after which a question is sent again. A way there and back takes 2 ms between zones, and a router
+ * that is busy answers after some 10 ms.
+ */
+const ANSWER_TIMEOUT_MS = 25;
+/** A datagram in forty is lost on a bad link, so one repeat leaves one question in some 400 to chance. */
+const SENDS_PER_ACCOUNTANT = 2;
+
+interface PendingQuestion {
+  readonly question: Question;
+  readonly onVerdict: OnVerdict;
+  /** Addresses that are left to ask, the present one first. */
+  readonly accountants: string[];
+  sends: number;
+  timer: Timer | undefined;
+}
+
+/** The questions under way. */
+export class QuotaQuestions {
+  private readonly pending = new Map<number, PendingQuestion>();
+  private lastNumber = 0;
+
+  constructor(
+    private readonly group: QuotaGroup,
+    private readonly ranking: AccountantRanking,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {}
+
+  /** @param accountants addresses of other routers, in the order in which they are asked */
+  ask(question: Question, accountants: readonly string[], onVerdict: OnVerdict): void {
+    if (accountants.length === 0) {
+      onVerdict(undefined);
+      return;
+    }
+    this.lastNumber += 1;
+    const pending = { question, onVerdict, accountants: [...accountants], sends: 0 };
+    this.pending.set(this.lastNumber, { ...pending, timer: undefined });
+    this.send(this.lastNumber);
+  }
+
+  receive({ number, isGranted, retryAfterMs, watchMs, level }: QuotaAnswer): void {
+    const pending = this.pending.get(number);
+    // An answer that came after the next router was asked decides nothing any more.
+    if (!pending) return;
+    this.pending.delete(number);
+    pending.timer?.cancel();
+    this.ranking.noteAnswer(pending.accountants[0] as string);
+    const isForever = !isGranted && retryAfterMs === 0;
+    pending.onVerdict({
+      isGranted,
+      retryAfterMs: isForever ? Infinity : retryAfterMs,
+      watchMs,
+      level: Number(level),
+    });
+  }
+
+  stop(): void {
+    for (const { timer } of this.pending.values()) timer?.cancel();
+    this.pending.clear();
+  }
+
+  private send(number: number): void {
+    const pending = this.pending.get(number) as PendingQuestion;
+    const { tenant, amount, isTaken, isForwarded } = pending.question;
+    const question = create(QuotaQuestionSchema, {
+      replyTo: this.group.ownAddress,
+      number,
+      tenant,
+      amount: BigInt(Math.round(amount)),
+      isTaken,
+      isForwarded,
+    });
+    pending.sends += 1;
+    this.group.send(pending.accountants[0] as string, encodeQuotaQuestion(question));
+    pending.timer = this.clock.setTimer(ANSWER_TIMEOUT_MS, () => this.onSilence(number));
+  }
+
+  private onSilence(number: number): void {
+    const pending = this.pending.get(number);
+    if (!pending) return;
+    if (pending.sends >= SENDS_PER_ACCOUNTANT) this.passOver(pending);
+    if (pending.accountants.length > 0) {
+      this.send(number);
+      return;
+    }
+    this.pending.delete(number);
+    pending.onVerdict(undefined);
+  }
+
+  private passOver(pending: PendingQuestion): void {
+    const address = pending.accountants.shift() as string;
+    pending.sends = 0;
+    this.ranking.noteSilent(address, this.clock.now());
+    this.logger.warn('quota_accountant_silent', {
+      accountant: address,
+      tenant: pending.question.tenant,
+      left: pending.accountants.length,
+    });
+  }
+}
--- a/src/coordination/gateway/rejections.ts
+++ b/src/coordination/gateway/rejections.ts
@@ -7,7 +7,7 @@
 import { FinishEstimate, type FinishSample } from '../../state/routing/finish-estimate.js';
 import type { GenerationShape } from '../../state/routing/generation.js';
 import type { Placement } from '../../state/routing/placement.js';
-import { RejectionAdvice, RejectionReason } from '../../state/routing/rejection.js';
+import { JITTER_SHARE, RejectionAdvice, RejectionReason } from '../../state/routing/rejection.js';
 import { SendRate } from '../../state/routing/send-rate.js';
 import type { StoreOutages } from '../../state/routing/store-outages.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
@@ -50,6 +50,7 @@
 /** One in so many generations that are expected too late is sent, so that the estimate stays honest. */
 const TOO_LATE_PER_SAMPLE = 16;
 const STATUS_NOT_RUN = 503;
+const STATUS_BEYOND_LIMIT = 429;
 
 /** Rejections of one router. */
 export class Rejections {
@@ -94,6 +95,12 @@
     return { status: STATUS_NOT_RUN, reason, retryAfterMs };
   }
 
+  /** The answer to a request beyond its tenant's limit; callers do not return together. */
+  beyondLimit(retryAfterMs: number): OwnAnswer {
+    const jitterMs = retryAfterMs * JITTER_SHARE * this.parts.random.next();
+    return { status: STATUS_BEYOND_LIMIT, reason: 'quota', retryAfterMs: retryAfterMs + jitterMs };
+  }
+
   /** A service has ended a request. */
   noteFinish(service: string): void {
     this.finishes.note(service, 1, this.parts.clock.now());
--- a/src/coordination/gateway/reply.ts
+++ b/src/coordination/gateway/reply.ts
@@ -13,6 +13,8 @@
   /** How long the caller waits from the arrival, in milliseconds; undefined where it does not say. */
   readonly budgetMs: number | undefined;
   readonly generation: GenerationShape | undefined;
+  /** Prompt tokens and the most that may be generated; undefined where the caller does not say. */
+  readonly declaredTokens?: number | undefined;
   /** Event after which the caller wants a stream to continue. */
   readonly resumeAfter: string | undefined;
   readonly arrivedMs: number;
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -13,11 +13,11 @@
 import { RejectionReason } from '../../state/routing/rejection.js';
 import { logFinish, logSend, logSendFailure } from './call-log.js';
 import { noteFailedSend, rejectionReasonOf } from './failed-send.js';
-import { AnswerBuffer } from './answer-buffer.js';
+import { type AnswerMode, CallAnswer } from './call-answer.js';
 import { CallCrashes } from './call-crashes.js';
+import { CallQuota } from './call-quota.js';
 import { CallState } from './call-state.js';
 import { CallPatience, type ImpatienceReason } from './call-patience.js';
-import { EventBoundary } from './event-boundary.js';
 import type { GatewayContext } from './gateway-context.js';
 import { type Grant, admitRequest, serviceOf } from './request-admission.js';
 import type { InboundRequest, OwnAnswer, Reply } from './reply.js';
@@ -40,6 +40,8 @@
 const SERVER_ERROR = 500;
 /** The request itself can't be processed, so the caller's library must not send it again. */
 const CRASHES_ENGINES: OwnAnswer = { status: 422, reason: 'request-crashes-engines' };
+/** Its tenant's limit will never bear the request, so the caller is not asked back. */
+const LARGER_THAN_LIMIT: OwnAnswer = { status: 429, reason: 'larger-than-quota' };
 
 /** A request on its way. */
 export class RequestCall implements SendEvents {
@@ -51,18 +53,14 @@
   private connectFailures = 0;
   private readonly excluded = new Set<string>();
   private mayHaveRun = false;
-  private hasBegun = false;
   private deadlineMs = Infinity;
   private deadlineTimer: Timer | undefined;
   private readonly patience: CallPatience;
-  private readonly boundary = new EventBoundary();
-  private buffer: AnswerBuffer | undefined;
-  private firstChunkMs: number | undefined;
+  private readonly answer: CallAnswer;
   /** Sent though the estimate said that it would end too late. */
   private isSample = false;
-  /** Status of the engine's answer that is passed on. */
-  private answerStatus: number | undefined;
   private readonly crashes: CallCrashes;
+  private readonly quota: CallQuota;
 
   constructor(
     private readonly request: InboundRequest,
@@ -70,8 +68,10 @@
     private readonly context: GatewayContext,
     private readonly onFinished: () => void,
   ) {
+    this.answer = new CallAnswer(reply);
     this.patience = new CallPatience(context.clock, (reason) => this.onImpatient(reason));
     this.crashes = new CallCrashes(request, context.crashes, () => this.grant);
+    this.quota = new CallQuota(request, context.quotas);
   }
 
   start(): void {
@@ -101,44 +101,18 @@
         return;
       }
     }
-    if (this.hasBegun) {
-      this.watchStall();
-      return;
-    }
-    if (this.isStream(head)) this.beginAnswer(head);
-    else this.buffer = new AnswerBuffer(head);
+    if (!this.hasBegun) this.answer.takeHead(head, this.answerMode(head));
+    if (this.hasBegun) this.watchStall();
   }
 
   onChunk(send: Send, chunk: Uint8Array): void {
-    this.firstChunkMs ??= this.now;
-    if (this.buffer) {
-      if (this.buffer.take(chunk)) return;
-      // Too long to be gathered: from here on it is passed through.
-      const { head, chunks } = this.buffer;
-      this.buffer = undefined;
-      this.beginAnswer(head);
-      for (const each of chunks) this.pass(send, each);
-      return;
-    }
-    if (!this.grant?.route.isResumable) {
-      this.pass(send, chunk);
-      return;
-    }
-    this.watchStall();
-    const whole = this.boundary.take(chunk);
-    if (whole) this.pass(send, whole);
+    if (this.hasBegun && this.grant?.route.isResumable) this.watchStall();
+    if (!this.answer.takeChunk(chunk, this.now)) send.pause();
   }
 
   onEnd(send: Send): void {
-    if (this.buffer) {
-      const { head, chunks } = this.buffer;
-      this.beginAnswer(head);
-      for (const chunk of chunks) this.reply.write(chunk);
-    }
-    const rest = this.boundary.takeRest();
-    if (rest.length > 0) this.reply.write(rest);
-    this.reply.end();
-    if ((this.answerStatus ?? SERVER_ERROR) < SERVER_ERROR) this.crashes.noteGoodEnd();
+    this.answer.takeEnd();
+    if ((this.answer.status ?? SERVER_ERROR) < SERVER_ERROR) this.crashes.noteGoodEnd();
     this.context.statistics.answered += 1;
     if (this.isSample) this.context.statistics.tooLateSamplesInTime += 1;
     this.finish('answered', 0, send.engineId);
@@ -146,8 +120,7 @@
 
   onFailure(send: Send, failure: ExchangeFailure): void {
     this.patience.cancel();
-    this.buffer = undefined;
-    this.boundary.dropRest();
+    this.answer.drop();
     this.state = CallState.Choosing;
     this.excluded.add(send.engineId);
     this.judge(send, failure);
@@ -175,6 +148,11 @@
     else this.reject(RejectionReason.Stopping);
   }
 
+  /** Whether the caller has been given the head of an answer. */
+  private get hasBegun(): boolean {
+    return this.answer.hasBegun;
+  }
+
   private get now(): number {
     return this.context.clock.now();
   }
@@ -216,7 +194,28 @@
     }
     const placed = placeCall(this.request, grant, this.service, this.excluded, this.context);
     if (typeof placed === 'string') this.reject(placed);
-    else if (this.endsInTime(placed)) this.sendTo(placed, grant, this.service);
+    else if (!this.endsInTime(placed)) return;
+    else if (this.quota.isGranted) this.sendTo(placed, grant, this.service);
+    else this.askQuota(placed, grant, this.service);
+  }
+
+  /** Sends if the tenant's limit allows it. */
+  private askQuota(placement: Placement, grant: Grant, service: Service): void {
+    let isImmediate = true;
+    this.quota.ask(grant.tenant, (decision) => {
+      if (decision.kind === 'denied') this.denyBeyondLimit(decision.retryAfterMs);
+      else if (isImmediate) this.sendTo(placement, grant, service);
+      // What was chosen before another router was asked may be out of date.
+      else if (this.admit()) this.dispatch();
+    });
+    isImmediate = false;
+  }
+
+  private denyBeyondLimit(retryAfterMs: number | undefined): void {
+    const { rejections } = this.context;
+    if (this.hasBegun) this.abort('quota');
+    else if (retryAfterMs === undefined) this.refuse(LARGER_THAN_LIMIT);
+    else this.refuse(rejections.beyondLimit(retryAfterMs));
   }
 
   /** Whether the placed request may end before its deadline; rejects it where that is not expected. */
@@ -235,7 +234,8 @@
     this.sends += 1;
     if (this.sends === 1) this.noteFirstSend(service);
     else this.context.statistics.repeatedSends += 1;
-    const resumeAfter = this.boundary.lastEventId ?? this.request.resumeAfter;
+    if (this.mayHaveRun) this.quota.chargeAgain();
+    const resumeAfter = this.answer.lastEventId ?? this.request.resumeAfter;
     const options = sendOptionsOf(placement, grant, this.remainingMs, resumeAfter);
     logSend(this.request.id, this.sends, placement, this.context);
     this.state = CallState.Sent;
@@ -251,20 +251,9 @@
     this.context.promptTokenRate.note(generation.model, generation.promptTokens, this.now);
   }
 
-  private isStream(head: AnswerHead): boolean {
-    return (this.grant?.route.isStreaming ?? false) && head.status < 300;
-  }
-
-  private beginAnswer(head: AnswerHead): void {
-    this.hasBegun = true;
-    this.answerStatus = head.status;
-    const isSpliced = this.grant?.route.isResumable ?? false;
-    this.reply.begin(head.status, head.headers, isSpliced ? undefined : head.contentLength);
-    if (isSpliced) this.watchStall();
-  }
-
-  private pass(send: Send, chunk: Uint8Array): void {
-    if (!this.reply.write(chunk)) send.pause();
+  private answerMode(head: AnswerHead): AnswerMode {
+    const { route } = this.grant as Grant;
+    return { isStream: route.isStreaming && head.status < 300, isResumable: route.isResumable };
   }
 
   /** Cancels a send whose answer is of no use and goes on as if it had failed. */
@@ -408,19 +397,21 @@
   }
 
   private finish(outcome: string, ownStatus: number, engine: string | undefined): void {
+    const isUnanswered = this.state === CallState.Sent || this.state === CallState.Answering;
     this.state = CallState.Finished;
     this.deadlineTimer?.cancel();
     this.patience.cancel();
+    this.quota.end(this.mayHaveRun || this.hasBegun || isUnanswered);
     if (this.service && this.sends > 0) this.context.rejections.noteFinish(this.service.name);
     const end = {
       outcome,
       ownStatus,
-      answerStatus: this.answerStatus,
+      answerStatus: this.answer.status,
       route: this.grant?.route.name,
       fingerprint: this.crashes.knownFingerprint,
       engine,
       sends: this.sends,
-      firstChunkMs: this.firstChunkMs,
+      firstChunkMs: this.answer.firstChunkMs,
     };
     logFinish(this.request, end, this.context);
     this.onFinished();
--- a/src/protocol/peer/cluster-codec.ts
+++ b/src/protocol/peer/cluster-codec.ts
@@ -4,24 +4,43 @@
   type ClusterDatagram,
   ClusterDatagramSchema,
   type LoadReport,
+  type QuotaAnswer,
+  type QuotaNotice,
+  type QuotaQuestion,
 } from './generated/cluster_pb.js';
 import type { GossipDatagram } from './generated/peer_pb.js';
 
 /** Contents of a message without the library's own fields. */
 export type Contents<Message> = Omit<Message, '$typeName' | '$unknown'>;
 
+/** The datagrams with which routers keep the limits of tenants together. */
+export type QuotaDatagram = Extract<
+  ClusterDatagram['body'],
+  { case: 'quotaQuestion' | 'quotaAnswer' | 'quotaNotice' }
+>;
+
 export function encodeClusterGossip(gossip: GossipDatagram): Uint8Array {
-  return toBinary(
-    ClusterDatagramSchema,
-    create(ClusterDatagramSchema, { body: { case: 'gossip', value: gossip } }),
-  );
+  return encodeBody({ case: 'gossip', value: gossip });
 }
 
 export function encodeLoadReport(report: LoadReport): Uint8Array {
-  return toBinary(
-    ClusterDatagramSchema,
-    create(ClusterDatagramSchema, { body: { case: 'loadReport', value: report } }),
-  );
+  return encodeBody({ case: 'loadReport', value: report });
+}
+
+export function encodeQuotaQuestion(question: QuotaQuestion): Uint8Array {
+  return encodeBody({ case: 'quotaQuestion', value: question });
+}
+
+export function encodeQuotaAnswer(answer: QuotaAnswer): Uint8Array {
+  return encodeBody({ case: 'quotaAnswer', value: answer });
+}
+
+export function encodeQuotaNotice(notice: QuotaNotice): Uint8Array {
+  return encodeBody({ case: 'quotaNotice', value: notice });
+}
+
+function encodeBody(body: ClusterDatagram['body']): Uint8Array {
+  return toBinary(ClusterDatagramSchema, create(ClusterDatagramSchema, { body }));
 }
 
 /** Undefined where the datagram is malformed. */
--- a/src/state/routing/configuration.ts
+++ b/src/state/routing/configuration.ts
@@ -1,4 +1,5 @@
 /** The routing configuration in the product's own words, as one immutable value. */
+import type { TenantLimit } from './quota/tenant-limit.js';
 
 /** One destination of a route and its share of the route's requests. */
 export interface RouteTarget {
@@ -64,6 +65,8 @@
   readonly priority: number | undefined;
   /** Whether cached prompts are shared with no other tenant. */
   readonly isIsolated: boolean;
+  /** What the tenant may use over all routers; undefined where that is not limited. */
+  readonly limit?: TenantLimit | undefined;
 }
 
 /** Bounds on what a caller may send. */
--- /dev/null
+++ b/src/state/routing/quota/tenant-account.ts
@@ -0,0 +1,149 @@
+/**
+ * The account that one router keeps for a tenant on behalf of all: it answers whether a request is within
+ * the limit, and says when the limit is so near that all routers have to ask before they serve. Pure.
+ *
+ * Load pattern: one tenant sends several times its usual through all routers at once. While it stays far
+ * below its limit nobody waits for the account; what was used is entered afterwards. Near the limit a
+ * router asks first, so that what all of them use passes the limit by no more than what was on its way
+ * when the account ran low.
+ */
+import { type QuotaTolerance, type TenantLimit, excessAllowed } from './tenant-limit.js';
+import { TokenBucket } from './token-bucket.js';
+
+/** A charge that a router asks for or enters. */
+export interface ChargeRequest {
+  /** Units; below 0 gives back. */
+  readonly amount: number;
+  /** Whether the request is served already, so that it counts in any case. */
+  readonly isTaken: boolean;
+}
+
+/** What the account says. Times in milliseconds. */
+export interface ChargeVerdict {
+  readonly isGranted: boolean;
+  /** When a request that was not granted may come again; Infinity where it is larger than the limit. */
+  readonly retryAfterMs: number;
+  /** How long routers have to ask before they serve this tenant; 0 while the limit is far. */
+  readonly watchMs: number;
+}
+
+/** What the account knows of the group. */
+export interface AccountSurroundings {
+  readonly tolerance: QuotaTolerance;
+  /** Share of the routers that can reach this one, by their capacity, above 0 to 1. */
+  readonly reachableShare: number;
+}
+
+/**
+ * Share of the excess allowed that the account gives out, so that a caller below its limit is not turned
+ * away because callers of several routers came together. The rest is for routers that can't reach the
+ * account and for accounts that begin anew.
+ */
+const GIVEN_SHARE = 0.3;
+/**
+ * Level of an account that begins, or that nobody used for {@link IDLE_MS}, as a share of the excess
+ * allowed: others may have kept the account meanwhile, and what they gave out is not known here.
+ */
+const BEGINNING_SHARE = 0.25;
+const IDLE_MS = 1_000;
+/** Below this share of its size the account has to be asked first. */
+const WATCH_BELOW_SHARE = 0.35;
+/** Above it no longer. */
+const RELAX_ABOVE_SHARE = 0.7;
+/** How long a router asks first after it last heard that it has to. */
+export const WATCH_MS = 4_000;
+/** Share of the rate at which callers that were turned away are asked back; the rest is for new ones. */
+const RETURNING_SHARE = 0.5;
+/** A limit without a burst bears what accrues in this time, and one unit: nothing would pass it else. */
+const LEAST_BURST_MS = 250;
+/** Callers are asked back no later; what they find then is not foreseen. */
+const LONGEST_RETURN_MS = 3_000;
+const SHORTEST_RETURN_MS = 100;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** One tenant's account. */
+export class TenantAccount {
+  private readonly bucket: TokenBucket;
+  private usedMs: number;
+  private isWatched = false;
+  private lastReturnMs = 0;
+
+  constructor(
+    private limit: TenantLimit,
+    private surroundings: AccountSurroundings,
+    nowMs: number,
+  ) {
+    const { rate, size, beginning } = this.bounds();
+    this.bucket = new TokenBucket(rate, size, beginning, nowMs);
+    this.usedMs = nowMs;
+  }
+
+  /** Units that may be used now. */
+  level(nowMs: number): number {
+    return this.bucket.level(nowMs);
+  }
+
+  /** Takes a changed limit or a changed group. */
+  adapt(limit: TenantLimit, surroundings: AccountSurroundings, nowMs: number): void {
+    const isSame =
+      limit === this.limit && surroundings.reachableShare === this.surroundings.reachableShare;
+    this.surroundings = surroundings;
+    if (isSame) return;
+    this.limit = limit;
+    const { rate, size } = this.bounds();
+    this.bucket.resize(rate, size, nowMs);
+  }
+
+  /** Answers a router, and enters the charge where it is granted or taken. */
+  charge({ amount, isTaken }: ChargeRequest, nowMs: number): ChargeVerdict {
+    this.noteUse(amount, nowMs);
+    const isGranted = isTaken || amount <= this.bucket.level(nowMs);
+    if (isGranted) this.bucket.take(amount, nowMs);
+    this.updateWatch(nowMs);
+    return {
+      isGranted,
+      retryAfterMs: isGranted ? 0 : this.bookReturn(amount, nowMs),
+      watchMs: this.isWatched ? WATCH_MS : 0,
+    };
+  }
+
+  private noteUse(amount: number, nowMs: number): void {
+    if (nowMs - this.usedMs > IDLE_MS) {
+      // Where little excess is allowed, a tenant that sends seldom must still be served.
+      const one = Math.min(amount, this.limit.burst);
+      this.bucket.lowerTo(Math.max(one, this.bounds().beginning), nowMs);
+    }
+    this.usedMs = nowMs;
+  }
+
+  private updateWatch(nowMs: number): void {
+    const share = this.bucket.level(nowMs) / this.bucket.size;
+    if (share < WATCH_BELOW_SHARE) this.isWatched = true;
+    else if (share > RELAX_ABOVE_SHARE) this.isWatched = false;
+  }
+
+  /** Callers come back one after the other, so that they do not meet the same empty account together. */
+  private bookReturn(amount: number, nowMs: number): number {
+    const waitMs = this.bucket.millisecondsUntil(amount, nowMs);
+    if (waitMs === Infinity) return Infinity;
+    const { ratePerSecond } = this.limit;
+    const turnMs = (amount / (ratePerSecond * RETURNING_SHARE)) * MILLISECONDS_PER_SECOND;
+    const earliestMs = Math.max(nowMs + waitMs, this.lastReturnMs + turnMs);
+    const atMs = Math.min(earliestMs, nowMs + LONGEST_RETURN_MS);
+    this.lastReturnMs = atMs;
+    return Math.max(SHORTEST_RETURN_MS, atMs - nowMs);
+  }
+
+  private bounds(): { readonly rate: number; readonly size: number; readonly beginning: number } {
+    const { tolerance, reachableShare } = this.surroundings;
+    const { ratePerSecond, burst } = this.limit;
+    const excess = excessAllowed(this.limit, tolerance);
+    const leastBurst = Math.max(1, (ratePerSecond * LEAST_BURST_MS) / MILLISECONDS_PER_SECOND);
+    return {
+      // Routers that can't reach the account spend their own share of the rate.
+      rate: ratePerSecond * reachableShare,
+      size: Math.max(burst, leastBurst) + GIVEN_SHARE * excess,
+      beginning: BEGINNING_SHARE * excess,
+    };
+  }
+}
--- a/src/state/routing/rejection.ts
+++ b/src/state/routing/rejection.ts
@@ -56,7 +56,7 @@
 /** Share of what is served that callers who come back may take; the rest is for new requests. */
 const RETURNING_SHARE = 0.5;
 /** Times are drawn from the time foreseen to this much more. */
-const JITTER_SHARE = 0.3;
+export const JITTER_SHARE = 0.3;
 
 /** Decides when callers may come back. */
 export class RejectionAdvice {
--- a/src/state/routing/route-table.ts
+++ b/src/state/routing/route-table.ts
@@ -5,11 +5,13 @@
 export class RouteTable {
   private readonly routesByHost = new Map<string, Map<string, Route>>();
   private readonly tenantsByKey = new Map<string, Tenant>();
+  private readonly tenantsByName = new Map<string, Tenant>();
   private readonly servicesByName = new Map<string, Service>();
 
   constructor(readonly configuration: RoutingConfiguration) {
     for (const route of configuration.routes) this.indexRoute(route);
     for (const tenant of configuration.tenants ?? []) {
+      this.tenantsByName.set(tenant.name, tenant);
       for (const key of tenant.keys) this.tenantsByKey.set(key, tenant);
     }
     for (const service of configuration.services) this.servicesByName.set(service.name, service);
@@ -41,6 +43,10 @@
     return this.tenantsByKey.get(key);
   }
 
+  findTenantNamed(name: string): Tenant | undefined {
+    return this.tenantsByName.get(name);
+  }
+
   findService(name: string): Service | undefined {
     return this.servicesByName.get(name);
   }
--- /dev/null
+++ b/test/helpers/quota-world.ts
@@ -0,0 +1,295 @@
+/** Routers that keep limits of tenants together: a simulated group, callers of tenants, and what engines would run. */
+import { ConfigurationState } from '../../src/state/routing/configuration-state.js';
+import type { RoutingConfiguration, Tenant } from '../../src/state/routing/configuration.js';
+import { HomeRanking } from '../../src/state/routing/home-ranking.js';
+import {
+  type QuotaTolerance,
+  QuotaUnit,
+  type TenantLimit,
+  excessAllowed,
+} from '../../src/state/routing/quota/tenant-limit.js';
+import { TokenBucket } from '../../src/state/routing/quota/token-bucket.js';
+import { GatewayStatistics } from '../../src/coordination/gateway/gateway-statistics.js';
+import { GroupQuotaView } from '../../src/coordination/gateway/quota/group-quota-view.js';
+import { TenantQuotas } from '../../src/coordination/gateway/quota/tenant-quotas.js';
+import type { HostClock } from '../../src/lab/simulation/host-clock.js';
+import { createHasher } from '../../src/runtime/hasher.js';
+import { ElapsedInstant } from '../../src/runtime/elapsed-instant.js';
+import { SilentLogger } from '../../src/runtime/logger.js';
+import { SeededRandom } from '../../src/runtime/random.js';
+import { type GroupRouter, GroupWorld } from './group-world.js';
+
+/** The operators' bounds on one of the deployments with limits. */
+export const TOLERANCE: QuotaTolerance = { windowMs: 8_000, overageShare: 0.1, slack: 110_000 };
+
+/** A tenant and what its callers send, in tokens a second. */
+export interface TenantDemand {
+  readonly name: string;
+  readonly limit: TenantLimit;
+  tokensPerSecond: number;
+}
+
+/** What became of one request. */
+interface ObservedCharge {
+  readonly tenant: string;
+  readonly tokens: number;
+  readonly atMs: number;
+  readonly isBelowLimit: boolean;
+  outcome: 'open' | 'granted' | 'denied';
+  decidedMs: number;
+}
+
+/** What a play showed of one tenant. */
+export interface QuotaFigures {
+  /** Largest use of any window as a share of what is allowed in it; 1 or more breaks the rule. */
+  readonly mostUsedShare: number;
+  /** Tokens refused below the limit, as a share of those asked for below it. */
+  readonly refusedBelowShare: number;
+  /** Tokens granted as a share of what the limit allows over the play. */
+  readonly grantedShare: number;
+}
+
+/** The limit of a tenant by its rate, with a burst of a second. */
+export function limitOf(ratePerSecond: number): TenantLimit {
+  return { unit: QuotaUnit.Tokens, ratePerSecond, burst: ratePerSecond, undeclaredTokens: 200 };
+}
+
+const STEP_MS = 1;
+/** The share of long prompts, and the mean tokens of long and short ones. */
+const LONG_SHARE = 0.35;
+const LONG_TOKENS = 9_200;
+const SHORT_TOKENS = 880;
+const MEAN_TOKENS = LONG_SHARE * LONG_TOKENS + (1 - LONG_SHARE) * SHORT_TOKENS;
+
+interface AttachedQuotas {
+  readonly host: HostClock;
+  readonly quotas: TenantQuotas;
+  readonly configuration: ConfigurationState;
+}
+
+/** The deployment. */
+export class QuotaWorld {
+  readonly charges: ObservedCharge[] = [];
+  readonly statistics = new GatewayStatistics();
+  datagrams = 0;
+  private readonly attached = new Map<string, AttachedQuotas>();
+  private readonly references = new Map<string, TokenBucket>();
+  private readonly isolated = new Set<number>();
+  private configurationVersion = 1;
+
+  private constructor(
+    readonly group: GroupWorld,
+    readonly tenants: readonly TenantDemand[],
+    private readonly random: SeededRandom,
+    private readonly homes: HomeRanking,
+  ) {}
+
+  static async create(
+    routers: number,
+    seed: number,
+    tenants: readonly TenantDemand[],
+  ): Promise<QuotaWorld> {
+    const group = await GroupWorld.create(routers, seed);
+    const homes = new HomeRanking(await createHasher());
+    const world = new QuotaWorld(group, tenants, new SeededRandom(seed), homes);
+    world.attachAll();
+    await group.clock.advance(SETTLED_MS);
+    return world;
+  }
+
+  get now(): number {
+    return this.group.clock.now();
+  }
+
+  /** Takes a change of the tenants' limits into force at all routers. */
+  changeLimits(limits: ReadonlyMap<string, TenantLimit>): void {
+    for (const tenant of this.tenants) {
+      const limit = limits.get(tenant.name);
+      if (limit) (tenant as { limit: TenantLimit }).limit = limit;
+    }
+    this.configurationVersion += 1;
+    for (const { configuration } of this.attached.values()) this.configure(configuration);
+  }
+
+  /** Cuts a part of the routers from all others; they go on serving. */
+  cutOff(share: number): void {
+    const count = Math.floor(this.group.routers.length * share);
+    this.isolated.clear();
+    for (let index = 0; index < count; index += 1) this.isolated.add(index);
+    const names = new Set(
+      [...this.isolated].map((index) => (this.group.routers[index] as GroupRouter).name),
+    );
+    this.group.network.cutAll((left, right) => names.has(left) || names.has(right));
+  }
+
+  heal(): void {
+    this.isolated.clear();
+    this.group.network.heal();
+  }
+
+  /** Kills all routers and starts them again after a while. */
+  async restartAll(downMs: number): Promise<void> {
+    const { routers } = this.group;
+    for (let index = 0; index < routers.length; index += 1) this.group.powerOff(index);
+    await this.group.clock.advance(downMs);
+    for (let index = 0; index < routers.length; index += 1) await this.group.start(index);
+    this.attachAll();
+  }
+
+  /** Lets callers send for a while. */
+  async play(forMs: number): Promise<void> {
+    const untilMs = this.now + forMs;
+    while (this.now < untilMs) {
+      this.attachAll();
+      for (const tenant of this.tenants) this.sendOf(tenant);
+      await this.group.clock.advance(STEP_MS);
+    }
+  }
+
+  /** What the play showed of a tenant since a moment. */
+  figuresOf(name: string, sinceMs = 0): QuotaFigures {
+    const own = this.charges.filter(({ tenant, atMs }) => tenant === name && atMs >= sinceMs);
+    const { limit } = this.tenants.find((tenant) => tenant.name === name) as TenantDemand;
+    const asked = own.filter(({ isBelowLimit }) => isBelowLimit);
+    const refused = asked.filter(({ outcome }) => outcome === 'denied');
+    const granted = own.filter(({ outcome }) => outcome === 'granted');
+    const spanS = (this.now - (own[0]?.atMs ?? this.now)) / 1_000;
+    return {
+      mostUsedShare: mostUsed(granted) / allowedInWindow(limit),
+      refusedBelowShare: sumOf(refused) / Math.max(1, sumOf(asked)),
+      grantedShare: sumOf(granted) / (limit.ratePerSecond * spanS + limit.burst),
+    };
+  }
+
+  /** Time until a decision at the 99th percentile, in milliseconds. */
+  get decisionMs(): number {
+    const times = this.charges
+      .filter(({ outcome }) => outcome !== 'open')
+      .map(({ atMs, decidedMs }) => decidedMs - atMs)
+      .sort((left, right) => left - right);
+    return times[Math.floor(times.length * 0.99)] ?? 0;
+  }
+
+  private sendOf(tenant: TenantDemand): void {
+    const perStep = (tenant.tokensPerSecond / MEAN_TOKENS) * (STEP_MS / 1_000);
+    let count = Math.floor(perStep);
+    if (this.random.next() < perStep - count) count += 1;
+    for (; count > 0; count -= 1) this.sendOne(tenant);
+  }
+
+  private sendOne(tenant: TenantDemand): void {
+    const { running } = this.group;
+    const router = running[Math.floor(this.random.next() * running.length)];
+    const attached = router && this.attached.get(router.name);
+    if (!attached) return;
+    const tokens = this.drawTokens();
+    const charge: ObservedCharge = {
+      tenant: tenant.name,
+      tokens,
+      atMs: this.now,
+      isBelowLimit: this.isBelowLimit(tenant, tokens),
+      outcome: 'open',
+      decidedMs: 0,
+    };
+    this.charges.push(charge);
+    const named = attached.configuration.current?.findTenantNamed(tenant.name);
+    attached.quotas.admit(named, tokens, (decision) => {
+      charge.outcome = decision.kind;
+      charge.decidedMs = this.now;
+    });
+  }
+
+  private drawTokens(): number {
+    const mean = this.random.next() < LONG_SHARE ? LONG_TOKENS : SHORT_TOKENS;
+    return Math.round(mean * (0.3 + 1.4 * this.random.next()));
+  }
+
+  /** What one account that sees all at once would grant. */
+  private isBelowLimit({ name, limit }: TenantDemand, tokens: number): boolean {
+    let bucket = this.references.get(name);
+    if (!bucket) {
+      bucket = new TokenBucket(limit.ratePerSecond, limit.burst, limit.burst, this.now);
+      this.references.set(name, bucket);
+    }
+    bucket.resize(limit.ratePerSecond, limit.burst, this.now);
+    if (bucket.level(this.now) < tokens) return false;
+    bucket.take(tokens, this.now);
+    return true;
+  }
+
+  private attachAll(): void {
+    for (const router of this.group.running) {
+      if (this.attached.get(router.name)?.host === router.host) continue;
+      this.attached.get(router.name)?.quotas.stop();
+      this.attached.set(router.name, this.attach(router));
+    }
+  }
+
+  private attach({ host, group }: GroupRouter): AttachedQuotas {
+    const configuration = new ConfigurationState(Infinity);
+    this.configure(configuration);
+    const ownShare = (): number => 1 / group.working.length;
+    const view = new GroupQuotaView(group, ownShare);
+    const send = view.send.bind(view);
+    view.send = (address, datagram) => {
+      this.datagrams += 1;
+      send(address, datagram);
+    };
+    const quotas = new TenantQuotas({
+      group: view,
+      configuration,
+      homes: this.homes,
+      tolerance: TOLERANCE,
+      statistics: this.statistics,
+      clock: host,
+      logger: new SilentLogger(),
+    });
+    group.onQuotaDatagram = (body) => quotas.receive(body);
+    return { host, quotas, configuration };
+  }
+
+  private configure(configuration: ConfigurationState): void {
+    const tenants = this.tenants.map(tenantOf);
+    configuration.adopt(
+      {
+        version: this.configurationVersion,
+        tenants,
+        routes: [],
+        services: [],
+      } as unknown as RoutingConfiguration,
+      new ElapsedInstant(this.now),
+    );
+  }
+}
+
+/** The group knows who belongs to it after this time. */
+const SETTLED_MS = 3_000;
+
+function tenantOf({ name, limit }: TenantDemand): Tenant {
+  return { name, keys: [name], priority: undefined, isIsolated: false, limit };
+}
+
+function allowedInWindow(limit: TenantLimit): number {
+  const allowed = (limit.ratePerSecond * TOLERANCE.windowMs) / 1_000 + limit.burst;
+  return allowed + excessAllowed(limit, TOLERANCE);
+}
+
+function sumOf(charges: readonly ObservedCharge[]): number {
+  return charges.reduce((sum, { tokens }) => sum + tokens, 0);
+}
+
+/** Largest sum of any window; `charges` come in the order of their time. */
+function mostUsed(charges: readonly ObservedCharge[]): number {
+  let first = 0;
+  let sum = 0;
+  let most = 0;
+  for (const charge of charges) {
+    sum += charge.tokens;
+    while ((charges[first] as ObservedCharge).atMs <= charge.atMs - TOLERANCE.windowMs) {
+      sum -= (charges[first] as ObservedCharge).tokens;
+      first += 1;
+    }
+    most = Math.max(most, sum);
+  }
+  return most;
+}
