Collect the work of a large group at one router, tell it all each 100 ms

Cause: of 79 routers each knew only its own work and that of a third of the others, up to 2 s old, so long prompts met at the same engines: with 4 long pieces in a row all streams of an engine are late by a pause. Change: each router reports changed work each 100 ms to the most capable one, which tells all the sums; the next in order takes its place where it is silent for 0.5 s. Small groups report changes each 100 ms. Load tables keep sums by differences.

--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -36,6 +36,7 @@
 import { GroupMembership, SETTLING_MS } from './group-membership.js';
 import { GroupQuotaView } from './quota/group-quota-view.js';
 import { TenantQuotas } from './quota/tenant-quotas.js';
+import { LoadCollection } from './load-collection.js';
 import { LeaseKeeper } from './lease-keeper.js';
 import { type ObjectDecoder, valueOrLog } from './object-decoder.js';
 import { Rejections } from './rejections.js';
@@ -81,6 +82,7 @@
   private readonly context: GatewayContext;
   private readonly crashes: CrashProtection;
   private readonly quotas: TenantQuotas;
+  private readonly loadCollection: LoadCollection;
   private readonly coordinator: WeightCoordinator;
   private readonly versionNews: VersionNews;
   private readonly directory: Directory;
@@ -202,6 +204,14 @@
       settings.unseenVersionAgeMs,
       () => group.reportNow(),
     );
+    this.loadCollection = new LoadCollection({
+      group,
+      loads: this.loads,
+      registry: this.registry,
+      clock,
+      logger,
+    });
+    group.onWorkDatagram = (body) => this.loadCollection.receive(body);
     group.onQuotaDatagram = (body) => this.quotas.receive(body);
     parts.connect(this.coordinator, this.versionNews, this.crashes.guard);
   }
@@ -250,6 +260,7 @@
       repeat(clock, KEPT_TURN_MS, () => this.kept.expire()),
     );
     this.coordinator.start();
+    this.loadCollection.start();
     this.crashes.start();
   }
 
@@ -311,6 +322,7 @@
     for (const timer of this.timers) timer.cancel();
     this.coordinator.stop();
     this.quotas.stop();
+    this.loadCollection.stop();
     this.crashes.stop();
     this.feeds.stop();
     this.relay.stop();
--- a/src/coordination/gateway/group-membership.ts
+++ b/src/coordination/gateway/group-membership.ts
@@ -6,6 +6,7 @@
 import type { DatagramSocket, DatagramTransport } from '../../transport/datagram-transport.js';
 import {
   type QuotaDatagram,
+  type WorkDatagram,
   decodeClusterDatagram,
   encodeClusterGossip,
 } from '../../protocol/peer/cluster-codec.js';
@@ -31,7 +32,12 @@
 import type { GroupView } from './gateway-context.js';
 import { GroupChangeLog } from './group-change-log.js';
 import { GroupHeartbeats } from './group-heartbeats.js';
-import { type GroupEvents, GroupReports, REPORT_PERIOD_MS } from './group-reports.js';
+import {
+  CHANGE_PERIOD_MS,
+  type GroupEvents,
+  GroupReports,
+  REPORT_PERIOD_MS,
+} from './group-reports.js';
 
 /** How this router takes part. */
 export interface GroupSettings {
@@ -69,6 +75,8 @@
   private isStopped = false;
   private isStarted = false;
   private startedMs = 0;
+  /** Receives what routers of a large group tell of their work. */
+  onWorkDatagram: (body: WorkDatagram) => void = () => undefined;
   /** Receives what the quotas of other routers send. */
   onQuotaDatagram: (body: QuotaDatagram) => void = () => undefined;
 
@@ -204,6 +212,7 @@
       }),
       repeat(this.clock, CHECK_PERIOD_MS, () => this.check()),
       repeat(this.clock, REPORT_PERIOD_MS, () => this.reports.reportLoads()),
+      repeat(this.clock, CHANGE_PERIOD_MS, () => this.reports.reportChanges()),
     );
   }
 
@@ -249,6 +258,7 @@
     const body = decodeClusterDatagram(datagram);
     if (body?.case === 'gossip') this.receiveGossip(body.value);
     else if (body?.case === 'loadReport') this.reports.receive(body.value);
+    else if (body?.case === 'workReport' || body?.case === 'workSummary') this.onWorkDatagram(body);
     else if (body?.case !== undefined) this.onQuotaDatagram(body);
   }
 
--- a/src/coordination/gateway/group-reports.ts
+++ b/src/coordination/gateway/group-reports.ts
@@ -63,8 +63,14 @@
   readonly random: RandomSource;
 }
 
-/** How often a router reports. */
+/** How often a router reports in any case. */
 export const REPORT_PERIOD_MS = 250;
+/**
+ * How often a router of a small group reports work that has changed. With 7 simulated routers before 8
+ * engines at a third over their usual load, 0.97 of long and 0.93 of short streams were in time with
+ * 100 ms, 0.92 and 0.87 with 250 ms.
+ */
+export const CHANGE_PERIOD_MS = 100;
 /** Members that get each report of loads in a small group. */
 const REPORT_FANOUT = 12;
 /**
@@ -91,6 +97,7 @@
 export class GroupReports {
   private sequence = 0;
   private idleReports = 0;
+  private reportedVersion = 0;
   private readonly board = new WeightsNewsBoard();
   private pendingFanout = 0;
   private isStopped = false;
@@ -164,6 +171,12 @@
     });
   }
 
+  /** Reports work that has changed in a small group; call once a {@link CHANGE_PERIOD_MS}. */
+  reportChanges(): void {
+    if (this.isLarge || this.parts.loads.ownVersion === this.reportedVersion) return;
+    this.sendReport(SAMPLED_FANOUT, false);
+  }
+
   /** Reports the work under way; call once a {@link REPORT_PERIOD_MS}. */
   reportLoads(): void {
     this.parts.loads.expire(this.parts.clock.now());
@@ -172,13 +185,15 @@
       loads.ownLoads.size === 0 && events.weightsNews().length === 0 && !events.hasCrashNews;
     this.idleReports = isIdle ? this.idleReports + 1 : 0;
     if (isIdle && this.idleReports % IDLE_REPORTS_SKIPPED !== 1) return;
-    this.sendReport(SAMPLED_FANOUT, false);
+    // In a large group the work of all comes from its collector.
+    this.sendReport(SAMPLED_FANOUT, this.isLarge);
   }
 
   /** @param fanout members of a large group that get it; those of a small one all do */
   private sendReport(fanout: number, withoutLoads: boolean): void {
     if (this.isStopped) return;
     this.sequence += 1;
+    if (!withoutLoads) this.reportedVersion = this.parts.loads.ownVersion;
     const loads = withoutLoads ? [] : [...this.parts.loads.ownLoads];
     const engines = loads.map(([engineId, load]) =>
       create(EngineWorkSchema, { engineId, ...load }),
--- a/src/protocol/peer/cluster-codec.ts
+++ b/src/protocol/peer/cluster-codec.ts
@@ -7,12 +7,17 @@
   type QuotaAnswer,
   type QuotaNotice,
   type QuotaQuestion,
+  type WorkReport,
+  type WorkSummary,
 } from './generated/cluster_pb.js';
 import type { GossipDatagram } from './generated/peer_pb.js';
 
 /** Contents of a message without the library's own fields. */
 export type Contents<Message> = Omit<Message, '$typeName' | '$unknown'>;
 
+/** The datagrams with which routers of a large group tell each other their work. */
+export type WorkDatagram = Extract<ClusterDatagram['body'], { case: 'workReport' | 'workSummary' }>;
+
 /** The datagrams with which routers keep the limits of tenants together. */
 export type QuotaDatagram = Extract<
   ClusterDatagram['body'],
@@ -39,6 +44,14 @@
   return encodeBody({ case: 'quotaNotice', value: notice });
 }
 
+export function encodeWorkReport(report: WorkReport): Uint8Array {
+  return encodeBody({ case: 'workReport', value: report });
+}
+
+export function encodeWorkSummary(summary: WorkSummary): Uint8Array {
+  return encodeBody({ case: 'workSummary', value: summary });
+}
+
 function encodeBody(body: ClusterDatagram['body']): Uint8Array {
   return toBinary(ClusterDatagramSchema, create(ClusterDatagramSchema, { body }));
 }
--- a/src/state/routing/load-table.ts
+++ b/src/state/routing/load-table.ts
@@ -9,17 +9,17 @@
   readonly heldTokens: number;
 }
 
-/** A router's report of its work, by engine. */
+/** A report of work, by engine. */
 export type LoadReport = ReadonlyMap<string, EngineLoad>;
 
 interface StoredReport {
   readonly loads: LoadReport;
-  readonly receivedMs: number;
+  readonly untilMs: number;
   readonly sequence: number;
 }
 
 /** Reports older than this say nothing about the present. */
-const REPORT_LIFETIME_MS = 2_000;
+export const REPORT_LIFETIME_MS = 2_000;
 
 const NO_LOAD: EngineLoad = { requests: 0, unreadTokens: 0, heldTokens: 0 };
 
@@ -27,10 +27,13 @@
 export class LoadTable {
   private readonly own = new Map<string, EngineLoad>();
   private readonly reports = new Map<string, StoredReport>();
-  private totals = new Map<string, EngineLoad>();
+  /** Sums of the reports; kept up by differences, since a report comes for each few requests. */
+  private readonly totals = new Map<string, EngineLoad>();
+  private changes = 0;
 
   /** Changes this router's own work at an engine by the given amounts. */
   change(engineId: string, change: EngineLoad): void {
+    this.changes += 1;
     const next = addLoads(this.own.get(engineId) ?? NO_LOAD, change);
     if (next.requests <= 0) this.own.delete(engineId);
     else this.own.set(engineId, next);
@@ -41,18 +44,34 @@
     return this.own;
   }
 
+  /** Changes with every change of the own work. */
+  get ownVersion(): number {
+    return this.changes;
+  }
+
   /** This router's own requests at an engine. */
   ownRequestsAt(engineId: string): number {
     return this.own.get(engineId)?.requests ?? 0;
   }
 
-  /** Takes another router's report; one that was overtaken by a newer is dropped. */
-  receive(nodeId: string, sequence: number, loads: LoadReport, nowMs: number): void {
-    const present = this.reports.get(nodeId);
-    const isFresh = present !== undefined && nowMs - present.receivedMs < REPORT_LIFETIME_MS;
+  /**
+   * Takes a report of work that is not this router's own; one that was overtaken by a newer is dropped.
+   *
+   * @param source who reports: a router its own work, or a collector that of many
+   */
+  receive(
+    source: string,
+    sequence: number,
+    loads: LoadReport,
+    nowMs: number,
+    lifetimeMs = REPORT_LIFETIME_MS,
+  ): void {
+    const present = this.reports.get(source);
+    const isFresh = present !== undefined && nowMs < present.untilMs;
     if (isFresh && present.sequence >= sequence) return;
-    this.reports.set(nodeId, { loads, receivedMs: nowMs, sequence });
-    this.sumReports(nowMs);
+    if (present) this.subtract(present.loads);
+    this.reports.set(source, { loads, untilMs: nowMs + lifetimeMs, sequence });
+    this.add(loads);
   }
 
   /** Work of all routers at an engine. */
@@ -64,29 +83,48 @@
 
   /** Drops reports that are too old. */
   expire(nowMs: number): void {
-    for (const [nodeId, report] of this.reports) {
-      if (nowMs - report.receivedMs > REPORT_LIFETIME_MS) this.reports.delete(nodeId);
+    for (const [source, report] of this.reports) {
+      if (nowMs < report.untilMs) continue;
+      this.reports.delete(source);
+      this.subtract(report.loads);
+    }
+  }
+
+  private add(loads: LoadReport): void {
+    for (const [engineId, load] of loads) {
+      const present = this.totals.get(engineId);
+      this.totals.set(engineId, present ? addLoads(present, load) : load);
     }
-    this.sumReports(nowMs);
   }
 
-  private sumReports(nowMs: number): void {
-    const totals = new Map<string, EngineLoad>();
-    for (const report of this.reports.values()) {
-      if (nowMs - report.receivedMs > REPORT_LIFETIME_MS) continue;
-      for (const [engineId, load] of report.loads) {
-        totals.set(engineId, addLoads(totals.get(engineId) ?? NO_LOAD, load));
-      }
+  private subtract(loads: LoadReport): void {
+    for (const [engineId, load] of loads) {
+      const left = subtractLoads(this.totals.get(engineId) ?? NO_LOAD, load);
+      if (isNothing(left)) this.totals.delete(engineId);
+      else this.totals.set(engineId, left);
     }
-    this.totals = totals;
   }
 }
 
 /** Sum of two loads; tokens never fall below zero. */
-function addLoads(left: EngineLoad, right: EngineLoad): EngineLoad {
+export function addLoads(left: EngineLoad, right: EngineLoad): EngineLoad {
   return {
     requests: left.requests + right.requests,
     unreadTokens: Math.max(0, left.unreadTokens + right.unreadTokens),
     heldTokens: Math.max(0, left.heldTokens + right.heldTokens),
   };
 }
+
+/** What is left of a load without a part of it; nothing falls below zero. */
+export function subtractLoads(left: EngineLoad, right: EngineLoad): EngineLoad {
+  return {
+    requests: Math.max(0, left.requests - right.requests),
+    unreadTokens: Math.max(0, left.unreadTokens - right.unreadTokens),
+    heldTokens: Math.max(0, left.heldTokens - right.heldTokens),
+  };
+}
+
+/** Whether nothing is under way. */
+export function isNothing({ requests, unreadTokens, heldTokens }: EngineLoad): boolean {
+  return requests === 0 && unreadTokens === 0 && heldTokens === 0;
+}
--- /dev/null
+++ b/test/gateway/load-collection.test.ts
@@ -0,0 +1,76 @@
+/** Routers of a large group know the work of all others soon, also when the router that collects it dies. */
+import test from 'ava';
+import { LoadCollection } from '../../src/coordination/gateway/load-collection.js';
+import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
+import { LoadTable } from '../../src/state/routing/load-table.js';
+import { SilentLogger } from '../../src/runtime/logger.js';
+import { GroupWorld } from '../helpers/group-world.js';
+
+const ROUTERS = 40;
+const SETTLED_MS = 3_000;
+/** Two periods, and the ways. */
+const KNOWN_MS = 250;
+const ENGINE = 'engine-1';
+const WORK = { requests: 1, unreadTokens: 9_000, heldTokens: 9_200 };
+
+interface CollectingRouter {
+  readonly loads: LoadTable;
+  readonly collection: LoadCollection;
+}
+
+async function collectingGroup(seed: number): Promise<[GroupWorld, CollectingRouter[]]> {
+  const world = await GroupWorld.create(ROUTERS, seed);
+  const registry = new EngineRegistry();
+  registry.put({
+    id: ENGINE,
+    service: 'generation',
+    address: 'engine-1:1',
+    zone: 'zone-0',
+    slots: 16,
+    isDraining: false,
+    modelVersions: new Map(),
+  });
+  const routers = world.routers.map(({ group, host }) => {
+    const loads = new LoadTable();
+    const parts = { group, loads, registry, clock: host, logger: new SilentLogger() };
+    const collection = new LoadCollection(parts);
+    group.onWorkDatagram = (body) => collection.receive(body);
+    collection.start();
+    return { loads, collection };
+  });
+  await world.clock.advance(SETTLED_MS);
+  return [world, routers];
+}
+
+function requestsKnownTo(routers: readonly CollectingRouter[]): number[] {
+  return routers.map(({ loads }) => loads.at(ENGINE).requests);
+}
+
+test('the work of each router is known to all, counted once', async (t) => {
+  const [world, routers] = await collectingGroup(1);
+  for (const { loads } of routers) loads.change(ENGINE, WORK);
+  await world.clock.advance(KNOWN_MS);
+  t.deepEqual(requestsKnownTo(routers), Array<number>(ROUTERS).fill(ROUTERS));
+  for (const { loads } of routers) {
+    loads.change(ENGINE, { requests: -1, unreadTokens: -9_000, heldTokens: -9_200 });
+  }
+  await world.clock.advance(KNOWN_MS);
+  t.deepEqual(requestsKnownTo(routers), Array<number>(ROUTERS).fill(0));
+});
+
+test('where the collector dies the next takes its place', async (t) => {
+  const [world, routers] = await collectingGroup(2);
+  for (const { loads } of routers) loads.change(ENGINE, WORK);
+  await world.clock.advance(KNOWN_MS);
+  // All machines are equal, so the first by name collects.
+  const names = world.routers.map(({ name }) => name);
+  const collector = names.indexOf([...names].sort()[0] as string);
+  world.powerOff(collector);
+  const TAKEN_OVER_MS = 1_000;
+  await world.clock.advance(TAKEN_OVER_MS);
+  const REPORTS_EXPIRED_MS = 2_500;
+  await world.clock.advance(REPORTS_EXPIRED_MS);
+  for (const { loads } of routers) loads.expire(world.clock.now());
+  const known = requestsKnownTo(routers).filter((_, index) => index !== collector);
+  t.deepEqual(known, Array<number>(ROUTERS - 1).fill(ROUTERS - 1));
+});
