--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -11,6 +11,7 @@
 import type { ObjectStorePort, StoredObject } from '../../protocol/object-store/port.js';
 import { ConfigurationState } from '../../state/routing/configuration-state.js';
 import type { IngressLimits } from '../../state/routing/configuration.js';
+import { EngineDivision } from '../../state/routing/engine-division.js';
 import { EngineHealth } from '../../state/routing/engine-health.js';
 import { EngineRegistry } from '../../state/routing/engine-registry.js';
 import { HomeRanking } from '../../state/routing/home-ranking.js';
@@ -32,11 +33,9 @@
 import { type GatewayContext, ServiceRetryBudgets } from './gateway-context.js';
 import { DEFAULT_QUOTA_TOLERANCE, type GatewaySettings } from './gateway-settings.js';
 import { GatewayStatistics } from './gateway-statistics.js';
+import { GroupExchange } from './group-exchange.js';
 import { GroupEventTarget } from './group-event-target.js';
 import { GroupMembership, SETTLING_MS } from './group-membership.js';
-import { GroupQuotaView } from './quota/group-quota-view.js';
-import { TenantQuotas } from './quota/tenant-quotas.js';
-import { LoadCollection } from './load-collection.js';
 import { LeaseKeeper } from './lease-keeper.js';
 import { type ObjectDecoder, valueOrLog } from './object-decoder.js';
 import { Rejections } from './rejections.js';
@@ -81,8 +80,7 @@
   private readonly calls = new Set<RequestCall>();
   private readonly context: GatewayContext;
   private readonly crashes: CrashProtection;
-  private readonly quotas: TenantQuotas;
-  private readonly loadCollection: LoadCollection;
+  private readonly exchange: GroupExchange;
   private readonly coordinator: WeightCoordinator;
   private readonly versionNews: VersionNews;
   private readonly directory: Directory;
@@ -119,12 +117,15 @@
       endCalls: (fingerprint) => this.endQuarantined(fingerprint),
     });
     const homes = new HomeRanking(hasher);
-    this.quotas = new TenantQuotas({
-      group: new GroupQuotaView(group, () => this.shareOfTraffic()),
+    this.exchange = new GroupExchange({
+      group,
+      loads: this.loads,
+      registry: this.registry,
       configuration: this.configuration,
       homes,
       tolerance: settings.quotaTolerance ?? DEFAULT_QUOTA_TOLERANCE,
       statistics: this.statistics,
+      shareOfTraffic: () => this.shareOfTraffic(),
       clock,
       logger,
     });
@@ -140,6 +141,7 @@
       loads: this.loads,
       health: this.health,
       kept: this.kept,
+      division: new EngineDivision(),
       versions: this.versions,
       requestRate: this.requestRate,
       promptTokenRate: this.promptTokenRate,
@@ -154,7 +156,7 @@
         statistics: this.statistics,
         hasPeers: () => group.responding.length > 1,
       }),
-      quotas: this.quotas,
+      quotas: this.exchange.quotas,
       statistics: this.statistics,
       zone: settings.zone,
     };
@@ -204,15 +206,6 @@
       settings.unseenVersionAgeMs,
       () => group.reportNow(),
     );
-    this.loadCollection = new LoadCollection({
-      group,
-      loads: this.loads,
-      registry: this.registry,
-      clock,
-      logger,
-    });
-    group.onWorkDatagram = (body) => this.loadCollection.receive(body);
-    group.onQuotaDatagram = (body) => this.quotas.receive(body);
     parts.connect(this.coordinator, this.versionNews, this.crashes.guard);
   }
 
@@ -260,7 +253,7 @@
       repeat(clock, KEPT_TURN_MS, () => this.kept.expire()),
     );
     this.coordinator.start();
-    this.loadCollection.start();
+    this.exchange.start();
     this.crashes.start();
   }
 
@@ -321,8 +314,7 @@
     this.followers.stop();
     for (const timer of this.timers) timer.cancel();
     this.coordinator.stop();
-    this.quotas.stop();
-    this.loadCollection.stop();
+    this.exchange.stop();
     this.crashes.stop();
     this.feeds.stop();
     this.relay.stop();
--- /dev/null
+++ b/src/coordination/gateway/group-exchange.ts
@@ -0,0 +1,37 @@
+/** What routers tell each other beside membership and news: the work that they have, and what tenants use. */
+import { LoadCollection, type CollectionParts } from './load-collection.js';
+import type { GroupMembership } from './group-membership.js';
+import { GroupQuotaView } from './quota/group-quota-view.js';
+import { type QuotaParts, TenantQuotas } from './quota/tenant-quotas.js';
+
+/** What the exchange works with. */
+export interface ExchangeParts
+  extends Omit<CollectionParts, 'group'>, Omit<QuotaParts, 'group' | 'clock' | 'logger'> {
+  readonly group: GroupMembership;
+  /** This router's share of the group's requests, above 0 to 1. */
+  shareOfTraffic(): number;
+}
+
+/** The exchange of one router; it takes the datagrams that are meant for it. */
+export class GroupExchange {
+  readonly quotas: TenantQuotas;
+  private readonly collection: LoadCollection;
+
+  constructor(parts: ExchangeParts) {
+    const { group } = parts;
+    const quotaGroup = new GroupQuotaView(group, () => parts.shareOfTraffic());
+    this.quotas = new TenantQuotas({ ...parts, group: quotaGroup });
+    this.collection = new LoadCollection(parts);
+    group.onQuotaDatagram = (body) => this.quotas.receive(body);
+    group.onWorkDatagram = (body) => this.collection.receive(body);
+  }
+
+  start(): void {
+    this.collection.start();
+  }
+
+  stop(): void {
+    this.quotas.stop();
+    this.collection.stop();
+  }
+}
