--- a/src/coordination/gateway/call-log.ts
+++ b/src/coordination/gateway/call-log.ts
@@ -3,6 +3,7 @@
 import type { Logger } from '../../runtime/logger.js';
 import type { Placement } from '../../state/routing/placement.js';
 import type { GatewayContext } from './gateway-context.js';
+import type { QuotaDenial } from './quota/tenant-quotas.js';
 import type { InboundRequest } from './reply.js';
 
 /** A request goes to an engine; the fields are what decided it. */
@@ -31,6 +32,26 @@
   });
 }
 
+/** A request is beyond its tenant's limit; the account's level, or that none could be reached, decided it. */
+export function logQuotaDenial(
+  requestId: string,
+  tenant: string | undefined,
+  { charge, level, limit, retryAfterMs }: QuotaDenial,
+  logger: Logger,
+): void {
+  logger.info('quota_denied', {
+    request: requestId,
+    tenant,
+    charge,
+    level: level === undefined ? undefined : Math.round(level),
+    isolated: level === undefined,
+    rate: limit.ratePerSecond,
+    burst: limit.burst,
+    unit: limit.unit,
+    retry_after_ms: retryAfterMs && Math.round(retryAfterMs),
+  });
+}
+
 /** Which send of which request. */
 export interface SendName {
   readonly request: string;
--- a/src/coordination/gateway/quota/tenant-quotas.ts
+++ b/src/coordination/gateway/quota/tenant-quotas.ts
@@ -48,9 +48,19 @@
 /** Whether a request is within its tenant's limit. */
 export type QuotaDecision =
   /** `charge` in units; 0 where the tenant has no limit. */
-  | { readonly kind: 'granted'; readonly charge: number }
-  /** Times in milliseconds; undefined where the request is larger than the limit can ever bear. */
-  | { readonly kind: 'denied'; readonly retryAfterMs: number | undefined };
+  { readonly kind: 'granted'; readonly charge: number } | QuotaDenial;
+
+/** Why a request is beyond its tenant's limit. */
+export interface QuotaDenial {
+  readonly kind: 'denied';
+  /** In milliseconds; undefined where the request is larger than the limit can ever bear. */
+  readonly retryAfterMs: number | undefined;
+  /** Units that the request would have been charged. */
+  readonly charge: number;
+  /** Units that the account held; undefined where none could be reached and the own share decided. */
+  readonly level: number | undefined;
+  readonly limit: TenantLimit;
+}
 
 /** Answers kept, so that a question that is sent again is not charged again. */
 const MAXIMUM_KEPT_ANSWERS = 1_024;
@@ -182,8 +192,10 @@
     verdict: AccountedVerdict | undefined,
   ): QuotaDecision {
     if (verdict) this.noteWatch(tenant.name, verdict.watchMs);
-    const decision = verdict ? decisionOf(verdict, amount) : this.spendShare(tenant, limit, amount);
-    if (decision.kind === 'denied') this.logDenial(tenant, limit, amount, verdict?.level);
+    const decision = verdict
+      ? decisionOf(verdict, limit, amount)
+      : this.spendShare(tenant, limit, amount);
+    if (decision.kind === 'denied') this.parts.statistics.quotaDenials += 1;
     return decision;
   }
 
@@ -193,7 +205,8 @@
     const share = this.shareOf(tenant.name, limit);
     this.parts.statistics.quotaIsolated += 1;
     if (share.tryTake(amount, now)) return { kind: 'granted', charge: amount };
-    return { kind: 'denied', retryAfterMs: share.retryAfterMs(now) };
+    const retryAfterMs = share.retryAfterMs(now);
+    return { kind: 'denied', retryAfterMs, charge: amount, level: undefined, limit };
   }
 
   private shareOf(tenantName: string, limit: TenantLimit): IsolatedShare {
@@ -223,29 +236,22 @@
     }
     this.noteWatch(tenantName, watchMs);
   }
-
-  private logDenial(
-    tenant: Tenant,
-    limit: TenantLimit,
-    charge: number,
-    level: number | undefined,
-  ): void {
-    this.parts.statistics.quotaDenials += 1;
-    this.parts.logger.info('quota_denied', {
-      tenant: tenant.name,
-      charge,
-      level: level === undefined ? undefined : Math.round(level),
-      rate: limit.ratePerSecond,
-      burst: limit.burst,
-      isolated: level === undefined,
-    });
-  }
 }
 
-function decisionOf(verdict: AccountedVerdict, amount: number): QuotaDecision {
-  if (verdict.isGranted) return { kind: 'granted', charge: amount };
-  const { retryAfterMs } = verdict;
-  return { kind: 'denied', retryAfterMs: retryAfterMs === Infinity ? undefined : retryAfterMs };
+function decisionOf(
+  { isGranted, retryAfterMs, level }: AccountedVerdict,
+  limit: TenantLimit,
+  charge: number,
+): QuotaDecision {
+  if (isGranted) return { kind: 'granted', charge };
+  const isForever = retryAfterMs === Infinity;
+  return {
+    kind: 'denied',
+    retryAfterMs: isForever ? undefined : retryAfterMs,
+    charge,
+    level,
+    limit,
+  };
 }
 
 function answerOf(number: number, verdict: AccountedVerdict): QuotaAnswer {
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -11,7 +11,7 @@
 import type { Service } from '../../state/routing/configuration.js';
 import type { Placement } from '../../state/routing/placement.js';
 import { RejectionReason } from '../../state/routing/rejection.js';
-import { logFinish, logSend, logSendFailure } from './call-log.js';
+import { logFinish, logQuotaDenial, logSend, logSendFailure } from './call-log.js';
 import { noteFailedSend, rejectionReasonOf } from './failed-send.js';
 import { type AnswerMode, CallAnswer } from './call-answer.js';
 import { CallCrashes } from './call-crashes.js';
@@ -20,6 +20,7 @@
 import { CallPatience, type ImpatienceReason } from './call-patience.js';
 import type { GatewayContext } from './gateway-context.js';
 import { type Grant, admitRequest, serviceOf } from './request-admission.js';
+import type { QuotaDenial } from './quota/tenant-quotas.js';
 import type { InboundRequest, OwnAnswer, Reply } from './reply.js';
 import { Send, type SendEvents, placeCall, sendOptionsOf } from './send.js';
 
@@ -203,7 +204,7 @@
   private askQuota(placement: Placement, grant: Grant, service: Service): void {
     let isImmediate = true;
     this.quota.ask(grant.tenant, (decision) => {
-      if (decision.kind === 'denied') this.denyBeyondLimit(decision.retryAfterMs);
+      if (decision.kind === 'denied') this.denyBeyondLimit(decision);
       else if (isImmediate) this.sendTo(placement, grant, service);
       // What was chosen before another router was asked may be out of date.
       else if (this.admit()) this.dispatch();
@@ -211,8 +212,10 @@
     isImmediate = false;
   }
 
-  private denyBeyondLimit(retryAfterMs: number | undefined): void {
-    const { rejections } = this.context;
+  private denyBeyondLimit(denial: QuotaDenial): void {
+    const { rejections, logger } = this.context;
+    const { retryAfterMs } = denial;
+    logQuotaDenial(this.request.id, this.grant?.tenant?.name, denial, logger);
     if (this.hasBegun) this.abort('quota');
     else if (retryAfterMs === undefined) this.refuse(LARGER_THAN_LIMIT);
     else this.refuse(rejections.beyondLimit(retryAfterMs));
