--- a/src/coordination/gateway/lease-keeper.ts
+++ b/src/coordination/gateway/lease-keeper.ts
@@ -30,8 +30,7 @@
 
 /** Keeps the lease of one router. */
 export class LeaseKeeper {
-  /** The call under way, if any. */
-  private pending: Promise<void> | undefined;
+  private isCalling = false;
   private failures = 0;
   private nextCallMs = -Infinity;
 
@@ -64,21 +63,17 @@
     this.lease.hear(revision, this.clock.now());
   }
 
-  /** Makes the call that is due, if any; resolves when it, or the one under way, was answered or failed. */
+  /** Makes the call that is due, if any; resolves when it was answered or failed. */
   async advance(): Promise<void> {
-    if (this.clock.now() < this.nextCallMs) return;
-    this.pending ??= this.makeCall();
-    await this.pending;
-  }
-
-  private async makeCall(): Promise<void> {
+    if (this.isCalling || this.clock.now() < this.nextCallMs) return;
+    this.isCalling = true;
     try {
       await this.call(this.lease.next(this.time));
       this.failures = 0;
     } catch (cause) {
       this.noteFailure(cause);
     } finally {
-      this.pending = undefined;
+      this.isCalling = false;
     }
   }
 
--- a/src/coordination/gateway/weight-coordinator.ts
+++ b/src/coordination/gateway/weight-coordinator.ts
@@ -19,7 +19,6 @@
 import {
   type RolloutObservations,
   type RolloutPlan,
-  RolloutReason,
   type RolloutSettings,
   type RolloutView,
   planRollout,
@@ -65,12 +64,6 @@
 /** Over this span it is observed how often versions are named. */
 const NAMES_SPAN_MS = 20_000;
 const POLL_PERIOD_MS = 200;
-/**
- * Runs that go on while their engine takes other weights are lost to their callers, so an engine first gets
- * no new ones for up to this long: half of the streams end in that time.
- */
-const LONGEST_DRAIN_MS = 500;
-const DRAIN_CHECK_MS = 50;
 
 /** The coordinator of one router. */
 export class WeightCoordinator {
@@ -163,8 +156,8 @@
       if (this.parts.lease.activeToken === undefined) return;
     }
     // Planned again: the call to the store took time.
-    for (const plan of this.plans()) {
-      for (const engine of plan.engines) void this.order(engine, plan);
+    for (const { model, version, engines } of this.plans()) {
+      for (const engine of engines) void this.order(engine, model, version);
     }
   }
 
@@ -230,7 +223,7 @@
     return this.orders.isLoading(engineId) ?? this.parts.health.isLoading(engineId, this.now);
   }
 
-  private async order(engine: Engine, { model, version, reason }: RolloutPlan): Promise<void> {
+  private async order(engine: Engine, model: string, version: number): Promise<void> {
     const { id } = engine.record;
     this.orders.open(id, model, version, this.now);
     // The others stop sending to the engine before it begins to refuse.
@@ -240,9 +233,8 @@
       engine.observedOrders ?? this.askForSequence(engine, model),
       sleep(this.parts.clock, this.settings.announcementMs()),
     ]);
-    if (reason === RolloutReason.Worth) await this.awaitDrain(id);
     const expectedSequence = engine.observedOrders ?? sequence;
-    const fencingToken = await this.tokenToOrder();
+    const fencingToken = this.parts.lease.activeToken;
     if (expectedSequence === undefined || fencingToken === undefined || this.isLeaving) {
       this.giveOrderUp(id);
       return;
@@ -254,24 +246,6 @@
     this.noteResult(engine, order, await this.parts.engines.order(engine.record, order));
   }
 
-  /** Waits a while for the runs of an engine that gets no new ones to end. */
-  private async awaitDrain(engineId: string): Promise<void> {
-    const { loads, health, clock } = this.parts;
-    const untilMs = this.now + LONGEST_DRAIN_MS;
-    while (this.now < untilMs && loads.at(engineId).requests > 0 && !this.isLeaving) {
-      health.noteLoading(engineId, this.now);
-      await sleep(clock, DRAIN_CHECK_MS);
-    }
-    this.orders.noteDrained(engineId, this.now);
-  }
-
-  /** The lease may have to be written again after a wait. */
-  private async tokenToOrder(): Promise<number | undefined> {
-    const { lease } = this.parts;
-    if (lease.activeToken === undefined && !this.isLeaving) await lease.advance();
-    return lease.activeToken;
-  }
-
   private async askForSequence(engine: Engine, model: string): Promise<number | undefined> {
     const state = await this.parts.engines.weightState(engine.record, model);
     return state?.orderSequence;
--- a/src/state/routing/order-book.ts
+++ b/src/state/routing/order-book.ts
@@ -5,7 +5,7 @@
 export interface GivenOrder {
   readonly model: string;
   readonly version: number;
-  givenMs: number;
+  readonly givenMs: number;
   /** When the engine was seen to have the weights; undefined before. */
   doneMs: number | undefined;
   /** When the news of it need not be told any more. */
@@ -43,14 +43,6 @@
     this.orders.set(engineId, { model, version, givenMs: nowMs, ...state });
   }
 
-  /** The engine has ended its runs as far as it was given time to; the load begins now. */
-  noteDrained(engineId: string, nowMs: number): void {
-    const order = this.orders.get(engineId);
-    if (!order) return;
-    order.givenMs = nowMs;
-    order.forgetMs = nowMs + ORDER_PATIENCE_MS;
-  }
-
   /** Whether an engine loads by an order of this router; undefined where it has none. */
   isLoading(engineId: string): boolean | undefined {
     const order = this.orders.get(engineId);
