--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -4,7 +4,6 @@
 import type { RandomSource } from '../../runtime/random.js';
 import type { InferencePort } from '../../protocol/inference/port.js';
 import type { ConfigurationState } from '../../state/routing/configuration-state.js';
-import type { EngineDivision } from '../../state/routing/engine-division.js';
 import type { EngineHealth } from '../../state/routing/engine-health.js';
 import type { EngineRegistry } from '../../state/routing/engine-registry.js';
 import type { HomeRanking } from '../../state/routing/home-ranking.js';
@@ -56,7 +55,6 @@
   readonly loads: LoadTable;
   readonly health: EngineHealth;
   readonly kept: KeptPrefixes;
-  readonly division: EngineDivision;
   readonly versions: WeightVersions;
   /** Requests this router has sent to engines. */
   readonly requestRate: SendRate;
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -11,7 +11,6 @@
 import type { ObjectStorePort, StoredObject } from '../../protocol/object-store/port.js';
 import { ConfigurationState } from '../../state/routing/configuration-state.js';
 import type { IngressLimits } from '../../state/routing/configuration.js';
-import { EngineDivision } from '../../state/routing/engine-division.js';
 import { EngineHealth } from '../../state/routing/engine-health.js';
 import { EngineRegistry } from '../../state/routing/engine-registry.js';
 import { HomeRanking } from '../../state/routing/home-ranking.js';
@@ -141,7 +140,6 @@
       loads: this.loads,
       health: this.health,
       kept: this.kept,
-      division: new EngineDivision(),
       versions: this.versions,
       requestRate: this.requestRate,
       promptTokenRate: this.promptTokenRate,
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -240,18 +240,12 @@
     if (this.mayHaveRun) this.quota.chargeAgain();
     const resumeAfter = this.answer.lastEventId ?? this.request.resumeAfter;
     const options = sendOptionsOf(placement, grant, this.remainingMs, resumeAfter);
-    this.noteReading(placement);
     logSend(this.request.id, this.sends, placement, this.context);
     this.state = CallState.Sent;
     this.startPatience(grant);
     this.send = new Send(placement, this.request, options, this, this.context);
   }
 
-  private noteReading({ unreadTokens }: Placement): void {
-    const { generation } = this.request;
-    if (generation) this.context.division.note(generation, unreadTokens, this.now);
-  }
-
   private noteFirstSend(service: Service): void {
     this.context.retryBudgets.of(service.name).noteRequest(this.now);
     const { generation } = this.request;
--- a/src/state/routing/home-ranking.ts
+++ b/src/state/routing/home-ranking.ts
@@ -7,8 +7,6 @@
 
 /** Hashes kept; far more than holders at any time. */
 const MAXIMUM_HASHES = 8_192;
-/** Hashes have 32 bits. */
-const HASHES = 2 ** 32;
 
 /** Ranks holders for subjects. */
 export class HomeRanking {
@@ -35,11 +33,6 @@
     return best.map((each) => each.holder);
   }
 
-  /** A holder's fixed place in an order that all routers agree on, from 0 to 1. */
-  placeOf(id: string): number {
-    return mix(this.hashOf(id)) / HASHES;
-  }
-
   private hashOf(id: string): number {
     let hash = this.hashes.get(id);
     if (hash === undefined) {
--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -1,7 +1,6 @@
 /** The decision: which engine answers a request, and where it takes kept prompts from. Pure. */
 import { type RandomSource, randomInteger } from '../../runtime/random.js';
 import type { CacheStore, EngineProfile } from './configuration.js';
-import { type EngineDivision, isLongPrompt } from './engine-division.js';
 import type { EngineHealth } from './engine-health.js';
 import { type Engine, versionAt } from './engine-registry.js';
 import { type GenerationShape, subjectOf } from './generation.js';
@@ -58,7 +57,6 @@
   readonly versions: WeightVersions;
   readonly random: RandomSource;
   readonly homes: HomeRanking;
-  readonly division: EngineDivision;
 }
 
 /** The first token of a request that waits behind another comes this much later. */
@@ -73,12 +71,6 @@
  */
 const AWAY_FROM_HOME_READINGS = 2;
 const OTHER_ZONE_MS = 8;
-/**
- * Preference for the engines that are for long prompts, or for short ones. With 79 simulated routers before
- * 63 engines at a third over their usual load, short streams in time rose from 0.92 to 0.98, long ones
- * stayed at 0.95; 60 ms gave 0.95.
- */
-const OTHER_SIDE_MS = 200;
 /** Memory beyond this share of an engine makes requests give way. */
 const FULL_MEMORY_SHARE = 0.92;
 const FULL_MEMORY_MS = 2_000;
@@ -121,17 +113,11 @@
       isAllowed(engine, request, tables, nowMs) &&
       !tables.health.isAvoided(engine.record.id, nowMs),
   );
-  const places = sound.map((each) => tables.homes.placeOf(each.record.id));
-  const longUpTo = tables.division.longUpTo(places);
-  const isLong = isLongPrompt(generation);
-  const isOwnSide = (each: Engine): boolean =>
-    longUpTo === undefined || tables.homes.placeOf(each.record.id) <= longUpTo === isLong;
-  const ownSide = sound.filter(isOwnSide);
-  const homes = tables.homes.first(subject, ownSide, (each) => each.record.id, HOMES_WEIGHED);
+  const homes = tables.homes.first(subject, sound, (each) => each.record.id, HOMES_WEIGHED);
   const [store] = tables.homes.first(subject, stores, (each) => each.address, 1);
   const kept = new KeptBySalt({ ...request, generation }, tables.kept);
   const { storePressure } = request;
-  return { generation, kept, homes, store, storePressure, isOwnSide };
+  return { generation, kept, homes, store, storePressure };
 }
 
 /**
@@ -238,7 +224,6 @@
     expectedMs +
     (fetchedTokens / 1_000) * COPY_MS_PER_KILOTOKEN +
     (nobodyKeeps ? awayFromHomeMs(engine, prompt) : 0) +
-    (prompt.isOwnSide(engine) ? 0 : OTHER_SIDE_MS) +
     (engine.record.zone === request.zone ? 0 : OTHER_ZONE_MS) +
     suspicionMs(engine, tables);
   return {
--- a/src/state/routing/prompt-source-choice.ts
+++ b/src/state/routing/prompt-source-choice.ts
@@ -20,8 +20,6 @@
   /** The store that all routers agree on for the subject. */
   readonly store: CacheStore | undefined;
   readonly storePressure: StorePressure;
-  /** Whether the engine is one of those that prompts of this length go to first. */
-  isOwnSide(engine: Engine): boolean;
 }
 
 /**
--- a/test/gateway/placement.test.ts
+++ b/test/gateway/placement.test.ts
@@ -3,7 +3,6 @@
 import test from 'ava';
 import { createHasher } from '../../src/runtime/hasher.js';
 import { SeededRandom } from '../../src/runtime/random.js';
-import { EngineDivision } from '../../src/state/routing/engine-division.js';
 import { EngineHealth } from '../../src/state/routing/engine-health.js';
 import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
 import { HomeRanking } from '../../src/state/routing/home-ranking.js';
@@ -47,7 +46,6 @@
     versions: new WeightVersions(7_000, new StoreOutages()),
     random: new SeededRandom(seed),
     homes: new HomeRanking(hasher),
-    division: new EngineDivision(),
   };
 }
 
--- a/test/helpers/placement-world.ts
+++ b/test/helpers/placement-world.ts
@@ -5,7 +5,6 @@
 import { createHasher } from '../../src/runtime/hasher.js';
 import { SeededRandom } from '../../src/runtime/random.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
-import { EngineDivision } from '../../src/state/routing/engine-division.js';
 import { EngineHealth } from '../../src/state/routing/engine-health.js';
 import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
 import type { GenerationShape } from '../../src/state/routing/generation.js';
@@ -38,6 +37,10 @@
   readonly engines: number;
   readonly zones: number;
   readonly kinds: readonly GenerationKind[];
+  /** How often a router reports its work, in milliseconds. */
+  readonly reportPeriodMs: number;
+  /** Routers chosen at random that get each report; undefined: all. */
+  readonly reportFanout?: number;
   readonly seed: number;
 }
 
@@ -60,8 +63,6 @@
 const SERVICE = 'generation';
 const SLOTS = 16;
 const CACHE_TOKENS = 86_721;
-/** How often each router hears of the work of all others. */
-const REPORT_PERIOD_MS = 100;
 const WAY_MS = 2;
 const SLOWNESS = [1, 1, 1.3];
 
@@ -136,7 +137,6 @@
       versions: new WeightVersions(7_000, new StoreOutages()),
       random: new SeededRandom(this.scenario.seed * 1_000 + index),
       homes,
-      division: new EngineDivision(),
     };
     this.routers.push({ zone: `zone-${index % this.scenario.zones}`, tables, sequence: 0 });
   }
@@ -152,19 +152,20 @@
 
   private scheduleReport(router: SimulatedRouter, untilMs: number): void {
     if (this.clock.now() > untilMs) return;
-    this.clock.setTimer(REPORT_PERIOD_MS * (0.9 + 0.2 * this.random.next()), () => {
+    const periodMs = this.scenario.reportPeriodMs * (0.9 + 0.2 * this.random.next());
+    this.clock.setTimer(periodMs, () => {
       this.report(router);
       this.scheduleReport(router, untilMs);
     });
   }
 
-  /** What a router has under way reaches all others. */
+  /** What a router has under way reaches the others, or a few of them. */
   private report(router: SimulatedRouter): void {
     router.sequence += 1;
     const { sequence } = router;
     const name = `router-${this.routers.indexOf(router)}`;
     const loads = new Map(router.tables.loads.ownLoads);
-    for (const other of this.routers) {
+    for (const other of this.audience()) {
       if (other === router) continue;
       this.clock.setTimer(WAY_MS, () =>
         other.tables.loads.receive(name, sequence, loads, this.clock.now()),
@@ -172,6 +173,15 @@
     }
   }
 
+  private audience(): readonly SimulatedRouter[] {
+    const { reportFanout } = this.scenario;
+    if (reportFanout === undefined) return this.routers;
+    return Array.from(
+      { length: reportFanout },
+      () => this.routers[Math.floor(this.random.next() * this.routers.length)] as SimulatedRouter,
+    );
+  }
+
   private sendOne(kind: GenerationKind): void {
     const figures = this.figures.get(kind.name) as KindFigures;
     figures.asked += 1;
@@ -203,7 +213,6 @@
       figures.refused += 1;
       return;
     }
-    router.tables.division.note(generation, placement.unreadTokens, this.clock.now());
     const { id } = placement.engine.record;
     const load = new LoadShare(router.tables.loads, id, generation, placement.unreadTokens);
     const engine = this.engines[Number(id.slice('engine-'.length))] as BatchingEngine;
