--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -58,8 +58,8 @@
   readonly versions: WeightVersions;
   /** Requests this router has sent to engines. */
   readonly requestRate: SendRate;
-  /** Tokens of their prompts. */
-  readonly promptTokenRate: SendRate;
+  /** Tokens of the parts of their prompts that no other request shares. */
+  readonly ownTokenRate: SendRate;
   /** Share of the group's requests that come to this router, above 0 to 1. */
   shareOfTraffic(): number;
   readonly split: TrafficSplit;
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -73,7 +73,7 @@
   private readonly outages = new StoreOutages();
   private readonly versions: WeightVersions;
   private readonly requestRate = new SendRate();
-  private readonly promptTokenRate = new SendRate();
+  private readonly ownTokenRate = new SendRate();
   private readonly split = new TrafficSplit();
   private readonly followers: StoreFollowers;
   private readonly calls = new Set<RequestCall>();
@@ -142,7 +142,7 @@
       kept: this.kept,
       versions: this.versions,
       requestRate: this.requestRate,
-      promptTokenRate: this.promptTokenRate,
+      ownTokenRate: this.ownTokenRate,
       shareOfTraffic: () => this.shareOfTraffic(),
       split: this.split,
       retryBudgets: new ServiceRetryBudgets(settings.retryBudget),
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -9,6 +9,7 @@
 import type { Timer } from '../../runtime/clock.js';
 import type { AnswerHead, ExchangeFailure } from '../../protocol/inference/port.js';
 import type { Service } from '../../state/routing/configuration.js';
+import { sharedTokensOf } from '../../state/routing/prompt-sources.js';
 import type { Placement } from '../../state/routing/placement.js';
 import { RejectionReason } from '../../state/routing/rejection.js';
 import { logFinish, logQuotaDenial, logSend, logSendFailure } from './call-log.js';
@@ -251,7 +252,8 @@
     const { generation } = this.request;
     if (!generation) return;
     this.context.requestRate.note(generation.model, 1, this.now);
-    this.context.promptTokenRate.note(generation.model, generation.promptTokens, this.now);
+    const ownTokens = generation.promptTokens - sharedTokensOf(generation);
+    this.context.ownTokenRate.note(generation.model, ownTokens, this.now);
   }
 
   private answerMode(head: AnswerHead): AnswerMode {
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -57,7 +57,7 @@
   context: GatewayContext,
 ): StorePressure {
   if (!generation) return StorePressure.Low;
-  const ownRate = context.promptTokenRate.perSecond(generation.model, context.clock.now());
+  const ownRate = context.ownTokenRate.perSecond(generation.model, context.clock.now());
   return storePressure(ownRate / context.shareOfTraffic(), stores);
 }
 
--- a/src/state/routing/save-choice.ts
+++ b/src/state/routing/save-choice.ts
@@ -15,6 +15,8 @@
 const SHORTEST_KEEPING_S = 10;
 /** Share of a prompt that others may use, from which it is saved to such a store. */
 const MOSTLY_SHARED = 0.8;
+/** From which it is saved to one that keeps prompts long enough: less would mostly push out what is shared. */
+const HALF_SHARED = 0.5;
 
 /** How the stores stand to what is sent to them. */
 export enum StorePressure {
@@ -24,18 +26,22 @@
   High = 'high',
 }
 
-/** @param promptTokensPerSecond tokens of the prompts that the whole group sends to engines */
+/**
+ * What is saved again and again is kept once, so a store fills with the parts that no other request shares.
+ *
+ * @param ownTokensPerSecond tokens of such parts in the prompts that the whole group sends to engines
+ */
 export function storePressure(
-  promptTokensPerSecond: number,
+  ownTokensPerSecond: number,
   stores: readonly CacheStore[],
 ): StorePressure {
   const capacityTokens = stores.reduce((sum, store) => sum + store.capacityTokens, 0);
-  const isShort = promptTokensPerSecond * SHORTEST_KEEPING_S > capacityTokens;
+  const isShort = ownTokensPerSecond * SHORTEST_KEEPING_S > capacityTokens;
   return isShort ? StorePressure.High : StorePressure.Low;
 }
 
 /** Whether a prompt that has shared parts is worth its place in a store that does not report. */
 export function isWorthSaving(generation: GenerationShape, pressure: StorePressure): boolean {
-  if (pressure === StorePressure.Low) return true;
-  return sharedTokensOf(generation) >= generation.promptTokens * MOSTLY_SHARED;
+  const leastShare = pressure === StorePressure.Low ? HALF_SHARED : MOSTLY_SHARED;
+  return sharedTokensOf(generation) >= generation.promptTokens * leastShare;
 }
