Write log lines of 40 ms together

Cause: a write for each line took 18% of a router's main thread under requests. Change: lines are gathered for 40 ms; what waits is written at the exit of the process. A process that is killed loses the lines of its last 40 ms.

--- a/src/telemetry/bounded-line-writer.ts
+++ b/src/telemetry/bounded-line-writer.ts
@@ -1,5 +1,5 @@
 /** Writes log lines to a file descriptor without ever blocking; drops lines when too many wait. */
-import { write } from 'node:fs';
+import { write, writeSync } from 'node:fs';
 
 /** Writes bytes to a descriptor and calls back; `fs.write`, or a stand-in in tests. */
 export type WriteBytes = (
@@ -15,17 +15,32 @@
   write(descriptor, bytes, onDone);
 };
 
+/** Calls back after the time in which lines are gathered; a stand-in in tests. */
+export type ScheduleWrite = (onDue: () => void) => void;
+
+/**
+ * Lines of this time go out in one write. A write for each line took 18% of a router's processor time
+ * under requests (profile of two routers under 460 requests a second).
+ */
+const GATHERING_MS = 40;
+
+const afterGathering: ScheduleWrite = (onDue) => {
+  setTimeout(onDue, GATHERING_MS).unref();
+};
+
 /** One write is under way at a time; what comes meanwhile goes out together with the next. */
 export class BoundedLineWriter {
   private waiting: Buffer[] = [];
   private waitingBytes = 0;
   private dropped = 0;
   private isWriting = false;
+  private isScheduled = false;
 
   constructor(
     private readonly descriptor: number,
     private readonly writeBytes: WriteBytes = writeToDescriptor,
     private readonly maximumBytes = MAXIMUM_WAITING_BYTES,
+    private readonly schedule: ScheduleWrite = afterGathering,
   ) {}
 
   /** Lines dropped and not yet told of. */
@@ -41,7 +56,28 @@
     }
     this.waiting.push(bytes);
     this.waitingBytes += bytes.length;
-    if (!this.isWriting) this.writeNext();
+    this.scheduleWrite();
+  }
+
+  /** Writes what waits before the process ends; what a slow reader does not take is lost. */
+  flushAtExit(): void {
+    if (this.waiting.length === 0) return;
+    const bytes = Buffer.concat(this.waiting);
+    this.waiting = [];
+    try {
+      writeSync(this.descriptor, bytes);
+    } catch {
+      // The reader is gone or full, and there is no other place to tell it.
+    }
+  }
+
+  private scheduleWrite(): void {
+    if (this.isWriting || this.isScheduled) return;
+    this.isScheduled = true;
+    this.schedule(() => {
+      this.isScheduled = false;
+      this.writeNext();
+    });
   }
 
   private writeNext(): void {
