--- a/src/lab/gateway-world/gateway-world.ts
+++ b/src/lab/gateway-world/gateway-world.ts
@@ -1,5 +1,6 @@
 /** A whole deployment in one process on a virtual clock: routers, store, engines, callers. */
 import { GatewayNode } from '../../coordination/gateway/gateway-node.js';
+import type { TenantLimit } from '../../state/routing/quota/tenant-limit.js';
 import type { GatewaySettings } from '../../coordination/gateway/gateway-settings.js';
 import type { ObjectDecoder } from '../../coordination/gateway/object-decoder.js';
 import { type Hasher, createHasher } from '../../runtime/hasher.js';
@@ -75,6 +76,8 @@
 export interface WorldMutation {
   readonly settings?: Partial<GatewaySettings>;
   readonly decoder?: (decoder: ObjectDecoder) => ObjectDecoder;
+  /** What each tenant may use; undefined: no limit. */
+  readonly tenantLimit?: TenantLimit;
   /** False: routers take the steady clock for one that counts suspensions. */
   readonly countsSuspensions?: boolean;
 }
@@ -357,7 +360,8 @@
 
   private putConfiguration(): void {
     this.configurationVersion += 1;
-    const tenants = [...this.keys].map(([name, keys]) => ({ name, keys: [...keys] }));
+    const limit = this.mutation.tenantLimit;
+    const tenants = [...this.keys].map(([name, keys]) => ({ name, keys: [...keys], limit }));
     this.store.put(
       KINDS.configuration,
       'main',
--- a/src/lab/gateway-world/world-fixtures.ts
+++ b/src/lab/gateway-world/world-fixtures.ts
@@ -3,6 +3,7 @@
 import type { ObjectDecoder, ObjectKinds } from '../../coordination/gateway/object-decoder.js';
 import type { InboundRequest } from '../../coordination/gateway/reply.js';
 import type { RoutingConfiguration } from '../../state/routing/configuration.js';
+import type { TenantLimit } from '../../state/routing/quota/tenant-limit.js';
 import type { EngineRecord } from '../../state/routing/engine-registry.js';
 
 /** Kinds of request the callers of the simulation send. */
@@ -95,7 +96,7 @@
 /** A configuration with all kinds of route. */
 export function worldConfiguration(
   version: number,
-  tenants: readonly { name: string; keys: string[] }[],
+  tenants: readonly { name: string; keys: string[]; limit?: TenantLimit | undefined }[],
 ): RoutingConfiguration {
   const route = (kind: RequestKind, service: string) => ({
     name: kind,
@@ -134,9 +135,10 @@
         },
       },
     ],
-    tenants: tenants.map(({ name, keys }) => ({
+    tenants: tenants.map(({ name, keys, limit }) => ({
       name,
       keys,
+      limit,
       priority: undefined,
       isIsolated: name === ISOLATED_TENANT,
     })),
@@ -153,6 +155,8 @@
   return kind.startsWith('stream') ? `stream/${kind}` : `plain/${kind}`;
 }
 
+/** What a stream declares: 900 tokens of its prompt and 10 at most to come. */
+export const STREAM_TOKENS = 910;
 /** Bodies that begin so crash each engine that runs them. */
 export const CRASHING_BODY = 'crashes-engines';
 
@@ -183,6 +187,7 @@
     generation: kind.startsWith('stream')
       ? { model: WORLD_MODEL, parts, promptTokens: 900, maximumOutputTokens: 10 }
       : undefined,
+    declaredTokens: kind.startsWith('stream') ? STREAM_TOKENS : undefined,
     resumeAfter: undefined,
     arrivedMs,
   };
--- a/src/state/routing/quota/tenant-account.ts
+++ b/src/state/routing/quota/tenant-account.ts
@@ -65,7 +65,7 @@
 /** One tenant's account. */
 export class TenantAccount {
   private readonly bucket: TokenBucket;
-  private usedMs: number;
+  private usedMs = -Infinity;
   private isWatched = false;
   private lastReturnMs = 0;
 
@@ -74,9 +74,9 @@
     private surroundings: AccountSurroundings,
     nowMs: number,
   ) {
-    const { rate, size, beginning } = this.bounds();
-    this.bucket = new TokenBucket(rate, size, beginning, nowMs);
-    this.usedMs = nowMs;
+    const { rate, size } = this.bounds();
+    // The first charge lowers it to what an account may begin with.
+    this.bucket = new TokenBucket(rate, size, size, nowMs);
   }
 
   /** Units that may be used now. */
--- /dev/null
+++ b/test/gateway/quota-account.test.ts
@@ -0,0 +1,133 @@
+/** The account of a tenant: what it grants over any window, whatever comes and however often it begins anew. */
+import { fc, testProp } from '@fast-check/ava';
+import test from 'ava';
+import { IsolatedShare } from '../../src/state/routing/quota/isolated-share.js';
+import { TenantAccount } from '../../src/state/routing/quota/tenant-account.js';
+import {
+  type QuotaTolerance,
+  QuotaUnit,
+  type TenantLimit,
+  chargeOf,
+  excessAllowed,
+} from '../../src/state/routing/quota/tenant-limit.js';
+import { GatewayWorld } from '../../src/lab/gateway-world/gateway-world.js';
+import { STREAM_TOKENS } from '../../src/lab/gateway-world/world-fixtures.js';
+
+const TOLERANCE: QuotaTolerance = { windowMs: 8_000, overageShare: 0.1, slack: 110_000 };
+const LIMIT: TenantLimit = {
+  unit: QuotaUnit.Tokens,
+  ratePerSecond: 29_000,
+  burst: 29_000,
+  undeclaredTokens: 200,
+};
+const SURROUNDINGS = { tolerance: TOLERANCE, reachableShare: 1 };
+const ALLOWED =
+  (LIMIT.ratePerSecond * TOLERANCE.windowMs) / 1_000 +
+  LIMIT.burst +
+  excessAllowed(LIMIT, TOLERANCE);
+
+/** A request some time after the one before; rarely the account begins anew before it. */
+const STEP = fc.record({
+  gapMs: fc.integer({ min: 0, max: 400 }),
+  amount: fc.integer({ min: 1, max: 40_000 }),
+  beginsAnew: fc.integer({ min: 0, max: 199 }).map((draw) => draw === 0),
+});
+
+interface Granted {
+  readonly atMs: number;
+  readonly amount: number;
+}
+
+function usedInWindow(granted: readonly Granted[], untilMs: number): number {
+  return granted
+    .filter(({ atMs }) => atMs > untilMs - TOLERANCE.windowMs && atMs <= untilMs)
+    .reduce((sum, { amount }) => sum + amount, 0);
+}
+
+testProp(
+  'no window gets more than is allowed, also where an account begins anew twice in it',
+  [fc.array(STEP, { minLength: 50, maxLength: 300 })],
+  (t, steps) => {
+    let now = 0;
+    let account = new TenantAccount(LIMIT, SURROUNDINGS, now);
+    let begunMs: number[] = [];
+    const granted: Granted[] = [];
+    for (const { gapMs, amount, beginsAnew } of steps) {
+      now += gapMs;
+      begunMs = begunMs.filter((atMs) => atMs > now - TOLERANCE.windowMs);
+      if (beginsAnew && begunMs.length < 2) {
+        account = new TenantAccount(LIMIT, SURROUNDINGS, now);
+        begunMs.push(now);
+      }
+      const { isGranted } = account.charge({ amount, isTaken: false }, now);
+      if (isGranted) granted.push({ atMs: now, amount });
+      t.true(usedInWindow(granted, now) <= ALLOWED);
+    }
+  },
+  { seed: 17, numRuns: 60 },
+);
+
+test('an account asks to be asked before it is empty, and no longer once it has filled', (t) => {
+  const account = new TenantAccount(LIMIT, SURROUNDINGS, 0);
+  let now = 0;
+  while (account.charge({ amount: 5_000, isTaken: false }, now).watchMs === 0) now += 10;
+  t.true(account.level(now) > 0);
+  now += 900;
+  account.charge({ amount: 1, isTaken: false }, now);
+  now += 900;
+  t.is(account.charge({ amount: 1, isTaken: false }, now).watchMs, 0);
+});
+
+test('callers that are turned away are asked back one after the other', (t) => {
+  const account = new TenantAccount(LIMIT, SURROUNDINGS, 0);
+  account.charge({ amount: 60_000, isTaken: true }, 0);
+  const first = account.charge({ amount: 9_000, isTaken: false }, 0);
+  const second = account.charge({ amount: 9_000, isTaken: false }, 0);
+  t.false(first.isGranted || second.isGranted);
+  t.true(second.retryAfterMs > first.retryAfterMs);
+  t.is(account.charge({ amount: 500_000, isTaken: false }, 0).retryAfterMs, Infinity);
+});
+
+test('a lower limit takes what is above it, a higher one gives nothing at once', (t) => {
+  const account = new TenantAccount(LIMIT, SURROUNDINGS, 0);
+  const low = { ...LIMIT, ratePerSecond: 1_000, burst: 1_000 };
+  account.adapt(low, SURROUNDINGS, 0);
+  const level = account.level(0);
+  t.true(level <= low.burst + excessAllowed(low, TOLERANCE));
+  account.adapt(LIMIT, SURROUNDINGS, 0);
+  t.is(account.level(0), level);
+});
+
+test('a router without an account serves a request larger than its share, and pays for it', (t) => {
+  const share = new IsolatedShare(LIMIT, 1 / 79, 0);
+  t.true(share.tryTake(9_000, 0));
+  t.false(share.tryTake(100, 1_000));
+  t.true(share.tryTake(100, 60_000));
+});
+
+test('requests are charged by what they declare, by count where the limit counts requests', (t) => {
+  t.is(chargeOf(LIMIT, 35), 35);
+  t.is(chargeOf(LIMIT, undefined), 200);
+  t.is(chargeOf({ ...LIMIT, unit: QuotaUnit.Requests }, 35), 1);
+});
+
+test('callers beyond the limit get 429 at once, and nothing of them runs', async (t) => {
+  const limit = { ...LIMIT, ratePerSecond: STREAM_TOKENS, burst: 4 * STREAM_TOKENS };
+  const settings = { quotaTolerance: { windowMs: 8_000, overageShare: 0.1, slack: 0 } };
+  const world = await GatewayWorld.create(61, { tenantLimit: limit, settings });
+  const REQUESTS = 60;
+  for (let index = 0; index < REQUESTS; index += 1) {
+    world.request(index % 3, 'stream-once', 'tenant-2', 0);
+    await world.clock.advance(20);
+  }
+  const denied = world.requests.filter(({ reply }) => reply.own?.status === 429);
+  t.true(denied.length > REQUESTS / 2);
+  for (const { id, reply } of denied) {
+    t.true((reply.own?.retryAfterMs ?? 0) > 0);
+    t.false(world.observations.runs.some(({ requestId }) => requestId === id));
+  }
+  await world.settle();
+  const ran = world.observations.runs.length * STREAM_TOKENS;
+  t.true(ran <= 8 * STREAM_TOKENS + 4 * STREAM_TOKENS);
+  t.true(ran >= 2 * STREAM_TOKENS);
+});
--- a/test/platform/ingress.test.ts
+++ b/test/platform/ingress.test.ts
@@ -82,6 +82,44 @@
   caller.socket.destroy();
 });
 
+test('headers that only this system sets are not passed on', async (t) => {
+  const door = await openDoor(t);
+  const caller = connect(door.port);
+  const forged = [
+    'X-Peatspan-Hold',
+    'X-Peatspan-Pin-Ms',
+    'X-Peatspan-Kv-Backup',
+    'X-Peatspan-Kv-Fetch-From',
+    'X-Peatspan-Kv-Save-To',
+    'Kv-From',
+    'X-Peatspan-Request-Urgency',
+    'X-Peatspan-Expect-Version',
+  ];
+  const lines = forged.map((name) => `${name}: 1\r\n`).join('');
+  caller.socket.write(GET.replace('\r\n\r\n', `\r\n${lines}\r\n`));
+  await until(() => door.requests.length === 1);
+  const names = door.requests[0]?.request.headers.map(([name]) => name.toLowerCase()) ?? [];
+  for (const name of forged) t.false(names.includes(name.toLowerCase()), name);
+  caller.socket.destroy();
+});
+
+test('a request declares its tokens, or says nothing of them', async (t) => {
+  const door = await openDoor(t);
+  const caller = connect(door.port);
+  caller.socket.write(GET.replace('\r\n\r\n', '\r\nX-Peatspan-Token-Usage: 30, 5\r\n\r\n'));
+  await until(() => door.requests.length === 1);
+  t.is(door.requests[0]?.request.declaredTokens, 35);
+  const silent = connect(door.port);
+  silent.socket.write(GET);
+  await until(() => door.requests.length === 2);
+  t.is(door.requests[1]?.request.declaredTokens, undefined);
+  const unreadable = connect(door.port);
+  unreadable.socket.write(GET.replace('\r\n\r\n', '\r\nX-Peatspan-Token-Usage: 30,-5\r\n\r\n'));
+  await until(() => unreadable.received().startsWith('HTTP/1.1 400'));
+  t.true(unreadable.received().includes('bad-token-usage'));
+  for (const { socket } of [caller, silent, unreadable]) socket.destroy();
+});
+
 test('bounds of the configuration end a request before it is handed on', async (t) => {
   const door = await openDoor(t);
   const long = connect(door.port);
