--- a/src/coordination/gateway/group-reports.ts
+++ b/src/coordination/gateway/group-reports.ts
@@ -11,7 +11,6 @@
 import {
   type EngineWeights,
   EngineWeightsSchema,
-  EngineWorkSchema,
   type LoadReport,
   LoadReportSchema,
   NamedWeightsSchema,
@@ -20,6 +19,7 @@
 import type { CrashNews } from '../../state/routing/crash-news-board.js';
 import type { LoadTable } from '../../state/routing/load-table.js';
 import { type WeightsNews, WeightsNewsBoard } from '../../state/routing/weights-news.js';
+import { decodeWork, encodeWork } from './work-codec.js';
 import { decodeCrashNews, encodeCrashNews } from './crash-news-codec.js';
 import type { GroupHeartbeats } from './group-heartbeats.js';
 import type { VersionNotice } from './version-news.js';
@@ -125,17 +125,13 @@
 
   /** Takes another router's report. */
   receive(report: LoadReport): void {
-    const loads = new Map(
-      report.engines.map(({ engineId, requests, unreadTokens, heldTokens }) => [
-        engineId,
-        { requests, unreadTokens, heldTokens },
-      ]),
-    );
     const nowMs = this.parts.clock.now();
     this.parts.heartbeats.noteHeard(report.sender);
     this.parts.heartbeats.take(report);
-    if (!report.withoutLoads)
+    if (!report.withoutLoads) {
+      const loads = decodeWork(report.engines);
       this.parts.loads.receive(report.sender, report.sequence, loads, nowMs);
+    }
     this.receiveNews(report.weights, nowMs);
     const leaseRevision = Number(report.heldLeaseRevision);
     if (leaseRevision > 0) this.parts.events.onHeldLease(report.sender, leaseRevision);
@@ -194,10 +190,7 @@
     if (this.isStopped) return;
     this.sequence += 1;
     if (!withoutLoads) this.reportedVersion = this.parts.loads.ownVersion;
-    const loads = withoutLoads ? [] : [...this.parts.loads.ownLoads];
-    const engines = loads.map(([engineId, load]) =>
-      create(EngineWorkSchema, { engineId, ...load }),
-    );
+    const engines = withoutLoads ? [] : encodeWork(this.parts.loads.ownLoads);
     const weights = this.newsToTell().map((news) => create(EngineWeightsSchema, news));
     const report = create(LoadReportSchema, {
       sender: this.parts.group.own.nodeId,
--- a/src/coordination/gateway/load-collection.ts
+++ b/src/coordination/gateway/load-collection.ts
@@ -11,7 +11,6 @@
   encodeWorkSummary,
 } from '../../protocol/peer/cluster-codec.js';
 import {
-  EngineWorkSchema,
   type WorkReport,
   WorkReportSchema,
   type WorkSummary,
@@ -22,18 +21,15 @@
 import { CollectedLoads, SentReports } from '../../state/routing/collected-loads.js';
 import type { EngineRegistry } from '../../state/routing/engine-registry.js';
 import type { EngineLoad, LoadReport, LoadTable } from '../../state/routing/load-table.js';
-import { byCapability } from '../../state/routing/store-readers.js';
+import { CollectorChoice, type CollectorGroup } from './collector-choice.js';
+import { decodeWork, encodeWork } from './work-codec.js';
 
 /** The group, as far as the collection needs it. */
-export interface CollectionGroup {
-  readonly own: MemberUpdate;
-  readonly working: readonly MemberUpdate[];
+export interface CollectionGroup extends CollectorGroup {
   /** Whether this router takes part; before, it only listens. */
   readonly hasJoined: boolean;
   /** Whether it is so large that the routers do not all report to each other. */
   readonly isLarge: boolean;
-  /** Changes with every change of the view. */
-  readonly version: number;
   send(address: string, datagram: Uint8Array): void;
 }
 
@@ -56,35 +52,34 @@
 const MEMBERS_AT_FULL_RATE = 100;
 /** Work that does not change is reported again before the collector forgets it. */
 const REPEAT_MS = 1_000;
-/** A collector that sends no summary for so many periods is passed over, for so long. */
-const SILENT_PERIODS = 5;
-const PASSED_OVER_MS = 3_000;
 /** A router that was reported to so lately collects, whatever it thinks of the order itself. */
 const COLLECTING_MS = 1_000;
 /** A summary is forgotten after so many periods: the next one should have come. */
 const SUMMARY_PERIODS = 6;
 const SUMMARY_SOURCE = 'summary:';
+/** While nothing is under way only each third summary is sent, which shows that the collector lives. */
+const IDLE_SUMMARIES_SKIPPED = 3;
 const NO_LOADS: LoadReport = new Map();
 
 /** The collection of one router. */
 export class LoadCollection {
   private readonly collected = new CollectedLoads();
   private readonly sent = new SentReports();
-  private readonly passedOverUntilMs = new Map<string, number>();
+  private readonly choice: CollectorChoice;
   private timer: Timer | undefined;
-  private order: readonly MemberUpdate[] = [];
-  private orderVersion = -1;
   private engineIds = new Map<number, string>();
   private engineVersion = -1;
-  private collector: string | undefined;
-  /** When the present collector was last heard, or was chosen. */
-  private heardMs = 0;
+  /** The collector that was reported to last. */
+  private reportedTo: string | undefined;
   private sequence = 0;
   private reportedVersion = -1;
   private reportedMs = -Infinity;
   private skippedTicks = 0;
+  private idleSummaries = 0;
 
-  constructor(private readonly parts: CollectionParts) {}
+  constructor(private readonly parts: CollectionParts) {
+    this.choice = new CollectorChoice(parts.group);
+  }
 
   start(): void {
     this.timer = repeat(this.parts.clock, COLLECTION_PERIOD_MS, () => this.tick());
@@ -117,7 +112,8 @@
     if (this.skippedTicks < this.stride) return;
     this.skippedTicks = 0;
     const now = this.parts.clock.now();
-    const collector = this.chooseCollector(now);
+    this.passOverIfSilent(now);
+    const collector = this.choice.choose(now);
     const isOwn = collector?.nodeId === group.own.nodeId;
     // Its own work is in the sums of the router that it reports to.
     if (isOwn) this.sendSummary(this.parts.loads.ownLoads, now);
@@ -125,57 +121,29 @@
     if (collector && !isOwn) this.sendReport(collector, now);
   }
 
-  /** The first in order that is not passed over; this router where all others are. */
-  private chooseCollector(now: number): MemberUpdate | undefined {
-    this.passOverIfSilent(now);
-    const { own } = this.parts.group;
-    const collector = this.ordered().find(
-      ({ nodeId }) =>
-        nodeId === own.nodeId || (this.passedOverUntilMs.get(nodeId) ?? -Infinity) <= now,
-    );
-    if (collector?.nodeId !== this.collector) {
-      this.collector = collector?.nodeId;
-      this.heardMs = now;
-      this.reportedVersion = -1;
-    }
-    return collector;
-  }
-
   private passOverIfSilent(now: number): void {
-    const { collector } = this;
-    if (collector === undefined || collector === this.parts.group.own.nodeId) return;
-    const silentMs = now - this.heardMs;
-    if (silentMs < SILENT_PERIODS * this.periodMs) return;
-    this.passedOverUntilMs.set(collector, now + PASSED_OVER_MS);
+    const silent = this.choice.passOverIfSilent(this.periodMs, now);
+    if (!silent) return;
     this.parts.logger.warn('load_collector_silent', {
-      collector,
-      silent_ms: Math.round(silentMs),
+      collector: silent.nodeId,
+      silent_ms: Math.round(silent.silentMs),
     });
   }
 
-  private ordered(): readonly MemberUpdate[] {
-    const { group } = this.parts;
-    if (this.orderVersion !== group.version) {
-      this.orderVersion = group.version;
-      this.order = [...group.working].sort(byCapability);
-    }
-    return this.order;
-  }
-
   private sendReport(collector: MemberUpdate, now: number): void {
     const { loads, group } = this.parts;
-    const isChanged = loads.ownVersion !== this.reportedVersion;
+    const isNewCollector = collector.nodeId !== this.reportedTo;
+    const isChanged = isNewCollector || loads.ownVersion !== this.reportedVersion;
     const isDue = loads.ownLoads.size > 0 && now - this.reportedMs >= REPEAT_MS;
     if (!isChanged && !isDue) return;
+    this.reportedTo = collector.nodeId;
     this.reportedVersion = loads.ownVersion;
     this.reportedMs = now;
     this.sequence += 1;
     const report = create(WorkReportSchema, {
       sender: group.own.nodeId,
       sequence: this.sequence,
-      engines: [...loads.ownLoads].map(([engineId, load]) =>
-        create(EngineWorkSchema, { engineId, ...load }),
-      ),
+      engines: encodeWork(loads.ownLoads),
     });
     this.sent.note(collector.nodeId, loads.ownLoads, now);
     group.send(collector.gossipAddress, encodeWorkReport(report));
@@ -184,6 +152,8 @@
   private sendSummary(ownLoads: LoadReport, now: number): void {
     const { group } = this.parts;
     const sums = this.collected.sums(ownLoads, now);
+    this.idleSummaries = sums.size === 0 ? this.idleSummaries + 1 : 0;
+    if (this.idleSummaries % IDLE_SUMMARIES_SKIPPED > 1) return;
     this.sequence += 1;
     const entries = [...sums];
     const summary = create(WorkSummarySchema, {
@@ -201,12 +171,7 @@
   }
 
   private takeReport({ sender, sequence, engines }: WorkReport): void {
-    const reported = new Map(
-      engines.map(({ engineId, requests, unreadTokens, heldTokens }) => [
-        engineId,
-        { requests, unreadTokens, heldTokens },
-      ]),
-    );
+    const reported = decodeWork(engines);
     const now = this.parts.clock.now();
     this.collected.take(sender, sequence, reported, now);
     this.parts.loads.receive(sender, sequence, reported, now);
@@ -215,8 +180,7 @@
   private takeSummary(summary: WorkSummary): void {
     const now = this.parts.clock.now();
     const { sender, sequence } = summary;
-    if (sender === this.collector) this.heardMs = now;
-    this.passedOverUntilMs.delete(sender);
+    this.choice.noteHeard(sender, now);
     const others = this.sent.othersOf(sender, this.decode(summary), now);
     const lifetimeMs = SUMMARY_PERIODS * this.periodMs;
     this.parts.loads.receive(SUMMARY_SOURCE + sender, sequence, others, now, lifetimeMs);
--- /dev/null
+++ b/src/coordination/gateway/work-codec.ts
@@ -0,0 +1,17 @@
+/** Work at engines, as messages and as the router's values. */
+import { create } from '@bufbuild/protobuf';
+import { type EngineWork, EngineWorkSchema } from '../../protocol/peer/generated/cluster_pb.js';
+import type { EngineLoad, LoadReport } from '../../state/routing/load-table.js';
+
+export function encodeWork(loads: LoadReport): EngineWork[] {
+  return [...loads].map(([engineId, load]) => create(EngineWorkSchema, { engineId, ...load }));
+}
+
+export function decodeWork(engines: readonly EngineWork[]): Map<string, EngineLoad> {
+  return new Map(
+    engines.map(({ engineId, requests, unreadTokens, heldTokens }) => [
+      engineId,
+      { requests, unreadTokens, heldTokens },
+    ]),
+  );
+}
