--- a/src/state/routing/quota/tenant-account.ts
+++ b/src/state/routing/quota/tenant-account.ts
@@ -115,13 +115,20 @@
 
   private noteUse(amount: number, nowMs: number): void {
     if (nowMs - this.usedMs > IDLE_MS) {
-      // Where little excess is allowed, a tenant that sends seldom must still be served.
-      const one = Math.min(amount, this.limit.burst);
-      this.bucket.lowerTo(Math.max(one, this.bounds().beginning), nowMs);
+      this.bucket.lowerTo(this.beginningFor(amount), nowMs);
     }
     this.usedMs = nowMs;
   }
 
+  /** Level with which the account begins, where its first charge is `amount`. */
+  private beginningFor(amount: number): number {
+    const { tolerance, hasRunForWindow } = this.surroundings;
+    const beginning = BEGINNING_SHARE * excessAllowed(this.limit, tolerance);
+    // Where little excess is allowed, a tenant that sends seldom must still be served.
+    if (beginning < amount) return Math.min(amount, this.limit.burst);
+    return hasRunForWindow ? beginning : 0;
+  }
+
   private updateWatch(nowMs: number): void {
     const share = this.bucket.level(nowMs) / this.bucket.size;
     if (share < WATCH_BELOW_SHARE) this.isWatched = true;
@@ -140,15 +147,14 @@
     return Math.max(SHORTEST_RETURN_MS, atMs - nowMs);
   }
 
-  private bounds(): { readonly rate: number; readonly size: number; readonly beginning: number } {
-    const { tolerance, hasRunForWindow } = this.surroundings;
+  private bounds(): { readonly rate: number; readonly size: number } {
+    const { tolerance } = this.surroundings;
     const { ratePerSecond, burst } = this.limit;
     const excess = excessAllowed(this.limit, tolerance);
     const leastBurst = Math.max(1, (ratePerSecond * LEAST_BURST_MS) / MILLISECONDS_PER_SECOND);
     return {
       rate: this.rate(excess),
       size: Math.max(burst, leastBurst) + BURST_EXCESS_SHARE * excess,
-      beginning: hasRunForWindow ? BEGINNING_SHARE * excess : 0,
     };
   }
 
