Name at most the 100 busiest engines in a summary of work

Found on reading: in a group of 300 routers before 3,000 engines a summary would have been 33 KB, to each router three times a second (264 Mbit/s at the collector).

--- a/src/coordination/gateway/load-collection.ts
+++ b/src/coordination/gateway/load-collection.ts
@@ -18,7 +18,7 @@
 } from '../../protocol/peer/generated/cluster_pb.js';
 import { memberKey } from '../../state/member-key.js';
 import type { MemberUpdate } from '../../state/membership.js';
-import { CollectedLoads, SentReports } from '../../state/routing/collected-loads.js';
+import { CollectedLoads, SentReports, busiest } from '../../state/routing/collected-loads.js';
 import type { EngineRegistry } from '../../state/routing/engine-registry.js';
 import type { EngineLoad, LoadReport, LoadTable } from '../../state/routing/load-table.js';
 import { CollectorChoice, type CollectorGroup } from './collector-choice.js';
@@ -52,6 +52,11 @@
 const MEMBERS_AT_FULL_RATE = 100;
 /** Work that does not change is reported again before the collector forgets it. */
 const REPEAT_MS = 1_000;
+/**
+ * Engines in one summary: 1.1 KB at 11 bytes each, which fits one packet. All 3,000 of a large deployment
+ * would be 33 KB to each of 300 routers three times a second, more than small machines' links carry.
+ */
+const MAXIMUM_ENGINES_TOLD = 100;
 /** A router that was reported to so lately collects, whatever it thinks of the order itself. */
 const COLLECTING_MS = 1_000;
 /** A summary is forgotten after so many periods: the next one should have come. */
@@ -155,7 +160,7 @@
     this.idleSummaries = sums.size === 0 ? this.idleSummaries + 1 : 0;
     if (this.idleSummaries % IDLE_SUMMARIES_SKIPPED > 1) return;
     this.sequence += 1;
-    const entries = [...sums];
+    const entries = busiest(sums, MAXIMUM_ENGINES_TOLD);
     const summary = create(WorkSummarySchema, {
       sender: group.own.nodeId,
       sequence: this.sequence,
--- a/src/state/routing/collected-loads.ts
+++ b/src/state/routing/collected-loads.ts
@@ -51,6 +51,20 @@
   }
 }
 
+/**
+ * The engines that a summary names, the busiest first. The others are taken for idle, which is nearly true of
+ * them where many are named.
+ */
+export function busiest(sums: LoadReport, count: number): [engine: string, load: EngineLoad][] {
+  const entries = [...sums];
+  if (entries.length <= count) return entries;
+  entries.sort(
+    ([, left], [, right]) =>
+      right.unreadTokens - left.unreadTokens || right.requests - left.requests,
+  );
+  return entries.slice(0, count);
+}
+
 /** A report that this router has sent to a collector. */
 interface SentReport {
   readonly collector: string;
--- a/test/gateway/load-collection.test.ts
+++ b/test/gateway/load-collection.test.ts
@@ -1,5 +1,6 @@
 /** Routers of a large group know the work of all others soon, also when the router that collects it dies. */
 import test from 'ava';
+import { busiest } from '../../src/state/routing/collected-loads.js';
 import { LoadCollection } from '../../src/coordination/gateway/load-collection.js';
 import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
 import { LoadTable } from '../../src/state/routing/load-table.js';
@@ -74,3 +75,17 @@
   const known = requestsKnownTo(routers).filter((_, index) => index !== collector);
   t.deepEqual(known, Array<number>(ROUTERS - 1).fill(ROUTERS - 1));
 });
+
+test('a summary names the busiest engines, all where they are few', (t) => {
+  const loadOf = (unreadTokens: number): typeof WORK => ({ ...WORK, unreadTokens });
+  const sums = new Map([
+    ['a', loadOf(10)],
+    ['b', loadOf(30)],
+    ['c', loadOf(20)],
+  ]);
+  t.deepEqual(
+    busiest(sums, 2).map(([engine]) => engine),
+    ['b', 'c'],
+  );
+  t.is(busiest(sums, 3).length, 3);
+});
