--- a/src/telemetry/bounded-line-writer.ts
+++ b/src/telemetry/bounded-line-writer.ts
@@ -19,7 +19,7 @@
 export type ScheduleWrite = (onDue: () => void) => void;
 
 /**
- * Lines of this time go out in one write. A write for each line took 18% of a router's processor time
+ * Lines of this time go out in one write. A write for each line took 18% of a router's main thread
  * under requests (profile of two routers under 460 requests a second).
  */
 const GATHERING_MS = 40;
