Incident: requests begin on weights that are out of their time; test that fails

Cause: the weights of an engine are checked when a request is sent; the bound is on when it begins to run.

No change of the product's logic.

--- a/src/lab/gateway-world/gateway-oracle.ts
+++ b/src/lab/gateway-world/gateway-oracle.ts
@@ -18,6 +18,7 @@
   | 'answered-in-time'
   | 'one-run-at-a-time'
   | 'weights-in-force'
+  | 'weights-on-time'
   | 'crashes-bounded';
 
 /** A broken rule. */
@@ -50,6 +51,7 @@
     ...judgeDrains(world),
     ...judgeOrders(world),
     ...judgeWeights(world),
+    ...judgeBeginnings(world),
     ...judgeCrashes(world),
   ];
 }
@@ -81,6 +83,21 @@
   }));
 }
 
+/** No request begins on older weights a while after newer ones were named, counted over calm time. */
+function judgeBeginnings(world: GatewayWorld): RuleBreach[] {
+  const namings = world.acknowledgements.filter(({ kind }) => kind === 'weights-named');
+  return world.observations.runs.flatMap((run) => {
+    if (run.salt === undefined || world.isDisturbed(run.router, run.startedMs)) return [];
+    const newer = namings.find(({ subject }) => Number(subject) > run.weightsVersion);
+    const calmSinceMs = world.calmSinceMs(run.startedMs);
+    if (!newer || calmSinceMs === undefined) return [];
+    const lateMs = run.startedMs - Math.max(newer.atMs, calmSinceMs) - WORLD_BOUNDS.versionMs;
+    if (lateMs <= 0) return [];
+    const detail = `${run.requestId} began on ${run.weightsVersion} at ${run.engineId}, ${lateMs} ms late`;
+    return [{ rule: 'weights-on-time' as const, detail }];
+  });
+}
+
 function groupRuns(runs: readonly ObservedRun[]): Map<string, ObservedRun[]> {
   const byId = new Map<string, ObservedRun[]>();
   for (const run of runs) {
--- a/src/lab/gateway-world/gateway-world.ts
+++ b/src/lab/gateway-world/gateway-world.ts
@@ -47,8 +47,8 @@
 
 /** Something the store acknowledged, for the rules with a time bound. */
 export interface Acknowledgement {
-  readonly kind: 'key-removed' | 'key-added' | 'engine-draining';
-  /** Key or engine. */
+  readonly kind: 'key-removed' | 'key-added' | 'engine-draining' | 'weights-named';
+  /** Key, engine or version. */
   readonly subject: string;
   readonly atMs: number;
 }
@@ -218,6 +218,7 @@
     const present = this.store.get(KINDS.weightVersions, WORLD_MODEL)?.spec as { version: number };
     const version = present.version + 1;
     this.store.put(KINDS.weightVersions, WORLD_MODEL, { model: WORLD_MODEL, version });
+    this.acknowledgements.push({ kind: 'weights-named', subject: `${version}`, atMs: this.now });
   }
 
   /** Kills a router's process and starts it again after a while. */
@@ -323,6 +324,13 @@
     );
   }
 
+  /** Since when no router has been disturbed, at a moment; undefined where one is. */
+  calmSinceMs(atMs: number): number | undefined {
+    const begun = this.disturbances.filter(({ fromMs }) => fromMs <= atMs);
+    const lastMs = Math.max(0, ...begun.map(({ untilMs }) => untilMs));
+    return lastMs <= atMs ? lastMs : undefined;
+  }
+
   private disturb(router: string, forMs: number): void {
     this.disturbances.push({ router, fromMs: this.now, untilMs: this.now + forMs });
   }
--- a/src/lab/gateway-world/simulated-engine.ts
+++ b/src/lab/gateway-world/simulated-engine.ts
@@ -60,6 +60,10 @@
   sequence = 0;
   highestToken = 0;
   isLoading = false;
+  /** Whether it takes orders; otherwise they stay without an answer and without effect. */
+  takesOrders = true;
+  /** A request begins to run this long after it arrived, in milliseconds: others are read before it. */
+  queueMs = 0;
   readonly running = new Set<RunningRequest>();
   /** Called when it has crashed. */
   onCrashed: () => void = () => undefined;
--- a/src/lab/gateway-world/simulated-exchange.ts
+++ b/src/lab/gateway-world/simulated-exchange.ts
@@ -38,6 +38,13 @@
     private readonly host: HostClock,
   ) {}
 
+  /** The engine lets the request wait; it does not begin where it is given up meanwhile. */
+  waitInQueue(waitMs: number, begin: () => void): void {
+    this.clock.setTimer(waitMs, () => {
+      if (!this.isOver) begin();
+    });
+  }
+
   /** The engine has taken the request, which crashes it when it begins to run. */
   crash(engine: SimulatedEngine, run: ObservedRun, crash: ObservedCrash): void {
     this.take(engine, run);
--- a/src/lab/gateway-world/simulated-inference.ts
+++ b/src/lab/gateway-world/simulated-inference.ts
@@ -117,7 +117,27 @@
       exchange.refuse(421);
       return;
     }
-    if (engine.mode === EngineMode.Busy || (engine.isLoading && engine.model !== undefined)) {
+    if (engine.mode === EngineMode.Busy || isLoadingModel(engine)) {
+      exchange.refuse(503);
+      return;
+    }
+    const begin = (): void => this.begin(engine, exchange, options, request);
+    if (engine.queueMs === 0) begin();
+    else exchange.waitInQueue(engine.queueMs, begin);
+  }
+
+  /** The request begins to run, on the weights that the engine has by now. */
+  private begin(
+    engine: SimulatedEngine,
+    exchange: SimulatedExchange,
+    options: SendOptions,
+    request: ForwardedRequest,
+  ): void {
+    if (!engine.isRunning) {
+      exchange.fail('unknown');
+      return;
+    }
+    if (isLoadingModel(engine)) {
       exchange.refuse(503);
       return;
     }
@@ -150,7 +170,7 @@
 
   private takeOrder(endpoint: EngineEndpoint, order: WeightOrder): OrderResult {
     const engine = this.engineOf(endpoint);
-    if (!engine) return { kind: 'unknown', reason: 'silent' };
+    if (!engine?.takesOrders) return { kind: 'unknown', reason: 'silent' };
     if (order.fencingToken < engine.highestToken) return { kind: 'rejected', status: 412 };
     engine.highestToken = order.fencingToken;
     if (engine.isLoading || order.expectedSequence !== engine.sequence) {
@@ -187,3 +207,7 @@
     });
   }
 }
+
+function isLoadingModel(engine: SimulatedEngine): boolean {
+  return engine.isLoading && engine.model !== undefined;
+}
--- a/src/lab/gateway-world/world-fixtures.ts
+++ b/src/lab/gateway-world/world-fixtures.ts
@@ -10,7 +10,13 @@
 export type RequestKind = 'plain-unsafe' | 'plain-safe' | 'stream-resumable' | 'stream-once';
 
 /** Bounds of the simulated deployment, in milliseconds. */
-export const WORLD_BOUNDS = { revokeMs: 5_000, drainMs: 2_000, leaseMs: 3_000 } as const;
+export const WORLD_BOUNDS = {
+  revokeMs: 5_000,
+  drainMs: 2_000,
+  leaseMs: 3_000,
+  /** From the naming of weights until no request may begin on older ones. */
+  versionMs: 7_700,
+} as const;
 
 export const WORLD_MODEL = 'model-a';
 export const ISOLATED_TENANT = 'tenant-1';
