--- a/src/coordination/gateway/cache-feeds.ts
+++ b/src/coordination/gateway/cache-feeds.ts
@@ -9,6 +9,7 @@
   CacheContents,
   CacheEventPage,
   InferencePort,
+  StatedLife,
 } from '../../protocol/inference/port.js';
 import type { KeptPrefixes } from '../../state/routing/kept-prefixes.js';
 
@@ -27,6 +28,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly logger: Logger;
+  /** Whether an answer that states this start is of the holder, and not of another life of it. */
+  isOfHolder(holder: string, bornMs: number | undefined): boolean;
 }
 
 /** A call is held this long; shorter ones would be paid as probes. */
@@ -102,24 +105,35 @@
 
   /** One call; answers the pause before the next. */
   private async step(): Promise<number> {
-    const { engines, random } = this.parts;
+    const { engines } = this.parts;
     try {
       if (this.needsContents) {
         const contents = await engines.cacheContents(this.source.address);
+        if (!this.isOfHolder(contents)) return this.pauseAfterFailure();
         if (!this.isStopped) this.takeContents(contents);
         return 0;
       }
       const page = await engines.cacheEvents(this.source.address, this.since, WAIT_MS);
+      if (!this.isOfHolder(page)) return this.pauseAfterFailure();
       if (!this.isStopped) this.take(page);
       this.failures = 0;
       return PAUSE_MS;
     } catch {
-      this.failures += 1;
-      const pauseMs = FIRST_FAILURE_PAUSE_MS * 2 ** (this.failures - 1);
-      return Math.min(LONGEST_FAILURE_PAUSE_MS, pauseMs) * (0.5 + random.next());
+      return this.pauseAfterFailure();
     }
   }
 
+  private pauseAfterFailure(): number {
+    this.failures += 1;
+    const pauseMs = FIRST_FAILURE_PAUSE_MS * 2 ** (this.failures - 1);
+    return Math.min(LONGEST_FAILURE_PAUSE_MS, pauseMs) * (0.5 + this.parts.random.next());
+  }
+
+  /** A later life is followed from its own beginning, as soon as it is listed. */
+  private isOfHolder({ bornMs }: StatedLife): boolean {
+    return this.parts.isOfHolder(this.source.holder, bornMs);
+  }
+
   private takeContents(contents: CacheContents): void {
     const { kept, clock } = this.parts;
     const { holder } = this.source;
--- a/src/coordination/gateway/engine-crash-detector.ts
+++ b/src/coordination/gateway/engine-crash-detector.ts
@@ -1,13 +1,15 @@
 /**
  * Finds engines that crashed by the requests that broke with them: a router that sees a connection break
  * asks once whether the engine still accepts connections. The entry of a crashed engine lapses seconds
- * later, and its next incarnation has another identifier, so the list of engines alone shows it too late.
+ * later, so the list of engines alone shows it too late. An engine that starts again at once accepts
+ * connections before it is asked; then its new start shows that the former life crashed.
  */
 import type { Clock } from '../../runtime/clock.js';
 import type { Logger } from '../../runtime/logger.js';
 import { type InferencePort, ListenerState } from '../../protocol/inference/port.js';
 import { BreakFinding, EngineCrashes } from '../../state/routing/engine-crashes.js';
-import type { EngineRegistry } from '../../state/routing/engine-registry.js';
+import { lifeOf } from '../../state/routing/engine-incarnation.js';
+import type { EngineRecord, EngineRegistry } from '../../state/routing/engine-registry.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
 
 /** An engine that crashed, and the requests of this router that broke with it. */
@@ -55,25 +57,44 @@
   noteBreak(engineId: string, fingerprint: string, ranMs: number): void {
     if (ranMs < SHORTEST_RUN_MS) return;
     const engine = this.parts.registry.find(engineId);
-    const finding =
-      engine && !engine.record.isDraining
-        ? this.crashes.noteBreak(engineId, fingerprint)
-        : undefined;
+    const mayCrash = engine ? !engine.record.isDraining : this.crashes.isCrashed(engineId);
+    if (!mayCrash) return;
+    const brokenMs = this.parts.clock.wallNow();
+    const broken = { fingerprint, sentMs: brokenMs - ranMs, brokenMs };
+    const finding = this.crashes.noteBreak(engineId, broken);
     if (finding === BreakFinding.Crashed) this.onCrash({ engineId, fingerprints: [fingerprint] });
     if (finding !== BreakFinding.NeedsCheck || !engine) return;
     const { address } = engine.record;
     this.parts.clock.setTimer(CHECK_DELAY_MS, () => void this.check(engineId, address));
   }
 
+  /**
+   * A life of an engine is over, since a later one has begun. Unless it was about to end, or was found
+   * crashed before, it crashed under the requests that it was running.
+   *
+   * @param bornMs start of the later life, Unix milliseconds
+   */
+  noteReborn({ id, address, isDraining }: EngineRecord, bornMs: number): void {
+    if (isDraining) return;
+    const fingerprints = this.crashes.noteReborn(id, bornMs);
+    if (fingerprints) this.noteCrash({ engineId: id, fingerprints }, address);
+  }
+
   private async check(engineId: string, address: string): Promise<void> {
-    const { engines, statistics, logger } = this.parts;
-    const state = await engines.checkListener({ id: engineId, address });
+    const { engines, logger } = this.parts;
+    const { name } = lifeOf(engineId);
+    const state = await engines.checkListener({ id: engineId, name, address });
+    if (this.crashes.isCrashed(engineId)) return;
     if (state !== ListenerState.Refused) {
       this.crashes.noteNotCrashed(engineId);
       logger.info('engine_checked', { engine: engineId, address, state });
       return;
     }
-    const fingerprints = this.crashes.noteCrashed(engineId);
+    this.noteCrash({ engineId, fingerprints: this.crashes.noteCrashed(engineId) }, address);
+  }
+
+  private noteCrash({ engineId, fingerprints }: EngineCrash, address: string): void {
+    const { statistics, logger } = this.parts;
     statistics.engineCrashes += 1;
     logger.warn('engine_crashed', {
       engine: engineId,
@@ -81,6 +102,6 @@
       broken_requests: fingerprints.length,
       fingerprints: fingerprints.slice(0, MAXIMUM_LOGGED).join(','),
     });
-    this.onCrash({ engineId, fingerprints });
+    if (fingerprints.length > 0) this.onCrash({ engineId, fingerprints });
   }
 }
--- a/src/coordination/gateway/engine-list.ts
+++ b/src/coordination/gateway/engine-list.ts
@@ -3,7 +3,9 @@
 import type { Logger } from '../../runtime/logger.js';
 import type { StoredObject } from '../../protocol/object-store/port.js';
 import type { EngineRecord, EngineRegistry } from '../../state/routing/engine-registry.js';
-import { type ObjectDecoder, valueOrLog } from './object-decoder.js';
+import type { EngineLives } from './engine-lives.js';
+import type { ObjectDecoder } from './object-decoder.js';
+import type { OddEntries } from './odd-entries.js';
 
 /** For this long after a failed call, a missing entry may have lapsed with the store. */
 const LAPSE_WINDOW_MS = 3_000;
@@ -12,24 +14,33 @@
 /** Share of the bound on engines that drain that may be waited at most, however short that is. */
 const LAPSE_GRACE_SHARE = 0.75;
 
+/** What the list works with. */
+export interface EngineListParts {
+  readonly registry: EngineRegistry;
+  readonly lives: EngineLives;
+  readonly odd: OddEntries;
+  readonly decoder: ObjectDecoder;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  onChanged(): void;
+  /** Whether the configuration has a service of this name; true while there is no configuration. */
+  isKnownService(service: string): boolean;
+  /** Time after which a draining engine must get no new work, in milliseconds. */
+  readonly drainMs: number;
+}
+
 /** The list of engines as one router follows it. */
 export class EngineList {
   private failedMs = -Infinity;
-  /** Engines whose entries were missing after the store had been down. */
-  private readonly missing = new Set<string>();
+  /** Engines whose entries were missing after the store had been down, and the lives that are meant. */
+  private readonly missing = new Map<string, string>();
+  /** Revision of the newest entry that was taken, by name: an older one that comes late is dropped. */
+  private readonly revisions = new Map<string, number>();
   private hasList = false;
   private readonly lapseGraceMs: number;
 
-  constructor(
-    private readonly registry: EngineRegistry,
-    private readonly decoder: ObjectDecoder,
-    private readonly clock: Clock,
-    private readonly logger: Logger,
-    private readonly onChanged: () => void,
-    /** Time after which a draining engine must get no new work, in milliseconds. */
-    drainMs: number,
-  ) {
-    this.lapseGraceMs = Math.min(LONGEST_LAPSE_GRACE_MS, drainMs * LAPSE_GRACE_SHARE);
+  constructor(private readonly parts: EngineListParts) {
+    this.lapseGraceMs = Math.min(LONGEST_LAPSE_GRACE_MS, parts.drainMs * LAPSE_GRACE_SHARE);
   }
 
   /** Whether the list has been read once. */
@@ -39,31 +50,26 @@
 
   /** A call to the store was not answered. */
   noteFailure(): void {
-    this.failedMs = this.clock.now();
+    this.failedMs = this.parts.clock.now();
   }
 
   /** Takes the whole list. */
   takeAll(objects: readonly StoredObject[]): void {
-    const records = objects.flatMap((object) => this.decode(object) ?? []);
-    for (const record of records) {
-      this.missing.delete(record.id);
-      this.registry.put(record);
-    }
-    const listed = new Set(records.map((record) => record.id));
-    for (const id of this.registry.ids) if (!listed.has(id)) this.takeGone(id);
+    const listed = new Set(objects.map(({ name }) => name));
+    for (const object of objects) this.takeEntry(object);
+    for (const name of this.parts.registry.names) if (!listed.has(name)) this.takeGone(name);
+    for (const name of this.revisions.keys()) if (!listed.has(name)) this.revisions.delete(name);
     this.hasList = true;
     this.noteChange('list');
   }
 
   /** Takes a new or changed entry. */
   take(object: StoredObject): void {
-    const record = this.decode(object);
+    const before = this.parts.registry.findByName(object.name)?.record;
+    const record = this.takeEntry(object);
     if (!record) return;
-    this.missing.delete(record.id);
-    const before = this.registry.find(record.id)?.record;
-    this.registry.put(record);
-    if (before?.isDraining === record.isDraining) return;
-    this.logger.info('engine_changed', {
+    if (before?.id === record.id && before.isDraining === record.isDraining) return;
+    this.parts.logger.info('engine_changed', {
       engine: record.id,
       service: record.service,
       address: record.address,
@@ -76,29 +82,74 @@
    * Takes that an entry is gone. Entries may run out while the store is down, though their engines
    * live and enter again with the next heartbeat: what is missing just after such a time is gone only
    * if it stays missing.
+   *
+   * @param revision of the entry that went; one that was taken later is another's and stays
    */
-  takeGone(id: string): void {
-    if (this.clock.now() - this.failedMs >= LAPSE_WINDOW_MS) {
-      this.drop(id);
+  takeGone(name: string, revision = Infinity): void {
+    const { registry, clock } = this.parts;
+    if (revision < (this.revisions.get(name) ?? -Infinity)) return;
+    const meant = registry.findByName(name)?.record.id;
+    if (meant === undefined) return;
+    if (clock.now() - this.failedMs >= LAPSE_WINDOW_MS) {
+      this.drop(meant);
       return;
     }
-    this.missing.add(id);
-    this.clock.setTimer(this.lapseGraceMs, () => {
-      if (this.missing.delete(id)) this.drop(id);
+    this.missing.set(name, meant);
+    clock.setTimer(this.lapseGraceMs, () => {
+      if (this.missing.get(name) !== meant) return;
+      this.missing.delete(name);
+      this.drop(meant);
     });
   }
 
-  private decode(object: StoredObject): EngineRecord | undefined {
-    return valueOrLog(this.decoder.engine(object), object, this.logger);
+  /** Answers the record that was taken; undefined where the entry names no engine to use. */
+  private takeEntry(object: StoredObject): EngineRecord | undefined {
+    const { name, revision } = object;
+    if (revision < (this.revisions.get(name) ?? -Infinity)) return undefined;
+    this.revisions.set(name, revision);
+    const decoded = this.parts.decoder.engine(object);
+    if (decoded.kind === 'unused') return undefined;
+    const fault = decoded.kind === 'malformed' ? decoded.reason : this.faultOf(decoded.value);
+    if (decoded.kind === 'malformed' || fault !== undefined) {
+      this.takeOdd(object, fault ?? '');
+      return undefined;
+    }
+    const record = decoded.value;
+    this.noteUnknownService(object, record);
+    this.missing.delete(name);
+    const outcome = this.parts.lives.takeEntry(record);
+    if (outcome.kind === 'reborn') this.noteChange(record.id);
+    return outcome.kind === 'retired' ? undefined : record;
+  }
+
+  /** An engine that states its start states it in every entry; one without is of another writer. */
+  private faultOf({ name, bornMs }: EngineRecord): string | undefined {
+    const known = this.parts.registry.findByName(name)?.record.bornMs;
+    return bornMs === undefined && known !== undefined ? 'start of the engine: missing' : undefined;
+  }
+
+  /** The engine is gone for new work until its next good entry; what runs there goes on. */
+  private takeOdd({ name, revision }: StoredObject, reason: string): void {
+    this.parts.odd.note(name, revision, reason);
+    this.missing.delete(name);
+    const present = this.parts.registry.findByName(name);
+    if (present) this.drop(present.record.id);
+  }
+
+  /** No route leads to such an engine, and it gets no orders until the service is configured. */
+  private noteUnknownService({ name, revision }: StoredObject, { service }: EngineRecord): void {
+    if (this.parts.isKnownService(service)) return;
+    this.parts.odd.note(name, revision, `service ${service}: not in the configuration`);
   }
 
   private drop(id: string): void {
-    this.registry.remove(id);
+    this.parts.registry.remove(id);
     this.noteChange(id);
   }
 
   private noteChange(cause: string): void {
-    this.logger.info('engines_changed', { cause, engines: this.registry.ids.size });
-    this.onChanged();
+    const { registry, logger, onChanged } = this.parts;
+    logger.info('engines_changed', { cause, engines: registry.ids.size });
+    onChanged();
   }
 }
--- /dev/null
+++ b/src/coordination/gateway/engine-lives.ts
@@ -0,0 +1,92 @@
+/**
+ * Notices that an engine has started again under its name, whichever source shows it first: its entry, one
+ * of its answers, another router's news. What is remembered of the former life ends with that.
+ */
+import type { Logger } from '../../runtime/logger.js';
+import { isLaterLife, isOtherLife, lifeOf } from '../../state/routing/engine-incarnation.js';
+import type {
+  EngineRecord,
+  EngineRegistry,
+  PutOutcome,
+} from '../../state/routing/engine-registry.js';
+import type { GatewayStatistics } from './gateway-statistics.js';
+
+/** What showed a new life. */
+export type LifeSource = 'entry' | 'report' | 'order' | 'cache-events' | 'router';
+
+/** An engine has started again: what ended, and when the new life began. */
+export interface Rebirth {
+  readonly former: EngineRecord;
+  /** Unix milliseconds by the engine's clock. */
+  readonly bornMs: number;
+}
+
+/** Receives what this finds out. */
+export interface LifeListener {
+  /** A life that began before the present one is over. */
+  onReborn(rebirth: Rebirth): void;
+}
+
+/** The lives of all engines, as one router hears of them. */
+export class EngineLives {
+  private listener: LifeListener | undefined;
+
+  constructor(
+    private readonly registry: EngineRegistry,
+    private readonly statistics: GatewayStatistics,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Must be called before the first entry. */
+  connect(listener: LifeListener): void {
+    this.listener = listener;
+  }
+
+  /** Takes an engine's entry; entries come in the store's order. */
+  takeEntry(record: EngineRecord): PutOutcome {
+    const outcome = this.registry.put(record);
+    if (outcome.kind === 'reborn') this.noteRebirth(outcome.former, record.bornMs, 'entry');
+    return outcome;
+  }
+
+  /**
+   * An answer of an engine states its start; false where the answer is of another life than the one that
+   * was asked, so that nothing of it may be taken for that one.
+   */
+  takeAnswer({ id }: EngineRecord, bornMs: number | undefined, source: LifeSource): boolean {
+    return this.takeAnswerOf(id, bornMs, source);
+  }
+
+  /** As {@link takeAnswer}, for a life that is known by its identity only. */
+  takeAnswerOf(incarnation: string, bornMs: number | undefined, source: LifeSource): boolean {
+    const asked = lifeOf(incarnation);
+    if (!isOtherLife(bornMs, asked.bornMs)) return true;
+    if (bornMs !== undefined) this.noteLife(asked.name, bornMs, source);
+    return false;
+  }
+
+  /** Another router speaks of an incarnation that is not in the list: it may be a later life of one that is. */
+  noteIncarnation(incarnation: string): void {
+    const { name, bornMs } = lifeOf(incarnation);
+    if (bornMs !== undefined) this.noteLife(name, bornMs, 'router');
+  }
+
+  private noteLife(name: string, bornMs: number, source: LifeSource): void {
+    const former = this.registry.noteLife(name, bornMs);
+    if (former) this.noteRebirth(former, bornMs, source);
+  }
+
+  private noteRebirth(former: EngineRecord, bornMs: number | undefined, source: LifeSource): void {
+    this.statistics.enginesReborn += 1;
+    this.logger.warn('engine_reborn', {
+      engine: former.name,
+      address: former.address,
+      old_born_ms: former.bornMs,
+      new_born_ms: bornMs,
+      found_by: source,
+    });
+    // An earlier start is no proof that the life which was known is over: its connections show that.
+    if (bornMs === undefined || !isLaterLife(bornMs, former.bornMs)) return;
+    this.listener?.onReborn({ former, bornMs });
+  }
+}
--- a/src/coordination/gateway/followed-kinds.ts
+++ b/src/coordination/gateway/followed-kinds.ts
@@ -2,6 +2,7 @@
 import { ListFreshness } from '../../protocol/object-store/port.js';
 import type { EngineList } from './engine-list.js';
 import type { GatewaySettings } from './gateway-settings.js';
+import type { OddEntries } from './odd-entries.js';
 import { type FollowHandlers, FirstWatch, type StoreFollowers } from './store-followers.js';
 import type { VersionNews } from './version-news.js';
 
@@ -9,6 +10,7 @@
 export interface KindListeners {
   readonly configuration: FollowHandlers;
   readonly engineList: EngineList;
+  readonly oddEntries: OddEntries;
   readonly versionNews: VersionNews;
 }
 
@@ -22,7 +24,7 @@
 export function followKinds(
   followers: StoreFollowers,
   { kinds, configurationWatchMs, engineWatchMs, versionWatchMs }: GatewaySettings,
-  { configuration, engineList, versionNews }: KindListeners,
+  { configuration, engineList, oddEntries, versionNews }: KindListeners,
 ): void {
   // Requests with a key wait for a proof, so a router that starts asks for a current list.
   followers.follow(
@@ -46,7 +48,8 @@
     {
       onList: (objects) => engineList.takeAll(objects),
       onObject: (object) => engineList.take(object),
-      onGone: (name) => engineList.takeGone(name),
+      onGone: (name, revision) => engineList.takeGone(name, revision),
+      onUnnamed: (items, revision) => oddEntries.noteUnnamed(items, revision),
       onFailure: () => engineList.noteFailure(),
     },
   );
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -12,7 +12,7 @@
 import { ConfigurationState } from '../../state/routing/configuration-state.js';
 import type { IngressLimits } from '../../state/routing/configuration.js';
 import { EngineHealth } from '../../state/routing/engine-health.js';
-import { EngineRegistry } from '../../state/routing/engine-registry.js';
+import type { EngineRegistry } from '../../state/routing/engine-registry.js';
 import { HomeRanking } from '../../state/routing/home-ranking.js';
 import { KeptPrefixes } from '../../state/routing/kept-prefixes.js';
 import { LoadTable } from '../../state/routing/load-table.js';
@@ -22,12 +22,9 @@
 import { TrafficSplit } from '../../state/routing/traffic-split.js';
 import { WeightLease } from '../../state/routing/weight-lease.js';
 import { WeightVersions } from '../../state/routing/weight-versions.js';
-import { CacheFeeds } from './cache-feeds.js';
 import { Directory } from './directory.js';
 import type { CallerPlace } from './directory-answer.js';
 import { CrashProtection } from './crash-protection.js';
-import { EngineList } from './engine-list.js';
-import { FollowedFeeds } from './followed-feeds.js';
 import { followKinds } from './followed-kinds.js';
 import { type GatewayContext, ServiceRetryBudgets } from './gateway-context.js';
 import { DEFAULT_QUOTA_TOLERANCE, type GatewaySettings } from './gateway-settings.js';
@@ -36,6 +33,7 @@
 import { GroupEventTarget } from './group-event-target.js';
 import { GroupMembership, SETTLING_MS } from './group-membership.js';
 import { LeaseKeeper } from './lease-keeper.js';
+import { ListedEngines } from './listed-engines.js';
 import { type ObjectDecoder, valueOrLog } from './object-decoder.js';
 import { Rejections } from './rejections.js';
 import type { InboundRequest, Reply } from './reply.js';
@@ -66,7 +64,8 @@
 export class GatewayNode {
   readonly statistics = new GatewayStatistics();
   readonly configuration: ConfigurationState;
-  private readonly registry = new EngineRegistry();
+  private readonly listed: ListedEngines;
+  private readonly registry: EngineRegistry;
   private readonly loads: LoadTable;
   private readonly health = new EngineHealth();
   private readonly kept = new KeptPrefixes();
@@ -83,11 +82,7 @@
   private readonly coordinator: WeightCoordinator;
   private readonly versionNews: VersionNews;
   private readonly directory: Directory;
-  private readonly feeds: CacheFeeds;
-  private readonly followedFeeds: FollowedFeeds;
-  private readonly engineList: EngineList;
   private readonly timers: Timer[] = [];
-  private isRankKnown = false;
   private isLeaving = false;
 
   private constructor(
@@ -100,6 +95,26 @@
     const { clock, random, hasher, logger, engines } = surroundings;
     this.loads = parts.loads;
     this.configuration = new ConfigurationState(settings.proofLifetimeMs);
+    this.listed = new ListedEngines({
+      ...surroundings,
+      configuration: this.configuration,
+      health: this.health,
+      kept: this.kept,
+      group,
+      statistics: this.statistics,
+      drainMs: settings.drainMs,
+    });
+    this.registry = this.listed.registry;
+    this.listed.connect({
+      onChanged: () => this.joinWhenReady(),
+      onReborn: (rebirth) => {
+        this.coordinator.forgetLife(rebirth.former.id);
+        this.crashes.noteReborn(rebirth);
+      },
+      breakFormerLife: (rebirth) => {
+        for (const call of this.calls) call.breakFormerLife(rebirth);
+      },
+    });
     this.versions = new WeightVersions(settings.rollout.graceMs, this.outages);
     this.followers = new StoreFollowers(relay.store, group, this.outages, clock, random, logger);
     this.crashes = new CrashProtection({
@@ -159,16 +174,6 @@
       zone: settings.zone,
     };
     this.directory = new Directory(group, random, this.statistics, logger);
-    this.feeds = new CacheFeeds({ kept: this.kept, engines, clock, random, logger });
-    this.followedFeeds = new FollowedFeeds(this.feeds, this.configuration, this.registry, group);
-    this.engineList = new EngineList(
-      this.registry,
-      surroundings.decoder,
-      clock,
-      logger,
-      () => this.noteEngines(),
-      settings.drainMs,
-    );
     const lease = new WeightLease({
       holder: settings.nodeId,
       life: randomIdentifier(random),
@@ -178,6 +183,7 @@
     this.coordinator = new WeightCoordinator(
       {
         registry: this.registry,
+        lives: this.listed.lives,
         versions: this.versions,
         loads: this.loads,
         health: this.health,
@@ -192,6 +198,7 @@
       {
         holder: settings.nodeId,
         rollout: settings.rollout,
+        isKnownService: (service) => this.listed.isKnownService(service),
         respondingRouters: () => group.responding.sort(byCapability).map(({ nodeId }) => nodeId),
         isAvailable: (router) => group.isAvailable(router),
         shareOfTraffic: () => this.shareOfTraffic(),
@@ -242,7 +249,8 @@
         onObject: (object, proven) => this.takeConfiguration(object, proven),
         onAnswer: (proven) => this.configuration.prove(proven),
       },
-      engineList: this.engineList,
+      engineList: this.listed.list,
+      oddEntries: this.listed.odd,
       versionNews: this.versionNews,
     });
     const { clock } = this.surroundings;
@@ -257,7 +265,7 @@
 
   /** Whether callers should be sent here. */
   get isReady(): boolean {
-    return !this.isLeaving && this.configuration.current !== undefined && this.engineList.isKnown;
+    return !this.isLeaving && this.configuration.current !== undefined && this.listed.list.isKnown;
   }
 
   get runningCalls(): number {
@@ -314,7 +322,7 @@
     this.coordinator.stop();
     this.exchange.stop();
     this.crashes.stop();
-    this.feeds.stop();
+    this.listed.stop();
     this.relay.stop();
     this.group.stop();
   }
@@ -333,27 +341,11 @@
     this.joinWhenReady();
   }
 
-  /** The list of engines has changed: what was kept for those that are gone goes too. */
-  private noteEngines(): void {
-    const { engines } = this.surroundings;
-    engines.retain(this.registry.ids);
-    this.health.retain(this.registry.ids);
-    const stores = this.configuration.current?.cacheStores ?? [];
-    const addresses = stores.flatMap(({ cacheStore }) => cacheStore?.address ?? []);
-    this.kept.retain(new Set([...this.registry.ids, ...addresses]));
-    this.joinWhenReady();
-  }
-
   private joinWhenReady(): void {
     if (!this.isReady || this.group.hasJoined) return;
     this.group.start();
     const { clock } = this.surroundings;
-    this.timers.push(
-      clock.setTimer(SETTLING_MS, () => {
-        this.isRankKnown = true;
-        this.followedFeeds.update();
-      }),
-    );
+    this.timers.push(clock.setTimer(SETTLING_MS, () => this.listed.startFeeds()));
   }
 
   /** What is under way of a request that entered quarantine may not reach one more engine. */
@@ -364,7 +356,7 @@
   private upkeep(): void {
     this.loads.expire(this.surroundings.clock.now());
     this.crashes.expire();
-    if (this.isRankKnown) this.followedFeeds.update();
+    this.listed.updateFeeds();
   }
 
   /** The directory sends callers to routers by their capacity. */
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -22,8 +22,12 @@
   tooLateSamplesInTime = 0;
   /** Admitted by the estimate and ended by the caller's deadline. */
   admittedPastDeadline = 0;
-  /** Engines that broke requests of this router and then refused connections. */
+  /** Engines that broke requests of this router and then refused connections, or started again. */
   engineCrashes = 0;
+  /** Engines found started again under their name. */
+  enginesReborn = 0;
+  /** Revisions of engines' entries that name no engine to use: of another writer, or unreadable. */
+  oddEntries = 0;
   /** Requests that entered quarantine, left it, and attempts of such requests that were turned away. */
   quarantinedRequests = 0;
   quarantineLifted = 0;
--- /dev/null
+++ b/src/coordination/gateway/listed-engines.ts
@@ -0,0 +1,126 @@
+/**
+ * The engines that one router knows: their list, their lives, the feeds of what they keep. What is
+ * remembered of an engine goes with its life.
+ */
+import type { Clock } from '../../runtime/clock.js';
+import type { Logger } from '../../runtime/logger.js';
+import type { RandomSource } from '../../runtime/random.js';
+import type { InferencePort } from '../../protocol/inference/port.js';
+import type { ConfigurationState } from '../../state/routing/configuration-state.js';
+import type { EngineHealth } from '../../state/routing/engine-health.js';
+import { EngineRegistry } from '../../state/routing/engine-registry.js';
+import type { KeptPrefixes } from '../../state/routing/kept-prefixes.js';
+import { CacheFeeds } from './cache-feeds.js';
+import { EngineList } from './engine-list.js';
+import { EngineLives, type Rebirth } from './engine-lives.js';
+import { FollowedFeeds } from './followed-feeds.js';
+import { CLOCK_TOLERANCE_MS } from './former-life.js';
+import type { GatewayStatistics } from './gateway-statistics.js';
+import type { GroupMembership } from './group-membership.js';
+import type { ObjectDecoder } from './object-decoder.js';
+import { OddEntries } from './odd-entries.js';
+
+/** What this works with. */
+export interface ListedEnginesParts {
+  readonly configuration: ConfigurationState;
+  readonly health: EngineHealth;
+  readonly kept: KeptPrefixes;
+  readonly engines: InferencePort;
+  readonly group: GroupMembership;
+  readonly statistics: GatewayStatistics;
+  readonly decoder: ObjectDecoder;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  /** Time after which a draining engine must get no new work, in milliseconds. */
+  readonly drainMs: number;
+}
+
+/** Receives what happens to the engines. */
+export interface ListedEnginesListener {
+  onChanged(): void;
+  /** A life of an engine is over: no order to it is under way, and what it ran may have crashed it. */
+  onReborn(rebirth: Rebirth): void;
+  /** Called at a rebirth and once more a little later: what runs in the former life is broken. */
+  breakFormerLife(rebirth: Rebirth): void;
+}
+
+/** The engines of one router. */
+export class ListedEngines {
+  readonly registry = new EngineRegistry();
+  readonly lives: EngineLives;
+  readonly odd: OddEntries;
+  readonly list: EngineList;
+  private readonly feeds: CacheFeeds;
+  private readonly followedFeeds: FollowedFeeds;
+  private listener: ListedEnginesListener | undefined;
+  private followsFeeds = false;
+
+  constructor(private readonly parts: ListedEnginesParts) {
+    const { registry } = this;
+    const { configuration, group, statistics, clock, logger } = parts;
+    this.lives = new EngineLives(registry, statistics, logger);
+    this.lives.connect({ onReborn: (rebirth) => this.noteReborn(rebirth) });
+    this.odd = new OddEntries(statistics, clock, logger);
+    this.feeds = new CacheFeeds({
+      ...parts,
+      isOfHolder: (holder, bornMs) => this.lives.takeAnswerOf(holder, bornMs, 'cache-events'),
+    });
+    this.followedFeeds = new FollowedFeeds(this.feeds, configuration, registry, group);
+    this.list = new EngineList({
+      ...parts,
+      registry,
+      lives: this.lives,
+      odd: this.odd,
+      onChanged: () => this.noteChanged(),
+      isKnownService: (service) => this.isKnownService(service),
+    });
+  }
+
+  /** Must be called before the first entry. */
+  connect(listener: ListedEnginesListener): void {
+    this.listener = listener;
+  }
+
+  /** Whether the configuration has a service of this name; true while there is no configuration. */
+  isKnownService(name: string): boolean {
+    const services = this.parts.configuration.current?.configuration.services;
+    return services?.some((service) => service.name === name) ?? true;
+  }
+
+  /** Follows this router's share of the feeds from now on: its place among the routers is known. */
+  startFeeds(): void {
+    this.followsFeeds = true;
+    this.updateFeeds();
+  }
+
+  /** Keeps the followed feeds in step with engines and group; call now and then. */
+  updateFeeds(): void {
+    if (this.followsFeeds) this.followedFeeds.update();
+  }
+
+  stop(): void {
+    this.feeds.stop();
+  }
+
+  /** The list of engines has changed: what was kept for those that are gone goes too. */
+  private noteChanged(): void {
+    const { engines, health, kept, configuration } = this.parts;
+    const { ids } = this.registry;
+    engines.retain(ids);
+    health.retain(ids);
+    const stores = configuration.current?.cacheStores ?? [];
+    const addresses = stores.flatMap(({ cacheStore }) => cacheStore?.address ?? []);
+    kept.retain(new Set([...ids, ...addresses]));
+    this.listener?.onChanged();
+  }
+
+  private noteReborn(rebirth: Rebirth): void {
+    this.listener?.onReborn(rebirth);
+    this.updateFeeds();
+    this.noteChanged();
+    this.listener?.breakFormerLife(rebirth);
+    // A call whose connection had just shown a sign is looked at once more.
+    this.parts.clock.setTimer(CLOCK_TOLERANCE_MS, () => this.listener?.breakFormerLife(rebirth));
+  }
+}
--- a/src/coordination/gateway/object-follower.ts
+++ b/src/coordination/gateway/object-follower.ts
@@ -10,6 +10,7 @@
   ListFreshness,
   type ObjectStorePort,
   type StoredObject,
+  type UnnamedItems,
 } from '../../protocol/object-store/port.js';
 import {
   type ProtocolError,
@@ -23,7 +24,10 @@
   /** The whole kind as it is. */
   onList(objects: readonly StoredObject[], proven: ElapsedInstant): void;
   onObject(object: StoredObject, proven: ElapsedInstant): void;
-  onGone(name: string): void;
+  /** @param revision of the object's last change before it went */
+  onGone(name: string, revision: number): void;
+  /** Items of an answer had no key that can be read; the answer's other items hold. */
+  onUnnamed(items: number, revision: number): void;
   /** A call was answered, whether or not it brought a change. */
   onAnswer(proven: ElapsedInstant): void;
   /** A call was not answered. */
@@ -131,9 +135,10 @@
     }
     const proven = result.proven ?? callBegan;
     for (const { object, isGone } of result.events) {
-      if (isGone) this.events.onGone(object.name);
+      if (isGone) this.events.onGone(object.name, object.revision);
       else this.events.onObject(object, proven);
     }
+    this.noteUnnamed(result);
     this.moveTo(Math.max(askedRevision, result.revision));
     this.events.onAnswer(proven);
     if (result.events.length > 0 && gatherMs > 0) await sleep(this.clock, gatherMs);
@@ -160,10 +165,15 @@
     }
     this.moveTo(list.revision);
     const proven = list.proven ?? callBegan;
+    this.noteUnnamed(list);
     this.events.onList(list.objects, proven);
     this.events.onAnswer(proven);
   }
 
+  private noteUnnamed({ unnamedItems, revision }: UnnamedItems): void {
+    if (unnamedItems) this.events.onUnnamed(unnamedItems, revision);
+  }
+
   private moveTo(revision: number): void {
     this.revision = revision;
     this.newestRevision = Math.max(this.newestRevision, revision);
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -19,6 +19,8 @@
 import { CallQuota } from './call-quota.js';
 import { CallState } from './call-state.js';
 import { CallPatience, type ImpatienceReason } from './call-patience.js';
+import type { Rebirth } from './engine-lives.js';
+import { isOfFormerLife } from './former-life.js';
 import type { GatewayContext } from './gateway-context.js';
 import { type Grant, admitRequest, serviceOf } from './request-admission.js';
 import type { QuotaDenial } from './quota/tenant-quotas.js';
@@ -342,6 +344,13 @@
     return typeof placeCall(this.request, grant, service, excluded, context) !== 'string';
   }
 
+  /** An engine has started again: what only its former life can have is broken. */
+  breakFormerLife(rebirth: Rebirth): void {
+    if (!this.send || this.state === CallState.Finished) return;
+    const isFormer = isOfFormerLife(this.send, rebirth, this.context.clock);
+    if (isFormer) this.send.breakOff('engine-reborn');
+  }
+
   private onDeadline(): void {
     this.send?.cancel();
     if (this.sends > 0 && !this.isSample) this.context.statistics.admittedPastDeadline += 1;
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -71,7 +71,7 @@
   return {
     budgetMs: Math.max(1, Math.floor(remainingMs)),
     tenant: grant.tenant?.name,
-    expectedInstance: placement.engine.record.id,
+    expectedInstance: placement.engine.record.name,
     expectedVersion: placement.expectedVersion,
     cacheSalt: placement.cacheSalt,
     urgency: placement.cacheSalt === undefined ? undefined : Math.min(LEAST_URGENT, grant.priority),
@@ -94,6 +94,7 @@
   private readonly exchange: Exchange;
   private readonly load: LoadShare;
   readonly sentMs: number;
+  private headMs: number | undefined;
   private firstChunkMs: number | undefined;
   private lastChunkMs: number | undefined;
   private chunks = 0;
@@ -118,7 +119,9 @@
   }
 
   onHead(head: AnswerHead): void {
-    if (!this.isOver) this.events.onHead(this, head);
+    if (this.isOver) return;
+    this.headMs = this.context.clock.now();
+    this.events.onHead(this, head);
   }
 
   onChunk(chunk: Uint8Array): void {
@@ -148,6 +151,20 @@
     this.exchange.cancel();
   }
 
+  /** The engine's life is over, though nothing came that shows it on the connection. */
+  breakOff(reason: string): void {
+    if (this.isOver) return;
+    this.close();
+    this.exchange.cancel();
+    const kind = this.headMs === undefined ? 'unknown' : 'cut';
+    this.events.onFailure(this, { kind, reason, isDisconnect: true });
+  }
+
+  /** Steady time of the last sign of the engine, of the send itself where there was none. */
+  get lastSignMs(): number {
+    return this.lastChunkMs ?? this.headMs ?? this.sentMs;
+  }
+
   pause(): void {
     this.exchange.pause();
   }
--- a/src/coordination/gateway/store-followers.ts
+++ b/src/coordination/gateway/store-followers.ts
@@ -12,7 +12,9 @@
   /** The whole kind as it is; left out: each object is handed on by itself. */
   onList?(objects: readonly StoredObject[], proven: ElapsedInstant): void;
   onObject(object: StoredObject, proven: ElapsedInstant): void;
-  onGone?(name: string): void;
+  onGone?(name: string, revision: number): void;
+  /** Items of an answer had no key that can be read. */
+  onUnnamed?(items: number, revision: number): void;
   /** A call was answered: at `proven` nothing newer was there. */
   onAnswer?(proven: ElapsedInstant): void;
   onFailure?(): void;
@@ -78,7 +80,8 @@
           else for (const object of objects) handlers.onObject(object, proven);
         },
         onObject: (object, proven) => handlers.onObject(object, proven),
-        onGone: (name) => handlers.onGone?.(name),
+        onGone: (name, revision) => handlers.onGone?.(name, revision),
+        onUnnamed: (items, revision) => handlers.onUnnamed?.(items, revision),
         onAnswer: (proven) => {
           this.outages.noteAnswer(clock.now());
           handlers.onAnswer?.(proven);
--- a/src/coordination/gateway/weight-coordinator.ts
+++ b/src/coordination/gateway/weight-coordinator.ts
@@ -4,7 +4,12 @@
  */
 import { type Clock, type Timer, repeat, sleep } from '../../runtime/clock.js';
 import type { Logger } from '../../runtime/logger.js';
-import type { InferencePort, OrderResult, WeightOrder } from '../../protocol/inference/port.js';
+import type {
+  InferencePort,
+  OrderResult,
+  WeightOrder,
+  WeightState,
+} from '../../protocol/inference/port.js';
 import type { EngineHealth } from '../../state/routing/engine-health.js';
 import {
   type Engine,
@@ -25,6 +30,7 @@
 } from '../../state/routing/weight-rollout.js';
 import type { WeightsNews } from '../../state/routing/weights-news.js';
 import type { WeightVersions } from '../../state/routing/weight-versions.js';
+import type { EngineLives } from './engine-lives.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
 import type { LeaseKeeper } from './lease-keeper.js';
 import { RolloutReport } from './rollout-report.js';
@@ -32,6 +38,7 @@
 /** What a coordinator works with. */
 export interface CoordinatorParts {
   readonly registry: EngineRegistry;
+  readonly lives: EngineLives;
   readonly versions: WeightVersions;
   readonly loads: LoadTable;
   readonly health: EngineHealth;
@@ -48,6 +55,8 @@
 export interface CoordinatorSettings {
   readonly holder: string;
   readonly rollout: RolloutSettings;
+  /** Whether the configuration has a service of this name: engines of others get no orders. */
+  isKnownService(service: string): boolean;
   /** Identifiers of the routers heard lately, this one included, in the order in which they stand by. */
   respondingRouters(): readonly string[];
   /** Whether nothing speaks against a router that may not have been heard lately. */
@@ -107,13 +116,21 @@
   /** Takes what another router tells. */
   receiveNews(news: WeightsNews): void {
     const engine = this.parts.registry.find(news.engineId);
-    if (!engine) return;
+    if (!engine) {
+      this.parts.lives.noteIncarnation(news.engineId);
+      return;
+    }
     if (news.isLoading) {
       this.parts.health.noteLoading(news.engineId, this.now - news.ageMs);
       this.turn.noteOrder(this.now);
     } else this.noteVersion(engine, news.model, news.version);
   }
 
+  /** A life of an engine is over: no order to it is under way any more. */
+  forgetLife(engineId: string): void {
+    this.orders.forget(engineId);
+  }
+
   /** The revision under which this router holds the lease. */
   get heldLease(): number | undefined {
     return this.parts.lease.heldRevision;
@@ -172,9 +189,9 @@
    * by the time the work is due.
    */
   private async lookAtLeaseEarly(): Promise<void> {
-    const { versions, registry, lease } = this.parts;
+    const { versions, lease } = this.parts;
     const hasWorkAhead = versions.models.some((model) =>
-      registry.holdersOf(model).some((engine) => isBehind(engine, model, versions)),
+      this.holdersOf(model).some((engine) => isBehind(engine, model, versions)),
     );
     if (!hasWorkAhead) {
       this.hasLookedAtLease = false;
@@ -185,12 +202,17 @@
     if (lease.isUnknown) await lease.advance();
   }
 
+  private holdersOf(model: string): Engine[] {
+    const holders = this.parts.registry.holdersOf(model);
+    return holders.filter(({ record }) => this.settings.isKnownService(record.service));
+  }
+
   private plans(): RolloutPlan[] {
-    const { registry, versions, loads } = this.parts;
+    const { versions, loads } = this.parts;
     return versions.models.flatMap((model) => {
       const view: RolloutView = {
         model,
-        engines: registry.holdersOf(model),
+        engines: this.holdersOf(model),
         versions,
         observed: this.observe(model),
         isLoading: (engineId) => this.isLoading(engineId),
@@ -230,12 +252,13 @@
     this.parts.health.noteLoading(id, this.now);
     this.settings.announce();
     const [sequence] = await Promise.all([
-      engine.observedOrders ?? this.askForSequence(engine, model),
+      engine.observedOrders ?? this.stateOf(engine, model).then((state) => state?.orderSequence),
       sleep(this.parts.clock, this.settings.announcementMs()),
     ]);
     const expectedSequence = engine.observedOrders ?? sequence;
     const fencingToken = this.parts.lease.activeToken;
-    if (expectedSequence === undefined || fencingToken === undefined || this.isLeaving) {
+    const mayGive = this.isPresent(engine) && !this.isLeaving;
+    if (expectedSequence === undefined || fencingToken === undefined || !mayGive) {
       this.giveOrderUp(id);
       return;
     }
@@ -246,9 +269,16 @@
     this.noteResult(engine, order, await this.parts.engines.order(engine.record, order));
   }
 
-  private async askForSequence(engine: Engine, model: string): Promise<number | undefined> {
+  /** What an engine answers; undefined also where another life of it answers, or is known by then. */
+  private async stateOf(engine: Engine, model: string): Promise<WeightState | undefined> {
     const state = await this.parts.engines.weightState(engine.record, model);
-    return state?.orderSequence;
+    const isOfLife = this.parts.lives.takeAnswer(engine.record, state?.bornMs, 'report');
+    return isOfLife && this.isPresent(engine) ? state : undefined;
+  }
+
+  /** Whether this life of the engine is still the one in the list. */
+  private isPresent(engine: Engine): boolean {
+    return this.parts.registry.find(engine.record.id) === engine;
   }
 
   private noteResult(engine: Engine, order: WeightOrder, result: OrderResult): void {
@@ -263,6 +293,14 @@
       result: result.kind,
       status: result.kind === 'rejected' ? result.status : undefined,
     });
+    const bornMs = 'bornMs' in result ? result.bornMs : undefined;
+    const isOfLife = this.parts.lives.takeAnswer(engine.record, bornMs, 'order');
+    if (!isOfLife || !this.isPresent(engine)) {
+      // Numbers and versions of one life say nothing of another.
+      engine.observedOrders = undefined;
+      this.giveOrderUp(id);
+      return;
+    }
     // Where it is not sure that just this order was taken, the engine is asked before the next.
     engine.observedOrders = result.kind === 'accepted' ? expectedSequence + 1 : undefined;
     if (result.kind === 'already-done') this.finishOrder(engine, model, version);
@@ -281,7 +319,8 @@
 
   /** Lets the engine serve on; after a pause it may be given the next order. */
   private giveOrderUp(engineId: string): void {
-    this.orders.giveUp(engineId, this.now);
+    if (this.parts.registry.find(engineId)) this.orders.giveUp(engineId, this.now);
+    else this.orders.forget(engineId);
     this.parts.health.noteLoaded(engineId);
   }
 
@@ -290,7 +329,7 @@
    * taken it, the next one carries the same number, so that only one of the two is carried out.
    */
   private async settleUnanswered(engine: Engine, order: WeightOrder): Promise<void> {
-    const state = await this.parts.engines.weightState(engine.record, order.model);
+    const state = await this.stateOf(engine, order.model);
     const isTaken = state && (state.isBusy || state.orderSequence > order.expectedSequence);
     if (!isTaken) this.giveOrderUp(engine.record.id);
   }
@@ -316,7 +355,7 @@
       this.finishOrder(engine, order.model, order.version);
       return;
     }
-    const state = await this.parts.engines.weightState(engine.record, order.model);
+    const state = await this.stateOf(engine, order.model);
     if (state && !state.isBusy && state.version >= order.version) {
       this.finishOrder(engine, order.model, state.version);
     }
--- a/src/lab/gateway-world/gateway-world.ts
+++ b/src/lab/gateway-world/gateway-world.ts
@@ -342,6 +342,8 @@
     this.engines.push(engine);
     const record: StoredEngine = {
       id,
+      name: id,
+      bornMs: undefined,
       service,
       address: engine.address,
       zone: 'zone-a',
--- a/src/lab/gateway-world/simulated-inference.ts
+++ b/src/lab/gateway-world/simulated-inference.ts
@@ -174,7 +174,7 @@
 
   private engineOf(endpoint: EngineEndpoint): SimulatedEngine | undefined {
     const engine = this.engineAt(endpoint.address);
-    return engine?.isRunning && engine.id === endpoint.id ? engine : undefined;
+    return engine?.isRunning && engine.id === endpoint.name ? engine : undefined;
   }
 
   private answer<Result>(action: () => Result, silent: Result): Promise<Result> {
--- a/src/protocol/inference/port.ts
+++ b/src/protocol/inference/port.ts
@@ -20,7 +20,7 @@
   /** Time the client will still wait, in milliseconds. */
   readonly budgetMs: number;
   readonly tenant: string | undefined;
-  /** Only this incarnation of the engine may run it. */
+  /** Name of the engine; another engine that has its address refuses. */
   readonly expectedInstance: string;
   /** Only an engine with these weights may run it. */
   readonly expectedVersion: number | undefined;
@@ -88,8 +88,10 @@
 
 /** The engine a request is sent to. */
 export interface EngineEndpoint {
-  /** Incarnation of the engine. */
+  /** Incarnation of the engine: connections are kept by it. */
   readonly id: string;
+  /** Name under which the engine knows itself, the same in every life. */
+  readonly name: string;
   /** HOST:PORT. */
   readonly address: string;
 }
@@ -105,18 +107,23 @@
   readonly expectedSequence: number;
 }
 
+/** The life that answered: its start in Unix milliseconds, where the answer states it. */
+export interface StatedLife {
+  readonly bornMs?: number | undefined;
+}
+
 /** Outcome of an order. */
 export type OrderResult =
-  | { readonly kind: 'accepted' }
-  | { readonly kind: 'already-done' }
-  | { readonly kind: 'rejected'; readonly status: number }
-  /** Another incarnation lives at the address: the engine that was meant is gone. */
+  | ({ readonly kind: 'accepted' } & StatedLife)
+  | ({ readonly kind: 'already-done' } & StatedLife)
+  | ({ readonly kind: 'rejected'; readonly status: number } & StatedLife)
+  /** Another engine has the address: the one that was meant is gone. */
   | { readonly kind: 'replaced' }
   /** Not answered: it may be carried out, even later. */
   | { readonly kind: 'unknown'; readonly reason: string };
 
 /** What an engine tells of one model's weights; some hundred milliseconds old. */
-export interface WeightState {
+export interface WeightState extends StatedLife {
   readonly version: number;
   /** Whether an order is under way. */
   readonly isBusy: boolean;
@@ -133,7 +140,7 @@
 }
 
 /** An answer of an event feed. */
-export interface CacheEventPage {
+export interface CacheEventPage extends StatedLife {
   /** Changes when the holder restarts. */
   readonly epoch: number;
   /** Where the next call continues. */
@@ -144,7 +151,7 @@
 }
 
 /** All that an engine or a cache store keeps. */
-export interface CacheContents {
+export interface CacheContents extends StatedLife {
   /** Changes when the holder restarts. */
   readonly epoch: number;
   /** Where the event feed continues from this state. */
--- a/src/protocol/object-store/port.ts
+++ b/src/protocol/object-store/port.ts
@@ -10,10 +10,17 @@
   readonly spec: unknown;
 }
 
+/** What an answer of the store may hold beside its objects. */
+export interface UnnamedItems {
+  /** Items without a key that can be read; left out where there are none. */
+  readonly unnamedItems?: number;
+  /** The store's revision that the answer shows. */
+  readonly revision: number;
+}
+
 /** All objects of a kind at one revision of the store. */
-export interface ObjectList {
+export interface ObjectList extends UnnamedItems {
   readonly objects: readonly StoredObject[];
-  readonly revision: number;
   /**
    * Moment at which the list was current, `never` where that is not known; left out: when the call began.
    */
@@ -28,13 +35,12 @@
 
 /** What a watch answers: the changes up to a revision, or that the history is gone. */
 export type WatchResult =
-  | {
+  | (UnnamedItems & {
       readonly kind: 'events';
       readonly events: readonly ObjectEvent[];
-      readonly revision: number;
       /** Moment at which the revision was the newest; left out: when the call began. */
       readonly proven?: ElapsedInstant;
-    }
+    })
   | { readonly kind: 'history-gone' };
 
 /** What a conditional write answers. */
--- a/src/state/routing/engine-registry.ts
+++ b/src/state/routing/engine-registry.ts
@@ -1,9 +1,17 @@
-/** The engines of all services, as the platform lists them and as this router has found them. */
+/**
+ * The engines of all services, as the platform lists them and as this router has found them: at most one
+ * life of each.
+ */
+import { isLaterLife } from './engine-incarnation.js';
 
 /** What an engine states of itself. */
 export interface EngineRecord {
-  /** Incarnation; a restarted engine has another. */
+  /** Incarnation, by `incarnationOf`: the key of all that is remembered of one life. */
   readonly id: string;
+  /** The platform's identifier, under which the engine is listed and knows itself in every life. */
+  readonly name: string;
+  /** Start of this life in Unix milliseconds; undefined where the entry does not state it. */
+  readonly bornMs: number | undefined;
   readonly service: string;
   /** HOST:PORT; may have belonged to another engine before. */
   readonly address: string;
@@ -23,16 +31,26 @@
   observedOrders: number | undefined;
 }
 
+/** What became of a record that was put. */
+export type PutOutcome =
+  /** The life was known, or the engine was not. */
+  | { readonly kind: 'stored' }
+  /** Another life took the place of the one that was known. */
+  | { readonly kind: 'reborn'; readonly former: EngineRecord }
+  /** The life is over. */
+  | { readonly kind: 'retired' };
+
 /** Retired incarnations remembered; lists drop them within seconds. */
 const MAXIMUM_RETIRED = 4_096;
 
-/** Engines by incarnation, grouped by service. */
+/** Engines by incarnation, grouped by service; one life of each name. */
 export class EngineRegistry {
   private readonly engines = new Map<string, Engine>();
+  private readonly byName = new Map<string, Engine>();
   private readonly byService = new Map<string, Engine[]>();
   /**
-   * Incarnations that were found replaced, or whose entry went after they had said that they drain: they
-   * never come back, whatever an old entry says.
+   * Incarnations that were found replaced, that a later life has followed, or whose entry went after they
+   * had said that they drain: they never come back, whatever an old entry says.
    */
   private readonly retired = new Set<string>();
   private view = 0;
@@ -46,10 +64,20 @@
     return new Set(this.engines.keys());
   }
 
+  /** Names of all engines, as the platform lists them. */
+  get names(): ReadonlySet<string> {
+    return new Set(this.byName.keys());
+  }
+
   find(id: string): Engine | undefined {
     return this.engines.get(id);
   }
 
+  /** The life of an engine that is in the list. */
+  findByName(name: string): Engine | undefined {
+    return this.byName.get(name);
+  }
+
   /** All engines of a service, the draining ones among them. */
   ofService(service: string): readonly Engine[] {
     return this.byService.get(service) ?? [];
@@ -65,25 +93,56 @@
     return [...this.engines.values()].filter((engine) => engine.record.modelVersions.has(model));
   }
 
-  put(record: EngineRecord): void {
-    if (this.retired.has(record.id)) return;
+  /**
+   * Takes an engine's newest entry. The caller keeps the store's order: of two lives the one whose entry
+   * the store took last is the present one, even if its start is earlier, as after a step of the engine's
+   * clock. Only a life that a later start has followed stays away for good; one that an earlier start has
+   * followed may have been the present one all along, and come back.
+   */
+  put(record: EngineRecord): PutOutcome {
+    if (this.retired.has(record.id)) return { kind: 'retired' };
+    const former = this.byName.get(record.name)?.record;
+    const isReborn = former !== undefined && former.id !== record.id;
+    if (isReborn) this.endLife(former, isLaterLife(record.bornMs, former.bornMs));
     this.store(record);
     this.regroup();
+    return isReborn ? { kind: 'reborn', former } : { kind: 'stored' };
+  }
+
+  /**
+   * Another source than the store's list shows a life of an engine: a later one ends the one in the list.
+   * The new life enters with its own entry, which says what it serves. Answers the life that ended.
+   */
+  noteLife(name: string, bornMs: number): EngineRecord | undefined {
+    const former = this.byName.get(name)?.record;
+    if (!former || !isLaterLife(bornMs, former.bornMs)) return undefined;
+    this.endLife(former, true);
+    this.regroup();
+    return former;
   }
 
   remove(id: string): void {
-    if (this.engines.get(id)?.record.isDraining) this.retire(id);
-    if (this.engines.delete(id)) this.regroup();
+    const engine = this.engines.get(id);
+    if (!engine) return;
+    this.endLife(engine.record, engine.record.isDraining);
+    this.regroup();
   }
 
-  /** Another incarnation answered at the engine's address: this one is gone for good. */
+  /** Another engine answered at the engine's address: this life is over. */
   noteReplaced(id: string): boolean {
-    if (!this.engines.has(id)) return false;
-    this.retire(id);
-    this.remove(id);
+    const engine = this.engines.get(id);
+    if (!engine) return false;
+    this.endLife(engine.record, true);
+    this.regroup();
     return true;
   }
 
+  private endLife({ id, name }: EngineRecord, isForGood: boolean): void {
+    if (isForGood) this.retire(id);
+    this.engines.delete(id);
+    this.byName.delete(name);
+  }
+
   private retire(id: string): void {
     if (this.retired.size >= MAXIMUM_RETIRED) this.retired.clear();
     this.retired.add(id);
@@ -92,11 +151,9 @@
   private store(record: EngineRecord): void {
     const present = this.engines.get(record.id);
     if (!present) {
-      this.engines.set(record.id, {
-        record,
-        observedVersions: new Map(),
-        observedOrders: undefined,
-      });
+      const engine = { record, observedVersions: new Map(), observedOrders: undefined };
+      this.engines.set(record.id, engine);
+      this.byName.set(record.name, engine);
       return;
     }
     // An incarnation that said it drains never takes work again.
--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -113,7 +113,7 @@
       isAllowed(engine, request, tables, nowMs) &&
       !tables.health.isAvoided(engine.record.id, nowMs),
   );
-  const homes = tables.homes.first(subject, sound, (each) => each.record.id, HOMES_WEIGHED);
+  const homes = tables.homes.first(subject, sound, (each) => each.record.name, HOMES_WEIGHED);
   const [store] = tables.homes.first(subject, stores, (each) => each.address, 1);
   const kept = new KeptBySalt({ ...request, generation }, tables.kept);
   const { storePressure } = request;
--- a/test/gateway/engine-crashes.test.ts
+++ b/test/gateway/engine-crashes.test.ts
@@ -21,6 +21,8 @@
   const registry = new EngineRegistry();
   registry.put({
     id: ENGINE,
+    name: ENGINE,
+    bornMs: undefined,
     service: 'generation',
     address: 'engine-0:1',
     zone: 'zone-a',
--- a/test/gateway/entry-lapse.test.ts
+++ b/test/gateway/entry-lapse.test.ts
@@ -1,12 +1,9 @@
 /** Entries of engines that run out while the store is down come back with the next heartbeat. */
 import test from 'ava';
-import { EngineList } from '../../src/coordination/gateway/engine-list.js';
 import { findBreaches } from '../../src/lab/gateway-world/gateway-oracle.js';
 import { GatewayWorld } from '../../src/lab/gateway-world/gateway-world.js';
 import { DECODER, type StoredEngine } from '../../src/lab/gateway-world/world-fixtures.js';
-import { SilentLogger } from '../../src/runtime/logger.js';
-import { VirtualClock } from '../../src/runtime/virtual-clock.js';
-import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
+import { EngineListWorld } from '../helpers/engine-list-world.js';
 
 const DOWN_MS = 2_000;
 const REENTER_MS = 1_000;
@@ -66,12 +63,14 @@
 
 test('an entry that is missing is waited for within the bound on engines that leave', async (t) => {
   const SHORT_DRAIN_MS = 1_000;
-  const clock = new VirtualClock();
-  const registry = new EngineRegistry();
-  const logger = new SilentLogger();
-  const list = new EngineList(registry, DECODER, clock, logger, () => undefined, SHORT_DRAIN_MS);
+  const { clock, registry, list } = new EngineListWorld({
+    decoder: DECODER,
+    drainMs: SHORT_DRAIN_MS,
+  });
   const spec: StoredEngine = {
     id: 'engine-1',
+    name: 'engine-1',
+    bornMs: undefined,
     service: 'plain',
     address: 'engine-1:1',
     zone: 'zone-a',
--- a/test/gateway/load-collection.test.ts
+++ b/test/gateway/load-collection.test.ts
@@ -24,6 +24,8 @@
   const registry = new EngineRegistry();
   registry.put({
     id: ENGINE,
+    name: ENGINE,
+    bornMs: undefined,
     service: 'generation',
     address: 'engine-1:1',
     zone: 'zone-0',
--- a/test/gateway/object-follower.test.ts
+++ b/test/gateway/object-follower.test.ts
@@ -47,6 +47,7 @@
       onList: (objects) => seen.push(...objects.map(({ spec }) => spec)),
       onObject: (object) => seen.push(object.spec),
       onGone: () => undefined,
+      onUnnamed: () => undefined,
       onAnswer: () => undefined,
       onFailure: () => undefined,
       onHistoryGone,
--- a/test/gateway/order-announcement.test.ts
+++ b/test/gateway/order-announcement.test.ts
@@ -1,5 +1,6 @@
 /** An order for new weights leaves when the other routers have heard that its engine is about to load. */
 import test from 'ava';
+import { EngineLives } from '../../src/coordination/gateway/engine-lives.js';
 import { GatewayStatistics } from '../../src/coordination/gateway/gateway-statistics.js';
 import type { LeaseKeeper } from '../../src/coordination/gateway/lease-keeper.js';
 import { WeightCoordinator } from '../../src/coordination/gateway/weight-coordinator.js';
@@ -23,6 +24,8 @@
   const registry = new EngineRegistry();
   registry.put({
     id: 'engine-0',
+    name: 'engine-0',
+    bornMs: undefined,
     service: 'generation',
     address: 'engine-0:1',
     zone: 'zone-a',
@@ -49,9 +52,12 @@
     },
   };
   const health = new EngineHealth();
+  const statistics = new GatewayStatistics();
+  const logger = new SilentLogger();
   const coordinator = new WeightCoordinator(
     {
       registry,
+      lives: new EngineLives(registry, statistics, logger),
       versions,
       loads: new LoadTable(),
       health,
@@ -59,9 +65,9 @@
       engines: engines as unknown as InferencePort,
       lease: lease as unknown as LeaseKeeper,
       requestRate: new SendRate(),
-      statistics: new GatewayStatistics(),
+      statistics,
       clock,
-      logger: new SilentLogger(),
+      logger,
     },
     {
       holder: 'router-0',
@@ -74,6 +80,7 @@
         replacedWeightsLoss: 0.2,
         loadCostRequests: 2,
       },
+      isKnownService: () => true,
       respondingRouters: () => ['router-0'],
       isAvailable: () => true,
       shareOfTraffic: () => 1,
--- a/test/gateway/order-book.test.ts
+++ b/test/gateway/order-book.test.ts
@@ -75,6 +75,8 @@
   const registry = new EngineRegistry();
   const record = {
     id: 'engine-1',
+    name: 'engine-1',
+    bornMs: undefined,
     service: 'generation',
     address: 'engine-1:1',
     zone: 'zone-a',
@@ -87,6 +89,6 @@
   t.false(registry.noteReplaced('engine-1'));
   registry.put(record);
   t.is(registry.ofService('generation').length, 0);
-  registry.put({ ...record, id: 'engine-2' });
+  registry.put({ ...record, id: 'engine-2', name: 'engine-2' });
   t.is(registry.ofService('generation').length, 1);
 });
--- a/test/gateway/placement.test.ts
+++ b/test/gateway/placement.test.ts
@@ -27,6 +27,8 @@
   for (let index = 0; index < engines; index += 1) {
     registry.put({
       id: `engine-${index}`,
+      name: `engine-${index}`,
+      bornMs: undefined,
       service: 'generation',
       address: `engine-${index}:1`,
       zone: `zone-${index % 3}`,
--- a/test/gateway/rejection.test.ts
+++ b/test/gateway/rejection.test.ts
@@ -128,6 +128,8 @@
   const registry = new EngineRegistry();
   const record = {
     id: 'engine-1',
+    name: 'engine-1',
+    bornMs: undefined,
     service: 'generation',
     address: 'engine-1:1',
     zone: 'zone-a',
--- a/test/gateway/store-order.test.ts
+++ b/test/gateway/store-order.test.ts
@@ -106,6 +106,7 @@
       onList: (objects) => taken.push(objects),
       onObject: () => undefined,
       onGone: () => undefined,
+      onUnnamed: () => undefined,
       onAnswer: () => undefined,
       onFailure: () => undefined,
       onHistoryGone: () => undefined,
@@ -122,6 +123,8 @@
 test('an engine that drained takes no work when an old entry of it comes back', (t) => {
   const record: EngineRecord = {
     id: 'engine-1',
+    name: 'engine-1',
+    bornMs: undefined,
     service: 'plain',
     address: 'engine-1:1',
     zone: 'zone-a',
--- a/test/gateway/store-outage.test.ts
+++ b/test/gateway/store-outage.test.ts
@@ -42,6 +42,7 @@
         onList: () => undefined,
         onObject: () => undefined,
         onGone: () => undefined,
+        onUnnamed: () => undefined,
         onAnswer: noteAnswer,
         onFailure: () => undefined,
         onHistoryGone: () => undefined,
--- a/test/gateway/weight-rollout.test.ts
+++ b/test/gateway/weight-rollout.test.ts
@@ -30,6 +30,8 @@
   return versions.map((version, index) => ({
     record: {
       id: `engine-${index}`,
+      name: `engine-${index}`,
+      bornMs: undefined,
       service: 'generation',
       address: `engine-${index}:1`,
       zone: 'zone-a',
--- a/test/helpers/placement-world.ts
+++ b/test/helpers/placement-world.ts
@@ -109,6 +109,8 @@
     const slowness = SLOWNESS[index % SLOWNESS.length] as number;
     this.registry.put({
       id: `engine-${index}`,
+      name: `engine-${index}`,
+      bornMs: undefined,
       service: SERVICE,
       address: `engine-${index}:1`,
       zone: `zone-${Math.floor(index / SLOWNESS.length) % zones}`,
--- a/test/platform/engine-exchange.test.ts
+++ b/test/platform/engine-exchange.test.ts
@@ -57,12 +57,17 @@
   const { port } = server.address() as net.AddressInfo;
   return new Promise((resolve) => {
     const outcome: Outcome = { body: '', end: 'whole' };
-    new EngineClient().send({ id: 'engine-1', address: `127.0.0.1:${port}` }, REQUEST, OPTIONS, {
-      onHead: (head) => (outcome.head = head),
-      onChunk: (chunk) => (outcome.body += Buffer.from(chunk).toString('latin1')),
-      onEnd: () => resolve(outcome),
-      onFailure: (failure) => resolve({ ...outcome, end: failure }),
-    });
+    new EngineClient().send(
+      { id: 'engine-1', name: 'engine-1', address: `127.0.0.1:${port}` },
+      REQUEST,
+      OPTIONS,
+      {
+        onHead: (head) => (outcome.head = head),
+        onChunk: (chunk) => (outcome.body += Buffer.from(chunk).toString('latin1')),
+        onEnd: () => resolve(outcome),
+        onFailure: (failure) => resolve({ ...outcome, end: failure }),
+      },
+    );
   });
 }
 
@@ -137,12 +142,17 @@
 
 test('an engine that is not there was sent nothing', async (t) => {
   const outcome = await new Promise<ExchangeFailure>((resolve) => {
-    new EngineClient().send({ id: 'engine-1', address: '127.0.0.1:1' }, REQUEST, OPTIONS, {
-      onHead: () => undefined,
-      onChunk: () => undefined,
-      onEnd: () => undefined,
-      onFailure: resolve,
-    });
+    new EngineClient().send(
+      { id: 'engine-1', name: 'engine-1', address: '127.0.0.1:1' },
+      REQUEST,
+      OPTIONS,
+      {
+        onHead: () => undefined,
+        onChunk: () => undefined,
+        onEnd: () => undefined,
+        onFailure: resolve,
+      },
+    );
   });
   t.is(outcome.kind, 'not-sent');
 });
