Let the simulated engines start again under their names, beside entries of other writers

Cause: an engine of the simulated deployment came back from a crash under a new name only, and its entries were always well formed, so that nothing of a former life could be mistaken for the present one.

Change: SimulatedFleet, taken out of GatewayWorld, holds the lives of each engine. A restart has its length, a cut behind which requests hang, a late entry, a lost load and a clock that steps back; the new life counts no orders, knows no fencing token and runs nothing. Orders may lose their answer or arrive seconds later, at the life that is there then. Other writers leave odd entries or overwrite an engine's. The oracle counts runs, orders, drains and weights by incarnation, and finds requests and orders for odd entries. Orders are judged by when they were sent: one that was held up may meet a life that knows no token yet.

Tests call the fleet where the world's methods moved; entry-lapse uses the entry's name, as the entry has no incarnation of its own. No expectation changed.

Not covered: cache events of the simulated engines, which still report nothing kept.

--- a/fuzz/gateway-commands.ts
+++ b/fuzz/gateway-commands.ts
@@ -11,7 +11,8 @@
 /** A command over the simulated deployment. */
 export type GatewayCommand = fc.AsyncCommand<NoModel, GatewayWorld>;
 
-function command(
+/** A command that may come at any time. */
+export function command(
   description: string,
   action: (world: GatewayWorld) => Promise<void> | void,
 ): GatewayCommand {
@@ -25,7 +26,8 @@
 }
 
 const router = fc.nat(2);
-const engine = fc.nat(9);
+/** An engine by its place; places beyond the last one begin anew. */
+export const engine = fc.nat(9);
 const tenant = fc.constantFrom('tenant-1', 'tenant-2');
 const keyIndex = fc.nat(1);
 const requestKind = fc.constantFrom<RequestKind>(
@@ -95,15 +97,15 @@
   );
 
 const replaceEngine = engine.map((index) =>
-  command(`replaceEngine(${index})`, (world) => world.replaceEngine(index)),
+  command(`replaceEngine(${index})`, (world) => world.fleet.replace(index)),
 );
 
 const crashEngine = engine.map((index) =>
-  command(`crashEngine(${index})`, (world) => world.crashEngine(index)),
+  command(`crashEngine(${index})`, (world) => world.fleet.crash(index)),
 );
 
 const drainEngine = engine.map((index) =>
-  command(`drainEngine(${index})`, (world) => world.drainEngine(index)),
+  command(`drainEngine(${index})`, (world) => world.fleet.drain(index)),
 );
 
 const toggleKey = fc
@@ -177,7 +179,7 @@
     const REQUESTS = 12;
     world.cutFromStore(index, CUT_MS);
     await world.clock.advance(50);
-    world.drainEngine(leaving);
+    world.fleet.drain(leaving);
     await world.clock.advance(BEYOND_BOUND_MS);
     for (let turn = 0; turn < REQUESTS; turn += 1) {
       world.request(index + 1 + (turn % 2), turn % 4 < 2 ? 'plain-safe' : 'stream-once', name, 0);
@@ -209,34 +211,38 @@
     }),
   );
 
+/** Every command of this module; those that stand twice are drawn more often. */
+export const GATEWAY_COMMANDS: readonly fc.Arbitrary<GatewayCommand>[] = [
+  request,
+  request,
+  request,
+  traffic,
+  crashingRequest,
+  advance,
+  advance,
+  leave,
+  setMode,
+  setMode,
+  fc.oneof(replaceEngine, crashEngine),
+  drainEngine,
+  toggleKey,
+  nameWeights,
+  nameWeights,
+  killRouter,
+  stopRouter,
+  fc.oneof(freezeRouter, suspendRouter),
+  cutFromStore,
+  fc.oneof(removeKeyBehindCut, removeKeyBehindSuspension),
+  drainBehindCut,
+  stopStore,
+  compact,
+  slowLists,
+  faultWrites,
+];
+
+/** Draws sequences of at most so many commands. */
+export type CommandSource = (maximum: number) => fc.Arbitrary<Iterable<GatewayCommand>>;
+
 /** Sequences of commands. */
-export function gatewayCommands(maximum: number): fc.Arbitrary<Iterable<GatewayCommand>> {
-  const all: fc.Arbitrary<GatewayCommand>[] = [
-    request,
-    request,
-    request,
-    traffic,
-    crashingRequest,
-    advance,
-    advance,
-    leave,
-    setMode,
-    setMode,
-    fc.oneof(replaceEngine, crashEngine),
-    drainEngine,
-    toggleKey,
-    nameWeights,
-    nameWeights,
-    killRouter,
-    stopRouter,
-    fc.oneof(freezeRouter, suspendRouter),
-    cutFromStore,
-    fc.oneof(removeKeyBehindCut, removeKeyBehindSuspension),
-    drainBehindCut,
-    stopStore,
-    compact,
-    slowLists,
-    faultWrites,
-  ];
-  return fc.commands(all, { maxCommands: maximum });
-}
+export const gatewayCommands: CommandSource = (maximum) =>
+  fc.commands([...GATEWAY_COMMANDS], { maxCommands: maximum });
--- a/src/lab/gateway-world/gateway-oracle.ts
+++ b/src/lab/gateway-world/gateway-oracle.ts
@@ -18,7 +18,8 @@
   | 'answered-in-time'
   | 'one-run-at-a-time'
   | 'weights-in-force'
-  | 'crashes-bounded';
+  | 'crashes-bounded'
+  | 'odd-entry-unused';
 
 /** A broken rule. */
 export interface RuleBreach {
@@ -51,9 +52,18 @@
     ...judgeOrders(world),
     ...judgeWeights(world),
     ...judgeCrashes(world),
+    ...judgeStrays(world),
   ];
 }
 
+/** An entry of another writer names no engine to use: neither requests nor orders go there. */
+function judgeStrays(world: GatewayWorld): RuleBreach[] {
+  return world.observations.strays.map(({ entry, router, atMs }) => ({
+    rule: 'odd-entry-unused' as const,
+    detail: `${router} used ${entry} at ${atMs} ms`,
+  }));
+}
+
 /** A request under which three engines have crashed reaches at most three more, a while later. */
 function judgeCrashes(world: GatewayWorld): RuleBreach[] {
   const { crashes } = world.observations;
@@ -72,7 +82,7 @@
 
 /** Once everything has come to rest, each engine has the newest weights. */
 function judgeWeights(world: GatewayWorld): RuleBreach[] {
-  const behind = world.generationEngines.filter(
+  const behind = world.fleet.generationEngines.filter(
     (engine) => engine.weightsVersion < world.namedVersion,
   );
   return behind.map((engine) => ({
@@ -202,13 +212,16 @@
   });
 }
 
-/** One token belongs to one holder, tokens never fall, and holders do not take turns at once. */
+/**
+ * One token belongs to one holder, tokens never fall, and holders do not take turns at once. Orders are
+ * judged as they were sent: one that the network holds up may arrive at a life that knows no token yet.
+ */
 function judgeOrders(world: GatewayWorld): RuleBreach[] {
-  const { orders } = world.observations;
+  const orders = [...world.observations.orders].sort((a, b) => a.sentMs - b.sentMs);
   return orders.slice(1).flatMap((order, index) => {
     const before = orders[index] as (typeof orders)[number];
     if (before.holder === order.holder) return [];
-    const gapMs = order.takenMs - before.takenMs;
+    const gapMs = order.sentMs - before.sentMs;
     if (order.token > before.token && gapMs >= WORLD_BOUNDS.leaseMs) return [];
     const detail = `${before.holder} (${before.token}), ${order.holder} (${order.token}), ${gapMs} ms`;
     return [{ rule: 'one-holder' as const, detail }];
--- a/src/lab/gateway-world/gateway-world.ts
+++ b/src/lab/gateway-world/gateway-world.ts
@@ -3,6 +3,7 @@
 import type { TenantLimit } from '../../state/routing/quota/tenant-limit.js';
 import type { GatewaySettings } from '../../coordination/gateway/gateway-settings.js';
 import type { ObjectDecoder } from '../../coordination/gateway/object-decoder.js';
+import type { InferencePort } from '../../protocol/inference/port.js';
 import { type Hasher, createHasher } from '../../runtime/hasher.js';
 import { SilentLogger } from '../../runtime/logger.js';
 import { SeededRandom } from '../../runtime/random.js';
@@ -15,9 +16,11 @@
   SimulatedSockets,
 } from '../simulation/simulated-transports.js';
 import { RecordedReply } from './recorded-reply.js';
-import { EngineObservations, SimulatedEngine } from './simulated-engine.js';
+import { EngineObservations, type SimulatedEngine } from './simulated-engine.js';
+import { SimulatedFleet } from './simulated-fleet.js';
 import { SimulatedInference } from './simulated-inference.js';
 import { SimulatedObjectStore, SimulatedStorePort } from './simulated-object-store.js';
+import type { StoredEngine } from './stored-engine.js';
 import {
   DECODER,
   GENERATION_SERVICE,
@@ -26,7 +29,6 @@
   PLAIN_SERVICE,
   ROUTERS,
   type RequestKind,
-  type StoredEngine,
   WORLD_MODEL,
   inboundRequest,
   routerName,
@@ -67,15 +69,19 @@
 const STARTUP_MS = 1_500;
 const RESTART_MS = 800;
 const SETTLE_MS = 20_000;
-/** An engine that a request has crashed is back after this time. */
-const CRASH_RESTART_MS = 3_000;
-/** The entry of a crashed engine lapses after this time. */
-const ENTRY_LAPSE_MS = 3_600;
+
+/** What a router sees of the engines: their answers and, decoded, their entries. */
+export interface RouterView {
+  readonly engines: InferencePort;
+  readonly decoder: ObjectDecoder;
+}
 
 /** Parts of a deployment that a mutation may weaken, to see that the oracle finds it. */
 export interface WorldMutation {
   readonly settings?: Partial<GatewaySettings>;
   readonly decoder?: (decoder: ObjectDecoder) => ObjectDecoder;
+  /** Called once for a deployment: what changes the view of each of its routers, as they start. */
+  readonly makeView?: () => (view: RouterView) => RouterView;
   /** What each tenant may use; undefined: no limit. */
   readonly tenantLimit?: TenantLimit;
   /** False: routers take the steady clock for one that counts suspensions. */
@@ -92,6 +98,7 @@
 export class GatewayWorld {
   readonly clock = new VirtualClock();
   readonly store: SimulatedObjectStore;
+  readonly fleet: SimulatedFleet;
   readonly observations = new EngineObservations();
   readonly requests: ObservedRequest[] = [];
   readonly acknowledgements: Acknowledgement[] = [];
@@ -100,10 +107,9 @@
   private readonly network: SimulatedNetwork;
   private readonly sockets: SimulatedSockets;
   private readonly routers = new Map<string, RunningRouter>();
-  private readonly engines: SimulatedEngine[] = [];
   private readonly keys = new Map([...KEYS].map(([tenant, keys]) => [tenant, [...keys]]));
+  private readonly changeView: (view: RouterView) => RouterView;
   private configurationVersion = 0;
-  private engineCount = 0;
   private seedCount = 0;
 
   private constructor(
@@ -112,6 +118,10 @@
     private readonly mutation: WorldMutation,
   ) {
     this.store = new SimulatedObjectStore(this.clock);
+    this.fleet = new SimulatedFleet(this.clock, this.store, (subject) =>
+      this.acknowledgements.push({ kind: 'engine-draining', subject, atMs: this.now }),
+    );
+    this.changeView = mutation.makeView?.() ?? ((view) => view);
     this.network = new SimulatedNetwork(this.clock, new SeededRandom(seed));
     this.sockets = new SimulatedSockets(this.network);
   }
@@ -120,8 +130,8 @@
     const world = new GatewayWorld(seed, await createHasher(), mutation);
     world.putConfiguration();
     world.store.put(KINDS.weightVersions, WORLD_MODEL, { model: WORLD_MODEL, version: 1 });
-    for (let index = 0; index < GENERATION_ENGINES; index += 1) world.addEngine(GENERATION_SERVICE);
-    for (let index = 0; index < PLAIN_ENGINES; index += 1) world.addEngine(PLAIN_SERVICE);
+    for (let index = 0; index < GENERATION_ENGINES; index += 1) world.fleet.add(GENERATION_SERVICE);
+    for (let index = 0; index < PLAIN_ENGINES; index += 1) world.fleet.add(PLAIN_SERVICE);
     for (let index = 0; index < ROUTERS; index += 1) await world.startRouter(index);
     await world.clock.advance(STARTUP_MS);
     return world;
@@ -163,38 +173,7 @@
   }
 
   engine(index: number): SimulatedEngine {
-    return this.engines[index % this.engines.length] as SimulatedEngine;
-  }
-
-  /** An engine dies without a word; another takes its address a little later. */
-  replaceEngine(index: number): void {
-    const engine = this.engine(index);
-    if (!engine.isRunning) return;
-    engine.crash();
-    this.store.remove(KINDS.engines, engine.id);
-    const REUSE_AFTER_MS = 300;
-    this.clock.setTimer(REUSE_AFTER_MS, () => this.addEngine(engine.service, engine.address));
-  }
-
-  /** An engine crashes without a request being the cause, and comes back as it does after one. */
-  crashEngine(index: number): void {
-    const engine = this.engine(index);
-    if (engine.isRunning) engine.crashAndRestart();
-  }
-
-  /** An engine says that it leaves, serves a while longer and ends. */
-  drainEngine(index: number): void {
-    const engine = this.engine(index);
-    const listed = this.store.get(KINDS.engines, engine.id)?.spec as StoredEngine | undefined;
-    if (!engine.isRunning || !listed || listed.isDraining || this.store.isDown) return;
-    this.store.put(KINDS.engines, engine.id, { ...listed, isDraining: true });
-    this.acknowledgements.push({ kind: 'engine-draining', subject: engine.id, atMs: this.now });
-    const SERVES_ON_MS = 6_000;
-    this.clock.setTimer(SERVES_ON_MS, () => {
-      engine.crash();
-      this.store.remove(KINDS.engines, engine.id);
-      this.addEngine(engine.service);
-    });
+    return this.fleet.engine(index);
   }
 
   /** The operator takes a key away or gives it back. */
@@ -246,11 +225,6 @@
     });
   }
 
-  /** The running engines that hold the model. */
-  get generationEngines(): SimulatedEngine[] {
-    return this.engines.filter((engine) => engine.isRunning && engine.model !== undefined);
-  }
-
   /** Newest version of the weights that was named. */
   get namedVersion(): number {
     return (this.store.get(KINDS.weightVersions, WORLD_MODEL)?.spec as { version: number }).version;
@@ -297,8 +271,7 @@
     for (const entry of entries) this.store.remove(KINDS.engines, entry.name);
     this.clock.setTimer(forMs + reenterMs, () => {
       for (const { name, spec } of entries) {
-        const isAlive = this.engines.some((engine) => engine.id === name && engine.isRunning);
-        if (isAlive) this.store.put(KINDS.engines, name, spec);
+        if (this.fleet.isAlive(spec as StoredEngine)) this.store.put(KINDS.engines, name, spec);
       }
     });
   }
@@ -309,6 +282,8 @@
     this.store.unreachableFor.clear();
     this.store.writeFaults.length = 0;
     this.store.listDelaysMs.length = 0;
+    this.fleet.orderFaults.length = 0;
+    this.fleet.heal();
     for (const { host } of this.routers.values()) {
       host.unpause();
       host.wake();
@@ -331,35 +306,6 @@
     for (let index = 0; index < ROUTERS; index += 1) this.disturb(routerName(index), forMs);
   }
 
-  private addEngine(service: string, address?: string): void {
-    this.engineCount += 1;
-    const id = `engine-${this.engineCount}`;
-    const model = service === GENERATION_SERVICE ? WORLD_MODEL : undefined;
-    const engine = new SimulatedEngine(id, address ?? `${id}:1`, service, model);
-    const named = this.store.get(KINDS.weightVersions, WORLD_MODEL)?.spec as { version: number };
-    engine.weightsVersion = named.version;
-    engine.onCrashed = () => this.restartCrashed(engine);
-    this.engines.push(engine);
-    const record: StoredEngine = {
-      id,
-      name: id,
-      bornMs: undefined,
-      service,
-      address: engine.address,
-      zone: 'zone-a',
-      slots: 8,
-      isDraining: false,
-      modelVersions: model ? [[model, engine.weightsVersion]] : [],
-    };
-    this.store.put(KINDS.engines, id, record);
-  }
-
-  /** A crashed engine comes back at its address as a new incarnation; its old entry lapses meanwhile. */
-  private restartCrashed(engine: SimulatedEngine): void {
-    this.clock.setTimer(CRASH_RESTART_MS, () => this.addEngine(engine.service, engine.address));
-    this.clock.setTimer(ENTRY_LAPSE_MS, () => this.store.remove(KINDS.engines, engine.id));
-  }
-
   private putConfiguration(): void {
     this.configurationVersion += 1;
     const limit = this.mutation.tenantLimit;
@@ -378,13 +324,9 @@
     this.network.attach(name, host);
     this.seedCount += 1;
     const random = new SeededRandom(this.seed * 1_000 + this.seedCount);
-    const inference = new SimulatedInference(
-      (address) => this.engines.findLast((engine) => engine.address === address),
-      this.observations,
-      this.clock,
-      host,
-      name,
-    );
+    const inference = new SimulatedInference(this.fleet, this.observations, this.clock, host, name);
+    const decoder = this.mutation.decoder?.(DECODER) ?? DECODER;
+    const view = { engines: inference, decoder };
     const node = await GatewayNode.open(
       { ...worldSettings(name), ...this.mutation.settings },
       {
@@ -395,8 +337,7 @@
         datagrams: new SimulatedDatagramTransport(this.sockets, name),
         frames: new SimulatedFrameTransport(this.sockets, name, host),
         store: new SimulatedStorePort(this.store, name, host),
-        engines: inference,
-        decoder: this.mutation.decoder?.(DECODER) ?? DECODER,
+        ...this.changeView(view),
       },
     );
     this.routers.set(name, { node, host, inference });
--- a/src/lab/gateway-world/simulated-engine.ts
+++ b/src/lab/gateway-world/simulated-engine.ts
@@ -1,4 +1,5 @@
 /** Stand-in of an engine, with the faults that real ones show, and what all engines saw. */
+import { incarnationOf } from '../../state/routing/engine-incarnation.js';
 
 /** How an engine treats the requests it is sent. */
 export enum EngineMode {
@@ -18,6 +19,7 @@
 /** One run of a request, as an engine saw it. */
 export interface ObservedRun {
   readonly requestId: string;
+  /** Incarnation of the engine. */
   readonly engineId: string;
   readonly service: string;
   readonly router: string;
@@ -40,43 +42,109 @@
 
 /** One order that an engine took. */
 export interface ObservedOrder {
+  /** Incarnation of the engine. */
   readonly engineId: string;
   readonly holder: string;
   readonly token: number;
-  readonly takenMs: number;
+  /** When it was sent; the network may have held it up since. */
+  readonly sentMs: number;
+}
+
+/** A send or an order to what an entry of another writer names as an engine. */
+export interface ObservedStray {
+  /** Name of the entry. */
+  readonly entry: string;
+  readonly router: string;
+  readonly atMs: number;
 }
 
 /** A request that an engine works on. */
 export interface RunningRequest {
   /** The connection breaks at the engine's side. */
   breakOff(): void;
+  /** The engine ends, and nothing of that reaches the router. */
+  leaveSilently(): void;
 }
 
-/** An engine of the simulation. */
+/** What identifies an engine and stays the same in all its lives. */
+export interface EngineIdentity {
+  readonly name: string;
+  /** HOST:PORT. */
+  readonly address: string;
+  readonly service: string;
+  readonly model: string | undefined;
+}
+
+/** One life of an engine of the simulation. */
 export class SimulatedEngine {
   mode = EngineMode.Sound;
   isRunning = true;
-  weightsVersion = 1;
   sequence = 0;
   highestToken = 0;
   isLoading = false;
+  /** Whether it has announced that it leaves. */
+  isDraining = false;
   readonly running = new Set<RunningRequest>();
   /** Called when it has crashed. */
   onCrashed: () => void = () => undefined;
+  private version = 1;
+  private replacedVersion = 1;
 
+  /** @param bornMs start in Unix milliseconds, by the engine's own clock */
   constructor(
-    readonly id: string,
-    readonly address: string,
-    readonly service: string,
-    readonly model: string | undefined,
+    readonly identity: EngineIdentity,
+    readonly bornMs: number,
   ) {}
 
+  /** Incarnation: identity of this life. */
+  get id(): string {
+    return incarnationOf(this.identity.name, this.bornMs);
+  }
+
+  get name(): string {
+    return this.identity.name;
+  }
+
+  get address(): string {
+    return this.identity.address;
+  }
+
+  get service(): string {
+    return this.identity.service;
+  }
+
+  get model(): string | undefined {
+    return this.identity.model;
+  }
+
+  get weightsVersion(): number {
+    return this.version;
+  }
+
+  set weightsVersion(version: number) {
+    this.replacedVersion = this.version;
+    this.version = version;
+  }
+
+  /** The version that it had before its last load. */
+  get earlierVersion(): number {
+    return this.replacedVersion;
+  }
+
   /** Ends at once; what it was working on breaks off. */
   crash(): void {
     this.isRunning = false;
     for (const exchange of [...this.running]) exchange.breakOff();
   }
 
+  /** Ends behind a cut of the network. Answers what its callers find broken once the cut is over. */
+  crashUnseen(): RunningRequest[] {
+    this.isRunning = false;
+    const unseen = [...this.running];
+    for (const exchange of unseen) exchange.leaveSilently();
+    return unseen;
+  }
+
   /** Crashes, by a request that it ran or by a fault of its own, and is started again. */
   crashAndRestart(): void {
     this.crash();
@@ -89,4 +157,5 @@
   readonly runs: ObservedRun[] = [];
   readonly orders: ObservedOrder[] = [];
   readonly crashes: ObservedCrash[] = [];
+  readonly strays: ObservedStray[] = [];
 }
--- a/src/lab/gateway-world/simulated-exchange.ts
+++ b/src/lab/gateway-world/simulated-exchange.ts
@@ -88,6 +88,10 @@
     this.fail(this.hasBegun ? 'cut' : 'unknown');
   }
 
+  leaveSilently(): void {
+    this.leaveEngine();
+  }
+
   cancel(): void {
     this.isOver = true;
     this.clock.setTimer(WAY_MS, () => this.leaveEngine());
--- a/src/lab/gateway-world/simulated-inference.ts
+++ b/src/lab/gateway-world/simulated-inference.ts
@@ -22,17 +22,21 @@
   type SimulatedEngine,
 } from './simulated-engine.js';
 import { SimulatedExchange, WAY_MS } from './simulated-exchange.js';
+import { OrderFault, type SimulatedFleet } from './simulated-fleet.js';
 import { CRASHING_BODY } from './world-fixtures.js';
 
 const LOAD_MS = 300;
 const REPORT_TIMEOUT_MS = 400;
+/** An order that the network holds up arrives this much later. */
+const LATE_ORDER_MS = 2_500;
+const NO_ANSWER: OrderResult = { kind: 'unknown', reason: 'silent' };
 
 /** One router's access to the engines. */
 export class SimulatedInference implements InferencePort {
   private readonly exchanges = new Set<SimulatedExchange>();
 
   constructor(
-    private readonly engineAt: (address: string) => SimulatedEngine | undefined,
+    private readonly fleet: SimulatedFleet,
     private readonly observations: EngineObservations,
     private readonly clock: Clock,
     private readonly host: HostClock,
@@ -45,31 +49,43 @@
     options: SendOptions,
     listener: ExchangeListener,
   ): Exchange {
+    this.noteStray(endpoint);
     const exchange = new SimulatedExchange(request, options, listener, this.clock, this.host);
     this.exchanges.add(exchange);
     this.clock.setTimer(WAY_MS, () => this.arrive(endpoint, exchange, options, request));
     return exchange;
   }
 
-  checkListener(endpoint: EngineEndpoint): Promise<ListenerState> {
+  checkListener({ address }: EngineEndpoint): Promise<ListenerState> {
     return this.answer(() => {
-      const isRunning = this.engineAt(endpoint.address)?.isRunning ?? false;
+      if (this.fleet.cutAt(address)) return ListenerState.Silent;
+      const isRunning = this.fleet.at(address)?.isRunning ?? false;
       return isRunning ? ListenerState.Listening : ListenerState.Refused;
     }, ListenerState.Silent);
   }
 
   order(endpoint: EngineEndpoint, order: WeightOrder): Promise<OrderResult> {
-    return this.answer(() => this.takeOrder(endpoint, order), {
-      kind: 'unknown',
-      reason: 'silent',
-    });
+    this.noteStray(endpoint);
+    const sentMs = this.clock.now();
+    const fault = this.fleet.orderFaults.shift();
+    return this.answer(() => {
+      if (fault === OrderFault.Late) {
+        this.clock.setTimer(LATE_ORDER_MS, () => this.takeOrder(endpoint, order, sentMs));
+        return NO_ANSWER;
+      }
+      if (this.fleet.cutAt(endpoint.address)) return NO_ANSWER;
+      const result = this.takeOrder(endpoint, order, sentMs);
+      return fault === OrderFault.AnswerLost ? NO_ANSWER : result;
+    }, NO_ANSWER);
   }
 
   weightState(endpoint: EngineEndpoint): Promise<WeightState | undefined> {
     return this.answer(() => {
+      if (this.fleet.cutAt(endpoint.address)) return undefined;
       const engine = this.engineOf(endpoint);
       return (
         engine && {
+          bornMs: engine.bornMs,
           version: engine.weightsVersion,
           isBusy: engine.isLoading,
           orderSequence: engine.sequence,
@@ -78,15 +94,20 @@
     }, undefined);
   }
 
-  cacheEvents(_address: string, since: number, waitMs: number): Promise<CacheEventPage> {
+  cacheEvents(address: string, since: number, waitMs: number): Promise<CacheEventPage> {
     return new Promise((resolve) => {
-      const page = { epoch: 1, next: since, hasGap: false, events: [] };
-      this.clock.setTimer(waitMs, () => this.host.deliver(() => resolve(page)));
+      this.clock.setTimer(waitMs, () =>
+        this.host.deliver(() => {
+          const bornMs = this.fleet.at(address)?.bornMs;
+          resolve({ bornMs, epoch: bornMs ?? 1, next: since, hasGap: false, events: [] });
+        }),
+      );
     });
   }
 
-  cacheContents(): Promise<CacheContents> {
-    return Promise.resolve({ epoch: 1, next: 0, held: [] });
+  cacheContents(address: string): Promise<CacheContents> {
+    const bornMs = this.fleet.at(address)?.bornMs;
+    return Promise.resolve({ bornMs, epoch: bornMs ?? 1, next: 0, held: [] });
   }
 
   retain(): void {
@@ -105,12 +126,17 @@
     request: ForwardedRequest,
   ): void {
     if (exchange.isOver) return;
-    const engine = this.engineAt(endpoint.address);
+    const hanging = this.fleet.cutAt(endpoint.address);
+    if (hanging) {
+      hanging.add(exchange);
+      return;
+    }
+    const engine = this.fleet.at(endpoint.address);
     if (!engine?.isRunning) {
       exchange.fail('not-sent');
       return;
     }
-    const isOther = engine.id !== options.expectedInstance;
+    const isOther = engine.name !== options.expectedInstance;
     const isOtherVersion =
       options.expectedVersion !== undefined && options.expectedVersion !== engine.weightsVersion;
     if (isOther || isOtherVersion) {
@@ -148,33 +174,40 @@
     exchange.crash(engine, run, crash);
   }
 
-  private takeOrder(endpoint: EngineEndpoint, order: WeightOrder): OrderResult {
+  private takeOrder(endpoint: EngineEndpoint, order: WeightOrder, sentMs: number): OrderResult {
     const engine = this.engineOf(endpoint);
-    if (!engine) return { kind: 'unknown', reason: 'silent' };
-    if (order.fencingToken < engine.highestToken) return { kind: 'rejected', status: 412 };
+    if (!engine) return NO_ANSWER;
+    const { bornMs } = engine;
+    if (order.fencingToken < engine.highestToken) return { kind: 'rejected', status: 412, bornMs };
     engine.highestToken = order.fencingToken;
     if (engine.isLoading || order.expectedSequence !== engine.sequence) {
-      return { kind: 'rejected', status: 409 };
+      return { kind: 'rejected', status: 409, bornMs };
     }
-    if (engine.weightsVersion >= order.version) return { kind: 'already-done' };
+    if (engine.weightsVersion >= order.version) return { kind: 'already-done', bornMs };
     engine.sequence += 1;
     engine.isLoading = true;
     this.observations.orders.push({
       engineId: engine.id,
       holder: order.holder,
       token: order.fencingToken,
-      takenMs: this.clock.now(),
+      sentMs,
     });
     this.clock.setTimer(LOAD_MS, () => {
       engine.isLoading = false;
       engine.weightsVersion = order.version;
     });
-    return { kind: 'accepted' };
+    return { kind: 'accepted', bornMs };
+  }
+
+  /** The engine of that name at the address, whichever of its lives. */
+  private engineOf({ name, address }: EngineEndpoint): SimulatedEngine | undefined {
+    const engine = this.fleet.at(address);
+    return engine?.isRunning && engine.name === name ? engine : undefined;
   }
 
-  private engineOf(endpoint: EngineEndpoint): SimulatedEngine | undefined {
-    const engine = this.engineAt(endpoint.address);
-    return engine?.isRunning && engine.id === endpoint.name ? engine : undefined;
+  private noteStray({ name }: EngineEndpoint): void {
+    if (!this.fleet.isOddName(name)) return;
+    this.observations.strays.push({ entry: name, router: this.router, atMs: this.clock.now() });
   }
 
   private answer<Result>(action: () => Result, silent: Result): Promise<Result> {
--- a/src/lab/gateway-world/world-fixtures.ts
+++ b/src/lab/gateway-world/world-fixtures.ts
@@ -4,7 +4,7 @@
 import type { InboundRequest } from '../../coordination/gateway/reply.js';
 import type { RoutingConfiguration } from '../../state/routing/configuration.js';
 import type { TenantLimit } from '../../state/routing/quota/tenant-limit.js';
-import type { EngineRecord } from '../../state/routing/engine-registry.js';
+import { decodeStoredEngine } from './stored-engine.js';
 
 /** Kinds of request the callers of the simulation send. */
 export type RequestKind = 'plain-unsafe' | 'plain-safe' | 'stream-resumable' | 'stream-once';
@@ -33,17 +33,10 @@
   ['tenant-1', ['key-1a', 'key-1b']],
   ['tenant-2', ['key-2a', 'key-2b']],
 ]);
-/** An engine's entry as the store holds it: values that JSON can carry. */
-export type StoredEngine = Omit<EngineRecord, 'modelVersions'> & {
-  readonly modelVersions: readonly (readonly [model: string, version: number])[];
-};
 /** Objects of the simulation hold the product's values, but for what JSON can't carry. */
 export const DECODER: ObjectDecoder = {
   configuration: (object) => ({ kind: 'value', value: object.spec as RoutingConfiguration }),
-  engine: (object) => {
-    const { modelVersions, ...record } = object.spec as StoredEngine;
-    return { kind: 'value', value: { ...record, modelVersions: new Map(modelVersions) } };
-  },
+  engine: decodeStoredEngine,
   weights: (object) => ({
     kind: 'value',
     value: object.spec as { model: string; version: number },
--- a/test/gateway/crashing-request.test.ts
+++ b/test/gateway/crashing-request.test.ts
@@ -117,7 +117,7 @@
   const world = await GatewayWorld.create(SEED);
   for (let turn = 0; turn < HOT_TIMES; turn += 1) {
     world.request(turn, 'stream-resumable', 'tenant-2', 0, 'hot prompt');
-    if (turn % HOT_PER_CRASH === 0) world.crashEngine(turn / HOT_PER_CRASH);
+    if (turn % HOT_PER_CRASH === 0) world.fleet.crash(turn / HOT_PER_CRASH);
     await world.clock.advance(HOT_GAP_MS);
   }
   await world.settle();
--- a/test/gateway/entry-lapse.test.ts
+++ b/test/gateway/entry-lapse.test.ts
@@ -2,7 +2,8 @@
 import test from 'ava';
 import { findBreaches } from '../../src/lab/gateway-world/gateway-oracle.js';
 import { GatewayWorld } from '../../src/lab/gateway-world/gateway-world.js';
-import { DECODER, type StoredEngine } from '../../src/lab/gateway-world/world-fixtures.js';
+import type { StoredEngine } from '../../src/lab/gateway-world/stored-engine.js';
+import { DECODER } from '../../src/lab/gateway-world/world-fixtures.js';
 import { EngineListWorld } from '../helpers/engine-list-world.js';
 
 const DOWN_MS = 2_000;
@@ -68,7 +69,6 @@
     drainMs: SHORT_DRAIN_MS,
   });
   const spec: StoredEngine = {
-    id: 'engine-1',
     name: 'engine-1',
     bornMs: undefined,
     service: 'plain',
@@ -78,9 +78,9 @@
     isDraining: false,
     modelVersions: [],
   };
-  list.takeAll([{ name: spec.id, revision: 2, spec }]);
+  list.takeAll([{ name: spec.name, revision: 2, spec }]);
   list.noteFailure();
-  list.takeGone(spec.id);
+  list.takeGone(spec.name);
   t.is(registry.readyOf('plain').length, 1);
   await clock.advance(SHORT_DRAIN_MS);
   t.is(registry.readyOf('plain').length, 0);
--- a/test/gateway/suspended-machine.test.ts
+++ b/test/gateway/suspended-machine.test.ts
@@ -154,7 +154,7 @@
   world.suspendRouter(0, SUSPENDED_MS);
   await world.clock.advance(100);
   const draining = world.engine(0);
-  world.drainEngine(0);
+  world.fleet.drain(0);
   await world.clock.advance(SUSPENDED_MS);
   for (let turn = 0; turn < 20; turn += 1) {
     world.request(0, 'stream-once', 'tenant-1', 0);
--- a/test/gateway/weight-handover.test.ts
+++ b/test/gateway/weight-handover.test.ts
@@ -35,7 +35,7 @@
   const holder = await untilFirstOrder(world);
   world.stopRouter(holder, 7_500);
   t.true((await servedShare(world, 7_000)) > 0.9);
-  t.true(world.generationEngines.every((engine) => engine.weightsVersion === 2));
+  t.true(world.fleet.generationEngines.every((engine) => engine.weightsVersion === 2));
   t.deepEqual(findBreaches(world), []);
 });
 
@@ -44,7 +44,7 @@
   const holder = await untilFirstOrder(world);
   world.killRouter(holder, 20_000);
   await world.clock.advance(12_000);
-  t.true(world.generationEngines.every((engine) => engine.weightsVersion === 2));
+  t.true(world.fleet.generationEngines.every((engine) => engine.weightsVersion === 2));
   t.deepEqual(findBreaches(world), []);
 });
 
@@ -53,14 +53,16 @@
   const holder = await untilFirstOrder(world);
   world.cutFromStore(holder, 30_000);
   await world.clock.advance(14_000);
-  t.true(world.generationEngines.every((engine) => engine.weightsVersion === 2));
+  t.true(world.fleet.generationEngines.every((engine) => engine.weightsVersion === 2));
   t.deepEqual(findBreaches(world), []);
 });
 
 /** Requests all the while, until the engines have the newest weights; how long that took. */
 async function loadedAfterMs(world: GatewayWorld, limitMs: number): Promise<number> {
   let spentMs = 0;
-  while (world.generationEngines.some((engine) => engine.weightsVersion < world.namedVersion)) {
+  while (
+    world.fleet.generationEngines.some((engine) => engine.weightsVersion < world.namedVersion)
+  ) {
     if (spentMs >= limitMs) return Infinity;
     world.request(spentMs / STEP_MS, 'stream-resumable', 'tenant-2', 0);
     await world.clock.advance(STEP_MS);
--- a/test/gateway/weight-outage.test.ts
+++ b/test/gateway/weight-outage.test.ts
@@ -62,7 +62,7 @@
     .slice(first)
     .filter((request) => request.reply.own?.reason === 'no-engine');
   t.is(refused.length, 0);
-  t.true(world.generationEngines.every((engine) => engine.weightsVersion === 2));
+  t.true(world.fleet.generationEngines.every((engine) => engine.weightsVersion === 2));
   t.deepEqual(findBreaches(world), []);
 });
 
