Fuzz engines that start again under their names, and entries of other writers

Cause: no command restarted an engine under its name, held an order up or left an odd entry.

Change: commands of their own for both, mixed with all others, so that the seeds of the other fuzz stay as they were. Four mutations keep one thing of a former life (versions, counted orders, the whole identity) or trust an unknown state.

--- a/fuzz/gateway-run.ts
+++ b/fuzz/gateway-run.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { findBreaches } from '../src/lab/gateway-world/gateway-oracle.js';
 import { GatewayWorld, type WorldMutation } from '../src/lab/gateway-world/gateway-world.js';
-import { type GatewayCommand, gatewayCommands } from './gateway-commands.js';
+import { type CommandSource, type GatewayCommand, gatewayCommands } from './gateway-commands.js';
 
 const MAXIMUM_COMMANDS = 40;
 
@@ -16,6 +16,8 @@
   readonly seed: number;
   readonly runs: number;
   readonly mutation?: WorldMutation;
+  /** What is done to the deployment; left out: every command but those on the lives of engines. */
+  readonly commands?: CommandSource;
   /** Whether a failing run is made smaller before it is reported. */
   readonly isShrunk?: boolean;
 }
@@ -36,10 +38,9 @@
 
 /** Fuzzes with a fixed seed. */
 export async function fuzzGateway(options: GatewayFuzzOptions): Promise<GatewayFuzzResult> {
-  const property = fc.asyncProperty(
-    fc.nat(),
-    gatewayCommands(MAXIMUM_COMMANDS),
-    (worldSeed, commands) => runGatewayCommands(worldSeed, commands, options.mutation ?? {}),
+  const source = options.commands ?? gatewayCommands;
+  const property = fc.asyncProperty(fc.nat(), source(MAXIMUM_COMMANDS), (worldSeed, commands) =>
+    runGatewayCommands(worldSeed, commands, options.mutation ?? {}),
   );
   const details = await fc.check(property, {
     seed: options.seed,
--- a/fuzz/gateway-suite.ts
+++ b/fuzz/gateway-suite.ts
@@ -1,10 +1,14 @@
 /** The gateway's fuzz as tests. Each test file takes a share, since a file runs on one thread. */
 import test from 'ava';
+import { engineLifeCommands } from './engine-life-commands.js';
+import { ENGINE_LIFE_MUTATIONS } from './engine-life-mutations.js';
 import { GATEWAY_MUTATIONS } from './gateway-mutations.js';
 import { fuzzGateway } from './gateway-run.js';
 
 const RUNS_PER_SEED = 200;
 const MUTATION_RUNS = 900;
+/** Few enough for a file of tests to take seconds. */
+const LIFE_RUNS = 60;
 const TIMEOUT_MS = 170_000;
 
 /** Declares one test for each seed: no rule is broken. */
@@ -19,6 +23,33 @@
   }
 }
 
+/** Declares one test for each seed: no rule is broken while engines start again under their names. */
+export function declareEngineLifeFuzz(seeds: readonly number[]): void {
+  for (const seed of seeds) {
+    test.serial(`no rule is broken while engines start again, seed ${seed}`, async (t) => {
+      t.timeout(TIMEOUT_MS);
+      const options = { seed, runs: LIFE_RUNS, commands: engineLifeCommands };
+      const result = await fuzzGateway(options);
+      t.is(result.kind, 'passed', result.kind === 'failed' ? result.report : '');
+      t.is(result.runs, LIFE_RUNS);
+    });
+  }
+}
+
+/** Declares a test for each mutation on the lives of engines: the fuzz finds it. */
+export function declareEngineLifeMutations(): void {
+  for (const { name, rule, mutation } of ENGINE_LIFE_MUTATIONS) {
+    test.serial(`the fuzz finds that ${name}`, async (t) => {
+      t.timeout(TIMEOUT_MS);
+      const commands = engineLifeCommands;
+      const options = { seed: 1, runs: LIFE_RUNS, mutation, isShrunk: false, commands };
+      const result = await fuzzGateway(options);
+      t.is(result.kind, 'failed');
+      t.regex(result.kind === 'failed' ? result.report : '', new RegExp(`rule ${rule}:`));
+    });
+  }
+}
+
 /** Declares a test for every `shares`-th mutation, beginning with `share`: the fuzz finds it. */
 export function declareGatewayMutations(share: number, shares: number): void {
   const own = GATEWAY_MUTATIONS.filter((_, index) => index % shares === share);
