--- a/test/gateway/weights-begin.test.ts
+++ b/test/gateway/weights-begin.test.ts
@@ -27,7 +27,7 @@
 /** Requests of one kind until a while after the bound, at engines that are slow and take no orders. */
 async function playSlowEngines(seed: number, kind: RequestKind): Promise<GatewayWorld> {
   const world = await GatewayWorld.create(seed);
-  const engines = world.generationEngines;
+  const engines = world.fleet.generationEngines;
   for (const engine of engines) {
     engine.takesOrders = false;
     engine.queueMs = QUEUE_MS;
