Withdraw a send whose request has not begun when its engine's weights run out of time

Cause: the bound on replaced weights is on the beginning of a run; the router looked only when it sent. How long a request waits at its engine is an estimate, and a slow engine passes it.

A version named after the send is noticed too.

--- /dev/null
+++ b/src/coordination/gateway/begin-watch.ts
@@ -0,0 +1,50 @@
+/**
+ * Withdraws a send whose request has not begun to run by the time its engine's weights may no longer begin any.
+ * The check at the send does not suffice: how long a request waits at its engine is only an estimate, and an
+ * engine that works four to eight times slower than usual let requests begin 0.1 s after the bound.
+ */
+import type { Clock, Timer } from '../../runtime/clock.js';
+import type { WeightVersions } from '../../state/routing/weight-versions.js';
+
+/** What a watch reads. */
+export interface BeginWatchParts {
+  readonly versions: WeightVersions;
+  readonly clock: Clock;
+}
+
+/** A version named after the send may end its time: it is looked for this often. */
+const RECHECK_MS = 500;
+
+/** The watch over one send, until its request has begun. */
+export class BeginWatch {
+  private timer: Timer | undefined;
+
+  /**
+   * @param version weights at the engine, as the send expects them
+   * @param onExpired called once, when the request may not begin on them any more
+   */
+  constructor(
+    private readonly model: string,
+    private readonly version: number,
+    private readonly parts: BeginWatchParts,
+    private readonly onExpired: () => void,
+  ) {
+    this.arm();
+  }
+
+  /** The request has begun, or the send is over. */
+  cancel(): void {
+    this.timer?.cancel();
+  }
+
+  private arm(): void {
+    const { versions, clock } = this.parts;
+    const nowMs = clock.now();
+    const limitMs = versions.lastBeginMs(this.model, this.version, nowMs) ?? Infinity;
+    if (nowMs >= limitMs) {
+      this.onExpired();
+      return;
+    }
+    this.timer = clock.setTimer(Math.min(limitMs - nowMs, RECHECK_MS), () => this.arm());
+  }
+}
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -115,7 +115,11 @@
         for (const call of this.calls) call.breakFormerLife(rebirth);
       },
     });
-    this.versions = new WeightVersions(settings.rollout.graceMs, this.outages);
+    this.versions = new WeightVersions(
+      settings.rollout.graceMs,
+      this.outages,
+      settings.beginSlackMs,
+    );
     this.followers = new StoreFollowers(relay.store, group, this.outages, clock, random, logger);
     this.crashes = new CrashProtection({
       policy: settings.quarantine,
--- a/src/coordination/gateway/gateway-settings.ts
+++ b/src/coordination/gateway/gateway-settings.ts
@@ -33,6 +33,8 @@
   /** How far the limits of tenants may be passed; left out: {@link DEFAULT_QUOTA_TOLERANCE}. */
   readonly quotaTolerance?: QuotaTolerance | undefined;
   readonly rollout: RolloutSettings;
+  /** A request that was sent in time may begin on replaced weights for so long after their grace. */
+  readonly beginSlackMs: number;
   /** Weights found by a router that has just started are taken to be named this long ago. */
   readonly unseenVersionAgeMs: number;
   readonly leaseMs: number;
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -10,6 +10,8 @@
   sends = 0;
   repeatedSends = 0;
   resumedStreams = 0;
+  /** Given up since their requests had not begun when their engines' weights ran out of time. */
+  withdrawnSends = 0;
   enginesUnreachable = 0;
   engineRefusals = 0;
   unknownOutcomes = 0;
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -9,6 +9,7 @@
 import type { CacheStore, Service } from '../../state/routing/configuration.js';
 import { type Placement, placeRequest } from '../../state/routing/placement.js';
 import { StorePressure, storePressure } from '../../state/routing/save-choice.js';
+import { BeginWatch } from './begin-watch.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { GenerationShape } from '../../state/routing/generation.js';
 import { LoadShare } from './load-share.js';
@@ -93,6 +94,7 @@
 export class Send implements ExchangeListener {
   private readonly exchange: Exchange;
   private readonly load: LoadShare;
+  private readonly beginWatch: BeginWatch | undefined;
   readonly sentMs: number;
   private headMs: number | undefined;
   private firstChunkMs: number | undefined;
@@ -112,6 +114,7 @@
     context.statistics.sends += 1;
     this.sentMs = context.clock.now();
     this.exchange = context.engines.send(placement.engine.record, request, options, this);
+    this.beginWatch = this.watchBeginning();
   }
 
   get engineId(): string {
@@ -178,6 +181,31 @@
     return this.placement.cacheSalt === undefined ? undefined : this.request.generation;
   }
 
+  /** Generations run on weights, and these may run out of their time before the engine begins. */
+  private watchBeginning(): BeginWatch | undefined {
+    const { generation, context } = this;
+    const { expectedVersion } = this.placement;
+    if (!generation || expectedVersion === undefined) return undefined;
+    const withdraw = (): void => this.withdraw();
+    return new BeginWatch(generation.model, expectedVersion, context, withdraw);
+  }
+
+  /** The engine may have begun just now, so the request counts as one that may have run. */
+  private withdraw(): void {
+    if (this.isOver || this.firstChunkMs !== undefined) return;
+    const { request, placement, context } = this;
+    context.statistics.withdrawnSends += 1;
+    context.logger.warn('send_withdrawn', {
+      request: request.id,
+      engine: this.engineId,
+      version: placement.expectedVersion,
+      waited_ms: Math.round(context.clock.now() - this.sentMs),
+    });
+    this.close();
+    this.exchange.cancel();
+    this.events.onFailure(this, { kind: 'unknown', reason: 'weights-out-of-time' });
+  }
+
   private noteChunk(): void {
     const { generation, lastChunkMs, context } = this;
     const now = context.clock.now();
@@ -201,6 +229,7 @@
 
   private close(): void {
     this.isOver = true;
+    this.beginWatch?.cancel();
     this.load.release();
   }
 
@@ -208,6 +237,7 @@
   private notePromptRead(nowMs: number): void {
     if (this.firstChunkMs !== undefined) return;
     this.firstChunkMs = nowMs;
+    this.beginWatch?.cancel();
     this.load.notePromptRead();
     const { cacheSalt } = this.placement;
     const { generation } = this.request;
--- a/src/lab/gateway-world/world-fixtures.ts
+++ b/src/lab/gateway-world/world-fixtures.ts
@@ -86,6 +86,7 @@
       replacedWeightsLoss: 0.2,
       loadCostRequests: 2,
     },
+    beginSlackMs: 450,
     unseenVersionAgeMs: 5_000,
     leaseMs: WORLD_BOUNDS.leaseMs,
     leaseActMs: 500,
--- a/src/state/routing/weight-versions.ts
+++ b/src/state/routing/weight-versions.ts
@@ -26,10 +26,12 @@
   /**
    * @param graceMs time from the naming of a version until older ones may serve no new request, not
    *   counting the time in which the store is out
+   * @param beginSlackMs for so long after that what was sent before may still begin on them
    */
   constructor(
     private readonly graceMs: number,
     private readonly outages: StoreOutages,
+    private readonly beginSlackMs = 0,
   ) {}
 
   /**
@@ -93,6 +95,12 @@
     return next && this.dueOf(next, nowMs);
   }
 
+  /** Until when a request that was sent to an engine of a version may begin there; undefined: no end is known. */
+  lastBeginMs(model: string, version: number, nowMs: number): number | undefined {
+    const dueMs = this.dueMs(model, version, nowMs);
+    return dueMs === undefined ? undefined : dueMs + this.beginSlackMs;
+  }
+
   private dueOf({ namedMs }: NamedVersion, nowMs: number): number {
     return namedMs + this.graceMs + this.outages.within(namedMs, nowMs);
   }
