Date versions that were missed by the last proof, and notice silent connections to the store sooner

A version shown by the first watch after one that had failed was taken as named at that moment, and announced as witnessed; a connection that goes silent shows only when its watch runs into its time limit, 10.8 s for versions in a small group: all routers together would have used replaced weights up to 10.8 s for too long.

Change: after a failed call, what the next answer brings is dated by the last proof and is no witness.

--- a/src/coordination/gateway/followed-kinds.ts
+++ b/src/coordination/gateway/followed-kinds.ts
@@ -64,7 +64,8 @@
     {
       onList: (objects) => versionNews.takeList(objects),
       onObject: (object) => versionNews.takeChange(object),
-      onAnswer: () => versionNews.noteAnswer(),
+      onAnswer: (proven) => versionNews.noteAnswer(proven),
+      onFailure: () => versionNews.noteFailure(),
     },
   );
 }
--- a/src/coordination/gateway/version-news.ts
+++ b/src/coordination/gateway/version-news.ts
@@ -3,6 +3,7 @@
  * there. Versions only rise, so what another router tells may be taken freely; it carries the time
  * since that router could first know of it.
  */
+import { ElapsedInstant } from '../../runtime/elapsed-instant.js';
 import type { Clock } from '../../runtime/clock.js';
 import type { Logger } from '../../runtime/logger.js';
 import type { StoredObject } from '../../protocol/object-store/port.js';
@@ -40,6 +41,9 @@
 export class VersionNews {
   private hasList = false;
   private answers = 0;
+  /** Whether a call has failed since the last answer: what the next one brings is older than it seems. */
+  private hasMissed = false;
+  private proven = ElapsedInstant.never;
 
   /**
    * @param unseenAgeMs weights found by a router that has just started are taken to be named this long
@@ -54,7 +58,7 @@
 
   /** Takes the store's list: when its versions were named is not known. */
   takeList(objects: readonly StoredObject[]): void {
-    const ageMs = this.hasList ? MISSED_AGE_MS : this.unseenAgeMs;
+    const ageMs = this.hasList ? this.missedAgeMs : this.unseenAgeMs;
     this.hasList = true;
     for (const object of objects) this.takeObject(object, 'list', ageMs);
   }
@@ -68,12 +72,24 @@
       this.takeObject(object, 'list', this.unseenAgeMs);
       return;
     }
-    if (this.takeObject(object, 'watch', 0)) this.announce();
+    if (this.hasMissed) this.takeObject(object, 'list', this.missedAgeMs);
+    else if (this.takeObject(object, 'watch', 0)) this.announce();
   }
 
-  /** The store, or another router in its place, has answered; call after its changes were taken. */
-  noteAnswer(): void {
+  /**
+   * The store, or another router in its place, has answered; call after its changes were taken.
+   *
+   * @param proven a moment at which nothing newer was there
+   */
+  noteAnswer(proven: ElapsedInstant): void {
     this.answers += 1;
+    this.hasMissed = false;
+    this.proven = this.proven.latest(proven);
+  }
+
+  /** A call was not answered. A connection that has gone silent shows this way, seconds late. */
+  noteFailure(): void {
+    this.hasMissed = true;
   }
 
   /** Takes what another router tells. */
@@ -94,6 +110,14 @@
     );
   }
 
+  /** How long ago what was missed may have been named, in milliseconds. */
+  private get missedAgeMs(): number {
+    if (!this.hasMissed) return MISSED_AGE_MS;
+    // A list that may be old proves nothing.
+    if (this.proven === ElapsedInstant.never) return this.unseenAgeMs;
+    return Math.max(MISSED_AGE_MS, this.parts.clock.elapsed().since(this.proven));
+  }
+
   private takeObject(object: StoredObject, origin: VersionOrigin, ageMs: number): boolean {
     const { decoder, logger } = this.parts;
     const named = valueOrLog(decoder.weights(object), object, logger);
--- a/test/gateway/version-news.test.ts
+++ b/test/gateway/version-news.test.ts
@@ -27,10 +27,10 @@
   const { clock, versions, news, announced } = newsWorld();
   await clock.advance(20_000);
   news.takeList([namedObject(1)]);
-  news.noteAnswer();
+  news.noteAnswer(clock.elapsed());
   await clock.advance(1_200);
   news.takeChange(namedObject(2));
-  news.noteAnswer();
+  news.noteAnswer(clock.elapsed());
   t.is(versions.dueMs(WORLD_MODEL, 1, clock.now()), clock.now() - UNSEEN_AGE_MS + GRACE_MS);
   t.is(announced(), 0);
   t.deepEqual(news.notices, []);
@@ -40,8 +40,8 @@
   const { clock, versions, news, announced } = newsWorld();
   await clock.advance(20_000);
   news.takeList([namedObject(1)]);
-  news.noteAnswer();
-  news.noteAnswer();
+  news.noteAnswer(clock.elapsed());
+  news.noteAnswer(clock.elapsed());
   await clock.advance(1_000);
   news.takeChange(namedObject(2));
   t.is(versions.dueMs(WORLD_MODEL, 1, clock.now()), clock.now() + GRACE_MS);
@@ -52,9 +52,38 @@
   const { clock, versions, news } = newsWorld();
   await clock.advance(20_000);
   news.takeList([namedObject(1)]);
-  news.noteAnswer();
+  news.noteAnswer(clock.elapsed());
   news.takeChange(namedObject(2));
-  news.noteAnswer();
+  news.noteAnswer(clock.elapsed());
   news.receive({ model: WORLD_MODEL, version: 2, ageMs: 2_500 });
   t.is(versions.dueMs(WORLD_MODEL, 1, clock.now()), clock.now() - 2_500 + GRACE_MS);
 });
+
+test('what is found after a watch has failed may have been named since the last proof', async (t) => {
+  const { clock, versions, news, announced } = newsWorld();
+  await clock.advance(20_000);
+  news.takeList([namedObject(1)]);
+  news.noteAnswer(clock.elapsed());
+  news.noteAnswer(clock.elapsed());
+  // The connection has gone silent: the watch ends by its time limit, without an answer.
+  await clock.advance(3_800);
+  news.noteFailure();
+  news.takeChange(namedObject(2));
+  t.is(versions.dueMs(WORLD_MODEL, 1, clock.now()), clock.now() - 3_800 + GRACE_MS);
+  t.is(announced(), 0);
+  t.deepEqual(news.notices, []);
+});
+
+test('after an answer changes are dated by when they are shown again', async (t) => {
+  const { clock, versions, news } = newsWorld();
+  await clock.advance(20_000);
+  news.takeList([namedObject(1)]);
+  news.noteAnswer(clock.elapsed());
+  news.noteAnswer(clock.elapsed());
+  await clock.advance(3_800);
+  news.noteFailure();
+  news.noteAnswer(clock.elapsed());
+  await clock.advance(1_000);
+  news.takeChange(namedObject(2));
+  t.is(versions.dueMs(WORLD_MODEL, 1, clock.now()), clock.now() + GRACE_MS);
+});
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -3,6 +3,7 @@
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import test from 'ava';
+import { WATCH_SLACK_MS } from '../../platform/object-store-client.js';
 import {
   checkSettings,
   gatewaySettingsOf,
@@ -71,3 +72,12 @@
     t.true(rollout.graceMs - unseenVersionAgeMs + MARGIN_MS <= bounds.contact_ms);
   }
 });
+
+test('a silent connection to the store shows before a router is held to its bounds again', (t) => {
+  const settings = gatewaySettingsOf(checkSettings('node.json', SETTINGS));
+  const CONTACT_MS = 3_000;
+  t.true(settings.engineWatchMs + WATCH_SLACK_MS < CONTACT_MS);
+  t.true(settings.configurationWatchMs + WATCH_SLACK_MS < CONTACT_MS);
+  // Half of the time that weights named meanwhile may be used is left for their rollout.
+  t.true(settings.versionWatchMs + WATCH_SLACK_MS < settings.rollout.graceMs * 0.55);
+});
