Show by tests that nothing of an engine's former life reaches the new one

Cause: the rows of the table of what is remembered by engine had no tests of a rebirth. Change: tests of the registry, the list, orders, news and crashes; the coordinator's test world is shared.

--- a/test/gateway/engine-crashes.test.ts
+++ b/test/gateway/engine-crashes.test.ts
@@ -8,7 +8,7 @@
 import { type InferencePort, ListenerState } from '../../src/protocol/inference/port.js';
 import { SilentLogger } from '../../src/runtime/logger.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
-import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
+import { type EngineRecord, EngineRegistry } from '../../src/state/routing/engine-registry.js';
 import { fingerprintOf } from '../../src/state/routing/request-fingerprint.js';
 
 const ENGINE = 'engine-0';
@@ -19,7 +19,7 @@
 function detectorWorld(state: ListenerState, isDraining = false) {
   const clock = new VirtualClock();
   const registry = new EngineRegistry();
-  registry.put({
+  const record: EngineRecord = {
     id: ENGINE,
     name: ENGINE,
     bornMs: undefined,
@@ -29,7 +29,9 @@
     slots: 8,
     isDraining,
     modelVersions: new Map(),
-  });
+  };
+  registry.put(record);
+  const statistics = new GatewayStatistics();
   let checks = 0;
   const engines = {
     checkListener: () => {
@@ -42,13 +44,13 @@
     {
       engines: engines as unknown as InferencePort,
       registry,
-      statistics: new GatewayStatistics(),
+      statistics,
       clock,
       logger: new SilentLogger(),
     },
     (crash) => crashes.push(crash),
   );
-  return { clock, detector, crashes, countChecks: () => checks };
+  return { clock, detector, crashes, record, statistics, countChecks: () => checks };
 }
 
 test('all requests that break with an engine that refuses connections are noted, after one check', async (t) => {
@@ -88,6 +90,52 @@
   t.deepEqual(crashes, [{ engineId: ENGINE, fingerprints: ['first-send'] }]);
 });
 
+test('an engine that starts again before it is checked has crashed under what broke with it', async (t) => {
+  const { clock, detector, crashes, record } = detectorWorld(ListenerState.Listening);
+  await clock.advance(5_000);
+  detector.noteBreak(ENGINE, 'reset long before', RAN_MS);
+  await clock.advance(1_000);
+  for (const fingerprint of ['a', 'b']) detector.noteBreak(ENGINE, fingerprint, RAN_MS);
+  await clock.advance(CHECK_MS);
+  t.deepEqual(crashes, []);
+  const bornMs = clock.wallNow();
+  await clock.advance(400);
+  detector.noteReborn(record, bornMs);
+  t.deepEqual(crashes, [{ engineId: ENGINE, fingerprints: ['a', 'b'] }]);
+});
+
+test('a break and the rebirth that follows count as one crash', async (t) => {
+  const { clock, detector, crashes, record, statistics } = detectorWorld(ListenerState.Refused);
+  await clock.advance(1_000);
+  detector.noteBreak(ENGINE, 'a', RAN_MS);
+  await clock.advance(CHECK_MS);
+  detector.noteReborn(record, clock.wallNow());
+  t.deepEqual(crashes, [{ engineId: ENGINE, fingerprints: ['a'] }]);
+  t.is(statistics.engineCrashes, 1);
+});
+
+test('after a rebirth only what was sent before it breaks with the former life', async (t) => {
+  const { clock, detector, crashes, record } = detectorWorld(ListenerState.Listening);
+  await clock.advance(1_000);
+  const bornMs = clock.wallNow();
+  await clock.advance(500);
+  detector.noteReborn(record, bornMs);
+  detector.noteBreak(ENGINE, 'of the new life', 100);
+  detector.noteBreak(ENGINE, 'hung since the crash', 700);
+  await clock.advance(CHECK_MS);
+  t.deepEqual(crashes, [{ engineId: ENGINE, fingerprints: ['hung since the crash'] }]);
+});
+
+test('an engine that drained may start again without having crashed', async (t) => {
+  const { clock, detector, crashes, record, statistics } = detectorWorld(
+    ListenerState.Listening,
+    true,
+  );
+  await clock.advance(1_000);
+  detector.noteReborn(record, clock.wallNow());
+  t.deepEqual([crashes.length, statistics.engineCrashes], [0, 0]);
+});
+
 test('requests are the same by caller, host, method, path and body, and by nothing else', (t) => {
   const identity = {
     tenant: 'tenant-1',
--- /dev/null
+++ b/test/gateway/engine-rebirth.test.ts
@@ -0,0 +1,193 @@
+/** An engine that starts again under its name: nothing of its former life is taken for the new one. */
+import test from 'ava';
+import fc from 'fast-check';
+import { DECODER } from '../../src/lab/gateway-world/world-fixtures.js';
+import type { StoredObject } from '../../src/protocol/object-store/port.js';
+import { incarnationOf, lifeOf } from '../../src/state/routing/engine-incarnation.js';
+import type { EngineRecord } from '../../src/state/routing/engine-registry.js';
+import { ANNOUNCEMENT_MS, coordinatorWorld } from '../helpers/coordinator-world.js';
+import { EngineListWorld, engineRecord } from '../helpers/engine-list-world.js';
+
+const NAME = 'engine-0';
+const FIRST_MS = 1_000_000;
+const SECOND_MS = 1_060_000;
+const SEED = { seed: 43, numRuns: 300 };
+
+/** An entry as the simulated store holds it. */
+function entryOf(record: EngineRecord, revision: number): StoredObject {
+  const spec = { ...record, modelVersions: [...record.modelVersions] };
+  return { name: record.name, revision, spec };
+}
+
+function listWorld(): EngineListWorld {
+  const world = new EngineListWorld({ decoder: DECODER });
+  world.list.takeAll([entryOf(engineRecord(NAME, FIRST_MS), 5)]);
+  return world;
+}
+
+function presentBorn({ registry }: EngineListWorld): number | undefined {
+  return registry.findByName(NAME)?.record.bornMs;
+}
+
+test('an incarnation names its life, with or without a start', (t) => {
+  const name = fc.string({ minLength: 1 }).filter((text) => !/@\d{1,16}$/.test(text));
+  const start = fc.option(fc.nat(), { nil: undefined });
+  const property = fc.property(name, start, (text, bornMs) => {
+    t.deepEqual(lifeOf(incarnationOf(text, bornMs)), { name: text, bornMs });
+  });
+  fc.assert(property, SEED);
+});
+
+test('a later life takes the place of the former one, and knows nothing of it', (t) => {
+  const world = listWorld();
+  const former = world.registry.findByName(NAME);
+  former?.observedVersions.set('model-a', 7);
+  if (former) former.observedOrders = 3;
+  world.list.take(entryOf(engineRecord(NAME, SECOND_MS), 6));
+  const present = world.registry.findByName(NAME);
+  t.is(present?.record.id, incarnationOf(NAME, SECOND_MS));
+  t.is(present?.observedVersions.size, 0);
+  t.is(present?.observedOrders, undefined);
+  t.is(world.registry.ids.size, 1);
+  t.deepEqual(
+    world.rebirths.map(({ former: { bornMs: formerMs }, bornMs }) => [formerMs, bornMs]),
+    [[FIRST_MS, SECOND_MS]],
+  );
+  t.like(world.log.of('engine_reborn'), [{ old_born_ms: FIRST_MS, new_born_ms: SECOND_MS }]);
+});
+
+test('the entry of a former life that comes late, or again, changes nothing', (t) => {
+  const world = listWorld();
+  world.list.take(entryOf(engineRecord(NAME, SECOND_MS), 6));
+  world.list.take(entryOf(engineRecord(NAME, FIRST_MS), 5));
+  world.list.take(entryOf(engineRecord(NAME, FIRST_MS), 7));
+  t.is(presentBorn(world), SECOND_MS);
+  t.is(world.rebirths.length, 1);
+});
+
+test('an entry with an earlier start that the store took later is the present life', (t) => {
+  const world = listWorld();
+  const STEPPED_BACK_MS = FIRST_MS - 500;
+  world.list.take(entryOf(engineRecord(NAME, STEPPED_BACK_MS), 6));
+  t.is(presentBorn(world), STEPPED_BACK_MS);
+  // No proof that the one known before is over: its connections and the next entry show that.
+  t.is(world.rebirths.length, 0);
+  world.list.take(entryOf(engineRecord(NAME, FIRST_MS), 7));
+  t.is(presentBorn(world), FIRST_MS);
+  world.list.take(entryOf(engineRecord(NAME, STEPPED_BACK_MS), 8));
+  t.is(presentBorn(world), FIRST_MS);
+});
+
+test('an answer of a later life ends the former one at once, an answer of an earlier one does not', (t) => {
+  const world = listWorld();
+  const { record } = world.registry.findByName(NAME) ?? t.fail() ?? {};
+  if (!record) return;
+  t.true(world.lives.takeAnswer(record, FIRST_MS, 'report'));
+  t.true(world.lives.takeAnswer(record, undefined, 'report'));
+  t.false(world.lives.takeAnswer(record, FIRST_MS - 1, 'report'));
+  t.is(presentBorn(world), FIRST_MS);
+  t.false(world.lives.takeAnswer(record, SECOND_MS, 'report'));
+  t.is(presentBorn(world), undefined);
+  world.list.take(entryOf(record, 9));
+  t.is(presentBorn(world), undefined);
+  world.list.take(entryOf(engineRecord(NAME, SECOND_MS), 10));
+  t.is(presentBorn(world), SECOND_MS);
+});
+
+test('the removal of an entry ends only the life that it meant', async (t) => {
+  const world = listWorld();
+  world.list.noteFailure();
+  world.list.takeGone(NAME, 5);
+  world.list.take(entryOf(engineRecord(NAME, SECOND_MS), 6));
+  await world.clock.advance(5_000);
+  t.is(presentBorn(world), SECOND_MS);
+  world.list.takeGone(NAME, 5);
+  t.is(presentBorn(world), SECOND_MS);
+  world.list.takeGone(NAME, 6);
+  t.is(presentBorn(world), undefined);
+});
+
+test('a life that drained takes no work again; the one that follows does', (t) => {
+  const world = listWorld();
+  world.list.take(entryOf(engineRecord(NAME, FIRST_MS, { isDraining: true }), 6));
+  world.list.take(entryOf(engineRecord(NAME, FIRST_MS), 7));
+  t.deepEqual(world.registry.readyOf('generation'), []);
+  world.list.take(entryOf(engineRecord(NAME, SECOND_MS), 8));
+  t.is(world.registry.readyOf('generation').length, 1);
+});
+
+test('in whatever order entries and answers come, no life returns that a later one has followed', (t) => {
+  const start = fc.integer({ min: 1, max: 5 });
+  const step = fc.record({
+    bornMs: start,
+    source: fc.constantFrom('entry', 'answer', 'news', 'gone'),
+  });
+  const property = fc.property(fc.array(step, { maxLength: 30 }), (steps) => {
+    const world = new EngineListWorld({ decoder: DECODER });
+    const over = new Set<number>();
+    for (const [index, { bornMs, source }] of steps.entries()) {
+      const before = presentBorn(world);
+      if (source === 'entry') world.list.take(entryOf(engineRecord(NAME, bornMs), index));
+      else if (source === 'gone') world.list.takeGone(NAME, index);
+      else if (source === 'news') world.lives.noteIncarnation(incarnationOf(NAME, bornMs));
+      else world.lives.takeAnswerOf(incarnationOf(NAME, before ?? 0), bornMs, 'report');
+      const present = presentBorn(world);
+      const isFollowed = before !== undefined && bornMs > before && source !== 'gone';
+      if (isFollowed && present !== before) over.add(before);
+      t.false(present !== undefined && over.has(present));
+      t.true(world.registry.ids.size <= 1);
+    }
+  });
+  fc.assert(property, SEED);
+});
+
+test('an order that another life took is not believed', async (t) => {
+  const world = coordinatorWorld({
+    bornMs: FIRST_MS,
+    order: () => Promise.resolve({ kind: 'accepted', bornMs: SECOND_MS }),
+  });
+  await world.clock.advance(1_200 + ANNOUNCEMENT_MS);
+  t.is(world.orders.length, 1);
+  t.is(world.registry.findByName(NAME), undefined);
+  t.is(world.rebirths.length, 1);
+  t.deepEqual(world.coordinator.news, []);
+  world.coordinator.stop();
+});
+
+test('the answer of a former life that comes after the rebirth changes nothing at the new one', async (t) => {
+  let answer: (result: { kind: 'accepted' }) => void = () => undefined;
+  const world = coordinatorWorld({
+    bornMs: FIRST_MS,
+    order: () => new Promise((resolve) => (answer = resolve)),
+  });
+  while (world.orders.length === 0) await world.clock.advance(50);
+  world.lives.takeEntry(engineRecord(NAME, SECOND_MS));
+  world.coordinator.forgetLife(incarnationOf(NAME, FIRST_MS));
+  answer({ kind: 'accepted' });
+  await world.clock.advance(10);
+  const present = world.registry.findByName(NAME);
+  t.is(present?.observedOrders, undefined);
+  t.is(present?.observedVersions.size, 0);
+  world.coordinator.stop();
+});
+
+test('the number of orders that another life states is not used for the one that was asked', async (t) => {
+  const world = coordinatorWorld({
+    bornMs: SECOND_MS,
+    state: () => ({ bornMs: FIRST_MS, orderSequence: 9 }),
+  });
+  await world.clock.advance(1_200 + ANNOUNCEMENT_MS);
+  t.deepEqual(world.orders, []);
+  t.is(world.registry.findByName(NAME)?.record.bornMs, SECOND_MS);
+  world.coordinator.stop();
+});
+
+test('news of a later life that another router passes on end the former one', (t) => {
+  const world = coordinatorWorld({ bornMs: FIRST_MS });
+  const news = { model: 'model-a', version: 2, isLoading: true, ageMs: 0 };
+  world.coordinator.receiveNews({ ...news, engineId: incarnationOf(NAME, FIRST_MS - 1) });
+  t.is(world.registry.findByName(NAME)?.record.bornMs, FIRST_MS);
+  world.coordinator.receiveNews({ ...news, engineId: incarnationOf(NAME, SECOND_MS) });
+  t.is(world.registry.findByName(NAME), undefined);
+  world.coordinator.stop();
+});
--- /dev/null
+++ b/test/helpers/coordinator-world.ts
@@ -0,0 +1,112 @@
+/** A router that holds the lease on orders, before one engine whose weights are out of time. */
+import { EngineLives, type Rebirth } from '../../src/coordination/gateway/engine-lives.js';
+import { GatewayStatistics } from '../../src/coordination/gateway/gateway-statistics.js';
+import type { LeaseKeeper } from '../../src/coordination/gateway/lease-keeper.js';
+import { WeightCoordinator } from '../../src/coordination/gateway/weight-coordinator.js';
+import type {
+  InferencePort,
+  OrderResult,
+  WeightOrder,
+  WeightState,
+} from '../../src/protocol/inference/port.js';
+import { SilentLogger } from '../../src/runtime/logger.js';
+import { VirtualClock } from '../../src/runtime/virtual-clock.js';
+import { EngineHealth } from '../../src/state/routing/engine-health.js';
+import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
+import { KeptPrefixes } from '../../src/state/routing/kept-prefixes.js';
+import { LoadTable } from '../../src/state/routing/load-table.js';
+import { SendRate } from '../../src/state/routing/send-rate.js';
+import { StoreOutages } from '../../src/state/routing/store-outages.js';
+import { WeightVersions } from '../../src/state/routing/weight-versions.js';
+import { engineRecord } from './engine-list-world.js';
+
+const MODEL = 'model-a';
+export const ANNOUNCEMENT_MS = 150;
+const STATE: WeightState = { version: 1, isBusy: false, orderSequence: 0 };
+
+/** What the engine is and answers. */
+export interface CoordinatorOptions {
+  readonly bornMs?: number;
+  state?(): Partial<WeightState>;
+  order?(): Promise<OrderResult>;
+}
+
+/** A router that holds the lease, before one engine whose weights are out of time. */
+export function coordinatorWorld(options: CoordinatorOptions = {}) {
+  const clock = new VirtualClock();
+  const registry = new EngineRegistry();
+  const rebirths: Rebirth[] = [];
+  const statistics = new GatewayStatistics();
+  const logger = new SilentLogger();
+  const lives = new EngineLives(registry, statistics, logger);
+  lives.connect({ onReborn: (rebirth) => rebirths.push(rebirth) });
+  lives.takeEntry(engineRecord('engine-0', options.bornMs));
+  const versions = new WeightVersions(1_000, new StoreOutages());
+  versions.note(MODEL, { version: 2, namedMs: 0, isWitnessed: true });
+  const lease = {
+    activeToken: 7 as number | undefined,
+    heldRevision: 1,
+    isUnknown: false,
+    hear: () => undefined,
+    advance: () => Promise.resolve(),
+  };
+  const announcedMs: number[] = [];
+  const orderedMs: number[] = [];
+  const orders: WeightOrder[] = [];
+  const engines = {
+    weightState: () => Promise.resolve({ ...STATE, ...options.state?.() }),
+    order: (_endpoint: unknown, order: WeightOrder) => {
+      orderedMs.push(clock.now());
+      orders.push(order);
+      return options.order?.() ?? Promise.resolve({ kind: 'accepted' as const });
+    },
+  };
+  const health = new EngineHealth();
+  const coordinator = new WeightCoordinator(
+    {
+      registry,
+      lives,
+      versions,
+      loads: new LoadTable(),
+      health,
+      kept: new KeptPrefixes(),
+      engines: engines as unknown as InferencePort,
+      lease: lease as unknown as LeaseKeeper,
+      requestRate: new SendRate(),
+      statistics,
+      clock,
+      logger,
+    },
+    {
+      holder: 'router-0',
+      rollout: {
+        graceMs: 1_000,
+        batchMs: 500,
+        batches: 4,
+        marginMs: 0,
+        handoverMs: 0,
+        replacedWeightsLoss: 0.2,
+        loadCostRequests: 2,
+      },
+      isKnownService: () => true,
+      respondingRouters: () => ['router-0'],
+      isAvailable: () => true,
+      shareOfTraffic: () => 1,
+      announce: () => announcedMs.push(clock.now()),
+      announcementMs: () => ANNOUNCEMENT_MS,
+    },
+  );
+  coordinator.start();
+  return {
+    clock,
+    coordinator,
+    registry,
+    lives,
+    lease,
+    health,
+    announcedMs,
+    orderedMs,
+    orders,
+    rebirths,
+  };
+}
