--- a/test/gateway/order-announcement.test.ts
+++ b/test/gateway/order-announcement.test.ts
@@ -11,6 +11,13 @@
   coordinator.stop();
 });
 
+test('an engine of a service that is not configured gets no order', async (t) => {
+  const { clock, coordinator, orders } = coordinatorWorld({ isKnownService: false });
+  await clock.advance(2_000);
+  t.deepEqual(orders, []);
+  coordinator.stop();
+});
+
 test('a lease that was lost since the announcement gives no order', async (t) => {
   const { clock, coordinator, lease, health, announcedMs, orderedMs } = coordinatorWorld();
   while (announcedMs.length === 0) await clock.advance(10);
--- a/test/helpers/coordinator-world.ts
+++ b/test/helpers/coordinator-world.ts
@@ -27,6 +27,7 @@
 /** What the engine is and answers. */
 export interface CoordinatorOptions {
   readonly bornMs?: number;
+  readonly isKnownService?: boolean;
   state?(): Partial<WeightState>;
   order?(): Promise<OrderResult>;
 }
@@ -88,7 +89,7 @@
         replacedWeightsLoss: 0.2,
         loadCostRequests: 2,
       },
-      isKnownService: () => true,
+      isKnownService: () => options.isKnownService ?? true,
       respondingRouters: () => ['router-0'],
       isAvailable: () => true,
       shareOfTraffic: () => 1,
