--- a/src/coordination/gateway/engine-lives.ts
+++ b/src/coordination/gateway/engine-lives.ts
@@ -79,7 +79,7 @@
   private noteRebirth(former: EngineRecord, bornMs: number | undefined, source: LifeSource): void {
     this.statistics.enginesReborn += 1;
     this.logger.warn('engine_reborn', {
-      engine: former.name,
+      engine: former.id,
       address: former.address,
       old_born_ms: former.bornMs,
       new_born_ms: bornMs,
--- a/src/coordination/gateway/odd-entries.ts
+++ b/src/coordination/gateway/odd-entries.ts
@@ -13,6 +13,8 @@
 const WINDOW_MS = 60_000;
 /** Characters of a key or a reason in the log: both come from the other writer. */
 const MAXIMUM_TEXT = 120;
+/** Stands for items without a key; no object has it. */
+const UNNAMED = '';
 
 /** The odd entries that one router has met. */
 export class OddEntries {
@@ -36,7 +38,9 @@
 
   /** Items of one answer of the store had not even a key. */
   noteUnnamed(count: number, revision: number): void {
-    this.count('', revision, 'no key that can be read', count);
+    if (this.revisions.get(UNNAMED) === revision) return;
+    this.remember(UNNAMED, revision);
+    this.count(UNNAMED, revision, 'no key that can be read', count);
   }
 
   private remember(key: string, revision: number): void {
--- a/src/operator/request-story.ts
+++ b/src/operator/request-story.ts
@@ -21,6 +21,7 @@
 const ENGINE_EVENTS: ReadonlySet<string> = new Set([
   'engine_changed',
   'engine_replaced',
+  'engine_reborn',
   'weights_ordered',
   'weights_loaded',
 ]);
--- a/test/gateway/engine-rebirth.test.ts
+++ b/test/gateway/engine-rebirth.test.ts
@@ -182,6 +182,16 @@
   world.coordinator.stop();
 });
 
+test('an order that was announced to a former life is not given to the one that followed', async (t) => {
+  const world = coordinatorWorld({ bornMs: FIRST_MS });
+  while (world.announcedMs.length === 0) await world.clock.advance(10);
+  world.lives.takeEntry(engineRecord(NAME, SECOND_MS, { modelVersions: new Map() }));
+  await world.clock.advance(ANNOUNCEMENT_MS + 50);
+  t.deepEqual(world.orders, []);
+  t.deepEqual(world.coordinator.news, []);
+  world.coordinator.stop();
+});
+
 test('news of a later life that another router passes on end the former one', (t) => {
   const world = coordinatorWorld({ bornMs: FIRST_MS });
   const news = { model: 'model-a', version: 2, isLoading: true, ageMs: 0 };
