--- a/test/gateway/requests-at-rebirth.test.ts
+++ b/test/gateway/requests-at-rebirth.test.ts
@@ -96,6 +96,26 @@
   t.deepEqual(findBreaches(world), []);
 });
 
+test('what kept work from the former life does not keep it from the new one', async (t) => {
+  const world = await GatewayWorld.create(SEED);
+  const engine = world.engine(3);
+  enterLife(world, engine);
+  await world.clock.advance(NOTICED_MS);
+  engine.crash();
+  // Each router finds that it can't connect, and leaves the engine alone for a second.
+  await sendAll(world, engine, 'plain-safe');
+  engine.isRunning = true;
+  enterLife(world, engine);
+  const GATHERED_MS = 300;
+  await world.clock.advance(GATHERED_MS);
+  const before = world.observations.runs.length;
+  await sendAll(world, engine, 'plain-safe');
+  const runs = world.observations.runs.slice(before);
+  t.true(runs.filter(({ engineId }) => engineId === engine.id).length > 0);
+  await world.settle();
+  t.deepEqual(findBreaches(world), []);
+});
+
 test('a request that runs in the new life goes on when its entry comes', async (t) => {
   const { world, engine } = await worldWithHungEngine(3);
   engine.mode = EngineMode.Sound;
