Let an engine that restarted serve before its new entry comes

Cause: an answer that shows a new life ended the former one, and the engine was out until its entry came, for as long as the store is down. A mass restart looked at all engines once for each of them. An odd entry without a start was odd once and then taken for one of the older shape. Change: the new life takes the place of the former one with the versions that had loaded, which the expected-version header checks; a draining one has no such successor. One step for all changed lives. Names that stated their start are remembered while they are listed. An engine that came back under the same life while an order was on its way keeps that order.

--- a/src/coordination/gateway/engine-list.ts
+++ b/src/coordination/gateway/engine-list.ts
@@ -36,6 +36,8 @@
   private readonly missing = new Map<string, string>();
   /** Revision of the newest entry that was taken, by name: an older one that comes late is dropped. */
   private readonly revisions = new Map<string, number>();
+  /** Names whose engines have stated their start: an entry without one is of another writer. */
+  private readonly dated = new Set<string>();
   private hasList = false;
   private readonly lapseGraceMs: number;
 
@@ -58,7 +60,7 @@
     const listed = new Set(objects.map(({ name }) => name));
     for (const object of objects) this.takeEntry(object);
     for (const name of this.parts.registry.names) if (!listed.has(name)) this.takeGone(name);
-    for (const name of this.revisions.keys()) if (!listed.has(name)) this.revisions.delete(name);
+    for (const name of this.revisions.keys()) if (!listed.has(name)) this.forgetEntry(name);
     this.hasList = true;
     this.noteChange('list');
   }
@@ -118,14 +120,19 @@
     this.noteUnknownService(object, record);
     this.missing.delete(name);
     const outcome = this.parts.lives.takeEntry(record);
-    if (outcome.kind === 'reborn') this.noteChange(record.id);
     return outcome.kind === 'retired' ? undefined : record;
   }
 
-  /** An engine that states its start states it in every entry; one without is of another writer. */
+  /** An engine that states its start states it in every entry. */
   private faultOf({ name, bornMs }: EngineRecord): string | undefined {
-    const known = this.parts.registry.findByName(name)?.record.bornMs;
-    return bornMs === undefined && known !== undefined ? 'start of the engine: missing' : undefined;
+    if (bornMs !== undefined) this.dated.add(name);
+    else if (this.dated.has(name)) return 'start of the engine: missing';
+    return undefined;
+  }
+
+  private forgetEntry(name: string): void {
+    this.revisions.delete(name);
+    this.dated.delete(name);
   }
 
   /** The engine is gone for new work until its next good entry; what runs there goes on. */
--- a/src/coordination/gateway/engine-lives.ts
+++ b/src/coordination/gateway/engine-lives.ts
@@ -23,6 +23,8 @@
 
 /** Receives what this finds out. */
 export interface LifeListener {
+  /** One life has taken the place of another in the list. */
+  onChanged(): void;
   /** A life that began before the present one is over. */
   onReborn(rebirth: Rebirth): void;
 }
@@ -85,6 +87,7 @@
       new_born_ms: bornMs,
       found_by: source,
     });
+    this.listener?.onChanged();
     // An earlier start is no proof that the life which was known is over: its connections show that.
     if (bornMs === undefined || !isLaterLife(bornMs, former.bornMs)) return;
     this.listener?.onReborn({ former, bornMs });
--- a/src/coordination/gateway/listed-engines.ts
+++ b/src/coordination/gateway/listed-engines.ts
@@ -55,12 +55,16 @@
   private readonly followedFeeds: FollowedFeeds;
   private listener: ListedEnginesListener | undefined;
   private followsFeeds = false;
+  private isChangePending = false;
 
   constructor(private readonly parts: ListedEnginesParts) {
     const { registry } = this;
     const { configuration, group, statistics, clock, logger } = parts;
     this.lives = new EngineLives(registry, statistics, logger);
-    this.lives.connect({ onReborn: (rebirth) => this.noteReborn(rebirth) });
+    this.lives.connect({
+      onChanged: () => this.noteChangedSoon(),
+      onReborn: (rebirth) => this.noteReborn(rebirth),
+    });
     this.odd = new OddEntries(statistics, clock, logger);
     this.feeds = new CacheFeeds({
       ...parts,
@@ -115,10 +119,22 @@
     this.listener?.onChanged();
   }
 
+  /**
+   * One step for all lives that change in one list: each would look at all engines. What is kept of a
+   * former life meanwhile has its own key, so nobody finds it.
+   */
+  private noteChangedSoon(): void {
+    if (this.isChangePending) return;
+    this.isChangePending = true;
+    this.parts.clock.setTimer(0, () => {
+      this.isChangePending = false;
+      this.updateFeeds();
+      this.noteChanged();
+    });
+  }
+
   private noteReborn(rebirth: Rebirth): void {
     this.listener?.onReborn(rebirth);
-    this.updateFeeds();
-    this.noteChanged();
     this.listener?.breakFormerLife(rebirth);
     // A call whose connection had just shown a sign is looked at once more.
     this.parts.clock.setTimer(CLOCK_TOLERANCE_MS, () => this.listener?.breakFormerLife(rebirth));
--- a/src/coordination/gateway/weight-coordinator.ts
+++ b/src/coordination/gateway/weight-coordinator.ts
@@ -115,11 +115,10 @@
 
   /** Takes what another router tells. */
   receiveNews(news: WeightsNews): void {
-    const engine = this.parts.registry.find(news.engineId);
-    if (!engine) {
-      this.parts.lives.noteIncarnation(news.engineId);
-      return;
-    }
+    const { registry, lives } = this.parts;
+    if (!registry.find(news.engineId)) lives.noteIncarnation(news.engineId);
+    const engine = registry.find(news.engineId);
+    if (!engine) return;
     if (news.isLoading) {
       this.parts.health.noteLoading(news.engineId, this.now - news.ageMs);
       this.turn.noteOrder(this.now);
@@ -278,7 +277,7 @@
 
   /** Whether this life of the engine is still the one in the list. */
   private isPresent(engine: Engine): boolean {
-    return this.parts.registry.find(engine.record.id) === engine;
+    return this.parts.registry.find(engine.record.id) !== undefined;
   }
 
   private noteResult(engine: Engine, order: WeightOrder, result: OrderResult): void {
--- a/src/state/routing/engine-registry.ts
+++ b/src/state/routing/engine-registry.ts
@@ -2,7 +2,7 @@
  * The engines of all services, as the platform lists them and as this router has found them: at most one
  * life of each.
  */
-import { isLaterLife } from './engine-incarnation.js';
+import { incarnationOf, isLaterLife } from './engine-incarnation.js';
 
 /** What an engine states of itself. */
 export interface EngineRecord {
@@ -111,14 +111,20 @@
 
   /**
    * Another source than the store's list shows a life of an engine: a later one ends the one in the list.
-   * The new life enters with its own entry, which says what it serves. Answers the life that ended.
+   * Until its own entry comes, which may last as long as the store is out, it is taken to serve where and
+   * what the former one did; an engine has the weights after a restart that it had before, and a request
+   * names those it expects. Answers the life that ended.
    */
   noteLife(name: string, bornMs: number): EngineRecord | undefined {
-    const former = this.byName.get(name)?.record;
-    if (!former || !isLaterLife(bornMs, former.bornMs)) return undefined;
-    this.endLife(former, true);
+    const former = this.byName.get(name);
+    if (!former || !isLaterLife(bornMs, former.record.bornMs)) return undefined;
+    const { record } = former;
+    this.endLife(record, true);
+    const id = incarnationOf(name, bornMs);
+    const mayServe = !record.isDraining && !this.retired.has(id);
+    if (mayServe) this.store({ ...record, id, bornMs, modelVersions: loadedVersions(former) });
     this.regroup();
-    return former;
+    return record;
   }
 
   remove(id: string): void {
@@ -172,6 +178,12 @@
   }
 }
 
+/** Versions that an engine was last known to have. */
+function loadedVersions(engine: Engine): ReadonlyMap<string, number> {
+  const models = [...engine.record.modelVersions.keys()];
+  return new Map(models.map((model) => [model, versionAt(engine, model) ?? 0]));
+}
+
 /** Version of a model's weights at an engine; the newest of what was listed and what was seen. */
 export function versionAt(engine: Engine, model: string): number | undefined {
   const listed = engine.record.modelVersions.get(model);
