--- a/src/coordination/gateway/engine-lives.ts
+++ b/src/coordination/gateway/engine-lives.ts
@@ -23,6 +23,8 @@
 
 /** Receives what this finds out. */
 export interface LifeListener {
+  /** One life has taken the place of another in the list. */
+  onChanged(): void;
   /** A life that began before the present one is over. */
   onReborn(rebirth: Rebirth): void;
 }
@@ -79,12 +81,13 @@
   private noteRebirth(former: EngineRecord, bornMs: number | undefined, source: LifeSource): void {
     this.statistics.enginesReborn += 1;
     this.logger.warn('engine_reborn', {
-      engine: former.name,
+      engine: former.id,
       address: former.address,
       old_born_ms: former.bornMs,
       new_born_ms: bornMs,
       found_by: source,
     });
+    this.listener?.onChanged();
     // An earlier start is no proof that the life which was known is over: its connections show that.
     if (bornMs === undefined || !isLaterLife(bornMs, former.bornMs)) return;
     this.listener?.onReborn({ former, bornMs });
