Fuzz what a router believes that a restarting engine keeps

Cause: the simulated engines report nothing kept, so that no fuzz met a feed of an engine that begins anew.

Change: a stand-in of one engine keeps and drops parts, restarts, and its answers may arrive after its end; the router's list, lives and feeds run as they are. At rest just what the present life keeps is believed. Two mutations: the feed goes on where a former life's stood, and a former life's prefixes stay. requests-at-rebirth uses the world's own restarts in place of entries written by the test: same requests, same expectations.

--- a/fuzz/engine-life-mutations.ts
+++ b/fuzz/engine-life-mutations.ts
@@ -92,6 +92,35 @@
   };
 }
 
+/** The event feed at an address goes on from where it stood in any life. */
+function continueFeeds(): (view: RouterView) => RouterView {
+  const positions = new Map<string, number>();
+  return ({ engines, decoder }) => ({
+    engines: changePort(engines, {
+      cacheEvents: async (address, since, waitMs) => {
+        const position = Math.max(since, positions.get(address) ?? 0);
+        const page = await engines.cacheEvents(address, position, waitMs);
+        positions.set(address, page.next);
+        return page;
+      },
+    }),
+    decoder,
+  });
+}
+
+/** Neither its start nor the epoch of its feed shows that an engine has begun anew. */
+function keepPrefixes(view: RouterView): RouterView {
+  const { engines, decoder } = ignoreStarts(view);
+  const epoch = 1;
+  return {
+    engines: changePort(engines, {
+      cacheEvents: async (...args) => ({ ...(await engines.cacheEvents(...args)), epoch }),
+      cacheContents: async (address) => ({ ...(await engines.cacheContents(address)), epoch }),
+    }),
+    decoder,
+  };
+}
+
 /** An entry in a state that is not known is taken for one of an engine that is ready. */
 function trustStates({ engines, decoder }: RouterView): RouterView {
   return {
@@ -131,3 +160,15 @@
     mutation: { makeView: () => trustStates },
   },
 ];
+
+/** A router whose beliefs of what engines keep are wrong. */
+export interface KeptPrefixesMutation {
+  readonly name: string;
+  readonly makeView: () => (view: RouterView) => RouterView;
+}
+
+/** Those that the fuzz on kept prefixes must find. */
+export const KEPT_PREFIXES_MUTATIONS: readonly KeptPrefixesMutation[] = [
+  { name: 'the feed of a former life is continued', makeView: continueFeeds },
+  { name: 'the prefixes of a former life are believed kept', makeView: () => keepPrefixes },
+];
--- a/fuzz/gateway-suite.ts
+++ b/fuzz/gateway-suite.ts
@@ -1,14 +1,16 @@
 /** The gateway's fuzz as tests. Each test file takes a share, since a file runs on one thread. */
 import test from 'ava';
 import { engineLifeCommands } from './engine-life-commands.js';
-import { ENGINE_LIFE_MUTATIONS } from './engine-life-mutations.js';
+import { ENGINE_LIFE_MUTATIONS, KEPT_PREFIXES_MUTATIONS } from './engine-life-mutations.js';
 import { GATEWAY_MUTATIONS } from './gateway-mutations.js';
 import { fuzzGateway } from './gateway-run.js';
+import { fuzzKeptPrefixes } from './kept-prefixes-fuzz.js';
 
 const RUNS_PER_SEED = 200;
 const MUTATION_RUNS = 900;
 /** Few enough for a file of tests to take seconds. */
 const LIFE_RUNS = 60;
+const KEPT_PREFIXES_RUNS = 300;
 const TIMEOUT_MS = 170_000;
 
 /** Declares one test for each seed: no rule is broken. */
@@ -50,6 +52,20 @@
   }
 }
 
+/** Declares the tests on what a router believes that a restarting engine keeps. */
+export function declareKeptPrefixesFuzz(seed: number): void {
+  test(`a router believes just what an engine's present life keeps, seed ${seed}`, async (t) => {
+    const result = await fuzzKeptPrefixes(seed, KEPT_PREFIXES_RUNS);
+    t.is(result.kind, 'passed', result.kind === 'failed' ? result.report : '');
+  });
+  for (const { name, makeView } of KEPT_PREFIXES_MUTATIONS) {
+    test(`the fuzz finds that ${name}`, async (t) => {
+      const result = await fuzzKeptPrefixes(seed, KEPT_PREFIXES_RUNS, makeView);
+      t.is(result.kind, 'failed');
+    });
+  }
+}
+
 /** Declares a test for every `shares`-th mutation, beginning with `share`: the fuzz finds it. */
 export function declareGatewayMutations(share: number, shares: number): void {
   const own = GATEWAY_MUTATIONS.filter((_, index) => index % shares === share);
--- a/test/gateway/requests-at-rebirth.test.ts
+++ b/test/gateway/requests-at-rebirth.test.ts
@@ -3,12 +3,8 @@
 import { findBreaches } from '../../src/lab/gateway-world/gateway-oracle.js';
 import { GatewayWorld, type ObservedRequest } from '../../src/lab/gateway-world/gateway-world.js';
 import { EngineMode, type SimulatedEngine } from '../../src/lab/gateway-world/simulated-engine.js';
-import {
-  KINDS,
-  type RequestKind,
-  type StoredEngine,
-} from '../../src/lab/gateway-world/world-fixtures.js';
-import { incarnationOf } from '../../src/state/routing/engine-incarnation.js';
+import type { Rebirth } from '../../src/lab/gateway-world/simulated-fleet.js';
+import type { RequestKind } from '../../src/lab/gateway-world/world-fixtures.js';
 
 const SEED = 43;
 /** Requests enough that the engine that hangs gets some. */
@@ -18,23 +14,22 @@
 const HUNG_MS = 900;
 const NOTICED_MS = 1_000;
 
-/** The engine is listed with a start, by which its routers know its life. */
-function enterLife(world: GatewayWorld, engine: SimulatedEngine): void {
-  const bornMs = world.clock.wallNow();
-  const entry = world.store.get(KINDS.engines, engine.id)?.spec as StoredEngine;
-  const id = incarnationOf(engine.id, bornMs);
-  world.store.put(KINDS.engines, engine.id, { ...entry, id, bornMs });
-}
+/** The engine starts again; its connections from before show nothing until the end of the test. */
+const BEHIND_CUT: Rebirth = {
+  downMs: 1,
+  cutMs: 60_000,
+  entryDelayMs: 0,
+  losesLoad: false,
+  clockStepMs: 0,
+};
 
-/** The engine has a start, and what it runs from now on hangs as behind a cut. */
+/** What the engine runs from now on hangs. */
 async function worldWithHungEngine(index: number): Promise<{
   world: GatewayWorld;
   engine: SimulatedEngine;
 }> {
   const world = await GatewayWorld.create(SEED);
   const engine = world.engine(index);
-  enterLife(world, engine);
-  await world.clock.advance(NOTICED_MS);
   engine.mode = EngineMode.Hanging;
   return { world, engine };
 }
@@ -56,14 +51,6 @@
   return world.requests.filter(({ id }) => ids.has(id));
 }
 
-/** The engine has started again; its connections from before show nothing. */
-function startAgain(world: GatewayWorld, engine: SimulatedEngine): void {
-  engine.running.clear();
-  engine.sequence = 0;
-  engine.mode = EngineMode.Sound;
-  enterLife(world, engine);
-}
-
 function runsOf(world: GatewayWorld, id: string): number {
   return world.observations.runs.filter(({ requestId }) => requestId === id).length;
 }
@@ -73,7 +60,7 @@
   const hung = await sendAll(world, engine, 'plain-unsafe');
   t.true(hung.length > 0);
   await world.clock.advance(HUNG_MS);
-  startAgain(world, engine);
+  world.fleet.restart(3, BEHIND_CUT);
   await world.clock.advance(NOTICED_MS);
   for (const { id, reply } of hung) {
     t.is(reply.own?.status, 502);
@@ -87,7 +74,7 @@
   const { world, engine } = await worldWithHungEngine(0);
   const hung = await sendAll(world, engine, 'stream-resumable');
   t.true(hung.length > 0);
-  startAgain(world, engine);
+  world.fleet.restart(0, BEHIND_CUT);
   await world.settle();
   t.deepEqual(
     hung.map(({ reply }) => reply.status),
@@ -97,15 +84,14 @@
 });
 
 test('a request that runs in the new life goes on when its entry comes', async (t) => {
-  const { world, engine } = await worldWithHungEngine(3);
-  engine.mode = EngineMode.Sound;
-  const bornMs = world.clock.wallNow();
+  const world = await GatewayWorld.create(SEED);
+  const entryDelayMs = (REQUESTS + 1) * STEP_MS;
+  world.fleet.restart(3, { ...BEHIND_CUT, cutMs: 0, entryDelayMs });
+  await world.clock.advance(BEHIND_CUT.downMs);
+  const engine = world.engine(3);
   engine.mode = EngineMode.Hanging;
   const running = await sendAll(world, engine, 'plain-unsafe');
   t.true(running.length > 0);
-  const entry = world.store.get(KINDS.engines, engine.id)?.spec as StoredEngine;
-  const id = incarnationOf(engine.id, bornMs);
-  world.store.put(KINDS.engines, engine.id, { ...entry, id, bornMs });
   await world.clock.advance(NOTICED_MS);
   t.deepEqual(
     running.map(({ reply }) => reply.own),
