Bound what the list remembers of entries that are gone

Cause: revisions of entries were kept until the next list, so a router that only watches kept them all. Change: the oldest of 8,192 goes.

--- a/src/coordination/gateway/engine-list.ts
+++ b/src/coordination/gateway/engine-list.ts
@@ -14,6 +14,9 @@
 /** Share of the bound on engines that drain that may be waited at most, however short that is. */
 const LAPSE_GRACE_SHARE = 0.75;
 
+/** Entries whose newest revision is remembered, those that are gone among them; far more than are listed. */
+const MAXIMUM_REVISIONS = 8_192;
+
 /** What the list works with. */
 export interface EngineListParts {
   readonly registry: EngineRegistry;
@@ -108,7 +111,7 @@
   private takeEntry(object: StoredObject): EngineRecord | undefined {
     const { name, revision } = object;
     if (revision < (this.revisions.get(name) ?? -Infinity)) return undefined;
-    this.revisions.set(name, revision);
+    this.remember(name, revision);
     const decoded = this.parts.decoder.engine(object);
     if (decoded.kind === 'unused') return undefined;
     const fault = decoded.kind === 'malformed' ? decoded.reason : this.faultOf(decoded.value);
@@ -130,6 +133,14 @@
     return undefined;
   }
 
+  private remember(name: string, revision: number): void {
+    this.revisions.delete(name);
+    this.revisions.set(name, revision);
+    if (this.revisions.size <= MAXIMUM_REVISIONS) return;
+    const [oldest] = this.revisions.keys();
+    if (oldest !== undefined) this.forgetEntry(oldest);
+  }
+
   private forgetEntry(name: string): void {
     this.revisions.delete(name);
     this.dated.delete(name);
