--- a/src/coordination/gateway/begin-watch.ts
+++ b/src/coordination/gateway/begin-watch.ts
@@ -12,8 +12,8 @@
   readonly clock: Clock;
 }
 
-/** A version named after the send may end its time: it is looked for this often. */
-const RECHECK_MS = 500;
+/** A version heard of after the send may end its time: it is looked for this often, within the margin kept. */
+const RECHECK_MS = 200;
 
 /** The watch over one send, until its request has begun. */
 export class BeginWatch {
@@ -41,10 +41,16 @@
     const { versions, clock } = this.parts;
     const nowMs = clock.now();
     const limitMs = versions.lastBeginMs(this.model, this.version, nowMs) ?? Infinity;
-    if (nowMs >= limitMs) {
-      this.onExpired();
-      return;
-    }
-    this.timer = clock.setTimer(Math.min(limitMs - nowMs, RECHECK_MS), () => this.arm());
+    const leftMs = Math.max(0, limitMs - nowMs);
+    this.timer = clock.setTimer(Math.min(leftMs, RECHECK_MS), () => this.check());
+  }
+
+  /** Never called while the send is made: its owner must know it before it can end. */
+  private check(): void {
+    const { versions, clock } = this.parts;
+    const nowMs = clock.now();
+    const limitMs = versions.lastBeginMs(this.model, this.version, nowMs) ?? Infinity;
+    if (nowMs >= limitMs) this.onExpired();
+    else this.arm();
   }
 }
--- a/src/coordination/gateway/failed-send.ts
+++ b/src/coordination/gateway/failed-send.ts
@@ -25,6 +25,8 @@
       statistics.engineRefusals += 1;
       health.noteBusy(engineId, now, isMisdirected(failure) ? MISDIRECTED_PAUSE_MS : BUSY_PAUSE_MS);
       return false;
+    case 'withdrawn':
+      return true;
     case 'unknown':
       statistics.unknownOutcomes += 1;
       health.noteFailure(engineId, now);
--- a/src/coordination/gateway/followed-kinds.ts
+++ b/src/coordination/gateway/followed-kinds.ts
@@ -63,8 +63,8 @@
     FirstWatch.AfterJoining,
     {
       onList: (objects) => versionNews.takeList(objects),
-      onObject: (object) => versionNews.takeChange(object),
-      onAnswer: (proven) => versionNews.noteAnswer(proven),
+      onObject: (object, _proven, isRelayed) => versionNews.takeChange(object, isRelayed),
+      onAnswer: (proven, isRelayed) => versionNews.noteAnswer(proven, isRelayed),
       onFailure: () => versionNews.noteFailure(),
     },
   );
--- a/src/coordination/gateway/object-follower.ts
+++ b/src/coordination/gateway/object-follower.ts
@@ -23,13 +23,13 @@
 export interface FollowerEvents {
   /** The whole kind as it is. */
   onList(objects: readonly StoredObject[], proven: ElapsedInstant): void;
-  onObject(object: StoredObject, proven: ElapsedInstant): void;
+  onObject(object: StoredObject, proven: ElapsedInstant, isRelayed: boolean): void;
   /** @param revision of the object's last change before it went */
   onGone(name: string, revision: number): void;
   /** Items of an answer had no key that can be read; the answer's other items hold. */
   onUnnamed(items: number, revision: number): void;
-  /** A call was answered, whether or not it brought a change. */
-  onAnswer(proven: ElapsedInstant): void;
+  /** A call was answered, whether or not it brought a change, by the store or by a router in its place. */
+  onAnswer(proven: ElapsedInstant, isRelayed: boolean): void;
   /** A call was not answered. */
   onFailure(): void;
   /** The store has forgotten its history: other watches may be waiting in vain. */
@@ -133,14 +133,14 @@
       this.events.onHistoryGone();
       return;
     }
-    const proven = result.proven ?? callBegan;
+    const { proven = callBegan, isRelayed = false } = result;
     for (const { object, isGone } of result.events) {
       if (isGone) this.events.onGone(object.name, object.revision);
-      else this.events.onObject(object, proven);
+      else this.events.onObject(object, proven, isRelayed);
     }
     this.noteUnnamed(result);
     this.moveTo(Math.max(askedRevision, result.revision));
-    this.events.onAnswer(proven);
+    this.events.onAnswer(proven, isRelayed);
     if (result.events.length > 0 && gatherMs > 0) await sleep(this.clock, gatherMs);
   }
 
@@ -167,7 +167,7 @@
     const proven = list.proven ?? callBegan;
     this.noteUnnamed(list);
     this.events.onList(list.objects, proven);
-    this.events.onAnswer(proven);
+    this.events.onAnswer(proven, list.isRelayed ?? false);
   }
 
   private noteUnnamed({ unnamedItems, revision }: UnnamedItems): void {
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -203,7 +203,7 @@
     });
     this.close();
     this.exchange.cancel();
-    this.events.onFailure(this, { kind: 'unknown', reason: 'weights-out-of-time' });
+    this.events.onFailure(this, { kind: 'withdrawn', reason: 'weights-out-of-time' });
   }
 
   private noteChunk(): void {
--- a/src/coordination/gateway/store-followers.ts
+++ b/src/coordination/gateway/store-followers.ts
@@ -11,12 +11,12 @@
 export interface FollowHandlers {
   /** The whole kind as it is; left out: each object is handed on by itself. */
   onList?(objects: readonly StoredObject[], proven: ElapsedInstant): void;
-  onObject(object: StoredObject, proven: ElapsedInstant): void;
+  onObject(object: StoredObject, proven: ElapsedInstant, isRelayed: boolean): void;
   onGone?(name: string, revision: number): void;
   /** Items of an answer had no key that can be read. */
   onUnnamed?(items: number, revision: number): void;
   /** A call was answered: at `proven` nothing newer was there. */
-  onAnswer?(proven: ElapsedInstant): void;
+  onAnswer?(proven: ElapsedInstant, isRelayed: boolean): void;
   onFailure?(): void;
 }
 
@@ -77,14 +77,14 @@
       {
         onList: (objects, proven) => {
           if (handlers.onList) handlers.onList(objects, proven);
-          else for (const object of objects) handlers.onObject(object, proven);
+          else for (const object of objects) handlers.onObject(object, proven, false);
         },
-        onObject: (object, proven) => handlers.onObject(object, proven),
+        onObject: (object, proven, isRelayed) => handlers.onObject(object, proven, isRelayed),
         onGone: (name, revision) => handlers.onGone?.(name, revision),
         onUnnamed: (items, revision) => handlers.onUnnamed?.(items, revision),
-        onAnswer: (proven) => {
+        onAnswer: (proven, isRelayed) => {
           this.outages.noteAnswer(clock.now());
-          handlers.onAnswer?.(proven);
+          handlers.onAnswer?.(proven, isRelayed);
         },
         onFailure: () => {
           this.outages.noteFailure(clock.now());
--- a/src/coordination/gateway/store-relay/peer-queries.ts
+++ b/src/coordination/gateway/store-relay/peer-queries.ts
@@ -47,7 +47,8 @@
     if (!answer.isKnown) return { result: { kind: 'history-gone' }, proofAgeMs, isRecent };
     // No delay on the way makes a proof seem younger: its age counts from when the question left.
     const proven = asked.plus(answer.heldMs - proofAgeMs);
-    const result = { kind: 'events' as const, events, revision: answer.revision, proven };
+    const { revision: newest } = answer;
+    const result = { kind: 'events' as const, events, revision: newest, proven, isRelayed: true };
     return { result, proofAgeMs, isRecent };
   }
 
@@ -82,5 +83,6 @@
 
 function listOf(answer: RelayAnswer, asked: ElapsedInstant): ProvenList {
   const objects = answer.events.map((event) => event.object);
-  return { objects, revision: answer.revision, proven: asked.plus(-answer.proofAgeMs) };
+  const proven = asked.plus(-answer.proofAgeMs);
+  return { objects, revision: answer.revision, proven, isRelayed: true };
 }
--- a/src/coordination/gateway/version-news.ts
+++ b/src/coordination/gateway/version-news.ts
@@ -26,8 +26,15 @@
   readonly logger: Logger;
 }
 
-/** Weights found after a watch had failed; their time counts from when the store was sound again. */
-const MISSED_AGE_MS = 1_000;
+/** What a list shows after lost history was named at least this long ago, in milliseconds. */
+const SHORTEST_MISSED_AGE_MS = 1_000;
+/** An answer of the store was made this long before it came, at most: then its time limit is over. */
+const ANSWER_TRANSIT_MS = 800;
+/**
+ * Calls that fail for this long mean that the store is out, when nobody can name versions; a connection that
+ * has gone silent is replaced by the next call.
+ */
+const OUTAGE_MS = 1_500;
 /** A version is told for this long; longer than any bound on replaced weights. */
 const TOLD_FOR_MS = 15_000;
 
@@ -39,57 +46,70 @@
 
 /** The versions that one router has heard of. */
 export class VersionNews {
+  private readonly openedMs: number;
   private hasList = false;
   private answers = 0;
-  /** Whether a call has failed since the last answer: what the next one brings is older than it seems. */
-  private hasMissed = false;
-  private proven = ElapsedInstant.never;
+  /** Whether the last call was answered by the store itself, so that a change is shown as it happens. */
+  private isUnbroken = false;
+  /** Until then nothing newer was there than what was taken. */
+  private currentAt = ElapsedInstant.never;
+  /** Since when calls have failed; undefined while they are answered. */
+  private failingSinceMs: number | undefined;
 
   /**
-   * @param unseenAgeMs weights found by a router that has just started are taken to be named this long
-   *   ago
+   * @param unseenAgeMs weights that a router finds when it starts are taken to be named this long before
    * @param announce tells the other routers at once
    */
   constructor(
     private readonly parts: VersionNewsParts,
     private readonly unseenAgeMs: number,
     private readonly announce: () => void,
-  ) {}
+  ) {
+    this.openedMs = parts.clock.now();
+  }
 
   /** Takes the store's list: when its versions were named is not known. */
   takeList(objects: readonly StoredObject[]): void {
-    const ageMs = this.hasList ? this.missedAgeMs : this.unseenAgeMs;
+    const ageMs = this.hasList ? this.missedAgeMs : this.ageBeforeStartMs;
     this.hasList = true;
     for (const object of objects) this.takeObject(object, 'list', ageMs);
   }
 
   /**
    * Takes a change that a watch showed. The first watch begins a while after the list, which may itself be
-   * old: what it shows may have been named before, so its time is not known either.
+   * old: what it shows may have been named before, so its time is not known either. Nor is it where a call
+   * has failed, or where another router answers, whose own call may have failed: dated by when it was heard, a
+   * version named just after all connections had gone silent was taken as 0.5 to 1.3 s younger than it was
+   * (nine simulated routers). Routers that saw it being named report its time.
    */
-  takeChange(object: StoredObject): void {
+  takeChange(object: StoredObject, isRelayed: boolean): void {
     if (this.answers < ANSWERS_UNTIL_FOLLOWED) {
-      this.takeObject(object, 'list', this.unseenAgeMs);
+      this.takeObject(object, 'list', this.ageBeforeStartMs);
       return;
     }
-    if (this.hasMissed) this.takeObject(object, 'list', this.missedAgeMs);
+    if (isRelayed || !this.isUnbroken) this.takeObject(object, 'list', this.missedAgeMs);
     else if (this.takeObject(object, 'watch', 0)) this.announce();
   }
 
   /**
    * The store, or another router in its place, has answered; call after its changes were taken.
    *
-   * @param proven a moment at which nothing newer was there
+   * @param proven a moment at which nothing newer was there; `never` for a list that may be old
    */
-  noteAnswer(proven: ElapsedInstant): void {
+  noteAnswer(proven: ElapsedInstant, isRelayed: boolean): void {
     this.answers += 1;
-    this.hasMissed = false;
-    this.proven = this.proven.latest(proven);
+    this.failingSinceMs = undefined;
+    const isProof = proven !== ElapsedInstant.never;
+    this.isUnbroken = isProof && !isRelayed;
+    if (!isProof) return;
+    const answeredAt = this.parts.clock.elapsed().plus(-ANSWER_TRANSIT_MS);
+    this.currentAt = this.currentAt.latest(isRelayed ? proven : proven.latest(answeredAt));
   }
 
   /** A call was not answered. A connection that has gone silent shows this way, seconds late. */
   noteFailure(): void {
-    this.hasMissed = true;
+    this.isUnbroken = false;
+    this.failingSinceMs ??= this.parts.clock.now();
   }
 
   /** Takes what another router tells. */
@@ -110,12 +130,19 @@
     );
   }
 
+  /** How long ago what a router finds when it starts may have been named, in milliseconds. */
+  private get ageBeforeStartMs(): number {
+    return this.unseenAgeMs + this.parts.clock.now() - this.openedMs;
+  }
+
   /** How long ago what was missed may have been named, in milliseconds. */
   private get missedAgeMs(): number {
-    if (!this.hasMissed) return MISSED_AGE_MS;
+    const { clock } = this.parts;
+    const failingMs = clock.now() - (this.failingSinceMs ?? Infinity);
+    if (failingMs >= OUTAGE_MS) return failingMs;
     // A list that may be old proves nothing.
-    if (this.proven === ElapsedInstant.never) return this.unseenAgeMs;
-    return Math.max(MISSED_AGE_MS, this.parts.clock.elapsed().since(this.proven));
+    if (this.currentAt === ElapsedInstant.never) return this.ageBeforeStartMs;
+    return Math.max(SHORTEST_MISSED_AGE_MS, clock.elapsed().since(this.currentAt));
   }
 
   private takeObject(object: StoredObject, origin: VersionOrigin, ageMs: number): boolean {
--- a/src/protocol/inference/port.ts
+++ b/src/protocol/inference/port.ts
@@ -55,6 +55,8 @@
   | { readonly kind: 'not-sent'; readonly reason: string }
   /** The engine attests that it has not run the request. */
   | { readonly kind: 'refused'; readonly status: number; readonly reason: string }
+  /** This router gave it up for a reason that is none of the engine's; it may have run. */
+  | { readonly kind: 'withdrawn'; readonly reason: string }
   /** It may have run. */
   | { readonly kind: 'unknown'; readonly reason: string; readonly isDisconnect?: boolean }
   /** The answer began and broke off. */
--- a/src/protocol/object-store/port.ts
+++ b/src/protocol/object-store/port.ts
@@ -25,6 +25,8 @@
    * Moment at which the list was current, `never` where that is not known; left out: when the call began.
    */
   readonly proven?: ElapsedInstant;
+  /** Another router answered in the store's place; left out: the store itself. */
+  readonly isRelayed?: boolean;
 }
 
 /** A change of one object. */
@@ -40,6 +42,8 @@
       readonly events: readonly ObjectEvent[];
       /** Moment at which the revision was the newest; left out: when the call began. */
       readonly proven?: ElapsedInstant;
+      /** Another router answered in the store's place; left out: the store itself. */
+      readonly isRelayed?: boolean;
     })
   | { readonly kind: 'history-gone' };
 
