--- /dev/null
+++ b/bench/mechanism-profile.ts
@@ -0,0 +1,111 @@
+/** Splits the processor time of this process by the router's mechanisms, with the engine's own profiler. */
+import type { Profiler, Runtime } from 'node:inspector';
+import { Session } from 'node:inspector/promises';
+
+/** A mechanism and the modules that belong to it; the first that matches counts. */
+const MECHANISMS: readonly (readonly [name: string, modules: RegExp])[] = [
+  ['simulation', /\/(lab|bench|test)\/|virtual-clock/],
+  ['crash notices', /crash-|quarantine|request-fingerprint|engine-crashes/],
+  ['work collection', /load-collection|collected-loads|collector-choice/],
+  ['quotas', /\/quota\//],
+  ['weights and lease', /weight-|order-|lease|version-news|rollout/],
+  [
+    'store and relays',
+    /store-|object-follower|\/store-relay\/|object-decoder|configuration|engine-list/,
+  ],
+  ['feeds', /cache-feeds|followed-feeds|feed-share/],
+  [
+    'placement',
+    /placement|home-ranking|kept-prefixes|save-choice|finish-estimate|prompt-source|engine-health|engine-registry|return-schedule|traffic-split/,
+  ],
+  [
+    'forwarding',
+    /request-call|\/send\.|call-|load-share|request-admission|rejection|retry-budget|event-boundary|gateway\/load/,
+  ],
+  [
+    'reports',
+    /group-reports|group-heartbeats|heartbeats|weights-news|work-codec|member-key|load-table/,
+  ],
+  ['datagram codec', /cluster-codec|member-codec/],
+  ['gossip', /\/membership\.|group-membership|group-change-log/],
+  ['directory', /directory/],
+  ['other', /\/src\//],
+];
+
+/** Functions that build a list of the members, whoever asks. */
+const MEMBER_LISTS = new Set([
+  'all',
+  'working',
+  'get working',
+  'isWorking',
+  'responding',
+  'get responding',
+  'reachable',
+  'get reachable',
+  'membersByZone',
+  'byCapability',
+]);
+const MICROSECONDS_PER_MS = 1_000;
+const SAMPLE_MICROSECONDS = 250;
+
+/** Time of each mechanism, in milliseconds. */
+export type MechanismTimes = ReadonlyMap<string, number>;
+
+/**
+ * Runs an action under the profiler. The profiler's samples are spread over time as it passes; they are
+ * scaled to the processor time of the process, so that other processes of the machine change little.
+ */
+export async function profileMechanisms(action: () => Promise<void>): Promise<MechanismTimes> {
+  const session = new Session();
+  session.connect();
+  await session.post('Profiler.enable');
+  await session.post('Profiler.setSamplingInterval', { interval: SAMPLE_MICROSECONDS });
+  await session.post('Profiler.start');
+  const cpuBefore = process.cpuUsage();
+  await action();
+  const { user, system } = process.cpuUsage(cpuBefore);
+  const { profile } = await session.post('Profiler.stop');
+  session.disconnect();
+  return scaled(sumByMechanism(profile), (user + system) / MICROSECONDS_PER_MS);
+}
+
+function sumByMechanism(profile: Profiler.Profile): MechanismTimes {
+  const byId = new Map(profile.nodes.map((node) => [node.id, node]));
+  const parents = new Map<number, number>();
+  for (const node of profile.nodes) {
+    for (const child of node.children ?? []) parents.set(child, node.id);
+  }
+  const mechanisms = new Map<number, string>();
+  const mechanismOf = (id: number): string => {
+    const known = mechanisms.get(id);
+    if (known !== undefined) return known;
+    const node = byId.get(id);
+    const own = node && mechanismOfFrame(node.callFrame);
+    const parent = parents.get(id);
+    const found = own ?? (parent === undefined ? 'simulation' : mechanismOf(parent));
+    mechanisms.set(id, found);
+    return found;
+  };
+  const times = new Map<string, number>();
+  for (const [index, id] of (profile.samples ?? []).entries()) {
+    const mechanism = mechanismOf(id);
+    const spentMs = (profile.timeDeltas?.[index] ?? 0) / MICROSECONDS_PER_MS;
+    times.set(mechanism, (times.get(mechanism) ?? 0) + spentMs);
+  }
+  return times;
+}
+
+/** The same shares of another total. */
+function scaled(times: MechanismTimes, totalMs: number): MechanismTimes {
+  const sampledMs = [...times.values()].reduce((sum, spentMs) => sum + spentMs, 0);
+  return new Map([...times].map(([name, spentMs]) => [name, (spentMs * totalMs) / sampledMs]));
+}
+
+/** Undefined where the frame belongs to whoever called it. */
+function mechanismOfFrame({ functionName, url }: Runtime.CallFrame): string | undefined {
+  if (functionName === '(garbage collector)') return 'garbage';
+  if (functionName === '(idle)') return 'simulation';
+  if (!url.includes('/dist/') || url.includes('node_modules')) return undefined;
+  if (MEMBER_LISTS.has(functionName)) return 'member lists';
+  return MECHANISMS.find(([, modules]) => modules.test(url))?.[0];
+}
