Notices of crashes are bounded by the crashes, and the store is called only for what it holds

Lifted and cleared are told apart (quarantine_lifted, suspicions_cleared); only a lifted one is removed from the store. A router that knew only of a suspicion no longer removes the object of a request that it cleared, so whoever reads an object that a good end has overtaken removes it, and a router that has yet to enter a request leaves it when it hears it cleared.

--- a/src/coordination/gateway/crash-guard.ts
+++ b/src/coordination/gateway/crash-guard.ts
@@ -35,6 +35,7 @@
 export interface QuarantineListener {
   /** No engine may be sent the request any more. */
   onQuarantined(fingerprint: string, source: QuarantineSource): void;
+  /** A request that was in quarantine is not any more. */
   onLifted(fingerprint: string, source: QuarantineSource): void;
 }
 
@@ -103,10 +104,16 @@
     this.clear(fingerprint, 'store');
   }
 
-  /** The store holds the request in quarantine since `ageMs` ago. */
-  noteStored(fingerprint: string, ageMs: number): void {
+  /**
+   * The store holds the request in quarantine since `ageMs` ago. False where the request has come to a good
+   * end since, so that its object should go.
+   */
+  noteStored(fingerprint: string, ageMs: number): boolean {
     const sinceMs = this.parts.clock.now() - ageMs;
+    if (this.quarantine.isQuarantined(fingerprint)) return true;
+    if (this.quarantine.isClearedSince(fingerprint, sinceMs)) return false;
     this.report(this.quarantine.noteQuarantined(fingerprint, sinceMs), fingerprint, 'store');
+    return true;
   }
 
   /** What the next report to other routers carries. */
@@ -114,11 +121,16 @@
     return this.board.take(this.quarantine.quarantinedSince, this.parts.clock.now());
   }
 
-  /** Takes another router's report; true where it told something new. */
-  receive({ crashes, quarantine }: CrashNews): boolean {
-    const isNewCrash = crashes.map((notice) => this.receiveCrash(notice)).some(Boolean);
-    const isNewVerdict = quarantine.map((notice) => this.receiveVerdict(notice)).some(Boolean);
-    return isNewCrash || isNewVerdict;
+  /**
+   * Takes another router's report.
+   *
+   * @param isPassedOn whether the group is so large that what is new here is new to others too
+   * @returns true where something new should not wait for the next report
+   */
+  receive({ crashes, quarantine }: CrashNews, isPassedOn: boolean): boolean {
+    const isUrgentCrash = crashes.map((notice) => this.receiveCrash(notice, isPassedOn));
+    const isUrgentVerdict = quarantine.map((notice) => this.receiveVerdict(notice, isPassedOn));
+    return [...isUrgentCrash, ...isUrgentVerdict].some(Boolean);
   }
 
   /** Forgets what is too old; answers the fingerprints whose quarantine has run out. */
@@ -128,21 +140,23 @@
     return expired;
   }
 
-  private receiveCrash(notice: EngineCrashNotice): boolean {
+  private receiveCrash(notice: EngineCrashNotice, isPassedOn: boolean): boolean {
     const news = this.countCrash(notice, 'router');
     if (news.length === 0) return false;
-    this.board.addCrash(notice.engineId, news, this.parts.clock.now() - notice.ageMs);
+    const atMs = this.parts.clock.now() - notice.ageMs;
+    if (isPassedOn) this.board.passOnCrash(notice.engineId, news, atMs);
     return true;
   }
 
-  private receiveVerdict({ fingerprint, isCleared, ageMs }: QuarantineNotice): boolean {
+  private receiveVerdict(notice: QuarantineNotice, isPassedOn: boolean): boolean {
+    const { fingerprint, isCleared, ageMs } = notice;
     const atMs = this.parts.clock.now() - ageMs;
     const change = isCleared
       ? this.quarantine.noteCleared(fingerprint, atMs)
       : this.quarantine.noteQuarantined(fingerprint, atMs);
-    if (change === QuarantineChange.Cleared) this.board.addClearance(fingerprint, atMs);
+    if (isPassedOn && isClearance(change)) this.board.passOnClearance(fingerprint, atMs);
     this.report(change, fingerprint, 'router');
-    return change !== QuarantineChange.None;
+    return isUrgent(change);
   }
 
   /** Answers the requests of which this crash was not known. */
@@ -161,10 +175,10 @@
   private clear(fingerprint: string, source: QuarantineSource): void {
     const now = this.parts.clock.now();
     const change = this.quarantine.noteCleared(fingerprint, now);
-    if (change !== QuarantineChange.Cleared) return;
+    if (!isClearance(change)) return;
     this.board.addClearance(fingerprint, now);
     this.report(change, fingerprint, source);
-    this.parts.announce();
+    if (isUrgent(change)) this.parts.announce();
   }
 
   private report(change: QuarantineChange, fingerprint: string, source: QuarantineSource): void {
@@ -175,7 +189,11 @@
       logger.warn('request_quarantined', { fingerprint, source, engines });
       this.listener?.onQuarantined(fingerprint, source);
     }
-    if (change !== QuarantineChange.Cleared) return;
+    if (change === QuarantineChange.Cleared) {
+      statistics.suspicionsCleared += 1;
+      logger.info('suspicion_cleared', { fingerprint, source });
+    }
+    if (change !== QuarantineChange.Lifted) return;
     this.logLifted(fingerprint, source);
     this.listener?.onLifted(fingerprint, source);
   }
@@ -185,3 +203,15 @@
     this.parts.logger.info('request_cleared', { fingerprint, cause });
   }
 }
+
+function isClearance(change: QuarantineChange): boolean {
+  return change === QuarantineChange.Cleared || change === QuarantineChange.Lifted;
+}
+
+/**
+ * Whether the other routers should know at once. A request that was merely suspected costs nothing while it
+ * is; on a day of crashes each engine leaves dozens of suspects, nearly all of which end well.
+ */
+function isUrgent(change: QuarantineChange): boolean {
+  return change === QuarantineChange.Quarantined || change === QuarantineChange.Lifted;
+}
--- a/src/coordination/gateway/crash-protection.ts
+++ b/src/coordination/gateway/crash-protection.ts
@@ -55,7 +55,7 @@
     this.stored = new QuarantineStore({
       ...parts,
       events: {
-        onStored: (fingerprint, ageMs) => this.guard.noteStored(fingerprint, ageMs),
+        onStored: (fingerprint, ageMs) => this.noteStored(fingerprint, ageMs),
         onRemoved: (fingerprint) => this.guard.noteRemoved(fingerprint),
         onListed: (listed) => this.enterMissing(listed),
       },
@@ -64,6 +64,7 @@
       onQuarantined: (fingerprint, source) => this.onQuarantined(fingerprint, source),
       onLifted: (fingerprint, source) => {
         if (source === 'own') this.stored.remove(fingerprint);
+        else this.stored.withdraw(fingerprint);
       },
     });
   }
@@ -105,6 +106,14 @@
     if (source === 'own') this.enter(fingerprint, 0);
   }
 
+  /**
+   * The router at which a request came to a good end need not have known it to be in quarantine, and then
+   * leaves its object: whoever finds one that is overtaken removes it.
+   */
+  private noteStored(fingerprint: string, ageMs: number): void {
+    if (!this.guard.noteStored(fingerprint, ageMs)) this.stored.remove(fingerprint);
+  }
+
   /** The router that should have entered a request may have ended before. */
   private enterMissing(listed: ReadonlySet<string>): void {
     const now = this.parts.clock.now();
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -27,6 +27,8 @@
   /** Requests that entered quarantine, left it, and attempts of such requests that were turned away. */
   quarantinedRequests = 0;
   quarantineLifted = 0;
+  /** Requests that were suspected, but not in quarantine, and came to a good end. */
+  suspicionsCleared = 0;
   quarantineRejections = 0;
   /** Requests beyond their tenant's limit. */
   quotaDenials = 0;
--- a/src/coordination/gateway/group-event-target.ts
+++ b/src/coordination/gateway/group-event-target.ts
@@ -30,8 +30,8 @@
     return this.crashGuard?.takeNews() ?? NO_CRASH_NEWS;
   }
 
-  onCrashNews(news: CrashNews): boolean {
-    return this.crashGuard?.receive(news) ?? false;
+  onCrashNews(news: CrashNews, isPassedOn: boolean): boolean {
+    return this.crashGuard?.receive(news, isPassedOn) ?? false;
   }
 
   weightsNews(): readonly WeightsNews[] {
--- a/src/coordination/gateway/group-reports.ts
+++ b/src/coordination/gateway/group-reports.ts
@@ -39,8 +39,11 @@
   readonly hasCrashNews: boolean;
   /** Crashed engines and requests in quarantine, for one report. */
   takeCrashNews(): CrashNews;
-  /** True where it told something new. */
-  onCrashNews(news: CrashNews): boolean;
+  /**
+   * @param isPassedOn whether what is new has to be passed on, since not all routers hear each other
+   * @returns true where it should not wait for the next report
+   */
+  onCrashNews(news: CrashNews, isPassedOn: boolean): boolean;
 }
 
 /** The group, as far as reports need it. */
@@ -138,8 +141,9 @@
     for (const { model, version, ageMs } of report.named) {
       this.parts.events.onVersionNotice({ model, version, ageMs });
     }
-    const isNew = this.parts.events.onCrashNews(decodeCrashNews(report));
-    if (isNew && this.isLarge) this.tellSoon(SAMPLED_FANOUT);
+    const { isLarge } = this;
+    const isUrgent = this.parts.events.onCrashNews(decodeCrashNews(report), isLarge);
+    if (isUrgent && isLarge) this.tellSoon(SAMPLED_FANOUT);
   }
 
   /** Takes news and, in a large group, passes on what is new. */
--- a/src/coordination/gateway/quarantine-store.ts
+++ b/src/coordination/gateway/quarantine-store.ts
@@ -1,7 +1,8 @@
 /**
  * Keeps requests in quarantine in the store, so that they stay known when all routers lose their memory,
  * and so that operators see them and can lift them by removing an object. Nothing here is on a request's
- * way: one write a quarantined request, one cheap list now and then; other routers hear of it by gossip.
+ * way: one write when a request enters quarantine and one when it leaves, one cheap list now and then; other
+ * routers hear of it by gossip.
  */
 import { z } from 'zod';
 import { type Clock, type Timer } from '../../runtime/clock.js';
@@ -98,6 +99,11 @@
     void this.writeNext();
   }
 
+  /** Leaves out a write that was not done yet: the request is not in quarantine any more. */
+  withdraw(fingerprint: string): void {
+    if (this.pending.get(fingerprint)?.kind === 'create') this.pending.delete(fingerprint);
+  }
+
   private async writeNext(): Promise<void> {
     const [next] = this.pending;
     if (!next || this.isWriting || this.isStopped) return;
--- a/src/state/routing/request-quarantine.ts
+++ b/src/state/routing/request-quarantine.ts
@@ -26,8 +26,10 @@
   /** One more crash is known of a request that may be innocent. */
   Suspected = 'suspected',
   Quarantined = 'quarantined',
-  /** The request was suspected or quarantined and is not any more. */
+  /** The request was suspected, but not quarantined, and is not any more. */
   Cleared = 'cleared',
+  /** The request was quarantined and is not any more. */
+  Lifted = 'lifted',
 }
 
 interface Entry {
@@ -78,6 +80,11 @@
     return this.quarantined.has(fingerprint);
   }
 
+  /** Whether the request was known as cleared at `atMs`, so that what was seen until then counts no more. */
+  isClearedSince(fingerprint: string, atMs: number): boolean {
+    return atMs <= (this.entries.get(fingerprint)?.clearedMs ?? -Infinity);
+  }
+
   /** Engines that crashed while they ran the request. */
   crashedEngines(fingerprint: string): string[] {
     return [...(this.entries.get(fingerprint)?.crashedMs.keys() ?? [])];
@@ -107,14 +114,18 @@
   noteCleared(fingerprint: string, atMs: number): QuarantineChange {
     const entry = this.entries.get(fingerprint);
     if (!entry || atMs <= entry.clearedMs) return QuarantineChange.None;
-    const isKnown = entry.crashedMs.size > 0 || entry.quarantinedMs !== undefined;
+    const isSuspected = entry.crashedMs.size > 0;
+    const isLifted = (entry.quarantinedMs ?? Infinity) <= atMs;
     entry.clearedMs = atMs;
     entry.touchedMs = Math.max(entry.touchedMs, atMs);
     for (const [engineId, crashedMs] of entry.crashedMs) {
       if (crashedMs <= atMs) entry.crashedMs.delete(engineId);
     }
-    if ((entry.quarantinedMs ?? Infinity) <= atMs) this.leave(fingerprint, entry);
-    return isKnown ? QuarantineChange.Cleared : QuarantineChange.None;
+    if (isLifted) {
+      this.leave(fingerprint, entry);
+      return QuarantineChange.Lifted;
+    }
+    return isSuspected ? QuarantineChange.Cleared : QuarantineChange.None;
   }
 
   /** Forgets what is too old; answers the fingerprints whose quarantine has run out. */
--- a/test/gateway/request-quarantine.test.ts
+++ b/test/gateway/request-quarantine.test.ts
@@ -114,6 +114,24 @@
   t.false(board.hasNews);
 });
 
+test('what several routers found of one crash goes into one notice while it has room', (t) => {
+  const board = new CrashNewsBoard();
+  const ROUTERS = 20;
+  for (let router = 0; router < ROUTERS; router += 1) {
+    board.addCrash('engine-0', [`request-${router}`], router);
+  }
+  const reports = Array.from({ length: 5 }, () => board.take(new Map(), ROUTERS));
+  const notices = reports.flatMap(({ crashes }) => crashes);
+  t.is(notices.length, 8);
+  const named = new Set(notices.flatMap(({ fingerprints }) => fingerprints));
+  t.is(named.size, ROUTERS);
+  t.false(board.hasNews);
+
+  board.addCrash('engine-1', ['early'], 0);
+  board.addCrash('engine-1', ['late'], 10_000);
+  t.is(board.take(new Map(), 10_000).crashes.length, 2);
+});
+
 test('crash news arrive as they were sent', (t) => {
   const fingerprint = fc
     .uint8Array({ minLength: 16, maxLength: 16 })
--- /dev/null
+++ b/test/helpers/crash-news-world.ts
@@ -0,0 +1,99 @@
+/** A group of routers with their crash guards, over a simulated network that may lose datagrams. */
+import { CrashGuard } from '../../src/coordination/gateway/crash-guard.js';
+import { GatewayStatistics } from '../../src/coordination/gateway/gateway-statistics.js';
+import { GroupMembership } from '../../src/coordination/gateway/group-membership.js';
+import { HostClock } from '../../src/lab/simulation/host-clock.js';
+import { SimulatedNetwork } from '../../src/lab/simulation/simulated-network.js';
+import {
+  SimulatedDatagramTransport,
+  SimulatedSockets,
+} from '../../src/lab/simulation/simulated-transports.js';
+import { SilentLogger } from '../../src/runtime/logger.js';
+import { SeededRandom } from '../../src/runtime/random.js';
+import { VirtualClock } from '../../src/runtime/virtual-clock.js';
+import type { DatagramTransport } from '../../src/transport/datagram-transport.js';
+import { LoadTable } from '../../src/state/routing/load-table.js';
+import { silentGroupEvents } from './silent-group-events.js';
+
+/** A router's part in the group. */
+export interface Peer {
+  readonly guard: CrashGuard;
+  readonly group: GroupMembership;
+}
+
+/** A group of routers with their crash guards. */
+export class CrashNewsWorld {
+  readonly clock = new VirtualClock();
+  readonly peers: Peer[] = [];
+  /** Datagrams that the routers sent. */
+  datagrams = 0;
+  readonly network = new SimulatedNetwork(this.clock, new SeededRandom(3));
+  private readonly sockets = new SimulatedSockets(this.network);
+
+  async start(): Promise<Peer> {
+    const index = this.peers.length;
+    const name = `router-${index}`;
+    const host = new HostClock(this.clock);
+    this.network.attach(name, host);
+    const guard = new CrashGuard({
+      policy: undefined,
+      statistics: new GatewayStatistics(),
+      clock: host,
+      logger: new SilentLogger(),
+      announce: () => group.reportNow(),
+    });
+    const events = {
+      ...silentGroupEvents({
+        takeCrashNews: () => guard.takeNews(),
+        onCrashNews: (news, isPassedOn) => guard.receive(news, isPassedOn),
+      }),
+      get hasCrashNews(): boolean {
+        return guard.hasNews;
+      },
+    };
+    const address = `${name}:7000`;
+    const group = await GroupMembership.open(
+      {
+        identity: {
+          nodeId: name,
+          zone: 'zone-a',
+          region: 'region-a',
+          capacity: 1_000,
+          gossipAddress: address,
+          peerAddress: `${name}:80`,
+        },
+        seeds: ['router-0:7000', 'router-1:7000'],
+      },
+      this.counting(new SimulatedDatagramTransport(this.sockets, name)),
+      new LoadTable(),
+      events,
+      host,
+      new SeededRandom(100 + index),
+      new SilentLogger(),
+    );
+    group.start();
+    const peer = { guard, group };
+    this.peers.push(peer);
+    return peer;
+  }
+
+  private counting(transport: DatagramTransport): DatagramTransport {
+    return {
+      bind: async (address, receive) => {
+        const socket = await transport.bind(address, receive);
+        return {
+          address: socket.address,
+          close: () => socket.close(),
+          send: (to, datagram) => {
+            this.datagrams += 1;
+            socket.send(to, datagram);
+          },
+        };
+      },
+    };
+  }
+
+  stop(): void {
+    for (const { group } of this.peers) group.stop();
+  }
+}
