Member lists are built when a member changes, not for each datagram and decision

Cause: the list of working members was copied and filtered for each report, tick, placement and watch; the readers of the store and the own share of traffic were reckoned (and sorted) from it each time. Change: the membership keeps the list until a statement changes; readers, share of traffic and the audience of reports go by that list without a copy. The same members in the same order as before; a large group's audience draws again where it drew itself.

--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -42,6 +42,7 @@
 import { RequestCall } from './request-call.js';
 import { StoreFollowers } from './store-followers.js';
 import { StoreRelay } from './store-relay/store-relay.js';
+import { TrafficShare } from './traffic-share.js';
 import { VersionNews } from './version-news.js';
 import { WeightCoordinator } from './weight-coordinator.js';
 
@@ -89,6 +90,7 @@
   private readonly timers: Timer[] = [];
   private isRankKnown = false;
   private isLeaving = false;
+  private readonly trafficShare: TrafficShare;
 
   private constructor(
     private readonly settings: GatewaySettings,
@@ -99,6 +101,7 @@
   ) {
     const { clock, random, hasher, logger, engines } = surroundings;
     this.loads = parts.loads;
+    this.trafficShare = new TrafficShare(group, settings.capacity);
     this.configuration = new ConfigurationState(settings.proofLifetimeMs);
     this.versions = new WeightVersions(settings.rollout.graceMs, this.outages);
     this.followers = new StoreFollowers(relay.store, group, this.outages, clock, random, logger);
@@ -124,7 +127,7 @@
       homes,
       tolerance: settings.quotaTolerance ?? DEFAULT_QUOTA_TOLERANCE,
       statistics: this.statistics,
-      shareOfTraffic: () => this.shareOfTraffic(),
+      shareOfTraffic: () => this.trafficShare.now,
       clock,
       logger,
     });
@@ -143,7 +146,7 @@
       versions: this.versions,
       requestRate: this.requestRate,
       ownTokenRate: this.ownTokenRate,
-      shareOfTraffic: () => this.shareOfTraffic(),
+      shareOfTraffic: () => this.trafficShare.now,
       split: this.split,
       retryBudgets: new ServiceRetryBudgets(settings.retryBudget),
       crashes: this.crashes,
@@ -194,7 +197,7 @@
         rollout: settings.rollout,
         respondingRouters: () => group.responding.sort(byCapability).map(({ nodeId }) => nodeId),
         isAvailable: (router) => group.isAvailable(router),
-        shareOfTraffic: () => this.shareOfTraffic(),
+        shareOfTraffic: () => this.trafficShare.now,
         announce: () => group.reportNow(),
         announcementMs: () => group.announcementMs,
       },
@@ -366,12 +369,4 @@
     this.crashes.expire();
     if (this.isRankKnown) this.followedFeeds.update();
   }
-
-  /** The directory sends callers to routers by their capacity. */
-  private shareOfTraffic(): number {
-    const { working } = this.group;
-    const total = working.reduce((sum, member) => sum + member.capacity, 0);
-    const { capacity } = this.settings;
-    return total > 0 && capacity > 0 ? Math.min(1, capacity / total) : 1 / working.length;
-  }
 }
--- a/src/coordination/gateway/group-membership.ts
+++ b/src/coordination/gateway/group-membership.ts
@@ -134,7 +134,7 @@
 
   /** Members known, even ones that fell silent: what must be shared is shared with them too. */
   get size(): number {
-    return Math.max(this.seeds.length, this.membership.all().length);
+    return Math.max(this.seeds.length, this.membership.knownCount);
   }
 
   /** Whether this router takes part. */
@@ -162,8 +162,8 @@
     return this.membership.own;
   }
 
-  /** Members that take work, this one included while it does. */
-  get working(): MemberUpdate[] {
+  /** Members that take work, this one included while it does; the same list until one of them changes. */
+  get working(): readonly MemberUpdate[] {
     return this.membership.working();
   }
 
--- a/src/coordination/gateway/group-reports.ts
+++ b/src/coordination/gateway/group-reports.ts
@@ -221,18 +221,14 @@
     return this.isLarge ? this.board.toTell(nowMs) : own;
   }
 
-  private others(): MemberUpdate[] {
-    const own = this.parts.group.own.nodeId;
-    return this.parts.group.working.filter((member) => member.nodeId !== own);
-  }
-
   /** All others of a small group, or so many of a large one, chosen at random. */
   private audience(fanout: number): MemberUpdate[] {
-    const others = this.others();
-    if (!this.isLarge) return others;
+    const { own, working } = this.parts.group;
+    if (!this.isLarge) return working.filter(({ nodeId }) => nodeId !== own.nodeId);
     const sample = new Set<MemberUpdate>();
     while (sample.size < fanout) {
-      sample.add(others[randomInteger(this.parts.random, others.length)] as MemberUpdate);
+      const member = working[randomInteger(this.parts.random, working.length)] as MemberUpdate;
+      if (member.nodeId !== own.nodeId) sample.add(member);
     }
     return [...sample];
   }
--- a/src/coordination/gateway/store-relay/reader-choice.ts
+++ b/src/coordination/gateway/store-relay/reader-choice.ts
@@ -12,7 +12,7 @@
 
 /** The group, as far as the relay needs it. */
 export interface RelayGroup {
-  /** Working routers, this one included. */
+  /** Working routers, this one included; the same list until one of them changes. */
   readonly working: readonly MemberUpdate[];
   /** Relay addresses to ask before any member is known. */
   readonly seeds: readonly string[];
@@ -28,6 +28,9 @@
   /** Readers that answered without a recent proof: their way to the store is lost. */
   private readonly outdatedUntilMs = new Map<string, number>();
 
+  private chosenAmong: readonly MemberUpdate[] | undefined;
+  private chosenReaders: readonly MemberUpdate[] = [];
+
   constructor(
     private readonly own: MemberUpdate,
     private readonly policy: ReaderPolicy,
@@ -43,13 +46,14 @@
   get reader(): MemberUpdate | undefined {
     const isAvoided = (nodeId: string): boolean =>
       isAhead(this.silentUntilMs.get(nodeId), this.clock) || this.isOutdated(nodeId);
-    return readerFor(this.own, this.group.working, this.policy, isAvoided);
+    const { working } = this.group;
+    return readerFor(this.own, working, this.policy, isAvoided, this.chosen);
   }
 
   /** Readers that this router may ask; none in a small group or where it is a reader itself. */
   get readers(): readonly MemberUpdate[] {
     if (!this.isLargeGroup) return [];
-    const readers = chooseReaders(this.group.working, this.policy);
+    const readers = this.chosen;
     return readers.some(({ nodeId }) => nodeId === this.own.nodeId) ? [] : readers;
   }
 
@@ -75,6 +79,16 @@
     this.outdatedUntilMs.delete(nodeId);
   }
 
+  /** All readers, chosen anew only when the members have changed: that sorts them. */
+  private get chosen(): readonly MemberUpdate[] {
+    const { working } = this.group;
+    if (working !== this.chosenAmong) {
+      this.chosenAmong = working;
+      this.chosenReaders = chooseReaders(working, this.policy);
+    }
+    return this.chosenReaders;
+  }
+
   private isOutdated(nodeId: string): boolean {
     return isAhead(this.outdatedUntilMs.get(nodeId), this.clock);
   }
--- a/src/state/membership.ts
+++ b/src/state/membership.ts
@@ -100,6 +100,8 @@
 export class Membership {
   private readonly members = new Map<string, Member>();
   private self: MemberUpdate;
+  /** Built anew after a change only: it is asked for with each datagram and each decision. */
+  private workingNow: readonly MemberUpdate[] | undefined;
   private sequence = 0;
   private probe: Probe | undefined;
   private round: string[] = [];
@@ -132,9 +134,18 @@
     return [this.self, ...[...this.members.values()].map((member) => member.update)];
   }
 
-  /** Members that work: alive or suspected, this one included unless it leaves. */
-  working(): MemberUpdate[] {
-    return this.all().filter(isWorking);
+  /** Members known, this one included, the dead among them for a while. */
+  get knownCount(): number {
+    return this.members.size + 1;
+  }
+
+  /**
+   * Members that work: alive or suspected, this one included unless it leaves. The same list until one of
+   * its statements changes.
+   */
+  working(): readonly MemberUpdate[] {
+    this.workingNow ??= this.all().filter(isWorking);
+    return this.workingNow;
   }
 
   /** Ends the previous probe and starts the next; call once a {@link PROBE_PERIOD_MS}. */
@@ -199,7 +210,7 @@
       status: MemberStatus.Leaving,
       incarnation: this.self.incarnation + 1,
     };
-    this.view += 1;
+    this.noteChange();
     const FIRST_TOLD = 5;
     return this.announce(FIRST_TOLD);
   }
@@ -324,7 +335,12 @@
   private put(update: MemberUpdate, nowMs: number): void {
     const transmissions = this.spreadCount;
     this.members.set(update.nodeId, { update, changedMs: nowMs, transmissions });
+    this.noteChange();
+  }
+
+  private noteChange(): void {
     this.view += 1;
+    this.workingNow = undefined;
   }
 
   private merge(update: MemberUpdate, nowMs: number): void {
@@ -346,6 +362,7 @@
     if (update.incarnation < this.self.incarnation) return;
     if (update.incarnation === this.self.incarnation && update.status === this.self.status) return;
     this.self = { ...this.self, incarnation: update.incarnation + 1 };
+    this.workingNow = undefined;
   }
 
   /** How often a node passes one piece of news on. */
--- a/src/state/routing/store-readers.ts
+++ b/src/state/routing/store-readers.ts
@@ -46,15 +46,17 @@
 /**
  * The reader that a router should ask, one of its own zone where there is any; undefined where it reads
  * the store itself, because it is a reader or because no reader is left that is not avoided.
+ *
+ * @param readers what {@link chooseReaders} answers for these members
  */
 export function readerFor<Member extends GroupPlace>(
   own: GroupPlace,
   members: readonly Member[],
   policy: ReaderPolicy,
   isAvoided: (nodeId: string) => boolean,
+  readers: readonly Member[] = chooseReaders(members, policy),
 ): Member | undefined {
   if (members.length <= policy.directGroupSize) return undefined;
-  const readers = chooseReaders(members, policy);
   if (readers.some((reader) => reader.nodeId === own.nodeId)) return undefined;
   const usable = readers.filter((reader) => !isAvoided(reader.nodeId));
   const near = usable.filter((reader) => reader.zone === own.zone);
