A placement looks at each engine once and at like sources once

Cause: for each request every engine was judged fit before the subject's homes were ranked, each engine weighed built its salt and its sources of the prompt anew, and of a prompt that many engines keep each engine was compared with all. Change: homes are ranked first and judged after (all are judged only where too few of the first are fit); salts and what is kept are looked up by version; of sources equal in tokens, zone and link two are compared; where the prompt comes from and is saved to is reckoned for the chosen engine only.

--- /dev/null
+++ b/bench/placement.ts
@@ -0,0 +1,119 @@
+/** What the decision for one request costs, over services of a usual and of a large size. */
+import { createHasher } from '../src/runtime/hasher.js';
+import { SeededRandom, randomInteger } from '../src/runtime/random.js';
+import { EngineHealth } from '../src/state/routing/engine-health.js';
+import { EngineRegistry } from '../src/state/routing/engine-registry.js';
+import { cacheSaltOf } from '../src/state/routing/generation.js';
+import { HomeRanking } from '../src/state/routing/home-ranking.js';
+import { KeptPrefixes } from '../src/state/routing/kept-prefixes.js';
+import { LoadTable } from '../src/state/routing/load-table.js';
+import { type PlacementTables, placeRequest } from '../src/state/routing/placement.js';
+import { StorePressure } from '../src/state/routing/save-choice.js';
+import { StoreOutages } from '../src/state/routing/store-outages.js';
+import { WeightVersions } from '../src/state/routing/weight-versions.js';
+import { type BenchResult, medianMicroseconds } from './result.js';
+
+const MODEL = 'model-a';
+const SERVICE = 'generation';
+const ENGINE_COUNTS = [82, 730];
+const ZONES = 6;
+const SUBJECTS = 64;
+const SHARED_TOKENS = 6_000;
+const OWN_TOKENS = 400;
+/** Share of the engines that keep a subject's shared part. */
+const KEPT_SHARE = 0.2;
+const ROUNDS = 60;
+const CALLS_PER_ROUND = 200;
+
+/** Median decisions. */
+export async function benchPlacement(): Promise<BenchResult[]> {
+  const homes = new HomeRanking(await createHasher());
+  return ENGINE_COUNTS.map((engines) => benchDecision(engines, homes));
+}
+
+function benchDecision(engines: number, homes: HomeRanking): BenchResult {
+  const random = new SeededRandom(engines);
+  const registry = createRegistry(engines);
+  const tables = createTables(registry, homes, random);
+  const candidates = registry.ofService(SERVICE);
+  let requests = 0;
+  const value = medianMicroseconds(ROUNDS, CALLS_PER_ROUND, () => {
+    requests += 1;
+    const parts = [
+      { id: `subject-${requests % SUBJECTS}`, tokens: SHARED_TOKENS },
+      { id: `own-${requests}`, tokens: OWN_TOKENS },
+    ];
+    placeRequest(
+      {
+        candidates,
+        profile: {
+          slots: 16,
+          cacheCapacityTokens: 86_721,
+          cacheTokenBytes: 163_840,
+          linkMbps: 1_100_000,
+          maximumEventCalls: 8,
+        },
+        generation: {
+          model: MODEL,
+          parts,
+          promptTokens: SHARED_TOKENS + OWN_TOKENS,
+          maximumOutputTokens: 200,
+        },
+        isolatedTenant: undefined,
+        excluded: new Set(),
+        zone: 'zone-0',
+        stores: [],
+        storePressure: StorePressure.High,
+        connectionShare: 16,
+      },
+      tables,
+      0,
+    );
+  });
+  return { name: `placement of a generation over ${engines} engines, median`, value, unit: 'us' };
+}
+
+function createRegistry(engines: number): EngineRegistry {
+  const registry = new EngineRegistry();
+  for (let index = 0; index < engines; index += 1) {
+    registry.put({
+      id: `engine-${index}`,
+      service: SERVICE,
+      address: `engine-${index}:1`,
+      zone: `zone-${index % ZONES}`,
+      slots: 16,
+      isDraining: false,
+      modelVersions: new Map([[MODEL, 1]]),
+    });
+  }
+  return registry;
+}
+
+function createTables(
+  registry: EngineRegistry,
+  homes: HomeRanking,
+  random: SeededRandom,
+): PlacementTables {
+  const loads = new LoadTable();
+  const kept = new KeptPrefixes();
+  const versions = new WeightVersions(7_000, new StoreOutages());
+  versions.note(MODEL, { version: 1, namedMs: -100_000, isWitnessed: true });
+  const reported = new Map(
+    [...registry.ids].map((id) => [
+      id,
+      {
+        requests: randomInteger(random, 12),
+        unreadTokens: randomInteger(random, 5_000),
+        heldTokens: randomInteger(random, 60_000),
+      },
+    ]),
+  );
+  loads.receive('summary', 1, reported, 0);
+  const salt = cacheSaltOf(MODEL, 1, undefined);
+  for (const id of registry.ids) {
+    for (let subject = 0; subject < SUBJECTS; subject += 1) {
+      if (random.next() < KEPT_SHARE) kept.note(id, salt, `subject-${subject}`, SHARED_TOKENS);
+    }
+  }
+  return { loads, health: new EngineHealth(), kept, versions, random, homes };
+}
--- a/bench/result.ts
+++ b/bench/result.ts
@@ -1,5 +1,7 @@
 /** Figures of the bench and how they are shown. */
 
+const MICROSECONDS_PER_MS = 1_000;
+
 /** One figure. */
 export interface BenchResult {
   readonly name: string;
@@ -27,3 +29,19 @@
     })
     .join('\n');
 }
+
+/** Median time of one call, in microseconds. */
+export function medianMicroseconds(
+  rounds: number,
+  callsPerRound: number,
+  call: () => void,
+): number {
+  const times: number[] = [];
+  for (let round = 0; round < rounds; round += 1) {
+    const startedMs = performance.now();
+    for (let index = 0; index < callsPerRound; index += 1) call();
+    times.push(((performance.now() - startedMs) * MICROSECONDS_PER_MS) / callsPerRound);
+  }
+  times.sort((left, right) => left - right);
+  return times[rounds >> 1] ?? 0;
+}
--- a/bench/state.ts
+++ b/bench/state.ts
@@ -9,7 +9,7 @@
 import { BLOCK_BYTES, MARK_BLOCKS, hashBlocks, selectMarks } from '../src/state/prefix-chain.js';
 import { PrefixDirectory } from '../src/state/prefix-directory.js';
 import { fingerprintOf } from '../src/state/routing/request-fingerprint.js';
-import type { BenchResult } from './result.js';
+import { type BenchResult, medianMicroseconds } from './result.js';
 
 const ENGINES = 730;
 const ZONES = ['zone-0', 'zone-1', 'zone-2', 'zone-3', 'zone-4', 'zone-5'];
@@ -18,18 +18,6 @@
 const FEED_BLOCKS = 52_000;
 const MICROSECONDS_PER_MS = 1_000;
 
-/** Median time of one call, in microseconds. */
-function medianMicroseconds(rounds: number, callsPerRound: number, call: () => void): number {
-  const times: number[] = [];
-  for (let round = 0; round < rounds; round += 1) {
-    const startedMs = performance.now();
-    for (let index = 0; index < callsPerRound; index += 1) call();
-    times.push(((performance.now() - startedMs) * MICROSECONDS_PER_MS) / callsPerRound);
-  }
-  times.sort((left, right) => left - right);
-  return times[rounds >> 1] ?? 0;
-}
-
 /** All figures of this file. */
 export async function benchState(): Promise<BenchResult[]> {
   return [
--- a/src/state/routing/home-ranking.ts
+++ b/src/state/routing/home-ranking.ts
@@ -7,6 +7,8 @@
 
 /** Hashes kept; far more than holders at any time. */
 const MAXIMUM_HASHES = 8_192;
+/** Holders ranked for each fit one that is wanted; where too few of them are fit, all are looked at. */
+const RANKED_FOR_EACH_FIT = 3;
 
 /** Ranks holders for subjects. */
 export class HomeRanking {
@@ -33,6 +35,23 @@
     return best.map((each) => each.holder);
   }
 
+  /**
+   * What {@link first} answers for the holders that are fit, without a look at each of them: the first ones of
+   * all nearly always are.
+   */
+  firstFit<Holder>(
+    subject: string,
+    holders: readonly Holder[],
+    idOf: (holder: Holder) => string,
+    count: number,
+    isFit: (holder: Holder) => boolean,
+  ): Holder[] {
+    const ranked = this.first(subject, holders, idOf, count * RANKED_FOR_EACH_FIT);
+    const fit = ranked.filter(isFit);
+    if (fit.length >= count || ranked.length === holders.length) return fit.slice(0, count);
+    return this.first(subject, holders.filter(isFit), idOf, count);
+  }
+
   private hashOf(id: string): number {
     let hash = this.hashes.get(id);
     if (hash === undefined) {
--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -8,7 +8,13 @@
 import type { KeptPrefixes } from './kept-prefixes.js';
 import type { LoadTable } from './load-table.js';
 import { type PromptView, sourceAddress, storeToSave } from './prompt-source-choice.js';
-import { KeptBySalt, READ_TOKENS_PER_MS, bestSource, sharedTokensOf } from './prompt-sources.js';
+import {
+  type BestSource,
+  KeptBySalt,
+  READ_TOKENS_PER_MS,
+  bestSource,
+  sharedTokensOf,
+} from './prompt-sources.js';
 import { RejectionReason } from './rejection.js';
 import type { StorePressure } from './save-choice.js';
 import type { WeightVersions } from './weight-versions.js';
@@ -97,7 +103,8 @@
   );
   if (open.length === 0) return RejectionReason.AllBusy;
   if (!prompt) return cheapest(open.map((engine) => weighPlain(engine, request, tables)));
-  return cheapest(open.map((engine) => weighGeneration(engine, prompt, request, tables)));
+  const weighed = open.map((engine) => weighGeneration(engine, prompt, request, tables));
+  return placementOf(cheapest(weighed), prompt, request);
 }
 
 function promptView(
@@ -108,12 +115,10 @@
 ): PromptView {
   const { candidates, stores } = request;
   const subject = subjectOf(generation);
-  const sound = candidates.filter(
-    (engine) =>
-      isAllowed(engine, request, tables, nowMs) &&
-      !tables.health.isAvoided(engine.record.id, nowMs),
-  );
-  const homes = tables.homes.first(subject, sound, (each) => each.record.id, HOMES_WEIGHED);
+  const isSound = (engine: Engine): boolean =>
+    isAllowed(engine, request, tables, nowMs) && !tables.health.isAvoided(engine.record.id, nowMs);
+  const idOf = (engine: Engine): string => engine.record.id;
+  const homes = tables.homes.firstFit(subject, candidates, idOf, HOMES_WEIGHED, isSound);
   const [store] = tables.homes.first(subject, stores, (each) => each.address, 1);
   const kept = new KeptBySalt({ ...request, generation }, tables.kept);
   const { storePressure } = request;
@@ -138,14 +143,16 @@
   if (!prompt) return [...chosen];
   for (const engine of candidates) {
     const version = versionAt(engine, prompt.generation.model) ?? 0;
-    const { tokensByHolder } = prompt.kept.of(prompt.kept.saltOf(version));
+    const { tokensByHolder } = prompt.kept.of(version);
     if (tokensByHolder.has(engine.record.id)) chosen.add(engine);
   }
   return [...chosen];
 }
 
-function cheapest(placements: readonly Placement[]): Placement {
-  return placements.reduce((best, each) => (each.costMs < best.costMs ? each : best));
+function cheapest<Weighed extends { readonly costMs: number }>(
+  weighed: readonly Weighed[],
+): Weighed {
+  return weighed.reduce((best, each) => (each.costMs < best.costMs ? each : best));
 }
 
 /** Engines in good standing; where there are none, the ones left alone for failures. */
@@ -203,16 +210,26 @@
   };
 }
 
+/** An engine weighed for a generation. */
+interface WeighedEngine {
+  readonly engine: Engine;
+  readonly version: number;
+  readonly ownTokens: number;
+  readonly source: BestSource | undefined;
+  readonly unreadTokens: number;
+  readonly expectedMs: number;
+  readonly costMs: number;
+}
+
 function weighGeneration(
   engine: Engine,
   prompt: PromptView,
   request: PlacementRequest,
   tables: PlacementTables,
-): Placement {
+): WeighedEngine {
   const { generation, kept } = prompt;
   const version = versionAt(engine, generation.model) ?? 0;
-  const salt = kept.saltOf(version);
-  const keptPrompt = kept.of(salt);
+  const keptPrompt = kept.of(version);
   const ownTokens = keptPrompt.tokensByHolder.get(engine.record.id) ?? 0;
   const source = bestSource(engine, ownTokens, keptPrompt.sources, request.profile);
   const fetchedTokens = source ? source.tokens - ownTokens : 0;
@@ -226,11 +243,22 @@
     (nobodyKeeps ? awayFromHomeMs(engine, prompt) : 0) +
     (engine.record.zone === request.zone ? 0 : OTHER_ZONE_MS) +
     suspicionMs(engine, tables);
+  return { engine, version, ownTokens, source, unreadTokens, expectedMs, costMs };
+}
+
+/** How the generation is sent to the engine that was chosen. */
+function placementOf(
+  weighed: WeighedEngine,
+  prompt: PromptView,
+  { profile }: PlacementRequest,
+): Placement {
+  const { engine, version, ownTokens, source, unreadTokens, expectedMs, costMs } = weighed;
+  const keptPrompt = prompt.kept.of(version);
   return {
     engine,
     expectedVersion: version,
-    cacheSalt: salt,
-    fetchFrom: sourceAddress(engine, ownTokens, source, prompt, request.profile),
+    cacheSalt: keptPrompt.salt,
+    fetchFrom: sourceAddress(engine, ownTokens, source, prompt, profile),
     saveTo: storeToSave(keptPrompt, prompt),
     unreadTokens,
     expectedMs,
--- a/src/state/routing/prompt-sources.ts
+++ b/src/state/routing/prompt-sources.ts
@@ -29,6 +29,11 @@
   readonly sources: readonly KeptSource[];
 }
 
+/** The same with its salt. */
+export interface SaltedPrompt extends KeptPrompt {
+  readonly salt: string;
+}
+
 /** An engine or store that keeps a beginning of the prompt. */
 interface KeptSource {
   readonly tokens: number;
@@ -50,15 +55,14 @@
 
 /** What is kept of one prompt, looked up once for each salt that engines have. */
 export class KeptBySalt {
-  private readonly bySalt = new Map<string, KeptPrompt>();
+  private readonly byVersion = new Map<number, SaltedPrompt>();
 
   constructor(
     private readonly question: PromptQuestion,
     private readonly kept: KeptPrefixes,
   ) {}
 
-  /** Salt of a version of the prompt's model. */
-  saltOf(version: number): string {
+  private saltOf(version: number): string {
     return cacheSaltOf(this.question.generation.model, version, this.question.isolatedTenant);
   }
 
@@ -66,11 +70,13 @@
     return this.kept.isReported(holder);
   }
 
-  of(salt: string): KeptPrompt {
-    let kept = this.bySalt.get(salt);
+  /** What is kept for engines that hold a version of the prompt's model. */
+  of(version: number): SaltedPrompt {
+    let kept = this.byVersion.get(version);
     if (!kept) {
-      kept = this.lookUp(salt);
-      this.bySalt.set(salt, kept);
+      const salt = this.saltOf(version);
+      kept = { salt, ...this.lookUp(salt) };
+      this.byVersion.set(version, kept);
     }
     return kept;
   }
@@ -94,10 +100,25 @@
       const isReported = this.kept.isReported(address);
       sources.push({ tokens, address, zone, linkMbps: slowestMbps, isReported });
     }
-    return { tokensByHolder, sources };
+    return { tokensByHolder, sources: withoutEquals(sources) };
   }
 }
 
+/**
+ * Sources that differ in what matters: of those of equal tokens, zone and link an engine takes the first, or
+ * the second where the first has its own address. A prompt that many ask is kept by most engines.
+ */
+function withoutEquals(sources: readonly KeptSource[]): KeptSource[] {
+  const addressesByClass = new Map<string, Set<string>>();
+  return sources.filter(({ tokens, zone, linkMbps, address }) => {
+    const key = `${tokens} ${linkMbps} ${zone}`;
+    const addresses = addressesByClass.get(key) ?? new Set<string>();
+    if (addresses.size >= 2 || addresses.has(address)) return false;
+    addressesByClass.set(key, addresses.add(address));
+    return true;
+  });
+}
+
 /** Where more of the prompt is kept than at the engine itself, if taking it pays. */
 export function bestSource(
   engine: Engine,
