Statements about members are encoded once, keys of members reckoned once

Cause: each gossip datagram encoded up to ten statements anew, most of which had been sent before; each report hashed the names of 16 members and copied the list of all for each pick. Change: a statement's bytes are kept with it, and datagrams are put together from them, byte for byte as before; keys of members are kept; the heartbeats to share are picked in place.

--- a/src/coordination/gateway/group-heartbeats.ts
+++ b/src/coordination/gateway/group-heartbeats.ts
@@ -24,6 +24,7 @@
   private readonly heartbeats = new Heartbeats();
   private readonly pauses: PauseDetector;
   private idsByKey = new Map<number, string>();
+  private keysById = new Map<string, number>();
 
   constructor(
     private readonly clock: Clock,
@@ -57,15 +58,18 @@
   /** A random few of those heard lately, to share. */
   share(): SharedHeartbeats {
     const recent = this.heartbeats.within(OLDEST_SHARED_MS, this.clock.now());
-    const shared: HeartbeatAge[] = [];
-    while (shared.length < SHARED_IN_REPORT && recent.length > 0) {
-      const [picked] = recent.splice(randomInteger(this.random, recent.length), 1);
-      if (picked) shared.push(picked);
+    const count = Math.min(SHARED_IN_REPORT, recent.length);
+    const heardMembers: number[] = [];
+    const heardAgesMs: number[] = [];
+    for (let index = 0; index < count; index += 1) {
+      // Those before the index are picked already.
+      const picked = index + randomInteger(this.random, recent.length - index);
+      const { nodeId, ageMs } = recent[picked] as HeartbeatAge;
+      recent[picked] = recent[index] as HeartbeatAge;
+      heardMembers.push(this.keyOf(nodeId));
+      heardAgesMs.push(Math.ceil(ageMs));
     }
-    return {
-      heardMembers: shared.map(({ nodeId }) => memberKey(nodeId)),
-      heardAgesMs: shared.map(({ ageMs }) => Math.ceil(ageMs)),
-    };
+    return { heardMembers, heardAgesMs };
   }
 
   /** Milliseconds since a member was last heard by any router whose reports came; Infinity: never. */
@@ -76,6 +80,12 @@
   /** Takes the members known now; the others are forgotten. */
   retain(nodeIds: readonly string[]): void {
     this.heartbeats.retain(new Set(nodeIds));
-    this.idsByKey = new Map(nodeIds.map((nodeId) => [memberKey(nodeId), nodeId]));
+    const keysById = new Map(nodeIds.map((nodeId) => [nodeId, this.keyOf(nodeId)]));
+    this.keysById = keysById;
+    this.idsByKey = new Map([...keysById].map(([nodeId, key]) => [key, nodeId]));
+  }
+
+  private keyOf(nodeId: string): number {
+    return this.keysById.get(nodeId) ?? memberKey(nodeId);
   }
 }
--- a/src/coordination/gateway/group-membership.ts
+++ b/src/coordination/gateway/group-membership.ts
@@ -9,6 +9,7 @@
   type WorkDatagram,
   decodeClusterDatagram,
   encodeClusterGossip,
+  encodeUpdate,
 } from '../../protocol/peer/cluster-codec.js';
 import {
   type GossipDatagram,
@@ -71,6 +72,8 @@
   private readonly heartbeats: GroupHeartbeats;
   private readonly changeLog: GroupChangeLog;
   private isAnnouncing = false;
+  /** Statements as datagrams carry them; a statement never changes. */
+  private readonly encodedUpdates = new WeakMap<MemberUpdate, Uint8Array>();
   private readonly reports: GroupReports;
   private isStopped = false;
   private isStarted = false;
@@ -285,12 +288,21 @@
         sequence,
         subject,
         kind: encodeGossipKind(message.kind),
-        updates: message.updates.map(encodeMemberUpdate),
       });
-      this.socket.send(address, encodeClusterGossip(gossip));
+      const updates = message.updates.map((update) => this.encoded(update));
+      this.socket.send(address, encodeClusterGossip(gossip, updates));
     }
   }
 
+  private encoded(update: MemberUpdate): Uint8Array {
+    let bytes = this.encodedUpdates.get(update);
+    if (!bytes) {
+      bytes = encodeUpdate(encodeMemberUpdate(update));
+      this.encodedUpdates.set(update, bytes);
+    }
+    return bytes;
+  }
+
   /** Logs a changed view and passes the news on soon; a herd of news makes one announcement. */
   private noteView(): void {
     if (this.membership.version === this.seenView) return;
--- a/src/protocol/peer/cluster-codec.ts
+++ b/src/protocol/peer/cluster-codec.ts
@@ -1,5 +1,6 @@
 /** Encodes and decodes the datagrams between routers. */
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
+import { BinaryWriter, WireType } from '@bufbuild/protobuf/wire';
 import {
   type ClusterDatagram,
   ClusterDatagramSchema,
@@ -10,7 +11,12 @@
   type WorkReport,
   type WorkSummary,
 } from './generated/cluster_pb.js';
-import type { GossipDatagram } from './generated/peer_pb.js';
+import {
+  type GossipDatagram,
+  GossipDatagramSchema,
+  type MemberUpdate,
+  MemberUpdateSchema,
+} from './generated/peer_pb.js';
 
 /** Contents of a message without the library's own fields. */
 export type Contents<Message> = Omit<Message, '$typeName' | '$unknown'>;
@@ -24,8 +30,28 @@
   { case: 'quotaQuestion' | 'quotaAnswer' | 'quotaNotice' }
 >;
 
-export function encodeClusterGossip(gossip: GossipDatagram): Uint8Array {
-  return encodeBody({ case: 'gossip', value: gossip });
+/** One statement about a member, for {@link encodeClusterGossip}. */
+export function encodeUpdate(update: MemberUpdate): Uint8Array {
+  return toBinary(MemberUpdateSchema, update);
+}
+
+/**
+ * Encodes gossip around statements that are encoded already: each is sent many times, and encoding them
+ * was the larger part of what a datagram costs.
+ *
+ * @param head the other fields of the datagram
+ */
+export function encodeClusterGossip(
+  head: GossipDatagram,
+  updates: readonly Uint8Array[],
+): Uint8Array {
+  const writer = new BinaryWriter();
+  writer.tag(ClusterDatagramSchema.field.gossip.number, WireType.LengthDelimited).fork();
+  writer.raw(toBinary(GossipDatagramSchema, head));
+  for (const update of updates) {
+    writer.tag(GossipDatagramSchema.field.updates.number, WireType.LengthDelimited).bytes(update);
+  }
+  return writer.join().finish();
 }
 
 export function encodeLoadReport(report: LoadReport): Uint8Array {
--- a/src/state/heartbeats.ts
+++ b/src/state/heartbeats.ts
@@ -27,9 +27,12 @@
 
   /** Members heard within a span, in no particular order. */
   within(spanMs: number, nowMs: number): HeartbeatAge[] {
-    return [...this.heardMs]
-      .map(([nodeId, atMs]) => ({ nodeId, ageMs: nowMs - atMs }))
-      .filter(({ ageMs }) => ageMs <= spanMs);
+    const heard: HeartbeatAge[] = [];
+    for (const [nodeId, atMs] of this.heardMs) {
+      const ageMs = nowMs - atMs;
+      if (ageMs <= spanMs) heard.push({ nodeId, ageMs });
+    }
+    return heard;
   }
 
   /** Forgets all but these members. */
