One table of routers that are passed over for a while

Cause: the rankings of accountants, collectors and readers each kept a table of their own of who did not answer. Change: PassedOver keeps it for all of them; their times stay.

--- a/src/coordination/gateway/collector-choice.ts
+++ b/src/coordination/gateway/collector-choice.ts
@@ -1,5 +1,6 @@
 /** Which router collects the work of a large group, as one router of it sees that. */
 import type { MemberUpdate } from '../../state/membership.js';
+import { PassedOver } from '../../state/routing/passed-over.js';
 import { byCapability } from '../../state/routing/store-readers.js';
 
 /** The group, as far as the choice needs it. */
@@ -24,7 +25,7 @@
 export class CollectorChoice {
   private order: readonly MemberUpdate[] = [];
   private orderVersion = -1;
-  private readonly passedOverUntilMs = new Map<string, number>();
+  private readonly passedOver = new PassedOver(PASSED_OVER_MS);
   private present: MemberUpdate | undefined;
   /** When the present collector was last heard, or was chosen. */
   private heardMs = 0;
@@ -35,7 +36,7 @@
   choose(now: number): MemberUpdate | undefined {
     const { nodeId: own } = this.group.own;
     const collector = this.ordered().find(
-      ({ nodeId }) => nodeId === own || (this.passedOverUntilMs.get(nodeId) ?? -Infinity) <= now,
+      ({ nodeId }) => nodeId === own || !this.passedOver.has(nodeId, now),
     );
     if (collector?.nodeId !== this.present?.nodeId) this.heardMs = now;
     this.present = collector;
@@ -45,7 +46,7 @@
   /** A summary came. */
   noteHeard(nodeId: string, now: number): void {
     if (nodeId === this.present?.nodeId) this.heardMs = now;
-    this.passedOverUntilMs.delete(nodeId);
+    this.passedOver.remove(nodeId);
   }
 
   /** Passes the present collector over where it has been silent; answers which one. */
@@ -54,7 +55,7 @@
     if (nodeId === undefined || nodeId === this.group.own.nodeId) return undefined;
     const silentMs = now - this.heardMs;
     if (silentMs < SILENT_PERIODS * periodMs) return undefined;
-    this.passedOverUntilMs.set(nodeId, now + PASSED_OVER_MS);
+    this.passedOver.add(nodeId, now);
     return { nodeId, silentMs };
   }
 
--- a/src/coordination/gateway/store-relay/reader-choice.ts
+++ b/src/coordination/gateway/store-relay/reader-choice.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock } from '../../../runtime/clock.js';
 import type { MemberUpdate } from '../../../state/membership.js';
+import { PassedOver } from '../../../state/routing/passed-over.js';
 import {
   type ReaderPolicy,
   chooseReaders,
@@ -23,10 +24,10 @@
 
 /** The choice of one router. */
 export class ReaderChoice {
-  /** Readers that did not answer, with the time until which they are left alone. */
-  private readonly silentUntilMs = new Map<string, number>();
+  /** Readers that did not answer. */
+  private readonly silent = new PassedOver(AVOID_MS);
   /** Readers that answered without a recent proof: their way to the store is lost. */
-  private readonly outdatedUntilMs = new Map<string, number>();
+  private readonly outdated = new PassedOver(AVOID_MS);
 
   private chosenAmong: readonly MemberUpdate[] | undefined;
   private chosenReaders: readonly MemberUpdate[] = [];
@@ -45,7 +46,7 @@
   /** The reader to follow through; undefined where there is none to be asked now. */
   get reader(): MemberUpdate | undefined {
     const isAvoided = (nodeId: string): boolean =>
-      isAhead(this.silentUntilMs.get(nodeId), this.clock) || this.isOutdated(nodeId);
+      this.silent.has(nodeId, this.clock.now()) || this.isOutdated(nodeId);
     const { working } = this.group;
     return readerFor(this.own, working, this.policy, isAvoided, this.chosen);
   }
@@ -68,15 +69,15 @@
   }
 
   noteSilent({ nodeId }: MemberUpdate): void {
-    this.silentUntilMs.set(nodeId, this.clock.now() + AVOID_MS);
+    this.silent.add(nodeId, this.clock.now());
   }
 
   noteOutdated({ nodeId }: MemberUpdate): void {
-    this.outdatedUntilMs.set(nodeId, this.clock.now() + AVOID_MS);
+    this.outdated.add(nodeId, this.clock.now());
   }
 
   noteRecent({ nodeId }: MemberUpdate): void {
-    this.outdatedUntilMs.delete(nodeId);
+    this.outdated.remove(nodeId);
   }
 
   /** All readers, chosen anew only when the members have changed: that sorts them. */
@@ -90,10 +91,6 @@
   }
 
   private isOutdated(nodeId: string): boolean {
-    return isAhead(this.outdatedUntilMs.get(nodeId), this.clock);
+    return this.outdated.has(nodeId, this.clock.now());
   }
 }
-
-function isAhead(momentMs: number | undefined, clock: Clock): boolean {
-  return clock.now() < (momentMs ?? -Infinity);
-}
--- a/src/state/routing/quota/accountant-ranking.ts
+++ b/src/state/routing/quota/accountant-ranking.ts
@@ -3,6 +3,7 @@
  * without those that lately failed to answer this one. Pure.
  */
 import type { HomeRanking } from '../home-ranking.js';
+import { PassedOver } from '../passed-over.js';
 
 /** Routers that may keep an account, the first one first; a router beyond these is never asked. */
 const RANKED = 3;
@@ -14,29 +15,21 @@
 
 /** The order of accountants, by their datagram addresses. */
 export class AccountantRanking {
-  private readonly silentUntilMs = new Map<string, number>();
+  private readonly silent = new PassedOver(SILENT_MS);
 
   constructor(private readonly homes: HomeRanking) {}
 
   /** Addresses to ask for a tenant, the first one first; empty where none of them answers. */
   of(tenant: string, addresses: readonly string[], nowMs: number): string[] {
     const ranked = this.homes.first(tenant, addresses, (address) => address, RANKED);
-    return ranked.filter((address) => !this.isSilent(address, nowMs));
+    return ranked.filter((address) => !this.silent.has(address, nowMs));
   }
 
   noteSilent(address: string, nowMs: number): void {
-    this.silentUntilMs.set(address, nowMs + SILENT_MS);
+    this.silent.add(address, nowMs);
   }
 
   noteAnswer(address: string): void {
-    this.silentUntilMs.delete(address);
-  }
-
-  private isSilent(address: string, nowMs: number): boolean {
-    const untilMs = this.silentUntilMs.get(address);
-    if (untilMs === undefined) return false;
-    if (nowMs < untilMs) return true;
-    this.silentUntilMs.delete(address);
-    return false;
+    this.silent.remove(address);
   }
 }
