--- a/bench/group-deployment.ts
+++ b/bench/group-deployment.ts
@@ -33,6 +33,7 @@
 import { SilentLogger } from '../src/runtime/logger.js';
 import { SeededRandom } from '../src/runtime/random.js';
 import { VirtualClock } from '../src/runtime/virtual-clock.js';
+import { countingDatagrams } from '../test/helpers/counting-datagrams.js';
 
 /** Engines for each router, as in the larger deployments of docs/CAPACITY.md. */
 const ENGINES_PER_ROUTER = 0.8;
@@ -51,7 +52,6 @@
 /** The deployment. */
 export class GroupDeployment {
   readonly clock = new VirtualClock();
-  /** Calls that came to the store. */
   readonly store: SimulatedObjectStore;
   readonly nodes: GatewayNode[] = [];
   private readonly network: SimulatedNetwork;
@@ -171,19 +171,7 @@
         random: new SeededRandom(SEED * 1_000 + index),
         hasher: this.hasher,
         logger: new SilentLogger(),
-        datagrams: {
-          bind: async (address, receive) => {
-            const socket = await transport.bind(address, receive);
-            return {
-              address: socket.address,
-              close: () => socket.close(),
-              send: (to, datagram) => {
-                this.datagrams += 1;
-                socket.send(to, datagram);
-              },
-            };
-          },
-        },
+        datagrams: countingDatagrams(transport, () => (this.datagrams += 1)),
         frames: new SimulatedFrameTransport(this.sockets, name, host),
         store: new SimulatedStorePort(this.store, name, host),
         engines: new SimulatedInference(
--- a/test/helpers/crash-news-world.ts
+++ b/test/helpers/crash-news-world.ts
@@ -11,8 +11,8 @@
 import { SilentLogger } from '../../src/runtime/logger.js';
 import { SeededRandom } from '../../src/runtime/random.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
-import type { DatagramTransport } from '../../src/transport/datagram-transport.js';
 import { LoadTable } from '../../src/state/routing/load-table.js';
+import { countingDatagrams } from './counting-datagrams.js';
 import { silentGroupEvents } from './silent-group-events.js';
 
 /** A router's part in the group. */
@@ -64,7 +64,10 @@
         },
         seeds: ['router-0:7000', 'router-1:7000'],
       },
-      this.counting(new SimulatedDatagramTransport(this.sockets, name)),
+      countingDatagrams(
+        new SimulatedDatagramTransport(this.sockets, name),
+        () => (this.datagrams += 1),
+      ),
       new LoadTable(),
       events,
       host,
@@ -77,22 +80,6 @@
     return peer;
   }
 
-  private counting(transport: DatagramTransport): DatagramTransport {
-    return {
-      bind: async (address, receive) => {
-        const socket = await transport.bind(address, receive);
-        return {
-          address: socket.address,
-          close: () => socket.close(),
-          send: (to, datagram) => {
-            this.datagrams += 1;
-            socket.send(to, datagram);
-          },
-        };
-      },
-    };
-  }
-
   stop(): void {
     for (const { group } of this.peers) group.stop();
   }
