--- a/src/coordination/gateway/store-relay/reader-choice.ts
+++ b/src/coordination/gateway/store-relay/reader-choice.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock } from '../../../runtime/clock.js';
 import type { MemberUpdate } from '../../../state/membership.js';
+import { PassedOver } from '../../../state/routing/passed-over.js';
 import {
   type ReaderPolicy,
   chooseReaders,
@@ -12,7 +13,7 @@
 
 /** The group, as far as the relay needs it. */
 export interface RelayGroup {
-  /** Working routers, this one included. */
+  /** Working routers, this one included; the same list until one of them changes. */
   readonly working: readonly MemberUpdate[];
   /** Relay addresses to ask before any member is known. */
   readonly seeds: readonly string[];
@@ -23,10 +24,13 @@
 
 /** The choice of one router. */
 export class ReaderChoice {
-  /** Readers that did not answer, with the time until which they are left alone. */
-  private readonly silentUntilMs = new Map<string, number>();
+  /** Readers that did not answer. */
+  private readonly silent = new PassedOver(AVOID_MS);
   /** Readers that answered without a recent proof: their way to the store is lost. */
-  private readonly outdatedUntilMs = new Map<string, number>();
+  private readonly outdated = new PassedOver(AVOID_MS);
+
+  private chosenAmong: readonly MemberUpdate[] | undefined;
+  private chosenReaders: readonly MemberUpdate[] = [];
 
   constructor(
     private readonly own: MemberUpdate,
@@ -42,14 +46,15 @@
   /** The reader to follow through; undefined where there is none to be asked now. */
   get reader(): MemberUpdate | undefined {
     const isAvoided = (nodeId: string): boolean =>
-      isAhead(this.silentUntilMs.get(nodeId), this.clock) || this.isOutdated(nodeId);
-    return readerFor(this.own, this.group.working, this.policy, isAvoided);
+      this.silent.has(nodeId, this.clock.now()) || this.isOutdated(nodeId);
+    const { working } = this.group;
+    return readerFor(this.own, working, this.policy, isAvoided, this.chosen);
   }
 
   /** Readers that this router may ask; none in a small group or where it is a reader itself. */
   get readers(): readonly MemberUpdate[] {
     if (!this.isLargeGroup) return [];
-    const readers = chooseReaders(this.group.working, this.policy);
+    const readers = this.chosen;
     return readers.some(({ nodeId }) => nodeId === this.own.nodeId) ? [] : readers;
   }
 
@@ -64,22 +69,28 @@
   }
 
   noteSilent({ nodeId }: MemberUpdate): void {
-    this.silentUntilMs.set(nodeId, this.clock.now() + AVOID_MS);
+    this.silent.add(nodeId, this.clock.now());
   }
 
   noteOutdated({ nodeId }: MemberUpdate): void {
-    this.outdatedUntilMs.set(nodeId, this.clock.now() + AVOID_MS);
+    this.outdated.add(nodeId, this.clock.now());
   }
 
   noteRecent({ nodeId }: MemberUpdate): void {
-    this.outdatedUntilMs.delete(nodeId);
+    this.outdated.remove(nodeId);
   }
 
-  private isOutdated(nodeId: string): boolean {
-    return isAhead(this.outdatedUntilMs.get(nodeId), this.clock);
+  /** All readers, chosen anew only when the members have changed: that sorts them. */
+  private get chosen(): readonly MemberUpdate[] {
+    const { working } = this.group;
+    if (working !== this.chosenAmong) {
+      this.chosenAmong = working;
+      this.chosenReaders = chooseReaders(working, this.policy);
+    }
+    return this.chosenReaders;
   }
-}
 
-function isAhead(momentMs: number | undefined, clock: Clock): boolean {
-  return clock.now() < (momentMs ?? -Infinity);
+  private isOutdated(nodeId: string): boolean {
+    return this.outdated.has(nodeId, this.clock.now());
+  }
 }
