Learn how late engines begin, and send none that would begin after its weights' time

Cause: a withdrawal helps only at engines that drop a request when its connection closes; a few go on with it. The wait before a beginning was reckoned from the tokens to be read at the speed of a sound engine.

Change: a router remembers by engine how much later than reckoned requests began there, or waited in vain, and adds that to the wait when it asks whether an engine's weights still serve. Nothing else in the choice uses it.

--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -2,6 +2,7 @@
 import { type RandomSource, randomInteger } from '../../runtime/random.js';
 import type { CacheStore, EngineProfile } from './configuration.js';
 import type { EngineHealth } from './engine-health.js';
+import type { EnginePace } from './engine-pace.js';
 import { type Engine, versionAt } from './engine-registry.js';
 import { type GenerationShape, subjectOf } from './generation.js';
 import type { HomeRanking } from './home-ranking.js';
@@ -59,6 +60,7 @@
 export interface PlacementTables {
   readonly loads: LoadTable;
   readonly health: EngineHealth;
+  readonly pace: EnginePace;
   readonly kept: KeptPrefixes;
   readonly versions: WeightVersions;
   readonly random: RandomSource;
@@ -180,7 +182,8 @@
   const version = versionAt(engine, model);
   if (version === undefined) return false;
   // A request that waits at the engine until older weights are out would begin on them.
-  const beginsMs = nowMs + tables.loads.at(id).unreadTokens / READ_TOKENS_PER_MS;
+  const readMs = tables.loads.at(id).unreadTokens / READ_TOKENS_PER_MS;
+  const beginsMs = nowMs + readMs + tables.pace.lateMs(id, nowMs);
   return version >= tables.versions.minimum(model, beginsMs);
 }
 
