--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -5,7 +5,6 @@
 import type { InferencePort } from '../../protocol/inference/port.js';
 import type { ConfigurationState } from '../../state/routing/configuration-state.js';
 import type { EngineHealth } from '../../state/routing/engine-health.js';
-import type { EnginePace } from '../../state/routing/engine-pace.js';
 import type { EngineRegistry } from '../../state/routing/engine-registry.js';
 import type { HomeRanking } from '../../state/routing/home-ranking.js';
 import type { KeptPrefixes } from '../../state/routing/kept-prefixes.js';
@@ -55,7 +54,6 @@
   readonly registry: EngineRegistry;
   readonly loads: LoadTable;
   readonly health: EngineHealth;
-  readonly pace: EnginePace;
   readonly kept: KeptPrefixes;
   readonly versions: WeightVersions;
   /** Requests this router has sent to engines. */
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -12,7 +12,6 @@
 import { ConfigurationState } from '../../state/routing/configuration-state.js';
 import type { IngressLimits } from '../../state/routing/configuration.js';
 import { EngineHealth } from '../../state/routing/engine-health.js';
-import { EnginePace } from '../../state/routing/engine-pace.js';
 import type { EngineRegistry } from '../../state/routing/engine-registry.js';
 import { HomeRanking } from '../../state/routing/home-ranking.js';
 import { KeptPrefixes } from '../../state/routing/kept-prefixes.js';
@@ -70,7 +69,6 @@
   private readonly registry: EngineRegistry;
   private readonly loads: LoadTable;
   private readonly health = new EngineHealth();
-  private readonly pace = new EnginePace();
   private readonly kept = new KeptPrefixes();
   private readonly outages = new StoreOutages();
   private readonly versions: WeightVersions;
@@ -104,7 +102,6 @@
       ...surroundings,
       configuration: this.configuration,
       health: this.health,
-      pace: this.pace,
       kept: this.kept,
       group,
       statistics: this.statistics,
@@ -164,7 +161,6 @@
       registry: this.registry,
       loads: this.loads,
       health: this.health,
-      pace: this.pace,
       kept: this.kept,
       versions: this.versions,
       requestRate: this.requestRate,
--- a/src/coordination/gateway/listed-engines.ts
+++ b/src/coordination/gateway/listed-engines.ts
@@ -8,7 +8,6 @@
 import type { InferencePort } from '../../protocol/inference/port.js';
 import type { ConfigurationState } from '../../state/routing/configuration-state.js';
 import type { EngineHealth } from '../../state/routing/engine-health.js';
-import type { EnginePace } from '../../state/routing/engine-pace.js';
 import { EngineRegistry } from '../../state/routing/engine-registry.js';
 import type { KeptPrefixes } from '../../state/routing/kept-prefixes.js';
 import { CacheFeeds } from './cache-feeds.js';
@@ -25,7 +24,6 @@
 export interface ListedEnginesParts {
   readonly configuration: ConfigurationState;
   readonly health: EngineHealth;
-  readonly pace: EnginePace;
   readonly kept: KeptPrefixes;
   readonly engines: InferencePort;
   readonly group: GroupMembership;
@@ -111,11 +109,10 @@
 
   /** The list of engines has changed: what was kept for those that are gone goes too. */
   private noteChanged(): void {
-    const { engines, health, pace, kept, configuration } = this.parts;
+    const { engines, health, kept, configuration } = this.parts;
     const { ids } = this.registry;
     engines.retain(ids);
     health.retain(ids);
-    pace.retain(ids);
     const stores = configuration.current?.cacheStores ?? [];
     const addresses = stores.flatMap(({ cacheStore }) => cacheStore?.address ?? []);
     kept.retain(new Set([...ids, ...addresses]));
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -206,11 +206,6 @@
     this.events.onFailure(this, { kind: 'withdrawn', reason: 'weights-out-of-time' });
   }
 
-  /** By how much the time since the send passes what was reckoned, in milliseconds. */
-  private lateMs(nowMs: number): number {
-    return nowMs - this.sentMs - this.placement.expectedMs;
-  }
-
   private noteChunk(): void {
     const { generation, lastChunkMs, context } = this;
     const now = context.clock.now();
@@ -236,9 +231,6 @@
     this.isOver = true;
     this.beginWatch?.cancel();
     this.load.release();
-    if (!this.generation || this.firstChunkMs !== undefined) return;
-    const now = this.context.clock.now();
-    this.context.pace.noteWaiting(this.engineId, this.lateMs(now), now);
   }
 
   /** The first bytes of a generation show that the engine has read, and so keeps, the prompt. */
@@ -246,7 +238,6 @@
     if (this.firstChunkMs !== undefined) return;
     this.firstChunkMs = nowMs;
     this.beginWatch?.cancel();
-    if (this.generation) this.context.pace.noteBegun(this.engineId, this.lateMs(nowMs), nowMs);
     this.load.notePromptRead();
     const { cacheSalt } = this.placement;
     const { generation } = this.request;
--- a/src/lab/gateway-world/simulated-inference.ts
+++ b/src/lab/gateway-world/simulated-inference.ts
@@ -149,7 +149,7 @@
     }
     const begin = (): void => this.begin(engine, exchange, options, request);
     if (engine.queueMs === 0) begin();
-    else exchange.waitInQueue(engine, begin);
+    else exchange.waitInQueue(engine.queueMs, begin);
   }
 
   /** The request begins to run, on the weights that the engine has by now. */
--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -2,7 +2,6 @@
 import { type RandomSource, randomInteger } from '../../runtime/random.js';
 import type { CacheStore, EngineProfile } from './configuration.js';
 import type { EngineHealth } from './engine-health.js';
-import type { EnginePace } from './engine-pace.js';
 import { type Engine, versionAt } from './engine-registry.js';
 import { type GenerationShape, subjectOf } from './generation.js';
 import type { HomeRanking } from './home-ranking.js';
@@ -60,7 +59,6 @@
 export interface PlacementTables {
   readonly loads: LoadTable;
   readonly health: EngineHealth;
-  readonly pace: EnginePace;
   readonly kept: KeptPrefixes;
   readonly versions: WeightVersions;
   readonly random: RandomSource;
@@ -182,8 +180,7 @@
   const version = versionAt(engine, model);
   if (version === undefined) return false;
   // A request that waits at the engine until older weights are out would begin on them.
-  const readMs = tables.loads.at(id).unreadTokens / READ_TOKENS_PER_MS;
-  const beginsMs = nowMs + readMs + tables.pace.lateMs(id, nowMs);
+  const beginsMs = nowMs + tables.loads.at(id).unreadTokens / READ_TOKENS_PER_MS;
   return version >= tables.versions.minimum(model, beginsMs);
 }
 
