Show that nothing begins out of time at routers that saw the weights being named

Cause: in the incident's tests the weights are named while the routers have just started, so that they date them early. Change: the same load with the naming seen as it happens; the two older tests stay as they are.

--- a/test/gateway/weights-begin.test.ts
+++ b/test/gateway/weights-begin.test.ts
@@ -25,13 +25,18 @@
 const SILENT_AFTER_BOUND_MS = 1_000;
 
 /** Requests of one kind until a while after the bound, at engines that are slow and take no orders. */
-async function playSlowEngines(seed: number, kind: RequestKind): Promise<GatewayWorld> {
+async function playSlowEngines(
+  seed: number,
+  kind: RequestKind,
+  steadyMs = 0,
+): Promise<GatewayWorld> {
   const world = await GatewayWorld.create(seed);
   const engines = world.fleet.generationEngines;
   for (const engine of engines) {
     engine.takesOrders = false;
     engine.queueMs = QUEUE_MS;
   }
+  await world.clock.advance(steadyMs);
   world.nameWeights();
   const untilMs = WORLD_BOUNDS.versionMs + SILENT_AFTER_BOUND_MS;
   for (let spentMs = 0; spentMs < untilMs; spentMs += STEP_MS) {
@@ -59,3 +64,14 @@
     t.deepEqual(findBreaches(await playSlowEngines(seed, 'stream-once')), []);
   }
 });
+
+/** Routers that have followed the store for a while know the moment of the naming itself. */
+const STEADY_MS = 6_000;
+
+test('nothing begins out of time at routers that saw the weights being named', async (t) => {
+  for (const kind of ['stream-resumable', 'stream-once'] as const) {
+    for (const seed of SEEDS) {
+      t.deepEqual(findBreaches(await playSlowEngines(seed, kind, STEADY_MS)), []);
+    }
+  }
+});
