Keep as known failures what the fuzz found of an engine whose clock steps back

Trace: the engine restarts with its clock four seconds back; a router has taken that entry, hears from another, which lags, of the former life with the larger start, and retires the present life for good (EngineRegistry.noteLife).

--- a/test/gateway/engine-restart.test.ts
+++ b/test/gateway/engine-restart.test.ts
@@ -4,7 +4,9 @@
 import { GatewayWorld } from '../../src/lab/gateway-world/gateway-world.js';
 import { OddEntry } from '../../src/lab/gateway-world/odd-entry.js';
 import { OrderFault, type Rebirth } from '../../src/lab/gateway-world/simulated-fleet.js';
-import { KINDS } from '../../src/lab/gateway-world/world-fixtures.js';
+import { DECODER, KINDS } from '../../src/lab/gateway-world/world-fixtures.js';
+import { incarnationOf } from '../../src/state/routing/engine-incarnation.js';
+import { EngineListWorld, engineRecord } from '../helpers/engine-list-world.js';
 
 const AT_ONCE: Rebirth = {
   downMs: 1,
@@ -100,3 +102,15 @@
     t.deepEqual(findBreaches(world), []);
   });
 }
+
+test.failing('late news of a former life with a larger start do not end the present one', (t) => {
+  const FORMER_MS = 2_000;
+  // The engine's clock has stepped back between its lives; the store took this entry last.
+  const PRESENT_MS = 1_000;
+  const { lives, registry } = new EngineListWorld({ decoder: DECODER });
+  lives.takeEntry(engineRecord('engine-1', FORMER_MS));
+  lives.takeEntry(engineRecord('engine-1', PRESENT_MS));
+  // Another router, which is cut off from the store, still speaks of the former life.
+  lives.noteIncarnation(incarnationOf('engine-1', FORMER_MS));
+  t.is(registry.findByName('engine-1')?.record.bornMs, PRESENT_MS);
+});
--- a/test/gateway/requests-at-rebirth.test.ts
+++ b/test/gateway/requests-at-rebirth.test.ts
@@ -85,16 +85,14 @@
 
 test('what kept work from the former life does not keep it from the new one', async (t) => {
   const world = await GatewayWorld.create(SEED);
-  const engine = world.engine(3);
-  enterLife(world, engine);
-  await world.clock.advance(NOTICED_MS);
-  engine.crash();
+  const DOWN_MS = (REQUESTS + 1) * STEP_MS;
+  world.fleet.restart(3, { ...BEHIND_CUT, downMs: DOWN_MS, cutMs: 0 });
   // Each router finds that it can't connect, and leaves the engine alone for a second.
-  await sendAll(world, engine, 'plain-safe');
-  engine.isRunning = true;
-  enterLife(world, engine);
+  await sendAll(world, world.engine(3), 'plain-safe');
   const GATHERED_MS = 300;
-  await world.clock.advance(GATHERED_MS);
+  await world.clock.advance(STEP_MS + GATHERED_MS);
+  const engine = world.engine(3);
+  t.true(engine.isRunning);
   const before = world.observations.runs.length;
   await sendAll(world, engine, 'plain-safe');
   const runs = world.observations.runs.slice(before);
