Let soaked engines restart after their loads, with their entries a heartbeat late

Cause: with entries written at once and restarts only before a rollout began, no run could show that a version of a former life is believed of the present one.

Change: a loaded version enters the engine's entry with its next heartbeat; half of the restarts after a naming come once the load is done.

--- a/soak/engine-life-steps.ts
+++ b/soak/engine-life-steps.ts
@@ -7,6 +7,8 @@
 
 const DOWN_MS = [0, 100, 800, 2_500] as const;
 const CUT_MS = [0, 0, 700, 3_000] as const;
+/** By then the engines have loaded what was named: a rollout begins some seconds before its bound of eight. */
+const LOADED_MS = 6_500;
 /** Until its next heartbeat an engine whose entry was overwritten may be left out. */
 const OVERWRITTEN_MS = 1_500;
 
@@ -52,7 +54,7 @@
   },
   (random) => {
     const restart = drawRestart(random);
-    const afterMs = randomInteger(random, 2_500);
+    const afterMs = random.next() < 0.5 ? randomInteger(random, 2_500) : LOADED_MS;
     return {
       name: `weights are named, and an engine restarts ${afterMs} ms later`,
       run: async (deployment) => {
--- a/soak/engine-program.ts
+++ b/soak/engine-program.ts
@@ -214,8 +214,8 @@
   setTimeout(() => {
     weightsVersion = loading ?? weightsVersion;
     loading = undefined;
+    // The entry follows with the next heartbeat: until then only orders and reports show the version.
     report({ kind: 'weights', version: weightsVersion });
-    void writeEntry();
   }, LOAD_MS);
   return 202;
 }
