Show by a mutation that the soak judges the weights that engines end with

Change: in its place the soak's list has 'no engine is ordered to load weights', which the new promise must find.

--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -92,11 +92,11 @@
     replacement: 'state: z.string()',
   },
   {
-    name: 'all lives of an engine are taken for one',
+    name: 'no engine is ordered to load weights',
     promise: 'weights-in-force',
-    file: 'platform/formats.ts',
-    text: 'born: z.int().nonnegative().optional()',
-    replacement: 'born: z.undefined().catch(undefined)',
+    file: 'src/coordination/gateway/weight-coordinator.ts',
+    text: 'void this.order(engine, model, version)',
+    replacement: 'void [engine, model, version]',
   },
 ];
 const SEEDS_PER_MUTATION = 8;
