Find a living engine again after its clock stepped back between two restarts

Cause, from a trace of the counterexample of the fuzz of engines' lives. An engine starts twice within half a second; the second start (C) is 3.6 s smaller than the first (B), since its clock stepped back. Two routers see the store late and hear of C by an answer while A, before B, is listed. B's entry then comes, and as B's start is larger it ended C for good, so C's own entry, which the store took last, was refused. Their news of B then ended C for good at the third router too, which had taken C's entry in order. Each router went on getting C's answers to calls addressed to B and ignored them, for C's start is the smaller one: nobody could order new weights.

Entries bar a life only if it was listed itself when the entry of a larger start came. News end no life for good and show no life again that was listed and followed. An answer to a call that was addressed to the listed life is of a later life whatever the starts say: it replaces a guess, and it brings a life back that was in the list before, with what was known of it. An answer to a call that was addressed to another life is hearsay. FollowedLives remembers what was known of lives that others have followed. The record's type moves to a module of its own, which breaks a cycle.

The counterexample is played by a test of its own name in engine-restart.

Conclusion: a step of an engine's clock no longer leaves it on old weights.

--- a/src/coordination/gateway/engine-lives.ts
+++ b/src/coordination/gateway/engine-lives.ts
@@ -61,21 +61,19 @@
 
   /** As {@link takeAnswer}, for a life that is known by its identity only. */
   takeAnswerOf(incarnation: string, bornMs: number | undefined, source: LifeSource): boolean {
-    const asked = lifeOf(incarnation);
-    if (!isOtherLife(bornMs, asked.bornMs)) return true;
-    if (bornMs !== undefined) this.noteLife(asked.name, bornMs, source);
+    if (!isOtherLife(bornMs, lifeOf(incarnation).bornMs)) return true;
+    if (bornMs === undefined) return false;
+    const former = this.registry.noteAnswer(incarnation, bornMs);
+    if (former) this.noteRebirth(former, bornMs, source);
     return false;
   }
 
   /** Another router speaks of an incarnation that is not in the list: it may be a later life of one that is. */
   noteIncarnation(incarnation: string): void {
     const { name, bornMs } = lifeOf(incarnation);
-    if (bornMs !== undefined) this.noteLife(name, bornMs, 'router');
-  }
-
-  private noteLife(name: string, bornMs: number, source: LifeSource): void {
-    const former = this.registry.noteLife(name, bornMs);
-    if (former) this.noteRebirth(former, bornMs, source);
+    if (bornMs === undefined) return;
+    const former = this.registry.noteHearsay(name, bornMs);
+    if (former) this.noteRebirth(former, bornMs, 'router');
   }
 
   private noteRebirth(former: EngineRecord, bornMs: number | undefined, source: LifeSource): void {
--- a/src/state/routing/engine-registry.ts
+++ b/src/state/routing/engine-registry.ts
@@ -2,29 +2,17 @@
  * The engines of all services, as the platform lists them and as this router has found them: at most one
  * life of each.
  */
-import { incarnationOf, isLaterLife } from './engine-incarnation.js';
-
-/** What an engine states of itself. */
-export interface EngineRecord {
-  /** Incarnation, by `incarnationOf`: the key of all that is remembered of one life. */
-  readonly id: string;
-  /** The platform's identifier, under which the engine is listed and knows itself in every life. */
-  readonly name: string;
-  /** Start of this life in Unix milliseconds; undefined where the entry does not state it. */
-  readonly bornMs: number | undefined;
-  readonly service: string;
-  /** HOST:PORT; may have belonged to another engine before. */
-  readonly address: string;
-  readonly zone: string;
-  readonly slots: number;
-  readonly isDraining: boolean;
-  /** Version of the weights by model. */
-  readonly modelVersions: ReadonlyMap<string, number>;
-}
+import { incarnationOf, isLaterLife, lifeOf } from './engine-incarnation.js';
+import type { EngineRecord } from './engine-record.js';
+import { FollowedLives } from './followed-lives.js';
+
+export type { EngineRecord };
 
 /** An engine as the router sees it. */
 export interface Engine {
   record: EngineRecord;
+  /** Whether its own entry was taken; else another source has shown it, and its record is a guess. */
+  isListed: boolean;
   /** Versions this router knows to be newer than the listed ones, from orders and answers. */
   readonly observedVersions: Map<string, number>;
   /** Orders taken, as the engine itself told; undefined where that must be asked for. */
@@ -49,10 +37,11 @@
   private readonly byName = new Map<string, Engine>();
   private readonly byService = new Map<string, Engine[]>();
   /**
-   * Incarnations that were found replaced, that a later life has followed, or whose entry went after they
-   * had said that they drain: they never come back, whatever an old entry says.
+   * Incarnations that were found replaced, or whose entry went after they had said that they drain: they
+   * never come back, whatever an old entry says.
    */
   private readonly retired = new Set<string>();
+  private readonly followed = new FollowedLives();
   private view = 0;
 
   /** Changes with every change of the list. */
@@ -96,35 +85,50 @@
   /**
    * Takes an engine's newest entry. The caller keeps the store's order: of two lives the one whose entry
    * the store took last is the present one, even if its start is earlier, as after a step of the engine's
-   * clock. Only a life that a later start has followed stays away for good; one that an earlier start has
-   * followed may have been the present one all along, and come back.
+   * clock. Entries stay without effect only of a life that was listed itself when the entry of a later
+   * start came: the former life's write may be done late. One that an earlier start has followed may have
+   * been the present one all along, and one that was never listed may be the later of the two.
    */
   put(record: EngineRecord): PutOutcome {
-    if (this.retired.has(record.id)) return { kind: 'retired' };
-    const former = this.byName.get(record.name)?.record;
-    const isReborn = former !== undefined && former.id !== record.id;
-    if (isReborn) this.endLife(former, isLaterLife(record.bornMs, former.bornMs));
-    this.store(record);
+    if (this.isOver(record.id)) return { kind: 'retired' };
+    const present = this.byName.get(record.name);
+    const former = present?.record.id === record.id ? undefined : present;
+    if (former) {
+      this.follow(former, former.isListed && isLaterLife(record.bornMs, former.record.bornMs));
+    }
+    this.store(record, true);
     this.regroup();
-    return isReborn ? { kind: 'reborn', former } : { kind: 'stored' };
+    return former ? { kind: 'reborn', former: former.record } : { kind: 'stored' };
   }
 
   /**
-   * Another source than the store's list shows a life of an engine: a later one ends the one in the list.
-   * Until its own entry comes, which may last as long as the store is out, it is taken to serve where and
-   * what the former one did; an engine has the weights after a restart that it had before, and a request
-   * names those it expects. Answers the life that ended.
+   * An engine states another start in its answer to a call that was addressed to a life. Where that is the
+   * life in the list, the one that answers is the later one, whatever the starts say: the call began when
+   * the listed life was known. Its entries are refused from then on only if the starts agree. An earlier
+   * start that was never heard before waits for its entry, unless the listed life is a guess. Answers the
+   * life that ended.
    */
-  noteLife(name: string, bornMs: number): EngineRecord | undefined {
-    const former = this.byName.get(name);
-    if (!former || !isLaterLife(bornMs, former.record.bornMs)) return undefined;
-    const { record } = former;
-    this.endLife(record, true);
-    const id = incarnationOf(name, bornMs);
-    const mayServe = !record.isDraining && !this.retired.has(id);
-    if (mayServe) this.store({ ...record, id, bornMs, modelVersions: loadedVersions(former) });
-    this.regroup();
-    return record;
+  noteAnswer(asked: string, bornMs: number): EngineRecord | undefined {
+    const { name } = lifeOf(asked);
+    const present = this.byName.get(name);
+    if (present?.record.id !== asked) return this.noteHearsay(name, bornMs);
+    const isLater = isLaterLife(bornMs, present.record.bornMs);
+    const isKnown = this.followed.find(incarnationOf(name, bornMs)) !== undefined;
+    if (!isLater && !isKnown && present.isListed) return undefined;
+    return this.succeed(present, bornMs, isLater);
+  }
+
+  /**
+   * Another source than the engine or the store's list shows a life: one that was not heard of before and
+   * began later takes the place of the listed one, which its next entry or answer brings back. A life that
+   * was followed stays where it is: others may speak of it for as long as they have not heard. Answers
+   * the life that ended.
+   */
+  noteHearsay(name: string, bornMs: number): EngineRecord | undefined {
+    const present = this.byName.get(name);
+    if (!present || !isLaterLife(bornMs, present.record.bornMs)) return undefined;
+    if (this.followed.find(incarnationOf(name, bornMs))) return undefined;
+    return this.succeed(present, bornMs, false);
   }
 
   remove(id: string): void {
@@ -143,6 +147,35 @@
     return true;
   }
 
+  private isOver(id: string): boolean {
+    return this.retired.has(id) || this.followed.find(id)?.isForGood === true;
+  }
+
+  /**
+   * A life that was shown by another source than its entry takes a listed one's place. Until its own entry
+   * comes, which may last as long as the store is out, it is taken to serve where and what the former one
+   * did; an engine has the weights after a restart that it had before, and a request names those it
+   * expects. A life that was in the list before has what was known of it.
+   */
+  private succeed(present: Engine, bornMs: number, isForGood: boolean): EngineRecord {
+    const { record } = present;
+    const id = incarnationOf(record.name, bornMs);
+    this.follow(present, isForGood);
+    const known = this.followed.find(id);
+    const guess = { ...record, id, bornMs, modelVersions: loadedVersions(present) };
+    const mayServe = !this.retired.has(id) && (known !== undefined || !record.isDraining);
+    if (mayServe) this.store(known?.record ?? guess, known?.isListed ?? false);
+    this.regroup();
+    return record;
+  }
+
+  /** Another life takes the place of a listed one. */
+  private follow(former: Engine, isForGood: boolean): void {
+    const record = { ...former.record, modelVersions: loadedVersions(former) };
+    this.followed.note({ record, isListed: former.isListed, isForGood });
+    this.endLife(record, false);
+  }
+
   private endLife({ id, name }: EngineRecord, isForGood: boolean): void {
     if (isForGood) this.retire(id);
     this.engines.delete(id);
@@ -154,17 +187,25 @@
     this.retired.add(id);
   }
 
-  private store(record: EngineRecord): void {
+  private store(record: EngineRecord, isListed: boolean): void {
     const present = this.engines.get(record.id);
-    if (!present) {
-      const engine = { record, observedVersions: new Map(), observedOrders: undefined };
-      this.engines.set(record.id, engine);
-      this.byName.set(record.name, engine);
+    const before = this.followed.take(record.id)?.record ?? present?.record;
+    // An incarnation that said it drains never takes work again.
+    const isDraining = record.isDraining || before?.isDraining === true;
+    const stored = { ...record, isDraining };
+    if (present) {
+      present.record = stored;
+      present.isListed ||= isListed;
       return;
     }
-    // An incarnation that said it drains never takes work again.
-    const isDraining = record.isDraining || present.record.isDraining;
-    present.record = { ...record, isDraining };
+    const engine: Engine = {
+      record: stored,
+      isListed,
+      observedVersions: new Map(),
+      observedOrders: undefined,
+    };
+    this.engines.set(record.id, engine);
+    this.byName.set(record.name, engine);
   }
 
   private regroup(): void {
--- a/test/gateway/engine-restart.test.ts
+++ b/test/gateway/engine-restart.test.ts
@@ -81,6 +81,42 @@
   t.deepEqual(findBreaches(world), []);
 });
 
+test('an engine whose clock stepped back between two quick restarts is brought to the newest weights', async (t) => {
+  const KEY_BOUND_MS = 5_500;
+  const SEEN_MS = 50;
+  const BEYOND_DRAIN_BOUND_MS = 2_200;
+  const STEP_MS = 4_000;
+  const world = await GatewayWorld.create(16);
+  // The last two routers see the store late, so that answers show them a life before its entry does.
+  world.cutFromStore(1, 12_000);
+  world.toggleKey('tenant-1', 0);
+  await world.clock.advance(KEY_BOUND_MS);
+  world.request(1, 'plain-safe', 'tenant-1', 0);
+  world.fleet.drain(0);
+  await world.clock.advance(500);
+  world.fleet.restart(0, AT_ONCE);
+  world.cutFromStore(0, 6_000);
+  await world.clock.advance(SEEN_MS);
+  world.fleet.drain(2);
+  await world.clock.advance(BEYOND_DRAIN_BOUND_MS);
+  for (let turn = 0; turn < 12; turn += 1) {
+    world.request(1 + (turn % 2), turn % 4 < 2 ? 'plain-safe' : 'stream-once', 'tenant-1', 0);
+    await world.clock.advance(10);
+  }
+  world.nameWeights();
+  await world.clock.advance(3_000);
+  for (const index of [0, 1]) world.fleet.restart(index, AT_ONCE);
+  for (const clockStepMs of [0, STEP_MS, 0]) {
+    world.request(5, 'stream-resumable', 'tenant-1', 0);
+    world.request(6, 'plain-unsafe', 'tenant-2', 0);
+    world.fleet.restart(5, { ...AT_ONCE, clockStepMs });
+    await world.clock.advance(LOAD_MS);
+  }
+  await world.settle();
+  t.is(world.engine(0).weightsVersion, 2);
+  t.deepEqual(findBreaches(world), []);
+});
+
 for (const odd of Object.values(OddEntry)) {
   test(`an odd entry (${odd}) names no engine, and one that was overwritten serves on later`, async (t) => {
     const HEARTBEAT_MS = 1_200;
--- a/test/gateway/weight-rollout.test.ts
+++ b/test/gateway/weight-rollout.test.ts
@@ -41,6 +41,7 @@
     },
     observedVersions: new Map<string, number>(),
     observedOrders: undefined,
+    isListed: true,
   }));
 }
 
