Orders for weights in a module of their own

Cause: the coordinator had grown to 388 lines with two jobs: whose turn it is and what is planned, and giving an order and following it to its end. Change: weight-orders.ts takes the second; no behaviour changes.

--- a/src/coordination/gateway/weight-coordinator.ts
+++ b/src/coordination/gateway/weight-coordinator.ts
@@ -2,23 +2,9 @@
  * Brings the engines to the versions of weights that operators name. One router holds the lease and
  * gives the orders; the others stand by, each a little later than the one before.
  */
-import { type Clock, type Timer, repeat, sleep } from '../../runtime/clock.js';
-import type { Logger } from '../../runtime/logger.js';
-import type {
-  InferencePort,
-  OrderResult,
-  WeightOrder,
-  WeightState,
-} from '../../protocol/inference/port.js';
-import type { EngineHealth } from '../../state/routing/engine-health.js';
-import {
-  type Engine,
-  type EngineRegistry,
-  versionAt,
-} from '../../state/routing/engine-registry.js';
-import type { KeptPrefixes } from '../../state/routing/kept-prefixes.js';
+import { type Timer, repeat } from '../../runtime/clock.js';
+import { type Engine, versionAt } from '../../state/routing/engine-registry.js';
 import type { LoadTable } from '../../state/routing/load-table.js';
-import { type GivenOrder, OrderBook } from '../../state/routing/order-book.js';
 import { OrderTurn } from '../../state/routing/order-turn.js';
 import type { SendRate } from '../../state/routing/send-rate.js';
 import {
@@ -30,30 +16,22 @@
 } from '../../state/routing/weight-rollout.js';
 import type { WeightsNews } from '../../state/routing/weights-news.js';
 import type { WeightVersions } from '../../state/routing/weight-versions.js';
-import type { EngineLives } from './engine-lives.js';
-import type { GatewayStatistics } from './gateway-statistics.js';
-import type { LeaseKeeper } from './lease-keeper.js';
 import { RolloutReport } from './rollout-report.js';
+import {
+  WeightOrders,
+  type WeightOrdersParts,
+  type WeightOrdersSettings,
+} from './weight-orders.js';
 
 /** What a coordinator works with. */
-export interface CoordinatorParts {
-  readonly registry: EngineRegistry;
-  readonly lives: EngineLives;
+export interface CoordinatorParts extends WeightOrdersParts {
   readonly versions: WeightVersions;
   readonly loads: LoadTable;
-  readonly health: EngineHealth;
-  readonly kept: KeptPrefixes;
-  readonly engines: InferencePort;
-  readonly lease: LeaseKeeper;
   readonly requestRate: SendRate;
-  readonly statistics: GatewayStatistics;
-  readonly clock: Clock;
-  readonly logger: Logger;
 }
 
 /** How a coordinator takes part. */
-export interface CoordinatorSettings {
-  readonly holder: string;
+export interface CoordinatorSettings extends WeightOrdersSettings {
   readonly rollout: RolloutSettings;
   /** Whether the configuration has a service of this name: engines of others get no orders. */
   isKnownService(service: string): boolean;
@@ -63,20 +41,15 @@
   isAvailable(router: string): boolean;
   /** Share of the group's requests that come to this router, above 0 to 1. */
   shareOfTraffic(): number;
-  /** Sends the other routers at once what is new. */
-  announce(): void;
-  /** Time in which an announcement reaches nearly all of them, in milliseconds. */
-  announcementMs(): number;
 }
 
 const TICK_MS = 100;
 /** Over this span it is observed how often versions are named. */
 const NAMES_SPAN_MS = 20_000;
-const POLL_PERIOD_MS = 200;
 
 /** The coordinator of one router. */
 export class WeightCoordinator {
-  private readonly orders = new OrderBook();
+  private readonly orders: WeightOrders;
   private readonly turn: OrderTurn;
   private readonly report: RolloutReport;
   private behindSinceMs: number | undefined;
@@ -84,7 +57,6 @@
   private isActing = false;
   private isLeaving = false;
   private hasLookedAtLease = false;
-  private lastPollMs = -Infinity;
 
   constructor(
     private readonly parts: CoordinatorParts,
@@ -93,6 +65,7 @@
     const { holder, respondingRouters, isAvailable } = settings;
     this.turn = new OrderTurn(holder, respondingRouters, isAvailable);
     this.report = new RolloutReport(parts.statistics, parts.logger);
+    this.orders = new WeightOrders(parts, settings);
   }
 
   start(): void {
@@ -102,6 +75,7 @@
   /** Gives no further orders; those under way are watched to their end. */
   leave(): void {
     this.isLeaving = true;
+    this.orders.leave();
   }
 
   stop(): void {
@@ -110,7 +84,7 @@
 
   /** What the other routers should know. */
   get news(): WeightsNews[] {
-    return this.orders.news(this.now);
+    return this.orders.news;
   }
 
   /** Takes what another router tells. */
@@ -122,12 +96,12 @@
     if (news.isLoading) {
       this.parts.health.noteLoading(news.engineId, this.now - news.ageMs);
       this.turn.noteOrder(this.now);
-    } else this.noteVersion(engine, news.model, news.version);
+    } else this.orders.noteVersion(engine, news.model, news.version);
   }
 
   /** A life of an engine is over: no order to it is under way any more. */
   forgetLife(engineId: string): void {
-    this.orders.forget(engineId);
+    this.orders.forgetLife(engineId);
   }
 
   /** The revision under which this router holds the lease. */
@@ -146,11 +120,11 @@
   }
 
   private async tick(): Promise<void> {
-    this.orders.expire(this.now);
+    this.orders.expire();
     if (this.isActing) return;
     this.isActing = true;
     try {
-      await this.pollLoading();
+      await this.orders.pollLoading();
       if (!this.isLeaving) await this.act();
     } finally {
       this.isActing = false;
@@ -173,7 +147,7 @@
     }
     // Planned again: the call to the store took time.
     for (const { model, version, engines } of this.plans()) {
-      for (const engine of engines) void this.order(engine, model, version);
+      for (const engine of engines) void this.orders.give(engine, model, version);
     }
   }
 
@@ -214,8 +188,8 @@
         engines: this.holdersOf(model),
         versions,
         observed: this.observe(model),
-        isLoading: (engineId) => this.isLoading(engineId),
-        isPaused: (engineId) => this.orders.isPaused(engineId, this.now),
+        isLoading: (engineId) => this.orders.isLoading(engineId),
+        isPaused: (engineId) => this.orders.isPaused(engineId),
         requestsAt: (engineId) => loads.at(engineId).requests,
       };
       const plan = planRollout(view, this.settings.rollout, this.now);
@@ -239,148 +213,6 @@
     const namesPerSecond = versions.namesPerSecond(model, NAMES_SPAN_MS, this.now);
     return { requestsPerSecond, namesPerSecond };
   }
-
-  private isLoading(engineId: string): boolean {
-    return this.orders.isLoading(engineId) ?? this.parts.health.isLoading(engineId, this.now);
-  }
-
-  private async order(engine: Engine, model: string, version: number): Promise<void> {
-    const { id } = engine.record;
-    this.orders.open(id, model, version, this.now);
-    // The others stop sending to the engine before it begins to refuse.
-    this.parts.health.noteLoading(id, this.now);
-    this.settings.announce();
-    const [sequence] = await Promise.all([
-      engine.observedOrders ?? this.stateOf(engine, model).then((state) => state?.orderSequence),
-      sleep(this.parts.clock, this.settings.announcementMs()),
-    ]);
-    const expectedSequence = engine.observedOrders ?? sequence;
-    const fencingToken = this.parts.lease.activeToken;
-    const mayGive = this.isPresent(engine) && !this.isLeaving;
-    if (expectedSequence === undefined || fencingToken === undefined || !mayGive) {
-      this.giveOrderUp(id);
-      return;
-    }
-    this.parts.health.noteLoading(id, this.now);
-    this.parts.statistics.orders += 1;
-    const { holder } = this.settings;
-    const order = { model, version, holder, fencingToken, expectedSequence };
-    this.noteResult(engine, order, await this.parts.engines.order(engine.record, order));
-  }
-
-  /** What an engine answers; undefined also where another life of it answers, or is known by then. */
-  private async stateOf(engine: Engine, model: string): Promise<WeightState | undefined> {
-    const state = await this.parts.engines.weightState(engine.record, model);
-    const isOfLife = this.parts.lives.takeAnswer(engine.record, state?.bornMs, 'report');
-    return isOfLife && this.isPresent(engine) ? state : undefined;
-  }
-
-  /** Whether this life of the engine is still the one in the list. */
-  private isPresent(engine: Engine): boolean {
-    return this.parts.registry.find(engine.record.id) !== undefined;
-  }
-
-  private noteResult(engine: Engine, order: WeightOrder, result: OrderResult): void {
-    const { id } = engine.record;
-    const { model, version, expectedSequence, fencingToken } = order;
-    this.parts.logger.info('weights_ordered', {
-      engine: id,
-      model,
-      version,
-      sequence: expectedSequence,
-      token: fencingToken,
-      result: result.kind,
-      status: result.kind === 'rejected' ? result.status : undefined,
-    });
-    const bornMs = 'bornMs' in result ? result.bornMs : undefined;
-    const isOfLife = this.parts.lives.takeAnswer(engine.record, bornMs, 'order');
-    if (!isOfLife || !this.isPresent(engine)) {
-      // Numbers and versions of one life say nothing of another.
-      engine.observedOrders = undefined;
-      this.giveOrderUp(id);
-      return;
-    }
-    // Where it is not sure that just this order was taken, the engine is asked before the next.
-    engine.observedOrders = result.kind === 'accepted' ? expectedSequence + 1 : undefined;
-    if (result.kind === 'already-done') this.finishOrder(engine, model, version);
-    if (result.kind === 'rejected') this.giveOrderUp(id);
-    if (result.kind === 'replaced') this.noteReplaced(id);
-    if (result.kind === 'unknown') void this.settleUnanswered(engine, order);
-  }
-
-  /** A list that is out of date still names the engine; no request can reach it any more. */
-  private noteReplaced(engineId: string): void {
-    this.orders.forget(engineId);
-    if (this.parts.registry.noteReplaced(engineId)) {
-      this.parts.logger.info('engine_replaced', { engine: engineId, found_by: 'order' });
-    }
-  }
-
-  /** Lets the engine serve on; after a pause it may be given the next order. */
-  private giveOrderUp(engineId: string): void {
-    if (this.parts.registry.find(engineId)) this.orders.giveUp(engineId, this.now);
-    else this.orders.forget(engineId);
-    this.parts.health.noteLoaded(engineId);
-  }
-
-  /**
-   * An order without an answer may have been taken, may come late or never. Where the engine has not
-   * taken it, the next one carries the same number, so that only one of the two is carried out.
-   */
-  private async settleUnanswered(engine: Engine, order: WeightOrder): Promise<void> {
-    const state = await this.stateOf(engine, order.model);
-    const isTaken = state && (state.isBusy || state.orderSequence > order.expectedSequence);
-    if (!isTaken) this.giveOrderUp(engine.record.id);
-  }
-
-  /** Asks the engines under orders how far they are. */
-  private async pollLoading(): Promise<void> {
-    if (this.now - this.lastPollMs < POLL_PERIOD_MS) return;
-    const due = this.orders.toPoll(this.now);
-    if (due.length === 0) return;
-    this.lastPollMs = this.now;
-    await Promise.all(due.map(([engineId, order]) => this.pollEngine(engineId, order)));
-  }
-
-  private async pollEngine(engineId: string, order: GivenOrder): Promise<void> {
-    const engine = this.parts.registry.find(engineId);
-    if (!engine) {
-      this.orders.forget(engineId);
-      return;
-    }
-    this.parts.health.noteLoading(engineId, this.now);
-    const listed = versionAt(engine, order.model) ?? 0;
-    if (listed >= order.version) {
-      this.finishOrder(engine, order.model, order.version);
-      return;
-    }
-    const state = await this.stateOf(engine, order.model);
-    if (state && !state.isBusy && state.version >= order.version) {
-      this.finishOrder(engine, order.model, state.version);
-    }
-  }
-
-  private finishOrder(engine: Engine, model: string, version: number): void {
-    const tookMs = this.orders.finish(engine.record.id, this.now);
-    if (tookMs !== undefined) {
-      this.parts.logger.info('weights_loaded', {
-        engine: engine.record.id,
-        model,
-        version,
-        took_ms: Math.round(tookMs),
-      });
-    }
-    this.noteVersion(engine, model, version);
-    this.settings.announce();
-  }
-
-  private noteVersion(engine: Engine, model: string, version: number): void {
-    if ((versionAt(engine, model) ?? 0) < version) {
-      engine.observedVersions.set(model, version);
-      this.parts.kept.forget(engine.record.id);
-    }
-    this.parts.health.noteLoaded(engine.record.id);
-  }
 }
 
 function isBehind(engine: Engine, model: string, versions: WeightVersions): boolean {
