Fuzz limits of tenants, judged by what engines ran

The simulated deployment takes limits that change and routers that are cut off from all others; its oracle sums what engines ran for each tenant over every window, and holds a lower limit to bind once all routers have been in touch for the time to apply it. A fuzz of its own draws these beside the other faults, so that the sequences of the present seeds stay as they are.

The oracle judges by the tolerance of the deployment's fixtures, which routers now go by as well.

--- /dev/null
+++ b/fuzz/gateway-command.ts
@@ -0,0 +1,23 @@
+/** A step of the gateway's fuzz. */
+import type fc from 'fast-check';
+import type { GatewayWorld } from '../src/lab/gateway-world/gateway-world.js';
+
+/** The oracle reads the world; commands remember nothing. */
+export type NoModel = Record<string, never>;
+
+/** A command over the simulated deployment. */
+export type GatewayCommand = fc.AsyncCommand<NoModel, GatewayWorld>;
+
+/** A command by its description, which is what a failing run prints. */
+export function command(
+  description: string,
+  action: (world: GatewayWorld) => Promise<void> | void,
+): GatewayCommand {
+  return {
+    check: () => true,
+    run: async (_model, world) => {
+      await action(world);
+    },
+    toString: () => description,
+  };
+}
--- a/fuzz/gateway-commands.ts
+++ b/fuzz/gateway-commands.ts
@@ -1,28 +1,9 @@
 /** Commands of the gateway's fuzz: requests of each kind and the faults of routers, engines and store. */
 import fc from 'fast-check';
-import type { GatewayWorld } from '../src/lab/gateway-world/gateway-world.js';
 import { EngineMode } from '../src/lab/gateway-world/simulated-engine.js';
 import type { WriteFault } from '../src/lab/gateway-world/simulated-object-store.js';
 import { CRASHING_BODY, type RequestKind } from '../src/lab/gateway-world/world-fixtures.js';
-
-/** The oracle reads the world; commands remember nothing. */
-export type NoModel = Record<string, never>;
-
-/** A command over the simulated deployment. */
-export type GatewayCommand = fc.AsyncCommand<NoModel, GatewayWorld>;
-
-function command(
-  description: string,
-  action: (world: GatewayWorld) => Promise<void> | void,
-): GatewayCommand {
-  return {
-    check: () => true,
-    run: async (_model, world) => {
-      await action(world);
-    },
-    toString: () => description,
-  };
-}
+import { type GatewayCommand, command } from './gateway-command.js';
 
 const router = fc.nat(2);
 const engine = fc.nat(9);
@@ -209,8 +190,15 @@
     }),
   );
 
-/** Sequences of commands. */
-export function gatewayCommands(maximum: number): fc.Arbitrary<Iterable<GatewayCommand>> {
+/**
+ * Sequences of commands.
+ *
+ * @param additional commands beside those that every fuzz draws
+ */
+export function gatewayCommands(
+  maximum: number,
+  additional: readonly fc.Arbitrary<GatewayCommand>[] = [],
+): fc.Arbitrary<Iterable<GatewayCommand>> {
   const all: fc.Arbitrary<GatewayCommand>[] = [
     request,
     request,
@@ -237,6 +225,7 @@
     compact,
     slowLists,
     faultWrites,
+    ...additional,
   ];
   return fc.commands(all, { maxCommands: maximum });
 }
--- a/fuzz/gateway-mutations.ts
+++ b/fuzz/gateway-mutations.ts
@@ -1,7 +1,7 @@
 /** Ways to weaken a router, each with the rule that the fuzz must then find broken. */
 import type { ObjectDecoder } from '../src/coordination/gateway/object-decoder.js';
 import type { GatewayRule } from '../src/lab/gateway-world/gateway-oracle.js';
-import type { WorldMutation } from '../src/lab/gateway-world/gateway-world.js';
+import type { WorldMutation } from '../src/lab/gateway-world/world-mutation.js';
 import { worldSettings } from '../src/lab/gateway-world/world-fixtures.js';
 import type { RoutingConfiguration } from '../src/state/routing/configuration.js';
 
--- a/fuzz/gateway-run.ts
+++ b/fuzz/gateway-run.ts
@@ -1,8 +1,10 @@
 /** Runs the gateway's stateful fuzz and reports a failing run's seed and shrunk commands. */
 import fc from 'fast-check';
 import { findBreaches } from '../src/lab/gateway-world/gateway-oracle.js';
-import { GatewayWorld, type WorldMutation } from '../src/lab/gateway-world/gateway-world.js';
-import { type GatewayCommand, gatewayCommands } from './gateway-commands.js';
+import { GatewayWorld } from '../src/lab/gateway-world/gateway-world.js';
+import type { WorldMutation } from '../src/lab/gateway-world/world-mutation.js';
+import type { GatewayCommand } from './gateway-command.js';
+import { gatewayCommands } from './gateway-commands.js';
 
 const MAXIMUM_COMMANDS = 40;
 
@@ -16,6 +18,8 @@
   readonly seed: number;
   readonly runs: number;
   readonly mutation?: WorldMutation;
+  /** Commands beside those that every fuzz draws. */
+  readonly additional?: readonly fc.Arbitrary<GatewayCommand>[];
   /** Whether a failing run is made smaller before it is reported. */
   readonly isShrunk?: boolean;
 }
@@ -38,7 +42,7 @@
 export async function fuzzGateway(options: GatewayFuzzOptions): Promise<GatewayFuzzResult> {
   const property = fc.asyncProperty(
     fc.nat(),
-    gatewayCommands(MAXIMUM_COMMANDS),
+    gatewayCommands(MAXIMUM_COMMANDS, options.additional),
     (worldSeed, commands) => runGatewayCommands(worldSeed, commands, options.mutation ?? {}),
   );
   const details = await fc.check(property, {
--- /dev/null
+++ b/fuzz/quota-mutations.ts
@@ -0,0 +1,43 @@
+/** Ways to weaken the limits of tenants, which the fuzz with limits must then find broken. */
+import { decodeClusterDatagram, encodeQuotaQuestion } from '../src/protocol/peer/cluster-codec.js';
+import type { DatagramTransport } from '../src/transport/datagram-transport.js';
+import { WORLD_QUOTA_TOLERANCE } from '../src/lab/gateway-world/world-fixtures.js';
+import type { GatewayMutation } from './gateway-mutations.js';
+
+/** What a router is asked on behalf of others counts as nothing. */
+function forgetting(transport: DatagramTransport): DatagramTransport {
+  return {
+    bind: async (address, onDatagram) => {
+      const socket = await transport.bind(address, onDatagram);
+      return {
+        address: socket.address,
+        send: (to, datagram) => socket.send(to, withoutAmount(datagram)),
+        close: () => socket.close(),
+      };
+    },
+  };
+}
+
+function withoutAmount(datagram: Uint8Array): Uint8Array {
+  const body = decodeClusterDatagram(datagram);
+  if (body?.case !== 'quotaQuestion') return datagram;
+  return encodeQuotaQuestion({ ...body.value, amount: 0n });
+}
+
+/** The list. */
+export const QUOTA_MUTATIONS: readonly GatewayMutation[] = [
+  {
+    name: 'the account of a tenant forgets what other routers used',
+    rule: 'tenant-limit',
+    mutation: { datagrams: forgetting },
+  },
+  {
+    name: 'routers grant more than operators tolerate',
+    rule: 'tenant-limit',
+    mutation: {
+      settings: {
+        quotaTolerance: { ...WORLD_QUOTA_TOLERANCE, slack: 30 * WORLD_QUOTA_TOLERANCE.slack },
+      },
+    },
+  },
+];
--- a/src/lab/gateway-world/gateway-oracle.ts
+++ b/src/lab/gateway-world/gateway-oracle.ts
@@ -3,7 +3,13 @@
 import { CONTACT_MS, type GatewayWorld, type ObservedRequest } from './gateway-world.js';
 import type { ObservedRun } from './simulated-engine.js';
 import { STREAM_PIECES, pieceOf, plainBodyOf } from './simulated-exchange.js';
-import { ISOLATED_TENANT, WORLD_BOUNDS, WORLD_MODEL } from './world-fixtures.js';
+import { type QuotaBreach, judgeQuotas } from './quota-oracle.js';
+import {
+  ISOLATED_TENANT,
+  WORLD_BOUNDS,
+  WORLD_MODEL,
+  WORLD_QUOTA_TOLERANCE,
+} from './world-fixtures.js';
 
 /** The rules that are judged. */
 export type GatewayRule =
@@ -18,7 +24,8 @@
   | 'answered-in-time'
   | 'one-run-at-a-time'
   | 'weights-in-force'
-  | 'crashes-bounded';
+  | 'crashes-bounded'
+  | QuotaBreach['rule'];
 
 /** A broken rule. */
 export interface RuleBreach {
@@ -51,6 +58,7 @@
     ...judgeOrders(world),
     ...judgeWeights(world),
     ...judgeCrashes(world),
+    ...judgeQuotas(world, WORLD_QUOTA_TOLERANCE),
   ];
 }
 
--- a/src/lab/gateway-world/gateway-world.ts
+++ b/src/lab/gateway-world/gateway-world.ts
@@ -1,8 +1,6 @@
 /** A whole deployment in one process on a virtual clock: routers, store, engines, callers. */
 import { GatewayNode } from '../../coordination/gateway/gateway-node.js';
 import type { TenantLimit } from '../../state/routing/quota/tenant-limit.js';
-import type { GatewaySettings } from '../../coordination/gateway/gateway-settings.js';
-import type { ObjectDecoder } from '../../coordination/gateway/object-decoder.js';
 import { type Hasher, createHasher } from '../../runtime/hasher.js';
 import { SilentLogger } from '../../runtime/logger.js';
 import { SeededRandom } from '../../runtime/random.js';
@@ -14,6 +12,7 @@
   SimulatedFrameTransport,
   SimulatedSockets,
 } from '../simulation/simulated-transports.js';
+import type { LimitChange } from './limit-change.js';
 import { RecordedReply } from './recorded-reply.js';
 import { EngineObservations, SimulatedEngine } from './simulated-engine.js';
 import { SimulatedInference } from './simulated-inference.js';
@@ -33,6 +32,7 @@
   worldConfiguration,
   worldSettings,
 } from './world-fixtures.js';
+import type { WorldMutation } from './world-mutation.js';
 
 /** A request and what became of it. */
 export interface ObservedRequest {
@@ -72,16 +72,6 @@
 /** The entry of a crashed engine lapses after this time. */
 const ENTRY_LAPSE_MS = 3_600;
 
-/** Parts of a deployment that a mutation may weaken, to see that the oracle finds it. */
-export interface WorldMutation {
-  readonly settings?: Partial<GatewaySettings>;
-  readonly decoder?: (decoder: ObjectDecoder) => ObjectDecoder;
-  /** What each tenant may use; undefined: no limit. */
-  readonly tenantLimit?: TenantLimit;
-  /** False: routers take the steady clock for one that counts suspensions. */
-  readonly countsSuspensions?: boolean;
-}
-
 interface RunningRouter {
   readonly node: GatewayNode;
   readonly host: HostClock;
@@ -95,6 +85,8 @@
   readonly observations = new EngineObservations();
   readonly requests: ObservedRequest[] = [];
   readonly acknowledgements: Acknowledgement[] = [];
+  /** Limits of tenants that the store has acknowledged, the oldest first. */
+  readonly limitChanges: LimitChange[] = [];
   /** Times in which a router was down, stood still or had no way to the store. */
   private readonly disturbances: Disturbance[] = [];
   private readonly network: SimulatedNetwork;
@@ -118,6 +110,10 @@
 
   static async create(seed: number, mutation: WorldMutation = {}): Promise<GatewayWorld> {
     const world = new GatewayWorld(seed, await createHasher(), mutation);
+    for (const tenant of KEYS.keys()) {
+      const limit = mutation.tenantLimit;
+      if (limit) world.limitChanges.push({ tenant, limit, atMs: 0 });
+    }
     world.putConfiguration();
     world.store.put(KINDS.weightVersions, WORLD_MODEL, { model: WORLD_MODEL, version: 1 });
     for (let index = 0; index < GENERATION_ENGINES; index += 1) world.addEngine(GENERATION_SERVICE);
@@ -213,6 +209,13 @@
     this.putConfiguration();
   }
 
+  /** The operator changes a tenant's limit; undefined takes it away. */
+  limitTenant(tenant: string, limit: TenantLimit | undefined): void {
+    if (this.store.isDown) return;
+    this.limitChanges.push({ tenant, limit, atMs: this.now });
+    this.putConfiguration();
+  }
+
   nameWeights(): void {
     if (this.store.isDown) return;
     const present = this.store.get(KINDS.weightVersions, WORLD_MODEL)?.spec as { version: number };
@@ -282,6 +285,14 @@
     this.clock.setTimer(forMs, () => this.store.unreachableFor.delete(name));
   }
 
+  /** A router is cut off from all others and from the store, and goes on serving callers. */
+  isolateRouter(index: number, forMs: number): void {
+    const name = routerName(index);
+    this.cutFromStore(index, forMs);
+    this.network.isolate(name);
+    this.clock.setTimer(forMs, () => this.network.join(name));
+  }
+
   stopStore(forMs: number): void {
     this.disturbAll(forMs);
     this.store.isDown = true;
@@ -307,6 +318,7 @@
   async settle(): Promise<void> {
     this.store.isDown = false;
     this.store.unreachableFor.clear();
+    this.network.heal();
     this.store.writeFaults.length = 0;
     this.store.listDelaysMs.length = 0;
     for (const { host } of this.routers.values()) {
@@ -360,8 +372,11 @@
 
   private putConfiguration(): void {
     this.configurationVersion += 1;
-    const limit = this.mutation.tenantLimit;
-    const tenants = [...this.keys].map(([name, keys]) => ({ name, keys: [...keys], limit }));
+    const tenants = [...this.keys].map(([name, keys]) => ({
+      name,
+      keys: [...keys],
+      limit: this.limitChanges.findLast(({ tenant }) => tenant === name)?.limit,
+    }));
     this.store.put(
       KINDS.configuration,
       'main',
@@ -383,6 +398,7 @@
       host,
       name,
     );
+    const datagrams = new SimulatedDatagramTransport(this.sockets, name);
     const node = await GatewayNode.open(
       { ...worldSettings(name), ...this.mutation.settings },
       {
@@ -390,7 +406,7 @@
         random,
         hasher: this.hasher,
         logger: new SilentLogger(),
-        datagrams: new SimulatedDatagramTransport(this.sockets, name),
+        datagrams: this.mutation.datagrams?.(datagrams) ?? datagrams,
         frames: new SimulatedFrameTransport(this.sockets, name, host),
         store: new SimulatedStorePort(this.store, name, host),
         engines: inference,
--- a/src/lab/gateway-world/world-fixtures.ts
+++ b/src/lab/gateway-world/world-fixtures.ts
@@ -10,7 +10,12 @@
 export type RequestKind = 'plain-unsafe' | 'plain-safe' | 'stream-resumable' | 'stream-once';
 
 /** Bounds of the simulated deployment, in milliseconds. */
-export const WORLD_BOUNDS = { revokeMs: 5_000, drainMs: 2_000, leaseMs: 3_000 } as const;
+export const WORLD_BOUNDS = {
+  revokeMs: 5_000,
+  drainMs: 2_000,
+  leaseMs: 3_000,
+  applyMs: 3_000,
+} as const;
 
 export const WORLD_MODEL = 'model-a';
 export const ISOLATED_TENANT = 'tenant-1';
@@ -90,6 +95,7 @@
     unseenVersionAgeMs: 5_000,
     leaseMs: WORLD_BOUNDS.leaseMs,
     leaseActMs: 500,
+    quotaTolerance: WORLD_QUOTA_TOLERANCE,
   };
 }
 
@@ -157,6 +163,12 @@
 
 /** What a stream declares: 900 tokens of its prompt and 10 at most to come. */
 export const STREAM_TOKENS = 910;
+/** How far routers may pass the limits of tenants: by two streams each, beside a tenth. */
+export const WORLD_QUOTA_TOLERANCE = {
+  windowMs: 8_000,
+  overageShare: 0.1,
+  slack: 6 * STREAM_TOKENS,
+} as const;
 /** Bodies that begin so crash each engine that runs them. */
 export const CRASHING_BODY = 'crashes-engines';
 
--- /dev/null
+++ b/src/lab/gateway-world/world-mutation.ts
@@ -0,0 +1,17 @@
+/** How a simulated deployment differs from a sound one. */
+import type { GatewaySettings } from '../../coordination/gateway/gateway-settings.js';
+import type { ObjectDecoder } from '../../coordination/gateway/object-decoder.js';
+import type { TenantLimit } from '../../state/routing/quota/tenant-limit.js';
+import type { DatagramTransport } from '../../transport/datagram-transport.js';
+
+/** Parts of a deployment that a mutation may weaken, to see that the oracle finds it. */
+export interface WorldMutation {
+  readonly settings?: Partial<GatewaySettings>;
+  readonly decoder?: (decoder: ObjectDecoder) => ObjectDecoder;
+  /** What each tenant may use; undefined: no limit. */
+  readonly tenantLimit?: TenantLimit;
+  /** Changes what a router sends to others. */
+  readonly datagrams?: (transport: DatagramTransport) => DatagramTransport;
+  /** False: routers take the steady clock for one that counts suspensions. */
+  readonly countsSuspensions?: boolean;
+}
--- a/src/lab/simulation/simulated-network.ts
+++ b/src/lab/simulation/simulated-network.ts
@@ -56,6 +56,20 @@
     this.cuts.add(pairOf(left, right));
   }
 
+  /** Cuts one host from all others. */
+  isolate(name: string): void {
+    for (const other of this.hosts.keys()) {
+      if (other !== name) this.cut(name, other);
+    }
+  }
+
+  /** Ends the cuts of one host. */
+  join(name: string): void {
+    for (const pair of this.cuts) {
+      if (pair.split('|').includes(name)) this.cuts.delete(pair);
+    }
+  }
+
   /** Cuts all ways for which the function says so. */
   cutAll(partition: (left: string, right: string) => boolean): void {
     this.partition = partition;
--- /dev/null
+++ b/test/gateway/quota-fuzz.test.ts
@@ -0,0 +1,7 @@
+/** The gateway's fuzz with limits of tenants that change, tenants that send far beyond them, and routers cut off. */
+import { declareGatewayFuzz, declareMutations } from '../../fuzz/gateway-suite.js';
+import { QUOTA_COMMANDS } from '../../fuzz/quota-commands.js';
+import { QUOTA_MUTATIONS } from '../../fuzz/quota-mutations.js';
+
+declareGatewayFuzz([11, 12], QUOTA_COMMANDS);
+declareMutations(QUOTA_MUTATIONS, QUOTA_COMMANDS);
--- a/test/gateway/suspended-machine.test.ts
+++ b/test/gateway/suspended-machine.test.ts
@@ -1,7 +1,8 @@
 /** What a router may still rely on when its machine wakes from a suspension that its steady clock missed. */
 import test from 'ava';
 import fc from 'fast-check';
-import { GatewayWorld, type WorldMutation } from '../../src/lab/gateway-world/gateway-world.js';
+import { GatewayWorld } from '../../src/lab/gateway-world/gateway-world.js';
+import type { WorldMutation } from '../../src/lab/gateway-world/world-mutation.js';
 import { HostClock } from '../../src/lab/simulation/host-clock.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
 import {
