Show what each tenant was granted and denied, and why

The metrics page had totals over all tenants only. `peatspan logs explain` shows with a denial the last lines about its tenant's limit, of whichever router wrote them.

Fault found by the new test: the level of the account was logged under the name of the log level, so that the story left it out; it is `account_level` now.

Requests of tenants without a limit take the same path as before.

--- a/src/coordination/gateway/call-log.ts
+++ b/src/coordination/gateway/call-log.ts
@@ -43,7 +43,7 @@
     request: requestId,
     tenant,
     charge,
-    level: level === undefined ? undefined : Math.round(level),
+    account_level: level === undefined ? undefined : Math.round(level),
     isolated: level === undefined,
     rate: limit.ratePerSecond,
     burst: limit.burst,
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -1,4 +1,5 @@
 /** Counters of one router, shown on its metrics page. */
+import { TenantTotals } from './quota/tenant-totals.js';
 
 /** Totals since the start. */
 export class GatewayStatistics {
@@ -33,6 +34,8 @@
   /** Charges for which another router was asked, and requests decided while none could be reached. */
   quotaQuestions = 0;
   quotaIsolated = 0;
+  /** Charges by tenant, of those that have a limit. */
+  readonly quotaByTenant = new TenantTotals();
   /** Times the machine was suspended or its time of day was set. */
   clockJumps = 0;
   orders = 0;
--- a/src/coordination/gateway/quota/tenant-quotas.ts
+++ b/src/coordination/gateway/quota/tenant-quotas.ts
@@ -116,6 +116,7 @@
   enter(tenant: Tenant, amount: number): void {
     const { limit } = tenant;
     if (!limit || amount === 0) return;
+    this.parts.statistics.quotaByTenant.noteGranted(tenant.name, amount);
     this.charge(tenant.name, { amount, isTaken: true }, (verdict) => {
       if (verdict) this.noteWatch(tenant.name, verdict.watchMs);
       else this.shareOf(tenant.name, limit).take(amount, this.parts.clock.now());
@@ -209,7 +210,11 @@
     const decision = verdict
       ? decisionOf(verdict, limit, amount)
       : this.spendShare(tenant, limit, amount);
-    if (decision.kind === 'denied') this.parts.statistics.quotaDenials += 1;
+    const { statistics } = this.parts;
+    if (decision.kind === 'denied') {
+      statistics.quotaDenials += 1;
+      statistics.quotaByTenant.noteDenied(tenant.name, amount);
+    } else statistics.quotaByTenant.noteGranted(tenant.name, amount);
     return decision;
   }
 
--- a/src/operator/request-story.ts
+++ b/src/operator/request-story.ts
@@ -24,9 +24,15 @@
   'weights_ordered',
   'weights_loaded',
 ]);
+/** Events about a tenant's limit; they explain why it was denied, whichever router wrote them. */
+const TENANT_EVENTS: ReadonlySet<string> = new Set(['quota_watched', 'quota_accountant_silent']);
+/** The line of a request that its tenant's limit turned away. */
+const DENIAL_EVENT = 'quota_denied';
 /** Pairs that a line of the story shows by other means. */
 const SHOWN_APART: ReadonlySet<string> = new Set(['time', 'level', 'node', 'event', 'request']);
 
+const BELIEF_KINDS = [BELIEF_EVENTS, ENGINE_EVENTS, TENANT_EVENTS];
+
 /** Gathers the story while the logs are read. */
 export class RequestStory {
   private readonly lines: LogLine[] = [];
@@ -36,9 +42,7 @@
 
   add(line: LogLine): void {
     if (line.fields.get('request') === this.requestId) this.lines.push(line);
-    else if (BELIEF_EVENTS.has(line.event) || ENGINE_EVENTS.has(line.event)) {
-      this.beliefs.push(line);
-    }
+    else if (BELIEF_KINDS.some((events) => events.has(line.event))) this.beliefs.push(line);
   }
 
   /** The story, a line each; empty where no log speaks of the request. */
@@ -54,24 +58,44 @@
     ];
   }
 
-  /** The last of each belief, of the routers and about the engines of the request, before it began. */
+  /** The last of each belief before the request began: of its routers, about its engines, about its tenant's limit. */
   private decidingBeliefs(own: readonly LogLine[]): LogLine[] {
     const [first] = own;
     const beginsMs = first?.timeMs ?? 0;
     const nodes = new Set(own.map(({ node }) => node));
     const engines = new Set(own.flatMap(({ fields }) => fields.get('engine') ?? []));
+    const denials = own.filter(({ event }) => event === DENIAL_EVENT);
+    const tenants = new Set(denials.flatMap(({ fields }) => fields.get('tenant') ?? []));
     const last = new Map<string, LogLine>();
     for (const line of [...this.beliefs].sort(byTime)) {
       if ((line.timeMs ?? 0) > beginsMs) continue;
-      const engine = line.fields.get('engine');
-      const isAboutEngine = ENGINE_EVENTS.has(line.event);
-      const concerns = isAboutEngine ? engines.has(engine ?? '') : nodes.has(line.node);
-      if (concerns) last.set(`${line.event} ${isAboutEngine ? engine : line.node}`, line);
+      const subject = subjectOf(line);
+      const concerned = concernedBy(line, { nodes, engines, tenants });
+      if (concerned.has(subject)) last.set(`${line.event} ${subject}`, line);
     }
     return [...last.values()].sort(byTime);
   }
 }
 
+/** What a request has to do with. */
+interface Concerns {
+  readonly nodes: ReadonlySet<string>;
+  readonly engines: ReadonlySet<string>;
+  readonly tenants: ReadonlySet<string>;
+}
+
+/** Router, engine or tenant that a belief is about. */
+function subjectOf({ event, fields, node }: LogLine): string {
+  if (ENGINE_EVENTS.has(event)) return fields.get('engine') ?? '';
+  if (TENANT_EVENTS.has(event)) return fields.get('tenant') ?? '';
+  return node;
+}
+
+function concernedBy({ event }: LogLine, concerns: Concerns): ReadonlySet<string> {
+  if (ENGINE_EVENTS.has(event)) return concerns.engines;
+  return TENANT_EVENTS.has(event) ? concerns.tenants : concerns.nodes;
+}
+
 function byTime(left: LogLine, right: LogLine): number {
   return (left.timeMs ?? 0) - (right.timeMs ?? 0);
 }
--- a/test/logs.test.ts
+++ b/test/logs.test.ts
@@ -56,6 +56,27 @@
   t.deepEqual(new RequestStory('unknown').format(), []);
 });
 
+test('the story of a request beyond its limit shows the denial and who said that the limit is near', (t) => {
+  const story = new RequestStory('r9');
+  const node = 'info event=quota_watched node=keeper tenant';
+  const lines = [
+    `${node}=t-1 watch_ms=4000`,
+    `${node}=t-2 watch_ms=4000`,
+    'info event=quota_denied node=a request=r9 tenant=t-1 charge=910 account_level=12 isolated=false',
+  ];
+  for (const [index, text] of lines.entries()) {
+    const line = parseLogLine(`time=${BASE}${index}.000Z level=${text}`);
+    if (line) story.add(line);
+  }
+  t.deepEqual(
+    story.format().map((line) => line.trim()),
+    [
+      '-2000 ms believed keeper quota_watched tenant=t-1 watch_ms=4000',
+      '+0 ms request  a quota_denied tenant=t-1 charge=910 account_level=12 isolated=false',
+    ],
+  );
+});
+
 test('a summary counts outcomes by cause and tells how long rejections took', (t) => {
   const summary = new LogSummary();
   for (const line of LINES) summary.add(line);
