--- a/fuzz/engine-life-commands.ts
+++ b/fuzz/engine-life-commands.ts
@@ -2,13 +2,8 @@
 import fc from 'fast-check';
 import { OddEntry } from '../src/lab/gateway-world/odd-entry.js';
 import { OrderFault, type Rebirth } from '../src/lab/gateway-world/simulated-fleet.js';
-import {
-  type CommandSource,
-  GATEWAY_COMMANDS,
-  type GatewayCommand,
-  command,
-  engine,
-} from './gateway-commands.js';
+import { type GatewayCommand, command } from './gateway-command.js';
+import { type CommandSource, GATEWAY_COMMANDS, engine } from './gateway-commands.js';
 
 /** How an engine starts again: at once or after a while, behind a cut, with its entry late or its load lost. */
 const rebirth: fc.Arbitrary<Rebirth> = fc.record({
--- a/fuzz/engine-life-mutations.ts
+++ b/fuzz/engine-life-mutations.ts
@@ -1,6 +1,6 @@
 /** Routers that keep one thing of an engine's former life, and one that trusts odd entries. */
 import type { ObjectDecoder } from '../src/coordination/gateway/object-decoder.js';
-import type { RouterView } from '../src/lab/gateway-world/gateway-world.js';
+import type { RouterView } from '../src/lab/gateway-world/world-mutation.js';
 import type { StoredEngine } from '../src/lab/gateway-world/stored-engine.js';
 import type { InferencePort } from '../src/protocol/inference/port.js';
 import type { EngineRecord } from '../src/state/routing/engine-registry.js';
--- a/fuzz/gateway-main.ts
+++ b/fuzz/gateway-main.ts
@@ -1,10 +1,17 @@
-/** `npm run fuzz:gateway -- SEED RUNS [lives]`: fuzzes the gateway beyond what CI does. */
+/** `npm run fuzz:gateway -- SEED RUNS [lives|limits]`: fuzzes the gateway beyond what CI does. */
 import { engineLifeCommands } from './engine-life-commands.js';
-import { gatewayCommands } from './gateway-commands.js';
+import { type CommandSource, gatewayCommands } from './gateway-commands.js';
 import { fuzzGateway } from './gateway-run.js';
+import { quotaCommands } from './quota-commands.js';
 
-const [seed = '1', runs = '100', focus] = process.argv.slice(2);
-const commands = focus === 'lives' ? engineLifeCommands : gatewayCommands;
+/** What the gateway is fuzzed on beside its usual faults: lives of engines, or limits of tenants. */
+const SOURCES: ReadonlyMap<string, CommandSource> = new Map([
+  ['lives', engineLifeCommands],
+  ['limits', quotaCommands],
+]);
+
+const [seed = '1', runs = '100', focus = ''] = process.argv.slice(2);
+const commands = SOURCES.get(focus) ?? gatewayCommands;
 const result = await fuzzGateway({ seed: Number(seed), runs: Number(runs), commands });
 process.stdout.write(
   result.kind === 'passed' ? `passed, ${result.runs} runs\n` : `${result.report}\n`,
--- a/fuzz/gateway-run.ts
+++ b/fuzz/gateway-run.ts
@@ -1,8 +1,10 @@
 /** Runs the gateway's stateful fuzz and reports a failing run's seed and shrunk commands. */
 import fc from 'fast-check';
 import { findBreaches } from '../src/lab/gateway-world/gateway-oracle.js';
-import { GatewayWorld, type WorldMutation } from '../src/lab/gateway-world/gateway-world.js';
-import { type CommandSource, type GatewayCommand, gatewayCommands } from './gateway-commands.js';
+import { GatewayWorld } from '../src/lab/gateway-world/gateway-world.js';
+import type { WorldMutation } from '../src/lab/gateway-world/world-mutation.js';
+import type { GatewayCommand } from './gateway-command.js';
+import { type CommandSource, gatewayCommands } from './gateway-commands.js';
 
 const MAXIMUM_COMMANDS = 40;
 
@@ -16,7 +18,7 @@
   readonly seed: number;
   readonly runs: number;
   readonly mutation?: WorldMutation;
-  /** What is done to the deployment; left out: every command but those on the lives of engines. */
+  /** What is done to the deployment; left out: every command but those on lives of engines and on limits. */
   readonly commands?: CommandSource;
   /** Whether a failing run is made smaller before it is reported. */
   readonly isShrunk?: boolean;
--- a/src/lab/gateway-world/gateway-oracle.ts
+++ b/src/lab/gateway-world/gateway-oracle.ts
@@ -3,7 +3,13 @@
 import { CONTACT_MS, type GatewayWorld, type ObservedRequest } from './gateway-world.js';
 import type { ObservedRun } from './simulated-engine.js';
 import { STREAM_PIECES, pieceOf, plainBodyOf } from './simulated-exchange.js';
-import { ISOLATED_TENANT, WORLD_BOUNDS, WORLD_MODEL } from './world-fixtures.js';
+import { type QuotaBreach, judgeQuotas } from './quota-oracle.js';
+import {
+  ISOLATED_TENANT,
+  WORLD_BOUNDS,
+  WORLD_MODEL,
+  WORLD_QUOTA_TOLERANCE,
+} from './world-fixtures.js';
 
 /** The rules that are judged. */
 export type GatewayRule =
@@ -20,7 +26,8 @@
   | 'weights-in-force'
   | 'weights-on-time'
   | 'crashes-bounded'
-  | 'odd-entry-unused';
+  | 'odd-entry-unused'
+  | QuotaBreach['rule'];
 
 /** A broken rule. */
 export interface RuleBreach {
@@ -55,6 +62,7 @@
     ...judgeBeginnings(world),
     ...judgeCrashes(world),
     ...judgeStrays(world),
+    ...judgeQuotas(world, WORLD_QUOTA_TOLERANCE),
   ];
 }
 
