Leave out a life without an entry when its wait is over; date what a router finds at its start by the process

While an engine's missing entry was waited for, another router's news of a later life took its place in the list, and the end of the wait dropped the former one only: an engine without an entry stayed in use until the next whole list. And the age of weights found at the start counted from when the node was made, 0.1 s to a second after its process began, while a router is held to its bounds from the latter.

Change: the end of the wait drops whatever life the name has; the platform's program states the start of its process.

--- a/src/coordination/gateway/engine-list.ts
+++ b/src/coordination/gateway/engine-list.ts
@@ -103,10 +103,16 @@
     clock.setTimer(this.lapseGraceMs, () => {
       if (this.missing.get(name) !== meant) return;
       this.missing.delete(name);
-      this.drop(meant);
+      this.dropWithoutEntry(name);
     });
   }
 
+  /** Another source may have shown a later life meanwhile; without an entry that may get no new work either. */
+  private dropWithoutEntry(name: string): void {
+    const present = this.parts.registry.findByName(name);
+    if (present) this.drop(present.record.id);
+  }
+
   /** Answers the record that was taken; undefined where the entry names no engine to use. */
   private takeEntry(object: StoredObject): EngineRecord | undefined {
     const { name, revision } = object;
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -47,6 +47,8 @@
 /** What a router takes from its surroundings. */
 export interface GatewaySurroundings {
   readonly clock: Clock;
+  /** Steady time at which the process started; left out: when the node is made. */
+  readonly startedMs?: number;
   readonly random: RandomSource;
   readonly hasher: Hasher;
   readonly logger: Logger;
@@ -214,7 +216,13 @@
       },
     );
     this.versionNews = new VersionNews(
-      { versions: this.versions, decoder: surroundings.decoder, clock, logger },
+      {
+        versions: this.versions,
+        decoder: surroundings.decoder,
+        startedMs: surroundings.startedMs ?? clock.now(),
+        clock,
+        logger,
+      },
       settings.unseenVersionAgeMs,
       () => group.reportNow(),
     );
--- a/src/coordination/gateway/version-news.ts
+++ b/src/coordination/gateway/version-news.ts
@@ -22,6 +22,8 @@
 export interface VersionNewsParts {
   readonly versions: WeightVersions;
   readonly decoder: ObjectDecoder;
+  /** Steady time at which the process started: a router is held to its bounds a fixed time after that. */
+  readonly startedMs: number;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -46,7 +48,6 @@
 
 /** The versions that one router has heard of. */
 export class VersionNews {
-  private readonly openedMs: number;
   private hasList = false;
   private answers = 0;
   /** Whether the last call was answered by the store itself, so that a change is shown as it happens. */
@@ -64,9 +65,7 @@
     private readonly parts: VersionNewsParts,
     private readonly unseenAgeMs: number,
     private readonly announce: () => void,
-  ) {
-    this.openedMs = parts.clock.now();
-  }
+  ) {}
 
   /** Takes the store's list: when its versions were named is not known. */
   takeList(objects: readonly StoredObject[]): void {
@@ -132,7 +131,7 @@
 
   /** How long ago what a router finds when it starts may have been named, in milliseconds. */
   private get ageBeforeStartMs(): number {
-    return this.unseenAgeMs + this.parts.clock.now() - this.openedMs;
+    return this.unseenAgeMs + this.parts.clock.now() - this.parts.startedMs;
   }
 
   /** How long ago what was missed may have been named, in milliseconds. */
--- a/src/lab/gateway-world/world-fixtures.ts
+++ b/src/lab/gateway-world/world-fixtures.ts
@@ -16,6 +16,7 @@
   leaseMs: 3_000,
   /** From the naming of weights until no request may begin on older ones. */
   versionMs: 7_700,
+  /** From the acknowledgement of a configuration until it binds at all routers. */
   applyMs: 3_000,
 } as const;
 
--- a/test/gateway/entry-lapse.test.ts
+++ b/test/gateway/entry-lapse.test.ts
@@ -4,7 +4,8 @@
 import { GatewayWorld } from '../../src/lab/gateway-world/gateway-world.js';
 import type { StoredEngine } from '../../src/lab/gateway-world/stored-engine.js';
 import { DECODER } from '../../src/lab/gateway-world/world-fixtures.js';
-import { EngineListWorld } from '../helpers/engine-list-world.js';
+import { incarnationOf } from '../../src/state/routing/engine-incarnation.js';
+import { EngineListWorld, engineRecord } from '../helpers/engine-list-world.js';
 
 const DOWN_MS = 2_000;
 const REENTER_MS = 1_000;
@@ -85,3 +86,14 @@
   await clock.advance(SHORT_DRAIN_MS);
   t.is(registry.readyOf('plain').length, 0);
 });
+
+test('a life that others report while its engine has no entry is left out when the wait is over', async (t) => {
+  const { list, lives, registry, clock } = new EngineListWorld({ decoder: DECODER });
+  lives.takeEntry(engineRecord('engine-1', 1_000));
+  list.noteFailure();
+  list.takeGone('engine-1');
+  lives.noteIncarnation(incarnationOf('engine-1', 2_000));
+  t.is(registry.findByName('engine-1')?.record.bornMs, 2_000);
+  await clock.advance(2_000);
+  t.is(registry.findByName('engine-1'), undefined);
+});
--- a/test/gateway/version-news.test.ts
+++ b/test/gateway/version-news.test.ts
@@ -21,7 +21,8 @@
   await clock.advance(START_MS);
   const versions = new WeightVersions(GRACE_MS, new StoreOutages());
   let announcements = 0;
-  const parts = { versions, decoder: DECODER, clock, logger: new SilentLogger() };
+  const startedMs = clock.now();
+  const parts = { versions, decoder: DECODER, startedMs, clock, logger: new SilentLogger() };
   const news = new VersionNews(parts, UNSEEN_AGE_MS, () => (announcements += 1));
   return { clock, versions, news, announced: () => announcements };
 }
