--- a/src/coordination/gateway/begin-watch.ts
+++ b/src/coordination/gateway/begin-watch.ts
@@ -38,19 +38,20 @@
   }
 
   private arm(): void {
-    const { versions, clock } = this.parts;
-    const nowMs = clock.now();
-    const limitMs = versions.lastBeginMs(this.model, this.version, nowMs) ?? Infinity;
-    const leftMs = Math.max(0, limitMs - nowMs);
-    this.timer = clock.setTimer(Math.min(leftMs, RECHECK_MS), () => this.check());
+    const waitMs = Math.max(0, Math.min(this.leftMs, RECHECK_MS));
+    this.timer = this.parts.clock.setTimer(waitMs, () => this.check());
   }
 
   /** Never called while the send is made: its owner must know it before it can end. */
   private check(): void {
+    if (this.leftMs <= 0) this.onExpired();
+    else this.arm();
+  }
+
+  /** Time in which the request may still begin, as far as is known now, in milliseconds. */
+  private get leftMs(): number {
     const { versions, clock } = this.parts;
     const nowMs = clock.now();
-    const limitMs = versions.lastBeginMs(this.model, this.version, nowMs) ?? Infinity;
-    if (nowMs >= limitMs) this.onExpired();
-    else this.arm();
+    return (versions.lastBeginMs(this.model, this.version, nowMs) ?? Infinity) - nowMs;
   }
 }
