One way to drop the life of a name that is in the list

Cause: the end of the wait for a missing entry and an odd entry each looked up the present life and dropped it. Change: both call dropPresent; behaviour is the same. Measured: the tests of lapsed and odd entries and of engines' lives pass.

--- a/src/coordination/gateway/engine-list.ts
+++ b/src/coordination/gateway/engine-list.ts
@@ -103,12 +103,12 @@
     clock.setTimer(this.lapseGraceMs, () => {
       if (this.missing.get(name) !== meant) return;
       this.missing.delete(name);
-      this.dropWithoutEntry(name);
+      this.dropPresent(name);
     });
   }
 
-  /** Another source may have shown a later life meanwhile; without an entry that may get no new work either. */
-  private dropWithoutEntry(name: string): void {
+  /** Whichever life is in the list: another source may have shown a later one than its entry did. */
+  private dropPresent(name: string): void {
     const present = this.parts.registry.findByName(name);
     if (present) this.drop(present.record.id);
   }
@@ -156,8 +156,7 @@
   private takeOdd({ name, revision }: StoredObject, reason: string): void {
     this.parts.odd.note(name, revision, reason);
     this.missing.delete(name);
-    const present = this.parts.registry.findByName(name);
-    if (present) this.drop(present.record.id);
+    this.dropPresent(name);
   }
 
   /** No route leads to such an engine, and it gets no orders until the service is configured. */
