Log what engines say of themselves beside their answers

Change: the answer's headers are read in platform/ and reach the send as a notice; engine_leaving, engine_backoff and two counters show it. Nothing is decided from it yet. Measured: eight cases over real connections (engine-exchange.test.ts).

--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -15,6 +15,9 @@
   withdrawnSends = 0;
   enginesUnreachable = 0;
   engineRefusals = 0;
+  /** Answers in which an engine said that it leaves, and in which it asked for a pause. */
+  leavingNotices = 0;
+  backoffNotices = 0;
   unknownOutcomes = 0;
   cutAnswers = 0;
   staleProofRefusals = 0;
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -1,6 +1,7 @@
 /** One send of a request to one engine: where it goes, under what conditions, what it costs there. */
 import type {
   AnswerHead,
+  EngineNotice,
   Exchange,
   ExchangeFailure,
   ExchangeListener,
@@ -10,6 +11,7 @@
 import { type Placement, placeRequest } from '../../state/routing/placement.js';
 import { StorePressure, storePressure } from '../../state/routing/save-choice.js';
 import { BeginWatch } from './begin-watch.js';
+import { noteEngineNotice } from './engine-notices.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { GenerationShape } from '../../state/routing/generation.js';
 import { LoadShare } from './load-share.js';
@@ -121,6 +123,10 @@
     return this.placement.engine.record.id;
   }
 
+  onNotice(notice: EngineNotice): void {
+    noteEngineNotice(this.engineId, this.request.id, notice, this.context);
+  }
+
   onHead(head: AnswerHead): void {
     if (this.isOver) return;
     this.headMs = this.context.clock.now();
--- a/src/protocol/inference/port.ts
+++ b/src/protocol/inference/port.ts
@@ -72,8 +72,20 @@
   Silent = 'silent',
 }
 
-/** Receives one answer: a head, any number of chunks, then one end or failure. */
+/** What an engine says of itself beside an answer, whatever becomes of the answer. */
+export interface EngineNotice {
+  /** The engine ends soon and wants no new work. */
+  readonly isLeaving: boolean;
+  /** It wants no requests of this router for so long, in milliseconds; undefined where it asks for no pause. */
+  readonly backoffMs: number | undefined;
+}
+
+/**
+ * Receives one answer: a notice where the engine gives one, a head, any number of chunks, then one end or
+ * failure.
+ */
 export interface ExchangeListener {
+  onNotice(notice: EngineNotice): void;
   onHead(head: AnswerHead): void;
   onChunk(chunk: Uint8Array): void;
   onEnd(): void;
--- a/test/platform/engine-exchange.test.ts
+++ b/test/platform/engine-exchange.test.ts
@@ -4,6 +4,7 @@
 import { EngineClient } from '../../platform/engine-client.js';
 import type {
   AnswerHead,
+  EngineNotice,
   ExchangeFailure,
   ForwardedRequest,
   SendOptions,
@@ -34,6 +35,7 @@
   'HTTP/1.1 200 OK\r\nX-Peatspan-Attempt-Id: request-1\r\nX-Peatspan-Response-Seal: s\r\n';
 
 interface Outcome {
+  notice?: EngineNotice;
   head?: AnswerHead;
   body: string;
   end: 'whole' | ExchangeFailure;
@@ -62,6 +64,7 @@
       REQUEST,
       OPTIONS,
       {
+        onNotice: (notice) => (outcome.notice = notice),
         onHead: (head) => (outcome.head = head),
         onChunk: (chunk) => (outcome.body += Buffer.from(chunk).toString('latin1')),
         onEnd: () => resolve(outcome),
@@ -147,6 +150,7 @@
       REQUEST,
       OPTIONS,
       {
+        onNotice: () => undefined,
         onHead: () => undefined,
         onChunk: () => undefined,
         onEnd: () => undefined,
@@ -169,3 +173,64 @@
   t.true(seen.includes('X-Peatspan-Time-Budget-Ms: 500\r\n'));
   t.true(seen.endsWith('\r\n\r\nbody'));
 });
+
+const REFUSED = 'X-Peatspan-Attempt-Id: request-1\r\nX-Peatspan-Not-Executed: 1\r\n';
+
+interface NoticeCase {
+  readonly title: string;
+  /** Status and headers. */
+  readonly head: string;
+  readonly expected: EngineNotice | undefined;
+}
+
+const NOTICE_CASES: readonly NoticeCase[] = [
+  {
+    title: 'an answer with nothing of the engine',
+    head: `200 OK\r\nX-Peatspan-Attempt-Id: request-1\r\n`,
+    expected: undefined,
+  },
+  {
+    title: 'an answer of an engine that leaves',
+    head: `200 OK\r\nX-Peatspan-Attempt-Id: request-1\r\nServer-Leaving: 1\r\n`,
+    expected: { isLeaving: true, backoffMs: undefined },
+  },
+  {
+    title: 'a failure of an engine that leaves',
+    head: `500 Failed\r\nX-Peatspan-Attempt-Id: request-1\r\nServer-Leaving: 1\r\n`,
+    expected: { isLeaving: true, backoffMs: undefined },
+  },
+  {
+    title: 'a refusal that asks for a pause',
+    head: `503 Full\r\n${REFUSED}Retry-After: 2.5\r\n`,
+    expected: { isLeaving: false, backoffMs: 2_500 },
+  },
+  {
+    title: 'a refusal that asks for a pause, of an engine that leaves',
+    head: `503 Full\r\n${REFUSED}Retry-After: 3\r\nServer-Leaving: 1\r\n`,
+    expected: { isLeaving: true, backoffMs: 3_000 },
+  },
+  {
+    title: 'a refusal without a readable time',
+    head: `503 Full\r\n${REFUSED}Retry-After: soon\r\n`,
+    expected: undefined,
+  },
+  {
+    title: 'a success with a time to come back',
+    head: `200 OK\r\nX-Peatspan-Attempt-Id: request-1\r\nRetry-After: 3\r\n`,
+    expected: undefined,
+  },
+  {
+    title: 'a refusal of another engine at the address',
+    head: `421 Other\r\n${REFUSED}Server-Leaving: 1\r\n`,
+    expected: undefined,
+  },
+];
+
+for (const { title, head, expected } of NOTICE_CASES) {
+  test(`what the engine says of itself: ${title}`, async (t) => {
+    const outcome = await exchangeWith(t, (socket) => {
+      socket.write(`HTTP/1.1 ${head}Content-Length: 0\r\n\r\n`);
+    });
+    t.deepEqual(outcome.notice, expected);
+  });
+}
