--- a/src/lab/gateway-world/gateway-oracle.ts
+++ b/src/lab/gateway-world/gateway-oracle.ts
@@ -3,6 +3,7 @@
 import { CONTACT_MS, type GatewayWorld, type ObservedRequest } from './gateway-world.js';
 import type { ObservedRun } from './simulated-engine.js';
 import { STREAM_PIECES, pieceOf, plainBodyOf } from './simulated-exchange.js';
+import { type NoticeBreach, judgeNotices } from './notice-oracle.js';
 import { type QuotaBreach, judgeQuotas } from './quota-oracle.js';
 import {
   ISOLATED_TENANT,
@@ -27,6 +28,7 @@
   | 'weights-on-time'
   | 'crashes-bounded'
   | 'odd-entry-unused'
+  | NoticeBreach['rule']
   | QuotaBreach['rule'];
 
 /** A broken rule. */
@@ -62,6 +64,7 @@
     ...judgeBeginnings(world),
     ...judgeCrashes(world),
     ...judgeStrays(world),
+    ...judgeNotices(world),
     ...judgeQuotas(world, WORLD_QUOTA_TOLERANCE),
   ];
 }
--- a/src/lab/gateway-world/gateway-world.ts
+++ b/src/lab/gateway-world/gateway-world.ts
@@ -87,6 +87,8 @@
   readonly limitChanges: LimitChange[] = [];
   /** Times in which a router was down, stood still or had no way to the store. */
   private readonly disturbances: Disturbance[] = [];
+  /** Times in which a router's process did not run, and its restarts. */
+  private readonly interruptions: Disturbance[] = [];
   private readonly network: SimulatedNetwork;
   private readonly sockets: SimulatedSockets;
   private readonly routers = new Map<string, RunningRouter>();
@@ -199,7 +201,7 @@
     const name = routerName(index);
     const router = this.routers.get(name);
     if (!router) return;
-    this.disturb(name, downMs);
+    this.interrupt(name, downMs);
     this.routers.delete(name);
     router.host.stop();
     router.inference.breakAll();
@@ -229,7 +231,7 @@
     const name = routerName(index);
     const router = this.routers.get(name);
     if (!router?.host.isRunning) return;
-    this.disturb(name, forMs);
+    this.interrupt(name, forMs);
     router.host.pause();
     this.clock.setTimer(forMs, () => router.host.unpause());
   }
@@ -239,7 +241,7 @@
     const name = routerName(index);
     const router = this.routers.get(name);
     if (!router?.host.isRunning) return;
-    this.disturb(name, forMs);
+    this.interrupt(name, forMs);
     router.host.suspend();
     this.clock.setTimer(forMs, () => router.host.wake());
   }
@@ -309,6 +311,19 @@
     return lastMs <= atMs ? lastMs : undefined;
   }
 
+  /** Whether a router's process did not run all the time between two moments. */
+  wasInterrupted(router: string, fromMs: number, untilMs: number): boolean {
+    return this.interruptions.some(
+      (each) => each.router === router && each.fromMs <= untilMs && each.untilMs >= fromMs,
+    );
+  }
+
+  /** The process ends or stands still, which also keeps it from meeting its bounds. */
+  private interrupt(router: string, forMs: number): void {
+    this.interruptions.push({ router, fromMs: this.now, untilMs: this.now + forMs });
+    this.disturb(router, forMs);
+  }
+
   private disturb(router: string, forMs: number): void {
     this.disturbances.push({ router, fromMs: this.now, untilMs: this.now + forMs });
   }
--- a/src/lab/gateway-world/simulated-engine.ts
+++ b/src/lab/gateway-world/simulated-engine.ts
@@ -1,4 +1,5 @@
 /** Stand-in of an engine, with the faults that real ones show, and what all engines saw. */
+import type { EngineNotice } from '../../protocol/inference/port.js';
 import { incarnationOf } from '../../state/routing/engine-incarnation.js';
 
 /** How an engine treats the requests it is sent. */
@@ -86,8 +87,10 @@
   takesOrders = true;
   /** A request begins to run this long after it arrived, in milliseconds: others are read before it. */
   queueMs = 0;
-  /** Whether it has announced that it leaves. */
+  /** Whether it leaves; all its answers say so from then on. */
   isDraining = false;
+  /** Where it refuses, it wants no requests of that router for so long; undefined: it does not say. */
+  backoffMs: number | undefined;
   readonly running = new Set<RunningRequest>();
   /** Called when it has crashed. */
   onCrashed: () => void = () => undefined;
@@ -135,6 +138,13 @@
     return this.replacedVersion;
   }
 
+  /** What an answer tells of the engine; undefined where it tells nothing. */
+  noticeWith(isRefusal: boolean): EngineNotice | undefined {
+    const backoffMs = isRefusal ? this.backoffMs : undefined;
+    if (!this.isDraining && backoffMs === undefined) return undefined;
+    return { isLeaving: this.isDraining, backoffMs };
+  }
+
   /** Ends at once; what it was working on breaks off. */
   crash(): void {
     this.isRunning = false;
@@ -156,10 +166,30 @@
   }
 }
 
+/** What a router took of an engine's answer that tells of the engine itself. */
+export interface ObservedNotice extends EngineNotice {
+  /** Incarnation of the engine. */
+  readonly engineId: string;
+  readonly router: string;
+  /** When the engine answered. */
+  readonly answeredMs: number;
+}
+
+/** A request that reached an engine, whether it ran there or not. */
+export interface ObservedArrival {
+  readonly requestId: string;
+  /** Incarnation of the engine. */
+  readonly engineId: string;
+  readonly router: string;
+  readonly atMs: number;
+}
+
 /** What all engines saw, for the oracle. */
 export class EngineObservations {
   readonly runs: ObservedRun[] = [];
   readonly orders: ObservedOrder[] = [];
   readonly crashes: ObservedCrash[] = [];
   readonly strays: ObservedStray[] = [];
+  readonly arrivals: ObservedArrival[] = [];
+  readonly notices: ObservedNotice[] = [];
 }
--- a/src/lab/gateway-world/simulated-exchange.ts
+++ b/src/lab/gateway-world/simulated-exchange.ts
@@ -1,6 +1,7 @@
 /** One send to a simulated engine, as both sides see it. */
 import type {
   AnswerHead,
+  EngineNotice,
   Exchange,
   ExchangeFailure,
   ExchangeListener,
@@ -22,6 +23,7 @@
 /** Time on the way between a router and an engine. */
 export const WAY_MS = 1;
 const PIECE_MS = 8;
+const STATUS_TURNED_AWAY = 503;
 
 /** One send, from both sides. */
 export class SimulatedExchange implements Exchange, RunningRequest {
@@ -29,6 +31,8 @@
   private engine: SimulatedEngine | undefined;
   private observed: ObservedRun | undefined;
   private hasBegun = false;
+  /** What an answer that is given now tells of the engine that was reached. */
+  private tellNotice: (isRefusal: boolean) => void = () => undefined;
 
   constructor(
     private readonly request: ForwardedRequest,
@@ -38,6 +42,26 @@
     private readonly host: HostClock,
   ) {}
 
+  /**
+   * The request has reached an engine.
+   *
+   * @param onNotice called with what the router takes of the engine, and when the engine said it
+   */
+  reach(
+    engine: SimulatedEngine,
+    onNotice: (notice: EngineNotice, answeredMs: number) => void,
+  ): void {
+    this.tellNotice = (isRefusal) => {
+      const notice = engine.noticeWith(isRefusal);
+      if (!notice) return;
+      const answeredMs = this.clock.now();
+      this.deliver(() => {
+        onNotice(notice, answeredMs);
+        this.listener.onNotice(notice);
+      });
+    };
+  }
+
   /** The engine lets the request wait; it does not begin where it is given up meanwhile. */
   waitInQueue(waitMs: number, begin: () => void): void {
     this.clock.setTimer(waitMs, () => {
@@ -78,6 +102,7 @@
   }
 
   refuse(status: number): void {
+    if (status === STATUS_TURNED_AWAY) this.tellNotice(true);
     this.deliverLast(() =>
       this.listener.onFailure({ kind: 'refused', status, reason: `refused-${status}` }),
     );
@@ -113,6 +138,7 @@
   }
 
   private answerFailure(): void {
+    this.tellNotice(false);
     this.deliver(() => this.listener.onHead(headOf(500)));
     this.leaveEngine();
     this.deliverLast(() => this.listener.onEnd());
@@ -120,6 +146,7 @@
 
   private begin(isCut: boolean): void {
     this.hasBegun = true;
+    this.tellNotice(false);
     this.deliver(() => this.listener.onHead(headOf(200)));
     const isStream = this.request.target.startsWith('/stream');
     if (!isStream) {
--- a/src/lab/gateway-world/simulated-fleet.ts
+++ b/src/lab/gateway-world/simulated-fleet.ts
@@ -137,11 +137,16 @@
   drain(index: number): void {
     const engine = this.engine(index);
     const listed = this.store.get(KINDS.engines, engine.name)?.spec as StoredEngine | null;
-    if (!engine.isRunning || engine.isDraining || !listed || this.store.isDown) return;
+    if (!listed || this.store.isDown) return;
+    this.leave(index);
+  }
+
+  /** An engine leaves: its answers say so at once, its entry as soon as the store takes it. */
+  leave(index: number): void {
+    const engine = this.engine(index);
+    if (!engine.isRunning || engine.isDraining) return;
     engine.isDraining = true;
-    this.store.put(KINDS.engines, engine.name, entryOf(engine));
-    this.onDraining(engine.id);
-    this.clock.setTimer(SERVES_ON_MS, () => this.endDrained(engine));
+    this.enterDraining(engine);
   }
 
   /** Another writer leaves an entry under a name that is no engine's. */
@@ -204,6 +209,17 @@
     this.clock.setTimer(ENTRY_LAPSE_MS, () => this.removeEntry(former));
   }
 
+  private enterDraining(engine: SimulatedEngine): void {
+    if (!engine.isRunning) return;
+    if (this.store.isDown) {
+      this.clock.setTimer(ENTRY_RETRY_MS, () => this.enterDraining(engine));
+      return;
+    }
+    this.store.put(KINDS.engines, engine.name, entryOf(engine));
+    this.onDraining(engine.id);
+    this.clock.setTimer(SERVES_ON_MS, () => this.endDrained(engine));
+  }
+
   private endDrained(engine: SimulatedEngine): void {
     // A life that has begun since has not announced that it leaves.
     if (this.lifeOf(engine.name) !== engine) return;
--- a/src/lab/gateway-world/simulated-inference.ts
+++ b/src/lab/gateway-world/simulated-inference.ts
@@ -143,6 +143,7 @@
       exchange.refuse(421);
       return;
     }
+    this.noteArrival(engine, exchange, request.id);
     if (engine.mode === EngineMode.Busy || isLoadingModel(engine)) {
       exchange.refuse(503);
       return;
@@ -152,6 +153,20 @@
     else exchange.waitInQueue(engine.queueMs, begin);
   }
 
+  private noteArrival(
+    engine: SimulatedEngine,
+    exchange: SimulatedExchange,
+    requestId: string,
+  ): void {
+    const { arrivals, notices } = this.observations;
+    const { router } = this;
+    const engineId = engine.id;
+    arrivals.push({ requestId, engineId, router, atMs: this.clock.now() });
+    exchange.reach(engine, (notice, answeredMs) => {
+      notices.push({ ...notice, engineId, router, answeredMs });
+    });
+  }
+
   /** The request begins to run, on the weights that the engine has by now. */
   private begin(
     engine: SimulatedEngine,
