Keep the pauses that engines ask for

Change: a pause is kept by the engine's name until it is over; placement passes such engines over without an exception. Where all engines asked for one, the caller is rejected at once (engines-backing-off) and told when the first pause ends.

--- a/src/coordination/gateway/engine-notices.ts
+++ b/src/coordination/gateway/engine-notices.ts
@@ -1,5 +1,5 @@
 /** What engines say of themselves beside their answers. */
-import type { EngineNotice } from '../../protocol/inference/port.js';
+import type { EngineEndpoint, EngineNotice } from '../../protocol/inference/port.js';
 import type { GatewayContext } from './gateway-context.js';
 
 /**
@@ -8,18 +8,18 @@
  * @param requestId of the request whose answer carried it
  */
 export function noteEngineNotice(
-  engineId: string,
+  { id, name }: EngineEndpoint,
   requestId: string,
   { isLeaving, backoffMs }: EngineNotice,
-  { registry, statistics, logger }: GatewayContext,
+  { registry, health, clock, statistics, logger }: GatewayContext,
 ): void {
-  const source = { engine: engineId, request: requestId };
-  if (isLeaving && registry.noteLeaving(engineId)) {
+  const source = { engine: id, request: requestId };
+  if (isLeaving && registry.noteLeaving(id)) {
     statistics.enginesLeaving += 1;
     logger.info('engine_leaving', source);
   }
-  if (backoffMs !== undefined) {
-    statistics.backoffNotices += 1;
-    logger.info('engine_backoff', { ...source, for_ms: backoffMs });
-  }
+  if (backoffMs === undefined) return;
+  health.backoffs.note(name, clock.now(), backoffMs);
+  statistics.backoffNotices += 1;
+  logger.info('engine_backoff', { ...source, for_ms: backoffMs });
 }
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -33,6 +33,8 @@
   readonly detail?: string;
   /** By how much the estimate passes the deadline, in milliseconds. */
   readonly excessMs?: number | undefined;
+  /** Time until the first engine that asked for a pause takes requests again, in milliseconds. */
+  readonly backoffMs?: number | undefined;
   /** Where there is no grant to take it from. */
   readonly priority?: number;
 }
@@ -165,6 +167,16 @@
     return this.deadlineMs - this.now;
   }
 
+  /** Time until an engine of the service takes requests of this router again, in milliseconds. */
+  private get backoffMs(): number {
+    const { registry, health } = this.context;
+    const ready = registry.readyOf(this.service?.name ?? '');
+    return health.backoffs.shortestMs(
+      ready.map(({ record }) => record.name),
+      this.now,
+    );
+  }
+
   private get mayRepeat(): boolean {
     return this.grant?.route.isRepeatable ?? false;
   }
@@ -197,7 +209,7 @@
       return;
     }
     const placed = placeCall(this.request, grant, this.service, this.excluded, this.context);
-    if (typeof placed === 'string') this.reject(placed);
+    if (typeof placed === 'string') this.reject(placed, { backoffMs: this.backoffMs });
     else if (!this.endsInTime(placed)) return;
     else if (this.quota.isGranted) this.sendTo(placed, grant, this.service);
     else this.askQuota(placed, grant, this.service);
@@ -372,14 +384,16 @@
    */
   private reject(reason: RejectionReason, details: RejectionDetails = {}): void {
     this.send?.cancel();
-    const { detail = reason, excessMs } = details;
+    const { detail = reason, excessMs, backoffMs } = details;
     const isUnanswered = this.state === CallState.Sent;
     if (this.hasBegun) this.abort(detail);
     else if (this.mayHaveRun || isUnanswered) this.refuse({ status: 502, reason: detail });
     else {
       const service = this.service?.name ?? '';
       const priority = details.priority ?? this.grant?.priority ?? 0;
-      this.refuse(this.context.rejections.answer({ reason, service, priority, excessMs }));
+      this.refuse(
+        this.context.rejections.answer({ reason, service, priority, excessMs, backoffMs }),
+      );
     }
   }
 
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -124,7 +124,7 @@
   }
 
   onNotice(notice: EngineNotice): void {
-    noteEngineNotice(this.engineId, this.request.id, notice, this.context);
+    noteEngineNotice(this.placement.engine.record, this.request.id, notice, this.context);
   }
 
   onHead(head: AnswerHead): void {
--- a/src/state/routing/engine-health.ts
+++ b/src/state/routing/engine-health.ts
@@ -1,4 +1,6 @@
-/** What answers tell of an engine's health: how long it is left alone after failures. */
+/** What answers tell of an engine's health: how long it is left alone after failures and at its own wish. */
+
+import { EngineBackoffs } from './engine-backoffs.js';
 
 interface Health {
   /** Moving share of failures among the last answers, 0 to 1. */
@@ -23,6 +25,7 @@
 
 /** Health of all engines, by incarnation. */
 export class EngineHealth {
+  readonly backoffs = new EngineBackoffs();
   private readonly engines = new Map<string, Health>();
   private readonly loadingUntilMs = new Map<string, number>();
 
--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -53,7 +53,8 @@
 }
 
 /** Why no engine was chosen. */
-export type PlacementFailure = RejectionReason.NoEngine | RejectionReason.AllBusy;
+export type PlacementFailure =
+  RejectionReason.NoEngine | RejectionReason.EnginesBackingOff | RejectionReason.AllBusy;
 
 /** The tables a placement reads. */
 export interface PlacementTables {
@@ -96,8 +97,11 @@
 ): Placement | PlacementFailure {
   const prompt = request.generation && promptView(request, request.generation, tables, nowMs);
   const considered = narrowEngines(request, prompt, tables);
-  const usable = usableEngines(considered, request, tables, nowMs);
-  if (usable.length === 0) return RejectionReason.NoEngine;
+  const allowed = considered.filter((engine) => isAllowed(engine, request, tables, nowMs));
+  if (allowed.length === 0) return RejectionReason.NoEngine;
+  const willing = allowed.filter((engine) => isWilling(engine, tables, nowMs));
+  if (willing.length === 0) return RejectionReason.EnginesBackingOff;
+  const usable = usableEngines(willing, tables, nowMs);
   const open = usable.filter(
     (engine) => tables.loads.ownRequestsAt(engine.record.id) < request.connectionShare,
   );
@@ -116,7 +120,9 @@
   const { candidates, stores } = request;
   const subject = subjectOf(generation);
   const isSound = (engine: Engine): boolean =>
-    isAllowed(engine, request, tables, nowMs) && !tables.health.isAvoided(engine.record.id, nowMs);
+    isAllowed(engine, request, tables, nowMs) &&
+    isWilling(engine, tables, nowMs) &&
+    !tables.health.isAvoided(engine.record.id, nowMs);
   const nameOf = (engine: Engine): string => engine.record.name;
   const homes = tables.homes.firstFit(subject, candidates, nameOf, HOMES_WEIGHED, isSound);
   const [store] = tables.homes.first(subject, stores, (each) => each.address, 1);
@@ -157,14 +163,21 @@
 
 /** Engines in good standing; where there are none, the ones left alone for failures. */
 function usableEngines(
-  considered: readonly Engine[],
-  request: PlacementRequest,
-  tables: PlacementTables,
+  willing: readonly Engine[],
+  { health }: PlacementTables,
   nowMs: number,
-): Engine[] {
-  const allowed = considered.filter((engine) => isAllowed(engine, request, tables, nowMs));
-  const trusted = allowed.filter((engine) => !tables.health.isAvoided(engine.record.id, nowMs));
-  return trusted.length > 0 ? trusted : allowed;
+): readonly Engine[] {
+  const trusted = willing.filter((engine) => !health.isAvoided(engine.record.id, nowMs));
+  return trusted.length > 0 ? trusted : willing;
+}
+
+/**
+ * Unlike an engine that is left alone for failures, one that asked for a pause gets nothing even where no other
+ * is left. Left alone for a fixed 150 ms, one got up to 13 requests of a router in the 3 s that it had asked
+ * for (simulated deployment of 3 routers and 5 engines).
+ */
+function isWilling({ record }: Engine, { health }: PlacementTables, nowMs: number): boolean {
+  return health.backoffs.remainingMs(record.name, nowMs) === 0;
 }
 
 function isAllowed(
--- a/src/state/routing/rejection.ts
+++ b/src/state/routing/rejection.ts
@@ -15,6 +15,8 @@
   NoService = 'no-service',
   /** Every engine of the service drains, loads, failed this request or has weights that are too old. */
   NoEngine = 'no-engine',
+  /** Every engine that could serve it asked this router for a pause. */
+  EnginesBackingOff = 'engines-backing-off',
   /** This router's share of each engine's connections is in use. */
   AllBusy = 'all-busy',
   /** The engines that were asked had no place. */
@@ -37,6 +39,8 @@
   readonly finishesPerSecond: number;
   /** By how much the estimate passes what it may be; 0 where there is none. */
   readonly excessMs: number;
+  /** Time until the first engine that asked for a pause takes requests again; 0 where none asked. */
+  readonly backoffMs: number;
   /** For how long the store has been out of reach; 0 while it is not. */
   readonly storeOutMs: number;
   /** Whether other routers respond: one of them may do what this one can't. */
@@ -106,6 +110,7 @@
   [RejectionReason.TooLate]: ({ excessMs }) => excessMs,
   [RejectionReason.NoService]: () => SHORT_WORK_MS,
   [RejectionReason.NoEngine]: () => SHORT_WORK_MS,
+  [RejectionReason.EnginesBackingOff]: ({ backoffMs }) => backoffMs,
   [RejectionReason.EnginesUnreachable]: () => SHORT_WORK_MS,
   [RejectionReason.AllBusy]: () => SHORTEST_MS,
   [RejectionReason.EnginesFull]: () => SHORTEST_MS,
@@ -116,6 +121,7 @@
 function waitsForPlaces(reason: RejectionReason): boolean {
   return (
     reason === RejectionReason.AllBusy ||
+    reason === RejectionReason.EnginesBackingOff ||
     reason === RejectionReason.EnginesFull ||
     reason === RejectionReason.TooLate
   );
--- a/test/gateway/engine-notices.test.ts
+++ b/test/gateway/engine-notices.test.ts
@@ -66,7 +66,7 @@
   }
 });
 
-test.failing('engines that ask for a pause get none while others serve', async (t) => {
+test('engines that ask for a pause get none while others serve', async (t) => {
   for (const seed of SEEDS) {
     const world = await GatewayWorld.create(seed);
     const refusing = [GENERATION_ENGINE, PLAIN_ENGINE].map((index) => world.engine(index));
@@ -80,21 +80,18 @@
   }
 });
 
-test.failing(
-  'engines that all ask for a pause get none, and callers hear when it ends',
-  async (t) => {
-    for (const seed of SEEDS) {
-      const world = await GatewayWorld.create(seed);
-      for (let index = 0; index <= PLAIN_ENGINE + 1; index += 1) {
-        const engine = world.engine(index);
-        engine.mode = EngineMode.Busy;
-        engine.backoffMs = BACKOFF_MS;
-      }
-      await sendFor(world, REFUSING_MS);
-      t.deepEqual(findBreaches(world), []);
-      const own = world.requests.flatMap(({ reply }) => reply.own ?? []);
-      t.true(own.every(({ status }) => status === 503));
-      t.true(own.some(({ retryAfterMs }) => (retryAfterMs ?? 0) > BACKOFF_MS / 2));
+test('engines that all ask for a pause get none, and callers hear when it ends', async (t) => {
+  for (const seed of SEEDS) {
+    const world = await GatewayWorld.create(seed);
+    for (let index = 0; index <= PLAIN_ENGINE + 1; index += 1) {
+      const engine = world.engine(index);
+      engine.mode = EngineMode.Busy;
+      engine.backoffMs = BACKOFF_MS;
     }
-  },
-);
+    await sendFor(world, REFUSING_MS);
+    t.deepEqual(findBreaches(world), []);
+    const own = world.requests.flatMap(({ reply }) => reply.own ?? []);
+    t.true(own.every(({ status }) => status === 503));
+    t.true(own.some(({ retryAfterMs }) => (retryAfterMs ?? 0) > BACKOFF_MS / 2));
+  }
+});
