--- a/fuzz/engine-life-mutations.ts
+++ b/fuzz/engine-life-mutations.ts
@@ -2,8 +2,8 @@
 import type { ObjectDecoder } from '../src/coordination/gateway/object-decoder.js';
 import type { RouterView } from '../src/lab/gateway-world/world-mutation.js';
 import type { StoredEngine } from '../src/lab/gateway-world/stored-engine.js';
-import type { InferencePort } from '../src/protocol/inference/port.js';
 import type { EngineRecord } from '../src/state/routing/engine-registry.js';
+import { changePort } from './change-port.js';
 import type { GatewayMutation } from './gateway-mutations.js';
 
 /** Lets a decoder change each entry of an engine before a router sees it. */
@@ -20,20 +20,6 @@
   };
 }
 
-/** The port with some of its calls replaced. */
-function changePort(port: InferencePort, changes: Partial<InferencePort>): InferencePort {
-  return {
-    send: (...args) => port.send(...args),
-    checkListener: (endpoint) => port.checkListener(endpoint),
-    order: (...args) => port.order(...args),
-    weightState: (...args) => port.weightState(...args),
-    cacheEvents: (...args) => port.cacheEvents(...args),
-    cacheContents: (address) => port.cacheContents(address),
-    retain: (engineIds) => port.retain(engineIds),
-    ...changes,
-  };
-}
-
 /** The newest version that an engine has taken in any life is believed of its present one, by all routers. */
 function keepVersions(): (view: RouterView) => RouterView {
   const newest = new Map<string, number>();
--- a/src/coordination/gateway/rejections.ts
+++ b/src/coordination/gateway/rejections.ts
@@ -36,6 +36,12 @@
   readonly backoffMs?: number | undefined;
 }
 
+/** What is known of a rejection besides its reason; the priority where the request was granted nothing. */
+export interface RejectionDetails extends Partial<Omit<Rejected, 'reason' | 'service'>> {
+  /** What failed, where the request may have run. */
+  readonly detail?: string;
+}
+
 /** Verdict on a generation's time. */
 export type Admission =
   | { readonly kind: 'admitted' }
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -23,32 +23,17 @@
 import { isOfFormerLife } from './former-life.js';
 import type { GatewayContext } from './gateway-context.js';
 import { type Grant, admitRequest, serviceOf } from './request-admission.js';
+import { CRASHES_ENGINES, LARGER_THAN_LIMIT } from './final-answers.js';
 import type { QuotaDenial } from './quota/tenant-quotas.js';
 import type { InboundRequest, OwnAnswer, Reply } from './reply.js';
-import { Send, type SendEvents, placeCall, sendOptionsOf } from './send.js';
-
-/** What is known of a rejection besides its reason. */
-interface RejectionDetails {
-  /** What failed, where the request may have run. */
-  readonly detail?: string;
-  /** By how much the estimate passes the deadline, in milliseconds. */
-  readonly excessMs?: number | undefined;
-  /** Time until the first engine that asked for a pause takes requests again, in milliseconds. */
-  readonly backoffMs?: number | undefined;
-  /** Where there is no grant to take it from. */
-  readonly priority?: number;
-}
+import type { RejectionDetails } from './rejections.js';
+import { Send, type SendEvents, placeCall, sendOptionsOf, shortestBackoffMs } from './send.js';
 
 /** Connections that may fail for one request before it is refused. */
 const MAXIMUM_CONNECT_FAILURES = 3;
 /** With less time than this left, a send would be for nothing. */
 const MINIMUM_BUDGET_MS = 15;
 const SERVER_ERROR = 500;
-/** The request itself can't be processed, so the caller's library must not send it again. */
-const CRASHES_ENGINES: OwnAnswer = { status: 422, reason: 'request-crashes-engines' };
-/** Its tenant's limit will never bear the request, so the caller is not asked back. */
-const LARGER_THAN_LIMIT: OwnAnswer = { status: 429, reason: 'larger-than-quota' };
-
 /** A request on its way. */
 export class RequestCall implements SendEvents {
   private state = CallState.Choosing;
@@ -167,16 +152,6 @@
     return this.deadlineMs - this.now;
   }
 
-  /** Time until an engine of the service takes requests of this router again, in milliseconds. */
-  private get backoffMs(): number {
-    const { registry, health } = this.context;
-    const ready = registry.readyOf(this.service?.name ?? '');
-    return health.backoffs.shortestMs(
-      ready.map(({ record }) => record.name),
-      this.now,
-    );
-  }
-
   private get mayRepeat(): boolean {
     return this.grant?.route.isRepeatable ?? false;
   }
@@ -209,7 +184,10 @@
       return;
     }
     const placed = placeCall(this.request, grant, this.service, this.excluded, this.context);
-    if (typeof placed === 'string') this.reject(placed, { backoffMs: this.backoffMs });
+    if (typeof placed === 'string')
+      this.reject(placed, {
+        backoffMs: shortestBackoffMs(this.service, this.context),
+      });
     else if (!this.endsInTime(placed)) return;
     else if (this.quota.isGranted) this.sendTo(placed, grant, this.service);
     else this.askQuota(placed, grant, this.service);
@@ -384,16 +362,14 @@
    */
   private reject(reason: RejectionReason, details: RejectionDetails = {}): void {
     this.send?.cancel();
-    const { detail = reason, excessMs, backoffMs } = details;
+    const { detail = reason, ...known } = details;
     const isUnanswered = this.state === CallState.Sent;
     if (this.hasBegun) this.abort(detail);
     else if (this.mayHaveRun || isUnanswered) this.refuse({ status: 502, reason: detail });
     else {
       const service = this.service?.name ?? '';
-      const priority = details.priority ?? this.grant?.priority ?? 0;
-      this.refuse(
-        this.context.rejections.answer({ reason, service, priority, excessMs, backoffMs }),
-      );
+      const priority = this.grant?.priority ?? 0;
+      this.refuse(this.context.rejections.answer({ reason, service, priority, ...known }));
     }
   }
 
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -53,6 +53,13 @@
   );
 }
 
+/** Time until an engine of the service takes requests of this router again, in milliseconds; 0 where one does. */
+export function shortestBackoffMs(service: Service, context: GatewayContext): number {
+  const { registry, health, clock } = context;
+  const names = registry.readyOf(service.name).map(({ record }) => record.name);
+  return health.backoffs.shortestMs(names, clock.now());
+}
+
 /** Reckoned from this router's own prompts and its share of the group's requests. */
 function pressureOf(
   { generation }: InboundRequest,
--- a/src/state/routing/engine-backoffs.ts
+++ b/src/state/routing/engine-backoffs.ts
@@ -21,7 +21,7 @@
     return Math.max(0, (this.untilMs.get(engineName) ?? -Infinity) - nowMs);
   }
 
-  /** Time until the first pause of these engines is over, in milliseconds; 0 where one has none. */
+  /** Time until the first pause of these engines is over, in milliseconds; 0 where one has none, Infinity for no engines. */
   shortestMs(engineNames: readonly string[], nowMs: number): number {
     return Math.min(...engineNames.map((name) => this.remainingMs(name, nowMs)));
   }
