Soak real processes with engines that leave unheard and ask for pauses

Cause: the soak's engines said nothing of themselves. A notice is read even where nobody waits for the answer any more.

--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -5,7 +5,7 @@
 import { EngineFleet } from './engine-fleet.js';
 import { findFreePorts } from './free-ports.js';
 import { listeningPort } from './listening-port.js';
-import type { EngineReport, ReportedRun, StoreCommand } from './messages.js';
+import type { EngineReport, ReportedNotice, ReportedRun, StoreCommand } from './messages.js';
 import { ODD_NAME } from './odd-entries.js';
 import { BOUNDS, RouterProcess } from './router-process.js';
 import { TcpProxy } from './tcp-proxy.js';
@@ -16,9 +16,11 @@
   readonly runs: ReportedRun[];
   readonly arrivals: {
     readonly requestId: string;
+    readonly engineId: string;
     readonly service: string;
     readonly atMs: number;
   }[];
+  readonly notices: ReportedNotice[];
   /** When the store took that an engine leaves. */
   readonly drains: Map<string, number>;
   readonly orders: Extract<EngineReport, { kind: 'order' }>[];
@@ -59,6 +61,7 @@
   readonly observations: Observations = {
     runs: [],
     arrivals: [],
+    notices: [],
     drains: new Map(),
     orders: [],
     crashes: [],
--- a/soak/engine-fleet.ts
+++ b/soak/engine-fleet.ts
@@ -67,6 +67,11 @@
     if (engine.child.connected) engine.child.send({ kind: 'behave', behavior });
   }
 
+  /** The engine refuses and asks for pauses; 0 ms ends that. */
+  askPause(engine: Engine, backoffMs: number): void {
+    if (engine.child.connected) engine.child.send({ kind: 'ask-pause', backoffMs });
+  }
+
   /** The engine leaves as planned, and another takes its place. */
   async replace(engine: Engine): Promise<void> {
     engine.isLeaving = true;
@@ -175,9 +180,10 @@
   }
 
   private note(engine: Engine, report: EngineReport): void {
-    const { runs, arrivals, drains, orders, crashes, strays } = this.observations;
+    const { runs, arrivals, notices, drains, orders, crashes, strays } = this.observations;
     if (report.kind === 'run') runs.push(report);
     if (report.kind === 'arrival') arrivals.push(report);
+    if (report.kind === 'notice') notices.push(report);
     if (report.kind === 'draining') drains.set(report.engineId, report.atMs);
     if (report.kind === 'order') orders.push(report);
     if (report.kind === 'crash') crashes.push(report);
--- a/soak/engine-program.ts
+++ b/soak/engine-program.ts
@@ -24,6 +24,8 @@
 /** An engine that leaves serves on for this long after the store knows. */
 const SERVES_ON_MS = 9_000;
 const CRASH_DELAY_MS = 40;
+const STATUS_TURNED_AWAY = 503;
+const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Start of this life. */
 const born = Date.now();
@@ -32,6 +34,8 @@
 
 let behavior = EngineBehavior.Sound;
 let isDraining = false;
+/** What a refusal asks for; 0: nothing is refused for this reason. */
+let backoffMs = 0;
 let running = 0;
 let weightsVersion = Number(process.argv[6] ?? 1);
 let loading: number | undefined;
@@ -76,6 +80,8 @@
 }
 
 function refuse(response: ServerResponse, status: number, requestId: string): void {
+  const isPauseAsked = status === STATUS_TURNED_AWAY && backoffMs > 0;
+  tellNotice(response, requestId, isPauseAsked ? backoffMs : 0);
   response.writeHead(status, {
     [WireHeader.notExecuted]: '1',
     [WireHeader.attemptId]: requestId,
@@ -84,6 +90,15 @@
   response.end();
 }
 
+/** Puts into an answer what it says of this engine, and tells the oracle. */
+function tellNotice(response: ServerResponse, requestId: string, askedMs: number): void {
+  if (!isDraining && askedMs === 0) return;
+  if (isDraining) response.setHeader(WireHeader.leaving, '1');
+  if (askedMs > 0) response.setHeader(WireHeader.retryAfter, askedMs / MILLISECONDS_PER_SECOND);
+  const notice = { requestId, engineId: lifeId, isLeaving: isDraining, backoffMs: askedMs };
+  report({ kind: 'notice', ...notice, atMs: Date.now() });
+}
+
 /** Status with which a request is refused, not run; undefined where it runs. */
 function refusalOf({ headers }: IncomingMessage): number | undefined {
   const MISDIRECTED = 421;
@@ -93,13 +108,14 @@
   if (expectedVersion !== undefined && Number(expectedVersion) !== weightsVersion) {
     return MISDIRECTED;
   }
+  if (backoffMs > 0) return STATUS_TURNED_AWAY;
   const hasNoPlace = running >= SLOTS || loading !== undefined;
-  return hasNoPlace || behavior === EngineBehavior.Busy ? 503 : undefined;
+  return hasNoPlace || behavior === EngineBehavior.Busy ? STATUS_TURNED_AWAY : undefined;
 }
 
 async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
   const requestId = String(request.headers[WireHeader.attemptId] ?? '');
-  report({ kind: 'arrival', requestId, service, atMs: Date.now() });
+  report({ kind: 'arrival', requestId, engineId: lifeId, service, atMs: Date.now() });
   const body = await readBody(request);
   const named = request.headers[WireHeader.expectInstance]?.toString();
   if (named !== undefined && named !== name) {
@@ -161,6 +177,7 @@
   headers: Record<string, string>,
   body: string,
 ): void {
+  tellNotice(response, headers[WireHeader.attemptId] ?? '', 0);
   response.writeHead(status, { ...headers, 'Content-Length': String(Buffer.byteLength(body)) });
   if (behavior === EngineBehavior.Cutting) {
     response.write(body.slice(0, body.length / 2));
@@ -174,6 +191,7 @@
   requestId: string,
   headers: Record<string, string>,
 ): void {
+  tellNotice(response, requestId, 0);
   response.writeHead(200, { ...headers, 'Content-Type': 'text/event-stream' });
   let number = Number(request.headers[WireHeader.lastEventId] ?? 0);
   const cutAfter = behavior === EngineBehavior.Cutting ? STREAM_EVENTS / 2 : Infinity;
@@ -236,6 +254,7 @@
 }
 
 async function answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  if (isDraining) response.setHeader(WireHeader.leaving, '1');
   const path = (request.url ?? '/').split('?')[0];
   if (path === '/report') answerReport(response);
   else if (path === '/order') {
@@ -260,6 +279,7 @@
 process.on('message', (message) => {
   const command = message as EngineCommand;
   if (command.kind === 'behave') behavior = command.behavior;
+  else if (command.kind === 'ask-pause') backoffMs = command.backoffMs;
   else void drain();
 });
 process.on('disconnect', () => process.exit(0));
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -20,6 +20,11 @@
     default: true,
     describe: 'whether engines restart under their names and odd entries are written',
   })
+  .option('engine-notices', {
+    type: 'boolean',
+    default: true,
+    describe: 'whether engines leave while the store is out, and ask for pauses',
+  })
   .option('program', { type: 'string', default: BUNDLE, describe: "the routers' program" })
   .parseAsync();
 
@@ -46,6 +51,7 @@
       spanMs: options.seconds * 1_000,
       routers: options.routers,
       hasEngineLives: options.engineLives,
+      hasEngineNotices: options.engineNotices,
       callers: options.callers,
       folder,
       program: options.program,
--- a/soak/messages.ts
+++ b/soak/messages.ts
@@ -16,6 +16,8 @@
 /** To an engine. */
 export type EngineCommand =
   | { readonly kind: 'behave'; readonly behavior: EngineBehavior }
+  /** It refuses and asks for a pause, until it is told a pause of 0 ms. */
+  | { readonly kind: 'ask-pause'; readonly backoffMs: number }
   /** It says that it leaves, serves on for a while and ends. */
   | { readonly kind: 'drain' };
 
@@ -35,6 +37,18 @@
   readonly startedMs: number;
 }
 
+/** An answer told something of the engine itself. */
+export interface ReportedNotice {
+  readonly kind: 'notice';
+  readonly requestId: string;
+  /** One life of the engine. */
+  readonly engineId: string;
+  readonly isLeaving: boolean;
+  /** It wants no requests of that router for so long; 0 where it asked for no pause. */
+  readonly backoffMs: number;
+  readonly atMs: number;
+}
+
 /** From an engine. */
 export type EngineReport =
   | { readonly kind: 'listening'; readonly port: number }
@@ -43,9 +57,11 @@
   | {
       readonly kind: 'arrival';
       readonly requestId: string;
+      readonly engineId: string;
       readonly service: string;
       readonly atMs: number;
     }
+  | ReportedNotice
   /** A request came that names another engine, which may not even exist. */
   | {
       readonly kind: 'stray';
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -35,6 +35,20 @@
     text: 'if (isDraining || ',
     replacement: 'if (',
   },
+  {
+    name: 'only the store tells which engines leave',
+    promise: 'leaving-engine-unused',
+    file: 'src/coordination/gateway/engine-notices.ts',
+    text: 'if (isLeaving && registry.noteLeaving(id)) {',
+    replacement: 'if (isLeaving && id === "") {',
+  },
+  {
+    name: 'pauses that engines ask for are passed over',
+    promise: 'backoff-kept',
+    file: 'src/coordination/gateway/engine-notices.ts',
+    text: 'if (backoffMs === undefined) return;',
+    replacement: 'if (backoffMs !== -1) return;',
+  },
   {
     name: 'proofs of the configuration hold for ever',
     promise: 'key-removed',
@@ -140,6 +154,7 @@
       spanMs: SPAN_MS,
       routers: 4,
       hasEngineLives: true,
+      hasEngineNotices: true,
       callers: 12,
       folder: runFolder,
       program,
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -2,6 +2,7 @@
 import type { CallRecord, DirectoryRecord } from './callers.js';
 import type { Observations } from './deployment.js';
 import type { ReportedRun } from './messages.js';
+import { judgeNotices } from './notice-oracle.js';
 import { ODD_NAME } from './odd-entries.js';
 import { BOUNDS, DisturbanceKind, type RouterProcess } from './router-process.js';
 import { STREAM_EVENTS } from './stream-events.js';
@@ -21,6 +22,8 @@
   | 'crashes-bounded'
   | 'weights-in-force'
   | 'odd-entry-unused'
+  | 'leaving-engine-unused'
+  | 'backoff-kept'
   | 'recovery';
 
 /** A promise that was broken. */
@@ -98,6 +101,7 @@
       ...routers.flatMap(({ crashes }) => crashes).map((detail) => breach('no-crash', detail)),
       ...this.judgeWeights(),
       ...this.judgeStrays(),
+      ...judgeNotices(this.record),
       ...this.judgeRest(),
     ];
   }
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -5,6 +5,7 @@
 import type { Deployment } from './deployment.js';
 import { CRASHING_BODY, EngineBehavior } from './messages.js';
 import { ENGINE_LIFE_MAKERS } from './engine-life-steps.js';
+import { ENGINE_NOTICE_MAKERS } from './engine-notice-steps.js';
 import { DisturbanceKind } from './router-process.js';
 import { ProxyMode } from './tcp-proxy.js';
 
@@ -28,6 +29,7 @@
   readonly routers: number;
   readonly spanMs: number;
   readonly hasEngineLives: boolean;
+  readonly hasEngineNotices: boolean;
 }
 
 /** Routers that no unplanned fault strikes, so that something is served all the while. */
@@ -206,12 +208,17 @@
  *
  * @param hasEngineLives whether engines restart under their names and odd entries are written, too; a seed
  *   that was found without these steps means the same series only without them
+ * @param hasEngineNotices whether engines leave while the store is out, and ask for pauses; as above
  */
 export function makeSchedule(
   random: RandomSource,
-  { routers, spanMs, hasEngineLives }: ScheduleOptions,
+  { routers, spanMs, hasEngineLives, hasEngineNotices }: ScheduleOptions,
 ): Step[] {
-  const makers = hasEngineLives ? [...MAKERS, ...ENGINE_LIFE_MAKERS] : MAKERS;
+  const makers = [
+    ...MAKERS,
+    ...(hasEngineLives ? ENGINE_LIFE_MAKERS : []),
+    ...(hasEngineNotices ? ENGINE_NOTICE_MAKERS : []),
+  ];
   const MAXIMUM_GAP_MS = 2_000;
   const steps: Step[] = [];
   let atMs = 1_000;
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -17,6 +17,8 @@
   readonly routers: number;
   /** Whether engines restart under their names and odd entries are written. */
   readonly hasEngineLives: boolean;
+  /** Whether engines leave while the store is out, and ask for pauses. */
+  readonly hasEngineNotices: boolean;
   readonly callers: number;
   /** For settings, logs and, where a promise was broken, all that is known. */
   readonly folder: string;
--- a/soak/wire.ts
+++ b/soak/wire.ts
@@ -18,6 +18,8 @@
   promptPrefix: 'x-peatspan-prompt-prefix',
   lastEventId: 'last-event-id',
   apiKey: 'api-key',
+  leaving: 'server-leaving',
+  retryAfter: 'retry-after',
 } as const;
 
 /** Kinds of object in the store. */
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -12,6 +12,8 @@
   readonly routers: number;
   /** Whether engines restart under their names; left out for a seed that was found without. */
   readonly hasEngineLives?: boolean;
+  /** Whether engines leave unheard by the store and ask for pauses; likewise. */
+  readonly hasEngineNotices?: boolean;
   /** What was at fault. */
   readonly cause: string;
 }
@@ -26,8 +28,17 @@
   hasEngineLives: true,
   cause: 'none: the short soak',
 };
+const NOTICES: RegressionSeed = {
+  seed: 2,
+  seconds: 14,
+  routers: 4,
+  hasEngineNotices: true,
+  cause: 'none: the short soak of what engines say of themselves',
+};
 
-for (const { seed, seconds, routers, cause, hasEngineLives = false } of [FIRST, ...REGRESSIONS]) {
+for (const regression of [FIRST, NOTICES, ...REGRESSIONS]) {
+  const { seed, seconds, routers, cause } = regression;
+  const { hasEngineLives = false, hasEngineNotices = false } = regression;
   test.serial(`no promise is broken in a soak with seed ${seed} (${cause})`, async (t) => {
     t.timeout(170_000);
     const folder = mkdtempSync(join(tmpdir(), `peatspan-soak-${seed}-`));
@@ -37,6 +48,7 @@
       spanMs,
       routers,
       hasEngineLives,
+      hasEngineNotices,
       callers: 8,
       folder,
       program: BUNDLE,
