Plan no rollout while every engine has the newest weights

Cause: ten times a second each router listed the holders of each model twice and planned, though nothing was to do. Change: one look without lists comes first; where no engine is behind, that is all.

--- a/src/coordination/gateway/weight-coordinator.ts
+++ b/src/coordination/gateway/weight-coordinator.ts
@@ -3,7 +3,7 @@
  * gives the orders; the others stand by, each a little later than the one before.
  */
 import { type Timer, repeat } from '../../runtime/clock.js';
-import { type Engine, versionAt } from '../../state/routing/engine-registry.js';
+import type { Engine } from '../../state/routing/engine-registry.js';
 import type { LoadTable } from '../../state/routing/load-table.js';
 import { OrderTurn } from '../../state/routing/order-turn.js';
 import type { SendRate } from '../../state/routing/send-rate.js';
@@ -132,6 +132,11 @@
   }
 
   private async act(): Promise<void> {
+    if (!this.hasWorkAhead()) {
+      this.hasLookedAtLease = false;
+      this.behindSinceMs = undefined;
+      return;
+    }
     await this.lookAtLeaseEarly();
     const plans = this.plans();
     this.tellDecisions(plans);
@@ -151,6 +156,17 @@
     }
   }
 
+  /** Whether some engine lacks the newest weights. Asked ten times a second, so it makes no lists. */
+  private hasWorkAhead(): boolean {
+    const { versions, registry } = this.parts;
+    return versions.models.some((model) => {
+      const newest = versions.newest(model) ?? 0;
+      return registry.hasHolderBefore(model, newest, (service) =>
+        this.settings.isKnownService(service),
+      );
+    });
+  }
+
   /** Whether it is this router's turn at work that is there since a moment. */
   private mayBegin(behindSinceMs: number): boolean {
     if (this.parts.lease.heldRevision !== undefined) return true;
@@ -162,14 +178,7 @@
    * by the time the work is due.
    */
   private async lookAtLeaseEarly(): Promise<void> {
-    const { versions, lease } = this.parts;
-    const hasWorkAhead = versions.models.some((model) =>
-      this.holdersOf(model).some((engine) => isBehind(engine, model, versions)),
-    );
-    if (!hasWorkAhead) {
-      this.hasLookedAtLease = false;
-      return;
-    }
+    const { lease } = this.parts;
     if (this.hasLookedAtLease || this.turn.routersBefore > 0) return;
     this.hasLookedAtLease = true;
     if (lease.isUnknown) await lease.advance();
@@ -214,7 +223,3 @@
     return { requestsPerSecond, namesPerSecond };
   }
 }
-
-function isBehind(engine: Engine, model: string, versions: WeightVersions): boolean {
-  return (versionAt(engine, model) ?? 0) < (versions.newest(model) ?? 0);
-}
--- a/src/state/routing/engine-registry.ts
+++ b/src/state/routing/engine-registry.ts
@@ -82,6 +82,15 @@
     return [...this.engines.values()].filter((engine) => engine.record.modelVersions.has(model));
   }
 
+  /** Whether some engine of the services that are meant holds an older version of a model than this one. */
+  hasHolderBefore(model: string, version: number, isMeant: (service: string) => boolean): boolean {
+    for (const engine of this.engines.values()) {
+      if (!engine.record.modelVersions.has(model)) continue;
+      if ((versionAt(engine, model) ?? 0) < version && isMeant(engine.record.service)) return true;
+    }
+    return false;
+  }
+
   /**
    * Takes an engine's newest entry. The caller keeps the store's order: of two lives the one whose entry
    * the store took last is the present one, even if its start is earlier, as after a step of the engine's
