Soak: an engine may end while its successor starts

Cause: a message to an engine whose process had ended meanwhile ended the soak itself (channel closed). Change: the message is sent only while there is somebody to take it.

--- a/soak/engine-fleet.ts
+++ b/soak/engine-fleet.ts
@@ -76,7 +76,8 @@
   async replace(engine: Engine): Promise<void> {
     engine.isLeaving = true;
     await this.add(engine.service);
-    engine.child.send({ kind: 'drain' });
+    // It may have ended while its successor started.
+    if (engine.child.connected) engine.child.send({ kind: 'drain' });
   }
 
   /** The engine's process is killed, and another engine takes its place. */
