Try engines that refuse without asking for a pause ever more seldom

Cause: an engine that refuses all requests looks idle and so draws them; it was left alone for 150 ms after each refusal, and any request that ended well, also one sent long before, took that back. Change: the pause doubles with each refused trial up to 2.4 s; refusals of what was on its way count once; only a request that was sent after the last refusal ends it.

--- a/src/coordination/gateway/failed-send.ts
+++ b/src/coordination/gateway/failed-send.ts
@@ -3,9 +3,6 @@
 import { RejectionReason } from '../../state/routing/rejection.js';
 import type { GatewayContext } from './gateway-context.js';
 
-/** An engine that refused work is left alone for this long. */
-const BUSY_PAUSE_MS = 150;
-const MISDIRECTED_PAUSE_MS = 600;
 /** Status by which an engine says that it is another than the one named, or has other weights. */
 const MISDIRECTED = 421;
 
@@ -23,7 +20,8 @@
       return false;
     case 'refused':
       statistics.engineRefusals += 1;
-      health.noteBusy(engineId, now, isMisdirected(failure) ? MISDIRECTED_PAUSE_MS : BUSY_PAUSE_MS);
+      if (isMisdirected(failure)) health.noteMisdirected(engineId, now);
+      else health.noteBusy(engineId, now);
       return false;
     case 'withdrawn':
       return true;
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -150,7 +150,7 @@
     if (this.isOver) return;
     this.learnTiming();
     this.close();
-    this.context.health.noteSuccess(this.engineId);
+    this.context.health.noteSuccess(this.engineId, this.sentMs);
     this.events.onEnd(this);
   }
 
--- a/src/operator/request-story.ts
+++ b/src/operator/request-story.ts
@@ -22,6 +22,8 @@
   'engine_changed',
   'engine_replaced',
   'engine_reborn',
+  'engine_leaving',
+  'engine_backoff',
   'weights_ordered',
   'weights_loaded',
 ]);
--- a/src/state/routing/engine-health.ts
+++ b/src/state/routing/engine-health.ts
@@ -7,6 +7,9 @@
   failureShare: number;
   avoidedUntilMs: number;
   pauseMs: number;
+  /** How long the next refusal keeps requests away. */
+  busyPauseMs: number;
+  refusedMs: number;
 }
 
 /** Weight of the newest answer in the moving share. */
@@ -15,6 +18,11 @@
 const FAILURE_SHARE_TO_AVOID = 0.4;
 const FIRST_PAUSE_MS = 700;
 const LONGEST_PAUSE_MS = 4_000;
+/** An engine that refused a request is left alone for this long, twice as long after each further trial. */
+const FIRST_BUSY_PAUSE_MS = 150;
+const LONGEST_BUSY_PAUSE_MS = 2_400;
+/** Another engine at the address, or other weights: the list of engines is out of date for about this long. */
+const MISDIRECTED_PAUSE_MS = 600;
 /** A connection that can't be opened says more than a failed answer. */
 const UNREACHABLE_PAUSE_MS = 1_000;
 /** Below this share an engine counts as well again and its pauses start short. */
@@ -29,10 +37,13 @@
   private readonly engines = new Map<string, Health>();
   private readonly loadingUntilMs = new Map<string, number>();
 
-  noteSuccess(engineId: string): void {
+  /** @param sentMs when the request was sent that came to a good end; refusals since then still count */
+  noteSuccess(engineId: string, sentMs: number): void {
     const health = this.engines.get(engineId);
     if (!health) return;
     health.failureShare *= 1 - NEWEST_WEIGHT;
+    if (sentMs < health.refusedMs) return;
+    health.busyPauseMs = FIRST_BUSY_PAUSE_MS;
     if (health.failureShare < RECOVERED_SHARE) this.engines.delete(engineId);
   }
 
@@ -51,10 +62,22 @@
     health.avoidedUntilMs = Math.max(health.avoidedUntilMs, nowMs + UNREACHABLE_PAUSE_MS);
   }
 
-  /** The engine said that it takes no work for a moment. */
-  noteBusy(engineId: string, nowMs: number, pauseMs: number): void {
+  /**
+   * The engine had no place. One that refuses everything looks idle and so draws requests: it is tried ever more
+   * seldom until it takes one.
+   */
+  noteBusy(engineId: string, nowMs: number): void {
     const health = this.of(engineId);
-    health.avoidedUntilMs = Math.max(health.avoidedUntilMs, nowMs + pauseMs);
+    health.refusedMs = nowMs;
+    if (nowMs < health.avoidedUntilMs) return;
+    health.avoidedUntilMs = nowMs + health.busyPauseMs;
+    health.busyPauseMs = Math.min(LONGEST_BUSY_PAUSE_MS, health.busyPauseMs * 2);
+  }
+
+  /** Another engine answered at the address, or this one has other weights than expected. */
+  noteMisdirected(engineId: string, nowMs: number): void {
+    const health = this.of(engineId);
+    health.avoidedUntilMs = Math.max(health.avoidedUntilMs, nowMs + MISDIRECTED_PAUSE_MS);
   }
 
   /** The engine takes other weights, so it is certain to refuse; repeat while it lasts. */
@@ -92,7 +115,13 @@
   private of(engineId: string): Health {
     let health = this.engines.get(engineId);
     if (!health) {
-      health = { failureShare: 0, avoidedUntilMs: -Infinity, pauseMs: FIRST_PAUSE_MS };
+      health = {
+        failureShare: 0,
+        avoidedUntilMs: -Infinity,
+        pauseMs: FIRST_PAUSE_MS,
+        busyPauseMs: FIRST_BUSY_PAUSE_MS,
+        refusedMs: -Infinity,
+      };
       this.engines.set(engineId, health);
     }
     return health;
