--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -35,7 +35,12 @@
     untilMs: number | undefined;
   }[];
   /** Spans in which some engine was not sound, or the way to it. */
-  readonly engineTroubles: { readonly fromMs: number; readonly untilMs: number }[];
+  readonly engineTroubles: {
+    readonly fromMs: number;
+    readonly untilMs: number;
+    /** Name of the engine to which the way was faulty; undefined where the engine itself was. */
+    readonly wayTo: string | undefined;
+  }[];
   /** Spans in which the store was not sound. */
   readonly storeTroubles: { readonly fromMs: number; untilMs: number | undefined }[];
 }
--- a/soak/engine-fleet.ts
+++ b/soak/engine-fleet.ts
@@ -92,7 +92,7 @@
   restart(engine: Engine, { downMs, cutMs, losesLoad }: Restart): void {
     if (engine.isRestarting) return;
     engine.isRestarting = true;
-    this.noteTrouble(FOUND_MS + downMs + cutMs);
+    this.noteTrouble(FOUND_MS + downMs + cutMs, cutMs > 0 ? engine : undefined);
     if (cutMs > 0) {
       engine.proxy.mode = ProxyMode.Silent;
       setTimeout(() => (engine.proxy.mode = ProxyMode.Pass), cutMs);
@@ -102,9 +102,11 @@
     setTimeout(() => void this.beginAgain(engine), downMs);
   }
 
-  noteTrouble(forMs: number): void {
+  /** @param wayTo the engine to which the way is faulty; left out where the engine itself is not sound */
+  noteTrouble(forMs: number, wayTo?: Engine): void {
     const fromMs = Date.now();
-    this.observations.engineTroubles.push({ fromMs, untilMs: fromMs + forMs });
+    const wayToName = wayTo?.name;
+    this.observations.engineTroubles.push({ fromMs, untilMs: fromMs + forMs, wayTo: wayToName });
   }
 
   async add(service: string): Promise<void> {
--- a/soak/notice-oracle.ts
+++ b/soak/notice-oracle.ts
@@ -1,4 +1,5 @@
 /** Judges whether the routers of a soak kept to what engines had told them of themselves. */
+import { lifeOf } from '../src/state/routing/engine-incarnation.js';
 import type { CallRecord } from './callers.js';
 import type { ReportedNotice } from './messages.js';
 import type { Breach, SoakRecord } from './oracle.js';
@@ -66,7 +67,7 @@
     const router = this.callsById.get(requestId)?.router;
     if (backoffMs === 0 || router === undefined) return [];
     const untilMs = atMs + backoffMs;
-    if (this.wasInterrupted(router, atMs, untilMs) || this.hasEngineTrouble(atMs, untilMs)) {
+    if (this.wasInterrupted(router, atMs, untilMs) || this.isWayFaulty(engineId, atMs, untilMs)) {
       return [];
     }
     const early = this.arrivalsOf(engineId, router).filter(
@@ -95,9 +96,11 @@
     return isUnplanned || router.stops.some((atMs) => atMs <= toMs && fromMs <= atMs + graceMs);
   }
 
-  private hasEngineTrouble(fromMs: number, toMs: number): boolean {
+  /** Whether answers of an engine may have been lost on the way between two moments. */
+  private isWayFaulty(engineId: string, fromMs: number, toMs: number): boolean {
+    const { name } = lifeOf(engineId);
     return this.record.observations.engineTroubles.some(
-      (each) => each.fromMs <= toMs && fromMs <= each.untilMs,
+      (each) => each.wayTo === name && each.fromMs <= toMs && fromMs <= each.untilMs,
     );
   }
 }
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -168,7 +168,7 @@
       run: (deployment) => {
         const engine = randomElement(random, deployment.fleet.running);
         if (!engine || !mode) return;
-        deployment.fleet.noteTrouble(forMs);
+        deployment.fleet.noteTrouble(forMs, engine);
         engine.proxy.mode = mode;
         setTimeout(() => (engine.proxy.mode = ProxyMode.Pass), forMs);
       },
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -34,6 +34,7 @@
 /** With less time than this left, a send would be for nothing. */
 const MINIMUM_BUDGET_MS = 15;
 const SERVER_ERROR = 500;
+
 /** A request on its way. */
 export class RequestCall implements SendEvents {
   private state = CallState.Choosing;
