--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -10,7 +10,7 @@
 import type { AnswerHead, ExchangeFailure } from '../../protocol/inference/port.js';
 import type { Service } from '../../state/routing/configuration.js';
 import { sharedTokensOf } from '../../state/routing/prompt-sources.js';
-import type { Placement } from '../../state/routing/placement.js';
+import type { Placement, PlacementFailure } from '../../state/routing/placement.js';
 import { RejectionReason } from '../../state/routing/rejection.js';
 import { logFinish, logQuotaDenial, logSend, logSendFailure } from './call-log.js';
 import { noteFailedSend, rejectionReasonOf } from './failed-send.js';
@@ -185,15 +185,16 @@
       return;
     }
     const placed = placeCall(this.request, grant, this.service, this.excluded, this.context);
-    if (typeof placed === 'string')
-      this.reject(placed, {
-        backoffMs: shortestBackoffMs(this.service, this.context),
-      });
+    if (typeof placed === 'string') this.rejectUnplaced(placed, this.service);
     else if (!this.endsInTime(placed)) return;
     else if (this.quota.isGranted) this.sendTo(placed, grant, this.service);
     else this.askQuota(placed, grant, this.service);
   }
 
+  private rejectUnplaced(reason: PlacementFailure, service: Service): void {
+    this.reject(reason, { backoffMs: shortestBackoffMs(service, this.context) });
+  }
+
   /** Sends if the tenant's limit allows it. */
   private askQuota(placement: Placement, grant: Grant, service: Service): void {
     let isImmediate = true;
--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -81,6 +81,10 @@
 /** Memory beyond this share of an engine makes requests give way. */
 const FULL_MEMORY_SHARE = 0.92;
 const FULL_MEMORY_MS = 2_000;
+/** Wait that each request beyond an engine's slots adds where nothing is generated: a guess at one short call. */
+const QUEUED_REQUEST_MS = 200;
+/** Preference for an engine with free slots over one whose slots are all taken; more than another zone costs. */
+const ALL_SLOTS_TAKEN_MS = 50;
 /** A cost that only an engine under suspicion has. */
 const FAILING_MS = 400;
 /** Engines weighed for one request, besides those that keep something of its prompt. */
@@ -200,13 +204,11 @@
 function weighPlain(engine: Engine, request: PlacementRequest, tables: PlacementTables): Placement {
   const { id, slots, zone } = engine.record;
   const { requests } = tables.loads.at(id);
-  const FULL_SLOTS_MS = 200;
-  const MILLISECONDS_PER_SHARE = 50;
   const takenShare = requests / Math.max(1, slots);
-  const queueMs = requests >= slots ? (requests - slots + 1) * FULL_SLOTS_MS : 0;
+  const queueMs = requests >= slots ? (requests - slots + 1) * QUEUED_REQUEST_MS : 0;
   const zoneMs = zone === request.zone ? 0 : OTHER_ZONE_MS;
   const costMs =
-    takenShare * MILLISECONDS_PER_SHARE +
+    takenShare * ALL_SLOTS_TAKEN_MS +
     queueMs +
     zoneMs +
     suspicionMs(engine, tables) +
