--- a/test/gateway/cache-feeds.test.ts
+++ b/test/gateway/cache-feeds.test.ts
@@ -7,7 +7,8 @@
 import { incarnationOf } from '../../src/state/routing/engine-incarnation.js';
 import { KeptPrefixes } from '../../src/state/routing/kept-prefixes.js';
 import { DECODER } from '../../src/lab/gateway-world/world-fixtures.js';
-import { EngineListWorld, engineRecord } from '../helpers/engine-list-world.js';
+import { EngineListWorld } from '../helpers/engine-list-world.js';
+import { engineRecord } from '../helpers/engine-record.js';
 
 const NAME = 'engine-0';
 const ADDRESS = 'engine-0:1';
--- a/test/gateway/engine-backoffs.test.ts
+++ b/test/gateway/engine-backoffs.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import { EngineBackoffs } from '../../src/state/routing/engine-backoffs.js';
 import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
-import { engineRecord } from '../helpers/engine-list-world.js';
+import { engineRecord } from '../helpers/engine-record.js';
 
 interface Wish {
   readonly engine: string;
--- a/test/gateway/engine-rebirth.test.ts
+++ b/test/gateway/engine-rebirth.test.ts
@@ -6,7 +6,8 @@
 import { incarnationOf, lifeOf } from '../../src/state/routing/engine-incarnation.js';
 import type { EngineRecord } from '../../src/state/routing/engine-registry.js';
 import { ANNOUNCEMENT_MS, coordinatorWorld } from '../helpers/coordinator-world.js';
-import { EngineListWorld, engineRecord } from '../helpers/engine-list-world.js';
+import { EngineListWorld } from '../helpers/engine-list-world.js';
+import { engineRecord } from '../helpers/engine-record.js';
 
 const NAME = 'engine-0';
 const FIRST_MS = 1_000_000;
--- a/test/gateway/engine-restart.test.ts
+++ b/test/gateway/engine-restart.test.ts
@@ -6,7 +6,8 @@
 import { OrderFault, type Rebirth } from '../../src/lab/gateway-world/simulated-fleet.js';
 import { DECODER, KINDS } from '../../src/lab/gateway-world/world-fixtures.js';
 import { incarnationOf } from '../../src/state/routing/engine-incarnation.js';
-import { EngineListWorld, engineRecord } from '../helpers/engine-list-world.js';
+import { EngineListWorld } from '../helpers/engine-list-world.js';
+import { engineRecord } from '../helpers/engine-record.js';
 
 const AT_ONCE: Rebirth = {
   downMs: 1,
--- a/test/gateway/entry-lapse.test.ts
+++ b/test/gateway/entry-lapse.test.ts
@@ -5,7 +5,8 @@
 import type { StoredEngine } from '../../src/lab/gateway-world/stored-engine.js';
 import { DECODER } from '../../src/lab/gateway-world/world-fixtures.js';
 import { incarnationOf } from '../../src/state/routing/engine-incarnation.js';
-import { EngineListWorld, engineRecord } from '../helpers/engine-list-world.js';
+import { EngineListWorld } from '../helpers/engine-list-world.js';
+import { engineRecord } from '../helpers/engine-record.js';
 
 const DOWN_MS = 2_000;
 const REENTER_MS = 1_000;
--- a/test/gateway/load-collection.test.ts
+++ b/test/gateway/load-collection.test.ts
@@ -6,6 +6,7 @@
 import { LoadTable } from '../../src/state/routing/load-table.js';
 import { SilentLogger } from '../../src/runtime/logger.js';
 import { GroupWorld } from '../helpers/group-world.js';
+import { engineRecord } from '../helpers/engine-record.js';
 
 const ROUTERS = 40;
 const SETTLED_MS = 3_000;
@@ -22,17 +23,9 @@
 async function collectingGroup(seed: number): Promise<[GroupWorld, CollectingRouter[]]> {
   const world = await GroupWorld.create(ROUTERS, seed);
   const registry = new EngineRegistry();
-  registry.put({
-    id: ENGINE,
-    name: ENGINE,
-    bornMs: undefined,
-    service: 'generation',
-    address: 'engine-1:1',
-    zone: 'zone-0',
-    slots: 16,
-    isDraining: false,
-    modelVersions: new Map(),
-  });
+  registry.put(
+    engineRecord(ENGINE, undefined, { zone: 'zone-0', slots: 16, modelVersions: new Map() }),
+  );
   const routers = world.routers.map(({ group, host }) => {
     const loads = new LoadTable();
     const parts = { group, loads, registry, clock: host, logger: new SilentLogger() };
--- a/test/gateway/order-book.test.ts
+++ b/test/gateway/order-book.test.ts
@@ -3,6 +3,7 @@
 import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
 import { OrderBook } from '../../src/state/routing/order-book.js';
 import { OrderTurn } from '../../src/state/routing/order-turn.js';
+import { engineRecord } from '../helpers/engine-record.js';
 
 const MODEL = 'model-a';
 
@@ -73,17 +74,7 @@
 
 test('an incarnation that was replaced does not come back with an old list', (t) => {
   const registry = new EngineRegistry();
-  const record = {
-    id: 'engine-1',
-    name: 'engine-1',
-    bornMs: undefined,
-    service: 'generation',
-    address: 'engine-1:1',
-    zone: 'zone-a',
-    slots: 8,
-    isDraining: false,
-    modelVersions: new Map([[MODEL, 1]]),
-  };
+  const record = engineRecord('engine-1', undefined);
   registry.put(record);
   t.true(registry.noteReplaced('engine-1'));
   t.false(registry.noteReplaced('engine-1'));
--- a/test/gateway/placement-shortcuts.test.ts
+++ b/test/gateway/placement-shortcuts.test.ts
@@ -7,6 +7,7 @@
 import { HomeRanking } from '../../src/state/routing/home-ranking.js';
 import { KeptPrefixes } from '../../src/state/routing/kept-prefixes.js';
 import { KeptBySalt, bestSource } from '../../src/state/routing/prompt-sources.js';
+import { engineRecord } from '../helpers/engine-record.js';
 
 const MODEL = 'model-a';
 const SERVICE = 'generation';
@@ -52,17 +53,7 @@
     const salt = cacheSaltOf(MODEL, 1, undefined);
     holders.forEach(({ zone, keptParts }, index) => {
       const id = `engine-${index}`;
-      registry.put({
-        id,
-        name: id,
-        bornMs: undefined,
-        service: SERVICE,
-        address: `${id}:1`,
-        zone: `zone-${zone}`,
-        slots: 8,
-        isDraining: false,
-        modelVersions: new Map([[MODEL, 1]]),
-      });
+      registry.put(engineRecord(id, undefined, { service: SERVICE, zone: `zone-${zone}` }));
       kept.notePrompt(id, salt, PARTS.slice(0, keptParts));
     });
     const reported = holders.flatMap(({ isReported }, index) =>
--- a/test/gateway/placement.test.ts
+++ b/test/gateway/placement.test.ts
@@ -17,6 +17,7 @@
 import { StorePressure, storePressure } from '../../src/state/routing/save-choice.js';
 import { StoreOutages } from '../../src/state/routing/store-outages.js';
 import { WeightVersions } from '../../src/state/routing/weight-versions.js';
+import { engineRecord } from '../helpers/engine-record.js';
 
 const hasher = await createHasher();
 const MODEL = 'model-a';
@@ -25,17 +26,9 @@
 function registryOf(engines: number): EngineRegistry {
   const registry = new EngineRegistry();
   for (let index = 0; index < engines; index += 1) {
-    registry.put({
-      id: `engine-${index}`,
-      name: `engine-${index}`,
-      bornMs: undefined,
-      service: 'generation',
-      address: `engine-${index}:1`,
-      zone: `zone-${index % 3}`,
-      slots: 16,
-      isDraining: false,
-      modelVersions: new Map([[MODEL, 1]]),
-    });
+    registry.put(
+      engineRecord(`engine-${index}`, undefined, { zone: `zone-${index % 3}`, slots: 16 }),
+    );
   }
   return registry;
 }
--- a/test/gateway/rejection.test.ts
+++ b/test/gateway/rejection.test.ts
@@ -14,6 +14,7 @@
 } from '../../src/state/routing/rejection.js';
 import { ReturnSchedule } from '../../src/state/routing/return-schedule.js';
 import { StoreOutages } from '../../src/state/routing/store-outages.js';
+import { engineRecord } from '../helpers/engine-record.js';
 
 const MODEL = 'model-a';
 const SHORTEST_MS = 100;
@@ -128,17 +129,7 @@
   });
   learnSlowAnswers(rejections, (sample) => rejections.noteEnd(MODEL, sample));
   const registry = new EngineRegistry();
-  const record = {
-    id: 'engine-1',
-    name: 'engine-1',
-    bornMs: undefined,
-    service: 'generation',
-    address: 'engine-1:1',
-    zone: 'zone-a',
-    slots: 8,
-    isDraining: false,
-    modelVersions: new Map([[MODEL, 1]]),
-  };
+  const record = engineRecord('engine-1', undefined);
   registry.put(record);
   const [engine] = registry.ofService('generation');
   if (!engine) throw new Error('no engine');
--- a/test/gateway/store-order.test.ts
+++ b/test/gateway/store-order.test.ts
@@ -16,6 +16,7 @@
 import { KIND, RelayWorld } from '../helpers/relay-world.js';
 import { EngineRegistry, type EngineRecord } from '../../src/state/routing/engine-registry.js';
 import { elapsedAt } from '../helpers/instants.js';
+import { engineRecord } from '../helpers/engine-record.js';
 
 const READY: StoredObject = { name: 'engine-1', revision: 8, spec: { isDraining: false } };
 const DRAINING: StoredObject = { name: 'engine-1', revision: 10, spec: { isDraining: true } };
@@ -121,17 +122,10 @@
 });
 
 test('an engine that drained takes no work when an old entry of it comes back', (t) => {
-  const record: EngineRecord = {
-    id: 'engine-1',
-    name: 'engine-1',
-    bornMs: undefined,
+  const record: EngineRecord = engineRecord('engine-1', undefined, {
     service: 'plain',
-    address: 'engine-1:1',
-    zone: 'zone-a',
-    slots: 8,
-    isDraining: false,
     modelVersions: new Map(),
-  };
+  });
   const registry = new EngineRegistry();
   registry.put({ ...record, isDraining: true });
   registry.remove(record.id);
--- a/test/gateway/weight-rollout.test.ts
+++ b/test/gateway/weight-rollout.test.ts
@@ -11,6 +11,7 @@
   planRollout,
 } from '../../src/state/routing/weight-rollout.js';
 import { WeightVersions } from '../../src/state/routing/weight-versions.js';
+import { engineRecord } from '../helpers/engine-record.js';
 
 const MODEL = 'model-a';
 const GRACE_MS = 9_000;
@@ -28,17 +29,9 @@
 
 function enginesOf(versions: readonly number[]): Engine[] {
   return versions.map((version, index) => ({
-    record: {
-      id: `engine-${index}`,
-      name: `engine-${index}`,
-      bornMs: undefined,
-      service: 'generation',
-      address: `engine-${index}:1`,
-      zone: 'zone-a',
-      slots: 8,
-      isDraining: false,
+    record: engineRecord(`engine-${index}`, undefined, {
       modelVersions: new Map([[MODEL, version]]),
-    },
+    }),
     observedVersions: new Map<string, number>(),
     observedOrders: undefined,
     isListed: true,
--- a/test/helpers/coordinator-world.ts
+++ b/test/helpers/coordinator-world.ts
@@ -18,7 +18,7 @@
 import { SendRate } from '../../src/state/routing/send-rate.js';
 import { StoreOutages } from '../../src/state/routing/store-outages.js';
 import { WeightVersions } from '../../src/state/routing/weight-versions.js';
-import { engineRecord } from './engine-list-world.js';
+import { engineRecord } from './engine-record.js';
 
 const MODEL = 'model-a';
 export const ANNOUNCEMENT_MS = 150;
--- a/test/helpers/engine-list-world.ts
+++ b/test/helpers/engine-list-world.ts
@@ -6,8 +6,6 @@
 import { OddEntries } from '../../src/coordination/gateway/odd-entries.js';
 import type { LogFields, Logger } from '../../src/runtime/logger.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
-import { incarnationOf } from '../../src/state/routing/engine-incarnation.js';
-import { type EngineRecord, EngineRegistry } from '../../src/state/routing/engine-registry.js';
 
 /** What a list is set up with. */
 export interface EngineListOptions {
@@ -69,23 +67,3 @@
     });
   }
 }
-
-/** An engine's record in one of its lives. */
-export function engineRecord(
-  name: string,
-  bornMs: number | undefined,
-  changes: Partial<EngineRecord> = {},
-): EngineRecord {
-  return {
-    id: incarnationOf(name, bornMs),
-    name,
-    bornMs,
-    service: 'generation',
-    address: `${name}:1`,
-    zone: 'zone-a',
-    slots: 8,
-    isDraining: false,
-    modelVersions: new Map([['model-a', 1]]),
-    ...changes,
-  };
-}
--- a/test/helpers/placement-world.ts
+++ b/test/helpers/placement-world.ts
@@ -17,6 +17,7 @@
 import { WeightVersions } from '../../src/state/routing/weight-versions.js';
 import { LoadShare } from '../../src/coordination/gateway/load-share.js';
 import { BatchingEngine } from './batching-engine.js';
+import { engineRecord } from './engine-record.js';
 
 /** A kind of generation that callers ask for. */
 export interface GenerationKind {
@@ -107,17 +108,9 @@
   private addEngine(index: number): void {
     const { zones } = this.scenario;
     const slowness = SLOWNESS[index % SLOWNESS.length] as number;
-    this.registry.put({
-      id: `engine-${index}`,
-      name: `engine-${index}`,
-      bornMs: undefined,
-      service: SERVICE,
-      address: `engine-${index}:1`,
-      zone: `zone-${Math.floor(index / SLOWNESS.length) % zones}`,
-      slots: SLOTS,
-      isDraining: false,
-      modelVersions: new Map([[MODEL, 1]]),
-    });
+    const zone = `zone-${Math.floor(index / SLOWNESS.length) % zones}`;
+    const changes = { service: SERVICE, zone, slots: SLOTS };
+    this.registry.put(engineRecord(`engine-${index}`, undefined, changes));
     this.engines.push(
       new BatchingEngine(this.clock, {
         slots: SLOTS,
