--- a/test/helpers/engine-list-world.ts
+++ b/test/helpers/engine-list-world.ts
@@ -6,6 +6,7 @@
 import { OddEntries } from '../../src/coordination/gateway/odd-entries.js';
 import type { LogFields, Logger } from '../../src/runtime/logger.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
+import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
 
 /** What a list is set up with. */
 export interface EngineListOptions {
