Read once more: one list of status codes, pauses reckoned only where they are awaited

Change: HttpStatus serves them, the pause is reckoned for engines-backing-off alone, one send, one SLACK_MS. Behaviour is the same.

--- a/soak/engine-fleet.ts
+++ b/soak/engine-fleet.ts
@@ -3,7 +3,7 @@
 import { fileURLToPath } from 'node:url';
 import type { Observations } from './deployment.js';
 import { listeningPort } from './listening-port.js';
-import type { EngineBehavior, EngineReport } from './messages.js';
+import type { EngineBehavior, EngineCommand, EngineReport } from './messages.js';
 import { ProxyMode, TcpProxy } from './tcp-proxy.js';
 import { Service } from './wire.js';
 
@@ -64,20 +64,19 @@
   }
 
   behave(engine: Engine, behavior: EngineBehavior): void {
-    if (engine.child.connected) engine.child.send({ kind: 'behave', behavior });
+    send(engine, { kind: 'behave', behavior });
   }
 
   /** The engine refuses and asks for pauses; 0 ms ends that. */
   askPause(engine: Engine, backoffMs: number): void {
-    if (engine.child.connected) engine.child.send({ kind: 'ask-pause', backoffMs });
+    send(engine, { kind: 'ask-pause', backoffMs });
   }
 
   /** The engine leaves as planned, and another takes its place. */
   async replace(engine: Engine): Promise<void> {
     engine.isLeaving = true;
     await this.add(engine.service);
-    // It may have ended while its successor started.
-    if (engine.child.connected) engine.child.send({ kind: 'drain' });
+    send(engine, { kind: 'drain' });
   }
 
   /** The engine's process is killed, and another engine takes its place. */
@@ -198,6 +197,11 @@
   }
 }
 
+/** An engine's process may have ended meanwhile, and then nobody takes the command. */
+function send({ child }: Engine, command: EngineCommand): void {
+  if (child.connected) child.send(command);
+}
+
 /** Engines that hold the model, with the versions that they have at the end. */
 export function weightsOf(engines: readonly Engine[]): { name: string; version: number }[] {
   return engines
--- a/soak/engine-program.ts
+++ b/soak/engine-program.ts
@@ -5,6 +5,7 @@
  */
 import { type IncomingMessage, type ServerResponse, createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { HttpStatus } from '../src/protocol/http-status.js';
 import {
   CRASHING_BODY,
   EngineBehavior,
@@ -24,7 +25,6 @@
 /** An engine that leaves serves on for this long after the store knows. */
 const SERVES_ON_MS = 9_000;
 const CRASH_DELAY_MS = 40;
-const STATUS_TURNED_AWAY = 503;
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Start of this life. */
@@ -80,7 +80,7 @@
 }
 
 function refuse(response: ServerResponse, status: number, requestId: string): void {
-  const isPauseAsked = status === STATUS_TURNED_AWAY && backoffMs > 0;
+  const isPauseAsked = status === HttpStatus.Unavailable && backoffMs > 0;
   tellNotice(response, requestId, isPauseAsked ? backoffMs : 0);
   response.writeHead(status, {
     [WireHeader.notExecuted]: '1',
@@ -101,16 +101,15 @@
 
 /** Status with which a request is refused, not run; undefined where it runs. */
 function refusalOf({ headers }: IncomingMessage): number | undefined {
-  const MISDIRECTED = 421;
   const expectedId = headers[WireHeader.expectInstance];
-  if (expectedId !== undefined && expectedId !== name) return MISDIRECTED;
+  if (expectedId !== undefined && expectedId !== name) return HttpStatus.Misdirected;
   const expectedVersion = headers[WireHeader.expectVersion];
   if (expectedVersion !== undefined && Number(expectedVersion) !== weightsVersion) {
-    return MISDIRECTED;
+    return HttpStatus.Misdirected;
   }
-  if (backoffMs > 0) return STATUS_TURNED_AWAY;
+  if (backoffMs > 0) return HttpStatus.Unavailable;
   const hasNoPlace = running >= SLOTS || loading !== undefined;
-  return hasNoPlace || behavior === EngineBehavior.Busy ? STATUS_TURNED_AWAY : undefined;
+  return hasNoPlace || behavior === EngineBehavior.Busy ? HttpStatus.Unavailable : undefined;
 }
 
 async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/soak/notice-oracle.ts
+++ b/soak/notice-oracle.ts
@@ -3,12 +3,10 @@
 import type { CallRecord } from './callers.js';
 import type { ReportedNotice } from './messages.js';
 import type { Breach, SoakRecord } from './oracle.js';
-import { BOUNDS, DisturbanceKind, type RouterProcess } from './router-process.js';
+import { BOUNDS, DisturbanceKind, type RouterProcess, SLACK_MS } from './router-process.js';
 
 /** Requests that were on their way when an engine asked for a pause arrive within this time. */
 const ON_THE_WAY_MS = 500;
-/** Bounds are met with this much more on a machine that is busy with many processes. */
-const SLACK_MS = 1_500;
 /** Requests that a router may send to an engine all the same while a pause lasts. */
 const MAXIMUM_IN_PAUSE = 2;
 
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -4,7 +4,7 @@
 import type { ReportedRun } from './messages.js';
 import { judgeNotices } from './notice-oracle.js';
 import { ODD_NAME } from './odd-entries.js';
-import { BOUNDS, DisturbanceKind, type RouterProcess } from './router-process.js';
+import { BOUNDS, DisturbanceKind, type RouterProcess, SLACK_MS } from './router-process.js';
 import { STREAM_EVENTS } from './stream-events.js';
 
 /** The promises that are judged. */
@@ -47,8 +47,6 @@
   readonly callsAtRest: readonly CallRecord[];
 }
 
-/** Bounds are met with this much more on a machine that is busy with many processes. */
-const SLACK_MS = 1_500;
 /** A router is held to its bounds again this long after a disturbance. */
 const CONTACT_MS = BOUNDS.contact_ms + SLACK_MS;
 /** The directory may name a router that is down for this long. */
--- a/soak/router-process.ts
+++ b/soak/router-process.ts
@@ -49,6 +49,9 @@
   grace_s: 8,
 } as const;
 
+/** Bounds are met with this much more on a machine that is busy with many processes. */
+export const SLACK_MS = 1_500;
+
 /** A router's machine. */
 export class RouterProcess {
   private child: ChildProcess | undefined;
--- a/src/coordination/gateway/failed-send.ts
+++ b/src/coordination/gateway/failed-send.ts
@@ -1,11 +1,9 @@
 /** What a failed send shows about its engine, and whether the request may have run. */
+import { HttpStatus } from '../../protocol/http-status.js';
 import type { ExchangeFailure } from '../../protocol/inference/port.js';
 import { RejectionReason } from '../../state/routing/rejection.js';
 import type { GatewayContext } from './gateway-context.js';
 
-/** Status by which an engine says that it is another than the one named, or has other weights. */
-const MISDIRECTED = 421;
-
 /** Notes the failure at the engine; answers whether the request may have run there. */
 export function noteFailedSend(
   engineId: string,
@@ -48,5 +46,5 @@
 }
 
 function isMisdirected(failure: ExchangeFailure): boolean {
-  return failure.kind === 'refused' && failure.status === MISDIRECTED;
+  return failure.kind === 'refused' && failure.status === HttpStatus.Misdirected;
 }
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -8,7 +8,12 @@
   SendOptions,
 } from '../../protocol/inference/port.js';
 import type { CacheStore, Service } from '../../state/routing/configuration.js';
-import { type Placement, placeRequest } from '../../state/routing/placement.js';
+import {
+  type Placement,
+  type PlacementFailure,
+  placeRequest,
+} from '../../state/routing/placement.js';
+import { RejectionReason } from '../../state/routing/rejection.js';
 import { StorePressure, storePressure } from '../../state/routing/save-choice.js';
 import { BeginWatch } from './begin-watch.js';
 import { noteEngineNotice } from './engine-notices.js';
@@ -53,9 +58,16 @@
   );
 }
 
-/** Time until an engine of the service takes requests of this router again, in milliseconds; 0 where one does. */
-export function shortestBackoffMs(service: Service, context: GatewayContext): number {
-  const { registry, health, clock } = context;
+/**
+ * Time until an engine of the service takes requests of this router again, in milliseconds; undefined where a
+ * placement failed for another reason than pauses.
+ */
+export function awaitedBackoffMs(
+  reason: PlacementFailure,
+  service: Service,
+  { registry, health, clock }: GatewayContext,
+): number | undefined {
+  if (reason !== RejectionReason.EnginesBackingOff) return undefined;
   const names = registry.readyOf(service.name).map(({ record }) => record.name);
   return health.backoffs.shortestMs(names, clock.now());
 }
--- a/src/lab/gateway-world/simulated-exchange.ts
+++ b/src/lab/gateway-world/simulated-exchange.ts
@@ -8,6 +8,7 @@
   ForwardedRequest,
   SendOptions,
 } from '../../protocol/inference/port.js';
+import { HttpStatus } from '../../protocol/http-status.js';
 import type { Clock } from '../../runtime/clock.js';
 import type { HostClock } from '../simulation/host-clock.js';
 import {
@@ -23,7 +24,6 @@
 /** Time on the way between a router and an engine. */
 export const WAY_MS = 1;
 const PIECE_MS = 8;
-const STATUS_TURNED_AWAY = 503;
 
 /** One send, from both sides. */
 export class SimulatedExchange implements Exchange, RunningRequest {
@@ -102,7 +102,7 @@
   }
 
   refuse(status: number): void {
-    if (status === STATUS_TURNED_AWAY) this.tellNotice(true);
+    if (status === HttpStatus.Unavailable) this.tellNotice(true);
     this.deliverLast(() =>
       this.listener.onFailure({ kind: 'refused', status, reason: `refused-${status}` }),
     );
