Log the limits that engines name in their answers

Change: the header is decoded into the engine's notice; what a router believes is kept in a table, logged where it changes (engine_limit, engine_limit_lifted), counted, and part of a request's story. An answer without a limit counts only where its request was sent after the last one that named it came: answers overtake one another. Values that can't be read are logged instead of dropped: one case of the exchange test expected no notice there and now expects the value that could not be read, which is stricter. Nothing is decided by it yet.

--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -46,8 +46,8 @@
     name: 'pauses that engines ask for are passed over',
     promise: 'backoff-kept',
     file: 'src/coordination/gateway/engine-notices.ts',
-    text: 'if (backoffMs === undefined) return;',
-    replacement: 'if (backoffMs !== -1) return;',
+    text: 'if (backoffMs !== undefined) {',
+    replacement: 'if (backoffMs === -1) {',
   },
   {
     name: 'proofs of the configuration hold for ever',
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -19,6 +19,10 @@
   enginesLeaving = 0;
   /** Refusals in which an engine asked for a pause. */
   backoffNotices = 0;
+  /** Limits on requests a second that engines named, changed or lifted. */
+  limitChanges = 0;
+  /** Answers in which what an engine says of itself can't be read. */
+  unreadableNotices = 0;
   unknownOutcomes = 0;
   cutAnswers = 0;
   staleProofRefusals = 0;
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -16,7 +16,7 @@
 import { RejectionReason } from '../../state/routing/rejection.js';
 import { StorePressure, storePressure } from '../../state/routing/save-choice.js';
 import { BeginWatch } from './begin-watch.js';
-import { noteEngineNotice } from './engine-notices.js';
+import { noteEngineNotice, noteNoLimit } from './engine-notices.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { GenerationShape } from '../../state/routing/generation.js';
 import { LoadShare } from './load-share.js';
@@ -121,6 +121,7 @@
   private firstChunkMs: number | undefined;
   private lastChunkMs: number | undefined;
   private chunks = 0;
+  private isLimitNamed = false;
   private isOver = false;
 
   constructor(
@@ -143,12 +144,14 @@
   }
 
   onNotice(notice: EngineNotice): void {
+    this.isLimitNamed ||= notice.limitPerSecond !== undefined;
     noteEngineNotice(this.placement.engine.record, this.request.id, notice, this.context);
   }
 
   onHead(head: AnswerHead): void {
     if (this.isOver) return;
     this.headMs = this.context.clock.now();
+    this.noteLimitOf(head);
     this.events.onHead(this, head);
   }
 
@@ -206,6 +209,12 @@
     return this.placement.cacheSalt === undefined ? undefined : this.request.generation;
   }
 
+  /** Only an answer that the engine attests is sure to be its own word. */
+  private noteLimitOf({ isAttested }: AnswerHead): void {
+    if (!isAttested || this.isLimitNamed) return;
+    noteNoLimit(this.placement.engine.record, this.request.id, this.sentMs, this.context);
+  }
+
   /** Generations run on weights, and these may run out of their time before the engine begins. */
   private watchBeginning(): BeginWatch | undefined {
     const { generation, context } = this;
--- a/src/lab/gateway-world/simulated-engine.ts
+++ b/src/lab/gateway-world/simulated-engine.ts
@@ -91,6 +91,8 @@
   isDraining = false;
   /** Where it refuses, it wants no requests of that router for so long; undefined: it does not say. */
   backoffMs: number | undefined;
+  /** Requests a second that it takes from all routers together; undefined: it names no limit. */
+  limitPerSecond: number | undefined;
   readonly running = new Set<RunningRequest>();
   /** Called when it has crashed. */
   onCrashed: () => void = () => undefined;
@@ -141,8 +143,9 @@
   /** What an answer tells of the engine; undefined where it tells nothing. */
   noticeWith(isRefusal: boolean): EngineNotice | undefined {
     const backoffMs = isRefusal ? this.backoffMs : undefined;
-    if (!this.isDraining && backoffMs === undefined) return undefined;
-    return { isLeaving: this.isDraining, backoffMs };
+    const { isDraining: isLeaving, limitPerSecond } = this;
+    if (!isLeaving && backoffMs === undefined && limitPerSecond === undefined) return undefined;
+    return { isLeaving, backoffMs, limitPerSecond, unreadable: [] };
   }
 
   /** Ends at once; what it was working on breaks off. */
--- a/src/operator/request-story.ts
+++ b/src/operator/request-story.ts
@@ -24,6 +24,8 @@
   'engine_reborn',
   'engine_leaving',
   'engine_backoff',
+  'engine_limit',
+  'engine_limit_lifted',
   'weights_ordered',
   'weights_loaded',
 ]);
--- a/src/protocol/inference/port.ts
+++ b/src/protocol/inference/port.ts
@@ -78,6 +78,10 @@
   readonly isLeaving: boolean;
   /** It wants no requests of this router for so long, in milliseconds; undefined where it asks for no pause. */
   readonly backoffMs: number | undefined;
+  /** Requests a second that it takes from all routers together; undefined where it names no limit. */
+  readonly limitPerSecond: number | undefined;
+  /** Values of these that can't be read. */
+  readonly unreadable: readonly string[];
 }
 
 /**
--- a/src/state/routing/engine-health.ts
+++ b/src/state/routing/engine-health.ts
@@ -1,6 +1,7 @@
 /** What answers tell of an engine's health: how long it is left alone after failures and at its own wish. */
 
 import { EngineBackoffs } from './engine-backoffs.js';
+import { EngineLimits } from './engine-limits.js';
 
 interface Health {
   /** Moving share of failures among the last answers, 0 to 1. */
@@ -34,6 +35,7 @@
 /** Health of all engines, by incarnation. */
 export class EngineHealth {
   readonly backoffs = new EngineBackoffs();
+  readonly limits = new EngineLimits();
   private readonly engines = new Map<string, Health>();
   private readonly loadingUntilMs = new Map<string, number>();
 
--- a/test/platform/engine-exchange.test.ts
+++ b/test/platform/engine-exchange.test.ts
@@ -183,6 +183,13 @@
   readonly expected: EngineNotice | undefined;
 }
 
+const NO_NOTICE: EngineNotice = {
+  isLeaving: false,
+  backoffMs: undefined,
+  limitPerSecond: undefined,
+  unreadable: [],
+};
+
 const NOTICE_CASES: readonly NoticeCase[] = [
   {
     title: 'an answer with nothing of the engine',
@@ -192,26 +199,46 @@
   {
     title: 'an answer of an engine that leaves',
     head: `200 OK\r\nX-Peatspan-Attempt-Id: request-1\r\nServer-Leaving: 1\r\n`,
-    expected: { isLeaving: true, backoffMs: undefined },
+    expected: { ...NO_NOTICE, isLeaving: true },
   },
   {
     title: 'a failure of an engine that leaves',
     head: `500 Failed\r\nX-Peatspan-Attempt-Id: request-1\r\nServer-Leaving: 1\r\n`,
-    expected: { isLeaving: true, backoffMs: undefined },
+    expected: { ...NO_NOTICE, isLeaving: true },
   },
   {
     title: 'a refusal that asks for a pause',
     head: `503 Full\r\n${REFUSED}Retry-After: 2.5\r\n`,
-    expected: { isLeaving: false, backoffMs: 2_500 },
+    expected: { ...NO_NOTICE, backoffMs: 2_500 },
   },
   {
     title: 'a refusal that asks for a pause, of an engine that leaves',
     head: `503 Full\r\n${REFUSED}Retry-After: 3\r\nServer-Leaving: 1\r\n`,
-    expected: { isLeaving: true, backoffMs: 3_000 },
+    expected: { ...NO_NOTICE, isLeaving: true, backoffMs: 3_000 },
   },
   {
     title: 'a refusal without a readable time',
     head: `503 Full\r\n${REFUSED}Retry-After: soon\r\n`,
+    expected: { ...NO_NOTICE, unreadable: ['soon'] },
+  },
+  {
+    title: 'an answer that names a limit',
+    head: `200 OK\r\nX-Peatspan-Attempt-Id: request-1\r\nServer-Limit: 1.6\r\n`,
+    expected: { ...NO_NOTICE, limitPerSecond: 1.6 },
+  },
+  {
+    title: 'a refusal that names a limit of nothing',
+    head: `503 Full\r\n${REFUSED}Server-Limit: 0\r\n`,
+    expected: { ...NO_NOTICE, limitPerSecond: 0 },
+  },
+  {
+    title: 'an answer with a limit that is no number',
+    head: `200 OK\r\nX-Peatspan-Attempt-Id: request-1\r\nServer-Limit: few\r\n`,
+    expected: { ...NO_NOTICE, unreadable: ['few'] },
+  },
+  {
+    title: 'a limit of another engine at the address',
+    head: `421 Other\r\n${REFUSED}Server-Limit: 1.6\r\n`,
     expected: undefined,
   },
   {
