Share the requests that a limited engine takes by turns

Change: turns come at the engine's rate by the time of day; all routers reckon the same owner for each from the list of members; an engine without a turn of this router is no candidate, whatever else is left. Where no engine is left, callers are rejected at once (engines-limited) with the time until the next turn. Why it holds: one schedule is shared out, whatever the size of the group, so that all together send what it holds; unused turns lapse; no message is needed, so a lost one, a cut or a restart costs turns and gains none. The two known failures are taken off. engine-backoffs.test.ts: the shortest pause is asked of EngineHealth, which knows limits too; same figures, one case more.

--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -65,6 +65,7 @@
         stores: [],
         storePressure: StorePressure.High,
         connectionShare: 16,
+        turns: { wallMs: 0, interval: undefined },
       },
       tables,
       0,
--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -14,6 +14,7 @@
   type RetryBudgetSettings,
   SharedRetryBudget,
 } from '../../state/routing/shared-retry-budget.js';
+import type { TurnView } from '../../state/routing/send-turns.js';
 import type { TrafficSplit } from '../../state/routing/traffic-split.js';
 import type { WeightVersions } from '../../state/routing/weight-versions.js';
 import type { CrashProtection } from './crash-protection.js';
@@ -62,6 +63,8 @@
   readonly ownTokenRate: SendRate;
   /** Share of the group's requests that come to this router, above 0 to 1. */
   shareOfTraffic(): number;
+  /** What this router's turns at limited engines are decided by, now. */
+  turnView(this: void): TurnView;
   readonly split: TrafficSplit;
   readonly retryBudgets: ServiceRetryBudgets;
   readonly group: GroupView;
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -168,6 +168,7 @@
       requestRate: this.requestRate,
       ownTokenRate: this.ownTokenRate,
       shareOfTraffic: () => this.trafficShare.now,
+      turnView: () => ({ wallMs: clock.wallNow(), interval: this.trafficShare.interval }),
       split: this.split,
       retryBudgets: new ServiceRetryBudgets(settings.retryBudget),
       crashes: this.crashes,
--- a/src/coordination/gateway/rejections.ts
+++ b/src/coordination/gateway/rejections.ts
@@ -32,8 +32,8 @@
   readonly priority: number;
   /** By how much the estimate passes what it may be, in milliseconds. */
   readonly excessMs?: number | undefined;
-  /** Time until the first engine that asked for a pause takes requests again, in milliseconds. */
-  readonly backoffMs?: number | undefined;
+  /** Time until the first engine that paused or limits requests takes one of this router, in milliseconds. */
+  readonly engineWaitMs?: number | undefined;
 }
 
 /** What is known of a rejection besides its reason; the priority where the request was granted nothing. */
@@ -88,14 +88,14 @@
   }
 
   /** The answer to a request of which nothing ran. */
-  answer({ reason, service, priority, excessMs = 0, backoffMs = 0 }: Rejected): OwnAnswer {
+  answer({ reason, service, priority, excessMs = 0, engineWaitMs = 0 }: Rejected): OwnAnswer {
     const { clock, outages } = this.parts;
     const now = clock.now();
     const facts = {
       reason,
       priority,
       excessMs,
-      backoffMs,
+      engineWaitMs,
       finishesPerSecond: this.finishes.perSecond(service, now),
       storeOutMs: outages.outForMs(now),
       hasPeers: this.parts.hasPeers(),
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -27,7 +27,7 @@
 import type { QuotaDenial } from './quota/tenant-quotas.js';
 import type { InboundRequest, OwnAnswer, Reply } from './reply.js';
 import type { RejectionDetails } from './rejections.js';
-import { Send, type SendEvents, placeCall, sendOptionsOf, awaitedBackoffMs } from './send.js';
+import { Send, type SendEvents, placeCall, sendOptionsOf, engineWaitMs } from './send.js';
 
 /** Connections that may fail for one request before it is refused. */
 const MAXIMUM_CONNECT_FAILURES = 3;
@@ -192,7 +192,7 @@
   }
 
   private rejectUnplaced(reason: PlacementFailure, service: Service): void {
-    this.reject(reason, { backoffMs: awaitedBackoffMs(reason, service, this.context) });
+    this.reject(reason, { engineWaitMs: engineWaitMs(reason, service, this.context) });
   }
 
   /** Sends if the tenant's limit allows it. */
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -52,6 +52,7 @@
       stores,
       storePressure: pressureOf(request, stores, context),
       connectionShare,
+      turns: context.turnView(),
     },
     context,
     context.clock.now(),
@@ -60,16 +61,18 @@
 
 /**
  * Time until an engine of the service takes requests of this router again, in milliseconds; undefined where a
- * placement failed for another reason than pauses.
+ * placement failed for another reason than pauses and limits.
  */
-export function awaitedBackoffMs(
+export function engineWaitMs(
   reason: PlacementFailure,
   service: Service,
-  { registry, health, clock }: GatewayContext,
+  { registry, health, clock, turnView }: GatewayContext,
 ): number | undefined {
-  if (reason !== RejectionReason.EnginesBackingOff) return undefined;
+  const isAwaited =
+    reason === RejectionReason.EnginesBackingOff || reason === RejectionReason.EnginesLimited;
+  if (!isAwaited) return undefined;
   const names = registry.readyOf(service.name).map(({ record }) => record.name);
-  return health.backoffs.shortestMs(names, clock.now());
+  return health.shortestWaitMs(names, clock.now(), turnView());
 }
 
 /** Reckoned from this router's own prompts and its share of the group's requests. */
@@ -131,7 +134,8 @@
     private readonly events: SendEvents,
     private readonly context: GatewayContext,
   ) {
-    const { id } = placement.engine.record;
+    const { id, name } = placement.engine.record;
+    context.health.limits.noteSend(name, context.turnView());
     this.load = new LoadShare(context.loads, id, this.generation, placement.unreadTokens);
     context.statistics.sends += 1;
     this.sentMs = context.clock.now();
--- a/src/state/routing/engine-backoffs.ts
+++ b/src/state/routing/engine-backoffs.ts
@@ -21,11 +21,6 @@
     return Math.max(0, (this.untilMs.get(engineName) ?? -Infinity) - nowMs);
   }
 
-  /** Time until the first pause of these engines is over, in milliseconds; 0 where one has none, Infinity for no engines. */
-  shortestMs(engineNames: readonly string[], nowMs: number): number {
-    return Math.min(...engineNames.map((name) => this.remainingMs(name, nowMs)));
-  }
-
   private forgetEnded(nowMs: number): void {
     for (const [name, untilMs] of this.untilMs) if (untilMs <= nowMs) this.untilMs.delete(name);
   }
--- a/src/state/routing/engine-health.ts
+++ b/src/state/routing/engine-health.ts
@@ -2,6 +2,7 @@
 
 import { EngineBackoffs } from './engine-backoffs.js';
 import { EngineLimits } from './engine-limits.js';
+import type { TurnView } from './send-turns.js';
 
 interface Health {
   /** Moving share of failures among the last answers, 0 to 1. */
@@ -103,6 +104,17 @@
     return nowMs < (this.engines.get(engineId)?.avoidedUntilMs ?? -Infinity);
   }
 
+  /**
+   * Time until the first of these engines takes a request of this router, by pauses and limits, in milliseconds; 0 where
+   * one does now, Infinity for no engines.
+   */
+  shortestWaitMs(engineNames: readonly string[], nowMs: number, turns: TurnView): number {
+    const waitsMs = engineNames.map((name) =>
+      Math.max(this.backoffs.remainingMs(name, nowMs), this.limits.waitMs(name, turns)),
+    );
+    return Math.min(...waitsMs);
+  }
+
   /** Moving share of failures, 0 where nothing is known. */
   failureShare(engineId: string): number {
     return this.engines.get(engineId)?.failureShare ?? 0;
--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -17,6 +17,7 @@
 } from './prompt-sources.js';
 import { RejectionReason } from './rejection.js';
 import type { StorePressure } from './save-choice.js';
+import type { TurnView } from './send-turns.js';
 import type { WeightVersions } from './weight-versions.js';
 
 /** What a placement is decided from. */
@@ -35,6 +36,8 @@
   readonly storePressure: StorePressure;
   /** Requests this router may have at one engine at once. */
   readonly connectionShare: number;
+  /** Decides which limited engines this router may send to now. */
+  readonly turns: TurnView;
 }
 
 /** The chosen engine and how the request is sent there. */
@@ -54,7 +57,10 @@
 
 /** Why no engine was chosen. */
 export type PlacementFailure =
-  RejectionReason.NoEngine | RejectionReason.EnginesBackingOff | RejectionReason.AllBusy;
+  | RejectionReason.NoEngine
+  | RejectionReason.EnginesBackingOff
+  | RejectionReason.EnginesLimited
+  | RejectionReason.AllBusy;
 
 /** The tables a placement reads. */
 export interface PlacementTables {
@@ -103,8 +109,10 @@
   const considered = narrowEngines(request, prompt, tables);
   const allowed = considered.filter((engine) => isAllowed(engine, request, tables, nowMs));
   if (allowed.length === 0) return RejectionReason.NoEngine;
-  const willing = allowed.filter((engine) => isWilling(engine, tables, nowMs));
-  if (willing.length === 0) return RejectionReason.EnginesBackingOff;
+  const unpaused = allowed.filter((engine) => !isBackingOff(engine, tables, nowMs));
+  if (unpaused.length === 0) return RejectionReason.EnginesBackingOff;
+  const willing = unpaused.filter((engine) => isWithinLimit(engine, request, tables));
+  if (willing.length === 0) return RejectionReason.EnginesLimited;
   const usable = usableEngines(willing, tables, nowMs);
   const open = usable.filter(
     (engine) => tables.loads.ownRequestsAt(engine.record.id) < request.connectionShare,
@@ -125,7 +133,8 @@
   const subject = subjectOf(generation);
   const isSound = (engine: Engine): boolean =>
     isAllowed(engine, request, tables, nowMs) &&
-    isWilling(engine, tables, nowMs) &&
+    !isBackingOff(engine, tables, nowMs) &&
+    isWithinLimit(engine, request, tables) &&
     !tables.health.isAvoided(engine.record.id, nowMs);
   const nameOf = (engine: Engine): string => engine.record.name;
   const homes = tables.homes.firstFit(subject, candidates, nameOf, HOMES_WEIGHED, isSound);
@@ -180,8 +189,20 @@
  * is left. Left alone for a fixed 150 ms, one got up to 13 requests of a router in the 3 s that it had asked
  * for (simulated deployment of 3 routers and 5 engines).
  */
-function isWilling({ record }: Engine, { health }: PlacementTables, nowMs: number): boolean {
-  return health.backoffs.remainingMs(record.name, nowMs) === 0;
+function isBackingOff({ record }: Engine, { health }: PlacementTables, nowMs: number): boolean {
+  return health.backoffs.remainingMs(record.name, nowMs) > 0;
+}
+
+/**
+ * A limit that an engine named is no preference either: passed over, engines got 28 to 34 requests in 4 s where 12 are
+ * tolerated (simulated deployment of 3 routers and 5 engines that take 1.2 a second).
+ */
+function isWithinLimit(
+  { record }: Engine,
+  { turns }: PlacementRequest,
+  { health }: PlacementTables,
+): boolean {
+  return health.limits.maySend(record.name, turns);
 }
 
 function isAllowed(
--- a/src/state/routing/rejection.ts
+++ b/src/state/routing/rejection.ts
@@ -17,6 +17,8 @@
   NoEngine = 'no-engine',
   /** Every engine that could serve it asked this router for a pause. */
   EnginesBackingOff = 'engines-backing-off',
+  /** Every engine that could serve it takes a limited number of requests a second, and none more of this router now. */
+  EnginesLimited = 'engines-limited',
   /** This router's share of each engine's connections is in use. */
   AllBusy = 'all-busy',
   /** The engines that were asked had no place. */
@@ -39,8 +41,8 @@
   readonly finishesPerSecond: number;
   /** By how much the estimate passes what it may be; 0 where there is none. */
   readonly excessMs: number;
-  /** Time until the first engine that asked for a pause takes requests again; 0 where none asked. */
-  readonly backoffMs: number;
+  /** Time until the first engine that paused or limits requests takes one of this router; 0 where none does. */
+  readonly engineWaitMs: number;
   /** For how long the store has been out of reach; 0 while it is not. */
   readonly storeOutMs: number;
   /** Whether other routers respond: one of them may do what this one can't. */
@@ -110,7 +112,8 @@
   [RejectionReason.TooLate]: ({ excessMs }) => excessMs,
   [RejectionReason.NoService]: () => SHORT_WORK_MS,
   [RejectionReason.NoEngine]: () => SHORT_WORK_MS,
-  [RejectionReason.EnginesBackingOff]: ({ backoffMs }) => backoffMs,
+  [RejectionReason.EnginesBackingOff]: ({ engineWaitMs }) => engineWaitMs,
+  [RejectionReason.EnginesLimited]: ({ engineWaitMs }) => engineWaitMs,
   [RejectionReason.EnginesUnreachable]: () => SHORT_WORK_MS,
   [RejectionReason.AllBusy]: () => SHORTEST_MS,
   [RejectionReason.EnginesFull]: () => SHORTEST_MS,
@@ -122,6 +125,7 @@
   return (
     reason === RejectionReason.AllBusy ||
     reason === RejectionReason.EnginesBackingOff ||
+    reason === RejectionReason.EnginesLimited ||
     reason === RejectionReason.EnginesFull ||
     reason === RejectionReason.TooLate
   );
--- a/test/gateway/engine-backoffs.test.ts
+++ b/test/gateway/engine-backoffs.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import { EngineBackoffs } from '../../src/state/routing/engine-backoffs.js';
+import { EngineHealth } from '../../src/state/routing/engine-health.js';
 import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
 import { engineRecord } from '../helpers/engine-record.js';
 
@@ -17,6 +18,9 @@
   forMs: fc.integer({ min: 0, max: 10_000 }),
 });
 
+/** A router that is alone in its group. */
+const ALONE = { wallMs: 1_000_000, interval: { from: 0, to: 1 } };
+
 test('a pause lasts until the latest time that the engine has asked for', (t) => {
   const property = fc.property(fc.array(anyWish, { maxLength: 40 }), (wishes) => {
     const backoffs = new EngineBackoffs();
@@ -35,11 +39,23 @@
 });
 
 test('the shortest pause of several engines counts, and one without any counts as over', (t) => {
-  const backoffs = new EngineBackoffs();
-  backoffs.note('engine-1', 0, 3_000);
-  backoffs.note('engine-2', 0, 1_000);
-  t.is(backoffs.shortestMs(['engine-1', 'engine-2'], 200), 800);
-  t.is(backoffs.shortestMs(['engine-1', 'engine-3'], 200), 0);
+  const health = new EngineHealth();
+  health.backoffs.note('engine-1', 0, 3_000);
+  health.backoffs.note('engine-2', 0, 1_000);
+  t.is(health.shortestWaitMs(['engine-1', 'engine-2'], 200, ALONE), 800);
+  t.is(health.shortestWaitMs(['engine-1', 'engine-3'], 200, ALONE), 0);
+  t.is(health.shortestWaitMs([], 200, ALONE), Infinity);
+});
+
+test('a limited engine is awaited until its pause is over and a turn is due', (t) => {
+  const health = new EngineHealth();
+  health.limits.noteNamed('engine-1', 0.5, 0);
+  while (health.limits.maySend('engine-1', ALONE)) health.limits.noteSend('engine-1', ALONE);
+  const turnMs = health.limits.waitMs('engine-1', ALONE);
+  t.true(turnMs > 0 && turnMs <= 2_000);
+  t.is(health.shortestWaitMs(['engine-1'], 0, ALONE), turnMs);
+  health.backoffs.note('engine-1', 0, 5_000);
+  t.is(health.shortestWaitMs(['engine-1'], 0, ALONE), 5_000);
 });
 
 test('an engine that says it leaves takes no work again, whatever its entry says later', (t) => {
--- a/test/gateway/engine-limits.test.ts
+++ b/test/gateway/engine-limits.test.ts
@@ -20,7 +20,8 @@
 
 const SEEDS = [1, 2, 3];
 const STEP_MS = 20;
-const LIMITED_MS = 12_000;
+const LIMITED_S = 12;
+const LIMITED_MS = LIMITED_S * 1_000;
 const LIMIT_PER_SECOND = 1.2;
 /** The places of the engines in the order of their first starts. */
 const GENERATION_ENGINE = 0;
@@ -48,7 +49,7 @@
   return requests.filter(({ reply }) => reply.status === 200).length / requests.length;
 }
 
-test.failing('engines that name a limit get no more while others serve', async (t) => {
+test('engines that name a limit get no more while others serve', async (t) => {
   for (const seed of SEEDS) {
     const world = await GatewayWorld.create(seed);
     for (const index of [GENERATION_ENGINE, PLAIN_ENGINE]) {
@@ -60,17 +61,16 @@
   }
 });
 
-test.failing(
-  'engines that all name a limit get no more, and callers are told to come back',
-  async (t) => {
-    for (const seed of SEEDS) {
-      const world = await GatewayWorld.create(seed);
-      for (let index = 0; index < ENGINES; index += 1) world.limitEngine(index, LIMIT_PER_SECOND);
-      await sendFor(world, LIMITED_MS);
-      t.deepEqual(findBreaches(world), []);
-      const own = world.requests.flatMap(({ reply }) => reply.own ?? []);
-      t.true(own.length > 0);
-      t.true(own.every(({ status, retryAfterMs }) => status === 503 && (retryAfterMs ?? 0) > 0));
-    }
-  },
-);
+test('engines that all name a limit get no more, and callers are told to come back', async (t) => {
+  for (const seed of SEEDS) {
+    const world = await GatewayWorld.create(seed);
+    for (let index = 0; index < ENGINES; index += 1) world.limitEngine(index, LIMIT_PER_SECOND);
+    await sendFor(world, LIMITED_MS);
+    t.deepEqual(findBreaches(world), []);
+    const share = world.observations.arrivals.length / (ENGINES * LIMIT_PER_SECOND * LIMITED_S);
+    t.true(share > 0.8, `${share} of what the engines take`);
+    const own = world.requests.flatMap(({ reply }) => reply.own ?? []);
+    t.true(own.length > 0);
+    t.true(own.every(({ status, retryAfterMs }) => status === 503 && (retryAfterMs ?? 0) > 0));
+  }
+});
--- a/test/gateway/placement.test.ts
+++ b/test/gateway/placement.test.ts
@@ -78,6 +78,7 @@
       },
     ],
     connectionShare: 10,
+    turns: { wallMs: 0, interval: undefined },
   };
 }
 
--- a/test/gateway/rejection.test.ts
+++ b/test/gateway/rejection.test.ts
@@ -25,7 +25,7 @@
   priority: fc.integer({ min: 0, max: 9 }),
   finishesPerSecond: fc.double({ min: 0, max: 500, noNaN: true }),
   excessMs: fc.double({ min: 0, max: 20_000, noNaN: true }),
-  backoffMs: fc.double({ min: 0, max: 60_000, noNaN: true }),
+  engineWaitMs: fc.double({ min: 0, max: 60_000, noNaN: true }),
   storeOutMs: fc.double({ min: 0, max: 60_000, noNaN: true }),
   hasPeers: fc.boolean(),
 });
@@ -86,7 +86,7 @@
     priority: 1,
     finishesPerSecond: 10,
     excessMs: 0,
-    backoffMs: 0,
+    engineWaitMs: 0,
     hasPeers: true,
   };
   const told = [0, 1_000, 4_000, 60_000].map((storeOutMs) =>
--- a/test/helpers/placement-world.ts
+++ b/test/helpers/placement-world.ts
@@ -200,6 +200,7 @@
         stores: [],
         storePressure: StorePressure.High,
         connectionShare: SLOTS,
+        turns: { wallMs: 0, interval: undefined },
       },
       router.tables,
       this.clock.now(),
