Tell the other routers of limits that engines name and lift

Cause: each router learnt of a limit, and of its end, by an answer of its own. One that had not been told sent on as before; one without a turn went on holding requests back long after the engine had lifted its limit. Change: what is new of a limit goes into the reports between routers for 1.5 s (a new field, which older builds pass over), with its age; a lift counts only where it is certainly newer than the last answer with a limit. In a large group those to whom it is new pass it on.

--- /dev/null
+++ b/src/coordination/gateway/coordinator-setup.ts
@@ -0,0 +1,50 @@
+/** Builds the coordinator of weights of one router from the router's parts. */
+import { randomIdentifier, type RandomSource } from '../../runtime/random.js';
+import type { ObjectStorePort } from '../../protocol/object-store/port.js';
+import { byCapability } from '../../state/routing/store-readers.js';
+import { WeightLease } from '../../state/routing/weight-lease.js';
+import type { GatewaySettings } from './gateway-settings.js';
+import type { GroupMembership } from './group-membership.js';
+import { LeaseKeeper } from './lease-keeper.js';
+import type { ListedEngines } from './listed-engines.js';
+import { WeightCoordinator, type CoordinatorParts } from './weight-coordinator.js';
+
+/** What the coordinator takes from the router. */
+export interface CoordinatorSources extends Omit<CoordinatorParts, 'lease' | 'registry' | 'lives'> {
+  readonly settings: GatewaySettings;
+  readonly group: GroupMembership;
+  readonly listed: ListedEngines;
+  readonly store: ObjectStorePort;
+  readonly random: RandomSource;
+  /** Share of the group's requests that come to this router, above 0 to 1. */
+  shareOfTraffic(): number;
+}
+
+/** A coordinator that does not run yet. */
+export function createCoordinator(sources: CoordinatorSources): WeightCoordinator {
+  const { settings, group, listed, store, clock, random, logger } = sources;
+  const lease = new WeightLease({
+    holder: settings.nodeId,
+    life: randomIdentifier(random),
+    leaseMs: settings.leaseMs,
+    actMs: settings.leaseActMs,
+  });
+  return new WeightCoordinator(
+    {
+      ...sources,
+      registry: listed.registry,
+      lives: listed.lives,
+      lease: new LeaseKeeper(settings.kinds.leases, lease, store, clock, logger),
+    },
+    {
+      holder: settings.nodeId,
+      rollout: settings.rollout,
+      isKnownService: (service) => listed.isKnownService(service),
+      respondingRouters: () => group.responding.sort(byCapability).map(({ nodeId }) => nodeId),
+      isAvailable: (router) => group.isAvailable(router),
+      shareOfTraffic: () => sources.shareOfTraffic(),
+      announce: () => group.reportNow(),
+      announcementMs: () => group.announcementMs,
+    },
+  );
+}
--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -19,6 +19,7 @@
 import type { WeightVersions } from '../../state/routing/weight-versions.js';
 import type { CrashProtection } from './crash-protection.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
+import type { LimitNews } from './limit-news.js';
 import type { TenantQuotas } from './quota/tenant-quotas.js';
 import type { Rejections } from './rejections.js';
 
@@ -55,6 +56,7 @@
   readonly registry: EngineRegistry;
   readonly loads: LoadTable;
   readonly health: EngineHealth;
+  readonly limitNews: LimitNews;
   readonly kept: KeptPrefixes;
   readonly versions: WeightVersions;
   /** Requests this router has sent to engines. */
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -4,7 +4,7 @@
 import type { ClockJump } from '../../runtime/suspension-meter.js';
 import type { Hasher } from '../../runtime/hasher.js';
 import type { Logger } from '../../runtime/logger.js';
-import { type RandomSource, randomIdentifier } from '../../runtime/random.js';
+import type { RandomSource } from '../../runtime/random.js';
 import type { DatagramTransport } from '../../transport/datagram-transport.js';
 import type { FrameTransport } from '../../transport/frame-transport.js';
 import type { InferencePort } from '../../protocol/inference/port.js';
@@ -18,12 +18,11 @@
 import { LoadTable } from '../../state/routing/load-table.js';
 import { SendRate } from '../../state/routing/send-rate.js';
 import { StoreOutages } from '../../state/routing/store-outages.js';
-import { byCapability } from '../../state/routing/store-readers.js';
 import { TrafficSplit } from '../../state/routing/traffic-split.js';
-import { WeightLease } from '../../state/routing/weight-lease.js';
 import { WeightVersions } from '../../state/routing/weight-versions.js';
 import { Directory } from './directory.js';
 import type { CallerPlace } from './directory-answer.js';
+import { createCoordinator } from './coordinator-setup.js';
 import { CrashProtection } from './crash-protection.js';
 import { followKinds } from './followed-kinds.js';
 import { type GatewayContext, ServiceRetryBudgets } from './gateway-context.js';
@@ -32,7 +31,7 @@
 import { GroupExchange } from './group-exchange.js';
 import { GroupEventTarget } from './group-event-target.js';
 import { GroupMembership, SETTLING_MS } from './group-membership.js';
-import { LeaseKeeper } from './lease-keeper.js';
+import { LimitNews } from './limit-news.js';
 import { ListedEngines } from './listed-engines.js';
 import { type ObjectDecoder, valueOrLog } from './object-decoder.js';
 import { Rejections } from './rejections.js';
@@ -42,7 +41,7 @@
 import { StoreRelay } from './store-relay/store-relay.js';
 import { TrafficShare } from './traffic-share.js';
 import { VersionNews } from './version-news.js';
-import { WeightCoordinator } from './weight-coordinator.js';
+import type { WeightCoordinator } from './weight-coordinator.js';
 
 /** What a router takes from its surroundings. */
 export interface GatewaySurroundings {
@@ -139,6 +138,12 @@
       announce: () => group.reportNow(),
       endCalls: (fingerprint) => this.endQuarantined(fingerprint),
     });
+    const limitNews = new LimitNews({
+      limits: this.health.limits,
+      statistics: this.statistics,
+      clock,
+      logger,
+    });
     const homes = new HomeRanking(hasher);
     this.exchange = new GroupExchange({
       group,
@@ -163,6 +168,7 @@
       registry: this.registry,
       loads: this.loads,
       health: this.health,
+      limitNews,
       kept: this.kept,
       versions: this.versions,
       requestRate: this.requestRate,
@@ -184,38 +190,23 @@
       zone: settings.zone,
     };
     this.directory = new Directory(group, random, this.statistics, logger);
-    const lease = new WeightLease({
-      holder: settings.nodeId,
-      life: randomIdentifier(random),
-      leaseMs: settings.leaseMs,
-      actMs: settings.leaseActMs,
+    this.coordinator = createCoordinator({
+      settings,
+      group,
+      listed: this.listed,
+      versions: this.versions,
+      loads: this.loads,
+      health: this.health,
+      kept: this.kept,
+      engines,
+      store: relay.store,
+      requestRate: this.requestRate,
+      shareOfTraffic: () => this.trafficShare.now,
+      statistics: this.statistics,
+      clock,
+      random,
+      logger,
     });
-    this.coordinator = new WeightCoordinator(
-      {
-        registry: this.registry,
-        lives: this.listed.lives,
-        versions: this.versions,
-        loads: this.loads,
-        health: this.health,
-        kept: this.kept,
-        engines,
-        lease: new LeaseKeeper(settings.kinds.leases, lease, relay.store, clock, logger),
-        requestRate: this.requestRate,
-        statistics: this.statistics,
-        clock,
-        logger,
-      },
-      {
-        holder: settings.nodeId,
-        rollout: settings.rollout,
-        isKnownService: (service) => this.listed.isKnownService(service),
-        respondingRouters: () => group.responding.sort(byCapability).map(({ nodeId }) => nodeId),
-        isAvailable: (router) => group.isAvailable(router),
-        shareOfTraffic: () => this.trafficShare.now,
-        announce: () => group.reportNow(),
-        announcementMs: () => group.announcementMs,
-      },
-    );
     this.versionNews = new VersionNews(
       {
         versions: this.versions,
@@ -227,7 +218,7 @@
       settings.unseenVersionAgeMs,
       () => group.reportNow(),
     );
-    parts.connect(this.coordinator, this.versionNews, this.crashes.guard);
+    parts.connect(this.coordinator, this.versionNews, this.crashes.guard, limitNews);
   }
 
   /** Opens the group's socket; call {@link start} next. */
--- a/src/coordination/gateway/group-event-target.ts
+++ b/src/coordination/gateway/group-event-target.ts
@@ -2,8 +2,10 @@
 import type { CrashNews } from '../../state/routing/crash-news-board.js';
 import { LoadTable } from '../../state/routing/load-table.js';
 import type { WeightsNews } from '../../state/routing/weights-news.js';
+import type { LimitNews as News } from '../../state/routing/engine-limits.js';
 import type { CrashGuard } from './crash-guard.js';
 import type { GroupEvents } from './group-reports.js';
+import type { LimitNews } from './limit-news.js';
 import type { VersionNews, VersionNotice } from './version-news.js';
 import type { WeightCoordinator } from './weight-coordinator.js';
 
@@ -15,11 +17,18 @@
   private coordinator: WeightCoordinator | undefined;
   private versionNews: VersionNews | undefined;
   private crashGuard: CrashGuard | undefined;
+  private limits: LimitNews | undefined;
 
-  connect(coordinator: WeightCoordinator, versionNews: VersionNews, crashGuard: CrashGuard): void {
+  connect(
+    coordinator: WeightCoordinator,
+    versionNews: VersionNews,
+    crashGuard: CrashGuard,
+    limits: LimitNews,
+  ): void {
     this.coordinator = coordinator;
     this.versionNews = versionNews;
     this.crashGuard = crashGuard;
+    this.limits = limits;
   }
 
   get hasCrashNews(): boolean {
@@ -34,6 +43,14 @@
     return this.crashGuard?.receive(news, isPassedOn) ?? false;
   }
 
+  limitNews(): readonly News[] {
+    return this.limits?.notices ?? [];
+  }
+
+  onLimitNews(news: News): void {
+    this.limits?.receive(news);
+  }
+
   weightsNews(): readonly WeightsNews[] {
     return this.coordinator?.news ?? [];
   }
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -16,9 +16,10 @@
 import { RejectionReason } from '../../state/routing/rejection.js';
 import { StorePressure, storePressure } from '../../state/routing/save-choice.js';
 import { BeginWatch } from './begin-watch.js';
-import { noteEngineNotice, noteNoLimit } from './engine-notices.js';
+import { noteEngineNotice } from './engine-notices.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { GenerationShape } from '../../state/routing/generation.js';
+import type { AnsweredRequest } from './limit-news.js';
 import { LoadShare } from './load-share.js';
 import type { Grant } from './request-admission.js';
 import type { InboundRequest } from './reply.js';
@@ -149,7 +150,7 @@
 
   onNotice(notice: EngineNotice): void {
     this.isLimitNamed ||= notice.limitPerSecond !== undefined;
-    noteEngineNotice(this.placement.engine.record, this.request.id, notice, this.context);
+    noteEngineNotice(this.answered, notice, this.context);
   }
 
   onHead(head: AnswerHead): void {
@@ -215,8 +216,12 @@
 
   /** Only an answer that the engine attests is sure to be its own word. */
   private noteLimitOf({ isAttested }: AnswerHead): void {
-    if (!isAttested || this.isLimitNamed) return;
-    noteNoLimit(this.placement.engine.record, this.request.id, this.sentMs, this.context);
+    if (isAttested && !this.isLimitNamed) this.context.limitNews.noteUnnamed(this.answered);
+  }
+
+  private get answered(): AnsweredRequest {
+    const { placement, request, sentMs } = this;
+    return { engine: placement.engine.record, requestId: request.id, sentMs };
   }
 
   /** Generations run on weights, and these may run out of their time before the engine begins. */
--- a/src/state/routing/engine-limits.ts
+++ b/src/state/routing/engine-limits.ts
@@ -1,19 +1,40 @@
 /**
  * Limits that engines name in their answers: the requests a second that one takes from all routers together, for as
- * long as its answers say so. Kept by the engine's name and apart from the list of engines, as pauses are. Pure.
+ * long as its answers say so. Kept by the engine's name and apart from the list of engines, as pauses are. Routers tell
+ * each other what is new: those that an engine has not told yet would send on, and those that have no turn would not
+ * learn for long that a limit is lifted. Pure.
  */
 import { memberKey } from '../member-key.js';
 import { SendTurns, type TurnView } from './send-turns.js';
 
 /** Number of keys that {@link memberKey} may give. */
 const KEYS = 2 ** 32;
+/** News are told for this long: with a tenth of the datagrams lost, one router of a small group in 10,000 misses them. */
+const TOLD_FOR_MS = 1_500;
+/**
+ * Another router's age of what it tells grows on the way by what is gathered and held up, so that its moment seems this
+ * much later at most. A lift that may be older than the last answer with a limit does not count.
+ */
+const AGE_ERROR_MS = 200;
+/** What was not heard of again for so long is forgotten; an engine that is sent anything says so again. */
+const REMEMBERED_MS = 60_000;
+
+/** What a router learnt of an engine's limit. */
+export interface LimitNews {
+  readonly engineName: string;
+  /** Requests a second; undefined: the limit is lifted. */
+  readonly perSecond: number | undefined;
+  /** Time since the engine can first have said so, in milliseconds. */
+  readonly ageMs: number;
+}
 
-/** A limit in force, as far as this router knows. */
+/** What is known of an engine's limit. */
 interface KnownLimit {
-  /** Undefined: the engine has lifted its limit. */
   readonly perSecond: number | undefined;
   /** The engine said so no earlier than this. */
   readonly asOfMs: number;
+  /** When this router learnt it first. */
+  readonly learntMs: number;
 }
 
 /** The limits of all engines. */
@@ -27,7 +48,7 @@
    * @returns true where this changes what was known
    */
   noteNamed(engineName: string, perSecond: number, nowMs: number): boolean {
-    return this.note(engineName, { perSecond, asOfMs: nowMs });
+    return this.note(engineName, perSecond, nowMs, nowMs);
   }
 
   /**
@@ -37,10 +58,36 @@
    * @param sentMs when the request was sent
    * @returns true where this lifts a limit
    */
-  noteUnnamed(engineName: string, sentMs: number): boolean {
+  noteUnnamed(engineName: string, sentMs: number, nowMs: number): boolean {
     const present = this.known.get(engineName);
     if (present?.perSecond === undefined || sentMs <= present.asOfMs) return false;
-    return this.note(engineName, { perSecond: undefined, asOfMs: sentMs });
+    return this.note(engineName, undefined, sentMs, nowMs);
+  }
+
+  /**
+   * Takes another router's news.
+   *
+   * @returns true where this changes what was known
+   */
+  receive({ engineName, perSecond, ageMs }: LimitNews, nowMs: number): boolean {
+    const present = this.known.get(engineName);
+    const asOfMs = nowMs - ageMs;
+    const isLift = perSecond === undefined;
+    if (!present && isLift) return false;
+    const slackMs = isLift && present?.perSecond !== undefined ? AGE_ERROR_MS : 0;
+    if (present && asOfMs <= present.asOfMs + slackMs) return false;
+    return this.note(engineName, perSecond, asOfMs, nowMs);
+  }
+
+  /** What the other routers should be told. */
+  news(nowMs: number): LimitNews[] {
+    const news: LimitNews[] = [];
+    for (const [engineName, { perSecond, asOfMs, learntMs }] of this.known) {
+      const ageMs = Math.max(0, Math.round(nowMs - asOfMs));
+      if (ageMs > REMEMBERED_MS) this.forget(engineName);
+      else if (nowMs - learntMs < TOLD_FOR_MS) news.push({ engineName, perSecond, ageMs });
+    }
+    return news;
   }
 
   /** Requests a second; undefined where the engine has named no limit, or lifted it. */
@@ -75,10 +122,22 @@
     return turns;
   }
 
-  private note(engineName: string, limit: KnownLimit): boolean {
-    const before = this.perSecond(engineName);
-    this.known.set(engineName, limit);
-    if (limit.perSecond === undefined) this.turns.delete(engineName);
-    return before !== limit.perSecond;
+  private note(
+    engineName: string,
+    perSecond: number | undefined,
+    asOfMs: number,
+    nowMs: number,
+  ): boolean {
+    const present = this.known.get(engineName);
+    const isChanged = present?.perSecond !== perSecond;
+    const learntMs = present && !isChanged ? present.learntMs : nowMs;
+    this.known.set(engineName, { perSecond, asOfMs, learntMs });
+    if (perSecond === undefined) this.turns.delete(engineName);
+    return isChanged;
+  }
+
+  private forget(engineName: string): void {
+    this.known.delete(engineName);
+    this.turns.delete(engineName);
   }
 }
--- a/test/gateway/engine-limits.test.ts
+++ b/test/gateway/engine-limits.test.ts
@@ -74,3 +74,33 @@
     t.true(own.every(({ status, retryAfterMs }) => status === 503 && (retryAfterMs ?? 0) > 0));
   }
 });
+
+test('a router that no answer has told keeps to a limit that another was told', async (t) => {
+  const BURST = 20;
+  for (const seed of SEEDS) {
+    const world = await GatewayWorld.create(seed);
+    for (const index of [PLAIN_ENGINE, PLAIN_ENGINE + 1]) world.limitEngine(index, 2);
+    for (let count = 0; count < BURST; count += 1) world.request(0, 'plain-safe', 'tenant-2', 0);
+    await world.clock.advance(500);
+    const before = world.observations.arrivals.length;
+    for (let count = 0; count < BURST; count += 1) world.request(1, 'plain-safe', 'tenant-2', 0);
+    await world.clock.advance(500);
+    const sent = world.observations.arrivals.length - before;
+    t.true(sent <= 4, `${sent} requests`);
+  }
+});
+
+test('a lifted limit is known to all routers soon after one of them learnt it', async (t) => {
+  for (const seed of SEEDS) {
+    const world = await GatewayWorld.create(seed);
+    for (const index of [PLAIN_ENGINE, PLAIN_ENGINE + 1]) world.limitEngine(index, 0.5);
+    await sendFor(world, 6_000);
+    for (const index of [PLAIN_ENGINE, PLAIN_ENGINE + 1]) world.limitEngine(index, undefined);
+    await sendFor(world, 5_000);
+    const first = world.requests.length;
+    await sendFor(world, 2_000);
+    const late = world.requests.slice(first);
+    const served = late.filter(({ reply }) => reply.status === 200).length;
+    t.true(served / late.length > 0.97, `${served} of ${late.length}`);
+  }
+});
--- a/test/helpers/silent-group-events.ts
+++ b/test/helpers/silent-group-events.ts
@@ -11,6 +11,8 @@
     heldLease: () => undefined,
     onHeldLease: () => undefined,
     hasCrashNews: false,
+    limitNews: () => [],
+    onLimitNews: () => undefined,
     takeCrashNews: () => ({ crashes: [], quarantine: [] }),
     onCrashNews: () => false,
     ...events,
