--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -5,7 +5,13 @@
 import { EngineFleet } from './engine-fleet.js';
 import { findFreePorts } from './free-ports.js';
 import { listeningPort } from './listening-port.js';
-import type { EngineReport, ReportedNotice, ReportedRun, StoreCommand } from './messages.js';
+import type {
+  EngineReport,
+  ReportedLimit,
+  ReportedNotice,
+  ReportedRun,
+  StoreCommand,
+} from './messages.js';
 import { ODD_NAME } from './odd-entries.js';
 import { BOUNDS, RouterProcess } from './router-process.js';
 import { TcpProxy } from './tcp-proxy.js';
@@ -21,6 +27,7 @@
     readonly atMs: number;
   }[];
   readonly notices: ReportedNotice[];
+  readonly limits: ReportedLimit[];
   /** When the store took that an engine leaves. */
   readonly drains: Map<string, number>;
   readonly orders: Extract<EngineReport, { kind: 'order' }>[];
@@ -67,6 +74,7 @@
     runs: [],
     arrivals: [],
     notices: [],
+    limits: [],
     drains: new Map(),
     orders: [],
     crashes: [],
@@ -92,12 +100,15 @@
     this.fleet = new EngineFleet(storeAddress, this.observations, () => this.weightsVersion);
   }
 
-  /** @param folder for settings and logs */
+  /**
+   * @param folder for settings and logs
+   * @param programs builds of the routers' program
+   */
   static async start(
     size: DeploymentSize,
     keys: readonly CallerKey[],
     folder: string,
-    program: string,
+    programs: readonly string[],
   ): Promise<Deployment> {
     const store = fork(STORE_PROGRAM);
     const port = await listeningPort(store);
@@ -110,7 +121,7 @@
     for (let index = 0; index < size.generationEngines; index += 1) {
       await deployment.fleet.add(Service.generation);
     }
-    await deployment.startRouters(size.routers, folder, program);
+    await deployment.startRouters(size.routers, folder, programs);
     return deployment;
   }
 
@@ -180,7 +191,11 @@
     this.store.kill('SIGKILL');
   }
 
-  private async startRouters(count: number, folder: string, program: string): Promise<void> {
+  private async startRouters(
+    count: number,
+    folder: string,
+    programs: readonly string[],
+  ): Promise<void> {
     const ips = Array.from({ length: count }, (_, index) => `127.0.0.${FIRST_HOST + index}`);
     // Routers use the same ports, each at an address of its own; of seeds only the host counts.
     const portBase = await findFreePorts(ips, PORTS_PER_ROUTER);
@@ -197,7 +212,10 @@
         storeAddress: proxy.address,
         seeds,
         folder,
-        program,
+        programs: [
+          ...programs.slice(index % programs.length),
+          ...programs.slice(0, index % programs.length),
+        ],
       });
       this.routers.push(router);
       router.start();
--- a/soak/engine-fleet.ts
+++ b/soak/engine-fleet.ts
@@ -72,6 +72,11 @@
     send(engine, { kind: 'ask-pause', backoffMs });
   }
 
+  /** The engine names a limit on requests a second; undefined ends that. */
+  limit(engine: Engine, perSecond: number | undefined): void {
+    send(engine, { kind: 'limit', perSecond: perSecond ?? null });
+  }
+
   /** The engine leaves as planned, and another takes its place. */
   async replace(engine: Engine): Promise<void> {
     engine.isLeaving = true;
@@ -182,10 +187,11 @@
   }
 
   private note(engine: Engine, report: EngineReport): void {
-    const { runs, arrivals, notices, drains, orders, crashes, strays } = this.observations;
+    const { runs, arrivals, notices, limits, drains, orders, crashes, strays } = this.observations;
     if (report.kind === 'run') runs.push(report);
     if (report.kind === 'arrival') arrivals.push(report);
     if (report.kind === 'notice') notices.push(report);
+    if (report.kind === 'limit') limits.push(report);
     if (report.kind === 'draining') drains.set(report.engineId, report.atMs);
     if (report.kind === 'order') orders.push(report);
     if (report.kind === 'crash') crashes.push(report);
--- a/soak/engine-program.ts
+++ b/soak/engine-program.ts
@@ -36,6 +36,8 @@
 let isDraining = false;
 /** What a refusal asks for; 0: nothing is refused for this reason. */
 let backoffMs = 0;
+/** Requests a second that its answers name; undefined: none. */
+let limitPerSecond: number | undefined;
 let running = 0;
 let weightsVersion = Number(process.argv[6] ?? 1);
 let loading: number | undefined;
@@ -92,11 +94,24 @@
 
 /** Puts into an answer what it says of this engine, and tells the oracle. */
 function tellNotice(response: ServerResponse, requestId: string, askedMs: number): void {
-  if (!isDraining && askedMs === 0) return;
+  if (!isDraining && askedMs === 0 && limitPerSecond === undefined) return;
   if (isDraining) response.setHeader(WireHeader.leaving, '1');
   if (askedMs > 0) response.setHeader(WireHeader.retryAfter, askedMs / MILLISECONDS_PER_SECOND);
-  const notice = { requestId, engineId: lifeId, isLeaving: isDraining, backoffMs: askedMs };
-  report({ kind: 'notice', ...notice, atMs: Date.now() });
+  if (limitPerSecond !== undefined) response.setHeader(WireHeader.limit, limitPerSecond);
+  report({
+    kind: 'notice',
+    requestId,
+    engineId: lifeId,
+    isLeaving: isDraining,
+    backoffMs: askedMs,
+    limitPerSecond,
+    atMs: Date.now(),
+  });
+}
+
+function nameLimit(perSecond: number | undefined): void {
+  limitPerSecond = perSecond;
+  report({ kind: 'limit', engineId: lifeId, perSecond, atMs: Date.now() });
 }
 
 /** Status with which a request is refused, not run; undefined where it runs. */
@@ -279,6 +294,7 @@
   const command = message as EngineCommand;
   if (command.kind === 'behave') behavior = command.behavior;
   else if (command.kind === 'ask-pause') backoffMs = command.backoffMs;
+  else if (command.kind === 'limit') nameLimit(command.perSecond ?? undefined);
   else void drain();
 });
 process.on('disconnect', () => process.exit(0));
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -25,7 +25,18 @@
     default: true,
     describe: 'whether engines leave while the store is out, and ask for pauses',
   })
-  .option('program', { type: 'string', default: BUNDLE, describe: "the routers' program" })
+  .option('engine-limits', {
+    type: 'boolean',
+    default: true,
+    describe: 'whether engines name limits on requests a second',
+  })
+  .option('program', {
+    type: 'string',
+    array: true,
+    default: [BUNDLE],
+    describe:
+      "builds of the routers' program, which run side by side; a router starts again with the next",
+  })
   .parseAsync();
 
 function report({ seed, calls, outcomes, breaches }: SoakResult, folder: string): void {
@@ -52,9 +63,10 @@
       routers: options.routers,
       hasEngineLives: options.engineLives,
       hasEngineNotices: options.engineNotices,
+      hasEngineLimits: options.engineLimits,
       callers: options.callers,
       folder,
-      program: options.program,
+      programs: options.program,
     });
     report(result, folder);
     if (result.breaches.length > 0) broken += 1;
--- a/soak/messages.ts
+++ b/soak/messages.ts
@@ -18,6 +18,8 @@
   | { readonly kind: 'behave'; readonly behavior: EngineBehavior }
   /** It refuses and asks for a pause, until it is told a pause of 0 ms. */
   | { readonly kind: 'ask-pause'; readonly backoffMs: number }
+  /** It names this limit in its answers, until it is told null. */
+  | { readonly kind: 'limit'; readonly perSecond: number | null }
   /** It says that it leaves, serves on for a while and ends. */
   | { readonly kind: 'drain' };
 
@@ -46,6 +48,17 @@
   readonly isLeaving: boolean;
   /** It wants no requests of that router for so long; 0 where it asked for no pause. */
   readonly backoffMs: number;
+  /** Requests a second that it takes from all routers; undefined where it named no limit. */
+  readonly limitPerSecond?: number | undefined;
+  readonly atMs: number;
+}
+
+/** An engine names a limit from now on; undefined: it names none any more. */
+export interface ReportedLimit {
+  readonly kind: 'limit';
+  /** One life of the engine. */
+  readonly engineId: string;
+  readonly perSecond?: number | undefined;
   readonly atMs: number;
 }
 
@@ -62,6 +75,7 @@
       readonly atMs: number;
     }
   | ReportedNotice
+  | ReportedLimit
   /** A request came that names another engine, which may not even exist. */
   | {
       readonly kind: 'stray';
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -49,6 +49,13 @@
     text: 'if (backoffMs !== undefined) {',
     replacement: 'if (backoffMs === -1) {',
   },
+  {
+    name: 'limits that engines name are passed over',
+    promise: 'limit-kept',
+    file: 'src/coordination/gateway/engine-notices.ts',
+    text: 'if (limitPerSecond !== undefined) limitNews',
+    replacement: 'if (limitPerSecond === -1) limitNews',
+  },
   {
     name: 'proofs of the configuration hold for ever',
     promise: 'key-removed',
@@ -155,9 +162,10 @@
       routers: 4,
       hasEngineLives: true,
       hasEngineNotices: true,
+      hasEngineLimits: true,
       callers: 12,
       folder: runFolder,
-      program,
+      programs: [program],
     };
     const { breaches } = await runSoak(options);
     if (breaches.some(({ promise }) => promise === mutation.promise)) return seed;
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -2,6 +2,7 @@
 import type { CallRecord, DirectoryRecord } from './callers.js';
 import type { Observations } from './deployment.js';
 import type { ReportedRun } from './messages.js';
+import { judgeLimits } from './limit-oracle.js';
 import { judgeNotices } from './notice-oracle.js';
 import { ODD_NAME } from './odd-entries.js';
 import { BOUNDS, DisturbanceKind, type RouterProcess, SLACK_MS } from './router-process.js';
@@ -24,6 +25,7 @@
   | 'odd-entry-unused'
   | 'leaving-engine-unused'
   | 'backoff-kept'
+  | 'limit-kept'
   | 'recovery';
 
 /** A promise that was broken. */
@@ -100,6 +102,7 @@
       ...this.judgeWeights(),
       ...this.judgeStrays(),
       ...judgeNotices(this.record),
+      ...judgeLimits(this.record),
       ...this.judgeRest(),
     ];
   }
--- a/soak/router-process.ts
+++ b/soak/router-process.ts
@@ -32,8 +32,8 @@
   readonly storeAddress: string;
   readonly seeds: readonly string[];
   readonly folder: string;
-  /** The program's file. */
-  readonly program: string;
+  /** Files of the program's builds, one after the other with each start. */
+  readonly programs: readonly string[];
 }
 
 /** Bounds of the soak's deployment, as the settings of the users' platform name them. */
@@ -57,6 +57,7 @@
   private child: ChildProcess | undefined;
   private isOver = false;
   private restartAfterMs = RESTART_MS;
+  private starts = 0;
   /** Unplanned: kills, freezes, starts after a kill. */
   readonly disturbances: Disturbance[] = [];
   /** Moments of SIGTERM. */
@@ -87,7 +88,10 @@
   start(): void {
     if (this.isOver || this.child) return;
     const log = createWriteStream(this.logFile, { flags: 'a' });
-    const child = spawn(process.execPath, ['--max-old-space-size=200', this.place.program], {
+    const { programs } = this.place;
+    const program = programs[this.starts % programs.length] as string;
+    this.starts += 1;
+    const child = spawn(process.execPath, ['--max-old-space-size=200', program], {
       env: { PATH: process.env.PATH, PEATSPAN_BOOT: this.settingsFile },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -4,6 +4,7 @@
 import { type CallKind, KINDS } from './callers.js';
 import type { Deployment } from './deployment.js';
 import { CRASHING_BODY, EngineBehavior } from './messages.js';
+import { ENGINE_LIMIT_MAKERS } from './engine-limit-steps.js';
 import { ENGINE_LIFE_MAKERS } from './engine-life-steps.js';
 import { ENGINE_NOTICE_MAKERS } from './engine-notice-steps.js';
 import { DisturbanceKind } from './router-process.js';
@@ -30,6 +31,7 @@
   readonly spanMs: number;
   readonly hasEngineLives: boolean;
   readonly hasEngineNotices: boolean;
+  readonly hasEngineLimits: boolean;
 }
 
 /** Routers that no unplanned fault strikes, so that something is served all the while. */
@@ -209,15 +211,17 @@
  * @param hasEngineLives whether engines restart under their names and odd entries are written, too; a seed
  *   that was found without these steps means the same series only without them
  * @param hasEngineNotices whether engines leave while the store is out, and ask for pauses; as above
+ * @param hasEngineLimits whether engines name limits on requests a second; as above
  */
 export function makeSchedule(
   random: RandomSource,
-  { routers, spanMs, hasEngineLives, hasEngineNotices }: ScheduleOptions,
+  { routers, spanMs, hasEngineLives, hasEngineNotices, hasEngineLimits }: ScheduleOptions,
 ): Step[] {
   const makers = [
     ...MAKERS,
     ...(hasEngineLives ? ENGINE_LIFE_MAKERS : []),
     ...(hasEngineNotices ? ENGINE_NOTICE_MAKERS : []),
+    ...(hasEngineLimits ? ENGINE_LIMIT_MAKERS : []),
   ];
   const MAXIMUM_GAP_MS = 2_000;
   const steps: Step[] = [];
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -19,11 +19,13 @@
   readonly hasEngineLives: boolean;
   /** Whether engines leave while the store is out, and ask for pauses. */
   readonly hasEngineNotices: boolean;
+  /** Whether engines name limits on requests a second. */
+  readonly hasEngineLimits: boolean;
   readonly callers: number;
   /** For settings, logs and, where a promise was broken, all that is known. */
   readonly folder: string;
-  /** The program of the routers. */
-  readonly program: string;
+  /** Builds of the routers' program: they take them in turn, and each router the next one with each start. */
+  readonly programs: readonly string[];
 }
 
 /** The bundle that `npm run bundle` writes. */
@@ -55,10 +57,10 @@
 
 /** Runs the soak to its end; its processes have ended then. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
-  const { seed, spanMs, routers, folder, program } = options;
+  const { seed, spanMs, routers, folder, programs } = options;
   mkdirSync(folder, { recursive: true });
   const size = { routers, plainEngines: 2, generationEngines: 3 };
-  const deployment = await Deployment.start(size, KEYS, folder, program);
+  const deployment = await Deployment.start(size, KEYS, folder, programs);
   try {
     const steps = makeSchedule(new SeededRandom(seed), options);
     const calls: CallRecord[] = [];
--- a/soak/wire.ts
+++ b/soak/wire.ts
@@ -20,6 +20,7 @@
   apiKey: 'api-key',
   leaving: 'server-leaving',
   retryAfter: 'retry-after',
+  limit: 'server-limit',
 } as const;
 
 /** Kinds of object in the store. */
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -3,6 +3,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import test from 'ava';
+import { buildEarlier, productionCommit } from '../soak/earlier-build.js';
 import { BUNDLE, runSoak } from '../soak/soak-run.js';
 
 /** A run that once broke a promise. */
@@ -14,6 +15,10 @@
   readonly hasEngineLives?: boolean;
   /** Whether engines leave unheard by the store and ask for pauses; likewise. */
   readonly hasEngineNotices?: boolean;
+  /** Whether engines name limits on requests a second; likewise. */
+  readonly hasEngineLimits?: boolean;
+  /** Whether routers of the earlier build run beside those of the present one. */
+  readonly isMixed?: boolean;
   /** What was at fault. */
   readonly cause: string;
 }
@@ -36,9 +41,28 @@
   cause: 'none: the short soak of what engines say of themselves',
 };
 
-for (const regression of [FIRST, NOTICES, ...REGRESSIONS]) {
+const LIMITS: RegressionSeed = {
+  seed: 3,
+  seconds: 14,
+  routers: 4,
+  hasEngineLimits: true,
+  cause: 'none: the short soak of limits that engines name',
+};
+/** Without limits: the earlier build keeps to none. */
+const MIXED: RegressionSeed = {
+  seed: 4,
+  seconds: 14,
+  routers: 4,
+  hasEngineLives: true,
+  hasEngineNotices: true,
+  isMixed: true,
+  cause: 'none: the short soak of an upgrade',
+};
+
+for (const regression of [FIRST, NOTICES, LIMITS, MIXED, ...REGRESSIONS]) {
   const { seed, seconds, routers, cause } = regression;
   const { hasEngineLives = false, hasEngineNotices = false } = regression;
+  const { hasEngineLimits = false, isMixed = false } = regression;
   test.serial(`no promise is broken in a soak with seed ${seed} (${cause})`, async (t) => {
     t.timeout(170_000);
     const folder = mkdtempSync(join(tmpdir(), `peatspan-soak-${seed}-`));
@@ -49,9 +73,10 @@
       routers,
       hasEngineLives,
       hasEngineNotices,
+      hasEngineLimits,
       callers: 8,
       folder,
-      program: BUNDLE,
+      programs: isMixed ? [buildEarlier(productionCommit()), BUNDLE] : [BUNDLE],
     });
     t.deepEqual(result.breaches, [], `evidence and logs: ${folder}`);
     t.true(result.calls > 0);
