Encode what routers relay of the store once, and deflate it

Cause: a router that others follow the store through encoded the same changes anew for each of them: a list of 3,000 engines took 28 ms and 783 KB, and some 77 routers ask for it as they start. Change: an object is encoded once, and a series of changes is deflated once for all that ask for it; a query says whether its answer may be deflated, so that earlier builds get what they read. Tests: changes arrive as they were, deflated or not; a build that does not ask for it gets none; malformed ones are refused.

--- a/src/coordination/gateway/store-relay/relay-client.ts
+++ b/src/coordination/gateway/store-relay/relay-client.ts
@@ -91,7 +91,13 @@
       const limitMs = waitMs + ANSWER_SLACK_MS;
       const timer = this.clock.setTimer(limitMs, () => this.close('no answer in time'));
       this.pending.set(number, { resolve, reject, timer });
-      const frame = encodeRelayQuery({ number, kind, revision, waitMs });
+      const frame = encodeRelayQuery({
+        number,
+        kind,
+        revision,
+        waitMs,
+        acceptsDeflated: true,
+      });
       if (this.connection) this.connection.send(frame);
       else this.unsent.push(frame);
     });
--- a/src/coordination/gateway/store-relay/relay-server.ts
+++ b/src/coordination/gateway/store-relay/relay-server.ts
@@ -12,6 +12,7 @@
   decodeRelayFrame,
   encodeRelayAnswer,
 } from '../../../protocol/peer/relay-codec.js';
+import { AnswerChanges } from './answer-changes.js';
 import type { ObjectMirror } from './object-mirror.js';
 import type { ObjectMirrors } from './object-mirrors.js';
 
@@ -34,6 +35,7 @@
   private readonly held = new Map<string, Set<HeldQuery>>();
   private readonly gathering = new Set<string>();
   private readonly connections = new Set<FrameConnection>();
+  private readonly changes = new AnswerChanges();
   private isStopped = false;
 
   /** @param freshMs a proof older than this is told at once, not held */
@@ -149,17 +151,19 @@
     mirror: ObjectMirror,
     events: readonly ObjectEvent[] | undefined,
   ): void {
+    const { number, kind, revision: from, acceptsDeflated } = query;
+    const { revision } = mirror;
+    const span = { kind, from, to: revision };
+    const changes = this.changes.encode(span, events ?? [], acceptsDeflated);
     const now = this.clock.elapsed();
-    connection.send(
-      encodeRelayAnswer({
-        number: query.number,
-        isKnown: events !== undefined,
-        events: events ?? [],
-        revision: mirror.revision,
-        proofAgeMs: mirror.proofAgeMs(now),
-        heldMs: now.since(received),
-      }),
-    );
+    const head = {
+      number,
+      isKnown: events !== undefined,
+      revision,
+      proofAgeMs: mirror.proofAgeMs(now),
+      heldMs: now.since(received),
+    };
+    connection.send(encodeRelayAnswer(head, changes));
   }
 
   private release(held: HeldQuery): void {
--- a/src/protocol/peer/relay-codec.ts
+++ b/src/protocol/peer/relay-codec.ts
@@ -1,17 +1,18 @@
 /** Encodes and decodes the frames by which a router follows the store through another. */
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
+import { BinaryWriter, WireType } from '@bufbuild/protobuf/wire';
 import type { ObjectEvent, StoredObject } from '../object-store/port.js';
 import {
   type ObjectAnswer,
   ObjectAnswerSchema,
   type ObjectChange,
-  ObjectChangeSchema,
   type ObjectQuery,
   ObjectQuerySchema,
   type RelayFrame,
   RelayFrameSchema,
 } from './generated/cluster_pb.js';
 import type { Contents } from './cluster-codec.js';
+import { type EncodedChanges, inflateChanges } from './encoded-changes.js';
 
 /** A query in the product's words; times in milliseconds. */
 export interface RelayQuery {
@@ -21,6 +22,8 @@
   /** 0 asks for all objects. */
   readonly revision: number;
   readonly waitMs: number;
+  /** Whether the answer may carry its changes deflated; builds before this one do not say so. */
+  readonly acceptsDeflated: boolean;
 }
 
 /** An answer in the product's words; times in milliseconds. */
@@ -41,28 +44,43 @@
 /** Largest age a frame can tell; whatever is older proves nothing anyway. */
 const MAXIMUM_AGE_MS = 0xffff_ffff;
 
-const encoder = new TextEncoder();
 const decoder = new TextDecoder();
 
+/** What an answer says beside its changes. */
+export type RelayAnswerHead = Omit<RelayAnswer, 'events'>;
+
 export function encodeRelayQuery(query: RelayQuery): Uint8Array {
-  const { number, kind, revision, waitMs } = query;
-  const fields = { number, kind, revision: BigInt(revision), waitMs: Math.round(waitMs) };
-  const value = create(ObjectQuerySchema, fields satisfies Contents<ObjectQuery>);
+  const { number, kind, revision, waitMs, acceptsDeflated } = query;
+  const fields: Contents<ObjectQuery> = {
+    number,
+    kind,
+    revision: BigInt(revision),
+    waitMs: Math.round(waitMs),
+    acceptsDeflated,
+  };
+  const value = create(ObjectQuerySchema, fields);
   return toBinary(RelayFrameSchema, create(RelayFrameSchema, { body: { case: 'query', value } }));
 }
 
-export function encodeRelayAnswer(answer: RelayAnswer): Uint8Array {
+/** An answer whose changes go to several routers, and so are encoded once. */
+export function encodeRelayAnswer(head: RelayAnswerHead, changes: EncodedChanges): Uint8Array {
   const fields: Contents<ObjectAnswer> = {
-    number: answer.number,
-    isKnown: answer.isKnown,
-    changes: answer.events.map(encodeChange),
-    revision: BigInt(answer.revision),
+    number: head.number,
+    isKnown: head.isKnown,
+    changes: [],
+    revision: BigInt(head.revision),
     // Rounded up and down so that an answer never seems younger than it is.
-    proofAgeMs: Math.min(MAXIMUM_AGE_MS, Math.ceil(answer.proofAgeMs)),
-    heldMs: Math.floor(answer.heldMs),
+    proofAgeMs: Math.min(MAXIMUM_AGE_MS, Math.ceil(head.proofAgeMs)),
+    heldMs: Math.floor(head.heldMs),
+    deflatedChanges: changes.kind === 'deflated' ? changes.bytes : new Uint8Array(),
   };
-  const value = create(ObjectAnswerSchema, fields);
-  return toBinary(RelayFrameSchema, create(RelayFrameSchema, { body: { case: 'answer', value } }));
+  const writer = new BinaryWriter();
+  writer.tag(RelayFrameSchema.field.answer.number, WireType.LengthDelimited).fork();
+  writer.raw(toBinary(ObjectAnswerSchema, create(ObjectAnswerSchema, fields)));
+  const { number } = ObjectAnswerSchema.field.changes;
+  const plain = changes.kind === 'plain' ? changes.changes : [];
+  for (const change of plain) writer.tag(number, WireType.LengthDelimited).bytes(change);
+  return writer.join().finish();
 }
 
 /** Undefined where the frame is malformed. */
@@ -77,12 +95,14 @@
 function toMessage(body: RelayFrame['body']): RelayMessage | undefined {
   switch (body.case) {
     case 'query': {
-      const { number, kind, revision, waitMs } = body.value;
-      return { kind: 'query', query: { number, kind, revision: Number(revision), waitMs } };
+      const { number, kind, revision, waitMs, acceptsDeflated } = body.value;
+      const query = { number, kind, revision: Number(revision), waitMs, acceptsDeflated };
+      return { kind: 'query', query };
     }
     case 'answer': {
-      const { number, isKnown, changes, revision, proofAgeMs, heldMs } = body.value;
-      const events = changes.map(decodeChange);
+      const { number, isKnown, changes, revision, proofAgeMs, heldMs, deflatedChanges } =
+        body.value;
+      const events = [...changes, ...inflateChanges(deflatedChanges)].map(decodeChange);
       const answer = { number, isKnown, events, revision: Number(revision), proofAgeMs, heldMs };
       return { kind: 'answer', answer };
     }
@@ -91,15 +111,6 @@
   }
 }
 
-function encodeChange({ object, isGone }: ObjectEvent): ObjectChange {
-  return create(ObjectChangeSchema, {
-    name: object.name,
-    revision: BigInt(object.revision),
-    contents: isGone ? new Uint8Array() : encoder.encode(JSON.stringify(object.spec)),
-    isGone,
-  });
-}
-
 /** Throws where the contents are not JSON. */
 function decodeChange({ name, revision, contents, isGone }: ObjectChange): ObjectEvent {
   const spec: unknown = isGone ? undefined : JSON.parse(decoder.decode(contents));
--- /dev/null
+++ b/test/gateway/relayed-changes.test.ts
@@ -0,0 +1,56 @@
+/** The changes that a router answers to those that follow the store through it. */
+import test from 'ava';
+import fc from 'fast-check';
+import { AnswerChanges } from '../../src/coordination/gateway/store-relay/answer-changes.js';
+import type { ObjectEvent } from '../../src/protocol/object-store/port.js';
+import { type EncodedChanges } from '../../src/protocol/peer/encoded-changes.js';
+import { decodeRelayFrame, encodeRelayAnswer } from '../../src/protocol/peer/relay-codec.js';
+
+const HEAD = { number: 3, isKnown: true, revision: 40, proofAgeMs: 12, heldMs: 5 };
+const SPAN = { kind: 'servers', from: 0, to: 40 };
+
+function eventOf(index: number, isGone: boolean): ObjectEvent {
+  const spec = { service: 'model-service', address: `10.0.0.${index}:80`, zone: 'zone-a' };
+  const object = { name: `engine-${index}`, revision: index + 1, spec: isGone ? undefined : spec };
+  return { object, isGone };
+}
+
+function decodedEvents(changes: EncodedChanges): readonly ObjectEvent[] | undefined {
+  const message = decodeRelayFrame(encodeRelayAnswer(HEAD, changes));
+  return message?.kind === 'answer' ? message.answer.events : undefined;
+}
+
+test('changes arrive as they were, deflated or not', (t) => {
+  const anyEvents = fc.array(fc.boolean(), { maxLength: 60 });
+  const property = fc.property(anyEvents, fc.boolean(), (gone, acceptsDeflated) => {
+    const events = gone.map((isGone, index) => eventOf(index, isGone));
+    const changes = new AnswerChanges().encode(SPAN, events, acceptsDeflated);
+    t.deepEqual(decodedEvents(changes), events);
+    if (!acceptsDeflated) t.is(changes.kind, 'plain');
+  });
+  fc.assert(property, { seed: 1, numRuns: 200 });
+});
+
+test('many changes are deflated for a build that can inflate, and not for an earlier one', (t) => {
+  const events = Array.from({ length: 200 }, (_, index) => eventOf(index, false));
+  const answers = new AnswerChanges();
+  const deflated = encodeRelayAnswer(HEAD, answers.encode(SPAN, events, true));
+  const plain = encodeRelayAnswer(HEAD, answers.encode(SPAN, events, false));
+  t.true(deflated.length < plain.length / 5, `${deflated.length} of ${plain.length} bytes`);
+});
+
+test('the same changes are encoded once, others anew', (t) => {
+  const events = Array.from({ length: 200 }, (_, index) => eventOf(index, false));
+  const answers = new AnswerChanges();
+  const first = answers.encode(SPAN, events, true);
+  t.is(answers.encode(SPAN, events, true), first);
+  const later = [...events, eventOf(200, false)];
+  const next = answers.encode({ ...SPAN, to: 41 }, later, true);
+  t.deepEqual(decodedEvents(next), later);
+  t.not(answers.encode({ ...SPAN, kind: 'config' }, events, true), first);
+});
+
+test('a frame with changes that are no deflated message is malformed', (t) => {
+  const bytes = new Uint8Array([1, 2, 3]);
+  t.is(decodeRelayFrame(encodeRelayAnswer(HEAD, { kind: 'deflated', bytes })), undefined);
+});
--- a/test/gateway/store-relay.test.ts
+++ b/test/gateway/store-relay.test.ts
@@ -76,7 +76,9 @@
   };
   server.accept(connection as unknown as FrameConnection);
   const askedMs = clock.now();
-  receive(encodeRelayQuery({ number: 1, kind: KIND, revision: 5, waitMs: 600 }));
+  receive(
+    encodeRelayQuery({ number: 1, kind: KIND, revision: 5, waitMs: 600, acceptsDeflated: true }),
+  );
   await clock.advance(200);
   mirror.takeChanges([], 5, clock.elapsed());
   await clock.advance(2_000);
