--- /dev/null
+++ b/fuzz/engine-limit-mutations.ts
@@ -0,0 +1,23 @@
+/** Routers that do not keep to limits together, which the fuzz on limits must then find. */
+import { ROUTERS } from '../src/lab/gateway-world/world-fixtures.js';
+import { changeNotices } from './change-notices.js';
+import type { GatewayMutation } from './gateway-mutations.js';
+
+/** The list. */
+export const ENGINE_LIMIT_MUTATIONS: readonly GatewayMutation[] = [
+  {
+    name: 'limits that engines name are passed over',
+    rule: 'limit-kept',
+    mutation: { makeView: changeNotices((notice) => ({ ...notice, limitPerSecond: undefined })) },
+  },
+  {
+    name: 'each router takes the whole of a limit for itself',
+    rule: 'limit-kept',
+    mutation: {
+      makeView: changeNotices(({ limitPerSecond, ...notice }) => ({
+        ...notice,
+        limitPerSecond: limitPerSecond === undefined ? undefined : limitPerSecond * ROUTERS,
+      })),
+    },
+  },
+];
--- a/soak/limit-oracle.ts
+++ b/soak/limit-oracle.ts
@@ -1,17 +1,15 @@
 /** Judges whether the routers of a soak together kept to the limits that engines named. */
+import {
+  LIMIT_ON_THE_WAY_MS,
+  LIMIT_WINDOW_MS,
+  firstFullWindow,
+  toleratedRequests,
+} from '../src/lab/limit-tolerance.js';
 import { type Arrival, CallArrivals } from './call-arrivals.js';
 import type { ReportedLimit } from './messages.js';
 import type { Breach, SoakRecord } from './oracle.js';
 import { BOUNDS, SLACK_MS } from './router-process.js';
 
-const WINDOW_MS = 4_000;
-/** So much of what a limit allows in a window may come, and so many requests on top. */
-const TOLERATED_SHARE = 1.5;
-const TOLERATED_REQUESTS = 5;
-/** Requests that were on their way when a router passed on the limit arrive within this time. */
-const ON_THE_WAY_MS = 500;
-const MILLISECONDS_PER_SECOND = 1_000;
-
 /** A limit that one life of an engine named for a while. */
 interface LimitedTime {
   readonly engineId: string;
@@ -42,17 +40,15 @@
   const toldMs = toldByRouter(time, record, arrivals);
   const counted = arrivals.all.filter((arrival) => isCounted(arrival, time, toldMs, arrivals));
   // On a machine that is busy with many processes requests of a longer time may arrive together.
-  const spanMs = WINDOW_MS + SLACK_MS;
-  const allowed =
-    (TOLERATED_SHARE * perSecond * spanMs) / MILLISECONDS_PER_SECOND + TOLERATED_REQUESTS;
-  const bindsMs = fromMs + BOUNDS.contact_ms + SLACK_MS;
-  for (const { atMs } of counted) {
-    const arrived = counted.filter((each) => each.atMs > atMs - WINDOW_MS && each.atMs <= atMs);
-    if (atMs < bindsMs || arrived.length <= allowed) continue;
-    const detail = `${arrived.length} requests at ${engineId}, which takes ${perSecond} a second`;
-    return [{ promise: 'limit-kept', detail }];
-  }
-  return [];
+  const allowed = toleratedRequests(perSecond, LIMIT_WINDOW_MS + SLACK_MS);
+  const full = firstFullWindow(
+    counted.map(({ atMs }) => atMs),
+    fromMs + BOUNDS.contact_ms + SLACK_MS,
+    () => allowed,
+  );
+  if (!full) return [];
+  const detail = `${full.requests} requests at ${engineId}, which takes ${perSecond} a second`;
+  return [{ promise: 'limit-kept', detail }];
 }
 
 /** When each router passed the first answer with the limit on. */
@@ -80,7 +76,7 @@
   arrivals: CallArrivals,
 ): boolean {
   if (engineId !== time.engineId || atMs >= time.untilMs) return false;
-  if (atMs < (toldMs.get(call.router) ?? Infinity) + ON_THE_WAY_MS + SLACK_MS) return false;
-  const sinceMs = atMs - WINDOW_MS - BOUNDS.contact_ms - SLACK_MS;
+  if (atMs < (toldMs.get(call.router) ?? Infinity) + LIMIT_ON_THE_WAY_MS + SLACK_MS) return false;
+  const sinceMs = atMs - LIMIT_WINDOW_MS - BOUNDS.contact_ms - SLACK_MS;
   return !arrivals.wasInterrupted(call.router, sinceMs, atMs);
 }
--- a/src/lab/gateway-world/limit-oracle.ts
+++ b/src/lab/gateway-world/limit-oracle.ts
@@ -1,4 +1,10 @@
 /** Judges whether routers together kept to the limits on requests a second that engines had named. */
+import {
+  LIMIT_ON_THE_WAY_MS,
+  LIMIT_WINDOW_MS,
+  firstFullWindow,
+  toleratedRequests,
+} from '../limit-tolerance.js';
 import { CONTACT_MS, type GatewayWorld } from './gateway-world.js';
 import type { ObservedArrival, ObservedLimit } from './simulated-engine.js';
 
@@ -8,15 +14,6 @@
   readonly detail: string;
 }
 
-/** Requests are counted over windows of this length. */
-const WINDOW_MS = 4_000;
-/** So much of what a limit allows in a window may come, and so many requests on top. */
-const TOLERATED_SHARE = 1.5;
-const TOLERATED_REQUESTS = 5;
-/** Requests that were on their way when a router heard of a limit arrive within this time. */
-const ON_THE_WAY_MS = 500;
-const MILLISECONDS_PER_SECOND = 1_000;
-
 /** A time in which an engine names limits without a break. */
 interface LimitedTime {
   /** Incarnation of the engine. */
@@ -66,15 +63,15 @@
   const counted = world.observations.arrivals.filter((arrival) =>
     isCounted(arrival, time, toldMs, world),
   );
-  for (const { atMs } of counted) {
-    if (atMs < firstNamedMs + CONTACT_MS) continue;
-    const arrived = counted.filter((each) => each.atMs > atMs - WINDOW_MS && each.atMs <= atMs);
-    const allowed = allowedRequests(time, atMs);
-    if (arrived.length <= allowed) continue;
-    const detail = `${arrived.length} requests at ${time.engineId} until ${atMs} ms, ${allowed} allowed`;
-    return [{ rule: 'limit-kept', detail }];
-  }
-  return [];
+  const full = firstFullWindow(
+    counted.map(({ atMs }) => atMs),
+    firstNamedMs + CONTACT_MS,
+    (atMs) => allowedRequests(time, atMs),
+  );
+  if (!full) return [];
+  const { requests, atMs } = full;
+  const detail = `${requests} requests at ${time.engineId} until ${atMs} ms, ${allowedRequests(time, atMs)} allowed`;
+  return [{ rule: 'limit-kept', detail }];
 }
 
 /** When each router took the first answer of that time. */
@@ -99,19 +96,18 @@
   world: GatewayWorld,
 ): boolean {
   if (engineId !== time.engineId || atMs >= time.untilMs) return false;
-  if (atMs < (toldMs.get(router) ?? Infinity) + ON_THE_WAY_MS) return false;
-  const sinceMs = atMs - WINDOW_MS - CONTACT_MS;
+  if (atMs < (toldMs.get(router) ?? Infinity) + LIMIT_ON_THE_WAY_MS) return false;
+  const sinceMs = atMs - LIMIT_WINDOW_MS - CONTACT_MS;
   return !world.wasInterrupted(router, sinceMs, atMs) && !world.wasCutOff(router, sinceMs, atMs);
 }
 
 /** By the highest limit that held lately: routers hear of a lower one by answers only. */
 function allowedRequests({ limits }: LimitedTime, atMs: number): number {
-  const sinceMs = atMs - WINDOW_MS - CONTACT_MS;
+  const sinceMs = atMs - LIMIT_WINDOW_MS - CONTACT_MS;
   const lately = limits.filter((limit, index) => {
     const endMs = limits[index + 1]?.atMs ?? Infinity;
     return limit.atMs <= atMs && endMs > sinceMs;
   });
   const perSecond = Math.max(...lately.map((limit) => limit.perSecond ?? 0));
-  const allowed = (perSecond * WINDOW_MS) / MILLISECONDS_PER_SECOND;
-  return Math.round(TOLERATED_SHARE * allowed + TOLERATED_REQUESTS);
+  return toleratedRequests(perSecond, LIMIT_WINDOW_MS);
 }
