--- a/src/coordination/gateway/engine-notices.ts
+++ b/src/coordination/gateway/engine-notices.ts
@@ -6,7 +6,7 @@
 /** Takes the notice that an answer carries. */
 export function noteEngineNotice(
   answered: AnsweredRequest,
-  { isLeaving, backoffMs, limitPerSecond, unreadable }: EngineNotice,
+  { isLeaving, backoffMs, limitPerSecond, unreadable, unknownHeaders }: EngineNotice,
   { registry, health, limitNews, clock, statistics, logger }: GatewayContext,
 ): void {
   const { id, name } = answered.engine;
@@ -21,6 +21,11 @@
     logger.info('engine_backoff', { ...source, for_ms: backoffMs });
   }
   if (limitPerSecond !== undefined) limitNews.noteNamed(answered, limitPerSecond);
+  for (const name of unknownHeaders) {
+    if (statistics.unknownEngineHeaders.note(name)) {
+      logger.warn('engine_header_unknown', { ...source, name });
+    }
+  }
   if (unreadable.length > 0) {
     statistics.unreadableNotices += 1;
     logger.warn('engine_notice_unreadable', { ...source, values: unreadable.join(',') });
--- a/src/lab/gateway-world/simulated-engine.ts
+++ b/src/lab/gateway-world/simulated-engine.ts
@@ -145,7 +145,7 @@
     const backoffMs = isRefusal ? this.backoffMs : undefined;
     const { isDraining: isLeaving, limitPerSecond } = this;
     if (!isLeaving && backoffMs === undefined && limitPerSecond === undefined) return undefined;
-    return { isLeaving, backoffMs, limitPerSecond, unreadable: [] };
+    return { isLeaving, backoffMs, limitPerSecond, unreadable: [], unknownHeaders: [] };
   }
 
   /** Ends at once; what it was working on breaks off. */
--- a/src/protocol/inference/port.ts
+++ b/src/protocol/inference/port.ts
@@ -82,6 +82,8 @@
   readonly limitPerSecond: number | undefined;
   /** Values of these that can't be read. */
   readonly unreadable: readonly string[];
+  /** Names of headers of the platform that this build does not know. */
+  readonly unknownHeaders: readonly string[];
 }
 
 /**
--- a/test/platform/engine-exchange.test.ts
+++ b/test/platform/engine-exchange.test.ts
@@ -188,6 +188,7 @@
   backoffMs: undefined,
   limitPerSecond: undefined,
   unreadable: [],
+  unknownHeaders: [],
 };
 
 const NOTICE_CASES: readonly NoticeCase[] = [
@@ -236,6 +237,11 @@
     head: `200 OK\r\nX-Peatspan-Attempt-Id: request-1\r\nServer-Limit: few\r\n`,
     expected: { ...NO_NOTICE, unreadable: ['few'] },
   },
+  {
+    title: 'an answer with a header of the platform that this build does not know',
+    head: `200 OK\r\nX-Peatspan-Attempt-Id: request-1\r\nServer-Mood: 3\r\nX-Other: 1\r\n`,
+    expected: { ...NO_NOTICE, unknownHeaders: ['server-mood'] },
+  },
   {
     title: 'a limit of another engine at the address',
     head: `421 Other\r\n${REFUSED}Server-Limit: 1.6\r\n`,
