--- a/src/coordination/gateway/group-event-target.ts
+++ b/src/coordination/gateway/group-event-target.ts
@@ -2,7 +2,7 @@
 import type { CrashNews } from '../../state/routing/crash-news-board.js';
 import { LoadTable } from '../../state/routing/load-table.js';
 import type { WeightsNews } from '../../state/routing/weights-news.js';
-import type { LimitNews as News } from '../../state/routing/engine-limits.js';
+import type { LimitNotice } from '../../state/routing/engine-limits.js';
 import type { CrashGuard } from './crash-guard.js';
 import type { GroupEvents } from './group-reports.js';
 import type { LimitNews } from './limit-news.js';
@@ -43,12 +43,12 @@
     return this.crashGuard?.receive(news, isPassedOn) ?? false;
   }
 
-  limitNews(): readonly News[] {
+  limitNotices(): readonly LimitNotice[] {
     return this.limits?.notices ?? [];
   }
 
-  onLimitNews(news: News): void {
-    this.limits?.receive(news);
+  onLimitNotice(notice: LimitNotice): void {
+    this.limits?.receive(notice);
   }
 
   weightsNews(): readonly WeightsNews[] {
--- a/src/coordination/gateway/group-reports.ts
+++ b/src/coordination/gateway/group-reports.ts
@@ -17,13 +17,13 @@
 } from '../../protocol/peer/generated/cluster_pb.js';
 import type { MemberUpdate } from '../../state/membership.js';
 import type { CrashNews } from '../../state/routing/crash-news-board.js';
-import type { LimitNews } from '../../state/routing/engine-limits.js';
+import type { LimitNotice } from '../../state/routing/engine-limits.js';
 import type { LoadTable } from '../../state/routing/load-table.js';
 import { type WeightsNews, WeightsNewsBoard } from '../../state/routing/weights-news.js';
 import { decodeWork, encodeWork } from './work-codec.js';
 import { decodeCrashNews, encodeCrashNews } from './crash-news-codec.js';
 import type { GroupHeartbeats } from './group-heartbeats.js';
-import { decodeLimits, encodeLimits } from './limit-news.js';
+import { decodeLimits, encodeLimits } from './limit-codec.js';
 import type { VersionNotice } from './version-news.js';
 
 /** Where the reports take their contents from, and who receives those of other routers. */
@@ -38,8 +38,8 @@
   versionNotices(): readonly VersionNotice[];
   onVersionNotice(notice: VersionNotice): void;
   /** Limits that engines named, changed or lifted a short while ago. */
-  limitNews(): readonly LimitNews[];
-  onLimitNews(news: LimitNews): void;
+  limitNotices(): readonly LimitNotice[];
+  onLimitNotice(notice: LimitNotice): void;
   /** Whether {@link takeCrashNews} has anything that was not told before. */
   readonly hasCrashNews: boolean;
   /** Crashed engines and requests in quarantine, for one report. */
@@ -146,7 +146,7 @@
     for (const { model, version, ageMs } of report.named) {
       this.parts.events.onVersionNotice({ model, version, ageMs });
     }
-    for (const news of decodeLimits(report.limits)) this.parts.events.onLimitNews(news);
+    for (const notice of decodeLimits(report.limits)) this.parts.events.onLimitNotice(notice);
     const { isLarge } = this;
     const isUrgent = this.parts.events.onCrashNews(decodeCrashNews(report), isLarge);
     if (isUrgent && isLarge) this.tellSoon(SAMPLED_FANOUT);
@@ -190,7 +190,7 @@
     const isIdle =
       loads.ownLoads.size === 0 &&
       events.weightsNews().length === 0 &&
-      events.limitNews().length === 0 &&
+      events.limitNotices().length === 0 &&
       !events.hasCrashNews;
     this.idleReports = isIdle ? this.idleReports + 1 : 0;
     if (isIdle && this.idleReports % IDLE_REPORTS_SKIPPED !== 1) return;
@@ -213,7 +213,7 @@
       named: this.parts.events.versionNotices().map((notice) => create(NamedWeightsSchema, notice)),
       heldLeaseRevision: BigInt(this.parts.events.heldLease() ?? 0),
       withoutLoads,
-      limits: encodeLimits(this.parts.events.limitNews()),
+      limits: encodeLimits(this.parts.events.limitNotices()),
       ...encodeCrashNews(this.parts.events.takeCrashNews()),
       // In a small group all hear each other.
       ...(this.isLarge ? this.parts.heartbeats.share() : {}),
--- a/src/coordination/gateway/limit-news.ts
+++ b/src/coordination/gateway/limit-news.ts
@@ -1,10 +1,8 @@
 /** What one router learns of engines' limits: from their answers, and from other routers, which it tells in turn. */
-import { create } from '@bufbuild/protobuf';
-import { type EngineLimit, EngineLimitSchema } from '../../protocol/peer/generated/cluster_pb.js';
 import type { EngineEndpoint } from '../../protocol/inference/port.js';
 import type { Clock } from '../../runtime/clock.js';
 import type { Logger } from '../../runtime/logger.js';
-import type { EngineLimits, LimitNews as News } from '../../state/routing/engine-limits.js';
+import type { EngineLimits, LimitNotice } from '../../state/routing/engine-limits.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
 
 /** What the news work with. */
@@ -28,8 +26,8 @@
   constructor(private readonly parts: LimitNewsParts) {}
 
   /** What the next report to other routers carries. */
-  get notices(): readonly News[] {
-    return this.parts.limits.news(this.parts.clock.now());
+  get notices(): readonly LimitNotice[] {
+    return this.parts.limits.notices(this.parts.clock.now());
   }
 
   /** An answer names a limit. */
@@ -47,10 +45,10 @@
   }
 
   /** Another router tells what it has learnt. */
-  receive(news: News): void {
+  receive(notice: LimitNotice): void {
     const { limits, clock } = this.parts;
-    if (!limits.receive(news, clock.now())) return;
-    const { engineName, perSecond, ageMs } = news;
+    if (!limits.receive(notice, clock.now())) return;
+    const { engineName, perSecond, ageMs } = notice;
     this.logChange(perSecond, { engine: engineName, found_by: 'router', age_ms: ageMs });
   }
 
@@ -61,26 +59,3 @@
     else logger.info('engine_limit', { ...source, per_second: perSecond });
   }
 }
-
-/** Limits as reports carry them. */
-export function encodeLimits(news: readonly News[]): EngineLimit[] {
-  return news.map(({ engineName, perSecond, ageMs }) =>
-    create(EngineLimitSchema, {
-      engineName,
-      perSecond: perSecond ?? 0,
-      isLifted: perSecond === undefined,
-      ageMs,
-    }),
-  );
-}
-
-/** Limits of a report; what is no rate is left out. */
-export function decodeLimits(limits: readonly EngineLimit[]): News[] {
-  return limits
-    .filter(({ perSecond }) => Number.isFinite(perSecond) && perSecond >= 0)
-    .map(({ engineName, perSecond, isLifted, ageMs }) => ({
-      engineName,
-      perSecond: isLifted ? undefined : perSecond,
-      ageMs,
-    }));
-}
--- a/src/state/routing/engine-limits.ts
+++ b/src/state/routing/engine-limits.ts
@@ -19,8 +19,8 @@
 /** What was not heard of again for so long is forgotten; an engine that is sent anything says so again. */
 const REMEMBERED_MS = 60_000;
 
-/** What a router learnt of an engine's limit. */
-export interface LimitNews {
+/** What one router tells another of an engine's limit. */
+export interface LimitNotice {
   readonly engineName: string;
   /** Requests a second; undefined: the limit is lifted. */
   readonly perSecond: number | undefined;
@@ -65,11 +65,11 @@
   }
 
   /**
-   * Takes another router's news.
+   * Takes another router's notice.
    *
    * @returns true where this changes what was known
    */
-  receive({ engineName, perSecond, ageMs }: LimitNews, nowMs: number): boolean {
+  receive({ engineName, perSecond, ageMs }: LimitNotice, nowMs: number): boolean {
     const present = this.known.get(engineName);
     const asOfMs = nowMs - ageMs;
     const isLift = perSecond === undefined;
@@ -80,14 +80,14 @@
   }
 
   /** What the other routers should be told. */
-  news(nowMs: number): LimitNews[] {
-    const news: LimitNews[] = [];
+  notices(nowMs: number): LimitNotice[] {
+    const notices: LimitNotice[] = [];
     for (const [engineName, { perSecond, asOfMs, learntMs }] of this.known) {
       const ageMs = Math.max(0, Math.round(nowMs - asOfMs));
       if (ageMs > REMEMBERED_MS) this.forget(engineName);
-      else if (nowMs - learntMs < TOLD_FOR_MS) news.push({ engineName, perSecond, ageMs });
+      else if (nowMs - learntMs < TOLD_FOR_MS) notices.push({ engineName, perSecond, ageMs });
     }
-    return news;
+    return notices;
   }
 
   /** Requests a second; undefined where the engine has named no limit, or lifted it. */
--- a/test/gateway/engine-limits-table.test.ts
+++ b/test/gateway/engine-limits-table.test.ts
@@ -27,10 +27,12 @@
   const limits = new EngineLimits();
   limits.noteNamed('engine-1', 1.6, 1_000);
   limits.noteNamed('engine-1', 1.6, 1_200);
-  t.deepEqual(limits.news(1_300), [{ engineName: 'engine-1', perSecond: 1.6, ageMs: 100 }]);
-  t.deepEqual(limits.news(2_600), []);
+  t.deepEqual(limits.notices(1_300), [{ engineName: 'engine-1', perSecond: 1.6, ageMs: 100 }]);
+  t.deepEqual(limits.notices(2_600), []);
   limits.noteUnnamed('engine-1', 2_700, 2_750);
-  t.deepEqual(limits.news(2_800), [{ engineName: 'engine-1', perSecond: undefined, ageMs: 100 }]);
+  t.deepEqual(limits.notices(2_800), [
+    { engineName: 'engine-1', perSecond: undefined, ageMs: 100 },
+  ]);
 });
 
 test('what another router tells counts where it is newer, a lift only where that is certain', (t) => {
@@ -50,6 +52,6 @@
 test('what was not heard of for long is forgotten', (t) => {
   const limits = new EngineLimits();
   limits.noteNamed('engine-1', 1.6, 1_000);
-  limits.news(70_000);
+  limits.notices(70_000);
   t.is(limits.perSecond('engine-1'), undefined);
 });
