--- a/soak/earlier-build.ts
+++ b/soak/earlier-build.ts
@@ -22,13 +22,15 @@
   return commit;
 }
 
-/**
- * Builds a commit in a folder of its own.
- *
- * @returns the program's file
- * @throws where the history lacks the commit, or it needs other libraries
- */
-export function buildEarlier(commit: string): string {
+/** A build in a folder of its own, which whoever asked for it removes. */
+export interface EarlierBuild {
+  readonly folder: string;
+  /** The program's file. */
+  readonly program: string;
+}
+
+/** Builds a commit; throws where the history lacks it, or it needs other libraries. */
+export function buildEarlier(commit: string): EarlierBuild {
   const folder = mkdtempSync(join(tmpdir(), `peatspan-${commit.slice(0, 7)}-`));
   const git = (...args: string[]): Buffer =>
     execFileSync('git', args, { cwd: REPOSITORY, maxBuffer: 512 * 1_024 * 1_024 });
@@ -40,11 +42,11 @@
   execFileSync('tar', ['-x', '-C', folder], { input: archive });
   symlinkSync(join(REPOSITORY, 'node_modules'), join(folder, 'node_modules'));
   execFileSync(process.execPath, ['scripts/bundle.mjs'], { cwd: folder, stdio: 'ignore' });
-  return join(folder, PROGRAM);
+  return { folder, program: join(folder, PROGRAM) };
 }
 
 const isMain =
   process.argv[1] !== undefined && resolve(process.argv[1]) === fileURLToPath(import.meta.url);
 if (isMain) {
-  process.stdout.write(`${buildEarlier(process.argv[2] ?? productionCommit())}\n`);
+  process.stdout.write(`${buildEarlier(process.argv[2] ?? productionCommit()).program}\n`);
 }
--- a/test/compatibility/messages.test.ts
+++ b/test/compatibility/messages.test.ts
@@ -3,7 +3,7 @@
  * that both know arrives as it was sent, whatever else a message holds.
  */
 import { execFileSync } from 'node:child_process';
-import { mkdirSync, mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
+import { mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import {
@@ -160,6 +160,8 @@
   });
 }
 
+test.after(() => rmSync(FOLDER, { recursive: true }));
+
 test('no field has changed its number or its type, or gone', (t) => {
   t.notThrows(() => buf('breaking', '.', '--against', FOLDER));
 });
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -67,6 +67,7 @@
     t.timeout(170_000);
     const folder = mkdtempSync(join(tmpdir(), `peatspan-soak-${seed}-`));
     const spanMs = seconds * 1_000;
+    const earlier = isMixed ? buildEarlier(productionCommit()) : undefined;
     const result = await runSoak({
       seed,
       spanMs,
@@ -76,10 +77,11 @@
       hasEngineLimits,
       callers: 8,
       folder,
-      programs: isMixed ? [buildEarlier(productionCommit()), BUNDLE] : [BUNDLE],
+      programs: earlier ? [earlier.program, BUNDLE] : [BUNDLE],
     });
     t.deepEqual(result.breaches, [], `evidence and logs: ${folder}`);
     t.true(result.calls > 0);
     rmSync(folder, { recursive: true });
+    if (earlier) rmSync(earlier.folder, { recursive: true });
   });
 }
