One traffic for tests and fuzz of limits, one sum of capacities, no state that follows from the table

Cause: read once more, the change had written the same requests and the same share of served ones in two test files and a fuzz, a sum of members' capacities that the quotas had already, and a flag in Send for what the table of limits knows: a limit that an answer names is noted later than its request was sent, so that the answer's head can't lift it. Change: world-traffic.ts serves both test files and the fuzz; totalCapacity serves the share of traffic and the quotas; the flag is gone; what a limit allows is worked out once for a breach; a header's name no longer shadows an engine's. Behaviour is the same; the tests keep their assertions.

--- a/fuzz/engine-limit-commands.ts
+++ b/fuzz/engine-limit-commands.ts
@@ -1,8 +1,10 @@
 /** Commands of the fuzz on limits: engines that take a limited number of requests a second, amid every other fault. */
 import fc from 'fast-check';
+import { sendAllKinds } from '../src/lab/gateway-world/world-traffic.js';
 import { type GatewayCommand, command } from './gateway-command.js';
 import { type CommandSource, GATEWAY_COMMANDS, engine } from './gateway-commands.js';
 
+const PRESS_GAP_MS = 25;
 const rate = fc.constantFrom(0, 0.5, 1.2, 3, 10);
 
 /** Some engines, or all of them, name a limit. */
@@ -24,17 +26,9 @@
 );
 
 /** Requests of all kinds through all routers while limits hold, and other faults with them. */
-const press = fc.constantFrom(3_000, 8_000).map((forMs) =>
-  command(`press(${forMs})`, async (world) => {
-    const GAP_MS = 25;
-    const KINDS = ['plain-safe', 'stream-resumable', 'plain-unsafe', 'stream-once'] as const;
-    for (let spentMs = 0; spentMs < forMs; spentMs += GAP_MS) {
-      const turn = spentMs / GAP_MS;
-      world.request(turn, KINDS[turn % KINDS.length] ?? 'plain-safe', 'tenant-2', 0);
-      await world.clock.advance(GAP_MS);
-    }
-  }),
-);
+const press = fc
+  .constantFrom(3_000, 8_000)
+  .map((forMs) => command(`press(${forMs})`, (world) => sendAllKinds(world, forMs, PRESS_GAP_MS)));
 
 const ENGINE_LIMIT_COMMANDS: readonly fc.Arbitrary<GatewayCommand>[] = [
   nameLimit,
--- a/src/coordination/gateway/engine-notices.ts
+++ b/src/coordination/gateway/engine-notices.ts
@@ -21,9 +21,9 @@
     logger.info('engine_backoff', { ...source, for_ms: backoffMs });
   }
   if (limitPerSecond !== undefined) limitNews.noteNamed(answered, limitPerSecond);
-  for (const name of unknownHeaders) {
-    if (statistics.unknownEngineHeaders.note(name)) {
-      logger.warn('engine_header_unknown', { ...source, name });
+  for (const header of unknownHeaders) {
+    if (statistics.unknownEngineHeaders.note(header)) {
+      logger.warn('engine_header_unknown', { ...source, name: header });
     }
   }
   if (unreadable.length > 0) {
--- a/src/coordination/gateway/limit-news.ts
+++ b/src/coordination/gateway/limit-news.ts
@@ -37,7 +37,7 @@
     this.logChange(perSecond, { engine: engine.id, request: requestId });
   }
 
-  /** An engine answered a request itself and named no limit. */
+  /** An engine answered a request itself; without effect where the answer has just named a limit. */
   noteUnnamed({ engine, requestId, sentMs }: AnsweredRequest): void {
     const { limits, clock } = this.parts;
     if (!limits.noteUnnamed(engine.name, sentMs, clock.now())) return;
--- a/src/coordination/gateway/quota/group-quota-view.ts
+++ b/src/coordination/gateway/quota/group-quota-view.ts
@@ -1,5 +1,6 @@
 /** What the quotas see of the group; computed anew only now and then, since each request asks for it. */
 import { type GroupMembership, LONGEST_SILENCE_MS } from '../group-membership.js';
+import { totalCapacity } from '../../../state/total-capacity.js';
 import type { QuotaGroup } from './quota-group.js';
 
 /**
@@ -92,15 +93,11 @@
     const heard = working.filter(
       ({ nodeId }) => this.group.silenceMs(nodeId) <= this.longestSilenceMs,
     );
-    const capacity = sumOfCapacity(working);
-    const heardShare = capacity > 0 ? sumOfCapacity(heard) / capacity : 1;
+    const capacity = totalCapacity(working);
+    const heardShare = capacity > 0 ? totalCapacity(heard) / capacity : 1;
     const unheardShare = this.group.isLarge ? LARGE_GROUP_UNHEARD_SHARE : UNHEARD_SHARE;
     const reachable = heardShare < 1 - unheardShare ? heardShare : 1;
     this.shares = { reachable, own: this.ownShareNow(), atMs: now };
     return this.shares;
   }
 }
-
-function sumOfCapacity(members: readonly { readonly capacity: number }[]): number {
-  return members.reduce((sum, { capacity }) => sum + capacity, 0);
-}
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -125,7 +125,6 @@
   private firstChunkMs: number | undefined;
   private lastChunkMs: number | undefined;
   private chunks = 0;
-  private isLimitNamed = false;
   private isOver = false;
 
   constructor(
@@ -149,14 +148,14 @@
   }
 
   onNotice(notice: EngineNotice): void {
-    this.isLimitNamed ||= notice.limitPerSecond !== undefined;
     noteEngineNotice(this.answered, notice, this.context);
   }
 
   onHead(head: AnswerHead): void {
     if (this.isOver) return;
     this.headMs = this.context.clock.now();
-    this.noteLimitOf(head);
+    // Only an answer that the engine attests is sure to be its own word; a limit that it names is noted by now.
+    if (head.isAttested) this.context.limitNews.noteUnnamed(this.answered);
     this.events.onHead(this, head);
   }
 
@@ -214,11 +213,6 @@
     return this.placement.cacheSalt === undefined ? undefined : this.request.generation;
   }
 
-  /** Only an answer that the engine attests is sure to be its own word. */
-  private noteLimitOf({ isAttested }: AnswerHead): void {
-    if (isAttested && !this.isLimitNamed) this.context.limitNews.noteUnnamed(this.answered);
-  }
-
   private get answered(): AnsweredRequest {
     const { placement, request, sentMs } = this;
     return { engine: placement.engine.record, requestId: request.id, sentMs };
--- a/src/coordination/gateway/traffic-share.ts
+++ b/src/coordination/gateway/traffic-share.ts
@@ -4,6 +4,7 @@
  * decision asks for it.
  */
 import type { MemberUpdate } from '../../state/membership.js';
+import { totalCapacity } from '../../state/total-capacity.js';
 import type { TurnInterval } from '../../state/routing/send-turns.js';
 
 /** The group, as far as the share needs it. */
@@ -63,7 +64,3 @@
   const from = before.reduce((sum, member) => sum + shareOf(member), 0);
   return { from, to: from + shareOf(own) };
 }
-
-function totalCapacity(members: readonly MemberUpdate[]): number {
-  return members.reduce((sum, { capacity }) => sum + capacity, 0);
-}
--- a/src/lab/gateway-world/limit-oracle.ts
+++ b/src/lab/gateway-world/limit-oracle.ts
@@ -69,8 +69,8 @@
     (atMs) => allowedRequests(time, atMs),
   );
   if (!full) return [];
-  const { requests, atMs } = full;
-  const detail = `${requests} requests at ${time.engineId} until ${atMs} ms, ${allowedRequests(time, atMs)} allowed`;
+  const { requests, allowed, atMs } = full;
+  const detail = `${requests} requests at ${time.engineId} until ${atMs} ms, ${allowed} allowed`;
   return [{ rule: 'limit-kept', detail }];
 }
 
--- a/src/lab/limit-tolerance.ts
+++ b/src/lab/limit-tolerance.ts
@@ -15,6 +15,14 @@
   return Math.round(TOLERATED_SHARE * allowed + TOLERATED_REQUESTS);
 }
 
+/** A window that holds more requests than are allowed. */
+export interface FullWindow {
+  readonly requests: number;
+  readonly allowed: number;
+  /** When it ends. */
+  readonly atMs: number;
+}
+
 /**
  * Requests of the first window, ending at `fromMs` or later, that holds more than what is allowed when it ends.
  *
@@ -25,11 +33,12 @@
   arrivedMs: readonly number[],
   fromMs: number,
   allowedAt: (atMs: number) => number,
-): { readonly requests: number; readonly atMs: number } | undefined {
+): FullWindow | undefined {
   const moments = [...arrivedMs].sort((left, right) => left - right);
   for (const atMs of moments.filter((moment) => moment >= fromMs)) {
     const window = moments.filter((each) => each > atMs - LIMIT_WINDOW_MS && each <= atMs);
-    if (window.length > allowedAt(atMs)) return { requests: window.length, atMs };
+    const allowed = allowedAt(atMs);
+    if (window.length > allowed) return { requests: window.length, allowed, atMs };
   }
   return undefined;
 }
--- a/test/gateway/engine-limits.test.ts
+++ b/test/gateway/engine-limits.test.ts
@@ -16,7 +16,7 @@
 import test from 'ava';
 import { findBreaches } from '../../src/lab/gateway-world/gateway-oracle.js';
 import { GatewayWorld } from '../../src/lab/gateway-world/gateway-world.js';
-import type { RequestKind } from '../../src/lab/gateway-world/world-fixtures.js';
+import { sendAllKinds, servedShare } from '../../src/lab/gateway-world/world-traffic.js';
 
 const SEEDS = [1, 2, 3];
 const STEP_MS = 20;
@@ -28,34 +28,13 @@
 const PLAIN_ENGINE = 3;
 const ENGINES = 5;
 
-const KINDS: readonly RequestKind[] = [
-  'plain-safe',
-  'stream-resumable',
-  'plain-unsafe',
-  'stream-once',
-];
-
-/** Requests of all kinds through all routers for a while. */
-async function sendFor(world: GatewayWorld, forMs: number): Promise<void> {
-  for (let spentMs = 0; spentMs < forMs; spentMs += STEP_MS) {
-    const turn = spentMs / STEP_MS;
-    world.request(turn, KINDS[turn % KINDS.length] as RequestKind, 'tenant-2', 0);
-    await world.clock.advance(STEP_MS);
-  }
-}
-
-function servedShare(world: GatewayWorld): number {
-  const { requests } = world;
-  return requests.filter(({ reply }) => reply.status === 200).length / requests.length;
-}
-
 test('engines that name a limit get no more while others serve', async (t) => {
   for (const seed of SEEDS) {
     const world = await GatewayWorld.create(seed);
     for (const index of [GENERATION_ENGINE, PLAIN_ENGINE]) {
       world.limitEngine(index, LIMIT_PER_SECOND);
     }
-    await sendFor(world, LIMITED_MS);
+    await sendAllKinds(world, LIMITED_MS, STEP_MS);
     t.deepEqual(findBreaches(world), []);
     t.true(servedShare(world) > 0.95);
   }
@@ -65,7 +44,7 @@
   for (const seed of SEEDS) {
     const world = await GatewayWorld.create(seed);
     for (let index = 0; index < ENGINES; index += 1) world.limitEngine(index, LIMIT_PER_SECOND);
-    await sendFor(world, LIMITED_MS);
+    await sendAllKinds(world, LIMITED_MS, STEP_MS);
     t.deepEqual(findBreaches(world), []);
     const share = world.observations.arrivals.length / (ENGINES * LIMIT_PER_SECOND * LIMITED_S);
     t.true(share > 0.8, `${share} of what the engines take`);
@@ -94,11 +73,11 @@
   for (const seed of SEEDS) {
     const world = await GatewayWorld.create(seed);
     for (const index of [PLAIN_ENGINE, PLAIN_ENGINE + 1]) world.limitEngine(index, 0.5);
-    await sendFor(world, 6_000);
+    await sendAllKinds(world, 6_000, STEP_MS);
     for (const index of [PLAIN_ENGINE, PLAIN_ENGINE + 1]) world.limitEngine(index, undefined);
-    await sendFor(world, 5_000);
+    await sendAllKinds(world, 5_000, STEP_MS);
     const first = world.requests.length;
-    await sendFor(world, 2_000);
+    await sendAllKinds(world, 2_000, STEP_MS);
     const late = world.requests.slice(first);
     const served = late.filter(({ reply }) => reply.status === 200).length;
     t.true(served / late.length > 0.97, `${served} of ${late.length}`);
--- a/test/gateway/engine-notices.test.ts
+++ b/test/gateway/engine-notices.test.ts
@@ -21,7 +21,7 @@
 import { findBreaches } from '../../src/lab/gateway-world/gateway-oracle.js';
 import { GatewayWorld } from '../../src/lab/gateway-world/gateway-world.js';
 import { EngineMode } from '../../src/lab/gateway-world/simulated-engine.js';
-import type { RequestKind } from '../../src/lab/gateway-world/world-fixtures.js';
+import { sendAllKinds, servedShare } from '../../src/lab/gateway-world/world-traffic.js';
 
 const SEEDS = [1, 2, 3];
 const STEP_MS = 20;
@@ -32,34 +32,13 @@
 const GENERATION_ENGINE = 0;
 const PLAIN_ENGINE = 3;
 
-const KINDS: readonly RequestKind[] = [
-  'plain-safe',
-  'stream-resumable',
-  'plain-unsafe',
-  'stream-once',
-];
-
-/** Requests of all kinds through all routers for a while. */
-async function sendFor(world: GatewayWorld, forMs: number): Promise<void> {
-  for (let spentMs = 0; spentMs < forMs; spentMs += STEP_MS) {
-    const turn = spentMs / STEP_MS;
-    world.request(turn, KINDS[turn % KINDS.length] as RequestKind, 'tenant-2', 0);
-    await world.clock.advance(STEP_MS);
-  }
-}
-
-function servedShare(world: GatewayWorld): number {
-  const { requests } = world;
-  return requests.filter(({ reply }) => reply.status === 200).length / requests.length;
-}
-
 test('engines that leave while the store is out get no more requests', async (t) => {
   for (const seed of SEEDS) {
     const world = await GatewayWorld.create(seed);
     world.stopStore(STORE_OUT_MS);
     world.fleet.leave(GENERATION_ENGINE);
     world.fleet.leave(PLAIN_ENGINE);
-    await sendFor(world, STORE_OUT_MS);
+    await sendAllKinds(world, STORE_OUT_MS, STEP_MS);
     await world.settle();
     t.true(world.observations.notices.length > 0);
     t.deepEqual(findBreaches(world), []);
@@ -74,7 +53,7 @@
       engine.mode = EngineMode.Busy;
       engine.backoffMs = BACKOFF_MS;
     }
-    await sendFor(world, REFUSING_MS);
+    await sendAllKinds(world, REFUSING_MS, STEP_MS);
     t.deepEqual(findBreaches(world), []);
     t.true(servedShare(world) > 0.95);
   }
@@ -88,7 +67,7 @@
       engine.mode = EngineMode.Busy;
       engine.backoffMs = BACKOFF_MS;
     }
-    await sendFor(world, REFUSING_MS);
+    await sendAllKinds(world, REFUSING_MS, STEP_MS);
     t.deepEqual(findBreaches(world), []);
     const own = world.requests.flatMap(({ reply }) => reply.own ?? []);
     t.true(own.every(({ status }) => status === 503));
