Log the store's era and engines' entries that are dropped as outdated

The logs of the incident could not tell whether a list or an entry was refused, nor which copy of the store an answer was of: an entry that is dropped for its revision left no line, and Store-Era was not read. No decision changes.

--- a/src/coordination/gateway/engine-list.ts
+++ b/src/coordination/gateway/engine-list.ts
@@ -116,7 +116,12 @@
   /** Answers the record that was taken; undefined where the entry names no engine to use. */
   private takeEntry(object: StoredObject): EngineRecord | undefined {
     const { name, revision } = object;
-    if (revision < (this.revisions.get(name) ?? -Infinity)) return undefined;
+    const newestRevision = this.revisions.get(name) ?? -Infinity;
+    if (revision < newestRevision) {
+      const fields = { engine: name, revision, newest_revision: newestRevision };
+      this.parts.logger.info('engine_entry_outdated', fields);
+      return undefined;
+    }
     this.remember(name, revision);
     const decoded = this.parts.decoder.engine(object);
     if (decoded.kind === 'unused') return undefined;
--- a/src/coordination/gateway/object-follower.ts
+++ b/src/coordination/gateway/object-follower.ts
@@ -65,6 +65,7 @@
   private revision: number | undefined;
   /** The newest state that was taken; the store's revisions only rise, so an older one is never taken. */
   private newestRevision = 0;
+  private era: number | undefined;
   private hasListed = false;
   private failures = 0;
   private isStopped = false;
@@ -133,6 +134,7 @@
       this.events.onHistoryGone();
       return;
     }
+    this.noteEra(result);
     const { proven = callBegan, isRelayed = false } = result;
     for (const { object, isGone } of result.events) {
       if (isGone) this.events.onGone(object.name, object.revision);
@@ -159,6 +161,7 @@
     const callBegan = this.clock.elapsed();
     const list = await this.store.list(this.settings.kind, freshness);
     if (this.isStopped) return;
+    this.noteEra(list);
     const { newestRevision: knownRevision } = this;
     if (list.revision < knownRevision) {
       throw new ProtocolFailure({ kind: 'outdated', revision: list.revision, knownRevision });
@@ -170,6 +173,14 @@
     this.events.onAnswer(proven, list.isRelayed ?? false);
   }
 
+  private noteEra({ era, revision }: UnnamedItems): void {
+    if (era === undefined || era === this.era) return;
+    const { kind } = this.settings;
+    const { era: before, newestRevision } = this;
+    this.logger.warn('store_era', { kind, era, before, revision, newest_revision: newestRevision });
+    this.era = era;
+  }
+
   private noteUnnamed({ unnamedItems, revision }: UnnamedItems): void {
     if (unnamedItems) this.events.onUnnamed(unnamedItems, revision);
   }
--- a/src/protocol/object-store/port.ts
+++ b/src/protocol/object-store/port.ts
@@ -16,6 +16,8 @@
   readonly unnamedItems?: number;
   /** The store's revision that the answer shows. */
   readonly revision: number;
+  /** Rises each time that the store is back from an older copy of itself; left out where it says none. */
+  readonly era?: number;
 }
 
 /** All objects of a kind at one revision of the store. */
