Show what routers make of a store that came back from an older copy

The simulated store can be restored from an older copy of itself; the operator and the engines write again what is lost.

--- a/src/lab/gateway-world/gateway-world.ts
+++ b/src/lab/gateway-world/gateway-world.ts
@@ -18,6 +18,7 @@
 import { SimulatedFleet } from './simulated-fleet.js';
 import { SimulatedInference } from './simulated-inference.js';
 import { SimulatedObjectStore, SimulatedStorePort } from './simulated-object-store.js';
+import { SimulatedOperator } from './simulated-operator.js';
 import type { StoredEngine } from './stored-engine.js';
 import {
   DECODER,
@@ -46,6 +47,15 @@
   readonly reply: RecordedReply;
 }
 
+/** A store that comes back from an older copy of itself; times in milliseconds. */
+export interface StoreRestoration {
+  /** What was written in this span before the store went away is gone. */
+  readonly lostMs: number;
+  readonly awayMs: number;
+  /** The operator writes again so long after the store's return. */
+  readonly writtenAgainMs: number;
+}
+
 /** Something the store acknowledged, for the rules with a time bound. */
 export interface Acknowledgement {
   readonly kind: 'key-removed' | 'key-added' | 'engine-draining' | 'weights-named';
@@ -80,6 +90,7 @@
   readonly clock = new VirtualClock();
   readonly store: SimulatedObjectStore;
   readonly fleet: SimulatedFleet;
+  private readonly operator: SimulatedOperator;
   readonly observations = new EngineObservations();
   readonly requests: ObservedRequest[] = [];
   readonly acknowledgements: Acknowledgement[] = [];
@@ -105,6 +116,7 @@
     private readonly mutation: WorldMutation,
   ) {
     this.store = new SimulatedObjectStore(this.clock);
+    this.operator = new SimulatedOperator(this.store);
     this.fleet = new SimulatedFleet(this.clock, this.store, (subject) =>
       this.acknowledgements.push({ kind: 'engine-draining', subject, atMs: this.now }),
     );
@@ -120,7 +132,7 @@
       if (limit) world.limitChanges.push({ tenant, limit, atMs: 0 });
     }
     world.putConfiguration();
-    world.store.put(KINDS.weightVersions, WORLD_MODEL, { model: WORLD_MODEL, version: 1 });
+    world.operator.write(KINDS.weightVersions, WORLD_MODEL, { model: WORLD_MODEL, version: 1 });
     for (let index = 0; index < GENERATION_ENGINES; index += 1) world.fleet.add(GENERATION_SERVICE);
     for (let index = 0; index < PLAIN_ENGINES; index += 1) world.fleet.add(PLAIN_SERVICE);
     for (let index = 0; index < ROUTERS; index += 1) await world.startRouter(index);
@@ -200,9 +212,8 @@
 
   nameWeights(): void {
     if (this.store.isDown) return;
-    const present = this.store.get(KINDS.weightVersions, WORLD_MODEL)?.spec as { version: number };
-    const version = present.version + 1;
-    this.store.put(KINDS.weightVersions, WORLD_MODEL, { model: WORLD_MODEL, version });
+    const version = this.namedVersion + 1;
+    this.operator.write(KINDS.weightVersions, WORLD_MODEL, { model: WORLD_MODEL, version });
     this.acknowledgements.push({ kind: 'weights-named', subject: `${version}`, atMs: this.now });
   }
 
@@ -234,7 +245,7 @@
 
   /** Newest version of the weights that was named. */
   get namedVersion(): number {
-    return (this.store.get(KINDS.weightVersions, WORLD_MODEL)?.spec as { version: number }).version;
+    return (this.operator.newest(KINDS.weightVersions, WORLD_MODEL) as { version: number }).version;
   }
 
   freezeRouter(index: number, forMs: number): void {
@@ -292,6 +303,17 @@
     });
   }
 
+  /**
+   * The store is away for a while and back from an older copy of itself. Soon after, the operator writes again
+   * what is lost; the engines do with their next heartbeats.
+   */
+  restoreStore({ lostMs, awayMs, writtenAgainMs }: StoreRestoration): void {
+    this.stopStore(awayMs);
+    this.store.restore(this.now - lostMs);
+    this.clock.setTimer(awayMs, () => this.fleet.writeEntriesAgain());
+    this.clock.setTimer(awayMs + writtenAgainMs, () => this.operator.writeAgain());
+  }
+
   /** Ends every fault and lets everything come to rest. */
   async settle(): Promise<void> {
     this.store.isDown = false;
@@ -353,7 +375,7 @@
       keys: [...keys],
       limit: this.limitChanges.findLast(({ tenant }) => tenant === name)?.limit,
     }));
-    this.store.put(
+    this.operator.write(
       KINDS.configuration,
       'main',
       worldConfiguration(this.configurationVersion, tenants),
--- a/src/lab/gateway-world/simulated-fleet.ts
+++ b/src/lab/gateway-world/simulated-fleet.ts
@@ -1,4 +1,5 @@
 /** The engines of the simulated deployment: their lives, their entries in the store, the ways to them. */
+import { isDeepStrictEqual } from 'node:util';
 import type { VirtualClock } from '../../runtime/virtual-clock.js';
 import { type OddEntry, oddEntryOf } from './odd-entry.js';
 import { type EngineIdentity, type RunningRequest, SimulatedEngine } from './simulated-engine.js';
@@ -166,6 +167,20 @@
     this.clock.setTimer(HEARTBEAT_MS, () => this.writeEntry(engine));
   }
 
+  /**
+   * The store has gone back to an older copy: with its next heartbeat each engine enters again as it is, and
+   * entries of engines that have ended lapse.
+   */
+  writeEntriesAgain(): void {
+    for (const [index, name] of this.names.entries()) {
+      const heartbeatMs = (HEARTBEAT_MS * (index + 1)) / this.names.length;
+      this.clock.setTimer(heartbeatMs, () => this.writeEntryAgain(name));
+      this.clock.setTimer(ENTRY_LAPSE_MS, () => {
+        if (this.lifeOf(name)?.isRunning === false) this.store.remove(KINDS.engines, name);
+      });
+    }
+  }
+
   /** Ends every cut. */
   heal(): void {
     for (const address of [...this.cuts.keys()]) this.endCut(address);
@@ -232,6 +247,15 @@
     if (this.lifeOf(engine.name) === engine) this.store.remove(KINDS.engines, engine.name);
   }
 
+  private writeEntryAgain(name: string): void {
+    const engine = this.lifeOf(name);
+    if (!engine) return;
+    const entry = entryOf(engine);
+    // What changes nothing raises no revision.
+    if (!isDeepStrictEqual(this.store.get(KINDS.engines, name)?.spec, entry))
+      this.writeEntry(engine);
+  }
+
   /** Writes as long as the life lasts, until the store takes it. */
   private writeEntry(engine: SimulatedEngine): void {
     if (!engine.isRunning) return;
--- a/src/lab/gateway-world/simulated-object-store.ts
+++ b/src/lab/gateway-world/simulated-object-store.ts
@@ -14,12 +14,14 @@
 const LATENCY_MS = 2;
 /** A caller notices after this that no answer comes. */
 const SILENCE_MS = 1_000;
+const FIRST_REVISION = 1;
 /** A write whose answer was lost may be done this much later. */
 const LATE_WRITE_MS = 1_500;
 
 interface HistoryEntry extends ObjectEvent {
   readonly kind: string;
   readonly revision: number;
+  readonly atMs: number;
 }
 
 /** What becomes of the next writes. */
@@ -29,9 +31,12 @@
 export class SimulatedObjectStore {
   private readonly kinds = new Map<string, Map<string, StoredObject>>();
   private history: HistoryEntry[] = [];
+  /** All changes since the store was made, whatever the history has forgotten. */
+  private changes: HistoryEntry[] = [];
   private readonly waiting = new Set<() => void>();
-  private latest = 1;
+  private latest = FIRST_REVISION;
   private oldestKnown = 0;
+  private presentEra = 1;
   isDown = false;
   /** Refuses every call at once, as a store does that is busy. */
   isBusy = false;
@@ -49,12 +54,17 @@
     return this.latest;
   }
 
+  /** Rises each time that the store comes back from an older copy of itself. */
+  get era(): number {
+    return this.presentEra;
+  }
+
   /** Writes without a condition, as the operator and the engines do. */
   put(kind: string, name: string, spec: unknown): void {
     this.latest += 1;
     const object = { name, revision: this.latest, spec };
     this.objectsOf(kind).set(name, object);
-    this.record({ kind, object, isGone: false, revision: this.latest });
+    this.record({ kind, object, isGone: false, revision: this.latest, atMs: this.clock.now() });
   }
 
   remove(kind: string, name: string): void {
@@ -62,7 +72,7 @@
     if (!object) return;
     this.latest += 1;
     this.objectsOf(kind).delete(name);
-    this.record({ kind, object, isGone: true, revision: this.latest });
+    this.record({ kind, object, isGone: true, revision: this.latest, atMs: this.clock.now() });
   }
 
   get(kind: string, name: string): StoredObject | undefined {
@@ -80,8 +90,26 @@
     this.wake();
   }
 
+  /**
+   * The store is back from the copy that was made at a moment: what was written later is gone, and its
+   * revisions are given out again.
+   */
+  restore(copiedMs: number): void {
+    this.presentEra += 1;
+    this.changes = this.changes.filter(({ atMs }) => atMs <= copiedMs);
+    this.latest = this.changes.at(-1)?.revision ?? FIRST_REVISION;
+    this.oldestKnown = Math.min(this.oldestKnown, this.latest);
+    this.history = this.history.filter(({ revision }) => revision <= this.latest);
+    this.kinds.clear();
+    for (const { kind, object, isGone } of this.changes) {
+      if (isGone) this.objectsOf(kind).delete(object.name);
+      else this.objectsOf(kind).set(object.name, object);
+    }
+    this.wake();
+  }
+
   changesAfter(kind: string, revision: number): HistoryEntry[] | undefined {
-    if (revision < this.oldestKnown) return undefined;
+    if (revision < this.oldestKnown || revision > this.latest) return undefined;
     return this.history.filter((entry) => entry.kind === kind && entry.revision > revision);
   }
 
@@ -102,6 +130,7 @@
 
   private record(entry: HistoryEntry): void {
     this.history.push(entry);
+    this.changes.push(entry);
     this.wake();
   }
 
