Take no proof from a restored store with an older configuration

What could happen: a router that had been cut off while a key was taken away found a store that had lost the change, and honoured the key for another 4.6 s at a time until the operator wrote it again. Cause: an answer without a newer configuration proved the one in force, also where the store held an older one or none. Change: such a store proves nothing until it holds one that is as new. Left: a router cannot know of a change that it never saw and that the copy lacks as well.

--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -257,7 +257,11 @@
   start(): void {
     followKinds(this.followers, this.settings, {
       configuration: {
-        onObject: (object, proven) => this.takeConfiguration(object, proven),
+        onList: (objects, proven) => {
+          const taken = objects.filter((object) => this.takeConfiguration(object, proven));
+          if (taken.length === 0) this.configuration.noteMissing();
+        },
+        onObject: (object, proven) => void this.takeConfiguration(object, proven),
         onAnswer: (proven) => this.configuration.prove(proven),
       },
       engineList: this.listed.list,
@@ -338,11 +342,13 @@
     this.group.stop();
   }
 
-  private takeConfiguration(object: StoredObject, proven: ElapsedInstant): void {
+  /** Answers whether the object is a configuration, be it one that can't be read. */
+  private takeConfiguration(object: StoredObject, proven: ElapsedInstant): boolean {
     const { decoder, logger } = this.surroundings;
-    const configuration = valueOrLog(decoder.configuration(object), object, logger);
-    if (!configuration) return;
-    if (!this.configuration.adopt(configuration, proven)) return;
+    const decoded = decoder.configuration(object);
+    const configuration = valueOrLog(decoded, object, logger);
+    if (!configuration) return decoded.kind === 'malformed';
+    if (!this.configuration.adopt(configuration, proven)) return true;
     this.split.retain(new Set(configuration.routes.map((route) => route.name)));
     logger.info('configuration_in_force', {
       version: configuration.version,
@@ -351,6 +357,7 @@
       routes: configuration.routes.length,
     });
     this.joinWhenReady();
+    return true;
   }
 
   private joinWhenReady(): void {
--- a/src/state/routing/configuration-state.ts
+++ b/src/state/routing/configuration-state.ts
@@ -12,6 +12,8 @@
 export class ConfigurationState {
   private table: RouteTable | undefined;
   private provenAt = ElapsedInstant.never;
+  /** Whether the store was last seen with an older configuration than the one in force, or with none. */
+  private isStoreBehind = false;
 
   /** @param proofLifetimeMs how long a proof allows requests with a key to be dispatched */
   constructor(private readonly proofLifetimeMs: number) {}
@@ -27,16 +29,25 @@
 
   /** Takes a configuration that a call begun at `callBegan` returned; false where it is not newer. */
   adopt(configuration: RoutingConfiguration, callBegan: ElapsedInstant): boolean {
-    if (configuration.version < this.version) return false;
+    this.isStoreBehind = configuration.version < this.version;
+    if (this.isStoreBehind) return false;
     this.provenAt = this.provenAt.latest(callBegan);
     if (configuration.version === this.version) return false;
     this.table = new RouteTable(configuration);
     return true;
   }
 
-  /** Notes that a call begun at `callBegan` found no newer configuration. */
+  /** The store was read and holds no configuration. */
+  noteMissing(): void {
+    this.isStoreBehind = true;
+  }
+
+  /**
+   * Notes that a call begun at `callBegan` found no newer configuration. A store that was restored from an older copy
+   * proves nothing until the operator has written again what it lost: a key may have been taken away meanwhile.
+   */
   prove(callBegan: ElapsedInstant): void {
-    if (this.table) this.provenAt = this.provenAt.latest(callBegan);
+    if (this.table && !this.isStoreBehind) this.provenAt = this.provenAt.latest(callBegan);
   }
 
   /** Milliseconds since the proof in force began. */
--- a/test/gateway/store-restored.test.ts
+++ b/test/gateway/store-restored.test.ts
@@ -142,3 +142,26 @@
   t.deepEqual([...seen], [['lasting', 5]]);
   follower.stop();
 });
+
+test('a restored store with an older configuration proves nothing', async (t) => {
+  for (const seed of SEEDS) {
+    const world = await GatewayWorld.create(seed);
+    await world.clock.advance(LOST.lostMs);
+    world.toggleKey('tenant-2', 1);
+    await world.clock.advance(CHANGE_GAP_MS);
+    // A router knows of this change, and not of the next one, which takes a key away.
+    world.isolateRouter(0, 5_000);
+    world.toggleKey('tenant-1', 1);
+    await world.clock.advance(CHANGE_GAP_MS);
+    world.restoreStore({ ...LOST, awayMs: 100, writtenAgainMs: 8_000 });
+    for (let spentMs = 0; spentMs < 9_000; spentMs += STEP_MS) {
+      world.request(0, 'plain-safe', 'tenant-1', 1);
+      await world.clock.advance(STEP_MS);
+    }
+    await world.settle();
+    t.deepEqual(findBreaches(world), []);
+    world.request(0, 'plain-safe', 'tenant-1', 0);
+    await world.settle();
+    t.is(world.requests.at(-1)?.reply.status, 200);
+  }
+});
