--- /dev/null
+++ b/test/gateway/relay-eras.test.ts
@@ -0,0 +1,116 @@
+/** Following a store that was restored through other routers, some of a build that knows no eras. */
+import test from 'ava';
+import { ObjectMirror } from '../../src/coordination/gateway/store-relay/object-mirror.js';
+import { PeerQueries } from '../../src/coordination/gateway/store-relay/peer-queries.js';
+import type { RelayClient } from '../../src/coordination/gateway/store-relay/relay-client.js';
+import type { RelayedObjectStore } from '../../src/coordination/gateway/store-relay/relayed-object-store.js';
+import { ListFreshness, type StoredObject } from '../../src/protocol/object-store/port.js';
+import {
+  type RelayAnswer,
+  decodeRelayFrame,
+  encodeRelayAnswer,
+  encodeRelayQuery,
+} from '../../src/protocol/peer/relay-codec.js';
+import { NO_CHANGES } from '../../src/protocol/peer/encoded-changes.js';
+import { ElapsedInstant } from '../../src/runtime/elapsed-instant.js';
+import { StoreEra, StorePosition } from '../../src/runtime/store-position.js';
+import { VirtualClock } from '../../src/runtime/virtual-clock.js';
+import { elapsedAt } from '../helpers/instants.js';
+import { positionAt } from '../helpers/positions.js';
+import { KIND, RelayWorld, SETTINGS, member } from '../helpers/relay-world.js';
+
+function thing(revision: number, era: number, spec: unknown = revision): StoredObject {
+  return { name: `thing-${revision}`, position: positionAt(revision, era), spec };
+}
+
+/** Asks routers that all give the same answer. */
+function queriesAnswered(answer: Omit<RelayAnswer, 'number' | 'heldMs'>): PeerQueries {
+  const query = (): Promise<RelayAnswer> => Promise.resolve({ ...answer, number: 1, heldMs: 0 });
+  const client = { query } as unknown as RelayClient;
+  return new PeerQueries(client, SETTINGS.freshMs, new VirtualClock());
+}
+
+test('a mirror of a restored store has the restored state, and answers askers of the former era with none', (t) => {
+  const mirror = new ObjectMirror();
+  mirror.takeList([thing(4, 1), thing(9, 1)], positionAt(9, 1), elapsedAt(0));
+  mirror.takeList([thing(4, 2)], positionAt(6, 2), elapsedAt(100));
+  t.deepEqual(
+    mirror.all.map(({ name }) => name),
+    ['thing-4'],
+  );
+  // The revision that the asker knows has been given out again.
+  const later = { object: thing(9, 2), isGone: false };
+  mirror.takeChanges([later], positionAt(9, 2), elapsedAt(200));
+  t.is(mirror.changesAfter(positionAt(7, 1)), undefined);
+  t.deepEqual(mirror.changesAfter(positionAt(7, 2)), [later]);
+});
+
+test('what comes late from the former era changes a mirror no more', (t) => {
+  const mirror = new ObjectMirror();
+  mirror.takeList([thing(4, 2)], positionAt(6, 2), elapsedAt(0));
+  const stale = { object: thing(8, 1), isGone: false };
+  mirror.takeChanges([stale], positionAt(8, 1), elapsedAt(100));
+  mirror.takeList([thing(8, 1)], positionAt(8, 1), elapsedAt(100));
+  t.deepEqual(mirror.all, [thing(4, 2)]);
+});
+
+test('changes of the next era do not follow on a list of the former one', (t) => {
+  const mirror = new ObjectMirror();
+  mirror.takeList([thing(4, 1)], positionAt(4, 1), elapsedAt(0));
+  mirror.takeChanges([{ object: thing(6, 2), isGone: false }], positionAt(6, 2), elapsedAt(100));
+  t.deepEqual(mirror.all, [thing(4, 1)]);
+  t.true(mirror.position.isSame(positionAt(4, 1)));
+});
+
+test('a follower takes the restored state from its reader', async (t) => {
+  const world = await RelayWorld.create(2);
+  const [reader, follower] = world.stores as [RelayedObjectStore, RelayedObjectStore];
+  world.store.put(KIND, 'first', 1);
+  const copiedMs = world.clock.now();
+  await world.clock.advance(100);
+  for (const value of [2, 3, 4]) world.store.put(KIND, 'first', value);
+  await world.run(reader.list(KIND, ListFreshness.Current));
+  const before = await world.run(follower.list(KIND, ListFreshness.Current));
+  if (before instanceof Error) return t.fail(before.message);
+  world.store.restore(copiedMs);
+  for (const value of [5, 6, 7, 8]) world.store.put(KIND, 'second', value);
+  await world.run(reader.list(KIND, ListFreshness.Current));
+  const result = await world.run(follower.watch(KIND, before.position, 600));
+  t.deepEqual(result, { kind: 'history-gone' });
+  const list = await world.run(follower.list(KIND, ListFreshness.Current));
+  t.like(list, { isRelayed: true, objects: { 0: { spec: 1 }, 1: { spec: 8 } } });
+});
+
+test('the word of a build that knows no eras adds what it knows and proves nothing', async (t) => {
+  const position = new StorePosition(StoreEra.Unknown, 12);
+  const events = [{ object: thing(12, StoreEra.Unknown), isGone: false }];
+  const queries = queriesAnswered({ isKnown: true, events, position, proofAgeMs: 5 });
+  await t.throwsAsync(queries.changes(member('old'), KIND, positionAt(3, 1), 0));
+  await t.throwsAsync(queries.changes(member('old'), KIND, position, 0));
+  t.is(await queries.recentList(member('old'), KIND), undefined);
+  const list = await queries.newestList(['old:7000'], KIND);
+  t.is(list?.objects.length, 1);
+  t.is(list?.proven, ElapsedInstant.never);
+});
+
+test('a list of a known era goes before one of a build without eras, whatever the revisions', async (t) => {
+  const answers = [positionAt(3, 1), new StorePosition(StoreEra.Unknown, 90)];
+  const client = {
+    query: (): Promise<Omit<RelayAnswer, 'number' | 'heldMs'>> =>
+      Promise.resolve({ isKnown: true, events: [], position: answers.shift() as StorePosition, proofAgeMs: 5 }),
+  } as unknown as RelayClient;
+  const queries = new PeerQueries(client, SETTINGS.freshMs, new VirtualClock());
+  const list = await queries.newestList(['new:7000', 'old:7000'], KIND);
+  t.true(list?.position.isSame(positionAt(3, 1)));
+});
+
+test('eras survive the way between routers, and their absence does', (t) => {
+  const head = { number: 1, isKnown: true, proofAgeMs: 1, heldMs: 1 };
+  for (const era of [StoreEra.Unknown, StoreEra.None, 1, 7]) {
+    const position = new StorePosition(era, 40);
+    const answer = decodeRelayFrame(encodeRelayAnswer({ ...head, position }, NO_CHANGES));
+    t.like(answer, { kind: 'answer', answer: { position } });
+    const asked = { number: 1, kind: KIND, position, waitMs: 1, acceptsDeflated: true };
+    t.like(decodeRelayFrame(encodeRelayQuery(asked)), { kind: 'query', query: { position } });
+  }
+});
--- a/test/platform/object-store-client.test.ts
+++ b/test/platform/object-store-client.test.ts
@@ -14,7 +14,9 @@
   readonly body: string;
 }
 
-type Answer = (call: Call) => { status: number; body?: unknown } | undefined;
+type Answer = (
+  call: Call,
+) => { status: number; headers?: Record<string, string>; body?: unknown } | undefined;
 
 /** Serves calls with a function; a call without an answer has its connection broken. */
 async function storeWith(t: ExecutionContext, answer: Answer): Promise<ObjectStoreClient> {
@@ -28,7 +30,8 @@
         request.socket.resetAndDestroy();
         return;
       }
-      response.writeHead(answered.status, { 'content-type': 'application/json' });
+      const headers = { 'content-type': 'application/json', ...answered.headers };
+      response.writeHead(answered.status, headers);
       response.end(answered.body === undefined ? '' : JSON.stringify(answered.body));
     });
   });
@@ -170,3 +173,41 @@
   t.is(engine.kind, 'malformed');
   if (engine.kind === 'malformed') t.regex(engine.reason, /^address: /);
 });
+
+/** The store's answers carry these eras, one each, or none. */
+async function storeOfEras(
+  t: ExecutionContext,
+  eras: (string | undefined)[],
+): Promise<ObjectStoreClient> {
+  return storeWith(t, ({ url, method }) => {
+    const era = eras.shift();
+    const headers = era === undefined ? {} : { 'Store-Era': era };
+    if (method === 'PUT') return { status: 200, headers, body: object('lease', 8) };
+    const isWatch = url.searchParams.has('watch');
+    const body = isWatch ? { events: [], at: 7 } : { items: [object('a', 3)], at: 7 };
+    return { status: 200, headers, body };
+  });
+}
+
+test('positions carry the era that the store tells', async (t) => {
+  const client = await storeOfEras(t, ['3', '4', '4']);
+  const list = await client.list('servers', ListFreshness.Current);
+  t.deepEqual(list.position, positionAt(7, 3));
+  t.deepEqual(list.objects[0]?.position, positionAt(3, 3));
+  // The store was restored meanwhile and has given the revision out again.
+  t.deepEqual(await client.watch('servers', list.position, 100), { kind: 'history-gone' });
+  const written = await client.replace('leases', 'lease', {}, positionAt(7, 3));
+  t.like(written, { kind: 'written', era: 4, object: { position: positionAt(8, 4) } });
+});
+
+test('a store that tells eras gives no answer without one that can be read', async (t) => {
+  const client = await storeOfEras(t, [undefined, '2', undefined, 'many', '2']);
+  const before = await client.list('servers', ListFreshness.Current);
+  t.deepEqual(before.position, positionAt(7));
+  const first = await client.list('servers', ListFreshness.Current);
+  t.true(before.position.isBefore(first.position));
+  for (const call of ['without', 'unreadable']) {
+    await t.throwsAsync(client.list('servers', ListFreshness.Current), undefined, call);
+  }
+  t.like(await client.watch('servers', first.position, 100), { kind: 'events' });
+});
