Let a router that is cut from the store take a restored state from another one

What could happen: a router without a way to the store follows through others. Where these had listed the store anew, since it was restored or had forgotten its history, what the router knew led nowhere, and the answer that says so counted as no progress: it stayed blind until its own way was back. Change: such an answer is taken as lost history, so the kind is listed anew, through the other router. The test fails without it.

--- a/src/coordination/gateway/store-relay/relayed-object-store.ts
+++ b/src/coordination/gateway/store-relay/relayed-object-store.ts
@@ -252,6 +252,8 @@
       // A router that does not answer changes nothing: the failure of the store is reported.
       const answer = await asked.catch(() => undefined);
       if (!answer || answer.proofAgeMs > oldestMs) throw cause;
+      // What is known here does not lead to what the other router knows: the kind must be listed anew.
+      if (answer.result.kind === 'history-gone') return answer.result;
       // What the other router knows through this one is no way to the store.
       if (!this.isProgress(kind, answer.result)) throw cause;
       return answer.result;
--- a/test/gateway/relay-eras.test.ts
+++ b/test/gateway/relay-eras.test.ts
@@ -30,6 +30,15 @@
   return new PeerQueries(client, SETTINGS.freshMs, new VirtualClock());
 }
 
+/** Watches without end. */
+async function watchOn(store: RelayedObjectStore, from: StorePosition): Promise<void> {
+  let position = from;
+  for (;;) {
+    const result = await store.watch(KIND, position, 300);
+    if (result.kind === 'events') ({ position } = result);
+  }
+}
+
 test('a mirror of a restored store has the restored state, and answers askers of the former era with none', (t) => {
   const mirror = new ObjectMirror();
   mirror.takeList([thing(4, 1), thing(9, 1)], positionAt(9, 1), elapsedAt(0));
@@ -97,7 +106,12 @@
   const answers = [positionAt(3, 1), new StorePosition(StoreEra.Unknown, 90)];
   const client = {
     query: (): Promise<Omit<RelayAnswer, 'number' | 'heldMs'>> =>
-      Promise.resolve({ isKnown: true, events: [], position: answers.shift() as StorePosition, proofAgeMs: 5 }),
+      Promise.resolve({
+        isKnown: true,
+        events: [],
+        position: answers.shift() as StorePosition,
+        proofAgeMs: 5,
+      }),
   } as unknown as RelayClient;
   const queries = new PeerQueries(client, SETTINGS.freshMs, new VirtualClock());
   const list = await queries.newestList(['new:7000', 'old:7000'], KIND);
@@ -114,3 +128,24 @@
     t.like(decodeRelayFrame(encodeRelayQuery(asked)), { kind: 'query', query: { position } });
   }
 });
+
+test('a router that is cut from a restored store takes its state from another router', async (t) => {
+  const world = await RelayWorld.create(2, { ...SETTINGS, directGroupSize: 5 });
+  const [other, cut] = world.stores as [RelayedObjectStore, RelayedObjectStore];
+  world.store.put(KIND, 'first', 1);
+  const copiedMs = world.clock.now();
+  await world.clock.advance(100);
+  world.store.put(KIND, 'first', 2);
+  const before = await world.run(cut.list(KIND, ListFreshness.Current));
+  if (before instanceof Error) return t.fail(before.message);
+  world.store.unreachableFor.add('node-1');
+  world.store.restore(copiedMs);
+  world.store.put(KIND, 'second', 3);
+  const restored = await world.run(other.list(KIND, ListFreshness.Current));
+  if (restored instanceof Error) return t.fail(restored.message);
+  void watchOn(other, restored.position);
+  const result = await world.run(cut.watch(KIND, before.position, 600));
+  t.deepEqual(result, { kind: 'history-gone' });
+  const list = await world.run(cut.list(KIND, ListFreshness.Current));
+  t.like(list, { isRelayed: true, position: restored.position, objects: { 0: { spec: 1 } } });
+});
