Soak and fuzz restorations of the store

Steps of the soak and commands of the fuzz in which the store comes back from an older copy, also just after a key's removal, new weights and a leaving engine, and with as many changes as bring it to the revisions that it had given out before.

--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -66,6 +66,8 @@
 /** For callers, the directory, readiness, and what routers say to each other. */
 const PORTS_PER_ROUTER = 4;
 const RETRY_MS = 100;
+/** The operator writes again what a restored store lacks, so long after its return. */
+const WRITTEN_AGAIN_MS = 100;
 
 /** A running deployment. */
 export class Deployment {
@@ -91,6 +93,7 @@
   private readonly removedKeys = new Set<string>();
   private isOver = false;
   private lastWrite = Promise.resolve();
+  private startedMs = Infinity;
 
   private constructor(
     private readonly store: ChildProcess,
@@ -121,6 +124,7 @@
     for (let index = 0; index < size.generationEngines; index += 1) {
       await deployment.fleet.add(Service.generation);
     }
+    deployment.startedMs = Date.now();
     await deployment.startRouters(size.routers, folder, programs);
     return deployment;
   }
@@ -153,6 +157,18 @@
     }, forMs);
   }
 
+  /**
+   * The store is away for a while and back from a copy that lacks what was written last. The operator writes that
+   * again; the engines do with their next heartbeats.
+   */
+  restoreStore(awayMs: number, lostMs: number): void {
+    this.troubleStore('silent', awayMs);
+    // No copy is older than the deployment.
+    const sinceStartMs = Date.now() - this.startedMs;
+    this.tellStore({ kind: 'restore', lostMs: Math.min(lostMs, sinceStartMs) });
+    setTimeout(() => void this.writeAgain(), awayMs + WRITTEN_AGAIN_MS);
+  }
+
   /**
    * Another writer leaves an entry among those of the engines.
    *
@@ -182,6 +198,12 @@
     await this.write(WireKind.weights, MODEL, { model: MODEL, version: this.weightsVersion });
   }
 
+  private async writeAgain(): Promise<void> {
+    const version = this.weightsVersion;
+    await this.write(WireKind.weights, MODEL, { model: MODEL, version });
+    await this.writeConfiguration();
+  }
+
   /** Ends every process that was started. */
   async end(): Promise<void> {
     this.isOver = true;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -30,6 +30,11 @@
     default: true,
     describe: 'whether engines name limits on requests a second',
   })
+  .option('store-restorations', {
+    type: 'boolean',
+    default: true,
+    describe: 'whether the store comes back from older copies of itself',
+  })
   .option('program', {
     type: 'string',
     array: true,
@@ -64,6 +69,7 @@
       hasEngineLives: options.engineLives,
       hasEngineNotices: options.engineNotices,
       hasEngineLimits: options.engineLimits,
+      hasStoreRestorations: options.storeRestorations,
       callers: options.callers,
       folder,
       programs: options.program,
--- a/soak/messages.ts
+++ b/soak/messages.ts
@@ -103,7 +103,9 @@
   /** It forgets its history. */
   | { readonly kind: 'compact' }
   /** The next lists are answered later by these times, in milliseconds. */
-  | { readonly kind: 'delay-lists'; readonly delaysMs: readonly number[] };
+  | { readonly kind: 'delay-lists'; readonly delaysMs: readonly number[] }
+  /** It is back at once from the copy that was made so long ago. */
+  | { readonly kind: 'restore'; readonly lostMs: number };
 
 /** From the store. */
 export interface StoreReport {
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -163,6 +163,7 @@
       hasEngineLives: true,
       hasEngineNotices: true,
       hasEngineLimits: true,
+      hasStoreRestorations: false,
       callers: 12,
       folder: runFolder,
       programs: [program],
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -8,6 +8,7 @@
 import { ENGINE_LIFE_MAKERS } from './engine-life-steps.js';
 import { ENGINE_NOTICE_MAKERS } from './engine-notice-steps.js';
 import { DisturbanceKind } from './router-process.js';
+import { STORE_RESTORATION_MAKERS } from './store-restoration-steps.js';
 import { ProxyMode } from './tcp-proxy.js';
 
 /** Sends one request again and again, under new identifiers and to whatever routers are found. */
@@ -32,6 +33,7 @@
   readonly hasEngineLives: boolean;
   readonly hasEngineNotices: boolean;
   readonly hasEngineLimits: boolean;
+  readonly hasStoreRestorations: boolean;
 }
 
 /** Routers that no unplanned fault strikes, so that something is served all the while. */
@@ -212,16 +214,25 @@
  *   that was found without these steps means the same series only without them
  * @param hasEngineNotices whether engines leave while the store is out, and ask for pauses; as above
  * @param hasEngineLimits whether engines name limits on requests a second; as above
+ * @param hasStoreRestorations whether the store comes back from older copies of itself; as above
  */
 export function makeSchedule(
   random: RandomSource,
-  { routers, spanMs, hasEngineLives, hasEngineNotices, hasEngineLimits }: ScheduleOptions,
+  {
+    routers,
+    spanMs,
+    hasEngineLives,
+    hasEngineNotices,
+    hasEngineLimits,
+    hasStoreRestorations,
+  }: ScheduleOptions,
 ): Step[] {
   const makers = [
     ...MAKERS,
     ...(hasEngineLives ? ENGINE_LIFE_MAKERS : []),
     ...(hasEngineNotices ? ENGINE_NOTICE_MAKERS : []),
     ...(hasEngineLimits ? ENGINE_LIMIT_MAKERS : []),
+    ...(hasStoreRestorations ? STORE_RESTORATION_MAKERS : []),
   ];
   const MAXIMUM_GAP_MS = 2_000;
   const steps: Step[] = [];
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -21,6 +21,8 @@
   readonly hasEngineNotices: boolean;
   /** Whether engines name limits on requests a second. */
   readonly hasEngineLimits: boolean;
+  /** Whether the store comes back from older copies of itself. */
+  readonly hasStoreRestorations: boolean;
   readonly callers: number;
   /** For settings, logs and, where a promise was broken, all that is known. */
   readonly folder: string;
--- a/soak/store-program.ts
+++ b/soak/store-program.ts
@@ -132,6 +132,10 @@
     case 'compact':
       store.compact();
       return;
+    case 'restore':
+      store.restore(clock.now() - command.lostMs);
+      for (const { name } of store.all(WireKind.engines)) writtenMs.set(name, Date.now());
+      return;
     case 'delay-lists':
       store.listDelaysMs.push(...command.delaysMs);
   }
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -17,6 +17,8 @@
   readonly hasEngineNotices?: boolean;
   /** Whether engines name limits on requests a second; likewise. */
   readonly hasEngineLimits?: boolean;
+  /** Whether the store comes back from older copies of itself; likewise. */
+  readonly hasStoreRestorations?: boolean;
   /** Whether routers of the earlier build run beside those of the present one. */
   readonly isMixed?: boolean;
   /** What was at fault. */
@@ -48,21 +50,29 @@
   hasEngineLimits: true,
   cause: 'none: the short soak of limits that engines name',
 };
-/** Without limits: the earlier build keeps to none. */
+const RESTORATIONS: RegressionSeed = {
+  seed: 3,
+  seconds: 14,
+  routers: 4,
+  hasStoreRestorations: true,
+  cause: 'none: the short soak of a store that goes back',
+};
+/** Without restorations of the store: the earlier build knows no eras. */
 const MIXED: RegressionSeed = {
   seed: 4,
   seconds: 14,
   routers: 4,
   hasEngineLives: true,
   hasEngineNotices: true,
+  hasEngineLimits: true,
   isMixed: true,
   cause: 'none: the short soak of an upgrade',
 };
 
-for (const regression of [FIRST, NOTICES, LIMITS, MIXED, ...REGRESSIONS]) {
+for (const regression of [FIRST, NOTICES, LIMITS, RESTORATIONS, MIXED, ...REGRESSIONS]) {
   const { seed, seconds, routers, cause } = regression;
   const { hasEngineLives = false, hasEngineNotices = false } = regression;
-  const { hasEngineLimits = false, isMixed = false } = regression;
+  const { hasEngineLimits = false, hasStoreRestorations = false, isMixed = false } = regression;
   test.serial(`no promise is broken in a soak with seed ${seed} (${cause})`, async (t) => {
     t.timeout(170_000);
     const folder = mkdtempSync(join(tmpdir(), `peatspan-soak-${seed}-`));
@@ -75,6 +85,7 @@
       hasEngineLives,
       hasEngineNotices,
       hasEngineLimits,
+      hasStoreRestorations,
       callers: 8,
       folder,
       programs: earlier ? [earlier.program, BUNDLE] : [BUNDLE],
