Hold an engine's entry back that is there again only because the store was restored

What could happen: an engine whose entry had gone (some never say that they leave) takes no new work and serves on a little. A store that came back from an older copy showed the entry again, and routers sent requests there. Change: an entry of a life that was seen to go counts, in the list of a restored store, only once it has outlived the time after which an engine that does not write it loses it; one that is written in the new era counts at once. Three tests, of which the first fails without it.

--- a/fuzz/kept-prefixes-fuzz.ts
+++ b/fuzz/kept-prefixes-fuzz.ts
@@ -84,6 +84,7 @@
       random: new SeededRandom(1),
       logger: new SilentLogger(),
       drainMs: 2_000,
+      entryLifetimeMs: 3_600,
     });
     this.engines.startFeeds();
     this.enter();
--- a/src/coordination/gateway/engine-list.ts
+++ b/src/coordination/gateway/engine-list.ts
@@ -18,6 +18,9 @@
 /** Entries whose newest position is remembered, those that are gone among them; far more than are listed. */
 const MAXIMUM_POSITIONS = 8_192;
 
+/** Lives that are remembered after their entries went. */
+const MAXIMUM_GONE = 256;
+
 /** What the list works with. */
 export interface EngineListParts {
   readonly registry: EngineRegistry;
@@ -31,6 +34,8 @@
   isKnownService(service: string): boolean;
   /** Time after which a draining engine must get no new work, in milliseconds. */
   readonly drainMs: number;
+  /** An engine's entry that its engine does not write for so long lapses, in milliseconds. */
+  readonly entryLifetimeMs: number;
 }
 
 /** The list of engines as one router follows it. */
@@ -42,6 +47,11 @@
   private readonly positions = new Map<string, StorePosition>();
   /** Names whose engines have stated their start: an entry without one is of another writer. */
   private readonly dated = new Set<string>();
+  /** Lives whose entries went, the newest last; only those of the last seconds may be back in a restored store. */
+  private readonly gone = new Set<string>();
+  /** Entries that are back only because the store was restored, by name. */
+  private readonly heldBack = new Map<string, StoredObject>();
+  private isRestored = false;
   private hasList = false;
   private readonly lapseGraceMs: number;
 
@@ -65,6 +75,7 @@
    */
   noteRestored(): void {
     this.failedMs = this.parts.clock.now();
+    this.isRestored = true;
   }
 
   /** Takes the whole list. */
@@ -74,6 +85,7 @@
     for (const name of this.parts.registry.names) if (!listed.has(name)) this.takeGone(name);
     for (const name of this.positions.keys()) if (!listed.has(name)) this.forgetEntry(name);
     this.hasList = true;
+    this.isRestored = false;
     this.noteChange('list');
   }
 
@@ -101,26 +113,27 @@
    * @param position of the entry that went; one that was taken later is another's and stays
    */
   takeGone(name: string, position?: StorePosition): void {
-    const { registry, clock } = this.parts;
+    const { clock } = this.parts;
     if (position?.isBefore(this.newestOf(name))) return;
-    const meant = registry.findByName(name)?.record.id;
+    this.heldBack.delete(name);
+    const meant = this.presentLife(name);
     if (meant === undefined) return;
     if (clock.now() - this.failedMs >= LAPSE_WINDOW_MS) {
-      this.drop(meant);
+      this.dropGone(meant);
       return;
     }
     this.missing.set(name, meant);
     clock.setTimer(this.lapseGraceMs, () => {
       if (this.missing.get(name) !== meant) return;
       this.missing.delete(name);
-      this.dropPresent(name);
+      const present = this.presentLife(name);
+      if (present !== undefined) this.dropGone(present);
     });
   }
 
   /** Whichever life is in the list: another source may have shown a later one than its entry did. */
-  private dropPresent(name: string): void {
-    const present = this.parts.registry.findByName(name);
-    if (present) this.drop(present.record.id);
+  private presentLife(name: string): string | undefined {
+    return this.parts.registry.findByName(name)?.record.id;
   }
 
   /** Answers the record that was taken; undefined where the entry names no engine to use. */
@@ -145,11 +158,32 @@
     }
     const record = decoded.value;
     this.noteUnknownService(object, record);
+    if (this.isRestored && this.gone.has(record.id)) {
+      this.holdBack(object);
+      return undefined;
+    }
+    this.heldBack.delete(name);
+    this.gone.delete(record.id);
     this.missing.delete(name);
     const outcome = this.parts.lives.takeEntry(record);
     return outcome.kind === 'retired' ? undefined : this.parts.registry.find(record.id)?.record;
   }
 
+  /**
+   * An engine whose entry went may serve on a little without taking new work. Where a restored store holds the entry
+   * again, only an engine that is alive keeps it from lapsing.
+   */
+  private holdBack(object: StoredObject): void {
+    const { clock, entryLifetimeMs, logger } = this.parts;
+    logger.info('engine_entry_held_back', { engine: object.name, for_ms: entryLifetimeMs });
+    this.heldBack.set(object.name, object);
+    clock.setTimer(entryLifetimeMs, () => {
+      if (this.heldBack.get(object.name) !== object) return;
+      this.takeEntry(object);
+      this.noteChange('held-back');
+    });
+  }
+
   /** An engine that states its start states it in every entry. */
   private faultOf({ name, bornMs }: EngineRecord): string | undefined {
     if (bornMs !== undefined) this.dated.add(name);
@@ -178,7 +212,8 @@
   private takeOdd({ name, position }: StoredObject, reason: string): void {
     this.parts.odd.note(name, position, reason);
     this.missing.delete(name);
-    this.dropPresent(name);
+    const present = this.presentLife(name);
+    if (present !== undefined) this.drop(present);
   }
 
   /** No route leads to such an engine, and it gets no orders until the service is configured. */
@@ -187,6 +222,13 @@
     this.parts.odd.note(name, position, `service ${service}: not in the configuration`);
   }
 
+  private dropGone(id: string): void {
+    this.gone.add(id);
+    const [oldest] = this.gone;
+    if (this.gone.size > MAXIMUM_GONE && oldest !== undefined) this.gone.delete(oldest);
+    this.drop(id);
+  }
+
   private drop(id: string): void {
     this.parts.registry.remove(id);
     this.noteChange(id);
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -109,6 +109,7 @@
       group,
       statistics: this.statistics,
       drainMs: settings.drainMs,
+      entryLifetimeMs: settings.entryLifetimeMs,
     });
     this.registry = this.listed.registry;
     this.listed.connect({
--- a/src/coordination/gateway/gateway-settings.ts
+++ b/src/coordination/gateway/gateway-settings.ts
@@ -31,6 +31,8 @@
   readonly relay: RelaySettings;
   /** Time after which an engine that drains, or whose entry is gone, must get no new work. */
   readonly drainMs: number;
+  /** An engine's entry that its engine does not write for so long lapses. */
+  readonly entryLifetimeMs: number;
   readonly retryBudget: RetryBudgetSettings;
   /** How far the limits of tenants may be passed; left out: {@link DEFAULT_QUOTA_TOLERANCE}. */
   readonly quotaTolerance?: QuotaTolerance | undefined;
--- a/src/coordination/gateway/listed-engines.ts
+++ b/src/coordination/gateway/listed-engines.ts
@@ -34,6 +34,8 @@
   readonly logger: Logger;
   /** Time after which a draining engine must get no new work, in milliseconds. */
   readonly drainMs: number;
+  /** An engine's entry that its engine does not write for so long lapses, in milliseconds. */
+  readonly entryLifetimeMs: number;
 }
 
 /** Receives what happens to the engines. */
--- a/src/lab/gateway-world/world-fixtures.ts
+++ b/src/lab/gateway-world/world-fixtures.ts
@@ -79,6 +79,7 @@
       freshMs: 1_400,
     },
     drainMs: WORLD_BOUNDS.drainMs,
+    entryLifetimeMs: 3_600,
     retryBudget: { ratio: 0.2, windowMs: 10_000, allowance: 54 },
     rollout: {
       graceMs: 7_000,
--- a/test/gateway/entry-lapse.test.ts
+++ b/test/gateway/entry-lapse.test.ts
@@ -99,3 +99,48 @@
   await clock.advance(2_000);
   t.is(registry.findByName('engine-1'), undefined);
 });
+
+const LISTED: StoredEngine = {
+  name: 'engine-1',
+  bornMs: 1_000,
+  service: 'plain',
+  address: 'engine-1:1',
+  zone: 'zone-a',
+  slots: 8,
+  isDraining: false,
+  modelVersions: [],
+};
+const ENTRY_LIFETIME_MS = 3_600;
+
+/** A list that has seen an entry go, and finds it again in a store that was restored from a copy that holds it. */
+async function listWithGoneEntry(): Promise<EngineListWorld> {
+  const world = new EngineListWorld({ decoder: DECODER });
+  world.list.takeAll([{ name: LISTED.name, position: positionAt(2, 1), spec: LISTED }]);
+  await world.clock.advance(10_000);
+  world.list.takeGone(LISTED.name, positionAt(2, 1));
+  world.list.noteRestored();
+  world.list.takeAll([{ name: LISTED.name, position: positionAt(2, 2), spec: LISTED }]);
+  return world;
+}
+
+test('an engine whose entry went is not used again because the store was restored', async (t) => {
+  const { list, registry, clock } = await listWithGoneEntry();
+  await clock.advance(ENTRY_LIFETIME_MS - 100);
+  t.is(registry.readyOf('plain').length, 0);
+  // Nobody writes the entry any more.
+  list.takeGone(LISTED.name, positionAt(2, 2));
+  await clock.advance(ENTRY_LIFETIME_MS);
+  t.is(registry.readyOf('plain').length, 0);
+});
+
+test('an engine that keeps its entry in the restored store from lapsing is used again', async (t) => {
+  const { registry, clock } = await listWithGoneEntry();
+  await clock.advance(ENTRY_LIFETIME_MS + 100);
+  t.is(registry.readyOf('plain').length, 1);
+});
+
+test('an engine that writes its entry in the restored store is used at once', async (t) => {
+  const { list, registry } = await listWithGoneEntry();
+  list.take({ name: LISTED.name, position: positionAt(5, 2), spec: LISTED });
+  t.is(registry.readyOf('plain').length, 1);
+});
--- a/test/helpers/engine-list-world.ts
+++ b/test/helpers/engine-list-world.ts
@@ -65,6 +65,7 @@
       onChanged: () => undefined,
       isKnownService: (service) => services?.includes(service) ?? true,
       drainMs,
+      entryLifetimeMs: 3_600,
     });
   }
 }
