Entries held back stay so in a second list; a reader that is behind is not listed through

An entry that was held back after a restoration was taken at the next list of the same era; a router that knew the restored store took its reader's older list, which its follower then refused until the reader had noticed, too. The first is tested; the second only spares the failed calls.

--- a/src/coordination/gateway/engine-list.ts
+++ b/src/coordination/gateway/engine-list.ts
@@ -158,10 +158,7 @@
     }
     const record = decoded.value;
     this.noteUnknownService(object, record);
-    if (this.isRestored && this.gone.has(record.id)) {
-      this.holdBack(object);
-      return undefined;
-    }
+    if (this.isHeldBack(object, record.id)) return undefined;
     this.heldBack.delete(name);
     this.gone.delete(record.id);
     this.missing.delete(name);
@@ -173,12 +170,20 @@
    * An engine whose entry went may serve on a little without taking new work. Where a restored store holds the entry
    * again, only an engine that is alive keeps it from lapsing.
    */
+  private isHeldBack(object: StoredObject, life: string): boolean {
+    if (this.heldBack.get(object.name)?.position.isSame(object.position)) return true;
+    if (!this.isRestored || !this.gone.has(life)) return false;
+    this.holdBack(object);
+    return true;
+  }
+
   private holdBack(object: StoredObject): void {
     const { clock, entryLifetimeMs, logger } = this.parts;
     logger.info('engine_entry_held_back', { engine: object.name, for_ms: entryLifetimeMs });
     this.heldBack.set(object.name, object);
     clock.setTimer(entryLifetimeMs, () => {
       if (this.heldBack.get(object.name) !== object) return;
+      this.heldBack.delete(object.name);
       this.takeEntry(object);
       this.noteChange('held-back');
     });
--- a/src/coordination/gateway/store-relay/relayed-object-store.ts
+++ b/src/coordination/gateway/store-relay/relayed-object-store.ts
@@ -288,7 +288,10 @@
     const { reader } = this.choice;
     if (!reader) return undefined;
     try {
-      return await this.peers.recentList(reader, kind);
+      const list = await this.peers.recentList(reader, kind);
+      // The reader may not have noticed yet that the store was restored.
+      const isBehind = list?.position.isBefore(this.parts.mirrors.of(kind).position);
+      return isBehind ? undefined : list;
     } catch (cause) {
       this.choice.noteSilent(reader);
       this.logChangeOfWay('relay_lost', kind, reader.nodeId, cause);
--- a/test/gateway/entry-lapse.test.ts
+++ b/test/gateway/entry-lapse.test.ts
@@ -127,6 +127,9 @@
   const { list, registry, clock } = await listWithGoneEntry();
   await clock.advance(ENTRY_LIFETIME_MS - 100);
   t.is(registry.readyOf('plain').length, 0);
+  // Listed once more, unchanged.
+  list.takeAll([{ name: LISTED.name, position: positionAt(2, 2), spec: LISTED }]);
+  t.is(registry.readyOf('plain').length, 0);
   // Nobody writes the entry any more.
   list.takeGone(LISTED.name, positionAt(2, 2));
   await clock.advance(ENTRY_LIFETIME_MS);
