--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -93,6 +93,7 @@
   private readonly removedKeys = new Set<string>();
   private isOver = false;
   private lastWrite = Promise.resolve();
+  private lastToggle = Promise.resolve();
   private startedMs = Infinity;
 
   private constructor(
@@ -179,8 +180,13 @@
     await this.write(WireKind.engines, name ?? `${ODD_NAME}${this.oddEntries}`, spec);
   }
 
-  /** Takes a key away, or gives it back. */
-  async toggleKey(key: string): Promise<void> {
+  /** Takes a key away, or gives it back; one change after the other, so that each removal gets its own end. */
+  toggleKey(key: string): Promise<void> {
+    this.lastToggle = this.lastToggle.then(() => this.toggleNow(key));
+    return this.lastToggle;
+  }
+
+  private async toggleNow(key: string): Promise<void> {
     const isRemoval = !this.removedKeys.has(key);
     if (isRemoval) this.removedKeys.add(key);
     else this.removedKeys.delete(key);
--- a/soak/store-restoration-steps.ts
+++ b/soak/store-restoration-steps.ts
@@ -40,6 +40,18 @@
       },
     };
   },
+  (random) => {
+    const MOST_CHANGES = 30;
+    const changes = 10 + randomInteger(random, MOST_CHANGES);
+    return {
+      name: `store loses ${changes} changes`,
+      run: async (deployment) => {
+        const AWAY_MS = 300;
+        for (let change = 0; change < changes; change += 1) await deployment.toggleKey('key-1b');
+        deployment.restoreStore(AWAY_MS, LOST_MS[2]);
+      },
+    };
+  },
 ];
 
 /** Writes what routers must not miss. */
--- a/src/lab/gateway-world/gateway-world.ts
+++ b/src/lab/gateway-world/gateway-world.ts
@@ -385,7 +385,7 @@
 
   private async startRouter(index: number, isFirstStart: boolean): Promise<void> {
     const name = routerName(index);
-    const { countsSuspensions = true } = this.mutation;
+    const { countsSuspensions = true, seesEras = true } = this.mutation;
     const host = new HostClock(this.clock, { countsSuspensions });
     this.network.attach(name, host);
     this.seedCount += 1;
@@ -403,7 +403,7 @@
         logger: new SilentLogger(),
         datagrams: this.mutation.datagrams?.(datagrams) ?? datagrams,
         frames: new SimulatedFrameTransport(this.sockets, name, host),
-        store: new SimulatedStorePort(this.store, name, host),
+        store: new SimulatedStorePort(this.store, name, host, seesEras),
         ...this.changeView(view),
       },
     );
--- a/src/lab/gateway-world/simulated-object-store.ts
+++ b/src/lab/gateway-world/simulated-object-store.ts
@@ -9,7 +9,7 @@
 } from '../../protocol/object-store/port.js';
 import { ProtocolFailure } from '../../protocol/errors.js';
 import type { Clock } from '../../runtime/clock.js';
-import { StorePosition } from '../../runtime/store-position.js';
+import { StoreEra, StorePosition } from '../../runtime/store-position.js';
 import type { HostClock } from '../simulation/host-clock.js';
 
 const LATENCY_MS = 2;
@@ -150,12 +150,16 @@
   }
 }
 
-/** One router's access to the store. Answers reach it only while its process lives. */
+/**
+ * One router's access to the store. Answers reach it only while its process lives; without eras they are those of a
+ * store that never goes back.
+ */
 export class SimulatedStorePort implements ObjectStorePort {
   constructor(
     private readonly store: SimulatedObjectStore,
     private readonly routerName: string,
     private readonly host: HostClock,
+    private readonly tellsEras = true,
   ) {}
 
   list(kind: string): Promise<ObjectList> {
@@ -172,7 +176,7 @@
   read(kind: string, name: string): Promise<ReadResult> {
     return this.call(() => {
       const object = this.store.get(kind, name);
-      return { era: this.store.era, object: object && this.shown(object) };
+      return { era: this.era, object: object && this.shown(object) };
     });
   }
 
@@ -190,7 +194,7 @@
       };
       const check = (isLast: boolean): void => {
         if (this.isSilent) return;
-        const isSameEra = position.era === store.era;
+        const isSameEra = position.era === this.era;
         const changes = isSameEra ? store.changesAfter(kind, position.revision) : undefined;
         if (!changes) finish(() => resolve({ kind: 'history-gone' }));
         else if (changes.length > 0 || isLast) {
@@ -225,7 +229,7 @@
   ): Promise<WriteResult> {
     return this.write(() => {
       const present = this.store.get(kind, name);
-      if (!present) return { kind: 'missing', era: this.store.era };
+      if (!present) return { kind: 'missing', era: this.era };
       return present.revision === revision ? this.put(kind, name, spec) : this.conflict(present);
     });
   }
@@ -234,23 +238,27 @@
     return this.call(() => this.store.remove(kind, name));
   }
 
+  private get era(): number {
+    return this.tellsEras ? this.store.era : StoreEra.None;
+  }
+
   private get position(): StorePosition {
-    return new StorePosition(this.store.era, this.store.revision);
+    return new StorePosition(this.era, this.store.revision);
   }
 
   /** Whatever its age, an object counts as of the era of the answer that shows it. */
   private shown({ name, revision, spec }: HeldObject): StoredObject {
-    return { name, position: new StorePosition(this.store.era, revision), spec };
+    return { name, position: new StorePosition(this.era, revision), spec };
   }
 
   private put(kind: string, name: string, spec: unknown): WriteResult {
     this.store.put(kind, name, spec);
     const object = this.shown(this.store.get(kind, name) as HeldObject);
-    return { kind: 'written', era: this.store.era, object };
+    return { kind: 'written', era: this.era, object };
   }
 
   private conflict(present: HeldObject): WriteResult {
-    return { kind: 'conflict', era: this.store.era, present: this.shown(present) };
+    return { kind: 'conflict', era: this.era, present: this.shown(present) };
   }
 
   private get isSilent(): boolean {
--- a/src/lab/gateway-world/world-mutation.ts
+++ b/src/lab/gateway-world/world-mutation.ts
@@ -23,4 +23,6 @@
   readonly datagrams?: (transport: DatagramTransport) => DatagramTransport;
   /** False: routers take the steady clock for one that counts suspensions. */
   readonly countsSuspensions?: boolean;
+  /** False: routers do not see the store's eras. */
+  readonly seesEras?: boolean;
 }
