--- a/bench/group-deployment.ts
+++ b/bench/group-deployment.ts
@@ -9,10 +9,8 @@
 import { EngineObservations } from '../src/lab/gateway-world/simulated-engine.js';
 import { SimulatedFleet } from '../src/lab/gateway-world/simulated-fleet.js';
 import { SimulatedInference } from '../src/lab/gateway-world/simulated-inference.js';
-import {
-  SimulatedObjectStore,
-  SimulatedStorePort,
-} from '../src/lab/gateway-world/simulated-object-store.js';
+import { SimulatedObjectStore } from '../src/lab/gateway-world/simulated-object-store.js';
+import { SimulatedStorePort } from '../src/lab/gateway-world/simulated-store-port.js';
 import {
   DECODER,
   GENERATION_SERVICE,
--- a/src/lab/gateway-world/gateway-oracle.ts
+++ b/src/lab/gateway-world/gateway-oracle.ts
@@ -1,6 +1,7 @@
 /** Judges a finished run of the simulated deployment by what callers, engines and operator saw. */
 import { cacheSaltOf } from '../../state/routing/generation.js';
-import { CONTACT_MS, type GatewayWorld, type ObservedRequest } from './gateway-world.js';
+import { CONTACT_MS } from './disturbances.js';
+import type { GatewayWorld, ObservedRequest } from './gateway-world.js';
 import type { ObservedRun } from './simulated-engine.js';
 import { STREAM_PIECES, pieceOf, plainBodyOf } from './simulated-exchange.js';
 import { type LimitBreach, judgeLimits } from './limit-oracle.js';
@@ -88,7 +89,8 @@
     const crashedMs = own.flatMap((crash) => crash.crashedMs ?? []).sort((a, b) => a - b);
     const knownMs = (crashedMs[CRASHES_TO_KNOW - 1] ?? Infinity) + CONTACT_MS;
     const late = own.filter(
-      ({ arrivedMs, router }) => arrivedMs > knownMs && !world.isDisturbed(router, arrivedMs),
+      ({ arrivedMs, router }) =>
+        arrivedMs > knownMs && !world.disturbances.isDisturbed(router, arrivedMs),
     );
     if (late.length <= MAXIMUM_LATE_CRASHES) return [];
     const detail = `${request}: ${late.length} arrivals later, ${crashedMs.length} crashes`;
@@ -111,9 +113,10 @@
 function judgeBeginnings(world: GatewayWorld): RuleBreach[] {
   const namings = world.acknowledgements.filter(({ kind }) => kind === 'weights-named');
   return world.observations.runs.flatMap((run) => {
-    if (run.salt === undefined || world.isDisturbed(run.router, run.startedMs)) return [];
+    if (run.salt === undefined || world.disturbances.isDisturbed(run.router, run.startedMs))
+      return [];
     const newer = namings.find(({ subject }) => Number(subject) > run.weightsVersion);
-    const calmSinceMs = world.calmSinceMs(run.startedMs);
+    const calmSinceMs = world.disturbances.calmSinceMs(run.startedMs);
     if (!newer || calmSinceMs === undefined) return [];
     const lateMs = run.startedMs - Math.max(newer.atMs, calmSinceMs) - WORLD_BOUNDS.versionMs;
     if (lateMs <= 0) return [];
@@ -236,7 +239,7 @@
       (run) =>
         run.engineId === drain.subject &&
         run.startedMs > limitMs &&
-        !world.isDisturbed(run.router, run.startedMs),
+        !world.disturbances.isDisturbed(run.router, run.startedMs),
     );
     if (!late) return [];
     return [{ rule: 'engine-drained' as const, detail: `${late.requestId} at ${late.engineId}` }];
--- a/src/lab/gateway-world/gateway-world.ts
+++ b/src/lab/gateway-world/gateway-world.ts
@@ -12,12 +12,14 @@
   SimulatedFrameTransport,
   SimulatedSockets,
 } from '../simulation/simulated-transports.js';
+import { Disturbances } from './disturbances.js';
 import type { LimitChange } from './limit-change.js';
 import { RecordedReply } from './recorded-reply.js';
 import { EngineObservations, type SimulatedEngine } from './simulated-engine.js';
 import { SimulatedFleet } from './simulated-fleet.js';
 import { SimulatedInference } from './simulated-inference.js';
-import { SimulatedObjectStore, SimulatedStorePort } from './simulated-object-store.js';
+import { SimulatedObjectStore } from './simulated-object-store.js';
+import { SimulatedStorePort } from './simulated-store-port.js';
 import { SimulatedOperator } from './simulated-operator.js';
 import type { StoredEngine } from './stored-engine.js';
 import {
@@ -64,15 +66,6 @@
   readonly atMs: number;
 }
 
-/** A router that was disturbed for a while. */
-interface Disturbance {
-  readonly router: string;
-  readonly fromMs: number;
-  readonly untilMs: number;
-}
-
-/** A router is held to its bounds again this long after a disturbance has ended. */
-export const CONTACT_MS = 3_000;
 const GENERATION_ENGINES = 3;
 const PLAIN_ENGINES = 2;
 const STARTUP_MS = 1_500;
@@ -96,12 +89,7 @@
   readonly acknowledgements: Acknowledgement[] = [];
   /** Limits of tenants that the store has acknowledged, the oldest first. */
   readonly limitChanges: LimitChange[] = [];
-  /** Times in which a router was down, stood still or had no way to the store. */
-  private readonly disturbances: Disturbance[] = [];
-  /** Times in which a router was cut off from all others. */
-  private readonly cuts: Disturbance[] = [];
-  /** Times in which a router's process did not run, and its restarts. */
-  private readonly interruptions: Disturbance[] = [];
+  readonly disturbances = new Disturbances();
   private readonly network: SimulatedNetwork;
   private readonly sockets: SimulatedSockets;
   private readonly routers = new Map<string, RunningRouter>();
@@ -278,7 +266,7 @@
   isolateRouter(index: number, forMs: number): void {
     const name = routerName(index);
     this.cutFromStore(index, forMs);
-    this.cuts.push({ router: name, fromMs: this.now, untilMs: this.now + forMs });
+    this.disturbances.noteCut(name, this.now, forMs);
     this.network.isolate(name);
     this.clock.setTimer(forMs, () => this.network.join(name));
   }
@@ -331,38 +319,12 @@
     await this.clock.advance(SETTLE_MS);
   }
 
-  /** Whether a router need not keep its bounds at a moment. */
-  isDisturbed(router: string, atMs: number): boolean {
-    return this.disturbances.some(
-      (each) => each.router === router && each.fromMs <= atMs && atMs <= each.untilMs + CONTACT_MS,
-    );
-  }
-
-  /** Since when no router has been disturbed, at a moment; undefined where one is. */
-  calmSinceMs(atMs: number): number | undefined {
-    const begun = this.disturbances.filter(({ fromMs }) => fromMs <= atMs);
-    const lastMs = Math.max(0, ...begun.map(({ untilMs }) => untilMs));
-    return lastMs <= atMs ? lastMs : undefined;
-  }
-
-  /** Whether a router's process did not run all the time between two moments. */
-  wasInterrupted(router: string, fromMs: number, untilMs: number): boolean {
-    return overlapsAny(this.interruptions, router, fromMs, untilMs);
-  }
-
-  /** Whether a router was cut off from the others at some time between two moments. */
-  wasCutOff(router: string, fromMs: number, untilMs: number): boolean {
-    return overlapsAny(this.cuts, router, fromMs, untilMs);
-  }
-
-  /** The process ends or stands still, which also keeps it from meeting its bounds. */
   private interrupt(router: string, forMs: number): void {
-    this.interruptions.push({ router, fromMs: this.now, untilMs: this.now + forMs });
-    this.disturb(router, forMs);
+    this.disturbances.noteInterruption(router, this.now, forMs);
   }
 
   private disturb(router: string, forMs: number): void {
-    this.disturbances.push({ router, fromMs: this.now, untilMs: this.now + forMs });
+    this.disturbances.note(router, this.now, forMs);
   }
 
   private disturbAll(forMs: number): void {
@@ -411,14 +373,3 @@
     node.start();
   }
 }
-
-function overlapsAny(
-  disturbances: readonly Disturbance[],
-  router: string,
-  fromMs: number,
-  untilMs: number,
-): boolean {
-  return disturbances.some(
-    (each) => each.router === router && each.fromMs <= untilMs && each.untilMs >= fromMs,
-  );
-}
--- a/src/lab/gateway-world/limit-oracle.ts
+++ b/src/lab/gateway-world/limit-oracle.ts
@@ -5,7 +5,8 @@
   firstFullWindow,
   toleratedRequests,
 } from '../limit-tolerance.js';
-import { CONTACT_MS, type GatewayWorld } from './gateway-world.js';
+import { CONTACT_MS } from './disturbances.js';
+import type { GatewayWorld } from './gateway-world.js';
 import type { ObservedArrival, ObservedLimit } from './simulated-engine.js';
 
 /** A rule on limits of engines that was broken. */
@@ -98,7 +99,10 @@
   if (engineId !== time.engineId || atMs >= time.untilMs) return false;
   if (atMs < (toldMs.get(router) ?? Infinity) + LIMIT_ON_THE_WAY_MS) return false;
   const sinceMs = atMs - LIMIT_WINDOW_MS - CONTACT_MS;
-  return !world.wasInterrupted(router, sinceMs, atMs) && !world.wasCutOff(router, sinceMs, atMs);
+  return (
+    !world.disturbances.wasInterrupted(router, sinceMs, atMs) &&
+    !world.disturbances.wasCutOff(router, sinceMs, atMs)
+  );
 }
 
 /** By the highest limit that held lately: routers hear of a lower one by answers only. */
--- a/src/lab/gateway-world/notice-oracle.ts
+++ b/src/lab/gateway-world/notice-oracle.ts
@@ -35,7 +35,7 @@
   const late = arrivalsAfter(notice, world).find(
     ({ requestId, atMs }) =>
       (sentMsById.get(requestId) ?? -Infinity) > limitMs &&
-      !world.wasInterrupted(notice.router, notice.answeredMs, atMs),
+      !world.disturbances.wasInterrupted(notice.router, notice.answeredMs, atMs),
   );
   if (!late) return [];
   const lateMs = Math.round(late.atMs - notice.answeredMs);
@@ -48,7 +48,7 @@
   const { answeredMs, backoffMs, router, engineId } = notice;
   if (backoffMs === undefined) return [];
   const untilMs = answeredMs + backoffMs;
-  if (world.wasInterrupted(router, answeredMs, untilMs)) return [];
+  if (world.disturbances.wasInterrupted(router, answeredMs, untilMs)) return [];
   const early = arrivalsAfter(notice, world).filter(
     ({ atMs }) => atMs > answeredMs + ON_THE_WAY_MS && atMs < untilMs,
   );
--- a/src/lab/gateway-world/quota-oracle.ts
+++ b/src/lab/gateway-world/quota-oracle.ts
@@ -117,7 +117,7 @@
 
 function isAnyDisturbed(world: GatewayWorld, atMs: number): boolean {
   for (let index = 0; index < ROUTERS; index += 1) {
-    if (world.isDisturbed(routerName(index), atMs)) return true;
+    if (world.disturbances.isDisturbed(routerName(index), atMs)) return true;
   }
   return false;
 }
--- a/test/gateway/quarantine-writes.test.ts
+++ b/test/gateway/quarantine-writes.test.ts
@@ -5,10 +5,8 @@
 import { SimulatedFleet } from '../../src/lab/gateway-world/simulated-fleet.js';
 import { SimulatedInference } from '../../src/lab/gateway-world/simulated-inference.js';
 import { EngineObservations } from '../../src/lab/gateway-world/simulated-engine.js';
-import {
-  SimulatedObjectStore,
-  SimulatedStorePort,
-} from '../../src/lab/gateway-world/simulated-object-store.js';
+import { SimulatedObjectStore } from '../../src/lab/gateway-world/simulated-object-store.js';
+import { SimulatedStorePort } from '../../src/lab/gateway-world/simulated-store-port.js';
 import { HostClock } from '../../src/lab/simulation/host-clock.js';
 import { SilentLogger } from '../../src/runtime/logger.js';
 import { SeededRandom } from '../../src/runtime/random.js';
--- a/test/gateway/store-restored.test.ts
+++ b/test/gateway/store-restored.test.ts
@@ -17,10 +17,8 @@
 import { findBreaches } from '../../src/lab/gateway-world/gateway-oracle.js';
 import { GatewayWorld } from '../../src/lab/gateway-world/gateway-world.js';
 import { OddEntry } from '../../src/lab/gateway-world/odd-entry.js';
-import {
-  SimulatedObjectStore,
-  SimulatedStorePort,
-} from '../../src/lab/gateway-world/simulated-object-store.js';
+import { SimulatedObjectStore } from '../../src/lab/gateway-world/simulated-object-store.js';
+import { SimulatedStorePort } from '../../src/lab/gateway-world/simulated-store-port.js';
 import { sendAllKinds } from '../../src/lab/gateway-world/world-traffic.js';
 import { HostClock } from '../../src/lab/simulation/host-clock.js';
 import { ListFreshness } from '../../src/protocol/object-store/port.js';
--- a/test/helpers/relay-world.ts
+++ b/test/helpers/relay-world.ts
@@ -6,10 +6,8 @@
   type RelaySettings,
   RelayedObjectStore,
 } from '../../src/coordination/gateway/store-relay/relayed-object-store.js';
-import {
-  SimulatedObjectStore,
-  SimulatedStorePort,
-} from '../../src/lab/gateway-world/simulated-object-store.js';
+import { SimulatedObjectStore } from '../../src/lab/gateway-world/simulated-object-store.js';
+import { SimulatedStorePort } from '../../src/lab/gateway-world/simulated-store-port.js';
 import { HostClock } from '../../src/lab/simulation/host-clock.js';
 import { SimulatedNetwork } from '../../src/lab/simulation/simulated-network.js';
 import {
