--- a/src/coordination/gateway/engine-list.ts
+++ b/src/coordination/gateway/engine-list.ts
@@ -7,6 +7,7 @@
 import type { EngineLives } from './engine-lives.js';
 import type { ObjectDecoder } from './object-decoder.js';
 import type { OddEntries } from './odd-entries.js';
+import { RestoredEntries } from './restored-entries.js';
 
 /** For this long after a failed call, a missing entry may have lapsed with the store. */
 const LAPSE_WINDOW_MS = 3_000;
@@ -18,9 +19,6 @@
 /** Entries whose newest position is remembered, those that are gone among them; far more than are listed. */
 const MAXIMUM_POSITIONS = 8_192;
 
-/** Lives that are remembered after their entries went. */
-const MAXIMUM_GONE = 256;
-
 /** What the list works with. */
 export interface EngineListParts {
   readonly registry: EngineRegistry;
@@ -47,16 +45,19 @@
   private readonly positions = new Map<string, StorePosition>();
   /** Names whose engines have stated their start: an entry without one is of another writer. */
   private readonly dated = new Set<string>();
-  /** Lives whose entries went, the newest last; only those of the last seconds may be back in a restored store. */
-  private readonly gone = new Set<string>();
-  /** Entries that are back only because the store was restored, by name. */
-  private readonly heldBack = new Map<string, StoredObject>();
-  private isRestored = false;
+  private readonly restored: RestoredEntries;
   private hasList = false;
   private readonly lapseGraceMs: number;
 
   constructor(private readonly parts: EngineListParts) {
     this.lapseGraceMs = Math.min(LONGEST_LAPSE_GRACE_MS, parts.drainMs * LAPSE_GRACE_SHARE);
+    this.restored = new RestoredEntries({
+      ...parts,
+      release: (entry) => {
+        this.takeEntry(entry);
+        this.noteChange('held-back');
+      },
+    });
   }
 
   /** Whether the list has been read once. */
@@ -75,7 +76,7 @@
    */
   noteRestored(): void {
     this.failedMs = this.parts.clock.now();
-    this.isRestored = true;
+    this.restored.noteRestored();
   }
 
   /** Takes the whole list. */
@@ -85,7 +86,7 @@
     for (const name of this.parts.registry.names) if (!listed.has(name)) this.takeGone(name);
     for (const name of this.positions.keys()) if (!listed.has(name)) this.forgetEntry(name);
     this.hasList = true;
-    this.isRestored = false;
+    this.restored.noteListed();
     this.noteChange('list');
   }
 
@@ -115,7 +116,7 @@
   takeGone(name: string, position?: StorePosition): void {
     const { clock } = this.parts;
     if (position?.isBefore(this.newestOf(name))) return;
-    this.heldBack.delete(name);
+    this.restored.drop(name);
     const meant = this.presentLife(name);
     if (meant === undefined) return;
     if (clock.now() - this.failedMs >= LAPSE_WINDOW_MS) {
@@ -158,37 +159,12 @@
     }
     const record = decoded.value;
     this.noteUnknownService(object, record);
-    if (this.isHeldBack(object, record.id)) return undefined;
-    this.heldBack.delete(name);
-    this.gone.delete(record.id);
+    if (this.restored.holdsBack(object, record.id)) return undefined;
     this.missing.delete(name);
     const outcome = this.parts.lives.takeEntry(record);
     return outcome.kind === 'retired' ? undefined : this.parts.registry.find(record.id)?.record;
   }
 
-  /**
-   * An engine whose entry went may serve on a little without taking new work. Where a restored store holds the entry
-   * again, only an engine that is alive keeps it from lapsing.
-   */
-  private isHeldBack(object: StoredObject, life: string): boolean {
-    if (this.heldBack.get(object.name)?.position.isSame(object.position)) return true;
-    if (!this.isRestored || !this.gone.has(life)) return false;
-    this.holdBack(object);
-    return true;
-  }
-
-  private holdBack(object: StoredObject): void {
-    const { clock, entryLifetimeMs, logger } = this.parts;
-    logger.info('engine_entry_held_back', { engine: object.name, for_ms: entryLifetimeMs });
-    this.heldBack.set(object.name, object);
-    clock.setTimer(entryLifetimeMs, () => {
-      if (this.heldBack.get(object.name) !== object) return;
-      this.heldBack.delete(object.name);
-      this.takeEntry(object);
-      this.noteChange('held-back');
-    });
-  }
-
   /** An engine that states its start states it in every entry. */
   private faultOf({ name, bornMs }: EngineRecord): string | undefined {
     if (bornMs !== undefined) this.dated.add(name);
@@ -228,9 +204,7 @@
   }
 
   private dropGone(id: string): void {
-    this.gone.add(id);
-    const [oldest] = this.gone;
-    if (this.gone.size > MAXIMUM_GONE && oldest !== undefined) this.gone.delete(oldest);
+    this.restored.noteGone(id);
     this.drop(id);
   }
 
