--- a/src/coordination/gateway/lease-keeper.ts
+++ b/src/coordination/gateway/lease-keeper.ts
@@ -56,12 +56,12 @@
     return this.lease.next(this.time) === LeaseStep.Read;
   }
 
-  /** The position at which this router holds the lease, to tell the others. */
+  /** The position at which this router holds the lease, to report to the others. */
   get heldPosition(): StorePosition | undefined {
     return this.lease.heldPosition;
   }
 
-  /** Takes the position that another holder tells. */
+  /** Takes the position that another holder reports. */
   hear(position: StorePosition): void {
     this.lease.hear(position, this.clock.now());
   }
--- a/src/coordination/gateway/restored-entries.ts
+++ b/src/coordination/gateway/restored-entries.ts
@@ -1,6 +1,6 @@
 /**
  * Entries of engines that are there again only because the store was restored from an older copy of itself. An engine
- * whose entry went may serve on a little without taking new work, and some never say that they leave. So an entry that
+ * whose entry went may serve on a little without taking new work, and some never announce that they leave. So an entry that
  * was seen to go counts, in the list of a restored store, only once it has outlived the time after which an entry lapses
  * that its engine does not write; one that is written in the new era counts at once.
  */
--- a/src/coordination/gateway/store-relay/peer-queries.ts
+++ b/src/coordination/gateway/store-relay/peer-queries.ts
@@ -32,7 +32,7 @@
 
   /**
    * Asks for the changes of a kind after a position. Rejects with a `ProtocolFailure` where no answer
-   * comes, where the other router knows less than this one, or where its build tells no era: it may not have
+   * comes, where the other router knows less than this one, or where its build sends no era: it may not have
    * noticed that the store was restored.
    */
   async changes(
@@ -43,7 +43,7 @@
   ): Promise<PeerAnswer> {
     const asked = this.clock.elapsed();
     const answer = await this.client.query(peer.gossipAddress, kind, position, waitMs);
-    if (answer.position.era === StoreEra.Unknown) throw storeIsOut(`${peer.nodeId} tells no era`);
+    if (answer.position.era === StoreEra.Unknown) throw storeIsOut(`${peer.nodeId} sends no era`);
     if (answer.position.isBefore(position)) throw storeIsOut(`${peer.nodeId} is behind`);
     const { proofAgeMs, events } = answer;
     const isRecent = proofAgeMs <= this.freshMs;
@@ -56,7 +56,7 @@
   }
 
   /**
-   * A whole kind from one router; undefined where its proof is not recent or its build tells no era. Rejects
+   * A whole kind from one router; undefined where its proof is not recent or its build sends no era. Rejects
    * without an answer.
    */
   async recentList(peer: MemberUpdate, kind: string): Promise<ProvenList | undefined> {
@@ -91,7 +91,7 @@
 function listOf(answer: RelayAnswer, asked: ElapsedInstant): ProvenList {
   const objects = answer.events.map((event) => event.object);
   const { position, proofAgeMs } = answer;
-  // A build that knows no eras can't tell whether the store has been restored since.
+  // A build without eras does not notice whether the store has been restored since.
   const isProof = position.era !== StoreEra.Unknown;
   const proven = isProof ? asked.plus(-proofAgeMs) : ElapsedInstant.never;
   return { objects, position, proven, isRelayed: true };
--- a/src/coordination/gateway/store-relay/relayed-object-store.ts
+++ b/src/coordination/gateway/store-relay/relayed-object-store.ts
@@ -52,7 +52,7 @@
   readonly client: RelayClient;
   readonly server: RelayServer;
   readonly group: RelayGroup;
-  /** Told of the era of each answer. */
+  /** Notes the era of each answer. */
   readonly eras: StoreEras;
   readonly clock: Clock;
   readonly random: RandomSource;
--- a/src/protocol/peer/relay-codec.ts
+++ b/src/protocol/peer/relay-codec.ts
@@ -33,7 +33,7 @@
   readonly number: number;
   readonly isKnown: boolean;
   readonly events: readonly ObjectEvent[];
-  /** Of an unknown era where the answering router's build tells none. */
+  /** Of an unknown era where the answering router's build sends none. */
   readonly position: StorePosition;
   readonly proofAgeMs: number;
   readonly heldMs: number;
--- a/src/runtime/store-position.ts
+++ b/src/runtime/store-position.ts
@@ -6,9 +6,9 @@
 
 /** Eras that are no number of the store's own. */
 export const StoreEra = {
-  /** Told by a router whose build knows no eras: before every other, so that it replaces nothing. */
+  /** Of what a router reports whose build has no eras: before every other, so that it replaces nothing. */
   Unknown: -1,
-  /** The store says none: it never goes back. */
+  /** The store has none: it never goes back. */
   None: 0,
 } as const;
 
--- a/src/state/routing/order-turn.ts
+++ b/src/state/routing/order-turn.ts
@@ -36,7 +36,7 @@
     this.otherActedMs = nowMs;
   }
 
-  /** Another router told that it holds the lease, and the position of its last write. */
+  /** Another router reported that it holds the lease, and the position of its last write. */
   noteHolder(router: string, position: StorePosition): void {
     if (position.isBefore(this.incumbentPosition)) return;
     this.incumbent = router;
--- a/src/state/routing/store-eras.ts
+++ b/src/state/routing/store-eras.ts
@@ -30,7 +30,7 @@
     if (era <= this.newestEra) return;
     const isFirst = this.newestEra === StoreEra.Unknown;
     this.newestEra = era;
-    // A router that has just started can't tell whether the store was restored a moment ago.
+    // A router that has just started can't know whether the store was restored a moment ago.
     const hasFormer = isFirst ? era !== StoreEra.None && !this.isFirstStart : true;
     if (hasFormer) this.lastChangeMs = nowMs;
   }
--- a/src/state/routing/weight-lease.ts
+++ b/src/state/routing/weight-lease.ts
@@ -4,12 +4,12 @@
  * One object in the store names the holder and a fencing token. The holder writes the object anew
  * before each batch of orders and gives orders only for a short while after that call began. Whoever
  * takes over has seen the object unchanged for the lease time and that while, so the last order of
- * the old holder is a lease time old. The holder tells the position of its last write to the others:
+ * the old holder is a lease time old. The holder reports the position of its last write to the others:
  * whoever heard it knows the object unchanged since then, without reading it meanwhile.
  *
  * The store may come back from an older copy of itself, with an older record or none. A lease of a former era of the store
  * gives no right to act, and nobody takes a lease in a new era before every holder of a former one has ceased to act.
- * Tokens of an era lie above those of all former eras, whatever the record says.
+ * Tokens of an era lie above those of all former eras, whatever the record holds.
  *
  * Two clocks: how long a router itself may act counts suspensions of its machine, so that it gives no order
  * when it wakes; how long it waits for another holder does not, so that it never takes over early.
@@ -58,7 +58,7 @@
   readonly actMs: number;
 }
 
-/** The position of a write that the holder told after it. */
+/** The position of a write that the holder reported after it. */
 interface HeardWrite {
   readonly position: StorePosition;
   readonly heardMs: number;
@@ -139,7 +139,7 @@
     return { holder, life, fencingToken };
   }
 
-  /** The holder told the position of its last write; one of an unknown era can't be told from another's. */
+  /** The holder reported the position of its last write; one of an unknown era can't be compared. */
   hear(position: StorePosition, heardMs: number): void {
     if (position.era === StoreEra.Unknown) return;
     this.eras.note(position.era, heardMs);
@@ -229,8 +229,8 @@
   /** Whether the record was written in a former era: the copy that the store came back from held it. */
   private get isOfFormerEra(): boolean {
     const record = this.view?.record;
-    const isEraTold = this.eras.newest > StoreEra.None;
-    return isEraTold && record !== undefined && record.fencingToken <= this.tokensBeforeEra;
+    const hasEras = this.eras.newest > StoreEra.None;
+    return hasEras && record !== undefined && record.fencingToken <= this.tokensBeforeEra;
   }
 
   /** Whether the object is known to have changed since it was seen last, or the store to have been restored. */
