Hold a relayed query that is ahead of its reader again

A router that was a revision ahead of its reader was answered at once that the reader is behind, left the reader for 3 s and went to the store; before, the query was held until the reader had caught up. Change: a query is answered at once only where there are changes, or where they can't be known. The test fails without it.

--- a/src/coordination/gateway/store-relay/relay-server.ts
+++ b/src/coordination/gateway/store-relay/relay-server.ts
@@ -130,18 +130,16 @@
 
   private hasNews(held: HeldQuery, mirror: ObjectMirror): boolean {
     if (held.isAwaitingProof) return mirror.isProven;
-    return this.changesFor(held, mirror)?.length !== 0;
-  }
-
-  /** Undefined where the mirror is behind the asker, so that it proves nothing, or does not know the changes. */
-  private changesFor({ query }: HeldQuery, mirror: ObjectMirror): ObjectEvent[] | undefined {
-    const { position = StorePosition.start } = query;
-    return mirror.position.isBefore(position) ? undefined : mirror.changesAfter(position);
+    // A mirror that is behind the asker has none yet: it may catch up while the query is held.
+    return mirror.changesAfter(positionOf(held))?.length !== 0;
   }
 
   private answerWithChanges(held: HeldQuery): void {
     const mirror = this.mirrors.of(held.query.kind);
-    this.answer(held, mirror, this.changesFor(held, mirror));
+    const position = positionOf(held);
+    // A mirror behind the asker proves nothing to it.
+    const isBehind = mirror.position.isBefore(position);
+    this.answer(held, mirror, isBehind ? undefined : mirror.changesAfter(position));
   }
 
   private answerWithAll(held: HeldQuery): void {
@@ -182,3 +180,8 @@
     }
   }
 }
+
+/** Where the asker stands; before all where it asks for all objects. */
+function positionOf({ query }: HeldQuery): StorePosition {
+  return query.position ?? StorePosition.start;
+}
--- a/test/gateway/store-relay.test.ts
+++ b/test/gateway/store-relay.test.ts
@@ -6,7 +6,11 @@
 import type { RelayedObjectStore } from '../../src/coordination/gateway/store-relay/relayed-object-store.js';
 import type { HostClock } from '../../src/lab/simulation/host-clock.js';
 import { ListFreshness } from '../../src/protocol/object-store/port.js';
-import { encodeRelayQuery } from '../../src/protocol/peer/relay-codec.js';
+import {
+  type RelayMessage,
+  decodeRelayFrame,
+  encodeRelayQuery,
+} from '../../src/protocol/peer/relay-codec.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
 import type { FrameConnection } from '../../src/transport/frame-transport.js';
 import { KIND, RelayWorld, SETTINGS } from '../helpers/relay-world.js';
@@ -93,6 +97,38 @@
   t.true(answeredMs - askedMs <= 600, `answered after ${answeredMs - askedMs} ms`);
 });
 
+test('a query that is ahead of the mirror is held until the mirror has caught up', async (t) => {
+  const clock = new VirtualClock();
+  const mirrors = new ObjectMirrors();
+  const server = new RelayServer(mirrors, SETTINGS.freshMs, clock);
+  const mirror = mirrors.of(KIND);
+  mirror.takeList([], positionAt(5), clock.elapsed());
+  const answers: RelayMessage[] = [];
+  let receive: (frame: Uint8Array) => void = () => undefined;
+  const connection = {
+    send: (frame: Uint8Array) => {
+      const message = decodeRelayFrame(frame);
+      if (message) answers.push(message);
+      return true;
+    },
+    onFrame: (handler: (frame: Uint8Array) => void) => {
+      receive = handler;
+    },
+    onClose: () => undefined,
+    destroy: () => undefined,
+  };
+  server.accept(connection as unknown as FrameConnection);
+  const query = { number: 1, kind: KIND, position: positionAt(7), waitMs: 600 };
+  receive(encodeRelayQuery({ ...query, acceptsDeflated: true }));
+  await clock.advance(300);
+  t.is(answers.length, 0);
+  const object = { name: 'thing', position: positionAt(8), spec: 1 };
+  mirror.takeChanges([{ object, isGone: false }], positionAt(8), clock.elapsed());
+  server.noteChange(KIND);
+  await clock.advance(100);
+  t.like(answers[0], { answer: { isKnown: true, events: { 0: { object } } } });
+});
+
 test('a removal reaches a follower', async (t) => {
   const { world, position } = await followedWorld();
   const watch = world.run((world.stores[1] as RelayedObjectStore).watch(KIND, position, 1_500));
