--- a/test/gateway/object-follower.test.ts
+++ b/test/gateway/object-follower.test.ts
@@ -11,6 +11,7 @@
 import type { StorePosition } from '../../src/runtime/store-position.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
 import { positionAt } from '../helpers/positions.js';
+import { silentFollowerEvents } from '../helpers/silent-follower-events.js';
 
 /** A store whose watches end only when the test says so. */
 class WaitingStore implements Pick<ObjectStorePort, 'list' | 'watch'> {
@@ -46,16 +47,11 @@
       firstList: ListFreshness.Current,
     },
     store as unknown as ObjectStorePort,
-    {
+    silentFollowerEvents({
       onList: (objects) => seen.push(...objects.map(({ spec }) => spec)),
       onObject: (object) => seen.push(object.spec),
-      onGone: () => undefined,
-      onUnnamed: () => undefined,
-      onAnswer: () => undefined,
-      onFailure: () => undefined,
       onHistoryGone,
-      onRestored: () => undefined,
-    },
+    }),
     clock,
     new SeededRandom(1),
     new SilentLogger(),
--- a/test/gateway/store-order.test.ts
+++ b/test/gateway/store-order.test.ts
@@ -19,6 +19,7 @@
 import { elapsedAt } from '../helpers/instants.js';
 import { engineRecord } from '../helpers/engine-record.js';
 import { positionAt } from '../helpers/positions.js';
+import { silentFollowerEvents } from '../helpers/silent-follower-events.js';
 
 const READY: StoredObject = {
   name: 'engine-1',
@@ -117,16 +118,9 @@
       firstList: ListFreshness.Current,
     },
     store,
-    {
+    silentFollowerEvents({
       onList: (objects) => taken.push(objects),
-      onObject: () => undefined,
-      onGone: () => undefined,
-      onUnnamed: () => undefined,
-      onAnswer: () => undefined,
-      onFailure: () => undefined,
-      onHistoryGone: () => undefined,
-      onRestored: () => undefined,
-    },
+    }),
     clock,
     new SeededRandom(1),
     new SilentLogger(),
--- a/test/gateway/store-outage.test.ts
+++ b/test/gateway/store-outage.test.ts
@@ -10,6 +10,7 @@
 import { chooseReaders } from '../../src/state/routing/store-readers.js';
 import { KIND, RelayWorld, member } from '../helpers/relay-world.js';
 import { ElapsedInstant } from '../../src/runtime/elapsed-instant.js';
+import { silentFollowerEvents } from '../helpers/silent-follower-events.js';
 
 /** Settings of a deployment of many routers before one store. */
 const LARGE: RelaySettings = {
@@ -38,16 +39,9 @@
         firstList: ListFreshness.Current,
       },
       store,
-      {
-        onList: () => undefined,
-        onObject: () => undefined,
-        onGone: () => undefined,
-        onUnnamed: () => undefined,
+      silentFollowerEvents({
         onAnswer: noteAnswer,
-        onFailure: () => undefined,
-        onHistoryGone: () => undefined,
-        onRestored: () => undefined,
-      },
+      }),
       world.hosts[index] as HostClock,
       new SeededRandom(500 + index),
       new SilentLogger(),
--- a/test/gateway/store-restored.test.ts
+++ b/test/gateway/store-restored.test.ts
@@ -25,6 +25,7 @@
 import { SilentLogger } from '../../src/runtime/logger.js';
 import { SeededRandom } from '../../src/runtime/random.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
+import { silentFollowerEvents } from '../helpers/silent-follower-events.js';
 
 const SEEDS = [1, 2, 3];
 const STEP_MS = 20;
@@ -107,19 +108,14 @@
       firstList: ListFreshness.Current,
     },
     new SimulatedStorePort(store, 'router', new HostClock(clock)),
-    {
+    silentFollowerEvents({
       onList: (objects) => {
         seen.clear();
         for (const { name, spec } of objects) seen.set(name, spec);
       },
       onObject: ({ name, spec }) => seen.set(name, spec),
       onGone: (name) => seen.delete(name),
-      onUnnamed: () => undefined,
-      onAnswer: () => undefined,
-      onFailure: () => undefined,
-      onHistoryGone: () => undefined,
-      onRestored: () => undefined,
-    },
+    }),
     clock,
     new SeededRandom(1),
     new SilentLogger(),
