Exchange of observations between routers, and interfaces of load sharing

Cause: each router of a large group sees a small share of the traffic, so it knows neither the speed of engines, nor what they have cached, nor what tenants use. Change: two new datagrams carry observations along the rounds of the load collection; kinds of entries plug in as parts. Routes and requests carry their gap objective and length hint. Features can be switched off by name. No part is plugged in yet, so nothing is sent.

--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -1,6 +1,7 @@
 /** Cost of placing one request, for a service of typical size and a large one. */
 import { createHasher } from '../src/runtime/hasher.js';
 import { SeededRandom, randomInteger } from '../src/runtime/random.js';
+import { DEFAULT_ENGINE_SPEEDS } from '../src/state/routing/engine-speeds.js';
 import { EngineHealth } from '../src/state/routing/engine-health.js';
 import { EngineRegistry } from '../src/state/routing/engine-registry.js';
 import { cacheSaltOf } from '../src/state/routing/generation.js';
@@ -119,5 +120,13 @@
         cachedPrefixes.record(id, salt, `subject-${affinityKey}`, SHARED_TOKENS);
     }
   }
-  return { loads, health: new EngineHealth(), cachedPrefixes, versions, random, homes };
+  return {
+    loads,
+    health: new EngineHealth(),
+    cachedPrefixes,
+    versions,
+    random,
+    homes,
+    speeds: DEFAULT_ENGINE_SPEEDS,
+  };
 }
--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -16,6 +16,8 @@
 } from '../../state/routing/shared-retry-budget.js';
 import type { SlotView } from '../../state/routing/send-slots.js';
 import type { TrafficSplit } from '../../state/routing/traffic-split.js';
+import type { EngineSpeedView } from '../../state/routing/engine-speeds.js';
+import type { TenantRanking } from '../../state/routing/tenant-shares.js';
 import type { WeightVersions } from '../../state/routing/weight-versions.js';
 import type { CrashProtection } from './crash-protection.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
@@ -73,6 +75,8 @@
   readonly crashes: CrashProtection;
   readonly rejections: Rejections;
   readonly quotas: TenantQuotas;
+  readonly speeds: EngineSpeedView;
+  readonly tenantRanking: TenantRanking;
   readonly statistics: GatewayStatistics;
   readonly zone: string;
 }
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -31,8 +31,10 @@
 import { GatewayStatistics } from './gateway-statistics.js';
 import { GroupExchange } from './group-exchange.js';
 import { GroupEventTarget } from './group-event-target.js';
-import { GroupMembership, SETTLING_MS } from './group-membership.js';
+import { type GroupMembership, SETTLING_MS } from './group-membership.js';
+import { openGroup } from './group-setup.js';
 import { EngineLimitDiscovery } from './engine-limit-discovery.js';
+import { LoadSharing } from './load-sharing.js';
 import { ListedEngines } from './listed-engines.js';
 import { type ObjectDecoder, valueOrLog } from './object-decoder.js';
 import { Rejections } from './rejections.js';
@@ -77,6 +79,7 @@
   private readonly requestRate = new SendRate();
   private readonly ownTokenRate = new SendRate();
   private readonly split = new TrafficSplit();
+  private readonly sharing: LoadSharing;
   private readonly followers: StoreFollowers;
   private readonly calls = new Set<RequestCall>();
   private readonly context: GatewayContext;
@@ -147,10 +150,18 @@
       clock,
       logger,
     });
+    this.sharing = new LoadSharing({
+      registry: this.registry,
+      disabled: settings.disabledFeatures ?? new Set(),
+      statistics: this.statistics,
+      clock,
+      logger,
+    });
     const homes = new HomeRanking(hasher);
     this.exchange = new GroupExchange({
       group,
       loads: this.loads,
+      observations: this.sharing.observations,
       registry: this.registry,
       configuration: this.configuration,
       homes,
@@ -189,6 +200,8 @@
         hasPeers: () => group.responding.length > 1,
       }),
       quotas: this.exchange.quotas,
+      speeds: this.sharing.speeds,
+      tenantRanking: this.sharing.tenantRanking,
       statistics: this.statistics,
       zone: settings.zone,
     };
@@ -231,25 +244,7 @@
     dependencies: GatewayDependencies,
   ): Promise<GatewayNode> {
     const events = new GroupEventTarget();
-    const { clock, random, logger, datagrams } = dependencies;
-    const { nodeId, zone, region, frontendAddress, gossipAddress, seeds, capacity } = settings;
-    const identity = {
-      nodeId,
-      zone,
-      region,
-      gossipAddress,
-      peerAddress: frontendAddress,
-      capacity,
-    };
-    const group = await GroupMembership.open(
-      { identity, seeds },
-      datagrams,
-      events.loads,
-      events,
-      clock,
-      random,
-      logger,
-    );
+    const group = await openGroup(settings, dependencies, events);
     const eras = new StoreEras(settings.isFirstStart);
     const relay = await StoreRelay.open(settings.relay, group, eras, dependencies);
     return new GatewayNode(settings, dependencies, group, relay, eras, events);
--- a/src/coordination/gateway/gateway-settings.ts
+++ b/src/coordination/gateway/gateway-settings.ts
@@ -3,6 +3,7 @@
 import type { QuotaTolerance } from '../../state/routing/quota/tenant-limit.js';
 import type { RetryBudgetSettings } from '../../state/routing/shared-retry-budget.js';
 import type { RolloutSettings } from '../../state/routing/weight-rollout.js';
+import type { DisabledFeatures } from './load-sharing-settings.js';
 import type { ObjectKinds } from './object-decoder.js';
 import type { RelaySettings } from './store-relay/relayed-object-store.js';
 
@@ -58,6 +59,8 @@
   readonly leaseActMs: number;
   /** Threshold for quarantining a request that crashes engines. */
   readonly quarantine?: QuarantinePolicy;
+  /** Mechanisms of load sharing that are switched off; none by default. */
+  readonly disabledFeatures?: DisabledFeatures;
 }
 
 /** Default tolerance on the limits of tenants. */
--- a/src/coordination/gateway/group-membership.ts
+++ b/src/coordination/gateway/group-membership.ts
@@ -5,6 +5,7 @@
 import type { RandomSource } from '../../runtime/random.js';
 import type { DatagramSocket, DatagramTransport } from '../../transport/datagram-transport.js';
 import {
+  type ObservationDatagram,
   type QuotaDatagram,
   type WorkDatagram,
   decodeClusterDatagram,
@@ -77,6 +78,8 @@
   private startedMs = 0;
   /** Handles load reports and summaries of a large group. */
   onWorkDatagram: (body: WorkDatagram) => void = () => undefined;
+  /** Handles observations of other routers. */
+  onObservationDatagram: (body: ObservationDatagram) => void = () => undefined;
   /** Handles quota datagrams of other routers. */
   onQuotaDatagram: (body: QuotaDatagram) => void = () => undefined;
 
@@ -257,10 +260,21 @@
   private receive(datagram: Uint8Array): void {
     if (this.isStopped) return;
     const body = decodeClusterDatagram(datagram);
-    if (body?.case === 'gossip') this.receiveGossip(body.value);
-    else if (body?.case === 'loadReport') this.reports.receive(body.value);
-    else if (body?.case === 'workReport' || body?.case === 'workSummary') this.onWorkDatagram(body);
-    else if (body?.case !== undefined) this.onQuotaDatagram(body);
+    if (body?.case === undefined) return;
+    switch (body.case) {
+      case 'gossip':
+        return this.receiveGossip(body.value);
+      case 'loadReport':
+        return this.reports.receive(body.value);
+      case 'workReport':
+      case 'workSummary':
+        return this.onWorkDatagram(body);
+      case 'observationReport':
+      case 'observationSummary':
+        return this.onObservationDatagram(body);
+      default:
+        return this.onQuotaDatagram(body);
+    }
   }
 
   private receiveGossip(gossip: GossipDatagram): void {
--- a/src/coordination/gateway/load-collection.ts
+++ b/src/coordination/gateway/load-collection.ts
@@ -38,6 +38,17 @@
   send(address: string, datagram: Uint8Array): void;
 }
 
+/** Takes part in the collection: it is told each round by whom and for whom this router collects. */
+export interface CollectionListener {
+  /**
+   * @param collector the router that collects for this one, possibly itself
+   * @param isCollecting whether this router sends summaries in this round
+   */
+  onRound(collector: MemberUpdate | undefined, isCollecting: boolean, nowMs: number): void;
+  /** A round of a small group, in which all routers report to each other. */
+  onDirectRound(nowMs: number): void;
+}
+
 /** Dependencies of {@link LoadCollection}. */
 export interface CollectionParts {
   readonly group: CollectionGroup;
@@ -45,6 +56,7 @@
   readonly registry: EngineRegistry;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly listener?: CollectionListener;
 }
 
 /** Interval of reports and of summaries. */
@@ -108,18 +120,23 @@
   }
 
   private tick(): void {
-    const { group } = this.parts;
-    if (!group.isLarge || !group.hasJoined) return;
+    const { group, listener } = this.parts;
+    if (!group.hasJoined) return;
     this.skippedTicks += 1;
     if (this.skippedTicks < this.stride) return;
     this.skippedTicks = 0;
     const now = this.parts.clock.now();
+    if (!group.isLarge) {
+      listener?.onDirectRound(now);
+      return;
+    }
     this.checkCollector(now);
     const collector = this.choice.choose(now);
     const isOwn = collector?.nodeId === group.own.nodeId;
     // A router that reports to another collector leaves its own work out of its summaries.
-    if (isOwn) this.sendSummary(this.parts.loads.ownLoads, now);
-    else if (this.collected.sinceLastReportMs(now) < COLLECTING_MS) this.sendSummary(NO_LOADS, now);
+    const isCollecting = isOwn || this.collected.sinceLastReportMs(now) < COLLECTING_MS;
+    if (isCollecting) this.sendSummary(isOwn ? this.parts.loads.ownLoads : NO_LOADS, now);
+    listener?.onRound(collector, isCollecting, now);
     if (collector && !isOwn) this.sendReport(collector, now);
   }
 
--- /dev/null
+++ b/src/coordination/gateway/load-sharing.ts
@@ -0,0 +1,31 @@
+/**
+ * State by which the routers of a group share load that is hard to serve: what engines can do, what
+ * they have cached, and what each tenant uses of them.
+ */
+import type { Clock } from '../../runtime/clock.js';
+import type { Logger } from '../../runtime/logger.js';
+import { DEFAULT_ENGINE_SPEEDS, type EngineSpeedView } from '../../state/routing/engine-speeds.js';
+import type { EngineRegistry } from '../../state/routing/engine-registry.js';
+import { EQUAL_TENANTS, type TenantRanking } from '../../state/routing/tenant-shares.js';
+import type { GatewayStatistics } from './gateway-statistics.js';
+import type { DisabledFeatures } from './load-sharing-settings.js';
+import type { ObservationParts } from './observation-exchange.js';
+
+/** Dependencies of {@link LoadSharing}. */
+export interface LoadSharingParts {
+  readonly registry: EngineRegistry;
+  readonly disabled: DisabledFeatures;
+  readonly statistics: GatewayStatistics;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** Load-sharing state of one router. */
+export class LoadSharing {
+  readonly speeds: EngineSpeedView = DEFAULT_ENGINE_SPEEDS;
+  readonly tenantRanking: TenantRanking = EQUAL_TENANTS;
+  /** What is exchanged with the other routers. */
+  readonly observations: ObservationParts = {};
+
+  constructor(readonly parts: LoadSharingParts) {}
+}
--- a/src/protocol/peer/cluster-codec.ts
+++ b/src/protocol/peer/cluster-codec.ts
@@ -5,6 +5,7 @@
   type ClusterDatagram,
   ClusterDatagramSchema,
   type LoadReport,
+  type Observations,
   type QuotaAnswer,
   type QuotaNotice,
   type QuotaQuestion,
@@ -30,6 +31,12 @@
   { case: 'quotaQuestion' | 'quotaAnswer' | 'quotaNotice' }
 >;
 
+/** Datagrams by which routers share what they observe of engines, prompts and tenants. */
+export type ObservationDatagram = Extract<
+  ClusterDatagram['body'],
+  { case: 'observationReport' | 'observationSummary' }
+>;
+
 /** Encodes one member update for {@link encodeClusterGossip}. */
 export function encodeUpdate(update: MemberUpdate): Uint8Array {
   return toBinary(MemberUpdateSchema, update);
@@ -78,6 +85,14 @@
   return encodeBody({ case: 'workSummary', value: summary });
 }
 
+export function encodeObservationReport(observations: Observations): Uint8Array {
+  return encodeBody({ case: 'observationReport', value: observations });
+}
+
+export function encodeObservationSummary(observations: Observations): Uint8Array {
+  return encodeBody({ case: 'observationSummary', value: observations });
+}
+
 function encodeBody(body: ClusterDatagram['body']): Uint8Array {
   return toBinary(ClusterDatagramSchema, create(ClusterDatagramSchema, { body }));
 }
--- a/src/state/routing/configuration.ts
+++ b/src/state/routing/configuration.ts
@@ -21,6 +21,8 @@
   readonly isResumable: boolean;
   readonly timeoutMs: number;
   readonly objectiveMs: number;
+  /** Longest pause between two events of a stream that counts as in time; undefined if not set. */
+  readonly gapObjectiveMs?: number | undefined;
   /** 0 is the highest. */
   readonly priority: number;
   /** Maximum number of engines that one client request is sent to. */
--- a/src/state/routing/generation.ts
+++ b/src/state/routing/generation.ts
@@ -13,6 +13,8 @@
   readonly parts: readonly PromptPart[];
   readonly promptTokens: number;
   readonly maximumOutputTokens: number;
+  /** The caller's guess of the output tokens: right in the median, often far off. */
+  readonly expectedOutputTokens?: number | undefined;
 }
 
 /** The parts that other requests may share. */
--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -6,6 +6,7 @@
 import { type GenerationShape, affinityKeyOf } from './generation.js';
 import type { HomeRanking } from './home-ranking.js';
 import type { CachedPrefixes } from './cached-prefixes.js';
+import type { EngineSpeedView } from './engine-speeds.js';
 import type { LoadTable } from './load-table.js';
 import { type PromptView, sourceAddress, storeToSave } from './prompt-source-choice.js';
 import {
@@ -31,6 +32,11 @@
   readonly excluded: ReadonlySet<string>;
   /** Zone of this router. */
   readonly zone: string;
+  /**
+   * Longest pause within a stream that counts as in time, on the strictest route to the service;
+   * undefined if no route sets one.
+   */
+  readonly gapObjectiveMs?: number | undefined;
   readonly stores: readonly CacheStore[];
   /** Whether the prompts of the group exceed the retention capacity of the cache stores. */
   readonly storePressure: StorePressure;
@@ -70,6 +76,7 @@
   readonly versions: WeightVersions;
   readonly random: RandomSource;
   readonly homes: HomeRanking;
+  readonly speeds: EngineSpeedView;
 }
 
 /** Delay of the first token for each running request at the engine. */
--- /dev/null
+++ b/test/gateway/observation-exchange.test.ts
@@ -0,0 +1,124 @@
+/**
+ * Guards against observations that do not reach all routers, are applied twice, or are lost for good
+ * after a collector died or a router restarted.
+ */
+import test from 'ava';
+import {
+  ObservationExchange,
+  type ObservationPart,
+  type PrefixReadEntry,
+} from '../../src/coordination/gateway/observation-exchange.js';
+import { LoadCollection } from '../../src/coordination/gateway/load-collection.js';
+import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
+import { LoadTable } from '../../src/state/routing/load-table.js';
+import { NoopLogger } from '../../src/runtime/logger.js';
+import { GroupHarness } from '../helpers/group-harness.js';
+
+const SETTLED_MS = 3_000;
+/** A report and a summary, each after up to one exchange period, and the network latency. */
+const PROPAGATION_MS = 450;
+
+/** Keeps the entries that one router sent, received and collected. */
+class RecordingPart implements ObservationPart<PrefixReadEntry> {
+  readonly pending: PrefixReadEntry[] = [];
+  readonly received: number[] = [];
+  private readonly collected: PrefixReadEntry[] = [];
+
+  takeOwn(limit: number): readonly PrefixReadEntry[] {
+    return this.pending.splice(0, limit);
+  }
+
+  receive(_sender: string, entries: readonly PrefixReadEntry[]): void {
+    this.received.push(...entries.map(({ partKey }) => partKey));
+  }
+
+  collect(_sender: string, entries: readonly PrefixReadEntry[]): void {
+    this.collected.push(...entries);
+  }
+
+  takeSummary(limit: number): readonly PrefixReadEntry[] {
+    return this.collected.splice(0, limit);
+  }
+}
+
+async function exchangingGroup(
+  size: number,
+  seed: number,
+): Promise<[GroupHarness, RecordingPart[]]> {
+  const harness = await GroupHarness.create(size, seed);
+  const parts = harness.routers.map(({ group, host }) => {
+    const part = new RecordingPart();
+    const exchange = new ObservationExchange(group, { prefixReads: part }, host);
+    const collection = new LoadCollection({
+      group,
+      loads: new LoadTable(),
+      registry: new EngineRegistry(),
+      clock: host,
+      logger: new NoopLogger(),
+      listener: exchange,
+    });
+    group.onWorkDatagram = (body) => collection.receive(body);
+    group.onObservationDatagram = (body) => exchange.receive(body);
+    collection.start();
+    return part;
+  });
+  await harness.clock.advance(SETTLED_MS);
+  return [harness, parts];
+}
+
+function readOf(partKey: number): PrefixReadEntry {
+  return { engineKey: 7, partKey, tokens: 3_780, ageMs: 0 };
+}
+
+test('an observation reaches every router of a large group', async (t) => {
+  const [harness, parts] = await exchangingGroup(40, 1);
+  for (const [index, part] of parts.entries()) part.pending.push(readOf(index));
+  await harness.clock.advance(PROPAGATION_MS);
+  for (const [index, { received }] of parts.entries()) {
+    t.is(new Set([...received, index]).size, parts.length);
+  }
+});
+
+test('in a small group an observation reaches every other router once', async (t) => {
+  const [harness, parts] = await exchangingGroup(5, 2);
+  parts[0]?.pending.push(readOf(11));
+  await harness.clock.advance(PROPAGATION_MS);
+  t.deepEqual(
+    parts.map(({ received }) => received),
+    [[], [11], [11], [11], [11]],
+  );
+});
+
+test('after its collector died, the group exchanges observations again within a second', async (t) => {
+  const [harness, parts] = await exchangingGroup(40, 3);
+  // With equal capacities the first router by name is the collector.
+  const names = harness.routers.map(({ name }) => name);
+  const collector = names.indexOf([...names].sort()[0] as string);
+  harness.powerOff(collector);
+  await harness.clock.advance(1_000);
+  const sender = parts.at(-1);
+  sender?.pending.push(readOf(21));
+  await harness.clock.advance(PROPAGATION_MS);
+  const reached = parts.filter(({ received }) => received.includes(21));
+  t.true(reached.length >= parts.length - 1);
+});
+
+test('a duplicated datagram is applied once, and a restarted sender is heard again', async (t) => {
+  const [harness, parts] = await exchangingGroup(2, 4);
+  const [, receiver] = parts;
+  const { group } = harness.routers[1] as { group: (typeof harness.routers)[number]['group'] };
+  const datagram = {
+    $typeName: 'peatspan.cluster.Observations' as const,
+    sender: 'router-9',
+    sequence: 40,
+    engineSpeeds: [],
+    prefixReads: [{ $typeName: 'peatspan.cluster.PrefixRead' as const, ...readOf(31) }],
+    tenantUses: [],
+  };
+  group.onObservationDatagram({ case: 'observationReport', value: datagram });
+  group.onObservationDatagram({ case: 'observationReport', value: datagram });
+  t.deepEqual(receiver?.received, [31]);
+  await harness.clock.advance(1_000);
+  group.onObservationDatagram({ case: 'observationReport', value: { ...datagram, sequence: 1 } });
+  t.deepEqual(receiver?.received, [31, 31]);
+});
--- a/test/gateway/placement.test.ts
+++ b/test/gateway/placement.test.ts
@@ -3,6 +3,7 @@
 import test from 'ava';
 import { createHasher } from '../../src/runtime/hasher.js';
 import { SeededRandom } from '../../src/runtime/random.js';
+import { DEFAULT_ENGINE_SPEEDS } from '../../src/state/routing/engine-speeds.js';
 import { EngineHealth } from '../../src/state/routing/engine-health.js';
 import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
 import { HomeRanking } from '../../src/state/routing/home-ranking.js';
@@ -41,6 +42,7 @@
     versions: new WeightVersions(7_000, new StoreOutages()),
     random: new SeededRandom(seed),
     homes: new HomeRanking(hasher),
+    speeds: DEFAULT_ENGINE_SPEEDS,
   };
 }
 
--- a/test/helpers/placement-harness.ts
+++ b/test/helpers/placement-harness.ts
@@ -5,6 +5,7 @@
 import { createHasher } from '../../src/runtime/hasher.js';
 import { SeededRandom } from '../../src/runtime/random.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
+import { DEFAULT_ENGINE_SPEEDS } from '../../src/state/routing/engine-speeds.js';
 import { EngineHealth } from '../../src/state/routing/engine-health.js';
 import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
 import type { GenerationShape } from '../../src/state/routing/generation.js';
@@ -132,6 +133,7 @@
       versions: new WeightVersions(7_000, new StoreOutages()),
       random: new SeededRandom(this.scenario.seed * 1_000 + index),
       homes,
+      speeds: DEFAULT_ENGINE_SPEEDS,
     };
     this.routers.push({ zone: `zone-${index % this.scenario.zones}`, tables, sequence: 0 });
   }
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -8,6 +8,7 @@
   checkSettings,
   gatewaySettingsOf,
   metricsAddressOf,
+  readDisabledFeatures,
   readSettings,
 } from '../../platform/settings.js';
 
@@ -81,3 +82,12 @@
   // About half of the grace period remains to roll out weights published before the detection.
   t.true(settings.versionWatchMs + WATCH_RESPONSE_MARGIN_MS < settings.rollout.graceMs * 0.55);
 });
+
+test('features are switched off by name, and an unknown name is reported with the variable', (t) => {
+  t.deepEqual([...readDisabledFeatures({})], []);
+  const off = readDisabledFeatures({ PEATSPAN_DISABLED_FEATURES: 'request-queue, prefix-reads' });
+  t.deepEqual([...off], ['request-queue', 'prefix-reads']);
+  t.throws(() => readDisabledFeatures({ PEATSPAN_DISABLED_FEATURES: 'queue' }), {
+    message: /PEATSPAN_DISABLED_FEATURES: queue: expected one of engine-speeds/,
+  });
+});
