An entry of an unconfigured service no longer retires a running engine

The fault is the product's; engine-5 had not restarted. Change: a later start in an entry of an unconfigured service proves no restart. The engine still gets no new work while its entry is overwritten, but its own next entry is used again. Simulated entries of other programs may state a later start, also in the fuzz; entries added under a name of their own don't, because they have no engine whose start could be earlier.

--- a/fuzz/engine-restart-commands.ts
+++ b/fuzz/engine-restart-commands.ts
@@ -93,9 +93,15 @@
   );
 
 const malformedEntry = fc.constantFrom(...Object.values(MalformedEntry));
+/** An added entry belongs to no engine, so its start time can't be later than the engine's. */
+const addedMalformedEntry = fc.constantFrom(
+  ...Object.values(MalformedEntry).filter(
+    (fault) => fault !== MalformedEntry.UnknownServiceLaterStart,
+  ),
+);
 
 /** Adds a malformed entry, then sends requests that would match it if it were valid. */
-const addMalformedEntry = malformedEntry.map((fault) =>
+const addMalformedEntry = addedMalformedEntry.map((fault) =>
   command(`addMalformedEntry(${fault})`, async (simulation) => {
     const PROPAGATION_MS = 400;
     const REQUESTS = 12;
--- a/src/coordination/gateway/engine-incarnation-tracker.ts
+++ b/src/coordination/gateway/engine-incarnation-tracker.ts
@@ -49,11 +49,17 @@
     this.listener = listener;
   }
 
-  /** Applies an engine's entry; entries must be passed in the store's order. */
-  applyEntry(record: EngineRecord): PutOutcome {
-    const outcome = this.registry.put(record);
+  /**
+   * Applies an engine's entry; entries must be passed in the store's order.
+   *
+   * @param isServiceKnown whether the configuration has the service of the entry. An entry of
+   *   another service may have been written by another program, so its start time proves no
+   *   restart.
+   */
+  applyEntry(record: EngineRecord, isServiceKnown = true): PutOutcome {
+    const outcome = this.registry.put(record, isServiceKnown);
     if (outcome.kind === 'restarted')
-      this.handleRestart(outcome.previous, record.startedAtMs, 'entry');
+      this.handleRestart(outcome.previous, record.startedAtMs, 'entry', isServiceKnown);
     return outcome;
   }
 
@@ -95,6 +101,7 @@
     previous: EngineRecord,
     startedAtMs: number | undefined,
     source: IncarnationSource,
+    mayProveRestart = true,
   ): void {
     this.statistics.enginesReborn += 1;
     this.logger.warn('engine_reborn', {
@@ -105,6 +112,7 @@
       found_by: source,
     });
     this.listener?.onChanged();
+    if (!mayProveRestart) return;
     // An earlier start time doesn't prove that the known incarnation has ended.
     if (startedAtMs === undefined || !isLaterIncarnation(startedAtMs, previous.startedAtMs)) return;
     this.listener?.onRestarted({ previous, startedAtMs });
--- a/src/coordination/gateway/engine-list.ts
+++ b/src/coordination/gateway/engine-list.ts
@@ -162,10 +162,11 @@
       return undefined;
     }
     const record = decoded.value;
-    this.noteUnknownService(object, record);
+    const isServiceKnown = this.parts.isKnownService(record.service);
+    if (!isServiceKnown) this.reportUnknownService(object, record);
     if (this.restored.holdsBack(object, record.id)) return undefined;
     this.missing.delete(name);
-    const outcome = this.parts.incarnations.applyEntry(record);
+    const outcome = this.parts.incarnations.applyEntry(record, isServiceKnown);
     return outcome.kind === 'retired' ? undefined : this.parts.registry.find(record.id)?.record;
   }
 
@@ -204,8 +205,7 @@
   }
 
   /** Reports an unconfigured service; its engines get no requests and no load commands. */
-  private noteUnknownService({ name, position }: StoredObject, { service }: EngineRecord): void {
-    if (this.parts.isKnownService(service)) return;
+  private reportUnknownService({ name, position }: StoredObject, { service }: EngineRecord): void {
     this.parts.malformed.report(name, position, `service ${service}: not in the configuration`);
   }
 
--- a/src/state/routing/engine-registry.ts
+++ b/src/state/routing/engine-registry.ts
@@ -103,16 +103,17 @@
    * an entry with a later start replaced a listed incarnation, entries of the replaced one are
    * ignored, since its last write may complete late. Entries of an incarnation that was never
    * listed, or that was superseded by one with an earlier start, are still stored.
+   *
+   * @param provesRestart whether a later start in this entry proves that the listed incarnation has
+   *   ended; entries of the listed incarnation are stored again otherwise
    */
-  put(record: EngineRecord): PutOutcome {
+  put(record: EngineRecord, provesRestart = true): PutOutcome {
     if (this.isEnded(record.id)) return { kind: 'retired' };
     const current = this.byName.get(record.name);
     const previous = current?.record.id === record.id ? undefined : current;
     if (previous) {
-      this.supersede(
-        previous,
-        previous.isListed && isLaterIncarnation(record.startedAtMs, previous.record.startedAtMs),
-      );
+      const isLater = isLaterIncarnation(record.startedAtMs, previous.record.startedAtMs);
+      this.supersede(previous, provesRestart && previous.isListed && isLater);
     }
     this.storeRecord(record, true);
     this.regroup();
