Fair shares of tenants, summed over the group

Cause: below its quota a tenant that sends several times its usual takes the capacity of the others. Change: routers report what tenants ask for and get over the exchange of observations; each tenant's use is compared with its max-min fair share of what the group serves. The order of the request queue will use it.

--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -17,7 +17,7 @@
 import type { SlotView } from '../../state/routing/send-slots.js';
 import type { TrafficSplit } from '../../state/routing/traffic-split.js';
 import type { EngineSpeedView } from '../../state/routing/engine-speeds.js';
-import type { TenantRanking } from '../../state/routing/tenant-shares.js';
+import type { TenantRanking, TenantShares } from '../../state/routing/tenant-shares.js';
 import type { WeightVersions } from '../../state/routing/weight-versions.js';
 import type { CrashProtection } from './crash-protection.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
@@ -77,6 +77,7 @@
   readonly quotas: TenantQuotas;
   readonly speeds: EngineSpeedView;
   readonly tenantRanking: TenantRanking;
+  readonly tenantShares: TenantShares;
   readonly statistics: GatewayStatistics;
   readonly zone: string;
 }
--- a/src/coordination/gateway/load-sharing.ts
+++ b/src/coordination/gateway/load-sharing.ts
@@ -6,10 +6,15 @@
 import type { Logger } from '../../runtime/logger.js';
 import { DEFAULT_ENGINE_SPEEDS, type EngineSpeedView } from '../../state/routing/engine-speeds.js';
 import type { EngineRegistry } from '../../state/routing/engine-registry.js';
-import { EQUAL_TENANTS, type TenantRanking } from '../../state/routing/tenant-shares.js';
+import {
+  EQUAL_TENANTS,
+  type TenantRanking,
+  TenantShares,
+} from '../../state/routing/tenant-shares.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
-import type { DisabledFeatures } from './load-sharing-settings.js';
+import { type DisabledFeatures, LoadSharingFeature } from './load-sharing-settings.js';
 import type { ObservationParts } from './observation-exchange.js';
+import { TenantUseExchange } from './tenant-use-exchange.js';
 
 /** Dependencies of {@link LoadSharing}. */
 export interface LoadSharingParts {
@@ -23,9 +28,17 @@
 /** Load-sharing state of one router. */
 export class LoadSharing {
   readonly speeds: EngineSpeedView = DEFAULT_ENGINE_SPEEDS;
-  readonly tenantRanking: TenantRanking = EQUAL_TENANTS;
+  /** Records what tenants ask for and get; also while the ranking is switched off. */
+  readonly tenantShares = new TenantShares();
+  readonly tenantRanking: TenantRanking;
   /** What is exchanged with the other routers. */
-  readonly observations: ObservationParts = {};
+  readonly observations: ObservationParts;
 
-  constructor(readonly parts: LoadSharingParts) {}
+  constructor({ disabled }: LoadSharingParts) {
+    const ranksTenants = !disabled.has(LoadSharingFeature.TenantShares);
+    this.tenantRanking = ranksTenants ? this.tenantShares : EQUAL_TENANTS;
+    this.observations = ranksTenants
+      ? { tenantUses: new TenantUseExchange(this.tenantShares) }
+      : {};
+  }
 }
--- a/src/state/routing/tenant-shares.ts
+++ b/src/state/routing/tenant-shares.ts
@@ -1,4 +1,11 @@
-/** Order of tenants when a service has less room than its callers ask for. Pure. */
+/**
+ * Order of tenants when a service has less capacity than its callers ask for. Answers the load of a
+ * few tenants that send several times their usual: without an order, who asks most gets most. Each
+ * tenant is entitled to its max-min fair share of what the group serves. Shares order waiting
+ * requests and grant nothing, so capacity that others leave unused is available to everyone. Pure.
+ */
+import { memberKey } from '../member-key.js';
+import { DecayingRate } from './decaying-rate.js';
 
 /** Ranks tenants by how much of their fair share they use. */
 export interface TenantRanking {
@@ -11,3 +18,180 @@
 
 /** Ranks all tenants equally. */
 export const EQUAL_TENANTS: TenantRanking = { useOfShare: () => 0 };
+
+/** Use of one service by one tenant, in tokens per second. */
+export interface TenantUse {
+  readonly serviceKey: number;
+  readonly tenantKey: number;
+  /** Tokens sent to engines. */
+  readonly tokensPerSecond: number;
+  /** Tokens asked for, served or not. */
+  readonly demandedTokensPerSecond: number;
+}
+
+/** Reports and summaries expire after this time, so that a lost datagram or two changes nothing. */
+export const USE_LIFETIME_MS = 1_000;
+/** Time over which rates are averaged; several requests of a large tenant at one router. */
+const RATE_PERIOD_MS = 1_000;
+/** Shares are computed at most this often, since each waiting request reads them. */
+const SHARE_CACHE_MS = 100;
+/** Tenants and services tracked by one router. */
+const MAXIMUM_TRACKED = 4_096;
+/** A tenant that sent nothing for this long is forgotten; its decayed rates would keep their ratio. */
+const FORGET_MS = 3_000;
+
+interface TrackedUse {
+  readonly serviceKey: number;
+  readonly tenantKey: number;
+  readonly used: DecayingRate;
+  readonly demanded: DecayingRate;
+}
+
+interface ReceivedUses {
+  readonly uses: readonly TenantUse[];
+  readonly untilMs: number;
+}
+
+interface ServiceShares {
+  readonly computedMs: number;
+  /** Largest use to which a tenant is entitled, in tokens per second. */
+  readonly entitlement: number;
+  readonly usedByTenant: ReadonlyMap<number, number>;
+}
+
+/** Fair shares of all tenants, from the uses that the routers of the group report. */
+export class TenantShares implements TenantRanking {
+  private readonly own = new Map<string, TrackedUse>();
+  private readonly reports = new Map<string, ReceivedUses>();
+  private summary: ReceivedUses | undefined;
+  private readonly shares = new Map<number, ServiceShares>();
+
+  /** Records a request that arrived, before it is admitted. */
+  noteDemand(service: string, tenant: string | undefined, tokens: number, nowMs: number): void {
+    this.trackedOf(service, tenant)?.demanded.add(tokens, nowMs);
+  }
+
+  /** Records a request that is sent to an engine. */
+  noteUse(service: string, tenant: string | undefined, tokens: number, nowMs: number): void {
+    this.trackedOf(service, tenant)?.used.add(tokens, nowMs);
+  }
+
+  useOfShare(service: string, tenant: string | undefined, nowMs: number): number {
+    if (tenant === undefined) return 0;
+    const { entitlement, usedByTenant } = this.sharesOf(memberKey(service), nowMs);
+    const used = usedByTenant.get(memberKey(tenant)) ?? 0;
+    return entitlement > 0 ? used / entitlement : 0;
+  }
+
+  /** This router's uses, the largest demands first. */
+  ownUses(nowMs: number): TenantUse[] {
+    const uses: TenantUse[] = [];
+    for (const [key, { serviceKey, tenantKey, used, demanded }] of this.own) {
+      if (Math.min(used.idleMs(nowMs), demanded.idleMs(nowMs)) >= FORGET_MS) {
+        this.own.delete(key);
+        continue;
+      }
+      const tokensPerSecond = used.perSecond(nowMs);
+      const demandedTokensPerSecond = demanded.perSecond(nowMs);
+      uses.push({ serviceKey, tenantKey, tokensPerSecond, demandedTokensPerSecond });
+    }
+    return uses.sort(byDemand);
+  }
+
+  /** Uses of the whole group, as far as known to this router, the largest demands first. */
+  groupUses(nowMs: number): TenantUse[] {
+    const reported = [...this.reports].flatMap(([sender, { uses, untilMs }]) => {
+      if (nowMs < untilMs) return uses;
+      this.reports.delete(sender);
+      return [];
+    });
+    return sumOf([...this.ownUses(nowMs), ...reported]).sort(byDemand);
+  }
+
+  /** Handles the uses that another router reports of itself. */
+  receiveReport(sender: string, uses: readonly TenantUse[], nowMs: number): void {
+    this.reports.set(sender, { uses, untilMs: nowMs + USE_LIFETIME_MS });
+  }
+
+  /** Handles the uses of the whole group, this router included. */
+  receiveSummary(uses: readonly TenantUse[], nowMs: number): void {
+    this.summary = { uses, untilMs: nowMs + USE_LIFETIME_MS };
+  }
+
+  private trackedOf(service: string, tenant: string | undefined): TrackedUse | undefined {
+    if (tenant === undefined) return undefined;
+    const key = `${service}\n${tenant}`;
+    let tracked = this.own.get(key);
+    if (!tracked) {
+      if (this.own.size >= MAXIMUM_TRACKED) return undefined;
+      tracked = {
+        serviceKey: memberKey(service),
+        tenantKey: memberKey(tenant),
+        used: new DecayingRate(RATE_PERIOD_MS),
+        demanded: new DecayingRate(RATE_PERIOD_MS),
+      };
+      this.own.set(key, tracked);
+    }
+    return tracked;
+  }
+
+  private sharesOf(serviceKey: number, nowMs: number): ServiceShares {
+    const cached = this.shares.get(serviceKey);
+    if (cached && nowMs - cached.computedMs < SHARE_CACHE_MS) return cached;
+    const uses = this.knownUses(nowMs).filter((use) => use.serviceKey === serviceKey);
+    const served = uses.reduce((sum, use) => sum + use.tokensPerSecond, 0);
+    const demands = uses.map((use) => use.demandedTokensPerSecond);
+    const shares = {
+      computedMs: nowMs,
+      entitlement: maxMinFairLevel(demands, served),
+      usedByTenant: new Map(uses.map((use) => [use.tenantKey, use.tokensPerSecond])),
+    };
+    this.shares.set(serviceKey, shares);
+    return shares;
+  }
+
+  /** A summary covers the whole group; without one, only the routers that report to this one count. */
+  private knownUses(nowMs: number): readonly TenantUse[] {
+    if (this.summary && nowMs < this.summary.untilMs) return this.summary.uses;
+    return this.groupUses(nowMs);
+  }
+}
+
+/**
+ * Max-min fair level: the largest amount that no one may exceed if all demands up to it are met and
+ * their sum is the capacity. Demands that sum to less than the capacity are all met, and the level
+ * is the largest of them.
+ */
+export function maxMinFairLevel(demands: readonly number[], capacity: number): number {
+  const ascending = [...demands].sort((left, right) => left - right);
+  let remaining = capacity;
+  for (const [index, demand] of ascending.entries()) {
+    const equalShare = remaining / (ascending.length - index);
+    if (demand > equalShare) return equalShare;
+    remaining -= demand;
+  }
+  return ascending.at(-1) ?? 0;
+}
+
+/** Sums uses of the same tenant and service. */
+function sumOf(uses: readonly TenantUse[]): TenantUse[] {
+  const sums = new Map<string, TenantUse>();
+  for (const use of uses) {
+    const key = `${use.serviceKey} ${use.tenantKey}`;
+    const previous = sums.get(key);
+    sums.set(key, previous ? addUses(previous, use) : use);
+  }
+  return [...sums.values()];
+}
+
+function addUses(left: TenantUse, right: TenantUse): TenantUse {
+  return {
+    ...left,
+    tokensPerSecond: left.tokensPerSecond + right.tokensPerSecond,
+    demandedTokensPerSecond: left.demandedTokensPerSecond + right.demandedTokensPerSecond,
+  };
+}
+
+function byDemand(left: TenantUse, right: TenantUse): number {
+  return right.demandedTokensPerSecond - left.demandedTokensPerSecond;
+}
--- a/test/gateway/observation-exchange.test.ts
+++ b/test/gateway/observation-exchange.test.ts
@@ -3,20 +3,17 @@
  * after a collector died or a router restarted.
  */
 import test from 'ava';
-import {
-  ObservationExchange,
-  type ObservationPart,
-  type PrefixReadEntry,
+import type {
+  ObservationPart,
+  PrefixReadEntry,
 } from '../../src/coordination/gateway/observation-exchange.js';
-import { LoadCollection } from '../../src/coordination/gateway/load-collection.js';
-import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
-import { LoadTable } from '../../src/state/routing/load-table.js';
-import { NoopLogger } from '../../src/runtime/logger.js';
 import { GroupHarness } from '../helpers/group-harness.js';
-
-const SETTLED_MS = 3_000;
-/** A report and a summary, each after up to one exchange period, and the network latency. */
-const PROPAGATION_MS = 450;
+import {
+  PROPAGATION_MS,
+  SETTLED_MS,
+  collectorOf,
+  startExchange,
+} from '../helpers/observation-harness.js';
 
 /** Keeps the entries that one router sent, received and collected. */
 class RecordingPart implements ObservationPart<PrefixReadEntry> {
@@ -46,20 +43,9 @@
   seed: number,
 ): Promise<[GroupHarness, RecordingPart[]]> {
   const harness = await GroupHarness.create(size, seed);
-  const parts = harness.routers.map(({ group, host }) => {
+  const parts = harness.routers.map((_, index) => {
     const part = new RecordingPart();
-    const exchange = new ObservationExchange(group, { prefixReads: part }, host);
-    const collection = new LoadCollection({
-      group,
-      loads: new LoadTable(),
-      registry: new EngineRegistry(),
-      clock: host,
-      logger: new NoopLogger(),
-      listener: exchange,
-    });
-    group.onWorkDatagram = (body) => collection.receive(body);
-    group.onObservationDatagram = (body) => exchange.receive(body);
-    collection.start();
+    startExchange(harness, index, { prefixReads: part });
     return part;
   });
   await harness.clock.advance(SETTLED_MS);
@@ -91,9 +77,7 @@
 
 test('after its collector died, the group exchanges observations again within a second', async (t) => {
   const [harness, parts] = await exchangingGroup(40, 3);
-  // With equal capacities the first router by name is the collector.
-  const names = harness.routers.map(({ name }) => name);
-  const collector = names.indexOf([...names].sort()[0] as string);
+  const collector = collectorOf(harness);
   harness.powerOff(collector);
   await harness.clock.advance(1_000);
   const sender = parts.at(-1);
