Exchange of prefix reads in a large group

Cause: with more than 13 routers no router follows the engines' cache events, so each knows only the prompts that it sent itself and expects nearly all prompt tokens unread. Change: routers report the shared parts that they saw prefilled, by engine and a hash of salt and part; the collector merges them, and each router keeps the locations until the least recently used ones would be evicted. Small groups send nothing.

--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -22,6 +22,7 @@
 import type { CrashProtection } from './crash-protection.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
 import type { EngineLimitDiscovery } from './engine-limit-discovery.js';
+import type { PrefixReadExchange } from './prefix-read-exchange.js';
 import type { TenantQuotas } from './quota/tenant-quotas.js';
 import type { Rejections } from './rejections.js';
 
@@ -60,6 +61,8 @@
   readonly health: EngineHealth;
   readonly limitDiscovery: EngineLimitDiscovery;
   readonly cachedPrefixes: CachedPrefixes;
+  /** Exchange of the prefixes that engines have read; undefined if it is disabled. */
+  readonly prefixReads?: PrefixReadExchange | undefined;
   readonly versions: WeightVersions;
   /** Rate of requests that this router sends to engines. */
   readonly requestRate: SendRate;
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -152,6 +152,10 @@
     });
     this.sharing = new LoadSharing({
       registry: this.registry,
+      configuration: this.configuration,
+      cachedPrefixes: this.cachedPrefixes,
+      ownTokenRate: this.ownTokenRate,
+      shareOfTraffic: () => this.trafficShare.now,
       disabled: settings.disabledFeatures ?? new Set(),
       statistics: this.statistics,
       clock,
@@ -184,6 +188,7 @@
       health: this.health,
       limitDiscovery,
       cachedPrefixes: this.cachedPrefixes,
+      prefixReads: this.sharing.prefixReads,
       versions: this.versions,
       requestRate: this.requestRate,
       ownTokenRate: this.ownTokenRate,
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -69,6 +69,10 @@
   rolloutWaits = 0;
   rolloutsForWorth = 0;
   rolloutsForDeadline = 0;
+  /** Prefix reads sent to the group, applied from it, and ignored as of unlisted engines. */
+  prefixReadsReported = 0;
+  prefixReadsApplied = 0;
+  prefixReadsIgnored = 0;
   sharedTokensRead = 0;
   sharedTokensKept = 0;
   /** Directory responses to callers. */
--- a/src/coordination/gateway/load-sharing.ts
+++ b/src/coordination/gateway/load-sharing.ts
@@ -8,11 +8,12 @@
 import type { EngineRegistry } from '../../state/routing/engine-registry.js';
 import { EQUAL_TENANTS, type TenantRanking } from '../../state/routing/tenant-shares.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
-import type { DisabledFeatures } from './load-sharing-settings.js';
+import { type DisabledFeatures, LoadSharingFeature } from './load-sharing-settings.js';
 import type { ObservationParts } from './observation-exchange.js';
+import { PrefixReadExchange, type PrefixReadParts } from './prefix-read-exchange.js';
 
 /** Dependencies of {@link LoadSharing}. */
-export interface LoadSharingParts {
+export interface LoadSharingParts extends PrefixReadParts {
   readonly registry: EngineRegistry;
   readonly disabled: DisabledFeatures;
   readonly statistics: GatewayStatistics;
@@ -25,7 +26,15 @@
   readonly speeds: EngineSpeedView = DEFAULT_ENGINE_SPEEDS;
   readonly tenantRanking: TenantRanking = EQUAL_TENANTS;
   /** What is exchanged with the other routers. */
-  readonly observations: ObservationParts = {};
+  readonly observations: ObservationParts;
+  /** Undefined if the feature is disabled. */
+  readonly prefixReads: PrefixReadExchange | undefined;
 
-  constructor(readonly parts: LoadSharingParts) {}
+  constructor(readonly parts: LoadSharingParts) {
+    const { disabled } = parts;
+    this.prefixReads = disabled.has(LoadSharingFeature.PrefixReads)
+      ? undefined
+      : new PrefixReadExchange(parts);
+    this.observations = { ...(this.prefixReads && { prefixReads: this.prefixReads }) };
+  }
 }
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -18,7 +18,7 @@
 import { RunStartDeadline } from './run-start-deadline.js';
 import { applyEngineNotice } from './engine-notices.js';
 import type { GatewayContext } from './gateway-context.js';
-import type { GenerationShape } from '../../state/routing/generation.js';
+import { type GenerationShape, sharedPartsOf } from '../../state/routing/generation.js';
 import type { AnsweredRequest } from './engine-limit-discovery.js';
 import { SendLoad } from './send-load.js';
 import type { Grant } from './request-admission.js';
@@ -293,5 +293,7 @@
     const { generation } = this.request;
     if (cacheSalt === undefined || !generation) return;
     this.context.cachedPrefixes.recordPrompt(this.engineId, cacheSalt, generation.parts);
+    const sharedParts = sharedPartsOf(generation);
+    this.context.prefixReads?.recordRead(this.engineId, cacheSalt, sharedParts, nowMs);
   }
 }
--- a/src/state/routing/cached-prefixes.ts
+++ b/src/state/routing/cached-prefixes.ts
@@ -1,25 +1,43 @@
 /**
  * Index of the prompt prefixes cached by engines and cache stores, as far as known to this router.
- * Parts are indexed by salt, so that entries of other weights or tenants never match.
+ * Parts are indexed by a hash of salt and identifier, so that entries of other weights or tenants do
+ * not match, and that locations reported by other routers need no text of their prompts.
  */
 import type { PromptPart } from './generation.js';
+import { partKeyOf, saltHashOf } from './part-key.js';
+import { ReadRates } from './read-rates.js';
+
+/** Expiry period of parts that expire by {@link CachedPrefixes.dropLocation} instead. */
+const NO_PERIOD = Infinity;
 
 /** Last known cache contents of all holders: engine incarnations and store addresses. */
 export class CachedPrefixes {
   /** Cached tokens by holder, for each salted part. */
-  private readonly holdersByPart = new Map<string, Map<string, number>>();
+  private readonly holdersByPart = new Map<number, Map<string, number>>();
   /** Expiry period in which each part was last recorded, by holder. */
-  private readonly partsByHolder = new Map<string, Map<string, number>>();
+  private readonly partsByHolder = new Map<string, Map<number, number>>();
+  /** Uses of parts by the requests of the group; empty where no reads are exchanged. */
+  readonly readRates = new ReadRates();
   private period = 0;
-  private reportingHolders: ReadonlySet<string> = new Set();
+  private reportingHolders: ReadonlySet<string> | undefined;
 
   /** Records that a holder has cached `tokens` of a part; 0 if it evicted the part. */
   record(holder: string, salt: string, partId: string, tokens: number): void {
-    const key = keyOf(salt, partId);
-    if (tokens > 0) this.add(holder, key, tokens);
+    const key = partKeyOf(saltHashOf(salt), partId);
+    if (tokens > 0) this.add(holder, key, tokens, this.period);
     else this.drop(holder, key);
   }
 
+  /** Records a location that stays until {@link dropLocation}, whatever the expiry period. */
+  recordLocation(holder: string, partKey: number, tokens: number): void {
+    this.add(holder, partKey, tokens, NO_PERIOD);
+  }
+
+  /** Removes a location unless it was recorded by other means since. */
+  dropLocation(holder: string, partKey: number): void {
+    if (this.partsByHolder.get(holder)?.get(partKey) === NO_PERIOD) this.drop(holder, partKey);
+  }
+
   /** Records that a holder has processed, and so cached, a whole prompt. */
   recordPrompt(holder: string, salt: string, parts: readonly PromptPart[]): void {
     for (const part of parts) this.record(holder, salt, part.id, part.tokens);
@@ -28,9 +46,10 @@
   /** Length of the cached prefix in tokens by holder; holders without one are omitted. */
   leadingTokens(salt: string, parts: readonly PromptPart[]): Map<string, number> {
     const leading = new Map<string, number>();
+    const saltHash = saltHashOf(salt);
     let fullMatches: Iterable<string> | undefined;
     for (const part of parts) {
-      const tokensByHolder = this.holdersByPart.get(keyOf(salt, part.id));
+      const tokensByHolder = this.holdersByPart.get(partKeyOf(saltHash, part.id));
       if (!tokensByHolder) break;
       const nextFullMatches: string[] = [];
       for (const holder of fullMatches ?? tokensByHolder.keys()) {
@@ -64,7 +83,17 @@
 
   /** Whether the cache contents of a holder are known from its own events. */
   isReported(holder: string): boolean {
-    return this.reportingHolders.has(holder);
+    return this.reportingHolders?.has(holder) ?? false;
+  }
+
+  /** Whether the cache events of any holder are received. */
+  get hasReportingHolders(): boolean {
+    return this.reportingHolders !== undefined && this.reportingHolders.size > 0;
+  }
+
+  /** Whether it is decided that this router follows no cache events, as in a large group. */
+  get followsNoEvents(): boolean {
+    return this.reportingHolders?.size === 0;
   }
 
   /**
@@ -86,7 +115,7 @@
     return this.partsByHolder.get(holder)?.size ?? 0;
   }
 
-  private add(holder: string, key: string, tokens: number): void {
+  private add(holder: string, key: number, tokens: number, period: number): void {
     let holders = this.holdersByPart.get(key);
     if (!holders) {
       holders = new Map();
@@ -98,17 +127,13 @@
       parts = new Map();
       this.partsByHolder.set(holder, parts);
     }
-    parts.set(key, this.period);
+    parts.set(key, period);
   }
 
-  private drop(holder: string, key: string): void {
+  private drop(holder: string, key: number): void {
     const holders = this.holdersByPart.get(key);
     if (!holders?.delete(holder)) return;
     if (holders.size === 0) this.holdersByPart.delete(key);
     this.partsByHolder.get(holder)?.delete(key);
   }
 }
-
-function keyOf(salt: string, partId: string): string {
-  return `${salt}\n${partId}`;
-}
--- a/test/gateway/observation-exchange.test.ts
+++ b/test/gateway/observation-exchange.test.ts
@@ -67,7 +67,7 @@
 }
 
 function readOf(partKey: number): PrefixReadEntry {
-  return { engineKey: 7, partKey, tokens: 3_780, ageMs: 0 };
+  return { engineKey: 7, partKey, tokens: 3_780, ageMs: 0, reads: 1 };
 }
 
 test('an observation reaches every router of a large group', async (t) => {
--- a/test/helpers/batching-engine.ts
+++ b/test/helpers/batching-engine.ts
@@ -3,6 +3,7 @@
  * between the decode steps, so each chunk lengthens the token interval of all running streams.
  */
 import type { Timer } from '../../src/runtime/clock.js';
+import type { PromptPart } from '../../src/state/routing/generation.js';
 import type { VirtualClock } from '../../src/runtime/virtual-clock.js';
 
 /** Speed and capacity of an engine. */
@@ -28,6 +29,13 @@
   /** Tokens that can be fetched from elsewhere instead of being computed. */
   readonly fetchableTokens: number;
   readonly urgency: number;
+  /**
+   * Prompt parts, the last of them not shared. Undefined if the only cached part is the shared one
+   * named by the affinity key.
+   */
+  readonly parts?: readonly PromptPart[];
+  /** Called once the prompt tokens to prefill are known. */
+  onAdmitted?(unreadTokens: number): void;
   onEvent(): void;
   onEnd(): void;
   onRefused(): void;
@@ -43,7 +51,8 @@
 /** Simulates one engine. */
 export class BatchingEngine {
   readTokens = 0;
-  readAgainTokens = 0;
+  /** Tokens of shared parts that were prefilled. */
+  sharedReadTokens = 0;
   private readonly waiting: RunningStream[] = [];
   private readonly running: RunningStream[] = [];
   /** Cached prompt prefixes by affinity key, least recently used first. */
@@ -61,6 +70,21 @@
     return this.cachedPrefixes.get(affinityKey) ?? 0;
   }
 
+  /** Number of leading tokens of a prompt that are cached. */
+  leadingTokens(parts: readonly PromptPart[]): number {
+    let tokens = 0;
+    for (const part of parts) {
+      if (!this.cachedPrefixes.has(part.id)) break;
+      tokens += part.tokens;
+    }
+    return tokens;
+  }
+
+  /** Loses all cached parts, as after a restart. */
+  clearCache(): void {
+    this.cachedPrefixes.clear();
+  }
+
   send(stream: BatchedStream): void {
     if (this.waiting.length >= this.profile.slots * 3) {
       stream.onRefused();
@@ -95,11 +119,14 @@
       const { stream } = next;
       if (this.usedTokens() + sizeOf(stream) > this.profile.cacheTokens) return;
       this.waiting.shift();
-      const reusableTokens = Math.max(
-        this.cachedTokens(stream.affinityKey),
-        stream.fetchableTokens,
-      );
+      const { parts } = stream;
+      const ownTokens = parts
+        ? this.leadingTokens(parts.slice(0, -1))
+        : this.cachedTokens(stream.affinityKey);
+      const reusableTokens = Math.max(ownTokens, stream.fetchableTokens);
       next.unreadTokens = stream.promptTokens - Math.min(reusableTokens, stream.sharedTokens);
+      this.sharedReadTokens += Math.max(0, stream.sharedTokens - reusableTokens);
+      stream.onAdmitted?.(next.unreadTokens);
       this.running.push(next);
     }
   }
@@ -132,9 +159,11 @@
     }
   }
 
-  private cachePrefix({ affinityKey, sharedTokens }: BatchedStream): void {
-    this.cachedPrefixes.delete(affinityKey);
-    this.cachedPrefixes.set(affinityKey, sharedTokens);
+  private cachePrefix({ affinityKey, sharedTokens, parts }: BatchedStream): void {
+    for (const { id, tokens } of parts ?? [{ id: affinityKey, tokens: sharedTokens }]) {
+      this.cachedPrefixes.delete(id);
+      this.cachedPrefixes.set(id, tokens);
+    }
     let cachedTokens = [...this.cachedPrefixes.values()].reduce((sum, tokens) => sum + tokens, 0);
     const availableTokens = this.profile.cacheTokens - this.usedTokens();
     for (const [oldest, tokens] of this.cachedPrefixes) {
--- a/test/helpers/placement-harness.ts
+++ b/test/helpers/placement-harness.ts
@@ -8,16 +8,26 @@
 import { DEFAULT_ENGINE_SPEEDS } from '../../src/state/routing/engine-speeds.js';
 import { EngineHealth } from '../../src/state/routing/engine-health.js';
 import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
-import type { GenerationShape } from '../../src/state/routing/generation.js';
+import {
+  type GenerationShape,
+  type PromptPart,
+  affinityKeyOf,
+} from '../../src/state/routing/generation.js';
+import type { GroupPrefixes } from '../../src/state/routing/group-prefixes.js';
 import { HomeRanking } from '../../src/state/routing/home-ranking.js';
 import { CachedPrefixes } from '../../src/state/routing/cached-prefixes.js';
 import { LoadTable } from '../../src/state/routing/load-table.js';
-import { type PlacementTables, placeRequest } from '../../src/state/routing/placement.js';
+import {
+  type Placement,
+  type PlacementTables,
+  placeRequest,
+} from '../../src/state/routing/placement.js';
 import { StorePressure } from '../../src/state/routing/save-choice.js';
 import { StoreOutages } from '../../src/state/routing/store-outages.js';
 import { WeightVersions } from '../../src/state/routing/weight-versions.js';
 import { SendLoad } from '../../src/coordination/gateway/send-load.js';
 import { BatchingEngine } from './batching-engine.js';
+import { PrefixReadNetwork } from './prefix-read-network.js';
 import { engineRecord } from './engine-record.js';
 
 /** A kind of generation requested by callers. */
@@ -31,6 +41,21 @@
   readonly firstTokenObjectiveMs: number;
   readonly maximumPauseMs: number;
   readonly priority: number;
+  /** Parts below the affinity keys, each shared by many of them. */
+  readonly base?: { readonly count: number; readonly tokens: number };
+  /** An affinity key that takes a share of the requests for some time. */
+  readonly hot?: { readonly share: number; readonly fromMs: number; readonly untilMs: number };
+}
+
+/** Changes of the engines for a scenario. */
+export interface EngineChanges {
+  readonly slots: number;
+  readonly cacheTokens: number;
+  readonly stepMs: number;
+  readonly readTokensPerMs: number;
+  readonly chunkTokens: number;
+  readonly tokensPerEvent: number;
+  readonly slowdownFactors: readonly number[];
 }
 
 /** Simulated deployment and its traffic. */
@@ -44,6 +69,13 @@
   /** Number of random routers that receive each report; undefined for all. */
   readonly reportFanout?: number;
   readonly seed: number;
+  readonly engineChanges?: EngineChanges;
+  /** Whether engines fetch the prefixes that placement tells them to. */
+  readonly hasFetches?: boolean;
+  /** Time from which tokens are counted; 0 if undefined. */
+  readonly countFromMs?: number;
+  /** Exchange of prefix reads through one collector; undefined for none. */
+  readonly prefixReads?: { readonly lostShare: number };
 }
 
 /** Outcome counts of one kind of generation. */
@@ -53,28 +85,44 @@
   lateFirstTokens: number;
   latePauses: number;
   rejected: number;
+  /** Prompt tokens that placement expected to be prefilled, and that were. */
+  believedUnreadTokens: number;
+  unreadTokens: number;
+  admitted: number;
 }
 
-interface SimulatedRouter {
+/** A simulated router. */
+export interface SimulatedRouter {
   readonly zone: string;
   readonly tables: PlacementTables;
+  readonly prefixes: GroupPrefixes | undefined;
   sequence: number;
 }
 
 const MODEL = 'model-a';
 const SERVICE = 'generation';
-const SLOTS = 16;
-const CACHE_TOKENS = 86_721;
 const NETWORK_DELAY_MS = 2;
-const SLOWDOWN_FACTORS = [1, 1, 1.3];
+const DEFAULT_ENGINES: EngineChanges = {
+  slots: 16,
+  cacheTokens: 86_721,
+  stepMs: 5.23,
+  readTokensPerMs: 38.4,
+  chunkTokens: 4_096,
+  tokensPerEvent: 6,
+  slowdownFactors: [1, 1, 1.3],
+};
 
 /** The simulated deployment. */
 export class PlacementHarness {
   readonly clock = new VirtualClock();
   readonly outcomes = new Map<string, KindOutcomes>();
   readonly engines: BatchingEngine[] = [];
-  private readonly registry = new EngineRegistry();
-  private readonly routers: SimulatedRouter[] = [];
+  readonly registry = new EngineRegistry();
+  readonly routers: SimulatedRouter[] = [];
+  readonly reads: PrefixReadNetwork | undefined;
+  private readonly partTokens = new Map<string, number>();
+  private uncountedAgainTokens = 0;
+  private readonly engineSettings: EngineChanges;
   private readonly random: SeededRandom;
   private requests = 0;
 
@@ -83,6 +131,8 @@
     homes: HomeRanking,
   ) {
     this.random = new SeededRandom(scenario.seed);
+    this.engineSettings = scenario.engineChanges ?? DEFAULT_ENGINES;
+    this.reads = scenario.prefixReads && this.createReads(scenario.prefixReads.lostShare);
     for (const { name } of scenario.kinds) this.outcomes.set(name, noOutcomes());
     for (let index = 0; index < scenario.engines; index += 1) this.addEngine(index);
     for (let index = 0; index < scenario.routers; index += 1) this.addRouter(index, homes);
@@ -97,6 +147,9 @@
     const untilMs = this.clock.now() + forMs;
     for (const kind of this.scenario.kinds) this.scheduleNext(kind, untilMs);
     for (const router of this.routers) this.scheduleReport(router, untilMs);
+    this.reads?.schedule(untilMs);
+    const { countFromMs = 0 } = this.scenario;
+    if (countFromMs > 0) this.clock.setTimer(countFromMs, () => this.startCounting());
     const DRAIN_MS = 20_000;
     await this.clock.advance(forMs + DRAIN_MS);
   }
@@ -106,23 +159,47 @@
     return this.engines.reduce((sum, { readTokens }) => sum + readTokens, 0);
   }
 
+  /**
+   * Tokens of shared parts that were prefilled although an engine had prefilled them before, in the
+   * counted time.
+   */
+  get sharedReadAgainTokens(): number {
+    return this.sharedReadTokens - this.uncountedAgainTokens - this.distinctTokens;
+  }
+
+  private get sharedReadTokens(): number {
+    return this.engines.reduce((sum, { sharedReadTokens }) => sum + sharedReadTokens, 0);
+  }
+
+  private get distinctTokens(): number {
+    return [...this.partTokens.values()].reduce((sum, tokens) => sum + tokens, 0);
+  }
+
+  private startCounting(): void {
+    this.uncountedAgainTokens = this.sharedReadTokens - this.distinctTokens;
+    for (const { name } of this.scenario.kinds) this.outcomes.set(name, noOutcomes());
+    if (this.reads) this.reads.summaryReads = 0;
+  }
+
+  private createReads(lostShare: number): PrefixReadNetwork {
+    const { kinds, engines } = this.scenario;
+    const ownRate = kinds.reduce((sum, { perSecond, ownTokens }) => sum + perSecond * ownTokens, 0);
+    const memory = {
+      capacityTokens: this.engineSettings.cacheTokens,
+      unsharedTokensPerSecond: ownRate / engines,
+    };
+    return new PrefixReadNetwork(this.clock, this.random, this.registry, memory, lostShare);
+  }
+
   private addEngine(index: number): void {
     const { zones } = this.scenario;
-    const slowness = SLOWDOWN_FACTORS[index % SLOWDOWN_FACTORS.length] as number;
-    const zone = `zone-${Math.floor(index / SLOWDOWN_FACTORS.length) % zones}`;
-    const changes = { service: SERVICE, zone, slots: SLOTS };
-    this.registry.put(engineRecord(`engine-${index}`, undefined, changes));
-    this.engines.push(
-      new BatchingEngine(this.clock, {
-        slots: SLOTS,
-        cacheTokens: CACHE_TOKENS,
-        stepMs: 5.23,
-        readTokensPerMs: 38.4,
-        chunkTokens: 4_096,
-        tokensPerEvent: 6,
-        slowdownFactor: slowness,
-      }),
-    );
+    const { slots, slowdownFactors, ...profile } = this.engineSettings;
+    const slowdownFactor = slowdownFactors[index % slowdownFactors.length] as number;
+    const zone = `zone-${Math.floor(index / slowdownFactors.length) % zones}`;
+    const changes = { service: SERVICE, zone, slots };
+    const id = `engine-${index}`;
+    this.registry.put(engineRecord(id, undefined, changes));
+    this.engines.push(new BatchingEngine(this.clock, { ...profile, slots, slowdownFactor }));
   }
 
   private addRouter(index: number, homes: HomeRanking): void {
@@ -135,7 +212,10 @@
       homes,
       speeds: DEFAULT_ENGINE_SPEEDS,
     };
-    this.routers.push({ zone: `zone-${index % this.scenario.zones}`, tables, sequence: 0 });
+    const zone = `zone-${index % this.scenario.zones}`;
+    tables.cachedPrefixes.setReportingHolders(new Set());
+    const prefixes = this.reads?.addRouter(tables.cachedPrefixes);
+    this.routers.push({ zone, tables, prefixes, sequence: 0 });
   }
 
   private scheduleNext(kind: GenerationKind, untilMs: number): void {
@@ -185,12 +265,13 @@
     const generation = this.nextGeneration(kind);
     const router = this.routers[Math.floor(this.random.next() * this.routers.length)];
     if (!router) return;
+    const { slots, cacheTokens } = this.engineSettings;
     const placement = placeRequest(
       {
         candidates: this.registry.ofService(SERVICE),
         profile: {
-          slots: SLOTS,
-          cacheCapacityTokens: CACHE_TOKENS,
+          slots,
+          cacheCapacityTokens: cacheTokens,
           cacheTokenBytes: 163_840,
           linkMbps: 1_100_000,
           maximumEventCalls: 8,
@@ -201,7 +282,7 @@
         zone: router.zone,
         stores: [],
         storePressure: StorePressure.High,
-        connectionShare: SLOTS,
+        connectionShare: slots,
         slotView: { wallMs: 0, interval: undefined },
       },
       router.tables,
@@ -218,22 +299,32 @@
     let lastMs: number | undefined;
     let isLateFirst = false;
     let isLatePause = false;
-    const sharedTokens = generation.parts[0]?.tokens ?? 0;
+    const { parts, promptTokens } = generation;
+    const sharedParts = parts.slice(0, -1);
+    for (const part of sharedParts) this.partTokens.set(part.id, part.tokens);
+    const sharedTokens = sharedParts.reduce((sum, { tokens }) => sum + tokens, 0);
     this.clock.setTimer(NETWORK_DELAY_MS, () =>
       engine.send({
-        affinityKey: generation.parts[0]?.id ?? '',
+        affinityKey: affinityKeyOf(generation),
         sharedTokens,
-        promptTokens: generation.promptTokens,
+        promptTokens,
         outputTokens: generation.maximumOutputTokens,
-        fetchableTokens: 0,
+        fetchableTokens: this.fetchableTokens(placement, sharedParts),
         urgency: kind.priority,
+        ...(kind.base && { parts }),
+        onAdmitted: (unreadTokens) => {
+          outcomes.admitted += 1;
+          outcomes.believedUnreadTokens += placement.unreadTokens;
+          outcomes.unreadTokens += unreadTokens;
+        },
         onEvent: () => {
           const now = this.clock.now();
           if (lastMs === undefined) {
             isLateFirst = now - sentMs > kind.firstTokenObjectiveMs;
             load.notePromptRead();
             const salt = placement.cacheSalt ?? '';
-            router.tables.cachedPrefixes.recordPrompt(id, salt, generation.parts);
+            router.tables.cachedPrefixes.recordPrompt(id, salt, parts);
+            router.prefixes?.recordRead(id, salt, sharedParts, now);
           } else if (now - lastMs > kind.maximumPauseMs) isLatePause = true;
           lastMs = now;
         },
@@ -251,16 +342,32 @@
     );
   }
 
+  /** Tokens that the engine named by a placement has cached of the shared parts. */
+  private fetchableTokens(placement: Placement, sharedParts: readonly PromptPart[]): number {
+    if (!this.scenario.hasFetches || placement.fetchFrom === undefined) return 0;
+    const candidates = this.registry.ofService(SERVICE);
+    const index = candidates.findIndex(({ record }) => record.address === placement.fetchFrom);
+    return this.engines[index]?.leadingTokens(sharedParts) ?? 0;
+  }
+
+  private nextAffinityKey({ affinityKeyCount, hot }: GenerationKind): number {
+    const now = this.clock.now();
+    const isHot = hot && now >= hot.fromMs && now < hot.untilMs && this.random.next() < hot.share;
+    return isHot ? 0 : Math.floor(this.random.next() ** 1.3 * affinityKeyCount);
+  }
+
   private nextGeneration(kind: GenerationKind): GenerationShape {
     this.requests += 1;
-    const affinityKey = Math.floor(this.random.next() ** 1.3 * kind.affinityKeyCount);
+    const affinityKey = this.nextAffinityKey(kind);
+    const { base } = kind;
     const ownTokens = this.logNormal(kind.ownTokens, 1);
     const outputTokens = this.logNormal(kind.outputTokens, 0.7);
     const parts = [
+      ...(base ? [{ id: `base-${affinityKey % base.count}`, tokens: base.tokens }] : []),
       { id: `${kind.name}-${affinityKey}`, tokens: kind.sharedTokens },
       { id: `own-${this.requests}`, tokens: ownTokens },
     ];
-    const promptTokens = kind.sharedTokens + ownTokens;
+    const promptTokens = kind.sharedTokens + ownTokens + (base?.tokens ?? 0);
     return { model: MODEL, parts, promptTokens, maximumOutputTokens: outputTokens };
   }
 
@@ -273,5 +380,14 @@
 }
 
 function noOutcomes(): KindOutcomes {
-  return { sent: 0, onTime: 0, lateFirstTokens: 0, latePauses: 0, rejected: 0 };
+  return {
+    sent: 0,
+    onTime: 0,
+    lateFirstTokens: 0,
+    latePauses: 0,
+    rejected: 0,
+    believedUnreadTokens: 0,
+    unreadTokens: 0,
+    admitted: 0,
+  };
 }
