--- a/test/gateway/prefix-read-exchange.test.ts
+++ b/test/gateway/prefix-read-exchange.test.ts
@@ -3,6 +3,8 @@
  * collector died or a router restarted, and against traffic and state in small groups.
  */
 import test from 'ava';
+import { GroupDeployment } from '../../bench/group-deployment.js';
+import { createHasher } from '../../src/runtime/hasher.js';
 import { GatewayStatistics } from '../../src/coordination/gateway/gateway-statistics.js';
 import { LoadCollection } from '../../src/coordination/gateway/load-collection.js';
 import { LoadSharing } from '../../src/coordination/gateway/load-sharing.js';
@@ -172,9 +174,11 @@
 });
 
 test('a disabled feature exchanges nothing', (t) => {
-  const { exchange: _exchange, ...router } = new ReadingRouter();
+  const { cachedPrefixes, statistics, registry } = new ReadingRouter();
   const sharing = new LoadSharing({
-    ...router,
+    cachedPrefixes,
+    statistics,
+    registry,
     configuration: new ConfigurationState(Infinity),
     ownTokenRate: new SendRate(),
     shareOfTraffic: () => 1,
@@ -185,3 +189,20 @@
   t.is(sharing.prefixReads, undefined);
   t.is(sharing.observations.prefixReads, undefined);
 });
+
+for (const { size, sends } of [
+  { size: 5, sends: false },
+  { size: 16, sends: true },
+]) {
+  test(`${size} whole routers ${sends ? 'exchange reads' : 'follow events and send no reads'}`, async (t) => {
+    const deployment = await GroupDeployment.start(size, await createHasher());
+    await deployment.sendTraffic(3_000, 3 * size);
+    deployment.stop();
+    for (const { statistics } of deployment.nodes) {
+      t.is(statistics.prefixReadsApplied > 0, sends);
+      t.is(statistics.prefixReadsIgnored, 0);
+    }
+    const reported = deployment.nodes.some(({ statistics }) => statistics.prefixReadsReported > 0);
+    t.is(reported, sends);
+  });
+}
