--- a/src/coordination/gateway/load-sharing.ts
+++ b/src/coordination/gateway/load-sharing.ts
@@ -14,10 +14,11 @@
 import type { GatewayStatistics } from './gateway-statistics.js';
 import { type DisabledFeatures, LoadSharingFeature } from './load-sharing-settings.js';
 import type { ObservationParts } from './observation-exchange.js';
+import { PrefixReadExchange, type PrefixReadParts } from './prefix-read-exchange.js';
 import { TenantUseExchange } from './tenant-use-exchange.js';
 
 /** Dependencies of {@link LoadSharing}. */
-export interface LoadSharingParts {
+export interface LoadSharingParts extends PrefixReadParts {
   readonly registry: EngineRegistry;
   readonly disabled: DisabledFeatures;
   readonly statistics: GatewayStatistics;
@@ -33,12 +34,21 @@
   readonly tenantRanking: TenantRanking;
   /** What is exchanged with the other routers. */
   readonly observations: ObservationParts;
+  /** Undefined if the feature is disabled. */
+  readonly prefixReads: PrefixReadExchange | undefined;
 
-  constructor({ disabled }: LoadSharingParts) {
-    const ranksTenants = !disabled.has(LoadSharingFeature.TenantShares);
-    this.tenantRanking = ranksTenants ? this.tenantShares : EQUAL_TENANTS;
-    this.observations = ranksTenants
-      ? { tenantUses: new TenantUseExchange(this.tenantShares) }
-      : {};
+  constructor(parts: LoadSharingParts) {
+    const isEnabled = (feature: LoadSharingFeature): boolean => !parts.disabled.has(feature);
+    this.prefixReads = isEnabled(LoadSharingFeature.PrefixReads)
+      ? new PrefixReadExchange(parts)
+      : undefined;
+    const tenantUses = isEnabled(LoadSharingFeature.TenantShares)
+      ? new TenantUseExchange(this.tenantShares)
+      : undefined;
+    this.tenantRanking = tenantUses ? this.tenantShares : EQUAL_TENANTS;
+    this.observations = {
+      ...(this.prefixReads && { prefixReads: this.prefixReads }),
+      ...(tenantUses && { tenantUses }),
+    };
   }
 }
