Learn the speed of engines from the pauses within streams

Cause: routers assume the same speed of all engines, and one router of a large group sees too few responses of an engine to notice that it is slow. Change: routers measure the pauses between events, report the shortest of each engine and round, and believe a low quantile of the last 750 ms. The collector sends its estimates to all. The prefill rate is learned for a service and scaled by the engine's speed. Reported values are bounded by the service's median and by a router's own responses.

--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -24,6 +24,7 @@
 import type { EngineLimitDiscovery } from './engine-limit-discovery.js';
 import type { TenantQuotas } from './quota/tenant-quotas.js';
 import type { Rejections } from './rejections.js';
+import type { SpeedObserver } from './speed-observer.js';
 
 /** Retry budgets by service, created on first use. */
 export class ServiceRetryBudgets {
@@ -76,6 +77,7 @@
   readonly rejections: Rejections;
   readonly quotas: TenantQuotas;
   readonly speeds: EngineSpeedView;
+  readonly speedObserver: SpeedObserver;
   readonly tenantRanking: TenantRanking;
   readonly statistics: GatewayStatistics;
   readonly zone: string;
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -151,6 +151,7 @@
       logger,
     });
     this.sharing = new LoadSharing({
+      nodeId: group.own.nodeId,
       registry: this.registry,
       disabled: settings.disabledFeatures ?? new Set(),
       statistics: this.statistics,
@@ -201,6 +202,7 @@
       }),
       quotas: this.exchange.quotas,
       speeds: this.sharing.speeds,
+      speedObserver: this.sharing.speedObserver,
       tenantRanking: this.sharing.tenantRanking,
       statistics: this.statistics,
       zone: settings.zone,
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -69,6 +69,12 @@
   rolloutWaits = 0;
   rolloutsForWorth = 0;
   rolloutsForDeadline = 0;
+  /** Pauses within streams from which the speed of engines was learned. */
+  enginePausesObserved = 0;
+  /** Considerable changes of the believed speed of an engine. */
+  engineSpeedChanges = 0;
+  /** Reported speeds that were limited by the service's median or by this router's own responses. */
+  engineSpeedReportsLimited = 0;
   sharedTokensRead = 0;
   sharedTokensKept = 0;
   /** Directory responses to callers. */
--- a/src/coordination/gateway/load-sharing.ts
+++ b/src/coordination/gateway/load-sharing.ts
@@ -8,11 +8,15 @@
 import type { EngineRegistry } from '../../state/routing/engine-registry.js';
 import { EQUAL_TENANTS, type TenantRanking } from '../../state/routing/tenant-shares.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
-import type { DisabledFeatures } from './load-sharing-settings.js';
+import { EngineSpeedExchange } from './engine-speed-exchange.js';
+import { type DisabledFeatures, LoadSharingFeature } from './load-sharing-settings.js';
 import type { ObservationParts } from './observation-exchange.js';
+import { NO_SPEED_OBSERVER, type SpeedObserver } from './speed-observer.js';
 
 /** Dependencies of {@link LoadSharing}. */
 export interface LoadSharingParts {
+  /** Identifier of this router in the group. */
+  readonly nodeId: string;
   readonly registry: EngineRegistry;
   readonly disabled: DisabledFeatures;
   readonly statistics: GatewayStatistics;
@@ -22,10 +26,17 @@
 
 /** Load-sharing state of one router. */
 export class LoadSharing {
-  readonly speeds: EngineSpeedView = DEFAULT_ENGINE_SPEEDS;
+  readonly speeds: EngineSpeedView;
+  readonly speedObserver: SpeedObserver;
   readonly tenantRanking: TenantRanking = EQUAL_TENANTS;
   /** What is exchanged with the other routers. */
-  readonly observations: ObservationParts = {};
+  readonly observations: ObservationParts;
 
-  constructor(readonly parts: LoadSharingParts) {}
+  constructor(readonly parts: LoadSharingParts) {
+    const isLearning = !parts.disabled.has(LoadSharingFeature.EngineSpeeds);
+    const engineSpeeds = isLearning ? new EngineSpeedExchange(parts) : undefined;
+    this.speeds = engineSpeeds?.table ?? DEFAULT_ENGINE_SPEEDS;
+    this.speedObserver = engineSpeeds ?? NO_SPEED_OBSERVER;
+    this.observations = engineSpeeds ? { engineSpeeds } : {};
+  }
 }
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -19,6 +19,7 @@
 import { applyEngineNotice } from './engine-notices.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { GenerationShape } from '../../state/routing/generation.js';
+import { StreamPauses } from '../../state/routing/stream-pauses.js';
 import type { AnsweredRequest } from './engine-limit-discovery.js';
 import { SendLoad } from './send-load.js';
 import type { Grant } from './request-admission.js';
@@ -129,6 +130,10 @@
   private firstChunkMs: number | undefined;
   private lastChunkMs: number | undefined;
   private chunkCount = 0;
+  private readonly pauses = new StreamPauses();
+  /** Prompt tokens to prefill at the engine for other requests when this one was sent. */
+  private readonly queuedTokens: number;
+  private readonly isContinued: boolean;
   private isClosed = false;
 
   constructor(
@@ -140,6 +145,8 @@
   ) {
     const { id, name } = placement.engine.record;
     context.health.limits.noteSend(name, context.slotView());
+    this.queuedTokens = context.loads.at(id).unreadTokens;
+    this.isContinued = options.resumeAfter !== undefined;
     this.load = new SendLoad(context.loads, id, this.generation, placement.unreadTokens);
     context.statistics.sends += 1;
     this.sentMs = context.clock.now();
@@ -209,6 +216,7 @@
   }
 
   pause(): void {
+    this.pauses.interrupt();
     this.exchange.pause();
   }
 
@@ -262,7 +270,11 @@
     this.recordPromptRead(now);
     this.chunkCount += 1;
     this.lastChunkMs = now;
-    if (!generation || lastChunkMs === undefined) return;
+    if (!generation) return;
+    const pauseMs = this.pauses.noteEvent(now);
+    if (pauseMs !== undefined)
+      context.speedObserver.notePause(this.placement.engine.record, pauseMs);
+    if (lastChunkMs === undefined) return;
     context.rejections.notePause(generation.model, now - lastChunkMs);
   }
 
@@ -275,6 +287,9 @@
       chunkCount: this.chunkCount,
       outputTokens: generation.maximumOutputTokens,
     });
+    if (this.isContinued) return;
+    const tokens = generation.expectedOutputTokens ?? generation.maximumOutputTokens;
+    context.speedObserver.noteLength(placement.engine.record, tokens, this.chunkCount);
   }
 
   private close(): void {
@@ -289,9 +304,16 @@
     this.firstChunkMs = nowMs;
     this.runStartDeadline?.cancel();
     this.load.notePromptRead();
-    const { cacheSalt } = this.placement;
+    const { cacheSalt, engine, fetchFrom, unreadTokens } = this.placement;
     const { generation } = this.request;
     if (cacheSalt === undefined || !generation) return;
+    this.context.speedObserver.noteFirstByte(engine.record, {
+      waitedMs: nowMs - this.sentMs,
+      unreadTokens,
+      ownTokens: generation.parts.at(-1)?.tokens ?? 0,
+      queuedTokens: this.queuedTokens,
+      isPartial: fetchFrom !== undefined || this.isContinued,
+    });
     this.context.cachedPrefixes.recordPrompt(this.engineId, cacheSalt, generation.parts);
   }
 }
--- /dev/null
+++ b/src/coordination/gateway/speed-summary.ts
@@ -0,0 +1,104 @@
+/** Chooses the engine speeds that a collector sends to all routers. */
+import { memberKey } from '../../state/member-key.js';
+import type {
+  EngineSpeedTable,
+  KnownEngine,
+  SpeedBelief,
+} from '../../state/routing/engine-speed-table.js';
+import type { EngineSpeedEntry } from './observation-exchange.js';
+
+/** A smaller change of the pause waits for the next refresh. */
+const CHANGE_RATIO = 1.15;
+/** Values with newer observations are sent again after this time, in case a datagram was lost. */
+const REFRESH_MS = 5_000;
+/** Slow engines expire sooner at the receivers. */
+const SLOW_REFRESH_MS = 2_000;
+/** A router without a report for this long counts as new. */
+const REPORTER_LIFETIME_MS = 10_000;
+const MAXIMUM_REPORTERS = 1_024;
+/** Order of values to send: never sent, changed, then by the time since they were sent. */
+const UNSENT_URGENCY = Number.MAX_VALUE;
+const CHANGED_URGENCY = Number.MAX_VALUE / 2;
+
+interface SentSpeed {
+  readonly belief: SpeedBelief;
+  readonly sentMs: number;
+}
+
+/** An engine whose speed is to be sent. */
+interface DueSpeed {
+  readonly engine: KnownEngine;
+  readonly belief: SpeedBelief;
+  readonly urgency: number;
+}
+
+/** Summaries of one collector. */
+export class SpeedSummary {
+  private readonly sent = new Map<string, SentSpeed>();
+  /** Time of the last report by router. */
+  private readonly reporters = new Map<string, number>();
+
+  constructor(private readonly table: EngineSpeedTable) {}
+
+  /** Records a report. All values are sent again for a router that knows none. */
+  noteReporter(sender: string, entries: readonly EngineSpeedEntry[], nowMs: number): void {
+    if (entries.length === 0) return;
+    const isUnaware = entries.some(({ weight }) => weight === 0);
+    if (isUnaware && !this.isKnown(sender, nowMs)) this.sent.clear();
+    this.reporters.set(sender, nowMs);
+  }
+
+  /** Returns the entries of the next summary: changed values first, then those sent longest ago. */
+  take(listed: readonly KnownEngine[], limit: number, nowMs: number): EngineSpeedEntry[] {
+    this.forget(listed, nowMs);
+    const due = listed.flatMap((engine) => this.dueSpeed(engine, nowMs) ?? []);
+    due.sort((left, right) => right.urgency - left.urgency);
+    return due.slice(0, limit).map(({ engine, belief }) => {
+      this.sent.set(engine.id, { belief, sentMs: nowMs });
+      return this.entryOf(engine, belief, nowMs);
+    });
+  }
+
+  private isKnown(sender: string, nowMs: number): boolean {
+    return nowMs - (this.reporters.get(sender) ?? -Infinity) < REPORTER_LIFETIME_MS;
+  }
+
+  private dueSpeed(engine: KnownEngine, nowMs: number): DueSpeed | undefined {
+    const belief = this.table.beliefOf(engine.id);
+    if (!belief) return undefined;
+    const sent = this.sent.get(engine.id);
+    if (!sent) return { engine, belief, urgency: UNSENT_URGENCY };
+    if (sent.belief.observedMs >= belief.observedMs) return undefined;
+    const ratio = belief.eventMs / sent.belief.eventMs;
+    if (ratio > CHANGE_RATIO || ratio < 1 / CHANGE_RATIO) {
+      return { engine, belief, urgency: CHANGED_URGENCY };
+    }
+    const waitedMs = nowMs - sent.sentMs;
+    const refreshMs = this.table.isSlow(engine.id) ? SLOW_REFRESH_MS : REFRESH_MS;
+    return waitedMs < refreshMs ? undefined : { engine, belief, urgency: waitedMs };
+  }
+
+  private entryOf(engine: KnownEngine, belief: SpeedBelief, nowMs: number): EngineSpeedEntry {
+    return {
+      engineKey: memberKey(engine.id),
+      weight: 1,
+      prefillTokensPerMs: this.table.learnedPrefillOf(engine.id, nowMs) ?? 0,
+      tokenMs: 0,
+      concurrentStreams: 0,
+      fixedDelayMs: 0,
+      ageMs: Math.max(0, Math.round(nowMs - belief.observedMs)),
+      eventMs: belief.eventMs,
+    };
+  }
+
+  private forget(listed: readonly KnownEngine[], nowMs: number): void {
+    if (this.sent.size > listed.length) {
+      const ids = new Set(listed.map(({ id }) => id));
+      for (const id of this.sent.keys()) if (!ids.has(id)) this.sent.delete(id);
+    }
+    for (const [sender, atMs] of this.reporters) {
+      const isExpired = nowMs - atMs >= REPORTER_LIFETIME_MS;
+      if (isExpired || this.reporters.size > MAXIMUM_REPORTERS) this.reporters.delete(sender);
+    }
+  }
+}
