Weigh pauses by their duration; finish estimates follow the engine; tests of engine speeds

Cause: a slow engine has fewer pauses than a fast one, so a quantile by number kept outdated estimates; the finish estimate averaged the pauses of all engines; a restarted router waited for the ordinary refresh of each speed. Change: the quantile is one of observed time. A router asks the collector for all speeds when it starts. The finish estimate normalizes pauses by the speed of their engine.

--- a/src/coordination/gateway/engine-speed-exchange.ts
+++ b/src/coordination/gateway/engine-speed-exchange.ts
@@ -104,7 +104,8 @@
       this.unreported.delete(engineId);
       entries.push(entryOf(engineId, unreported, nowMs));
     }
-    return entries.length > 0 ? entries : this.question(nowMs);
+    if (entries.length < limit && this.mayAsk(nowMs)) entries.push(EMPTY_ENTRY);
+    return entries;
   }
 
   receive(
@@ -120,7 +121,7 @@
 
   collect(sender: string, entries: readonly EngineSpeedEntry[], nowMs: number): void {
     this.updateEngines();
-    this.summary.noteReporter(sender, entries, nowMs);
+    if (entries.some(({ weight }) => weight === 0)) this.summary.restart(nowMs);
     // This router's own pauses are in the table already.
     if (sender === this.parts.nodeId) return;
     for (const entry of entries) this.collectPauses(entry, nowMs);
@@ -154,13 +155,14 @@
     }
   }
 
-  /** Asks the collector to send all estimates, since this router has none. */
-  private question(nowMs: number): readonly EngineSpeedEntry[] {
-    if (this.questions >= MAXIMUM_QUESTIONS || this.table.hasBeliefs) return [];
-    if (nowMs - this.lastQuestionMs < QUESTION_PERIOD_MS) return [];
+  /** Whether to ask the collector for all estimates, as at the start and while most are unknown. */
+  private mayAsk(nowMs: number): boolean {
+    const knowsMost = this.table.beliefCount * 2 > this.listed.length;
+    if (this.questions >= MAXIMUM_QUESTIONS || (this.questions > 0 && knowsMost)) return false;
+    if (nowMs - this.lastQuestionMs < QUESTION_PERIOD_MS) return false;
     this.questions += 1;
     this.lastQuestionMs = nowMs;
-    return [EMPTY_ENTRY];
+    return true;
   }
 
   private unreportedOf(engineId: string): UnreportedPauses {
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -198,6 +198,7 @@
         random,
         outages: this.outages,
         statistics: this.statistics,
+        speeds: this.sharing.speeds,
         hasPeers: () => group.responding.length > 1,
       }),
       quotas: this.exchange.quotas,
--- a/src/coordination/gateway/rejections.ts
+++ b/src/coordination/gateway/rejections.ts
@@ -5,6 +5,11 @@
 import type { Clock } from '../../runtime/clock.js';
 import type { RandomSource } from '../../runtime/random.js';
 import { FinishEstimate, type FinishSample } from '../../state/routing/finish-estimate.js';
+import {
+  DEFAULT_ENGINE_SPEEDS,
+  type EngineSpeedView,
+  slownessOf,
+} from '../../state/routing/engine-speeds.js';
 import type { GenerationShape } from '../../state/routing/generation.js';
 import type { Placement } from '../../state/routing/placement.js';
 import { JITTER_SHARE, RetryDelays, RejectionReason } from '../../state/routing/rejection.js';
@@ -19,6 +24,8 @@
   readonly random: RandomSource;
   readonly outages: StoreOutages;
   readonly statistics: GatewayStatistics;
+  /** Learned speeds of engines; the default if left out. */
+  readonly speeds?: EngineSpeedView;
   /** Whether other routers respond. */
   hasPeers(): boolean;
 }
@@ -81,8 +88,9 @@
     const { statistics, random, clock } = this.parts;
     const { model, maximumOutputTokens } = generation;
     const now = clock.now();
-    const { expectedMs } = placement;
-    const finishMs = this.estimate.finishMs(model, expectedMs, maximumOutputTokens, now);
+    const { expectedMs, engine } = placement;
+    const slowness = slownessOf((this.parts.speeds ?? DEFAULT_ENGINE_SPEEDS).at(engine.record.id));
+    const finishMs = this.estimate.finishMs(model, expectedMs, maximumOutputTokens, now, slowness);
     const limitMs = remainingMs * MAXIMUM_SHARE_OF_REMAINING_TIME;
     if (finishMs === undefined || finishMs <= limitMs) return { kind: 'admitted' };
     if (random.next() * TOO_LATE_PER_SAMPLE < 1) {
@@ -131,8 +139,8 @@
   }
 
   /** Records the pause between two chunks of a stream, in milliseconds. */
-  notePause(model: string, pauseMs: number): void {
-    this.estimate.notePause(model, pauseMs);
+  notePause(model: string, pauseMs: number, slowness = 1): void {
+    this.estimate.notePause(model, pauseMs, slowness);
   }
 
   /** Records the completed response to a generation. */
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -19,6 +19,7 @@
 import { applyEngineNotice } from './engine-notices.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { GenerationShape } from '../../state/routing/generation.js';
+import { slownessOf } from '../../state/routing/engine-speeds.js';
 import { StreamPauses } from '../../state/routing/stream-pauses.js';
 import type { AnsweredRequest } from './engine-limit-discovery.js';
 import { SendLoad } from './send-load.js';
@@ -275,7 +276,8 @@
     if (pauseMs !== undefined)
       context.speedObserver.notePause(this.placement.engine.record, pauseMs);
     if (lastChunkMs === undefined) return;
-    context.rejections.notePause(generation.model, now - lastChunkMs);
+    const slowness = slownessOf(context.speeds.at(this.engineId));
+    context.rejections.notePause(generation.model, now - lastChunkMs, slowness);
   }
 
   private recordTiming(): void {
--- a/src/coordination/gateway/speed-summary.ts
+++ b/src/coordination/gateway/speed-summary.ts
@@ -13,9 +13,8 @@
 const REFRESH_MS = 5_000;
 /** Slow engines expire sooner at the receivers. */
 const SLOW_REFRESH_MS = 2_000;
-/** A router without a report for this long counts as new. */
-const REPORTER_LIFETIME_MS = 10_000;
-const MAXIMUM_REPORTERS = 1_024;
+/** Routers that start together are answered together. */
+const RESTART_PERIOD_MS = 1_000;
 /** Order of values to send: never sent, changed, then by the time since they were sent. */
 const UNSENT_URGENCY = Number.MAX_VALUE;
 const CHANGED_URGENCY = Number.MAX_VALUE / 2;
@@ -35,22 +34,20 @@
 /** Summaries of one collector. */
 export class SpeedSummary {
   private readonly sent = new Map<string, SentSpeed>();
-  /** Time of the last report by router. */
-  private readonly reporters = new Map<string, number>();
+  private restartedMs = -Infinity;
 
   constructor(private readonly table: EngineSpeedTable) {}
 
-  /** Records a report. All values are sent again for a router that knows none. */
-  noteReporter(sender: string, entries: readonly EngineSpeedEntry[], nowMs: number): void {
-    if (entries.length === 0) return;
-    const isUnaware = entries.some(({ weight }) => weight === 0);
-    if (isUnaware && !this.isKnown(sender, nowMs)) this.sent.clear();
-    this.reporters.set(sender, nowMs);
+  /** Sends all values again, since a router knows none. */
+  restart(nowMs: number): void {
+    if (nowMs - this.restartedMs < RESTART_PERIOD_MS) return;
+    this.restartedMs = nowMs;
+    this.sent.clear();
   }
 
   /** Returns the entries of the next summary: changed values first, then those sent longest ago. */
   take(listed: readonly KnownEngine[], limit: number, nowMs: number): EngineSpeedEntry[] {
-    this.forget(listed, nowMs);
+    this.forget(listed);
     const due = listed.flatMap((engine) => this.dueSpeed(engine, nowMs) ?? []);
     due.sort((left, right) => right.urgency - left.urgency);
     return due.slice(0, limit).map(({ engine, belief }) => {
@@ -59,10 +56,6 @@
     });
   }
 
-  private isKnown(sender: string, nowMs: number): boolean {
-    return nowMs - (this.reporters.get(sender) ?? -Infinity) < REPORTER_LIFETIME_MS;
-  }
-
   private dueSpeed(engine: KnownEngine, nowMs: number): DueSpeed | undefined {
     const belief = this.table.beliefOf(engine.id);
     if (!belief) return undefined;
@@ -91,14 +84,9 @@
     };
   }
 
-  private forget(listed: readonly KnownEngine[], nowMs: number): void {
-    if (this.sent.size > listed.length) {
-      const ids = new Set(listed.map(({ id }) => id));
-      for (const id of this.sent.keys()) if (!ids.has(id)) this.sent.delete(id);
-    }
-    for (const [sender, atMs] of this.reporters) {
-      const isExpired = nowMs - atMs >= REPORTER_LIFETIME_MS;
-      if (isExpired || this.reporters.size > MAXIMUM_REPORTERS) this.reporters.delete(sender);
-    }
+  private forget(listed: readonly KnownEngine[]): void {
+    if (this.sent.size <= listed.length) return;
+    const ids = new Set(listed.map(({ id }) => id));
+    for (const id of this.sent.keys()) if (!ids.has(id)) this.sent.delete(id);
   }
 }
--- a/src/state/routing/engine-speed-table.ts
+++ b/src/state/routing/engine-speed-table.ts
@@ -132,9 +132,11 @@
     return this.engines.get(engineId)?.belief;
   }
 
-  /** Whether anything is believed of any engine. */
-  get hasBeliefs(): boolean {
-    return [...this.engines.values()].some(({ belief }) => belief !== undefined);
+  /** Number of engines of which anything is believed. */
+  get beliefCount(): number {
+    let count = 0;
+    for (const { belief } of this.engines.values()) if (belief) count += 1;
+    return count;
   }
 
   /** Whether an engine is believed to be much slower than its service. */
--- a/src/state/routing/engine-speeds.ts
+++ b/src/state/routing/engine-speeds.ts
@@ -25,3 +25,12 @@
 
 /** Speeds while nothing is observed. */
 export const DEFAULT_ENGINE_SPEEDS: EngineSpeedView = { at: () => DEFAULT_ENGINE_SPEED };
+
+/** Bounds of {@link slownessOf}, so that one wrong belief does not reject all work of an engine. */
+const MAXIMUM_SLOWNESS = 4;
+
+/** Time that an engine takes for a token of a stream, relative to the default speed. */
+export function slownessOf({ tokenMs }: EngineSpeed): number {
+  const slowness = tokenMs / DEFAULT_ENGINE_SPEED.tokenMs;
+  return Math.min(MAXIMUM_SLOWNESS, Math.max(1 / MAXIMUM_SLOWNESS, slowness));
+}
--- a/src/state/routing/finish-estimate.ts
+++ b/src/state/routing/finish-estimate.ts
@@ -33,7 +33,10 @@
   firstTokenRatio: number;
   /** Chunks in a response per output token allowed by the caller. */
   chunksPerToken: number;
-  /** Pause between two chunks of a stream, in milliseconds; undefined before the first. */
+  /**
+   * Pause between two chunks of a stream at an engine of the default speed, in milliseconds;
+   * undefined before the first.
+   */
   pauseMs: number | undefined;
 }
 
@@ -41,10 +44,15 @@
 export class FinishEstimate {
   private readonly models = new Map<string, ModelEstimate>();
 
-  /** Records the pause between two chunks of a stream. */
-  notePause(model: string, pauseMs: number): void {
+  /**
+   * Records the pause between two chunks of a stream.
+   *
+   * @param slowness time that the engine takes for a token, relative to the default
+   */
+  notePause(model: string, measuredMs: number, slowness = 1): void {
     const estimate = this.models.get(model);
     if (!estimate) return;
+    const pauseMs = measuredMs / slowness;
     estimate.pauseMs = movingAverage(estimate.pauseMs ?? pauseMs, pauseMs, PAUSE_SMOOTHING_FACTOR);
   }
 
@@ -71,17 +79,20 @@
 
   /**
    * Estimated time from send to the last token, in milliseconds; undefined without enough samples.
+   *
+   * @param slowness time that the chosen engine takes for a token, relative to the default
    */
   finishMs(
     model: string,
     expectedMs: number,
     outputTokens: number,
     nowMs: number,
+    slowness = 1,
   ): number | undefined {
     const estimate = this.models.get(model);
     if (!estimate || estimate.samples < MINIMUM_SAMPLES) return undefined;
     if (nowMs - estimate.updatedAtMs > SAMPLE_LIFETIME_MS) return undefined;
-    const streamingMs = outputTokens * estimate.chunksPerToken * (estimate.pauseMs ?? 0);
+    const streamingMs = outputTokens * estimate.chunksPerToken * (estimate.pauseMs ?? 0) * slowness;
     return expectedMs * estimate.firstTokenRatio + streamingMs;
   }
 }
--- a/src/state/routing/pause-window.ts
+++ b/src/state/routing/pause-window.ts
@@ -24,16 +24,18 @@
  */
 export const WINDOW_MS = 750;
 /** With fewer pauses in the window, older samples are used as well. */
-const MINIMUM_WEIGHT = 6;
+const MINIMUM_WEIGHT = 2;
 /** Samples that cover less time may all fall into one noisy period. */
 const MINIMUM_SPAN_MS = 600;
 const MAXIMUM_AGE_MS = 3_000;
 const MAXIMUM_SAMPLES = 64;
 /**
- * Most pauses at an engine that prefills other prompts are lengthened, so the estimate is a low
- * quantile. It is not the minimum, which one false sample would decide.
+ * Share of the observed time in pauses that are no longer than the estimate. It is low because most
+ * pauses at an engine that prefills other prompts are lengthened. Pauses count by their duration, so
+ * that a slow engine, which has fewer, is detected as soon as a fast one, and a few false samples
+ * that are too short hardly count.
  */
-const LOW_QUANTILE = 0.2;
+const LOW_QUANTILE = 0.02;
 
 /** Samples of one engine, bounded by number and age. */
 export class PauseWindow {
@@ -77,15 +79,20 @@
   if (weight < MINIMUM_WEIGHT || spanMs < MINIMUM_SPAN_MS) return undefined;
   const observedMs = (used[0] as PauseSample).atMs;
   const earliestMs = (used.at(-1) as PauseSample).atMs;
-  return { pauseMs: lowQuantile(used, weight), weight, observedMs, earliestMs };
+  return { pauseMs: lowQuantile(used), weight, observedMs, earliestMs };
 }
 
-function lowQuantile(samples: PauseSample[], totalWeight: number): number {
+function lowQuantile(samples: PauseSample[]): number {
   samples.sort((left, right) => left.pauseMs - right.pauseMs);
-  let weight = 0;
+  const totalMs = samples.reduce((sum, sample) => sum + observedTimeOf(sample), 0);
+  let coveredMs = 0;
   for (const sample of samples) {
-    weight += sample.weight;
-    if (weight >= totalWeight * LOW_QUANTILE) return sample.pauseMs;
+    coveredMs += observedTimeOf(sample);
+    if (coveredMs >= totalMs * LOW_QUANTILE) return sample.pauseMs;
   }
   return (samples.at(-1) as PauseSample).pauseMs;
 }
+
+function observedTimeOf({ weight, pauseMs }: PauseSample): number {
+  return weight * pauseMs;
+}
--- a/src/state/routing/stream-pauses.ts
+++ b/src/state/routing/stream-pauses.ts
@@ -5,44 +5,45 @@
 
 /** Shorter pauses separate events that were received together. */
 const MINIMUM_PAUSE_MS = 1;
+/** A pause of at least this share of the one before counts at once. */
+const CONFIRMING_SHARE = 0.9;
 /**
- * A pause is ignored if the next one is shorter than this share of it. The next one then belongs to
- * a last event with fewer tokens or to events that were held up, or this one includes the prefill of
- * another prompt.
+ * A shorter pause counts only if the next one is at least this share of it. Otherwise it may end
+ * with the last event of the stream, which has fewer tokens than the others.
  */
 const MINIMUM_NEXT_SHARE = 0.5;
 
-/** Pauses of one stream. Each is reported one event late, since the next pause qualifies it. */
+/** Pauses of one stream. */
 export class StreamPauses {
   private lastEventMs: number | undefined;
   private latestMs: number | undefined;
-  private beforeLatestMs: number | undefined;
+  /** Duration of the latest pause, or its mean with a longer one before, if it has not counted. */
+  private unconfirmedMs: number | undefined;
 
-  /** Records an event; returns the duration of the pause before the previous event if it counts. */
+  /** Records an event; returns the duration of a pause that counts. */
   noteEvent(nowMs: number): number | undefined {
     const { lastEventMs } = this;
     this.lastEventMs = nowMs;
     if (lastEventMs === undefined) return undefined;
-    const pauseMs = nowMs - lastEventMs;
-    const sampleMs = this.sampleBefore(pauseMs);
-    this.beforeLatestMs = this.latestMs;
-    this.latestMs = pauseMs;
-    return sampleMs;
+    const sampleMs = this.countedMs(nowMs - lastEventMs);
+    return sampleMs !== undefined && sampleMs >= MINIMUM_PAUSE_MS ? sampleMs : undefined;
   }
 
   /** Discards the current pauses, because this router stopped reading the stream for a while. */
   interrupt(): void {
     this.lastEventMs = undefined;
     this.latestMs = undefined;
-    this.beforeLatestMs = undefined;
+    this.unconfirmedMs = undefined;
   }
 
-  private sampleBefore(nextMs: number): number | undefined {
-    const { latestMs, beforeLatestMs } = this;
-    if (latestMs === undefined || latestMs < MINIMUM_PAUSE_MS) return undefined;
-    if (nextMs < latestMs * MINIMUM_NEXT_SHARE) return undefined;
-    if (beforeLatestMs === undefined) return latestMs;
+  private countedMs(pauseMs: number): number | undefined {
+    const { latestMs, unconfirmedMs } = this;
+    this.latestMs = pauseMs;
+    this.unconfirmedMs = undefined;
+    if (latestMs !== undefined && pauseMs >= latestMs * CONFIRMING_SHARE) return pauseMs;
     // An event that arrives late shortens the pause after it by as much.
-    return Math.max(latestMs, (beforeLatestMs + latestMs) / 2);
+    this.unconfirmedMs = latestMs === undefined ? pauseMs : (latestMs + pauseMs) / 2;
+    const isConfirmed = latestMs !== undefined && pauseMs >= latestMs * MINIMUM_NEXT_SHARE;
+    return isConfirmed ? unconfirmedMs : undefined;
   }
 }
--- a/test/helpers/speed-learning.ts
+++ b/test/helpers/speed-learning.ts
@@ -23,6 +23,8 @@
 const ROUND_MS = 200;
 const NETWORK_MS = 2;
 const MAXIMUM_ENTRIES = 20;
+/** Number of engines that serve the following requests. */
+const REFERENCE_ENGINES = 63;
 const SHORT_PER_SECOND = 125;
 const LONG_PER_SECOND = 91;
 const TOPICS_PER_ENGINE = 6;
@@ -117,8 +119,9 @@
       this.routers.push(speedExchange(`router-${index}`, this.registry, this.clock));
       this.clock.setTimer((index * ROUND_MS) / options.routers, () => this.round(index));
     }
-    this.scheduleResponse(SHORT_PER_SECOND, () => this.respond(198, 628, 58, 0));
-    this.scheduleResponse(LONG_PER_SECOND, () => this.respond(6_300, 2_890, 10, 1));
+    const share = options.engines / REFERENCE_ENGINES;
+    this.scheduleResponse(SHORT_PER_SECOND * share, () => this.respond(198, 628, 58, 0));
+    this.scheduleResponse(LONG_PER_SECOND * share, () => this.respond(6_300, 2_890, 10, 1));
   }
 
   idOf(engine: number): string {
