Observe the speed of engines from successful streams only

Cause: an error or a response of known length arrives at once, and would have counted as a fast prefill. Change: the observations of one response are in a class of their own, which ignores such responses. Small groups, which have no collector, are tested.

--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -15,12 +15,12 @@
 } from '../../state/routing/placement.js';
 import { RejectionReason } from '../../state/routing/rejection.js';
 import { StorePressure, storePressure } from '../../state/routing/save-choice.js';
+import { ResponseSpeed } from './response-speed.js';
 import { RunStartDeadline } from './run-start-deadline.js';
 import { applyEngineNotice } from './engine-notices.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { GenerationShape } from '../../state/routing/generation.js';
 import { slownessOf } from '../../state/routing/engine-speeds.js';
-import { StreamPauses } from '../../state/routing/stream-pauses.js';
 import type { AnsweredRequest } from './engine-limit-discovery.js';
 import { SendLoad } from './send-load.js';
 import type { Grant } from './request-admission.js';
@@ -131,10 +131,7 @@
   private firstChunkMs: number | undefined;
   private lastChunkMs: number | undefined;
   private chunkCount = 0;
-  private readonly pauses = new StreamPauses();
-  /** Prompt tokens to prefill at the engine for other requests when this one was sent. */
-  private readonly queuedTokens: number;
-  private readonly isContinued: boolean;
+  private readonly speed: ResponseSpeed | undefined;
   private isClosed = false;
 
   constructor(
@@ -146,11 +143,11 @@
   ) {
     const { id, name } = placement.engine.record;
     context.health.limits.noteSend(name, context.slotView());
-    this.queuedTokens = context.loads.at(id).unreadTokens;
-    this.isContinued = options.resumeAfter !== undefined;
+    const queuedTokens = context.loads.at(id).unreadTokens;
     this.load = new SendLoad(context.loads, id, this.generation, placement.unreadTokens);
     context.statistics.sends += 1;
     this.sentMs = context.clock.now();
+    this.speed = this.observeSpeed(options, queuedTokens);
     this.exchange = context.engines.send(placement.engine.record, request, options, this);
     this.runStartDeadline = this.createRunStartDeadline();
   }
@@ -166,6 +163,7 @@
   onHead(head: ResponseHead): void {
     if (this.isClosed) return;
     this.headMs = this.context.clock.now();
+    this.speed?.noteHead(head);
     // Only an attested response certainly comes from the engine. If it names a limit, `onNotice`
     // has already recorded it.
     if (head.isAttested) this.context.limitDiscovery.recordNoLimit(this.answeredRequest);
@@ -181,6 +179,7 @@
   onEnd(): void {
     if (this.isClosed) return;
     this.recordTiming();
+    this.speed?.noteEnd();
     this.close();
     this.context.health.noteSuccess(this.engineId, this.sentMs);
     this.events.onEnd(this);
@@ -217,7 +216,7 @@
   }
 
   pause(): void {
-    this.pauses.interrupt();
+    this.speed?.notePausedRead();
     this.exchange.pause();
   }
 
@@ -225,6 +224,13 @@
     this.exchange.resume();
   }
 
+  private observeSpeed(options: SendOptions, queuedTokens: number): ResponseSpeed | undefined {
+    const { generation, placement, sentMs, context } = this;
+    if (!generation) return undefined;
+    const sent = { generation, placement, options, sentMs, queuedTokens };
+    return new ResponseSpeed(sent, context.speedObserver);
+  }
+
   /** The generation that was sent; undefined if the service does not run generations. */
   private get generation(): GenerationShape | undefined {
     return this.placement.cacheSalt === undefined ? undefined : this.request.generation;
@@ -269,13 +275,10 @@
     const { generation, lastChunkMs, context } = this;
     const now = context.clock.now();
     this.recordPromptRead(now);
+    this.speed?.noteChunk(now);
     this.chunkCount += 1;
     this.lastChunkMs = now;
-    if (!generation) return;
-    const pauseMs = this.pauses.noteEvent(now);
-    if (pauseMs !== undefined)
-      context.speedObserver.notePause(this.placement.engine.record, pauseMs);
-    if (lastChunkMs === undefined) return;
+    if (!generation || lastChunkMs === undefined) return;
     const slowness = slownessOf(context.speeds.at(this.engineId));
     context.rejections.notePause(generation.model, now - lastChunkMs, slowness);
   }
@@ -289,9 +292,6 @@
       chunkCount: this.chunkCount,
       outputTokens: generation.maximumOutputTokens,
     });
-    if (this.isContinued) return;
-    const tokens = generation.expectedOutputTokens ?? generation.maximumOutputTokens;
-    context.speedObserver.noteLength(placement.engine.record, tokens, this.chunkCount);
   }
 
   private close(): void {
@@ -306,16 +306,9 @@
     this.firstChunkMs = nowMs;
     this.runStartDeadline?.cancel();
     this.load.notePromptRead();
-    const { cacheSalt, engine, fetchFrom, unreadTokens } = this.placement;
+    const { cacheSalt } = this.placement;
     const { generation } = this.request;
     if (cacheSalt === undefined || !generation) return;
-    this.context.speedObserver.noteFirstByte(engine.record, {
-      waitedMs: nowMs - this.sentMs,
-      unreadTokens,
-      ownTokens: generation.parts.at(-1)?.tokens ?? 0,
-      queuedTokens: this.queuedTokens,
-      isPartial: fetchFrom !== undefined || this.isContinued,
-    });
     this.context.cachedPrefixes.recordPrompt(this.engineId, cacheSalt, generation.parts);
   }
 }
--- a/src/lab/gateway-simulation/gateway-simulation.ts
+++ b/src/lab/gateway-simulation/gateway-simulation.ts
@@ -168,6 +168,12 @@
     this.requests.at(-1 - back)?.reply.disconnect();
   }
 
+  /** Sum of a counter over the running routers. */
+  totalOf(counter: 'enginePausesObserved'): number {
+    const routers = [...this.routers.values()];
+    return routers.reduce((sum, { node }) => sum + node.statistics[counter], 0);
+  }
+
   engine(index: number): SimulatedEngine {
     return this.fleet.engine(index);
   }
--- a/test/gateway/engine-speeds.test.ts
+++ b/test/gateway/engine-speeds.test.ts
@@ -4,11 +4,16 @@
  */
 import test from 'ava';
 import type { EngineSpeedEntry } from '../../src/coordination/gateway/observation-exchange.js';
+import { ResponseSpeed } from '../../src/coordination/gateway/response-speed.js';
+import { findBreaches } from '../../src/lab/gateway-simulation/gateway-oracle.js';
+import { GatewaySimulation } from '../../src/lab/gateway-simulation/gateway-simulation.js';
+import { sendAllKinds } from '../../src/lab/gateway-simulation/simulation-traffic.js';
+import type { ResponseHead } from '../../src/protocol/inference/port.js';
 import { LoadSharing } from '../../src/coordination/gateway/load-sharing.js';
 import { LoadSharingFeature } from '../../src/coordination/gateway/load-sharing-settings.js';
 import { GatewayStatistics } from '../../src/coordination/gateway/gateway-statistics.js';
 import { memberKey } from '../../src/state/member-key.js';
-import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
+import { type Engine, EngineRegistry } from '../../src/state/routing/engine-registry.js';
 import { DEFAULT_ENGINE_SPEED } from '../../src/state/routing/engine-speeds.js';
 import { FinishEstimate } from '../../src/state/routing/finish-estimate.js';
 import { StreamPauses } from '../../src/state/routing/stream-pauses.js';
@@ -121,6 +126,20 @@
   }
 });
 
+test('routers of a small group learn from each other without a collector', async (t) => {
+  const group = new SpeedLearning({ routers: 5, engines: 9, seed: 4, isSmall: true });
+  await group.clock.advance(10_000);
+  const errors: number[] = [];
+  for (let round = 0; round < 25; round += 1) {
+    await group.clock.advance(ROUND_MS);
+    for (const router of group.routers.keys()) {
+      errors.push(...[...group.engines.keys()].map((engine) => group.errorAt(router, engine)));
+    }
+  }
+  const accurate = errors.filter((error) => error > 0.6 && error < 1.5);
+  t.true(accurate.length > 0.85 * errors.length, `${accurate.length} of ${errors.length}`);
+});
+
 test('after the collector died, no speed is lost and the next one goes on', async (t) => {
   const group = new SpeedLearning({ routers: 20, engines: 12, seed: 3 });
   await group.clock.advance(10_000);
@@ -286,3 +305,49 @@
     t.true(Math.abs(finishMs - expectedMs) < 1, `${finishMs}`);
   }
 });
+
+test('speeds are observed from successful streams only', (t) => {
+  const clock = new VirtualClock();
+  const registry = new EngineRegistry();
+  registry.put(engineRecord('engine-0', 1));
+  const engine = registry.findByName('engine-0') as Engine;
+  const parts = [
+    { id: 'shared', tokens: 6_300 },
+    { id: 'own', tokens: 2_890 },
+  ];
+  const generation = { model: MODEL, parts, promptTokens: 9_190, maximumOutputTokens: 50 };
+  const placement = { engine, unreadTokens: 2_890, fetchFrom: undefined };
+  const observedFrom = (head: Partial<ResponseHead>): number[] => {
+    const observed: number[] = [];
+    const speed = new ResponseSpeed(
+      { generation, placement, options: { resumeAfter: undefined }, sentMs: 0, queuedTokens: 0 },
+      {
+        notePause: (_, pauseMs) => observed.push(pauseMs),
+        noteFirstByte: (_, { waitedMs, ownTokens }) => observed.push(waitedMs, ownTokens),
+        noteLength: (_, tokens, events) => observed.push(tokens, events),
+      },
+    );
+    speed.noteHead({
+      status: 200,
+      headers: [],
+      contentLength: undefined,
+      isAttested: true,
+      ...head,
+    });
+    for (const atMs of [100, 130, 160]) speed.noteChunk(clock.now() + atMs);
+    speed.noteEnd();
+    return observed;
+  };
+  t.deepEqual(observedFrom({}), [100, 2_890, 30, 50, 3]);
+  t.deepEqual(observedFrom({ status: 500 }), []);
+  t.deepEqual(observedFrom({ contentLength: 900 }), []);
+  t.deepEqual(observedFrom({ isAttested: false }), []);
+});
+
+test('a router learns from the streams that it passes on', async (t) => {
+  const simulation = await GatewaySimulation.create(1);
+  await sendAllKinds(simulation, 3_000, 20);
+  await simulation.settle();
+  t.true(simulation.totalOf('enginePausesObserved') > 0);
+  t.deepEqual(findBreaches(simulation), []);
+});
--- a/test/helpers/speed-learning.ts
+++ b/test/helpers/speed-learning.ts
@@ -91,6 +91,8 @@
   readonly seed: number;
   /** Share of datagrams lost. */
   readonly lossShare?: number;
+  /** Whether all routers report to each other, as in a small group. */
+  readonly isSmall?: boolean;
 }
 
 /** A large group of routers with a collector, and its engines. */
@@ -150,14 +152,23 @@
     const router = this.routers[index] as ReturnType<typeof speedExchange>;
     const entries = router.part.takeOwn(MAXIMUM_ENTRIES, this.clock.now());
     this.sentEntries += entries.length;
-    if (index !== this.collector) this.deliver(this.collector, router.nodeId, entries, false);
+    if (this.options.isSmall) this.deliverToOthers(index, entries, false);
+    else if (index !== this.collector) this.deliver(this.collector, router.nodeId, entries, false);
     else {
       router.part.collect(router.nodeId, entries, this.clock.now());
       const summary = router.part.takeSummary(MAXIMUM_ENTRIES, this.clock.now());
       this.summaryEntries += summary.length;
-      for (const other of this.routers.keys()) {
-        if (other !== index) this.deliver(other, router.nodeId, summary, true);
-      }
+      this.deliverToOthers(index, summary, true);
+    }
+  }
+
+  private deliverToOthers(
+    from: number,
+    entries: readonly EngineSpeedEntry[],
+    isSummary: boolean,
+  ): void {
+    for (const other of this.routers.keys()) {
+      if (other !== from) this.deliver(other, `router-${from}`, entries, isSummary);
     }
   }
 
