--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -25,6 +25,7 @@
 import type { PrefixReadExchange } from './prefix-read-exchange.js';
 import type { TenantQuotas } from './quota/tenant-quotas.js';
 import type { Rejections } from './rejections.js';
+import type { SpeedObserver } from './speed-observer.js';
 
 /** Retry budgets by service, created on first use. */
 export class ServiceRetryBudgets {
@@ -79,6 +80,7 @@
   readonly rejections: Rejections;
   readonly quotas: TenantQuotas;
   readonly speeds: EngineSpeedView;
+  readonly speedObserver: SpeedObserver;
   readonly tenantRanking: TenantRanking;
   readonly tenantShares: TenantShares;
   readonly statistics: GatewayStatistics;
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -151,6 +151,7 @@
       logger,
     });
     this.sharing = new LoadSharing({
+      nodeId: group.own.nodeId,
       registry: this.registry,
       configuration: this.configuration,
       cachedPrefixes: this.cachedPrefixes,
@@ -202,10 +203,12 @@
         random,
         outages: this.outages,
         statistics: this.statistics,
+        speeds: this.sharing.speeds,
         hasPeers: () => group.responding.length > 1,
       }),
       quotas: this.exchange.quotas,
       speeds: this.sharing.speeds,
+      speedObserver: this.sharing.speedObserver,
       tenantRanking: this.sharing.tenantRanking,
       tenantShares: this.sharing.tenantShares,
       statistics: this.statistics,
--- a/src/coordination/gateway/load-sharing.ts
+++ b/src/coordination/gateway/load-sharing.ts
@@ -12,13 +12,17 @@
   TenantShares,
 } from '../../state/routing/tenant-shares.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
+import { EngineSpeedExchange } from './engine-speed-exchange.js';
 import { type DisabledFeatures, LoadSharingFeature } from './load-sharing-settings.js';
 import type { ObservationParts } from './observation-exchange.js';
 import { PrefixReadExchange, type PrefixReadParts } from './prefix-read-exchange.js';
+import { NO_SPEED_OBSERVER, type SpeedObserver } from './speed-observer.js';
 import { TenantUseExchange } from './tenant-use-exchange.js';
 
 /** Dependencies of {@link LoadSharing}. */
 export interface LoadSharingParts extends PrefixReadParts {
+  /** Identifier of this router in the group. */
+  readonly nodeId: string;
   readonly registry: EngineRegistry;
   readonly disabled: DisabledFeatures;
   readonly statistics: GatewayStatistics;
@@ -28,17 +32,25 @@
 
 /** Load-sharing state of one router. */
 export class LoadSharing {
-  readonly speeds: EngineSpeedView = DEFAULT_ENGINE_SPEEDS;
+  readonly disabled: DisabledFeatures;
+  readonly speeds: EngineSpeedView;
+  readonly speedObserver: SpeedObserver;
   /** Records what tenants ask for and get; also while the ranking is switched off. */
   readonly tenantShares = new TenantShares();
   readonly tenantRanking: TenantRanking;
-  /** What is exchanged with the other routers. */
-  readonly observations: ObservationParts;
   /** Undefined if the feature is disabled. */
   readonly prefixReads: PrefixReadExchange | undefined;
+  /** What is exchanged with the other routers. */
+  readonly observations: ObservationParts;
 
   constructor(parts: LoadSharingParts) {
+    this.disabled = parts.disabled;
     const isEnabled = (feature: LoadSharingFeature): boolean => !parts.disabled.has(feature);
+    const engineSpeeds = isEnabled(LoadSharingFeature.EngineSpeeds)
+      ? new EngineSpeedExchange(parts)
+      : undefined;
+    this.speeds = engineSpeeds?.table ?? DEFAULT_ENGINE_SPEEDS;
+    this.speedObserver = engineSpeeds ?? NO_SPEED_OBSERVER;
     this.prefixReads = isEnabled(LoadSharingFeature.PrefixReads)
       ? new PrefixReadExchange(parts)
       : undefined;
@@ -47,6 +59,7 @@
       : undefined;
     this.tenantRanking = tenantUses ? this.tenantShares : EQUAL_TENANTS;
     this.observations = {
+      ...(engineSpeeds && { engineSpeeds }),
       ...(this.prefixReads && { prefixReads: this.prefixReads }),
       ...(tenantUses && { tenantUses }),
     };
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -15,10 +15,12 @@
 } from '../../state/routing/placement.js';
 import { RejectionReason } from '../../state/routing/rejection.js';
 import { StorePressure, storePressure } from '../../state/routing/save-choice.js';
+import { ResponseSpeed } from './response-speed.js';
 import { RunStartDeadline } from './run-start-deadline.js';
 import { applyEngineNotice } from './engine-notices.js';
 import type { GatewayContext } from './gateway-context.js';
 import { type GenerationShape, sharedPartsOf } from '../../state/routing/generation.js';
+import { slownessOf } from '../../state/routing/engine-speeds.js';
 import type { AnsweredRequest } from './engine-limit-discovery.js';
 import { SendLoad } from './send-load.js';
 import type { Grant } from './request-admission.js';
@@ -129,6 +131,7 @@
   private firstChunkMs: number | undefined;
   private lastChunkMs: number | undefined;
   private chunkCount = 0;
+  private readonly speed: ResponseSpeed | undefined;
   private isClosed = false;
 
   constructor(
@@ -140,9 +143,11 @@
   ) {
     const { id, name } = placement.engine.record;
     context.health.limits.noteSend(name, context.slotView());
+    const queuedTokens = context.loads.at(id).unreadTokens;
     this.load = new SendLoad(context.loads, id, this.generation, placement.unreadTokens);
     context.statistics.sends += 1;
     this.sentMs = context.clock.now();
+    this.speed = this.observeSpeed(options, queuedTokens);
     this.exchange = context.engines.send(placement.engine.record, request, options, this);
     this.runStartDeadline = this.createRunStartDeadline();
   }
@@ -158,6 +163,7 @@
   onHead(head: ResponseHead): void {
     if (this.isClosed) return;
     this.headMs = this.context.clock.now();
+    this.speed?.noteHead(head);
     // Only an attested response certainly comes from the engine. If it names a limit, `onNotice`
     // has already recorded it.
     if (head.isAttested) this.context.limitDiscovery.recordNoLimit(this.answeredRequest);
@@ -173,6 +179,7 @@
   onEnd(): void {
     if (this.isClosed) return;
     this.recordTiming();
+    this.speed?.noteEnd();
     this.close();
     this.context.health.noteSuccess(this.engineId, this.sentMs);
     this.events.onEnd(this);
@@ -209,6 +216,7 @@
   }
 
   pause(): void {
+    this.speed?.notePausedRead();
     this.exchange.pause();
   }
 
@@ -216,6 +224,15 @@
     this.exchange.resume();
   }
 
+  private observeSpeed(options: SendOptions, queuedTokens: number): ResponseSpeed | undefined {
+    const { generation, placement, sentMs, context } = this;
+    if (!generation) return undefined;
+    const { id } = placement.engine.record;
+    const queuedTokensNow = (): number => context.loads.at(id).unreadTokens;
+    const sent = { generation, placement, options, sentMs, queuedTokens, queuedTokensNow };
+    return new ResponseSpeed(sent, context.speedObserver);
+  }
+
   /** The generation that was sent; undefined if the service does not run generations. */
   private get generation(): GenerationShape | undefined {
     return this.placement.cacheSalt === undefined ? undefined : this.request.generation;
@@ -260,10 +277,12 @@
     const { generation, lastChunkMs, context } = this;
     const now = context.clock.now();
     this.recordPromptRead(now);
+    this.speed?.noteChunk(now);
     this.chunkCount += 1;
     this.lastChunkMs = now;
     if (!generation || lastChunkMs === undefined) return;
-    context.rejections.notePause(generation.model, now - lastChunkMs);
+    const slowness = slownessOf(context.speeds.at(this.engineId));
+    context.rejections.notePause(generation.model, now - lastChunkMs, slowness);
   }
 
   private recordTiming(): void {
