--- a/test/gateway/engine-speeds.test.ts
+++ b/test/gateway/engine-speeds.test.ts
@@ -11,7 +11,6 @@
 import type { ResponseHead } from '../../src/protocol/inference/port.js';
 import { LoadSharing } from '../../src/coordination/gateway/load-sharing.js';
 import { LoadSharingFeature } from '../../src/coordination/gateway/load-sharing-settings.js';
-import { GatewayStatistics } from '../../src/coordination/gateway/gateway-statistics.js';
 import { memberKey } from '../../src/state/member-key.js';
 import { type Engine, EngineRegistry } from '../../src/state/routing/engine-registry.js';
 import { DEFAULT_ENGINE_SPEED } from '../../src/state/routing/engine-speeds.js';
@@ -20,6 +19,7 @@
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
 import { engineRecord } from '../helpers/engine-record.js';
 import { PREFILL_TOKENS_PER_MS, SpeedLearning, speedExchange } from '../helpers/speed-learning.js';
+import { loadSharingParts } from '../helpers/load-sharing-parts.js';
 
 const MODEL = 'model-a';
 const PAUSE_MS = 30;
@@ -276,15 +276,8 @@
 });
 
 test('a router with the feature disabled neither learns nor sends', (t) => {
-  const clock = new VirtualClock();
-  const sharing = new LoadSharing({
-    nodeId: 'router-0',
-    registry: new EngineRegistry(),
-    disabled: new Set([LoadSharingFeature.EngineSpeeds]),
-    statistics: new GatewayStatistics(),
-    clock,
-    logger: speedExchange('router-0', new EngineRegistry(), clock).logger,
-  });
+  const disabled = new Set([LoadSharingFeature.EngineSpeeds]);
+  const sharing = new LoadSharing(loadSharingParts({ disabled }));
   sharing.speedObserver.notePause(engineRecord('engine-0', 1), 500, 0);
   t.is(sharing.observations.engineSpeeds, undefined);
   t.deepEqual(sharing.speeds.at('engine-0@1'), DEFAULT_ENGINE_SPEED);
--- a/test/gateway/prefix-read-exchange.test.ts
+++ b/test/gateway/prefix-read-exchange.test.ts
@@ -21,6 +21,7 @@
 import { SendRate } from '../../src/state/routing/send-rate.js';
 import { engineRecord } from '../helpers/engine-record.js';
 import { GroupHarness, type GroupRouter } from '../helpers/group-harness.js';
+import { loadSharingParts } from '../helpers/load-sharing-parts.js';
 
 const SETTLED_MS = 3_000;
 /** A report and a summary, each after up to one exchange period, and the network latency. */
@@ -174,18 +175,8 @@
 });
 
 test('a disabled feature exchanges nothing', (t) => {
-  const { cachedPrefixes, statistics, registry } = new ReadingRouter();
-  const sharing = new LoadSharing({
-    cachedPrefixes,
-    statistics,
-    registry,
-    configuration: new ConfigurationState(Infinity),
-    ownTokenRate: new SendRate(),
-    shareOfTraffic: () => 1,
-    disabled: parseDisabledFeatures('prefix-reads'),
-    clock: new VirtualClock(),
-    logger: new NoopLogger(),
-  });
+  const disabled = parseDisabledFeatures('prefix-reads');
+  const sharing = new LoadSharing(loadSharingParts({ disabled }));
   t.is(sharing.prefixReads, undefined);
   t.is(sharing.observations.prefixReads, undefined);
 });
