Placement by the gaps that prefill causes in streams, and by memory

Cause: placement considers only the first token, so a long prompt makes all streams of a slow engine late. Change: a prompt's unread tokens cost the gaps of the streams at its engine, a stream costs more at engines with much recent prefill, prefill rates are those of each engine, and KV memory counts cached parts once per router and the expected output. Requests without generation compare two random engines with a free slot. The harness simulates speeds, noise, a hot subject and shared first parts. All of it needs a gap objective in some route.

--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -21,6 +21,7 @@
 import type { WeightVersions } from '../../state/routing/weight-versions.js';
 import type { CrashProtection } from './crash-protection.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
+import type { DisabledFeatures } from './load-sharing-settings.js';
 import type { EngineLimitDiscovery } from './engine-limit-discovery.js';
 import type { TenantQuotas } from './quota/tenant-quotas.js';
 import type { Rejections } from './rejections.js';
@@ -77,6 +78,7 @@
   readonly quotas: TenantQuotas;
   readonly speeds: EngineSpeedView;
   readonly tenantRanking: TenantRanking;
+  readonly disabledFeatures: DisabledFeatures;
   readonly statistics: GatewayStatistics;
   readonly zone: string;
 }
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -202,6 +202,7 @@
       quotas: this.exchange.quotas,
       speeds: this.sharing.speeds,
       tenantRanking: this.sharing.tenantRanking,
+      disabledFeatures: this.sharing.parts.disabled,
       statistics: this.statistics,
       zone: settings.zone,
     };
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -11,10 +11,12 @@
 import {
   type Placement,
   type PlacementFailure,
+  type PlacementRequest,
   placeRequest,
 } from '../../state/routing/placement.js';
 import { RejectionReason } from '../../state/routing/rejection.js';
 import { StorePressure, storePressure } from '../../state/routing/save-choice.js';
+import { LoadSharingFeature } from './load-sharing-settings.js';
 import { RunStartDeadline } from './run-start-deadline.js';
 import { applyEngineNotice } from './engine-notices.js';
 import type { GatewayContext } from './gateway-context.js';
@@ -50,6 +52,7 @@
       isolatedTenant: grant.tenant?.isIsolated ? grant.tenant.name : undefined,
       excluded,
       zone: context.zone,
+      ...gapPlacementOf(grant, service, context),
       stores,
       storePressure: storePressureOf(request, stores, context),
       connectionShare,
@@ -60,6 +63,21 @@
   );
 }
 
+/** Inputs of placement by gaps and capacity; none if no route has a gap objective. */
+function gapPlacementOf(
+  { table, route }: Grant,
+  service: Service,
+  { disabledFeatures }: GatewayContext,
+): Pick<PlacementRequest, 'gapObjectiveMs' | 'objectiveMs' | 'spreadsPlainRequests'> {
+  const isDisabled = disabledFeatures.has(LoadSharingFeature.GapPlacement);
+  if (isDisabled || !table.hasGapObjectives) return {};
+  return {
+    gapObjectiveMs: table.gapObjectiveMsOf(service.name),
+    objectiveMs: route.objectiveMs,
+    spreadsPlainRequests: true,
+  };
+}
+
 /**
  * Time until an engine of the service accepts requests of this router again, in milliseconds;
  * undefined if the placement failed for a reason other than backoffs and limits.
@@ -140,7 +158,7 @@
   ) {
     const { id, name } = placement.engine.record;
     context.health.limits.noteSend(name, context.slotView());
-    this.load = new SendLoad(context.loads, id, this.generation, placement.unreadTokens);
+    this.load = new SendLoad(context.loads, id, placement.unreadTokens, placement.memory);
     context.statistics.sends += 1;
     this.sentMs = context.clock.now();
     this.exchange = context.engines.send(placement.engine.record, request, options, this);
@@ -260,6 +278,7 @@
     const { generation, lastChunkMs, context } = this;
     const now = context.clock.now();
     this.recordPromptRead(now);
+    this.load.noteEvent();
     this.chunkCount += 1;
     this.lastChunkMs = now;
     if (!generation || lastChunkMs === undefined) return;
--- a/src/state/routing/generation.ts
+++ b/src/state/routing/generation.ts
@@ -22,6 +22,12 @@
   return generation.parts.slice(0, -1);
 }
 
+/** Output tokens to expect: the caller's guess within its limit, or the limit without a guess. */
+export function expectedOutputOf(generation: GenerationShape): number {
+  const { expectedOutputTokens, maximumOutputTokens } = generation;
+  return Math.min(expectedOutputTokens ?? maximumOutputTokens, maximumOutputTokens);
+}
+
 /** Groups requests by their last shared part, or by the request's own part if none is shared. */
 export function affinityKeyOf(generation: GenerationShape): string {
   const { parts } = generation;
--- a/src/state/routing/load-table.ts
+++ b/src/state/routing/load-table.ts
@@ -1,4 +1,5 @@
 /** Load of the engines: requests sent by this router and load reported by other routers. */
+import { RecentUnread } from './recent-unread.js';
 
 /** Load of one engine. */
 export interface EngineLoad {
@@ -9,6 +10,13 @@
   readonly heldTokens: number;
 }
 
+/** A prompt part that an engine has cached and that a request uses. */
+export interface HeldPart {
+  /** Identifies the part together with its salt. */
+  readonly key: string;
+  readonly tokens: number;
+}
+
 /** Load by engine. */
 export type LoadReport = ReadonlyMap<string, EngineLoad>;
 
@@ -29,6 +37,9 @@
   private readonly reports = new Map<string, StoredReport>();
   /** Sums of the reports; updated incrementally, because reports are frequent. */
   private readonly reportedTotals = new Map<string, EngineLoad>();
+  private readonly recentUnread = new RecentUnread();
+  /** Cached prompt parts that this router's requests use, by engine and part. */
+  private readonly heldParts = new Map<string, { uses: number; readonly tokens: number }>();
   private ownChanges = 0;
 
   /** Adds the given amounts, which may be negative, to this router's load at an engine. */
@@ -81,6 +92,46 @@
     return others ? addLoads(own, others) : own;
   }
 
+  /** Mean of the unread tokens at an engine over about the last two seconds. */
+  recentUnreadAt(engineId: string): number {
+    return this.recentUnread.at(engineId);
+  }
+
+  /** Updates the means of the unread tokens, if due. */
+  sampleUnread(nowMs: number): void {
+    if (!this.recentUnread.isDue(nowMs)) return;
+    const unreadTokens = new Map<string, number>();
+    for (const engineId of this.reportedTotals.keys()) this.addUnread(unreadTokens, engineId);
+    for (const engineId of this.own.keys()) this.addUnread(unreadTokens, engineId);
+    this.recentUnread.sample(unreadTokens, nowMs);
+  }
+
+  /**
+   * Adds a use of a prompt part that an engine has cached. The engine stores it once, so only the
+   * first use by this router adds its tokens.
+   */
+  holdPart(engineId: string, { key, tokens }: HeldPart): void {
+    const use = `${engineId}\n${key}`;
+    const held = this.heldParts.get(use);
+    if (held) {
+      held.uses += 1;
+      return;
+    }
+    this.heldParts.set(use, { uses: 1, tokens });
+    this.change(engineId, { requests: 0, unreadTokens: 0, heldTokens: tokens });
+  }
+
+  /** Ends a use added by {@link holdPart}; the last one removes the part's tokens. */
+  releasePart(engineId: string, { key }: HeldPart): void {
+    const use = `${engineId}\n${key}`;
+    const held = this.heldParts.get(use);
+    if (!held) return;
+    held.uses -= 1;
+    if (held.uses > 0) return;
+    this.heldParts.delete(use);
+    this.change(engineId, { requests: 0, unreadTokens: 0, heldTokens: -held.tokens });
+  }
+
   /** Removes expired reports. */
   expire(nowMs: number): void {
     for (const [source, report] of this.reports) {
@@ -90,6 +141,11 @@
     }
   }
 
+  private addUnread(unreadTokens: Map<string, number>, engineId: string): void {
+    const tokens = this.at(engineId).unreadTokens;
+    if (tokens > 0) unreadTokens.set(engineId, tokens);
+  }
+
   private add(loads: LoadReport): void {
     for (const [engineId, load] of loads) {
       const previous = this.reportedTotals.get(engineId);
--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -3,20 +3,22 @@
 import type { CacheStore, EngineProfile } from './configuration.js';
 import type { EngineHealth } from './engine-health.js';
 import { type Engine, versionAt } from './engine-registry.js';
-import { type GenerationShape, affinityKeyOf } from './generation.js';
+import { type GenerationShape, affinityKeyOf, expectedOutputOf } from './generation.js';
 import type { HomeRanking } from './home-ranking.js';
 import type { CachedPrefixes } from './cached-prefixes.js';
-import type { EngineSpeedView } from './engine-speeds.js';
-import type { LoadTable } from './load-table.js';
+import type { EngineSpeed, EngineSpeedView } from './engine-speeds.js';
+import { type MemoryUse, expectedMemoryUse, wholeMemoryUse } from './memory-use.js';
+import type { EngineLoad, LoadTable } from './load-table.js';
 import { type PromptView, sourceAddress, storeToSave } from './prompt-source-choice.js';
 import {
   type BestSource,
   CachedPromptsBySalt,
-  PREFILL_TOKENS_PER_MS,
   bestSource,
   sharedTokensOf,
 } from './prompt-sources.js';
 import { RejectionReason } from './rejection.js';
+import { spreadCandidates } from './plain-spread.js';
+import { harmFromPrefillMs, harmToStreamsMs, lateFirstTokenMs } from './stream-gaps.js';
 import type { StorePressure } from './save-choice.js';
 import type { SlotView } from './send-slots.js';
 import type { WeightVersions } from './weight-versions.js';
@@ -37,6 +39,10 @@
    * undefined if no route sets one.
    */
   readonly gapObjectiveMs?: number | undefined;
+  /** Time to the first token that counts as in time; undefined if it is not considered. */
+  readonly objectiveMs?: number | undefined;
+  /** Whether requests without generation are spread by chance and kept off full engines. */
+  readonly spreadsPlainRequests?: boolean | undefined;
   readonly stores: readonly CacheStore[];
   /** Whether the prompts of the group exceed the retention capacity of the cache stores. */
   readonly storePressure: StorePressure;
@@ -53,6 +59,8 @@
   readonly cacheSalt: string | undefined;
   readonly fetchFrom: string | undefined;
   readonly saveTo: string | undefined;
+  /** KV memory that the request takes; undefined if it generates no tokens. */
+  readonly memory?: MemoryUse | undefined;
   /** Prompt tokens that the engine is expected to prefill. */
   readonly unreadTokens: number;
   /** Estimated time to first token in milliseconds. */
@@ -79,8 +87,6 @@
   readonly speeds: EngineSpeedView;
 }
 
-/** Delay of the first token for each running request at the engine. */
-const RUNNING_REQUEST_COST_MS = 1;
 /** Cost of the cache capacity that a second copy of cached tokens takes. */
 const COPY_COST_MS_PER_KILOTOKEN = 8;
 /**
@@ -113,6 +119,7 @@
   tables: PlacementTables,
   nowMs: number,
 ): Placement | PlacementFailure {
+  if (request.gapObjectiveMs !== undefined) tables.loads.sampleUnread(nowMs);
   const prompt = request.generation && promptView(request, request.generation, tables, nowMs);
   const sampled = sampleEngines(request, prompt, tables);
   const allowed = sampled.filter((engine) => isAllowed(engine, request, tables, nowMs));
@@ -126,9 +133,9 @@
     (engine) => tables.loads.ownRequestsAt(engine.record.id) < request.connectionShare,
   );
   if (available.length === 0) return RejectionReason.AllBusy;
-  if (!prompt) return lowestCost(available.map((engine) => scorePlain(engine, request, tables)));
+  if (!prompt) return placePlain(available, request, tables);
   const scored = available.map((engine) => scoreGeneration(engine, prompt, request, tables));
-  return placementOf(lowestCost(scored), prompt, request);
+  return placementOf(lowestCost(scored), prompt, request, tables);
 }
 
 function promptView(
@@ -220,10 +227,23 @@
   const version = versionAt(engine, model);
   if (version === undefined) return false;
   // A request queued until newer weights are required would start on the older ones.
-  const expectedStartMs = nowMs + tables.loads.at(id).unreadTokens / PREFILL_TOKENS_PER_MS;
+  const { prefillTokensPerMs } = tables.speeds.at(id);
+  const expectedStartMs = nowMs + tables.loads.at(id).unreadTokens / prefillTokensPerMs;
   return version >= tables.versions.minimum(model, expectedStartMs);
 }
 
+function placePlain(
+  available: readonly Engine[],
+  request: PlacementRequest,
+  tables: PlacementTables,
+): Placement {
+  const { loads, random } = tables;
+  const compared = request.spreadsPlainRequests
+    ? spreadCandidates(available, ({ id }) => loads.at(id).requests, random)
+    : available;
+  return lowestCost(compared.map((engine) => scorePlain(engine, request, tables)));
+}
+
 function scorePlain(engine: Engine, request: PlacementRequest, tables: PlacementTables): Placement {
   const { id, slots, zone } = engine.record;
   const { requests } = tables.loads.at(id);
@@ -242,6 +262,7 @@
     cacheSalt: undefined,
     fetchFrom: undefined,
     saveTo: undefined,
+    memory: undefined,
     unreadTokens: 0,
     expectedMs: queueMs,
     costMs,
@@ -269,16 +290,19 @@
   const version = versionAt(engine, generation.model) ?? 0;
   const cachedPrompt = cachedPrompts.of(version);
   const ownTokens = cachedPrompt.tokensByHolder.get(engine.record.id) ?? 0;
-  const source = bestSource(engine, ownTokens, cachedPrompt.sources, request.profile);
+  const speed = tables.speeds.at(engine.record.id);
+  const load = tables.loads.at(engine.record.id);
+  const source = bestSource(engine, ownTokens, cachedPrompt.sources, request.profile, speed);
   const fetchedTokens = source ? source.tokens - ownTokens : 0;
   const unreadTokens = Math.max(0, generation.promptTokens - ownTokens - fetchedTokens);
   const isUncached = ownTokens === 0 && fetchedTokens === 0;
   const expectedMs =
-    waitMs(engine, request, tables) + unreadTokens / PREFILL_TOKENS_PER_MS + (source?.fetchMs ?? 0);
+    waitMs(load, speed, request) + unreadTokens / speed.prefillTokensPerMs + (source?.fetchMs ?? 0);
   const costMs =
     expectedMs +
+    lateResponsesMs(load, speed, { engine, unreadTokens, expectedMs }, request, tables) +
     (fetchedTokens / 1_000) * COPY_COST_MS_PER_KILOTOKEN +
-    (isUncached ? homeAffinityCostMs(engine, prompt) : 0) +
+    (isUncached ? homeAffinityCostMs(engine, prompt, speed) : 0) +
     (engine.record.zone === request.zone ? 0 : CROSS_ZONE_COST_MS) +
     failureCostMs(engine, tables);
   return { engine, version, ownTokens, source, unreadTokens, expectedMs, costMs };
@@ -288,16 +312,29 @@
 function placementOf(
   scored: ScoredEngine,
   prompt: PromptView,
-  { profile }: PlacementRequest,
+  { profile, gapObjectiveMs }: PlacementRequest,
+  { speeds }: PlacementTables,
 ): Placement {
+  const { generation } = prompt;
   const { engine, version, ownTokens, source, unreadTokens, expectedMs, costMs } = scored;
   const cachedPrompt = prompt.cachedPrompts.of(version);
   return {
     engine,
     expectedVersion: version,
     cacheSalt: cachedPrompt.salt,
-    fetchFrom: sourceAddress(engine, ownTokens, source, prompt, profile),
+    fetchFrom: sourceAddress(
+      engine,
+      ownTokens,
+      source,
+      prompt,
+      profile,
+      speeds.at(engine.record.id),
+    ),
     saveTo: storeToSave(cachedPrompt, prompt),
+    memory:
+      gapObjectiveMs === undefined
+        ? wholeMemoryUse(generation)
+        : expectedMemoryUse(generation, cachedPrompt.salt, ownTokens),
     unreadTokens,
     expectedMs,
     costMs,
@@ -305,21 +342,48 @@
 }
 
 /** Cost that grows with the engine's rank among the homes of the affinity key. */
-function homeAffinityCostMs(engine: Engine, { homes, generation }: PromptView): number {
-  const prefillMs = sharedTokensOf(generation) / PREFILL_TOKENS_PER_MS;
+function homeAffinityCostMs(
+  engine: Engine,
+  { homes, generation }: PromptView,
+  { prefillTokensPerMs }: EngineSpeed,
+): number {
+  const prefillMs = sharedTokensOf(generation) / prefillTokensPerMs;
   const rank = homes.indexOf(engine);
   const share = rank < 0 ? 1 : rank / HOME_COUNT;
   return HOME_AFFINITY_FACTOR * prefillMs * share;
 }
 
+/**
+ * Cost of late responses: of the streams that the request's prefill delays, and of the request
+ * itself.
+ */
+function lateResponsesMs(
+  load: EngineLoad,
+  speed: EngineSpeed,
+  scored: Pick<ScoredEngine, 'engine' | 'unreadTokens' | 'expectedMs'>,
+  { gapObjectiveMs, objectiveMs, generation }: PlacementRequest,
+  { loads }: PlacementTables,
+): number {
+  if (gapObjectiveMs === undefined || !generation) return 0;
+  const { engine, unreadTokens, expectedMs } = scored;
+  const recentTokens = loads.recentUnreadAt(engine.record.id);
+  const outputTokens = expectedOutputOf(generation);
+  return (
+    harmToStreamsMs(unreadTokens, load.unreadTokens, load.requests, gapObjectiveMs, speed) +
+    harmFromPrefillMs(recentTokens, outputTokens, gapObjectiveMs, speed) +
+    (objectiveMs === undefined ? 0 : lateFirstTokenMs(expectedMs, objectiveMs))
+  );
+}
+
 /** Estimated wait at the engine: queued prefill, running requests, and a full KV cache. */
-function waitMs(engine: Engine, request: PlacementRequest, tables: PlacementTables): number {
-  const load = tables.loads.at(engine.record.id);
-  const { profile, generation } = request;
-  const prefillMs = load.unreadTokens / PREFILL_TOKENS_PER_MS;
-  const runningMs = load.requests * RUNNING_REQUEST_COST_MS;
+function waitMs(load: EngineLoad, speed: EngineSpeed, request: PlacementRequest): number {
+  const { profile, generation, gapObjectiveMs } = request;
+  const prefillMs = load.unreadTokens / speed.prefillTokensPerMs;
+  const runningMs = load.requests * speed.runningRequestMs;
   if (!profile || !generation) return prefillMs + runningMs;
-  const neededTokens = load.heldTokens + generation.promptTokens + generation.maximumOutputTokens;
+  const outputTokens =
+    gapObjectiveMs === undefined ? generation.maximumOutputTokens : expectedOutputOf(generation);
+  const neededTokens = load.heldTokens + generation.promptTokens + outputTokens;
   const isFull =
     load.requests >= profile.slots || neededTokens > profile.cacheCapacityTokens * FULL_CACHE_SHARE;
   return prefillMs + runningMs + (isFull ? FULL_CACHE_COST_MS : 0);
--- a/src/state/routing/prompt-source-choice.ts
+++ b/src/state/routing/prompt-source-choice.ts
@@ -1,6 +1,7 @@
 /** Chooses the source of an engine's missing prompt parts and the store that saves them. Pure. */
 import type { CacheStore, EngineProfile } from './configuration.js';
 import { type Engine, type EngineRecord, versionAt } from './engine-registry.js';
+import type { EngineSpeed } from './engine-speeds.js';
 import type { GenerationShape } from './generation.js';
 import {
   type BestSource,
@@ -34,12 +35,13 @@
   knownSource: BestSource | undefined,
   prompt: PromptView,
   profile: EngineProfile | undefined,
+  speed: EngineSpeed,
 ): string | undefined {
   if (knownSource?.isReported) return knownSource.address;
   const hasAllCached = ownTokens >= sharedTokensOf(prompt.generation);
   if (hasAllCached && prompt.cachedPrompts.isReported(engine.record.id)) return undefined;
   const fallback = hasAllCached ? undefined : otherHomeEngine(engine, prompt);
-  const source = storeToFetchFrom(engine, prompt.store, profile) ?? knownSource ?? fallback;
+  const source = storeToFetchFrom(engine, prompt.store, profile, speed) ?? knownSource ?? fallback;
   return source?.address;
 }
 
@@ -48,9 +50,10 @@
   engine: Engine,
   store: CacheStore | undefined,
   profile: EngineProfile | undefined,
+  speed: EngineSpeed,
 ): CacheStore | undefined {
   if (!store || !profile) return undefined;
-  return isFetchFasterThanPrefill(engine, store, profile) ? store : undefined;
+  return isFetchFasterThanPrefill(engine, store, profile, speed) ? store : undefined;
 }
 
 /** The highest-ranked other engine that has the same weight version. */
--- a/src/state/routing/prompt-sources.ts
+++ b/src/state/routing/prompt-sources.ts
@@ -1,11 +1,10 @@
 /** Finds the holders of a prompt's cached prefix and the best source for an engine. Pure. */
 import type { CacheStore, EngineProfile } from './configuration.js';
+import { DEFAULT_ENGINE_SPEED, type EngineSpeed } from './engine-speeds.js';
 import type { Engine } from './engine-registry.js';
 import { type GenerationShape, cacheSaltOf, sharedPartsOf } from './generation.js';
 import type { CachedPrefixes } from './cached-prefixes.js';
 
-/** Assumed prefill rate; engines do not report theirs. */
-export const PREFILL_TOKENS_PER_MS = 40;
 /** Transfers between zones take this many times as long. */
 const CROSS_ZONE_TRANSFER_FACTOR = 2;
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -126,6 +125,7 @@
   ownTokens: number,
   sources: readonly CachedPromptSource[],
   profile: EngineProfile | undefined,
+  { prefillTokensPerMs }: EngineSpeed = DEFAULT_ENGINE_SPEED,
 ): BestSource | undefined {
   if (!profile) return undefined;
   let best: BestSource | undefined;
@@ -134,7 +134,7 @@
     if (tokens <= ownTokens || address === engine.record.address) continue;
     const fetchedTokens = tokens - ownTokens;
     const fetchMs = fetchedTokens * transferMsPerToken(engine, zone, linkMbps, profile);
-    const savedMs = fetchedTokens / PREFILL_TOKENS_PER_MS - fetchMs;
+    const savedMs = fetchedTokens / prefillTokensPerMs - fetchMs;
     if (savedMs <= bestSavedMs) continue;
     bestSavedMs = savedMs;
     best = { address, tokens, fetchMs, isReported };
@@ -147,9 +147,10 @@
   engine: Engine,
   store: CacheStore,
   profile: EngineProfile,
+  { prefillTokensPerMs }: EngineSpeed,
 ): boolean {
   const linkMbps = Math.min(store.linkMbps, profile.linkMbps);
-  return transferMsPerToken(engine, store.zone, linkMbps, profile) < 1 / PREFILL_TOKENS_PER_MS;
+  return transferMsPerToken(engine, store.zone, linkMbps, profile) < 1 / prefillTokensPerMs;
 }
 
 function transferMsPerToken(
--- a/src/state/routing/route-table.ts
+++ b/src/state/routing/route-table.ts
@@ -7,9 +7,13 @@
   private readonly tenantsByKey = new Map<string, Tenant>();
   private readonly tenantsByName = new Map<string, Tenant>();
   private readonly servicesByName = new Map<string, Service>();
+  private readonly gapObjectivesMs = new Map<string, number>();
 
   constructor(readonly configuration: RoutingConfiguration) {
-    for (const route of configuration.routes) this.indexRoute(route);
+    for (const route of configuration.routes) {
+      this.indexRoute(route);
+      this.indexGapObjective(route);
+    }
     for (const tenant of configuration.tenants ?? []) {
       this.tenantsByName.set(tenant.name, tenant);
       for (const key of tenant.keys) this.tenantsByKey.set(key, tenant);
@@ -50,6 +54,24 @@
     return this.servicesByName.get(name);
   }
 
+  /** Strictest gap objective of the routes to a service; undefined if none sets one. */
+  gapObjectiveMsOf(service: string): number | undefined {
+    return this.gapObjectivesMs.get(service);
+  }
+
+  /** Whether any route sets a gap objective. */
+  get hasGapObjectives(): boolean {
+    return this.gapObjectivesMs.size > 0;
+  }
+
+  private indexGapObjective({ gapObjectiveMs, targets }: Route): void {
+    if (gapObjectiveMs === undefined) return;
+    for (const { service } of targets) {
+      const strictestMs = this.gapObjectivesMs.get(service) ?? Infinity;
+      this.gapObjectivesMs.set(service, Math.min(strictestMs, gapObjectiveMs));
+    }
+  }
+
   private indexRoute(route: Route): void {
     let routes = this.routesByHost.get(route.host);
     if (!routes) {
--- /dev/null
+++ b/src/state/routing/stream-gaps.ts
@@ -0,0 +1,71 @@
+/**
+ * Cost of the gaps that prefill causes in streams. An engine prefills one chunk of a queued prompt
+ * in each step and makes one token for each running stream in the same step. An event carries
+ * several tokens, so while prompt tokens are queued, the streams get each event only after several
+ * chunks. A stream with a gap above its objective is late as a whole. Pure.
+ */
+import type { EngineSpeed } from './engine-speeds.js';
+
+/** Tokens that an engine prefills at most in one step, between two tokens of a stream. */
+const CHUNK_TOKENS = 2_048;
+/** Tokens in one event of a stream; engines were observed to send 5 to 8. */
+const EVENT_TOKENS = 8;
+/** Expected gap in a running stream while `unreadTokens` are queued at its engine. */
+export function expectedGapMs(unreadTokens: number, speed: EngineSpeed): number {
+  const tokensPerEvent = Math.min(unreadTokens, EVENT_TOKENS * CHUNK_TOKENS);
+  return tokensPerEvent / speed.prefillTokensPerMs + EVENT_TOKENS * speed.tokenMs;
+}
+
+/**
+ * Expected share of streams with this gap that are late. The margin below the objective is for
+ * noise: engines were observed to be 2.5 times slower for a seventh of the time, so a gap of
+ * 1 / 2.5 of the objective is exceeded by about a seventh, which is the square of 1 / 2.5.
+ */
+export function lateShare(expectedMs: number, objectiveMs: number): number {
+  return Math.min(1, (expectedMs / objectiveMs) ** 2);
+}
+
+/** Queued prompt tokens that make all streams of an engine late, without noise. */
+function lateTokens(objectiveMs: number, speed: EngineSpeed): number {
+  const prefillMs = Math.max(1, objectiveMs - EVENT_TOKENS * speed.tokenMs);
+  return prefillMs * speed.prefillTokensPerMs;
+}
+
+/**
+ * Cost of the streams that become late if `unreadTokens` are queued at their engine besides those
+ * that already are. A late stream costs as much as the delay that makes it late.
+ */
+export function harmToStreamsMs(
+  unreadTokens: number,
+  queuedTokens: number,
+  streams: number,
+  objectiveMs: number,
+  speed: EngineSpeed,
+): number {
+  if (streams === 0) return 0;
+  const shareBefore = lateShare(expectedGapMs(queuedTokens, speed), objectiveMs);
+  const shareAfter = lateShare(expectedGapMs(queuedTokens + unreadTokens, speed), objectiveMs);
+  return streams * objectiveMs * (shareAfter - shareBefore);
+}
+
+/**
+ * Cost of the gaps that a stream will meet at an engine, from the prompt tokens that were queued
+ * there recently.
+ */
+export function harmFromPrefillMs(
+  recentUnreadTokens: number,
+  outputTokens: number,
+  objectiveMs: number,
+  speed: EngineSpeed,
+): number {
+  // Prefill that makes streams late lasts about as long as the objective, so a stream also meets
+  // the prefill that begins while it runs.
+  const exposure = 1 + (outputTokens * speed.tokenMs) / objectiveMs;
+  const timeShare = recentUnreadTokens / lateTokens(objectiveMs, speed);
+  return objectiveMs * Math.min(1, timeShare * exposure);
+}
+
+/** Cost of a first token that may be later than the objective. */
+export function lateFirstTokenMs(expectedMs: number, objectiveMs: number): number {
+  return objectiveMs * lateShare(expectedMs, objectiveMs);
+}
--- a/test/helpers/placement-harness.ts
+++ b/test/helpers/placement-harness.ts
@@ -5,7 +5,11 @@
 import { createHasher } from '../../src/runtime/hasher.js';
 import { SeededRandom } from '../../src/runtime/random.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
-import { DEFAULT_ENGINE_SPEEDS } from '../../src/state/routing/engine-speeds.js';
+import {
+  DEFAULT_ENGINE_SPEED,
+  DEFAULT_ENGINE_SPEEDS,
+  type EngineSpeedView,
+} from '../../src/state/routing/engine-speeds.js';
 import { EngineHealth } from '../../src/state/routing/engine-health.js';
 import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
 import type { GenerationShape } from '../../src/state/routing/generation.js';
@@ -31,6 +35,25 @@
   readonly firstTokenObjectiveMs: number;
   readonly maximumPauseMs: number;
   readonly priority: number;
+  /** First shared part, common to several affinity keys; part of `sharedTokens`. */
+  readonly root?: { readonly count: number; readonly tokens: number };
+  /** Share of the requests that use one affinity key during `fromMs` to `untilMs`. */
+  readonly hotKey?: { readonly share: number; readonly fromMs: number; readonly untilMs: number };
+}
+
+/** Engines other than those that the first tests of the harness were written for. */
+export interface EngineFleet {
+  readonly slots: number;
+  readonly cacheTokens: number;
+  readonly stepMs: number;
+  readonly stepMsPerStream: number;
+  readonly readTokensPerMs: number;
+  readonly chunkTokens: number;
+  readonly tokensPerEvent: number;
+  /** Speeds relative to the rates above, assigned to the engines in turn. */
+  readonly speeds: readonly number[];
+  /** Each engine is `factor` times slower for `share` of the time, `periodMs` at a time. */
+  readonly noise?: { readonly factor: number; readonly share: number; readonly periodMs: number };
 }
 
 /** Simulated deployment and its traffic. */
@@ -44,6 +67,11 @@
   /** Number of random routers that receive each report; undefined for all. */
   readonly reportFanout?: number;
   readonly seed: number;
+  readonly fleet?: EngineFleet;
+  /** Whether the routers know the speed of each engine. */
+  readonly areSpeedsKnown?: boolean;
+  /** Gap objective of the streams, as passed to placements. */
+  readonly gapObjectiveMs?: number;
 }
 
 /** Outcome counts of one kind of generation. */
@@ -63,10 +91,17 @@
 
 const MODEL = 'model-a';
 const SERVICE = 'generation';
-const SLOTS = 16;
-const CACHE_TOKENS = 86_721;
 const NETWORK_DELAY_MS = 2;
-const SLOWDOWN_FACTORS = [1, 1, 1.3];
+const DEFAULT_FLEET: EngineFleet = {
+  slots: 16,
+  cacheTokens: 86_721,
+  stepMs: 5.23,
+  stepMsPerStream: 0,
+  readTokensPerMs: 38.4,
+  chunkTokens: 4_096,
+  tokensPerEvent: 6,
+  speeds: [1, 1, 1 / 1.3],
+};
 
 /** The simulated deployment. */
 export class PlacementHarness {
@@ -76,6 +111,8 @@
   private readonly registry = new EngineRegistry();
   private readonly routers: SimulatedRouter[] = [];
   private readonly random: SeededRandom;
+  private readonly fleet: EngineFleet;
+  private readonly everRead = new Set<string>();
   private requests = 0;
 
   private constructor(
@@ -83,6 +120,7 @@
     homes: HomeRanking,
   ) {
     this.random = new SeededRandom(scenario.seed);
+    this.fleet = scenario.fleet ?? DEFAULT_FLEET;
     for (const { name } of scenario.kinds) this.outcomes.set(name, noOutcomes());
     for (let index = 0; index < scenario.engines; index += 1) this.addEngine(index);
     for (let index = 0; index < scenario.routers; index += 1) this.addRouter(index, homes);
@@ -106,23 +144,53 @@
     return this.engines.reduce((sum, { readTokens }) => sum + readTokens, 0);
   }
 
+  /** Shared prompt tokens prefilled although an engine had prefilled them before. */
+  get readAgainTokens(): number {
+    return this.engines.reduce((sum, { readAgainTokens }) => sum + readAgainTokens, 0);
+  }
+
+  /** Busy time of the busiest engine relative to the mean. */
+  get busiestShare(): number {
+    const busyMs = this.engines.map((engine) => engine.busyMs);
+    const meanMs = busyMs.reduce((sum, each) => sum + each, 0) / busyMs.length;
+    return Math.max(...busyMs) / meanMs;
+  }
+
   private addEngine(index: number): void {
     const { zones } = this.scenario;
-    const slowness = SLOWDOWN_FACTORS[index % SLOWDOWN_FACTORS.length] as number;
-    const zone = `zone-${Math.floor(index / SLOWDOWN_FACTORS.length) % zones}`;
-    const changes = { service: SERVICE, zone, slots: SLOTS };
-    this.registry.put(engineRecord(`engine-${index}`, undefined, changes));
+    const { speeds, slots, noise, ...rates } = this.fleet;
+    const zone = `zone-${Math.floor(index / speeds.length) % zones}`;
+    this.registry.put(
+      engineRecord(`engine-${index}`, undefined, { service: SERVICE, zone, slots }),
+    );
+    const profile = { ...rates, slots, slowdownFactor: 1 / this.speedOf(index) };
+    const noiseSeed = this.scenario.seed * 1_000 + index;
     this.engines.push(
-      new BatchingEngine(this.clock, {
-        slots: SLOTS,
-        cacheTokens: CACHE_TOKENS,
-        stepMs: 5.23,
-        readTokensPerMs: 38.4,
-        chunkTokens: 4_096,
-        tokensPerEvent: 6,
-        slowdownFactor: slowness,
+      new BatchingEngine(
+        this.clock,
+        noise ? { ...profile, noiseAt: noiseOf(noise, noiseSeed) } : profile,
+        this.everRead,
+      ),
+    );
+  }
+
+  private speedOf(index: number): number {
+    const { speeds } = this.fleet;
+    return speeds[index % speeds.length] ?? 1;
+  }
+
+  /** Speeds as routers know them. */
+  private speedView(): EngineSpeedView {
+    if (!this.scenario.areSpeedsKnown) return DEFAULT_ENGINE_SPEEDS;
+    const { readTokensPerMs, stepMs } = this.fleet;
+    const known = new Map(
+      this.registry.ofService(SERVICE).map(({ record: { id } }) => {
+        const speed = this.speedOf(indexOf(id));
+        const prefillTokensPerMs = readTokensPerMs * speed;
+        return [id, { ...DEFAULT_ENGINE_SPEED, prefillTokensPerMs, tokenMs: stepMs / speed }];
       }),
     );
+    return { at: (id) => known.get(id) ?? DEFAULT_ENGINE_SPEED };
   }
 
   private addRouter(index: number, homes: HomeRanking): void {
@@ -133,7 +201,7 @@
       versions: new WeightVersions(7_000, new StoreOutages()),
       random: new SeededRandom(this.scenario.seed * 1_000 + index),
       homes,
-      speeds: DEFAULT_ENGINE_SPEEDS,
+      speeds: this.speedView(),
     };
     this.routers.push({ zone: `zone-${index % this.scenario.zones}`, tables, sequence: 0 });
   }
@@ -189,8 +257,8 @@
       {
         candidates: this.registry.ofService(SERVICE),
         profile: {
-          slots: SLOTS,
-          cacheCapacityTokens: CACHE_TOKENS,
+          slots: this.fleet.slots,
+          cacheCapacityTokens: this.fleet.cacheTokens,
           cacheTokenBytes: 163_840,
           linkMbps: 1_100_000,
           maximumEventCalls: 8,
@@ -199,9 +267,11 @@
         isolatedTenant: undefined,
         excluded: new Set(),
         zone: router.zone,
+        gapObjectiveMs: this.scenario.gapObjectiveMs,
+        ...(this.scenario.gapObjectiveMs && { objectiveMs: kind.firstTokenObjectiveMs }),
         stores: [],
         storePressure: StorePressure.High,
-        connectionShare: SLOTS,
+        connectionShare: this.fleet.slots,
         slotView: { wallMs: 0, interval: undefined },
       },
       router.tables,
@@ -212,23 +282,26 @@
       return;
     }
     const { id } = placement.engine.record;
-    const load = new SendLoad(router.tables.loads, id, generation, placement.unreadTokens);
-    const engine = this.engines[Number(id.slice('engine-'.length))] as BatchingEngine;
+    const load = new SendLoad(router.tables.loads, id, placement.unreadTokens, placement.memory);
+    const engine = this.engines[indexOf(id)] as BatchingEngine;
     const sentMs = this.clock.now();
     let lastMs: number | undefined;
     let isLateFirst = false;
     let isLatePause = false;
-    const sharedTokens = generation.parts[0]?.tokens ?? 0;
+    const [rootPart] = generation.parts;
+    const root = kind.root && rootPart && { key: rootPart.id, tokens: rootPart.tokens };
     this.clock.setTimer(NETWORK_DELAY_MS, () =>
       engine.send({
-        affinityKey: generation.parts[0]?.id ?? '',
-        sharedTokens,
+        affinityKey: generation.parts.at(-2)?.id ?? '',
+        sharedTokens: kind.sharedTokens,
+        ...(root && { root }),
         promptTokens: generation.promptTokens,
         outputTokens: generation.maximumOutputTokens,
         fetchableTokens: 0,
         urgency: kind.priority,
         onEvent: () => {
           const now = this.clock.now();
+          load.noteEvent();
           if (lastMs === undefined) {
             isLateFirst = now - sentMs > kind.firstTokenObjectiveMs;
             load.notePromptRead();
@@ -253,17 +326,29 @@
 
   private nextGeneration(kind: GenerationKind): GenerationShape {
     this.requests += 1;
-    const affinityKey = Math.floor(this.random.next() ** 1.3 * kind.affinityKeyCount);
+    const affinityKey = this.nextAffinityKey(kind);
     const ownTokens = this.logNormal(kind.ownTokens, 1);
     const outputTokens = this.logNormal(kind.outputTokens, 0.7);
+    const { root } = kind;
+    const rootTokens = root?.tokens ?? 0;
     const parts = [
-      { id: `${kind.name}-${affinityKey}`, tokens: kind.sharedTokens },
+      ...(root
+        ? [{ id: `${kind.name}-root-${affinityKey % root.count}`, tokens: rootTokens }]
+        : []),
+      { id: `${kind.name}-${affinityKey}`, tokens: kind.sharedTokens - rootTokens },
       { id: `own-${this.requests}`, tokens: ownTokens },
     ];
     const promptTokens = kind.sharedTokens + ownTokens;
     return { model: MODEL, parts, promptTokens, maximumOutputTokens: outputTokens };
   }
 
+  private nextAffinityKey({ affinityKeyCount, hotKey }: GenerationKind): number {
+    const now = this.clock.now();
+    const isHot = hotKey && now >= hotKey.fromMs && now < hotKey.untilMs;
+    if (isHot && this.random.next() < hotKey.share) return affinityKeyCount - 1;
+    return Math.floor(this.random.next() ** 1.3 * affinityKeyCount);
+  }
+
   /** Draws from a log-normal distribution with the given mean. */
   private logNormal(mean: number, sigma: number): number {
     const angle = 2 * Math.PI * this.random.next();
@@ -272,6 +357,24 @@
   }
 }
 
+function indexOf(engineId: string): number {
+  return Number(engineId.slice('engine-'.length));
+}
+
+/** Returns the slowdown of one engine by noise, drawn anew for each period. */
+function noiseOf(
+  { factor, share, periodMs }: NonNullable<EngineFleet['noise']>,
+  seed: number,
+): (nowMs: number) => number {
+  const random = new SeededRandom(seed);
+  const isSlow: boolean[] = [];
+  return (nowMs) => {
+    const period = Math.floor(nowMs / periodMs);
+    while (isSlow.length <= period) isSlow.push(random.next() < share);
+    return isSlow[period] ? factor : 1;
+  };
+}
+
 function noOutcomes(): KindOutcomes {
   return { sent: 0, onTime: 0, lateFirstTokens: 0, latePauses: 0, rejected: 0 };
 }
