--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -10,6 +10,8 @@
   failed = 0;
   abandonedByCaller = 0;
   sends = 0;
+  /** Generations whose prefill was expected to make streams at the chosen engine late by a gap. */
+  sendsHarmingStreams = 0;
   repeatedSends = 0;
   resumedStreams = 0;
   /** Cancelled because the engine's weights expired before the request started. */
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -160,6 +160,7 @@
     context.health.limits.noteSend(name, context.slotView());
     this.load = new SendLoad(context.loads, id, placement.unreadTokens, placement.memory);
     context.statistics.sends += 1;
+    if ((placement.harmMs ?? 0) > 0) context.statistics.sendsHarmingStreams += 1;
     this.sentMs = context.clock.now();
     this.exchange = context.engines.send(placement.engine.record, request, options, this);
     this.runStartDeadline = this.createRunStartDeadline();
--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -65,6 +65,8 @@
   readonly unreadTokens: number;
   /** Estimated time to first token in milliseconds. */
   readonly expectedMs: number;
+  /** Cost of the streams at the engine that its prefill is expected to make late, in milliseconds. */
+  readonly harmMs?: number | undefined;
   /** Cost by which engines are compared, in milliseconds: the expected time and penalties. */
   readonly costMs: number;
 }
@@ -237,7 +239,7 @@
 /**
  * Chooses an engine for a request without generation: the one with the lowest cost, or by chance
  * among those with a free slot. The choice by chance ignores how many slots are free: with work of
- * 43 ms and reports every 100 ms, preferring the less busy engine doubled the rejections.
+ * 43 ms and reports every 100 ms, preferring engines with more free slots gave up to twice as many rejections.
  */
 function placePlain(
   available: readonly Engine[],
@@ -290,6 +292,7 @@
   readonly source: BestSource | undefined;
   readonly unreadTokens: number;
   readonly expectedMs: number;
+  readonly harmMs: number;
   readonly costMs: number;
 }
 
@@ -311,13 +314,19 @@
   const isUncached = ownTokens === 0 && fetchedTokens === 0;
   const expectedMs =
     waitMs(load, speed, request) + unreadTokens / speed.prefillTokensPerMs + (source?.fetchMs ?? 0);
+  const { gapObjectiveMs } = request;
+  const harmMs =
+    gapObjectiveMs === undefined
+      ? 0
+      : harmToStreamsMs(unreadTokens, load.unreadTokens, load.requests, gapObjectiveMs, speed);
   const costMs =
     expectedMs +
-    lateResponsesMs(load, speed, { engine, unreadTokens, expectedMs }, request, tables) +
+    harmMs +
+    lateResponseMs(engine, expectedMs, request, tables) +
     (fetchedTokens / 1_000) * COPY_COST_MS_PER_KILOTOKEN +
     (isUncached ? homeAffinityCostMs(engine, prompt, speed) : 0) +
     zoneAndFailureMs(engine, request, tables);
-  return { engine, version, ownTokens, source, unreadTokens, expectedMs, costMs };
+  return { engine, version, ownTokens, source, unreadTokens, expectedMs, harmMs, costMs };
 }
 
 /** Parameters of the call to the chosen engine. */
@@ -328,7 +337,7 @@
   { speeds }: PlacementTables,
 ): Placement {
   const { generation } = prompt;
-  const { engine, version, ownTokens, source, unreadTokens, expectedMs, costMs } = scored;
+  const { engine, version, ownTokens, source, unreadTokens, expectedMs, harmMs, costMs } = scored;
   const cachedPrompt = prompt.cachedPrompts.of(version);
   return {
     engine,
@@ -349,6 +358,7 @@
         : expectedMemoryUse(generation, cachedPrompt.salt, ownTokens),
     unreadTokens,
     expectedMs,
+    harmMs,
     costMs,
   };
 }
@@ -365,24 +375,19 @@
   return HOME_AFFINITY_FACTOR * prefillMs * share;
 }
 
-/**
- * Cost of late responses: of the streams that the request's prefill delays, and of the request
- * itself.
- */
-function lateResponsesMs(
-  load: EngineLoad,
-  speed: EngineSpeed,
-  scored: Pick<ScoredEngine, 'engine' | 'unreadTokens' | 'expectedMs'>,
+/** Cost of the request's own response being late, by its first token or by a gap. */
+function lateResponseMs(
+  engine: Engine,
+  expectedMs: number,
   { gapObjectiveMs, objectiveMs, generation }: PlacementRequest,
-  { loads }: PlacementTables,
+  { loads, speeds }: PlacementTables,
 ): number {
   if (gapObjectiveMs === undefined || !generation) return 0;
-  const { engine, unreadTokens, expectedMs } = scored;
-  const recentTokens = loads.recentUnreadAt(engine.record.id);
+  const { id } = engine.record;
+  const recentTokens = loads.recentUnreadAt(id);
   const outputTokens = expectedOutputOf(generation);
   return (
-    harmToStreamsMs(unreadTokens, load.unreadTokens, load.requests, gapObjectiveMs, speed) +
-    harmFromPrefillMs(recentTokens, outputTokens, gapObjectiveMs, speed) +
+    harmFromPrefillMs(recentTokens, outputTokens, gapObjectiveMs, speeds.at(id)) +
     (objectiveMs === undefined ? 0 : lateFirstTokenMs(expectedMs, objectiveMs))
   );
 }
--- a/test/gateway/placement-by-gaps.test.ts
+++ b/test/gateway/placement-by-gaps.test.ts
@@ -185,6 +185,15 @@
   t.not(place({ gapObjectiveMs: 500 }).engine.record.id, home);
 });
 
+test('the harm that is counted for operators is zero where no stream runs', (t) => {
+  const { tables, place } = fixtureOf([20]);
+  t.is(place({ gapObjectiveMs: 500 }).harmMs, 0);
+  tables.loads.change('engine-0', STREAMS);
+  // The gap is 6,700 / 20 + 8 * 6 = 383 ms; of the 300 ms from 200 to 500 ms it has passed 0.61.
+  t.is(place({ gapObjectiveMs: 500 }).harmMs, 4 * 500 * (183 / 300));
+  t.is(place().harmMs, 0);
+});
+
 test('a long prompt stays at its home if the gap is within the objective even under noise', (t) => {
   const home = fixtureOf([40, 40, 40]).place().engine.record.id;
   const { tables, place } = fixtureOf([40, 40, 40]);
