--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -21,6 +21,7 @@
 import type { WeightVersions } from '../../state/routing/weight-versions.js';
 import type { CrashProtection } from './crash-protection.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
+import type { DisabledFeatures } from './load-sharing-settings.js';
 import type { EngineLimitDiscovery } from './engine-limit-discovery.js';
 import type { PrefixReadExchange } from './prefix-read-exchange.js';
 import type { TenantQuotas } from './quota/tenant-quotas.js';
@@ -83,6 +84,7 @@
   readonly speedObserver: SpeedObserver;
   readonly tenantRanking: TenantRanking;
   readonly tenantShares: TenantShares;
+  readonly disabledFeatures: DisabledFeatures;
   readonly statistics: GatewayStatistics;
   readonly zone: string;
 }
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -211,6 +211,7 @@
       speedObserver: this.sharing.speedObserver,
       tenantRanking: this.sharing.tenantRanking,
       tenantShares: this.sharing.tenantShares,
+      disabledFeatures: this.sharing.disabled,
       statistics: this.statistics,
       zone: settings.zone,
     };
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -11,11 +11,13 @@
 import {
   type Placement,
   type PlacementFailure,
+  type PlacementRequest,
   placeRequest,
 } from '../../state/routing/placement.js';
 import { RejectionReason } from '../../state/routing/rejection.js';
 import { StorePressure, storePressure } from '../../state/routing/save-choice.js';
 import { ResponseSpeed } from './response-speed.js';
+import { LoadSharingFeature } from './load-sharing-settings.js';
 import { RunStartDeadline } from './run-start-deadline.js';
 import { applyEngineNotice } from './engine-notices.js';
 import type { GatewayContext } from './gateway-context.js';
@@ -52,6 +54,7 @@
       isolatedTenant: grant.tenant?.isIsolated ? grant.tenant.name : undefined,
       excluded,
       zone: context.zone,
+      ...gapPlacementOf(grant, service, context),
       stores,
       storePressure: storePressureOf(request, stores, context),
       connectionShare,
@@ -62,6 +65,21 @@
   );
 }
 
+/** Inputs of placement by gaps and capacity; none if no route has a gap objective. */
+export function gapPlacementOf(
+  { table, route }: Pick<Grant, 'table' | 'route'>,
+  service: Service,
+  { disabledFeatures }: Pick<GatewayContext, 'disabledFeatures'>,
+): Pick<PlacementRequest, 'gapObjectiveMs' | 'objectiveMs' | 'spreadsPlainRequests'> {
+  const isDisabled = disabledFeatures.has(LoadSharingFeature.GapPlacement);
+  if (isDisabled || !table.hasGapObjectives) return {};
+  return {
+    gapObjectiveMs: table.gapObjectiveMsOf(service.name),
+    objectiveMs: route.objectiveMs,
+    spreadsPlainRequests: true,
+  };
+}
+
 /**
  * Time until an engine of the service accepts requests of this router again, in milliseconds;
  * undefined if the placement failed for a reason other than backoffs and limits.
@@ -144,8 +162,9 @@
     const { id, name } = placement.engine.record;
     context.health.limits.noteSend(name, context.slotView());
     const queuedTokens = context.loads.at(id).unreadTokens;
-    this.load = new SendLoad(context.loads, id, this.generation, placement.unreadTokens);
+    this.load = new SendLoad(context.loads, id, placement.unreadTokens, placement.memory);
     context.statistics.sends += 1;
+    if ((placement.harmMs ?? 0) > 0) context.statistics.sendsHarmingStreams += 1;
     this.sentMs = context.clock.now();
     this.speed = this.observeSpeed(options, queuedTokens);
     this.exchange = context.engines.send(placement.engine.record, request, options, this);
@@ -278,6 +297,7 @@
     const now = context.clock.now();
     this.recordPromptRead(now);
     this.speed?.noteChunk(now);
+    this.load.noteEvent();
     this.chunkCount += 1;
     this.lastChunkMs = now;
     if (!generation || lastChunkMs === undefined) return;
--- a/src/state/routing/prefix-homes.ts
+++ b/src/state/routing/prefix-homes.ts
@@ -5,11 +5,8 @@
 import { type Engine, versionAt } from './engine-registry.js';
 import { type GenerationShape, affinityKeyOf } from './generation.js';
 import type { CachedPrefixes } from './cached-prefixes.js';
-import {
-  type CachedPromptsBySalt,
-  PREFILL_TOKENS_PER_MS,
-  sharedTokensOf,
-} from './prompt-sources.js';
+import type { EngineSpeedView } from './engine-speeds.js';
+import { type CachedPromptsBySalt, sharedTokensOf } from './prompt-sources.js';
 import { replicaCount } from './replica-count.js';
 
 /** Engines of the home ranking that are always considered. */
@@ -23,6 +20,7 @@
   cachedPrompts: CachedPromptsBySalt,
   candidates: readonly Engine[],
   cachedPrefixes: CachedPrefixes,
+  speeds: EngineSpeedView,
   nowMs: number,
 ): number {
   const [first] = candidates;
@@ -31,7 +29,7 @@
   const partId = affinityKeyOf(generation);
   const requestsPerSecond = cachedPrefixes.readsPerSecond(salt, partId, nowMs);
   const ownTokens = generation.promptTokens - sharedTokensOf(generation);
-  const prefillMs = ownTokens / PREFILL_TOKENS_PER_MS;
+  const prefillMs = ownTokens / speeds.at(first.record.id).prefillTokensPerMs;
   const replicas = replicaCount({ requestsPerSecond, prefillMs }, 1, MAXIMUM_REPLICAS);
   return HOME_COUNT - 1 + replicas;
 }
--- a/test/gateway/prefix-locations.test.ts
+++ b/test/gateway/prefix-locations.test.ts
@@ -3,12 +3,12 @@
  * knows only its own requests, and against estimates of unread tokens that are far from the truth.
  */
 import test from 'ava';
-import type { BatchingEngine } from '../helpers/batching-engine.js';
+import type { BatchingEngine } from '../helpers/prefix-batching-engine.js';
 import {
   type GenerationKind,
   PlacementHarness,
   type PlacementScenario,
-} from '../helpers/placement-harness.js';
+} from '../helpers/prefix-placement-harness.js';
 
 const LONG: GenerationKind = {
   name: 'long',
--- a/test/helpers/placement-harness.ts
+++ b/test/helpers/placement-harness.ts
@@ -5,29 +5,23 @@
 import { createHasher } from '../../src/runtime/hasher.js';
 import { SeededRandom } from '../../src/runtime/random.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
-import { DEFAULT_ENGINE_SPEEDS } from '../../src/state/routing/engine-speeds.js';
+import {
+  DEFAULT_ENGINE_SPEED,
+  DEFAULT_ENGINE_SPEEDS,
+  type EngineSpeedView,
+} from '../../src/state/routing/engine-speeds.js';
 import { EngineHealth } from '../../src/state/routing/engine-health.js';
 import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
-import {
-  type GenerationShape,
-  type PromptPart,
-  affinityKeyOf,
-} from '../../src/state/routing/generation.js';
-import type { GroupPrefixes } from '../../src/state/routing/group-prefixes.js';
+import type { GenerationShape } from '../../src/state/routing/generation.js';
 import { HomeRanking } from '../../src/state/routing/home-ranking.js';
 import { CachedPrefixes } from '../../src/state/routing/cached-prefixes.js';
 import { LoadTable } from '../../src/state/routing/load-table.js';
-import {
-  type Placement,
-  type PlacementTables,
-  placeRequest,
-} from '../../src/state/routing/placement.js';
+import { type PlacementTables, placeRequest } from '../../src/state/routing/placement.js';
 import { StorePressure } from '../../src/state/routing/save-choice.js';
 import { StoreOutages } from '../../src/state/routing/store-outages.js';
 import { WeightVersions } from '../../src/state/routing/weight-versions.js';
 import { SendLoad } from '../../src/coordination/gateway/send-load.js';
 import { BatchingEngine } from './batching-engine.js';
-import { PrefixReadNetwork } from './prefix-read-network.js';
 import { engineRecord } from './engine-record.js';
 
 /** A kind of generation requested by callers. */
@@ -41,21 +35,25 @@
   readonly firstTokenObjectiveMs: number;
   readonly maximumPauseMs: number;
   readonly priority: number;
-  /** Parts below the affinity keys, each shared by many of them. */
-  readonly base?: { readonly count: number; readonly tokens: number };
-  /** An affinity key that takes a share of the requests for some time. */
-  readonly hot?: { readonly share: number; readonly fromMs: number; readonly untilMs: number };
+  /** First shared part, common to several affinity keys; part of `sharedTokens`. */
+  readonly root?: { readonly count: number; readonly tokens: number };
+  /** Share of the requests that use one affinity key during `fromMs` to `untilMs`. */
+  readonly hotKey?: { readonly share: number; readonly fromMs: number; readonly untilMs: number };
 }
 
-/** Changes of the engines for a scenario. */
-export interface EngineChanges {
+/** Engines other than those that the first tests of the harness were written for. */
+export interface EngineFleet {
   readonly slots: number;
   readonly cacheTokens: number;
   readonly stepMs: number;
+  readonly stepMsPerStream: number;
   readonly readTokensPerMs: number;
   readonly chunkTokens: number;
   readonly tokensPerEvent: number;
-  readonly slowdownFactors: readonly number[];
+  /** Speeds relative to the rates above, assigned to the engines in turn. */
+  readonly speeds: readonly number[];
+  /** Each engine is `factor` times slower for `share` of the time, `periodMs` at a time. */
+  readonly noise?: { readonly factor: number; readonly share: number; readonly periodMs: number };
 }
 
 /** Simulated deployment and its traffic. */
@@ -69,15 +67,11 @@
   /** Number of random routers that receive each report; undefined for all. */
   readonly reportFanout?: number;
   readonly seed: number;
-  readonly engineChanges?: EngineChanges;
-  /** Whether engines fetch the prefixes that placement tells them to. */
-  readonly hasFetches?: boolean;
-  /** Link rate of the engines. */
-  readonly linkMbps?: number;
-  /** Time from which tokens are counted; 0 if undefined. */
-  readonly countFromMs?: number;
-  /** Exchange of prefix reads through one collector; undefined for none. */
-  readonly prefixReads?: { readonly lostShare: number };
+  readonly fleet?: EngineFleet;
+  /** Whether the routers know the speed of each engine. */
+  readonly areSpeedsKnown?: boolean;
+  /** Gap objective of the streams, as passed to placements. */
+  readonly gapObjectiveMs?: number;
 }
 
 /** Outcome counts of one kind of generation. */
@@ -87,31 +81,26 @@
   lateFirstTokens: number;
   latePauses: number;
   rejected: number;
-  /** Prompt tokens that placement expected to be prefilled, and that were. */
-  believedUnreadTokens: number;
-  unreadTokens: number;
-  admitted: number;
 }
 
-/** A simulated router. */
-export interface SimulatedRouter {
+interface SimulatedRouter {
   readonly zone: string;
   readonly tables: PlacementTables;
-  readonly prefixes: GroupPrefixes | undefined;
   sequence: number;
 }
 
 const MODEL = 'model-a';
 const SERVICE = 'generation';
 const NETWORK_DELAY_MS = 2;
-const DEFAULT_ENGINES: EngineChanges = {
+const DEFAULT_FLEET: EngineFleet = {
   slots: 16,
   cacheTokens: 86_721,
   stepMs: 5.23,
+  stepMsPerStream: 0,
   readTokensPerMs: 38.4,
   chunkTokens: 4_096,
   tokensPerEvent: 6,
-  slowdownFactors: [1, 1, 1.3],
+  speeds: [1, 1, 1 / 1.3],
 };
 
 /** The simulated deployment. */
@@ -119,13 +108,11 @@
   readonly clock = new VirtualClock();
   readonly outcomes = new Map<string, KindOutcomes>();
   readonly engines: BatchingEngine[] = [];
-  readonly registry = new EngineRegistry();
-  readonly routers: SimulatedRouter[] = [];
-  readonly reads: PrefixReadNetwork | undefined;
-  private readonly partTokens = new Map<string, number>();
-  private uncountedAgainTokens = 0;
-  private readonly engineSettings: EngineChanges;
+  private readonly registry = new EngineRegistry();
+  private readonly routers: SimulatedRouter[] = [];
   private readonly random: SeededRandom;
+  private readonly fleet: EngineFleet;
+  private readonly everRead = new Set<string>();
   private requests = 0;
 
   private constructor(
@@ -133,8 +120,7 @@
     homes: HomeRanking,
   ) {
     this.random = new SeededRandom(scenario.seed);
-    this.engineSettings = scenario.engineChanges ?? DEFAULT_ENGINES;
-    this.reads = scenario.prefixReads && this.createReads(scenario.prefixReads.lostShare);
+    this.fleet = scenario.fleet ?? DEFAULT_FLEET;
     for (const { name } of scenario.kinds) this.outcomes.set(name, noOutcomes());
     for (let index = 0; index < scenario.engines; index += 1) this.addEngine(index);
     for (let index = 0; index < scenario.routers; index += 1) this.addRouter(index, homes);
@@ -149,9 +135,6 @@
     const untilMs = this.clock.now() + forMs;
     for (const kind of this.scenario.kinds) this.scheduleNext(kind, untilMs);
     for (const router of this.routers) this.scheduleReport(router, untilMs);
-    this.reads?.schedule(untilMs);
-    const { countFromMs = 0 } = this.scenario;
-    if (countFromMs > 0) this.clock.setTimer(countFromMs, () => this.startCounting());
     const DRAIN_MS = 20_000;
     await this.clock.advance(forMs + DRAIN_MS);
   }
@@ -161,47 +144,53 @@
     return this.engines.reduce((sum, { readTokens }) => sum + readTokens, 0);
   }
 
-  /**
-   * Tokens of shared parts that were prefilled although an engine had prefilled them before, in the
-   * counted time.
-   */
-  get sharedReadAgainTokens(): number {
-    return this.sharedReadTokens - this.uncountedAgainTokens - this.distinctTokens;
-  }
-
-  private get sharedReadTokens(): number {
-    return this.engines.reduce((sum, { sharedReadTokens }) => sum + sharedReadTokens, 0);
+  /** Shared prompt tokens prefilled although an engine had prefilled them before. */
+  get readAgainTokens(): number {
+    return this.engines.reduce((sum, { readAgainTokens }) => sum + readAgainTokens, 0);
   }
 
-  private get distinctTokens(): number {
-    return [...this.partTokens.values()].reduce((sum, tokens) => sum + tokens, 0);
+  /** Busy time of the busiest engine relative to the mean. */
+  get busiestShare(): number {
+    const busyMs = this.engines.map((engine) => engine.busyMs);
+    const meanMs = busyMs.reduce((sum, each) => sum + each, 0) / busyMs.length;
+    return Math.max(...busyMs) / meanMs;
   }
 
-  private startCounting(): void {
-    this.uncountedAgainTokens = this.sharedReadTokens - this.distinctTokens;
-    for (const { name } of this.scenario.kinds) this.outcomes.set(name, noOutcomes());
-    if (this.reads) this.reads.summaryReads = 0;
+  private addEngine(index: number): void {
+    const { zones } = this.scenario;
+    const { speeds, slots, noise, ...rates } = this.fleet;
+    const zone = `zone-${Math.floor(index / speeds.length) % zones}`;
+    this.registry.put(
+      engineRecord(`engine-${index}`, undefined, { service: SERVICE, zone, slots }),
+    );
+    const profile = { ...rates, slots, slowdownFactor: 1 / this.speedOf(index) };
+    const noiseSeed = this.scenario.seed * 1_000 + index;
+    this.engines.push(
+      new BatchingEngine(
+        this.clock,
+        noise ? { ...profile, noiseAt: noiseOf(noise, noiseSeed) } : profile,
+        this.everRead,
+      ),
+    );
   }
 
-  private createReads(lostShare: number): PrefixReadNetwork {
-    const { kinds, engines } = this.scenario;
-    const ownRate = kinds.reduce((sum, { perSecond, ownTokens }) => sum + perSecond * ownTokens, 0);
-    const memory = {
-      capacityTokens: this.engineSettings.cacheTokens,
-      unsharedTokensPerSecond: ownRate / engines,
-    };
-    return new PrefixReadNetwork(this.clock, this.random, this.registry, memory, lostShare);
+  private speedOf(index: number): number {
+    const { speeds } = this.fleet;
+    return speeds[index % speeds.length] ?? 1;
   }
 
-  private addEngine(index: number): void {
-    const { zones } = this.scenario;
-    const { slots, slowdownFactors, ...profile } = this.engineSettings;
-    const slowdownFactor = slowdownFactors[index % slowdownFactors.length] as number;
-    const zone = `zone-${Math.floor(index / slowdownFactors.length) % zones}`;
-    const changes = { service: SERVICE, zone, slots };
-    const id = `engine-${index}`;
-    this.registry.put(engineRecord(id, undefined, changes));
-    this.engines.push(new BatchingEngine(this.clock, { ...profile, slots, slowdownFactor }));
+  /** Speeds as routers know them. */
+  private speedView(): EngineSpeedView {
+    if (!this.scenario.areSpeedsKnown) return DEFAULT_ENGINE_SPEEDS;
+    const { readTokensPerMs, stepMs } = this.fleet;
+    const known = new Map(
+      this.registry.ofService(SERVICE).map(({ record: { id } }) => {
+        const speed = this.speedOf(indexOf(id));
+        const prefillTokensPerMs = readTokensPerMs * speed;
+        return [id, { ...DEFAULT_ENGINE_SPEED, prefillTokensPerMs, tokenMs: stepMs / speed }];
+      }),
+    );
+    return { at: (id) => known.get(id) ?? DEFAULT_ENGINE_SPEED };
   }
 
   private addRouter(index: number, homes: HomeRanking): void {
@@ -212,11 +201,9 @@
       versions: new WeightVersions(7_000, new StoreOutages()),
       random: new SeededRandom(this.scenario.seed * 1_000 + index),
       homes,
-      speeds: DEFAULT_ENGINE_SPEEDS,
+      speeds: this.speedView(),
     };
-    const zone = `zone-${index % this.scenario.zones}`;
-    const prefixes = this.reads?.addRouter(tables.cachedPrefixes);
-    this.routers.push({ zone, tables, prefixes, sequence: 0 });
+    this.routers.push({ zone: `zone-${index % this.scenario.zones}`, tables, sequence: 0 });
   }
 
   private scheduleNext(kind: GenerationKind, untilMs: number): void {
@@ -266,24 +253,25 @@
     const generation = this.nextGeneration(kind);
     const router = this.routers[Math.floor(this.random.next() * this.routers.length)];
     if (!router) return;
-    const { slots, cacheTokens } = this.engineSettings;
     const placement = placeRequest(
       {
         candidates: this.registry.ofService(SERVICE),
         profile: {
-          slots,
-          cacheCapacityTokens: cacheTokens,
+          slots: this.fleet.slots,
+          cacheCapacityTokens: this.fleet.cacheTokens,
           cacheTokenBytes: 163_840,
-          linkMbps: this.scenario.linkMbps ?? 1_100_000,
+          linkMbps: 1_100_000,
           maximumEventCalls: 8,
         },
         generation,
         isolatedTenant: undefined,
         excluded: new Set(),
         zone: router.zone,
+        gapObjectiveMs: this.scenario.gapObjectiveMs,
+        ...(this.scenario.gapObjectiveMs && { objectiveMs: kind.firstTokenObjectiveMs }),
         stores: [],
         storePressure: StorePressure.High,
-        connectionShare: slots,
+        connectionShare: this.fleet.slots,
         slotView: { wallMs: 0, interval: undefined },
       },
       router.tables,
@@ -294,38 +282,31 @@
       return;
     }
     const { id } = placement.engine.record;
-    const load = new SendLoad(router.tables.loads, id, generation, placement.unreadTokens);
-    const engine = this.engines[Number(id.slice('engine-'.length))] as BatchingEngine;
+    const load = new SendLoad(router.tables.loads, id, placement.unreadTokens, placement.memory);
+    const engine = this.engines[indexOf(id)] as BatchingEngine;
     const sentMs = this.clock.now();
     let lastMs: number | undefined;
     let isLateFirst = false;
     let isLatePause = false;
-    const { parts, promptTokens } = generation;
-    const sharedParts = parts.slice(0, -1);
-    for (const part of sharedParts) this.partTokens.set(part.id, part.tokens);
-    const sharedTokens = sharedParts.reduce((sum, { tokens }) => sum + tokens, 0);
+    const [rootPart] = generation.parts;
+    const root = kind.root && rootPart && { key: rootPart.id, tokens: rootPart.tokens };
     this.clock.setTimer(NETWORK_DELAY_MS, () =>
       engine.send({
-        affinityKey: affinityKeyOf(generation),
-        sharedTokens,
-        promptTokens,
+        affinityKey: generation.parts.at(-2)?.id ?? '',
+        sharedTokens: kind.sharedTokens,
+        ...(root && { root }),
+        promptTokens: generation.promptTokens,
         outputTokens: generation.maximumOutputTokens,
-        fetchableTokens: this.fetchableTokens(placement, sharedParts),
+        fetchableTokens: 0,
         urgency: kind.priority,
-        ...(kind.base && { parts }),
-        onAdmitted: (unreadTokens) => {
-          outcomes.admitted += 1;
-          outcomes.believedUnreadTokens += placement.unreadTokens;
-          outcomes.unreadTokens += unreadTokens;
-        },
         onEvent: () => {
           const now = this.clock.now();
+          load.noteEvent();
           if (lastMs === undefined) {
             isLateFirst = now - sentMs > kind.firstTokenObjectiveMs;
             load.notePromptRead();
             const salt = placement.cacheSalt ?? '';
-            router.tables.cachedPrefixes.recordPrompt(id, salt, parts);
-            router.prefixes?.recordRead(id, salt, sharedParts, now);
+            router.tables.cachedPrefixes.recordPrompt(id, salt, generation.parts);
           } else if (now - lastMs > kind.maximumPauseMs) isLatePause = true;
           lastMs = now;
         },
@@ -343,35 +324,31 @@
     );
   }
 
-  /** Tokens that the engine named by a placement has cached of the shared parts. */
-  private fetchableTokens(placement: Placement, sharedParts: readonly PromptPart[]): number {
-    if (!this.scenario.hasFetches || placement.fetchFrom === undefined) return 0;
-    const candidates = this.registry.ofService(SERVICE);
-    const index = candidates.findIndex(({ record }) => record.address === placement.fetchFrom);
-    return this.engines[index]?.leadingTokens(sharedParts) ?? 0;
-  }
-
-  private nextAffinityKey({ affinityKeyCount, hot }: GenerationKind): number {
-    const now = this.clock.now();
-    const isHot = hot && now >= hot.fromMs && now < hot.untilMs && this.random.next() < hot.share;
-    return isHot ? 0 : Math.floor(this.random.next() ** 1.3 * affinityKeyCount);
-  }
-
   private nextGeneration(kind: GenerationKind): GenerationShape {
     this.requests += 1;
     const affinityKey = this.nextAffinityKey(kind);
-    const { base } = kind;
     const ownTokens = this.logNormal(kind.ownTokens, 1);
     const outputTokens = this.logNormal(kind.outputTokens, 0.7);
+    const { root } = kind;
+    const rootTokens = root?.tokens ?? 0;
     const parts = [
-      ...(base ? [{ id: `base-${affinityKey % base.count}`, tokens: base.tokens }] : []),
-      { id: `${kind.name}-${affinityKey}`, tokens: kind.sharedTokens },
+      ...(root
+        ? [{ id: `${kind.name}-root-${affinityKey % root.count}`, tokens: rootTokens }]
+        : []),
+      { id: `${kind.name}-${affinityKey}`, tokens: kind.sharedTokens - rootTokens },
       { id: `own-${this.requests}`, tokens: ownTokens },
     ];
-    const promptTokens = kind.sharedTokens + ownTokens + (base?.tokens ?? 0);
+    const promptTokens = kind.sharedTokens + ownTokens;
     return { model: MODEL, parts, promptTokens, maximumOutputTokens: outputTokens };
   }
 
+  private nextAffinityKey({ affinityKeyCount, hotKey }: GenerationKind): number {
+    const now = this.clock.now();
+    const isHot = hotKey && now >= hotKey.fromMs && now < hotKey.untilMs;
+    if (isHot && this.random.next() < hotKey.share) return affinityKeyCount - 1;
+    return Math.floor(this.random.next() ** 1.3 * affinityKeyCount);
+  }
+
   /** Draws from a log-normal distribution with the given mean. */
   private logNormal(mean: number, sigma: number): number {
     const angle = 2 * Math.PI * this.random.next();
@@ -380,15 +357,24 @@
   }
 }
 
-function noOutcomes(): KindOutcomes {
-  return {
-    sent: 0,
-    onTime: 0,
-    lateFirstTokens: 0,
-    latePauses: 0,
-    rejected: 0,
-    believedUnreadTokens: 0,
-    unreadTokens: 0,
-    admitted: 0,
+function indexOf(engineId: string): number {
+  return Number(engineId.slice('engine-'.length));
+}
+
+/** Returns the slowdown of one engine by noise, drawn anew for each period. */
+function noiseOf(
+  { factor, share, periodMs }: NonNullable<EngineFleet['noise']>,
+  seed: number,
+): (nowMs: number) => number {
+  const random = new SeededRandom(seed);
+  const isSlow: boolean[] = [];
+  return (nowMs) => {
+    const period = Math.floor(nowMs / periodMs);
+    while (isSlow.length <= period) isSlow.push(random.next() < share);
+    return isSlow[period] ? factor : 1;
   };
 }
+
+function noOutcomes(): KindOutcomes {
+  return { sent: 0, onTime: 0, lateFirstTokens: 0, latePauses: 0, rejected: 0 };
+}
--- /dev/null
+++ b/test/helpers/prefix-batching-engine.ts
@@ -0,0 +1,183 @@
+/**
+ * A simulated engine with continuous batching, on a virtual clock. Prompts are prefilled in chunks
+ * between the decode steps, so each chunk lengthens the token interval of all running streams.
+ */
+import type { Timer } from '../../src/runtime/clock.js';
+import type { PromptPart } from '../../src/state/routing/generation.js';
+import type { VirtualClock } from '../../src/runtime/virtual-clock.js';
+
+/** Speed and capacity of an engine. */
+export interface BatchingProfile {
+  readonly slots: number;
+  readonly cacheTokens: number;
+  /** Duration of a step without prefill, in milliseconds. */
+  readonly stepMs: number;
+  readonly readTokensPerMs: number;
+  /** Maximum number of prompt tokens prefilled in one step. */
+  readonly chunkTokens: number;
+  readonly tokensPerEvent: number;
+  /** Slowdown relative to the other engines, 1 or more. */
+  readonly slowdownFactor: number;
+}
+
+/** A stream sent to an engine. */
+export interface BatchedStream {
+  readonly affinityKey: string;
+  readonly sharedTokens: number;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  /** Tokens that can be fetched from elsewhere instead of being computed. */
+  readonly fetchableTokens: number;
+  readonly urgency: number;
+  /**
+   * Prompt parts, the last of them not shared. Undefined if the only cached part is the shared one
+   * named by the affinity key.
+   */
+  readonly parts?: readonly PromptPart[];
+  /** Called once the prompt tokens to prefill are known. */
+  onAdmitted?(unreadTokens: number): void;
+  onEvent(): void;
+  onEnd(): void;
+  onRefused(): void;
+}
+
+interface RunningStream {
+  readonly stream: BatchedStream;
+  unreadTokens: number;
+  generatedTokens: number;
+  readonly arrival: number;
+}
+
+/** Simulates one engine. */
+export class BatchingEngine {
+  readTokens = 0;
+  /** Tokens of shared parts that were prefilled. */
+  sharedReadTokens = 0;
+  private readonly waiting: RunningStream[] = [];
+  private readonly running: RunningStream[] = [];
+  /** Cached prompt prefixes by affinity key, least recently used first. */
+  private readonly cachedPrefixes = new Map<string, number>();
+  private arrivals = 0;
+  private timer: Timer | undefined;
+
+  constructor(
+    private readonly clock: VirtualClock,
+    private readonly profile: BatchingProfile,
+  ) {}
+
+  /** Number of cached tokens for an affinity key. */
+  cachedTokens(affinityKey: string): number {
+    return this.cachedPrefixes.get(affinityKey) ?? 0;
+  }
+
+  /** Number of leading tokens of a prompt that are cached. */
+  leadingTokens(parts: readonly PromptPart[]): number {
+    let tokens = 0;
+    for (const part of parts) {
+      if (!this.cachedPrefixes.has(part.id)) break;
+      tokens += part.tokens;
+    }
+    return tokens;
+  }
+
+  /** Loses all cached parts, as after a restart. */
+  clearCache(): void {
+    this.cachedPrefixes.clear();
+  }
+
+  send(stream: BatchedStream): void {
+    if (this.waiting.length >= this.profile.slots * 3) {
+      stream.onRefused();
+      return;
+    }
+    this.arrivals += 1;
+    this.waiting.push({ stream, unreadTokens: 0, generatedTokens: 0, arrival: this.arrivals });
+    this.waiting.sort(
+      (left, right) => left.stream.urgency - right.stream.urgency || left.arrival - right.arrival,
+    );
+    this.timer ??= this.clock.setTimer(0, () => this.step());
+  }
+
+  private step(): void {
+    this.admit();
+    if (this.running.length === 0) {
+      this.timer = undefined;
+      return;
+    }
+    const prefilledTokens = this.prefillChunk();
+    const { stepMs, readTokensPerMs, slowdownFactor } = this.profile;
+    const durationMs = (stepMs + prefilledTokens / readTokensPerMs) * slowdownFactor;
+    this.timer = this.clock.setTimer(durationMs, () => {
+      this.generate();
+      this.step();
+    });
+  }
+
+  private admit(): void {
+    while (this.waiting.length > 0 && this.running.length < this.profile.slots) {
+      const next = this.waiting[0] as RunningStream;
+      const { stream } = next;
+      if (this.usedTokens() + sizeOf(stream) > this.profile.cacheTokens) return;
+      this.waiting.shift();
+      const { parts } = stream;
+      const ownTokens = parts
+        ? this.leadingTokens(parts.slice(0, -1))
+        : this.cachedTokens(stream.affinityKey);
+      const reusableTokens = Math.max(ownTokens, stream.fetchableTokens);
+      next.unreadTokens = stream.promptTokens - Math.min(reusableTokens, stream.sharedTokens);
+      this.sharedReadTokens += Math.max(0, stream.sharedTokens - reusableTokens);
+      stream.onAdmitted?.(next.unreadTokens);
+      this.running.push(next);
+    }
+  }
+
+  /** Prefills one chunk, earliest admitted prompts first; returns the number of tokens. */
+  private prefillChunk(): number {
+    let remainingTokens = this.profile.chunkTokens;
+    for (const each of this.running) {
+      const chunk = Math.min(remainingTokens, each.unreadTokens);
+      each.unreadTokens -= chunk;
+      remainingTokens -= chunk;
+      if (remainingTokens === 0) break;
+    }
+    const prefilledTokens = this.profile.chunkTokens - remainingTokens;
+    this.readTokens += prefilledTokens;
+    return prefilledTokens;
+  }
+
+  private generate(): void {
+    for (const each of [...this.running]) {
+      if (each.unreadTokens > 0) continue;
+      if (each.generatedTokens === 0) this.cachePrefix(each.stream);
+      each.generatedTokens += 1;
+      const isLast = each.generatedTokens >= each.stream.outputTokens;
+      const isEvent = (each.generatedTokens - 1) % this.profile.tokensPerEvent === 0;
+      if (isEvent || isLast) each.stream.onEvent();
+      if (!isLast) continue;
+      this.running.splice(this.running.indexOf(each), 1);
+      each.stream.onEnd();
+    }
+  }
+
+  private cachePrefix({ affinityKey, sharedTokens, parts }: BatchedStream): void {
+    for (const { id, tokens } of parts ?? [{ id: affinityKey, tokens: sharedTokens }]) {
+      this.cachedPrefixes.delete(id);
+      this.cachedPrefixes.set(id, tokens);
+    }
+    let cachedTokens = [...this.cachedPrefixes.values()].reduce((sum, tokens) => sum + tokens, 0);
+    const availableTokens = this.profile.cacheTokens - this.usedTokens();
+    for (const [oldest, tokens] of this.cachedPrefixes) {
+      if (cachedTokens <= availableTokens) return;
+      this.cachedPrefixes.delete(oldest);
+      cachedTokens -= tokens;
+    }
+  }
+
+  private usedTokens(): number {
+    return this.running.reduce((sum, { stream }) => sum + sizeOf(stream), 0);
+  }
+}
+
+function sizeOf({ promptTokens, outputTokens }: BatchedStream): number {
+  return promptTokens + outputTokens;
+}
