Split the state machine of a request by task

request-call.ts held 429 lines: admission, choice of an engine, sends, retries, resumed streams, deadlines and all final responses. The request queue would have made it longer.

CallRecord holds the facts of one request, CallDispatch brings it to an engine, CallRetries decides after a failed send, CallEnding sends the final response, and RequestCall (191 lines) handles events and timeouts. Behavior is unchanged.

--- /dev/null
+++ b/src/coordination/gateway/call-dispatch.ts
@@ -0,0 +1,125 @@
+/** Brings one request to an engine: its grant, its service, the choice of the engine and its quota. */
+import { sharedTokensOf } from '../../state/routing/prompt-sources.js';
+import type { Service } from '../../state/routing/configuration.js';
+import type { Placement, PlacementFailure } from '../../state/routing/placement.js';
+import { RejectionReason } from '../../state/routing/rejection.js';
+import type { CallEnding } from './call-ending.js';
+import { logQuotaDenial, logSend } from './call-log.js';
+import { type CallRecord, MINIMUM_BUDGET_MS } from './call-record.js';
+import { CallState } from './call-state.js';
+import { REQUEST_EXCEEDS_LIMIT } from './permanent-rejections.js';
+import type { QuotaDenial } from './quota/tenant-quotas.js';
+import { type Grant, admitRequest, serviceOf } from './request-admission.js';
+import { Send, type SendEvents, engineWaitMs, placeCall, sendOptionsOf } from './send.js';
+
+/** Dispatches one request, at its arrival and again after each failed send. */
+export class CallDispatch {
+  constructor(
+    private readonly call: CallRecord,
+    private readonly ending: CallEnding,
+    private readonly events: SendEvents,
+    /** Called right before a send. */
+    private readonly onSend: (grant: Grant) => void,
+  ) {}
+
+  /** Admits the request or rejects it; called before each dispatch. */
+  admit(): boolean {
+    const { call, ending } = this;
+    const admission = admitRequest(call.request, call.context);
+    if (admission.kind === 'granted') {
+      call.grant = admission.grant;
+      if (!call.crashes.isQuarantined) return true;
+      ending.rejectQuarantined();
+      return false;
+    }
+    if (admission.kind === 'rejected')
+      ending.reject(admission.reason, { priority: admission.priority });
+    else ending.deny(admission.response);
+    return false;
+  }
+
+  /** Chooses an engine and sends the request to it; rejects the request if that is not possible. */
+  dispatch(): void {
+    const { call, ending } = this;
+    const grant = call.grant as Grant;
+    call.service ??= serviceOf(grant, call.context);
+    const { service } = call;
+    if (!service) {
+      ending.reject(RejectionReason.NoService);
+      return;
+    }
+    if (call.remainingMs < MINIMUM_BUDGET_MS) {
+      ending.reject(RejectionReason.NoTimeLeft);
+      return;
+    }
+    const placed = placeCall(call.request, grant, service, call.excluded, call.context);
+    if (typeof placed === 'string') this.rejectUnplaced(placed, service);
+    else if (!this.meetsDeadline(placed)) return;
+    else if (call.quota.isGranted) this.sendTo(placed, grant, service);
+    else this.acquireQuota(placed, grant, service);
+  }
+
+  private rejectUnplaced(reason: PlacementFailure, service: Service): void {
+    this.ending.reject(reason, { engineWaitMs: engineWaitMs(reason, service, this.call.context) });
+  }
+
+  /** Sends the request if the tenant's limit allows it. */
+  private acquireQuota(placement: Placement, grant: Grant, service: Service): void {
+    let isImmediate = true;
+    this.call.quota.acquire(grant.tenant, (decision) => {
+      if (decision.kind === 'denied') this.rejectOverQuota(decision);
+      else if (isImmediate) this.sendTo(placement, grant, service);
+      // The chosen engine may be outdated by the time the quota owner responds.
+      else if (this.admit()) this.dispatch();
+    });
+    isImmediate = false;
+  }
+
+  private rejectOverQuota(denial: QuotaDenial): void {
+    const { call, ending } = this;
+    const { rejections, logger } = call.context;
+    const { retryAfterMs } = denial;
+    logQuotaDenial(call.request.id, call.grant?.tenant?.name, denial, logger);
+    if (call.hasBegun) ending.abort('quota');
+    else if (retryAfterMs === undefined) ending.refuse(REQUEST_EXCEEDS_LIMIT);
+    else ending.refuse(rejections.overQuota(retryAfterMs));
+  }
+
+  /** Whether the placed request may end before its deadline; rejects it if that is not expected. */
+  private meetsDeadline(placement: Placement): boolean {
+    const { call } = this;
+    const { generation } = call.request;
+    // Once the request may have run, only another send can complete its response.
+    if (!generation || call.mayHaveRun || call.hasBegun) return true;
+    const verdict = call.context.rejections.admit(generation, placement, call.remainingMs);
+    call.isSample = verdict.kind === 'sample';
+    if (verdict.kind !== 'too-late') return true;
+    this.ending.reject(RejectionReason.TooLate, { excessMs: verdict.excessMs });
+    return false;
+  }
+
+  private sendTo(placement: Placement, grant: Grant, service: Service): void {
+    const { call } = this;
+    const { request, context } = call;
+    call.sends += 1;
+    if (call.sends === 1) this.recordFirstSend(service);
+    else context.statistics.repeatedSends += 1;
+    if (call.mayHaveRun) call.quota.chargeAgain();
+    const resumeAfter = call.response.lastEventId ?? request.resumeAfter;
+    const options = sendOptionsOf(placement, grant, call.remainingMs, resumeAfter);
+    logSend(request.id, call.sends, placement, context);
+    call.state = CallState.Sent;
+    this.onSend(grant);
+    call.send = new Send(placement, request, options, this.events, context);
+  }
+
+  private recordFirstSend(service: Service): void {
+    const { request, context, now } = this.call;
+    context.retryBudgets.of(service.name).noteRequest(now);
+    const { generation } = request;
+    if (!generation) return;
+    context.requestRate.record(generation.model, 1, now);
+    const ownTokens = generation.promptTokens - sharedTokensOf(generation);
+    context.ownTokenRate.record(generation.model, ownTokens, now);
+  }
+}
--- /dev/null
+++ b/src/coordination/gateway/call-ending.ts
@@ -0,0 +1,116 @@
+/** Ends one request: the router's own response, or the end of the one that was passed on. */
+import { RejectionReason } from '../../state/routing/rejection.js';
+import { logFinish } from './call-log.js';
+import type { CallRecord } from './call-record.js';
+import { CallState } from './call-state.js';
+import { REQUEST_CRASHES_ENGINES } from './permanent-rejections.js';
+import type { RejectionDetails } from './rejections.js';
+import type { RouterResponse } from './reply.js';
+
+/** Sends the final response of one request. */
+export class CallEnding {
+  constructor(
+    private readonly call: CallRecord,
+    /** Releases what the request holds; called once. */
+    private readonly onFinished: () => void,
+  ) {}
+
+  /** Ends the request after its response was passed on completely. */
+  complete(engine: string): void {
+    const { call } = this;
+    const { statistics } = call.context;
+    statistics.answered += 1;
+    if (call.isSample) statistics.tooLateSamplesInTime += 1;
+    this.finish('answered', 0, engine);
+  }
+
+  /** Ends the request after its caller closed the connection. */
+  abandon(): void {
+    const { send, context } = this.call;
+    send?.cancel();
+    context.statistics.abandonedByCaller += 1;
+    this.finish('caller-left', 0, send?.engineId);
+  }
+
+  /** Ends the request at its deadline. */
+  expire(): void {
+    const { call } = this;
+    call.send?.cancel();
+    if (call.sends > 0 && !call.isSample) call.context.statistics.admittedPastDeadline += 1;
+    if (call.hasBegun) this.abort('deadline');
+    else if (call.sends > 0) this.refuse({ status: 504, reason: 'deadline' });
+    else this.reject(RejectionReason.NoTimeLeft);
+  }
+
+  /**
+   * Sends the final response: a rejection with a retry delay if nothing ran, otherwise an error
+   * with the detail of the failure.
+   */
+  reject(reason: RejectionReason, details: RejectionDetails = {}): void {
+    const { call } = this;
+    call.send?.cancel();
+    const { detail = reason, ...estimates } = details;
+    const isAwaitingHead = call.state === CallState.Sent;
+    if (call.hasBegun) this.abort(detail);
+    else if (call.mayHaveRun || isAwaitingHead) this.refuse({ status: 502, reason: detail });
+    else {
+      const service = call.service?.name ?? '';
+      const priority = call.grant?.priority ?? 0;
+      const { rejections } = call.context;
+      this.refuse(rejections.responseTo({ reason, service, priority, ...estimates }));
+    }
+  }
+
+  /** Sends a permanent rejection, unless something may have run already. */
+  deny(response: RouterResponse): void {
+    if (this.call.hasBegun) this.abort(response.reason);
+    else if (this.call.mayHaveRun) this.refuse({ status: 502, reason: response.reason });
+    else this.refuse(response);
+  }
+
+  /**
+   * Rejects a quarantined request permanently, even if it may have run: no engine will serve it.
+   */
+  rejectQuarantined(): void {
+    this.call.context.statistics.quarantineRejections += 1;
+    if (this.call.hasBegun) this.abort(REQUEST_CRASHES_ENGINES.reason);
+    else this.refuse(REQUEST_CRASHES_ENGINES);
+  }
+
+  /** Sends a response of the router. */
+  refuse(response: RouterResponse): void {
+    const { call } = this;
+    if (response.status === 503) call.context.statistics.refused += 1;
+    else call.context.statistics.failed += 1;
+    call.reply.refuse(response);
+    this.finish(response.reason, response.status, call.send?.engineId);
+  }
+
+  /** Resets the caller's connection after a part of the response was sent. */
+  abort(reason: string): void {
+    const { call } = this;
+    call.context.statistics.failed += 1;
+    call.reply.abort();
+    this.finish(`aborted-${reason}`, 0, call.send?.engineId);
+  }
+
+  private finish(outcome: string, ownStatus: number, engine: string | undefined): void {
+    const { call } = this;
+    const isInProgress = call.state === CallState.Sent || call.state === CallState.Responding;
+    call.state = CallState.Finished;
+    call.quota.end(call.mayHaveRun || call.hasBegun || isInProgress);
+    if (call.service && call.sends > 0) call.context.rejections.noteFinish(call.service.name);
+    const end = {
+      outcome,
+      ownStatus,
+      responseStatus: call.response.status,
+      route: call.grant?.route.name,
+      fingerprint: call.crashes.computedFingerprint,
+      engine,
+      sends: call.sends,
+      firstChunkMs: call.response.firstChunkMs,
+    };
+    logFinish(call.request, end, call.context);
+    this.onFinished();
+  }
+}
--- /dev/null
+++ b/src/coordination/gateway/call-record.ts
@@ -0,0 +1,78 @@
+/**
+ * Facts about one request from its arrival to its response, shared by the modules that serve it.
+ *
+ * Which responses are allowed depends on two flags that are never reset: whether a send may have
+ * run (`mayHaveRun`), and whether a response head was sent to the caller (`hasBegun`). A 503, which
+ * guarantees that nothing ran, is sent only while both are false.
+ */
+import type { Service } from '../../state/routing/configuration.js';
+import { CallCrashes } from './call-crashes.js';
+import { CallQuota } from './call-quota.js';
+import { CallResponse } from './call-response.js';
+import { CallState } from './call-state.js';
+import type { GatewayContext } from './gateway-context.js';
+import type { InboundRequest, Reply } from './reply.js';
+import type { Grant } from './request-admission.js';
+import type { Send } from './send.js';
+
+/** Shortest remaining time in which a send can succeed, in milliseconds. */
+export const MINIMUM_BUDGET_MS = 15;
+
+/** State of one request. */
+export class CallRecord {
+  state = CallState.Choosing;
+  grant: Grant | undefined;
+  service: Service | undefined;
+  /** The current send, or the last one. */
+  send: Send | undefined;
+  /** Sends that reached an engine. */
+  sends = 0;
+  connectFailures = 0;
+  /** Engines already tried. */
+  readonly excluded = new Set<string>();
+  mayHaveRun = false;
+  /** Monotonic time; Infinity until the request was admitted. */
+  deadlineMs = Infinity;
+  /** Sent as a sample although the estimate predicted a missed deadline. */
+  isSample = false;
+  readonly response: CallResponse;
+  readonly crashes: CallCrashes;
+  readonly quota: CallQuota;
+
+  constructor(
+    readonly request: InboundRequest,
+    readonly reply: Reply,
+    readonly context: GatewayContext,
+  ) {
+    this.response = new CallResponse(reply);
+    this.crashes = new CallCrashes(request, context.crashes, () => this.grant);
+    this.quota = new CallQuota(request, context.quotas);
+  }
+
+  get isFinished(): boolean {
+    return this.state === CallState.Finished;
+  }
+
+  /** Whether a response head was sent to the caller. */
+  get hasBegun(): boolean {
+    return this.response.hasBegun;
+  }
+
+  get now(): number {
+    return this.context.clock.now();
+  }
+
+  get remainingMs(): number {
+    return this.deadlineMs - this.now;
+  }
+
+  get mayRepeat(): boolean {
+    return this.grant?.route.isRepeatable ?? false;
+  }
+
+  /** Whether attempts and time are left for another send. */
+  get canSendAgain(): boolean {
+    const limit = this.grant?.route.maximumAttempts ?? 1;
+    return this.sends < limit && this.remainingMs >= MINIMUM_BUDGET_MS;
+  }
+}
--- /dev/null
+++ b/src/coordination/gateway/call-retries.ts
@@ -0,0 +1,69 @@
+/** Decides whether one request is sent again after a failed send. */
+import type { ExchangeFailure } from '../../protocol/inference/port.js';
+import { RejectionReason } from '../../state/routing/rejection.js';
+import type { CallRecord } from './call-record.js';
+import { rejectionReasonOf } from './failed-send.js';
+import { type Send, placeCall } from './send.js';
+
+/** Failed connections allowed for one request before it is rejected. */
+const MAXIMUM_CONNECT_FAILURES = 3;
+
+/** What follows a failed send. */
+export type RetryDecision =
+  | { readonly kind: 'retry' }
+  | { readonly kind: 'reject'; readonly reason: RejectionReason; readonly detail?: string }
+  /** The caller has received a part of the response, which can't be continued. */
+  | { readonly kind: 'abort'; readonly detail: string };
+
+const RETRY: RetryDecision = { kind: 'retry' };
+
+/** Decides the retries of one request. */
+export class CallRetries {
+  constructor(private readonly call: CallRecord) {}
+
+  /** Decides after a failed send; a retry is spent from the budget. */
+  decide(failure: ExchangeFailure): RetryDecision {
+    return this.call.hasBegun ? this.decideResumption(failure) : this.decideRetry(failure);
+  }
+
+  /** Whether another engine is available and the retry budget allows a retry. */
+  canFailOver(send: Send): boolean {
+    const { grant, service, context, request, now, excluded } = this.call;
+    if (!grant || !service) return false;
+    const budget = context.retryBudgets.of(service.name);
+    if (!budget.canSpend(now, context.group.size)) return false;
+    const allExcluded = new Set([...excluded, send.engineId]);
+    return typeof placeCall(request, grant, service, allExcluded, context) !== 'string';
+  }
+
+  /** Decides before any part of a response was sent to the caller. */
+  private decideRetry(failure: ExchangeFailure): RetryDecision {
+    const { call } = this;
+    if (failure.kind === 'not-sent' && call.connectFailures > MAXIMUM_CONNECT_FAILURES) {
+      return { kind: 'reject', reason: RejectionReason.EnginesUnreachable };
+    }
+    const isSafe = call.mayRepeat || !call.mayHaveRun;
+    if (isSafe && this.isRetried(failure)) return RETRY;
+    return { kind: 'reject', reason: rejectionReasonOf(failure), detail: failure.reason };
+  }
+
+  /** Decides whether another engine continues a stream. */
+  private decideResumption(failure: ExchangeFailure): RetryDecision {
+    const isResumable = this.call.grant?.route.isResumable ?? false;
+    if (!isResumable || !this.isRetried(failure)) return { kind: 'abort', detail: failure.reason };
+    this.call.context.statistics.resumedStreams += 1;
+    return RETRY;
+  }
+
+  private isRetried(failure: ExchangeFailure): boolean {
+    const { canSendAgain, crashes } = this.call;
+    return canSendAgain && !crashes.isSuspectedCause(failure) && this.spendBudget(failure);
+  }
+
+  /** Spends from the retry budget; a send that did not reach its engine is free. */
+  private spendBudget(failure: ExchangeFailure): boolean {
+    const { service, context, now } = this.call;
+    if (failure.kind === 'not-sent' || !service) return true;
+    return context.retryBudgets.of(service.name).trySpend(now, context.group.size);
+  }
+}
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -1,257 +1,144 @@
 /**
- * Handles one request from arrival to response: admission, choice of an engine, sends, retries,
- * resumed streams and deadlines.
- *
- * Which responses are allowed depends on two flags that are never reset: whether a send may have
- * run (`mayHaveRun`), and whether a response head was sent to the caller (`hasBegun`). A 503, which
- * guarantees that nothing ran, is sent only while both are false.
+ * Handles one request from arrival to response: the events of its sends, its timeouts, its
+ * deadline and its caller's disconnect. What the steps have in common is in `CallRecord`.
  */
 import type { Timer } from '../../runtime/clock.js';
 import type { ResponseHead, ExchangeFailure } from '../../protocol/inference/port.js';
-import type { Service } from '../../state/routing/configuration.js';
-import { sharedTokensOf } from '../../state/routing/prompt-sources.js';
-import type { Placement, PlacementFailure } from '../../state/routing/placement.js';
 import { RejectionReason } from '../../state/routing/rejection.js';
-import { logFinish, logQuotaDenial, logSend, logSendFailure } from './call-log.js';
-import { recordFailedSend, rejectionReasonOf } from './failed-send.js';
-import { type ResponseMode, CallResponse } from './call-response.js';
-import { CallCrashes } from './call-crashes.js';
-import { CallQuota } from './call-quota.js';
+import { CallDispatch } from './call-dispatch.js';
+import { CallEnding } from './call-ending.js';
+import { logSendFailure } from './call-log.js';
+import { CallRecord } from './call-record.js';
+import type { ResponseMode } from './call-response.js';
+import { CallRetries } from './call-retries.js';
 import { CallState } from './call-state.js';
-import { SendTimeouts, type SendTimeoutReason } from './send-timeouts.js';
 import type { EngineRestart } from './engine-incarnation-tracker.js';
-import { belongsToPreviousIncarnation } from './previous-incarnation.js';
+import { recordFailedSend } from './failed-send.js';
 import type { GatewayContext } from './gateway-context.js';
-import { type Grant, admitRequest, serviceOf } from './request-admission.js';
-import { REQUEST_CRASHES_ENGINES, REQUEST_EXCEEDS_LIMIT } from './permanent-rejections.js';
-import type { QuotaDenial } from './quota/tenant-quotas.js';
-import type { InboundRequest, RouterResponse, Reply } from './reply.js';
-import type { RejectionDetails } from './rejections.js';
-import { Send, type SendEvents, placeCall, sendOptionsOf, engineWaitMs } from './send.js';
+import { belongsToPreviousIncarnation } from './previous-incarnation.js';
+import type { Grant } from './request-admission.js';
+import type { InboundRequest, Reply } from './reply.js';
+import type { Send, SendEvents } from './send.js';
+import { SendTimeouts, type SendTimeoutReason } from './send-timeouts.js';
 
-/** Failed connections allowed for one request before it is rejected. */
-const MAXIMUM_CONNECT_FAILURES = 3;
-/** Shortest remaining time in which a send can succeed. */
-const MINIMUM_BUDGET_MS = 15;
 const SERVER_ERROR = 500;
 
 /** The state machine of one request. */
 export class RequestCall implements SendEvents {
-  private state = CallState.Choosing;
-  private grant: Grant | undefined;
-  private service: Service | undefined;
-  private send: Send | undefined;
-  private sends = 0;
-  private connectFailures = 0;
-  private readonly excluded = new Set<string>();
-  private mayHaveRun = false;
-  private deadlineMs = Infinity;
-  private deadlineTimer: Timer | undefined;
+  private readonly call: CallRecord;
+  private readonly dispatch: CallDispatch;
+  private readonly retries: CallRetries;
+  private readonly ending: CallEnding;
   private readonly sendTimeouts: SendTimeouts;
-  private readonly response: CallResponse;
-  /** Sent as a sample although the estimate predicted a missed deadline. */
-  private isSample = false;
-  private readonly crashes: CallCrashes;
-  private readonly quota: CallQuota;
+  private deadlineTimer: Timer | undefined;
 
   constructor(
-    private readonly request: InboundRequest,
+    request: InboundRequest,
     private readonly reply: Reply,
     private readonly context: GatewayContext,
-    private readonly onFinished: () => void,
+    onFinished: () => void,
   ) {
-    this.response = new CallResponse(reply);
+    this.call = new CallRecord(request, reply, context);
+    this.ending = new CallEnding(this.call, () => {
+      this.deadlineTimer?.cancel();
+      this.sendTimeouts.cancel();
+      onFinished();
+    });
+    this.dispatch = new CallDispatch(this.call, this.ending, this, (grant) =>
+      this.startResponseTimeout(grant),
+    );
+    this.retries = new CallRetries(this.call);
     this.sendTimeouts = new SendTimeouts(context.clock, (reason) => this.onSendTimeout(reason));
-    this.crashes = new CallCrashes(request, context.crashes, () => this.grant);
-    this.quota = new CallQuota(request, context.quotas);
   }
 
   start(): void {
+    const { call } = this;
     this.context.statistics.requests += 1;
     this.reply.onClose(() => this.onCallerDisconnect());
-    this.reply.onDrain(() => this.send?.resume());
-    if (!this.admit()) return;
-    const { route } = this.grant as Grant;
-    const limitMs = Math.min(route.timeoutMs, this.request.budgetMs ?? Infinity);
-    this.deadlineMs = this.request.arrivedMs + limitMs;
-    this.deadlineTimer = this.context.clock.setTimer(this.remainingMs, () => this.onDeadline());
-    this.dispatch();
+    this.reply.onDrain(() => call.send?.resume());
+    if (!this.dispatch.admit()) return;
+    const { route } = call.grant as Grant;
+    const limitMs = Math.min(route.timeoutMs, call.request.budgetMs ?? Infinity);
+    call.deadlineMs = call.request.arrivedMs + limitMs;
+    this.deadlineTimer = this.context.clock.setTimer(call.remainingMs, () => this.ending.expire());
+    this.dispatch.dispatch();
   }
 
   onHead(send: Send, head: ResponseHead): void {
+    const { call } = this;
     this.sendTimeouts.cancel();
-    this.state = CallState.Responding;
+    call.state = CallState.Responding;
     if (!head.isAttested) {
       this.failSend(send, { kind: 'unknown', reason: `unattested-${head.status}` });
       return;
     }
-    if (head.status >= SERVER_ERROR && this.mayRepeat) {
-      this.context.health.noteFailure(send.engineId, this.now);
-      this.mayHaveRun = true;
-      if (this.hasBegun || this.canSendAgain()) {
+    if (head.status >= SERVER_ERROR && call.mayRepeat) {
+      this.context.health.noteFailure(send.engineId, call.now);
+      call.mayHaveRun = true;
+      if (call.hasBegun || call.canSendAgain) {
         this.failSend(send, { kind: 'unknown', reason: `engine-status-${head.status}` });
         return;
       }
     }
-    if (!this.hasBegun) this.response.handleHead(head, this.responseMode(head));
-    if (this.hasBegun) this.updateStallTimeout();
+    if (!call.hasBegun) call.response.handleHead(head, this.responseMode(head));
+    if (call.hasBegun) this.updateStallTimeout();
   }
 
   onChunk(send: Send, chunk: Uint8Array): void {
-    if (this.hasBegun && this.grant?.route.isResumable) this.updateStallTimeout();
-    if (!this.response.handleChunk(chunk, this.now)) send.pause();
+    const { call } = this;
+    if (call.hasBegun && call.grant?.route.isResumable) this.updateStallTimeout();
+    if (!call.response.handleChunk(chunk, call.now)) send.pause();
   }
 
   onEnd(send: Send): void {
-    this.response.handleEnd();
-    if ((this.response.status ?? SERVER_ERROR) < SERVER_ERROR) this.crashes.noteSuccess();
-    this.context.statistics.answered += 1;
-    if (this.isSample) this.context.statistics.tooLateSamplesInTime += 1;
-    this.finish('answered', 0, send.engineId);
+    const { response, crashes } = this.call;
+    response.handleEnd();
+    if ((response.status ?? SERVER_ERROR) < SERVER_ERROR) crashes.noteSuccess();
+    this.ending.complete(send.engineId);
   }
 
   onFailure(send: Send, failure: ExchangeFailure): void {
+    const { call } = this;
     this.sendTimeouts.cancel();
-    this.response.discardPending();
-    this.state = CallState.Choosing;
-    this.excluded.add(send.engineId);
+    call.response.discardPending();
+    call.state = CallState.Choosing;
+    call.excluded.add(send.engineId);
     this.recordFailure(send, failure);
-    this.crashes.noteFailure(send.engineId, failure, this.now - send.sentMs);
+    call.crashes.noteFailure(send.engineId, failure, call.now - send.sentMs);
     logSendFailure(
-      { request: this.request.id, send: this.sends, engine: send.engineId },
+      { request: call.request.id, send: call.sends, engine: send.engineId },
       failure,
-      this.crashes.computedFingerprint,
+      call.crashes.computedFingerprint,
       this.context.logger,
     );
-    if (this.hasBegun) this.resumeStream(failure);
-    else this.retryOnAnotherEngine(failure);
+    this.retryOrEnd(failure);
   }
 
   /** Rejects the request if its fingerprint is the quarantined one. */
   endIfQuarantined(fingerprint: string): void {
-    if (this.state === CallState.Finished || !this.crashes.matches(fingerprint)) return;
-    this.send?.cancel();
-    this.rejectQuarantined();
+    if (this.call.isFinished || !this.call.crashes.matches(fingerprint)) return;
+    this.call.send?.cancel();
+    this.ending.rejectQuarantined();
   }
 
   /** Ends the request because the router shuts down. */
   endForShutdown(): void {
-    if (this.hasBegun) this.abort('stopping');
-    else this.reject(RejectionReason.Stopping);
-  }
-
-  /** Whether a response head was sent to the caller. */
-  private get hasBegun(): boolean {
-    return this.response.hasBegun;
-  }
-
-  private get now(): number {
-    return this.context.clock.now();
-  }
-
-  private get remainingMs(): number {
-    return this.deadlineMs - this.now;
-  }
-
-  private get mayRepeat(): boolean {
-    return this.grant?.route.isRepeatable ?? false;
-  }
-
-  /** Admits the request or rejects it; called before each dispatch. */
-  private admit(): boolean {
-    const admission = admitRequest(this.request, this.context);
-    if (admission.kind === 'granted') {
-      this.grant = admission.grant;
-      if (!this.crashes.isQuarantined) return true;
-      this.rejectQuarantined();
-      return false;
-    }
-    if (admission.kind === 'rejected')
-      this.reject(admission.reason, { priority: admission.priority });
-    else this.deny(admission.response);
-    return false;
-  }
-
-  /** Chooses an engine and sends the request to it; rejects the request if that is not possible. */
-  private dispatch(): void {
-    const grant = this.grant as Grant;
-    this.service ??= serviceOf(grant, this.context);
-    if (!this.service) {
-      this.reject(RejectionReason.NoService);
-      return;
-    }
-    if (this.remainingMs < MINIMUM_BUDGET_MS) {
-      this.reject(RejectionReason.NoTimeLeft);
-      return;
-    }
-    const placed = placeCall(this.request, grant, this.service, this.excluded, this.context);
-    if (typeof placed === 'string') this.rejectUnplaced(placed, this.service);
-    else if (!this.meetsDeadline(placed)) return;
-    else if (this.quota.isGranted) this.sendTo(placed, grant, this.service);
-    else this.acquireQuota(placed, grant, this.service);
-  }
-
-  private rejectUnplaced(reason: PlacementFailure, service: Service): void {
-    this.reject(reason, { engineWaitMs: engineWaitMs(reason, service, this.context) });
-  }
-
-  /** Sends the request if the tenant's limit allows it. */
-  private acquireQuota(placement: Placement, grant: Grant, service: Service): void {
-    let isImmediate = true;
-    this.quota.acquire(grant.tenant, (decision) => {
-      if (decision.kind === 'denied') this.rejectOverQuota(decision);
-      else if (isImmediate) this.sendTo(placement, grant, service);
-      // The chosen engine may be outdated by the time the quota owner responds.
-      else if (this.admit()) this.dispatch();
-    });
-    isImmediate = false;
+    if (this.call.hasBegun) this.ending.abort('stopping');
+    else this.ending.reject(RejectionReason.Stopping);
   }
 
-  private rejectOverQuota(denial: QuotaDenial): void {
-    const { rejections, logger } = this.context;
-    const { retryAfterMs } = denial;
-    logQuotaDenial(this.request.id, this.grant?.tenant?.name, denial, logger);
-    if (this.hasBegun) this.abort('quota');
-    else if (retryAfterMs === undefined) this.refuse(REQUEST_EXCEEDS_LIMIT);
-    else this.refuse(rejections.overQuota(retryAfterMs));
-  }
-
-  /** Whether the placed request may end before its deadline; rejects it if that is not expected. */
-  private meetsDeadline(placement: Placement): boolean {
-    const { generation } = this.request;
-    // Once the request may have run, only another send can complete its response.
-    if (!generation || this.mayHaveRun || this.hasBegun) return true;
-    const verdict = this.context.rejections.admit(generation, placement, this.remainingMs);
-    this.isSample = verdict.kind === 'sample';
-    if (verdict.kind !== 'too-late') return true;
-    this.reject(RejectionReason.TooLate, { excessMs: verdict.excessMs });
-    return false;
-  }
-
-  private sendTo(placement: Placement, grant: Grant, service: Service): void {
-    this.sends += 1;
-    if (this.sends === 1) this.recordFirstSend(service);
-    else this.context.statistics.repeatedSends += 1;
-    if (this.mayHaveRun) this.quota.chargeAgain();
-    const resumeAfter = this.response.lastEventId ?? this.request.resumeAfter;
-    const options = sendOptionsOf(placement, grant, this.remainingMs, resumeAfter);
-    logSend(this.request.id, this.sends, placement, this.context);
-    this.state = CallState.Sent;
-    this.startFailoverTimeout(grant);
-    this.send = new Send(placement, this.request, options, this, this.context);
-  }
-
-  private recordFirstSend(service: Service): void {
-    this.context.retryBudgets.of(service.name).noteRequest(this.now);
-    const { generation } = this.request;
-    if (!generation) return;
-    this.context.requestRate.record(generation.model, 1, this.now);
-    const ownTokens = generation.promptTokens - sharedTokensOf(generation);
-    this.context.ownTokenRate.record(generation.model, ownTokens, this.now);
+  /**
+   * Fails the send if only the previous incarnation of the restarted engine can have received it.
+   */
+  failSendToPreviousIncarnation(restart: EngineRestart): void {
+    const { send, isFinished } = this.call;
+    if (!send || isFinished) return;
+    const isAffected = belongsToPreviousIncarnation(send, restart, this.context.clock);
+    if (isAffected) send.failAsDisconnected('engine-reborn');
   }
 
   private responseMode(head: ResponseHead): ResponseMode {
-    const { route } = this.grant as Grant;
+    const { route } = this.call.grant as Grant;
     return { isStream: route.isStreaming && head.status < 300, isResumable: route.isResumable };
   }
 
@@ -263,167 +150,42 @@
 
   /** Records the failure; a send that did not reach its engine is not counted as an attempt. */
   private recordFailure(send: Send, failure: ExchangeFailure): void {
-    if (recordFailedSend(send.engineId, failure, this.context)) this.mayHaveRun = true;
+    const { call } = this;
+    if (recordFailedSend(send.engineId, failure, this.context)) call.mayHaveRun = true;
     if (failure.kind !== 'not-sent') return;
-    this.sends -= 1;
-    this.connectFailures += 1;
+    call.sends -= 1;
+    call.connectFailures += 1;
   }
 
-  /** Retries on another engine before any part of a response was sent to the caller. */
-  private retryOnAnotherEngine(failure: ExchangeFailure): void {
-    if (failure.kind === 'not-sent' && this.connectFailures > MAXIMUM_CONNECT_FAILURES) {
-      this.reject(RejectionReason.EnginesUnreachable);
-      return;
-    }
-    const isSafe = this.mayRepeat || !this.mayHaveRun;
-    const isRetried = isSafe && this.canSendAgain() && !this.crashes.isSuspectedCause(failure);
-    if (!isRetried || !this.spendRetryBudget(failure)) {
-      this.reject(rejectionReasonOf(failure), { detail: failure.reason });
-      return;
-    }
-    if (this.admit()) this.dispatch();
-  }
-
-  /** Resumes a stream on another engine. */
-  private resumeStream(failure: ExchangeFailure): void {
-    const isResumable = this.grant?.route.isResumable ?? false;
-    const isResumed = isResumable && this.canSendAgain() && !this.crashes.isSuspectedCause(failure);
-    if (!isResumed || !this.spendRetryBudget(failure)) {
-      this.abort(failure.reason);
-      return;
-    }
-    this.context.statistics.resumedStreams += 1;
-    if (this.admit()) this.dispatch();
-  }
-
-  private canSendAgain(): boolean {
-    const limit = this.grant?.route.maximumAttempts ?? 1;
-    return this.sends < limit && this.remainingMs >= MINIMUM_BUDGET_MS;
+  private retryOrEnd(failure: ExchangeFailure): void {
+    const decision = this.retries.decide(failure);
+    if (decision.kind === 'abort') this.ending.abort(decision.detail);
+    else if (decision.kind === 'reject') {
+      const { reason, detail } = decision;
+      this.ending.reject(reason, detail === undefined ? {} : { detail });
+    } else if (this.dispatch.admit()) this.dispatch.dispatch();
   }
 
-  /** Spends from the retry budget; a send that did not reach its engine is free. */
-  private spendRetryBudget(failure: ExchangeFailure): boolean {
-    if (failure.kind === 'not-sent' || !this.service) return true;
-    const budget = this.context.retryBudgets.of(this.service.name);
-    return budget.trySpend(this.now, this.context.group.size);
-  }
-
-  private startFailoverTimeout(grant: Grant): void {
-    if (!this.mayRepeat || this.sends >= grant.route.maximumAttempts) return;
-    this.sendTimeouts.startResponseTimeout(grant.route.objectiveMs, this.remainingMs);
+  private startResponseTimeout(grant: Grant): void {
+    const { call } = this;
+    if (!call.mayRepeat || call.sends >= grant.route.maximumAttempts) return;
+    this.sendTimeouts.startResponseTimeout(grant.route.objectiveMs, call.remainingMs);
   }
 
   /** Restarts the stall timeout for a resumable stream. */
   private updateStallTimeout(): void {
-    if (this.grant?.route.isResumable) this.sendTimeouts.restartStallTimeout();
+    if (this.call.grant?.route.isResumable) this.sendTimeouts.restartStallTimeout();
     else this.sendTimeouts.cancel();
   }
 
   private onSendTimeout(reason: SendTimeoutReason): void {
-    const { send } = this;
-    if (!send || this.state === CallState.Finished) return;
-    if (!this.canSendAgain() || !this.canFailOver(send)) return;
+    const { send, isFinished, canSendAgain } = this.call;
+    if (!send || isFinished) return;
+    if (!canSendAgain || !this.retries.canFailOver(send)) return;
     this.failSend(send, { kind: 'unknown', reason });
   }
 
-  /** Whether another engine is available and the retry budget allows a retry. */
-  private canFailOver(send: Send): boolean {
-    const { grant, service, context } = this;
-    if (!grant || !service) return false;
-    const budget = context.retryBudgets.of(service.name);
-    if (!budget.canSpend(this.now, context.group.size)) return false;
-    const excluded = new Set([...this.excluded, send.engineId]);
-    return typeof placeCall(this.request, grant, service, excluded, context) !== 'string';
-  }
-
-  /**
-   * Fails the send if only the previous incarnation of the restarted engine can have received it.
-   */
-  failSendToPreviousIncarnation(restart: EngineRestart): void {
-    if (!this.send || this.state === CallState.Finished) return;
-    const isAffected = belongsToPreviousIncarnation(this.send, restart, this.context.clock);
-    if (isAffected) this.send.failAsDisconnected('engine-reborn');
-  }
-
-  private onDeadline(): void {
-    this.send?.cancel();
-    if (this.sends > 0 && !this.isSample) this.context.statistics.admittedPastDeadline += 1;
-    if (this.hasBegun) this.abort('deadline');
-    else if (this.sends > 0) this.refuse({ status: 504, reason: 'deadline' });
-    else this.reject(RejectionReason.NoTimeLeft);
-  }
-
   private onCallerDisconnect(): void {
-    if (this.state === CallState.Finished) return;
-    this.send?.cancel();
-    this.context.statistics.abandonedByCaller += 1;
-    this.finish('caller-left', 0, this.send?.engineId);
-  }
-
-  /**
-   * Sends the final response: a rejection with a retry delay if nothing ran, otherwise an error
-   * with the detail of the failure.
-   */
-  private reject(reason: RejectionReason, details: RejectionDetails = {}): void {
-    this.send?.cancel();
-    const { detail = reason, ...estimates } = details;
-    const isAwaitingHead = this.state === CallState.Sent;
-    if (this.hasBegun) this.abort(detail);
-    else if (this.mayHaveRun || isAwaitingHead) this.refuse({ status: 502, reason: detail });
-    else {
-      const service = this.service?.name ?? '';
-      const priority = this.grant?.priority ?? 0;
-      this.refuse(this.context.rejections.responseTo({ reason, service, priority, ...estimates }));
-    }
-  }
-
-  /** Sends a permanent rejection, unless something may have run already. */
-  private deny(response: RouterResponse): void {
-    if (this.hasBegun) this.abort(response.reason);
-    else if (this.mayHaveRun) this.refuse({ status: 502, reason: response.reason });
-    else this.refuse(response);
-  }
-
-  /**
-   * Rejects a quarantined request permanently, even if it may have run: no engine will serve it.
-   */
-  private rejectQuarantined(): void {
-    this.context.statistics.quarantineRejections += 1;
-    if (this.hasBegun) this.abort(REQUEST_CRASHES_ENGINES.reason);
-    else this.refuse(REQUEST_CRASHES_ENGINES);
-  }
-
-  private refuse(response: RouterResponse): void {
-    if (response.status === 503) this.context.statistics.refused += 1;
-    else this.context.statistics.failed += 1;
-    this.reply.refuse(response);
-    this.finish(response.reason, response.status, this.send?.engineId);
-  }
-
-  private abort(reason: string): void {
-    this.context.statistics.failed += 1;
-    this.reply.abort();
-    this.finish(`aborted-${reason}`, 0, this.send?.engineId);
-  }
-
-  private finish(outcome: string, ownStatus: number, engine: string | undefined): void {
-    const isInProgress = this.state === CallState.Sent || this.state === CallState.Responding;
-    this.state = CallState.Finished;
-    this.deadlineTimer?.cancel();
-    this.sendTimeouts.cancel();
-    this.quota.end(this.mayHaveRun || this.hasBegun || isInProgress);
-    if (this.service && this.sends > 0) this.context.rejections.noteFinish(this.service.name);
-    const end = {
-      outcome,
-      ownStatus,
-      responseStatus: this.response.status,
-      route: this.grant?.route.name,
-      fingerprint: this.crashes.computedFingerprint,
-      engine,
-      sends: this.sends,
-      firstChunkMs: this.response.firstChunkMs,
-    };
-    logFinish(this.request, end, this.context);
-    this.onFinished();
+    if (!this.call.isFinished) this.ending.abandon();
   }
 }
