Add request queues to routers

No request waited in a router: a full engine got it anyway or it was rejected, and the queue formed at the engines, where no router can reorder it.

RequestQueue orders by urgency, slack and tenant share, with served shares that keep tenants and long prompts from being neglected. ServiceQueue admits what is expected to be served in time, reviews it while it waits, and sends it when the engines have room for this router's share. A request that was rejected by a full engine returns to the queue while attempts, retry budget and time are left. PEATSPAN_DISABLED_FEATURES=request-queue restores the previous behavior.

--- /dev/null
+++ b/src/coordination/gateway/admission/request-queues.ts
@@ -0,0 +1,176 @@
+/** The request queues of one router, by service, and what they know of the engines' capacity. */
+import {
+  hasGenerationCapacity,
+  plainRequestLimit,
+} from '../../../state/routing/engine-capacity.js';
+import type { Service } from '../../../state/routing/configuration.js';
+import type { Engine } from '../../../state/routing/engine-registry.js';
+import type { GenerationShape } from '../../../state/routing/generation.js';
+import type { Placement } from '../../../state/routing/placement.js';
+import type { GatewayContext } from '../gateway-context.js';
+import type { GatewaySettings } from '../gateway-settings.js';
+import { LoadSharingFeature } from '../load-sharing-settings.js';
+import {
+  type RequestQueueSettings,
+  checkQueueSettings,
+  queueSettingsFor,
+} from './queue-settings.js';
+import { ReturningCallers } from './returning-callers.js';
+import { ServiceQueue } from './service-queue.js';
+import { ServiceTime } from './service-time.js';
+
+/** What the queues read of the router. */
+export type QueueContext = Pick<
+  GatewayContext,
+  | 'clock'
+  | 'random'
+  | 'logger'
+  | 'registry'
+  | 'loads'
+  | 'health'
+  | 'slotView'
+  | 'shareOfTraffic'
+  | 'tenantRanking'
+  | 'statistics'
+>;
+
+/** State of one service. */
+interface ServiceState {
+  readonly queue: ServiceQueue;
+  readonly time: ServiceTime;
+  /** Configuration of the service at the last request. */
+  service: Service;
+}
+
+/** Creates the queues of a router; undefined if they are switched off. */
+export function createRequestQueues(
+  { disabledFeatures, requestQueue }: GatewaySettings,
+  context: QueueContext,
+): RequestQueues | undefined {
+  if (disabledFeatures?.has(LoadSharingFeature.RequestQueue)) return undefined;
+  return new RequestQueues(requestQueue ?? queueSettingsFor(), context);
+}
+
+/** All queues of one router. */
+export class RequestQueues {
+  readonly returning: ReturningCallers;
+  private readonly states = new Map<string, ServiceState>();
+  private readonly settings: RequestQueueSettings;
+
+  /** Throws a `RangeError` if a setting is not a positive number. */
+  constructor(
+    settings: RequestQueueSettings,
+    private readonly context: QueueContext,
+  ) {
+    this.settings = checkQueueSettings(settings);
+    this.returning = new ReturningCallers(context.clock);
+  }
+
+  /** Requests that wait now. */
+  get size(): number {
+    return this.sum(({ queue }) => queue.size);
+  }
+
+  of(service: Service): ServiceQueue {
+    return this.stateOf(service).queue;
+  }
+
+  /** Whether the engine of a placement has capacity for the request. */
+  hasCapacity(
+    placement: Placement,
+    service: Service,
+    generation: GenerationShape | undefined,
+    objectiveMs: number,
+  ): boolean {
+    const { record } = placement.engine;
+    const load = this.context.loads.at(record.id);
+    if (service.engine && generation) {
+      return hasGenerationCapacity(load, service.engine, generation);
+    }
+    return load.requests < this.limitAt(record.slots, service, objectiveMs);
+  }
+
+  /** Expected time of a request at an engine that generates nothing, in milliseconds. */
+  serviceMs(service: Service): number {
+    return this.stateOf(service).time.ms ?? 0;
+  }
+
+  /**
+   * Records that a request was served by an engine.
+   *
+   * @param tookMs from the send to the end, in milliseconds
+   * @param requests at the engine when the request was sent, itself included
+   */
+  noteCompleted(service: Service, tookMs: number, requests: number, slots: number): void {
+    const { queue, time } = this.stateOf(service);
+    queue.noteCompleted();
+    if (!service.engine) time.record(tookMs, requests, slots);
+  }
+
+  /** Ends the queues; the router ends the waiting requests. */
+  stop(): void {
+    for (const { queue } of this.states.values()) queue.stop();
+  }
+
+  private limitAt(slots: number, service: Service, objectiveMs: number): number {
+    if (service.engine) return service.engine.slots;
+    return plainRequestLimit(slots, this.stateOf(service).time.ms, objectiveMs);
+  }
+
+  private stateOf(service: Service): ServiceState {
+    let state = this.states.get(service.name);
+    if (!state) {
+      state = { queue: this.createQueue(service.name), time: new ServiceTime(), service };
+      this.states.set(service.name, state);
+    }
+    state.service = service;
+    return state;
+  }
+
+  private createQueue(name: string): ServiceQueue {
+    const { maximumRequests, maximumBytes, maximumWaitMs } = this.settings;
+    const others = (amount: (queue: ServiceQueue) => number): number =>
+      this.sum((state) => (state.service.name === name ? 0 : amount(state.queue)));
+    return new ServiceQueue({
+      ...this.context,
+      shareOfTraffic: () => this.context.shareOfTraffic(),
+      service: name,
+      // What the queues of the other services leave of the router's bounds.
+      bounds: {
+        get maximumRequests() {
+          return maximumRequests - others(({ size }) => size);
+        },
+        get maximumBytes() {
+          return maximumBytes - others(({ bytes }) => bytes);
+        },
+      },
+      maximumWaitMs,
+      room: (objectiveMs) => this.roomOf(name, objectiveMs),
+    });
+  }
+
+  /** Requests that the engines of a service have room for. */
+  private roomOf(name: string, objectiveMs: number): number {
+    const service = this.states.get(name)?.service;
+    if (!service) return 0;
+    const { registry, loads } = this.context;
+    const engines = registry.readyOf(name).filter((engine) => this.accepts(engine));
+    const rooms = engines.map(({ record }) => {
+      const limit = this.limitAt(record.slots, service, objectiveMs);
+      return Math.max(0, limit - loads.at(record.id).requests);
+    });
+    return rooms.reduce((total, room) => total + room, 0);
+  }
+
+  private accepts({ record }: Engine): boolean {
+    const { health, clock, slotView } = this.context;
+    const now = clock.now();
+    if (health.backoffs.remainingMs(record.name, now) > 0) return false;
+    if (health.isLoading(record.id, now) || health.isAvoided(record.id, now)) return false;
+    return health.limits.maySend(record.name, slotView());
+  }
+
+  private sum(amount: (state: ServiceState) => number): number {
+    return [...this.states.values()].reduce((total, state) => total + amount(state), 0);
+  }
+}
--- a/src/coordination/gateway/call-dispatch.ts
+++ b/src/coordination/gateway/call-dispatch.ts
@@ -1,12 +1,14 @@
-/** Brings one request to an engine: its grant, its service, the choice of the engine and its quota. */
+/** Brings one request to an engine: its grant, the choice of the engine, its quota and its wait. */
 import { sharedTokensOf } from '../../state/routing/prompt-sources.js';
 import type { Service } from '../../state/routing/configuration.js';
 import type { Placement, PlacementFailure } from '../../state/routing/placement.js';
 import { RejectionReason } from '../../state/routing/rejection.js';
+import { SendAttempt } from './admission/waiting-call.js';
 import type { CallEnding } from './call-ending.js';
 import { logQuotaDenial, logSend } from './call-log.js';
 import { type CallRecord, MINIMUM_BUDGET_MS } from './call-record.js';
 import { CallState } from './call-state.js';
+import { CallWaiting } from './call-waiting.js';
 import { REQUEST_EXCEEDS_LIMIT } from './permanent-rejections.js';
 import type { QuotaDenial } from './quota/tenant-quotas.js';
 import { type Grant, admitRequest, serviceOf } from './request-admission.js';
@@ -14,13 +16,17 @@
 
 /** Dispatches one request, at its arrival and again after each failed send. */
 export class CallDispatch {
+  private readonly waiting: CallWaiting;
+
   constructor(
     private readonly call: CallRecord,
     private readonly ending: CallEnding,
     private readonly events: SendEvents,
     /** Called right before a send. */
     private readonly onSend: (grant: Grant) => void,
-  ) {}
+  ) {
+    this.waiting = new CallWaiting(call, ending, () => this.trySend());
+  }
 
   /** Admits the request or rejects it; called before each dispatch. */
   admit(): boolean {
@@ -38,7 +44,10 @@
     return false;
   }
 
-  /** Chooses an engine and sends the request to it; rejects the request if that is not possible. */
+  /**
+   * Chooses an engine and sends the request to it; otherwise the request waits for capacity, or is
+   * rejected.
+   */
   dispatch(): void {
     const { call, ending } = this;
     const grant = call.grant as Grant;
@@ -53,6 +62,33 @@
       return;
     }
     const placed = placeCall(call.request, grant, service, call.excluded, call.context);
+    if (this.waiting.enterIfNeeded(placed, grant, service)) return;
+    this.sendPlaced(placed, grant, service);
+  }
+
+  /** Sends a request whose turn it is in the queue, if an engine has capacity for it. */
+  private trySend(): SendAttempt {
+    const { call, ending } = this;
+    if (!this.admit()) return SendAttempt.Done;
+    const grant = call.grant as Grant;
+    // The configuration may have changed while the request waited.
+    call.service = grant.table.findService(call.service?.name ?? '');
+    const { service } = call;
+    if (!service) {
+      ending.reject(RejectionReason.NoService);
+      return SendAttempt.Done;
+    }
+    this.waiting.allowRefusingEngines();
+    const placed = placeCall(call.request, grant, service, call.excluded, call.context);
+    if (this.waiting.causeOf(placed, grant, service) !== undefined) return SendAttempt.NoCapacity;
+    call.state = CallState.Choosing;
+    call.place = undefined;
+    this.sendPlaced(placed, grant, service);
+    return SendAttempt.Done;
+  }
+
+  private sendPlaced(placed: Placement | PlacementFailure, grant: Grant, service: Service): void {
+    const { call } = this;
     if (typeof placed === 'string') this.rejectUnplaced(placed, service);
     else if (!this.meetsDeadline(placed)) return;
     else if (call.quota.isGranted) this.sendTo(placed, grant, service);
@@ -102,6 +138,7 @@
     const { call } = this;
     const { request, context } = call;
     call.sends += 1;
+    call.engineRequests = context.loads.at(placement.engine.record.id).requests + 1;
     if (call.sends === 1) this.recordFirstSend(service);
     else context.statistics.repeatedSends += 1;
     if (call.mayHaveRun) call.quota.chargeAgain();
--- a/src/coordination/gateway/call-ending.ts
+++ b/src/coordination/gateway/call-ending.ts
@@ -18,7 +18,12 @@
   /** Ends the request after its response was passed on completely. */
   complete(engine: string): void {
     const { call } = this;
-    const { statistics } = call.context;
+    const { statistics, queues } = call.context;
+    if (call.service && call.send) {
+      const { sentMs, placement } = call.send;
+      const { slots } = placement.engine.record;
+      queues?.noteCompleted(call.service, call.now - sentMs, call.engineRequests, slots);
+    }
     statistics.answered += 1;
     if (call.isSample) statistics.tooLateSamplesInTime += 1;
     this.finish('answered', 0, engine);
@@ -36,6 +41,10 @@
   expire(): void {
     const { call } = this;
     call.send?.cancel();
+    if (call.state === CallState.Queued) {
+      this.reject(RejectionReason.NoTimeLeft);
+      return;
+    }
     if (call.sends > 0 && !call.isSample) call.context.statistics.admittedPastDeadline += 1;
     if (call.hasBegun) this.abort('deadline');
     else if (call.sends > 0) this.refuse({ status: 504, reason: 'deadline' });
@@ -98,6 +107,8 @@
     const { call } = this;
     const isInProgress = call.state === CallState.Sent || call.state === CallState.Responding;
     call.state = CallState.Finished;
+    call.place?.leave();
+    if (call.service && isInProgress) call.context.queues?.of(call.service).noteSendEnded();
     call.quota.end(call.mayHaveRun || call.hasBegun || isInProgress);
     if (call.service && call.sends > 0) call.context.rejections.noteFinish(call.service.name);
     const end = {
--- a/src/coordination/gateway/call-record.ts
+++ b/src/coordination/gateway/call-record.ts
@@ -6,6 +6,7 @@
  * guarantees that nothing ran, is sent only while both are false.
  */
 import type { Service } from '../../state/routing/configuration.js';
+import type { QueuePlace } from './admission/waiting-call.js';
 import { CallCrashes } from './call-crashes.js';
 import { CallQuota } from './call-quota.js';
 import { CallResponse } from './call-response.js';
@@ -30,6 +31,12 @@
   connectFailures = 0;
   /** Engines already tried. */
   readonly excluded = new Set<string>();
+  /** Engines among the excluded that had no capacity; they may be tried again after a wait. */
+  readonly refusedBy = new Set<string>();
+  /** Place in the queue of the service; undefined while the request does not wait. */
+  place: QueuePlace | undefined;
+  /** Requests at the engine when this one was sent, itself included. */
+  engineRequests = 0;
   mayHaveRun = false;
   /** Monotonic time; Infinity until the request was admitted. */
   deadlineMs = Infinity;
@@ -70,6 +77,11 @@
     return this.grant?.route.isRepeatable ?? false;
   }
 
+  /** Whether nothing of the request can have run, so that it may be rejected or wait. */
+  get isUnstarted(): boolean {
+    return !this.mayHaveRun && !this.hasBegun;
+  }
+
   /** Whether attempts and time are left for another send. */
   get canSendAgain(): boolean {
     const limit = this.grant?.route.maximumAttempts ?? 1;
--- /dev/null
+++ b/src/coordination/gateway/call-waiting.ts
@@ -0,0 +1,118 @@
+/** The wait of one request in the queue of its service. */
+import type { Service } from '../../state/routing/configuration.js';
+import type { Placement, PlacementFailure } from '../../state/routing/placement.js';
+import { PREFILL_TOKENS_PER_MS, sharedTokensOf } from '../../state/routing/prompt-sources.js';
+import { RejectionReason } from '../../state/routing/rejection.js';
+import type { RequestQueues } from './admission/request-queues.js';
+import type { SendAttempt, WaitDemand, WaitingCall } from './admission/waiting-call.js';
+import type { CallEnding } from './call-ending.js';
+import type { CallRecord } from './call-record.js';
+import { CallState } from './call-state.js';
+import type { RejectionDetails } from './rejections.js';
+import type { Grant } from './request-admission.js';
+import { engineWaitMs } from './send.js';
+
+/** Lets one request wait, and ends it if the queue rejects it. */
+export class CallWaiting implements WaitingCall {
+  constructor(
+    private readonly call: CallRecord,
+    private readonly ending: CallEnding,
+    readonly trySend: () => SendAttempt,
+  ) {}
+
+  /**
+   * Lets the request wait if no engine has capacity or others wait before it; rejects it if it is
+   * not expected to be served in time. Returns whether either was the case.
+   */
+  enterIfNeeded(placed: Placement | PlacementFailure, grant: Grant, service: Service): boolean {
+    const { call } = this;
+    const { queues } = call.context;
+    // A request that may have run can't be rejected, so it is sent as soon as possible.
+    if (!queues || !call.isUnstarted) return false;
+    const queue = queues.of(service);
+    const cause = this.causeOf(placed, grant, service);
+    if (cause === undefined && (typeof placed === 'string' || !queue.isAheadOf(grant.priority))) {
+      return false;
+    }
+    const demand = this.demandOf(placed, cause ?? RejectionReason.EnginesFull, grant, service);
+    const result = queue.enter(this, demand);
+    if ('leave' in result) {
+      call.place = result;
+      call.state = CallState.Queued;
+    } else this.reject(queues, result.reason, result.details);
+    return true;
+  }
+
+  /** Why the request must wait; undefined if it can be sent, or if waiting does not help. */
+  causeOf(
+    placed: Placement | PlacementFailure,
+    { route }: Grant,
+    service: Service,
+  ): RejectionReason | undefined {
+    const { call } = this;
+    const { queues } = call.context;
+    if (!queues) return undefined;
+    if (typeof placed !== 'string') {
+      const { generation } = call.request;
+      const hasCapacity = queues.hasCapacity(placed, service, generation, route.objectiveMs);
+      return hasCapacity ? undefined : RejectionReason.EnginesFull;
+    }
+    if (placed !== RejectionReason.NoEngine) return placed;
+    return call.refusedBy.size > 0 ? RejectionReason.EnginesFull : undefined;
+  }
+
+  /** Allows sends to the engines that had no capacity before the wait. */
+  allowRefusingEngines(): void {
+    for (const engine of this.call.refusedBy) this.call.excluded.delete(engine);
+    this.call.refusedBy.clear();
+  }
+
+  rejectFromQueue(reason: RejectionReason, details: RejectionDetails): void {
+    const { queues } = this.call.context;
+    if (queues) this.reject(queues, reason, details);
+  }
+
+  private reject(queues: RequestQueues, reason: RejectionReason, details: RejectionDetails): void {
+    const { request, grant } = this.call;
+    if (reason !== RejectionReason.Stopping) queues.returning.note(request, grant?.tenant?.name);
+    this.ending.reject(reason, details);
+  }
+
+  private demandOf(
+    placed: Placement | PlacementFailure,
+    cause: RejectionReason,
+    grant: Grant,
+    service: Service,
+  ): WaitDemand {
+    const { call } = this;
+    const { request, context } = call;
+    const tenant = grant.tenant?.name;
+    const returning = context.queues?.returning.isReturning(request, tenant) ?? false;
+    return {
+      requestId: request.id,
+      priority: grant.priority,
+      tenant,
+      bytes: request.body.length,
+      size: request.generation?.promptTokens ?? request.body.length,
+      isReturning: call.sends > 0 || returning,
+      cause,
+      arrivedMs: request.arrivedMs,
+      objectiveMs: grant.route.objectiveMs,
+      deadlineMs: call.deadlineMs,
+      firstTokenMs: this.firstTokenMs(placed, service),
+      engineWaitMs: typeof placed === 'string' ? (engineWaitMs(placed, service, context) ?? 0) : 0,
+    };
+  }
+
+  /** Time to the first token at an engine with capacity, in milliseconds. */
+  private firstTokenMs(placed: Placement | PlacementFailure, service: Service): number {
+    const { request, context } = this.call;
+    const { generation } = request;
+    if (!service.engine || !generation) return context.queues?.serviceMs(service) ?? 0;
+    if (typeof placed !== 'string') {
+      const { prefillTokensPerMs } = context.speeds.at(placed.engine.record.id);
+      return placed.unreadTokens / prefillTokensPerMs;
+    }
+    return (generation.promptTokens - sharedTokensOf(generation)) / PREFILL_TOKENS_PER_MS;
+  }
+}
--- a/src/coordination/gateway/failed-send.ts
+++ b/src/coordination/gateway/failed-send.ts
@@ -45,6 +45,11 @@
   return 'isDisconnect' in failure && failure.isDisconnect === true;
 }
 
+/** Whether the engine rejected the request because it had no capacity. */
+export function isRefusedAsFull(failure: ExchangeFailure): boolean {
+  return failure.kind === 'refused' && !isMisdirected(failure);
+}
+
 function isMisdirected(failure: ExchangeFailure): boolean {
   return failure.kind === 'refused' && failure.status === HttpStatus.Misdirected;
 }
--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -19,6 +19,7 @@
 import type { EngineSpeedView } from '../../state/routing/engine-speeds.js';
 import type { TenantRanking } from '../../state/routing/tenant-shares.js';
 import type { WeightVersions } from '../../state/routing/weight-versions.js';
+import type { RequestQueues } from './admission/request-queues.js';
 import type { CrashProtection } from './crash-protection.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
 import type { EngineLimitDiscovery } from './engine-limit-discovery.js';
@@ -77,6 +78,8 @@
   readonly quotas: TenantQuotas;
   readonly speeds: EngineSpeedView;
   readonly tenantRanking: TenantRanking;
+  /** Undefined if requests never wait in the router. */
+  readonly queues: RequestQueues | undefined;
   readonly statistics: GatewayStatistics;
   readonly zone: string;
 }
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -27,6 +27,7 @@
 import { CrashProtection } from './crash-protection.js';
 import { followKinds } from './followed-kinds.js';
 import { type GatewayContext, ServiceRetryBudgets } from './gateway-context.js';
+import { createRequestQueues } from './admission/request-queues.js';
 import { DEFAULT_QUOTA_TOLERANCE, type GatewaySettings } from './gateway-settings.js';
 import { GatewayStatistics } from './gateway-statistics.js';
 import { GroupExchange } from './group-exchange.js';
@@ -171,7 +172,7 @@
       clock,
       logger,
     });
-    this.context = {
+    const shared = {
       clock,
       random,
       homes,
@@ -205,6 +206,7 @@
       statistics: this.statistics,
       zone: settings.zone,
     };
+    this.context = { ...shared, queues: createRequestQueues(settings, shared) };
     this.directory = new Directory(group, random, this.statistics, logger);
     this.coordinator = createCoordinator({
       settings,
@@ -283,6 +285,11 @@
     return this.calls.size;
   }
 
+  /** Requests that wait in this router for capacity of engines. */
+  get queuedCalls(): number {
+    return this.context.queues?.size ?? 0;
+  }
+
   get limits(): IngressLimits | undefined {
     return this.configuration.current?.configuration.limits;
   }
@@ -328,6 +335,7 @@
 
   /** Ends all running requests and releases all resources. */
   stop(): void {
+    this.context.queues?.stop();
     for (const call of this.calls) call.endForShutdown();
     this.followers.stop();
     for (const timer of this.timers) timer.cancel();
--- a/src/coordination/gateway/gateway-settings.ts
+++ b/src/coordination/gateway/gateway-settings.ts
@@ -4,6 +4,7 @@
 import type { RetryBudgetSettings } from '../../state/routing/shared-retry-budget.js';
 import type { RolloutSettings } from '../../state/routing/weight-rollout.js';
 import type { DisabledFeatures } from './load-sharing-settings.js';
+import type { RequestQueueSettings } from './admission/queue-settings.js';
 import type { ObjectKinds } from './object-decoder.js';
 import type { RelaySettings } from './store-relay/relayed-object-store.js';
 
@@ -59,6 +60,8 @@
   readonly leaseActMs: number;
   /** Threshold for quarantining a request that crashes engines. */
   readonly quarantine?: QuarantinePolicy;
+  /** Bounds of the request queues; derived from the default memory if absent. */
+  readonly requestQueue?: RequestQueueSettings;
   /** Mechanisms of load sharing that are switched off; none by default. */
   readonly disabledFeatures?: DisabledFeatures;
 }
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -36,6 +36,22 @@
   tooLateSamplesInTime = 0;
   /** Admitted by the estimate, but cancelled at the caller's deadline. */
   admittedPastDeadline = 0;
+  /** Requests that entered the queue of their service, and those of them that left it for a send. */
+  queuedRequests = 0;
+  dequeuedRequests = 0;
+  /** Time that the dequeued requests had waited, in milliseconds, and how many were late. */
+  queueWaitMs = 0;
+  dequeuedLate = 0;
+  /**
+   * Rejections by the queue: not expected to be served in time at the arrival or while waiting, no
+   * place left, and displaced by a more urgent request or one of a tenant within its share.
+   */
+  queueTooLongRejections = 0;
+  queueLateRejections = 0;
+  queueFullRejections = 0;
+  queueEvictions = 0;
+  /** Requests that left the queue unserved for another reason: caller, deadline, stop, quarantine. */
+  queueAbandoned = 0;
   /** Engines that dropped requests of this router and then refused connections or restarted. */
   engineCrashes = 0;
   /** Engines that were found restarted under the same name. */
--- a/src/coordination/gateway/rejections.ts
+++ b/src/coordination/gateway/rejections.ts
@@ -30,13 +30,15 @@
   readonly service: string;
   /** 0 is the most urgent. */
   readonly priority: number;
-  /** Time by which the estimated duration exceeds the limit, in milliseconds. */
+  /** Time by which the estimated duration or wait exceeds the limit, in milliseconds. */
   readonly excessMs?: number | undefined;
   /**
    * Time until the first engine with a backoff or a limit accepts a request of this router, in
    * milliseconds.
    */
   readonly engineWaitMs?: number | undefined;
+  /** Completions per second that the queue of the service observes; undefined if it has none. */
+  readonly servedPerSecond?: number | undefined;
 }
 
 /** Details of a rejection besides its reason; `priority` is set if the request was not granted. */
@@ -57,7 +59,7 @@
  * the delay of the estimate: it is learned from completed responses, and requests admitted since
  * then slow all of them down.
  */
-const MAXIMUM_SHARE_OF_REMAINING_TIME = 0.5;
+export const MAXIMUM_SHARE_OF_REMAINING_TIME = 0.5;
 /**
  * One in this many generations that are expected to miss their deadline is sent to check the
  * estimate.
@@ -100,6 +102,7 @@
     priority,
     excessMs = 0,
     engineWaitMs = 0,
+    servedPerSecond,
   }: RejectedRequest): RouterResponse {
     const { clock, outages } = this.parts;
     const now = clock.now();
@@ -108,7 +111,7 @@
       priority,
       excessMs,
       engineWaitMs,
-      finishesPerSecond: this.finishRate.perSecond(service, now),
+      finishesPerSecond: servedPerSecond ?? this.finishRate.perSecond(service, now),
       storeOutMs: outages.currentOutageMs(now),
       hasPeers: this.parts.hasPeers(),
     };
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -13,7 +13,7 @@
 import { CallRetries } from './call-retries.js';
 import { CallState } from './call-state.js';
 import type { EngineRestart } from './engine-incarnation-tracker.js';
-import { recordFailedSend } from './failed-send.js';
+import { isRefusedAsFull, recordFailedSend } from './failed-send.js';
 import type { GatewayContext } from './gateway-context.js';
 import { belongsToPreviousIncarnation } from './previous-incarnation.js';
 import type { Grant } from './request-admission.js';
@@ -103,6 +103,7 @@
     call.response.discardPending();
     call.state = CallState.Choosing;
     call.excluded.add(send.engineId);
+    if (isRefusedAsFull(failure)) call.refusedBy.add(send.engineId);
     this.recordFailure(send, failure);
     call.crashes.noteFailure(send.engineId, failure, call.now - send.sentMs);
     logSendFailure(
--- a/src/lab/gateway-simulation/gateway-simulation.ts
+++ b/src/lab/gateway-simulation/gateway-simulation.ts
@@ -1,5 +1,6 @@
 /** Simulated deployment on a virtual clock: routers, store, engines, operator and callers. */
 import { GatewayNode } from '../../coordination/gateway/gateway-node.js';
+import type { GatewayStatistics } from '../../coordination/gateway/gateway-statistics.js';
 import type { TenantLimit } from '../../state/routing/quota/tenant-limit.js';
 import { type Hasher, createHasher } from '../../runtime/hasher.js';
 import { NoopLogger } from '../../runtime/logger.js';
@@ -168,6 +169,21 @@
     this.requests.at(-1 - back)?.reply.disconnect();
   }
 
+  /** Counters of a running router. */
+  statistics(index: number): GatewayStatistics {
+    return this.nodeOf(index).statistics;
+  }
+
+  /** Requests that wait in a running router. */
+  queuedCalls(index: number): number {
+    return this.nodeOf(index).queuedCalls;
+  }
+
+  /** Ends a router's process in an orderly way; its callers get their responses. */
+  endRouter(index: number): void {
+    this.nodeOf(index).stop();
+  }
+
   engine(index: number): SimulatedEngine {
     return this.fleet.engine(index);
   }
@@ -333,6 +349,13 @@
     await this.clock.advance(SETTLE_MS);
   }
 
+  private nodeOf(index: number): GatewayNode {
+    const name = routerName(index);
+    const router = this.routers.get(name);
+    if (!router) throw new Error(`${name} does not run`);
+    return router.node;
+  }
+
   private interrupt(router: string, forMs: number): void {
     this.disturbances.recordInterruption(router, this.now, forMs);
   }
@@ -376,7 +399,7 @@
         clock: host,
         random,
         hasher: this.hasher,
-        logger: new NoopLogger(),
+        logger: this.mutation.logger ?? new NoopLogger(),
         datagrams: this.mutation.datagrams?.(datagrams) ?? datagrams,
         frames: new SimulatedFrameTransport(this.sockets, name, host),
         store: new SimulatedStorePort(this.store, name, host, seesEras),
--- a/src/lab/gateway-simulation/simulated-engine.ts
+++ b/src/lab/gateway-simulation/simulated-engine.ts
@@ -76,6 +76,15 @@
   readonly model: string | undefined;
 }
 
+/** Bounded capacity of an engine. */
+export interface EngineCapacity {
+  readonly slots: number;
+  /** Requests that wait for a slot; the engine rejects those beyond. */
+  readonly queued: number;
+  /** Time that a request occupies a slot, in milliseconds. */
+  readonly serviceMs: number;
+}
+
 /** One incarnation of a simulated engine. */
 export class SimulatedEngine {
   mode = EngineMode.Healthy;
@@ -87,6 +96,12 @@
   acceptsLoadCommands = true;
   /** Time in the engine's queue before a request starts, in milliseconds. */
   queueMs = 0;
+  /** Undefined: any number of requests run at once. */
+  capacity: EngineCapacity | undefined;
+  /** Times at which the slots become free, by slot. */
+  readonly freeAtMs: number[] = [];
+  /** Requests that wait for a slot. */
+  waiting = 0;
   /** Whether the engine is draining, which all its responses then state. */
   isDraining = false;
   /** Backoff stated in rejections, in milliseconds; undefined states none. */
@@ -140,6 +155,19 @@
     return this.replacedVersion;
   }
 
+  /**
+   * Reserves the slot that becomes free first; returns the wait for it in milliseconds, or undefined
+   * if the queue is full.
+   */
+  reserveSlot({ slots, queued, serviceMs }: EngineCapacity, nowMs: number): number | undefined {
+    while (this.freeAtMs.length < slots) this.freeAtMs.push(nowMs);
+    const slot = this.freeAtMs.indexOf(Math.min(...this.freeAtMs));
+    const waitMs = Math.max(0, (this.freeAtMs[slot] as number) - nowMs);
+    if (waitMs > 0 && this.waiting >= queued) return undefined;
+    this.freeAtMs[slot] = nowMs + waitMs + serviceMs;
+    return waitMs;
+  }
+
   /** Notice to send with a response; undefined if there is nothing to state. */
   noticeFor(isRefusal: boolean): EngineNotice | undefined {
     const backoffMs = isRefusal ? this.backoffMs : undefined;
--- a/src/lab/gateway-simulation/simulated-exchange.ts
+++ b/src/lab/gateway-simulation/simulated-exchange.ts
@@ -81,6 +81,7 @@
   /** Starts the request on the engine, which responds according to its mode. */
   run(engine: SimulatedEngine, run: ObservedRun): void {
     this.accept(engine, run);
+    const serviceMs = engine.capacity?.serviceMs ?? EVENT_INTERVAL_MS;
     switch (engine.mode) {
       case EngineMode.Failing:
         this.schedule(EVENT_INTERVAL_MS, () => this.respondWithFailure());
@@ -91,9 +92,7 @@
       case EngineMode.Hanging:
         return;
       default:
-        this.schedule(EVENT_INTERVAL_MS, () =>
-          this.sendResponse(engine.mode === EngineMode.Truncating),
-        );
+        this.schedule(serviceMs, () => this.sendResponse(engine.mode === EngineMode.Truncating));
     }
   }
 
--- a/src/lab/gateway-simulation/simulated-inference.ts
+++ b/src/lab/gateway-simulation/simulated-inference.ts
@@ -153,9 +153,30 @@
       exchange.refuse(503);
       return;
     }
-    const start = (): void => this.startRun(engine, exchange, options, request);
-    if (engine.queueMs === 0) start();
-    else exchange.waitInQueue(engine.queueMs, start);
+    this.queueOrStart(engine, exchange, () => this.startRun(engine, exchange, options, request));
+  }
+
+  private queueOrStart(
+    engine: SimulatedEngine,
+    exchange: SimulatedExchange,
+    start: () => void,
+  ): void {
+    const { capacity } = engine;
+    const slotMs = capacity ? engine.reserveSlot(capacity, this.clock.now()) : 0;
+    if (slotMs === undefined) {
+      exchange.refuse(503);
+      return;
+    }
+    const queueMs = engine.queueMs + slotMs;
+    if (queueMs === 0) {
+      start();
+      return;
+    }
+    engine.waiting += 1;
+    this.clock.setTimer(queueMs, () => {
+      engine.waiting -= 1;
+    });
+    exchange.waitInQueue(queueMs, start);
   }
 
   private recordArrival(
--- a/src/lab/gateway-simulation/simulation-mutation.ts
+++ b/src/lab/gateway-simulation/simulation-mutation.ts
@@ -3,6 +3,7 @@
 import type { ObjectDecoder } from '../../coordination/gateway/object-decoder.js';
 import type { InferencePort } from '../../protocol/inference/port.js';
 import type { TenantLimit } from '../../state/routing/quota/tenant-limit.js';
+import type { Logger } from '../../runtime/logger.js';
 import type { DatagramTransport } from '../../transport/datagram-transport.js';
 
 /** A router's access to engines: their responses and their decoded entries. */
@@ -19,6 +20,8 @@
   readonly makeView?: () => (view: RouterView) => RouterView;
   /** Limit of each tenant; undefined: no limit. */
   readonly tenantLimit?: TenantLimit;
+  /** Receives the log lines of all routers. */
+  readonly logger?: Logger;
   /** Wraps the transport for datagrams between routers. */
   readonly datagrams?: (transport: DatagramTransport) => DatagramTransport;
   /** False: the monotonic clock does not advance during a suspension. */
--- a/src/state/routing/rejection.ts
+++ b/src/state/routing/rejection.ts
@@ -27,6 +27,10 @@
   EnginesUnreachable = 'engines-unreachable',
   /** The response is estimated to end after the caller's deadline. */
   TooLate = 'too-late',
+  /** The expected wait in this router's queue is too long for the request's objective. */
+  QueueTooLong = 'queue-too-long',
+  /** The queue of this router has no place left for the request. */
+  QueueFull = 'queue-full',
   /** Too little time is left before the caller's deadline to send the request. */
   NoTimeLeft = 'no-time-left',
   Stopping = 'stopping',
@@ -39,7 +43,10 @@
   readonly priority: number;
   /** Recent rate of requests of this router that the service completed. */
   readonly finishesPerSecond: number;
-  /** By how much the estimated end exceeds the deadline; 0 without an estimate. */
+  /**
+   * By how much the estimated end exceeds the deadline, or the expected wait the slack; 0 without an
+   * estimate.
+   */
   readonly excessMs: number;
   /** Time until the first backing-off or rate-limited engine accepts a request; 0 if none does. */
   readonly engineWaitMs: number;
@@ -50,7 +57,7 @@
 }
 
 /** An immediate retry would find the same state. */
-const MINIMUM_DELAY_MS = 100;
+export const MINIMUM_DELAY_MS = 100;
 const MAXIMUM_DELAY_MS = 3_000;
 /** Retry delay if another router may be able to serve the request. */
 const FAILOVER_DELAY_MS = 150;
@@ -110,6 +117,8 @@
   [RejectionReason.ConfigurationUnproven]: ({ hasPeers, storeOutMs }) =>
     hasPeers ? Math.max(TRANSIENT_DELAY_MS, storeOutMs / 2) : FAILOVER_DELAY_MS,
   [RejectionReason.TooLate]: ({ excessMs }) => excessMs,
+  [RejectionReason.QueueTooLong]: ({ excessMs }) => excessMs,
+  [RejectionReason.QueueFull]: () => MINIMUM_DELAY_MS,
   [RejectionReason.NoService]: () => TRANSIENT_DELAY_MS,
   [RejectionReason.NoEngine]: () => TRANSIENT_DELAY_MS,
   [RejectionReason.EnginesBackingOff]: ({ engineWaitMs }) => engineWaitMs,
@@ -127,6 +136,8 @@
     reason === RejectionReason.EnginesBackingOff ||
     reason === RejectionReason.EnginesLimited ||
     reason === RejectionReason.EnginesFull ||
+    reason === RejectionReason.QueueTooLong ||
+    reason === RejectionReason.QueueFull ||
     reason === RejectionReason.TooLate
   );
 }
--- /dev/null
+++ b/src/state/routing/service-rate.ts
@@ -0,0 +1,41 @@
+/** Rate at which a service completes requests of this router, over the last seconds. Pure. */
+
+/** Time constant of the moving average; a burst changes the rate within about a second. */
+const AVERAGE_MS = 1_500;
+/**
+ * Assumed rate per second while nothing was completed lately; the same as for retries of rejected
+ * callers.
+ */
+const INITIAL_PER_SECOND = 4;
+/** An average of fewer completions is replaced by the initial rate. */
+const MINIMUM_COMPLETIONS = 0.1;
+
+/** Moving average of completions. */
+export class ServiceRate {
+  private weight = 0;
+  private startedMs: number | undefined;
+  private latestMs = -Infinity;
+
+  noteCompleted(nowMs: number): void {
+    this.startedMs ??= nowMs - AVERAGE_MS;
+    this.weight = this.weightAt(nowMs) + 1;
+    this.latestMs = nowMs;
+  }
+
+  /** Completions per second; above 0. */
+  perSecond(nowMs: number): number {
+    const weight = this.weightAt(nowMs);
+    if (this.startedMs === undefined || weight < MINIMUM_COMPLETIONS) return INITIAL_PER_SECOND;
+    const observedShare = 1 - Math.exp(-(nowMs - this.startedMs) / AVERAGE_MS);
+    return (weight * 1_000) / (AVERAGE_MS * observedShare);
+  }
+
+  /** Time since the last completion, in milliseconds; Infinity before the first. */
+  ageMs(nowMs: number): number {
+    return nowMs - this.latestMs;
+  }
+
+  private weightAt(nowMs: number): number {
+    return this.weight === 0 ? 0 : this.weight * Math.exp(-(nowMs - this.latestMs) / AVERAGE_MS);
+  }
+}
