--- a/src/coordination/gateway/admission/request-queues.ts
+++ b/src/coordination/gateway/admission/request-queues.ts
@@ -1,13 +1,20 @@
 /** The request queues of one router, by service, and what they know of the engines' capacity. */
+import type { Clock } from '../../../runtime/clock.js';
+import type { Logger } from '../../../runtime/logger.js';
+import type { RandomSource } from '../../../runtime/random.js';
 import {
   hasGenerationCapacity,
   plainRequestLimit,
 } from '../../../state/routing/engine-capacity.js';
 import type { Service } from '../../../state/routing/configuration.js';
-import type { Engine } from '../../../state/routing/engine-registry.js';
+import type { EngineHealth } from '../../../state/routing/engine-health.js';
+import type { Engine, EngineRegistry } from '../../../state/routing/engine-registry.js';
 import type { GenerationShape } from '../../../state/routing/generation.js';
+import type { LoadTable } from '../../../state/routing/load-table.js';
 import type { Placement } from '../../../state/routing/placement.js';
-import type { GatewayContext } from '../gateway-context.js';
+import type { SlotView } from '../../../state/routing/send-slots.js';
+import type { TenantRanking } from '../../../state/routing/tenant-shares.js';
+import type { GatewayStatistics } from '../gateway-statistics.js';
 import type { GatewaySettings } from '../gateway-settings.js';
 import { LoadSharingFeature } from '../load-sharing-settings.js';
 import {
@@ -20,19 +27,20 @@
 import { ServiceTime } from './service-time.js';
 
 /** What the queues read of the router. */
-export type QueueContext = Pick<
-  GatewayContext,
-  | 'clock'
-  | 'random'
-  | 'logger'
-  | 'registry'
-  | 'loads'
-  | 'health'
-  | 'slotView'
-  | 'shareOfTraffic'
-  | 'tenantRanking'
-  | 'statistics'
->;
+export interface QueueContext {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  readonly registry: EngineRegistry;
+  readonly loads: LoadTable;
+  readonly health: EngineHealth;
+  /** Returns the inputs that decide this router's slots at rate-limited engines. */
+  slotView(this: void): SlotView;
+  /** This router's share of the group's requests, greater than 0 and at most 1. */
+  shareOfTraffic(): number;
+  readonly tenantRanking: TenantRanking;
+  readonly statistics: GatewayStatistics;
+}
 
 /** State of one service. */
 interface ServiceState {
--- a/src/coordination/gateway/admission/service-queue.ts
+++ b/src/coordination/gateway/admission/service-queue.ts
@@ -9,6 +9,7 @@
 import { MINIMUM_DELAY_MS, RejectionReason } from '../../../state/routing/rejection.js';
 import {
   type QueueBounds,
+  type QueueCandidate,
   type QueueEntry,
   RequestQueue,
 } from '../../../state/routing/request-queue.js';
@@ -72,10 +73,6 @@
     readonly demand: WaitDemand,
     public entry: QueueEntry,
     readonly enteredMs: number,
-    /** Requests of the same urgency before this one when it entered. */
-    readonly before: number,
-    /** Requests of the same urgency that had left the queue when this one entered. */
-    readonly leftBefore: number,
     private readonly onLeave: (ticket: Ticket) => void,
   ) {}
 
@@ -101,6 +98,8 @@
   private wakeTimer: Timer | undefined;
   private ownRoom = 0;
   private objectiveMs = Infinity;
+  /** Since when the queue has not been empty. */
+  private waitingSinceMs = 0;
   private isStopped = false;
 
   constructor(private readonly parts: ServiceQueueParts) {
@@ -116,20 +115,22 @@
     return this.queue.bytes;
   }
 
-  /** Whether a request of this urgency must wait behind others even if an engine has capacity. */
-  isAheadOf(priority: number): boolean {
-    return this.queue.countMoreUrgent(priority) + this.queue.countBeforeNew(priority, false) > 0;
+  /** Whether a request must wait behind others even if an engine has capacity. */
+  isAheadOf(demand: WaitDemand): boolean {
+    return this.queue.size > 0 && this.queue.countBeforeNew(this.candidateOf(demand)) > 0;
   }
 
   /** Lets a request wait if it is expected to be served in time. */
   enter(call: WaitingCall, demand: WaitDemand): Ticket | QueueRefusal {
     const { statistics, logger } = this.parts;
-    const { priority, isReturning } = demand;
     if (this.isStopped) return { reason: RejectionReason.Stopping, details: {} };
     this.objectiveMs = demand.objectiveMs;
-    if (this.queue.size === 0) this.view();
-    const before = this.queue.countBeforeNew(priority, isReturning);
-    const context = this.contextOf(demand, before);
+    if (this.queue.size === 0) {
+      this.waitingSinceMs = this.now;
+      this.view();
+    }
+    const candidate = this.candidateOf(demand);
+    const context = this.contextOf(demand, this.queue.countBeforeNew(candidate));
     if (expectedWaitMs(context) > context.slackMs) {
       statistics.queueTooLongRejections += 1;
       logQueueRejection(
@@ -139,11 +140,7 @@
       );
       return this.refusal(RejectionReason.QueueTooLong, context);
     }
-    const result = this.queue.enter({
-      ...demand,
-      latestSendMs: latestSendMsOf(demand),
-      useOfShare: this.useOfShare(demand),
-    });
+    const result = this.queue.enter(candidate);
     if (result.kind === 'full') {
       statistics.queueFullRejections += 1;
       logQueueRejection(
@@ -153,10 +150,9 @@
       );
       return this.refusal(RejectionReason.QueueFull, context);
     }
-    const leftBefore = this.queue.countLeft(priority);
     const onLeave = (each: Ticket): void => this.abandon(each);
     const { entry } = result;
-    const ticket = new Ticket(call, demand, entry, this.now, before, leftBefore, onLeave);
+    const ticket = new Ticket(call, demand, entry, this.now, onLeave);
     this.tickets.set(entry.sequence, ticket);
     this.scheduleReview(ticket, this.now + demand.objectiveMs * FREE_WAIT_SHARE);
     statistics.queuedRequests += 1;
@@ -194,12 +190,17 @@
     return this.parts.tenantRanking.useOfShare(this.parts.service, tenant, this.now);
   }
 
-  private contextOf(demand: WaitDemand, before: number): WaitContext {
+  private candidateOf(demand: WaitDemand): QueueCandidate {
+    const latestSendMs = latestSendMsOf(demand);
+    return { ...demand, latestSendMs, useOfShare: this.useOfShare(demand) };
+  }
+
+  private contextOf(demand: WaitDemand, ahead: number): WaitContext {
     const { now } = this;
     return {
-      ahead: before + this.queue.countMoreUrgent(demand.priority),
+      ahead,
       ownRoom: this.ownRoom,
-      servedPerSecond: this.rate.perSecond(now),
+      servedPerSecond: this.rate.perSecond(now, this.waitingSinceMs),
       engineWaitMs: demand.engineWaitMs,
       slackMs: latestSendMsOf(demand) - now,
       firstTokenMs: demand.firstTokenMs,
@@ -208,9 +209,8 @@
   }
 
   private contextOfTicket(ticket: Ticket): WaitContext {
-    const { demand, before, leftBefore, enteredMs } = ticket;
-    const left = this.queue.countLeft(demand.priority) - leftBefore;
-    const context = this.contextOf(demand, Math.max(0, before - left));
+    const { demand, entry, enteredMs } = ticket;
+    const context = this.contextOf(demand, this.queue.countBefore(entry));
     const waitedMs = this.now - enteredMs;
     return { ...context, engineWaitMs: Math.max(0, demand.engineWaitMs - waitedMs) };
   }
--- a/src/coordination/gateway/call-waiting.ts
+++ b/src/coordination/gateway/call-waiting.ts
@@ -31,10 +31,10 @@
     if (!queues || !call.isUnstarted) return false;
     const queue = queues.of(service);
     const cause = this.causeOf(placed, grant, service);
-    if (cause === undefined && (typeof placed === 'string' || !queue.isAheadOf(grant.priority))) {
-      return false;
-    }
+    // Waiting does not help a request that no engine serves, nor one if nobody waits.
+    if (cause === undefined && (typeof placed === 'string' || queue.size === 0)) return false;
     const demand = this.demandOf(placed, cause ?? RejectionReason.EnginesFull, grant, service);
+    if (cause === undefined && !queue.isAheadOf(demand)) return false;
     const result = queue.enter(this, demand);
     if ('leave' in result) {
       call.place = result;
--- a/src/state/routing/request-queue.ts
+++ b/src/state/routing/request-queue.ts
@@ -9,6 +9,7 @@
  * low.
  */
 import { IndexedHeap } from './indexed-heap.js';
+import { OrderedSet } from './ordered-set.js';
 import { ServedShares } from './served-shares.js';
 
 /** A request that may wait. Times are monotonic, in milliseconds. */
@@ -71,14 +72,11 @@
 
 /** Requests of one urgency. */
 class QueueLevel {
-  readonly order = new IndexedHeap<QueueEntry>(compareEntries);
+  readonly order = new OrderedSet<QueueEntry>(compareEntries);
   /** The entry to evict first. */
   readonly evictions = new IndexedHeap<QueueEntry>(compareEvictions);
   readonly byGroup = new Map<string, IndexedHeap<QueueEntry>>();
   readonly shares = new ServedShares();
-  returning = 0;
-  late = 0;
-  left = 0;
   private readonly sizes: number[] = [];
   private sizeCount = 0;
   private longSize = Infinity;
@@ -93,7 +91,6 @@
     this.order.add(entry);
     this.evictions.add(entry);
     for (const group of entry.groups) this.heapOf(group).add(entry);
-    this.count(entry, 1);
   }
 
   remove(entry: QueueEntry): boolean {
@@ -104,15 +101,9 @@
       heap.remove(entry);
       if (heap.size === 0) this.byGroup.delete(group);
     }
-    this.count(entry, -1);
     return true;
   }
 
-  private count({ candidate, isLate }: QueueEntry, change: number): void {
-    if (isLate) this.late += change;
-    else if (candidate.isReturning) this.returning += change;
-  }
-
   private heapOf(group: string): IndexedHeap<QueueEntry> {
     let heap = this.byGroup.get(group);
     if (!heap) {
@@ -178,7 +169,6 @@
     if (!this.extract(entry)) return false;
     const level = this.levelOf(entry.candidate);
     const { shares } = level;
-    level.left += 1;
     for (const group of entry.groups) shares.noteLeft(group, isServed);
     if (isServed) shares.noteTotalServed();
     return true;
@@ -223,25 +213,17 @@
     return reordered;
   }
 
-  /** Number of waiting requests that are more urgent. */
-  countMoreUrgent(priority: number): number {
-    const moreUrgent = this.levels.slice(0, rankOf(priority));
-    return moreUrgent.reduce((total, level) => total + level.order.size, 0);
-  }
-
-  /**
-   * Number of waiting requests of the same urgency that are sent before a new one, at most: all
-   * that are not late count, since most of them have less slack.
-   */
-  countBeforeNew(priority: number, isReturning: boolean): number {
-    const level = this.levels[rankOf(priority)];
-    if (!level) return 0;
-    return isReturning ? level.returning : level.order.size - level.late;
+  /** Number of waiting requests that the order puts before a waiting one. */
+  countBefore(entry: QueueEntry): number {
+    const rank = rankOf(entry.candidate.priority);
+    const moreUrgent = this.levels.slice(0, rank);
+    const sum = moreUrgent.reduce((total, level) => total + level.order.size, 0);
+    return sum + (this.levels[rank]?.order.countBefore(entry) ?? 0);
   }
 
-  /** Number of requests of this urgency that have left the queue since its creation. */
-  countLeft(priority: number): number {
-    return this.levels[rankOf(priority)]?.left ?? 0;
+  /** Number of waiting requests that the order would put before a new one. */
+  countBeforeNew(candidate: QueueCandidate): number {
+    return this.countBefore({ candidate, isLate: false, sequence: Infinity, groups: [] });
   }
 
   /** The entries that must leave for this one; undefined if it would itself be evicted first. */
--- a/src/state/routing/service-rate.ts
+++ b/src/state/routing/service-rate.ts
@@ -10,6 +10,9 @@
 /** An average of fewer completions is replaced by the initial rate. */
 const MINIMUM_COMPLETIONS = 0.1;
 
+/** Independent completions of this number are missing by chance in one of twenty gaps. */
+const GAP_COMPLETIONS = 3;
+
 /** Moving average of completions. */
 export class ServiceRate {
   private weight = 0;
@@ -22,8 +25,19 @@
     this.latestMs = nowMs;
   }
 
-  /** Completions per second; above 0. */
-  perSecond(nowMs: number): number {
+  /**
+   * Completions per second; above 0. While requests wait, engines are full, so that completions are
+   * expected: without any, the rate is at most what a gap of this length makes likely.
+   *
+   * @param waitingSinceMs since when requests have been waiting
+   */
+  perSecond(nowMs: number, waitingSinceMs = nowMs): number {
+    const stalledMs = nowMs - Math.max(this.latestMs, waitingSinceMs);
+    const limit = (GAP_COMPLETIONS * 1_000) / Math.max(1, stalledMs);
+    return Math.min(limit, this.averagePerSecond(nowMs));
+  }
+
+  private averagePerSecond(nowMs: number): number {
     const weight = this.weightAt(nowMs);
     if (this.startedMs === undefined || weight < MINIMUM_COMPLETIONS) return INITIAL_PER_SECOND;
     const observedShare = 1 - Math.exp(-(nowMs - this.startedMs) / AVERAGE_MS);
