Limit sends to nearly full services to a router's share of the room

With load reports of 100 to 200 ms, all routers sent to the room that the same report showed, mostly requests that had just arrived rather than waiting ones.

Each router has a budget for all sends to a service whose room is scarce: a quarter of its share of the room per report, and one send for each of its requests that ends. The slack of plain requests includes the queue of the engine, and a request that is late stays only while fewer requests arrive than are served.

--- a/src/coordination/gateway/admission/request-queues.ts
+++ b/src/coordination/gateway/admission/request-queues.ts
@@ -1,7 +1,8 @@
 /** The request queues of one router, by service, and what they know of the engines' capacity. */
 import type { Clock } from '../../../runtime/clock.js';
 import type { Logger } from '../../../runtime/logger.js';
-import type { RandomSource } from '../../../runtime/random.js';
+import { type RandomSource, SeededRandom } from '../../../runtime/random.js';
+import { memberKey } from '../../../state/member-key.js';
 import {
   hasGenerationCapacity,
   plainRequestLimit,
@@ -52,11 +53,13 @@
 
 /** Creates the queues of a router; undefined if they are switched off. */
 export function createRequestQueues(
-  { disabledFeatures, requestQueue }: GatewaySettings,
+  { nodeId, disabledFeatures, requestQueue }: GatewaySettings,
   context: QueueContext,
 ): RequestQueues | undefined {
   if (disabledFeatures?.has(LoadSharingFeature.RequestQueue)) return undefined;
-  return new RequestQueues(requestQueue ?? queueSettingsFor(), context);
+  // A random source of its own: queues do not change which engines the placement chooses.
+  const random = new SeededRandom(memberKey(nodeId));
+  return new RequestQueues(requestQueue ?? queueSettingsFor(), { ...context, random });
 }
 
 /** All queues of one router. */
@@ -98,9 +101,19 @@
     return load.requests < this.limitAt(record.slots, service, objectiveMs);
   }
 
-  /** Expected time of a request at an engine that generates nothing, in milliseconds. */
-  serviceMs(service: Service): number {
-    return this.stateOf(service).time.ms ?? 0;
+  /** Whether the engine gets no requests for a while after it rejected some or failed. */
+  isPausing({ record }: Engine): boolean {
+    return this.context.health.isAvoided(record.id, this.context.clock.now());
+  }
+
+  /**
+   * Expected time of a request at an engine that generates nothing and has just got room for it, in
+   * milliseconds: its service, and its wait in the engine's queue.
+   */
+  plainMs(service: Service, slots: number, objectiveMs: number): number {
+    const { ms } = this.stateOf(service).time;
+    if (ms === undefined) return 0;
+    return (ms * plainRequestLimit(slots, ms, objectiveMs)) / Math.max(1, slots);
   }
 
   /**
--- a/src/coordination/gateway/admission/service-queue.ts
+++ b/src/coordination/gateway/admission/service-queue.ts
@@ -20,7 +20,7 @@
   expectedWaitMs,
   judgeWait,
 } from '../../../state/routing/wait-verdict.js';
-import { WakeBudget } from '../../../state/routing/wake-budget.js';
+import { WakeBudget, isRoomScarce } from '../../../state/routing/wake-budget.js';
 import type { GatewayStatistics } from '../gateway-statistics.js';
 import { type QueueDecision, logDequeued, logQueueRejection, logQueued } from './queue-log.js';
 import {
@@ -51,6 +51,8 @@
 const VIEW_PERIOD_MS = 100;
 /** Part of the period by which views vary, so that routers do not act on a report all at once. */
 const VIEW_JITTER = 0.5;
+/** Views for which sends are added at once after a time without requests. */
+const MAXIMUM_VIEWS = 10;
 /** Shortest time between two decisions on a waiting request. */
 const MINIMUM_REVIEW_MS = 25;
 /** Share of the objective for which waiting costs a caller nothing; a first review is due then. */
@@ -88,6 +90,7 @@
 /** The queue of one service. */
 export class ServiceQueue {
   private readonly queue: RequestQueue;
+  private readonly arrivals = new ServiceRate();
   private readonly rate = new ServiceRate();
   private readonly budget: WakeBudget;
   private readonly tickets = new Map<number, Ticket>();
@@ -96,7 +99,8 @@
   );
   private viewTimer: Timer | undefined;
   private wakeTimer: Timer | undefined;
-  private ownRoom = 0;
+  private room = 0;
+  private nextViewMs = -Infinity;
   private objectiveMs = Infinity;
   /** Since when the queue has not been empty. */
   private waitingSinceMs = 0;
@@ -104,7 +108,7 @@
 
   constructor(private readonly parts: ServiceQueueParts) {
     this.queue = new RequestQueue(parts.bounds);
-    this.budget = new WakeBudget(parts.random);
+    this.budget = new WakeBudget(parts.random.next());
   }
 
   get size(): number {
@@ -120,15 +124,36 @@
     return this.queue.size > 0 && this.queue.countBeforeNew(this.candidateOf(demand)) > 0;
   }
 
+  /** Records that a request arrived at this router. */
+  noteArrival({ objectiveMs }: Pick<WaitDemand, 'objectiveMs'>): void {
+    this.objectiveMs = objectiveMs;
+    this.arrivals.noteCompleted(this.now);
+  }
+
+  /**
+   * Whether a request may be sent at once to an engine that has room for it. Where the room is
+   * scarce, other routers may have filled it since the last load report, so sends are limited.
+   */
+  get maySendAtOnce(): boolean {
+    this.view();
+    if (!this.budget.isEmpty) return true;
+    const now = this.now;
+    const share = this.parts.shareOfTraffic();
+    const endsPerSecond = this.rate.perSecond(now);
+    return !isRoomScarce(this.room, share, this.arrivals.perSecond(now), endsPerSecond);
+  }
+
+  /** Records a send that did not wait. */
+  noteSentAtOnce(): void {
+    this.budget.spend();
+  }
+
   /** Lets a request wait if it is expected to be served in time. */
   enter(call: WaitingCall, demand: WaitDemand): Ticket | QueueRefusal {
     const { statistics, logger } = this.parts;
     if (this.isStopped) return { reason: RejectionReason.Stopping, details: {} };
-    this.objectiveMs = demand.objectiveMs;
-    if (this.queue.size === 0) {
-      this.waitingSinceMs = this.now;
-      this.view();
-    }
+    if (this.queue.size === 0) this.waitingSinceMs = this.now;
+    this.view();
     const candidate = this.candidateOf(demand);
     const context = this.contextOf(demand, this.queue.countBeforeNew(candidate));
     if (expectedWaitMs(context) > context.slackMs) {
@@ -170,9 +195,8 @@
 
   /** Records that a send of this router has ended, so that its place at the engine is free. */
   noteSendEnded(): void {
-    if (this.queue.size === 0) return;
     this.budget.noteEnd();
-    this.wakeSoon();
+    if (this.queue.size > 0) this.wakeSoon();
   }
 
   /** Sends no more requests; those that wait are ended by the router. */
@@ -199,8 +223,9 @@
     const { now } = this;
     return {
       ahead,
-      ownRoom: this.ownRoom,
+      ownRoom: this.room * this.parts.shareOfTraffic(),
       servedPerSecond: this.rate.perSecond(now, this.waitingSinceMs),
+      arrivalsPerSecond: this.arrivals.perSecond(now),
       engineWaitMs: demand.engineWaitMs,
       slackMs: latestSendMsOf(demand) - now,
       firstTokenMs: demand.firstTokenMs,
@@ -233,12 +258,10 @@
     return { reason, details: { excessMs, engineWaitMs, servedPerSecond } };
   }
 
-  /** Reads the engines' load, while requests wait. */
+  /** Reads the engines' load periodically while requests wait. */
   private startViews(): void {
     if (this.viewTimer) return;
-    const { clock, random } = this.parts;
-    const periodMs = VIEW_PERIOD_MS * (1 + VIEW_JITTER * (random.next() - 0.5));
-    this.viewTimer = clock.setTimer(periodMs, () => {
+    this.viewTimer = this.parts.clock.setTimer(this.nextViewMs - this.now, () => {
       this.viewTimer = undefined;
       this.view();
       this.review();
@@ -247,11 +270,15 @@
     });
   }
 
+  /** Reads the engines' load, at most once in a period. */
   private view(): void {
-    const room = this.parts.room(this.objectiveMs);
-    const share = this.parts.shareOfTraffic();
-    this.ownRoom = room * share;
-    this.budget.renew(room, share);
+    const { now } = this;
+    if (now < this.nextViewMs) return;
+    const { random } = this.parts;
+    const periods = 1 + Math.min(MAXIMUM_VIEWS, (now - this.nextViewMs) / VIEW_PERIOD_MS);
+    this.nextViewMs = now + VIEW_PERIOD_MS * (1 + VIEW_JITTER * (random.next() - 0.5));
+    this.room = this.parts.room(this.objectiveMs);
+    this.budget.renew(this.room, this.parts.shareOfTraffic(), periods);
   }
 
   /** Sends what the budget allows after the current event has been handled. */
--- a/src/coordination/gateway/call-waiting.ts
+++ b/src/coordination/gateway/call-waiting.ts
@@ -30,14 +30,19 @@
     // A request that may have run can't be rejected, so it is sent as soon as possible.
     if (!queues || !call.isUnstarted) return false;
     const queue = queues.of(service);
+    if (!call.hasWaited && call.sends === 0) queue.noteArrival(grant.route);
     const cause = this.causeOf(placed, grant, service);
-    // Waiting does not help a request that no engine serves, nor one if nobody waits.
-    if (cause === undefined && (typeof placed === 'string' || queue.size === 0)) return false;
+    // Waiting does not help a request that no engine serves.
+    if (cause === undefined && typeof placed === 'string') return false;
     const demand = this.demandOf(placed, cause ?? RejectionReason.EnginesFull, grant, service);
-    if (cause === undefined && !queue.isAheadOf(demand)) return false;
+    if (cause === undefined && !queue.isAheadOf(demand) && queue.maySendAtOnce) {
+      queue.noteSentAtOnce();
+      return false;
+    }
     const result = queue.enter(this, demand);
     if ('leave' in result) {
       call.place = result;
+      call.hasWaited = true;
       call.state = CallState.Queued;
     } else this.reject(queues, result.reason, result.details);
     return true;
@@ -54,6 +59,8 @@
     if (!queues) return undefined;
     if (typeof placed !== 'string') {
       const { generation } = call.request;
+      // All engines pause after rejections; sending at once would use up the attempts.
+      if (call.sends > 0 && queues.isPausing(placed.engine)) return RejectionReason.EnginesFull;
       const hasCapacity = queues.hasCapacity(placed, service, generation, route.objectiveMs);
       return hasCapacity ? undefined : RejectionReason.EnginesFull;
     }
@@ -99,16 +106,23 @@
       arrivedMs: request.arrivedMs,
       objectiveMs: grant.route.objectiveMs,
       deadlineMs: call.deadlineMs,
-      firstTokenMs: this.firstTokenMs(placed, service),
+      firstTokenMs: this.firstTokenMs(placed, grant, service),
       engineWaitMs: typeof placed === 'string' ? (engineWaitMs(placed, service, context) ?? 0) : 0,
     };
   }
 
   /** Time to the first token at an engine with capacity, in milliseconds. */
-  private firstTokenMs(placed: Placement | PlacementFailure, service: Service): number {
+  private firstTokenMs(
+    placed: Placement | PlacementFailure,
+    { route }: Grant,
+    service: Service,
+  ): number {
     const { request, context } = this.call;
     const { generation } = request;
-    if (!service.engine || !generation) return context.queues?.serviceMs(service) ?? 0;
+    if (!service.engine || !generation) {
+      const slots = typeof placed === 'string' ? 1 : placed.engine.record.slots;
+      return context.queues?.plainMs(service, slots, route.objectiveMs) ?? 0;
+    }
     if (typeof placed !== 'string') {
       const { prefillTokensPerMs } = context.speeds.at(placed.engine.record.id);
       return placed.unreadTokens / prefillTokensPerMs;
--- a/src/state/routing/service-rate.ts
+++ b/src/state/routing/service-rate.ts
@@ -7,6 +7,8 @@
  * callers.
  */
 const INITIAL_PER_SECOND = 4;
+/** The first completions are averaged as if they took at least this part of the average. */
+const MINIMUM_OBSERVED_SHARE = 0.5;
 /** An average of fewer completions is replaced by the initial rate. */
 const MINIMUM_COMPLETIONS = 0.1;
 
@@ -20,7 +22,7 @@
   private latestMs = -Infinity;
 
   noteCompleted(nowMs: number): void {
-    this.startedMs ??= nowMs - AVERAGE_MS;
+    this.startedMs ??= nowMs;
     this.weight = this.weightAt(nowMs) + 1;
     this.latestMs = nowMs;
   }
@@ -41,7 +43,8 @@
     const weight = this.weightAt(nowMs);
     if (this.startedMs === undefined || weight < MINIMUM_COMPLETIONS) return INITIAL_PER_SECOND;
     const observedShare = 1 - Math.exp(-(nowMs - this.startedMs) / AVERAGE_MS);
-    return (weight * 1_000) / (AVERAGE_MS * observedShare);
+    const usedShare = Math.max(MINIMUM_OBSERVED_SHARE, observedShare);
+    return (weight * 1_000) / (AVERAGE_MS * usedShare);
   }
 
   /** Time since the last completion, in milliseconds; Infinity before the first. */
--- a/src/state/routing/wait-verdict.ts
+++ b/src/state/routing/wait-verdict.ts
@@ -8,6 +8,8 @@
   readonly ownRoom: number;
   /** Completions of this router's requests per second; above 0. */
   readonly servedPerSecond: number;
+  /** Requests per second that arrive at this router. */
+  readonly arrivalsPerSecond: number;
   /** Time until an engine with a pause or a rate limit accepts a request; 0 if none has one. */
   readonly engineWaitMs: number;
   /** Time until the latest send that meets the objective; negative afterwards. */
@@ -50,5 +52,12 @@
   const waitMs = expectedWaitMs(context);
   if (waitMs <= slackMs) return 'in-time';
   if (slackMs >= retryDelayMs) return 'reject';
-  return waitMs + firstTokenMs <= remainingMs * LATE_SHARE ? 'late' : 'reject';
+  const isLikely = lateWaitMs(context) + firstTokenMs <= remainingMs * LATE_SHARE;
+  return isLikely ? 'late' : 'reject';
+}
+
+/** Median wait of a late request, which gets only what new requests leave. */
+function lateWaitMs(context: WaitContext): number {
+  const spare = context.servedPerSecond - context.arrivalsPerSecond;
+  return spare > 0 ? expectedWaitMs({ ...context, servedPerSecond: spare }) : Infinity;
 }
--- a/src/state/routing/wake-budget.ts
+++ b/src/state/routing/wake-budget.ts
@@ -1,37 +1,83 @@
 /**
- * Number of waiting requests that a router may send for capacity that has become free. All routers
+ * Number of requests that a router may send to a service whose engines are nearly full. All routers
  * see the same free capacity in the same load report; if each filled it, the engines would reject
  * most of the requests. Pure.
  */
-import type { RandomSource } from '../../runtime/random.js';
 
-/** Sends that one router may make until the next load report. */
+/** Sends that one router may make before the next load report. */
 export class WakeBudget {
-  private sends = 0;
+  private credits: number;
+  private maximum = MINIMUM_BANK;
 
-  constructor(private readonly random: RandomSource) {}
+  /** @param initialShare 0 to 1, random, so that routers with small shares take turns */
+  constructor(initialShare: number) {
+    this.credits = MINIMUM_BANK * initialShare;
+  }
 
   /**
-   * Starts a new period.
+   * Adds the sends that load reports allow.
    *
    * @param room requests that the engines have room for
-   * @param share of the room that is this router's, as its share of the traffic
+   * @param share this router's share of the traffic
+   * @param reports number of reports since the last call
    */
-  renew(room: number, share: number): void {
-    // The random rounding gives routers with less than one send each a turn, without a message.
-    this.sends = Math.floor(room * share + this.random.next());
+  renew(room: number, share: number, reports = 1): void {
+    const ownRoom = room * share;
+    this.maximum = Math.max(MINIMUM_BANK, ownRoom);
+    // Of its own requests a router knows without a report, so a router alone may fill all the room.
+    const gain = share + ROOM_GAIN * (1 - share);
+    this.add(ownRoom * gain * reports);
   }
 
   /** Records that a request of this router has ended, whose place the next one takes. */
   noteEnd(): void {
-    this.sends += 1;
+    this.add(1);
   }
 
   get isEmpty(): boolean {
-    return this.sends < 1;
+    return this.credits < 1;
   }
 
+  /** Records a send, also one that needed no credit. */
   spend(): void {
-    this.sends -= 1;
+    this.credits = Math.max(0, this.credits - 1);
+  }
+
+  private add(amount: number): void {
+    this.credits = Math.min(this.maximum, this.credits + amount);
   }
 }
+
+/**
+ * Unused sends that a router keeps, so that it can send at once when a request arrives. Routers whose
+ * share of the room is below one send need at least one.
+ */
+const MINIMUM_BANK = 1.5;
+/**
+ * Part of the room that is filled for each report. A report is one to two periods old, so filling
+ * all of it would count the same room twice.
+ */
+const ROOM_GAIN = 0.25;
+/** Age of the load that a router sees just before the next report, in milliseconds. */
+const REPORT_AGE_MS = 200;
+
+/**
+ * Whether the requests that arrive before the next load report may exceed the room that the last one
+ * shows. Otherwise a request is sent without a credit.
+ *
+ * @param room requests that the engines have room for
+ * @param share this router's share of the traffic
+ * @param arrivalsPerSecond requests that arrive at this router
+ * @param endsPerSecond requests of this router that end
+ */
+export function isRoomScarce(
+  room: number,
+  share: number,
+  arrivalsPerSecond: number,
+  endsPerSecond: number,
+): boolean {
+  const ownExcessPerSecond = Math.max(0, arrivalsPerSecond - endsPerSecond);
+  // The router's own requests are known, so only those of the others can be missing.
+  const excessPerSecond = ownExcessPerSecond * (1 / share - 1);
+  return room < (excessPerSecond * REPORT_AGE_MS) / 1_000;
+}
--- a/test/gateway/request-queue.test.ts
+++ b/test/gateway/request-queue.test.ts
@@ -277,6 +277,7 @@
   ahead: 0,
   ownRoom: 0,
   servedPerSecond: 10,
+  arrivalsPerSecond: 4,
   engineWaitMs: 0,
   slackMs: 500,
   firstTokenMs: 50,
@@ -294,6 +295,8 @@
   t.is(judgeWait({ ...WAIT, slackMs: 20 }, RETRY_MS), 'late');
   t.is(judgeWait({ ...WAIT, slackMs: -300 }, RETRY_MS), 'late');
   t.is(judgeWait({ ...WAIT, slackMs: 20, ahead: 40 }, RETRY_MS), 'reject');
+  // New requests go first, so a late one is never served while more arrive than are served.
+  t.is(judgeWait({ ...WAIT, slackMs: 20, arrivalsPerSecond: 11 }, RETRY_MS), 'reject');
   t.is(judgeWait({ ...WAIT, slackMs: 20, remainingMs: 200 }, RETRY_MS), 'reject');
 });
 
