--- a/src/coordination/gateway/admission/service-queue.ts
+++ b/src/coordination/gateway/admission/service-queue.ts
@@ -6,6 +6,7 @@
 import type { Logger } from '../../../runtime/logger.js';
 import type { RandomSource } from '../../../runtime/random.js';
 import { IndexedHeap } from '../../../state/routing/indexed-heap.js';
+import { KindShares } from '../../../state/routing/kind-shares.js';
 import { MINIMUM_DELAY_MS, RejectionReason } from '../../../state/routing/rejection.js';
 import {
   type QueueBounds,
@@ -19,6 +20,7 @@
   type WaitContext,
   expectedWaitMs,
   judgeWait,
+  mayEnter,
 } from '../../../state/routing/wait-verdict.js';
 import { WakeBudget, isRoomScarce } from '../../../state/routing/wake-budget.js';
 import type { GatewayStatistics } from '../gateway-statistics.js';
@@ -90,6 +92,7 @@
 /** The queue of one service. */
 export class ServiceQueue {
   private readonly queue: RequestQueue;
+  private readonly kinds = new KindShares();
   private readonly arrivals = new ServiceRate();
   private readonly rate = new ServiceRate();
   private readonly budget: WakeBudget;
@@ -125,8 +128,9 @@
   }
 
   /** Records that a request arrived at this router. */
-  noteArrival({ objectiveMs }: Pick<WaitDemand, 'objectiveMs'>): void {
+  noteArrival(priority: number, objectiveMs: number): void {
     this.objectiveMs = objectiveMs;
+    this.kinds.noteOffered(priority);
     this.arrivals.noteCompleted(this.now);
   }
 
@@ -144,7 +148,8 @@
   }
 
   /** Records a send that did not wait. */
-  noteSentAtOnce(): void {
+  noteSentAtOnce(priority: number): void {
+    this.kinds.noteServed(priority);
     this.budget.spend();
   }
 
@@ -156,7 +161,7 @@
     this.view();
     const candidate = this.candidateOf(demand);
     const context = this.contextOf(demand, this.queue.countBeforeNew(candidate));
-    if (expectedWaitMs(context) > context.slackMs) {
+    if (!mayEnter(context)) {
       statistics.queueTooLongRejections += 1;
       logQueueRejection(
         this.describe(demand, context, 0),
@@ -230,6 +235,7 @@
       slackMs: latestSendMsOf(demand) - now,
       firstTokenMs: demand.firstTokenMs,
       remainingMs: demand.deadlineMs - now,
+      isDisadvantaged: this.kinds.isDisadvantaged(demand.priority),
     };
   }
 
@@ -311,6 +317,7 @@
     this.forget(ticket);
     const { statistics, logger } = this.parts;
     statistics.dequeuedRequests += 1;
+    this.kinds.noteServed(demand.priority);
     statistics.queueWaitMs += decision.waitedMs;
     if (entry.isLate) statistics.dequeuedLate += 1;
     logDequeued(decision, entry.isLate, logger);
--- a/src/coordination/gateway/call-waiting.ts
+++ b/src/coordination/gateway/call-waiting.ts
@@ -30,13 +30,14 @@
     // A request that may have run can't be rejected, so it is sent as soon as possible.
     if (!queues || !call.isUnstarted) return false;
     const queue = queues.of(service);
-    if (!call.hasWaited && call.sends === 0) queue.noteArrival(grant.route);
+    if (!call.hasWaited && call.sends === 0)
+      queue.noteArrival(grant.priority, grant.route.objectiveMs);
     const cause = this.causeOf(placed, grant, service);
     // Waiting does not help a request that no engine serves.
     if (cause === undefined && typeof placed === 'string') return false;
     const demand = this.demandOf(placed, cause ?? RejectionReason.EnginesFull, grant, service);
     if (cause === undefined && !queue.isAheadOf(demand) && queue.maySendAtOnce) {
-      queue.noteSentAtOnce();
+      queue.noteSentAtOnce(grant.priority);
       return false;
     }
     const result = queue.enter(this, demand);
--- a/src/state/routing/wait-verdict.ts
+++ b/src/state/routing/wait-verdict.ts
@@ -18,6 +18,8 @@
   readonly firstTokenMs: number;
   /** Time until the deadline. */
   readonly remainingMs: number;
+  /** Whether less urgent requests are served more often; see `KindShares`. */
+  readonly isDisadvantaged: boolean;
 }
 
 /** What happens to the request. */
@@ -41,6 +43,17 @@
   return Math.max(engineWaitMs, (completions * 1_000) / servedPerSecond);
 }
 
+/**
+ * Whether a request may start to wait: it is expected to be sent in time for its objective, or before
+ * its deadline if less urgent ones would otherwise be preferred.
+ */
+export function mayEnter(context: WaitContext): boolean {
+  const { slackMs, firstTokenMs, remainingMs, isDisadvantaged } = context;
+  const waitMs = expectedWaitMs(context);
+  if (isDisadvantaged) return waitMs + firstTokenMs <= remainingMs * LATE_SHARE;
+  return waitMs <= Math.min(slackMs, remainingMs - firstTokenMs);
+}
+
 /**
  * Decides on a request that waits. One that can't be in time here is rejected while its caller may
  * still be served in time elsewhere; after that it is kept only if a late response is likely.
@@ -49,8 +62,7 @@
  */
 export function judgeWait(context: WaitContext, retryDelayMs: number): WaitVerdict {
   const { slackMs, firstTokenMs, remainingMs } = context;
-  const waitMs = expectedWaitMs(context);
-  if (waitMs <= slackMs) return 'in-time';
+  if (mayEnter(context)) return 'in-time';
   if (slackMs >= retryDelayMs) return 'reject';
   const isLikely = lateWaitMs(context) + firstTokenMs <= remainingMs * LATE_SHARE;
   return isLikely ? 'late' : 'reject';
--- a/test/gateway/request-queue.test.ts
+++ b/test/gateway/request-queue.test.ts
@@ -282,6 +282,7 @@
   slackMs: 500,
   firstTokenMs: 50,
   remainingMs: 4_000,
+  isDisadvantaged: false,
 };
 
 test('a request is kept only while it can be served in time, or late but before its deadline', (t) => {
@@ -291,6 +292,7 @@
   t.is(judgeWait({ ...WAIT, ahead: 9 }, RETRY_MS), 'reject');
   t.is(judgeWait({ ...WAIT, engineWaitMs: 900 }, RETRY_MS), 'reject');
   t.is(judgeWait({ ...WAIT, ahead: 9, ownRoom: 8 }, RETRY_MS), 'in-time');
+  t.is(judgeWait({ ...WAIT, remainingMs: 80 }, RETRY_MS), 'reject');
   // It can't be in time anywhere: kept if a late response is likely.
   t.is(judgeWait({ ...WAIT, slackMs: 20 }, RETRY_MS), 'late');
   t.is(judgeWait({ ...WAIT, slackMs: -300 }, RETRY_MS), 'late');
--- a/test/gateway/service-queue.test.ts
+++ b/test/gateway/service-queue.test.ts
@@ -40,6 +40,7 @@
   readonly queue: ServiceQueue;
   slots = 2;
   running = 0;
+  serviceMs = SERVICE_MS;
 
   constructor(changes: Partial<ServiceQueueParts> = {}) {
     const log = (event: string, fields: Record<string, unknown> = {}): void => {
@@ -68,6 +69,17 @@
     }
   }
 
+  /** Sends a request at once if a slot is free and nobody waits; otherwise it enters the queue. */
+  arrive(
+    id: string,
+    changes: Partial<WaitDemand> & Pick<WaitDemand, 'priority' | 'objectiveMs'>,
+  ): void {
+    this.queue.noteArrival(changes.priority, changes.objectiveMs);
+    if (this.queue.size > 0 || this.start(id) === SendAttempt.NoCapacity) {
+      this.request(id, changes);
+    } else this.queue.noteSentAtOnce(changes.priority);
+  }
+
   request(id: string, changes: Partial<WaitDemand> = {}): ReturnType<ServiceQueue['enter']> {
     const now = this.clock.now();
     const call: WaitingCall = {
@@ -95,7 +107,7 @@
     if (this.running >= this.slots) return SendAttempt.NoCapacity;
     this.running += 1;
     this.served.push(id);
-    this.clock.setTimer(SERVICE_MS, () => {
+    this.clock.setTimer(this.serviceMs, () => {
       this.running -= 1;
       this.queue.noteCompleted();
       this.queue.noteSendEnded();
@@ -162,6 +174,29 @@
   t.true([...bench.rejected.values()].every((reason) => reason === RejectionReason.QueueTooLong));
 });
 
+test('urgent requests with a short objective are served as often as less urgent ones', async (t) => {
+  const bench = new Bench();
+  // With two completions a second, the expected wait exceeds the slack of the urgent requests only.
+  bench.serviceMs = 1_000;
+  const offered = [0, 0];
+  const ROUNDS = 300;
+  for (let round = 0; round < ROUNDS; round += 1) {
+    const isUrgent = round % 3 === 0;
+    const id = `${isUrgent ? 'urgent' : 'other'}-${round}`;
+    offered[isUrgent ? 0 : 1] = (offered[isUrgent ? 0 : 1] as number) + 1;
+    const objectiveMs = isUrgent ? 300 : 1_215;
+    bench.arrive(id, { priority: isUrgent ? 0 : 2, objectiveMs });
+    await bench.clock.advance(200 + ((round * 37) % 100));
+  }
+  await bench.clock.advance(5_000);
+  const shares = ['urgent', 'other'].map(
+    (kind, index) =>
+      bench.served.filter((id) => id.startsWith(kind)).length / (offered[index] as number),
+  ) as [number, number];
+  t.log(...shares);
+  t.true(shares[0] >= shares[1] - 0.05);
+});
+
 test('a router with little traffic sends no more than its share of the free capacity', async (t) => {
   const bench = new Bench({ shareOfTraffic: () => 1 / 84 });
   bench.slots = 18;
