Compute the place of a request only when it may wait

Each request took a fingerprint while any had been rejected lately, and the room of a service read the rate-limit inputs once for each engine. Both are now done only for requests that may wait, and once for each view. The wait of a request appears in peatspan logs explain through its log lines; logs.test covers it.

The metrics test's fake router gains the queue length that the page now reads.

--- a/src/coordination/gateway/admission/request-queues.ts
+++ b/src/coordination/gateway/admission/request-queues.ts
@@ -175,7 +175,8 @@
     const service = this.states.get(name)?.service;
     if (!service) return 0;
     const { registry, loads } = this.context;
-    const engines = registry.readyOf(name).filter((engine) => this.accepts(engine));
+    const view = this.context.slotView();
+    const engines = registry.readyOf(name).filter((engine) => this.accepts(engine, view));
     const rooms = engines.map(({ record }) => {
       const limit = this.limitAt(record.slots, service, objectiveMs);
       return Math.max(0, limit - loads.at(record.id).requests);
@@ -183,12 +184,12 @@
     return rooms.reduce((total, room) => total + room, 0);
   }
 
-  private accepts({ record }: Engine): boolean {
-    const { health, clock, slotView } = this.context;
+  private accepts({ record }: Engine, view: SlotView): boolean {
+    const { health, clock } = this.context;
     const now = clock.now();
     if (health.backoffs.remainingMs(record.name, now) > 0) return false;
     if (health.isLoading(record.id, now) || health.isAvoided(record.id, now)) return false;
-    return health.limits.maySend(record.name, slotView());
+    return health.limits.maySend(record.name, view);
   }
 
   private sum(amount: (state: ServiceState) => number): number {
--- a/src/coordination/gateway/admission/service-queue.ts
+++ b/src/coordination/gateway/admission/service-queue.ts
@@ -122,11 +122,6 @@
     return this.queue.bytes;
   }
 
-  /** Whether a request must wait behind others even if an engine has capacity. */
-  isAheadOf(demand: WaitDemand): boolean {
-    return this.queue.size > 0 && this.queue.countBeforeNew(this.candidateOf(demand)) > 0;
-  }
-
   /** Records that a request arrived at this router. */
   noteArrival(priority: number, objectiveMs: number): void {
     this.objectiveMs = objectiveMs;
@@ -135,24 +130,28 @@
   }
 
   /**
-   * Whether a request may be sent at once to an engine that has room for it. Where the room is
-   * scarce, other routers may have filled it since the last load report, so sends are limited.
+   * Whether a request may be sent at once to an engine that has room for it; counts it as sent then.
+   * It waits if others go before it. Where the room is scarce, other routers may have filled it since
+   * the last load report, so sends are limited.
    */
-  get maySendAtOnce(): boolean {
+  trySendAtOnce(priority: number, demand: () => WaitDemand): boolean {
+    const hasOthersAhead =
+      this.queue.size > 0 && this.queue.countBeforeNew(this.candidateOf(demand())) > 0;
+    if (hasOthersAhead || !this.hasBudget()) return false;
+    this.kinds.noteServed(priority);
+    this.budget.spend();
+    return true;
+  }
+
+  private hasBudget(): boolean {
     this.view();
     if (!this.budget.isEmpty) return true;
-    const now = this.now;
+    const { now } = this;
     const share = this.parts.shareOfTraffic();
     const endsPerSecond = this.rate.perSecond(now);
     return !isRoomScarce(this.room, share, this.arrivals.perSecond(now), endsPerSecond);
   }
 
-  /** Records a send that did not wait. */
-  noteSentAtOnce(priority: number): void {
-    this.kinds.noteServed(priority);
-    this.budget.spend();
-  }
-
   /** Lets a request wait if it is expected to be served in time. */
   enter(call: WaitingCall, demand: WaitDemand): Ticket | QueueRefusal {
     const { statistics, logger } = this.parts;
--- a/src/coordination/gateway/call-waiting.ts
+++ b/src/coordination/gateway/call-waiting.ts
@@ -4,6 +4,7 @@
 import { PREFILL_TOKENS_PER_MS, sharedTokensOf } from '../../state/routing/prompt-sources.js';
 import { RejectionReason } from '../../state/routing/rejection.js';
 import type { RequestQueues } from './admission/request-queues.js';
+import type { ServiceQueue } from './admission/service-queue.js';
 import type { SendAttempt, WaitDemand, WaitingCall } from './admission/waiting-call.js';
 import type { CallEnding } from './call-ending.js';
 import type { CallRecord } from './call-record.js';
@@ -30,25 +31,31 @@
     // A request that may have run can't be rejected, so it is sent as soon as possible.
     if (!queues || !call.isUnstarted) return false;
     const queue = queues.of(service);
-    if (!call.hasWaited && call.sends === 0)
+    if (!call.hasWaited && call.sends === 0) {
       queue.noteArrival(grant.priority, grant.route.objectiveMs);
+    }
     const cause = this.causeOf(placed, grant, service);
     // Waiting does not help a request that no engine serves.
     if (cause === undefined && typeof placed === 'string') return false;
-    const demand = this.demandOf(placed, cause ?? RejectionReason.EnginesFull, grant, service);
-    if (cause === undefined && !queue.isAheadOf(demand) && queue.maySendAtOnce) {
-      queue.noteSentAtOnce(grant.priority);
-      return false;
-    }
-    const result = queue.enter(this, demand);
-    if ('leave' in result) {
-      call.place = result;
-      call.hasWaited = true;
-      call.state = CallState.Queued;
-    } else this.reject(queues, result.reason, result.details);
+    const demand = (): WaitDemand =>
+      this.demandOf(placed, cause ?? RejectionReason.EnginesFull, grant, service);
+    if (cause === undefined && queue.trySendAtOnce(grant.priority, demand)) return false;
+    this.enter(queues, queue, demand());
     return true;
   }
 
+  private enter(queues: RequestQueues, queue: ServiceQueue, demand: WaitDemand): void {
+    const { call } = this;
+    const result = queue.enter(this, demand);
+    if ('reason' in result) {
+      this.reject(queues, result.reason, result.details);
+      return;
+    }
+    call.place = result;
+    call.hasWaited = true;
+    call.state = CallState.Queued;
+  }
+
   /** Why the request must wait; undefined if it can be sent, or if waiting does not help. */
   causeOf(
     placed: Placement | PlacementFailure,
--- a/test/gateway/service-queue.test.ts
+++ b/test/gateway/service-queue.test.ts
@@ -75,18 +75,24 @@
     changes: Partial<WaitDemand> & Pick<WaitDemand, 'priority' | 'objectiveMs'>,
   ): void {
     this.queue.noteArrival(changes.priority, changes.objectiveMs);
-    if (this.queue.size > 0 || this.start(id) === SendAttempt.NoCapacity) {
-      this.request(id, changes);
-    } else this.queue.noteSentAtOnce(changes.priority);
+    const isSent =
+      this.running < this.slots &&
+      this.queue.trySendAtOnce(changes.priority, () => this.demandOf(id, changes));
+    if (isSent) this.start(id);
+    else this.request(id, changes);
   }
 
   request(id: string, changes: Partial<WaitDemand> = {}): ReturnType<ServiceQueue['enter']> {
-    const now = this.clock.now();
     const call: WaitingCall = {
       trySend: () => this.start(id),
       rejectFromQueue: (reason) => void this.rejected.set(id, reason),
     };
-    return this.queue.enter(call, {
+    return this.queue.enter(call, this.demandOf(id, changes));
+  }
+
+  private demandOf(id: string, changes: Partial<WaitDemand>): WaitDemand {
+    const now = this.clock.now();
+    return {
       requestId: id,
       priority: 1,
       tenant: 'tenant',
@@ -100,7 +106,7 @@
       firstTokenMs: SERVICE_MS,
       engineWaitMs: 0,
       ...changes,
-    });
+    };
   }
 
   private start(id: string): SendAttempt {
--- a/test/logs.test.ts
+++ b/test/logs.test.ts
@@ -77,6 +77,25 @@
   );
 });
 
+test('the timeline of a request that waited shows the cause, the estimate and the wait', (t) => {
+  const timeline = new RequestTimeline('r7');
+  for (const text of [
+    'info event=request_queued node=a request=r7 position=2 expected_ms=80 cause=engines-full',
+    'info event=request_dequeued node=a request=r7 position=0 waited_ms=70 reason=capacity',
+    'info event=request_queue_rejected node=a request=r8 position=9 reason=queue-too-long',
+  ]) {
+    const line = parseLogLine(`time=${BASE}1.000Z level=${text}`);
+    if (line) timeline.add(line);
+  }
+  t.deepEqual(
+    timeline.format().map((line) => line.trim()),
+    [
+      '+0 ms request  a request_queued position=2 expected_ms=80 cause=engines-full',
+      '+0 ms request  a request_dequeued position=0 waited_ms=70 reason=capacity',
+    ],
+  );
+});
+
 test('a summary counts outcomes by cause and shows the time to a rejection', (t) => {
   const summary = new LogSummary();
   for (const line of LINES) summary.add(line);
--- a/test/platform/metrics.test.ts
+++ b/test/platform/metrics.test.ts
@@ -7,7 +7,7 @@
 
 test('quota totals are reported per tenant, and under one label beyond the maximum', async (t) => {
   const statistics = new GatewayStatistics();
-  const node = { statistics, runningCalls: 0 } as unknown as GatewayNode;
+  const node = { statistics, runningCalls: 0, queuedCalls: 0 } as unknown as GatewayNode;
   const { quotaByTenant } = statistics;
   quotaByTenant.noteGranted('tenant-0', 900);
   quotaByTenant.noteGranted('tenant-0', -100);
