Fill a part of the room that grows with a router's share

A router used a quarter of its share of the room of each report and all places of its requests that ended.

Both now count for 0.55, and more for routers with a large share, which know more of the load without reports.

--- a/src/coordination/gateway/admission/service-queue.ts
+++ b/src/coordination/gateway/admission/service-queue.ts
@@ -199,7 +199,7 @@
 
   /** Records that a send of this router has ended, so that its place at the engine is free. */
   noteSendEnded(): void {
-    this.budget.noteEnd();
+    this.budget.noteEnd(this.parts.shareOfTraffic());
     if (this.queue.size > 0) this.wakeSoon();
   }
 
--- a/src/state/routing/wake-budget.ts
+++ b/src/state/routing/wake-budget.ts
@@ -24,14 +24,12 @@
   renew(room: number, share: number, reports = 1): void {
     const ownRoom = room * share;
     this.maximum = Math.max(MINIMUM_BANK, ownRoom);
-    // Of its own requests a router knows without a report, so a router alone may fill all the room.
-    const gain = share + ROOM_GAIN * (1 - share);
-    this.add(ownRoom * gain * reports);
+    this.add(ownRoom * usedPart(share) * reports);
   }
 
-  /** Records that a request of this router has ended, whose place the next one takes. */
-  noteEnd(): void {
-    this.add(1);
+  /** Records that a request of this router has ended, whose place the next one may take. */
+  noteEnd(share: number): void {
+    this.add(usedPart(share));
   }
 
   get isEmpty(): boolean {
@@ -54,10 +52,22 @@
  */
 const MINIMUM_BANK = 1.5;
 /**
- * Part of the room that is filled for each report. A report is one to two periods old, so filling
- * all of it would count the same room twice.
+ * Part of the room of a report, and of the places of requests that end, that a router with a very
+ * small share fills. Both show the same free capacity, and a report is one to two periods old, so
+ * filling all of it overshoots. In the model of `queue-wakes.test.ts`, parts of 0.5 to 0.6 gave the
+ * most requests in time and hardly any rejections for 84 routers.
  */
-const ROOM_GAIN = 0.25;
+const STALE_PART = 0.55;
+
+/**
+ * The part grows with the share, since a router knows of its own requests without a report: a router
+ * alone fills everything. In tests with three routers, a part that grows in proportion to the share
+ * left a tenth of the capacity idle.
+ */
+function usedPart(share: number): number {
+  return STALE_PART + (1 - STALE_PART) * Math.sqrt(share);
+}
+
 /** Age of the load that a router sees just before the next report, in milliseconds. */
 const REPORT_AGE_MS = 200;
 
--- a/test/gateway/queue-wakes.test.ts
+++ b/test/gateway/queue-wakes.test.ts
@@ -40,8 +40,8 @@
   const [budget, share] = [WakeRule.Budget, WakeRule.ShareOfRoom].map((rule) =>
     resultOf(results, rule),
   ) as [WakeResult, WakeResult];
-  t.true(budget.rejected < share.rejected / 4);
-  t.true(budget.inTime > share.inTime * 1.1);
+  t.true(budget.rejected <= 0.02 && share.rejected > 0.2);
+  t.true(budget.inTime > share.inTime * 1.3);
 });
 
 test('in bursts, a budget for all sends avoids most rejections by engines', (t) => {
@@ -50,7 +50,7 @@
   const [budget, share] = [WakeRule.Budget, WakeRule.ShareOfRoom].map((rule) =>
     resultOf(results, rule),
   ) as [WakeResult, WakeResult];
-  t.true(budget.rejected < share.rejected / 2);
+  t.true(budget.rejected <= 0.02 && share.rejected > 0.1);
   t.true(budget.inTime >= share.inTime);
 });
 
--- a/test/helpers/wake-model.ts
+++ b/test/helpers/wake-model.ts
@@ -157,7 +157,7 @@
   private finish(job: Job, engine: number): void {
     const router = this.routers[job.router] as Router;
     router.own[engine] = (router.own[engine] as number) - 1;
-    router.budget.noteEnd();
+    router.budget.noteEnd(1 / this.model.routers);
     router.ends.noteCompleted(this.nowMs);
     if (this.rule === WakeRule.OwnEnds) router.credits += 1;
     if (this.nowMs - job.arrivedMs <= this.model.objectiveMs) this.inTime += 1;
