--- a/src/coordination/gateway/call-dispatch.ts
+++ b/src/coordination/gateway/call-dispatch.ts
@@ -78,6 +78,10 @@
       ending.reject(RejectionReason.NoService);
       return SendAttempt.Done;
     }
+    if (call.remainingMs < MINIMUM_BUDGET_MS) {
+      ending.reject(RejectionReason.NoTimeLeft);
+      return SendAttempt.Done;
+    }
     this.waiting.allowRefusingEngines();
     const placed = placeCall(call.request, grant, service, call.excluded, call.context);
     if (this.waiting.causeOf(placed, grant, service) !== undefined) return SendAttempt.NoCapacity;
--- a/test/gateway/queue-admission.test.ts
+++ b/test/gateway/queue-admission.test.ts
@@ -296,6 +296,25 @@
   t.true(share(enabled) > share(disabled));
 });
 
+test('a request that waits past its deadline in a frozen router gets 503 and is not sent', async (t) => {
+  const simulation = await create({}, 1_500);
+  simulation.fleet.drain(BACK_ENDS[2] as number);
+  await send(simulation, { perSecond: 150, forMs: 2_000 });
+  for (const index of BACK_ENDS) simulation.engine(index).mode = EngineMode.Busy;
+  simulation.request(0, 'plain-unsafe', 'tenant-1', 0);
+  const request = simulation.requests.at(-1) as ObservedRequest;
+  await simulation.clock.advance(20);
+  // Both back ends have rejected it, so it would get 504 if it counted as sent.
+  t.is(simulation.queuedCalls(0), 1);
+  const arrivals = simulation.observations.arrivals.length;
+  for (const index of BACK_ENDS) simulation.engine(index).mode = EngineMode.Healthy;
+  const FROZEN_MS = 3_500;
+  simulation.freezeRouter(0, FROZEN_MS);
+  await simulation.clock.advance(FROZEN_MS + 500);
+  t.is(request.reply.own?.status, 503);
+  t.is(simulation.observations.arrivals.length, arrivals);
+});
+
 test('a request waits no longer than it can be served, and its caller has an answer by the deadline', async (t) => {
   const simulation = await create({}, 1_500);
   await send(simulation, { perSecond: 300, forMs: 2_000 });
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -91,3 +91,14 @@
     message: /PEATSPAN_DISABLED_FEATURES: queue: expected one of engine-speeds/,
   });
 });
+
+test('the bounds of the request queue follow from the memory of the router', (t) => {
+  const boundsFor = (limits: Record<string, number>): number | undefined =>
+    gatewaySettingsOf(checkSettings('node.json', { ...SETTINGS, limits })).requestQueue
+      ?.maximumBytes;
+  t.is(boundsFor({ memory_mb: 256 }), 32 * 1_048_576);
+  t.is(boundsFor({}), 64 * 1_048_576);
+  t.throws(() => checkSettings('node.json', { ...SETTINGS, limits: { memory_mb: 0 } }), {
+    message: /limits\.memory_mb/,
+  });
+});
