--- a/src/coordination/gateway/admission/service-queue.ts
+++ b/src/coordination/gateway/admission/service-queue.ts
@@ -80,10 +80,6 @@
     private readonly onLeave: (ticket: Ticket) => void,
   ) {}
 
-  get latestSendMs(): number {
-    return latestSendMsOf(this.demand);
-  }
-
   leave(): void {
     this.onLeave(this);
   }
@@ -143,15 +139,6 @@
     return true;
   }
 
-  private hasBudget(): boolean {
-    this.view();
-    if (!this.budget.isEmpty) return true;
-    const { now } = this;
-    const share = this.parts.shareOfTraffic();
-    const endsPerSecond = this.rate.perSecond(now);
-    return !isRoomScarce(this.room, share, this.arrivals.perSecond(now), endsPerSecond);
-  }
-
   /** Lets a request wait if it is expected to be served in time. */
   enter(call: WaitingCall, demand: WaitDemand): Ticket | QueueRefusal {
     const { statistics, logger } = this.parts;
@@ -162,22 +149,12 @@
     const context = this.contextOf(demand, this.queue.countBeforeNew(candidate));
     if (!mayEnter(context)) {
       statistics.queueTooLongRejections += 1;
-      logQueueRejection(
-        this.describe(demand, context, 0),
-        RejectionReason.QueueTooLong,
-        this.parts.logger,
-      );
-      return this.refusal(RejectionReason.QueueTooLong, context);
+      return this.refuse(demand, context, RejectionReason.QueueTooLong);
     }
     const result = this.queue.enter(candidate);
     if (result.kind === 'full') {
       statistics.queueFullRejections += 1;
-      logQueueRejection(
-        this.describe(demand, context, 0),
-        RejectionReason.QueueFull,
-        this.parts.logger,
-      );
-      return this.refusal(RejectionReason.QueueFull, context);
+      return this.refuse(demand, context, RejectionReason.QueueFull);
     }
     const onLeave = (each: Ticket): void => this.abandon(each);
     const { entry } = result;
@@ -214,6 +191,15 @@
     return this.parts.clock.now();
   }
 
+  private hasBudget(): boolean {
+    this.view();
+    if (!this.budget.isEmpty) return true;
+    const { now } = this;
+    const share = this.parts.shareOfTraffic();
+    const endsPerSecond = this.rate.perSecond(now);
+    return !isRoomScarce(this.room, share, this.arrivals.perSecond(now), endsPerSecond);
+  }
+
   private useOfShare({ tenant }: WaitDemand): number {
     return this.parts.tenantRanking.useOfShare(this.parts.service, tenant, this.now);
   }
@@ -257,6 +243,12 @@
     };
   }
 
+  /** Logs that a request does not enter. */
+  private refuse(demand: WaitDemand, context: WaitContext, reason: RejectionReason): QueueRefusal {
+    logQueueRejection(this.describe(demand, context, 0), reason, this.parts.logger);
+    return this.refusal(reason, context);
+  }
+
   private refusal(reason: RejectionReason, context: WaitContext): QueueRefusal {
     const excessMs = Math.max(0, expectedWaitMs(context) - context.slackMs);
     const { engineWaitMs, servedPerSecond } = context;
