--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -16,17 +16,14 @@
 } from '../../state/routing/shared-retry-budget.js';
 import type { SlotView } from '../../state/routing/send-slots.js';
 import type { TrafficSplit } from '../../state/routing/traffic-split.js';
-import type { EngineSpeedView } from '../../state/routing/engine-speeds.js';
-import type { TenantRanking, TenantShares } from '../../state/routing/tenant-shares.js';
 import type { WeightVersions } from '../../state/routing/weight-versions.js';
+import type { RequestQueues } from './admission/request-queues.js';
 import type { CrashProtection } from './crash-protection.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
-import type { DisabledFeatures } from './load-sharing-settings.js';
+import type { LoadSharingViews } from './load-sharing.js';
 import type { EngineLimitDiscovery } from './engine-limit-discovery.js';
-import type { PrefixReadExchange } from './prefix-read-exchange.js';
 import type { TenantQuotas } from './quota/tenant-quotas.js';
 import type { Rejections } from './rejections.js';
-import type { SpeedObserver } from './speed-observer.js';
 
 /** Retry budgets by service, created on first use. */
 export class ServiceRetryBudgets {
@@ -51,7 +48,7 @@
 }
 
 /** Dependencies that all requests of one router share. */
-export interface GatewayContext {
+export interface GatewayContext extends LoadSharingViews {
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly homes: HomeRanking;
@@ -63,8 +60,6 @@
   readonly health: EngineHealth;
   readonly limitDiscovery: EngineLimitDiscovery;
   readonly cachedPrefixes: CachedPrefixes;
-  /** Exchange of the prefixes that engines have read; undefined if it is disabled. */
-  readonly prefixReads?: PrefixReadExchange | undefined;
   readonly versions: WeightVersions;
   /** Rate of requests that this router sends to engines. */
   readonly requestRate: SendRate;
@@ -80,11 +75,8 @@
   readonly crashes: CrashProtection;
   readonly rejections: Rejections;
   readonly quotas: TenantQuotas;
-  readonly speeds: EngineSpeedView;
-  readonly speedObserver: SpeedObserver;
-  readonly tenantRanking: TenantRanking;
-  readonly tenantShares: TenantShares;
-  readonly disabledFeatures: DisabledFeatures;
+  /** Undefined if requests never wait in the router. */
+  readonly queues: RequestQueues | undefined;
   readonly statistics: GatewayStatistics;
   readonly zone: string;
 }
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -27,6 +27,7 @@
 import { CrashProtection } from './crash-protection.js';
 import { followKinds } from './followed-kinds.js';
 import { type GatewayContext, ServiceRetryBudgets } from './gateway-context.js';
+import { createRequestQueues } from './admission/request-queues.js';
 import { DEFAULT_QUOTA_TOLERANCE, type GatewaySettings } from './gateway-settings.js';
 import { GatewayStatistics } from './gateway-statistics.js';
 import { GroupExchange } from './group-exchange.js';
@@ -132,15 +133,11 @@
     );
     this.followers = new StoreFollowers(relay.store, group, this.outages, clock, random, logger);
     this.crashes = new CrashProtection({
+      ...dependencies,
       policy: settings.quarantine,
       kind: settings.kinds.quarantine,
-      store: dependencies.store,
-      engines,
       registry: this.registry,
       statistics: this.statistics,
-      clock,
-      random,
-      logger,
       announce: () => group.reportNow(),
       endCalls: (fingerprint) => this.endQuarantined(fingerprint),
     });
@@ -176,7 +173,7 @@
       clock,
       logger,
     });
-    this.context = {
+    const shared = {
       clock,
       random,
       homes,
@@ -189,7 +186,6 @@
       health: this.health,
       limitDiscovery,
       cachedPrefixes: this.cachedPrefixes,
-      prefixReads: this.sharing.prefixReads,
       versions: this.versions,
       requestRate: this.requestRate,
       ownTokenRate: this.ownTokenRate,
@@ -203,18 +199,15 @@
         random,
         outages: this.outages,
         statistics: this.statistics,
-        speeds: this.sharing.speeds,
+        speeds: this.sharing.views.speeds,
         hasPeers: () => group.responding.length > 1,
       }),
       quotas: this.exchange.quotas,
-      speeds: this.sharing.speeds,
-      speedObserver: this.sharing.speedObserver,
-      tenantRanking: this.sharing.tenantRanking,
-      tenantShares: this.sharing.tenantShares,
-      disabledFeatures: this.sharing.disabled,
+      ...this.sharing.views,
       statistics: this.statistics,
       zone: settings.zone,
     };
+    this.context = { ...shared, queues: createRequestQueues(settings, shared) };
     this.directory = new Directory(group, random, this.statistics, logger);
     this.coordinator = createCoordinator({
       settings,
@@ -293,6 +286,11 @@
     return this.calls.size;
   }
 
+  /** Requests that wait in this router for capacity of engines. */
+  get queuedCalls(): number {
+    return this.context.queues?.size ?? 0;
+  }
+
   get limits(): IngressLimits | undefined {
     return this.configuration.current?.configuration.limits;
   }
@@ -338,6 +336,7 @@
 
   /** Ends all running requests and releases all resources. */
   stop(): void {
+    this.context.queues?.stop();
     for (const call of this.calls) call.endForShutdown();
     this.followers.stop();
     for (const timer of this.timers) timer.cancel();
--- a/src/coordination/gateway/load-sharing.ts
+++ b/src/coordination/gateway/load-sharing.ts
@@ -30,37 +30,48 @@
   readonly logger: Logger;
 }
 
-/** Load-sharing state of one router. */
-export class LoadSharing {
-  readonly disabled: DisabledFeatures;
+/** Load-sharing state as requests use it. */
+export interface LoadSharingViews {
   readonly speeds: EngineSpeedView;
   readonly speedObserver: SpeedObserver;
+  /** Exchange of the prefixes that engines have read; undefined if it is disabled. */
+  readonly prefixReads: PrefixReadExchange | undefined;
   /** Records what tenants ask for and get; also while the ranking is switched off. */
-  readonly tenantShares = new TenantShares();
+  readonly tenantShares: TenantShares;
   readonly tenantRanking: TenantRanking;
-  /** Undefined if the feature is disabled. */
-  readonly prefixReads: PrefixReadExchange | undefined;
+  readonly disabledFeatures: DisabledFeatures;
+}
+
+/** Load-sharing state of one router. */
+export class LoadSharing {
+  readonly views: LoadSharingViews;
   /** What is exchanged with the other routers. */
   readonly observations: ObservationParts;
 
   constructor(parts: LoadSharingParts) {
-    this.disabled = parts.disabled;
-    const isEnabled = (feature: LoadSharingFeature): boolean => !parts.disabled.has(feature);
+    const { disabled } = parts;
+    const isEnabled = (feature: LoadSharingFeature): boolean => !disabled.has(feature);
     const engineSpeeds = isEnabled(LoadSharingFeature.EngineSpeeds)
       ? new EngineSpeedExchange(parts)
       : undefined;
-    this.speeds = engineSpeeds?.table ?? DEFAULT_ENGINE_SPEEDS;
-    this.speedObserver = engineSpeeds ?? NO_SPEED_OBSERVER;
-    this.prefixReads = isEnabled(LoadSharingFeature.PrefixReads)
+    const prefixReads = isEnabled(LoadSharingFeature.PrefixReads)
       ? new PrefixReadExchange(parts)
       : undefined;
+    const tenantShares = new TenantShares();
     const tenantUses = isEnabled(LoadSharingFeature.TenantShares)
-      ? new TenantUseExchange(this.tenantShares)
+      ? new TenantUseExchange(tenantShares)
       : undefined;
-    this.tenantRanking = tenantUses ? this.tenantShares : EQUAL_TENANTS;
+    this.views = {
+      speeds: engineSpeeds?.table ?? DEFAULT_ENGINE_SPEEDS,
+      speedObserver: engineSpeeds ?? NO_SPEED_OBSERVER,
+      prefixReads,
+      tenantShares,
+      tenantRanking: tenantUses ? tenantShares : EQUAL_TENANTS,
+      disabledFeatures: disabled,
+    };
     this.observations = {
       ...(engineSpeeds && { engineSpeeds }),
-      ...(this.prefixReads && { prefixReads: this.prefixReads }),
+      ...(prefixReads && { prefixReads }),
       ...(tenantUses && { tenantUses }),
     };
   }
--- a/test/gateway/engine-speeds.test.ts
+++ b/test/gateway/engine-speeds.test.ts
@@ -278,9 +278,9 @@
 test('a router with the feature disabled neither learns nor sends', (t) => {
   const disabled = new Set([LoadSharingFeature.EngineSpeeds]);
   const sharing = new LoadSharing(loadSharingParts({ disabled }));
-  sharing.speedObserver.notePause(engineRecord('engine-0', 1), 500, 0);
+  sharing.views.speedObserver.notePause(engineRecord('engine-0', 1), 500, 0);
   t.is(sharing.observations.engineSpeeds, undefined);
-  t.deepEqual(sharing.speeds.at('engine-0@1'), DEFAULT_ENGINE_SPEED);
+  t.deepEqual(sharing.views.speeds.at('engine-0@1'), DEFAULT_ENGINE_SPEED);
 });
 
 test('a short last event, an event held up and an interrupted read are not taken for speed', (t) => {
--- a/test/gateway/prefix-read-exchange.test.ts
+++ b/test/gateway/prefix-read-exchange.test.ts
@@ -177,7 +177,7 @@
 test('a disabled feature exchanges nothing', (t) => {
   const disabled = parseDisabledFeatures('prefix-reads');
   const sharing = new LoadSharing(loadSharingParts({ disabled }));
-  t.is(sharing.prefixReads, undefined);
+  t.is(sharing.views.prefixReads, undefined);
   t.is(sharing.observations.prefixReads, undefined);
 });
 
