Bound the bytes that a router holds for callers and engines

A response whose caller reads slowly was paused by itself: nothing bounded the sum over all responses, and engines cut off a stream that is paused for some seconds. Request bodies were not bounded at all.

While there is budget, a router reads on from the engine. Beyond a share of the budget for one response it pauses the engine's stream as before; beyond the budget it drops the response that holds the most bytes. A body that does not fit is refused with 503 and Retry-After before it is read, and an engine with too many bodies not taken is not chosen.

--- a/src/coordination/gateway/call-ending.ts
+++ b/src/coordination/gateway/call-ending.ts
@@ -86,6 +86,15 @@
     else this.refuse(REQUEST_CRASHES_ENGINES);
   }
 
+  /** Ends the request because the router holds too many bytes of its response. */
+  drop(): void {
+    const { call } = this;
+    if (call.isFinished) return;
+    call.send?.cancel();
+    if (call.hasBegun) this.abort('slow-reader');
+    else this.refuse({ status: 502, reason: 'memory-full' });
+  }
+
   /** Sends a response of the router. */
   refuse(response: RouterResponse): void {
     const { call } = this;
--- a/src/coordination/gateway/call-record.ts
+++ b/src/coordination/gateway/call-record.ts
@@ -51,7 +51,7 @@
     readonly reply: Reply,
     readonly context: GatewayContext,
   ) {
-    this.response = new CallResponse(reply);
+    this.response = new CallResponse(reply, context.memory?.openResponse(request.id, reply));
     this.crashes = new CallCrashes(request, context.crashes, () => this.grant);
     this.quota = new CallQuota(request, context.quotas);
   }
--- a/src/coordination/gateway/call-response.ts
+++ b/src/coordination/gateway/call-response.ts
@@ -6,6 +6,7 @@
 import type { ResponseHead } from '../../protocol/inference/port.js';
 import { ResponseBuffer } from './response-buffer.js';
 import { EventBoundary } from './event-boundary.js';
+import type { HeldResponse } from './held-response.js';
 import type { Reply } from './reply.js';
 
 /** How a response is passed on. */
@@ -24,7 +25,11 @@
   private sentStatus: number | undefined;
   private firstReceivedMs: number | undefined;
 
-  constructor(private readonly reply: Reply) {}
+  /** @param held counts the bytes held for the caller; undefined without a memory budget */
+  constructor(
+    private readonly reply: Reply,
+    readonly held?: HeldResponse,
+  ) {}
 
   /** Whether the response head was sent to the caller. */
   get hasBegun(): boolean {
@@ -56,8 +61,16 @@
     else this.buffer = new ResponseBuffer(head);
   }
 
-  /** Returns false if the caller reads more slowly than the engine writes. */
+  /**
+   * Returns false if the engine's stream must be paused: the caller reads more slowly than the engine
+   * writes, and no more of its response may be held.
+   */
   handleChunk(chunk: Uint8Array, nowMs: number): boolean {
+    const isWritable = this.passOn(chunk, nowMs);
+    return this.held ? this.held.update(this.pendingBytes) : isWritable;
+  }
+
+  private passOn(chunk: Uint8Array, nowMs: number): boolean {
     this.firstReceivedMs ??= nowMs;
     if (this.buffer) return this.bufferChunk(this.buffer, chunk);
     if (!this.mode.isResumable) return this.reply.write(chunk);
@@ -75,12 +88,19 @@
     const rest = this.boundary.takeRest();
     if (rest.length > 0) this.reply.write(rest);
     this.reply.end();
+    this.held?.complete();
   }
 
   /** Discards what was not yet passed on, after the engine's response was interrupted. */
   discardPending(): void {
     this.buffer = undefined;
     this.boundary.dropRest();
+    this.held?.update(0);
+  }
+
+  /** Bytes received from engines that were not passed on yet. */
+  private get pendingBytes(): number {
+    return this.buffer?.sizeBytes ?? this.boundary.pendingBytes;
   }
 
   /** Buffers a chunk; a response that exceeds the buffer limit is streamed from then on. */
--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -24,6 +24,7 @@
 import type { GatewayStatistics } from './gateway-statistics.js';
 import type { EngineLimitDiscovery } from './engine-limit-discovery.js';
 import type { TenantQuotas } from './quota/tenant-quotas.js';
+import type { MemoryBudget } from './memory-budget.js';
 import type { Rejections } from './rejections.js';
 
 /** Retry budgets by service, created on first use. */
@@ -81,6 +82,8 @@
   readonly tenantShares: TenantShares;
   /** Undefined if requests never wait in the router. */
   readonly queues: RequestQueues | undefined;
+  /** Undefined if the bytes held for callers and engines are not bounded. */
+  readonly memory: MemoryBudget | undefined;
   readonly statistics: GatewayStatistics;
   readonly zone: string;
 }
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -36,6 +36,7 @@
 import { openGroup } from './group-setup.js';
 import { EngineLimitDiscovery } from './engine-limit-discovery.js';
 import { LoadSharing } from './load-sharing.js';
+import { type MemoryBudget, createMemoryBudget } from './memory-budget.js';
 import { ListedEngines } from './listed-engines.js';
 import { type ObjectDecoder, valueOrLog } from './object-decoder.js';
 import { Rejections } from './rejections.js';
@@ -145,12 +146,9 @@
       announce: () => group.reportNow(),
       endCalls: (fingerprint) => this.endQuarantined(fingerprint),
     });
-    const limitDiscovery = new EngineLimitDiscovery({
-      limits: this.health.limits,
-      statistics: this.statistics,
-      clock,
-      logger,
-    });
+    const { statistics, outages } = this;
+    const { limits } = this.health;
+    const limitDiscovery = new EngineLimitDiscovery({ limits, statistics, clock, logger });
     this.sharing = new LoadSharing({
       registry: this.registry,
       disabled: settings.disabledFeatures ?? new Set(),
@@ -172,6 +170,8 @@
       clock,
       logger,
     });
+    const hasPeers = (): boolean => group.responding.length > 1;
+    const rejections = new Rejections({ clock, random, outages, statistics, hasPeers });
     const shared = {
       clock,
       random,
@@ -193,18 +193,13 @@
       split: this.split,
       retryBudgets: new ServiceRetryBudgets(settings.retryBudget),
       crashes: this.crashes,
-      rejections: new Rejections({
-        clock,
-        random,
-        outages: this.outages,
-        statistics: this.statistics,
-        hasPeers: () => group.responding.length > 1,
-      }),
+      rejections,
       quotas: this.exchange.quotas,
       speeds: this.sharing.speeds,
       tenantRanking: this.sharing.tenantRanking,
       tenantShares: this.sharing.tenantShares,
       statistics: this.statistics,
+      memory: createMemoryBudget(settings, { clock, logger, statistics, rejections }),
       zone: settings.zone,
     };
     this.context = { ...shared, queues: createRequestQueues(settings, shared) };
@@ -291,6 +286,11 @@
     return this.context.queues?.size ?? 0;
   }
 
+  /** Undefined if the bytes held for callers and engines are not bounded. */
+  get memory(): MemoryBudget | undefined {
+    return this.context.memory;
+  }
+
   get limits(): IngressLimits | undefined {
     return this.configuration.current?.configuration.limits;
   }
--- a/src/coordination/gateway/gateway-settings.ts
+++ b/src/coordination/gateway/gateway-settings.ts
@@ -1,4 +1,5 @@
 /** Settings of one router of the gateway. Times in milliseconds. */
+import type { ByteBudgetSettings } from '../../state/routing/byte-budget.js';
 import type { QuarantinePolicy } from '../../state/routing/request-quarantine.js';
 import type { QuotaTolerance } from '../../state/routing/quota/tenant-limit.js';
 import type { RetryBudgetSettings } from '../../state/routing/shared-retry-budget.js';
@@ -62,6 +63,8 @@
   readonly quarantine?: QuarantinePolicy;
   /** Bounds of the request queues; derived from the default memory if absent. */
   readonly requestQueue?: RequestQueueSettings;
+  /** Budget of the bytes held for callers and engines; derived from the default memory if absent. */
+  readonly memory?: ByteBudgetSettings;
   /** Mechanisms of load sharing that are switched off; none by default. */
   readonly disabledFeatures?: DisabledFeatures;
 }
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -52,6 +52,10 @@
   queueEvictions = 0;
   /** Requests that left the queue unserved for another reason: caller, deadline, stop, quarantine. */
   queueAbandoned = 0;
+  /** Callers whose connection was reset because the router held too many bytes for them. */
+  slowReadersDropped = 0;
+  /** Requests refused because their body did not fit into the memory budget. */
+  bodiesOverBudget = 0;
   /** Engines that dropped requests of this router and then refused connections or restarted. */
   engineCrashes = 0;
   /** Engines that were found restarted under the same name. */
--- a/src/coordination/gateway/reply.ts
+++ b/src/coordination/gateway/reply.ts
@@ -1,5 +1,6 @@
 /** The caller's side of a request, independent of the HTTP server. */
 import type { ForwardedRequest, HeaderLine } from '../../protocol/inference/port.js';
+import type { BodyShare } from '../../state/routing/byte-budget.js';
 import type { GenerationShape } from '../../state/routing/generation.js';
 
 /** A request that was received completely. */
@@ -21,6 +22,8 @@
   /** Event after which the caller resumes a stream. */
   readonly resumeAfter: string | undefined;
   readonly arrivedMs: number;
+  /** Counts the body against the memory budget; undefined without a body or a budget. */
+  readonly heldBody?: BodyShare | undefined;
 }
 
 /** A response produced by the router itself. */
@@ -31,7 +34,10 @@
   readonly retryAfterMs?: number;
 }
 
-/** Writes the response. No method may be called after `end`, `refuse` or `abort`. */
+/**
+ * Writes the response. No method may be called after `end`, `refuse` or `abort`, except for `abort`
+ * after `end` while the caller has not taken all bytes.
+ */
 export interface Reply {
   begin(status: number, headers: readonly HeaderLine[], contentLength: number | undefined): void;
   /**
@@ -47,4 +53,11 @@
   /** Registers a listener for the caller closing the connection before the end. */
   onClose(listener: () => void): void;
   onDrain(listener: () => void): void;
+  /** Bytes written that the caller's connection has not taken, and the memory that they occupy. */
+  readonly heldBytes: number;
+  /**
+   * Registers the listener for the connection taking bytes, or being closed or done with the
+   * response; `heldBytes` is then 0.
+   */
+  onTaken(listener: (isClosed: boolean) => void): void;
 }
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -42,6 +42,8 @@
     this.ending = new CallEnding(this.call, () => {
       this.deadlineTimer?.cancel();
       this.sendTimeouts.cancel();
+      this.call.response.discardPending();
+      this.call.request.heldBody?.release();
       onFinished();
     });
     this.dispatch = new CallDispatch(this.call, this.ending, this, (grant) =>
@@ -56,6 +58,11 @@
     this.context.statistics.requests += 1;
     this.reply.onClose(() => this.onCallerDisconnect());
     this.reply.onDrain(() => call.send?.resume());
+    const { held } = call.response;
+    if (held) {
+      held.onRoom = () => call.send?.resume();
+      held.onDropped = () => this.ending.drop();
+    }
     if (!this.dispatch.admit()) return;
     const { route } = call.grant as Grant;
     const limitMs = Math.min(route.timeoutMs, call.request.budgetMs ?? Infinity);
--- a/src/coordination/gateway/response-buffer.ts
+++ b/src/coordination/gateway/response-buffer.ts
@@ -7,14 +7,18 @@
 /** The head and the chunks of a response received so far. */
 export class ResponseBuffer {
   readonly chunks: Uint8Array[] = [];
-  private sizeBytes = 0;
+  private size = 0;
 
   constructor(readonly head: ResponseHead) {}
 
+  get sizeBytes(): number {
+    return this.size;
+  }
+
   /** Appends a chunk; returns false once the response exceeds the buffer limit. */
   append(chunk: Uint8Array): boolean {
     this.chunks.push(chunk);
-    this.sizeBytes += chunk.length;
-    return this.sizeBytes <= MAXIMUM_BUFFERED_BYTES;
+    this.size += chunk.length;
+    return this.size <= MAXIMUM_BUFFERED_BYTES;
   }
 }
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -54,6 +54,7 @@
       storePressure: storePressureOf(request, stores, context),
       connectionShare,
       slotView: context.slotView(),
+      hasRoomAt: (id) => context.memory?.hasRoomAt(id, request.body.length) ?? true,
     },
     context,
     context.clock.now(),
@@ -142,6 +143,7 @@
     context.health.limits.noteSend(name, context.slotView());
     this.load = new SendLoad(context.loads, id, this.generation, placement.unreadTokens);
     context.statistics.sends += 1;
+    request.heldBody?.queueAt(id);
     this.sentMs = context.clock.now();
     this.exchange = context.engines.send(placement.engine.record, request, options, this);
     this.runStartDeadline = this.createRunStartDeadline();
@@ -155,6 +157,10 @@
     applyEngineNotice(this.answeredRequest, notice, this.context);
   }
 
+  onBodyTaken(): void {
+    if (!this.isClosed) this.request.heldBody?.noteTaken();
+  }
+
   onHead(head: ResponseHead): void {
     if (this.isClosed) return;
     this.headMs = this.context.clock.now();
@@ -280,6 +286,7 @@
   private close(): void {
     this.isClosed = true;
     this.runStartDeadline?.cancel();
+    this.request.heldBody?.leaveEngine();
     this.load.release();
   }
 
--- a/src/lab/gateway-simulation/recorded-reply.ts
+++ b/src/lab/gateway-simulation/recorded-reply.ts
@@ -11,6 +11,8 @@
   own: RouterResponse | undefined;
   ending: ReplyEnd | undefined;
   body = '';
+  readonly heldBytes = 0;
+  private takenListener: (isClosed: boolean) => void = () => undefined;
   private closeListener: () => void = () => undefined;
 
   begin(status: number): void {
@@ -24,16 +26,23 @@
 
   end(): void {
     this.ending = 'whole';
+    this.takenListener(true);
   }
 
   refuse(response: RouterResponse): void {
     this.status = response.status;
     this.own = response;
     this.ending = 'refused';
+    this.takenListener(true);
   }
 
   abort(): void {
     this.ending = 'aborted';
+    this.takenListener(true);
+  }
+
+  onTaken(listener: (isClosed: boolean) => void): void {
+    this.takenListener = listener;
   }
 
   onClose(listener: () => void): void {
@@ -48,6 +57,7 @@
   disconnect(): void {
     if (this.ending) return;
     this.ending = 'left';
+    this.takenListener(true);
     this.closeListener();
   }
 
--- a/src/protocol/inference/port.ts
+++ b/src/protocol/inference/port.ts
@@ -92,6 +92,8 @@
  */
 export interface ExchangeListener {
   onNotice(notice: EngineNotice): void;
+  /** The connection to the engine has taken the whole body of the request. */
+  onBodyTaken?(): void;
   onHead(head: ResponseHead): void;
   onChunk(chunk: Uint8Array): void;
   onEnd(): void;
--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -44,6 +44,8 @@
   readonly connectionShare: number;
   /** Send slots of this router at rate-limited engines. */
   readonly slotView: SlotView;
+  /** Whether the bodies that an engine has not taken leave room for this one. */
+  hasRoomAt?(engineId: string): boolean;
 }
 
 /** The chosen engine and the parameters of the call to it. */
@@ -123,7 +125,9 @@
   if (withinLimit.length === 0) return RejectionReason.EnginesLimited;
   const healthy = healthyEngines(withinLimit, tables, nowMs);
   const available = healthy.filter(
-    (engine) => tables.loads.ownRequestsAt(engine.record.id) < request.connectionShare,
+    ({ record }) =>
+      tables.loads.ownRequestsAt(record.id) < request.connectionShare &&
+      (request.hasRoomAt?.(record.id) ?? true),
   );
   if (available.length === 0) return RejectionReason.AllBusy;
   if (!prompt) return lowestCost(available.map((engine) => scorePlain(engine, request, tables)));
--- a/src/state/routing/rejection.ts
+++ b/src/state/routing/rejection.ts
@@ -31,6 +31,8 @@
   QueueTooLong = 'queue-too-long',
   /** The queue of this router has no place left for the request. */
   QueueFull = 'queue-full',
+  /** The body does not fit into the bytes that this router may hold. */
+  MemoryFull = 'memory-full',
   /** Too little time is left before the caller's deadline to send the request. */
   NoTimeLeft = 'no-time-left',
   Stopping = 'stopping',
@@ -119,6 +121,9 @@
   [RejectionReason.TooLate]: ({ excessMs }) => excessMs,
   [RejectionReason.QueueTooLong]: ({ excessMs }) => excessMs,
   [RejectionReason.QueueFull]: () => MINIMUM_DELAY_MS,
+  // Another router has a budget of its own; here, engines have to take bodies first.
+  [RejectionReason.MemoryFull]: ({ hasPeers }) =>
+    hasPeers ? FAILOVER_DELAY_MS : TRANSIENT_DELAY_MS,
   [RejectionReason.NoService]: () => TRANSIENT_DELAY_MS,
   [RejectionReason.NoEngine]: () => TRANSIENT_DELAY_MS,
   [RejectionReason.EnginesBackingOff]: ({ engineWaitMs }) => engineWaitMs,
