--- a/src/state/routing/byte-budget.ts
+++ b/src/state/routing/byte-budget.ts
@@ -58,7 +58,10 @@
 
 /** What the router holds of one request body. */
 export interface BodyShare {
-  /** Counts bytes that are read; returns false, without counting, if there is no room for them. */
+  /**
+   * Counts bytes that are read, before the body is sent. Returns false, without counting, if there is
+   * no room for them.
+   */
   grow(bytes: number): boolean;
   /** The whole body is sent to an engine, for the first time or again. */
   queueAt(engineId: string): void;
@@ -114,10 +117,13 @@
     return queued === 0 || queued + bytes <= this.settings.engineBodyBytes;
   }
 
-  /** Applies a change of one response; drops responses while the total exceeds the budget. */
+  /**
+   * Applies a change of one response, and drops responses while the total exceeds the budget. Bodies
+   * that are sent again may have exceeded it, so this also follows a decrease.
+   */
   changeResponse(delta: number, nowMs: number): void {
     this.responseTotal += delta;
-    if (delta > 0) this.dropExcess(nowMs);
+    this.dropExcess(nowMs);
   }
 
   /** Applies a change of one body. */
@@ -132,9 +138,10 @@
     else this.queuedByEngine.delete(engineId);
   }
 
-  /** Forgets a response that holds nothing any more. */
+  /** Forgets a response and its bytes. */
   remove(response: HeldResponseBytes): void {
     this.responses.delete(response);
+    this.responseTotal -= response.bytes;
   }
 
   /**
@@ -193,14 +200,13 @@
     const delta = bytes - this.bytes;
     if (delta < 0 || this.bytes === 0) this.progressMs = nowMs;
     this.bytes = bytes;
-    if (delta !== 0) this.budget.changeResponse(delta, nowMs);
+    this.budget.changeResponse(delta, nowMs);
   }
 
   release(): void {
     if (this.isReleased) return;
     this.isReleased = true;
     this.budget.remove(this);
-    this.budget.changeResponse(-this.bytes, this.progressMs);
     this.bytes = 0;
   }
 
@@ -220,7 +226,8 @@
   constructor(private readonly budget: ByteBudget) {}
 
   grow(bytes: number): boolean {
-    if (this.isReleased || !this.budget.admitsBody(bytes)) return false;
+    const isBeingRead = !this.isReleased && this.isCounted && this.engineId === undefined;
+    if (!isBeingRead || !this.budget.admitsBody(bytes)) return false;
     this.bytes += bytes;
     this.budget.changeBody(bytes);
     return true;
