--- a/src/lab/gateway-simulation/recorded-reply.ts
+++ b/src/lab/gateway-simulation/recorded-reply.ts
@@ -11,10 +11,14 @@
   own: RouterResponse | undefined;
   ending: ReplyEnd | undefined;
   body = '';
-  readonly heldBytes = 0;
   private takenListener: (isClosed: boolean) => void = () => undefined;
   private closeListener: () => void = () => undefined;
 
+  /** The simulated connection takes every write at once. */
+  get heldBytes(): number {
+    return 0;
+  }
+
   begin(status: number): void {
     this.status = status;
   }
--- a/test/helpers/socket-router.ts
+++ b/test/helpers/socket-router.ts
@@ -25,6 +25,7 @@
 /** Engines of the test write no heartbeats. */
 const ENTRY_LIFETIME_MS = 600_000;
 const POLL_MS = 5;
+const MAXIMUM_POLLS = 4_000;
 const BODY_LIMIT = 4_194_304;
 
 /** Path of a route whose responses are passed on as they arrive. */
@@ -121,7 +122,7 @@
   return listen(t, server);
 }
 
-/** Starts an engine that accepts connections and reads nothing until `read` is called. */
+/** Starts an engine that accepts connections and reads nothing until its sockets are resumed. */
 export async function startUnreadingEngine(
   t: ExecutionContext,
 ): Promise<{ address: string; sockets: net.Socket[] }> {
@@ -182,8 +183,12 @@
   return tail.endsWith(LAST_CHUNK);
 }
 
+/** Polls until the condition holds; throws if it does not within the polls of about 20 s. */
 export async function waitUntil(condition: () => boolean): Promise<void> {
-  while (!condition()) await wait(POLL_MS);
+  for (let polls = 0; !condition(); polls += 1) {
+    if (polls === MAXIMUM_POLLS) throw new Error(`not reached: ${condition.toString()}`);
+    await wait(POLL_MS);
+  }
 }
 
 export function wait(delayMs: number): Promise<void> {
--- a/test/platform/ingress.test.ts
+++ b/test/platform/ingress.test.ts
@@ -191,3 +191,20 @@
   await client.closed;
   t.false(client.received().endsWith('0\r\n\r\n'));
 });
+
+test('a pipelined response is released when its connection closes before its turn', async (t) => {
+  const harness = await startIngress(t);
+  const client = connect(harness.port);
+  client.socket.write(GET + GET);
+  await waitUntil(() => harness.requests.length === 2);
+  const reply = harness.requests[1]?.reply as Reply;
+  let closed = 0;
+  reply.onTaken((isClosed) => (closed += isClosed ? 1 : 0));
+  reply.begin(200, [], undefined);
+  reply.write(Buffer.alloc(1_000));
+  t.true(reply.heldBytes > 1_000);
+  client.socket.destroy();
+  await waitUntil(() => closed > 0);
+  t.is(reply.heldBytes, 0);
+  t.is(closed, 1);
+});
