--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -23,6 +23,7 @@
 import type { LoadSharingViews } from './load-sharing.js';
 import type { EngineLimitDiscovery } from './engine-limit-discovery.js';
 import type { TenantQuotas } from './quota/tenant-quotas.js';
+import type { MemoryBudget } from './memory-budget.js';
 import type { Rejections } from './rejections.js';
 
 /** Retry budgets by service, created on first use. */
@@ -77,6 +78,8 @@
   readonly quotas: TenantQuotas;
   /** Undefined if requests never wait in the router. */
   readonly queues: RequestQueues | undefined;
+  /** Undefined if the bytes held for callers and engines are not bounded. */
+  readonly memory: MemoryBudget | undefined;
   readonly statistics: GatewayStatistics;
   readonly zone: string;
 }
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -59,6 +59,7 @@
       storePressure: storePressureOf(request, stores, context),
       connectionShare,
       slotView: context.slotView(),
+      hasRoomAt: (id) => context.memory?.hasRoomAt(id, request.body.length) ?? true,
     },
     context,
     context.clock.now(),
@@ -165,6 +166,7 @@
     this.load = new SendLoad(context.loads, id, placement.unreadTokens, placement.memory);
     context.statistics.sends += 1;
     if ((placement.harmMs ?? 0) > 0) context.statistics.sendsHarmingStreams += 1;
+    request.heldBody?.queueAt(id);
     this.sentMs = context.clock.now();
     this.speed = this.observeSpeed(options, queuedTokens);
     this.exchange = context.engines.send(placement.engine.record, request, options, this);
@@ -179,6 +181,10 @@
     applyEngineNotice(this.answeredRequest, notice, this.context);
   }
 
+  onBodyTaken(): void {
+    if (!this.isClosed) this.request.heldBody?.noteTaken();
+  }
+
   onHead(head: ResponseHead): void {
     if (this.isClosed) return;
     this.headMs = this.context.clock.now();
@@ -319,6 +325,7 @@
   private close(): void {
     this.isClosed = true;
     this.runStartDeadline?.cancel();
+    this.request.heldBody?.leaveEngine();
     this.load.release();
   }
 
--- a/src/lab/gateway-simulation/recorded-reply.ts
+++ b/src/lab/gateway-simulation/recorded-reply.ts
@@ -11,8 +11,14 @@
   own: RouterResponse | undefined;
   ending: ReplyEnd | undefined;
   body = '';
+  private takenListener: (isClosed: boolean) => void = () => undefined;
   private closeListener: () => void = () => undefined;
 
+  /** The simulated connection takes every write at once. */
+  get heldBytes(): number {
+    return 0;
+  }
+
   begin(status: number): void {
     this.status = status;
   }
@@ -24,16 +30,23 @@
 
   end(): void {
     this.ending = 'whole';
+    this.takenListener(true);
   }
 
   refuse(response: RouterResponse): void {
     this.status = response.status;
     this.own = response;
     this.ending = 'refused';
+    this.takenListener(true);
   }
 
   abort(): void {
     this.ending = 'aborted';
+    this.takenListener(true);
+  }
+
+  onTaken(listener: (isClosed: boolean) => void): void {
+    this.takenListener = listener;
   }
 
   onClose(listener: () => void): void {
@@ -48,6 +61,7 @@
   disconnect(): void {
     if (this.ending) return;
     this.ending = 'left';
+    this.takenListener(true);
     this.closeListener();
   }
 
