--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -17,10 +17,13 @@
 import type { SlotView } from '../../state/routing/send-slots.js';
 import type { TrafficSplit } from '../../state/routing/traffic-split.js';
 import type { WeightVersions } from '../../state/routing/weight-versions.js';
+import type { RequestQueues } from './admission/request-queues.js';
 import type { CrashProtection } from './crash-protection.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
+import type { LoadSharingViews } from './load-sharing.js';
 import type { EngineLimitDiscovery } from './engine-limit-discovery.js';
 import type { TenantQuotas } from './quota/tenant-quotas.js';
+import type { MemoryBudget } from './memory-budget.js';
 import type { Rejections } from './rejections.js';
 
 /** Retry budgets by service, created on first use. */
@@ -46,7 +49,7 @@
 }
 
 /** Dependencies that all requests of one router share. */
-export interface GatewayContext {
+export interface GatewayContext extends LoadSharingViews {
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly homes: HomeRanking;
@@ -73,6 +76,10 @@
   readonly crashes: CrashProtection;
   readonly rejections: Rejections;
   readonly quotas: TenantQuotas;
+  /** Undefined if requests never wait in the router. */
+  readonly queues: RequestQueues | undefined;
+  /** Undefined if the bytes held for callers and engines are not bounded. */
+  readonly memory: MemoryBudget | undefined;
   readonly statistics: GatewayStatistics;
   readonly zone: string;
 }
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -27,12 +27,16 @@
 import { CrashProtection } from './crash-protection.js';
 import { followKinds } from './followed-kinds.js';
 import { type GatewayContext, ServiceRetryBudgets } from './gateway-context.js';
+import { createRequestQueues } from './admission/request-queues.js';
 import { DEFAULT_QUOTA_TOLERANCE, type GatewaySettings } from './gateway-settings.js';
 import { GatewayStatistics } from './gateway-statistics.js';
 import { GroupExchange } from './group-exchange.js';
 import { GroupEventTarget } from './group-event-target.js';
-import { GroupMembership, SETTLING_MS } from './group-membership.js';
+import { type GroupMembership, SETTLING_MS } from './group-membership.js';
+import { openGroup } from './group-setup.js';
 import { EngineLimitDiscovery } from './engine-limit-discovery.js';
+import { LoadSharing } from './load-sharing.js';
+import { type MemoryBudget, createMemoryBudget } from './memory-budget.js';
 import { ListedEngines } from './listed-engines.js';
 import { type ObjectDecoder, valueOrLog } from './object-decoder.js';
 import { Rejections } from './rejections.js';
@@ -77,6 +81,7 @@
   private readonly requestRate = new SendRate();
   private readonly ownTokenRate = new SendRate();
   private readonly split = new TrafficSplit();
+  private readonly sharing: LoadSharing;
   private readonly followers: StoreFollowers;
   private readonly calls = new Set<RequestCall>();
   private readonly context: GatewayContext;
@@ -129,20 +134,25 @@
     );
     this.followers = new StoreFollowers(relay.store, group, this.outages, clock, random, logger);
     this.crashes = new CrashProtection({
+      ...dependencies,
       policy: settings.quarantine,
       kind: settings.kinds.quarantine,
-      store: dependencies.store,
-      engines,
       registry: this.registry,
       statistics: this.statistics,
-      clock,
-      random,
-      logger,
       announce: () => group.reportNow(),
       endCalls: (fingerprint) => this.endQuarantined(fingerprint),
     });
-    const limitDiscovery = new EngineLimitDiscovery({
-      limits: this.health.limits,
+    const { statistics, outages } = this;
+    const { limits } = this.health;
+    const limitDiscovery = new EngineLimitDiscovery({ limits, statistics, clock, logger });
+    this.sharing = new LoadSharing({
+      nodeId: group.own.nodeId,
+      registry: this.registry,
+      configuration: this.configuration,
+      cachedPrefixes: this.cachedPrefixes,
+      ownTokenRate: this.ownTokenRate,
+      shareOfTraffic: () => this.trafficShare.now,
+      disabled: settings.disabledFeatures ?? new Set(),
       statistics: this.statistics,
       clock,
       logger,
@@ -151,6 +161,7 @@
     this.exchange = new GroupExchange({
       group,
       loads: this.loads,
+      observations: this.sharing.observations,
       registry: this.registry,
       configuration: this.configuration,
       homes,
@@ -160,7 +171,10 @@
       clock,
       logger,
     });
-    this.context = {
+    const hasPeers = (): boolean => group.responding.length > 1;
+    const { speeds } = this.sharing.views;
+    const rejections = new Rejections({ clock, random, outages, statistics, speeds, hasPeers });
+    const shared = {
       clock,
       random,
       homes,
@@ -181,17 +195,14 @@
       split: this.split,
       retryBudgets: new ServiceRetryBudgets(settings.retryBudget),
       crashes: this.crashes,
-      rejections: new Rejections({
-        clock,
-        random,
-        outages: this.outages,
-        statistics: this.statistics,
-        hasPeers: () => group.responding.length > 1,
-      }),
+      rejections,
       quotas: this.exchange.quotas,
+      ...this.sharing.views,
       statistics: this.statistics,
+      memory: createMemoryBudget(settings, { clock, logger, statistics, rejections }),
       zone: settings.zone,
     };
+    this.context = { ...shared, queues: createRequestQueues(settings, shared) };
     this.directory = new Directory(group, random, this.statistics, logger);
     this.coordinator = createCoordinator({
       settings,
@@ -231,25 +242,7 @@
     dependencies: GatewayDependencies,
   ): Promise<GatewayNode> {
     const events = new GroupEventTarget();
-    const { clock, random, logger, datagrams } = dependencies;
-    const { nodeId, zone, region, frontendAddress, gossipAddress, seeds, capacity } = settings;
-    const identity = {
-      nodeId,
-      zone,
-      region,
-      gossipAddress,
-      peerAddress: frontendAddress,
-      capacity,
-    };
-    const group = await GroupMembership.open(
-      { identity, seeds },
-      datagrams,
-      events.loads,
-      events,
-      clock,
-      random,
-      logger,
-    );
+    const group = await openGroup(settings, dependencies, events);
     const eras = new StoreEras(settings.isFirstStart);
     const relay = await StoreRelay.open(settings.relay, group, eras, dependencies);
     return new GatewayNode(settings, dependencies, group, relay, eras, events);
@@ -288,6 +281,16 @@
     return this.calls.size;
   }
 
+  /** Requests that wait in this router for capacity of engines. */
+  get queuedCalls(): number {
+    return this.context.queues?.size ?? 0;
+  }
+
+  /** Undefined if the bytes held for callers and engines are not bounded. */
+  get memory(): MemoryBudget | undefined {
+    return this.context.memory;
+  }
+
   get limits(): IngressLimits | undefined {
     return this.configuration.current?.configuration.limits;
   }
@@ -333,6 +336,7 @@
 
   /** Ends all running requests and releases all resources. */
   stop(): void {
+    this.context.queues?.stop();
     for (const call of this.calls) call.endForShutdown();
     this.followers.stop();
     for (const timer of this.timers) timer.cancel();
--- a/src/coordination/gateway/gateway-settings.ts
+++ b/src/coordination/gateway/gateway-settings.ts
@@ -1,8 +1,11 @@
 /** Settings of one router of the gateway. Times in milliseconds. */
+import type { ByteBudgetSettings } from '../../state/routing/byte-budget.js';
 import type { QuarantinePolicy } from '../../state/routing/request-quarantine.js';
 import type { QuotaTolerance } from '../../state/routing/quota/tenant-limit.js';
 import type { RetryBudgetSettings } from '../../state/routing/shared-retry-budget.js';
 import type { RolloutSettings } from '../../state/routing/weight-rollout.js';
+import type { DisabledFeatures } from './load-sharing-settings.js';
+import type { RequestQueueSettings } from './admission/queue-settings.js';
 import type { ObjectKinds } from './object-decoder.js';
 import type { RelaySettings } from './store-relay/relayed-object-store.js';
 
@@ -58,6 +61,12 @@
   readonly leaseActMs: number;
   /** Threshold for quarantining a request that crashes engines. */
   readonly quarantine?: QuarantinePolicy;
+  /** Bounds of the request queues; derived from the default memory if absent. */
+  readonly requestQueue?: RequestQueueSettings;
+  /** Budget of the bytes held for callers and engines; derived from the default memory if absent. */
+  readonly memory?: ByteBudgetSettings;
+  /** Mechanisms of load sharing that are switched off; none by default. */
+  readonly disabledFeatures?: DisabledFeatures;
 }
 
 /** Default tolerance on the limits of tenants. */
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -10,6 +10,8 @@
   failed = 0;
   abandonedByCaller = 0;
   sends = 0;
+  /** Generations whose prefill was expected to make streams at the chosen engine late by a gap. */
+  sendsHarmingStreams = 0;
   repeatedSends = 0;
   resumedStreams = 0;
   /** Cancelled because the engine's weights expired before the request started. */
@@ -36,6 +38,26 @@
   tooLateSamplesInTime = 0;
   /** Admitted by the estimate, but cancelled at the caller's deadline. */
   admittedPastDeadline = 0;
+  /** Requests that entered the queue of their service, and those of them that left it for a send. */
+  queuedRequests = 0;
+  dequeuedRequests = 0;
+  /** Time that the dequeued requests had waited, in milliseconds, and how many were late. */
+  queueWaitMs = 0;
+  dequeuedLate = 0;
+  /**
+   * Rejections by the queue: not expected to be served in time at the arrival or while waiting, no
+   * place left, and displaced by a more urgent request or one of a tenant within its share.
+   */
+  queueTooLongRejections = 0;
+  queueLateRejections = 0;
+  queueFullRejections = 0;
+  queueEvictions = 0;
+  /** Requests that left the queue unserved for another reason: caller, deadline, stop, quarantine. */
+  queueAbandoned = 0;
+  /** Callers whose connection was reset because the router held too many bytes for them. */
+  slowReadersDropped = 0;
+  /** Requests refused because their body did not fit into the memory budget. */
+  bodiesOverBudget = 0;
   /** Engines that dropped requests of this router and then refused connections or restarted. */
   engineCrashes = 0;
   /** Engines that were found restarted under the same name. */
@@ -69,6 +91,16 @@
   rolloutWaits = 0;
   rolloutsForWorth = 0;
   rolloutsForDeadline = 0;
+  /** Prefix reads sent to the group, applied from it, and ignored as of unlisted engines. */
+  prefixReadsReported = 0;
+  prefixReadsApplied = 0;
+  prefixReadsIgnored = 0;
+  /** Pauses within streams from which the speed of engines was learned. */
+  enginePausesObserved = 0;
+  /** Considerable changes of the believed speed of an engine. */
+  engineSpeedChanges = 0;
+  /** Reported speeds that were limited by the service's median or by this router's own responses. */
+  engineSpeedReportsLimited = 0;
   sharedTokensRead = 0;
   sharedTokensKept = 0;
   /** Directory responses to callers. */
--- a/src/coordination/gateway/rejections.ts
+++ b/src/coordination/gateway/rejections.ts
@@ -5,6 +5,11 @@
 import type { Clock } from '../../runtime/clock.js';
 import type { RandomSource } from '../../runtime/random.js';
 import { FinishEstimate, type FinishSample } from '../../state/routing/finish-estimate.js';
+import {
+  DEFAULT_ENGINE_SPEEDS,
+  type EngineSpeedView,
+  slownessOf,
+} from '../../state/routing/engine-speeds.js';
 import type { GenerationShape } from '../../state/routing/generation.js';
 import type { Placement } from '../../state/routing/placement.js';
 import { JITTER_SHARE, RetryDelays, RejectionReason } from '../../state/routing/rejection.js';
@@ -19,6 +24,8 @@
   readonly random: RandomSource;
   readonly outages: StoreOutages;
   readonly statistics: GatewayStatistics;
+  /** Learned speeds of engines; the default if left out. */
+  readonly speeds?: EngineSpeedView;
   /** Whether other routers respond. */
   hasPeers(): boolean;
 }
@@ -30,13 +37,15 @@
   readonly service: string;
   /** 0 is the most urgent. */
   readonly priority: number;
-  /** Time by which the estimated duration exceeds the limit, in milliseconds. */
+  /** Time by which the estimated duration or wait exceeds the limit, in milliseconds. */
   readonly excessMs?: number | undefined;
   /**
    * Time until the first engine with a backoff or a limit accepts a request of this router, in
    * milliseconds.
    */
   readonly engineWaitMs?: number | undefined;
+  /** Completions per second that the queue of the service observes; undefined if it has none. */
+  readonly servedPerSecond?: number | undefined;
 }
 
 /** Details of a rejection besides its reason; `priority` is set if the request was not granted. */
@@ -57,7 +66,7 @@
  * the delay of the estimate: it is learned from completed responses, and requests admitted since
  * then slow all of them down.
  */
-const MAXIMUM_SHARE_OF_REMAINING_TIME = 0.5;
+export const MAXIMUM_SHARE_OF_REMAINING_TIME = 0.5;
 /**
  * One in this many generations that are expected to miss their deadline is sent to check the
  * estimate.
@@ -81,8 +90,9 @@
     const { statistics, random, clock } = this.parts;
     const { model, maximumOutputTokens } = generation;
     const now = clock.now();
-    const { expectedMs } = placement;
-    const finishMs = this.estimate.finishMs(model, expectedMs, maximumOutputTokens, now);
+    const { expectedMs, engine } = placement;
+    const slowness = slownessOf((this.parts.speeds ?? DEFAULT_ENGINE_SPEEDS).at(engine.record.id));
+    const finishMs = this.estimate.finishMs(model, expectedMs, maximumOutputTokens, now, slowness);
     const limitMs = remainingMs * MAXIMUM_SHARE_OF_REMAINING_TIME;
     if (finishMs === undefined || finishMs <= limitMs) return { kind: 'admitted' };
     if (random.next() * TOO_LATE_PER_SAMPLE < 1) {
@@ -100,6 +110,7 @@
     priority,
     excessMs = 0,
     engineWaitMs = 0,
+    servedPerSecond,
   }: RejectedRequest): RouterResponse {
     const { clock, outages } = this.parts;
     const now = clock.now();
@@ -108,7 +119,7 @@
       priority,
       excessMs,
       engineWaitMs,
-      finishesPerSecond: this.finishRate.perSecond(service, now),
+      finishesPerSecond: servedPerSecond ?? this.finishRate.perSecond(service, now),
       storeOutMs: outages.currentOutageMs(now),
       hasPeers: this.parts.hasPeers(),
     };
@@ -131,8 +142,8 @@
   }
 
   /** Records the pause between two chunks of a stream, in milliseconds. */
-  notePause(model: string, pauseMs: number): void {
-    this.estimate.notePause(model, pauseMs);
+  notePause(model: string, pauseMs: number, slowness = 1): void {
+    this.estimate.notePause(model, pauseMs, slowness);
   }
 
   /** Records the completed response to a generation. */
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -11,14 +11,18 @@
 import {
   type Placement,
   type PlacementFailure,
+  type PlacementRequest,
   placeRequest,
 } from '../../state/routing/placement.js';
 import { RejectionReason } from '../../state/routing/rejection.js';
 import { StorePressure, storePressure } from '../../state/routing/save-choice.js';
+import { ResponseSpeed } from './response-speed.js';
+import { LoadSharingFeature } from './load-sharing-settings.js';
 import { RunStartDeadline } from './run-start-deadline.js';
 import { applyEngineNotice } from './engine-notices.js';
 import type { GatewayContext } from './gateway-context.js';
-import type { GenerationShape } from '../../state/routing/generation.js';
+import { type GenerationShape, sharedPartsOf } from '../../state/routing/generation.js';
+import { slownessOf } from '../../state/routing/engine-speeds.js';
 import type { AnsweredRequest } from './engine-limit-discovery.js';
 import { SendLoad } from './send-load.js';
 import type { Grant } from './request-admission.js';
@@ -50,16 +54,33 @@
       isolatedTenant: grant.tenant?.isIsolated ? grant.tenant.name : undefined,
       excluded,
       zone: context.zone,
+      ...gapPlacementOf(grant, service, context),
       stores,
       storePressure: storePressureOf(request, stores, context),
       connectionShare,
       slotView: context.slotView(),
+      hasRoomAt: (id) => context.memory?.hasRoomAt(id, request.body.length) ?? true,
     },
     context,
     context.clock.now(),
   );
 }
 
+/** Inputs of placement by gaps and capacity; none if no route has a gap objective. */
+export function gapPlacementOf(
+  { table, route }: Pick<Grant, 'table' | 'route'>,
+  service: Service,
+  { disabledFeatures }: Pick<GatewayContext, 'disabledFeatures'>,
+): Pick<PlacementRequest, 'gapObjectiveMs' | 'objectiveMs' | 'spreadsPlainRequests'> {
+  const isDisabled = disabledFeatures.has(LoadSharingFeature.GapPlacement);
+  if (isDisabled || !table.hasGapObjectives) return {};
+  return {
+    gapObjectiveMs: table.gapObjectiveMsOf(service.name),
+    objectiveMs: route.objectiveMs,
+    spreadsPlainRequests: true,
+  };
+}
+
 /**
  * Time until an engine of the service accepts requests of this router again, in milliseconds;
  * undefined if the placement failed for a reason other than backoffs and limits.
@@ -129,6 +150,7 @@
   private firstChunkMs: number | undefined;
   private lastChunkMs: number | undefined;
   private chunkCount = 0;
+  private readonly speed: ResponseSpeed | undefined;
   private isClosed = false;
 
   constructor(
@@ -140,9 +162,13 @@
   ) {
     const { id, name } = placement.engine.record;
     context.health.limits.noteSend(name, context.slotView());
-    this.load = new SendLoad(context.loads, id, this.generation, placement.unreadTokens);
+    const queuedTokens = context.loads.at(id).unreadTokens;
+    this.load = new SendLoad(context.loads, id, placement.unreadTokens, placement.memory);
     context.statistics.sends += 1;
+    if ((placement.harmMs ?? 0) > 0) context.statistics.sendsHarmingStreams += 1;
+    request.heldBody?.queueAt(id);
     this.sentMs = context.clock.now();
+    this.speed = this.observeSpeed(options, queuedTokens);
     this.exchange = context.engines.send(placement.engine.record, request, options, this);
     this.runStartDeadline = this.createRunStartDeadline();
   }
@@ -155,9 +181,14 @@
     applyEngineNotice(this.answeredRequest, notice, this.context);
   }
 
+  onBodyTaken(): void {
+    if (!this.isClosed) this.request.heldBody?.noteTaken();
+  }
+
   onHead(head: ResponseHead): void {
     if (this.isClosed) return;
     this.headMs = this.context.clock.now();
+    this.speed?.noteHead(head);
     // Only an attested response certainly comes from the engine. If it names a limit, `onNotice`
     // has already recorded it.
     if (head.isAttested) this.context.limitDiscovery.recordNoLimit(this.answeredRequest);
@@ -173,6 +204,7 @@
   onEnd(): void {
     if (this.isClosed) return;
     this.recordTiming();
+    this.speed?.noteEnd();
     this.close();
     this.context.health.noteSuccess(this.engineId, this.sentMs);
     this.events.onEnd(this);
@@ -209,6 +241,7 @@
   }
 
   pause(): void {
+    this.speed?.notePausedRead();
     this.exchange.pause();
   }
 
@@ -216,6 +249,15 @@
     this.exchange.resume();
   }
 
+  private observeSpeed(options: SendOptions, queuedTokens: number): ResponseSpeed | undefined {
+    const { generation, placement, sentMs, context } = this;
+    if (!generation) return undefined;
+    const { id } = placement.engine.record;
+    const queuedTokensNow = (): number => context.loads.at(id).unreadTokens;
+    const sent = { generation, placement, options, sentMs, queuedTokens, queuedTokensNow };
+    return new ResponseSpeed(sent, context.speedObserver);
+  }
+
   /** The generation that was sent; undefined if the service does not run generations. */
   private get generation(): GenerationShape | undefined {
     return this.placement.cacheSalt === undefined ? undefined : this.request.generation;
@@ -260,10 +302,13 @@
     const { generation, lastChunkMs, context } = this;
     const now = context.clock.now();
     this.recordPromptRead(now);
+    this.speed?.noteChunk(now);
+    this.load.noteEvent();
     this.chunkCount += 1;
     this.lastChunkMs = now;
     if (!generation || lastChunkMs === undefined) return;
-    context.rejections.notePause(generation.model, now - lastChunkMs);
+    const slowness = slownessOf(context.speeds.at(this.engineId));
+    context.rejections.notePause(generation.model, now - lastChunkMs, slowness);
   }
 
   private recordTiming(): void {
@@ -280,6 +325,7 @@
   private close(): void {
     this.isClosed = true;
     this.runStartDeadline?.cancel();
+    this.request.heldBody?.leaveEngine();
     this.load.release();
   }
 
@@ -293,5 +339,7 @@
     const { generation } = this.request;
     if (cacheSalt === undefined || !generation) return;
     this.context.cachedPrefixes.recordPrompt(this.engineId, cacheSalt, generation.parts);
+    const sharedParts = sharedPartsOf(generation);
+    this.context.prefixReads?.recordRead(this.engineId, cacheSalt, sharedParts, nowMs);
   }
 }
