Answer 502 at a stop while a response is buffered

Cause: CallEnding.reject counted only a request without a response head as being at an engine. A router that stopped while it buffered a response answered 503 although the engine had run the request.

Change: the rule covers both states in which a send is in progress.

--- a/src/coordination/gateway/call-ending.ts
+++ b/src/coordination/gateway/call-ending.ts
@@ -59,9 +59,8 @@
     const { call } = this;
     call.send?.cancel();
     const { detail = reason, ...estimates } = details;
-    const isAwaitingHead = call.state === CallState.Sent;
     if (call.hasBegun) this.abort(detail);
-    else if (call.mayHaveRun || isAwaitingHead) this.refuse({ status: 502, reason: detail });
+    else if (call.mayHaveRun || call.isAtEngine) this.refuse({ status: 502, reason: detail });
     else {
       const service = call.service?.name ?? '';
       const priority = call.grant?.priority ?? 0;
@@ -105,7 +104,7 @@
 
   private finish(outcome: string, ownStatus: number, engine: string | undefined): void {
     const { call } = this;
-    const isInProgress = call.state === CallState.Sent || call.state === CallState.Responding;
+    const isInProgress = call.isAtEngine;
     call.state = CallState.Finished;
     call.place?.leave();
     if (call.service && isInProgress) call.context.queues?.of(call.service).noteSendEnded();
--- a/src/coordination/gateway/call-record.ts
+++ b/src/coordination/gateway/call-record.ts
@@ -61,6 +61,11 @@
     return this.state === CallState.Finished;
   }
 
+  /** Whether a send is in progress, with or without a response head; its response may be buffered. */
+  get isAtEngine(): boolean {
+    return this.state === CallState.Sent || this.state === CallState.Responding;
+  }
+
   /** Whether a response head was sent to the caller. */
   get hasBegun(): boolean {
     return this.response.hasBegun;
