Count a request once in its queue while its quota is pending

Cause: a request whose quota owner answers later is dispatched a second time with no send yet. It was recorded as a second arrival and took a second send of the budget, or entered the queue again after its turn. The doubled arrival rate makes room look scarce, and the kind counts as served twice.

Change: CallWaiting records the arrival once and keeps the permission to send until the send.

--- a/src/coordination/gateway/call-dispatch.ts
+++ b/src/coordination/gateway/call-dispatch.ts
@@ -94,6 +94,7 @@
     if (this.waiting.causeOf(placed, grant, service) !== undefined) return SendAttempt.NoCapacity;
     call.state = CallState.Choosing;
     call.place = undefined;
+    this.waiting.noteTurn();
     this.sendPlaced(placed, grant, service);
     return SendAttempt.Done;
   }
@@ -148,6 +149,7 @@
   private sendTo(placement: Placement, grant: Grant, service: Service): void {
     const { call } = this;
     const { request, context } = call;
+    this.waiting.noteSend();
     call.sends += 1;
     call.engineRequests = context.loads.at(placement.engine.record.id).requests + 1;
     if (call.sends === 1) this.recordFirstSend(service);
--- a/src/coordination/gateway/call-record.ts
+++ b/src/coordination/gateway/call-record.ts
@@ -35,7 +35,6 @@
   readonly refusedBy = new Set<string>();
   /** Place in the queue of the service; undefined while the request does not wait. */
   place: QueuePlace | undefined;
-  hasWaited = false;
   /** Requests at the engine when this one was sent, itself included. */
   engineRequests = 0;
   mayHaveRun = false;
--- a/src/coordination/gateway/call-waiting.ts
+++ b/src/coordination/gateway/call-waiting.ts
@@ -16,6 +16,11 @@
 
 /** Lets one request wait, and ends it if the queue rejects it. */
 export class CallWaiting implements WaitingCall {
+  /** Whether the queue counts the request as arrived. */
+  private hasArrived = false;
+  /** Whether the queue has allowed the next send, which may still wait for the quota. */
+  private isSendAllowed = false;
+
   constructor(
     private readonly call: CallRecord,
     private readonly ending: CallEnding,
@@ -32,19 +37,37 @@
     // A request that may have run can't be rejected, so it is sent as soon as possible.
     if (!queues || !call.isUnstarted) return false;
     const queue = queues.of(service);
-    if (!call.hasWaited && call.sends === 0) {
-      queue.noteArrival(grant.priority, grant.route.objectiveMs);
-    }
+    if (!this.hasArrived) queue.noteArrival(grant.priority, grant.route.objectiveMs);
+    this.hasArrived = true;
     const cause = this.causeOf(placed, grant, service);
     // Waiting does not help a request that no engine serves.
     if (cause === undefined && typeof placed === 'string') return false;
     const demand = (): WaitDemand =>
       this.demandOf(placed, cause ?? RejectionReason.EnginesFull, grant, service);
-    if (cause === undefined && queue.trySendAtOnce(grant.priority, demand)) return false;
+    if (cause === undefined && this.mayBeSentAtOnce(queue, grant, demand)) return false;
     this.enter(queues, queue, demand());
     return true;
   }
 
+  /** Records that the request may be sent, since it is its turn in the queue. */
+  noteTurn(): void {
+    this.isSendAllowed = true;
+  }
+
+  /** Called right before a send; the next one must be allowed anew. */
+  noteSend(): void {
+    this.isSendAllowed = false;
+  }
+
+  private mayBeSentAtOnce(
+    queue: ServiceQueue,
+    { priority }: Grant,
+    demand: () => WaitDemand,
+  ): boolean {
+    this.isSendAllowed ||= queue.trySendAtOnce(priority, demand);
+    return this.isSendAllowed;
+  }
+
   private enter(queues: RequestQueues, queue: ServiceQueue, demand: WaitDemand): void {
     const { call } = this;
     const result = queue.enter(this, demand);
@@ -52,8 +75,8 @@
       this.reject(queues, result.reason, result.details);
       return;
     }
+    this.isSendAllowed = false;
     call.place = result;
-    call.hasWaited = true;
     call.state = CallState.Queued;
   }
 
