Do not count requests that end at their turn as sent

Each request that ended at its turn also used a send of the budget, of which a router with a small share has about one per second.

Change: the place is kept until the attempt is over, and the budget is spent where a send is recorded.

Result: with three such requests ahead, service-queue.test.ts sends the fourth; it was not sent before. The test does not cover CallDispatch.

--- a/src/coordination/gateway/admission/service-queue.ts
+++ b/src/coordination/gateway/admission/service-queue.ts
@@ -288,7 +288,6 @@
     this.wakeTimer = undefined;
     while (!this.isStopped && this.queue.size > 0 && !this.budget.isEmpty) {
       if (!this.queue.sendNext((entry) => this.trySend(entry), MAXIMUM_TRIES)) return;
-      this.budget.spend();
     }
   }
 
@@ -306,6 +305,7 @@
     }
     if (attempt === SendAttempt.NoCapacity) return false;
     this.forget(ticket);
+    this.budget.spend();
     const { statistics, logger } = this.parts;
     statistics.dequeuedRequests += 1;
     this.kinds.noteServed(demand.priority);
--- a/src/coordination/gateway/call-dispatch.ts
+++ b/src/coordination/gateway/call-dispatch.ts
@@ -93,9 +93,12 @@
     const placed = placeCall(call.request, grant, service, call.excluded, call.context);
     if (this.waiting.causeOf(placed, grant, service) !== undefined) return SendAttempt.NoCapacity;
     call.state = CallState.Choosing;
-    call.place = undefined;
+    const { place } = call;
     this.waiting.noteTurn();
     this.sendPlaced(placed, grant, service);
+    // A request that the attempt has ended gives up the place itself, so that it is not counted as
+    // sent.
+    if (call.place === place) call.place = undefined;
     return SendAttempt.Done;
   }
 
--- a/test/gateway/service-queue.test.ts
+++ b/test/gateway/service-queue.test.ts
@@ -82,14 +82,26 @@
     else this.request(id, changes);
   }
 
-  request(id: string, changes: Partial<WaitDemand> = {}): ReturnType<ServiceQueue['enter']> {
+  request(
+    id: string,
+    changes: Partial<WaitDemand> = {},
+    trySend = (): SendAttempt => this.start(id),
+  ): ReturnType<ServiceQueue['enter']> {
     const call: WaitingCall = {
-      trySend: () => this.start(id),
+      trySend,
       rejectFromQueue: (reason) => void this.rejected.set(id, reason),
     };
     return this.queue.enter(call, this.demandOf(id, changes));
   }
 
+  /** Adds a request that ends when its turn comes, for example because its quota is denied. */
+  requestThatEnds(id: string): void {
+    const place = this.request(id, {}, () => {
+      if ('leave' in place) place.leave();
+      return SendAttempt.Done;
+    });
+  }
+
   private demandOf(id: string, changes: Partial<WaitDemand>): WaitDemand {
     const now = this.clock.now();
     return {
@@ -215,6 +227,21 @@
   t.true(bench.served.length <= 2);
 });
 
+test('requests that end at their turn use no send of the budget and do not count as sent', async (t) => {
+  // One send in several seconds, so that a send spent on an ended request is missing.
+  const bench = new Bench({ shareOfTraffic: () => 1 / 1_000 });
+  await bench.warmUp();
+  bench.running = bench.slots;
+  for (let index = 0; index < 3; index += 1) bench.requestThatEnds(`ended-${index}`);
+  bench.request('sent');
+  bench.running = 0;
+  bench.queue.noteSendEnded();
+  bench.queue.noteSendEnded();
+  await bench.clock.advance(200);
+  t.deepEqual(bench.served, ['sent']);
+  t.is(bench.statistics.dequeuedRequests, 1);
+});
+
 test('nothing waits longer than the bound', async (t) => {
   const bench = new Bench({ maximumWaitMs: 200 });
   await bench.warmUp();
