Try the smallest waiting request last for one free place

Cause: at most four waiting requests are tried for a free place, always the same ones while they stay at the head. Four requests that fit nowhere held up all others although an engine had room for them.

Change: the last of the tries goes to the smallest request of the queue.

Result: with six large requests ahead, request-queue.test.ts sends the small one; it was not sent before.

--- a/src/state/routing/request-queue.ts
+++ b/src/state/routing/request-queue.ts
@@ -75,6 +75,7 @@
   readonly order = new OrderedSet<QueueEntry>(compareEntries);
   /** The entry to evict first. */
   readonly evictions = new IndexedHeap<QueueEntry>(compareEvictions);
+  readonly bySize = new IndexedHeap<QueueEntry>(compareSizes);
   readonly byGroup = new Map<string, IndexedHeap<QueueEntry>>();
   readonly shares = new ServedShares();
   private readonly sizes: number[] = [];
@@ -90,12 +91,14 @@
   add(entry: QueueEntry): void {
     this.order.add(entry);
     this.evictions.add(entry);
+    this.bySize.add(entry);
     for (const group of entry.groups) this.heapOf(group).add(entry);
   }
 
   remove(entry: QueueEntry): boolean {
     if (!this.order.remove(entry)) return false;
     this.evictions.remove(entry);
+    this.bySize.remove(entry);
     for (const group of entry.groups) {
       const heap = this.heapOf(group);
       heap.remove(entry);
@@ -176,7 +179,8 @@
 
   /**
    * Takes out the requests that may be sent next, until one of them is sent or no more are tried.
-   * Those that were tried in vain stay in the queue.
+   * Those that were tried in vain stay in the queue. The last try goes to the smallest request, so
+   * that large ones ahead of it do not leave the capacity idle.
    *
    * @param trySend sends the request if an engine has capacity for it; the entry may be left already
    * @returns whether a request left the queue
@@ -185,7 +189,8 @@
     const skipped: QueueEntry[] = [];
     let isSent = false;
     while (!isSent && skipped.length < maximumTries) {
-      const entry = this.next;
+      const isLastTry = skipped.length > 0 && skipped.length === maximumTries - 1;
+      const entry = isLastTry ? this.smallest : this.next;
       if (!entry) break;
       isSent = trySend(entry);
       if (isSent) this.leave(entry, true);
@@ -244,6 +249,11 @@
     return requests > maximumRequests || bytes > maximumBytes ? undefined : evicted;
   }
 
+  private get smallest(): QueueEntry | undefined {
+    const candidates = this.levels.flatMap(({ bySize }) => bySize.first ?? []);
+    return candidates.sort((left, right) => left.candidate.size - right.candidate.size)[0];
+  }
+
   private get worst(): QueueEntry | undefined {
     return this.levels.findLast(({ order }) => order.size > 0)?.evictions.first;
   }
@@ -281,6 +291,10 @@
   );
 }
 
+function compareSizes(left: QueueEntry, right: QueueEntry): number {
+  return left.candidate.size - right.candidate.size || compareEntries(left, right);
+}
+
 /** Tenants over their share are evicted first, then the last in the order. */
 function compareEvictions(left: QueueEntry, right: QueueEntry): number {
   return overuseOf(right) - overuseOf(left) || compareEntries(right, left);
--- a/test/gateway/request-queue.test.ts
+++ b/test/gateway/request-queue.test.ts
@@ -239,6 +239,17 @@
   t.is(queue.size, 1);
 });
 
+test('many large requests that fit nowhere do not hold up one that fits', (t) => {
+  const queue = new RequestQueue(UNBOUNDED);
+  const large = Array.from({ length: 6 }, (_, index) =>
+    enter(queue, { priority: 0, size: 1_000, latestSendMs: index }),
+  );
+  const small = enter(queue, { size: 10, latestSendMs: 500 });
+  t.true(queue.sendNext((entry) => entry === small, 4));
+  t.is(queue.size, large.length);
+  t.is(queue.next, large[0]);
+});
+
 test('10,000 waiting requests enter and leave with few comparisons', (t) => {
   // A list that is sorted at each change needs thousands of comparisons for each request.
   const COUNT = 10_000;
