Count all ended sends where room is compared with arrivals

Cause: whether room is scarce was decided from arrivals and served requests. Sends whose callers left count as arrivals but not as served, so room looked scarce in steady state.

Change: the rate of ended sends is recorded separately and used there.

Result: with a share of 1/84, half of the callers leaving and 60 free slots, service-queue.test.ts sends 100 of 100 requests at once, was 75.

--- a/src/coordination/gateway/admission/service-queue.ts
+++ b/src/coordination/gateway/admission/service-queue.ts
@@ -90,7 +90,10 @@
   private readonly queue: RequestQueue;
   private readonly kinds = new KindShares();
   private readonly arrivals = new ServiceRate();
+  /** Requests that were served. */
   private readonly rate = new ServiceRate();
+  /** Sends that have ended, also those whose callers left. */
+  private readonly ends = new ServiceRate();
   private readonly budget: WakeBudget;
   private readonly tickets = new Map<number, Ticket>();
   private readonly reviews = new IndexedHeap<Ticket>(
@@ -176,6 +179,7 @@
 
   /** Records that a send of this router has ended, so that its place at the engine is free. */
   noteSendEnded(): void {
+    this.ends.noteCompleted(this.now);
     this.budget.noteEnd(this.parts.shareOfTraffic());
     if (this.queue.size > 0) this.wakeSoon();
   }
@@ -196,7 +200,7 @@
     if (!this.budget.isEmpty) return true;
     const { now } = this;
     const share = this.parts.shareOfTraffic();
-    const endsPerSecond = this.rate.perSecond(now);
+    const endsPerSecond = this.ends.perSecond(now);
     return !isRoomScarce(this.room, share, this.arrivals.perSecond(now), endsPerSecond);
   }
 
--- a/test/gateway/service-queue.test.ts
+++ b/test/gateway/service-queue.test.ts
@@ -102,7 +102,7 @@
     });
   }
 
-  private demandOf(id: string, changes: Partial<WaitDemand>): WaitDemand {
+  demandOf(id: string, changes: Partial<WaitDemand>): WaitDemand {
     const now = this.clock.now();
     return {
       requestId: id,
@@ -227,6 +227,24 @@
   t.true(bench.served.length <= 2);
 });
 
+test('callers that leave during their responses do not make room look scarce', async (t) => {
+  const bench = new Bench({ shareOfTraffic: () => 1 / 84 });
+  bench.slots = 60;
+  const INTERVAL_MS = 50;
+  let sent = 0;
+  const ROUNDS = 100;
+  for (let round = 0; round < ROUNDS; round += 1) {
+    bench.queue.noteArrival(1, OBJECTIVE_MS);
+    if (bench.queue.trySendAtOnce(1, () => bench.demandOf(`request-${round}`, {}))) sent += 1;
+    await bench.clock.advance(INTERVAL_MS);
+    // Every second caller reads the response to its end.
+    if (round % 2 === 0) bench.queue.noteCompleted();
+    bench.queue.noteSendEnded();
+  }
+  t.log(sent);
+  t.is(sent, ROUNDS);
+});
+
 test('requests that end at their turn use no send of the budget and do not count as sent', async (t) => {
   // One send in several seconds, so that a send spent on an ended request is missing.
   const bench = new Bench({ shareOfTraffic: () => 1 / 1_000 });
