Keep the traffic share of a leaving router finite

Cause: a router that leaves is not among the working members. Without other members its share was 1/0, and the expected wait of requests without free room became NaN, so that all were rejected and waiting ones dropped.

Change: at least one member is assumed.

Result: traffic-share.test.ts gets 1, was Infinity.

--- a/src/coordination/gateway/traffic-share.ts
+++ b/src/coordination/gateway/traffic-share.ts
@@ -50,7 +50,9 @@
     this.lastWorking = working;
     const total = totalCapacity(working);
     const hasCapacities = total > 0 && this.capacity > 0;
-    this.share = hasCapacities ? Math.min(1, this.capacity / total) : 1 / working.length;
+    // A router that leaves is not among the working members, of which none may be left.
+    const memberCount = Math.max(1, working.length);
+    this.share = hasCapacities ? Math.min(1, this.capacity / total) : 1 / memberCount;
     this.ownInterval = intervalAmong(working, own.nodeId);
   }
 }
