Ignore kinds without recent requests when kinds are compared

Cause: the served shares of kinds never expired. A less urgent kind that had been served before a lull made an urgent kind count as disadvantaged, so that its requests waited past their objectives although nobody was preferred.

--- a/src/coordination/gateway/admission/service-queue.ts
+++ b/src/coordination/gateway/admission/service-queue.ts
@@ -124,7 +124,7 @@
   /** Records that a request arrived at this router. */
   noteArrival(priority: number, objectiveMs: number): void {
     this.objectiveMs = objectiveMs;
-    this.kinds.noteOffered(priority);
+    this.kinds.noteOffered(priority, this.now);
     this.arrivals.noteCompleted(this.now);
   }
 
@@ -224,7 +224,7 @@
       slackMs: latestSendMsOf(demand) - now,
       firstTokenMs: demand.firstTokenMs,
       remainingMs: demand.deadlineMs - now,
-      isDisadvantaged: this.kinds.isDisadvantaged(demand.priority),
+      isDisadvantaged: this.kinds.isDisadvantaged(demand.priority, now),
     };
   }
 
--- a/test/gateway/service-queue.test.ts
+++ b/test/gateway/service-queue.test.ts
@@ -215,6 +215,22 @@
   t.true(shares[0] >= shares[1] - 0.05);
 });
 
+test('a less urgent kind that has stopped lets no urgent request wait past its objective', async (t) => {
+  const bench = new Bench();
+  for (let count = 0; count < 20; count += 1) {
+    bench.arrive(`other-${count}`, { priority: 2, objectiveMs: OBJECTIVE_MS });
+    await bench.clock.advance(2 * SERVICE_MS);
+  }
+  await bench.clock.advance(60_000);
+  await bench.warmUp();
+  bench.running = bench.slots;
+  const urgent = { priority: 0, objectiveMs: 150 };
+  for (let count = 0; count < 40; count += 1) bench.arrive(`urgent-${count}`, urgent);
+  t.log(bench.queue.size);
+  // 40 completions a second and 100 ms of slack.
+  t.true(bench.queue.size <= 5);
+});
+
 test('a router with little traffic sends no more than its share of the free capacity', async (t) => {
   const bench = new Bench({ shareOfTraffic: () => 1 / 84 });
   bench.slots = 18;
