Do not lower the service rate by time in which nothing waited

Cause: the rate of completions decayed in a lull, when it is limited by the arrivals. About four seconds after the last completion it was 0.1 per second, and a request that had to wait for a send was rejected as waiting for seconds although all engines were idle.

Change: the rate by which waits are expected decays only while requests wait. It still expires as before.

--- a/src/state/routing/service-rate.ts
+++ b/src/state/routing/service-rate.ts
@@ -29,22 +29,28 @@
 
   /**
    * Completions per second; above 0. While requests wait, engines are full, so that completions are
-   * expected: without any, the rate is at most what a gap of this length makes likely.
+   * expected: without any, the rate is at most what a gap of this length makes likely. Time since
+   * the last completion in which none waited does not lower the rate, since it was limited by the
+   * arrivals.
    *
-   * @param waitingSinceMs since when requests have been waiting
+   * @param waitingSinceMs since when requests have been waiting; undefined if the rate follows the
+   * arrivals
    */
-  perSecond(nowMs: number, waitingSinceMs = nowMs): number {
+  perSecond(nowMs: number, waitingSinceMs?: number): number {
+    if (waitingSinceMs === undefined) return this.averagePerSecond(nowMs, nowMs);
     const stalledMs = nowMs - Math.max(this.latestMs, waitingSinceMs);
     const limit = (GAP_COMPLETIONS * 1_000) / Math.max(1, stalledMs);
-    return Math.min(limit, this.averagePerSecond(nowMs));
+    return Math.min(limit, this.averagePerSecond(nowMs, this.latestMs + stalledMs));
   }
 
-  private averagePerSecond(nowMs: number): number {
-    const weight = this.weightAt(nowMs);
-    if (this.startedMs === undefined || weight < MINIMUM_COMPLETIONS) return INITIAL_PER_SECOND;
-    const observedShare = 1 - Math.exp(-(nowMs - this.startedMs) / AVERAGE_MS);
+  /** Average at an earlier time or now, unless it has expired by now. */
+  private averagePerSecond(nowMs: number, atMs: number): number {
+    if (this.startedMs === undefined || this.weightAt(nowMs) < MINIMUM_COMPLETIONS) {
+      return INITIAL_PER_SECOND;
+    }
+    const observedShare = 1 - Math.exp(-(atMs - this.startedMs) / AVERAGE_MS);
     const usedShare = Math.max(MINIMUM_OBSERVED_SHARE, observedShare);
-    return (weight * 1_000) / (AVERAGE_MS * usedShare);
+    return (this.weightAt(atMs) * 1_000) / (AVERAGE_MS * usedShare);
   }
 
   /** Time since the last completion, in milliseconds; Infinity before the first. */
--- a/test/gateway/request-queue.test.ts
+++ b/test/gateway/request-queue.test.ts
@@ -323,3 +323,13 @@
   t.true(rate.perSecond(nowMs) > 25, `${rate.perSecond(nowMs)}`);
   t.is(rate.perSecond(nowMs + 60_000), 4);
 });
+
+test('a lull without waiting requests does not make the expected wait long', (t) => {
+  const rate = new ServiceRate();
+  for (let nowMs = 0; nowMs <= 1_000; nowMs += 100) rate.noteCompleted(nowMs);
+  const LULL_ENDS_MS = 5_000;
+  const beforeLull = rate.perSecond(1_000, 0);
+  t.is(rate.perSecond(LULL_ENDS_MS, LULL_ENDS_MS), beforeLull);
+  // Requests that have been waiting show that nothing is completed.
+  t.true(rate.perSecond(LULL_ENDS_MS, 0) < 1);
+});
