--- a/src/coordination/gateway/admission/service-queue.ts
+++ b/src/coordination/gateway/admission/service-queue.ts
@@ -90,7 +90,10 @@
   private readonly queue: RequestQueue;
   private readonly kinds = new KindShares();
   private readonly arrivals = new ServiceRate();
+  /** Requests that were served. */
   private readonly rate = new ServiceRate();
+  /** Sends that have ended, also those whose callers left. */
+  private readonly ends = new ServiceRate();
   private readonly budget: WakeBudget;
   private readonly tickets = new Map<number, Ticket>();
   private readonly reviews = new IndexedHeap<Ticket>(
@@ -121,7 +124,7 @@
   /** Records that a request arrived at this router. */
   noteArrival(priority: number, objectiveMs: number): void {
     this.objectiveMs = objectiveMs;
-    this.kinds.noteOffered(priority);
+    this.kinds.noteOffered(priority, this.now);
     this.arrivals.noteCompleted(this.now);
   }
 
@@ -176,6 +179,7 @@
 
   /** Records that a send of this router has ended, so that its place at the engine is free. */
   noteSendEnded(): void {
+    this.ends.noteCompleted(this.now);
     this.budget.noteEnd(this.parts.shareOfTraffic());
     if (this.queue.size > 0) this.wakeSoon();
   }
@@ -196,7 +200,7 @@
     if (!this.budget.isEmpty) return true;
     const { now } = this;
     const share = this.parts.shareOfTraffic();
-    const endsPerSecond = this.rate.perSecond(now);
+    const endsPerSecond = this.ends.perSecond(now);
     return !isRoomScarce(this.room, share, this.arrivals.perSecond(now), endsPerSecond);
   }
 
@@ -220,7 +224,7 @@
       slackMs: latestSendMsOf(demand) - now,
       firstTokenMs: demand.firstTokenMs,
       remainingMs: demand.deadlineMs - now,
-      isDisadvantaged: this.kinds.isDisadvantaged(demand.priority),
+      isDisadvantaged: this.kinds.isDisadvantaged(demand.priority, now),
     };
   }
 
@@ -288,7 +292,6 @@
     this.wakeTimer = undefined;
     while (!this.isStopped && this.queue.size > 0 && !this.budget.isEmpty) {
       if (!this.queue.sendNext((entry) => this.trySend(entry), MAXIMUM_TRIES)) return;
-      this.budget.spend();
     }
   }
 
@@ -306,6 +309,7 @@
     }
     if (attempt === SendAttempt.NoCapacity) return false;
     this.forget(ticket);
+    this.budget.spend();
     const { statistics, logger } = this.parts;
     statistics.dequeuedRequests += 1;
     this.kinds.noteServed(demand.priority);
--- a/src/coordination/gateway/call-dispatch.ts
+++ b/src/coordination/gateway/call-dispatch.ts
@@ -93,8 +93,12 @@
     const placed = placeCall(call.request, grant, service, call.excluded, call.context);
     if (this.waiting.causeOf(placed, grant, service) !== undefined) return SendAttempt.NoCapacity;
     call.state = CallState.Choosing;
-    call.place = undefined;
+    const { place } = call;
+    this.waiting.noteTurn();
     this.sendPlaced(placed, grant, service);
+    // A request that the attempt has ended gives up the place itself, so that it is not counted as
+    // sent.
+    if (call.place === place) call.place = undefined;
     return SendAttempt.Done;
   }
 
@@ -148,6 +152,7 @@
   private sendTo(placement: Placement, grant: Grant, service: Service): void {
     const { call } = this;
     const { request, context } = call;
+    this.waiting.noteSend();
     call.sends += 1;
     call.engineRequests = context.loads.at(placement.engine.record.id).requests + 1;
     if (call.sends === 1) this.recordFirstSend(service);
--- a/src/coordination/gateway/call-record.ts
+++ b/src/coordination/gateway/call-record.ts
@@ -35,7 +35,6 @@
   readonly refusedBy = new Set<string>();
   /** Place in the queue of the service; undefined while the request does not wait. */
   place: QueuePlace | undefined;
-  hasWaited = false;
   /** Requests at the engine when this one was sent, itself included. */
   engineRequests = 0;
   mayHaveRun = false;
@@ -61,6 +60,11 @@
     return this.state === CallState.Finished;
   }
 
+  /** Whether a send is in progress, with or without a response head; its response may be buffered. */
+  get isAtEngine(): boolean {
+    return this.state === CallState.Sent || this.state === CallState.Responding;
+  }
+
   /** Whether a response head was sent to the caller. */
   get hasBegun(): boolean {
     return this.response.hasBegun;
--- a/test/gateway/request-queue.test.ts
+++ b/test/gateway/request-queue.test.ts
@@ -239,6 +239,17 @@
   t.is(queue.size, 1);
 });
 
+test('many large requests that fit nowhere do not hold up one that fits', (t) => {
+  const queue = new RequestQueue(UNBOUNDED);
+  const large = Array.from({ length: 6 }, (_, index) =>
+    enter(queue, { priority: 0, size: 1_000, latestSendMs: index }),
+  );
+  const small = enter(queue, { size: 10, latestSendMs: 500 });
+  t.true(queue.sendNext((entry) => entry === small, 4));
+  t.is(queue.size, large.length);
+  t.is(queue.next, large[0]);
+});
+
 test('10,000 waiting requests enter and leave with few comparisons', (t) => {
   // A list that is sorted at each change needs thousands of comparisons for each request.
   const COUNT = 10_000;
@@ -312,3 +323,13 @@
   t.true(rate.perSecond(nowMs) > 25, `${rate.perSecond(nowMs)}`);
   t.is(rate.perSecond(nowMs + 60_000), 4);
 });
+
+test('a lull without waiting requests does not make the expected wait long', (t) => {
+  const rate = new ServiceRate();
+  for (let nowMs = 0; nowMs <= 1_000; nowMs += 100) rate.noteCompleted(nowMs);
+  const LULL_ENDS_MS = 5_000;
+  const beforeLull = rate.perSecond(1_000, 0);
+  t.is(rate.perSecond(LULL_ENDS_MS, LULL_ENDS_MS), beforeLull);
+  // Requests that have been waiting show that nothing is completed.
+  t.true(rate.perSecond(LULL_ENDS_MS, 0) < 1);
+});
--- a/test/gateway/service-queue.test.ts
+++ b/test/gateway/service-queue.test.ts
@@ -82,15 +82,27 @@
     else this.request(id, changes);
   }
 
-  request(id: string, changes: Partial<WaitDemand> = {}): ReturnType<ServiceQueue['enter']> {
+  request(
+    id: string,
+    changes: Partial<WaitDemand> = {},
+    trySend = (): SendAttempt => this.start(id),
+  ): ReturnType<ServiceQueue['enter']> {
     const call: WaitingCall = {
-      trySend: () => this.start(id),
+      trySend,
       rejectFromQueue: (reason) => void this.rejected.set(id, reason),
     };
     return this.queue.enter(call, this.demandOf(id, changes));
   }
 
-  private demandOf(id: string, changes: Partial<WaitDemand>): WaitDemand {
+  /** Adds a request that ends when its turn comes, for example because its quota is denied. */
+  requestThatEnds(id: string): void {
+    const place = this.request(id, {}, () => {
+      if ('leave' in place) place.leave();
+      return SendAttempt.Done;
+    });
+  }
+
+  demandOf(id: string, changes: Partial<WaitDemand>): WaitDemand {
     const now = this.clock.now();
     return {
       requestId: id,
@@ -203,6 +215,22 @@
   t.true(shares[0] >= shares[1] - 0.05);
 });
 
+test('a less urgent kind that has stopped lets no urgent request wait past its objective', async (t) => {
+  const bench = new Bench();
+  for (let count = 0; count < 20; count += 1) {
+    bench.arrive(`other-${count}`, { priority: 2, objectiveMs: OBJECTIVE_MS });
+    await bench.clock.advance(2 * SERVICE_MS);
+  }
+  await bench.clock.advance(60_000);
+  await bench.warmUp();
+  bench.running = bench.slots;
+  const urgent = { priority: 0, objectiveMs: 150 };
+  for (let count = 0; count < 40; count += 1) bench.arrive(`urgent-${count}`, urgent);
+  t.log(bench.queue.size);
+  // 40 completions a second and 100 ms of slack.
+  t.true(bench.queue.size <= 5);
+});
+
 test('a router with little traffic sends no more than its share of the free capacity', async (t) => {
   const bench = new Bench({ shareOfTraffic: () => 1 / 84 });
   bench.slots = 18;
@@ -215,6 +243,39 @@
   t.true(bench.served.length <= 2);
 });
 
+test('callers that leave during their responses do not make room look scarce', async (t) => {
+  const bench = new Bench({ shareOfTraffic: () => 1 / 84 });
+  bench.slots = 60;
+  const INTERVAL_MS = 50;
+  let sent = 0;
+  const ROUNDS = 100;
+  for (let round = 0; round < ROUNDS; round += 1) {
+    bench.queue.noteArrival(1, OBJECTIVE_MS);
+    if (bench.queue.trySendAtOnce(1, () => bench.demandOf(`request-${round}`, {}))) sent += 1;
+    await bench.clock.advance(INTERVAL_MS);
+    // Every second caller reads the response to its end.
+    if (round % 2 === 0) bench.queue.noteCompleted();
+    bench.queue.noteSendEnded();
+  }
+  t.log(sent);
+  t.is(sent, ROUNDS);
+});
+
+test('requests that end at their turn use no send of the budget and do not count as sent', async (t) => {
+  // One send in several seconds, so that a send spent on an ended request is missing.
+  const bench = new Bench({ shareOfTraffic: () => 1 / 1_000 });
+  await bench.warmUp();
+  bench.running = bench.slots;
+  for (let index = 0; index < 3; index += 1) bench.requestThatEnds(`ended-${index}`);
+  bench.request('sent');
+  bench.running = 0;
+  bench.queue.noteSendEnded();
+  bench.queue.noteSendEnded();
+  await bench.clock.advance(200);
+  t.deepEqual(bench.served, ['sent']);
+  t.is(bench.statistics.dequeuedRequests, 1);
+});
+
 test('nothing waits longer than the bound', async (t) => {
   const bench = new Bench({ maximumWaitMs: 200 });
   await bench.warmUp();
