Values that do not fit into a datagram no longer end the exchange

The encoder throws on a uint32 field whose value is fractional or too large. Callers declare token counts: one prompt part of 3780.5 tokens, or a declared usage of some billion tokens, made the report throw in the collection's timer. Sums of two reported uses, and the age of a stale read, could exceed 32 bits at the collector. The timer ends with the error, and with it the load reports, or the process.

Integer fields are now rounded and limited where entries are encoded. Declared tokens of one request count up to 10 million in a tenant's rates; an infinite count never decayed.

--- a/src/coordination/gateway/observation-exchange.ts
+++ b/src/coordination/gateway/observation-exchange.ts
@@ -69,6 +69,8 @@
 /** Longest time by which the network delays a datagram behind a later one. */
 const REORDERING_MS = 1_000;
 
+const MAXIMUM_UINT32 = 0xffffffff;
+
 interface ReceivedDatagram {
   readonly sequence: number;
   readonly receivedMs: number;
@@ -190,13 +192,34 @@
 }
 
 function toSpeed(entry: EngineSpeedEntry): EngineSpeed {
-  return create(EngineSpeedSchema, entry);
+  return create(EngineSpeedSchema, { ...entry, ageMs: toUint32(entry.ageMs) });
 }
 
 function toRead(entry: PrefixReadEntry): PrefixRead {
-  return create(PrefixReadSchema, entry);
+  const { engineKey, partKey } = entry;
+  return create(PrefixReadSchema, {
+    engineKey,
+    partKey,
+    tokens: toUint32(entry.tokens),
+    ageMs: toUint32(entry.ageMs),
+    reads: toUint32(entry.reads),
+  });
 }
 
 function toUse(entry: TenantUseEntry): TenantUse {
-  return create(TenantUseSchema, entry);
+  const { serviceKey, tenantKey } = entry;
+  return create(TenantUseSchema, {
+    serviceKey,
+    tenantKey,
+    tokensPerSecond: toUint32(entry.tokensPerSecond),
+    demandedTokensPerSecond: toUint32(entry.demandedTokensPerSecond),
+  });
+}
+
+/**
+ * Nearest value that a `uint32` field can hold. Callers declare token counts, and sums of reported
+ * values may overflow; the encoder throws on a value that does not fit, which would end the timer.
+ */
+function toUint32(value: number): number {
+  return Number.isNaN(value) ? 0 : Math.min(MAXIMUM_UINT32, Math.max(0, Math.round(value)));
 }
--- a/src/coordination/gateway/tenant-use-exchange.ts
+++ b/src/coordination/gateway/tenant-use-exchange.ts
@@ -7,7 +7,7 @@
   constructor(private readonly shares: TenantShares) {}
 
   takeOwn(limit: number, nowMs: number): readonly TenantUseEntry[] {
-    return this.shares.ownUses(nowMs).slice(0, limit).map(rounded);
+    return this.shares.ownUses(nowMs).slice(0, limit);
   }
 
   receive(
@@ -26,15 +26,6 @@
   }
 
   takeSummary(limit: number, nowMs: number): readonly TenantUseEntry[] {
-    return this.shares.groupUses(nowMs).slice(0, limit).map(rounded);
+    return this.shares.groupUses(nowMs).slice(0, limit);
   }
 }
-
-function rounded(use: TenantUseEntry): TenantUseEntry {
-  return {
-    serviceKey: use.serviceKey,
-    tenantKey: use.tenantKey,
-    tokensPerSecond: Math.round(use.tokensPerSecond),
-    demandedTokensPerSecond: Math.round(use.demandedTokensPerSecond),
-  };
-}
--- a/src/state/routing/tenant-shares.ts
+++ b/src/state/routing/tenant-shares.ts
@@ -35,6 +35,11 @@
 const RATE_PERIOD_MS = 1_000;
 /** Shares are computed at most this often, since each waiting request reads them. */
 const SHARE_CACHE_MS = 100;
+/**
+ * Tokens counted for one request, far above the memory of an engine. Callers declare the count; an
+ * infinite one would never decay.
+ */
+const MAXIMUM_REQUEST_TOKENS = 10_000_000;
 /** Tenants and services tracked by one router. */
 const MAXIMUM_TRACKED = 4_096;
 /** A tenant that sent nothing for this long is forgotten; its decayed rates would keep their ratio. */
@@ -68,12 +73,14 @@
 
   /** Records a request that arrived, before it is admitted. */
   noteDemand(service: string, tenant: string | undefined, tokens: number, nowMs: number): void {
-    this.trackedOf(service, tenant)?.demanded.add(tokens, nowMs);
+    const amount = Math.min(tokens, MAXIMUM_REQUEST_TOKENS);
+    this.trackedOf(service, tenant)?.demanded.add(amount, nowMs);
   }
 
   /** Records a request that is sent to an engine. */
   noteUse(service: string, tenant: string | undefined, tokens: number, nowMs: number): void {
-    this.trackedOf(service, tenant)?.used.add(tokens, nowMs);
+    const amount = Math.min(tokens, MAXIMUM_REQUEST_TOKENS);
+    this.trackedOf(service, tenant)?.used.add(amount, nowMs);
   }
 
   useOfShare(service: string, tenant: string | undefined, nowMs: number): number {
--- a/test/gateway/observation-exchange.test.ts
+++ b/test/gateway/observation-exchange.test.ts
@@ -106,3 +106,16 @@
   group.onObservationDatagram({ case: 'observationReport', value: { ...datagram, sequence: 1 } });
   t.deepEqual(receiver?.received, [31, 31]);
 });
+
+for (const size of [5, 40]) {
+  test(`values that do not fit into a datagram do not stop the exchange of ${size} routers`, async (t) => {
+    const [harness, parts] = await exchangingGroup(size, 5);
+    const oversized = { tokens: 3_780.5, ageMs: 2 ** 33, reads: Infinity };
+    parts.at(-1)?.pending.push({ ...readOf(41), ...oversized });
+    await harness.clock.advance(PROPAGATION_MS);
+    parts.at(-1)?.pending.push(readOf(42));
+    await harness.clock.advance(PROPAGATION_MS);
+    t.true(parts[2]?.received.includes(41));
+    t.true(parts[2]?.received.includes(42));
+  });
+}
--- a/test/gateway/tenant-shares.test.ts
+++ b/test/gateway/tenant-shares.test.ts
@@ -182,3 +182,31 @@
   t.is(overShare(group, 'large'), 40);
   t.is(overShare(group, 'a'), 0);
 });
+
+test('absurd token counts declared by a caller neither stop the exchange nor stay', async (t) => {
+  const group = await sharingGroup(40, 9);
+  for (const router of group.shares) {
+    router.noteDemand(SERVICE, 'absurd', Infinity, group.harness.clock.now());
+    router.noteUse(SERVICE, 'absurd', 1e300, group.harness.clock.now());
+  }
+  await group.harness.clock.advance(2_000);
+  await group.harness.clock.advance(6_000);
+  await load(group, 2_000, 0.5);
+  t.is(overShare(group, 'large'), 40);
+  t.is(overShare(group, 'absurd'), 0);
+});
+
+test('the sum of two reports with the largest values still fits into a summary', async (t) => {
+  const group = await sharingGroup(40, 10);
+  const use = {
+    serviceKey: memberKey(SERVICE),
+    tenantKey: memberKey('false'),
+    tokensPerSecond: 0xffffffff,
+    demandedTokensPerSecond: 0xffffffff,
+  };
+  const collector = group.shares[collectorOf(group.harness)];
+  collector?.receiveReport('router-x', [use], group.harness.clock.now());
+  collector?.receiveReport('router-y', [use], group.harness.clock.now());
+  await load(group, 3_000, 0.5);
+  t.is(overShare(group, 'large'), 40);
+});
