Work that does not fit into a datagram no longer ends the load reports

The unread and held tokens of a request come from token counts that its caller declares. A prompt part of 3780.5 tokens without X-Peatspan-Token-Usage made the encoding of the load report throw, in small and large groups, and sums above 32 bits that of the collector's summary. The timer of the reports ends with the error.

Work is rounded and limited where it is encoded, as observations are.

The new test of load-collection fails without the change ('invalid uint32: 3780.5').

--- a/src/coordination/gateway/load-collection.ts
+++ b/src/coordination/gateway/load-collection.ts
@@ -17,6 +17,7 @@
   type WorkSummary,
   WorkSummarySchema,
 } from '../../protocol/peer/generated/cluster_pb.js';
+import { toUint32 } from '../../protocol/peer/field-values.js';
 import { memberKey } from '../../state/member-key.js';
 import type { MemberUpdate } from '../../state/membership.js';
 import {
@@ -179,9 +180,9 @@
       sender: group.own.nodeId,
       sequence: this.sequence,
       engineKeys: entries.map(([engineId]) => memberKey(engineId)),
-      requests: entries.map(([, { requests }]) => requests),
-      unreadTokens: entries.map(([, { unreadTokens }]) => Math.round(unreadTokens)),
-      heldTokens: entries.map(([, { heldTokens }]) => Math.round(heldTokens)),
+      requests: entries.map(([, { requests }]) => toUint32(requests)),
+      unreadTokens: entries.map(([, { unreadTokens }]) => toUint32(unreadTokens)),
+      heldTokens: entries.map(([, { heldTokens }]) => toUint32(heldTokens)),
     });
     const datagram = encodeWorkSummary(summary);
     for (const { nodeId, gossipAddress } of group.working) {
--- a/src/coordination/gateway/observation-exchange.ts
+++ b/src/coordination/gateway/observation-exchange.ts
@@ -22,6 +22,7 @@
   type TenantUse,
   TenantUseSchema,
 } from '../../protocol/peer/generated/cluster_pb.js';
+import { toUint32 } from '../../protocol/peer/field-values.js';
 import type { MemberUpdate } from '../../state/membership.js';
 import type { CollectionListener } from './load-collection.js';
 
@@ -69,8 +70,6 @@
 /** Longest time by which the network delays a datagram behind a later one. */
 const REORDERING_MS = 1_000;
 
-const MAXIMUM_UINT32 = 0xffffffff;
-
 interface ReceivedDatagram {
   readonly sequence: number;
   readonly receivedMs: number;
@@ -215,11 +214,3 @@
     demandedTokensPerSecond: toUint32(entry.demandedTokensPerSecond),
   });
 }
-
-/**
- * Nearest value that a `uint32` field can hold. Callers declare token counts, and sums of reported
- * values may overflow; the encoder throws on a value that does not fit, which would end the timer.
- */
-function toUint32(value: number): number {
-  return Number.isNaN(value) ? 0 : Math.min(MAXIMUM_UINT32, Math.max(0, Math.round(value)));
-}
--- a/test/gateway/load-collection.test.ts
+++ b/test/gateway/load-collection.test.ts
@@ -84,3 +84,14 @@
   );
   t.is(busiestEngines(sums, 3).length, 3);
 });
+
+test('work that does not fit into a datagram does not stop the collection', async (t) => {
+  const [harness, routers] = await collectingGroup(6);
+  const [, , ...senders] = routers;
+  const fractional = { requests: 1, unreadTokens: 3_780.5, heldTokens: 3_838.25 };
+  const huge = { requests: 1, unreadTokens: 4_000_000_000, heldTokens: 4_000_000_000 };
+  senders[0]?.loads.change(ENGINE, fractional);
+  for (const { loads } of senders.slice(1, 4)) loads.change(ENGINE, huge);
+  await harness.clock.advance(PROPAGATION_MS);
+  t.is(routers[1]?.loads.at(ENGINE).requests, 4);
+});
