A false prefix read displaces no other location and no other read

A report of a part with more tokens than an engine's memory made all other locations of that engine expire at the next expiry, which is worse than no report. At the collector, reads that receivers ignore (short, or older than the retention) took places in the summary, the longest first, and one entry could stand for 4 billion reads.

Parts larger than the memory no longer count when the least recently used parts are expired. The collector drops reads that receivers would ignore and limits the count of an entry to 256, as receivers do.

--- a/src/state/routing/group-prefixes.ts
+++ b/src/state/routing/group-prefixes.ts
@@ -113,8 +113,13 @@
   }
 
   /** Collector only: keeps the reads of one router for the next summary. */
-  collect(reads: readonly PrefixRead[], nowMs: number): void {
-    for (const read of reads) this.collected.add({ ...read, partKey: read.partKey | 0 }, nowMs);
+  collect(entries: readonly PrefixRead[], nowMs: number): void {
+    for (const read of entries) {
+      // Receivers would ignore it, but it would take the place of another read in the summary.
+      if (read.ageMs >= MAXIMUM_RETENTION_MS || read.tokens < MINIMUM_TOKENS) continue;
+      const reads = clamp(read.reads, 1, MAXIMUM_READS);
+      this.collected.add({ ...read, reads, partKey: read.partKey | 0 }, nowMs);
+    }
   }
 
   /** Collector only: returns the merged reads of all routers. */
@@ -159,9 +164,13 @@
     let sharedTokens = 0;
     for (const [partKey, { tokens, readMs }] of byAge) {
       const ageMs = nowMs - readMs;
-      sharedTokens += tokens;
+      // A part that exceeds the memory is a false report; no other part was evicted for it.
+      const isPlausible = tokens <= capacityTokens;
+      if (isPlausible) sharedTokens += tokens;
       const isKept =
-        ageMs < MAXIMUM_RETENTION_MS && sharedTokens + ageMs * unsharedPerMs <= capacityTokens;
+        isPlausible &&
+        ageMs < MAXIMUM_RETENTION_MS &&
+        sharedTokens + ageMs * unsharedPerMs <= capacityTokens;
       if (!isKept) this.remove(engineId, locations, partKey);
     }
   }
--- a/test/gateway/group-prefixes.test.ts
+++ b/test/gateway/group-prefixes.test.ts
@@ -157,6 +157,34 @@
   t.is(router.cachedPrefixes.sizeOf(FIRST), 0);
 });
 
+test('a false report of a part larger than the memory does not displace the other parts', (t) => {
+  const router = new Router();
+  router.prefixes.receive(readsOf(FIRST), 0);
+  const falseRead = { engineKey: memberKey(FIRST), partKey: 77, tokens: 4e9, ageMs: 0, reads: 1 };
+  router.prefixes.receive([falseRead], 100);
+  router.prefixes.expire(500);
+  t.is(router.tokensAt(FIRST), 6_300);
+  t.is(router.prefixes.size, 2);
+});
+
+test('stale and short reads take no place in a summary, and a false count is limited', (t) => {
+  const collector = new Router();
+  const [read] = readsOf(FIRST) as [PrefixRead];
+  const stale = Array.from({ length: LIMIT }, (_, partKey) => ({
+    ...read,
+    partKey,
+    tokens: 80_000,
+    ageMs: 60_000,
+  }));
+  collector.prefixes.collect([...stale, { ...read, partKey: 1_000, tokens: 1 }], 0);
+  collector.prefixes.collect([{ ...read, reads: 4e9 }], 0);
+  const summary = collector.prefixes.takeSummary(LIMIT, 0);
+  t.deepEqual(
+    summary.map(({ tokens, reads }) => [tokens, reads]),
+    [[BASE.tokens, 256]],
+  );
+});
+
 test('the number of locations and of waiting reads is bounded', (t) => {
   const router = new Router();
   for (let index = 0; index < 20_000; index += 1) {
