Log and count tenants that pass their fair share

Tests: passes and lines are counted over five bursts (5 passes, 3 lines), and nothing is logged or exchanged with the feature disabled.

--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -87,6 +87,8 @@
   rolloutWaits = 0;
   rolloutsForWorth = 0;
   rolloutsForDeadline = 0;
+  /** Times that a tenant passed its fair share of a service while capacity was short. */
+  tenantsOverShare = 0;
   /** Prefix reads sent to the group, applied from it, and ignored as of unlisted engines. */
   prefixReadsReported = 0;
   prefixReadsApplied = 0;
--- a/src/coordination/gateway/load-sharing.ts
+++ b/src/coordination/gateway/load-sharing.ts
@@ -17,6 +17,7 @@
 import type { ObservationParts } from './observation-exchange.js';
 import { PrefixReadExchange, type PrefixReadParts } from './prefix-read-exchange.js';
 import { NO_SPEED_OBSERVER, type SpeedObserver } from './speed-observer.js';
+import { LoggedTenantRanking } from './tenant-share-log.js';
 import { TenantUseExchange } from './tenant-use-exchange.js';
 
 /** Dependencies of {@link LoadSharing}. */
@@ -66,7 +67,9 @@
       speedObserver: engineSpeeds ?? NO_SPEED_OBSERVER,
       prefixReads,
       tenantShares,
-      tenantRanking: tenantUses ? tenantShares : EQUAL_TENANTS,
+      tenantRanking: tenantUses
+        ? new LoggedTenantRanking(tenantShares, parts.statistics, parts.logger)
+        : EQUAL_TENANTS,
       disabledFeatures: disabled,
     };
     this.observations = {
--- a/src/state/routing/tenant-shares.ts
+++ b/src/state/routing/tenant-shares.ts
@@ -123,6 +123,14 @@
     return this.sharesOf(memberKey(service), nowMs).overuse.get(memberKey(tenant)) ?? 0;
   }
 
+  /** Use of a tenant by the whole group, as far as known; undefined if nothing is known. */
+  knownUseOf(service: string, tenant: string, nowMs: number): TenantUse | undefined {
+    const [serviceKey, tenantKey] = [memberKey(service), memberKey(tenant)];
+    return this.knownUses(nowMs).find(
+      (use) => use.serviceKey === serviceKey && use.tenantKey === tenantKey,
+    );
+  }
+
   /** This router's uses, the largest demands first. */
   ownUses(nowMs: number): TenantUse[] {
     const uses: TenantUse[] = [];
--- a/test/gateway/tenant-shares.test.ts
+++ b/test/gateway/tenant-shares.test.ts
@@ -4,9 +4,13 @@
  */
 import test from 'ava';
 import fc from 'fast-check';
+import { GatewayStatistics } from '../../src/coordination/gateway/gateway-statistics.js';
+import { LoadSharing } from '../../src/coordination/gateway/load-sharing.js';
+import { parseDisabledFeatures } from '../../src/coordination/gateway/load-sharing-settings.js';
 import { TenantUseExchange } from '../../src/coordination/gateway/tenant-use-exchange.js';
 import { memberKey } from '../../src/state/member-key.js';
 import { TenantShares, maxMinFairLevel } from '../../src/state/routing/tenant-shares.js';
+import { type LogFields, NoopLogger } from '../../src/runtime/logger.js';
 import { SeededRandom } from '../../src/runtime/random.js';
 import { GroupHarness } from '../helpers/group-harness.js';
 import {
@@ -15,6 +19,7 @@
   collectorOf,
   startExchange,
 } from '../helpers/observation-harness.js';
+import { loadSharingParts } from '../helpers/load-sharing-parts.js';
 
 const SERVICE = 'helpline';
 const TOKENS = 9_190;
@@ -262,3 +267,55 @@
   t.is(shares.useOfShare(SERVICE, 'named', 100), 0);
   t.is(shares.useOfShare(SERVICE, 'unnamed', 100), 0);
 });
+
+test('a tenant that passes its share is counted each time, and logged at most once in 10 s', (t) => {
+  const lines: LogFields[] = [];
+  const logger = Object.assign(new NoopLogger(), {
+    info: (event: string, fields: LogFields) => lines.push({ event, ...fields }),
+  });
+  const statistics = new GatewayStatistics();
+  const { tenantShares, tenantRanking } = new LoadSharing(loadSharingParts({ logger, statistics }))
+    .views;
+  const burst = (nowMs: number): void => {
+    for (let request = 0; request < 70; request += 1) {
+      tenantShares.noteDemand(SERVICE, 'large', TOKENS, nowMs);
+      if (request < 40) tenantShares.noteUse(SERVICE, 'large', TOKENS, nowMs);
+      if (request % 7 === 0) tenantShares.noteDemand(SERVICE, 'a', TOKENS, nowMs);
+    }
+    for (let rank = 0; rank < 3; rank += 1) {
+      t.true(tenantRanking.useOfShare(SERVICE, 'large', nowMs) > 1);
+      t.is(tenantRanking.useOfShare(SERVICE, 'a', nowMs), 0);
+    }
+  };
+  for (const nowMs of [1_000, 6_000, 12_000]) {
+    burst(nowMs);
+    // The tenant is forgotten, and so within its share.
+    tenantShares.ownUses(nowMs + 4_000);
+    t.is(tenantRanking.useOfShare(SERVICE, 'large', nowMs + 4_000), 0);
+  }
+  t.is(statistics.tenantsOverShare, 3);
+  t.is(lines.length, 2);
+  // No request of the tenant was ranked while it was within its share.
+  burst(16_500);
+  tenantShares.ownUses(20_500);
+  burst(30_000);
+  t.is(statistics.tenantsOverShare, 5);
+  t.is(lines.length, 3);
+  t.deepEqual(lines[0], {
+    event: 'tenant_over_share',
+    tenant: 'large',
+    service: SERVICE,
+    use_of_share: 1.33,
+    used_tokens_per_s: 40 * TOKENS,
+    demanded_tokens_per_s: 70 * TOKENS,
+  });
+});
+
+test('with the feature disabled, tenants rank equally and nothing is exchanged or logged', (t) => {
+  const statistics = new GatewayStatistics();
+  const disabled = parseDisabledFeatures('tenant-shares');
+  const { views, observations } = new LoadSharing(loadSharingParts({ disabled, statistics }));
+  t.is(views.tenantRanking.useOfShare(SERVICE, 'large', 0), 0);
+  t.is(observations.tenantUses, undefined);
+  t.is(statistics.tenantsOverShare, 0);
+});
