--- a/src/coordination/gateway/observation-exchange.ts
+++ b/src/coordination/gateway/observation-exchange.ts
@@ -22,6 +22,7 @@
   type TenantUse,
   TenantUseSchema,
 } from '../../protocol/peer/generated/cluster_pb.js';
+import { toUint32 } from '../../protocol/peer/field-values.js';
 import type { MemberUpdate } from '../../state/membership.js';
 import type { CollectionListener } from './load-collection.js';
 
@@ -190,13 +191,26 @@
 }
 
 function toSpeed(entry: EngineSpeedEntry): EngineSpeed {
-  return create(EngineSpeedSchema, entry);
+  return create(EngineSpeedSchema, { ...entry, ageMs: toUint32(entry.ageMs) });
 }
 
 function toRead(entry: PrefixReadEntry): PrefixRead {
-  return create(PrefixReadSchema, entry);
+  const { engineKey, partKey } = entry;
+  return create(PrefixReadSchema, {
+    engineKey,
+    partKey,
+    tokens: toUint32(entry.tokens),
+    ageMs: toUint32(entry.ageMs),
+    reads: toUint32(entry.reads),
+  });
 }
 
 function toUse(entry: TenantUseEntry): TenantUse {
-  return create(TenantUseSchema, entry);
+  const { serviceKey, tenantKey } = entry;
+  return create(TenantUseSchema, {
+    serviceKey,
+    tenantKey,
+    tokensPerSecond: toUint32(entry.tokensPerSecond),
+    demandedTokensPerSecond: toUint32(entry.demandedTokensPerSecond),
+  });
 }
--- a/test/gateway/tenant-shares.test.ts
+++ b/test/gateway/tenant-shares.test.ts
@@ -4,9 +4,18 @@
  */
 import test from 'ava';
 import fc from 'fast-check';
+import { GatewayStatistics } from '../../src/coordination/gateway/gateway-statistics.js';
+import { LoadSharing } from '../../src/coordination/gateway/load-sharing.js';
+import { parseDisabledFeatures } from '../../src/coordination/gateway/load-sharing-settings.js';
 import { TenantUseExchange } from '../../src/coordination/gateway/tenant-use-exchange.js';
 import { memberKey } from '../../src/state/member-key.js';
-import { TenantShares, maxMinFairLevel } from '../../src/state/routing/tenant-shares.js';
+import {
+  TenantShares,
+  type TenantUse,
+  maxMinFairLevel,
+} from '../../src/state/routing/tenant-shares.js';
+import { type LogFields, NoopLogger } from '../../src/runtime/logger.js';
+import { SeededRandom } from '../../src/runtime/random.js';
 import { GroupHarness } from '../helpers/group-harness.js';
 import {
   PROPAGATION_MS,
@@ -14,6 +23,7 @@
   collectorOf,
   startExchange,
 } from '../helpers/observation-harness.js';
+import { loadSharingParts } from '../helpers/load-sharing-parts.js';
 
 const SERVICE = 'helpline';
 const TOKENS = 9_190;
@@ -182,3 +192,152 @@
   t.is(overShare(group, 'large'), 40);
   t.is(overShare(group, 'a'), 0);
 });
+
+test('absurd token counts declared by a caller neither stop the exchange nor stay', async (t) => {
+  const group = await sharingGroup(40, 9);
+  for (const router of group.shares) {
+    router.noteDemand(SERVICE, 'absurd', Infinity, group.harness.clock.now());
+    router.noteUse(SERVICE, 'absurd', 1e300, group.harness.clock.now());
+  }
+  await group.harness.clock.advance(2_000);
+  await group.harness.clock.advance(6_000);
+  await load(group, 2_000, 0.5);
+  t.is(overShare(group, 'large'), 40);
+  t.is(overShare(group, 'absurd'), 0);
+});
+
+test('the sum of two reports with the largest values still fits into a summary', async (t) => {
+  const group = await sharingGroup(40, 10);
+  const use = {
+    serviceKey: memberKey(SERVICE),
+    tenantKey: memberKey('false'),
+    tokensPerSecond: 0xffffffff,
+    demandedTokensPerSecond: 0xffffffff,
+  };
+  const collector = group.shares[collectorOf(group.harness)];
+  collector?.receiveReport('router-x', [use], group.harness.clock.now());
+  collector?.receiveReport('router-y', [use], group.harness.clock.now());
+  await load(group, 3_000, 0.5);
+  t.is(overShare(group, 'large'), 40);
+});
+
+/** Share of the time for which a usual and a large tenant count as over their share. */
+function overShareInTime(largeFactor: number): { usual: number; large: number } {
+  const TENANTS_COUNT = 16;
+  const REQUESTS_PER_SECOND = 256;
+  const random = new SeededRandom(11);
+  const shares = new TenantShares();
+  const over = { usual: 0, large: 0 };
+  let samples = 0;
+  for (let nowMs = 0; nowMs < 30_000; nowMs += 5) {
+    for (let tenant = 0; tenant < TENANTS_COUNT; tenant += 1) {
+      const factor = tenant === 0 ? largeFactor : 1;
+      const expected = (factor * REQUESTS_PER_SECOND * 0.005) / TENANTS_COUNT;
+      if (random.next() >= expected) continue;
+      const tokens = random.next() < 0.46 ? TOKENS : 870;
+      shares.noteDemand(SERVICE, `tenant-${tenant}`, tokens, nowMs);
+      if (random.next() < 0.8) shares.noteUse(SERVICE, `tenant-${tenant}`, tokens, nowMs);
+    }
+    if (nowMs < 2_000 || nowMs % 100 !== 0) continue;
+    samples += 1;
+    for (let tenant = 0; tenant < TENANTS_COUNT; tenant += 1) {
+      if (shares.useOfShare(SERVICE, `tenant-${tenant}`, nowMs) <= 1) continue;
+      if (tenant === 0) over.large += 1;
+      else over.usual += 1 / (TENANTS_COUNT - 1);
+    }
+  }
+  return { usual: over.usual / samples, large: over.large / samples };
+}
+
+test('random arrivals of equal tenants rarely rank one of them over its share', (t) => {
+  const { usual, large } = overShareInTime(1);
+  t.log({ usual, large });
+  t.true(usual < 0.03);
+});
+
+test('a tenant at 3.6 times its usual is over its share, and the others are not', (t) => {
+  const { usual, large } = overShareInTime(3.6);
+  t.log({ usual, large });
+  t.true(usual < 0.03);
+  t.true(large > 0.95);
+});
+
+test('all tenants within their share rank equally, whether a summary names them or not', (t) => {
+  const shares = new TenantShares();
+  for (let request = 0; request < 10; request += 1) {
+    shares.noteDemand(SERVICE, 'named', TOKENS, 100);
+    if (request < 5) shares.noteUse(SERVICE, 'named', TOKENS, 100);
+  }
+  t.is(shares.useOfShare(SERVICE, 'named', 100), 0);
+  t.is(shares.useOfShare(SERVICE, 'unnamed', 100), 0);
+});
+
+test('a tenant that passes its share is counted each time, and logged at most once in 10 s', (t) => {
+  const lines: LogFields[] = [];
+  const logger = Object.assign(new NoopLogger(), {
+    info: (event: string, fields: LogFields) => lines.push({ event, ...fields }),
+  });
+  const statistics = new GatewayStatistics();
+  const { tenantShares, tenantRanking } = new LoadSharing(loadSharingParts({ logger, statistics }))
+    .views;
+  const burst = (nowMs: number): void => {
+    for (let request = 0; request < 70; request += 1) {
+      tenantShares.noteDemand(SERVICE, 'large', TOKENS, nowMs);
+      if (request < 40) tenantShares.noteUse(SERVICE, 'large', TOKENS, nowMs);
+      if (request % 7 === 0) tenantShares.noteDemand(SERVICE, 'a', TOKENS, nowMs);
+    }
+    for (let rank = 0; rank < 3; rank += 1) {
+      t.true(tenantRanking.useOfShare(SERVICE, 'large', nowMs) > 1);
+      t.is(tenantRanking.useOfShare(SERVICE, 'a', nowMs), 0);
+    }
+  };
+  for (const nowMs of [1_000, 6_000, 12_000]) {
+    burst(nowMs);
+    // The tenant is forgotten, and so within its share.
+    tenantShares.ownUses(nowMs + 4_000);
+    t.is(tenantRanking.useOfShare(SERVICE, 'large', nowMs + 4_000), 0);
+  }
+  t.is(statistics.tenantsOverShare, 3);
+  t.is(lines.length, 2);
+  // No request of the tenant was ranked while it was within its share.
+  burst(16_500);
+  tenantShares.ownUses(20_500);
+  burst(30_000);
+  t.is(statistics.tenantsOverShare, 5);
+  t.is(lines.length, 3);
+  t.deepEqual(lines[0], {
+    event: 'tenant_over_share',
+    tenant: 'large',
+    service: SERVICE,
+    use_of_share: 1.33,
+    used_tokens_per_s: 40 * TOKENS,
+    demanded_tokens_per_s: 70 * TOKENS,
+  });
+});
+
+test('with the feature disabled, tenants rank equally and nothing is exchanged or logged', (t) => {
+  const statistics = new GatewayStatistics();
+  const disabled = parseDisabledFeatures('tenant-shares');
+  const { views, observations } = new LoadSharing(loadSharingParts({ disabled, statistics }));
+  t.is(views.tenantRanking.useOfShare(SERVICE, 'large', 0), 0);
+  t.is(observations.tenantUses, undefined);
+  t.is(statistics.tenantsOverShare, 0);
+});
+
+test('a lost summary of a group of 390 routers does not end the ranking', (t) => {
+  const shares = new TenantShares();
+  const useOf = (
+    tenant: string,
+    tokensPerSecond: number,
+    demandedTokensPerSecond: number,
+  ): TenantUse => ({
+    serviceKey: memberKey(SERVICE),
+    tenantKey: memberKey(tenant),
+    tokensPerSecond,
+    demandedTokensPerSecond,
+  });
+  shares.receiveSummary([useOf('large', 350_000, 700_000), useOf('a', 50_000, 100_000)], 0);
+  // Summaries are sent every 0.8 s, and the one after 0.8 s is lost.
+  t.true(shares.useOfShare(SERVICE, 'large', 1_650) > 1);
+  t.is(shares.useOfShare(SERVICE, 'large', 2_000), 0);
+});
