Unify the two copies of the placement harness

The engine now takes the shared parts of a prompt, which replaces affinity key, root and base. The model of prefix-locations, whose engines also cache the part of a request that no other shares, is the option cachesOwnParts. Outcomes of admitted prompts are counted apart, so that the pinned outcomes keep their fields. Scenario types move to placement-scenario.ts.

--- a/test/gateway/placement-by-gaps.test.ts
+++ b/test/gateway/placement-by-gaps.test.ts
@@ -29,7 +29,8 @@
   deploymentB,
 } from '../helpers/deployment-load.js';
 import { engineRecord } from '../helpers/engine-record.js';
-import { PlacementHarness, type PlacementScenario } from '../helpers/placement-harness.js';
+import { PlacementHarness } from '../helpers/placement-harness.js';
+import type { PlacementScenario } from '../helpers/placement-scenario.js';
 
 const TRAFFIC_MS = 8_000;
 const hasher = await createHasher();
--- a/test/gateway/prefix-locations.test.ts
+++ b/test/gateway/prefix-locations.test.ts
@@ -3,19 +3,17 @@
  * knows only its own requests, and against estimates of unread tokens that are far from the truth.
  */
 import test from 'ava';
-import type { BatchingEngine } from '../helpers/prefix-batching-engine.js';
-import {
-  type GenerationKind,
-  PlacementHarness,
-  type PlacementScenario,
-} from '../helpers/prefix-placement-harness.js';
+import type { BatchingEngine } from '../helpers/batching-engine.js';
+import { PlacementHarness } from '../helpers/placement-harness.js';
+import type { GenerationKind, PlacementScenario } from '../helpers/placement-scenario.js';
 
 const LONG: GenerationKind = {
   name: 'long',
   perSecond: 91,
   affinityKeyCount: 732,
-  sharedTokens: 3_780,
-  base: { count: 4, tokens: 2_520 },
+  sharedTokens: 6_300,
+  root: { count: 4, tokens: 2_520, name: 'base' },
+  cachesOwnParts: true,
   ownTokens: 2_890,
   outputTokens: 10,
   firstTokenObjectiveMs: 815,
@@ -45,18 +43,19 @@
   seed: 1,
   countFromMs: WARM_UP_MS,
   hasFetches: true,
-  engineChanges: {
+  fleet: {
     slots: 24,
     cacheTokens: 86_832,
     stepMs: 6.17,
+    stepMsPerStream: 0,
     readTokensPerMs: 30.9,
     chunkTokens: 2_048,
     tokensPerEvent: 5,
-    slowdownFactors: [1 / 0.6, 1, 1 / 1.6],
+    speeds: [0.6, 1, 1.6],
   },
 };
-const HOT = { share: 0.39, fromMs: 4_000, untilMs: 10_000 };
-const HOT_PART = { id: 'long-0', tokens: LONG.sharedTokens };
+const HOT = { share: 0.39, fromMs: 4_000, untilMs: 10_000, key: 0 };
+const HOT_PART_ID = 'long-0';
 
 interface Figures {
   readonly readAgainTokens: number;
@@ -71,11 +70,12 @@
 function figuresOf(harness: PlacementHarness): Figures {
   const long = harness.outcomes.get('long');
   const short = harness.outcomes.get('short');
-  if (!long || !short) throw new Error('no outcomes');
+  const prefills = harness.prefills.get('long');
+  if (!long || !short || !prefills) throw new Error('no outcomes');
   return {
     readAgainTokens: harness.sharedReadAgainTokens,
-    expectedUnread: Math.round(long.believedUnreadTokens / long.admitted),
-    actualUnread: Math.round(long.unreadTokens / long.admitted),
+    expectedUnread: Math.round(prefills.believedUnreadTokens / prefills.admitted),
+    actualUnread: Math.round(prefills.unreadTokens / prefills.admitted),
     readsPerSecond: (harness.reads?.summaryReads ?? 0) / (COUNTED_MS / 1_000),
     onTimeLong: long.onTime / long.sent,
     onTimeShort: short.onTime / short.sent,
@@ -107,14 +107,14 @@
 test('the engines that keep a prefix grow in number with its request rate and shrink after', async (t) => {
   const harness = await PlacementHarness.create({
     ...SCENARIO,
-    kinds: [{ ...LONG, hot: HOT }, SHORT],
+    kinds: [{ ...LONG, hotKey: HOT }, SHORT],
     countFromMs: HOT.fromMs,
     prefixReads: { lostShare: 0 },
   });
   const countAt = (ms: number): Promise<number> =>
     new Promise((resolve) => {
       harness.clock.setTimer(ms, () => {
-        const isHolder = (engine: BatchingEngine): boolean => engine.cachedTokens(HOT_PART.id) > 0;
+        const isHolder = (engine: BatchingEngine): boolean => engine.cachedTokens(HOT_PART_ID) > 0;
         resolve(harness.engines.filter(isHolder).length);
       });
     });
--- a/test/helpers/batching-engine.ts
+++ b/test/helpers/batching-engine.ts
@@ -4,6 +4,7 @@
  */
 import type { Timer } from '../../src/runtime/clock.js';
 import type { VirtualClock } from '../../src/runtime/virtual-clock.js';
+import type { PromptPart } from '../../src/state/routing/generation.js';
 
 /** Speed and capacity of an engine. */
 export interface BatchingProfile {
@@ -25,15 +26,20 @@
 
 /** A stream sent to an engine. */
 export interface BatchedStream {
-  readonly affinityKey: string;
-  readonly sharedTokens: number;
-  /** First of the shared tokens, common to several affinity keys. */
-  readonly root?: { readonly key: string; readonly tokens: number };
+  /** Parts at the start of the prompt that other prompts may share, in order. */
+  readonly sharedParts: readonly PromptPart[];
+  /**
+   * The rest of the prompt, if it is cached as well. The parts are then evicted in the order of the
+   * prompt; otherwise in reverse, so that no part remains without those before it.
+   */
+  readonly cachedOwnPart?: PromptPart;
   readonly promptTokens: number;
   readonly outputTokens: number;
   /** Tokens that can be fetched from elsewhere instead of being computed. */
   readonly fetchableTokens: number;
   readonly urgency: number;
+  /** Called once the prompt tokens to prefill are known. */
+  onAdmitted?(unreadTokens: number): void;
   onEvent(): void;
   onEnd(): void;
   onRefused(): void;
@@ -49,37 +55,40 @@
 /** Simulates one engine. */
 export class BatchingEngine {
   readTokens = 0;
-  readAgainTokens = 0;
+  /** Tokens of shared parts that were prefilled. */
+  sharedReadTokens = 0;
   /** Time spent on steps, in milliseconds. */
   busyMs = 0;
   private readonly waiting: RunningStream[] = [];
   private readonly running: RunningStream[] = [];
-  /** Cached prompt prefixes by affinity key, least recently used first. */
+  /** Cached prompt prefixes by part, least recently used first. */
   private readonly cachedPrefixes = new Map<string, number>();
-  private readonly everRead: Set<string>;
   private arrivals = 0;
   private timer: Timer | undefined;
 
   constructor(
     private readonly clock: VirtualClock,
     private readonly profile: BatchingProfile,
-    /** Affinity keys that any engine has prefilled, shared by the engines of a service. */
-    everRead = new Set<string>(),
-  ) {
-    this.everRead = everRead;
+  ) {}
+
+  /** Number of cached tokens of a part. */
+  cachedTokens(partId: string): number {
+    return this.cachedPrefixes.get(partId) ?? 0;
   }
 
-  /** Number of cached tokens for an affinity key. */
-  cachedTokens(affinityKey: string): number {
-    return this.cachedPrefixes.get(affinityKey) ?? 0;
+  /** Number of leading tokens of a prompt that are cached. */
+  leadingTokens(parts: readonly PromptPart[]): number {
+    let tokens = 0;
+    for (const part of parts) {
+      if (!this.cachedPrefixes.has(part.id)) break;
+      tokens += part.tokens;
+    }
+    return tokens;
   }
 
-  /** Number of tokens of a prompt that need no prefill. */
-  private reusableTokens({ affinityKey, root, fetchableTokens }: BatchedStream): number {
-    const rootTokens = root ? this.cachedTokens(root.key) : 0;
-    const isSubjectUsable = !root || rootTokens > 0;
-    const subjectTokens = isSubjectUsable ? this.cachedTokens(affinityKey) : 0;
-    return Math.max(rootTokens + subjectTokens, fetchableTokens);
+  /** Loses all cached parts, as after a restart. */
+  clearCache(): void {
+    this.cachedPrefixes.clear();
   }
 
   send(stream: BatchedStream): void {
@@ -119,21 +128,16 @@
       const { stream } = next;
       if (this.usedTokens() + sizeOf(stream) > this.profile.cacheTokens) return;
       this.waiting.shift();
-      const reusedTokens = Math.min(this.reusableTokens(stream), stream.sharedTokens);
+      const sharedTokens = tokensOf(stream.sharedParts);
+      const cachedTokens = this.leadingTokens(stream.sharedParts);
+      const reusedTokens = Math.min(Math.max(cachedTokens, stream.fetchableTokens), sharedTokens);
       next.unreadTokens = stream.promptTokens - reusedTokens;
-      this.noteRead(stream, reusedTokens);
+      this.sharedReadTokens += sharedTokens - reusedTokens;
+      stream.onAdmitted?.(next.unreadTokens);
       this.running.push(next);
     }
   }
 
-  /** Counts the shared tokens that are prefilled although an engine of the service had done so before. */
-  private noteRead({ affinityKey, sharedTokens }: BatchedStream, reusedTokens: number): void {
-    if (reusedTokens < sharedTokens && this.everRead.has(affinityKey)) {
-      this.readAgainTokens += sharedTokens - reusedTokens;
-    }
-    this.everRead.add(affinityKey);
-  }
-
   /** Prefills one chunk, earliest admitted prompts first; returns the number of tokens. */
   private prefillChunk(): number {
     let remainingTokens = this.profile.chunkTokens;
@@ -162,9 +166,12 @@
     }
   }
 
-  private cachePrefix({ affinityKey, root, sharedTokens }: BatchedStream): void {
-    this.cache(affinityKey, sharedTokens - (root?.tokens ?? 0));
-    if (root) this.cache(root.key, root.tokens);
+  private cachePrefix({ sharedParts, cachedOwnPart }: BatchedStream): void {
+    const parts = cachedOwnPart ? [...sharedParts, cachedOwnPart] : sharedParts.toReversed();
+    for (const { id, tokens } of parts) {
+      this.cachedPrefixes.delete(id);
+      this.cachedPrefixes.set(id, tokens);
+    }
     let cachedTokens = [...this.cachedPrefixes.values()].reduce((sum, tokens) => sum + tokens, 0);
     const availableTokens = this.profile.cacheTokens - this.usedTokens();
     for (const [oldest, tokens] of this.cachedPrefixes) {
@@ -174,11 +181,6 @@
     }
   }
 
-  private cache(key: string, tokens: number): void {
-    this.cachedPrefixes.delete(key);
-    this.cachedPrefixes.set(key, tokens);
-  }
-
   private usedTokens(): number {
     return this.running.reduce((sum, { stream }) => sum + sizeOf(stream), 0);
   }
@@ -187,3 +189,7 @@
 function sizeOf({ promptTokens, outputTokens }: BatchedStream): number {
   return promptTokens + outputTokens;
 }
+
+function tokensOf(parts: readonly PromptPart[]): number {
+  return parts.reduce((sum, { tokens }) => sum + tokens, 0);
+}
--- a/test/helpers/deployment-load.ts
+++ b/test/helpers/deployment-load.ts
@@ -1,5 +1,5 @@
 /** Load and engines of the deployments A and B of docs/LOAD-SHARING.md, for the placement harness. */
-import type { EngineFleet, GenerationKind, PlacementScenario } from './placement-harness.js';
+import type { EngineFleet, GenerationKind, PlacementScenario } from './placement-scenario.js';
 
 const ENGINES_A: EngineFleet = {
   slots: 24,
--- a/test/helpers/placement-harness.ts
+++ b/test/helpers/placement-harness.ts
@@ -12,107 +12,61 @@
 } from '../../src/state/routing/engine-speeds.js';
 import { EngineHealth } from '../../src/state/routing/engine-health.js';
 import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
-import type { GenerationShape } from '../../src/state/routing/generation.js';
+import type { GenerationShape, PromptPart } from '../../src/state/routing/generation.js';
+import type { GroupPrefixes } from '../../src/state/routing/group-prefixes.js';
 import { HomeRanking } from '../../src/state/routing/home-ranking.js';
 import { CachedPrefixes } from '../../src/state/routing/cached-prefixes.js';
 import { LoadTable } from '../../src/state/routing/load-table.js';
-import { type PlacementTables, placeRequest } from '../../src/state/routing/placement.js';
+import {
+  type Placement,
+  type PlacementTables,
+  placeRequest,
+} from '../../src/state/routing/placement.js';
 import { StorePressure } from '../../src/state/routing/save-choice.js';
 import { StoreOutages } from '../../src/state/routing/store-outages.js';
 import { WeightVersions } from '../../src/state/routing/weight-versions.js';
 import { SendLoad } from '../../src/coordination/gateway/send-load.js';
 import { BatchingEngine } from './batching-engine.js';
 import { engineRecord } from './engine-record.js';
+import {
+  DEFAULT_FLEET,
+  type EngineFleet,
+  type GenerationKind,
+  type KindOutcomes,
+  type KindPrefills,
+  type PlacementScenario,
+  noOutcomes,
+  noPrefills,
+  noiseOf,
+} from './placement-scenario.js';
+import { PrefixReadNetwork } from './prefix-read-network.js';
 
-/** A kind of generation requested by callers. */
-export interface GenerationKind {
-  readonly name: string;
-  readonly perSecond: number;
-  readonly affinityKeyCount: number;
-  readonly sharedTokens: number;
-  readonly ownTokens: number;
-  readonly outputTokens: number;
-  readonly firstTokenObjectiveMs: number;
-  readonly maximumPauseMs: number;
-  readonly priority: number;
-  /** First shared part, common to several affinity keys; part of `sharedTokens`. */
-  readonly root?: { readonly count: number; readonly tokens: number };
-  /** Share of the requests that use one affinity key during `fromMs` to `untilMs`. */
-  readonly hotKey?: { readonly share: number; readonly fromMs: number; readonly untilMs: number };
-}
-
-/** Engines other than those that the first tests of the harness were written for. */
-export interface EngineFleet {
-  readonly slots: number;
-  readonly cacheTokens: number;
-  readonly stepMs: number;
-  readonly stepMsPerStream: number;
-  readonly readTokensPerMs: number;
-  readonly chunkTokens: number;
-  readonly tokensPerEvent: number;
-  /** Speeds relative to the rates above, assigned to the engines in turn. */
-  readonly speeds: readonly number[];
-  /** Each engine is `factor` times slower for `share` of the time, `periodMs` at a time. */
-  readonly noise?: { readonly factor: number; readonly share: number; readonly periodMs: number };
-}
-
-/** Simulated deployment and its traffic. */
-export interface PlacementScenario {
-  readonly routers: number;
-  readonly engines: number;
-  readonly zones: number;
-  readonly kinds: readonly GenerationKind[];
-  /** Period of a router's load reports, in milliseconds. */
-  readonly reportPeriodMs: number;
-  /** Number of random routers that receive each report; undefined for all. */
-  readonly reportFanout?: number;
-  readonly seed: number;
-  readonly fleet?: EngineFleet;
-  /** Whether the routers know the speed of each engine. */
-  readonly areSpeedsKnown?: boolean;
-  /** Gap objective of the streams, as passed to placements. */
-  readonly gapObjectiveMs?: number;
-}
-
-/** Outcome counts of one kind of generation. */
-export interface KindOutcomes {
-  sent: number;
-  onTime: number;
-  lateFirstTokens: number;
-  latePauses: number;
-  rejected: number;
-}
-
-interface SimulatedRouter {
+/** A simulated router. */
+export interface SimulatedRouter {
   readonly zone: string;
   readonly tables: PlacementTables;
+  readonly prefixes: GroupPrefixes | undefined;
   sequence: number;
 }
 
 const MODEL = 'model-a';
 const SERVICE = 'generation';
 const NETWORK_DELAY_MS = 2;
-const DEFAULT_FLEET: EngineFleet = {
-  slots: 16,
-  cacheTokens: 86_721,
-  stepMs: 5.23,
-  stepMsPerStream: 0,
-  readTokensPerMs: 38.4,
-  chunkTokens: 4_096,
-  tokensPerEvent: 6,
-  speeds: [1, 1, 1 / 1.3],
-};
-
+const DEFAULT_LINK_MBPS = 1_100_000;
 /** The simulated deployment. */
 export class PlacementHarness {
   readonly clock = new VirtualClock();
   readonly outcomes = new Map<string, KindOutcomes>();
+  readonly prefills = new Map<string, KindPrefills>();
   readonly engines: BatchingEngine[] = [];
-  private readonly registry = new EngineRegistry();
-  private readonly routers: SimulatedRouter[] = [];
+  readonly registry = new EngineRegistry();
+  readonly routers: SimulatedRouter[] = [];
+  readonly reads: PrefixReadNetwork | undefined;
+  /** Sizes of the shared parts of all requests. */
+  private readonly partTokens = new Map<string, number>();
+  private uncountedAgainTokens = 0;
   private readonly random: SeededRandom;
   private readonly fleet: EngineFleet;
-  private readonly everRead = new Set<string>();
   private requests = 0;
 
   private constructor(
@@ -121,7 +75,8 @@
   ) {
     this.random = new SeededRandom(scenario.seed);
     this.fleet = scenario.fleet ?? DEFAULT_FLEET;
-    for (const { name } of scenario.kinds) this.outcomes.set(name, noOutcomes());
+    this.reads = scenario.prefixReads && this.createReads(scenario.prefixReads.lostShare);
+    this.resetOutcomes();
     for (let index = 0; index < scenario.engines; index += 1) this.addEngine(index);
     for (let index = 0; index < scenario.routers; index += 1) this.addRouter(index, homes);
   }
@@ -135,6 +90,9 @@
     const untilMs = this.clock.now() + forMs;
     for (const kind of this.scenario.kinds) this.scheduleNext(kind, untilMs);
     for (const router of this.routers) this.scheduleReport(router, untilMs);
+    this.reads?.schedule(untilMs);
+    const { countFromMs = 0 } = this.scenario;
+    if (countFromMs > 0) this.clock.setTimer(countFromMs, () => this.startCounting());
     const DRAIN_MS = 20_000;
     await this.clock.advance(forMs + DRAIN_MS);
   }
@@ -144,9 +102,12 @@
     return this.engines.reduce((sum, { readTokens }) => sum + readTokens, 0);
   }
 
-  /** Shared prompt tokens prefilled although an engine had prefilled them before. */
-  get readAgainTokens(): number {
-    return this.engines.reduce((sum, { readAgainTokens }) => sum + readAgainTokens, 0);
+  /**
+   * Tokens of shared parts that were prefilled although an engine had prefilled them before, in the
+   * counted time.
+   */
+  get sharedReadAgainTokens(): number {
+    return this.sharedReadTokens - this.uncountedAgainTokens - this.distinctTokens;
   }
 
   /** Busy time of the busiest engine relative to the mean. */
@@ -156,6 +117,37 @@
     return Math.max(...busyMs) / meanMs;
   }
 
+  private get sharedReadTokens(): number {
+    return this.engines.reduce((sum, { sharedReadTokens }) => sum + sharedReadTokens, 0);
+  }
+
+  private get distinctTokens(): number {
+    return [...this.partTokens.values()].reduce((sum, tokens) => sum + tokens, 0);
+  }
+
+  private startCounting(): void {
+    this.uncountedAgainTokens = this.sharedReadTokens - this.distinctTokens;
+    this.resetOutcomes();
+    if (this.reads) this.reads.summaryReads = 0;
+  }
+
+  private resetOutcomes(): void {
+    for (const { name } of this.scenario.kinds) {
+      this.outcomes.set(name, noOutcomes());
+      this.prefills.set(name, noPrefills());
+    }
+  }
+
+  private createReads(lostShare: number): PrefixReadNetwork {
+    const { kinds, engines } = this.scenario;
+    const ownRate = kinds.reduce((sum, { perSecond, ownTokens }) => sum + perSecond * ownTokens, 0);
+    const memory = {
+      capacityTokens: this.fleet.cacheTokens,
+      unsharedTokensPerSecond: ownRate / engines,
+    };
+    return new PrefixReadNetwork(this.clock, this.random, this.registry, memory, lostShare);
+  }
+
   private addEngine(index: number): void {
     const { zones } = this.scenario;
     const { speeds, slots, noise, ...rates } = this.fleet;
@@ -169,7 +161,6 @@
       new BatchingEngine(
         this.clock,
         noise ? { ...profile, noiseAt: noiseOf(noise, noiseSeed) } : profile,
-        this.everRead,
       ),
     );
   }
@@ -203,7 +194,9 @@
       homes,
       speeds: this.speedView(),
     };
-    this.routers.push({ zone: `zone-${index % this.scenario.zones}`, tables, sequence: 0 });
+    const zone = `zone-${index % this.scenario.zones}`;
+    const prefixes = this.reads?.addRouter(tables.cachedPrefixes);
+    this.routers.push({ zone, tables, prefixes, sequence: 0 });
   }
 
   private scheduleNext(kind: GenerationKind, untilMs: number): void {
@@ -249,6 +242,7 @@
 
   private sendGeneration(kind: GenerationKind): void {
     const outcomes = this.outcomes.get(kind.name) as KindOutcomes;
+    const prefills = this.prefills.get(kind.name) as KindPrefills;
     outcomes.sent += 1;
     const generation = this.nextGeneration(kind);
     const router = this.routers[Math.floor(this.random.next() * this.routers.length)];
@@ -260,7 +254,7 @@
           slots: this.fleet.slots,
           cacheCapacityTokens: this.fleet.cacheTokens,
           cacheTokenBytes: 163_840,
-          linkMbps: 1_100_000,
+          linkMbps: this.scenario.linkMbps ?? DEFAULT_LINK_MBPS,
           maximumEventCalls: 8,
         },
         generation,
@@ -288,17 +282,23 @@
     let lastMs: number | undefined;
     let isLateFirst = false;
     let isLatePause = false;
-    const [rootPart] = generation.parts;
-    const root = kind.root && rootPart && { key: rootPart.id, tokens: rootPart.tokens };
+    const { parts, promptTokens } = generation;
+    const sharedParts = parts.slice(0, -1);
+    const ownPart = parts.at(-1);
+    for (const { id: partId, tokens } of sharedParts) this.partTokens.set(partId, tokens);
     this.clock.setTimer(NETWORK_DELAY_MS, () =>
       engine.send({
-        affinityKey: generation.parts.at(-2)?.id ?? '',
-        sharedTokens: kind.sharedTokens,
-        ...(root && { root }),
-        promptTokens: generation.promptTokens,
+        sharedParts,
+        ...(kind.cachesOwnParts && ownPart && { cachedOwnPart: ownPart }),
+        promptTokens,
         outputTokens: generation.maximumOutputTokens,
-        fetchableTokens: 0,
+        fetchableTokens: this.fetchableTokens(placement, sharedParts),
         urgency: kind.priority,
+        onAdmitted: (unreadTokens) => {
+          prefills.admitted += 1;
+          prefills.believedUnreadTokens += placement.unreadTokens;
+          prefills.unreadTokens += unreadTokens;
+        },
         onEvent: () => {
           const now = this.clock.now();
           load.noteEvent();
@@ -306,7 +306,8 @@
             isLateFirst = now - sentMs > kind.firstTokenObjectiveMs;
             load.notePromptRead();
             const salt = placement.cacheSalt ?? '';
-            router.tables.cachedPrefixes.recordPrompt(id, salt, generation.parts);
+            router.tables.cachedPrefixes.recordPrompt(id, salt, parts);
+            router.prefixes?.recordRead(id, salt, sharedParts, now);
           } else if (now - lastMs > kind.maximumPauseMs) isLatePause = true;
           lastMs = now;
         },
@@ -324,6 +325,14 @@
     );
   }
 
+  /** Tokens that the engine named by a placement has cached of the shared parts. */
+  private fetchableTokens(placement: Placement, sharedParts: readonly PromptPart[]): number {
+    if (!this.scenario.hasFetches || placement.fetchFrom === undefined) return 0;
+    const candidates = this.registry.ofService(SERVICE);
+    const index = candidates.findIndex(({ record }) => record.address === placement.fetchFrom);
+    return this.engines[index]?.leadingTokens(sharedParts) ?? 0;
+  }
+
   private nextGeneration(kind: GenerationKind): GenerationShape {
     this.requests += 1;
     const affinityKey = this.nextAffinityKey(kind);
@@ -333,7 +342,12 @@
     const rootTokens = root?.tokens ?? 0;
     const parts = [
       ...(root
-        ? [{ id: `${kind.name}-root-${affinityKey % root.count}`, tokens: rootTokens }]
+        ? [
+            {
+              id: `${root.name ?? `${kind.name}-root`}-${affinityKey % root.count}`,
+              tokens: rootTokens,
+            },
+          ]
         : []),
       { id: `${kind.name}-${affinityKey}`, tokens: kind.sharedTokens - rootTokens },
       { id: `own-${this.requests}`, tokens: ownTokens },
@@ -345,7 +359,7 @@
   private nextAffinityKey({ affinityKeyCount, hotKey }: GenerationKind): number {
     const now = this.clock.now();
     const isHot = hotKey && now >= hotKey.fromMs && now < hotKey.untilMs;
-    if (isHot && this.random.next() < hotKey.share) return affinityKeyCount - 1;
+    if (isHot && this.random.next() < hotKey.share) return hotKey.key ?? affinityKeyCount - 1;
     return Math.floor(this.random.next() ** 1.3 * affinityKeyCount);
   }
 
@@ -360,21 +374,3 @@
 function indexOf(engineId: string): number {
   return Number(engineId.slice('engine-'.length));
 }
-
-/** Returns the slowdown of one engine by noise, drawn anew for each period. */
-function noiseOf(
-  { factor, share, periodMs }: NonNullable<EngineFleet['noise']>,
-  seed: number,
-): (nowMs: number) => number {
-  const random = new SeededRandom(seed);
-  const isSlow: boolean[] = [];
-  return (nowMs) => {
-    const period = Math.floor(nowMs / periodMs);
-    while (isSlow.length <= period) isSlow.push(random.next() < share);
-    return isSlow[period] ? factor : 1;
-  };
-}
-
-function noOutcomes(): KindOutcomes {
-  return { sent: 0, onTime: 0, lateFirstTokens: 0, latePauses: 0, rejected: 0 };
-}
--- a/test/helpers/speed-learning.ts
+++ b/test/helpers/speed-learning.ts
@@ -221,8 +221,7 @@
     this.unread[engine] = (this.unread[engine] ?? 0) + assumed;
     let before = 0;
     batching.send({
-      affinityKey: topic,
-      sharedTokens: shared,
+      sharedParts: [{ id: topic, tokens: shared }],
       promptTokens: shared + ownTokens,
       outputTokens: Math.ceil(output * (0.6 + 0.8 * this.random.next())),
       fetchableTokens: 0,
