Bound the prefill that is subtracted from a pause

The time to prefill the whole queue of an engine was subtracted from each pause, although only the chunks of one event fit between two events. An engine that became slow and therefore had a long queue was never believed slow.

--- a/src/coordination/gateway/engine-speed-exchange.ts
+++ b/src/coordination/gateway/engine-speed-exchange.ts
@@ -8,6 +8,7 @@
 import type { EngineRecord } from '../../state/routing/engine-record.js';
 import type { EngineRegistry } from '../../state/routing/engine-registry.js';
 import { EngineSpeedTable } from '../../state/routing/engine-speed-table.js';
+import { prefillTokensPerEvent } from '../../state/routing/stream-gaps.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
 import type { EngineSpeedEntry, ObservationPart } from './observation-exchange.js';
 import { SpeedChangeLog } from './speed-change-log.js';
@@ -141,7 +142,8 @@
   private withoutPrefill({ id }: EngineRecord, measuredMs: number, queuedTokens: number): number {
     const believedMs = this.table.beliefOf(id)?.eventMs;
     if (believedMs === undefined || measuredMs <= believedMs) return measuredMs;
-    const prefillMs = queuedTokens / this.table.at(id).prefillTokensPerMs;
+    const prefillMs =
+      prefillTokensPerEvent(queuedTokens) / this.table.at(id).prefillTokensPerMs;
     return Math.max(believedMs, measuredMs - prefillMs);
   }
 
--- a/src/state/routing/stream-gaps.ts
+++ b/src/state/routing/stream-gaps.ts
@@ -13,10 +13,16 @@
 /** Slowdown by noise that must be tolerated; engines were observed to have it a seventh of the time. */
 const NOISE_FACTOR = 2.5;
 
+/** Prompt tokens that an engine prefills at most between two events of a stream. */
+export function prefillTokensPerEvent(unreadTokens: number): number {
+  return Math.min(unreadTokens, EVENT_TOKENS * CHUNK_TOKENS);
+}
+
 /** Expected gap in a running stream while `unreadTokens` are queued at its engine. */
 export function expectedGapMs(unreadTokens: number, speed: EngineSpeed): number {
-  const tokensPerEvent = Math.min(unreadTokens, EVENT_TOKENS * CHUNK_TOKENS);
-  return tokensPerEvent / speed.prefillTokensPerMs + EVENT_TOKENS * speed.tokenMs;
+  return (
+    prefillTokensPerEvent(unreadTokens) / speed.prefillTokensPerMs + EVENT_TOKENS * speed.tokenMs
+  );
 }
 
 /**
