Subtract prefill from the pauses of engines of unknown speed too

Pauses were corrected only down to a believed speed, so the first belief of an engine that prefilled other prompts at the time was too slow, and the correction could not go below it. The median of the service stands in for a belief that is missing.

Test: 'an engine of unknown speed that prefills other prompts does not count as slow' failed before.

--- a/src/coordination/gateway/engine-speed-exchange.ts
+++ b/src/coordination/gateway/engine-speed-exchange.ts
@@ -137,14 +137,14 @@
 
   /**
    * Subtracts the time that the prefill of other prompts may have taken from a pause that is longer
-   * than believed. Engines that prefill all the time would otherwise count as slow.
+   * than expected. Engines that prefill all the time would otherwise count as slow.
    */
-  private withoutPrefill({ id }: EngineRecord, measuredMs: number, queuedTokens: number): number {
-    const believedMs = this.table.beliefOf(id)?.eventMs;
-    if (believedMs === undefined || measuredMs <= believedMs) return measuredMs;
+  private withoutPrefill(engine: EngineRecord, measuredMs: number, queuedTokens: number): number {
+    const expectedMs = this.table.expectedEventMs(engine);
+    if (expectedMs === undefined || measuredMs <= expectedMs) return measuredMs;
     const prefillMs =
-      prefillTokensPerEvent(queuedTokens) / this.table.at(id).prefillTokensPerMs;
-    return Math.max(believedMs, measuredMs - prefillMs);
+      prefillTokensPerEvent(queuedTokens) / this.table.at(engine.id).prefillTokensPerMs;
+    return Math.max(expectedMs, measuredMs - prefillMs);
   }
 
   /** Keeps an entry of another router's report. */
--- a/src/state/routing/engine-speed-table.ts
+++ b/src/state/routing/engine-speed-table.ts
@@ -132,6 +132,14 @@
     return this.engines.get(engineId)?.belief;
   }
 
+  /**
+   * Pause to expect between two events of an engine: the believed one, or else the median of its
+   * service; undefined if neither is known.
+   */
+  expectedEventMs({ id, service }: KnownEngine): number | undefined {
+    return this.beliefOf(id)?.eventMs ?? this.services.get(service)?.medianMs;
+  }
+
   /** Number of engines of which anything is believed. */
   get beliefCount(): number {
     let count = 0;
--- a/test/gateway/prefill-pauses.test.ts
+++ b/test/gateway/prefill-pauses.test.ts
@@ -1,4 +1,7 @@
-/** Guards against slow engines that are not detected because prompts wait there. */
+/**
+ * Guards against engines that are believed slow because they prefill other prompts, and against slow
+ * engines that are not detected because prompts wait there.
+ */
 import test from 'ava';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
 import type { EngineRecord } from '../../src/state/routing/engine-record.js';
@@ -32,9 +35,17 @@
   };
   const known = ['engine-0', 'engine-1', 'engine-2'].map(add);
   await observe(known, PAUSE_MS, 0);
-  return { part, observe, known };
+  return { part, add, observe, known };
 }
 
+test('an engine of unknown speed that prefills other prompts does not count as slow', async (t) => {
+  const { part, add, observe } = await knownEngines();
+  const engine = add('engine-new');
+  await observe([engine], 7 * PAUSE_MS, 8_000);
+  t.not(part.table.beliefOf(engine.id), undefined);
+  t.false(part.table.isSlow(engine.id));
+});
+
 test('an engine that became slow counts as slow although many prompts wait there', async (t) => {
   const { part, observe, known } = await knownEngines();
   const [engine] = known;
