Keep the cost of a placement a number with an objective of zero

target_latency_ms may be 0. An idle engine whose expected time is 0 then got the cost 0/0, and an engine whose cost is not a number wins or loses every comparison by its place in the list.

Test: 'an objective of zero gives no cost that is not a number' failed with NaN before; costs for other objectives are the same.

--- a/src/state/routing/stream-gaps.ts
+++ b/src/state/routing/stream-gaps.ts
@@ -31,7 +31,8 @@
  */
 export function lateShare(expectedMs: number, objectiveMs: number): number {
   const tolerableMs = objectiveMs / NOISE_FACTOR;
-  return Math.min(1, Math.max(0, (expectedMs - tolerableMs) / (objectiveMs - tolerableMs)));
+  if (expectedMs <= tolerableMs) return 0;
+  return Math.min(1, (expectedMs - tolerableMs) / (objectiveMs - tolerableMs));
 }
 
 /** Queued prompt tokens that make all streams of an engine late, without noise. */
--- a/test/gateway/placement-by-gaps.test.ts
+++ b/test/gateway/placement-by-gaps.test.ts
@@ -231,6 +231,14 @@
   t.is(lateShare(900, 500), 1);
 });
 
+test('an objective of zero gives no cost that is not a number', (t) => {
+  const { tables, place } = fixtureOf([20]);
+  const generation = generationOf(0, 0, 10);
+  t.is(place({ generation, gapObjectiveMs: 500, objectiveMs: 0 }).costMs, 0);
+  tables.loads.change('engine-0', STREAMS);
+  t.true(Number.isFinite(place({ generation, gapObjectiveMs: 500, objectiveMs: 0 }).costMs));
+});
+
 function routeTo(service: string, gapObjectiveMs: number | undefined): Route {
   return {
     name: `${service}-${gapObjectiveMs}`,
