--- a/src/coordination/gateway/engine-speed-exchange.ts
+++ b/src/coordination/gateway/engine-speed-exchange.ts
@@ -8,6 +8,7 @@
 import type { EngineRecord } from '../../state/routing/engine-record.js';
 import type { EngineRegistry } from '../../state/routing/engine-registry.js';
 import { EngineSpeedTable } from '../../state/routing/engine-speed-table.js';
+import { prefillTokensPerEvent } from '../../state/routing/stream-gaps.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
 import type { EngineSpeedEntry, ObservationPart } from './observation-exchange.js';
 import { SpeedChangeLog } from './speed-change-log.js';
@@ -136,13 +137,14 @@
 
   /**
    * Subtracts the time that the prefill of other prompts may have taken from a pause that is longer
-   * than believed. Engines that prefill all the time would otherwise count as slow.
+   * than expected. Engines that prefill all the time would otherwise count as slow.
    */
-  private withoutPrefill({ id }: EngineRecord, measuredMs: number, queuedTokens: number): number {
-    const believedMs = this.table.beliefOf(id)?.eventMs;
-    if (believedMs === undefined || measuredMs <= believedMs) return measuredMs;
-    const prefillMs = queuedTokens / this.table.at(id).prefillTokensPerMs;
-    return Math.max(believedMs, measuredMs - prefillMs);
+  private withoutPrefill(engine: EngineRecord, measuredMs: number, queuedTokens: number): number {
+    const expectedMs = this.table.expectedEventMs(engine);
+    if (expectedMs === undefined || measuredMs <= expectedMs) return measuredMs;
+    const prefillMs =
+      prefillTokensPerEvent(queuedTokens) / this.table.at(engine.id).prefillTokensPerMs;
+    return Math.max(expectedMs, measuredMs - prefillMs);
   }
 
   /** Keeps an entry of another router's report. */
