Observations are sent as lists of fields, and speeds are refreshed at less cost

Change: the fields of observations stand in packed lists instead of one message for each entry, and three fields that nothing used are gone; the table of speeds drops unlisted engines only when the list changes, and computes the rates of a service once a refresh.

--- a/src/coordination/gateway/engine-speed-exchange.ts
+++ b/src/coordination/gateway/engine-speed-exchange.ts
@@ -207,9 +207,6 @@
   engineKey: 0,
   weight: 0,
   prefillTokensPerMs: 0,
-  tokenMs: 0,
-  concurrentStreams: 0,
-  fixedDelayMs: 0,
   ageMs: 0,
   eventMs: 0,
 };
--- a/src/coordination/gateway/observation-exchange.ts
+++ b/src/coordination/gateway/observation-exchange.ts
@@ -4,31 +4,21 @@
  * loads, which sends the merged observations to all; in a small group all report to each other.
  * Datagrams may be lost, late or doubled, and a collector may die between a report and a summary.
  */
-import { create } from '@bufbuild/protobuf';
 import type { Clock } from '../../runtime/clock.js';
+import type { ObservationDatagram } from '../../protocol/peer/cluster-codec.js';
+import type { Observations } from '../../protocol/peer/generated/cluster_pb.js';
 import {
-  type Contents,
-  type ObservationDatagram,
-  encodeObservationReport,
-  encodeObservationSummary,
-} from '../../protocol/peer/cluster-codec.js';
-import {
-  type EngineSpeed,
-  EngineSpeedSchema,
-  type Observations,
-  ObservationsSchema,
-  type PrefixRead,
-  PrefixReadSchema,
-  type TenantUse,
-  TenantUseSchema,
-} from '../../protocol/peer/generated/cluster_pb.js';
-import { toUint32 } from '../../protocol/peer/field-values.js';
+  type EngineSpeedEntry,
+  type ObservationSet,
+  type PrefixReadEntry,
+  type TenantUseEntry,
+  decodeObservations,
+  encodeObservations,
+} from '../../protocol/peer/observation-codec.js';
 import type { MemberUpdate } from '../../state/membership.js';
 import type { CollectionListener } from './load-collection.js';
 
-export type EngineSpeedEntry = Contents<EngineSpeed>;
-export type PrefixReadEntry = Contents<PrefixRead>;
-export type TenantUseEntry = Contents<TenantUse>;
+export type { EngineSpeedEntry, PrefixReadEntry, TenantUseEntry };
 
 /** Observations of one kind. Every entry may arrive twice, late or never. */
 export interface ObservationPart<Entry> {
@@ -106,10 +96,12 @@
     const now = this.clock.now();
     const isSummary = kind === 'observationSummary';
     const { engineSpeeds, prefixReads, tenantUses } = this.parts;
-    engineSpeeds?.receive(value.sender, value.engineSpeeds, isSummary, now);
-    prefixReads?.receive(value.sender, value.prefixReads, isSummary, now);
-    tenantUses?.receive(value.sender, value.tenantUses, isSummary, now);
-    if (!isSummary) this.collect(value.sender, value, now);
+    const { sender } = value;
+    const set = decodeObservations(value);
+    engineSpeeds?.receive(sender, set.engineSpeeds, isSummary, now);
+    prefixReads?.receive(sender, set.prefixReads, isSummary, now);
+    tenantUses?.receive(sender, set.tenantUses, isSummary, now);
+    if (!isSummary) this.collect(sender, set, now);
   }
 
   private get others(): readonly MemberUpdate[] {
@@ -141,76 +133,49 @@
     }
   }
 
-  private takeOwn(nowMs: number): Observations {
+  private takeOwn(nowMs: number): ObservationSet {
     this.forgetOldSequences(nowMs);
     const { engineSpeeds, prefixReads, tenantUses } = this.parts;
-    return create(ObservationsSchema, {
-      engineSpeeds: (engineSpeeds?.takeOwn(MAXIMUM_ENGINE_SPEEDS, nowMs) ?? []).map(toSpeed),
-      prefixReads: (prefixReads?.takeOwn(MAXIMUM_PREFIX_READS, nowMs) ?? []).map(toRead),
-      tenantUses: (tenantUses?.takeOwn(MAXIMUM_TENANT_USES, nowMs) ?? []).map(toUse),
-    });
+    return {
+      engineSpeeds: engineSpeeds?.takeOwn(MAXIMUM_ENGINE_SPEEDS, nowMs) ?? [],
+      prefixReads: prefixReads?.takeOwn(MAXIMUM_PREFIX_READS, nowMs) ?? [],
+      tenantUses: tenantUses?.takeOwn(MAXIMUM_TENANT_USES, nowMs) ?? [],
+    };
   }
 
-  private collect(sender: string, observations: Observations, nowMs: number): void {
+  private collect(sender: string, set: ObservationSet, nowMs: number): void {
     const { engineSpeeds, prefixReads, tenantUses } = this.parts;
-    engineSpeeds?.collect(sender, observations.engineSpeeds, nowMs);
-    prefixReads?.collect(sender, observations.prefixReads, nowMs);
-    tenantUses?.collect(sender, observations.tenantUses, nowMs);
+    engineSpeeds?.collect(sender, set.engineSpeeds, nowMs);
+    prefixReads?.collect(sender, set.prefixReads, nowMs);
+    tenantUses?.collect(sender, set.tenantUses, nowMs);
   }
 
   private sendSummary(nowMs: number): void {
     const { engineSpeeds, prefixReads, tenantUses } = this.parts;
-    const summary = create(ObservationsSchema, {
-      engineSpeeds: (engineSpeeds?.takeSummary(MAXIMUM_ENGINE_SPEEDS, nowMs) ?? []).map(toSpeed),
-      prefixReads: (prefixReads?.takeSummary(MAXIMUM_PREFIX_READS, nowMs) ?? []).map(toRead),
-      tenantUses: (tenantUses?.takeSummary(MAXIMUM_TENANT_USES, nowMs) ?? []).map(toUse),
-    });
-    this.send(summary, this.others, encodeObservationSummary);
+    const summary = {
+      engineSpeeds: engineSpeeds?.takeSummary(MAXIMUM_ENGINE_SPEEDS, nowMs) ?? [],
+      prefixReads: prefixReads?.takeSummary(MAXIMUM_PREFIX_READS, nowMs) ?? [],
+      tenantUses: tenantUses?.takeSummary(MAXIMUM_TENANT_USES, nowMs) ?? [],
+    };
+    this.send('observationSummary', summary, this.others);
   }
 
-  private report(observations: Observations, recipients: readonly MemberUpdate[]): void {
-    this.send(observations, recipients, encodeObservationReport);
+  private report(set: ObservationSet, recipients: readonly MemberUpdate[]): void {
+    this.send('observationReport', set, recipients);
   }
 
   private send(
-    observations: Observations,
+    kind: ObservationDatagram['case'],
+    set: ObservationSet,
     recipients: readonly MemberUpdate[],
-    encode: (observations: Observations) => Uint8Array,
   ): void {
-    if (isEmpty(observations)) return;
+    if (isEmpty(set)) return;
     this.sequence += 1;
-    observations.sender = this.group.own.nodeId;
-    observations.sequence = this.sequence;
-    const datagram = encode(observations);
+    const datagram = encodeObservations(kind, this.group.own.nodeId, this.sequence, set);
     for (const { gossipAddress } of recipients) this.group.send(gossipAddress, datagram);
   }
 }
 
-function isEmpty({ engineSpeeds, prefixReads, tenantUses }: Observations): boolean {
+function isEmpty({ engineSpeeds, prefixReads, tenantUses }: ObservationSet): boolean {
   return engineSpeeds.length + prefixReads.length + tenantUses.length === 0;
 }
-
-function toSpeed(entry: EngineSpeedEntry): EngineSpeed {
-  return create(EngineSpeedSchema, { ...entry, ageMs: toUint32(entry.ageMs) });
-}
-
-function toRead(entry: PrefixReadEntry): PrefixRead {
-  const { engineKey, partKey } = entry;
-  return create(PrefixReadSchema, {
-    engineKey,
-    partKey,
-    tokens: toUint32(entry.tokens),
-    ageMs: toUint32(entry.ageMs),
-    reads: toUint32(entry.reads),
-  });
-}
-
-function toUse(entry: TenantUseEntry): TenantUse {
-  const { serviceKey, tenantKey } = entry;
-  return create(TenantUseSchema, {
-    serviceKey,
-    tenantKey,
-    tokensPerSecond: toUint32(entry.tokensPerSecond),
-    demandedTokensPerSecond: toUint32(entry.demandedTokensPerSecond),
-  });
-}
--- a/src/coordination/gateway/speed-summary.ts
+++ b/src/coordination/gateway/speed-summary.ts
@@ -76,9 +76,6 @@
       engineKey: memberKey(engine.id),
       weight: 1,
       prefillTokensPerMs: this.table.learnedPrefillOf(engine.id, nowMs) ?? 0,
-      tokenMs: 0,
-      concurrentStreams: 0,
-      fixedDelayMs: 0,
       ageMs: Math.max(0, Math.round(nowMs - belief.observedMs)),
       eventMs: belief.eventMs,
     };
--- a/src/state/routing/engine-speed-table.ts
+++ b/src/state/routing/engine-speed-table.ts
@@ -115,10 +115,18 @@
   readonly tokensPerEvent: RecentMedian;
 }
 
+/** Rates of an engine of a service at the median speed. */
+interface ServiceRates {
+  readonly medianMs: number;
+  readonly prefillTokensPerMs: number;
+  readonly tokensPerEvent: number | undefined;
+}
+
 /** Speeds of the engines of all services. */
 export class EngineSpeedTable implements EngineSpeedView {
   private readonly engines = new Map<string, EngineState>();
   private readonly services = new Map<string, ServiceState>();
+  private listed: readonly KnownEngine[] = [];
   private speeds: ReadonlyMap<string, EngineSpeed> = new Map();
 
   constructor(private readonly events: SpeedTableEvents) {}
@@ -207,11 +215,17 @@
 
   /** Updates the beliefs and speeds of all engines, and drops engines that are not listed. */
   refresh(listed: readonly KnownEngine[], nowMs: number): void {
-    this.dropUnlisted(listed);
+    if (listed !== this.listed) this.dropUnlisted(listed);
+    this.listed = listed;
     for (const state of this.engines.values()) updateEstimates(state, nowMs);
     this.updateMedians(nowMs);
     for (const [engineId, state] of this.engines) this.updateBelief(engineId, state, nowMs);
-    this.speeds = new Map(listed.map((engine) => [engine.id, this.speedOf(engine, nowMs)]));
+    const rates = new Map(
+      [...this.services].map(([name, service]) => [name, ratesOf(service, nowMs)]),
+    );
+    this.speeds = new Map(
+      listed.map((engine) => [engine.id, this.speedOf(engine, rates.get(engine.service))]),
+    );
   }
 
   private dropUnlisted(listed: readonly KnownEngine[]): void {
@@ -278,20 +292,14 @@
     return nowMs - belief.observedMs <= lifetimeMs ? belief : undefined;
   }
 
-  private speedOf({ id, service }: KnownEngine, nowMs: number): EngineSpeed {
-    const serviceState = this.services.get(service);
-    if (!serviceState?.medianMs) return DEFAULT_ENGINE_SPEED;
-    const { medianMs } = serviceState;
+  private speedOf({ id }: KnownEngine, rates: ServiceRates | undefined): EngineSpeed {
+    if (!rates) return DEFAULT_ENGINE_SPEED;
+    const { medianMs, prefillTokensPerMs, tokensPerEvent } = rates;
     const eventMs = this.engines.get(id)?.belief?.eventMs ?? medianMs;
     const slowness = eventMs / medianMs;
-    const { prefillTokensPerMs, tokenMs, runningRequestMs } = DEFAULT_ENGINE_SPEED;
-    const tokensPerPause = tokensPerPauseOf(serviceState, nowMs);
-    const tokensPerEvent = serviceState.tokensPerEvent.at(nowMs);
+    const { tokenMs, runningRequestMs } = DEFAULT_ENGINE_SPEED;
     return {
-      prefillTokensPerMs:
-        tokensPerPause === undefined
-          ? prefillTokensPerMs / slowness
-          : boundedPrefill(tokensPerPause / medianMs) / slowness,
+      prefillTokensPerMs: prefillTokensPerMs / slowness,
       tokenMs: tokensPerEvent === undefined ? tokenMs * slowness : eventMs / tokensPerEvent,
       runningRequestMs: runningRequestMs * slowness,
     };
@@ -392,6 +400,17 @@
   return own.pauseMs * OWN_TOLERANCE;
 }
 
+function ratesOf(service: ServiceState, nowMs: number): ServiceRates | undefined {
+  const { medianMs } = service;
+  if (!medianMs) return undefined;
+  const tokensPerPause = tokensPerPauseOf(service, nowMs);
+  const prefillTokensPerMs =
+    tokensPerPause === undefined
+      ? DEFAULT_ENGINE_SPEED.prefillTokensPerMs
+      : boundedPrefill(tokensPerPause / medianMs);
+  return { medianMs, prefillTokensPerMs, tokensPerEvent: service.tokensPerEvent.at(nowMs) };
+}
+
 function tokensPerPauseOf(service: ServiceState, nowMs: number): number | undefined {
   return service.tokensPerPause.at(nowMs) ?? service.summaryTokensPerPause.at(nowMs);
 }
--- a/test/gateway/group-prefixes.test.ts
+++ b/test/gateway/group-prefixes.test.ts
@@ -3,12 +3,7 @@
  * or cost too many bytes.
  */
 import test from 'ava';
-import { create, toBinary } from '@bufbuild/protobuf';
-import {
-  ObservationsSchema,
-  PrefixReadSchema,
-} from '../../src/protocol/peer/generated/cluster_pb.js';
-import { encodeObservationSummary } from '../../src/protocol/peer/cluster-codec.js';
+import { encodeObservations } from '../../src/protocol/peer/observation-codec.js';
 import { memberKey } from '../../src/state/member-key.js';
 import { CachedPrefixes } from '../../src/state/routing/cached-prefixes.js';
 import { GroupPrefixes } from '../../src/state/routing/group-prefixes.js';
@@ -235,22 +230,18 @@
 });
 
 test('a full summary takes less than 1 KB, a report of a router less than 150 bytes', (t) => {
-  const reads = Array.from({ length: LIMIT }, (_, index) =>
-    create(PrefixReadSchema, {
-      engineKey: 0xfffffff0 + (index % 8),
-      partKey: 0xffffff00 + index,
-      tokens: 3_780,
-      ageMs: 300,
-      reads: 3,
-    }),
-  );
+  const reads = Array.from({ length: LIMIT }, (_, index) => ({
+    engineKey: 0xfffffff0 + (index % 8),
+    partKey: 0xffffff00 + index,
+    tokens: 3_780,
+    ageMs: 300,
+    reads: 3,
+  }));
   const sizeOf = (count: number): number => {
-    const sender = 'router-0083';
-    const content = { sender, sequence: 1_000, prefixReads: reads.slice(0, count) };
-    return encodeObservationSummary(create(ObservationsSchema, content)).length;
+    const set = { engineSpeeds: [], prefixReads: reads.slice(0, count), tenantUses: [] };
+    return encodeObservations('observationSummary', 'router-0083', 1_000, set).length;
   };
   t.log({ summary: sizeOf(LIMIT), summaryOf33: sizeOf(33), report: sizeOf(2) });
-  t.log({ entry: toBinary(PrefixReadSchema, reads[0] as (typeof reads)[number]).length });
   t.true(sizeOf(LIMIT) < 1_000);
   t.true(sizeOf(2) < 150);
 });
--- a/test/gateway/observation-exchange.test.ts
+++ b/test/gateway/observation-exchange.test.ts
@@ -7,6 +7,7 @@
   ObservationPart,
   PrefixReadEntry,
 } from '../../src/coordination/gateway/observation-exchange.js';
+import { toMessage } from '../../src/protocol/peer/observation-codec.js';
 import { GroupHarness } from '../helpers/group-harness.js';
 import {
   PROPAGATION_MS,
@@ -92,19 +93,17 @@
   const [harness, parts] = await exchangingGroup(2, 4);
   const [, receiver] = parts;
   const { group } = harness.routers[1] as { group: (typeof harness.routers)[number]['group'] };
-  const datagram = {
-    $typeName: 'peatspan.cluster.Observations' as const,
-    sender: 'router-9',
-    sequence: 40,
-    engineSpeeds: [],
-    prefixReads: [{ $typeName: 'peatspan.cluster.PrefixRead' as const, ...readOf(31) }],
-    tenantUses: [],
-  };
-  group.onObservationDatagram({ case: 'observationReport', value: datagram });
-  group.onObservationDatagram({ case: 'observationReport', value: datagram });
+  const reads = { engineSpeeds: [], prefixReads: [readOf(31)], tenantUses: [] };
+  const arrive = (sequence: number): void =>
+    group.onObservationDatagram({
+      case: 'observationReport',
+      value: toMessage('router-9', sequence, reads),
+    });
+  arrive(40);
+  arrive(40);
   t.deepEqual(receiver?.received, [31]);
   await harness.clock.advance(1_000);
-  group.onObservationDatagram({ case: 'observationReport', value: { ...datagram, sequence: 1 } });
+  arrive(1);
   t.deepEqual(receiver?.received, [31, 31]);
 });
 
