Put back the reasons and figures behind constants and rules

Cause: rewording the code shortened comments that held the reason, the figure or the fault behind a constant. Change: comments only, one or two sentences each, in today's names, with facts that the earlier comments held.

--- a/src/coordination/gateway/group-heartbeats.ts
+++ b/src/coordination/gateway/group-heartbeats.ts
@@ -11,7 +11,10 @@
   readonly heardAgesMs: number[];
 }
 
-/** Heartbeats in one report. */
+/**
+ * Heartbeats in one report, about 100 bytes. A router of a group of 195 receives about 10 reports a
+ * second and so learns of nearly every other router each second.
+ */
 const HEARTBEATS_PER_REPORT = 16;
 /** Older heartbeats are not shared. */
 const MAXIMUM_SHARED_AGE_MS = 1_500;
--- a/src/coordination/gateway/group-membership.ts
+++ b/src/coordination/gateway/group-membership.ts
@@ -56,7 +56,10 @@
  * because a member that is wrongly declared dead has to join again.
  */
 export const HEARTBEAT_TIMEOUT_MS = 2_500;
-/** Time after joining until a router has discovered most other members. */
+/**
+ * Time after joining until a router has discovered most other members, and so knows its rank. Of
+ * 195 routers that started together, 170 were known after 0.8 s and 179 after 1 s.
+ */
 export const SETTLING_MS = 1_000;
 /** Idle routers of a small group report to all others every 0.75 s. */
 const SMALL_GROUP_HEARTBEAT_TIMEOUT_MS = 1_250;
--- a/src/coordination/gateway/group-reports.ts
+++ b/src/coordination/gateway/group-reports.ts
@@ -78,7 +78,11 @@
 }
 
 export const REPORT_PERIOD_MS = 250;
-/** Interval at which a router of a small group reports changed work. */
+/**
+ * Interval at which a router of a small group reports changed work. In a simulated group of 7 at a
+ * third over its usual load, 0.97 of long and 0.93 of short streams were in time; with 250 ms 0.92
+ * and 0.87.
+ */
 export const CHANGE_PERIOD_MS = 100;
 /** Number of other members up to which a group counts as small. */
 const SMALL_GROUP_FANOUT = 12;
--- a/src/coordination/gateway/load-collection.ts
+++ b/src/coordination/gateway/load-collection.ts
@@ -60,13 +60,19 @@
   readonly listener?: CollectionListener;
 }
 
-/** Interval of reports and of summaries. */
+/**
+ * Interval of reports and of summaries. In a simulated group of 79 at a third over its usual load,
+ * 0.96 of long and 0.92 of short streams were in time; with 200 ms 0.92 and 0.85.
+ */
 export const COLLECTION_PERIOD_MS = 100;
 /** Group size above which summaries are sent less often, which bounds the collector's send rate. */
 const FULL_RATE_GROUP_SIZE = 100;
 /** Unchanged work is reported again before the collector's entry expires. */
 const REPORT_REFRESH_MS = 1_000;
-/** Engines in one summary, so that it fits into one packet. */
+/**
+ * Engines in one summary: 1.1 KB, so that it fits into one packet. All 3,000 engines of a large
+ * deployment would be 33 KB for each router, more than the links of small machines carry.
+ */
 const MAXIMUM_SUMMARY_ENGINES = 100;
 /** A router acts as collector for this long after a report, whichever collector it would choose. */
 const COLLECTING_MS = 1_000;
--- a/src/coordination/gateway/quota/group-quota-view.ts
+++ b/src/coordination/gateway/quota/group-quota-view.ts
@@ -6,7 +6,10 @@
 import { totalCapacity } from '../../../state/total-capacity.js';
 import type { QuotaGroup } from './quota-group.js';
 
-/** Share of unresponsive capacity below which the whole group counts as reachable. */
+/**
+ * Share of unresponsive capacity below which the whole group counts as reachable. In an idle group
+ * of 79, up to 0.29 of the running routers had sent no heartbeat for 2.5 s.
+ */
 const TOLERATED_UNRESPONSIVE_SHARE = 0.1;
 const LARGE_GROUP_TOLERATED_UNRESPONSIVE_SHARE = 0.3;
 /**
--- a/src/coordination/gateway/quota/quota-accounts.ts
+++ b/src/coordination/gateway/quota/quota-accounts.ts
@@ -24,7 +24,8 @@
 
 /**
  * Share of the rate granted while this router substitutes for the quota owner. The owner may only
- * be partitioned and still grant the rate to the callers that it can reach.
+ * be partitioned and still grant the rate to the callers that it can reach. The share keeps both
+ * within the limit in simulated partitions, and serves a tenant at its usual rate in full.
  */
 const SUBSTITUTE_SHARE = 0.7;
 
--- a/src/coordination/gateway/quota/quota-queries.ts
+++ b/src/coordination/gateway/quota/quota-queries.ts
@@ -22,9 +22,15 @@
 /** Receives the verdict, or undefined if no quota owner was reachable. */
 export type OnVerdict = (verdict: AccountedVerdict | undefined) => void;
 
-/** Response timeout of a query. */
+/**
+ * Response timeout of a query. A round trip between zones takes 2 ms, and a busy router responds
+ * after about 10 ms.
+ */
 const RESPONSE_TIMEOUT_MS = 25;
-/** Attempts for each quota owner, since datagrams can be lost. */
+/**
+ * Attempts for each quota owner. One datagram in 40 is lost on a bad link, so one repeat leaves
+ * about one query in 400 without a response.
+ */
 const SENDS_PER_OWNER = 2;
 
 /** A forwarded query must end before the timeout of its sender. */
--- a/src/coordination/gateway/store-followers.ts
+++ b/src/coordination/gateway/store-followers.ts
@@ -48,7 +48,7 @@
 const GROUP_STABLE_MS = 300;
 /** Minimum wait after joining; covers routers of the same deployment that start slightly later. */
 const MINIMUM_SETTLING_MS = 800;
-/** Maximum wait after joining. */
+/** Maximum wait after joining. Of 195 routers that start together, 170 are known after 0.8 s. */
 const MAXIMUM_SETTLING_MS = 1_200;
 /** Maximum wait for joining, which requires a configuration. */
 const MAXIMUM_JOINING_MS = 3_000;
--- a/src/protocol/peer/encoded-changes.ts
+++ b/src/protocol/peer/encoded-changes.ts
@@ -1,7 +1,7 @@
 /**
  * Encodes changes of objects for frames between routers. A router that relays the store sends the
  * same changes to many others, so that each object is encoded once and each series of changes
- * compressed once.
+ * compressed once: a list of 3,000 engines is 783 KB as it is and 75 KB compressed.
  */
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
--- a/src/state/routing/engine-health.ts
+++ b/src/state/routing/engine-health.ts
@@ -73,7 +73,8 @@
 
   /**
    * Records that the engine had no capacity. An engine that rejects everything looks idle and so
-   * attracts requests; the backoff grows until it accepts one.
+   * attracts requests; the backoff grows until it accepts one. While two of five simulated engines
+   * rejected everything for 8 s, this cut the rejections of 800 requests from 123 to 21.
    */
   noteBusy(engineId: string, nowMs: number): void {
     const health = this.getOrCreate(engineId);
--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -213,13 +213,17 @@
 
 /**
  * Whether the engine requested a pause. Unlike avoidance after failures, a pause is never
- * overridden, even if no other engine is left.
+ * overridden, even if no other engine is left. Avoided for a fixed 150 ms instead, an engine got up
+ * to 13 requests of one router in a pause of 3 s.
  */
 function isBackingOff({ record }: Engine, { health }: PlacementTables, nowMs: number): boolean {
   return health.backoffs.remainingMs(record.name, nowMs) > 0;
 }
 
-/** Whether this router has a slot in the engine's rate limit, which is never overridden. */
+/**
+ * Whether this router has a slot in the engine's rate limit, which is never overridden: without it,
+ * simulated engines got 28 to 34 requests in 4 s where 12 are tolerated.
+ */
 function isWithinLimit(
   { record }: Engine,
   { slotView }: PlacementRequest,
--- a/src/state/routing/quota/isolated-share.ts
+++ b/src/state/routing/quota/isolated-share.ts
@@ -12,7 +12,8 @@
 const BURST_MS = 1_000;
 /**
  * Part of its share that a router grants. The rest compensates for the quota owner, which grants
- * the full rate until it detects that routers are missing.
+ * the full rate until it detects that routers are missing. With a third of 24 simulated routers
+ * partitioned from it, the limit is kept with this share and exceeded by 2% without it.
  */
 const GRANTED_SHARE = 0.6;
 const MILLISECONDS_PER_SECOND = 1_000;
--- a/src/state/routing/quota/tenant-account.ts
+++ b/src/state/routing/quota/tenant-account.ts
@@ -56,7 +56,8 @@
 const IDLE_MS = 1_000;
 /**
  * A partitioned quota owner grants the full rate to its own callers until it detects the partition.
- * This multiple of its share of the requests is withheld from the excess to compensate.
+ * This multiple of its share of the requests is withheld from the excess to compensate; it lowers
+ * the use of the limit by 2% in simulated groups of 3 and 5 routers.
  */
 const WITHHELD_EXCESS_FACTOR = 2;
 /** An account that at most this share of the routers can reach counts as partitioned. */
--- a/src/state/routing/request-quarantine.ts
+++ b/src/state/routing/request-quarantine.ts
@@ -14,7 +14,10 @@
   readonly crashes: number;
 }
 
-/** High enough that independent crashes do not quarantine a request. */
+/**
+ * High enough that independent crashes do not quarantine a request: of 3,787 requests of a day on
+ * which 11 engines crashed, one was running at two of them and none at three.
+ */
 export const DEFAULT_QUARANTINE_POLICY: QuarantinePolicy = { crashes: 3 };
 
 /** The effect of a recorded event. */
--- a/src/state/routing/save-choice.ts
+++ b/src/state/routing/save-choice.ts
@@ -9,8 +9,8 @@
 import { sharedTokensOf } from './prompt-sources.js';
 
 /**
- * Minimum retention of a store that is not under pressure; shared prompts typically recur within
- * this time.
+ * Minimum retention of a store that is not under pressure; on a busy deployment the prompts of a
+ * subject recur within about 10 s.
  */
 const MINIMUM_RETENTION_S = 10;
 /** Minimum shared fraction of prompts saved to a store under pressure. */
