--- a/src/coordination/gateway/admission/request-queues.ts
+++ b/src/coordination/gateway/admission/request-queues.ts
@@ -27,6 +27,13 @@
 import { ServiceQueue } from './service-queue.js';
 import { ServiceTime } from './service-time.js';
 
+/**
+ * Smallest share of the group's traffic with which a router lets requests wait. From free room to
+ * the send of a waiting request, a model measured a median of 52 ms at a share of a third, 136 ms at
+ * a sixteenth and 745 ms at 1/84; objectives of plain requests are some 200 ms.
+ */
+const MINIMUM_TRAFFIC_SHARE = 1 / 20;
+
 /** What the queues read of the router. */
 export interface QueueContext {
   readonly clock: Clock;
@@ -77,6 +84,14 @@
     this.returning = new ReturningCallers(context.clock);
   }
 
+  /**
+   * Whether requests may wait. With a small share of the traffic a router gets one send in many load
+   * reports, so that a request waits for longer than its objective although engines have room.
+   */
+  get isEffective(): boolean {
+    return this.context.shareOfTraffic() >= MINIMUM_TRAFFIC_SHARE;
+  }
+
   /** Requests that wait now. */
   get size(): number {
     return this.sum(({ queue }) => queue.size);
--- a/test/gateway/call-waiting.test.ts
+++ b/test/gateway/call-waiting.test.ts
@@ -21,12 +21,17 @@
   allowedSends = 0;
   readonly waiting: CallWaiting;
 
-  constructor() {
+  constructor(isEffective = true) {
     const queue = {
       noteArrival: () => (this.arrivals += 1),
       trySendAtOnce: () => (this.allowedSends += 1) > 0,
     };
-    const queues = { of: () => queue, hasCapacity: () => true, isPausing: () => false };
+    const queues = {
+      isEffective,
+      of: () => queue,
+      hasCapacity: () => isEffective,
+      isPausing: () => false,
+    };
     const call = { isUnstarted: true, sends: 0, request: {}, context: { queues } };
     this.waiting = new CallWaiting(
       call as unknown as CallRecord,
@@ -63,3 +68,9 @@
   t.is(bench.arrivals, 1);
   t.is(bench.allowedSends, 2);
 });
+
+test('without an effective queue a request is sent at once, even if its engine has no room', (t) => {
+  const bench = new Bench(false);
+  t.true(bench.dispatch());
+  t.is(bench.arrivals, 0);
+});
