Requests wait where a router's part of the service's slots is two or more

Cause: the share of the traffic is the wrong measure for switching the queue off in large groups: a part of the generations' slots is some 18 to 30 for each of 84 or 89 routers, that of the plain service's 18 slots 0.2. Change: the part of the slots decides, by service.

--- a/src/coordination/gateway/admission/request-queues.ts
+++ b/src/coordination/gateway/admission/request-queues.ts
@@ -28,11 +28,11 @@
 import { ServiceTime } from './service-time.js';
 
 /**
- * Smallest share of the group's traffic with which a router lets requests wait. From free room to
- * the send of a waiting request, a model measured a median of 52 ms at a share of a third, 136 ms at
- * a sixteenth and 745 ms at 1/84; objectives of plain requests are some 200 ms.
+ * Smallest part of a service's slots with which a router lets requests wait. With 18 slots, a model
+ * measured a median of 52 ms from free room to the send of a waiting request at a third of the
+ * traffic, 136 ms at a sixteenth and 745 ms at 1/84; objectives of plain requests are some 200 ms.
  */
-const MINIMUM_TRAFFIC_SHARE = 1 / 20;
+const MINIMUM_OWN_SLOTS = 2;
 
 /** What the queues read of the router. */
 export interface QueueContext {
@@ -85,11 +85,13 @@
   }
 
   /**
-   * Whether requests may wait. With a small share of the traffic a router gets one send in many load
-   * reports, so that a request waits for longer than its objective although engines have room.
+   * Whether requests of a service may wait. If this router's part of the service's slots is below one
+   * send in a load report, a request would wait for several reports although engines have room.
    */
-  get isEffective(): boolean {
-    return this.context.shareOfTraffic() >= MINIMUM_TRAFFIC_SHARE;
+  isEffectiveFor({ name }: Service): boolean {
+    const engines = this.context.registry.ofService(name);
+    const slots = engines.length * (engines[0]?.record.slots ?? 0);
+    return slots * this.context.shareOfTraffic() >= MINIMUM_OWN_SLOTS;
   }
 
   /** Requests that wait now. */
--- a/src/coordination/gateway/call-waiting.ts
+++ b/src/coordination/gateway/call-waiting.ts
@@ -35,7 +35,7 @@
     const { call } = this;
     const { queues } = call.context;
     // A request that may have run can't be rejected, so it is sent as soon as possible.
-    if (!queues?.isEffective || !call.isUnstarted) return false;
+    if (!queues?.isEffectiveFor(service) || !call.isUnstarted) return false;
     const queue = queues.of(service);
     if (!this.hasArrived) queue.noteArrival(grant.priority, grant.route.objectiveMs);
     this.hasArrived = true;
--- a/src/coordination/gateway/load-collection.ts
+++ b/src/coordination/gateway/load-collection.ts
@@ -39,7 +39,7 @@
   send(address: string, datagram: Uint8Array): void;
 }
 
-/** Takes part in the collection: it is told each round by whom and for whom this router collects. */
+/** Listens to the rounds of the collection, to exchange more along with the loads. */
 export interface CollectionListener {
   /**
    * @param collector the router that collects for this one, possibly itself
--- a/test/gateway/call-waiting.test.ts
+++ b/test/gateway/call-waiting.test.ts
@@ -27,7 +27,7 @@
       trySendAtOnce: () => (this.allowedSends += 1) > 0,
     };
     const queues = {
-      isEffective,
+      isEffectiveFor: () => isEffective,
       of: () => queue,
       hasCapacity: () => isEffective,
       isPausing: () => false,
