Log and count when a router loses its path to all engines

The logs of the incident name one engine a line, so they don't show whether a router knows that all of its engines fail at once, when it last received anything from any, and whether a send that timed out was ever connected. A monitor now concludes from failed connections at three engines, or from 0.7 s without a byte while requests are in progress, that the path may be interrupted, and connects to up to four engines to find out. It logs engine_path_probed and engine_path_changed, counts both, and send_failed tells whether there was a connection. Nothing decides by it yet.

--- a/src/coordination/gateway/call-log.ts
+++ b/src/coordination/gateway/call-log.ts
@@ -66,11 +66,13 @@
 /**
  * Logs a send that ended without a response to pass on.
  *
+ * @param isConnected whether the send had a connection to the engine
  * @param fingerprint identifies repeats of the request; set only after a disconnect
  */
 export function logSendFailure(
   identity: SendIdentity,
   failure: ExchangeFailure,
+  isConnected: boolean,
   fingerprint: string | undefined,
   logger: Logger,
 ): void {
@@ -79,6 +81,7 @@
     kind: failure.kind,
     status: failure.kind === 'refused' ? failure.status : undefined,
     reason: failure.reason,
+    connected: isConnected,
     fingerprint,
   });
 }
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -11,6 +11,7 @@
 import type { ObjectStorePort, StoredObject } from '../../protocol/object-store/port.js';
 import { ConfigurationState } from '../../state/routing/configuration-state.js';
 import type { IngressLimits } from '../../state/routing/configuration.js';
+import { EnginePathState } from '../../state/routing/engine-path.js';
 import { EngineHealth } from '../../state/routing/engine-health.js';
 import type { EngineRegistry } from '../../state/routing/engine-registry.js';
 import { HomeRanking } from '../../state/routing/home-ranking.js';
@@ -35,13 +36,14 @@
 import { type GroupMembership, SETTLING_MS } from './group-membership.js';
 import { openGroup } from './group-setup.js';
 import { EngineLimitDiscovery } from './engine-limit-discovery.js';
+import { EnginePathMonitor } from './engine-path/engine-path-monitor.js';
 import { LoadSharing } from './load-sharing.js';
 import { type MemoryBudget, createMemoryBudget } from './memory-budget.js';
 import { ListedEngines } from './listed-engines.js';
 import { type ObjectDecoder, valueOrLog } from './object-decoder.js';
 import { Rejections } from './rejections.js';
 import type { InboundRequest, Reply } from './reply.js';
-import { RequestCall } from './request-call.js';
+import { RunningCalls } from './running-calls.js';
 import { StoreFollowers } from './store-followers.js';
 import { StoreRelay } from './store-relay/store-relay.js';
 import { TrafficShare } from './traffic-share.js';
@@ -83,9 +85,10 @@
   private readonly split = new TrafficSplit();
   private readonly sharing: LoadSharing;
   private readonly followers: StoreFollowers;
-  private readonly calls = new Set<RequestCall>();
+  private readonly calls = new RunningCalls();
   private readonly context: GatewayContext;
   private readonly crashes: CrashProtection;
+  private readonly enginePath: EnginePathMonitor;
   private readonly exchange: GroupExchange;
   private readonly coordinator: WeightCoordinator;
   private readonly versionDiscovery: WeightVersionDiscovery;
@@ -123,9 +126,7 @@
         this.coordinator.forgetIncarnation(restart.previous.id);
         this.crashes.handleRestart(restart);
       },
-      failPreviousIncarnation: (restart) => {
-        for (const call of this.calls) call.failSendToPreviousIncarnation(restart);
-      },
+      failPreviousIncarnation: (restart) => this.calls.failSendsToPreviousIncarnation(restart),
     });
     this.versions = new WeightVersions(
       settings.rollout.graceMs,
@@ -140,9 +141,10 @@
       registry: this.registry,
       statistics: this.statistics,
       announce: () => group.reportNow(),
-      endCalls: (fingerprint) => this.endQuarantined(fingerprint),
+      endCalls: (fingerprint) => this.calls.endQuarantined(fingerprint),
     });
-    const { statistics, outages } = this;
+    const { registry, statistics, outages } = this;
+    this.enginePath = new EnginePathMonitor({ ...dependencies, registry, statistics });
     const { limits } = this.health;
     const limitDiscovery = new EngineLimitDiscovery({ limits, statistics, clock, logger });
     this.sharing = new LoadSharing({
@@ -180,9 +182,10 @@
       homes,
       logger,
       engines,
+      enginePath: this.enginePath,
       group,
       configuration: this.configuration,
-      registry: this.registry,
+      registry,
       loads: this.loads,
       health: this.health,
       limitDiscovery,
@@ -267,6 +270,7 @@
       repeat(clock, MAINTENANCE_PERIOD_MS, () => this.runMaintenance()),
       repeat(clock, PREFIX_EXPIRY_PERIOD_MS, () => this.cachedPrefixes.expire()),
     );
+    this.enginePath.start();
     this.coordinator.start();
     this.exchange.start();
     this.crashes.start();
@@ -277,6 +281,11 @@
     return !this.isLeaving && this.configuration.current !== undefined && this.listed.list.isKnown;
   }
 
+  /** Whether this router can open connections to engines. */
+  get hasEnginePath(): boolean {
+    return this.enginePath.state === EnginePathState.Open;
+  }
+
   get runningCalls(): number {
     return this.calls.size;
   }
@@ -303,9 +312,7 @@
 
   /** Serves one request. */
   handle(request: InboundRequest, reply: Reply): void {
-    const call = new RequestCall(request, reply, this.context, () => this.calls.delete(call));
-    this.calls.add(call);
-    call.start();
+    this.calls.start(request, reply, this.context);
   }
 
   /**
@@ -337,9 +344,10 @@
   /** Ends all running requests and releases all resources. */
   stop(): void {
     this.context.queues?.stop();
-    for (const call of this.calls) call.endForShutdown();
+    this.calls.endForShutdown();
     this.followers.stop();
     for (const timer of this.timers) timer.cancel();
+    this.enginePath.stop();
     this.coordinator.stop();
     this.exchange.stop();
     this.crashes.stop();
@@ -373,11 +381,6 @@
     this.timers.push(clock.setTimer(SETTLING_MS, () => this.listed.startFeeds()));
   }
 
-  /** Ends running calls of a quarantined request, so that they reach no further engine. */
-  private endQuarantined(fingerprint: string): void {
-    for (const call of this.calls) call.endIfQuarantined(fingerprint);
-  }
-
   private runMaintenance(): void {
     this.loads.expire(this.dependencies.clock.now());
     this.crashes.expire();
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -105,6 +105,9 @@
   engineSpeedReportsLimited = 0;
   sharedTokensRead = 0;
   sharedTokensKept = 0;
+  /** Times that this router lost its path to all engines, and connections that tested the path. */
+  enginePathsLost = 0;
+  enginePathProbes = 0;
   /** Directory responses to callers. */
   directoryAnswers = 0;
 }
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -116,6 +116,7 @@
     logSendFailure(
       { request: call.request.id, send: call.sends, engine: send.engineId },
       failure,
+      send.isConnected,
       call.crashes.computedFingerprint,
       this.context.logger,
     );
--- /dev/null
+++ b/src/coordination/gateway/running-calls.ts
@@ -0,0 +1,36 @@
+/** The requests that one router is serving. */
+import type { EngineRestart } from './engine-incarnation-tracker.js';
+import type { GatewayContext } from './gateway-context.js';
+import type { InboundRequest, Reply } from './reply.js';
+import { RequestCall } from './request-call.js';
+
+/** All running requests of a router; each is removed when it ends. */
+export class RunningCalls {
+  private readonly calls = new Set<RequestCall>();
+
+  get size(): number {
+    return this.calls.size;
+  }
+
+  /** Serves one request. */
+  start(request: InboundRequest, reply: Reply, context: GatewayContext): void {
+    const call = new RequestCall(request, reply, context, () => this.calls.delete(call));
+    this.calls.add(call);
+    call.start();
+  }
+
+  /** Fails the sends that only the previous incarnation of a restarted engine can have received. */
+  failSendsToPreviousIncarnation(restart: EngineRestart): void {
+    for (const call of this.calls) call.failSendToPreviousIncarnation(restart);
+  }
+
+  /** Ends running calls of a quarantined request, so that they reach no further engine. */
+  endQuarantined(fingerprint: string): void {
+    for (const call of this.calls) call.endIfQuarantined(fingerprint);
+  }
+
+  /** Ends all requests because the router shuts down. */
+  endForShutdown(): void {
+    for (const call of this.calls) call.endForShutdown();
+  }
+}
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -20,6 +20,7 @@
 import { LoadSharingFeature } from './load-sharing-settings.js';
 import { RunStartDeadline } from './run-start-deadline.js';
 import { applyEngineNotice } from './engine-notices.js';
+import type { ObservedSend } from './engine-path/engine-path-monitor.js';
 import type { GatewayContext } from './gateway-context.js';
 import { type GenerationShape, sharedPartsOf } from '../../state/routing/generation.js';
 import { slownessOf } from '../../state/routing/engine-speeds.js';
@@ -151,6 +152,8 @@
   private lastChunkMs: number | undefined;
   private chunkCount = 0;
   private readonly speed: ResponseSpeed | undefined;
+  private readonly observed: ObservedSend;
+  private hasConnection = false;
   private isClosed = false;
 
   constructor(
@@ -169,6 +172,7 @@
     request.heldBody?.queueAt(id);
     this.sentMs = context.clock.now();
     this.speed = this.observeSpeed(options, queuedTokens);
+    this.observed = context.enginePath.observe(id);
     this.exchange = context.engines.send(placement.engine.record, request, options, this);
     this.runStartDeadline = this.createRunStartDeadline();
   }
@@ -177,6 +181,16 @@
     return this.placement.engine.record.id;
   }
 
+  /** Whether there is a connection to the engine, so that the request may arrive there. */
+  get isConnected(): boolean {
+    return this.hasConnection;
+  }
+
+  onConnected(isNew: boolean): void {
+    this.hasConnection = true;
+    if (isNew) this.observed.noteNewConnection();
+  }
+
   onNotice(notice: EngineNotice): void {
     applyEngineNotice(this.answeredRequest, notice, this.context);
   }
@@ -187,6 +201,7 @@
 
   onHead(head: ResponseHead): void {
     if (this.isClosed) return;
+    this.observed.noteReceived();
     this.headMs = this.context.clock.now();
     this.speed?.noteHead(head);
     // Only an attested response certainly comes from the engine. If it names a limit, `onNotice`
@@ -212,6 +227,8 @@
 
   onFailure(failure: ExchangeFailure): void {
     if (this.isClosed) return;
+    if (failure.kind === 'not-sent') this.observed.noteConnectFailure();
+    if (failure.kind === 'refused') this.observed.noteReceived();
     this.close();
     this.events.onFailure(this, failure);
   }
@@ -301,6 +318,7 @@
   private recordChunk(): void {
     const { generation, lastChunkMs, context } = this;
     const now = context.clock.now();
+    this.observed.noteReceived();
     this.recordPromptRead(now);
     this.speed?.noteChunk(now);
     this.load.noteEvent();
@@ -324,6 +342,7 @@
 
   private close(): void {
     this.isClosed = true;
+    this.observed.close();
     this.runStartDeadline?.cancel();
     this.request.heldBody?.leaveEngine();
     this.load.release();
--- a/src/protocol/inference/port.ts
+++ b/src/protocol/inference/port.ts
@@ -91,6 +91,12 @@
  * either the end or a failure.
  */
 export interface ExchangeListener {
+  /**
+   * The exchange has a connection to the engine, so the request may arrive there.
+   *
+   * @param isNew false for a connection that an earlier exchange has opened
+   */
+  onConnected?(isNew: boolean): void;
   onNotice(notice: EngineNotice): void;
   /** The connection to the engine has taken the whole body of the request. */
   onBodyTaken?(): void;
--- /dev/null
+++ b/src/state/routing/engine-path.ts
@@ -0,0 +1,179 @@
+/**
+ * Judges whether this router can reach engines at all. Failures at one engine are that engine's;
+ * failures at engine after engine, or silence from all of them, raise the suspicion that the
+ * router's own path is interrupted, which probes of several engines then confirm or refute. Pure;
+ * times are monotonic, in milliseconds.
+ */
+
+/** State of this router's path to the engines. */
+export enum EnginePathState {
+  /** New connections can be opened. */
+  Open = 'open',
+  /** No new connection can be opened; open ones may still work. */
+  Refusing = 'refusing',
+  /** Neither new nor open connections carry anything. */
+  Silent = 'silent',
+}
+
+/** Result of a connection attempt that tests the path. */
+export enum ProbeResult {
+  Connected = 'connected',
+  /** The attempt was refused or reset. */
+  Refused = 'refused',
+  TimedOut = 'timed-out',
+}
+
+/** Why the path is suspected to be interrupted. */
+export type PathSuspicion = 'connections-failed' | 'silence';
+
+/** One request that was sent to an engine directly and whose response is not complete. */
+export interface DirectSend {
+  readonly engineId: string;
+  readonly sentMs: number;
+}
+
+/** Number of engines that fail in a row before the path is suspected. */
+const SUSPICIOUS_ENGINES = 3;
+/** A failed connection counts for this long. */
+const FAILURE_WINDOW_MS = 2_000;
+/** Requests are in progress and nothing has been received from any engine for this long. */
+const SUSPICIOUS_SILENCE_MS = 700;
+/** Minimum number of engines whose failed probes show that the path is interrupted. */
+const MINIMUM_PROBED_ENGINES = 2;
+/** After probes have refuted a suspicion, the next ones wait for this long. */
+const REFUTED_PAUSE_MS = 1_000;
+const INTERRUPTED_PROBE_PERIOD_MS = 250;
+/** Probes that must succeed one after another before the path is open again. */
+const PROBES_TO_REOPEN = 3;
+/** A path that is interrupted again so soon needs twice the number of successful probes. */
+const RELAPSE_MS = 10_000;
+const MAXIMUM_PROBES_TO_REOPEN = 12;
+
+/** The path of one router. */
+export class EnginePath {
+  private current = EnginePathState.Open;
+  /** Engines that could not be connected to since the last new connection, with the time. */
+  private readonly failedEngines = new Map<string, number>();
+  /** In order of their sends. */
+  private readonly sends = new Set<DirectSend>();
+  private receivedMs = -Infinity;
+  private nextProbeMs = -Infinity;
+  private probesToReopen = PROBES_TO_REOPEN;
+  private successfulProbes = 0;
+  private reopenedMs = -Infinity;
+  private changedMs = 0;
+
+  get state(): EnginePathState {
+    return this.current;
+  }
+
+  get isOpen(): boolean {
+    return this.current === EnginePathState.Open;
+  }
+
+  /** Time of the last change of the state. */
+  get sinceMs(): number {
+    return this.changedMs;
+  }
+
+  /** Engines that could not be connected to since the last new connection. */
+  get failedEngineCount(): number {
+    return this.failedEngines.size;
+  }
+
+  /** Records a send over a direct connection. Returns the handle for {@link close}. */
+  open(engineId: string, nowMs: number): DirectSend {
+    const send = { engineId, sentMs: nowMs };
+    this.sends.add(send);
+    return send;
+  }
+
+  close(send: DirectSend): void {
+    this.sends.delete(send);
+  }
+
+  /** Records that a new connection was opened. */
+  noteConnected(): void {
+    this.failedEngines.clear();
+  }
+
+  noteConnectFailure(engineId: string, nowMs: number): void {
+    this.failedEngines.set(engineId, nowMs);
+  }
+
+  /** Records that something was received over a direct connection. */
+  noteReceived(nowMs: number): void {
+    this.receivedMs = nowMs;
+  }
+
+  /** Time without anything received while requests were in progress; 0 if there are none. */
+  silenceMs(nowMs: number): number {
+    const [oldest] = this.sends;
+    return oldest ? nowMs - Math.max(oldest.sentMs, this.receivedMs) : 0;
+  }
+
+  /** Why the open path is suspected to be interrupted; undefined if it isn't. */
+  suspicion(nowMs: number): PathSuspicion | undefined {
+    for (const [engineId, failedMs] of this.failedEngines) {
+      if (nowMs - failedMs > FAILURE_WINDOW_MS) this.failedEngines.delete(engineId);
+    }
+    if (this.failedEngines.size >= SUSPICIOUS_ENGINES) return 'connections-failed';
+    return this.silenceMs(nowMs) >= SUSPICIOUS_SILENCE_MS ? 'silence' : undefined;
+  }
+
+  /** Whether engines should be probed now. */
+  isProbeDue(nowMs: number): boolean {
+    if (nowMs < this.nextProbeMs) return false;
+    return !this.isOpen || this.suspicion(nowMs) !== undefined;
+  }
+
+  /**
+   * Applies the results of probes of different engines, made at the same time.
+   *
+   * @returns whether the state changed
+   */
+  applyProbes(results: readonly ProbeResult[], nowMs: number): boolean {
+    const successes = results.filter((result) => result === ProbeResult.Connected).length;
+    const before = this.current;
+    if (this.isOpen) this.judgeSuspicion(results, successes, nowMs);
+    else this.judgeRecovery(results, successes, nowMs);
+    if (this.current === before) return false;
+    this.changedMs = nowMs;
+    return true;
+  }
+
+  private judgeSuspicion(results: readonly ProbeResult[], successes: number, nowMs: number): void {
+    this.nextProbeMs = nowMs + REFUTED_PAUSE_MS;
+    this.failedEngines.clear();
+    if (successes > 0 || results.length < MINIMUM_PROBED_ENGINES) return;
+    const isRelapse = nowMs - this.reopenedMs < RELAPSE_MS;
+    this.probesToReopen = isRelapse
+      ? Math.min(MAXIMUM_PROBES_TO_REOPEN, this.probesToReopen * 2)
+      : PROBES_TO_REOPEN;
+    this.nextProbeMs = nowMs + INTERRUPTED_PROBE_PERIOD_MS;
+    this.successfulProbes = 0;
+    this.current = this.interruptedState(results, nowMs);
+  }
+
+  private judgeRecovery(results: readonly ProbeResult[], successes: number, nowMs: number): void {
+    this.nextProbeMs = nowMs + INTERRUPTED_PROBE_PERIOD_MS;
+    if (successes < results.length) {
+      this.successfulProbes = 0;
+      this.current = this.interruptedState(results, nowMs);
+      return;
+    }
+    this.successfulProbes += successes;
+    if (this.successfulProbes < this.probesToReopen) return;
+    this.current = EnginePathState.Open;
+    this.reopenedMs = nowMs;
+  }
+
+  /** Refused connections leave open ones working, unless those are silent too. */
+  private interruptedState(results: readonly ProbeResult[], nowMs: number): EnginePathState {
+    const isSilent =
+      this.current === EnginePathState.Silent ||
+      results.includes(ProbeResult.TimedOut) ||
+      this.silenceMs(nowMs) >= SUSPICIOUS_SILENCE_MS;
+    return isSilent ? EnginePathState.Silent : EnginePathState.Refusing;
+  }
+}
--- a/src/state/routing/engine-registry.ts
+++ b/src/state/routing/engine-registry.ts
@@ -58,6 +58,12 @@
     return new Set(this.engines.keys());
   }
 
+  /** Records of all engines that accept new work. */
+  get readyRecords(): EngineRecord[] {
+    const records = [...this.engines.values()].map(({ record }) => record);
+    return records.filter(({ isDraining }) => !isDraining);
+  }
+
   /** Names of all engines. */
   get names(): ReadonlySet<string> {
     return new Set(this.byName.keys());
--- /dev/null
+++ b/src/state/routing/path-probe-choice.ts
@@ -0,0 +1,30 @@
+/** Chooses the engines whose probes show whether this router can reach engines at all. Pure. */
+import { type RandomSource, randomInteger } from '../../runtime/random.js';
+import type { EngineRecord } from './engine-record.js';
+
+/**
+ * Returns up to `count` random engines, taken from all services in turn: the engines of one service
+ * may fail together.
+ */
+export function choosePathProbes(
+  engines: readonly EngineRecord[],
+  count: number,
+  random: RandomSource,
+): EngineRecord[] {
+  const byService = new Map<string, EngineRecord[]>();
+  for (const engine of engines) {
+    const group = byService.get(engine.service);
+    if (group) group.push(engine);
+    else byService.set(engine.service, [engine]);
+  }
+  const groups = [...byService.values()];
+  const chosen: EngineRecord[] = [];
+  while (chosen.length < count && groups.some((group) => group.length > 0)) {
+    for (const group of groups) {
+      if (chosen.length >= count || group.length === 0) continue;
+      const [engine] = group.splice(randomInteger(random, group.length), 1);
+      if (engine) chosen.push(engine);
+    }
+  }
+  return chosen;
+}
