Show that routers cut off from all engines serve nothing

The simulated deployment can cut routers off from all engines in four ways (silent, one way, reset, new connections refused), and its oracle compares what such routers serve with what the others do.

--- a/bench/group-deployment.ts
+++ b/bench/group-deployment.ts
@@ -8,6 +8,7 @@
 import { RecordedReply } from '../src/lab/gateway-simulation/recorded-reply.js';
 import { EngineObservations } from '../src/lab/gateway-simulation/simulated-engine.js';
 import { SimulatedFleet } from '../src/lab/gateway-simulation/simulated-fleet.js';
+import { EngineLink } from '../src/lab/gateway-simulation/engine-links.js';
 import { SimulatedInference } from '../src/lab/gateway-simulation/simulated-inference.js';
 import { SimulatedObjectStore } from '../src/lab/gateway-simulation/simulated-object-store.js';
 import { SimulatedStorePort } from '../src/lab/gateway-simulation/simulated-store-port.js';
@@ -129,6 +130,8 @@
     const host = new HostClock(this.clock);
     this.network.attach(name, host);
     const settings = simulationSettings(name);
+    const { fleet, observations, clock } = this;
+    const link = new EngineLink();
     const transport = new SimulatedDatagramTransport(this.sockets, name);
     const node = await GatewayNode.open(
       {
@@ -148,7 +151,7 @@
         datagrams: countingDatagrams(transport, () => (this.datagrams += 1)),
         frames: new SimulatedFrameTransport(this.sockets, name, host),
         store: new SimulatedStorePort(this.store, name, host),
-        engines: new SimulatedInference(this.fleet, this.observations, this.clock, host, name),
+        engines: new SimulatedInference({ fleet, observations, clock, host, link }, name),
         decoder: DECODER,
       },
     );
--- /dev/null
+++ b/src/lab/gateway-simulation/engine-path-oracle.ts
@@ -0,0 +1,58 @@
+/**
+ * Checks that routers that are cut off from all engines serve about as many requests as the others.
+ */
+import type { EngineCutPeriod } from './engine-links.js';
+import type { GatewaySimulation, ObservedRequest } from './gateway-simulation.js';
+
+/** A cut during which the routers that it affected served too few requests. */
+export interface EnginePathBreach {
+  readonly rule: 'served-while-cut';
+  readonly detail: string;
+}
+
+/** Time from the start of a cut until requests must be served. */
+export const DETECTION_MS = 3_000;
+/** Routers that are cut off serve at least this share of what the others serve. */
+const MINIMUM_SERVED_RATIO = 2 / 3;
+/** Failures that are allowed, in total and as a share of all requests in the period. */
+const ALLOWED_FAILURES = 10;
+const ALLOWED_FAILURE_SHARE = 1 / 50;
+
+/** Returns the cuts during which too few requests were served. */
+export function judgeEnginePaths(simulation: GatewaySimulation): EnginePathBreach[] {
+  return simulation.engineLinks.periods.flatMap((period) => judgePeriod(period, simulation));
+}
+
+function judgePeriod(period: EngineCutPeriod, simulation: GatewaySimulation): EnginePathBreach[] {
+  const requests = requestsIn(period, simulation);
+  const isCut = ({ router, sentMs }: ObservedRequest): boolean =>
+    simulation.engineLinks.periods.some(
+      (each) => each.router === router && each.fromMs <= sentMs && sentMs < each.untilMs,
+    );
+  const cut = requests.filter(isCut);
+  const others = requests.filter((request) => !isCut(request));
+  if (cut.length === 0 || others.length === 0) return [];
+  const failures = cut.length - servedOf(cut);
+  if (failures <= ALLOWED_FAILURES + requests.length * ALLOWED_FAILURE_SHARE) return [];
+  const ratio = servedOf(cut) / cut.length / (servedOf(others) / others.length);
+  if (!(ratio < MINIMUM_SERVED_RATIO)) return [];
+  const detail = `${period.router} (${period.cut} from ${period.fromMs} ms): served ${servedOf(cut)} of ${cut.length}, the others ${servedOf(others)} of ${others.length}`;
+  return [{ rule: 'served-while-cut', detail }];
+}
+
+/** Requests that arrived from the detection time until the end of the cut, at undisturbed routers. */
+function requestsIn(
+  { fromMs, untilMs }: EngineCutPeriod,
+  { requests, disturbances }: GatewaySimulation,
+): ObservedRequest[] {
+  return requests.filter(
+    ({ router, sentMs }) =>
+      sentMs >= fromMs + DETECTION_MS &&
+      sentMs < untilMs &&
+      !disturbances.isDisturbed(router, sentMs),
+  );
+}
+
+function servedOf(requests: readonly ObservedRequest[]): number {
+  return requests.filter(({ reply }) => reply.status === 200 && reply.ending === 'whole').length;
+}
--- a/src/lab/gateway-simulation/gateway-oracle.ts
+++ b/src/lab/gateway-simulation/gateway-oracle.ts
@@ -4,6 +4,7 @@
 import type { GatewaySimulation, ObservedRequest } from './gateway-simulation.js';
 import type { ObservedRun } from './simulated-engine.js';
 import { STREAM_EVENTS, streamEventOf, plainBodyOf } from './simulated-exchange.js';
+import { type EnginePathBreach, judgeEnginePaths } from './engine-path-oracle.js';
 import { type LimitBreach, judgeLimits } from './limit-oracle.js';
 import { type NoticeBreach, judgeNotices } from './notice-oracle.js';
 import { type QuotaBreach, judgeQuotas } from './quota-oracle.js';
@@ -30,6 +31,7 @@
   | 'weights-on-time'
   | 'crashes-bounded'
   | 'odd-entry-unused'
+  | EnginePathBreach['rule']
   | NoticeBreach['rule']
   | LimitBreach['rule']
   | QuotaBreach['rule'];
@@ -67,6 +69,7 @@
     ...judgeRunStarts(simulation),
     ...judgeCrashes(simulation),
     ...judgeMalformedEntries(simulation),
+    ...judgeEnginePaths(simulation),
     ...judgeNotices(simulation),
     ...judgeLimits(simulation),
     ...judgeQuotas(simulation, SIMULATION_QUOTA_TOLERANCE),
--- a/src/lab/gateway-simulation/gateway-simulation.ts
+++ b/src/lab/gateway-simulation/gateway-simulation.ts
@@ -14,6 +14,7 @@
   SimulatedSockets,
 } from '../simulation/simulated-transports.js';
 import { Disturbances } from './disturbances.js';
+import { EngineLinks } from './engine-links.js';
 import type { LimitChange } from './limit-change.js';
 import { RecordedReply } from './recorded-reply.js';
 import { EngineObservations, type SimulatedEngine } from './simulated-engine.js';
@@ -92,6 +93,7 @@
   /** Changes of tenant limits that the store acknowledged, oldest first. */
   readonly limitChanges: LimitChange[] = [];
   readonly disturbances = new Disturbances();
+  readonly engineLinks = new EngineLinks(this.clock);
   private readonly network: SimulatedNetwork;
   private readonly sockets: SimulatedSockets;
   private readonly routers = new Map<string, RunningRouter>();
@@ -344,6 +346,7 @@
     this.store.isDown = false;
     this.store.unreachableFor.clear();
     this.network.heal();
+    this.engineLinks.heal();
     this.store.writeFaults.length = 0;
     this.store.listDelaysMs.length = 0;
     this.fleet.loadCommandFaults.length = 0;
@@ -395,7 +398,9 @@
     this.network.attach(name, host);
     this.seedCount += 1;
     const random = new SeededRandom(this.seed * 1_000 + this.seedCount);
-    const inference = new SimulatedInference(this.fleet, this.observations, this.clock, host, name);
+    const link = this.engineLinks.of(name);
+    const { fleet, observations, clock } = this;
+    const inference = new SimulatedInference({ fleet, observations, clock, host, link }, name);
     const decoder = this.mutation.decoder?.(DECODER) ?? DECODER;
     const view = { engines: inference, decoder };
     const datagrams = new SimulatedDatagramTransport(this.sockets, name);
--- a/src/lab/gateway-simulation/simulated-exchange.ts
+++ b/src/lab/gateway-simulation/simulated-exchange.ts
@@ -11,6 +11,7 @@
 import { HttpStatus } from '../../protocol/http-status.js';
 import type { Clock } from '../../runtime/clock.js';
 import type { HostClock } from '../simulation/host-clock.js';
+import { type EngineLink, LinkDirection } from './engine-links.js';
 import {
   EngineMode,
   type ObservedCrash,
@@ -28,9 +29,12 @@
 /** One request, at the router and at the engine. */
 export class SimulatedExchange implements Exchange, RunningRequest {
   isEnded = false;
+  /** Called once when the exchange has ended for the router. */
+  onClosed: (isComplete: boolean) => void = () => undefined;
   private engine: SimulatedEngine | undefined;
   private observed: ObservedRun | undefined;
   private hasResponded = false;
+  private isConnected = false;
   /** Delivers the engine's notice with a response that is sent now. */
   private deliverNotice: (isRefusal: boolean) => void = () => undefined;
 
@@ -40,8 +44,27 @@
     private readonly listener: ExchangeListener,
     private readonly clock: Clock,
     private readonly host: HostClock,
+    private readonly link: EngineLink,
   ) {}
 
+  /** Reports the connection to the engine, once. */
+  noteConnected(isNew: boolean): void {
+    if (this.isConnected) return;
+    this.isConnected = true;
+    this.host.deliver(() => {
+      if (!this.isEnded) this.listener.onConnected?.(isNew);
+    });
+  }
+
+  /** No connection to the engine could be opened. */
+  failToConnect(): void {
+    this.host.deliver(() => {
+      if (this.isEnded) return;
+      this.finish(false);
+      this.listener.onFailure({ kind: 'not-sent', reason: 'not-sent' });
+    });
+  }
+
   /**
    * Sets the engine that the request has arrived at.
    *
@@ -104,14 +127,14 @@
 
   refuse(status: number): void {
     if (status === HttpStatus.Unavailable) this.deliverNotice(true);
-    this.deliverLast(() =>
-      this.listener.onFailure({ kind: 'refused', status, reason: `refused-${status}` }),
+    this.deliverLast(
+      () => this.listener.onFailure({ kind: 'refused', status, reason: `refused-${status}` }),
+      true,
     );
   }
 
-  fail(kind: 'not-sent' | 'unknown' | 'cut'): void {
-    const failure: ExchangeFailure =
-      kind === 'not-sent' ? { kind, reason: kind } : { kind, reason: kind, isDisconnect: true };
+  fail(kind: 'unknown' | 'cut'): void {
+    const failure: ExchangeFailure = { kind, reason: kind, isDisconnect: true };
     this.deliverLast(() => this.listener.onFailure(failure));
   }
 
@@ -126,8 +149,10 @@
   }
 
   cancel(): void {
-    this.isEnded = true;
-    this.clock.setTimer(NETWORK_DELAY_MS, () => this.leaveEngine());
+    this.finish(false);
+    this.clock.setTimer(NETWORK_DELAY_MS, () =>
+      this.link.carry(LinkDirection.ToEngine, () => this.leaveEngine()),
+    );
   }
 
   pause(): void {
@@ -142,7 +167,7 @@
     this.deliverNotice(false);
     this.deliver(() => this.listener.onHead(headOf(500)));
     this.leaveEngine();
-    this.deliverLast(() => this.listener.onEnd());
+    this.deliverLast(() => this.listener.onEnd(), true);
   }
 
   private sendResponse(isCut: boolean): void {
@@ -167,14 +192,14 @@
       return;
     }
     this.leaveEngine();
-    this.deliverLast(() => this.listener.onEnd());
+    this.deliverLast(() => this.listener.onEnd(), true);
   }
 
   /** Sends the remaining events; if `isCut`, truncates the third one and disconnects. */
   private sendEvent(index: number, isCut: boolean): void {
     if (index > STREAM_EVENTS) {
       this.leaveEngine();
-      this.deliverLast(() => this.listener.onEnd());
+      this.deliverLast(() => this.listener.onEnd(), true);
       return;
     }
     const text = streamEventOf(this.request.id, index);
@@ -202,18 +227,27 @@
 
   private deliver(action: () => void): void {
     this.clock.setTimer(NETWORK_DELAY_MS, () =>
-      this.host.deliver(() => {
-        if (!this.isEnded) action();
-      }),
+      this.link.carry(LinkDirection.FromEngine, () =>
+        this.host.deliver(() => {
+          if (!this.isEnded) action();
+        }),
+      ),
     );
   }
 
-  private deliverLast(action: () => void): void {
+  /** @param isComplete whether the connection can be used for another exchange */
+  private deliverLast(action: () => void, isComplete = false): void {
     this.deliver(() => {
-      this.isEnded = true;
+      this.finish(isComplete);
       action();
     });
   }
+
+  private finish(isComplete: boolean): void {
+    if (this.isEnded) return;
+    this.isEnded = true;
+    this.onClosed(isComplete);
+  }
 }
 
 /** Complete body of a plain response. */
--- a/src/lab/gateway-simulation/simulated-inference.ts
+++ b/src/lab/gateway-simulation/simulated-inference.ts
@@ -15,6 +15,7 @@
 } from '../../protocol/inference/port.js';
 import type { Clock } from '../../runtime/clock.js';
 import type { HostClock } from '../simulation/host-clock.js';
+import { type EngineLink, LinkDirection } from './engine-links.js';
 import {
   EngineMode,
   type EngineObservations,
@@ -31,17 +32,42 @@
 const LATE_COMMAND_MS = 2_500;
 const NO_RESPONSE: LoadCommandResult = { kind: 'unknown', reason: 'silent' };
 
+/** Time after which the attempt to open a connection that gets no response fails. */
+const CONNECT_TIMEOUT_MS = 350;
+
+/** Parts of the deployment that a router reaches engines through. */
+export interface SimulatedInferenceParts {
+  readonly fleet: SimulatedFleet;
+  readonly observations: EngineObservations;
+  readonly clock: Clock;
+  /** Process of the router. */
+  readonly host: HostClock;
+  /** Link of the router to all engines. */
+  readonly link: EngineLink;
+}
+
 /** Inference port of one router. */
 export class SimulatedInference implements InferencePort {
   private readonly exchanges = new Set<SimulatedExchange>();
+  private readonly fleet: SimulatedFleet;
+  private readonly observations: EngineObservations;
+  private readonly clock: Clock;
+  private readonly host: HostClock;
+  private readonly link: EngineLink;
 
   constructor(
-    private readonly fleet: SimulatedFleet,
-    private readonly observations: EngineObservations,
-    private readonly clock: Clock,
-    private readonly host: HostClock,
+    { fleet, observations, clock, host, link }: SimulatedInferenceParts,
     private readonly router: string,
-  ) {}
+  ) {
+    this.fleet = fleet;
+    this.observations = observations;
+    this.clock = clock;
+    this.host = host;
+    this.link = link;
+    link.onReset = () => {
+      for (const exchange of [...this.exchanges]) exchange.disconnect();
+    };
+  }
 
   send(
     endpoint: EngineEndpoint,
@@ -50,14 +76,31 @@
     listener: ExchangeListener,
   ): Exchange {
     this.recordMalformedUse(endpoint);
-    const exchange = new SimulatedExchange(request, options, listener, this.clock, this.host);
+    const { clock, host, link } = this;
+    const exchange = new SimulatedExchange(request, options, listener, clock, host, link);
+    exchange.onClosed = (isComplete) => {
+      this.exchanges.delete(exchange);
+      if (isComplete) link.returnConnection(endpoint.id);
+    };
     this.exchanges.add(exchange);
-    this.clock.setTimer(NETWORK_DELAY_MS, () => this.arrive(endpoint, exchange, options, request));
+    const isNew = !link.takeConnection(endpoint.id);
+    if (isNew && link.cut !== undefined) {
+      const delayMs = link.isUnresponsive ? CONNECT_TIMEOUT_MS : 2 * NETWORK_DELAY_MS;
+      clock.setTimer(delayMs, () => exchange.failToConnect());
+      return exchange;
+    }
+    if (!isNew) exchange.noteConnected(false);
+    clock.setTimer(NETWORK_DELAY_MS, () =>
+      link.carry(LinkDirection.ToEngine, () => this.arrive(endpoint, exchange, options, request)),
+    );
     return exchange;
   }
 
   checkListener({ address }: EngineEndpoint): Promise<ListenerState> {
+    const { link } = this;
     return this.respond(() => {
+      if (link.isUnresponsive) return ListenerState.Unresponsive;
+      if (link.cut !== undefined) return ListenerState.Refused;
       if (this.fleet.partitionAt(address)) return ListenerState.Unresponsive;
       const isRunning = this.fleet.latestAt(address)?.isRunning ?? false;
       return isRunning ? ListenerState.Listening : ListenerState.Refused;
@@ -78,7 +121,7 @@
         );
         return NO_RESPONSE;
       }
-      if (this.fleet.partitionAt(endpoint.address)) return NO_RESPONSE;
+      if (this.isCutFrom(endpoint)) return NO_RESPONSE;
       const result = this.applyLoadCommand(endpoint, command, sentMs);
       return fault === LoadCommandFault.ResponseLost ? NO_RESPONSE : result;
     }, NO_RESPONSE);
@@ -86,7 +129,7 @@
 
   readWeightState(endpoint: EngineEndpoint): Promise<WeightState | undefined> {
     return this.respond(() => {
-      if (this.fleet.partitionAt(endpoint.address)) return undefined;
+      if (this.isCutFrom(endpoint)) return undefined;
       const engine = this.engineOf(endpoint);
       return (
         engine && {
@@ -121,7 +164,12 @@
 
   /** Breaks all connections because the router's process has ended. */
   breakAll(): void {
-    for (const exchange of this.exchanges) exchange.cancel();
+    for (const exchange of [...this.exchanges]) exchange.cancel();
+    this.link.closeConnections();
+  }
+
+  private isCutFrom({ address }: EngineEndpoint): boolean {
+    return this.link.cut !== undefined || this.fleet.partitionAt(address) !== undefined;
   }
 
   private arrive(
@@ -138,9 +186,10 @@
     }
     const engine = this.fleet.latestAt(endpoint.address);
     if (!engine?.isRunning) {
-      exchange.fail('not-sent');
+      this.clock.setTimer(NETWORK_DELAY_MS, () => exchange.failToConnect());
       return;
     }
+    exchange.noteConnected(true);
     const isOther = engine.name !== options.expectedInstance;
     const isOtherVersion =
       options.expectedVersion !== undefined && options.expectedVersion !== engine.weightsVersion;
--- a/test/gateway/quarantine-writes.test.ts
+++ b/test/gateway/quarantine-writes.test.ts
@@ -5,6 +5,7 @@
 import { CrashProtection } from '../../src/coordination/gateway/crash-protection.js';
 import { GatewayStatistics } from '../../src/coordination/gateway/gateway-statistics.js';
 import { SimulatedFleet } from '../../src/lab/gateway-simulation/simulated-fleet.js';
+import { EngineLink } from '../../src/lab/gateway-simulation/engine-links.js';
 import { SimulatedInference } from '../../src/lab/gateway-simulation/simulated-inference.js';
 import { EngineObservations } from '../../src/lab/gateway-simulation/simulated-engine.js';
 import { SimulatedObjectStore } from '../../src/lab/gateway-simulation/simulated-object-store.js';
@@ -42,10 +43,13 @@
       kind: KIND,
       store: counting,
       engines: new SimulatedInference(
-        new SimulatedFleet(this.clock, this.store, () => undefined),
-        new EngineObservations(),
-        this.clock,
-        host,
+        {
+          fleet: new SimulatedFleet(this.clock, this.store, () => undefined),
+          observations: new EngineObservations(),
+          clock: this.clock,
+          host,
+          link: new EngineLink(),
+        },
         'router',
       ),
       registry: new EngineRegistry(),
