Play routers cut off from engines in the fuzz tests and the soak

The fuzz tests cut one, most or all routers off in four ways, kill, freeze, isolate or stop the router that forwards for them, and compare what cut routers serve with the others, by the rule's own words. Mutations without forwarding, and with a forwarded connection that counts as not sent, are found.

Found by the fuzz tests and mended here: - a router that leaves its group received no further offers and served nothing once it was cut off (served 0 of 101); - with fewer engines in a service than the number that raises the suspicion, refused connections to all of them raised none (served 22 of 44); - engines that break off responses were used on, as forwarded failures didn't count (served 29 of 45).

--- a/fuzz/gateway-main.ts
+++ b/fuzz/gateway-main.ts
@@ -1,7 +1,8 @@
 /**
- * `npm run fuzz:gateway -- SEED RUNS [lives|limits|notices|engine-limits|restorations]`: runs the
+ * `npm run fuzz:gateway -- SEED RUNS [lives|limits|notices|engine-limits|restorations|cuts]`: runs the
  * gateway's fuzz test with any seed and number of runs.
  */
+import { engineCutCommands } from './engine-cut-commands.js';
 import { engineRestartCommands } from './engine-restart-commands.js';
 import { engineLimitCommands } from './engine-limit-commands.js';
 import { engineNoticeCommands } from './engine-notice-commands.js';
@@ -17,6 +18,7 @@
   ['notices', engineNoticeCommands],
   ['engine-limits', engineLimitCommands],
   ['restorations', storeRestorationCommands],
+  ['cuts', engineCutCommands],
 ]);
 
 const [seed = '1', runs = '100', focus = ''] = process.argv.slice(2);
--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -63,8 +63,8 @@
 const SEED_COUNT = 3;
 /** Last octet of the first router's address. */
 const FIRST_HOST_NUMBER = 10;
-/** Frontend, directory, readiness and gossip. */
-const PORTS_PER_ROUTER = 4;
+/** Frontend, directory, readiness, gossip and forwarded connections. */
+const PORTS_PER_ROUTER = 5;
 const WRITE_RETRY_MS = 100;
 /** Delay from the return of a restored store to the operator's rewrite of lost objects. */
 const REWRITE_DELAY_MS = 100;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -46,6 +46,11 @@
     default: true,
     describe: 'restore the store from older copies of itself',
   })
+  .option('engine-cuts', {
+    type: 'boolean',
+    default: true,
+    describe: 'cut routers off from all engines',
+  })
   .option('program', {
     type: 'string',
     array: true,
@@ -81,6 +86,7 @@
       hasEngineNotices: options.engineNotices,
       hasEngineLimits: options.engineLimits,
       hasStoreRestorations: options.storeRestorations,
+      hasEngineCuts: options.engineCuts,
       callers: options.callers,
       folder,
       programs: options.program,
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -56,6 +56,13 @@
     text: 'if (limitPerSecond !== undefined) limitDiscovery',
     replacement: 'if (limitPerSecond === -1) limitDiscovery',
   },
+  {
+    name: 'routers never reach engines through other routers',
+    promise: 'served-while-cut',
+    file: 'src/coordination/gateway/engine-path/engine-forwarding.ts',
+    text: 'if (!parts || parts.path.state === EnginePathState.Open) return DIRECT;',
+    replacement: 'if (!parts || parts !== undefined) return DIRECT;',
+  },
   {
     name: 'confirmations of the configuration never expire',
     promise: 'key-removed',
@@ -167,6 +174,7 @@
       hasEngineNotices: true,
       hasEngineLimits: true,
       hasStoreRestorations: false,
+      hasEngineCuts: mutation.promise === 'served-while-cut',
       callers: 12,
       folder: runFolder,
       programs: [program],
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -2,6 +2,7 @@
 import type { CallRecord, DirectoryResponse } from './callers.js';
 import type { Observations } from './deployment.js';
 import type { ReportedRun } from './messages.js';
+import { judgeEngineCuts } from './engine-cut-oracle.js';
 import { judgeLimits } from './limit-oracle.js';
 import { judgeNotices } from './notice-oracle.js';
 import { MALFORMED_NAME_PREFIX } from './malformed-entries.js';
@@ -26,6 +27,7 @@
   | 'leaving-engine-unused'
   | 'backoff-kept'
   | 'limit-kept'
+  | 'served-while-cut'
   | 'recovery';
 
 /** A broken promise. */
@@ -103,6 +105,7 @@
       ...this.judgeMisdirectedRequests(),
       ...judgeNotices(this.record),
       ...judgeLimits(this.record),
+      ...judgeEngineCuts(this.record, (...args) => this.isDisturbed(...args)),
       ...this.judgeRecovery(),
     ];
   }
@@ -310,7 +313,13 @@
     return hasOwnDisturbance || hasStoreFault || isRestarting;
   }
 
+  /** Whether an engine, or a router's way to the engines, was faulty in a span. */
   private hasEngineFault(fromMs: number, toMs: number): boolean {
+    const cuts = this.record.routers.flatMap(({ engineCuts }) => engineCuts);
+    const isCut = cuts.some(
+      (cut) => cut.fromMs <= toMs && fromMs <= (cut.untilMs ?? Infinity) + RECOVERY_MS,
+    );
+    if (isCut) return true;
     return this.record.observations.engineFaults.some(
       (each) => each.fromMs <= toMs && fromMs <= each.untilMs + RECOVERY_MS,
     );
--- a/soak/router-process.ts
+++ b/soak/router-process.ts
@@ -3,8 +3,17 @@
 import { once } from 'node:events';
 import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import {
+  type EngineCut,
+  type EngineCutCommand,
+  type EngineCutMode,
+  STORE_PORT_VARIABLE,
+} from './engine-cuts.js';
 
 const RESTART_DELAY_MS = 300;
+const MILLISECONDS_PER_SECOND = 1_000;
+const CUT_INJECTOR = fileURLToPath(new URL('./engine-cut-injector.js', import.meta.url));
 
 /** Kinds of unplanned faults of a router. */
 export enum DisturbanceKind {
@@ -59,6 +68,8 @@
   private startCount = 0;
   /** Kills with the restart after them, freezes, and faults of the link to the store. */
   readonly disturbances: Disturbance[] = [];
+  /** Periods in which it was cut off from all engines. */
+  readonly engineCuts: EngineCut[] = [];
   /** Times of SIGTERM. */
   readonly stops: number[] = [];
   /** Descriptions of unexpected exits. */
@@ -90,14 +101,20 @@
     const { programs } = this.options;
     const program = programs[this.startCount % programs.length] as string;
     this.startCount += 1;
-    const child = spawn(process.execPath, ['--max-old-space-size=200', program], {
-      env: { PATH: process.env.PATH, PEATSPAN_BOOT: this.settingsFile },
-      stdio: ['ignore', 'pipe', 'pipe'],
+    const storePort = this.options.storeAddress.split(':')[1];
+    const options = ['--max-old-space-size=200', '--import', CUT_INJECTOR];
+    const child = spawn(process.execPath, [...options, program], {
+      env: {
+        PATH: process.env.PATH,
+        PEATSPAN_BOOT: this.settingsFile,
+        [STORE_PORT_VARIABLE]: storePort,
+      },
+      stdio: ['ignore', 'pipe', 'pipe', 'ipc'],
     });
-    child.stdout.pipe(log);
-    child.stderr.pipe(log);
+    child.stdout?.pipe(log);
+    child.stderr?.pipe(log);
     child.once('exit', (code, signal) => this.onExit(code, signal));
-    child.stdout.once('data', () => (this.hasOutput = true));
+    child.stdout?.once('data', () => (this.hasOutput = true));
     this.hasOutput = false;
     this.child = child;
   }
@@ -131,6 +148,38 @@
     }, forMs);
   }
 
+  /** Cuts the process off from all engines; a later cut replaces an earlier one. */
+  cutFromEngines(mode: EngineCutMode, forMs: number): void {
+    const { child } = this;
+    // Before its first output, the process may not handle commands yet.
+    if (!child || !this.hasOutput) return;
+    this.endEngineCut();
+    const cut: EngineCut = { mode, fromMs: Date.now(), untilMs: undefined };
+    this.engineCuts.push(cut);
+    sendCut(child, mode);
+    setTimeout(() => {
+      if (cut.untilMs === undefined) this.endEngineCut();
+    }, forMs);
+  }
+
+  /** Whether the process may be in a planned stop. */
+  isStoppingAt(atMs: number): boolean {
+    const graceMs = BOUNDS.grace_s * MILLISECONDS_PER_SECOND;
+    return this.stops.some((stopMs) => stopMs <= atMs && atMs < stopMs + graceMs);
+  }
+
+  /** Whether the process is cut off from all engines at a time. */
+  isCutAt(atMs: number): boolean {
+    return this.wasCutWithin(0, atMs);
+  }
+
+  /** Whether the process was cut off from all engines at some time in the span before `atMs`. */
+  wasCutWithin(spanMs: number, atMs: number): boolean {
+    return this.engineCuts.some(
+      ({ fromMs, untilMs }) => fromMs <= atMs && atMs < (untilMs ?? Infinity) + spanMs,
+    );
+  }
+
   /** Records the start of a fault; the caller sets its end. */
   disturb(kind: DisturbanceKind): Disturbance {
     const disturbance: Disturbance = { kind, fromMs: Date.now(), untilMs: undefined };
@@ -161,8 +210,18 @@
     return join(this.options.folder, `${this.options.name}.json`);
   }
 
+  /** Ends the current cut from the engines, if there is one. */
+  private endEngineCut(): void {
+    const cut = this.engineCuts.at(-1);
+    if (!cut || cut.untilMs !== undefined) return;
+    cut.untilMs = Date.now();
+    if (this.child) sendCut(this.child, undefined);
+  }
+
   private onExit(code: number | null, signal: NodeJS.Signals | null): void {
     this.child = undefined;
+    // The next process is not cut off.
+    this.endEngineCut();
     if (!this.isExitExpected && !this.isEnded) {
       this.crashes.push(`${this.options.name} exited unexpectedly: code ${code} signal ${signal}`);
     }
@@ -202,3 +261,9 @@
     };
   }
 }
+
+function sendCut(child: ChildProcess, mode: EngineCutMode | undefined): void {
+  const command: EngineCutCommand = { mode };
+  // The process may end meanwhile, which also ends the cut.
+  if (child.connected) child.send(command, () => undefined);
+}
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -4,6 +4,7 @@
 import { type CallKind, CALL_KINDS } from './callers.js';
 import type { Deployment } from './deployment.js';
 import { CRASHING_BODY_PREFIX, EngineBehavior } from './messages.js';
+import { ENGINE_CUT_STEPS } from './engine-cut-steps.js';
 import { ENGINE_LIMIT_STEPS } from './engine-limit-steps.js';
 import { ENGINE_RESTART_STEPS } from './engine-restart-steps.js';
 import { ENGINE_NOTICE_STEPS } from './engine-notice-steps.js';
@@ -38,6 +39,8 @@
   readonly hasEngineLimits: boolean;
   /** Whether the store is restored from older copies of itself. */
   readonly hasStoreRestorations: boolean;
+  /** Whether routers are cut off from all engines. */
+  readonly hasEngineCuts: boolean;
 }
 
 /** Number of routers without unplanned faults, so that some requests succeed at all times. */
@@ -224,6 +227,7 @@
     hasEngineNotices,
     hasEngineLimits,
     hasStoreRestorations,
+    hasEngineCuts,
   }: ScheduleOptions,
 ): Step[] {
   const factories = [
@@ -232,6 +236,7 @@
     ...(hasEngineNotices ? ENGINE_NOTICE_STEPS : []),
     ...(hasEngineLimits ? ENGINE_LIMIT_STEPS : []),
     ...(hasStoreRestorations ? STORE_RESTORATION_STEPS : []),
+    ...(hasEngineCuts ? ENGINE_CUT_STEPS : []),
   ];
   const MAXIMUM_GAP_MS = 2_000;
   const steps: Step[] = [];
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -23,6 +23,8 @@
   readonly hasEngineLimits: boolean;
   /** Whether the store is restored from older copies of itself. */
   readonly hasStoreRestorations: boolean;
+  /** Whether routers are cut off from all engines. */
+  readonly hasEngineCuts: boolean;
   readonly callers: number;
   /** Directory of settings, logs and, after a violation, the evidence. */
   readonly folder: string;
--- a/soak/store-program.ts
+++ b/soak/store-program.ts
@@ -30,9 +30,18 @@
   return { metadata: { name, revision, finalizers: [], deleting: false }, spec, status: {} };
 }
 
-/** All responses contain the store era. */
-function sendStoreResponse(response: ServerResponse, status: number, body: unknown): void {
-  response.setHeader(WireHeader.storeEra, String(store.era));
+/**
+ * All responses contain the store era.
+ *
+ * @param era of the state in the body, which may be older than the store: lists are delayed
+ */
+function sendStoreResponse(
+  response: ServerResponse,
+  status: number,
+  body: unknown,
+  era = store.era,
+): void {
+  response.setHeader(WireHeader.storeEra, String(era));
   sendJson(response, status, body);
 }
 
@@ -62,11 +71,8 @@
   const since = url.searchParams.get('watch');
   if (since === null) {
     const { objects, position } = await port.list(kind);
-    sendStoreResponse(response, 200, {
-      items: objects.map(wireObject),
-      more: false,
-      at: position.revision,
-    });
+    const list = { items: objects.map(wireObject), more: false, at: position.revision };
+    sendStoreResponse(response, 200, list, position.era);
     return;
   }
   const requestedPosition = new StorePosition(store.era, Number(since));
@@ -79,7 +85,8 @@
     object: wireObject(object),
     gone: isGone,
   }));
-  sendStoreResponse(response, 200, { events, at: result.position.revision });
+  const { revision, era } = result.position;
+  sendStoreResponse(response, 200, { events, at: revision }, era);
 }
 
 async function handleWrite(
--- a/src/coordination/gateway/engine-path/engine-forwarding.ts
+++ b/src/coordination/gateway/engine-path/engine-forwarding.ts
@@ -117,9 +117,10 @@
     this.parts.path.noteConnection(engineId, isSuccess);
   }
 
-  /** Stops to forward further connections. */
+  /** Stops to forward further connections; other routers are still used. */
   leave(): void {
     this.isLeaving = true;
+    this.forwarders.keepOffers();
   }
 
   /** Closes all forwarded connections. */
--- a/src/coordination/gateway/engine-path/engine-path-monitor.ts
+++ b/src/coordination/gateway/engine-path/engine-path-monitor.ts
@@ -51,7 +51,7 @@
 
   start(): void {
     this.timer = repeat(this.parts.clock, CHECK_PERIOD_MS, () => {
-      if (this.path.isProbeDue(this.now)) void this.probe();
+      if (this.path.isProbeDue(this.now, this.services)) void this.probe();
     });
   }
 
@@ -80,6 +80,11 @@
     return new ObservedSend(engineId, this.path, this.parts.clock);
   }
 
+  /** Engines by service; not needed without failed connections. */
+  private get services(): string[][] {
+    return this.path.failedEngineCount === 0 ? [] : this.parts.registry.readyIdsByService;
+  }
+
   private get now(): number {
     return this.parts.clock.now();
   }
@@ -109,7 +114,7 @@
   private apply(probes: readonly EngineProbe[]): void {
     const before = this.path.state;
     const evidence = {
-      suspicion: this.path.isOpen ? this.path.suspicion(this.now) : undefined,
+      suspicion: this.path.isOpen ? this.path.suspicion(this.now, this.services) : undefined,
       failed_engines: this.path.failedEngineCount,
       silence_ms: Math.round(this.path.silenceMs(this.now)),
       connected: countOf(probes, ProbeResult.Connected),
--- a/src/lab/gateway-simulation/disturbances.ts
+++ b/src/lab/gateway-simulation/disturbances.ts
@@ -19,6 +19,8 @@
   private readonly disturbances: Disturbance[] = [];
   /** Periods in which a router was partitioned from all others. */
   private readonly partitions: Disturbance[] = [];
+  /** Periods from the announcement of a planned stop to the end of the process. */
+  private readonly stops: Disturbance[] = [];
   /** Periods in which a router's process did not run. */
   private readonly interruptions: Disturbance[] = [];
 
@@ -32,6 +34,11 @@
     this.partitions.push({ router, fromMs, untilMs: fromMs + forMs });
   }
 
+  /** Records a planned stop, from its announcement to the end of the process. */
+  recordStop(router: string, fromMs: number, forMs: number): void {
+    this.stops.push({ router, fromMs, untilMs: fromMs + forMs });
+  }
+
   /** Records that a router's process is down or paused, which is also a disturbance. */
   recordInterruption(router: string, fromMs: number, forMs: number): void {
     this.interruptions.push({ router, fromMs, untilMs: fromMs + forMs });
@@ -52,6 +59,11 @@
     return lastMs <= atMs ? lastMs : undefined;
   }
 
+  /** Whether a router was about to stop as planned. */
+  isStopping(router: string, atMs: number): boolean {
+    return overlapsAny(this.stops, router, atMs, atMs);
+  }
+
   /** Whether a router's process was interrupted between two points in time. */
   wasInterrupted(router: string, fromMs: number, untilMs: number): boolean {
     return overlapsAny(this.interruptions, router, fromMs, untilMs);
--- a/src/lab/gateway-simulation/engine-path-oracle.ts
+++ b/src/lab/gateway-simulation/engine-path-oracle.ts
@@ -1,6 +1,7 @@
 /**
  * Checks that routers that are cut off from all engines serve about as many requests as the others.
  */
+import { HttpStatus } from '../../protocol/http-status.js';
 import type { EngineCutPeriod } from './engine-links.js';
 import type { GatewaySimulation } from './gateway-simulation.js';
 import type { ObservedRequest } from './simulation-records.js';
@@ -26,12 +27,17 @@
 
 function judgePeriod(period: EngineCutPeriod, simulation: GatewaySimulation): EnginePathBreach[] {
   const requests = requestsIn(period, simulation);
-  const isCut = ({ router, sentMs }: ObservedRequest): boolean =>
-    simulation.engineLinks.periods.some(
+  const { periods } = simulation.engineLinks;
+  const ownCut = ({ router, sentMs }: ObservedRequest): EngineCutPeriod | undefined =>
+    periods.find(
       (each) => each.router === router && each.fromMs <= sentMs && sentMs < each.untilMs,
     );
-  const cut = requests.filter(isCut);
-  const others = requests.filter((request) => !isCut(request));
+  const others = requests.filter((request) => ownCut(request) === undefined);
+  // Other routers may have been cut off too recently to have detected it.
+  const cut = requests.filter((request) => {
+    const { fromMs = Infinity } = ownCut(request) ?? {};
+    return request.sentMs >= fromMs + DETECTION_MS;
+  });
   if (cut.length === 0 || others.length === 0) return [];
   const failures = cut.length - servedOf(cut);
   if (failures <= ALLOWED_FAILURES + requests.length * ALLOWED_FAILURE_SHARE) return [];
@@ -41,19 +47,50 @@
   return [{ rule: 'served-while-cut', detail }];
 }
 
-/** Requests that arrived from the detection time until the end of the cut, at undisturbed routers. */
+/**
+ * Requests with a valid key that arrived from the detection time until the end of the cut, at undisturbed routers,
+ * while some router had a path to the engines and had had it for the detection time.
+ */
 function requestsIn(
   { fromMs, untilMs }: EngineCutPeriod,
-  { requests, disturbances }: GatewaySimulation,
+  simulation: GatewaySimulation,
 ): ObservedRequest[] {
-  return requests.filter(
-    ({ router, sentMs }) =>
+  return simulation.requests.filter(
+    ({ router, sentMs, kind, reply }) =>
+      reply.status !== HttpStatus.Unauthorized &&
+      !(kind.startsWith('stream') && werePublished(simulation, sentMs)) &&
       sentMs >= fromMs + DETECTION_MS &&
       sentMs < untilMs &&
-      !disturbances.isDisturbed(router, sentMs),
+      !simulation.disturbances.isDisturbed(router, sentMs) &&
+      hasRouterWithPath(simulation, sentMs),
+  );
+}
+
+/**
+ * Whether new weights were published. The entries of simulated engines don't list the weights that
+ * they have loaded, so a router that restarts learns of them only from engines that it can reach, and
+ * rejects streams until then.
+ */
+function werePublished({ acknowledgements }: GatewaySimulation, atMs: number): boolean {
+  return acknowledgements.some(
+    (change) => change.kind === 'weights-published' && change.atMs <= atMs,
   );
 }
 
+function hasRouterWithPath(
+  { routerNames, engineLinks, disturbances }: GatewaySimulation,
+  atMs: number,
+): boolean {
+  return routerNames.some((router) => {
+    const isCut = engineLinks.periods.some(
+      (each) => each.router === router && each.fromMs <= atMs && atMs < each.untilMs + DETECTION_MS,
+    );
+    // A router that stops forwards no further connections.
+    const isStopping = disturbances.isStopping(router, atMs);
+    return !isCut && !isStopping && !disturbances.isDisturbed(router, atMs);
+  });
+}
+
 function servedOf(requests: readonly ObservedRequest[]): number {
   return requests.filter(({ reply }) => reply.status === 200 && reply.ending === 'whole').length;
 }
--- a/src/lab/gateway-simulation/gateway-simulation.ts
+++ b/src/lab/gateway-simulation/gateway-simulation.ts
@@ -115,6 +115,10 @@
     return ROUTERS;
   }
 
+  get routerNames(): string[] {
+    return Array.from({ length: ROUTERS }, (_, index) => routerName(index));
+  }
+
   get now(): number {
     return this.clock.now();
   }
@@ -237,6 +241,7 @@
   stopRouter(index: number, graceMs: number): void {
     const router = this.routers.get(routerName(index));
     if (!router?.host.isRunning) return;
+    this.disturbances.recordStop(routerName(index), this.now, graceMs);
     router.node.leave();
     this.clock.setTimer(graceMs, () => {
       if (this.routers.get(routerName(index)) === router) this.killRouter(index, RESTART_MS);
--- a/src/lab/gateway-simulation/simulated-exchange.ts
+++ b/src/lab/gateway-simulation/simulated-exchange.ts
@@ -66,7 +66,7 @@
   /** The forwarding router has ended. The engine drops the request, and the sender is notified. */
   breakForwarding(): void {
     this.leaveEngine();
-    this.failLocally({ kind: 'withdrawn', reason: 'forwarder-ended' });
+    this.failLocally({ kind: this.hasResponded ? 'cut' : 'unknown', reason: 'forwarder-ended' });
   }
 
   private failLocally(failure: ExchangeFailure): void {
@@ -146,9 +146,8 @@
   }
 
   fail(kind: 'unknown' | 'cut'): void {
-    const failure: ExchangeFailure = this.options.forwarder
-      ? { kind: 'withdrawn', reason: kind }
-      : { kind, reason: kind, isDisconnect: true };
+    const isDisconnect = this.options.forwarder === undefined;
+    const failure: ExchangeFailure = { kind, reason: kind, isDisconnect };
     this.deliverLast(() => this.listener.onFailure(failure));
   }
 
--- a/src/protocol/inference/port.ts
+++ b/src/protocol/inference/port.ts
@@ -76,7 +76,7 @@
   | { readonly kind: 'not-sent'; readonly reason: string; readonly isPathFailure?: boolean }
   /** The engine attests that it did not run the request. */
   | { readonly kind: 'refused'; readonly status: number; readonly reason: string }
-  /** The exchange ended, not demonstrably because of the engine; the request may have run. */
+  /** This router ended the exchange, not because of the engine; the request may have run. */
   | { readonly kind: 'withdrawn'; readonly reason: string }
   /** The request may have run. */
   | { readonly kind: 'unknown'; readonly reason: string; readonly isDisconnect?: boolean }
--- a/src/state/routing/engine-forwarders.ts
+++ b/src/state/routing/engine-forwarders.ts
@@ -22,6 +22,7 @@
 export class EngineForwarders {
   private readonly known = new Map<string, KnownForwarder>();
   private readonly avoidedUntilMs = new Map<string, number>();
+  private offerLifetimeMs = OFFER_LIFETIME_MS;
 
   /** Applies a router's report; an empty address withdraws its offer. */
   receive(nodeId: string, address: string, nowMs: number): void {
@@ -29,6 +30,11 @@
     else this.known.set(nodeId, { address, reportedMs: nowMs });
   }
 
+  /** Keeps the present offers: a router that leaves its group receives no further reports. */
+  keepOffers(): void {
+    this.offerLifetimeMs = Infinity;
+  }
+
   /** Records that a connection was not forwarded. */
   noteFailure(address: string, nowMs: number): void {
     this.avoidedUntilMs.set(address, nowMs + AVOIDANCE_MS);
@@ -37,7 +43,7 @@
   /** Drops expired entries; must be called periodically. */
   expire(nowMs: number): void {
     for (const [nodeId, { reportedMs }] of this.known) {
-      if (nowMs - reportedMs > OFFER_LIFETIME_MS) this.known.delete(nodeId);
+      if (nowMs - reportedMs > this.offerLifetimeMs) this.known.delete(nodeId);
     }
     for (const [address, untilMs] of this.avoidedUntilMs) {
       if (untilMs <= nowMs) this.avoidedUntilMs.delete(address);
@@ -76,7 +82,7 @@
 
   private offers({ nodeId }: MemberUpdate, nowMs: number): boolean {
     const offer = this.known.get(nodeId);
-    return offer !== undefined && nowMs - offer.reportedMs <= OFFER_LIFETIME_MS;
+    return offer !== undefined && nowMs - offer.reportedMs <= this.offerLifetimeMs;
   }
 
   private isAvoided({ nodeId }: MemberUpdate, nowMs: number): boolean {
--- a/src/state/routing/engine-path.ts
+++ b/src/state/routing/engine-path.ts
@@ -38,7 +38,7 @@
   readonly sentMs: number;
 }
 
-/** Number of engines that fail in a row before the path is suspected. */
+/** Number of engines that fail in a row before the path is suspected, unless a service has fewer. */
 const SUSPICIOUS_ENGINES = 3;
 /** A failed connection counts for this long. */
 const FAILURE_WINDOW_MS = 2_000;
@@ -86,7 +86,7 @@
     return this.changedMs;
   }
 
-  /** Engines that could not be connected to since the last new connection. */
+  /** Number of engines that could not be connected to since the last new connection. */
   get failedEngineCount(): number {
     return this.failedEngines.size;
   }
@@ -131,19 +131,32 @@
     return oldest ? nowMs - Math.max(oldest.sentMs, this.receivedMs) : 0;
   }
 
-  /** Why the open path is suspected to be interrupted; undefined if it isn't. */
-  suspicion(nowMs: number): PathSuspicion | undefined {
+  /**
+   * Why the open path is suspected to be interrupted; undefined if it isn't.
+   *
+   * @param services engines by service
+   */
+  suspicion(nowMs: number, services: Iterable<readonly string[]> = []): PathSuspicion | undefined {
     for (const [engineId, failedMs] of this.failedEngines) {
       if (nowMs - failedMs > FAILURE_WINDOW_MS) this.failedEngines.delete(engineId);
     }
     if (this.failedEngines.size >= SUSPICIOUS_ENGINES) return 'connections-failed';
+    if (this.failedEngines.size > 0) {
+      for (const engineIds of services) {
+        if (this.haveAllFailed(engineIds)) return 'connections-failed';
+      }
+    }
     return this.silenceMs(nowMs) >= SUSPICIOUS_SILENCE_MS ? 'silence' : undefined;
   }
 
-  /** Whether engines should be probed now. */
-  isProbeDue(nowMs: number): boolean {
+  /**
+   * Whether engines should be probed now.
+   *
+   * @param services engines by service
+   */
+  isProbeDue(nowMs: number, services: Iterable<readonly string[]> = []): boolean {
     if (nowMs < this.nextProbeMs) return false;
-    return !this.isOpen || this.suspicion(nowMs) !== undefined;
+    return !this.isOpen || this.suspicion(nowMs, services) !== undefined;
   }
 
   /**
@@ -163,6 +176,10 @@
     return true;
   }
 
+  private haveAllFailed(engineIds: readonly string[]): boolean {
+    return engineIds.length > 0 && engineIds.every((id) => this.failedEngines.has(id));
+  }
+
   private noteResponding(engineId: string): void {
     const [latest] = this.respondingEngines;
     if (latest === engineId) return;
--- a/src/state/routing/engine-registry.ts
+++ b/src/state/routing/engine-registry.ts
@@ -64,6 +64,13 @@
     return records.filter(({ isDraining }) => !isDraining);
   }
 
+  /** Incarnations of the engines that accept new work, by service. */
+  get readyIdsByService(): string[][] {
+    return [...this.byService.keys()].map((service) =>
+      this.readyOf(service).map(({ record }) => record.id),
+    );
+  }
+
   /** Names of all engines. */
   get names(): ReadonlySet<string> {
     return new Set(this.byName.keys());
--- a/test/gateway/engine-path.test.ts
+++ b/test/gateway/engine-path.test.ts
@@ -34,6 +34,15 @@
   t.true(path.isProbeDue(10));
 });
 
+test('a service none of whose engines can be connected to causes probes, however few they are', (t) => {
+  const path = new EnginePath();
+  path.noteConnectFailure('a', 0);
+  const services = [['a', 'b'], ['c']];
+  t.false(path.isProbeDue(0, services));
+  path.noteConnectFailure('b', 0);
+  t.true(path.isProbeDue(0, services));
+});
+
 test('a new connection ends the suspicion that failed ones raised', (t) => {
   const path = suspectedPath(0);
   path.noteConnected();
--- a/test/platform/forwarding.test.ts
+++ b/test/platform/forwarding.test.ts
@@ -165,7 +165,7 @@
   const exchange = new RecordedExchange(new EngineClient(), engine.address, listener.address);
   t.true(await waitUntil(() => exchange.end !== undefined));
   // The connection ends in the same way if the process of the forwarder is killed.
-  t.is(exchange.failure?.kind, 'withdrawn');
+  t.like(exchange.failure, { kind: 'cut', isDisconnect: false });
 });
 
 test('a forwarded response in chunks is complete with its last chunk', async (t) => {
@@ -187,7 +187,7 @@
   const { listener } = await startForwarder(t);
   const exchange = new RecordedExchange(new EngineClient(), engine.address, listener.address);
   t.true(await waitUntil(() => exchange.end !== undefined));
-  t.is(exchange.failure?.kind, 'withdrawn');
+  t.like(exchange.failure, { kind: 'cut', isDisconnect: false });
 });
 
 test('a forwarded response is not complete if the forwarder ends before it does', async (t) => {
@@ -197,7 +197,7 @@
   t.true(await waitUntil(() => exchange.body === 'hello'));
   listener.close();
   t.true(await waitUntil(() => exchange.end !== undefined));
-  t.is(exchange.failure?.kind, 'withdrawn');
+  t.like(exchange.failure, { kind: 'cut', isDisconnect: false });
   t.true(await waitUntil(() => engine.sockets.every((socket) => socket.destroyed)));
 });
 
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -19,6 +19,8 @@
   readonly hasEngineLimits?: boolean;
   /** Whether the store is restored from older copies of itself; likewise. */
   readonly hasStoreRestorations?: boolean;
+  /** Whether routers are cut off from all engines; likewise. */
+  readonly hasEngineCuts?: boolean;
   /** Whether routers run the production build and the current build side by side. */
   readonly isMixed?: boolean;
   /** Cause of the broken promise. */
@@ -57,6 +59,13 @@
   hasStoreRestorations: true,
   cause: 'none: the short soak of store restorations',
 };
+const CUTS: RegressionSeed = {
+  seed: 5,
+  seconds: 14,
+  routers: 4,
+  hasEngineCuts: true,
+  cause: 'none: the short soak of routers cut off from engines',
+};
 /** Without restorations of the store, because the earlier build does not support store eras. */
 const MIXED: RegressionSeed = {
   seed: 4,
@@ -69,10 +78,11 @@
   cause: 'none: the short soak of an upgrade',
 };
 
-for (const regression of [FIRST, NOTICES, LIMITS, RESTORATIONS, MIXED, ...REGRESSIONS]) {
+for (const regression of [FIRST, NOTICES, LIMITS, RESTORATIONS, CUTS, MIXED, ...REGRESSIONS]) {
   const { seed, seconds, routers, cause } = regression;
   const { hasEngineLives = false, hasEngineNotices = false } = regression;
   const { hasEngineLimits = false, hasStoreRestorations = false, isMixed = false } = regression;
+  const { hasEngineCuts = false } = regression;
   test.serial(`no promise is broken in a soak with seed ${seed} (${cause})`, async (t) => {
     t.timeout(170_000);
     const folder = mkdtempSync(join(tmpdir(), `peatspan-soak-${seed}-`));
@@ -86,6 +96,7 @@
       hasEngineNotices,
       hasEngineLimits,
       hasStoreRestorations,
+      hasEngineCuts,
       callers: 8,
       folder,
       programs: earlier ? [earlier.program, BUNDLE] : [BUNDLE],
