Detect the cut of an idle router, and crashes of engines that are reached through others

Found by the fuzz tests on cuts from the engines: a router without traffic learned of its cut only from the first requests that failed (served 25 of 45); it now connects to two engines after 1.5 s without anything from any. Two engines that can't be connected to raise the suspicion instead of three (served 29 of 51, where the third engine rejected over its open connection). A cut router took no engine for crashed, so a request that crashes engines reached eight; it now checks the engine through a router with a path, which tells refused connections from others.

--- a/src/coordination/gateway/crash-protection.ts
+++ b/src/coordination/gateway/crash-protection.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '../../runtime/clock.js';
 import type { Logger } from '../../runtime/logger.js';
 import type { RandomSource } from '../../runtime/random.js';
-import type { InferencePort } from '../../protocol/inference/port.js';
+import type { EngineEndpoint, ListenerState } from '../../protocol/inference/port.js';
 import type { EngineRegistry } from '../../state/routing/engine-registry.js';
 import type { QuarantinePolicy } from '../../state/routing/request-quarantine.js';
 import { CrashGuard, type QuarantineSource } from './crash-guard.js';
@@ -21,7 +21,6 @@
   /** Object kind of quarantined requests in the store. */
   readonly kind: string;
   readonly store: ObjectStorePort;
-  readonly engines: InferencePort;
   readonly registry: EngineRegistry;
   readonly statistics: GatewayStatistics;
   readonly clock: Clock;
@@ -29,8 +28,8 @@
   readonly logger: Logger;
   /** Sends new announcements to the other routers immediately. */
   announce(): void;
-  /** Tests whether this router can reach engines at all. */
-  verifyEnginePath(): Promise<boolean>;
+  /** See {@link CrashDetectorParts.checkEngine}. */
+  checkEngine(endpoint: EngineEndpoint): Promise<ListenerState>;
   /** Aborts the calls of a request that was quarantined. */
   endCalls(fingerprint: string): void;
 }
--- a/src/coordination/gateway/engine-crash-detector.ts
+++ b/src/coordination/gateway/engine-crash-detector.ts
@@ -6,7 +6,7 @@
  */
 import type { Clock } from '../../runtime/clock.js';
 import type { Logger } from '../../runtime/logger.js';
-import { type InferencePort, ListenerState } from '../../protocol/inference/port.js';
+import { type EngineEndpoint, ListenerState } from '../../protocol/inference/port.js';
 import { BrokenRequestAction, EngineCrashes } from '../../state/routing/engine-crashes.js';
 import { parseIncarnation } from '../../state/routing/engine-incarnation.js';
 import type { EngineRecord, EngineRegistry } from '../../state/routing/engine-registry.js';
@@ -21,13 +21,15 @@
 
 /** Dependencies of {@link EngineCrashDetector}. */
 export interface CrashDetectorParts {
-  readonly engines: InferencePort;
   readonly registry: EngineRegistry;
   readonly statistics: GatewayStatistics;
   readonly clock: Clock;
   readonly logger: Logger;
-  /** Tests whether this router can reach engines at all. */
-  verifyEnginePath(): Promise<boolean>;
+  /**
+   * Tests whether the engine's address accepts connections; reports a refusal only if the engine, and
+   * not this router's own path, is its cause.
+   */
+  checkEngine(endpoint: EngineEndpoint): Promise<ListenerState>;
 }
 
 /** Time within which all connections of a terminating process are closed. */
@@ -84,21 +86,12 @@
   }
 
   private async check(engineId: string, address: string): Promise<void> {
-    const { engines, logger } = this.parts;
     const { name } = parseIncarnation(engineId);
-    const state = await engines.checkListener({ id: engineId, name, address });
-    const isRefused = state === ListenerState.Refused;
-    // A router that can reach no engine can't tell whether this one has crashed.
-    const mayBeCrash = isRefused && (await this.parts.verifyEnginePath());
+    const state = await this.parts.checkEngine({ id: engineId, name, address });
     if (this.crashes.isCrashed(engineId)) return;
-    if (!mayBeCrash) {
+    if (state !== ListenerState.Refused) {
       this.crashes.noteNotCrashed(engineId);
-      logger.info('engine_checked', {
-        engine: engineId,
-        address,
-        state,
-        has_path: isRefused ? false : undefined,
-      });
+      this.parts.logger.info('engine_checked', { engine: engineId, address, state });
       return;
     }
     this.noteCrash({ engineId, fingerprints: this.crashes.noteCrashed(engineId) }, address);
--- a/src/coordination/gateway/engine-path/engine-access.ts
+++ b/src/coordination/gateway/engine-path/engine-access.ts
@@ -2,7 +2,11 @@
 import type { Clock } from '../../../runtime/clock.js';
 import type { Logger } from '../../../runtime/logger.js';
 import type { RandomSource } from '../../../runtime/random.js';
-import type { InferencePort } from '../../../protocol/inference/port.js';
+import {
+  type EngineEndpoint,
+  type InferencePort,
+  ListenerState,
+} from '../../../protocol/inference/port.js';
 import type { ForwardingPort } from '../../../protocol/peer/forwarding-port.js';
 import type { EngineHealth } from '../../../state/routing/engine-health.js';
 import { EnginePathState } from '../../../state/routing/engine-path.js';
@@ -52,6 +56,21 @@
     return this.path.state === EnginePathState.Open;
   }
 
+  /**
+   * Tests whether an engine's address accepts connections, through another router if this one has no
+   * path. Reports a refusal only if the engine is its cause.
+   */
+  async checkEngine(endpoint: EngineEndpoint): Promise<ListenerState> {
+    const { engines } = this.parts;
+    if (this.hasPath) {
+      const state = await engines.checkListener(endpoint);
+      if (state !== ListenerState.Refused || (await this.path.verify())) return state;
+    }
+    const route = this.forwarding.routeTo(endpoint.id);
+    if (route.kind !== 'forwarded') return ListenerState.Unresponsive;
+    return engines.checkListener(endpoint, route.forwarder.address);
+  }
+
   start(): void {
     this.path.start();
   }
--- a/src/coordination/gateway/engine-path/engine-path-monitor.ts
+++ b/src/coordination/gateway/engine-path/engine-path-monitor.ts
@@ -11,6 +11,7 @@
   EnginePath,
   EnginePathState,
   type EngineProbe,
+  ProbePurpose,
   ProbeResult,
 } from '../../../state/routing/engine-path.js';
 import type { EngineRegistry } from '../../../state/routing/engine-registry.js';
@@ -28,10 +29,12 @@
 }
 
 const CHECK_PERIOD_MS = 100;
-/** Engines that are probed at the same time. */
-const PROBED_ENGINES = 5;
-/** While the path is interrupted, fewer probes suffice, because they are repeated. */
-const PROBED_ENGINES_WHILE_INTERRUPTED = 3;
+/** Engines that are probed at the same time. Probes for recovery are repeated. */
+const PROBED_ENGINES: Record<ProbePurpose, number> = {
+  [ProbePurpose.IdleCheck]: 2,
+  [ProbePurpose.Suspicion]: 5,
+  [ProbePurpose.Recovery]: 3,
+};
 
 const PROBE_RESULTS: Record<ListenerState, ProbeResult> = {
   [ListenerState.Listening]: ProbeResult.Connected,
@@ -51,7 +54,8 @@
 
   start(): void {
     this.timer = repeat(this.parts.clock, CHECK_PERIOD_MS, () => {
-      if (this.path.isProbeDue(this.now, this.services)) void this.probe();
+      const purpose = this.path.dueProbe(this.now, this.services);
+      if (purpose !== undefined) void this.probe(purpose);
     });
   }
 
@@ -65,13 +69,13 @@
 
   /** Records the result of a direct connection that was opened for another router. */
   noteConnection(engineId: string, isSuccess: boolean): void {
-    if (isSuccess) this.path.noteConnected();
+    if (isSuccess) this.path.noteConnected(this.now);
     else this.path.noteConnectFailure(engineId, this.now);
   }
 
   /** Tests the path now. Resolves with whether engines can be reached. */
   async verify(): Promise<boolean> {
-    await this.probe();
+    await this.probe(this.path.isOpen ? ProbePurpose.Suspicion : ProbePurpose.Recovery);
     return this.path.isOpen;
   }
 
@@ -90,16 +94,16 @@
   }
 
   /** Probes engines; at most once at a time. */
-  private probe(): Promise<void> {
-    this.probing ??= this.probeEngines().finally(() => {
+  private probe(purpose: ProbePurpose): Promise<void> {
+    this.probing ??= this.probeEngines(purpose).finally(() => {
       this.probing = undefined;
     });
     return this.probing;
   }
 
-  private async probeEngines(): Promise<void> {
+  private async probeEngines(purpose: ProbePurpose): Promise<void> {
     const { engines, registry, random, statistics } = this.parts;
-    const count = this.path.isOpen ? PROBED_ENGINES : PROBED_ENGINES_WHILE_INTERRUPTED;
+    const count = PROBED_ENGINES[purpose];
     const { lastResponding } = this.path;
     const probed = choosePathProbes(registry.readyRecords, lastResponding, count, random);
     if (probed.length === 0) return;
@@ -108,12 +112,13 @@
       const state = await engines.checkListener(engine);
       return { engineId: engine.id, result: PROBE_RESULTS[state] };
     });
-    this.apply(await Promise.all(probes));
+    this.apply(purpose, await Promise.all(probes));
   }
 
-  private apply(probes: readonly EngineProbe[]): void {
+  private apply(purpose: ProbePurpose, probes: readonly EngineProbe[]): void {
     const before = this.path.state;
     const evidence = {
+      purpose,
       suspicion: this.path.isOpen ? this.path.suspicion(this.now, this.services) : undefined,
       failed_engines: this.path.failedEngineCount,
       silence_ms: Math.round(this.path.silenceMs(this.now)),
@@ -122,14 +127,15 @@
       timed_out: countOf(probes, ProbeResult.TimedOut),
     };
     const beforeForMs = Math.round(this.now - this.path.sinceMs);
-    const isChanged = this.path.applyProbes(probes, this.now);
+    const isChanged = this.path.applyProbes(purpose, probes, this.now);
     const { logger, statistics } = this.parts;
     const { state, isOpen } = this.path;
     if (isChanged) {
       if (before === EnginePathState.Open) statistics.enginePathsLost += 1;
       const change = { state, before, before_for_ms: beforeForMs };
       logger.warn('engine_path_changed', { ...change, ...evidence });
-    } else if (isOpen) logger.info('engine_path_probed', evidence);
+    } else if (isOpen && purpose !== ProbePurpose.IdleCheck)
+      logger.info('engine_path_probed', evidence);
     if (isChanged || !isOpen) this.onProbed(isChanged);
   }
 }
@@ -148,7 +154,7 @@
 
   /** Records that a new connection was opened for the send. */
   noteNewConnection(): void {
-    this.path.noteConnected();
+    this.path.noteConnected(this.clock.now());
   }
 
   /** Records that something was received from the engine. */
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -122,7 +122,7 @@
       registry: this.registry,
       statistics: this.statistics,
       announce: () => group.reportNow(),
-      verifyEnginePath: () => this.engineAccess.path.verify(),
+      checkEngine: (endpoint) => this.engineAccess.checkEngine(endpoint),
       endCalls: (fingerprint) => this.calls.endQuarantined(fingerprint),
     });
     const { registry, health, calls, statistics, outages } = this;
--- a/src/lab/gateway-simulation/engine-path-oracle.ts
+++ b/src/lab/gateway-simulation/engine-path-oracle.ts
@@ -48,8 +48,9 @@
 }
 
 /**
- * Requests with a valid key that arrived from the detection time until the end of the cut, at undisturbed routers,
- * while some router had a path to the engines and had had it for the detection time.
+ * Requests with a valid key that arrived from the detection time until the end of the cut, at
+ * routers that were neither disturbed nor about to stop. Meanwhile some router had a path to the
+ * engines and had had it for the detection time.
  */
 function requestsIn(
   { fromMs, untilMs }: EngineCutPeriod,
@@ -62,6 +63,7 @@
       sentMs >= fromMs + DETECTION_MS &&
       sentMs < untilMs &&
       !simulation.disturbances.isDisturbed(router, sentMs) &&
+      !simulation.disturbances.isStopping(router, sentMs) &&
       hasRouterWithPath(simulation, sentMs),
   );
 }
--- a/src/protocol/inference/port.ts
+++ b/src/protocol/inference/port.ts
@@ -212,8 +212,12 @@
     options: SendOptions,
     listener: ExchangeListener,
   ): Exchange;
-  /** Opens a connection to the engine's address, without sending a request. */
-  checkListener(endpoint: EngineEndpoint): Promise<ListenerState>;
+  /**
+   * Opens a connection to the engine's address, without sending a request.
+   *
+   * @param forwarder address of the router that forwards the connection; direct by default
+   */
+  checkListener(endpoint: EngineEndpoint, forwarder?: string): Promise<ListenerState>;
   /** Sends a load command; resolves also if the engine does not respond. */
   sendLoadCommand(
     endpoint: EngineEndpoint,
--- a/src/protocol/peer/forwarding-server.ts
+++ b/src/protocol/peer/forwarding-server.ts
@@ -94,7 +94,10 @@
     const engine = net.connect({ host, port, noDelay: true, allowHalfOpen: true });
     let isConnected = false;
     engine.setTimeout(ENGINE_CONNECT_TIMEOUT_MS, () => engine.destroy());
-    engine.on('error', () => undefined);
+    let failure = ForwardStatus.ENGINE_UNREACHABLE;
+    engine.on('error', (error: NodeJS.ErrnoException) => {
+      if (error.code === 'ECONNREFUSED') failure = ForwardStatus.ENGINE_REFUSED;
+    });
     engine.once('connect', () => {
       isConnected = true;
       this.policy.onConnected(target, true);
@@ -105,7 +108,7 @@
       if (isConnected) return;
       // The router may have left meanwhile; then nothing is known about the engine.
       if (!router.destroyed) this.policy.onConnected(target, false);
-      refuse(router, ForwardStatus.ENGINE_UNREACHABLE);
+      refuse(router, failure);
     });
     router.once('close', () => engine.destroy());
   }
--- a/src/state/routing/engine-path.ts
+++ b/src/state/routing/engine-path.ts
@@ -30,7 +30,17 @@
 }
 
 /** Why the path is suspected to be interrupted. */
-export type PathSuspicion = 'connections-failed' | 'silence';
+export type PathSuspicion = 'connections-failed' | 'silence' | 'idle-check-failed';
+
+/** What the next probes are for. */
+export enum ProbePurpose {
+  /** To check the path of a router without traffic. */
+  IdleCheck = 'idle-check',
+  /** To confirm or refute a suspicion. */
+  Suspicion = 'suspicion',
+  /** To find out whether an interrupted path works again. */
+  Recovery = 'recovery',
+}
 
 /** One request that was sent to an engine directly and whose response is not complete. */
 export interface DirectSend {
@@ -39,7 +49,7 @@
 }
 
 /** Number of engines that fail in a row before the path is suspected, unless a service has fewer. */
-const SUSPICIOUS_ENGINES = 3;
+const SUSPICIOUS_ENGINES = 2;
 /** A failed connection counts for this long. */
 const FAILURE_WINDOW_MS = 2_000;
 /** Requests are in progress and nothing has been received from any engine for this long. */
@@ -48,6 +58,8 @@
 const SILENCE_DURING_PROBES_MS = 300;
 /** Minimum number of engines whose failed probes show that the path is interrupted. */
 const MINIMUM_PROBED_ENGINES = 2;
+/** Without anything from engines for this long, a few probes show whether the path still works. */
+const IDLE_CHECK_MS = 1_500;
 /** After probes have refuted a suspicion, the next ones wait for this long. */
 const REFUTED_PAUSE_MS = 1_000;
 const INTERRUPTED_PROBE_PERIOD_MS = 250;
@@ -65,6 +77,9 @@
   /** In order of their sends. */
   private readonly sends = new Set<DirectSend>();
   private receivedMs = -Infinity;
+  /** When something last showed that the path works. */
+  private workingMs = 0;
+  private hasIdleCheckFailed = false;
   /** The last two engines that responded over a direct connection, the latest first. */
   private respondingEngines: readonly string[] = [];
   private nextProbeMs = -Infinity;
@@ -103,8 +118,9 @@
   }
 
   /** Records that a new connection was opened. */
-  noteConnected(): void {
+  noteConnected(nowMs: number): void {
     this.failedEngines.clear();
+    this.workingMs = nowMs;
   }
 
   noteConnectFailure(engineId: string, nowMs: number): void {
@@ -114,6 +130,7 @@
   /** Records that something was received from an engine over a direct connection. */
   noteReceived(engineId: string, nowMs: number): void {
     this.receivedMs = nowMs;
+    this.workingMs = nowMs;
     this.noteResponding(engineId);
   }
 
@@ -146,17 +163,20 @@
         if (this.haveAllFailed(engineIds)) return 'connections-failed';
       }
     }
-    return this.silenceMs(nowMs) >= SUSPICIOUS_SILENCE_MS ? 'silence' : undefined;
+    if (this.silenceMs(nowMs) >= SUSPICIOUS_SILENCE_MS) return 'silence';
+    return this.hasIdleCheckFailed ? 'idle-check-failed' : undefined;
   }
 
   /**
-   * Whether engines should be probed now.
+   * What engines should be probed for now; undefined if they should not.
    *
    * @param services engines by service
    */
-  isProbeDue(nowMs: number, services: Iterable<readonly string[]> = []): boolean {
-    if (nowMs < this.nextProbeMs) return false;
-    return !this.isOpen || this.suspicion(nowMs, services) !== undefined;
+  dueProbe(nowMs: number, services: Iterable<readonly string[]> = []): ProbePurpose | undefined {
+    if (nowMs < this.nextProbeMs) return undefined;
+    if (!this.isOpen) return ProbePurpose.Recovery;
+    if (this.suspicion(nowMs, services) !== undefined) return ProbePurpose.Suspicion;
+    return nowMs - this.workingMs >= IDLE_CHECK_MS ? ProbePurpose.IdleCheck : undefined;
   }
 
   /**
@@ -164,12 +184,16 @@
    *
    * @returns whether the state changed
    */
-  applyProbes(probes: readonly EngineProbe[], nowMs: number): boolean {
+  applyProbes(purpose: ProbePurpose, probes: readonly EngineProbe[], nowMs: number): boolean {
     const connected = probes.filter(({ result }) => result === ProbeResult.Connected);
     for (const { engineId } of connected) this.noteResponding(engineId);
+    if (connected.length > 0) this.workingMs = nowMs;
     const results = probes.map(({ result }) => result);
     const before = this.current;
-    if (this.isOpen) this.judgeSuspicion(results, connected.length > 0, nowMs);
+    this.hasIdleCheckFailed = false;
+    if (purpose === ProbePurpose.IdleCheck && this.isOpen)
+      this.hasIdleCheckFailed = results.length > 0 && connected.length === 0;
+    else if (this.isOpen) this.judgeSuspicion(results, connected.length > 0, nowMs);
     else this.judgeRecovery(results, connected.length > 0, nowMs);
     if (this.current === before) return false;
     this.changedMs = nowMs;
--- a/test/gateway/routers-without-engines.test.ts
+++ b/test/gateway/routers-without-engines.test.ts
@@ -49,3 +49,43 @@
 test('most routers of a group serve without a path to engines of their own', async (t) => {
   t.deepEqual(await breachesOf([0, 2]), []);
 });
+
+test('engines that a cut router loses its connections to are not taken for crashed', async (t) => {
+  for (const cut of Object.values(EngineCut)) {
+    const simulation = await playCut(1, cut, [0]);
+    t.is(simulation.statistics(0).engineCrashes, 0, cut);
+    t.is(simulation.statistics(1).quarantinedRequests, 0, cut);
+  }
+});
+
+test('a cut router detects the crash of an engine that it reaches through another router', async (t) => {
+  const RUNNING_MS = 30;
+  const CHECK_MS = 200;
+  const simulation = await playCut(1, EngineCut.Silent, [0]);
+  simulation.engineLinks.cut(routerName(0), EngineCut.Silent, CUT_MS);
+  await sendAllKinds(simulation, BEFORE_MS, GAP_MS);
+  const before = simulation.statistics(0).engineCrashes;
+  for (const kind of ['stream-once', 'stream-resumable'] as const) {
+    for (let count = 0; count < 6; count += 1) simulation.request(0, kind, 'tenant-2', 0);
+  }
+  await simulation.clock.advance(RUNNING_MS);
+  for (const engine of [0, 1]) simulation.fleet.crash(engine);
+  await simulation.clock.advance(CHECK_MS);
+  t.true(simulation.statistics(0).engineCrashes > before);
+});
+
+test('a router that is about to stop still serves through others when it is cut off', async (t) => {
+  const GRACE_MS = 8_000;
+  const DETECTION_MS = 3_000;
+  const simulation = await GatewaySimulation.create(1);
+  await sendAllKinds(simulation, BEFORE_MS, GAP_MS);
+  simulation.stopRouter(0, GRACE_MS);
+  simulation.engineLinks.cut(routerName(0), EngineCut.Silent, CUT_MS);
+  const fromMs = simulation.now + DETECTION_MS;
+  await sendAllKinds(simulation, GRACE_MS, GAP_MS);
+  const own = simulation.requests.filter(
+    ({ router, sentMs }) => router === routerName(0) && sentMs >= fromMs,
+  );
+  const served = own.filter(({ reply }) => reply.status === 200).length;
+  t.true(served > own.length * 0.9, `${served} of ${own.length}`);
+});
