Show that routers make brittle engines fail under overload

Simulated engines can announce how many rejections in a second they tolerate, let fewer requests wait, and fail when they have to reject more.

--- a/src/lab/gateway-simulation/gateway-oracle.ts
+++ b/src/lab/gateway-simulation/gateway-oracle.ts
@@ -6,6 +6,7 @@
 import type { ObservedRun } from './simulated-engine.js';
 import { STREAM_EVENTS, streamEventOf, plainBodyOf } from './simulated-exchange.js';
 import { type EnginePathBreach, judgeEnginePaths } from './engine-path-oracle.js';
+import { type FallBreach, judgeFalls } from './fall-oracle.js';
 import { type LimitBreach, judgeLimits } from './limit-oracle.js';
 import { type NoticeBreach, judgeNotices } from './notice-oracle.js';
 import { type QuotaBreach, judgeQuotas } from './quota-oracle.js';
@@ -33,6 +34,7 @@
   | 'crashes-bounded'
   | 'odd-entry-unused'
   | EnginePathBreach['rule']
+  | FallBreach['rule']
   | NoticeBreach['rule']
   | LimitBreach['rule']
   | QuotaBreach['rule'];
@@ -71,6 +73,7 @@
     ...judgeCrashes(simulation),
     ...judgeMalformedEntries(simulation),
     ...judgeEnginePaths(simulation),
+    ...judgeFalls(simulation),
     ...judgeNotices(simulation),
     ...judgeLimits(simulation),
     ...judgeQuotas(simulation, SIMULATION_QUOTA_TOLERANCE),
--- a/src/lab/gateway-simulation/simulated-engine.ts
+++ b/src/lab/gateway-simulation/simulated-engine.ts
@@ -85,6 +85,16 @@
   readonly serviceMs: number;
 }
 
+/** How an engine behaves that fails when it has to reject too many requests. */
+export interface Brittleness {
+  /** Rejections in one second above which the engine fails. */
+  readonly tolerance: number;
+  /** Requests that wait for a slot while the engine is brittle. */
+  readonly queued: number;
+}
+
+const REJECTION_WINDOW_MS = 1_000;
+
 /** One incarnation of a simulated engine. */
 export class SimulatedEngine {
   mode = EngineMode.Healthy;
@@ -108,6 +118,12 @@
   backoffMs: number | undefined;
   /** Limit of requests per second for all routers together; undefined: no limit. */
   limitPerSecond: number | undefined;
+  /** Undefined: the engine tolerates any number of rejections. */
+  brittleness: Brittleness | undefined;
+  /** Whether fewer requests wait because the engine is brittle. */
+  hasShortQueue = false;
+  /** Routers of the rejections for want of room in the last second, with their times. */
+  private rejections: { readonly router: string; readonly atMs: number }[] = [];
   readonly running = new Set<RunningRequest>();
   /** Called after a crash. */
   onCrashed: () => void = () => undefined;
@@ -159,7 +175,12 @@
    * Reserves the slot that becomes free first; returns the wait for it in milliseconds, or undefined
    * if the queue is full.
    */
-  reserveSlot({ slots, queued, serviceMs }: EngineCapacity, nowMs: number): number | undefined {
+  reserveSlot(
+    { slots, serviceMs, ...capacity }: EngineCapacity,
+    nowMs: number,
+  ): number | undefined {
+    const short = this.hasShortQueue ? this.brittleness : undefined;
+    const queued = short?.queued ?? capacity.queued;
     while (this.freeAtMs.length < slots) this.freeAtMs.push(nowMs);
     const slot = this.freeAtMs.indexOf(Math.min(...this.freeAtMs));
     const waitMs = Math.max(0, (this.freeAtMs[slot] as number) - nowMs);
@@ -168,12 +189,33 @@
     return waitMs;
   }
 
+  /**
+   * Records a rejection for want of room. Returns the routers of the rejections of the last second if
+   * these are too many, so that the engine fails.
+   */
+  noteRejection(router: string, nowMs: number): string[] | undefined {
+    if (!this.brittleness) return undefined;
+    const recent = this.rejections.filter(({ atMs }) => atMs > nowMs - REJECTION_WINDOW_MS);
+    this.rejections = [...recent, { router, atMs: nowMs }];
+    if (this.rejections.length <= this.brittleness.tolerance) return undefined;
+    return this.rejections.map((rejection) => rejection.router);
+  }
+
   /** Notice to send with a response; undefined if there is nothing to state. */
   noticeFor(isRefusal: boolean): EngineNotice | undefined {
     const backoffMs = isRefusal ? this.backoffMs : undefined;
     const { isDraining: isLeaving, limitPerSecond } = this;
-    if (!isLeaving && backoffMs === undefined && limitPerSecond === undefined) return undefined;
-    return { isLeaving, backoffMs, limitPerSecond, unreadable: [], unknownHeaders: [] };
+    const rejectionTolerance = this.brittleness?.tolerance;
+    const stated = [backoffMs, limitPerSecond, rejectionTolerance];
+    if (!isLeaving && stated.every((value) => value === undefined)) return undefined;
+    return {
+      isLeaving,
+      backoffMs,
+      limitPerSecond,
+      rejectionTolerance,
+      unreadable: [],
+      unknownHeaders: [],
+    };
   }
 
   /** Stops immediately and breaks the connections of running requests. */
@@ -224,6 +266,16 @@
   readonly atMs: number;
 }
 
+/** A failure of an engine that had to reject too many requests. */
+export interface ObservedFall {
+  /** Incarnation of the engine. */
+  readonly engineId: string;
+  readonly service: string;
+  readonly atMs: number;
+  /** Router of each rejection in the second before. */
+  readonly routers: readonly string[];
+}
+
 /** Observations of all engines, for the oracle. */
 export class EngineObservations {
   readonly runs: ObservedRun[] = [];
@@ -233,4 +285,5 @@
   readonly arrivals: ObservedArrival[] = [];
   readonly notices: ObservedNotice[] = [];
   readonly limits: ObservedLimit[] = [];
+  readonly falls: ObservedFall[] = [];
 }
--- a/src/lab/gateway-simulation/simulated-fleet.ts
+++ b/src/lab/gateway-simulation/simulated-fleet.ts
@@ -5,7 +5,13 @@
 import { isDeepStrictEqual } from 'node:util';
 import type { VirtualClock } from '../../runtime/virtual-clock.js';
 import { type MalformedEntry, malformedEntryOf } from './malformed-entry.js';
-import { type EngineIdentity, type RunningRequest, SimulatedEngine } from './simulated-engine.js';
+import {
+  type Brittleness,
+  type EngineCapacity,
+  type EngineIdentity,
+  type RunningRequest,
+  SimulatedEngine,
+} from './simulated-engine.js';
 import type { SimulatedObjectStore } from './simulated-object-store.js';
 import type { StoredEngine } from './stored-engine.js';
 import { GENERATION_SERVICE, KINDS, SIMULATION_MODEL } from './simulation-fixtures.js';
@@ -51,10 +57,27 @@
   clockStepMs: 0,
 };
 
+/** Time from the start of a brittle period until engines let fewer requests wait. */
+const SHORT_QUEUE_DELAY_MS = 3_000;
+
+/** A period in which the engines of a service are brittle; times in milliseconds. */
+export interface BrittlePeriod {
+  readonly service: string;
+  /** Number of engines of the service at its start. */
+  readonly engines: number;
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
 /** All engines of a deployment. */
 export class SimulatedFleet {
   /** Whether a crashed engine restarts under its name; otherwise a new engine replaces it. */
   restartsUnderName = false;
+  /** Capacity of the engines of a service; unlimited by default. */
+  readonly capacities = new Map<string, EngineCapacity>();
+  /** Periods in which the engines of a service are brittle. */
+  readonly brittlePeriods: BrittlePeriod[] = [];
+  private readonly brittleServices = new Map<string, Brittleness>();
   /** Faults of the next load commands. */
   readonly loadCommandFaults: LoadCommandFault[] = [];
   /** All incarnations of all engines, in order of start. */
@@ -93,6 +116,26 @@
     return incarnation?.isRunning === true && incarnation.startedAtMs === startedAtMs;
   }
 
+  /** Sets the capacity of all engines of a service, also of those that start later. */
+  setCapacity(service: string, capacity: EngineCapacity): void {
+    this.capacities.set(service, capacity);
+    for (const engine of this.runningOf(service)) engine.capacity = capacity;
+  }
+
+  /** Makes all engines of a service brittle for a while, also those that start meanwhile. */
+  makeBrittle(service: string, brittleness: Brittleness, forMs: number): void {
+    const fromMs = this.clock.now();
+    const engines = this.runningOf(service);
+    const period = { service, engines: engines.length, fromMs, untilMs: fromMs + forMs };
+    this.brittlePeriods.push(period);
+    this.brittleServices.set(service, brittleness);
+    for (const engine of engines) this.applyBrittleness(engine);
+    this.clock.setTimer(forMs, () => {
+      this.brittleServices.delete(service);
+      for (const engine of this.runningOf(service)) engine.brittleness = undefined;
+    });
+  }
+
   /** Whether the name is that of a malformed entry without an engine. */
   isMalformedEntryName(name: string): boolean {
     return this.malformedEntryNames.has(name);
@@ -200,6 +243,17 @@
     return this.incarnations.findLast((engine) => engine.name === name);
   }
 
+  private runningOf(service: string): SimulatedEngine[] {
+    return this.incarnations.filter((engine) => engine.isRunning && engine.service === service);
+  }
+
+  private applyBrittleness(engine: SimulatedEngine): void {
+    engine.brittleness = this.brittleServices.get(engine.service);
+    this.clock.setTimer(SHORT_QUEUE_DELAY_MS, () => {
+      engine.hasShortQueue = true;
+    });
+  }
+
   private start(identity: EngineIdentity, version: number, clockStepMs: number): SimulatedEngine {
     const usedStartTimes = new Set(
       this.incarnations
@@ -211,6 +265,8 @@
     const engine = new SimulatedEngine(identity, startedAtMs);
     engine.weightsVersion = version;
     engine.onCrashed = () => this.restartCrashed(engine);
+    engine.capacity = this.capacities.get(engine.service);
+    if (this.brittleServices.has(engine.service)) this.applyBrittleness(engine);
     this.incarnations.push(engine);
     return engine;
   }
--- a/src/lab/gateway-simulation/simulated-inference.ts
+++ b/src/lab/gateway-simulation/simulated-inference.ts
@@ -265,9 +265,15 @@
     start: () => void,
   ): void {
     const { capacity } = engine;
-    const slotMs = capacity ? engine.reserveSlot(capacity, this.clock.now()) : 0;
+    const nowMs = this.clock.now();
+    const slotMs = capacity ? engine.reserveSlot(capacity, nowMs) : 0;
     if (slotMs === undefined) {
       exchange.refuse(503);
+      const routers = engine.noteRejection(this.router, nowMs);
+      if (!routers) return;
+      const { id: engineId, service } = engine;
+      this.observations.falls.push({ engineId, service, atMs: nowMs, routers });
+      engine.crashAndRestart();
       return;
     }
     const queueMs = engine.queueMs + slotMs;
--- a/src/protocol/inference/port.ts
+++ b/src/protocol/inference/port.ts
@@ -101,6 +101,11 @@
   readonly backoffMs: number | undefined;
   /** Rate limit for all routers together, in requests per second; undefined if there is none. */
   readonly limitPerSecond: number | undefined;
+  /**
+   * Rejections for want of room in one second, given to all routers together, above which the engine
+   * fails; undefined if it tolerates any number.
+   */
+  readonly rejectionTolerance?: number | undefined;
   /** Malformed values of these headers. */
   readonly unreadable: readonly string[];
   /** Names of platform headers that this version does not support. */
