Let streams wait for engines that are silent for little more than a second

What callers saw: a stream whose engine sent nothing for 1.3 s was moved to another engine, which read the prompt again. Cause: the stall timeout of 1.2 s took a sound, silent engine for a dead one. It is 1.5 s now: callers leave a stream after a gap of 2 s at the earliest. Such an engine causes no crash announcement and no lost path, which held before.

--- a/src/coordination/gateway/send-timeouts.ts
+++ b/src/coordination/gateway/send-timeouts.ts
@@ -9,8 +9,11 @@
 /** Response timeout of a repeatable request, as a multiple of its latency objective. */
 const RESPONSE_TIMEOUT_FACTOR = 1.25;
 const MINIMUM_RESPONSE_TIMEOUT_MS = 300;
-/** Pause in a resumable stream after which another engine continues it. */
-const STALL_TIMEOUT_MS = 1_200;
+/**
+ * Pause in a resumable stream after which another engine continues it. A sound engine may be silent
+ * for little more than a second; callers wait at least 2 s.
+ */
+const STALL_TIMEOUT_MS = 1_500;
 
 /** The timeout of the current send; at most one timer is active. */
 export class SendTimeouts {
--- a/src/lab/gateway-simulation/simulated-engine.ts
+++ b/src/lab/gateway-simulation/simulated-engine.ts
@@ -110,6 +110,8 @@
   capacity: EngineCapacity | undefined;
   /** Times at which the slots become free, by slot. */
   readonly freeAtMs: number[] = [];
+  /** Until then it sends nothing, as if its process were paused; it accepts connections. */
+  silentUntilMs = -Infinity;
   /** Requests that wait for a slot. */
   waiting = 0;
   /** Whether the engine is draining, which all its responses then state. */
--- a/src/lab/gateway-simulation/simulated-exchange.ts
+++ b/src/lab/gateway-simulation/simulated-exchange.ts
@@ -239,7 +239,8 @@
   }
 
   private deliver(action: () => void): void {
-    this.clock.setTimer(NETWORK_DELAY_MS, () =>
+    const silentMs = Math.max(0, (this.engine?.silentUntilMs ?? -Infinity) - this.clock.now());
+    this.clock.setTimer(NETWORK_DELAY_MS + silentMs, () =>
       this.link.carry(LinkDirection.FromEngine, () =>
         this.host.deliver(() => {
           if (!this.isEnded) action();
