--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -212,7 +212,8 @@
     const { send, isFinished, canSendAgain } = this.call;
     if (!send || isFinished) return;
     if (!canSendAgain || !this.retries.canFailOver(send)) return;
-    this.failSend(send, { kind: 'unknown', reason });
+    // Without a connection, nothing of the request has arrived at an engine.
+    this.failSend(send, { kind: send.isConnected ? 'unknown' : 'not-sent', reason });
   }
 
   private onCallerDisconnect(): void {
--- a/test/gateway/routers-without-engines.test.ts
+++ b/test/gateway/routers-without-engines.test.ts
@@ -3,11 +3,13 @@
  * store and the other routers, which had a path to the engines, still reached them.
  */
 import test from 'ava';
+import type { ObjectDecoder } from '../../src/coordination/gateway/object-decoder.js';
 import { EngineCut } from '../../src/lab/gateway-simulation/engine-links.js';
 import { judgeEnginePaths } from '../../src/lab/gateway-simulation/engine-path-oracle.js';
 import { findBreaches } from '../../src/lab/gateway-simulation/gateway-oracle.js';
 import { GatewaySimulation } from '../../src/lab/gateway-simulation/gateway-simulation.js';
 import { routerName } from '../../src/lab/gateway-simulation/simulation-fixtures.js';
+import type { LogFields, Logger } from '../../src/runtime/logger.js';
 import { sendAllKinds } from '../../src/lab/gateway-simulation/simulation-traffic.js';
 
 const SEEDS = [1, 2, 3];
@@ -89,3 +91,57 @@
   const served = own.filter(({ reply }) => reply.status === 200).length;
   t.true(served > own.length * 0.9, `${served} of ${own.length}`);
 });
+
+test('requests are rejected at once, and have not run, if no router reaches engines', async (t) => {
+  const simulation = await GatewaySimulation.create(1);
+  await sendAllKinds(simulation, BEFORE_MS, GAP_MS);
+  for (let index = 0; index < simulation.routerCount; index += 1)
+    simulation.engineLinks.cut(routerName(index), EngineCut.Silent, CUT_MS);
+  // All idle connections are used up first.
+  await sendAllKinds(simulation, BEFORE_MS, GAP_MS);
+  const fromMs = simulation.now;
+  await sendAllKinds(simulation, BEFORE_MS, GAP_MS);
+  await simulation.settle();
+  const statuses = simulation.requests
+    .filter(({ sentMs }) => sentMs >= fromMs)
+    .map(({ reply }) => reply.own?.status);
+  t.true(statuses.length > 0);
+  t.true(statuses.every((status) => status === 503));
+});
+
+function ignore(): void {
+  // Lines of other levels are not needed.
+}
+
+/** Sets the objective of all routes. */
+function withObjective(decoder: ObjectDecoder, objectiveMs: number): ObjectDecoder {
+  return {
+    ...decoder,
+    configuration: (object) => {
+      const decoded = decoder.configuration(object);
+      if (decoded.kind !== 'value') return decoded;
+      const routes = decoded.value.routes.map((route) => ({ ...route, objectiveMs }));
+      return { kind: 'value', value: { ...decoded.value, routes } };
+    },
+  };
+}
+
+test('a send that timed out before it had a connection does not count as possibly run', async (t) => {
+  // The response timeout of such a route is shorter than that of a connection.
+  const OBJECTIVE_MS = 199;
+  const failures: LogFields[] = [];
+  const logger: Logger = {
+    ...{ debug: ignore, warn: ignore, error: ignore },
+    info: (event, fields = {}) => {
+      if (event === 'send_failed') failures.push(fields);
+    },
+  };
+  const decoder = (original: ObjectDecoder): ObjectDecoder => withObjective(original, OBJECTIVE_MS);
+  const simulation = await GatewaySimulation.create(1, { logger, decoder });
+  await sendAllKinds(simulation, BEFORE_MS, GAP_MS);
+  simulation.engineLinks.cut(routerName(0), EngineCut.Silent, CUT_MS);
+  await sendAllKinds(simulation, BEFORE_MS, GAP_MS);
+  const unconnected = failures.filter(({ connected }) => connected === false);
+  t.true(unconnected.length > 0);
+  t.true(unconnected.every(({ kind }) => kind === 'not-sent'));
+});
