--- a/src/state/routing/engine-path.ts
+++ b/src/state/routing/engine-path.ts
@@ -77,8 +77,8 @@
   /** In order of their sends. */
   private readonly sends = new Set<DirectSend>();
   private receivedMs = -Infinity;
-  /** When something last showed that the path works. */
-  private workingMs = 0;
+  /** When something last showed that the path works; Infinity before this router has used it. */
+  private workingMs = Infinity;
   private hasIdleCheckFailed = false;
   /** The last two engines that responded over a direct connection, the latest first. */
   private respondingEngines: readonly string[] = [];
@@ -187,7 +187,7 @@
   applyProbes(purpose: ProbePurpose, probes: readonly EngineProbe[], nowMs: number): boolean {
     const connected = probes.filter(({ result }) => result === ProbeResult.Connected);
     for (const { engineId } of connected) this.noteResponding(engineId);
-    if (connected.length > 0) this.workingMs = nowMs;
+    if (connected.length > 0 && this.workingMs < nowMs) this.workingMs = nowMs;
     const results = probes.map(({ result }) => result);
     const before = this.current;
     this.hasIdleCheckFailed = false;
--- a/test/gateway/engine-path.test.ts
+++ b/test/gateway/engine-path.test.ts
@@ -124,6 +124,7 @@
 
 test('a router without traffic checks its path, and suspects it after a failed check', (t) => {
   const path = new EnginePath();
+  t.is(path.dueProbe(60_000), undefined);
   path.noteConnected(1_000);
   t.is(path.dueProbe(2_000), undefined);
   t.is(path.dueProbe(2_500), ProbePurpose.IdleCheck);
