Draw no conclusion on a crash from the probes of an idle check

A check of an engine that lost its connections could wait for the probes of an idle check, which don't conclude that the path is lost, and so take the engine for crashed. Found by reading.

--- a/src/coordination/gateway/engine-path/engine-path-monitor.ts
+++ b/src/coordination/gateway/engine-path/engine-path-monitor.ts
@@ -49,6 +49,7 @@
   private readonly path = new EnginePath();
   private timer: Timer | undefined;
   private probing: Promise<void> | undefined;
+  private probingFor: ProbePurpose | undefined;
   private turn: number;
 
   constructor(private readonly parts: EnginePathParts) {
@@ -78,6 +79,8 @@
 
   /** Tests the path now. Resolves with whether engines can be reached. */
   async verify(): Promise<boolean> {
+    // Probes of an idle check draw no conclusion.
+    if (this.probingFor === ProbePurpose.IdleCheck) await this.probing;
     await this.probe(this.path.isOpen ? ProbePurpose.Suspicion : ProbePurpose.Recovery);
     return this.path.isOpen;
   }
@@ -98,8 +101,11 @@
 
   /** Probes engines; at most once at a time. */
   private probe(purpose: ProbePurpose): Promise<void> {
-    this.probing ??= this.probeEngines(purpose).finally(() => {
+    if (this.probing) return this.probing;
+    this.probingFor = purpose;
+    this.probing = this.probeEngines(purpose).finally(() => {
       this.probing = undefined;
+      this.probingFor = undefined;
     });
     return this.probing;
   }
