--- a/src/state/routing/brittle-engines.ts
+++ b/src/state/routing/brittle-engines.ts
@@ -118,7 +118,7 @@
     return true;
   }
 
-  /** Applies an announcement. Returns true if it tells of a rejection that was not known. */
+  /** Applies an announcement. Returns true if it contains a rejection that was not known. */
   receive(announcement: BrittleEngineAnnouncement, nowMs: number): boolean {
     const { engineName, tolerance, ageMs, rejectedAgeMs } = announcement;
     this.tolerances.receive({ engineName, value: tolerance, ageMs }, nowMs);
--- a/test/platform/engine-exchange.test.ts
+++ b/test/platform/engine-exchange.test.ts
@@ -6,33 +6,8 @@
   ResponseHead,
   EngineNotice,
   ExchangeFailure,
-  ForwardedRequest,
-  SendOptions,
 } from '../../src/protocol/inference/port.js';
-
-const REQUEST: ForwardedRequest = {
-  id: 'request-1',
-  method: 'POST',
-  target: '/a/b?c=d',
-  hostHeader: 'host.example',
-  headers: [['X-Peatspan-Attempt-Id', 'request-1']],
-  body: Buffer.from('body'),
-};
-
-const OPTIONS: SendOptions = {
-  budgetMs: 500,
-  tenant: 'tenant-1',
-  expectedInstance: 'engine-1',
-  expectedVersion: undefined,
-  cacheSalt: undefined,
-  urgency: undefined,
-  fetchFrom: undefined,
-  saveTo: undefined,
-  resumeAfter: undefined,
-};
-
-const HEAD =
-  'HTTP/1.1 200 OK\r\nX-Peatspan-Attempt-Id: request-1\r\nX-Peatspan-Response-Seal: s\r\n';
+import { REQUEST, RESPONSE_HEAD, SEND_OPTIONS } from '../helpers/exchange-fixtures.js';
 
 interface Outcome {
   notice?: EngineNotice;
@@ -62,7 +37,7 @@
     new EngineClient().send(
       { id: 'engine-1', name: 'engine-1', address: `127.0.0.1:${port}` },
       REQUEST,
-      OPTIONS,
+      SEND_OPTIONS,
       {
         onNotice: (notice) => (outcome.notice = notice),
         onHead: (head) => (outcome.head = head),
@@ -76,7 +51,7 @@
 
 test('a response with a Content-Length is complete', async (t) => {
   const outcome = await exchangeWith(t, (socket) => {
-    socket.write(`${HEAD}Content-Length: 5\r\n\r\nhello`);
+    socket.write(`${RESPONSE_HEAD}Content-Length: 5\r\n\r\nhello`);
   });
   t.is(outcome.end, 'whole');
   t.is(outcome.body, 'hello');
@@ -84,14 +59,14 @@
 });
 
 test('a response without a Content-Length is complete when its connection ends', async (t) => {
-  const outcome = await exchangeWith(t, (socket) => socket.end(`${HEAD}\r\nhello`));
+  const outcome = await exchangeWith(t, (socket) => socket.end(`${RESPONSE_HEAD}\r\nhello`));
   t.is(outcome.end, 'whole');
   t.is(outcome.body, 'hello');
 });
 
 test('a response without a Content-Length is incomplete if a reset arrives with its last bytes', async (t) => {
   const outcome = await exchangeWith(t, (socket) => {
-    socket.write(`${HEAD}\r\nhel`);
+    socket.write(`${RESPONSE_HEAD}\r\nhel`);
     socket.resetAndDestroy();
   });
   t.not(outcome.end, 'whole');
@@ -99,20 +74,20 @@
 
 test('a response without a Content-Length is incomplete if a reset arrives later', async (t) => {
   const outcome = await exchangeWith(t, (socket) => {
-    socket.write(`${HEAD}\r\nhel`, () => setTimeout(() => socket.resetAndDestroy(), 30));
+    socket.write(`${RESPONSE_HEAD}\r\nhel`, () => setTimeout(() => socket.resetAndDestroy(), 30));
   });
   t.not(outcome.end, 'whole');
 });
 
 test('a response shorter than its Content-Length is incomplete', async (t) => {
   const outcome = await exchangeWith(t, (socket) => {
-    socket.end(`${HEAD}Content-Length: 50\r\n\r\nhello`);
+    socket.end(`${RESPONSE_HEAD}Content-Length: 50\r\n\r\nhello`);
   });
   t.is((outcome.end as ExchangeFailure).kind, 'cut');
 });
 
 test('a response to another request is discarded and leaves the outcome unknown', async (t) => {
-  const other = HEAD.replace('request-1', 'request-0');
+  const other = RESPONSE_HEAD.replace('request-1', 'request-0');
   const outcome = await exchangeWith(t, (socket) => {
     socket.write(`${other}Content-Length: 5\r\n\r\nhello`);
   });
@@ -148,7 +123,7 @@
     new EngineClient().send(
       { id: 'engine-1', name: 'engine-1', address: '127.0.0.1:1' },
       REQUEST,
-      OPTIONS,
+      SEND_OPTIONS,
       {
         onNotice: () => undefined,
         onHead: () => undefined,
@@ -165,7 +140,7 @@
   let seen = '';
   await exchangeWith(t, (socket, received) => {
     seen = received;
-    socket.write(`${HEAD}Content-Length: 0\r\n\r\n`);
+    socket.write(`${RESPONSE_HEAD}Content-Length: 0\r\n\r\n`);
   });
   t.true(seen.startsWith('POST /a/b?c=d HTTP/1.1\r\nHost: host.example\r\n'));
   t.true(seen.includes('X-Peatspan-Expect-Instance: engine-1\r\n'));
--- a/test/platform/forwarding.test.ts
+++ b/test/platform/forwarding.test.ts
@@ -6,7 +6,6 @@
   type Exchange,
   type ExchangeConnection,
   type ExchangeFailure,
-  type ForwardedRequest,
   ListenerState,
   type SendOptions,
 } from '../../src/protocol/inference/port.js';
@@ -15,22 +14,12 @@
   type ForwardingListener,
   type ForwardingTarget,
 } from '../../src/protocol/peer/forwarding-port.js';
+import { REQUEST, RESPONSE_HEAD, SEND_OPTIONS } from '../helpers/exchange-fixtures.js';
 import { TcpForwarding } from '../../src/protocol/peer/forwarding-server.js';
 
-const BODY = 'body';
-const HEAD =
-  'HTTP/1.1 200 OK\r\nX-Peatspan-Attempt-Id: request-1\r\nX-Peatspan-Response-Seal: s\r\n';
+const BODY = Buffer.from(REQUEST.body).toString('latin1');
 const WAIT_MS = 3_000;
 
-const REQUEST: ForwardedRequest = {
-  id: 'request-1',
-  method: 'POST',
-  target: '/a/b?c=d',
-  hostHeader: 'host.example',
-  headers: [['X-Peatspan-Attempt-Id', 'request-1']],
-  body: Buffer.from(BODY),
-};
-
 /** An engine that serves each request with a script, and its connections. */
 interface ScriptedEngine {
   readonly address: string;
@@ -104,18 +93,7 @@
 }
 
 function optionsOf(address: string): SendOptions {
-  return {
-    budgetMs: 500,
-    tenant: 'tenant-1',
-    expectedInstance: 'engine-1',
-    expectedVersion: undefined,
-    cacheSalt: undefined,
-    urgency: undefined,
-    fetchFrom: undefined,
-    saveTo: undefined,
-    resumeAfter: undefined,
-    forwarder: { address, keepsDirectConnections: false },
-  };
+  return { ...SEND_OPTIONS, forwarder: { address, keepsDirectConnections: false } };
 }
 
 /** An address at which nothing listens. */
@@ -138,7 +116,7 @@
 
 test('a forwarded exchange delivers the whole response and keeps its connection', async (t) => {
   const engine = await startEngine(t, (socket) =>
-    socket.write(`${HEAD}Content-Length: 5\r\n\r\nhello`),
+    socket.write(`${RESPONSE_HEAD}Content-Length: 5\r\n\r\nhello`),
   );
   const { listener, outcomes } = await startForwarder(t);
   const client = new EngineClient();
@@ -158,7 +136,7 @@
 
 test('idle forwarded connections are closed when their forwarder is no longer used', async (t) => {
   const engine = await startEngine(t, (socket) =>
-    socket.write(`${HEAD}Content-Length: 5\r\n\r\nhello`),
+    socket.write(`${RESPONSE_HEAD}Content-Length: 5\r\n\r\nhello`),
   );
   const { listener } = await startForwarder(t);
   const client = new EngineClient();
@@ -171,7 +149,7 @@
 });
 
 test('a forwarded response without a length is never taken for complete', async (t) => {
-  const engine = await startEngine(t, (socket) => socket.end(`${HEAD}\r\nhello`));
+  const engine = await startEngine(t, (socket) => socket.end(`${RESPONSE_HEAD}\r\nhello`));
   const { listener } = await startForwarder(t);
   const exchange = new RecordedExchange(new EngineClient(), engine.address, listener.address);
   t.true(await waitUntil(() => exchange.end !== undefined));
@@ -181,7 +159,7 @@
 
 test('a forwarded response in chunks is complete with its last chunk', async (t) => {
   const engine = await startEngine(t, (socket) =>
-    socket.write(`${HEAD}Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n`),
+    socket.write(`${RESPONSE_HEAD}Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n`),
   );
   const { listener } = await startForwarder(t);
   const exchange = new RecordedExchange(new EngineClient(), engine.address, listener.address);
@@ -192,7 +170,7 @@
 
 test('a forwarded response that the engine resets is not complete', async (t) => {
   const engine = await startEngine(t, (socket) => {
-    socket.write(`${HEAD}\r\nhello`);
+    socket.write(`${RESPONSE_HEAD}\r\nhello`);
     setTimeout(() => socket.resetAndDestroy(), 20);
   });
   const { listener } = await startForwarder(t);
@@ -202,7 +180,7 @@
 });
 
 test('a forwarded response is not complete if the forwarder ends before it does', async (t) => {
-  const engine = await startEngine(t, (socket) => socket.write(`${HEAD}\r\nhello`));
+  const engine = await startEngine(t, (socket) => socket.write(`${RESPONSE_HEAD}\r\nhello`));
   const { listener } = await startForwarder(t);
   const exchange = new RecordedExchange(new EngineClient(), engine.address, listener.address);
   t.true(await waitUntil(() => exchange.body === 'hello'));
@@ -263,7 +241,7 @@
   const RESPONSE_BYTES = 64 * 1024 * 1024;
   const MAXIMUM_TAKEN_BYTES = 16 * 1024 * 1024;
   const engine = await startEngine(t, (socket) => {
-    socket.write(`${HEAD}Content-Length: ${RESPONSE_BYTES}\r\n\r\n`);
+    socket.write(`${RESPONSE_HEAD}Content-Length: ${RESPONSE_BYTES}\r\n\r\n`);
     socket.write(Buffer.alloc(RESPONSE_BYTES));
   });
   const { listener } = await startForwarder(t);
