--- a/src/state/routing/engine-eligibility.ts
+++ b/src/state/routing/engine-eligibility.ts
@@ -22,8 +22,7 @@
 
 /**
  * Whether the engine requested a pause. Unlike avoidance after failures, a pause is never
- * overridden, even if no other engine is left. Avoided for a fixed 150 ms instead, an engine got up
- * to 13 requests of one router in a pause of 3 s.
+ * overridden, even if no other engine is left.
  */
 export function isBackingOff(
   { record }: Engine,
@@ -34,9 +33,8 @@
 }
 
 /**
- * Whether this router has a slot in the engine's rate limit, and a brittle engine has room. Both are
- * never overridden: without the rate limit, simulated engines got 28 to 34 requests in 4 s where 12
- * are tolerated.
+ * Whether this router has a slot in the engine's rate limit, and a brittle engine has room. Neither
+ * is ever overridden.
  */
 export function isWithinLimit(
   { record }: Engine,
