Let the engines of a soak be brittle

The soak's engines had so many slots that callers never filled them, so it said nothing on engines that fail when they reject too many requests.

The engines' room stands in a module of its own; the fleet takes its dependencies by name.

--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -6,7 +6,9 @@
 import { findFreePorts } from './free-ports.js';
 import { listeningPort } from './listening-port.js';
 import type {
+  EngineCapacity,
   EngineReport,
+  ReportedFall,
   ReportedLimit,
   ReportedNotice,
   ReportedRun,
@@ -28,6 +30,13 @@
   }[];
   readonly notices: ReportedNotice[];
   readonly limits: ReportedLimit[];
+  /** Spans in which plain engines were brittle, and their number. */
+  readonly brittlePeriods: {
+    readonly fromMs: number;
+    untilMs: number | undefined;
+    readonly engines: number;
+  }[];
+  readonly falls: ReportedFall[];
   /** Time at which the store accepted that an engine drains, by incarnation. */
   readonly drains: Map<string, number>;
   readonly loadCommands: Extract<EngineReport, { kind: 'order' }>[];
@@ -57,6 +66,7 @@
   readonly routers: number;
   readonly plainEngines: number;
   readonly generationEngines: number;
+  readonly plainCapacity: EngineCapacity;
 }
 
 const STORE_PROGRAM = fileURLToPath(new URL('./store-program.js', import.meta.url));
@@ -77,6 +87,8 @@
     arrivals: [],
     notices: [],
     limits: [],
+    brittlePeriods: [],
+    falls: [],
     drains: new Map(),
     loadCommands: [],
     crashes: [],
@@ -100,8 +112,11 @@
     private readonly store: ChildProcess,
     private readonly storeAddress: string,
     private readonly keys: readonly CallerKey[],
+    plainCapacity: EngineCapacity,
   ) {
-    this.fleet = new EngineFleet(storeAddress, this.observations, () => this.weightsVersion);
+    const { observations } = this;
+    const publishedVersion = (): number => this.weightsVersion;
+    this.fleet = new EngineFleet({ storeAddress, observations, publishedVersion, plainCapacity });
   }
 
   /**
@@ -118,7 +133,7 @@
   ): Promise<Deployment> {
     const store = fork(STORE_PROGRAM);
     const port = await listeningPort(store);
-    const deployment = new Deployment(store, `127.0.0.1:${port}`, keys);
+    const deployment = new Deployment(store, `127.0.0.1:${port}`, keys, size.plainCapacity);
     await deployment.write(WireKind.weights, MODEL, { model: MODEL, version: 1 });
     await deployment.writeConfiguration();
     for (let index = 0; index < size.plainEngines; index += 1) {
--- a/soak/engine-fleet.ts
+++ b/soak/engine-fleet.ts
@@ -3,7 +3,14 @@
 import { fileURLToPath } from 'node:url';
 import type { Observations } from './deployment.js';
 import { listeningPort } from './listening-port.js';
-import type { EngineBehavior, EngineCommand, EngineReport } from './messages.js';
+import type {
+  EngineBehavior,
+  EngineCapacity,
+  EngineCommand,
+  EngineReport,
+  ReportedFall,
+} from './messages.js';
+import { BOUNDS } from './router-process.js';
 import { ProxyMode, TcpProxy } from './tcp-proxy.js';
 import { Service } from './wire.js';
 
@@ -38,6 +45,22 @@
 /** Time that routers may need to detect the loss of an engine. */
 const DETECTION_MS = 5_000;
 const CRASH_RESTART_DELAY_MS = 1_500;
+const GENERATION_CAPACITY: EngineCapacity = { slots: 32, plainWorkMs: 25 };
+
+/** Dependencies and sizes of {@link EngineFleet}. */
+export interface EngineFleetParts {
+  readonly storeAddress: string;
+  readonly observations: Observations;
+  readonly plainCapacity: EngineCapacity;
+  publishedVersion(): number;
+}
+
+/** How plain engines are brittle. */
+interface Brittleness {
+  readonly tolerance: number;
+  /** Time from which they may fail, in milliseconds since the epoch. */
+  readonly failsFromMs: number;
+}
 
 /** All engines of a deployment. */
 export class EngineFleet {
@@ -45,12 +68,9 @@
   private engineCount = 0;
   private crashCount = 0;
   private isEnded = false;
+  private brittleness: Brittleness | undefined;
 
-  constructor(
-    private readonly storeAddress: string,
-    private readonly observations: Observations,
-    private readonly publishedVersion: () => number,
-  ) {}
+  constructor(private readonly parts: EngineFleetParts) {}
 
   /** Engines that neither drain nor are replaced by another one after a crash. */
   get remaining(): readonly Engine[] {
@@ -76,6 +96,23 @@
     send(engine, { kind: 'limit', perSecond: perSecond ?? null });
   }
 
+  /** Lets all plain engines, also new ones, fail above a number of rejections per second. */
+  makePlainEnginesBrittle(tolerance: number, forMs: number): void {
+    if (this.brittleness) return;
+    const fromMs = Date.now();
+    const plain = this.engines.filter(({ service }) => service === Service.plain);
+    const engines = plain.filter((engine) => !engine.isLeaving).length;
+    const period = { fromMs, untilMs: undefined as number | undefined, engines };
+    this.parts.observations.brittlePeriods.push(period);
+    this.brittleness = { tolerance, failsFromMs: fromMs + BOUNDS.contact_ms };
+    for (const engine of plain) this.sendBrittleness(engine);
+    setTimeout(() => {
+      period.untilMs = Date.now();
+      this.brittleness = undefined;
+      for (const engine of this.engines) this.sendBrittleness(engine);
+    }, forMs);
+  }
+
   /** Adds a new engine and drains this one. */
   async replace(engine: Engine): Promise<void> {
     engine.isLeaving = true;
@@ -112,14 +149,18 @@
   recordFault(forMs: number, linkTo?: Engine): void {
     const fromMs = Date.now();
     const linkToName = linkTo?.name;
-    this.observations.engineFaults.push({ fromMs, untilMs: fromMs + forMs, linkTo: linkToName });
+    this.parts.observations.engineFaults.push({
+      fromMs,
+      untilMs: fromMs + forMs,
+      linkTo: linkToName,
+    });
   }
 
   async add(service: string): Promise<void> {
     this.engineCount += 1;
     const name = `engine-${this.engineCount}`;
     const proxy = await TcpProxy.open();
-    const weightsVersion = this.publishedVersion();
+    const weightsVersion = this.parts.publishedVersion();
     const child = this.startProcess(name, service, proxy.address, weightsVersion);
     const engine: Engine = {
       name,
@@ -133,6 +174,7 @@
     };
     this.watch(engine);
     proxy.targetPort = await listeningPort(child);
+    this.sendBrittleness(engine);
     this.engines = [...this.engines, engine];
   }
 
@@ -151,7 +193,11 @@
     address: string,
     version: number,
   ): ChildProcess {
-    return fork(ENGINE_PROGRAM, [name, service, address, this.storeAddress, String(version)]);
+    const { storeAddress, plainCapacity } = this.parts;
+    const capacity = service === Service.plain ? plainCapacity : GENERATION_CAPACITY;
+    const { slots, plainWorkMs } = capacity;
+    const numbers = [version, slots, plainWorkMs].map(String);
+    return fork(ENGINE_PROGRAM, [name, service, address, storeAddress, ...numbers]);
   }
 
   /** Starts the next incarnation. Only the version of the weights is preserved. */
@@ -161,9 +207,16 @@
     engine.child = this.startProcess(name, service, proxy.address, weightsVersion);
     this.watch(engine);
     proxy.targetPort = await listeningPort(engine.child);
+    this.sendBrittleness(engine);
     engine.isRestarting = false;
   }
 
+  private sendBrittleness(engine: Engine): void {
+    if (engine.service !== Service.plain) return;
+    const { tolerance = null, failsFromMs = 0 } = this.brittleness ?? {};
+    send(engine, { kind: 'brittle', tolerance, failsFromMs });
+  }
+
   private watch(engine: Engine): void {
     const { child } = engine;
     child.on('message', (message) => this.handleReport(engine, message as EngineReport));
@@ -173,6 +226,11 @@
     });
   }
 
+  private handleFall(report: ReportedFall): void {
+    this.parts.observations.falls.push(report);
+    this.recordFault(DETECTION_MS + CRASH_RESTART_DELAY_MS);
+  }
+
   /** Restarts a crashed engine under its name, or replaces it by a new one, alternately. */
   private restartCrashed(engine: Engine): void {
     this.crashCount += 1;
@@ -194,11 +252,12 @@
 
   private handleReport(engine: Engine, report: EngineReport): void {
     const { runs, arrivals, notices, limits, drains, loadCommands, crashes, misdirectedRequests } =
-      this.observations;
+      this.parts.observations;
     if (report.kind === 'run') runs.push(report);
     if (report.kind === 'arrival') arrivals.push(report);
     if (report.kind === 'notice') notices.push(report);
     if (report.kind === 'limit') limits.push(report);
+    if (report.kind === 'fall') this.handleFall(report);
     if (report.kind === 'draining') drains.set(report.engineId, report.atMs);
     if (report.kind === 'order') loadCommands.push(report);
     if (report.kind === 'crash') crashes.push(report);
--- a/soak/engine-program.ts
+++ b/soak/engine-program.ts
@@ -1,7 +1,7 @@
 /**
  * A fake engine: serves plain calls and streams, writes its entry in the store and executes load
  * commands. Each process is one incarnation. Arguments: name, service, address to publish, address
- * of the store, version of the weights.
+ * of the store, version of the weights, slots, time for a plain request in milliseconds.
  */
 import { type IncomingMessage, type ServerResponse, createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -12,15 +12,14 @@
   type EngineCommand,
   type EngineReport,
 } from './messages.js';
+import { EngineRoom } from './engine-room.js';
 import { STREAM_EVENTS } from './stream-events.js';
 import { MODEL, Service, WireHeader, WireKind, sendJson, callJson, readBody } from './wire.js';
 
 const [name = '', service = '', publicAddress = '', storeAddress = ''] = process.argv.slice(2);
 
 const HEARTBEAT_MS = 1_200;
-const PLAIN_WORK_MS = 25;
 const EVENT_GAP_MS = 15;
-const SLOTS = 32;
 const LOAD_MS = 300;
 /** How long a draining engine keeps serving after the store has accepted its state. */
 const DRAIN_MS = 9_000;
@@ -37,7 +36,8 @@
 let backoffMs = 0;
 /** Announced limit on requests per second. */
 let limitPerSecond: number | undefined;
-let running = 0;
+const room = new EngineRoom(Number(process.argv[7]));
+const plainWorkMs = Number(process.argv[8]);
 let weightsVersion = Number(process.argv[6] ?? 1);
 let loading: number | undefined;
 let sequence = 0;
@@ -53,7 +53,7 @@
     service,
     address: publicAddress,
     zone: 'zone-a',
-    slots: SLOTS,
+    slots: room.slots,
     state: isDraining ? 'draining' : 'ready',
     stage: 'both',
     models,
@@ -93,6 +93,7 @@
 
 /** Adds the headers on the state of this engine to a response and reports them to the oracle. */
 function addNotice(response: ServerResponse, requestId: string, requestedBackoffMs: number): void {
+  if (room.tolerance !== undefined) response.setHeader(WireHeader.brittle, room.tolerance);
   if (!isDraining && requestedBackoffMs === 0 && limitPerSecond === undefined) return;
   if (isDraining) response.setHeader(WireHeader.leaving, '1');
   if (requestedBackoffMs > 0)
@@ -123,26 +124,24 @@
     return HttpStatus.Misdirected;
   }
   if (backoffMs > 0) return HttpStatus.Unavailable;
-  const isFull = running >= SLOTS || loading !== undefined;
-  return isFull || behavior === EngineBehavior.Busy ? HttpStatus.Unavailable : undefined;
+  const isUnavailable = room.isFull || loading !== undefined;
+  return isUnavailable || behavior === EngineBehavior.Busy ? HttpStatus.Unavailable : undefined;
 }
 
 async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
   const requestId = String(request.headers[WireHeader.attemptId] ?? '');
   report({ kind: 'arrival', requestId, engineId: incarnationId, service, atMs: Date.now() });
   const body = await readBody(request);
-  const expectedEngine = request.headers[WireHeader.expectInstance]?.toString();
-  if (expectedEngine !== undefined && expectedEngine !== name) {
-    report({ kind: 'stray', requestId, named: expectedEngine, atMs: Date.now() });
-  }
+  reportIfStray(request, requestId);
   const rejectionStatus = rejectionStatusOf(request);
   if (rejectionStatus !== undefined) {
+    const isForRoom = rejectionStatus === HttpStatus.Unavailable && room.isFull;
+    if (isForRoom) noteRejectionForRoom(requestId);
     reject(response, rejectionStatus, requestId);
     return;
   }
   reportRun(request, requestId);
-  running += 1;
-  response.once('close', () => (running -= 1));
+  response.once('close', room.take());
   if (body.startsWith(CRASHING_BODY_PREFIX)) {
     // The crash must precede the response, which would lift the suspicion of the request.
     crash(requestId);
@@ -160,11 +159,27 @@
   } else {
     setTimeout(
       () => sendPlainResponse(response, status, headers, `${requestId}:${body}`),
-      PLAIN_WORK_MS,
+      plainWorkMs,
     );
   }
 }
 
+/** Reports a request that is addressed to another engine. */
+function reportIfStray({ headers }: IncomingMessage, requestId: string): void {
+  const expectedEngine = headers[WireHeader.expectInstance]?.toString();
+  if (expectedEngine === undefined || expectedEngine === name) return;
+  report({ kind: 'stray', requestId, named: expectedEngine, atMs: Date.now() });
+}
+
+/** Ends this process if it is brittle and has rejected too many requests for want of room. */
+function noteRejectionForRoom(requestId: string): void {
+  const atMs = Date.now();
+  const requestIds = room.noteRejection(requestId, atMs);
+  if (!requestIds) return;
+  const fall: EngineReport = { kind: 'fall', engineId: incarnationId, requestIds, atMs };
+  process.send?.(fall, () => process.exit(1));
+}
+
 /** Ends this process after a short delay, as a fault in the engine would. */
 function crash(requestId: string): void {
   setTimeout(() => {
@@ -269,7 +284,7 @@
     busy: loading !== undefined,
     sequence,
     queued: 0,
-    running,
+    running: room.runningRequests,
     kv_used: 0,
     kv_total: 100_000,
     handles: 0,
@@ -315,6 +330,8 @@
   if (command.kind === 'behave') behavior = command.behavior;
   else if (command.kind === 'ask-pause') backoffMs = command.backoffMs;
   else if (command.kind === 'limit') setRateLimit(command.perSecond ?? undefined);
+  else if (command.kind === 'brittle')
+    room.setTolerance(command.tolerance ?? undefined, command.failsFromMs);
   else void drain();
 });
 process.on('disconnect', () => process.exit(0));
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -51,6 +51,11 @@
     default: true,
     describe: 'cut routers off from all engines',
   })
+  .option('brittle-engines', {
+    type: 'boolean',
+    default: false,
+    describe: 'give plain engines few slots and let them fail when they reject too many requests',
+  })
   .option('program', {
     type: 'string',
     array: true,
@@ -87,6 +92,7 @@
       hasEngineLimits: options.engineLimits,
       hasStoreRestorations: options.storeRestorations,
       hasEngineCuts: options.engineCuts,
+      hasBrittleEngines: options.brittleEngines,
       callers: options.callers,
       folder,
       programs: options.program,
--- a/soak/messages.ts
+++ b/soak/messages.ts
@@ -13,6 +13,13 @@
   Hanging = 'hanging',
 }
 
+/** What an engine can do at a time. */
+export interface EngineCapacity {
+  readonly slots: number;
+  /** Time for a plain request. */
+  readonly plainWorkMs: number;
+}
+
 /** Commands to an engine. */
 export type EngineCommand =
   | { readonly kind: 'behave'; readonly behavior: EngineBehavior }
@@ -20,6 +27,8 @@
   | { readonly kind: 'ask-pause'; readonly backoffMs: number }
   /** Announce this limit in responses, until a command with null. */
   | { readonly kind: 'limit'; readonly perSecond: number | null }
+  /** Announce this number of tolerated rejections in a second, until a command with null. */
+  | { readonly kind: 'brittle'; readonly tolerance: number | null; readonly failsFromMs: number }
   /** Announce the drain, keep serving for a while and exit. */
   | { readonly kind: 'drain' };
 
@@ -62,6 +71,16 @@
   readonly atMs: number;
 }
 
+/** A brittle engine is about to fail because it rejected too many requests. */
+export interface ReportedFall {
+  readonly kind: 'fall';
+  /** Identifier of the engine's incarnation. */
+  readonly engineId: string;
+  /** Requests rejected in the last second. */
+  readonly requestIds: readonly string[];
+  readonly atMs: number;
+}
+
 /** Reports of an engine. */
 export type EngineReport =
   | { readonly kind: 'listening'; readonly port: number }
@@ -76,6 +95,7 @@
     }
   | ReportedNotice
   | ReportedLimit
+  | ReportedFall
   /** A request arrived that is addressed to another engine, which may not exist. */
   | {
       readonly kind: 'stray';
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -63,6 +63,13 @@
     text: 'if (!parts || parts.path.state === EnginePathState.Open) return DIRECT;',
     replacement: 'if (!parts || parts !== undefined) return DIRECT;',
   },
+  {
+    name: 'statements of engines that they are brittle are ignored',
+    promise: 'brittle-engines-spared',
+    file: 'platform/engine-notice.ts',
+    text: 'parseDecimal(headers[Header.brittle]?.toString())',
+    replacement: 'parseDecimal(undefined)',
+  },
   {
     name: 'confirmations of the configuration never expire',
     promise: 'key-removed',
@@ -175,6 +182,7 @@
       hasEngineLimits: true,
       hasStoreRestorations: false,
       hasEngineCuts: mutation.promise === 'served-while-cut',
+      hasBrittleEngines: mutation.promise === 'brittle-engines-spared',
       callers: 12,
       folder: runFolder,
       programs: [program],
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -2,6 +2,7 @@
 import type { CallRecord, DirectoryResponse } from './callers.js';
 import type { Observations } from './deployment.js';
 import type { ReportedRun } from './messages.js';
+import { judgeBrittleEngines } from './brittle-engine-oracle.js';
 import { judgeEngineCuts } from './engine-cut-oracle.js';
 import { judgeLimits } from './limit-oracle.js';
 import { judgeNotices } from './notice-oracle.js';
@@ -28,6 +29,7 @@
   | 'backoff-kept'
   | 'limit-kept'
   | 'served-while-cut'
+  | 'brittle-engines-spared'
   | 'recovery';
 
 /** A broken promise. */
@@ -106,6 +108,7 @@
       ...judgeNotices(this.record),
       ...judgeLimits(this.record),
       ...judgeEngineCuts(this.record, (...args) => this.isDisturbed(...args)),
+      ...judgeBrittleEngines(this.record),
       ...this.judgeRecovery(),
     ];
   }
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -4,6 +4,7 @@
 import { type CallKind, CALL_KINDS } from './callers.js';
 import type { Deployment } from './deployment.js';
 import { CRASHING_BODY_PREFIX, EngineBehavior } from './messages.js';
+import { BRITTLE_ENGINE_STEPS } from './brittle-engine-steps.js';
 import { ENGINE_CUT_STEPS } from './engine-cut-steps.js';
 import { ENGINE_LIMIT_STEPS } from './engine-limit-steps.js';
 import { ENGINE_RESTART_STEPS } from './engine-restart-steps.js';
@@ -41,6 +42,8 @@
   readonly hasStoreRestorations: boolean;
   /** Whether routers are cut off from all engines. */
   readonly hasEngineCuts: boolean;
+  /** Whether plain engines, which then have few slots, fail when they reject too many requests. */
+  readonly hasBrittleEngines: boolean;
 }
 
 /** Number of routers without unplanned faults, so that some requests succeed at all times. */
@@ -228,6 +231,7 @@
     hasEngineLimits,
     hasStoreRestorations,
     hasEngineCuts,
+    hasBrittleEngines,
   }: ScheduleOptions,
 ): Step[] {
   const factories = [
@@ -237,6 +241,7 @@
     ...(hasEngineLimits ? ENGINE_LIMIT_STEPS : []),
     ...(hasStoreRestorations ? STORE_RESTORATION_STEPS : []),
     ...(hasEngineCuts ? ENGINE_CUT_STEPS : []),
+    ...(hasBrittleEngines ? BRITTLE_ENGINE_STEPS : []),
   ];
   const MAXIMUM_GAP_MS = 2_000;
   const steps: Step[] = [];
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -6,6 +6,7 @@
 import { type CallRecord, Caller, type CallerKey, type DirectoryResponse } from './callers.js';
 import { Deployment } from './deployment.js';
 import { weightsOf } from './engine-fleet.js';
+import type { EngineCapacity } from './messages.js';
 import { type Violation, judgeSoak } from './oracle.js';
 import { type Resender, makeSchedule } from './schedule.js';
 
@@ -25,6 +26,8 @@
   readonly hasStoreRestorations: boolean;
   /** Whether routers are cut off from all engines. */
   readonly hasEngineCuts: boolean;
+  /** Whether plain engines, which then have few slots, fail when they reject too many requests. */
+  readonly hasBrittleEngines: boolean;
   readonly callers: number;
   /** Directory of settings, logs and, after a violation, the evidence. */
   readonly folder: string;
@@ -53,6 +56,9 @@
 ];
 /** Keys that are never removed. */
 const PERMANENT_KEYS = KEYS.filter(({ key }) => key.endsWith('a'));
+const AMPLE_CAPACITY: EngineCapacity = { slots: 32, plainWorkMs: 25 };
+/** The callers fill these slots. */
+const SCARCE_CAPACITY: EngineCapacity = { slots: 2, plainWorkMs: 150 };
 const STARTUP_TIMEOUT_MS = 20_000;
 const MAXIMUM_PAUSE_MS = 120;
 /** Wait after the last fault; exceeds the grace time of a planned stop. */
@@ -61,9 +67,10 @@
 
 /** Runs a soak; resolves after its processes have ended. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
-  const { seed, spanMs, routers, folder, programs } = options;
+  const { seed, spanMs, routers, folder, programs, hasBrittleEngines } = options;
   mkdirSync(folder, { recursive: true });
-  const size = { routers, plainEngines: 2, generationEngines: 3 };
+  const plainCapacity = hasBrittleEngines ? SCARCE_CAPACITY : AMPLE_CAPACITY;
+  const size = { routers, plainEngines: 2, generationEngines: 3, plainCapacity };
   const deployment = await Deployment.start(size, KEYS, folder, programs);
   try {
     const steps = makeSchedule(new SeededRandom(seed), options);
--- a/soak/wire.ts
+++ b/soak/wire.ts
@@ -21,6 +21,7 @@
   leaving: 'server-leaving',
   retryAfter: 'retry-after',
   limit: 'server-limit',
+  brittle: 'server-brittle',
   storeEra: 'store-era',
 } as const;
 
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -21,6 +21,8 @@
   readonly hasStoreRestorations?: boolean;
   /** Whether routers are cut off from all engines; likewise. */
   readonly hasEngineCuts?: boolean;
+  /** Whether plain engines are brittle; likewise. */
+  readonly hasBrittleEngines?: boolean;
   /** Whether routers run the production build and the current build side by side. */
   readonly isMixed?: boolean;
   /** Cause of the broken promise. */
@@ -66,6 +68,13 @@
   hasEngineCuts: true,
   cause: 'none: the short soak of routers cut off from engines',
 };
+const BRITTLE: RegressionSeed = {
+  seed: 8,
+  seconds: 14,
+  routers: 4,
+  hasBrittleEngines: true,
+  cause: 'none: the short soak of brittle engines',
+};
 /** Without restorations of the store, because the earlier build does not support store eras. */
 const MIXED: RegressionSeed = {
   seed: 4,
@@ -78,11 +87,20 @@
   cause: 'none: the short soak of an upgrade',
 };
 
-for (const regression of [FIRST, NOTICES, LIMITS, RESTORATIONS, CUTS, MIXED, ...REGRESSIONS]) {
+for (const regression of [
+  FIRST,
+  NOTICES,
+  LIMITS,
+  RESTORATIONS,
+  CUTS,
+  BRITTLE,
+  MIXED,
+  ...REGRESSIONS,
+]) {
   const { seed, seconds, routers, cause } = regression;
   const { hasEngineLives = false, hasEngineNotices = false } = regression;
   const { hasEngineLimits = false, hasStoreRestorations = false, isMixed = false } = regression;
-  const { hasEngineCuts = false } = regression;
+  const { hasEngineCuts = false, hasBrittleEngines = false } = regression;
   test.serial(`no promise is broken in a soak with seed ${seed} (${cause})`, async (t) => {
     t.timeout(170_000);
     const folder = mkdtempSync(join(tmpdir(), `peatspan-soak-${seed}-`));
@@ -97,6 +115,7 @@
       hasEngineLimits,
       hasStoreRestorations,
       hasEngineCuts,
+      hasBrittleEngines,
       callers: 8,
       folder,
       programs: earlier ? [earlier.program, BUNDLE] : [BUNDLE],
