Respond once to a request that its own lost connection quarantines

Cause: onFailure reports the lost connection; if that is the third crash of the request, it is quarantined at once and ends with 422, and onFailure went on to respond again.

--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -123,7 +123,8 @@
       call.crashes.computedFingerprint,
       this.context.logger,
     );
-    this.retryOrEnd(failure);
+    // The lost connection may have been the crash that quarantines the request, which ends it.
+    if (!call.isFinished) this.retryOrEnd(failure);
   }
 
   /** Rejects the request if its fingerprint is the quarantined one. */
--- a/src/lab/gateway-simulation/gateway-oracle.ts
+++ b/src/lab/gateway-simulation/gateway-oracle.ts
@@ -21,6 +21,7 @@
 export type GatewayRule =
   | 'at-most-once'
   | 'promise-kept'
+  | 'answered-once'
   | 'whole-answer'
   | 'stream-in-order'
   | 'key-removed'
@@ -66,6 +67,7 @@
   );
   return [
     ...breaches,
+    ...judgeResponseHeads(simulation),
     ...judgeDrains(simulation),
     ...judgeLoadCommands(simulation),
     ...judgeWeights(simulation),
@@ -80,6 +82,14 @@
   ];
 }
 
+/** Each request gets at most one response. */
+function judgeResponseHeads({ requests }: GatewaySimulation): RuleBreach[] {
+  return requests.flatMap(({ id, reply }) => {
+    if (reply.headCount <= 1) return [];
+    return [{ rule: 'answered-once' as const, detail: `${id}: ${reply.headCount} responses` }];
+  });
+}
+
 /** Malformed entries receive neither requests nor load commands. */
 function judgeMalformedEntries(simulation: GatewaySimulation): RuleBreach[] {
   return simulation.observations.malformedUses.map(({ entry, router, atMs }) => ({
--- a/src/lab/gateway-simulation/recorded-reply.ts
+++ b/src/lab/gateway-simulation/recorded-reply.ts
@@ -11,6 +11,8 @@
   own: RouterResponse | undefined;
   ending: ReplyEnd | undefined;
   body = '';
+  /** Number of response heads; more than one is a fault, which Node.js reports with an exception. */
+  headCount = 0;
   private takenListener: (isClosed: boolean) => void = () => undefined;
   private closeListener: () => void = () => undefined;
 
@@ -20,6 +22,7 @@
   }
 
   begin(status: number): void {
+    this.headCount += 1;
     this.status = status;
   }
 
@@ -34,6 +37,7 @@
   }
 
   refuse(response: RouterResponse): void {
+    this.headCount += 1;
     this.status = response.status;
     this.own = response;
     this.ending = 'refused';
--- a/test/gateway/crashing-request.test.ts
+++ b/test/gateway/crashing-request.test.ts
@@ -5,6 +5,7 @@
 import test from 'ava';
 import { findBreaches } from '../../src/lab/gateway-simulation/gateway-oracle.js';
 import { GatewaySimulation } from '../../src/lab/gateway-simulation/gateway-simulation.js';
+import { EngineMode } from '../../src/lab/gateway-simulation/simulated-engine.js';
 import {
   CRASHING_BODY,
   KINDS,
@@ -26,6 +27,27 @@
 const FREQUENT_INTERVAL_MS = 11;
 const FREQUENT_REQUESTS_PER_CRASH = 60;
 
+/** Connections to the restarted engine hang for longer than its new incarnation needs to be listed. */
+const UNNOTICED_RESTART = {
+  downMs: 700,
+  cutMs: 5_000,
+  entryDelayMs: 0,
+  losesLoad: false,
+  clockStepMs: 0,
+};
+const ARRIVAL_MS = 50;
+/** Engines of a simulation, with those that replace crashed ones. */
+const ENGINES = 8;
+
+/** Sends a request that stays at its engine; returns the engine's index. */
+async function occupyEngine(simulation: GatewaySimulation): Promise<number> {
+  const indexes = [...Array(ENGINES).keys()];
+  for (const index of indexes) simulation.engine(index).mode = EngineMode.Hanging;
+  simulation.request(0, 'plain-unsafe', 'tenant-2', 0, 'same body');
+  await simulation.clock.advance(ARRIVAL_MS);
+  return indexes.findIndex((index) => simulation.engine(index).running.size > 0);
+}
+
 /** Sends the same request to all routers in turn. */
 async function sendRepeatedly(simulation: GatewaySimulation, kind: RequestKind): Promise<void> {
   for (let attempt = 0; attempt < ATTEMPTS; attempt += 1) {
@@ -56,6 +78,21 @@
   });
 }
 
+test('a request is answered once if the loss of its own connection completes its quarantine', async (t) => {
+  const simulation = await GatewaySimulation.create(SEED);
+  for (let crash = 0; crash < 2; crash += 1) {
+    simulation.fleet.crash(await occupyEngine(simulation));
+    await simulation.clock.advance(SERVING_MS);
+  }
+  simulation.fleet.restart(await occupyEngine(simulation), UNNOTICED_RESTART);
+  await simulation.clock.advance(SERVING_MS);
+  t.deepEqual(simulation.requests.at(-1)?.reply.own, {
+    status: 422,
+    reason: 'request-crashes-engines',
+  });
+  t.deepEqual(findBreaches(simulation), []);
+});
+
 test('routers that all restart read the quarantine from the store', async (t) => {
   const simulation = await GatewaySimulation.create(SEED);
   await sendRepeatedly(simulation, 'stream-once');
