Draw the floats of compared messages among 32-bit floats

The values are now 32-bit floats, including fractions and negative ones, and are compared as exactly as before.

--- a/test/compatibility/messages.test.ts
+++ b/test/compatibility/messages.test.ts
@@ -94,6 +94,8 @@
       return fc.uint8Array({ maxLength: 16 }).map((bytes) => Buffer.from(bytes).toString('base64'));
     case ScalarType.DOUBLE:
       return fc.double({ noNaN: true, noDefaultInfinity: true });
+    case ScalarType.FLOAT:
+      return fc.float({ noNaN: true, noDefaultInfinity: true });
     case ScalarType.UINT64:
       return fc.bigInt({ min: 0n, max: 2n ** 64n - 1n }).map(String);
     case ScalarType.SINT64:
