Log how a response ended, and streams that ended within an event

A response that was broken off was logged and counted as a complete one, and the log did not show whether its engine declared a length, sent chunks or only closed the connection. request_finished now says framing=connection and within_event, both are counted, and the port's head names the framing. No decision uses them yet.

--- a/src/coordination/gateway/call-ending.ts
+++ b/src/coordination/gateway/call-ending.ts
@@ -1,4 +1,5 @@
 /** Ends one request: the router's own response, or the end of the one that was passed on. */
+import { BodyFraming } from '../../protocol/inference/port.js';
 import { RejectionReason } from '../../state/routing/rejection.js';
 import { logFinish } from './call-log.js';
 import type { CallRecord } from './call-record.js';
@@ -7,6 +8,8 @@
 import type { RejectionDetails } from './rejections.js';
 import type { RouterResponse } from './reply.js';
 
+const ANSWERED = 'answered';
+
 /** Sends the final response of one request. */
 export class CallEnding {
   constructor(
@@ -26,7 +29,9 @@
     }
     statistics.answered += 1;
     if (call.isSample) statistics.tooLateSamplesInTime += 1;
-    this.finish('answered', 0, engine);
+    if (call.send?.framing === BodyFraming.Connection) statistics.unframedResponses += 1;
+    if (call.response.isWithinEvent) statistics.streamsEndedWithinEvent += 1;
+    this.finish(ANSWERED, 0, engine);
   }
 
   /** Ends the request after its caller closed the connection. */
@@ -128,6 +133,8 @@
       engine,
       sends: call.sends,
       firstChunkMs: call.response.firstChunkMs,
+      framing: call.send?.framing,
+      endsWithinEvent: outcome === ANSWERED && call.response.isWithinEvent,
     };
     logFinish(call.request, end, call.context);
     this.onFinished();
--- a/src/coordination/gateway/call-log.ts
+++ b/src/coordination/gateway/call-log.ts
@@ -1,5 +1,9 @@
 /** Log lines of one request: each decision with its inputs, and each failure. */
-import type { ExchangeFailure, Forwarder } from '../../protocol/inference/port.js';
+import {
+  BodyFraming,
+  type ExchangeFailure,
+  type Forwarder,
+} from '../../protocol/inference/port.js';
 import type { Logger } from '../../runtime/logger.js';
 import type { Placement } from '../../state/routing/placement.js';
 import type { GatewayContext } from './gateway-context.js';
@@ -102,6 +106,10 @@
   readonly sends: number;
   /** Monotonic time of the first bytes of a response. */
   readonly firstChunkMs: number | undefined;
+  /** What showed the end of the last engine's response; undefined without a response. */
+  readonly framing: BodyFraming | undefined;
+  /** Whether a stream was answered whose engine ended its response within an event. */
+  readonly endsWithinEvent: boolean;
 }
 
 /** Logs the end of a request. */
@@ -112,6 +120,7 @@
 ): void {
   const { outcome, ownStatus, responseStatus, route, fingerprint, engine, sends, firstChunkMs } =
     end;
+  const { framing, endsWithinEvent } = end;
   logger.info('request_finished', {
     request: id,
     outcome,
@@ -121,6 +130,9 @@
     fingerprint,
     engine,
     sends,
+    // The usual framing is left out.
+    framing: framing === BodyFraming.Connection ? framing : undefined,
+    within_event: endsWithinEvent || undefined,
     first_ms: firstChunkMs && Math.round(firstChunkMs - arrivedMs),
     took_ms: Math.round(clock.now() - arrivedMs),
   });
--- a/src/coordination/gateway/call-response.ts
+++ b/src/coordination/gateway/call-response.ts
@@ -6,6 +6,7 @@
 import type { ResponseHead } from '../../protocol/inference/port.js';
 import { ResponseBuffer } from './response-buffer.js';
 import { EventBoundary } from './event-boundary.js';
+import { EventScanner } from './event-scanner.js';
 import type { HeldResponse } from './held-response.js';
 import type { Reply } from './reply.js';
 
@@ -19,6 +20,7 @@
 /** Passes the response of one request on to its caller. */
 export class CallResponse {
   private readonly boundary = new EventBoundary();
+  private scanner = new EventScanner();
   private buffer: ResponseBuffer | undefined;
   private mode: ResponseMode = { isStream: false, isResumable: false };
   private isHeadSent = false;
@@ -54,6 +56,11 @@
     return this.boundary.lastEventId;
   }
 
+  /** Whether the bytes received from the last engine end within an event of a stream. */
+  get isWithinEvent(): boolean {
+    return this.mode.isStream && this.scanner.isWithinEvent;
+  }
+
   /** Handles the head of a new response; not called for the head of one that continues it. */
   handleHead(head: ResponseHead, mode: ResponseMode): void {
     this.mode = mode;
@@ -73,6 +80,7 @@
   private passOn(chunk: Uint8Array, nowMs: number): boolean {
     this.firstReceivedMs ??= nowMs;
     if (this.buffer) return this.bufferChunk(this.buffer, chunk);
+    if (this.mode.isStream) this.scanner.scan(chunk);
     if (!this.mode.isResumable) return this.reply.write(chunk);
     const wholeEvents = this.boundary.take(chunk);
     return wholeEvents ? this.reply.write(wholeEvents) : true;
@@ -95,6 +103,7 @@
   discardPending(): void {
     this.buffer = undefined;
     this.boundary.dropRest();
+    this.scanner = new EventScanner();
     this.held?.update(0);
   }
 
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -32,6 +32,10 @@
   readonly unknownEngineHeaders = new BoundedNameSet();
   unknownOutcomes = 0;
   cutAnswers = 0;
+  /** Responses of engines whose end only the end of their connection showed. */
+  unframedResponses = 0;
+  /** Streams whose engine ended its response within an event. */
+  streamsEndedWithinEvent = 0;
   staleProofRefusals = 0;
   /** Rejected because the generation was expected to end after the caller's deadline. */
   tooLateRejections = 0;
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -1,5 +1,6 @@
 /** One send of a request to one engine: placement, send options and load accounting. */
 import type {
+  BodyFraming,
   ResponseHead,
   EngineNotice,
   Exchange,
@@ -153,6 +154,7 @@
   private readonly runStartDeadline: RunStartDeadline | undefined;
   readonly sentMs: number;
   private headMs: number | undefined;
+  private bodyFraming: BodyFraming | undefined;
   private firstChunkMs: number | undefined;
   private lastChunkMs: number | undefined;
   private chunkCount = 0;
@@ -197,6 +199,11 @@
     return this.connection !== undefined;
   }
 
+  /** What shows the end of the response; undefined before its head. */
+  get framing(): BodyFraming | undefined {
+    return this.bodyFraming;
+  }
+
   /** Whether another router forwards the connection, or is asked to. */
   get isForwarded(): boolean {
     return this.connection?.isForwarded ?? this.forwarder !== undefined;
@@ -222,6 +229,7 @@
     if (this.isClosed) return;
     this.observed?.noteReceived();
     this.headMs = this.context.clock.now();
+    this.bodyFraming = head.framing;
     this.speed?.noteHead(head);
     // Only an attested response certainly comes from the engine. If it names a limit, `onNotice`
     // has already recorded it.
--- a/src/lab/gateway-simulation/simulated-exchange.ts
+++ b/src/lab/gateway-simulation/simulated-exchange.ts
@@ -1,13 +1,14 @@
 /** Simulated exchange of one request between a router and an engine. */
-import type {
-  ResponseHead,
-  EngineNotice,
-  Exchange,
-  ExchangeConnection,
-  ExchangeFailure,
-  ExchangeListener,
-  ForwardedRequest,
-  SendOptions,
+import {
+  BodyFraming,
+  type ResponseHead,
+  type EngineNotice,
+  type Exchange,
+  type ExchangeConnection,
+  type ExchangeFailure,
+  type ExchangeListener,
+  type ForwardedRequest,
+  type SendOptions,
 } from '../../protocol/inference/port.js';
 import { HttpStatus } from '../../protocol/http-status.js';
 import type { Clock } from '../../runtime/clock.js';
@@ -275,5 +276,6 @@
 }
 
 function headOf(status: number): ResponseHead {
-  return { status, headers: [], contentLength: undefined, isAttested: true };
+  const framing = BodyFraming.Chunks;
+  return { status, headers: [], contentLength: undefined, framing, isAttested: true };
 }
--- a/src/protocol/inference/port.ts
+++ b/src/protocol/inference/port.ts
@@ -54,12 +54,23 @@
   readonly isForwarded: boolean;
 }
 
+/** What shows where the body of a response ends. */
+export enum BodyFraming {
+  /** A declared length, or a status without a body. */
+  Length = 'length',
+  /** Chunks, the last of which is marked. */
+  Chunks = 'chunks',
+  /** The end of the connection, which is the same for a complete body and one that was broken off. */
+  Connection = 'connection',
+}
+
 /** Status and headers of an engine's response. */
 export interface ResponseHead {
   readonly status: number;
   readonly headers: readonly HeaderLine[];
   /** Declared length of the body in bytes; undefined if not declared. */
   readonly contentLength: number | undefined;
+  readonly framing: BodyFraming;
   /** Whether the engine attests that it ran the request and produced this response. */
   readonly isAttested: boolean;
 }
--- a/test/gateway/engine-speeds.test.ts
+++ b/test/gateway/engine-speeds.test.ts
@@ -8,7 +8,7 @@
 import { findBreaches } from '../../src/lab/gateway-simulation/gateway-oracle.js';
 import { GatewaySimulation } from '../../src/lab/gateway-simulation/gateway-simulation.js';
 import { sendAllKinds } from '../../src/lab/gateway-simulation/simulation-traffic.js';
-import type { ResponseHead } from '../../src/protocol/inference/port.js';
+import { BodyFraming, type ResponseHead } from '../../src/protocol/inference/port.js';
 import { LoadSharing } from '../../src/coordination/gateway/load-sharing.js';
 import { LoadSharingFeature } from '../../src/coordination/gateway/load-sharing-settings.js';
 import { memberKey } from '../../src/state/member-key.js';
@@ -343,6 +343,7 @@
       status: 200,
       headers: [],
       contentLength: undefined,
+      framing: BodyFraming.Chunks,
       isAttested: true,
       ...head,
     });
