--- a/test/helpers/scripted-engine.ts
+++ b/test/helpers/scripted-engine.ts
@@ -146,6 +146,8 @@
       if (parseResponse(received, false).ending === ResponseEnding.StatedComplete) finish();
     });
     socket.on('error', () => (isReset = true));
+    // Node.js reports a reset that comes with the last bytes as an end; the remote port is then unset.
+    socket.on('end', () => (isReset ||= socket.remotePort === undefined));
     socket.on('close', finish);
     socket.write(
       `POST ${path} HTTP/${httpVersion}\r\nHost: host.example\r\nX-Peatspan-Attempt-Id: ${id}\r\n` +
--- a/test/platform/broken-responses.test.ts
+++ b/test/platform/broken-responses.test.ts
@@ -65,3 +65,14 @@
     t.is(response.ending, ResponseEnding.StatedComplete, framing);
   }
 });
+
+test('a broken response without chunks, to a caller of HTTP/1.0, does not look complete', async (t) => {
+  const engines = await startBreakingEngines(t, 1, 'chunks');
+  const router = await startRouter(t, engines, {});
+  for (const path of [ONCE_PATH, RESUMABLE_PATH]) {
+    const request = { id: `request-${path}`, path, httpVersion: '1.0' } as const;
+    const response = await receive(t, router.port, request);
+    t.is(response.ending, ResponseEnding.Reset, path);
+    t.is(response.status, 200);
+  }
+});
