State no end of a response that only its connection has shown

Callers got responses that engines broke off between two events, or within a body that is no stream, as complete ones: with neither a length nor chunks, a response of a process that dies ends as a whole one does, and the router wrote its own with chunks, whose last one states that nothing is missing.

What the router can't know it does not state: such a response reaches the caller with neither a length nor chunks and ends with its connection. Before it ends, the router checks 20 ms later, as for crashes, whether the engine still accepts connections; if it is refused, the response was broken off, and a stream that may be resumed goes on elsewhere, a plain request that may be repeated is sent again, and any other caller's connection is reset. A stream without an event is broken off too, unless it continues an earlier one. If a caller's response has begun with chunks, its continuation without a length can't end it: another engine is asked, or the connection breaks. Not recognised: an engine that has restarted within 20 ms, and one that lives and broke off one response; their callers get an end that states nothing.

Over a forwarded connection such responses are still taken for broken off, as before.

--- a/src/coordination/gateway/call-ending.ts
+++ b/src/coordination/gateway/call-ending.ts
@@ -21,9 +21,9 @@
     const { call } = this;
     const { statistics, queues } = call.context;
     if (call.service && call.send) {
-      const { sentMs, placement } = call.send;
+      const { serviceMs, placement } = call.send;
       const { slots } = placement.engine.record;
-      queues?.noteCompleted(call.service, call.now - sentMs, call.engineRequests, slots);
+      queues?.noteCompleted(call.service, serviceMs, call.engineRequests, slots);
     }
     statistics.answered += 1;
     if (call.isSample) statistics.tooLateSamplesInTime += 1;
--- a/src/coordination/gateway/call-response.ts
+++ b/src/coordination/gateway/call-response.ts
@@ -3,12 +3,12 @@
  * resumable ones in whole events, so that another engine can continue after any of them. Other
  * responses are buffered, so that an interrupted request can be retried.
  */
-import type { ResponseHead } from '../../protocol/inference/port.js';
+import { BodyFraming, type ResponseHead } from '../../protocol/inference/port.js';
 import { ResponseBuffer } from './response-buffer.js';
 import { EventBoundary } from './event-boundary.js';
 import { EventScanner } from './event-scanner.js';
 import type { HeldResponse } from './held-response.js';
-import type { Reply } from './reply.js';
+import type { Reply, ReplyFraming } from './reply.js';
 
 /** How a response is passed on. */
 export interface ResponseMode {
@@ -24,7 +24,7 @@
   private readonly scanner = new EventScanner();
   private buffer: ResponseBuffer | undefined;
   private mode: ResponseMode = { isStream: false, isResumable: false };
-  private isHeadSent = false;
+  private framing: ReplyFraming | undefined;
   private sentStatus: number | undefined;
   private firstReceivedMs: number | undefined;
 
@@ -36,7 +36,7 @@
 
   /** Whether the response head was sent to the caller. */
   get hasBegun(): boolean {
-    return this.isHeadSent;
+    return this.framing !== undefined;
   }
 
   /** Status sent to the caller; undefined before the head is sent. */
@@ -62,11 +62,26 @@
     return this.mode.isResumable ? this.boundary.isWithinEvent : this.scanner.isWithinEvent;
   }
 
+  /** Whether the response is a stream of events. */
+  get isStream(): boolean {
+    return this.mode.isStream;
+  }
+
   /** Whether another engine may continue the response. */
   get isResumable(): boolean {
     return this.mode.isResumable;
   }
 
+  /** Whether an end would tell the caller that its response is complete. */
+  get statesEnd(): boolean {
+    return this.framing !== undefined && this.framing.kind !== BodyFraming.Connection;
+  }
+
+  /** Whether any byte of the response was received from an engine. */
+  get hasContent(): boolean {
+    return this.firstReceivedMs !== undefined;
+  }
+
   /** Handles the head of a new response; not called for the head of one that continues it. */
   handleHead(head: ResponseHead, mode: ResponseMode): void {
     this.mode = mode;
@@ -130,9 +145,15 @@
   }
 
   private begin(head: ResponseHead): void {
-    this.isHeadSent = true;
+    this.framing = framingOf(head, this.mode);
     this.sentStatus = head.status;
-    const length = this.mode.isResumable ? undefined : head.contentLength;
-    this.reply.begin(head.status, head.headers, length);
+    this.reply.begin(head.status, head.headers, this.framing);
   }
 }
+
+/** A response joined from several engines has no length of its own. */
+function framingOf({ framing, contentLength }: ResponseHead, mode: ResponseMode): ReplyFraming {
+  if (framing === BodyFraming.Connection) return { kind: framing };
+  if (mode.isResumable || contentLength === undefined) return { kind: BodyFraming.Chunks };
+  return { kind: BodyFraming.Length, bytes: contentLength };
+}
--- a/src/coordination/gateway/engine-crash-detector.ts
+++ b/src/coordination/gateway/engine-crash-detector.ts
@@ -33,7 +33,7 @@
 }
 
 /** Time within which all connections of a terminating process are closed. */
-const CHECK_DELAY_MS = 20;
+export const PROCESS_EXIT_MS = 20;
 /**
  * A connection lost sooner than a round trip between zones after the send was already closed, so
  * the request never ran. Prevents a request that is retried at another engine, which crashed at the
@@ -70,7 +70,7 @@
       this.onCrash({ engineId, fingerprints: [fingerprint] });
     if (action !== BrokenRequestAction.NeedsCheck || !engine) return;
     const { address } = engine.record;
-    this.parts.clock.setTimer(CHECK_DELAY_MS, () => void this.check(engineId, address));
+    this.parts.clock.setTimer(PROCESS_EXIT_MS, () => void this.check(engineId, address));
   }
 
   /**
--- a/src/coordination/gateway/event-scanner.ts
+++ b/src/coordination/gateway/event-scanner.ts
@@ -44,9 +44,15 @@
       this.completeEvent(LineEnding.LineFeed);
       return chunk.length;
     }
+    const bytes = Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length);
+    const lineFeeds = new ByteSearch(bytes, LINE_FEED);
+    const carriageReturns = new ByteSearch(bytes, CARRIAGE_RETURN);
     let end: number | undefined;
-    for (let index = 0; index < chunk.length; index += 1) {
-      end = this.endAfter(chunk[index] as number, index) ?? end;
+    for (let index = 0; index < bytes.length; index += 1) {
+      // The content of a line doesn't matter beyond its first byte.
+      if (this.position !== LinePosition.Start)
+        index = Math.min(lineFeeds.next(index), carriageReturns.next(index));
+      if (index < bytes.length) end = this.endAfter(bytes[index] as number, index) ?? end;
     }
     return end;
   }
@@ -107,6 +113,25 @@
   }
 }
 
+/** Finds the next occurrence of a byte, and searches no part of the chunk twice. */
+class ByteSearch {
+  private found = -1;
+
+  constructor(
+    private readonly bytes: Buffer,
+    private readonly byte: number,
+  ) {}
+
+  /** Index of the first occurrence at or after `from`; the length of the chunk if there is none. */
+  next(from: number): number {
+    if (this.found < from) {
+      const index = this.bytes.indexOf(this.byte, from);
+      this.found = index < 0 ? this.bytes.length : index;
+    }
+    return this.found;
+  }
+}
+
 /** Whether the last line of the chunk is blank whatever came before it. */
 function endsWithBlankLine(chunk: Uint8Array): boolean {
   const { length } = chunk;
--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -28,6 +28,7 @@
 import type { TenantQuotas } from './quota/tenant-quotas.js';
 import type { MemoryBudget } from './memory-budget.js';
 import type { Rejections } from './rejections.js';
+import type { ResponseEndCheck } from './response-end-check.js';
 
 /** Retry budgets by service, created on first use. */
 export class ServiceRetryBudgets {
@@ -80,6 +81,7 @@
   readonly retryBudgets: ServiceRetryBudgets;
   readonly group: GroupView;
   readonly crashes: CrashProtection;
+  readonly responseEnds: ResponseEndCheck;
   readonly rejections: Rejections;
   readonly quotas: TenantQuotas;
   /** Undefined if requests never wait in the router. */
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -2,6 +2,7 @@
 import { type Timer, repeat } from '../../runtime/clock.js';
 import type { ElapsedInstant } from '../../runtime/elapsed-instant.js';
 import type { ClockJump } from '../../runtime/suspension-meter.js';
+import type { EngineEndpoint, ListenerState } from '../../protocol/inference/port.js';
 import type { StoredObject } from '../../protocol/object-store/port.js';
 import { ConfigurationState } from '../../state/routing/configuration-state.js';
 import type { IngressLimits } from '../../state/routing/configuration.js';
@@ -37,6 +38,7 @@
 import { ListedEngines } from './listed-engines.js';
 import { valueOrLog } from './object-decoder.js';
 import { Rejections } from './rejections.js';
+import { ResponseEndCheck } from './response-end-check.js';
 import type { InboundRequest, Reply } from './reply.js';
 import { RunningCalls } from './running-calls.js';
 import { StoreFollowers } from './store-followers.js';
@@ -115,6 +117,8 @@
       settings.beginSlackMs,
     );
     this.followers = new StoreFollowers(relay.store, group, this.outages, clock, random, logger);
+    const checkEngine = (endpoint: EngineEndpoint): Promise<ListenerState> =>
+      this.engineAccess.checkEngine(endpoint);
     this.crashes = new CrashProtection({
       ...dependencies,
       policy: settings.quarantine,
@@ -122,7 +126,7 @@
       registry: this.registry,
       statistics: this.statistics,
       announce: () => group.reportNow(),
-      checkEngine: (endpoint) => this.engineAccess.checkEngine(endpoint),
+      checkEngine,
       endCalls: (fingerprint) => this.calls.endQuarantined(fingerprint),
     });
     const { registry, health, calls, statistics, outages } = this;
@@ -184,6 +188,7 @@
       split: this.split,
       retryBudgets: new ServiceRetryBudgets(settings.retryBudget),
       crashes: this.crashes,
+      responseEnds: new ResponseEndCheck({ engines, clock, checkEngine }),
       rejections,
       quotas: this.exchange.quotas,
       ...this.sharing.views,
--- a/src/coordination/gateway/reply.ts
+++ b/src/coordination/gateway/reply.ts
@@ -1,5 +1,5 @@
 /** The caller's side of a request, independent of the HTTP server. */
-import type { ForwardedRequest, HeaderLine } from '../../protocol/inference/port.js';
+import type { BodyFraming, ForwardedRequest, HeaderLine } from '../../protocol/inference/port.js';
 import type { BodyShare } from '../../state/routing/byte-budget.js';
 import type { GenerationShape } from '../../state/routing/generation.js';
 
@@ -34,12 +34,19 @@
   readonly retryAfterMs?: number;
 }
 
+/** What shows the caller where the body of its response ends. */
+export type ReplyFraming =
+  | { readonly kind: BodyFraming.Length; readonly bytes: number }
+  | { readonly kind: BodyFraming.Chunks }
+  /** The end of the connection, which states nothing about the body. */
+  | { readonly kind: BodyFraming.Connection };
+
 /**
  * Writes the response. No method may be called after `end`, `refuse` or `abort`, except for `abort`
  * after `end` while the caller has not taken all bytes.
  */
 export interface Reply {
-  begin(status: number, headers: readonly HeaderLine[], contentLength: number | undefined): void;
+  begin(status: number, headers: readonly HeaderLine[], framing: ReplyFraming): void;
   /**
    * Returns false if the caller reads more slowly than the engine writes; wait for {@link onDrain}.
    */
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -106,11 +106,18 @@
   }
 
   failureAtEnd(send: Send): ExchangeFailure | undefined {
-    if (!this.call.response.isWithinEvent) return undefined;
-    this.context.statistics.streamsEndedWithinEvent += 1;
+    const { response } = this.call;
     // A process that dies closes its connections in the same way as one that has finished.
     const isDisconnect = send.framing === BodyFraming.Connection;
-    return { kind: 'cut', reason: 'ended-within-event', isDisconnect };
+    if (response.isWithinEvent) {
+      this.context.statistics.streamsEndedWithinEvent += 1;
+      return { kind: 'cut', reason: 'ended-within-event', isDisconnect };
+    }
+    if (!isDisconnect) return undefined;
+    if (this.isEmptyStream) return { kind: 'cut', reason: 'ended-before-events', isDisconnect };
+    // Another engine continues the stream, and its response may state where it ends.
+    if (response.statesEnd) return { kind: 'cut', reason: 'end-not-stated', isDisconnect };
+    return undefined;
   }
 
   onEnd(send: Send): void {
@@ -181,6 +188,12 @@
       this.failSend(send, { kind: 'withdrawn', reason: 'path-silent' });
   }
 
+  /** Whether no event of a stream was received that does not continue an earlier one. */
+  private get isEmptyStream(): boolean {
+    const { response, request } = this.call;
+    return response.isStream && !response.hasContent && request.resumeAfter === undefined;
+  }
+
   private responseMode(head: ResponseHead): ResponseMode {
     const { route } = this.call.grant as Grant;
     const isStream = route.isStreaming && isEventStream(head);
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -1,14 +1,14 @@
 /** One send of a request to one engine: placement, send options and load accounting. */
-import type {
+import {
   BodyFraming,
-  ResponseHead,
-  EngineNotice,
-  Exchange,
-  ExchangeConnection,
-  ExchangeFailure,
-  ExchangeListener,
-  Forwarder,
-  SendOptions,
+  type ResponseHead,
+  type EngineNotice,
+  type Exchange,
+  type ExchangeConnection,
+  type ExchangeFailure,
+  type ExchangeListener,
+  type Forwarder,
+  type SendOptions,
 } from '../../protocol/inference/port.js';
 import type { CacheStore, Service } from '../../state/routing/configuration.js';
 import {
@@ -156,6 +156,7 @@
   private readonly runStartDeadline: RunStartDeadline | undefined;
   readonly sentMs: number;
   private headMs: number | undefined;
+  private endedMs: number | undefined;
   private bodyFraming: BodyFraming | undefined;
   private firstChunkMs: number | undefined;
   private lastChunkMs: number | undefined;
@@ -201,6 +202,11 @@
     return this.connection !== undefined;
   }
 
+  /** Time from the send to the end of the response, or until now. */
+  get serviceMs(): number {
+    return (this.endedMs ?? this.context.clock.now()) - this.sentMs;
+  }
+
   /** What shows the end of the response; undefined before its head. */
   get framing(): BodyFraming | undefined {
     return this.bodyFraming;
@@ -255,9 +261,26 @@
       this.onFailure(failure);
       return;
     }
+    this.endedMs = this.context.clock.now();
+    if (this.bodyFraming === BodyFraming.Connection) void this.checkEnd();
+    else this.complete();
+  }
+
+  /** Completes the send unless the engine has crashed, which ends the connection in the same way. */
+  private async checkEnd(): Promise<void> {
+    const { placement, context, connection, forwarder } = this;
+    const usedForwarder = connection?.isForwarded ? forwarder?.address : undefined;
+    const engine = placement.engine.record;
+    const isGone = await context.responseEnds.isSenderGone(engine, usedForwarder);
+    if (this.isClosed) return;
+    if (isGone) this.onFailure({ kind: 'cut', reason: 'engine-gone', isDisconnect: true });
+    else this.complete();
+  }
+
+  private complete(): void {
     this.recordTiming();
     const { name } = this.placement.engine.record;
-    this.context.health.brittle.noteServiceTime(name, this.context.clock.now() - this.sentMs);
+    this.context.health.brittle.noteServiceTime(name, this.serviceMs);
     this.speed?.noteEnd();
     this.close();
     this.context.health.noteSuccess(this.engineId, this.sentMs);
