Split the choice of the engine from send.ts, and let the soak's commands meet an ending process

An engine of the soak could end between the check of its channel and the write of a command, which ended the soak itself with EPIPE (seen once in a run of all tests beside others): the write's error is received, and an engine whose soak has ended reports nothing.

--- a/soak/engine-fleet.ts
+++ b/soak/engine-fleet.ts
@@ -271,7 +271,8 @@
 
 /** Sends a command, unless the engine's process has ended. */
 function send({ child }: Engine, command: EngineCommand): void {
-  if (child.connected) child.send(command);
+  // The process may end while the command is written, which its `exit` event reports.
+  if (child.connected) child.send(command, () => undefined);
 }
 
 /** Engines that serve the model, with the versions of their weights. */
--- a/soak/engine-program.ts
+++ b/soak/engine-program.ts
@@ -44,7 +44,8 @@
 let highestFencingToken = 0;
 
 function report(message: EngineReport): void {
-  process.send?.(message);
+  // The soak may have ended, and with it the channel; `disconnect` then ends this process.
+  if (process.connected) process.send?.(message);
 }
 
 function engineEntry(): object {
--- a/src/coordination/gateway/call-dispatch.ts
+++ b/src/coordination/gateway/call-dispatch.ts
@@ -13,7 +13,8 @@
 import { REQUEST_EXCEEDS_LIMIT } from './permanent-rejections.js';
 import type { QuotaDenial } from './quota/tenant-quotas.js';
 import { type Grant, admitRequest, serviceOf } from './request-admission.js';
-import { Send, type SendEvents, engineWaitMs, placeCall, sendOptionsOf } from './send.js';
+import { engineWaitMs, placeCall, sendOptionsOf } from './call-placement.js';
+import { Send, type SendEvents } from './send.js';
 
 /** Dispatches one request, at its arrival and again after each failed send. */
 export class CallDispatch {
--- a/src/coordination/gateway/call-retries.ts
+++ b/src/coordination/gateway/call-retries.ts
@@ -3,7 +3,8 @@
 import { RejectionReason } from '../../state/routing/rejection.js';
 import type { CallRecord } from './call-record.js';
 import { rejectionReasonOf } from './failed-send.js';
-import { type Send, placeCall } from './send.js';
+import { placeCall } from './call-placement.js';
+import type { Send } from './send.js';
 
 /** Failed connections allowed for one request before it is rejected. */
 const MAXIMUM_CONNECT_FAILURES = 3;
--- a/src/coordination/gateway/call-waiting.ts
+++ b/src/coordination/gateway/call-waiting.ts
@@ -12,7 +12,7 @@
 import { CallState } from './call-state.js';
 import type { RejectionDetails } from './rejections.js';
 import type { Grant } from './request-admission.js';
-import { engineWaitMs } from './send.js';
+import { engineWaitMs } from './call-placement.js';
 
 /** Lets one request wait, and ends it if the queue rejects it. */
 export class CallWaiting implements WaitingCall {
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -2,7 +2,6 @@
 import { type Timer, repeat } from '../../runtime/clock.js';
 import type { ElapsedInstant } from '../../runtime/elapsed-instant.js';
 import type { ClockJump } from '../../runtime/suspension-meter.js';
-import type { EngineEndpoint, ListenerState } from '../../protocol/inference/port.js';
 import type { StoredObject } from '../../protocol/object-store/port.js';
 import { ConfigurationState } from '../../state/routing/configuration-state.js';
 import type { IngressLimits } from '../../state/routing/configuration.js';
@@ -117,8 +116,6 @@
       settings.beginSlackMs,
     );
     this.followers = new StoreFollowers(relay.store, group, this.outages, clock, random, logger);
-    const checkEngine = (endpoint: EngineEndpoint): Promise<ListenerState> =>
-      this.engineAccess.checkEngine(endpoint);
     this.crashes = new CrashProtection({
       ...dependencies,
       policy: settings.quarantine,
@@ -126,7 +123,7 @@
       registry: this.registry,
       statistics: this.statistics,
       announce: () => group.reportNow(),
-      checkEngine,
+      checkEngine: (endpoint) => this.engineAccess.checkEngine(endpoint),
       endCalls: (fingerprint) => this.calls.endQuarantined(fingerprint),
     });
     const { registry, health, calls, statistics, outages } = this;
@@ -188,7 +185,7 @@
       split: this.split,
       retryBudgets: new ServiceRetryBudgets(settings.retryBudget),
       crashes: this.crashes,
-      responseEnds: new ResponseEndCheck({ engines, clock, checkEngine }),
+      responseEnds: new ResponseEndCheck({ engines, clock, access: this.engineAccess }),
       rejections,
       quotas: this.exchange.quotas,
       ...this.sharing.views,
--- a/src/coordination/gateway/response-end-check.ts
+++ b/src/coordination/gateway/response-end-check.ts
@@ -10,14 +10,13 @@
   type InferencePort,
   ListenerState,
 } from '../../protocol/inference/port.js';
-import { PROCESS_EXIT_MS } from './engine-crash-detector.js';
+import { type CrashDetectorParts, PROCESS_EXIT_MS } from './engine-crash-detector.js';
 
 /** Dependencies of {@link ResponseEndCheck}. */
 export interface ResponseEndCheckParts {
   readonly engines: Pick<InferencePort, 'checkListener'>;
   readonly clock: Clock;
-  /** Reports a refusal only if the engine, and not this router's own path, is its cause. */
-  checkEngine(endpoint: EngineEndpoint): Promise<ListenerState>;
+  readonly access: Pick<CrashDetectorParts, 'checkEngine'>;
 }
 
 /** Looks for evidence that a response without a length was broken off. */
@@ -32,7 +31,7 @@
   async isSenderGone(engine: EngineEndpoint, forwarder: string | undefined): Promise<boolean> {
     await this.waitForExit();
     if (forwarder === undefined) {
-      return (await this.parts.checkEngine(engine)) === ListenerState.Refused;
+      return (await this.parts.access.checkEngine(engine)) === ListenerState.Refused;
     }
     // A forwarder that dies closes its connections in order too, so only an answer clears it.
     const state = await this.parts.engines.checkListener(engine, forwarder);
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -1,4 +1,4 @@
-/** One send of a request to one engine: placement, send options and load accounting. */
+/** One send of a request to one engine: its events, its observations and its load accounting. */
 import {
   BodyFraming,
   type ResponseHead,
@@ -10,17 +10,8 @@
   type Forwarder,
   type SendOptions,
 } from '../../protocol/inference/port.js';
-import type { CacheStore, Service } from '../../state/routing/configuration.js';
-import {
-  type Placement,
-  type PlacementFailure,
-  type PlacementRequest,
-  placeRequest,
-} from '../../state/routing/placement.js';
-import { RejectionReason } from '../../state/routing/rejection.js';
-import { StorePressure, storePressure } from '../../state/routing/save-choice.js';
+import type { Placement } from '../../state/routing/placement.js';
 import { ResponseSpeed } from './response-speed.js';
-import { LoadSharingFeature } from './load-sharing-settings.js';
 import { RunStartDeadline } from './run-start-deadline.js';
 import { applyEngineNotice } from './engine-notices.js';
 import type { ObservedSend } from './engine-path/engine-path-monitor.js';
@@ -30,115 +21,8 @@
 import { slownessOf } from '../../state/routing/engine-speeds.js';
 import type { AnsweredRequest } from './engine-limit-discovery.js';
 import { SendLoad } from './send-load.js';
-import type { Grant } from './request-admission.js';
 import type { InboundRequest } from './reply.js';
 
-/** Lowest urgency that engines accept; 0 is the highest. */
-const LOWEST_URGENCY = 9;
-/** Routers added to the known group size, for those not discovered yet. */
-const UNDISCOVERED_ROUTERS = 1;
-
-/** Chooses an engine for a request. */
-export function placeCall(
-  request: InboundRequest,
-  grant: Grant,
-  service: Service,
-  excluded: ReadonlySet<string>,
-  context: GatewayContext,
-): ReturnType<typeof placeRequest> {
-  const stores = grant.table.cacheStores.flatMap(({ cacheStore }) => cacheStore ?? []);
-  const connectionShare = Math.max(
-    1,
-    Math.floor(service.maximumConnections / (context.group.size + UNDISCOVERED_ROUTERS)),
-  );
-  return placeRequest(
-    {
-      candidates: context.registry.ofService(service.name),
-      profile: service.engine,
-      generation: service.engine ? request.generation : undefined,
-      isolatedTenant: grant.tenant?.isIsolated ? grant.tenant.name : undefined,
-      excluded,
-      zone: context.zone,
-      ...gapPlacementOf(grant, service, context),
-      stores,
-      storePressure: storePressureOf(request, stores, context),
-      connectionShare,
-      slotView: context.slotView(),
-      hasRoomAt: (id) => context.memory?.hasRoomAt(id, request.body.length) ?? true,
-    },
-    context,
-    context.clock.now(),
-  );
-}
-
-/** Inputs of placement by gaps and capacity; none if no route has a gap objective. */
-export function gapPlacementOf(
-  { table, route }: Pick<Grant, 'table' | 'route'>,
-  service: Service,
-  { disabledFeatures }: Pick<GatewayContext, 'disabledFeatures'>,
-): Pick<PlacementRequest, 'gapObjectiveMs' | 'objectiveMs' | 'spreadsPlainRequests'> {
-  const isDisabled = disabledFeatures.has(LoadSharingFeature.GapPlacement);
-  if (isDisabled || !table.hasGapObjectives) return {};
-  return {
-    gapObjectiveMs: table.gapObjectiveMsOf(service.name),
-    objectiveMs: route.objectiveMs,
-    spreadsPlainRequests: true,
-  };
-}
-
-/**
- * Time until an engine of the service accepts requests of this router again, in milliseconds;
- * undefined if the placement failed for a reason other than backoffs and limits.
- */
-export function engineWaitMs(
-  reason: PlacementFailure,
-  service: Service,
-  { registry, health, clock, slotView }: GatewayContext,
-): number | undefined {
-  const isTemporary =
-    reason === RejectionReason.EnginesBackingOff || reason === RejectionReason.EnginesLimited;
-  if (!isTemporary) return undefined;
-  const names = registry.readyOf(service.name).map(({ record }) => record.name);
-  return health.shortestWaitMs(names, clock.now(), slotView());
-}
-
-/**
- * Estimates the pressure on cache stores from this router's own prompts and its share of the
- * traffic.
- */
-function storePressureOf(
-  { generation }: InboundRequest,
-  stores: readonly CacheStore[],
-  context: GatewayContext,
-): StorePressure {
-  if (!generation) return StorePressure.Low;
-  const ownRate = context.ownTokenRate.perSecond(generation.model, context.clock.now());
-  return storePressure(ownRate / context.shareOfTraffic(), stores);
-}
-
-/** Options with which a placed request is sent. */
-export function sendOptionsOf(
-  placement: Placement,
-  grant: Grant,
-  remainingMs: number,
-  resumeAfter: string | undefined,
-  forwarder: Forwarder | undefined,
-): SendOptions {
-  return {
-    budgetMs: Math.max(1, Math.floor(remainingMs)),
-    tenant: grant.tenant?.name,
-    expectedInstance: placement.engine.record.name,
-    expectedVersion: placement.expectedVersion,
-    cacheSalt: placement.cacheSalt,
-    urgency:
-      placement.cacheSalt === undefined ? undefined : Math.min(LOWEST_URGENCY, grant.priority),
-    fetchFrom: placement.fetchFrom,
-    saveTo: placement.saveTo,
-    resumeAfter,
-    forwarder,
-  };
-}
-
 /** Receives the events of one send until it is cancelled. */
 export interface SendEvents {
   onHead(send: Send, head: ResponseHead): void;
--- a/test/gateway/placement-by-gaps.test.ts
+++ b/test/gateway/placement-by-gaps.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava';
 import { createHasher } from '../../src/runtime/hasher.js';
 import { SeededRandom } from '../../src/runtime/random.js';
-import { gapPlacementOf } from '../../src/coordination/gateway/send.js';
+import { gapPlacementOf } from '../../src/coordination/gateway/call-placement.js';
 import { LoadSharingFeature } from '../../src/coordination/gateway/load-sharing-settings.js';
 import type { Route, Service } from '../../src/state/routing/configuration.js';
 import { CachedPrefixes } from '../../src/state/routing/cached-prefixes.js';
