Let whole responses without a length pass over forwarded connections

Callers of a router without a path to the engines lost every response without a length: the end of a forwarded connection was always taken for an interruption, since a forwarder that is killed ends it in the same way. The end is now checked as on a direct connection, through the same forwarder: only if it still connects to the engine, the response ends, without a statement that it is complete. A forwarder of an earlier build answers that check already; nothing on the wire changed.

The simulated engines can answer without a length, break such responses off by closing the connection in order, and their forwarders can die under them. The test that such a forwarded response is never complete expected the loss that is mended here; it now expects the end, its framing and the whole body, and a test with a killed forwarder guards the other side.

--- a/fuzz/engine-cut-commands.ts
+++ b/fuzz/engine-cut-commands.ts
@@ -46,7 +46,8 @@
     ),
   );
 
-const ENGINE_CUT_COMMANDS: readonly fc.Arbitrary<GatewayCommand>[] = [
+/** Commands of this file, each as often as it is drawn. */
+export const ENGINE_CUT_COMMANDS: readonly fc.Arbitrary<GatewayCommand>[] = [
   cutRouters,
   cutRouters,
   cutRouters,
--- /dev/null
+++ b/fuzz/response-framing-mutations.ts
@@ -0,0 +1,33 @@
+/** Mutations on responses whose end only their connection shows. */
+import { BodyFraming, type ExchangeListener } from '../src/protocol/inference/port.js';
+import { changePort } from './change-port.js';
+import type { GatewayMutation } from './gateway-mutations.js';
+
+/** Mutations that the fuzz test on responses without a length must detect. */
+export const RESPONSE_FRAMING_MUTATIONS: readonly GatewayMutation[] = [
+  {
+    name: 'the end of a connection counts as the stated end of a response',
+    rule: 'whole-answer',
+    mutation: {
+      makeView: () => (view) => ({
+        ...view,
+        engines: changePort(view.engines, {
+          send: (endpoint, request, options, listener) =>
+            view.engines.send(endpoint, request, options, withChunks(listener)),
+        }),
+      }),
+    },
+  },
+];
+
+/** Passes on every head as that of a response in chunks. */
+function withChunks(listener: ExchangeListener): ExchangeListener {
+  return {
+    onConnected: (connection) => listener.onConnected?.(connection),
+    onNotice: (notice) => listener.onNotice(notice),
+    onHead: (head) => listener.onHead({ ...head, framing: BodyFraming.Chunks }),
+    onChunk: (chunk) => listener.onChunk(chunk),
+    onEnd: () => listener.onEnd(),
+    onFailure: (failure) => listener.onFailure(failure),
+  };
+}
--- a/src/lab/gateway-simulation/gateway-oracle.ts
+++ b/src/lab/gateway-simulation/gateway-oracle.ts
@@ -200,6 +200,9 @@
     streamEventOf(id, index + 1),
   ).join('');
   const isExpected = reply.ending === 'whole' ? reply.body === whole : whole.startsWith(reply.body);
+  const isWithinEvent = reply.body !== '' && !reply.body.endsWith('\n\n');
+  if (reply.ending === 'closed' && isWithinEvent)
+    return [{ rule: 'stream-in-order', detail: `${id} ended within an event: "${reply.body}"` }];
   return isExpected ? [] : [{ rule: 'stream-in-order', detail: `${id}: "${reply.body}"` }];
 }
 
--- a/src/lab/gateway-simulation/recorded-reply.ts
+++ b/src/lab/gateway-simulation/recorded-reply.ts
@@ -1,8 +1,15 @@
 /** Caller's side of a request: records the response and how it ended. */
-import type { RouterResponse, Reply } from '../../coordination/gateway/reply.js';
+import type { Reply, ReplyFraming, RouterResponse } from '../../coordination/gateway/reply.js';
+import { BodyFraming, type HeaderLine } from '../../protocol/inference/port.js';
 
 /** How a response ended for the caller. */
-export type ReplyEnd = 'whole' | 'refused' | 'aborted' | 'left';
+export type ReplyEnd =
+  | 'whole'
+  /** The connection was closed in order, which states nothing about a response without a length. */
+  | 'closed'
+  | 'refused'
+  | 'aborted'
+  | 'left';
 
 /** Records one response. */
 export class RecordedReply implements Reply {
@@ -11,6 +18,7 @@
   own: RouterResponse | undefined;
   ending: ReplyEnd | undefined;
   body = '';
+  private framing: ReplyFraming | undefined;
   /** Number of response heads; more than one is a fault, which Node.js reports with an exception. */
   headCount = 0;
   private takenListener: (isClosed: boolean) => void = () => undefined;
@@ -21,9 +29,10 @@
     return 0;
   }
 
-  begin(status: number): void {
+  begin(status: number, _: readonly HeaderLine[], framing: ReplyFraming): void {
     this.headCount += 1;
     this.status = status;
+    this.framing = framing;
   }
 
   write(chunk: Uint8Array): boolean {
@@ -32,7 +41,7 @@
   }
 
   end(): void {
-    this.ending = 'whole';
+    this.ending = this.framing?.kind === BodyFraming.Connection ? 'closed' : 'whole';
     this.takenListener(true);
   }
 
--- a/src/lab/gateway-simulation/simulated-engine.ts
+++ b/src/lab/gateway-simulation/simulated-engine.ts
@@ -1,5 +1,5 @@
 /** Simulated engine with injectable faults, and the observations of all engines. */
-import type { EngineNotice } from '../../protocol/inference/port.js';
+import { BodyFraming, type EngineNotice } from '../../protocol/inference/port.js';
 import { incarnationOf } from '../../state/routing/engine-incarnation.js';
 
 /** How an engine handles requests. */
@@ -61,8 +61,10 @@
 
 /** A request that runs on an engine. */
 export interface RunningRequest {
-  /** Breaks the connection at the engine's side. */
+  /** Closes the connection at the engine's side, as the kernel does for a process that has died. */
   disconnect(): void;
+  /** Resets the connection at the engine's side. */
+  reset(): void;
   /** Ends the run at the engine without notifying the router. */
   abandon(): void;
 }
@@ -98,6 +100,8 @@
 /** One incarnation of a simulated engine. */
 export class SimulatedEngine {
   mode = EngineMode.Healthy;
+  /** What shows the end of its responses. */
+  framing = BodyFraming.Chunks;
   isRunning = true;
   commandSequence = 0;
   highestToken = 0;
