--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -27,6 +27,8 @@
   status: number | undefined;
   /** Whether the response is complete according to HTTP framing. */
   isComplete: boolean;
+  /** Whether the response has a length or chunks, which state whether it is complete. */
+  isFramed: boolean;
   body: string;
   /** Why no complete response was received. */
   failure: string | undefined;
@@ -97,6 +99,7 @@
       endedMs: undefined,
       status: undefined,
       isComplete: false,
+      isFramed: true,
       body: '',
       failure: undefined,
       retryAfterS: undefined,
@@ -203,6 +206,8 @@
   response.on('error', (error) => fail(error.message));
   response.on('end', () => {
     record.isComplete = response.complete;
+    record.isFramed =
+      'content-length' in response.headers || 'transfer-encoding' in response.headers;
     if (response.complete) onEnd();
     else fail('incomplete');
   });
--- a/soak/engine-program.ts
+++ b/soak/engine-program.ts
@@ -25,6 +25,7 @@
 const DRAIN_MS = 9_000;
 const CRASH_DELAY_MS = 40;
 const MILLISECONDS_PER_SECOND = 1_000;
+const UNFRAMED_RESPONSE_INTERVAL = 4;
 
 const startedAtMs = Date.now();
 /** Identifier of this incarnation in reports to the oracle. */
@@ -211,7 +212,9 @@
   body: string,
 ): void {
   addNotice(response, headers[WireHeader.attemptId] ?? '', 0);
-  response.writeHead(status, { ...headers, 'Content-Length': String(Buffer.byteLength(body)) });
+  if (isUnframed(headers[WireHeader.attemptId] ?? '')) endWithConnection(response);
+  else response.setHeader('Content-Length', Buffer.byteLength(body));
+  response.writeHead(status, headers);
   if (behavior === EngineBehavior.Truncating) {
     response.write(body.slice(0, body.length / 2));
     setTimeout(() => response.destroy(), 1);
@@ -225,6 +228,7 @@
   headers: Record<string, string>,
 ): void {
   addNotice(response, requestId, 0);
+  if (isUnframed(requestId)) endWithConnection(response);
   response.writeHead(200, { ...headers, 'Content-Type': 'text/event-stream' });
   let number = Number(request.headers[WireHeader.lastEventId] ?? 0);
   const cutAfter = behavior === EngineBehavior.Truncating ? STREAM_EVENTS / 2 : Infinity;
@@ -244,6 +248,18 @@
   response.once('close', () => clearInterval(timer));
 }
 
+/** Whether the response has neither a length nor chunks, as every fourth of a caller. */
+function isUnframed(requestId: string): boolean {
+  const count = Number(requestId.split('-').at(-1));
+  return count % UNFRAMED_RESPONSE_INTERVAL === 1;
+}
+
+/** Lets the response end with its connection, and state no other end. */
+function endWithConnection(response: ServerResponse): void {
+  response.useChunkedEncodingByDefault = false;
+  response.shouldKeepAlive = false;
+}
+
 interface LoadCommand {
   readonly version: number;
   readonly holder: string;
