Decode the builds of engines and the streams that callers take up, and log them

The version of an engine's software was decoded nowhere, and Resumes was not read, so the log could not tell at which builds the parts of a stream were made. request_sent names the build, the event after which a stream goes on and the attempt that began it. No decision uses them yet. The build of an incarnation that is inferred from a response is not known.

--- a/src/coordination/gateway/call-dispatch.ts
+++ b/src/coordination/gateway/call-dispatch.ts
@@ -170,7 +170,7 @@
     const route = this.routeTo(placement);
     const forwarder = route.kind === 'forwarded' ? route.forwarder : undefined;
     const options = sendOptionsOf(placement, grant, call.remainingMs, resumeAfter, forwarder);
-    logSend(request.id, call.sends, placement, forwarder, context);
+    logSend(request, call.sends, placement, options, context);
     call.state = CallState.Sent;
     this.onSend(grant);
     call.send = new Send(placement, request, options, this.events, context);
--- a/src/coordination/gateway/call-log.ts
+++ b/src/coordination/gateway/call-log.ts
@@ -2,7 +2,7 @@
 import {
   BodyFraming,
   type ExchangeFailure,
-  type Forwarder,
+  type SendOptions,
 } from '../../protocol/inference/port.js';
 import type { Logger } from '../../runtime/logger.js';
 import type { Placement } from '../../state/routing/placement.js';
@@ -12,20 +12,23 @@
 
 /** Logs that a request is sent to an engine, with the inputs of the decision. */
 export function logSend(
-  requestId: string,
+  { id: requestId, resumes }: InboundRequest,
   send: number,
   placement: Placement,
-  forwarder: Forwarder | undefined,
+  { resumeAfter, forwarder }: Pick<SendOptions, 'resumeAfter' | 'forwarder'>,
   context: GatewayContext,
 ): void {
   const { configuration, registry, loads, logger, group, clock } = context;
-  const { id, address } = placement.engine.record;
+  const { id, address, build } = placement.engine.record;
   logger.info('request_sent', {
     request: requestId,
     send,
     engine: id,
     address,
     forwarder: forwarder?.address,
+    build,
+    after_event: resumeAfter,
+    resumes,
     version: placement.expectedVersion,
     cost_ms: Math.round(placement.costMs),
     unread: Math.round(placement.unreadTokens),
--- a/src/coordination/gateway/reply.ts
+++ b/src/coordination/gateway/reply.ts
@@ -21,6 +21,8 @@
   readonly declaredTokens?: number | undefined;
   /** Event after which the caller resumes a stream. */
   readonly resumeAfter: string | undefined;
+  /** Attempt that brought the first event of the resumed stream; undefined if not stated. */
+  readonly resumes?: string | undefined;
   readonly arrivedMs: number;
   /** Counts the body against the memory budget; undefined without a body or a budget. */
   readonly heldBody?: BodyShare | undefined;
--- a/src/state/routing/engine-record.ts
+++ b/src/state/routing/engine-record.ts
@@ -16,6 +16,8 @@
   readonly zone: string;
   readonly slots: number;
   readonly isDraining: boolean;
+  /** Version of the engine's software; undefined if not stated, or not known of an incarnation yet. */
+  readonly build?: string | undefined;
   /** Version of the weights by model. */
   readonly modelVersions: ReadonlyMap<string, number>;
 }
--- a/src/state/routing/engine-registry.ts
+++ b/src/state/routing/engine-registry.ts
@@ -219,6 +219,8 @@
       ...record,
       id,
       startedAtMs,
+      // The engine may have restarted with other software.
+      build: undefined,
       modelVersions: loadedVersions(current),
     };
     const mayServe = !this.retired.has(id) && (known !== undefined || !record.isDraining);
--- a/test/platform/formats.test.ts
+++ b/test/platform/formats.test.ts
@@ -1,4 +1,4 @@
-/** Guards against misread rate limits of tenants in the platform's configuration. */
+/** Guards against misread rate limits of tenants and builds of engines in the platform's objects. */
 import test from 'ava';
 import { platformDecoder } from '../../platform/formats.js';
 import { QuotaUnit } from '../../src/state/routing/quota/tenant-limit.js';
@@ -47,3 +47,15 @@
     if (decoded.kind === 'malformed') t.regex(decoded.reason, /^tenants\.0\./);
   }
 });
+
+test('the build of an engine is the version of its software', (t) => {
+  const buildOf = (version: unknown): unknown => {
+    const spec = { service: 's', address: '10.0.0.1:80', zone: 'z', state: 'ready', version };
+    const decoded = platformDecoder.engine({ name: 'e', position: positionAt(1), spec });
+    return decoded.kind === 'value' ? decoded.value.build : decoded.kind;
+  };
+  t.is(buildOf('v1.1'), 'v1.1');
+  t.is(buildOf(2), '2');
+  t.is(buildOf(undefined), undefined);
+  t.is(buildOf({}), 'malformed');
+});
--- a/test/platform/ingress.test.ts
+++ b/test/platform/ingress.test.ts
@@ -59,7 +59,7 @@
     'POST /a/b?q=1 HTTP/1.1\r\nHost: H.example:80\r\nX-Peatspan-Attempt-Id: 7\r\n' +
       'Api-Key: secret\r\nX-Peatspan-Tenant: forged\r\nX-Peatspan-Cache-Salt: forged\r\n' +
       'X-Peatspan-Time-Budget-Ms: 900\r\nX-Peatspan-Model: m\r\nX-Peatspan-Token-Usage: 30,5\r\n' +
-      'X-Peatspan-Prompt-Prefix: aa:10,bb:20\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-Kept: 2\r\n' +
+      'X-Peatspan-Prompt-Prefix: aa:10,bb:20\r\nLast-Event-Id: 4\r\nResumes: 6\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-Kept: 2\r\n' +
       'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n',
   );
   await waitUntil(() => harness.requests.length === 1);
@@ -69,6 +69,8 @@
   t.is(request.host, 'h.example');
   t.is(request.apiKey, 'secret');
   t.is(request.budgetMs, 900);
+  t.is(request.resumeAfter, '4');
+  t.is(request.resumes, '6');
   t.is(Buffer.from(request.body).toString(), 'abc');
   t.deepEqual(request.generation?.parts, [
     { id: 'aa', tokens: 10 },
