Show that streams go on at another build of their engines

The simulated engines have builds, which releases and restarts change; their events state them, and an oracle finds streams that hold events of two builds, in one answer or over the attempts of a caller that comes back at another router with the attempt that began its stream. With one build only, the streams that callers take up go on.

--- a/src/lab/gateway-simulation/gateway-oracle.ts
+++ b/src/lab/gateway-simulation/gateway-oracle.ts
@@ -4,7 +4,7 @@
 import type { GatewaySimulation } from './gateway-simulation.js';
 import type { ObservedRequest } from './simulation-records.js';
 import type { ObservedRun } from './simulated-engine.js';
-import { STREAM_EVENTS, streamEventOf, plainBodyOf } from './simulated-exchange.js';
+import { STREAM_EVENTS, parseStream, streamEventOf, plainBodyOf } from './simulated-exchange.js';
 import { type EnginePathBreach, judgeEnginePaths } from './engine-path-oracle.js';
 import { type FallBreach, judgeFalls } from './fall-oracle.js';
 import { type LimitBreach, judgeLimits } from './limit-oracle.js';
@@ -23,6 +23,7 @@
   | 'promise-kept'
   | 'answered-once'
   | 'whole-answer'
+  | 'one-build'
   | 'stream-in-order'
   | 'key-removed'
   | 'engine-drained'
@@ -74,6 +75,7 @@
     ...judgeRunStarts(simulation),
     ...judgeCrashes(simulation),
     ...judgeMalformedEntries(simulation),
+    ...judgeBuilds(simulation),
     ...judgeEnginePaths(simulation),
     ...judgeFalls(simulation),
     ...judgeNotices(simulation),
@@ -196,10 +198,12 @@
     if (reply.ending !== 'whole' || reply.body === plainBodyOf(id)) return [];
     return [{ rule: 'whole-answer', detail: `${id}: "${reply.body}"` }];
   }
-  const whole = Array.from({ length: STREAM_EVENTS }, (_, index) =>
-    streamEventOf(id, index + 1),
+  const first = (request.continued?.lastEvent ?? 0) + 1;
+  const whole = Array.from({ length: STREAM_EVENTS - first + 1 }, (_, index) =>
+    streamEventOf(id, first + index),
   ).join('');
-  const isExpected = reply.ending === 'whole' ? reply.body === whole : whole.startsWith(reply.body);
+  const { events } = parseStream(reply.body);
+  const isExpected = reply.ending === 'whole' ? events === whole : whole.startsWith(events);
   const isWithinEvent = reply.body !== '' && !reply.body.endsWith('\n\n');
   if (reply.ending === 'closed' && isWithinEvent)
     return [{ rule: 'stream-in-order', detail: `${id} ended within an event: "${reply.body}"` }];
@@ -285,3 +289,19 @@
     return [{ rule: 'one-holder' as const, detail }];
   });
 }
+
+/** A stream holds events of one build, also over several attempts of its caller. */
+function judgeBuilds({ requests }: GatewaySimulation): RuleBreach[] {
+  const byStream = new Map<string, Set<string>>();
+  for (const { id, kind, continued, reply } of requests) {
+    if (!kind.startsWith('stream') || reply.status !== 200) continue;
+    const stream = continued?.firstAttempt ?? id;
+    const builds = byStream.get(stream) ?? new Set();
+    byStream.set(stream, builds);
+    for (const build of parseStream(reply.body).builds) builds.add(build);
+  }
+  return [...byStream].flatMap(([stream, builds]) => {
+    if (builds.size < 2) return [];
+    return [{ rule: 'one-build', detail: `${stream}: ${[...builds].join(', ')}` }];
+  });
+}
--- a/src/lab/gateway-simulation/gateway-simulation.ts
+++ b/src/lab/gateway-simulation/gateway-simulation.ts
@@ -27,6 +27,7 @@
 import type { StoredEngine } from './stored-engine.js';
 import {
   DECODER,
+  type ContinuedStream,
   GENERATION_SERVICE,
   KEYS,
   KINDS,
@@ -134,6 +135,7 @@
     tenant: string,
     keyIndex: number,
     body?: string,
+    continued?: ContinuedStream,
   ): void {
     const name = routerName(routerIndex);
     const router = this.routers.get(name);
@@ -141,8 +143,9 @@
     if (!router?.host.isRunning || key === undefined) return;
     const id = `request-${this.requests.length}`;
     const reply = new RecordedReply();
-    this.requests.push({ id, kind, tenant, key, router: name, sentMs: this.now, reply });
-    router.node.handle(inboundRequest(id, kind, key, this.now, body), reply);
+    const sentMs = this.now;
+    this.requests.push({ id, kind, tenant, key, router: name, sentMs, reply, continued });
+    router.node.handle(inboundRequest(id, kind, key, sentMs, body, continued), reply);
   }
 
   /** Closes the caller's connection of one of the last requests. */
--- a/src/lab/gateway-simulation/simulated-engine.ts
+++ b/src/lab/gateway-simulation/simulated-engine.ts
@@ -76,6 +76,8 @@
   readonly address: string;
   readonly service: string;
   readonly model: string | undefined;
+  /** Version of its software; a restart may change it. */
+  readonly build: string;
 }
 
 /** Bounded capacity of an engine. */
@@ -163,6 +165,10 @@
     return this.identity.model;
   }
 
+  get build(): string {
+    return this.identity.build;
+  }
+
   get weightsVersion(): number {
     return this.version;
   }
--- a/src/lab/gateway-simulation/simulated-exchange.ts
+++ b/src/lab/gateway-simulation/simulated-exchange.ts
@@ -21,6 +21,7 @@
   type RunningRequest,
   type SimulatedEngine,
 } from './simulated-engine.js';
+import { FIRST_BUILD } from './simulation-fixtures.js';
 
 /** Number of events in each stream. */
 export const STREAM_EVENTS = 5;
@@ -242,7 +243,7 @@
       this.deliverLast(() => this.listener.onEnd(), !this.endsUnnoticed);
       return;
     }
-    const text = streamEventOf(this.request.id, index);
+    const text = streamEventOf(this.request.id, index, this.engine?.build);
     const CUT_EVENT = 3;
     if (isCut && index >= CUT_EVENT) {
       this.deliver(() => this.listener.onChunk(Buffer.from(text.slice(0, text.length / 2))));
@@ -296,9 +297,20 @@
   return `answer to ${requestId}`;
 }
 
-/** One event of a stream. */
-export function streamEventOf(requestId: string, index: number): string {
-  return `id: ${index}\ndata: ${requestId}/${index}\n\n`;
+/** One event of a stream; it states the build of its engine unless that is the first one. */
+export function streamEventOf(requestId: string, index: number, build = FIRST_BUILD): string {
+  const statement = build === FIRST_BUILD ? '' : `event: ${build}\n`;
+  return `id: ${index}\n${statement}data: ${requestId}/${index}\n\n`;
+}
+
+/** The events of a stream without the builds that they state, and those builds. */
+export function parseStream(body: string): { readonly events: string; readonly builds: string[] } {
+  const events = body.replaceAll(/^event: .*\n/gm, '');
+  const builds = body.split('\n\n').flatMap((event) => {
+    if (event === '') return [];
+    return [/^event: (.*)$/m.exec(event)?.[1] ?? FIRST_BUILD];
+  });
+  return { events, builds };
 }
 
 function headOf(status: number, framing: BodyFraming): ResponseHead {
--- a/src/lab/gateway-simulation/simulated-fleet.ts
+++ b/src/lab/gateway-simulation/simulated-fleet.ts
@@ -14,7 +14,7 @@
 } from './simulated-engine.js';
 import type { SimulatedObjectStore } from './simulated-object-store.js';
 import type { StoredEngine } from './stored-engine.js';
-import { GENERATION_SERVICE, KINDS, SIMULATION_MODEL } from './simulation-fixtures.js';
+import { FIRST_BUILD, GENERATION_SERVICE, KINDS, SIMULATION_MODEL } from './simulation-fixtures.js';
 
 /** Options of a restart under the same name. */
 export interface EngineRestart {
@@ -75,6 +75,8 @@
 export class SimulatedFleet {
   /** Whether a crashed engine restarts under its name; otherwise a new engine replaces it. */
   restartsUnderName = false;
+  /** Build of the engines that start from now on. */
+  build = FIRST_BUILD;
   /** Capacity of the engines of a service; unlimited by default. */
   readonly capacities = new Map<string, EngineCapacity>();
   /** Periods in which the engines of a service are brittle. */
@@ -155,7 +157,8 @@
     const name = `engine-${this.names.length + 1}`;
     this.names.push(name);
     const model = service === GENERATION_SERVICE ? SIMULATION_MODEL : undefined;
-    const identity = { name, address: address ?? `${name}:1`, service, model };
+    const { build } = this;
+    const identity = { name, address: address ?? `${name}:1`, service, model, build };
     const published = this.store.get(KINDS.weightVersions, SIMULATION_MODEL)?.spec as {
       version: number;
     };
@@ -279,7 +282,8 @@
   private scheduleRestart(previous: SimulatedEngine, options: EngineRestart): void {
     const version = options.losesLoad ? previous.previousVersion : previous.weightsVersion;
     this.clock.setTimer(options.downMs, () => {
-      const engine = this.start(previous.identity, version, options.clockStepMs);
+      const identity = { ...previous.identity, build: this.build };
+      const engine = this.start(identity, version, options.clockStepMs);
       this.clock.setTimer(options.entryDelayMs, () => this.writeEntry(engine));
     });
   }
@@ -352,9 +356,10 @@
 }
 
 function entryOf(engine: SimulatedEngine): StoredEngine {
-  const { name, startedAtMs, service, address, model, isDraining, weightsVersion } = engine;
+  const { name, startedAtMs, service, address, model, build, isDraining, weightsVersion } = engine;
   return {
     name,
+    build,
     startedAtMs,
     service,
     address,
--- a/src/lab/gateway-simulation/simulation-fixtures.ts
+++ b/src/lab/gateway-simulation/simulation-fixtures.ts
@@ -24,6 +24,8 @@
 export const ISOLATED_TENANT = 'tenant-1';
 export const GENERATION_SERVICE = 'generation';
 export const PLAIN_SERVICE = 'plain';
+/** Build of the engines at the start; their events don't state it. */
+export const FIRST_BUILD = 'build-1';
 /** Number of routers. */
 export const ROUTERS = 3;
 
@@ -171,6 +173,14 @@
 /** Prefix of bodies that crash every engine running them. */
 export const CRASHING_BODY = 'crashes-engines';
 
+/** A stream that a caller takes up again. */
+export interface ContinuedStream {
+  /** Attempt that brought its first event. */
+  readonly firstAttempt: string;
+  /** Number of the last event received. */
+  readonly lastEvent: number;
+}
+
 /** A caller's request. Requests with the same body count as the same request. */
 export function inboundRequest(
   id: string,
@@ -178,6 +188,7 @@
   key: string,
   arrivedMs: number,
   body = id,
+  continued?: ContinuedStream,
 ): InboundRequest {
   const path = `/${pathOf(kind)}/x`;
   const parts = [
@@ -199,7 +210,8 @@
       ? { model: SIMULATION_MODEL, parts, promptTokens: 900, maximumOutputTokens: 10 }
       : undefined,
     declaredTokens: kind.startsWith('stream') ? STREAM_TOKENS : undefined,
-    resumeAfter: undefined,
+    resumeAfter: continued && String(continued.lastEvent),
+    resumes: continued?.firstAttempt,
     arrivedMs,
   };
 }
--- a/src/lab/gateway-simulation/simulation-records.ts
+++ b/src/lab/gateway-simulation/simulation-records.ts
@@ -1,6 +1,6 @@
 /** What a simulated deployment records and the parameters of its faults. */
 import type { RecordedReply } from './recorded-reply.js';
-import type { RequestKind } from './simulation-fixtures.js';
+import type { ContinuedStream, RequestKind } from './simulation-fixtures.js';
 
 /** A request and its recorded response. */
 export interface ObservedRequest {
@@ -11,6 +11,8 @@
   readonly router: string;
   readonly sentMs: number;
   readonly reply: RecordedReply;
+  /** The stream that it continues; undefined for a new request. */
+  readonly continued?: ContinuedStream | undefined;
 }
 
 /** Restoration of the store from an older copy. Times in milliseconds. */
