Continue a stream within one answer at engines of the build that began it only

Callers got streams of which one part was made by an engine of one build and the rest by one of another, which does not fit together: a stream that broke off went on at any engine that placement liked. The build of the engine that brought the first event is kept with the request, and only engines of that build are considered for the rest; without one left, the caller's connection breaks at once, without spending from the retry budget. If the engine has restarted meanwhile with another build, as far as its entry is known, its answer is dropped before an event of it is passed on.

--- a/src/coordination/gateway/call-dispatch.ts
+++ b/src/coordination/gateway/call-dispatch.ts
@@ -65,7 +65,7 @@
       ending.reject(RejectionReason.NoTimeLeft);
       return;
     }
-    const placed = placeCall(call.request, grant, service, call.excluded, call.context);
+    const placed = this.place(grant, service);
     if (this.waiting.enterIfNeeded(placed, grant, service)) return;
     this.sendPlaced(placed, grant, service);
   }
@@ -92,7 +92,7 @@
       return SendAttempt.Done;
     }
     this.waiting.allowRefusingEngines();
-    const placed = placeCall(call.request, grant, service, call.excluded, call.context);
+    const placed = this.place(grant, service);
     if (this.waiting.causeOf(placed, grant, service) !== undefined) return SendAttempt.NoCapacity;
     call.state = CallState.Choosing;
     const { place } = call;
@@ -114,6 +114,11 @@
     else this.acquireQuota(placed, grant, service);
   }
 
+  private place(grant: Grant, service: Service): ReturnType<typeof placeCall> {
+    const { request, excluded, requiredBuild, context } = this.call;
+    return placeCall({ request, grant, service, excluded, requiredBuild }, context);
+  }
+
   private routeTo({ engine }: Placement): EngineRoute {
     return this.call.context.forwarding.routeTo(engine.record.id);
   }
--- a/src/coordination/gateway/call-placement.ts
+++ b/src/coordination/gateway/call-placement.ts
@@ -1,6 +1,7 @@
 /** Chooses the engine for a request of a router, and the options of its send. */
 import type { Forwarder, SendOptions } from '../../protocol/inference/port.js';
 import type { CacheStore, Service } from '../../state/routing/configuration.js';
+import type { Engine } from '../../state/routing/engine-registry.js';
 import {
   type Placement,
   type PlacementFailure,
@@ -19,12 +20,26 @@
 /** Routers added to the known group size, for those not discovered yet. */
 const UNDISCOVERED_ROUTERS = 1;
 
+/** The build at whose engines alone a stream may go on. */
+export interface BuildRequirement {
+  /** Undefined if the engine that began the stream stated none. */
+  readonly build: string | undefined;
+}
+
+/** A request to place. */
+export interface CallToPlace {
+  readonly request: InboundRequest;
+  readonly grant: Grant;
+  readonly service: Service;
+  /** Engines that are not considered, by incarnation. */
+  readonly excluded: ReadonlySet<string>;
+  /** Undefined if engines of every build may serve. */
+  readonly requiredBuild: BuildRequirement | undefined;
+}
+
 /** Chooses an engine for a request. */
 export function placeCall(
-  request: InboundRequest,
-  grant: Grant,
-  service: Service,
-  excluded: ReadonlySet<string>,
+  { request, grant, service, excluded, requiredBuild }: CallToPlace,
   context: GatewayContext,
 ): ReturnType<typeof placeRequest> {
   const stores = grant.table.cacheStores.flatMap(({ cacheStore }) => cacheStore ?? []);
@@ -34,7 +49,7 @@
   );
   return placeRequest(
     {
-      candidates: context.registry.ofService(service.name),
+      candidates: candidatesOf(service, requiredBuild, context),
       profile: service.engine,
       generation: service.engine ? request.generation : undefined,
       isolatedTenant: grant.tenant?.isIsolated ? grant.tenant.name : undefined,
@@ -52,6 +67,16 @@
   );
 }
 
+function candidatesOf(
+  { name }: Service,
+  requiredBuild: BuildRequirement | undefined,
+  { registry }: GatewayContext,
+): readonly Engine[] {
+  const engines = registry.ofService(name);
+  if (!requiredBuild) return engines;
+  return engines.filter(({ record }) => record.build === requiredBuild.build);
+}
+
 /** Inputs of placement by gaps and capacity; none if no route has a gap objective. */
 export function gapPlacementOf(
   { table, route }: Pick<Grant, 'table' | 'route'>,
--- a/src/coordination/gateway/call-record.ts
+++ b/src/coordination/gateway/call-record.ts
@@ -11,6 +11,7 @@
 import { CallQuota } from './call-quota.js';
 import { CallResponse } from './call-response.js';
 import { CallState } from './call-state.js';
+import type { BuildRequirement } from './call-placement.js';
 import type { GatewayContext } from './gateway-context.js';
 import type { InboundRequest, Reply } from './reply.js';
 import type { Grant } from './request-admission.js';
@@ -42,6 +43,8 @@
   deadlineMs = Infinity;
   /** Sent as a sample although the estimate predicted a missed deadline. */
   isSample = false;
+  /** Set once an event was passed on; undefined while any build may serve. */
+  requiredBuild: BuildRequirement | undefined;
   readonly response: CallResponse;
   readonly crashes: CallCrashes;
   readonly quota: CallQuota;
--- a/src/coordination/gateway/call-response.ts
+++ b/src/coordination/gateway/call-response.ts
@@ -82,6 +82,11 @@
     return this.firstReceivedMs !== undefined;
   }
 
+  /** Whether a whole event of a stream that may go on elsewhere was passed on. */
+  get hasPassedEvent(): boolean {
+    return this.boundary.hasReturnedEvent;
+  }
+
   /** Handles the head of a new response; not called for the head of one that continues it. */
   handleHead(head: ResponseHead, mode: ResponseMode): void {
     this.mode = mode;
--- a/src/coordination/gateway/call-retries.ts
+++ b/src/coordination/gateway/call-retries.ts
@@ -1,5 +1,6 @@
 /** Decides whether one request is sent again after a failed send. */
 import type { ExchangeFailure } from '../../protocol/inference/port.js';
+import type { Placement, PlacementFailure } from '../../state/routing/placement.js';
 import { RejectionReason } from '../../state/routing/rejection.js';
 import type { CallRecord } from './call-record.js';
 import { rejectionReasonOf } from './failed-send.js';
@@ -29,12 +30,19 @@
 
   /** Whether another engine is available and the retry budget allows a retry. */
   canFailOver(send: Send): boolean {
-    const { grant, service, context, request, now, excluded } = this.call;
-    if (!grant || !service) return false;
+    const { service, context, now } = this.call;
+    if (!service) return false;
     const budget = context.retryBudgets.of(service.name);
     if (!budget.canSpend(now, context.group.size)) return false;
-    const allExcluded = new Set([...excluded, send.engineId]);
-    return typeof placeCall(request, grant, service, allExcluded, context) !== 'string';
+    return typeof this.placeWithout(send.engineId) !== 'string';
+  }
+
+  /** Places the request at another engine than those tried and the given one. */
+  private placeWithout(engineId?: string): Placement | PlacementFailure {
+    const { grant, service, context, request, excluded, requiredBuild } = this.call;
+    if (!grant || !service) return RejectionReason.NoEngine;
+    const allExcluded = engineId === undefined ? excluded : new Set([...excluded, engineId]);
+    return placeCall({ request, grant, service, excluded: allExcluded, requiredBuild }, context);
   }
 
   /** Decides before any part of a response was sent to the caller. */
@@ -50,6 +58,8 @@
 
   /** Decides whether another engine continues a stream. */
   private decideResumption(failure: ExchangeFailure): RetryDecision {
+    if (this.placeWithout() === RejectionReason.NoEngine)
+      return { kind: 'abort', detail: RejectionReason.NoEngine };
     if (!this.call.response.isResumable || !this.isRetried(failure))
       return { kind: 'abort', detail: failure.reason };
     this.call.context.statistics.resumedStreams += 1;
--- a/src/coordination/gateway/event-boundary.ts
+++ b/src/coordination/gateway/event-boundary.ts
@@ -11,12 +11,18 @@
   private pending: Uint8Array[] = [];
   private size = 0;
   private lastIdentifier: string | undefined;
+  private hasReturned = false;
 
   /** Identifier of the last complete event that was returned. */
   get lastEventId(): string | undefined {
     return this.lastIdentifier;
   }
 
+  /** Whether any complete event was returned. */
+  get hasReturnedEvent(): boolean {
+    return this.hasReturned;
+  }
+
   /** Number of buffered bytes of an incomplete event. */
   get pendingBytes(): number {
     return this.size;
@@ -37,6 +43,7 @@
     this.hold(chunk.subarray(0, end));
     const complete = this.takeRest();
     this.hold(chunk.subarray(end));
+    this.hasReturned = true;
     this.recordIdentifier(complete);
     return complete;
   }
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -95,6 +95,10 @@
         return;
       }
     }
+    if (this.isOfOtherBuild(send)) {
+      this.failSend(send, { kind: 'unknown', reason: 'other-build' });
+      return;
+    }
     if (!call.hasBegun) call.response.handleHead(head, this.responseMode(head));
     if (call.hasBegun) this.updateStallTimeout();
   }
@@ -102,7 +106,10 @@
   onChunk(send: Send, chunk: Uint8Array): void {
     const { call } = this;
     if (call.hasBegun && call.response.isResumable) this.updateStallTimeout();
-    if (!call.response.handleChunk(chunk, call.now)) send.pause();
+    const mayReadOn = call.response.handleChunk(chunk, call.now);
+    if (call.response.hasPassedEvent)
+      call.requiredBuild ??= { build: send.placement.engine.record.build };
+    if (!mayReadOn) send.pause();
   }
 
   failureAtEnd(send: Send): ExchangeFailure | undefined {
@@ -188,6 +195,14 @@
       this.failSend(send, { kind: 'withdrawn', reason: 'path-silent' });
   }
 
+  /** Whether the engine has restarted since it was chosen to continue a stream, with another build. */
+  private isOfOtherBuild({ placement }: Send): boolean {
+    const { requiredBuild, context } = this.call;
+    if (!requiredBuild) return false;
+    const current = context.registry.findByName(placement.engine.record.name)?.record;
+    return current !== undefined && current.build !== requiredBuild.build;
+  }
+
   /** Whether no event of a stream was received that does not continue an earlier one. */
   private get isEmptyStream(): boolean {
     const { response, request } = this.call;
