Let a stream that its caller takes up at another router go on at its build

Callers that came back with a broken stream got its rest from an engine of another build: Resumes was not read, and a router that had not begun the stream could not know its build. Each router now remembers where its streams began; while a service has several builds it tells three routers chosen by the attempt's identifier, which are asked when the caller comes back elsewhere, and it tells them of its streams of the last 60 s when a second build appears. With one build nothing is told. The messages are new kinds of datagram, which routers of earlier builds ignore.

--- a/src/coordination/gateway/call-dispatch.ts
+++ b/src/coordination/gateway/call-dispatch.ts
@@ -11,6 +11,7 @@
 import { CallWaiting } from './call-waiting.js';
 import type { EngineRoute } from './engine-path/engine-forwarding.js';
 import { REQUEST_EXCEEDS_LIMIT } from './permanent-rejections.js';
+import type { OriginFinding } from './stream-origin-exchange.js';
 import type { QuotaDenial } from './quota/tenant-quotas.js';
 import { type Grant, admitRequest, serviceOf } from './request-admission.js';
 import { engineWaitMs, placeCall, sendOptionsOf } from './call-placement.js';
@@ -61,6 +62,10 @@
       return;
     }
     if (isFirst) this.noteTenantDemand(grant, service);
+    if (isFirst && grant.route.isResumable && call.request.resumeAfter !== undefined) {
+      this.findOrigin(service);
+      return;
+    }
     if (call.remainingMs < MINIMUM_BUDGET_MS) {
       ending.reject(RejectionReason.NoTimeLeft);
       return;
@@ -70,6 +75,32 @@
     this.sendPlaced(placed, grant, service);
   }
 
+  /** Continues a stream that its caller takes up, once the build that began it is known. */
+  private findOrigin({ name }: Service): void {
+    const { request, context } = this.call;
+    context.streamOrigins.find(request.resumes, name, (finding) => {
+      if (!this.call.isFinished && this.applyFinding(finding) && this.admit()) this.dispatch();
+    });
+  }
+
+  /** Restricts the request to the build that began its stream; rejects it if that can't be known. */
+  private applyFinding(finding: OriginFinding): boolean {
+    const { call, ending } = this;
+    if (finding.kind === 'sole-build') return true;
+    const { table, route } = call.grant as Grant;
+    const origin = finding.kind === 'known' ? finding.origin : undefined;
+    const isTarget = route.targets.some(({ service }) => service === origin?.service);
+    const service = origin && isTarget ? table.findService(origin.service) : undefined;
+    if (!origin || !service) {
+      call.context.statistics.unknownStreamOrigins += 1;
+      ending.reject(RejectionReason.UnknownStreamOrigin);
+      return false;
+    }
+    call.service = service;
+    call.requiredBuild = { build: origin.build };
+    return true;
+  }
+
   private noteTenantDemand({ tenant }: Grant, { name }: Service): void {
     const { context, tokens, now } = this.call;
     context.tenantShares.noteDemand(name, tenant?.name, tokens, now);
--- a/src/coordination/gateway/call-waiting.ts
+++ b/src/coordination/gateway/call-waiting.ts
@@ -36,6 +36,8 @@
     const { queues } = call.context;
     // A request that may have run can't be rejected, so it is sent as soon as possible.
     if (!queues?.isEffectiveFor(service) || !call.isUnstarted) return false;
+    // The queue serves in turn, and a request for one build must not hold up those for any.
+    if (this.isRestrictedAt(service)) return false;
     const queue = queues.of(service);
     if (!this.hasArrived) queue.noteArrival(grant.priority, grant.route.objectiveMs);
     this.hasArrived = true;
@@ -49,6 +51,15 @@
     return true;
   }
 
+  /** Whether the request may go to a part of the service's engines only. */
+  private isRestrictedAt({ name }: Service): boolean {
+    const { requiredBuild, context } = this.call;
+    if (!requiredBuild) return false;
+    return context.registry
+      .ofService(name)
+      .some(({ record }) => record.build !== requiredBuild.build);
+  }
+
   /** Records that the request may be sent, since it is its turn in the queue. */
   noteTurn(): void {
     this.isSendAllowed = true;
--- a/src/coordination/gateway/gateway-context.ts
+++ b/src/coordination/gateway/gateway-context.ts
@@ -28,6 +28,7 @@
 import type { TenantQuotas } from './quota/tenant-quotas.js';
 import type { MemoryBudget } from './memory-budget.js';
 import type { Rejections } from './rejections.js';
+import type { StreamOriginExchange } from './stream-origin-exchange.js';
 import type { ResponseEndCheck } from './response-end-check.js';
 
 /** Retry budgets by service, created on first use. */
@@ -84,6 +85,7 @@
   readonly responseEnds: ResponseEndCheck;
   readonly rejections: Rejections;
   readonly quotas: TenantQuotas;
+  readonly streamOrigins: StreamOriginExchange;
   /** Undefined if requests never wait in the router. */
   readonly queues: RequestQueues | undefined;
   /** Undefined if the bytes held for callers and engines are not bounded. */
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -187,7 +187,7 @@
       crashes: this.crashes,
       responseEnds: new ResponseEndCheck({ engines, clock, access: this.engineAccess }),
       rejections,
-      quotas: this.exchange.quotas,
+      ...this.exchange.requestViews,
       ...this.sharing.views,
       statistics: this.statistics,
       memory: createMemoryBudget(settings, { clock, logger, statistics, rejections }),
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -14,6 +14,8 @@
   sendsHarmingStreams = 0;
   repeatedSends = 0;
   resumedStreams = 0;
+  /** Streams that callers took up and that were rejected because their build was not known. */
+  unknownStreamOrigins = 0;
   /** Cancelled because the engine's weights expired before the request started. */
   withdrawnSends = 0;
   enginesUnreachable = 0;
--- a/src/coordination/gateway/group-membership.ts
+++ b/src/coordination/gateway/group-membership.ts
@@ -7,6 +7,7 @@
 import {
   type ObservationDatagram,
   type QuotaDatagram,
+  type StreamOriginDatagram,
   type WorkDatagram,
   decodeClusterDatagram,
   encodeClusterGossip,
@@ -85,6 +86,8 @@
   onObservationDatagram: (body: ObservationDatagram) => void = () => undefined;
   /** Handles quota datagrams of other routers. */
   onQuotaDatagram: (body: QuotaDatagram) => void = () => undefined;
+  /** Handles datagrams on the origins of streams. */
+  onStreamOriginDatagram: (body: StreamOriginDatagram) => void = () => undefined;
 
   private constructor(
     private readonly membership: Membership,
@@ -269,14 +272,28 @@
         return this.receiveGossip(body.value);
       case 'loadReport':
         return this.reports.receive(body.value);
+      default:
+        return this.receiveExchange(body);
+    }
+  }
+
+  /** Passes on a datagram of the exchanges that build on the group. */
+  private receiveExchange(
+    body: WorkDatagram | ObservationDatagram | QuotaDatagram | StreamOriginDatagram,
+  ): void {
+    switch (body.case) {
       case 'workReport':
       case 'workSummary':
         return this.onWorkDatagram(body);
       case 'observationReport':
       case 'observationSummary':
         return this.onObservationDatagram(body);
-      default:
+      case 'quotaQuestion':
+      case 'quotaAnswer':
+      case 'quotaNotice':
         return this.onQuotaDatagram(body);
+      default:
+        return this.onStreamOriginDatagram(body);
     }
   }
 
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -107,8 +107,7 @@
     const { call } = this;
     if (call.hasBegun && call.response.isResumable) this.updateStallTimeout();
     const mayReadOn = call.response.handleChunk(chunk, call.now);
-    if (call.response.hasPassedEvent)
-      call.requiredBuild ??= { build: send.placement.engine.record.build };
+    if (call.response.hasPassedEvent && !call.requiredBuild) this.noteOrigin(send);
     if (!mayReadOn) send.pause();
   }
 
@@ -195,6 +194,14 @@
       this.failSend(send, { kind: 'withdrawn', reason: 'path-silent' });
   }
 
+  /** Records the build that has begun the stream, for its rest and for a later attempt of the caller. */
+  private noteOrigin({ placement }: Send): void {
+    const { request, context } = this.call;
+    const { service, build } = placement.engine.record;
+    this.call.requiredBuild = { build };
+    context.streamOrigins.note(request.resumes ?? request.id, { service, build });
+  }
+
   /** Whether the engine has restarted since it was chosen to continue a stream, with another build. */
   private isOfOtherBuild({ placement }: Send): boolean {
     const { requiredBuild, context } = this.call;
--- /dev/null
+++ b/src/coordination/gateway/stream-origin-exchange.ts
@@ -0,0 +1,269 @@
+/**
+ * Lets a stream that a caller takes up again, at any router, go on at the build that began it. Each
+ * router remembers the streams that began there. While a service has several builds, it also tells
+ * some routers chosen by the attempt's identifier (rendezvous hashing), which are asked when the
+ * caller comes back elsewhere. Where a service has one build only, nothing is told.
+ */
+import { create } from '@bufbuild/protobuf';
+import { type Clock, type Timer, repeat } from '../../runtime/clock.js';
+import type { Logger } from '../../runtime/logger.js';
+import {
+  type StreamOriginDatagram,
+  encodeStreamOriginAnswer,
+  encodeStreamOriginNotice,
+  encodeStreamOriginQuestion,
+} from '../../protocol/peer/cluster-codec.js';
+import {
+  type StreamOriginAnswer,
+  StreamOriginAnswerSchema,
+  type StreamOriginNotice,
+  StreamOriginNoticeSchema,
+  type StreamOriginQuestion,
+  StreamOriginQuestionSchema,
+} from '../../protocol/peer/generated/cluster_pb.js';
+import { BuildHistory } from '../../state/routing/build-history.js';
+import type { EngineRegistry } from '../../state/routing/engine-registry.js';
+import type { HomeRanking } from '../../state/routing/home-ranking.js';
+import {
+  ORIGIN_RETENTION_MS,
+  type StreamOrigin,
+  StreamOrigins,
+} from '../../state/routing/stream-origins.js';
+import type { QuotaGroup } from './quota/quota-group.js';
+
+/** Dependencies of {@link StreamOriginExchange}. */
+export interface StreamOriginParts {
+  readonly group: Pick<QuotaGroup, 'ownAddress' | 'quotaOwnerAddresses' | 'send'>;
+  readonly registry: EngineRegistry;
+  readonly homes: HomeRanking;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** What is known about the origin of a stream that a caller takes up. */
+export type OriginFinding =
+  | { readonly kind: 'known'; readonly origin: StreamOrigin }
+  /** Nobody remembers the stream, and its service has had one build only: any engine may serve. */
+  | { readonly kind: 'sole-build' }
+  /** Nobody remembers the stream, and its service has had several builds. */
+  | { readonly kind: 'unknown' };
+
+/** Receives the finding, at once or some milliseconds later. */
+export type OnOriginFinding = (finding: OriginFinding) => void;
+
+/** Routers that keep the origin of a stream: several, since routers fail together. */
+const HOLDERS = 3;
+/** Time after which a question is repeated: a datagram may be lost, or overtake the notice. */
+const REPEAT_MS = 25;
+/** Time after which a question counts as not answered. */
+const ANSWER_TIMEOUT_MS = 60;
+/** Many entries of engines may change at once, as at a start. */
+const UPDATE_INTERVAL_MS = 100;
+const MAINTENANCE_INTERVAL_MS = 1_000;
+/** Origins in one datagram. */
+const MAXIMUM_NOTICE_ENTRIES = 24;
+
+interface PendingQuestion {
+  readonly service: string;
+  readonly holders: readonly string[];
+  readonly listeners: OnOriginFinding[];
+  unanswered: Set<string>;
+  repeatTimer: Timer | undefined;
+  endTimer: Timer | undefined;
+}
+
+/** Tells and finds the origins of streams. */
+export class StreamOriginExchange {
+  private readonly origins: StreamOrigins;
+  private readonly history = new BuildHistory(ORIGIN_RETENTION_MS);
+  /** By attempt that brought the first event. */
+  private readonly pending = new Map<string, PendingQuestion>();
+  private registryVersion = -1;
+  private updatedMs = -Infinity;
+  private maintenanceTimer: Timer | undefined;
+
+  constructor(private readonly parts: StreamOriginParts) {
+    this.origins = new StreamOrigins(() => parts.clock.now());
+  }
+
+  start(): void {
+    this.maintenanceTimer ??= repeat(this.parts.clock, MAINTENANCE_INTERVAL_MS, () =>
+      this.update(),
+    );
+  }
+
+  /** Applies changes of the engines. */
+  private refresh(): void {
+    const { registry, clock } = this.parts;
+    const isRecent = clock.now() - this.updatedMs < UPDATE_INTERVAL_MS;
+    if (this.registryVersion !== registry.version && !isRecent) this.update();
+  }
+
+  private update(): void {
+    const { registry, clock } = this.parts;
+    this.registryVersion = registry.version;
+    this.updatedMs = clock.now();
+    for (const service of this.history.update(registry.records, this.updatedMs)) {
+      // Streams that began while the service had one build may be taken up from now on.
+      this.tell(this.origins.ownOf(service));
+    }
+  }
+
+  /** Records that the first event of a stream was passed on. */
+  note(attemptId: string, origin: StreamOrigin): void {
+    this.origins.noteOwn(attemptId, origin);
+    if (this.isMixed(origin.service)) this.tell([[attemptId, origin]]);
+  }
+
+  /**
+   * Finds where a stream began.
+   *
+   * @param attemptId the attempt that brought the first event; undefined if the caller states none
+   * @param service the service that would serve the stream
+   */
+  find(attemptId: string | undefined, service: string, onFound: OnOriginFinding): void {
+    const known = attemptId === undefined ? undefined : this.origins.find(attemptId);
+    if (known) {
+      onFound({ kind: 'known', origin: known });
+      return;
+    }
+    const holders = attemptId === undefined ? [] : this.otherHoldersOf(attemptId);
+    if (attemptId === undefined || holders.length === 0) onFound(this.findingWithout(service));
+    else this.ask(attemptId, service, holders, onFound);
+  }
+
+  receive(body: StreamOriginDatagram): void {
+    if (body.case === 'streamOriginNotice') this.receiveNotice(body.value);
+    else if (body.case === 'streamOriginQuestion') this.answer(body.value);
+    else this.receiveAnswer(body.value);
+  }
+
+  stop(): void {
+    this.maintenanceTimer?.cancel();
+    for (const question of this.pending.values()) cancelTimers(question);
+    this.pending.clear();
+  }
+
+  private isMixed(service: string): boolean {
+    this.refresh();
+    return this.history.isMixed(service, this.parts.clock.now());
+  }
+
+  private findingWithout(service: string): OriginFinding {
+    return { kind: this.isMixed(service) ? 'unknown' : 'sole-build' };
+  }
+
+  private otherHoldersOf(attemptId: string): string[] {
+    const { homes, group } = this.parts;
+    const { quotaOwnerAddresses: addresses, ownAddress } = group;
+    const holders = homes.first(attemptId, addresses, (address) => address, HOLDERS);
+    return holders.filter((address) => address !== ownAddress);
+  }
+
+  /** Sends origins to their holders, those of one holder together. */
+  private tell(entries: readonly (readonly [attemptId: string, origin: StreamOrigin])[]): void {
+    const byHolder = new Map<string, StreamOriginNotice>();
+    for (const [attemptId, { service, build }] of entries) {
+      for (const holder of this.otherHoldersOf(attemptId)) {
+        const notice = byHolder.get(holder) ?? create(StreamOriginNoticeSchema);
+        byHolder.set(holder, notice);
+        notice.attemptIds.push(attemptId);
+        notice.services.push(service);
+        notice.builds.push(build ?? '');
+        if (notice.attemptIds.length < MAXIMUM_NOTICE_ENTRIES) continue;
+        this.parts.group.send(holder, encodeStreamOriginNotice(notice));
+        byHolder.delete(holder);
+      }
+    }
+    for (const [holder, notice] of byHolder)
+      this.parts.group.send(holder, encodeStreamOriginNotice(notice));
+  }
+
+  private receiveNotice({ attemptIds, services, builds }: StreamOriginNotice): void {
+    for (const [index, attemptId] of attemptIds.entries()) {
+      const [service, build] = [services[index], builds[index]];
+      if (service === undefined || build === undefined) return;
+      this.origins.noteReported(attemptId, { service, build: build === '' ? undefined : build });
+    }
+  }
+
+  private ask(
+    attemptId: string,
+    service: string,
+    holders: readonly string[],
+    onFound: OnOriginFinding,
+  ): void {
+    const asked = this.pending.get(attemptId);
+    if (asked) {
+      asked.listeners.push(onFound);
+      return;
+    }
+    const { clock } = this.parts;
+    const question: PendingQuestion = {
+      service,
+      holders,
+      listeners: [onFound],
+      unanswered: new Set(holders),
+      repeatTimer: clock.setTimer(REPEAT_MS, () => this.sendQuestion(attemptId, holders)),
+      endTimer: clock.setTimer(ANSWER_TIMEOUT_MS, () => this.end(attemptId)),
+    };
+    this.pending.set(attemptId, question);
+    this.sendQuestion(attemptId, holders);
+  }
+
+  private sendQuestion(attemptId: string, holders: readonly string[]): void {
+    const { group } = this.parts;
+    const contents = { attemptId, replyTo: group.ownAddress };
+    const datagram = encodeStreamOriginQuestion(create(StreamOriginQuestionSchema, contents));
+    for (const holder of holders) group.send(holder, datagram);
+  }
+
+  private answer({ attemptId, replyTo }: StreamOriginQuestion): void {
+    const origin = this.origins.find(attemptId);
+    const answer = create(StreamOriginAnswerSchema, {
+      attemptId,
+      responder: this.parts.group.ownAddress,
+      isKnown: origin !== undefined,
+      service: origin?.service ?? '',
+      build: origin?.build ?? '',
+    });
+    this.parts.group.send(replyTo, encodeStreamOriginAnswer(answer));
+  }
+
+  private receiveAnswer(answer: StreamOriginAnswer): void {
+    const { attemptId, responder, isKnown, service, build } = answer;
+    const question = this.pending.get(attemptId);
+    if (!question) return;
+    if (isKnown) {
+      const origin = { service, build: build === '' ? undefined : build };
+      this.origins.noteReported(attemptId, origin);
+      this.end(attemptId, { kind: 'known', origin });
+      return;
+    }
+    question.unanswered.delete(responder);
+    // While the service has several builds, the notice may still be on its way.
+    if (question.unanswered.size === 0 && !this.isMixed(question.service)) this.end(attemptId);
+  }
+
+  private end(attemptId: string, finding?: OriginFinding): void {
+    const question = this.pending.get(attemptId);
+    if (!question) return;
+    this.pending.delete(attemptId);
+    cancelTimers(question);
+    const found = finding ?? this.findingWithout(question.service);
+    if (found.kind === 'unknown') {
+      this.parts.logger.warn('stream_origin_unknown', {
+        resumes: attemptId,
+        service: question.service,
+        holders: question.holders.join(','),
+        silent: question.unanswered.size,
+      });
+    }
+    for (const onFound of question.listeners) onFound(found);
+  }
+}
+
+function cancelTimers({ repeatTimer, endTimer }: PendingQuestion): void {
+  repeatTimer?.cancel();
+  endTimer?.cancel();
+}
--- a/src/protocol/peer/cluster-codec.ts
+++ b/src/protocol/peer/cluster-codec.ts
@@ -9,6 +9,9 @@
   type QuotaAnswer,
   type QuotaNotice,
   type QuotaQuestion,
+  type StreamOriginAnswer,
+  type StreamOriginNotice,
+  type StreamOriginQuestion,
   type WorkReport,
   type WorkSummary,
 } from './generated/cluster_pb.js';
@@ -31,6 +34,12 @@
   { case: 'quotaQuestion' | 'quotaAnswer' | 'quotaNotice' }
 >;
 
+/** Datagrams by which routers find the engines' build that began a stream. */
+export type StreamOriginDatagram = Extract<
+  ClusterDatagram['body'],
+  { case: 'streamOriginNotice' | 'streamOriginQuestion' | 'streamOriginAnswer' }
+>;
+
 /** Datagrams by which routers share what they observe of engines, prompts and tenants. */
 export type ObservationDatagram = Extract<
   ClusterDatagram['body'],
@@ -93,6 +102,18 @@
   return encodeBody({ case: 'observationSummary', value: observations });
 }
 
+export function encodeStreamOriginNotice(notice: StreamOriginNotice): Uint8Array {
+  return encodeBody({ case: 'streamOriginNotice', value: notice });
+}
+
+export function encodeStreamOriginQuestion(question: StreamOriginQuestion): Uint8Array {
+  return encodeBody({ case: 'streamOriginQuestion', value: question });
+}
+
+export function encodeStreamOriginAnswer(answer: StreamOriginAnswer): Uint8Array {
+  return encodeBody({ case: 'streamOriginAnswer', value: answer });
+}
+
 function encodeBody(body: ClusterDatagram['body']): Uint8Array {
   return toBinary(ClusterDatagramSchema, create(ClusterDatagramSchema, { body }));
 }
--- a/src/state/routing/engine-registry.ts
+++ b/src/state/routing/engine-registry.ts
@@ -58,10 +58,14 @@
     return new Set(this.engines.keys());
   }
 
+  /** Records of all engines. */
+  get records(): EngineRecord[] {
+    return [...this.engines.values()].map(({ record }) => record);
+  }
+
   /** Records of all engines that accept new work. */
   get readyRecords(): EngineRecord[] {
-    const records = [...this.engines.values()].map(({ record }) => record);
-    return records.filter(({ isDraining }) => !isDraining);
+    return this.records.filter(({ isDraining }) => !isDraining);
   }
 
   /** Incarnations of the engines that accept new work, by service. */
--- a/src/state/routing/rejection.ts
+++ b/src/state/routing/rejection.ts
@@ -36,6 +36,8 @@
   /** Too little time is left before the caller's deadline to send the request. */
   NoTimeLeft = 'no-time-left',
   Stopping = 'stopping',
+  /** The stream that the caller takes up may have begun at another build of the engines. */
+  UnknownStreamOrigin = 'unknown-stream-origin',
 }
 
 /** The observations that a retry delay is computed from. Times in milliseconds. */
@@ -132,6 +134,7 @@
   [RejectionReason.AllBusy]: () => MINIMUM_DELAY_MS,
   [RejectionReason.EnginesFull]: () => MINIMUM_DELAY_MS,
   [RejectionReason.NoTimeLeft]: () => MINIMUM_DELAY_MS,
+  [RejectionReason.UnknownStreamOrigin]: () => MINIMUM_DELAY_MS,
 };
 
 /** Whether a retry depends on free capacity of engines. */
--- a/test/gateway/engine-builds.test.ts
+++ b/test/gateway/engine-builds.test.ts
@@ -72,19 +72,16 @@
   return callers;
 }
 
-test.failing(
-  'a stream that a caller takes up at another router goes on at its build',
-  async (t) => {
-    for (const seed of [1, 2, 3]) {
-      const simulation = await startTwoBuilds(seed);
-      const callers = await killRouters(simulation);
-      t.deepEqual(findBreaches(simulation), [], `seed ${seed}`);
-      const { attempts, continued } = callers.outcomes;
-      t.true(attempts >= 12);
-      t.true(continued >= attempts / 2, `seed ${seed}: ${continued} of ${attempts} go on`);
-    }
-  },
-);
+test('a stream that a caller takes up at another router goes on at its build', async (t) => {
+  for (const seed of [1, 2, 3]) {
+    const simulation = await startTwoBuilds(seed);
+    const callers = await killRouters(simulation);
+    t.deepEqual(findBreaches(simulation), [], `seed ${seed}`);
+    const { attempts, continued } = callers.outcomes;
+    t.true(attempts >= 12);
+    t.true(continued >= attempts / 2, `seed ${seed}: ${continued} of ${attempts} go on`);
+  }
+});
 
 test('with one build only, streams are taken up at any router', async (t) => {
   const simulation = await GatewaySimulation.create(1);
--- /dev/null
+++ b/test/gateway/stream-origins.test.ts
@@ -0,0 +1,165 @@
+/**
+ * Guards against streams that are taken up at another build, or are rejected although a router knows
+ * the build that began them.
+ */
+import test from 'ava';
+import {
+  type OriginFinding,
+  StreamOriginExchange,
+} from '../../src/coordination/gateway/stream-origin-exchange.js';
+import { decodeClusterDatagram } from '../../src/protocol/peer/cluster-codec.js';
+import { createHasher } from '../../src/runtime/hasher.js';
+import { NoopLogger } from '../../src/runtime/logger.js';
+import { VirtualClock } from '../../src/runtime/virtual-clock.js';
+import { BuildHistory } from '../../src/state/routing/build-history.js';
+import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
+import { HomeRanking } from '../../src/state/routing/home-ranking.js';
+import { engineRecord } from '../helpers/engine-record.js';
+
+const SERVICE = 'generation';
+const DELAY_MS = 2;
+const ANSWERED_MS = 100;
+const ROUTERS = 7;
+
+/** Routers that exchange the origins of streams over a network with a delay. */
+class OriginNetwork {
+  readonly clock = new VirtualClock();
+  readonly down = new Set<string>();
+  sent = 0;
+  private readonly nodes = new Map<string, StreamOriginExchange>();
+  private readonly registries = new Map<string, EngineRegistry>();
+
+  private constructor(private readonly homes: HomeRanking) {
+    const addresses = Array.from({ length: ROUTERS }, (_, index) => addressOf(index));
+    for (const address of addresses) {
+      const registry = new EngineRegistry();
+      registry.put(engineRecord('engine-1', undefined, { build: 'v1' }));
+      this.registries.set(address, registry);
+      const send = (to: string, datagram: Uint8Array): void => this.send(address, to, datagram);
+      const group = { ownAddress: address, quotaOwnerAddresses: addresses, send };
+      const { clock } = this;
+      const logger = new NoopLogger();
+      const parts = { group, registry, homes: this.homes, clock, logger };
+      const exchange = new StreamOriginExchange(parts);
+      exchange.start();
+      this.nodes.set(address, exchange);
+    }
+  }
+
+  static async create(): Promise<OriginNetwork> {
+    return new OriginNetwork(new HomeRanking(await createHasher()));
+  }
+
+  node(index: number): StreamOriginExchange {
+    return this.nodes.get(addressOf(index)) as StreamOriginExchange;
+  }
+
+  /** Adds an engine of a second build, as seen by some routers. */
+  addSecondBuild(routers: readonly number[]): void {
+    const record = engineRecord('engine-2', undefined, { build: 'v2' });
+    for (const index of routers) this.registries.get(addressOf(index))?.put(record);
+  }
+
+  async find(index: number, attemptId: string | undefined): Promise<OriginFinding | undefined> {
+    let found: OriginFinding | undefined;
+    this.node(index).find(attemptId, SERVICE, (finding) => (found = finding));
+    await this.clock.advance(ANSWERED_MS);
+    return found;
+  }
+
+  private send(from: string, to: string, datagram: Uint8Array): void {
+    this.sent += 1;
+    this.clock.setTimer(DELAY_MS, () => {
+      const body = decodeClusterDatagram(datagram);
+      if (this.down.has(from) || this.down.has(to) || body?.case === undefined) return;
+      if (body.case.startsWith('streamOrigin'))
+        this.nodes.get(to)?.receive(body as Parameters<StreamOriginExchange['receive']>[0]);
+    });
+  }
+}
+
+function addressOf(index: number): string {
+  return `router-${index}:7000`;
+}
+
+const EVERY_ROUTER = Array.from({ length: ROUTERS }, (_, index) => index);
+const ORIGIN = { service: SERVICE, build: 'v2' };
+
+test('a router finds the build of a stream that began at a router that has died', async (t) => {
+  const network = await OriginNetwork.create();
+  network.addSecondBuild(EVERY_ROUTER);
+  await network.clock.advance(1_000);
+  network.node(0).note('attempt-1', ORIGIN);
+  await network.clock.advance(DELAY_MS);
+  network.down.add(addressOf(0));
+  for (const index of EVERY_ROUTER.slice(1))
+    t.deepEqual(await network.find(index, 'attempt-1'), { kind: 'known', origin: ORIGIN });
+});
+
+test('streams that began before a second build appeared are told when it does', async (t) => {
+  const network = await OriginNetwork.create();
+  const origin = { service: SERVICE, build: 'v1' };
+  for (let stream = 0; stream < 60; stream += 1) network.node(0).note(`attempt-${stream}`, origin);
+  t.is(network.sent, 0, 'nothing is told while there is one build');
+  await network.clock.advance(1_000);
+  network.addSecondBuild(EVERY_ROUTER);
+  await network.clock.advance(1_000 + DELAY_MS);
+  network.down.add(addressOf(0));
+  for (let stream = 0; stream < 60; stream += 1)
+    t.like(await network.find(1 + (stream % 6), `attempt-${stream}`), { kind: 'known', origin });
+});
+
+test('a router that has not seen the second build yet still asks for it', async (t) => {
+  const network = await OriginNetwork.create();
+  network.addSecondBuild([0]);
+  await network.clock.advance(1_000);
+  network.node(0).note('attempt-1', ORIGIN);
+  await network.clock.advance(DELAY_MS);
+  t.deepEqual(await network.find(3, 'attempt-1'), { kind: 'known', origin: ORIGIN });
+});
+
+test('a question that overtakes the notice is repeated', async (t) => {
+  const network = await OriginNetwork.create();
+  network.addSecondBuild(EVERY_ROUTER);
+  await network.clock.advance(1_000);
+  let found: OriginFinding | undefined;
+  network.node(1).find('attempt-1', SERVICE, (finding) => (found = finding));
+  await network.clock.advance(10);
+  network.node(0).note('attempt-1', ORIGIN);
+  await network.clock.advance(ANSWERED_MS);
+  t.deepEqual(found, { kind: 'known', origin: ORIGIN });
+});
+
+test('without anyone who knows it, a stream is of the only build, or of an unknown one', async (t) => {
+  const network = await OriginNetwork.create();
+  await network.clock.advance(1_000);
+  t.deepEqual(await network.find(1, 'attempt-1'), { kind: 'sole-build' });
+  t.deepEqual(await network.find(1, undefined), { kind: 'sole-build' });
+  network.addSecondBuild(EVERY_ROUTER);
+  await network.clock.advance(1_000);
+  for (const index of EVERY_ROUTER.slice(2)) network.down.add(addressOf(index));
+  t.deepEqual(await network.find(1, 'attempt-1'), { kind: 'unknown' });
+  t.deepEqual(await network.find(1, undefined), { kind: 'unknown' });
+});
+
+test('a build counts as long as one of its streams may be taken up', (t) => {
+  const history = new BuildHistory(60_000);
+  const first = engineRecord('engine-1', undefined, { build: 'v1' });
+  const second = engineRecord('engine-2', undefined, { build: 'v2' });
+  t.deepEqual(history.update([first], 0), []);
+  t.false(history.isMixed(SERVICE, 0));
+  t.deepEqual(history.update([first, second], 1_000), [SERVICE]);
+  t.deepEqual(history.update([second], 200_000), []);
+  t.true(history.isMixed(SERVICE, 259_000), 'v1 has gone 59 s ago');
+  history.update([second], 261_000);
+  t.false(history.isMixed(SERVICE, 261_000));
+});
+
+test('an engine whose build is not known is no second build', (t) => {
+  const history = new BuildHistory(60_000);
+  history.update(
+    [engineRecord('engine-1', undefined, { build: 'v1' }), engineRecord('engine-2', 1)],
+    0,
+  );
+  t.false(history.isMixed(SERVICE, 0));
+});
