--- a/fuzz/gateway-main.ts
+++ b/fuzz/gateway-main.ts
@@ -1,8 +1,9 @@
 /**
- * `npm run fuzz:gateway -- SEED RUNS [lives|limits|notices|engine-limits|restorations|cuts|brittle]`: runs the
+ * `npm run fuzz:gateway -- SEED RUNS [FOCUS]`: runs the
  * gateway's fuzz test with any seed and number of runs.
  */
 import { brittleEngineCommands } from './brittle-engine-commands.js';
+import { engineBuildCommands } from './engine-build-commands.js';
 import { engineCutCommands } from './engine-cut-commands.js';
 import { engineRestartCommands } from './engine-restart-commands.js';
 import { engineLimitCommands } from './engine-limit-commands.js';
@@ -10,6 +11,7 @@
 import { type CommandSource, gatewayCommands } from './gateway-commands.js';
 import { fuzzGateway } from './gateway-run.js';
 import { quotaCommands } from './quota-commands.js';
+import { responseFramingCommands } from './response-framing-commands.js';
 import { storeRestorationCommands } from './store-restoration-commands.js';
 
 /** Command sources by the third argument; others select those of `gateway-commands.ts`. */
@@ -21,6 +23,8 @@
   ['restorations', storeRestorationCommands],
   ['cuts', engineCutCommands],
   ['brittle', brittleEngineCommands],
+  ['framing', responseFramingCommands],
+  ['builds', engineBuildCommands],
 ]);
 
 const [seed = '1', runs = '100', focus = ''] = process.argv.slice(2);
