Let the soak's engines have two builds, and its callers take up broken streams

Engines have build v1 and v2 in turn and state it in each event; a caller whose resumable stream breaks after an event comes back at once, at any router, with Last-Event-Id and Resumes. A stream may hold events of one build over all its attempts. Of the soak's mutations, one lets streams go on at any build.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -2,7 +2,7 @@
 import { Agent, type IncomingMessage, request as httpRequest } from 'node:http';
 import { type RandomSource, randomElement, randomInteger } from '../src/runtime/random.js';
 import { parseAddress } from '../src/transport/address.js';
-import { STREAM_EVENTS } from './stream-events.js';
+import { STREAM_EVENTS, eventsOf } from './stream-events.js';
 import { HOST, MODEL, WireHeader, callJson } from './wire.js';
 
 /** Kinds of request. */
@@ -14,6 +14,14 @@
   readonly key: string;
 }
 
+/** A stream that a caller takes up again. */
+export interface ContinuedStream {
+  /** Attempt that brought the first event. */
+  readonly firstAttempt: string;
+  /** Number of the last event received. */
+  readonly lastEvent: number;
+}
+
 /** One request and its outcome for the caller. Times are wall-clock times. */
 export interface CallRecord {
   readonly id: string;
@@ -30,6 +38,8 @@
   /** Whether the response has a length or chunks, which state whether it is complete. */
   isFramed: boolean;
   body: string;
+  /** The stream that this attempt continues; undefined for a new request. */
+  readonly continued: ContinuedStream | undefined;
   /** Why no complete response was received. */
   failure: string | undefined;
   retryAfterS: number | undefined;
@@ -84,9 +94,18 @@
    *
    * @param repeated kind and body of a repeated request; by default a new request
    */
-  async call(repeated?: { readonly kind: CallKind; readonly body: string }): Promise<void> {
+  async call(repeated?: RepeatedCall): Promise<void> {
+    const record = await this.attempt(repeated);
+    const continued = record && brokenStreamOf(record);
+    if (!continued) return;
+    const { kind, sentBody: body } = record;
+    await this.attempt({ kind, body, continued });
+  }
+
+  /** Sends one attempt; resolves with its record, or undefined without a router to send it to. */
+  private async attempt(repeated?: RepeatedCall): Promise<CallRecord | undefined> {
     const address = await this.chooseAddress();
-    if (address === undefined) return;
+    if (address === undefined) return undefined;
     this.callCount += 1;
     const id = `${this.name}-${this.callCount}`;
     const record: CallRecord = {
@@ -101,6 +120,7 @@
       isComplete: false,
       isFramed: true,
       body: '',
+      continued: repeated?.continued,
       failure: undefined,
       retryAfterS: undefined,
     };
@@ -108,6 +128,7 @@
     await this.send(record);
     record.endedMs = Date.now();
     if (record.failure !== undefined) this.resolvedAtMs = -Infinity;
+    return record;
   }
 
   close(): void {
@@ -177,7 +198,11 @@
     });
   }
 
-  private headersOf({ id, kind, key }: CallRecord): Record<string, string> {
+  private headersOf({ id, kind, key, continued }: CallRecord): Record<string, string> {
+    const resumption = continued && {
+      [WireHeader.lastEventId]: String(continued.lastEvent),
+      [WireHeader.resumes]: continued.firstAttempt,
+    };
     const generation = {
       [WireHeader.model]: MODEL,
       [WireHeader.tokenUsage]: `900,${STREAM_EVENTS}`,
@@ -189,10 +214,33 @@
       [WireHeader.apiKey]: key.key,
       [WireHeader.budgetMs]: String(DEADLINE_MS),
       ...(kind.startsWith('stream') ? generation : {}),
+      ...resumption,
     };
   }
 }
 
+/** A call that is like an earlier one. */
+interface RepeatedCall {
+  readonly kind: CallKind;
+  readonly body: string;
+  readonly continued?: ContinuedStream;
+}
+
+/** The stream to take up after an attempt that was broken off; undefined if there is none. */
+function brokenStreamOf({
+  id,
+  kind,
+  status,
+  body,
+  failure,
+  continued,
+}: CallRecord): ContinuedStream | undefined {
+  const isBroken = kind === 'stream-resumable' && status === 200 && failure !== undefined;
+  const lastEvent = (continued?.lastEvent ?? 0) + (isBroken ? eventsOf(body).length : 0);
+  if (!isBroken || lastEvent === 0) return undefined;
+  return { firstAttempt: continued?.firstAttempt ?? id, lastEvent };
+}
+
 function readResponse(
   response: IncomingMessage,
   record: CallRecord,
--- a/soak/engine-fleet.ts
+++ b/soak/engine-fleet.ts
@@ -197,7 +197,8 @@
     const capacity = service === Service.plain ? plainCapacity : GENERATION_CAPACITY;
     const { slots, plainWorkMs } = capacity;
     const numbers = [version, slots, plainWorkMs].map(String);
-    return fork(ENGINE_PROGRAM, [name, service, address, storeAddress, ...numbers]);
+    const entry = [name, service, address, storeAddress];
+    return fork(ENGINE_PROGRAM, [...entry, ...numbers, buildOf(name)]);
   }
 
   /** Starts the next incarnation. Only the version of the weights is preserved. */
@@ -269,6 +270,12 @@
   }
 }
 
+/** Engines have two builds in turn; one that restarts under its name keeps its build. */
+function buildOf(name: string): string {
+  const number = Number(name.split('-').at(-1));
+  return number % 2 === 0 ? 'v2' : 'v1';
+}
+
 /** Sends a command, unless the engine's process has ended. */
 function send({ child }: Engine, command: EngineCommand): void {
   // The process may end while the command is written, which its `exit` event reports.
--- a/soak/engine-program.ts
+++ b/soak/engine-program.ts
@@ -1,7 +1,7 @@
 /**
  * A fake engine: serves plain calls and streams, writes its entry in the store and executes load
  * commands. Each process is one incarnation. Arguments: name, service, address to publish, address
- * of the store, version of the weights, slots, time for a plain request in milliseconds.
+ * of the store, version of the weights, slots, time for a plain request in milliseconds, build.
  */
 import { type IncomingMessage, type ServerResponse, createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -39,6 +39,7 @@
 let limitPerSecond: number | undefined;
 const room = new EngineRoom(Number(process.argv[7]));
 const plainWorkMs = Number(process.argv[8]);
+const build = process.argv[9] ?? '';
 let weightsVersion = Number(process.argv[6] ?? 1);
 let loading: number | undefined;
 let sequence = 0;
@@ -56,6 +57,7 @@
     address: publicAddress,
     zone: 'zone-a',
     slots: room.slots,
+    version: build,
     state: isDraining ? 'draining' : 'ready',
     stage: 'both',
     models,
@@ -240,7 +242,7 @@
       response.write(`id: ${number}\ndata: `, () => response.destroy());
       return;
     }
-    response.write(`id: ${number}\ndata: ${requestId} ${number}\n\n`);
+    response.write(`id: ${number}\nevent: ${build}\ndata: ${requestId} ${number}\n\n`);
     if (number < STREAM_EVENTS) return;
     clearInterval(timer);
     response.end();
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -112,6 +112,13 @@
     text: 'if (!this.mode.isResumable) return',
     replacement: 'if (this.mode) return',
   },
+  {
+    name: 'streams go on at engines of any build',
+    promise: 'one-build',
+    file: 'src/coordination/gateway/call-placement.ts',
+    text: 'if (!requiredBuild) return engines;',
+    replacement: 'if (requiredBuild !== null) return engines;',
+  },
   {
     name: 'requests that crash engines are never quarantined',
     promise: 'crashes-bounded',
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -8,11 +8,12 @@
 import { judgeNotices } from './notice-oracle.js';
 import { MALFORMED_NAME_PREFIX } from './malformed-entries.js';
 import { BOUNDS, DisturbanceKind, type RouterProcess, SLACK_MS } from './router-process.js';
-import { STREAM_EVENTS } from './stream-events.js';
+import { STREAM_EVENTS, buildsOf } from './stream-events.js';
 
 /** The promises that are checked. */
 export type SoakPromise =
   | 'whole-answer'
+  | 'one-build'
   | 'at-most-once'
   | 'not-run'
   | 'planned-stop'
@@ -109,6 +110,7 @@
       ...judgeLimits(this.record),
       ...judgeEngineCuts(this.record, (...args) => this.isDisturbed(...args)),
       ...judgeBrittleEngines(this.record),
+      ...judgeBuilds(this.record.calls),
       ...this.judgeRecovery(),
     ];
   }
@@ -337,10 +339,15 @@
  * A response that is stated to be complete must equal the engine's; any other must be a prefix of it.
  * A stream without a length or chunks may not end in order within an event.
  */
-function isBodyCorrect({ id, kind, sentBody, body, isComplete, isFramed }: CallRecord): boolean {
+function isBodyCorrect(call: CallRecord): boolean {
+  const { id, kind, sentBody, isComplete, isFramed } = call;
   const isStream = kind.startsWith('stream');
+  const body = isStream ? call.body.replaceAll(/^event: .*\n/gm, '') : call.body;
+  const first = (call.continued?.lastEvent ?? 0) + 1;
   const expectedBody = isStream
-    ? Array.from({ length: STREAM_EVENTS }, (_, index) => eventOf(id, index + 1)).join('')
+    ? Array.from({ length: STREAM_EVENTS - first + 1 }, (_, index) =>
+        eventOf(id, first + index),
+      ).join('')
     : `${id}:${sentBody}`;
   if (isComplete && isFramed) return body === expectedBody;
   const endsWithinEvent = isComplete && isStream && body !== '' && !body.endsWith('\n\n');
@@ -350,3 +357,18 @@
 function eventOf(id: string, number: number): string {
   return `id: ${number}\ndata: ${id} ${number}\n\n`;
 }
+
+/** A stream holds events of one build, also over several attempts of its caller. */
+function judgeBuilds(calls: readonly CallRecord[]): Violation[] {
+  const byStream = new Map<string, Set<string>>();
+  for (const { id, continued, body } of calls) {
+    const stream = continued?.firstAttempt ?? id;
+    const builds = byStream.get(stream) ?? new Set();
+    byStream.set(stream, builds);
+    for (const build of buildsOf(body)) builds.add(build);
+  }
+  return [...byStream].flatMap(([stream, builds]) => {
+    if (builds.size < 2) return [];
+    return [violation('one-build', `${stream}: ${[...builds].join(', ')}`)];
+  });
+}
--- a/soak/wire.ts
+++ b/soak/wire.ts
@@ -17,6 +17,7 @@
   tokenUsage: 'x-peatspan-token-usage',
   promptPrefix: 'x-peatspan-prompt-prefix',
   lastEventId: 'last-event-id',
+  resumes: 'resumes',
   apiKey: 'api-key',
   leaving: 'server-leaving',
   retryAfter: 'retry-after',
