Decide first whether a stream may go on at all, and describe broken responses for operators

A stream that may not be resumed was placed once more before its caller's connection was reset, and its log line told no-engine in place of the failure where a service has one engine. The check is made in the other order.

--- a/src/coordination/gateway/call-retries.ts
+++ b/src/coordination/gateway/call-retries.ts
@@ -58,10 +58,10 @@
 
   /** Decides whether another engine continues a stream. */
   private decideResumption(failure: ExchangeFailure): RetryDecision {
+    if (!this.call.response.isResumable) return { kind: 'abort', detail: failure.reason };
     if (this.placeWithout() === RejectionReason.NoEngine)
       return { kind: 'abort', detail: RejectionReason.NoEngine };
-    if (!this.call.response.isResumable || !this.isRetried(failure))
-      return { kind: 'abort', detail: failure.reason };
+    if (!this.isRetried(failure)) return { kind: 'abort', detail: failure.reason };
     this.call.context.statistics.resumedStreams += 1;
     return RETRY;
   }
