--- a/src/coordination/gateway/stream-origin-exchange.ts
+++ b/src/coordination/gateway/stream-origin-exchange.ts
@@ -33,6 +33,7 @@
 
 /** Dependencies of {@link StreamOriginExchange}. */
 export interface StreamOriginParts {
+  /** Origins are kept by the routers that may own quota accounts: all routers know the same ones. */
   readonly group: Pick<QuotaGroup, 'ownAddress' | 'quotaOwnerAddresses' | 'send'>;
   readonly registry: EngineRegistry;
   readonly homes: HomeRanking;
@@ -63,13 +64,15 @@
 /** Origins in one datagram. */
 const MAXIMUM_NOTICE_ENTRIES = 24;
 
+/** A question that holders have not answered. */
 interface PendingQuestion {
   readonly service: string;
   readonly holders: readonly string[];
   readonly listeners: OnOriginFinding[];
-  unanswered: Set<string>;
-  repeatTimer: Timer | undefined;
-  endTimer: Timer | undefined;
+  /** Holders that have not answered. */
+  readonly unanswered: Set<string>;
+  readonly repeatTimer: Timer;
+  readonly endTimer: Timer;
 }
 
 /** Tells and finds the origins of streams. */
@@ -264,6 +267,6 @@
 }
 
 function cancelTimers({ repeatTimer, endTimer }: PendingQuestion): void {
-  repeatTimer?.cancel();
-  endTimer?.cancel();
+  repeatTimer.cancel();
+  endTimer.cancel();
 }
