--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -67,6 +67,8 @@
   readonly plainEngines: number;
   readonly generationEngines: number;
   readonly plainCapacity: EngineCapacity;
+  /** See {@link EngineFleetParts.hasUniformEngines}. */
+  readonly hasUniformEngines: boolean;
 }
 
 const STORE_PROGRAM = fileURLToPath(new URL('./store-program.js', import.meta.url));
@@ -112,11 +114,12 @@
     private readonly store: ChildProcess,
     private readonly storeAddress: string,
     private readonly keys: readonly CallerKey[],
-    plainCapacity: EngineCapacity,
+    { plainCapacity, hasUniformEngines }: DeploymentSize,
   ) {
     const { observations } = this;
     const publishedVersion = (): number => this.weightsVersion;
-    this.fleet = new EngineFleet({ storeAddress, observations, publishedVersion, plainCapacity });
+    const parts = { storeAddress, observations, publishedVersion };
+    this.fleet = new EngineFleet({ ...parts, plainCapacity, hasUniformEngines });
   }
 
   /**
@@ -133,7 +136,7 @@
   ): Promise<Deployment> {
     const store = fork(STORE_PROGRAM);
     const port = await listeningPort(store);
-    const deployment = new Deployment(store, `127.0.0.1:${port}`, keys, size.plainCapacity);
+    const deployment = new Deployment(store, `127.0.0.1:${port}`, keys, size);
     await deployment.write(WireKind.weights, MODEL, { model: MODEL, version: 1 });
     await deployment.writeConfiguration();
     for (let index = 0; index < size.plainEngines; index += 1) {
--- a/soak/engine-fleet.ts
+++ b/soak/engine-fleet.ts
@@ -44,6 +44,9 @@
 const ENGINE_PROGRAM = fileURLToPath(new URL('./engine-program.js', import.meta.url));
 /** Time that routers may need to detect the loss of an engine. */
 const DETECTION_MS = 5_000;
+const FIRST_BUILD = 'v1';
+/** One in this many responses of a caller has neither a length nor chunks. */
+const UNFRAMED_RESPONSE_INTERVAL = 4;
 const CRASH_RESTART_DELAY_MS = 1_500;
 const GENERATION_CAPACITY: EngineCapacity = { slots: 32, plainWorkMs: 25 };
 
@@ -52,6 +55,8 @@
   readonly storeAddress: string;
   readonly observations: Observations;
   readonly plainCapacity: EngineCapacity;
+  /** Whether all engines have one build and give each response a length or chunks. */
+  readonly hasUniformEngines: boolean;
   publishedVersion(): number;
 }
 
@@ -193,12 +198,14 @@
     address: string,
     version: number,
   ): ChildProcess {
-    const { storeAddress, plainCapacity } = this.parts;
+    const { storeAddress, plainCapacity, hasUniformEngines } = this.parts;
     const capacity = service === Service.plain ? plainCapacity : GENERATION_CAPACITY;
     const { slots, plainWorkMs } = capacity;
     const numbers = [version, slots, plainWorkMs].map(String);
     const entry = [name, service, address, storeAddress];
-    return fork(ENGINE_PROGRAM, [...entry, ...numbers, buildOf(name)]);
+    const build = hasUniformEngines ? FIRST_BUILD : buildOf(name);
+    const unframedInterval = hasUniformEngines ? 0 : UNFRAMED_RESPONSE_INTERVAL;
+    return fork(ENGINE_PROGRAM, [...entry, ...numbers, build, String(unframedInterval)]);
   }
 
   /** Starts the next incarnation. Only the version of the weights is preserved. */
@@ -273,7 +280,7 @@
 /** Engines have two builds in turn; one that restarts under its name keeps its build. */
 function buildOf(name: string): string {
   const number = Number(name.split('-').at(-1));
-  return number % 2 === 0 ? 'v2' : 'v1';
+  return number % 2 === 0 ? 'v2' : FIRST_BUILD;
 }
 
 /** Sends a command, unless the engine's process has ended. */
--- a/soak/engine-program.ts
+++ b/soak/engine-program.ts
@@ -1,7 +1,8 @@
 /**
  * A fake engine: serves plain calls and streams, writes its entry in the store and executes load
  * commands. Each process is one incarnation. Arguments: name, service, address to publish, address
- * of the store, version of the weights, slots, time for a plain request in milliseconds, build.
+ * of the store, version of the weights, slots, time for a plain request in milliseconds, build, and
+ * one in how many responses has neither a length nor chunks.
  */
 import { type IncomingMessage, type ServerResponse, createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -25,7 +26,6 @@
 const DRAIN_MS = 9_000;
 const CRASH_DELAY_MS = 40;
 const MILLISECONDS_PER_SECOND = 1_000;
-const UNFRAMED_RESPONSE_INTERVAL = 4;
 
 const startedAtMs = Date.now();
 /** Identifier of this incarnation in reports to the oracle. */
@@ -40,6 +40,7 @@
 const room = new EngineRoom(Number(process.argv[7]));
 const plainWorkMs = Number(process.argv[8]);
 const build = process.argv[9] ?? '';
+const unframedInterval = Number(process.argv[10]);
 let weightsVersion = Number(process.argv[6] ?? 1);
 let loading: number | undefined;
 let sequence = 0;
@@ -250,10 +251,10 @@
   response.once('close', () => clearInterval(timer));
 }
 
-/** Whether the response has neither a length nor chunks, as every fourth of a caller. */
+/** Whether the response has neither a length nor chunks, in turn for each caller. */
 function isUnframed(requestId: string): boolean {
   const count = Number(requestId.split('-').at(-1));
-  return count % UNFRAMED_RESPONSE_INTERVAL === 1;
+  return unframedInterval > 0 && count % unframedInterval === 1;
 }
 
 /** Lets the response end with its connection, and state no other end. */
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -70,7 +70,11 @@
   const { seed, spanMs, routers, folder, programs, hasBrittleEngines } = options;
   mkdirSync(folder, { recursive: true });
   const plainCapacity = hasBrittleEngines ? SCARCE_CAPACITY : AMPLE_CAPACITY;
-  const size = { routers, plainEngines: 2, generationEngines: 3, plainCapacity };
+  // Routers of the earlier build take the end of a connection for a stated end, and know no builds of
+  // engines.
+  const hasUniformEngines = programs.length > 1;
+  const engines = { plainEngines: 2, generationEngines: 3, plainCapacity, hasUniformEngines };
+  const size = { routers, ...engines };
   const deployment = await Deployment.start(size, KEYS, folder, programs);
   try {
     const steps = makeSchedule(new SeededRandom(seed), options);
