--- a/src/coordination/gateway/call-response.ts
+++ b/src/coordination/gateway/call-response.ts
@@ -72,7 +72,7 @@
     return this.mode.isResumable;
   }
 
-  /** Whether an end would tell the caller that its response is complete. */
+  /** Whether an end would state to the caller that its response is complete. */
   get statesEnd(): boolean {
     return this.framing !== undefined && this.framing.kind !== BodyFraming.Connection;
   }
--- a/src/coordination/gateway/event-scanner.ts
+++ b/src/coordination/gateway/event-scanner.ts
@@ -1,5 +1,5 @@
 /**
- * Follows a stream of server-sent events byte by byte, without holding any, and tells whether the
+ * Follows a stream of server-sent events byte by byte, without holding any, and shows whether the
  * stream stands between two events or within one. A stream that ends within an event was broken off.
  */
 
--- a/src/coordination/gateway/stream-origin-exchange.ts
+++ b/src/coordination/gateway/stream-origin-exchange.ts
@@ -1,8 +1,8 @@
 /**
  * Lets a stream that a caller takes up again, at any router, go on at the build that began it. Each
- * router remembers the streams that began there. While a service has several builds, it also tells
+ * router remembers the streams that began there. While a service has several builds, it also notifies
  * some routers chosen by the attempt's identifier (rendezvous hashing), which are asked when the
- * caller comes back elsewhere. Where a service has one build only, nothing is told.
+ * caller comes back elsewhere. Where a service has one build only, no router is notified.
  */
 import { create } from '@bufbuild/protobuf';
 import { type Clock, type Timer, repeat } from '../../runtime/clock.js';
@@ -75,7 +75,7 @@
   readonly endTimer: Timer;
 }
 
-/** Tells and finds the origins of streams. */
+/** Announces and finds the origins of streams. */
 export class StreamOriginExchange {
   private readonly origins: StreamOrigins;
   private readonly history = new BuildHistory(ORIGIN_RETENTION_MS);
@@ -108,14 +108,14 @@
     this.updatedMs = clock.now();
     for (const service of this.history.update(registry.records, this.updatedMs)) {
       // Streams that began while the service had one build may be taken up from now on.
-      this.tell(this.origins.ownOf(service));
+      this.notifyHolders(this.origins.ownOf(service));
     }
   }
 
   /** Records that the first event of a stream was passed on. */
   note(attemptId: string, origin: StreamOrigin): void {
     this.origins.noteOwn(attemptId, origin);
-    if (this.isMixed(origin.service)) this.tell([[attemptId, origin]]);
+    if (this.isMixed(origin.service)) this.notifyHolders([[attemptId, origin]]);
   }
 
   /**
@@ -164,7 +164,9 @@
   }
 
   /** Sends origins to their holders, those of one holder together. */
-  private tell(entries: readonly (readonly [attemptId: string, origin: StreamOrigin])[]): void {
+  private notifyHolders(
+    entries: readonly (readonly [attemptId: string, origin: StreamOrigin])[],
+  ): void {
     const byHolder = new Map<string, StreamOriginNotice>();
     for (const [attemptId, { service, build }] of entries) {
       for (const holder of this.otherHoldersOf(attemptId)) {
--- a/src/state/routing/build-history.ts
+++ b/src/state/routing/build-history.ts
@@ -1,5 +1,5 @@
 /**
- * Which builds of each service this router has seen lately. While a service has had one build for as
+ * Which builds of each service this router has seen recently. While a service has had one build for as
  * long as a stream can live, every stream began at that build. Pure.
  */
 import type { EngineRecord } from './engine-record.js';
--- a/src/state/routing/stream-origins.ts
+++ b/src/state/routing/stream-origins.ts
@@ -19,7 +19,7 @@
 /** The origins known to one router, by the attempt that brought the first event. */
 export class StreamOrigins {
   private readonly origins;
-  /** Attempts whose streams began here, so that other routers can be told later. */
+  /** Attempts whose streams began here, so that other routers can be notified later. */
   private readonly own;
 
   /** @param now returns the monotonic time in milliseconds */
