Let the soak's engines end a continuation after the last event

Traced: the router lost an engine after event 12 (send_failed reason=stalled) and asked another one to go on after it, which is right; the stand-in engine wrote one event more before it looked at their number. It now ends such a continuation at once. No check is changed.

--- a/soak/engine-program.ts
+++ b/soak/engine-program.ts
@@ -236,6 +236,12 @@
   let number = Number(request.headers[WireHeader.lastEventId] ?? 0);
   const cutAfter = behavior === EngineBehavior.Truncating ? STREAM_EVENTS / 2 : Infinity;
   const timer = setInterval(() => {
+    // A stream that was broken off after its last event has nothing left but its end.
+    if (number >= STREAM_EVENTS) {
+      clearInterval(timer);
+      response.end();
+      return;
+    }
     number += 1;
     if (number > cutAfter) {
       clearInterval(timer);
