Log and count responses that a router ends incomplete

Change: response_aborted, two counters, idle_ms at send_failed. No decision changes. Result: test/gateway/silent-engines, call-ending and logs pass; nothing else was measured.

--- a/src/coordination/gateway/call-ending.ts
+++ b/src/coordination/gateway/call-ending.ts
@@ -1,7 +1,7 @@
 /** Ends one request: the router's own response, or the end of the one that was passed on. */
 import { BodyFraming } from '../../protocol/inference/port.js';
 import { RejectionReason } from '../../state/routing/rejection.js';
-import { logFinish } from './call-log.js';
+import { logAbort, logFinish } from './call-log.js';
 import type { CallRecord } from './call-record.js';
 import { CallState } from './call-state.js';
 import { CrashSubject } from './crash-guard.js';
@@ -112,7 +112,11 @@
   /** Resets the caller's connection after a part of the response was sent. */
   abort(reason: string): void {
     const { call } = this;
-    call.context.statistics.failed += 1;
+    const { statistics } = call.context;
+    statistics.failed += 1;
+    statistics.responsesAborted += 1;
+    if (!call.wasDisconnected) statistics.connectedResponsesAborted += 1;
+    logAbort(call, reason);
     call.reply.abort();
     this.finish(`aborted-${reason}`, 0, call.send?.engineId);
   }
--- a/src/coordination/gateway/call-log.ts
+++ b/src/coordination/gateway/call-log.ts
@@ -85,12 +85,14 @@
  * Logs a send that ended without a response to pass on.
  *
  * @param isConnected whether the send had a connection to the engine
+ * @param idleMs time since the engine last wrote, or since the send
  * @param fingerprint identifies repeats of the request; set only after a disconnect
  */
 export function logSendFailure(
   identity: SendIdentity,
   failure: ExchangeFailure,
   isConnected: boolean,
+  idleMs: number,
   fingerprint: string | undefined,
   logger: Logger,
 ): void {
@@ -100,10 +102,29 @@
     status: failure.kind === 'refused' ? failure.status : undefined,
     reason: failure.reason,
     connected: isConnected,
+    idle_ms: Math.round(idleMs),
     fingerprint,
   });
 }
 
+/** Logs that a response that has begun ends incomplete, and what is known of its engine. */
+export function logAbort(call: CallRecord, reason: string): void {
+  const { request, grant, send, context } = call;
+  const { configuration, enginePath, logger } = context;
+  logger.warn('response_aborted', {
+    request: request.id,
+    reason,
+    engine: send?.engineId,
+    sends: call.sends,
+    engine_disconnected: call.wasDisconnected,
+    engine_idle_ms: send && Math.round(call.now - send.lastActivityMs),
+    remaining_ms: Math.round(call.remainingMs),
+    admitted_under: grant?.table.configuration.version,
+    configuration: configuration.version,
+    path: enginePath.state,
+  });
+}
+
 /** Outcome of a request. */
 export interface RequestEnd {
   readonly outcome: string;
--- a/src/coordination/gateway/call-record.ts
+++ b/src/coordination/gateway/call-record.ts
@@ -39,6 +39,8 @@
   /** Requests at the engine when this one was sent, itself included. */
   engineRequests = 0;
   mayHaveRun = false;
+  /** Whether an engine of this request ended its connection before its response was complete. */
+  wasDisconnected = false;
   /** Monotonic time; Infinity until the request was admitted. */
   deadlineMs = Infinity;
   /** Sent as a sample although the estimate predicted a missed deadline. */
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -36,6 +36,9 @@
   cutAnswers = 0;
   /** Responses of engines whose end only the end of their connection showed. */
   unframedResponses = 0;
+  /** Responses that ended incomplete for their callers; those whose engines had not disconnected. */
+  responsesAborted = 0;
+  connectedResponsesAborted = 0;
   /** Streams whose engine ended its response within an event. */
   streamsEndedWithinEvent = 0;
   staleProofRefusals = 0;
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -153,6 +153,7 @@
   onFailure(send: Send, failure: ExchangeFailure): void {
     const { call } = this;
     const mayBeCrashCause = isDisconnect(failure) && send.isStarting;
+    call.wasDisconnected ||= isDisconnect(failure);
     this.sendTimeouts.cancel();
     call.response.discardPending();
     call.state = CallState.Choosing;
@@ -164,6 +165,7 @@
       { request: call.request.id, send: call.sends, engine: send.engineId },
       failure,
       send.isConnected,
+      call.now - send.lastActivityMs,
       call.crashes.computedFingerprint,
       this.context.logger,
     );
