Let a response that has begun continue when its prompt part or request is quarantined

What callers saw: streams of sound engines were reset at the moment of a quarantine, in their first 300 ms for a prompt part and at any time for a request. Cause: the quarantine ended all requests with what it names, though a response that has begun is at an engine already: ending it spares no engine, and a sound one would have completed it. A response that completes lifts the quarantine, as before.

--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -204,20 +204,25 @@
     this.retryTimer = this.context.clock.setTimer(CRASH_DETECTION_MS, retry);
   }
 
-  /** Rejects the request if its fingerprint is the quarantined one. */
+  /**
+   * Rejects the request if its fingerprint is the quarantined one. A response that has begun
+   * continues: its engine has the request already, and may be sound.
+   */
   endIfQuarantined(fingerprint: string): void {
-    if (this.call.isFinished || !this.call.crashes.matches(fingerprint)) return;
+    const { call } = this;
+    if (call.isFinished || call.hasBegun || !call.crashes.matches(fingerprint)) return;
     this.call.send?.cancel();
     this.ending.rejectQuarantined(CrashSubject.Request);
   }
 
   /**
-   * Rejects the request if its prompt contains the quarantined part, unless an engine has been
-   * responding for a while: that engine did not crash, and its response clears the part.
+   * Rejects the request if its prompt contains the quarantined part. A response that has begun, or
+   * whose engine has been responding for a while, continues: that engine did not crash, and its
+   * response clears the part.
    */
   endIfPartQuarantined(fingerprint: string): void {
     const { call } = this;
-    if (call.isFinished || !call.crashes.hasPart(fingerprint)) return;
+    if (call.isFinished || call.hasBegun || !call.crashes.hasPart(fingerprint)) return;
     if (call.send && call.isAtEngine && !call.send.isStarting) return;
     call.send?.cancel();
     this.ending.rejectQuarantined(CrashSubject.PromptPart);
