Pass the head of a stream on with its first event

What callers saw: a reset in place of a response, when the engine of a stream had sent its head and then no event could follow (it crashed, its weights ran out of time, the deadline came). Cause: the head was passed on at once, and from then on a reset is all that a router can say. Change: the head waits for the first whole event or for the end. Until then the request is one that has not begun: it is sent elsewhere, or gets an error of the router.

--- a/src/coordination/gateway/call-response.ts
+++ b/src/coordination/gateway/call-response.ts
@@ -23,6 +23,8 @@
   private readonly boundary = new EventBoundary();
   private readonly scanner = new EventScanner();
   private buffer: ResponseBuffer | undefined;
+  /** Head of a stream that has sent nothing yet, and that the caller does not have yet either. */
+  private pendingHead: ResponseHead | undefined;
   private mode: ResponseMode = { isStream: false, isResumable: false };
   private framing: ReplyFraming | undefined;
   private sentStatus: number | undefined;
@@ -87,10 +89,14 @@
     return this.boundary.hasReturnedEvent;
   }
 
-  /** Handles the head of a new response; not called for the head of one that continues it. */
+  /**
+   * Handles the head of a new response; not called for the head of one that continues it. The head of
+   * a stream is passed on with its first bytes, so that until then the request can still get another
+   * response.
+   */
   handleHead(head: ResponseHead, mode: ResponseMode): void {
     this.mode = mode;
-    if (mode.isStream) this.begin(head);
+    if (mode.isStream) this.pendingHead = head;
     else this.buffer = new ResponseBuffer(head);
   }
 
@@ -108,14 +114,21 @@
     if (this.buffer) return this.bufferChunk(this.buffer, chunk);
     if (!this.mode.isResumable) return this.writeThrough(chunk);
     const wholeEvents = this.boundary.take(chunk);
-    return wholeEvents ? this.reply.write(wholeEvents) : true;
+    if (!wholeEvents) return true;
+    this.beginStream();
+    return this.reply.write(wholeEvents);
   }
 
   private writeThrough(chunk: Uint8Array): boolean {
     if (this.mode.isStream) this.scanner.scan(chunk);
+    this.beginStream();
     return this.reply.write(chunk);
   }
 
+  private beginStream(): void {
+    if (this.pendingHead) this.begin(this.pendingHead);
+  }
+
   /** Completes the response to the caller after the engine has completed its own. */
   handleEnd(): void {
     if (this.buffer) {
@@ -123,6 +136,7 @@
       this.begin(head);
       for (const chunk of chunks) this.reply.write(chunk);
     }
+    this.beginStream();
     const rest = this.boundary.takeRest();
     if (rest.length > 0) this.reply.write(rest);
     this.reply.end();
@@ -132,6 +146,7 @@
   /** Discards what was not yet passed on, after the engine's response was interrupted. */
   discardPending(): void {
     this.buffer = undefined;
+    this.pendingHead = undefined;
     this.boundary.dropRest();
     this.held?.update(0);
   }
@@ -150,6 +165,7 @@
   }
 
   private begin(head: ResponseHead): void {
+    this.pendingHead = undefined;
     this.framing = framingOf(head, this.mode);
     this.sentStatus = head.status;
     this.reply.begin(head.status, head.headers, this.framing);
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -126,13 +126,13 @@
     call.silent.release();
     if (call.hasBegun) this.context.statistics.resumedStreams += 1;
     else call.response.handleHead(head, this.responseMode(head));
-    if (call.hasBegun) this.updateStallTimeout();
+    if (call.response.isStream) this.updateStallTimeout();
   }
 
   onChunk(send: Send, chunk: Uint8Array): void {
     const { call } = this;
     this.noteWritten(send);
-    if (call.hasBegun && call.response.isResumable) this.updateStallTimeout();
+    if (call.response.isResumable) this.updateStallTimeout();
     const mayReadOn = call.response.handleChunk(chunk, call.now);
     if (call.response.hasPassedEvent && !call.requiredBuild) this.noteOrigin(send);
     if (!mayReadOn) send.pause();
