Don't take a stream for silent while the router itself has paused it

What callers saw: one that read slowly had its stream moved to another engine, and lost it where that was not possible. Cause: the stall timeout ran on while the router read nothing from the engine.

--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -84,10 +84,10 @@
     const { call } = this;
     this.context.statistics.requests += 1;
     this.reply.onClose(() => this.onCallerDisconnect());
-    this.reply.onDrain(() => call.send?.resume());
+    this.reply.onDrain(() => this.readOn());
     const { held } = call.response;
     if (held) {
-      held.onRoom = () => call.send?.resume();
+      held.onRoom = () => this.readOn();
       held.onDropped = () => this.ending.drop();
     }
     if (!this.dispatch.admit()) return;
@@ -135,7 +135,19 @@
     if (call.response.isResumable) this.updateStallTimeout();
     const mayReadOn = call.response.handleChunk(chunk, call.now);
     if (call.response.hasPassedEvent && !call.requiredBuild) this.noteOrigin(send);
-    if (!mayReadOn) send.pause();
+    if (!mayReadOn) this.stopReading(send);
+  }
+
+  /** Pauses the engine's response until its caller has taken more of it. */
+  private stopReading(send: Send): void {
+    this.sendTimeouts.cancel();
+    send.pause();
+  }
+
+  private readOn(): void {
+    const { send, response } = this.call;
+    if (send?.isPaused && response.isStream) this.updateStallTimeout();
+    send?.resume();
   }
 
   failureAtEnd(send: Send): ExchangeFailure | undefined {
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -58,6 +58,7 @@
   /** Router through which the request is sent, unless there is an idle direct connection. */
   readonly forwarder: Forwarder | undefined;
   private isClosed = false;
+  private hasPaused = false;
   /** Whether the engine has taken the whole body of the request. */
   private hasBody = false;
   private sender: SenderState | undefined;
@@ -234,12 +235,19 @@
     return this.lastChunkMs ?? this.headMs ?? this.sentMs;
   }
 
+  /** Whether this router has stopped reading the response. */
+  get isPaused(): boolean {
+    return this.hasPaused;
+  }
+
   pause(): void {
+    this.hasPaused = true;
     this.speed?.notePausedRead();
     this.exchange.pause();
   }
 
   resume(): void {
+    this.hasPaused = false;
     this.exchange.resume();
   }
 
--- a/test/helpers/socket-router.ts
+++ b/test/helpers/socket-router.ts
@@ -162,7 +162,13 @@
 const LAST_CHUNK = '0\r\n\r\n';
 
 /** Sends a request, with a body of the given length, on a new connection. */
-export function call(t: ExecutionContext, port: number, id: string, body = 0): SocketCaller {
+export function call(
+  t: ExecutionContext,
+  port: number,
+  id: string,
+  body = 0,
+  path = STREAM_PATH,
+): SocketCaller {
   const socket = net.connect(port, '127.0.0.1');
   const caller: SocketCaller = { socket, receivedBytes: 0, tail: '', isClosed: false };
   socket.on('data', (chunk) => {
@@ -174,7 +180,7 @@
   socket.on('error', () => undefined);
   socket.on('close', () => (caller.isClosed = true));
   socket.write(
-    `POST ${STREAM_PATH} HTTP/1.1\r\nHost: host.example\r\nX-Peatspan-Attempt-Id: ${id}\r\n` +
+    `POST ${path} HTTP/1.1\r\nHost: host.example\r\nX-Peatspan-Attempt-Id: ${id}\r\n` +
       `Api-Key: key-1\r\nContent-Length: ${body}\r\n\r\n`,
   );
   if (body > 0) socket.write(Buffer.alloc(body));
--- a/test/platform/slow-readers.test.ts
+++ b/test/platform/slow-readers.test.ts
@@ -167,6 +167,26 @@
   },
 );
 
+// A stream that the router itself had paused was taken for one of a silent engine.
+test.serial('a caller that stops reading does not make its engine look silent', async (t) => {
+  const STOPPED_MS = 2_500;
+  const RESUMABLE_PATH = '/stream/stream-resumable/x';
+  const start = (): Promise<string> =>
+    startEngine(t, (_, response) => {
+      response.setHeader('Content-Type', 'text/event-stream');
+      void writeStream(response, CHUNKS);
+    });
+  const disabledFeatures = new Set([LoadSharingFeature.MemoryBudget]);
+  const router = await startRouter(t, [await start(), await start()], { disabledFeatures });
+  const caller = call(t, router.port, 'request-1', 0, RESUMABLE_PATH);
+  caller.socket.pause();
+  await wait(STOPPED_MS);
+  caller.socket.resume();
+  await waitUntil(() => isComplete(caller));
+  const { silentSends, sends } = router.node.statistics;
+  t.deepEqual([silentSends, sends], [0, 1]);
+});
+
 test.serial(
   'beyond its share a response pauses the engine, and is still delivered whole',
   async (t) => {
