Move the failover of silent sends out of RequestCall

No behaviour changes: begun-responses, silent-engines, call-response and routers-without-engines pass.

--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -9,11 +9,12 @@
   type ExchangeFailure,
 } from '../../protocol/inference/port.js';
 import { isEventStream } from '../../protocol/inference/event-stream.js';
-import { EnginePathState } from '../../state/routing/engine-path.js';
+import type { EnginePathState } from '../../state/routing/engine-path.js';
 import { RejectionReason } from '../../state/routing/rejection.js';
 import { CallDispatch } from './call-dispatch.js';
 import { CallEnding } from './call-ending.js';
-import { logSendFailure, logSilentSend } from './call-log.js';
+import { CallFailover } from './call-failover.js';
+import { logSendFailure } from './call-log.js';
 import { CallRecord } from './call-record.js';
 import type { ResponseMode } from './call-response.js';
 import { CallRetries } from './call-retries.js';
@@ -26,7 +27,6 @@
 import type { Grant } from './request-admission.js';
 import type { InboundRequest, Reply } from './reply.js';
 import type { Send, SendEvents } from './send.js';
-import { SendTimeouts, type SendTimeoutReason } from './send-timeouts.js';
 
 const SERVER_ERROR = 500;
 /** An engine that responds so has not written a generated response. */
@@ -39,8 +39,6 @@
 };
 /** Longer than it takes to detect that the engine of a lost connection has crashed. */
 const CRASH_DETECTION_MS = 30;
-/** A send without a byte for this long on a silent path is made again through another router. */
-const SILENT_SEND_MS = 300;
 
 /** The state machine of one request. */
 export class RequestCall implements SendEvents {
@@ -48,7 +46,7 @@
   private readonly dispatch: CallDispatch;
   private readonly retries: CallRetries;
   private readonly ending: CallEnding;
-  private readonly sendTimeouts: SendTimeouts;
+  private readonly failover: CallFailover;
   private deadlineTimer: Timer | undefined;
   private retryTimer: Timer | undefined;
 
@@ -62,22 +60,20 @@
     this.ending = new CallEnding(this.call, () => {
       this.deadlineTimer?.cancel();
       this.retryTimer?.cancel();
-      this.sendTimeouts.cancel();
+      this.failover.stopTimeout();
       this.call.response.discardPending();
       this.call.request.heldBody?.release();
       onFinished();
     });
     this.dispatch = new CallDispatch(this.call, this.ending, this, (grant) =>
-      this.startResponseTimeout(grant),
+      this.failover.noteSend(grant),
     );
     this.retries = new CallRetries(this.call);
-    this.sendTimeouts = new SendTimeouts(context.clock, (reason) => this.onSendTimeout(reason));
-    this.call.silent.onReturned = (send, reason) => {
-      context.statistics.silentSendsReturned += 1;
-      logSilentSend('silent_send_returned', this.call, send, reason);
-      this.retryTimer?.cancel();
-      this.sendTimeouts.restartStallTimeout();
-    };
+    this.failover = new CallFailover(this.call, this.retries, {
+      failSend: (send, failure) => this.failSend(send, failure),
+      sendAgain: () => this.sendAgain(),
+      onReturned: () => this.retryTimer?.cancel(),
+    });
   }
 
   start(): void {
@@ -104,8 +100,8 @@
 
   onHead(send: Send, head: ResponseHead): void {
     const { call } = this;
-    this.noteWritten(send);
-    this.sendTimeouts.cancel();
+    this.failover.noteWritten(send);
+    this.failover.stopTimeout();
     call.state = CallState.Responding;
     if (!head.isAttested) {
       this.failSend(send, { kind: 'unknown', reason: `unattested-${head.status}` });
@@ -126,13 +122,13 @@
     call.silent.release();
     if (call.hasBegun) this.context.statistics.resumedStreams += 1;
     else call.response.handleHead(head, this.responseMode(head));
-    if (call.response.isStream) this.updateStallTimeout();
+    if (call.response.isStream) this.failover.expectNextBytes();
   }
 
   onChunk(send: Send, chunk: Uint8Array): void {
     const { call } = this;
-    this.noteWritten(send);
-    if (call.response.isResumable) this.updateStallTimeout();
+    this.failover.noteWritten(send);
+    if (call.response.isResumable) this.failover.expectNextBytes();
     const mayReadOn = call.response.handleChunk(chunk, call.now);
     if (call.response.hasPassedEvent && !call.requiredBuild) this.noteOrigin(send);
     if (!mayReadOn) this.stopReading(send);
@@ -140,19 +136,19 @@
 
   /** Pauses the engine's response until its caller has taken more of it. */
   private stopReading(send: Send): void {
-    this.sendTimeouts.cancel();
+    this.failover.stopTimeout();
     send.pause();
   }
 
   private readOn(): void {
     const { send, response } = this.call;
-    if (send?.isPaused && response.isStream) this.updateStallTimeout();
+    if (send?.isPaused && response.isStream) this.failover.expectNextBytes();
     send?.resume();
   }
 
   failureAtEnd(send: Send): ExchangeFailure | undefined {
     const { response } = this.call;
-    this.noteWritten(send);
+    this.failover.noteWritten(send);
     // A process that dies closes its connections in the same way as one that has finished.
     const isDisconnect = send.framing === BodyFraming.Connection;
     if (response.isWithinEvent) {
@@ -182,7 +178,7 @@
     this.noteFailure(send, failure);
     // Another engine is being tried, or the crash has quarantined the request, which ends it.
     if (isSilent || call.isFinished) return;
-    this.sendTimeouts.cancel();
+    this.failover.stopTimeout();
     call.state = CallState.Choosing;
     if (isDisconnect(failure) && send.isStarting && call.mayRepeat)
       this.retryAfterCrashDetection(failure);
@@ -259,21 +255,9 @@
     }
   }
 
-  /**
-   * Fails a direct send because this router can't reach engines: one without a connection, or, if
-   * open connections are silent too, one that may be repeated and has received nothing for a while.
-   */
+  /** See {@link CallFailover.failSendWithoutPath}. */
   failSendWithoutPath(path: EnginePathState): void {
-    const { call } = this;
-    const { send } = call;
-    if (!send || !call.isAtEngine || send.isForwarded) return;
-    if (!send.isConnected) {
-      this.failSend(send, { kind: 'not-sent', reason: 'path-interrupted', isPathFailure: true });
-      return;
-    }
-    const isSilent = call.now - send.lastActivityMs >= SILENT_SEND_MS;
-    if (path !== EnginePathState.Silent || !isSilent || !call.mayRepeat) return;
-    if (call.canSendAgain) this.tryElsewhere(send, { kind: 'withdrawn', reason: 'path-silent' });
+    this.failover.failSendWithoutPath(path);
   }
 
   /** Records that the engine has responded, so that it was crashed neither by the request nor a part. */
@@ -342,55 +326,13 @@
     else if (decision.kind === 'reject') {
       const { reason, detail } = decision;
       this.ending.reject(reason, detail === undefined ? {} : { detail });
-    } else if (this.dispatch.admit()) this.dispatch.dispatch();
+    } else this.sendAgain();
   }
 
-  private startResponseTimeout(grant: Grant): void {
-    const { call } = this;
-    call.silent.limitOverlap();
-    if (!call.mayRepeat || call.sends >= grant.route.maximumAttempts) return;
-    this.sendTimeouts.startResponseTimeout(grant.route.objectiveMs, call.remainingMs);
-  }
-
-  /** Restarts the stall timeout for a resumable stream. */
-  private updateStallTimeout(): void {
-    if (this.call.response.isResumable) this.sendTimeouts.restartStallTimeout();
-    else this.sendTimeouts.cancel();
-  }
-
-  private onSendTimeout(reason: SendTimeoutReason): void {
-    const { send, isFinished, canSendAgain } = this.call;
-    if (!send || isFinished || !canSendAgain) return;
-    // Without a connection, nothing of the request has arrived at an engine.
-    this.tryElsewhere(send, { kind: send.isConnected ? 'unknown' : 'not-sent', reason });
-  }
-
-  /**
-   * Sends the request to another engine, if one is available. The silent send stays open until that
-   * engine has accepted the request, unless it has no connection or another silent send is open.
-   */
-  private tryElsewhere(send: Send, failure: ExchangeFailure): void {
-    const { call } = this;
-    if (!send.isConnected || call.silent.isOpen) {
-      if (this.retries.canFailOver(send)) this.failSend(send, failure);
-      return;
-    }
-    if (!this.retries.tryFailOver(send, failure)) return;
-    this.sendTimeouts.cancel();
-    call.silent.keep(send);
-    call.excluded.add(send.engineId);
-    call.mayHaveRun = true;
-    recordFailedSend(send, failure, this.context);
-    this.context.statistics.silentSends += 1;
-    logSilentSend('send_silent', call, send, failure.reason);
+  private sendAgain(): void {
     if (this.dispatch.admit()) this.dispatch.dispatch();
   }
 
-  /** A silent engine that writes again serves the request; the send to another engine is cancelled. */
-  private noteWritten(send: Send): void {
-    if (this.call.silent.owns(send)) this.call.silent.tryReturn('written');
-  }
-
   private onCallerDisconnect(): void {
     if (!this.call.isFinished) this.ending.abandon();
   }
