Check in simulation that responses that have begun are completed

Cause: no rule of the simulation says that a response that has begun must end whole, so a router that resets it while its engine is connected is not found.

Change: the oracle reports each aborted response unless an engine of its request broke off a connection, the request crashes engines, the callers' time budget has passed, or its router was down, paused, partitioned or cut off from the engines meanwhile. A removed key is no reason.

--- a/src/lab/gateway-simulation/engine-links.ts
+++ b/src/lab/gateway-simulation/engine-links.ts
@@ -134,6 +134,13 @@
     });
   }
 
+  /** Whether a router was cut off from all engines at some point between two times. */
+  wasCut(router: string, fromMs: number, untilMs: number): boolean {
+    return this.periods.some(
+      (each) => each.router === router && each.fromMs <= untilMs && each.untilMs >= fromMs,
+    );
+  }
+
   /** Ends all cuts. */
   heal(): void {
     for (const link of this.links.values()) link.end();
--- a/src/lab/gateway-simulation/gateway-oracle.ts
+++ b/src/lab/gateway-simulation/gateway-oracle.ts
@@ -1,5 +1,6 @@
 /** Checks a finished run against the rules, by what callers, engines and the operator observed. */
 import { cacheSaltOf } from '../../state/routing/generation.js';
+import { type CompletionBreach, judgeCompletion } from './completion-oracle.js';
 import { RECOVERY_MS } from './disturbances.js';
 import type { GatewaySimulation } from './gateway-simulation.js';
 import type { ObservedRequest } from './simulation-records.js';
@@ -12,6 +13,7 @@
 import { type QuotaBreach, judgeQuotas } from './quota-oracle.js';
 import {
   ISOLATED_TENANT,
+  REQUEST_BUDGET_MS,
   SIMULATION_BOUNDS,
   SIMULATION_MODEL,
   SIMULATION_QUOTA_TOLERANCE,
@@ -35,6 +37,7 @@
   | 'weights-on-time'
   | 'crashes-bounded'
   | 'odd-entry-unused'
+  | CompletionBreach['rule']
   | EnginePathBreach['rule']
   | FallBreach['rule']
   | NoticeBreach['rule']
@@ -49,7 +52,6 @@
 
 /** Time after a request's timeout within which its response must end. */
 const RESPONSE_SLACK_MS = 200;
-const REQUEST_BUDGET_MS = 3_000;
 /** Allows for a request that was in flight when the drain took effect. */
 const DRAIN_SLACK_MS = 50;
 /** How long the previous engine may keep running a request after a failover. */
@@ -79,6 +81,7 @@
     ...judgeCrashes(simulation),
     ...judgeMalformedEntries(simulation),
     ...judgeBuilds(simulation),
+    ...judgeCompletion(simulation),
     ...judgeEnginePaths(simulation),
     ...judgeFalls(simulation),
     ...judgeNotices(simulation),
--- a/src/lab/gateway-simulation/gateway-simulation.ts
+++ b/src/lab/gateway-simulation/gateway-simulation.ts
@@ -142,7 +142,7 @@
     const key = KEYS.get(tenant)?.[keyIndex];
     if (!router?.host.isRunning || key === undefined) return;
     const id = `request-${this.requests.length}`;
-    const reply = new RecordedReply();
+    const reply = new RecordedReply(this.clock);
     const sentMs = this.now;
     this.requests.push({ id, kind, tenant, key, router: name, sentMs, reply, continued });
     router.node.handle(inboundRequest(id, kind, key, sentMs, body, continued), reply);
--- a/src/lab/gateway-simulation/recorded-reply.ts
+++ b/src/lab/gateway-simulation/recorded-reply.ts
@@ -1,6 +1,7 @@
 /** Caller's side of a request: records the response and how it ended. */
 import type { Reply, ReplyFraming, RouterResponse } from '../../coordination/gateway/reply.js';
 import { BodyFraming, type HeaderLine } from '../../protocol/inference/port.js';
+import type { Clock } from '../../runtime/clock.js';
 
 /** How a response ended for the caller. */
 export type ReplyEnd =
@@ -17,6 +18,8 @@
   /** Response that the router generated itself, such as a rejection. */
   own: RouterResponse | undefined;
   ending: ReplyEnd | undefined;
+  /** When it ended, by the given clock; undefined before, or without a clock. */
+  endedMs: number | undefined;
   body = '';
   private framing: ReplyFraming | undefined;
   /** Number of response heads; more than one is a fault, which Node.js reports with an exception. */
@@ -24,6 +27,8 @@
   private takenListener: (isClosed: boolean) => void = () => undefined;
   private closeListener: () => void = () => undefined;
 
+  constructor(private readonly clock?: Pick<Clock, 'now'>) {}
+
   /** The simulated connection takes every write at once. */
   get heldBytes(): number {
     return 0;
@@ -41,21 +46,18 @@
   }
 
   end(): void {
-    this.ending = this.framing?.kind === BodyFraming.Connection ? 'closed' : 'whole';
-    this.takenListener(true);
+    this.finish(this.framing?.kind === BodyFraming.Connection ? 'closed' : 'whole');
   }
 
   refuse(response: RouterResponse): void {
     this.headCount += 1;
     this.status = response.status;
     this.own = response;
-    this.ending = 'refused';
-    this.takenListener(true);
+    this.finish('refused');
   }
 
   abort(): void {
-    this.ending = 'aborted';
-    this.takenListener(true);
+    this.finish('aborted');
   }
 
   onTaken(listener: (isClosed: boolean) => void): void {
@@ -73,13 +75,22 @@
   /** Closes the connection from the caller's side. */
   disconnect(): void {
     if (this.ending) return;
-    this.ending = 'left';
-    this.takenListener(true);
+    this.finish('left');
     this.closeListener();
   }
 
   /** Ends the response because the router's process has ended. */
   abortIfOpen(): void {
-    this.ending ??= 'aborted';
+    if (!this.ending) this.setEnding('aborted');
+  }
+
+  private finish(ending: ReplyEnd): void {
+    this.setEnding(ending);
+    this.takenListener(true);
+  }
+
+  private setEnding(ending: ReplyEnd): void {
+    this.ending = ending;
+    this.endedMs = this.clock?.now();
   }
 }
--- a/src/lab/gateway-simulation/simulated-engine.ts
+++ b/src/lab/gateway-simulation/simulated-engine.ts
@@ -29,6 +29,21 @@
   readonly weightsVersion: number;
   readonly startedMs: number;
   endedMs: number | undefined;
+  /** Set if the router gave up the run although its engine would have completed the response. */
+  givenUp: GivenUpRun | undefined;
+}
+
+/** A run that a router gave up; times in milliseconds. */
+export interface GivenUpRun {
+  readonly atMs: number;
+  /** When the whole response would have arrived. */
+  readonly completeMs: number;
+}
+
+/** A connection that an engine, or the router that forwarded it, broke off during a request. */
+export interface ObservedDisconnect {
+  readonly requestId: string;
+  readonly atMs: number;
 }
 
 /** What crashes engines. */
@@ -41,6 +56,7 @@
 
 /** One arrival of a request that crashes engines. */
 export interface ObservedCrash {
+  readonly requestId: string;
   readonly cause: CrashCause;
   /** Tenant, target and body of a request, which are the same when it is repeated; or the part. */
   readonly subject: string;
@@ -178,6 +194,11 @@
     return this.identity.build;
   }
 
+  /** Whether it is loading weights of its model, and rejects requests meanwhile. */
+  get isLoadingModel(): boolean {
+    return this.isLoading && this.model !== undefined;
+  }
+
   get weightsVersion(): number {
     return this.version;
   }
@@ -307,4 +328,5 @@
   readonly notices: ObservedNotice[] = [];
   readonly limits: ObservedLimit[] = [];
   readonly falls: ObservedFall[] = [];
+  readonly disconnects: ObservedDisconnect[] = [];
 }
--- a/src/lab/gateway-simulation/simulated-exchange.ts
+++ b/src/lab/gateway-simulation/simulated-exchange.ts
@@ -37,9 +37,13 @@
   isEnded = false;
   /** Called once when the exchange has ended for the router. */
   onClosed: (isComplete: boolean) => void = () => undefined;
+  /** Called when the engine's side breaks off an exchange that the router has not ended. */
+  onBrokenOff: () => void = () => undefined;
   private engine: SimulatedEngine | undefined;
   private observed: ObservedRun | undefined;
   private hasResponded = false;
+  /** Whether the engine was to complete the response when the run started. */
+  private willComplete = false;
   private framing = BodyFraming.Chunks;
   private isConnected = false;
   /** Delivers the engine's notice with a response that is sent now. */
@@ -71,6 +75,7 @@
 
   /** The forwarding router has ended. The engine drops the request, and the sender is notified. */
   breakForwarding(): void {
+    this.noteBrokenOff();
     this.leaveEngine();
     if (this.endsUnnoticed) {
       this.host.deliver(() => this.endResponse());
@@ -146,7 +151,7 @@
   /** Starts the request on the engine, which responds according to its mode. */
   run(engine: SimulatedEngine, run: ObservedRun): void {
     this.accept(engine, run);
-    const serviceMs = engine.capacity?.serviceMs ?? EVENT_INTERVAL_MS;
+    this.willComplete = engine.mode === EngineMode.Healthy;
     switch (engine.mode) {
       case EngineMode.Failing:
         this.schedule(EVENT_INTERVAL_MS, () => this.respondWithFailure());
@@ -157,7 +162,9 @@
       case EngineMode.Hanging:
         return;
       default:
-        this.schedule(serviceMs, () => this.sendResponse(engine.mode === EngineMode.Truncating));
+        this.schedule(serviceMsOf(engine), () =>
+          this.sendResponse(engine.mode === EngineMode.Truncating),
+        );
     }
   }
 
@@ -176,6 +183,7 @@
   }
 
   fail(kind: 'unknown' | 'cut'): void {
+    this.noteBrokenOff();
     const failure: ExchangeFailure = { kind, reason: kind, isDisconnect: true };
     this.deliverLast(() => this.listener.onFailure(failure));
   }
@@ -185,6 +193,7 @@
       this.reset();
       return;
     }
+    this.noteBrokenOff();
     this.leaveEngine();
     this.deliver(() => this.endResponse());
   }
@@ -195,10 +204,12 @@
   }
 
   abandon(): void {
+    this.noteBrokenOff();
     this.leaveEngine();
   }
 
   cancel(): void {
+    this.noteGivenUp();
     this.finish(false);
     this.clock.setTimer(NETWORK_DELAY_MS, () =>
       this.link.carry(LinkDirection.ToEngine, () => this.leaveEngine()),
@@ -272,6 +283,20 @@
     });
   }
 
+  private noteBrokenOff(): void {
+    if (!this.isEnded) this.onBrokenOff();
+  }
+
+  /** Records a router that cancels the run of an engine that would have completed its response. */
+  private noteGivenUp(): void {
+    const { engine, observed } = this;
+    if (this.isEnded || !this.willComplete || !engine?.isRunning || !observed) return;
+    const isStream = this.request.target.startsWith('/stream');
+    const runMs = serviceMsOf(engine) + (isStream ? STREAM_EVENTS * EVENT_INTERVAL_MS : 0);
+    const sentMs = Math.max(observed.startedMs + runMs, engine.silentUntilMs);
+    observed.givenUp = { atMs: this.clock.now(), completeMs: sentMs + NETWORK_DELAY_MS };
+  }
+
   private leaveEngine(): void {
     this.engine?.running.delete(this);
     if (this.observed) this.observed.endedMs ??= this.clock.now();
@@ -303,6 +328,10 @@
   }
 }
 
+function serviceMsOf({ capacity }: SimulatedEngine): number {
+  return capacity?.serviceMs ?? EVENT_INTERVAL_MS;
+}
+
 /** Complete body of a plain response. */
 export function plainBodyOf(requestId: string): string {
   return `answer to ${requestId}`;
--- a/src/lab/gateway-simulation/simulated-inference.ts
+++ b/src/lab/gateway-simulation/simulated-inference.ts
@@ -88,13 +88,12 @@
     const keepsDirect = forwarder?.keepsDirectConnections && this.link.hasConnection(endpoint.id);
     if (forwarder && !keepsDirect)
       return this.sendForwarded(forwarder.address, endpoint, request, options, listener);
-    const { clock, host, link } = this;
-    const exchange = new SimulatedExchange(request, options, listener, clock, host, link);
+    const { clock, link } = this;
+    const exchange = this.open(request, options, listener, link);
     exchange.onClosed = (isComplete) => {
       this.exchanges.delete(exchange);
       if (isComplete) link.returnConnection(endpoint.id);
     };
-    this.exchanges.add(exchange);
     const isNew = !link.takeConnection(endpoint.id);
     if (isNew && link.cut !== undefined) {
       const delayMs = link.isUnresponsive ? CONNECT_TIMEOUT_MS : 2 * NETWORK_DELAY_MS;
@@ -108,6 +107,20 @@
     return exchange;
   }
 
+  private open(
+    request: ForwardedRequest,
+    options: SendOptions,
+    listener: ExchangeListener,
+    link: EngineLink,
+  ): SimulatedExchange {
+    const { clock, host, observations } = this;
+    const exchange = new SimulatedExchange(request, options, listener, clock, host, link);
+    exchange.onBrokenOff = () =>
+      observations.disconnects.push({ requestId: request.id, atMs: clock.now() });
+    this.exchanges.add(exchange);
+    return exchange;
+  }
+
   private sendForwarded(
     address: string,
     endpoint: EngineEndpoint,
@@ -115,17 +128,15 @@
     options: SendOptions,
     listener: ExchangeListener,
   ): Exchange {
-    const { clock, host, router } = this;
-    const forwarder = this.forwarders?.reach(router, address);
+    const forwarder = this.forwarders?.reach(this.router, address);
     const link = forwarder?.link ?? this.link;
-    const exchange = new SimulatedExchange(request, options, listener, clock, host, link);
+    const exchange = this.open(request, options, listener, link);
     exchange.onClosed = () => {
       this.exchanges.delete(exchange);
       forwarder?.end(exchange);
     };
-    this.exchanges.add(exchange);
     const target = { engineId: endpoint.id, address: endpoint.address };
-    clock.setTimer(FORWARDING_DELAY_MS, () => {
+    this.clock.setTimer(FORWARDING_DELAY_MS, () => {
       if (exchange.isEnded) return;
       const isAccepted = forwarder?.decide(target) === ForwardingDecision.Accepted;
       if (!forwarder?.isResponsive || !isAccepted) {
@@ -134,7 +145,7 @@
       }
       if (link.cut !== undefined) {
         forwarder.refuse(target);
-        clock.setTimer(CONNECT_TIMEOUT_MS, () => exchange.failToConnect());
+        this.clock.setTimer(CONNECT_TIMEOUT_MS, () => exchange.failToConnect());
         return;
       }
       forwarder.open(target, exchange);
@@ -244,15 +255,15 @@
       return;
     }
     exchange.noteConnected({ isNew: true, isForwarded: false });
-    const isOther = engine.name !== options.expectedInstance;
-    const isOtherVersion =
-      options.expectedVersion !== undefined && options.expectedVersion !== engine.weightsVersion;
+    const { expectedInstance, expectedVersion = engine.weightsVersion } = options;
+    const isOther = engine.name !== expectedInstance;
+    const isOtherVersion = expectedVersion !== engine.weightsVersion;
     if (isOther || isOtherVersion) {
       exchange.refuse(421);
       return;
     }
     this.recordArrival(engine, exchange, request.id);
-    if (engine.mode === EngineMode.Busy || isLoadingModel(engine)) {
+    if (engine.mode === EngineMode.Busy || engine.isLoadingModel) {
       exchange.refuse(503);
       return;
     }
@@ -313,7 +324,7 @@
       exchange.fail('unknown');
       return;
     }
-    if (isLoadingModel(engine)) {
+    if (engine.isLoadingModel) {
       exchange.refuse(503);
       return;
     }
@@ -327,6 +338,7 @@
       weightsVersion: engine.weightsVersion,
       startedMs: this.clock.now(),
       endedMs: undefined,
+      givenUp: undefined,
     };
     this.observations.runs.push(run);
     const cause = crashCauseOf(request, options.tenant);
@@ -334,8 +346,8 @@
       exchange.run(engine, run);
       return;
     }
-    const arrivedMs = this.clock.now();
-    const crash = { ...cause, router: this.router, arrivedMs, crashedMs: undefined };
+    const { requestId, router, startedMs: arrivedMs } = run;
+    const crash = { ...cause, requestId, router, arrivedMs, crashedMs: undefined };
     this.observations.crashes.push(crash);
     exchange.crash(engine, run, crash);
   }
@@ -375,7 +387,3 @@
     });
   }
 }
-
-function isLoadingModel(engine: SimulatedEngine): boolean {
-  return engine.isLoading && engine.model !== undefined;
-}
--- a/src/lab/gateway-simulation/simulation-fixtures.ts
+++ b/src/lab/gateway-simulation/simulation-fixtures.ts
@@ -26,6 +26,10 @@
 export const PLAIN_SERVICE = 'plain';
 /** Build of the engines at the start; their events don't state it. */
 export const FIRST_BUILD = 'build-1';
+/** Time that callers give a request. */
+export const REQUEST_BUDGET_MS = 3_000;
+/** Time-out of each route at the start. */
+export const ROUTE_TIMEOUT_MS = 4_000;
 /** Number of routers. */
 export const ROUTERS = 3;
 
@@ -113,7 +117,7 @@
     isRepeatable: kind === 'plain-safe' || kind === 'stream-resumable',
     isStreaming: kind.startsWith('stream'),
     isResumable: kind === 'stream-resumable',
-    timeoutMs: 4_000,
+    timeoutMs: ROUTE_TIMEOUT_MS,
     objectiveMs: 400,
     priority: 1,
     maximumAttempts: 3,
@@ -221,7 +225,7 @@
     headers: [],
     body: Buffer.from(body),
     apiKey: key,
-    budgetMs: 3_000,
+    budgetMs: REQUEST_BUDGET_MS,
     generation: kind.startsWith('stream')
       ? { model: SIMULATION_MODEL, parts, promptTokens: 900, maximumOutputTokens: 10 }
       : undefined,
