Fuzz silent engines beside planned events in simulation

Cause: one test has silent engines, without any other event, so a router that gives up a live response while something else happens is not found.

Change: commands make one, several or all engines of a service silent for 0.3 to 2 s, together and by turns, beside planned stops of routers, keys, limits, weights, time-outs and routes that change, engines that reject or drain, and all faults of the other commands. The connections of an engine that ends while it is silent are closed at once, as the kernel does.

--- a/fuzz/gateway-main.ts
+++ b/fuzz/gateway-main.ts
@@ -13,6 +13,7 @@
 import { fuzzGateway } from './gateway-run.js';
 import { quotaCommands } from './quota-commands.js';
 import { responseFramingCommands } from './response-framing-commands.js';
+import { silentEngineCommands } from './silent-engine-commands.js';
 import { storeRestorationCommands } from './store-restoration-commands.js';
 
 /** Command sources by the third argument; others select those of `gateway-commands.ts`. */
@@ -27,6 +28,7 @@
   ['framing', responseFramingCommands],
   ['builds', engineBuildCommands],
   ['parts', crashingPartCommands],
+  ['silent-engines', silentEngineCommands],
 ]);
 
 const [seed = '1', runs = '100', focus = ''] = process.argv.slice(2);
--- a/src/lab/gateway-simulation/simulated-engine.ts
+++ b/src/lab/gateway-simulation/simulated-engine.ts
@@ -208,6 +208,11 @@
     this.version = version;
   }
 
+  /** Makes it send nothing until the given time, or until a later one given before. */
+  silence(untilMs: number): void {
+    this.silentUntilMs = Math.max(this.silentUntilMs, untilMs);
+  }
+
   /** Version before the last load. */
   get previousVersion(): number {
     return this.replacedVersion;
--- a/src/lab/gateway-simulation/simulated-exchange.ts
+++ b/src/lab/gateway-simulation/simulated-exchange.ts
@@ -303,7 +303,10 @@
   }
 
   private deliver(action: () => void): void {
-    const silentMs = Math.max(0, (this.engine?.silentUntilMs ?? -Infinity) - this.clock.now());
+    const { engine } = this;
+    // The connections of a process that has ended are closed also if it was silent.
+    const silentUntilMs = engine?.isRunning ? engine.silentUntilMs : -Infinity;
+    const silentMs = Math.max(0, silentUntilMs - this.clock.now());
     this.clock.setTimer(NETWORK_DELAY_MS + silentMs, () =>
       this.link.carry(LinkDirection.FromEngine, () =>
         this.host.deliver(() => {
--- a/src/lab/gateway-simulation/simulated-fleet.ts
+++ b/src/lab/gateway-simulation/simulated-fleet.ts
@@ -145,6 +145,11 @@
     });
   }
 
+  /** Makes all engines of a service send nothing for a while, as if their processes were paused. */
+  silence(service: string, forMs: number): void {
+    for (const engine of this.runningOf(service)) engine.silence(this.clock.now() + forMs);
+  }
+
   /** Whether the name is that of a malformed entry without an engine. */
   isMalformedEntryName(name: string): boolean {
     return this.malformedEntryNames.has(name);
--- a/src/lab/gateway-simulation/simulation-records.ts
+++ b/src/lab/gateway-simulation/simulation-records.ts
@@ -32,3 +32,11 @@
   readonly subject: string;
   readonly atMs: number;
 }
+
+/** A change of a kind's route that the store acknowledged. */
+export interface RouteChange {
+  readonly kind: RequestKind;
+  /** Undefined removes the route. */
+  readonly timeoutMs: number | undefined;
+  readonly atMs: number;
+}
