--- a/test/platform/ingress.test.ts
+++ b/test/platform/ingress.test.ts
@@ -1,56 +1,8 @@
 /** Guards against wrong conversion, limits and connection handling of client requests. */
-import net from 'node:net';
-import test, { type ExecutionContext } from 'ava';
-import { Ingress } from '../../platform/ingress.js';
-import type { GatewayNode } from '../../src/coordination/gateway/gateway-node.js';
+import test from 'ava';
 import { BodyFraming } from '../../src/protocol/inference/port.js';
 import type { InboundRequest, Reply } from '../../src/coordination/gateway/reply.js';
-import { SystemClock } from '../../src/runtime/clock.js';
-
-const GET = 'GET /a/ HTTP/1.1\r\nHost: h.example:80\r\nX-Peatspan-Attempt-Id: 1\r\n\r\n';
-
-interface IngressHarness {
-  readonly ingress: Ingress;
-  readonly port: number;
-  readonly requests: { request: InboundRequest; reply: Reply }[];
-}
-
-/** Starts an ingress with a node that only records the requests. */
-async function startIngress(t: ExecutionContext): Promise<IngressHarness> {
-  const requests: IngressHarness['requests'] = [];
-  const node = {
-    limits: {
-      maximumHeaderBytes: 2_000,
-      maximumBodyBytes: 100,
-      headerTimeoutMs: 5_000,
-      idleTimeoutMs: 600_000,
-    },
-    handle: (request: InboundRequest, reply: Reply) => requests.push({ request, reply }),
-  } as unknown as GatewayNode;
-  const ingress = new Ingress(node, new SystemClock());
-  const port = await ingress.listen('127.0.0.1:0');
-  t.teardown(() => ingress.close());
-  return { ingress, port, requests };
-}
-
-interface TestClient {
-  readonly socket: net.Socket;
-  readonly received: () => string;
-  readonly closed: Promise<void>;
-}
-
-function connect(port: number): TestClient {
-  const socket = net.connect(port, '127.0.0.1');
-  let text = '';
-  socket.on('data', (chunk) => (text += chunk.toString('latin1')));
-  socket.on('error', () => undefined);
-  const closed = new Promise<void>((resolve) => socket.on('close', () => resolve()));
-  return { socket, received: () => text, closed };
-}
-
-async function waitUntil(condition: () => boolean): Promise<void> {
-  while (!condition()) await new Promise((resolve) => setTimeout(resolve, 5));
-}
+import { GET, connect, startIngress, waitUntil } from '../helpers/ingress-harness.js';
 
 test('a request is converted to an inbound request', async (t) => {
   const harness = await startIngress(t);
