--- /dev/null
+++ b/test/platform/ingress-stop.test.ts
@@ -0,0 +1,81 @@
+/** Guards against requests and responses that a stopping router loses on callers' connections. */
+import { once } from 'node:events';
+import net from 'node:net';
+import test, { type ExecutionContext } from 'ava';
+import type { Reply } from '../../src/coordination/gateway/reply.js';
+import { BodyFraming } from '../../src/protocol/inference/port.js';
+import {
+  GET,
+  type IngressHarness,
+  type TestClient,
+  connect,
+  startIngress,
+  waitUntil,
+} from '../helpers/ingress-harness.js';
+import { wait } from '../helpers/event-loop.js';
+
+/** More than the kernel takes of a response that its caller does not read. */
+const LARGE_BODY = Buffer.alloc(16_777_216);
+
+function respond(harness: IngressHarness, index: number, body = Buffer.from('ok')): void {
+  const reply = harness.requests[index]?.reply as Reply;
+  reply.begin(200, [], { kind: BodyFraming.Length, bytes: body.length });
+  reply.write(body);
+  reply.end();
+}
+
+/** Sends a request, and ends its large response while the caller doesn't read. */
+async function respondToSlowReader(
+  t: ExecutionContext,
+  harness: IngressHarness,
+): Promise<net.Socket> {
+  const socket = net.connect(harness.port, '127.0.0.1');
+  t.teardown(() => socket.destroy());
+  socket.on('error', () => undefined);
+  socket.pause();
+  socket.write(GET);
+  await waitUntil(() => harness.requests.length === 1);
+  respond(harness, 0, LARGE_BODY);
+  await wait(100);
+  return socket;
+}
+
+async function readToEnd(socket: net.Socket): Promise<number> {
+  let bytes = 0;
+  socket.on('data', (chunk: Buffer) => (bytes += chunk.length));
+  const closed = once(socket, 'close');
+  socket.resume();
+  await closed;
+  return bytes;
+}
+
+/** Opens a connection and receives a response on it. */
+async function openKeptConnection(harness: IngressHarness): Promise<TestClient> {
+  const client = connect(harness.port);
+  client.socket.write(GET);
+  await waitUntil(() => harness.requests.length === 1);
+  respond(harness, 0);
+  await waitUntil(() => client.received().endsWith('ok'));
+  return client;
+}
+
+test.serial(
+  'a complete response that its caller reads slowly is sent whole after a stop',
+  async (t) => {
+    const harness = await startIngress(t);
+    const socket = await respondToSlowReader(t, harness);
+    harness.ingress.drain();
+    harness.ingress.close();
+    await wait(100);
+    t.true((await readToEnd(socket)) > LARGE_BODY.length);
+  },
+);
+
+test.serial('idle connections are closed at a stop', async (t) => {
+  const harness = await startIngress(t);
+  const client = await openKeptConnection(harness);
+  harness.ingress.drain();
+  harness.ingress.close();
+  await client.closed;
+  t.is(harness.requests.length, 1);
+});
