--- /dev/null
+++ b/test/platform/stop-sequence.test.ts
@@ -0,0 +1,140 @@
+/** Guards against a router that exits before its callers have their responses, or never exits. */
+import { once } from 'node:events';
+import net from 'node:net';
+import test, { type ExecutionContext } from 'ava';
+import { StopSequence } from '../../platform/stop-sequence.js';
+import type { GatewayNode } from '../../src/coordination/gateway/gateway-node.js';
+import type { Reply } from '../../src/coordination/gateway/reply.js';
+import { BodyFraming } from '../../src/protocol/inference/port.js';
+import { type Clock, SystemClock } from '../../src/runtime/clock.js';
+import { wait } from '../helpers/event-loop.js';
+import {
+  GET,
+  type IngressHarness,
+  connect,
+  startIngress,
+  waitUntil,
+} from '../helpers/ingress-harness.js';
+
+/** More than the kernel takes of a response that its caller does not read. */
+const LARGE_BODY = Buffer.alloc(16_777_216);
+const GRACE_S = 8;
+/** The stop sequence of the test runs this many times faster. */
+const SPEED = 10;
+/** For late timers of a loaded machine. */
+const TOLERANCE_MS = 3_000;
+/** Time after which the router no longer accepts connections, and some checks have run. */
+const AFTER_CLOSE_MS = 4_000 / SPEED;
+
+interface StopHarness extends IngressHarness {
+  readonly stop: StopSequence;
+  readonly hasExited: () => boolean;
+  /** Resolves at the exit with the time since this call, on the clock of the stop sequence. */
+  readonly exitMs: () => Promise<number>;
+}
+
+async function startStoppableRouter(t: ExecutionContext): Promise<StopHarness> {
+  const harness = await startIngress(t);
+  const node = {
+    runningCalls: 0,
+    forwardedConnections: 0,
+    leave: () => undefined,
+    stop: () => undefined,
+  } as unknown as GatewayNode;
+  const system = new SystemClock();
+  const clock: Clock = {
+    now: () => system.now() * SPEED,
+    elapsed: () => system.elapsed(),
+    wallNow: () => system.wallNow(),
+    setTimer: (delayMs, callback) => system.setTimer(delayMs / SPEED, callback),
+  };
+  const log = (): void => undefined;
+  const logger = { debug: log, info: log, warn: log, error: log };
+  let hasExited = false;
+  const exit = (): void => {
+    hasExited = true;
+  };
+  const stop = new StopSequence(node, harness.ingress, clock, logger, GRACE_S, exit);
+  const exitMs = async (): Promise<number> => {
+    const startedMs = clock.now();
+    await waitUntil(() => hasExited);
+    return clock.now() - startedMs;
+  };
+  return { ...harness, stop, hasExited: () => hasExited, exitMs };
+}
+
+function respond(harness: IngressHarness, body: Buffer): void {
+  const reply = harness.requests[0]?.reply as Reply;
+  reply.begin(200, [], { kind: BodyFraming.Length, bytes: body.length });
+  reply.write(body);
+  reply.end();
+}
+
+/** Sends a request, and ends its large response while the caller doesn't read. */
+async function respondToSlowReader(t: ExecutionContext, harness: StopHarness): Promise<net.Socket> {
+  const socket = net.connect(harness.port, '127.0.0.1');
+  t.teardown(() => socket.destroy());
+  socket.on('error', () => undefined);
+  socket.pause();
+  socket.write(GET);
+  await waitUntil(() => harness.requests.length === 1);
+  respond(harness, LARGE_BODY);
+  return socket;
+}
+
+test('a router without requests exits within its grace', async (t) => {
+  const router = await startStoppableRouter(t);
+  router.stop.begin();
+  const tookMs = await router.exitMs();
+  t.true(tookMs < GRACE_S * 1_000 + TOLERANCE_MS, `${tookMs} ms`);
+});
+
+test('the exit waits for a caller that reads slowly', async (t) => {
+  const router = await startStoppableRouter(t);
+  const socket = await respondToSlowReader(t, router);
+  router.stop.begin();
+  await wait(AFTER_CLOSE_MS);
+  t.false(router.hasExited());
+  let bytes = 0;
+  socket.on('data', (chunk: Buffer) => (bytes += chunk.length));
+  socket.resume();
+  await once(socket, 'close');
+  t.true(bytes > LARGE_BODY.length);
+  await waitUntil(router.hasExited);
+});
+
+test('the exit waits for a body that is arriving', async (t) => {
+  const router = await startStoppableRouter(t);
+  const client = connect(router.port);
+  client.socket.write(`${GET.slice(0, -2).replace('GET', 'POST')}Content-Length: 4\r\n\r\nab`);
+  await wait(20);
+  router.stop.begin();
+  await wait(AFTER_CLOSE_MS);
+  t.false(router.hasExited());
+  client.socket.write('cd');
+  await waitUntil(() => router.requests.length === 1);
+  respond(router, Buffer.from('ok'));
+  await client.closed;
+  t.regex(client.received(), /^HTTP\/1\.1 200 .*Connection: close\r\n.*ok$/s);
+  await waitUntil(router.hasExited);
+});
+
+test('a caller that never reads does not hold the router beyond its grace', async (t) => {
+  const router = await startStoppableRouter(t);
+  await respondToSlowReader(t, router);
+  router.stop.begin();
+  const tookMs = await router.exitMs();
+  t.true(tookMs < GRACE_S * 1_000 + TOLERANCE_MS, `${tookMs} ms`);
+});
+
+test('no request is read between the last check and the exit', async (t) => {
+  const router = await startStoppableRouter(t);
+  const client = connect(router.port);
+  await wait(20);
+  router.stop.begin();
+  await client.closed;
+  t.false(router.hasExited());
+  client.socket.write(GET);
+  await waitUntil(router.hasExited);
+  t.is(router.requests.length, 0);
+});
