--- /dev/null
+++ b/test/platform/ingress-connections.test.ts
@@ -0,0 +1,88 @@
+/** Guards against connections that are closed under a caller, and responses that never arrive. */
+import test from 'ava';
+import type { Reply } from '../../src/coordination/gateway/reply.js';
+import { BodyFraming } from '../../src/protocol/inference/port.js';
+import {
+  GET,
+  type IngressHarness,
+  type TestClient,
+  connect,
+  startIngress,
+  waitUntil,
+} from '../helpers/ingress-harness.js';
+import { wait } from '../helpers/event-loop.js';
+
+/** Node.js holds an idle connection for this much longer than it states. */
+const NODE_HOLDS_LONGER_MS = 1_000;
+
+function respond(harness: IngressHarness, index: number): void {
+  const reply = harness.requests[index]?.reply as Reply;
+  reply.begin(200, [], { kind: BodyFraming.Length, bytes: 2 });
+  reply.write(Buffer.from('ok'));
+  reply.end();
+}
+
+/** Sends the request with the given index and answers it. */
+async function exchange(harness: IngressHarness, client: TestClient, index: number): Promise<void> {
+  const start = client.received().length;
+  client.socket.write(GET);
+  await Promise.race([client.closed, waitUntil(() => harness.requests.length > index)]);
+  respond(harness, index);
+  await Promise.race([
+    client.closed,
+    waitUntil(() => client.received().slice(start).endsWith('ok')),
+  ]);
+}
+
+function statedSeconds(client: TestClient): number {
+  return Number(/Keep-Alive: timeout=(\d+)/.exec(client.received())?.[1]);
+}
+
+test('a connection is held as long as its first response after a shorter limit states', async (t) => {
+  const harness = await startIngress(t);
+  const client = connect(harness.port);
+  harness.limits.idleTimeoutMs = 4_000;
+  await exchange(harness, connect(harness.port), 0);
+  harness.limits.idleTimeoutMs = 500;
+  await exchange(harness, client, 1);
+  t.is(statedSeconds(client), 4);
+  await wait(500 + NODE_HOLDS_LONGER_MS + 1_000);
+  await exchange(harness, client, 2);
+  t.is(client.received().match(/200 OK/g)?.length, 2);
+  client.socket.destroy();
+});
+
+test('a connection is held as long as a response states that began before a shorter limit', async (t) => {
+  const harness = await startIngress(t);
+  harness.limits.idleTimeoutMs = 4_000;
+  const other = connect(harness.port);
+  await exchange(harness, other, 0);
+  const client = connect(harness.port);
+  client.socket.write(GET);
+  await waitUntil(() => harness.requests.length === 2);
+  harness.limits.idleTimeoutMs = 500;
+  await exchange(harness, other, 2);
+  respond(harness, 1);
+  await waitUntil(() => client.received().endsWith('ok'));
+  t.is(statedSeconds(client), 4);
+  await wait(500 + NODE_HOLDS_LONGER_MS + 1_000);
+  await exchange(harness, client, 3);
+  t.is(client.received().match(/200 OK/g)?.length, 2);
+  for (const { socket } of [client, other]) socket.destroy();
+});
+
+test('an idle connection is closed after the idle time, also after a longer response', async (t) => {
+  const harness = await startIngress(t);
+  harness.limits.idleTimeoutMs = 300;
+  await exchange(harness, connect(harness.port), 0);
+  const client = connect(harness.port);
+  client.socket.write(GET);
+  await waitUntil(() => harness.requests.length === 2);
+  await wait(300 + NODE_HOLDS_LONGER_MS + 300);
+  respond(harness, 1);
+  const startedMs = performance.now();
+  await client.closed;
+  t.true(client.received().endsWith('ok'));
+  const heldMs = performance.now() - startedMs;
+  t.true(heldMs > 300 && heldMs < 3_000, `${heldMs} ms`);
+});
