--- a/test/platform/ingress-connections.test.ts
+++ b/test/platform/ingress-connections.test.ts
@@ -10,7 +10,7 @@
   startIngress,
   waitUntil,
 } from '../helpers/ingress-harness.js';
-import { wait } from '../helpers/event-loop.js';
+import { holdEventLoop, wait } from '../helpers/event-loop.js';
 
 /** Node.js holds an idle connection for this much longer than it states. */
 const NODE_HOLDS_LONGER_MS = 1_000;
@@ -86,3 +86,19 @@
   const heldMs = performance.now() - startedMs;
   t.true(heldMs > 300 && heldMs < 3_000, `${heldMs} ms`);
 });
+
+test.serial('a request that waits in its socket when the idle time ends is answered', async (t) => {
+  const harness = await startIngress(t);
+  harness.limits.idleTimeoutMs = 200;
+  await exchange(harness, connect(harness.port), 0);
+  const client = connect(harness.port);
+  await exchange(harness, client, 1);
+  await wait(200 + NODE_HOLDS_LONGER_MS - 300);
+  client.socket.write(GET);
+  holdEventLoop(600);
+  await Promise.race([client.closed, waitUntil(() => harness.requests.length === 3)]);
+  t.is(harness.requests.length, 3);
+  respond(harness, 2);
+  await waitUntil(() => client.received().match(/200 OK/g)?.length === 2);
+  client.socket.destroy();
+});
