--- a/test/platform/ingress-stop.test.ts
+++ b/test/platform/ingress-stop.test.ts
@@ -1,6 +1,7 @@
 /** Guards against requests and responses that a stopping router loses on callers' connections. */
 import { once } from 'node:events';
 import net from 'node:net';
+import { Worker } from 'node:worker_threads';
 import test, { type ExecutionContext } from 'ava';
 import type { Reply } from '../../src/coordination/gateway/reply.js';
 import { BodyFraming } from '../../src/protocol/inference/port.js';
@@ -12,7 +13,7 @@
   startIngress,
   waitUntil,
 } from '../helpers/ingress-harness.js';
-import { wait } from '../helpers/event-loop.js';
+import { holdEventLoop, wait } from '../helpers/event-loop.js';
 
 /** More than the kernel takes of a response that its caller does not read. */
 const LARGE_BODY = Buffer.alloc(16_777_216);
@@ -79,3 +80,61 @@
   await client.closed;
   t.is(harness.requests.length, 1);
 });
+
+test.serial(
+  'a request that waits in its socket when idle connections are closed is answered',
+  async (t) => {
+    const harness = await startIngress(t);
+    const client = await openKeptConnection(harness);
+    setTimeout(() => {
+      client.socket.write(GET);
+      holdEventLoop(50);
+      harness.ingress.drain();
+      harness.ingress.close();
+    }, 20);
+    await Promise.race([client.closed, waitUntil(() => harness.requests.length === 2)]);
+    t.is(harness.requests.length, 2);
+    respond(harness, 1);
+    await client.closed;
+    t.regex(client.received(), /Connection: close\r\n.*ok$/s);
+  },
+);
+
+test.serial(
+  'new connections that wait to be accepted when the router stops listening are served',
+  async (t) => {
+    const CONNECTIONS = 5;
+    const harness = await startIngress(t);
+    const caller = new Worker(
+      `const { parentPort, workerData } = require('node:worker_threads');
+     const net = require('node:net');
+     const call = () => {
+       let text = '';
+       const socket = net.connect(workerData.port, '127.0.0.1', () => socket.write(workerData.request));
+       socket.on('error', () => undefined);
+       socket.on('data', (chunk) => (text += chunk));
+       socket.on('close', () => parentPort.postMessage(text));
+     };
+     parentPort.on('message', (count) => {
+       for (let index = 0; index < count; index += 1) call();
+     });
+     parentPort.postMessage('ready');`,
+      { eval: true, workerData: { port: harness.port, request: GET } },
+    );
+    t.teardown(() => caller.terminate());
+    await once(caller, 'message');
+    const responses: string[] = [];
+    caller.on('message', (text: string) => responses.push(text));
+    caller.postMessage(CONNECTIONS);
+    holdEventLoop(500);
+    harness.ingress.drain();
+    harness.ingress.close();
+    for (let index = 0; index < CONNECTIONS; index += 1) {
+      await waitUntil(() => harness.requests.length > index || responses.length > index);
+      t.true(harness.requests.length > index, `connection ${index}`);
+      respond(harness, index);
+    }
+    await waitUntil(() => responses.length === CONNECTIONS);
+    for (const text of responses) t.regex(text, /Connection: close\r\n.*ok$/s);
+  },
+);
