--- a/test/platform/ingress-connections.test.ts
+++ b/test/platform/ingress-connections.test.ts
@@ -102,3 +102,30 @@
   await waitUntil(() => client.received().match(/200 OK/g)?.length === 2);
   client.socket.destroy();
 });
+
+test('a pipelined request behind a response that ends its connection is not handled', async (t) => {
+  const harness = await startIngress(t);
+  const client = connect(harness.port);
+  client.socket.write(GET + GET);
+  await waitUntil(() => harness.requests.length > 0);
+  const reply = harness.requests[0]?.reply as Reply;
+  reply.begin(200, [], { kind: BodyFraming.Connection });
+  reply.write(Buffer.from('answer'));
+  reply.end();
+  await client.closed;
+  t.true(client.received().endsWith('answer'));
+  t.is(harness.requests.length, 1);
+});
+
+test('pipelined requests are answered in order', async (t) => {
+  const harness = await startIngress(t);
+  const client = connect(harness.port);
+  client.socket.write(GET + GET + GET);
+  for (let index = 0; index < 3; index += 1) {
+    await waitUntil(() => harness.requests.length === index + 1);
+    respond(harness, index);
+  }
+  await waitUntil(() => client.received().match(/200 OK/g)?.length === 3);
+  client.socket.destroy();
+  t.pass();
+});
--- a/test/platform/ingress-stop.test.ts
+++ b/test/platform/ingress-stop.test.ts
@@ -100,6 +100,27 @@
   },
 );
 
+test.serial(
+  'a pipelined request is answered though the response before it ends after the stop',
+  async (t) => {
+    const harness = await startIngress(t);
+    const client = connect(harness.port);
+    client.socket.write(GET + GET);
+    await waitUntil(() => harness.requests.length > 0);
+    const first = harness.requests[0]?.reply as Reply;
+    first.begin(200, [], { kind: BodyFraming.Chunks });
+    harness.ingress.drain();
+    harness.ingress.close();
+    await wait(50);
+    first.end();
+    await Promise.race([client.closed, waitUntil(() => harness.requests.length === 2)]);
+    await wait(50);
+    respond(harness, 1);
+    await client.closed;
+    t.regex(client.received(), /Connection: close\r\n.*ok$/s);
+  },
+);
+
 test.serial(
   'new connections that wait to be accepted when the router stops listening are served',
   async (t) => {
