--- a/test/platform/ingress-connections.test.ts
+++ b/test/platform/ingress-connections.test.ts
@@ -103,6 +103,38 @@
   client.socket.destroy();
 });
 
+test('a caller that writes its body before it reads gets the rejection', async (t) => {
+  const harness = await startIngress(t);
+  harness.limits.maximumBodyBytes = 1_000;
+  const PIECE = Buffer.alloc(16_384);
+  const PIECES = 40;
+  const client = connect(harness.port);
+  client.socket.pause();
+  client.socket.write(
+    'POST /a/ HTTP/1.1\r\nHost: h\r\nX-Peatspan-Attempt-Id: 1\r\n' +
+      `Content-Length: ${PIECE.length * PIECES}\r\n\r\n`,
+  );
+  for (let piece = 0; piece < PIECES && !client.socket.destroyed; piece += 1) {
+    client.socket.write(PIECE);
+    await wait(2);
+  }
+  client.socket.resume();
+  await client.closed;
+  t.regex(client.received(), /^HTTP\/1\.1 413 .*Connection: close\r\n.*body-too-long/s);
+});
+
+test('a rejected body that never ends does not keep its connection', async (t) => {
+  const harness = await startIngress(t);
+  const client = connect(harness.port);
+  client.socket.write(
+    'POST /a/ HTTP/1.1\r\nHost: h\r\nX-Peatspan-Attempt-Id: 1\r\nContent-Length: 5000\r\n\r\n',
+  );
+  const startedMs = performance.now();
+  await client.closed;
+  t.regex(client.received(), /^HTTP\/1\.1 413 /);
+  t.true(performance.now() - startedMs < 5_000);
+});
+
 test('a pipelined request behind a response that ends its connection is not handled', async (t) => {
   const harness = await startIngress(t);
   const client = connect(harness.port);
