--- a/test/platform/ingress-connections.test.ts
+++ b/test/platform/ingress-connections.test.ts
@@ -161,3 +161,68 @@
   client.socket.destroy();
   t.pass();
 });
+
+for (const [name, bytes] of [
+  ['invalid', 'invalid\r\n\r\n'],
+  ['incomplete', 'GET /a/ HTTP/1.1\r\nHost: h\r\n'],
+] as const) {
+  test(`a running response is not cut by ${name} bytes behind its request`, async (t) => {
+    const harness = await startIngress(t);
+    harness.limits.headerTimeoutMs = 300;
+    harness.limits.idleTimeoutMs = 200;
+    await exchange(harness, connect(harness.port), 0);
+    const client = connect(harness.port);
+    client.socket.write(GET);
+    await waitUntil(() => harness.requests.length === 2);
+    const reply = harness.requests[1]?.reply as Reply;
+    reply.begin(200, [], { kind: BodyFraming.Chunks });
+    client.socket.write(bytes);
+    await wait(1_500);
+    reply.write(Buffer.from('answer'));
+    reply.end();
+    await client.closed;
+    t.true(client.received().endsWith('0\r\n\r\n'));
+    t.is(harness.requests.length, 2);
+  });
+}
+
+for (const [name, bytes] of [
+  ['invalid', 'invalid\r\n\r\n'],
+  ['incomplete', 'GET /a/ HTTP/1.1\r\nHost: h\r\n'],
+] as const) {
+  test(`a caller that leaves after ${name} bytes behind its request is noticed`, async (t) => {
+    const harness = await startIngress(t);
+    const client = connect(harness.port);
+    client.socket.write(GET);
+    await waitUntil(() => harness.requests.length === 1);
+    const reply = harness.requests[0]?.reply as Reply;
+    reply.begin(200, [], { kind: BodyFraming.Chunks });
+    let hasLeft = false;
+    reply.onClose(() => (hasLeft = true));
+    client.socket.write(bytes);
+    await wait(100);
+    t.false(hasLeft);
+    client.socket.end();
+    await waitUntil(() => hasLeft);
+    t.true(hasLeft);
+  });
+}
+
+for (const [status, bytes] of [
+  [400, 'invalid\r\n\r\n'],
+  [408, 'GET /a/ HTTP/1.1\r\nHost: h\r\n'],
+  [408, GET.replace('GET', 'POST').replace('\r\n\r\n', '\r\nContent-Length: 4\r\n\r\nab')],
+  [431, `GET /a/ HTTP/1.1\r\nX-Long: ${'x'.repeat(70_000)}`],
+] as const) {
+  test(`${bytes.slice(0, 60)} alone on a connection is rejected with ${status}`, async (t) => {
+    const harness = await startIngress(t);
+    harness.limits.headerTimeoutMs = 300;
+    harness.limits.idleTimeoutMs = 200;
+    await exchange(harness, connect(harness.port), 0);
+    const client = connect(harness.port);
+    client.socket.write(bytes);
+    await client.closed;
+    t.regex(client.received(), new RegExp(`^HTTP/1\\.1 ${status} .*Connection: close\\r\\n`, 's'));
+    t.is(harness.requests.length, 1);
+  });
+}
