Bound control responses in bytes

Cause: calls for the state, cache events and contents of engines, load commands and the store read a response until it ended or their timeout passed, whatever its size. Chunks were kept in a list, which takes more memory than a body sent byte by byte.

Change: each call states the maximum size of its response, body and framing. The connection is closed as soon as the declared length or the received bytes exceed it, or 128 KiB have arrived without a response head. The bound counts what the socket receives, since empty lines, interim responses and leading zeros of a chunk's size yield no body. The body is collected in one growing buffer. The bounds are reckoned from the documented sizes: 256 KiB for state and load commands, 2 MiB for 4,000 cache events, 16 MiB for the contents of a cache store and for lists and watches of the store.

--- a/test/platform/json-client.test.ts
+++ b/test/platform/json-client.test.ts
@@ -7,6 +7,7 @@
 const RESPONSE_DELAY_MS = 20;
 const TIMEOUT_MS = 400;
 const POOLED_CONNECTIONS = 4;
+const MAXIMUM_BYTES = 1_024;
 
 test('after a timeout, the next request opens a new connection', async (t) => {
   const unresponsive = new Set<Socket>();
@@ -23,7 +24,13 @@
     for (const socket of seen) socket.destroy();
     server.close();
   });
-  const call = () => client.call({ method: 'GET', path: '/', timeoutMs: TIMEOUT_MS });
+  const call = () =>
+    client.call({
+      method: 'GET',
+      path: '/',
+      timeoutMs: TIMEOUT_MS,
+      maximumResponseBytes: MAXIMUM_BYTES,
+    });
   await Promise.all(Array.from({ length: POOLED_CONNECTIONS }, call));
   for (const socket of seen) unresponsive.add(socket);
   await t.throwsAsync(call());
