--- a/test/platform/json-client.test.ts
+++ b/test/platform/json-client.test.ts
@@ -1,8 +1,12 @@
-/** Guards against repeated timeouts on idle connections that no longer respond. */
+/**
+ * Guards against repeated timeouts on idle connections that no longer respond, and against bytes on
+ * idle connections, which belong to no call.
+ */
 import { createServer } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
-import test from 'ava';
+import { type AddressInfo, type Socket, createServer as createTcpServer } from 'node:net';
+import test, { type ExecutionContext } from 'ava';
 import { JsonClient } from '../../platform/json-client.js';
+import { holdsWithin, writeWithoutEnd } from '../helpers/endless-peer.js';
 
 const RESPONSE_DELAY_MS = 20;
 const TIMEOUT_MS = 400;
@@ -37,3 +41,58 @@
   const response = await call();
   t.is(response.status, 200);
 });
+
+/** Starts a server that answers each call with its number and then writes on unasked. */
+async function startUnaskedWriter(
+  t: ExecutionContext,
+  writeUnasked: (socket: Socket) => void,
+): Promise<{ client: JsonClient; sockets: Socket[] }> {
+  const sockets: Socket[] = [];
+  let calls = 0;
+  const server = createTcpServer((socket) => {
+    sockets.push(socket);
+    socket.on('error', () => undefined);
+    socket.on('data', () => {
+      calls += 1;
+      socket.write(`HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n${calls}`);
+      setTimeout(() => writeUnasked(socket), RESPONSE_DELAY_MS);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const client = new JsonClient(`127.0.0.1:${port}`);
+  t.teardown(() => {
+    client.close();
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  });
+  return { client, sockets };
+}
+
+const CALL = {
+  method: 'GET',
+  path: '/',
+  timeoutMs: TIMEOUT_MS,
+  maximumResponseBytes: MAXIMUM_BYTES,
+};
+
+test('an unasked response on an idle connection closes it', async (t) => {
+  const { client, sockets } = await startUnaskedWriter(t, (socket) => {
+    socket.write('HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n"late"');
+  });
+  t.is((await client.call(CALL)).body, 1);
+  t.true(await holdsWithin(() => sockets.every((socket) => socket.destroyed), TIMEOUT_MS));
+  t.is((await client.call(CALL)).body, 2);
+  t.is(sockets.length, 2);
+});
+
+test('bytes without end on an idle connection are not read', async (t) => {
+  const { client, sockets } = await startUnaskedWriter(t, (socket) => {
+    if (sockets.length === 1) writeWithoutEnd(socket, { start: '', repeated: 'x' });
+  });
+  t.is((await client.call(CALL)).body, 1);
+  const isClosed = await holdsWithin(() => sockets.every((socket) => socket.destroyed), TIMEOUT_MS);
+  t.log(`${sockets[0]?.bytesWritten ?? 0} bytes written`);
+  t.true(isClosed);
+  t.is((await client.call(CALL)).body, 2);
+});
