--- a/test/platform/engine-exchange.test.ts
+++ b/test/platform/engine-exchange.test.ts
@@ -118,6 +118,20 @@
   t.is((outcome.end as ExchangeFailure).kind, 'unknown');
 });
 
+test('malformed bytes are not taken for a lost connection', async (t) => {
+  const responses = [
+    'nonsense\r\n\r\n',
+    `${RESPONSE_HEAD}Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\nnonsense`,
+    `${RESPONSE_HEAD}A: ${'x'.repeat(100_000)}`,
+  ];
+  for (const response of responses) {
+    const { end, head } = await exchangeWith(t, (socket) => socket.write(response));
+    t.not(end, 'whole');
+    t.is((end as ExchangeFailure).kind, head ? 'cut' : 'unknown');
+    t.false('isDisconnect' in (end as ExchangeFailure));
+  }
+});
+
 test('nothing was sent to an engine that refuses the connection', async (t) => {
   const outcome = await new Promise<ExchangeFailure>((resolve) => {
     new EngineClient().send(
