--- a/test/platform/engine-exchange.test.ts
+++ b/test/platform/engine-exchange.test.ts
@@ -7,8 +7,12 @@
   EngineNotice,
   ExchangeFailure,
 } from '../../src/protocol/inference/port.js';
+import { holdsWithin } from '../helpers/endless-peer.js';
 import { REQUEST, RESPONSE_HEAD, SEND_OPTIONS } from '../helpers/exchange-fixtures.js';
 
+const CLOSE_TIMEOUT_MS = 500;
+const CHUNKED_HELLO = 'Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n';
+
 interface Outcome {
   notice?: EngineNotice;
   head?: ResponseHead;
@@ -86,6 +90,22 @@
   t.is((outcome.end as ExchangeFailure).kind, 'cut');
 });
 
+test('a complete response is delivered although further bytes follow it', async (t) => {
+  const bodies = ['Content-Length: 5\r\n\r\nhello', CHUNKED_HELLO];
+  for (const body of bodies) {
+    for (const further of ['nonsense', `${RESPONSE_HEAD}Content-Length: 5\r\n\r\nother`]) {
+      let hasClosed = false;
+      const outcome = await exchangeWith(t, (socket) => {
+        socket.on('close', () => (hasClosed = true));
+        socket.write(`${RESPONSE_HEAD}${body}${further}`);
+      });
+      t.is(outcome.end, 'whole', further);
+      t.is(outcome.body, 'hello');
+      t.true(await holdsWithin(() => hasClosed, CLOSE_TIMEOUT_MS));
+    }
+  }
+});
+
 test('a response to another request is discarded and leaves the outcome unknown', async (t) => {
   const other = RESPONSE_HEAD.replace('request-1', 'request-0');
   const outcome = await exchangeWith(t, (socket) => {
