Report upgrade responses as failures

Cause: Node.js closes the connection of a response with status 101 and an Upgrade header and reports nothing. An exchange then had no outcome until the request's deadline, and a control call none until its timeout.

Change: both fail at once.

--- a/test/platform/control-responses-without-end.test.ts
+++ b/test/platform/control-responses-without-end.test.ts
@@ -37,6 +37,10 @@
   'a head': { start: HEAD, repeated: 'A: b\r\n' },
   'a status line': { start: 'HTTP/1.1 200 ', repeated: 'x' },
   'interim responses': { start: '', repeated: 'HTTP/1.1 102 Processing\r\n\r\n' },
+  'another protocol': {
+    start: 'HTTP/1.1 101 Other\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n',
+    repeated: 'x',
+  },
   'empty lines': { start: '', repeated: '\r\n' },
 };
 
--- a/test/platform/engine-exchange.test.ts
+++ b/test/platform/engine-exchange.test.ts
@@ -138,6 +138,13 @@
   t.is((outcome.end as ExchangeFailure).kind, 'unknown');
 });
 
+test('a response that switches protocols fails at once', async (t) => {
+  const outcome = await exchangeWith(t, (socket) => {
+    socket.write('HTTP/1.1 101 Other\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\nbytes');
+  });
+  t.deepEqual(outcome.end, { kind: 'unknown', reason: 'upgrade-response' });
+});
+
 test('malformed bytes are not taken for a lost connection', async (t) => {
   const responses = [
     'nonsense\r\n\r\n',
