--- /dev/null
+++ b/test/platform/responses-without-end.test.ts
@@ -0,0 +1,143 @@
+/**
+ * Guards against exchanges that read a response without end until their deadline, directly and
+ * through a forwarder.
+ */
+import net from 'node:net';
+import test, { type ExecutionContext } from 'ava';
+import { EngineClient } from '../../platform/engine-client.js';
+import type { ExchangeFailure } from '../../src/protocol/inference/port.js';
+import { ForwardingDecision } from '../../src/protocol/peer/forwarding-port.js';
+import { TcpForwarding } from '../../src/protocol/peer/forwarding-server.js';
+import {
+  type EndlessPeer,
+  type EndlessResponse,
+  holdsWithin,
+  peakBufferGrowth,
+  startEndlessPeer,
+} from '../helpers/endless-peer.js';
+import { REQUEST, RESPONSE_HEAD, SEND_OPTIONS } from '../helpers/exchange-fixtures.js';
+
+const FAILURE_TIMEOUT_MS = 1_500;
+const CLOSE_TIMEOUT_MS = 1_500;
+/** The limit, and what the kernel buffers on both sides of up to two connections. */
+const MAXIMUM_SENT_BYTES = 33_554_432;
+const MAXIMUM_GROWTH_BYTES = 16_777_216;
+
+const CHUNKED = `${RESPONSE_HEAD}Transfer-Encoding: chunked\r\n\r\n`;
+interface EndlessCase {
+  readonly title: string;
+  readonly response: EndlessResponse;
+  readonly expected: ExchangeFailure['kind'];
+}
+
+const CASES: readonly EndlessCase[] = [
+  {
+    title: 'interim responses',
+    response: { start: '', repeated: 'HTTP/1.1 102 Processing\r\n\r\n' },
+    expected: 'unknown',
+  },
+  {
+    title: 'empty lines before the head',
+    response: { start: '', repeated: '\r\n' },
+    expected: 'unknown',
+  },
+  {
+    title: 'a head',
+    response: { start: RESPONSE_HEAD, repeated: 'A: b\r\n' },
+    expected: 'unknown',
+  },
+  {
+    title: 'the size of the first chunk',
+    response: { start: CHUNKED, repeated: '0' },
+    expected: 'cut',
+  },
+  {
+    title: 'the size of a later chunk',
+    response: { start: `${CHUNKED}5\r\nhello\r\n`, repeated: '0' },
+    expected: 'cut',
+  },
+  {
+    title: 'trailers',
+    response: { start: `${CHUNKED}5\r\nhello\r\n0\r\n`, repeated: 'A: b\r\n' },
+    expected: 'cut',
+  },
+];
+
+/** Sends a request; resolves to its failure, or to undefined if there is none in time. */
+function failureOf(peer: EndlessPeer, forwarder?: string): Promise<ExchangeFailure | undefined> {
+  const options = forwarder
+    ? { ...SEND_OPTIONS, forwarder: { address: forwarder, keepsDirectConnections: false } }
+    : SEND_OPTIONS;
+  return new Promise((resolve) => {
+    const endpoint = { id: 'engine-1', name: 'engine-1', address: peer.address };
+    new EngineClient().send(endpoint, REQUEST, options, {
+      onNotice: () => undefined,
+      onHead: () => undefined,
+      onChunk: () => undefined,
+      onEnd: () => resolve(undefined),
+      onFailure: resolve,
+    });
+    setTimeout(() => resolve(undefined), FAILURE_TIMEOUT_MS);
+  });
+}
+
+/** Starts a forwarder; returns HOST:PORT. */
+async function startForwarder(t: ExecutionContext): Promise<string> {
+  const listener = await new TcpForwarding().listen('127.0.0.1:0', {
+    decide: () => ForwardingDecision.Accepted,
+    onConnected: () => undefined,
+  });
+  t.teardown(() => listener.close());
+  return listener.address;
+}
+
+for (const isForwarded of [false, true]) {
+  const path = isForwarded ? 'through a forwarder' : 'directly';
+  for (const { title, response, expected } of CASES) {
+    test.serial(`a response without end is given up ${path}: ${title}`, async (t) => {
+      const peer = await startEndlessPeer(t, response);
+      const forwarder = isForwarded ? await startForwarder(t) : undefined;
+      let failure: ExchangeFailure | undefined;
+      const startedMs = Date.now();
+      const growth = await peakBufferGrowth(async () => {
+        failure = await failureOf(peer, forwarder);
+        await holdsWithin(() => peer.openConnections === 0, CLOSE_TIMEOUT_MS);
+      });
+      t.log(`${Date.now() - startedMs} ms; sent ${peer.sentBytes}; growth ${growth}`);
+      t.log(failure);
+      t.is(failure?.kind, expected);
+      t.false('isDisconnect' in (failure ?? {}));
+      t.is(peer.openConnections, 0);
+      t.true(peer.sentBytes < MAXIMUM_SENT_BYTES, `sent ${peer.sentBytes}`);
+      t.true(growth < MAXIMUM_GROWTH_BYTES, `memory grew by ${growth}`);
+    });
+  }
+}
+
+test.serial('a response in chunks of one byte that is not read on is not given up', async (t) => {
+  const CHUNKS = 200_000;
+  const PAUSE_MS = 300;
+  const server = net.createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => socket.write(`${CHUNKED}${'1\r\nx\r\n'.repeat(CHUNKS)}0\r\n\r\n`));
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  t.teardown(() => server.close());
+  const { port } = server.address() as net.AddressInfo;
+  const endpoint = { id: 'engine-1', name: 'engine-1', address: `127.0.0.1:${port}` };
+  let receivedBytes = 0;
+  const failure = await new Promise<ExchangeFailure | undefined>((resolve) => {
+    const exchange = new EngineClient().send(endpoint, REQUEST, SEND_OPTIONS, {
+      onNotice: () => undefined,
+      onHead: () => {
+        exchange.pause();
+        setTimeout(() => exchange.resume(), PAUSE_MS);
+      },
+      onChunk: (chunk) => (receivedBytes += chunk.length),
+      onEnd: () => resolve(undefined),
+      onFailure: resolve,
+    });
+  });
+  t.is(failure, undefined);
+  t.is(receivedBytes, CHUNKS);
+});
