--- a/test/helpers/endless-peer.ts
+++ b/test/helpers/endless-peer.ts
@@ -10,7 +10,7 @@
 /** What the peer sends after it has received a request. */
 export interface EndlessResponse {
   readonly start: string;
-  /** Repeated until the connection closes. */
+  /** Repeated until the connection closes; nothing follows the start if empty. */
   readonly repeated: string;
 }
 
@@ -25,6 +25,10 @@
 
 /** Writes as fast as the connection takes it, until it closes. */
 export function writeWithoutEnd(socket: net.Socket, { start, repeated }: EndlessResponse): void {
+  if (repeated === '') {
+    socket.write(start, 'latin1');
+    return;
+  }
   const block = Buffer.from(repeated.repeat(Math.ceil(BLOCK_BYTES / repeated.length)), 'latin1');
   const fill = (): void => {
     while (!socket.destroyed && socket.write(block));
--- a/test/platform/responses-without-end.test.ts
+++ b/test/platform/responses-without-end.test.ts
@@ -24,6 +24,9 @@
 const MAXIMUM_GROWTH_BYTES = 16_777_216;
 
 const CHUNKED = `${RESPONSE_HEAD}Transfer-Encoding: chunked\r\n\r\n`;
+const REJECTION =
+  'HTTP/1.1 503 Full\r\nX-Peatspan-Attempt-Id: request-1\r\nX-Peatspan-Not-Executed: 1\r\n';
+
 interface EndlessCase {
   readonly title: string;
   readonly response: EndlessResponse;
@@ -61,16 +64,35 @@
     response: { start: `${CHUNKED}5\r\nhello\r\n0\r\n`, repeated: 'A: b\r\n' },
     expected: 'cut',
   },
+  {
+    title: 'a rejection without a length',
+    response: { start: `${REJECTION}\r\n`, repeated: 'x' },
+    expected: 'refused',
+  },
+  {
+    title: 'a rejection in chunks',
+    response: { start: `${REJECTION}Transfer-Encoding: chunked\r\n\r\n`, repeated: '1\r\nx\r\n' },
+    expected: 'refused',
+  },
+  {
+    title: 'a rejection with a length',
+    response: { start: `${REJECTION}Content-Length: 1000000000000\r\n\r\n`, repeated: 'x' },
+    expected: 'refused',
+  },
 ];
 
 /** Sends a request; resolves to its failure, or to undefined if there is none in time. */
-function failureOf(peer: EndlessPeer, forwarder?: string): Promise<ExchangeFailure | undefined> {
+function failureOf(
+  { address }: Pick<EndlessPeer, 'address'>,
+  forwarder?: string,
+  client = new EngineClient(),
+): Promise<ExchangeFailure | undefined> {
   const options = forwarder
     ? { ...SEND_OPTIONS, forwarder: { address: forwarder, keepsDirectConnections: false } }
     : SEND_OPTIONS;
   return new Promise((resolve) => {
-    const endpoint = { id: 'engine-1', name: 'engine-1', address: peer.address };
-    new EngineClient().send(endpoint, REQUEST, options, {
+    const endpoint = { id: 'engine-1', name: 'engine-1', address };
+    client.send(endpoint, REQUEST, options, {
       onNotice: () => undefined,
       onHead: () => undefined,
       onChunk: () => undefined,
@@ -81,6 +103,13 @@
   });
 }
 
+/** Returns HOST:PORT. */
+async function listen(t: ExecutionContext, server: net.Server): Promise<string> {
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  t.teardown(() => server.close());
+  return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+}
+
 /** Starts a forwarder; returns HOST:PORT. */
 async function startForwarder(t: ExecutionContext): Promise<string> {
   const listener = await new TcpForwarding().listen('127.0.0.1:0', {
@@ -114,6 +143,34 @@
   }
 }
 
+test.serial(
+  'the connection of a rejection whose body does not end is closed after a while',
+  async (t) => {
+    const peer = await startEndlessPeer(t, { start: `${REJECTION}\r\nbody`, repeated: '' });
+    const failure = await failureOf(peer);
+    t.is(failure?.kind, 'refused');
+    t.true(await holdsWithin(() => peer.openConnections === 0, CLOSE_TIMEOUT_MS));
+  },
+);
+
+test.serial('the connection of a rejection with a short body is kept', async (t) => {
+  const REQUESTS = 3;
+  const PAUSE_MS = 50;
+  let connections = 0;
+  const server = net.createServer((socket) => {
+    connections += 1;
+    socket.on('error', () => undefined);
+    socket.on('data', () => socket.write(`${REJECTION}Content-Length: 4\r\n\r\nfull`));
+  });
+  const client = new EngineClient();
+  const address = await listen(t, server);
+  for (let request = 0; request < REQUESTS; request += 1) {
+    t.is((await failureOf({ address }, undefined, client))?.kind, 'refused');
+    await new Promise((resolve) => setTimeout(resolve, PAUSE_MS));
+  }
+  t.is(connections, 1);
+});
+
 test.serial('a response in chunks of one byte that is not read on is not given up', async (t) => {
   const CHUNKS = 200_000;
   const PAUSE_MS = 300;
@@ -121,10 +178,7 @@
     socket.on('error', () => undefined);
     socket.once('data', () => socket.write(`${CHUNKED}${'1\r\nx\r\n'.repeat(CHUNKS)}0\r\n\r\n`));
   });
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  t.teardown(() => server.close());
-  const { port } = server.address() as net.AddressInfo;
-  const endpoint = { id: 'engine-1', name: 'engine-1', address: `127.0.0.1:${port}` };
+  const endpoint = { id: 'engine-1', name: 'engine-1', address: await listen(t, server) };
   let receivedBytes = 0;
   const failure = await new Promise<ExchangeFailure | undefined>((resolve) => {
     const exchange = new EngineClient().send(endpoint, REQUEST, SEND_OPTIONS, {
