Detect events without end

Cause: nothing told an event without end from one that has not arrived completely yet.

Change: the scanner of a stream counts the bytes since the last blank line, and shows when they exceed 256 KiB. An event of several tokens takes some hundred bytes. Nothing uses it yet: the calls of the gateway are to fail the send. Cost: an addition for each chunk.

Result: event-scanner.test.ts, five forms of events without end and a stream of 100 events of 64 KiB, all as expected.

--- a/src/coordination/gateway/event-boundary.ts
+++ b/src/coordination/gateway/event-boundary.ts
@@ -33,6 +33,11 @@
     return this.scanner.isWithinEvent;
   }
 
+  /** Whether the incomplete event exceeds the maximum size. */
+  get isEventTooLarge(): boolean {
+    return this.scanner.isEventTooLarge;
+  }
+
   /** Adds a chunk and returns the events that are now complete; undefined if there are none. */
   take(chunk: Uint8Array): Uint8Array | undefined {
     const end = this.scanner.scan(chunk);
--- a/src/coordination/gateway/event-scanner.ts
+++ b/src/coordination/gateway/event-scanner.ts
@@ -7,6 +7,9 @@
 const CARRIAGE_RETURN = 13;
 const COLON = 58;
 
+/** Larger events are malformed: one of several tokens takes some hundred bytes. */
+export const MAXIMUM_EVENT_BYTES = 262_144;
+
 /** Position within the current line. */
 enum LinePosition {
   Start = 'start',
@@ -32,6 +35,13 @@
   private isAfterBlankLine = false;
   /** A blank line of a stream with CRLF lines has its CR only. */
   private awaitsLineFeed = false;
+  /** Bytes since the last blank line. */
+  private eventBytes = 0;
+
+  /** Whether the bytes so far end within an event, or comments, beyond the maximum size. */
+  get isEventTooLarge(): boolean {
+    return this.eventBytes > MAXIMUM_EVENT_BYTES;
+  }
 
   /** Whether the bytes so far end within an event, or within a comment. */
   get isWithinEvent(): boolean {
@@ -40,6 +50,13 @@
 
   /** Returns the index in the chunk after its last blank line; undefined if it completes none. */
   scan(chunk: Uint8Array): number | undefined {
+    const end = this.findEnd(chunk);
+    if (end === undefined) this.eventBytes += chunk.length;
+    else this.eventBytes = chunk.length - end;
+    return end;
+  }
+
+  private findEnd(chunk: Uint8Array): number | undefined {
     if (endsWithBlankLine(chunk)) {
       this.completeEvent(LineEnding.LineFeed);
       return chunk.length;
--- a/test/gateway/event-scanner.test.ts
+++ b/test/gateway/event-scanner.test.ts
@@ -1,7 +1,10 @@
-/** Guards against streams that are taken for complete although they end within an event. */
+/**
+ * Guards against streams that are taken for complete although they end within an event, and against
+ * events without end.
+ */
 import test from 'ava';
 import fc from 'fast-check';
-import { EventScanner } from '../../src/coordination/gateway/event-scanner.js';
+import { EventScanner, MAXIMUM_EVENT_BYTES } from '../../src/coordination/gateway/event-scanner.js';
 
 function scanned(...chunks: string[]): EventScanner {
   const scanner = new EventScanner();
@@ -54,6 +57,44 @@
   t.true(scanner.isWithinEvent);
 });
 
+/** Starts of events that go on without a blank line, and what they go on with. */
+const ENDLESS_EVENTS: readonly (readonly [start: string, repeated: string])[] = [
+  ['data: ', 'x'],
+  ['id: 1\n', 'data: x\n'],
+  ['', 'data: x\r'],
+  ['', ': comment\r\n'],
+  ['id: 1\ndata: x\n\n', 'y'],
+];
+
+for (const [start, repeated] of ENDLESS_EVENTS) {
+  test(`an event without end is too large: ${JSON.stringify(start + repeated)}`, (t) => {
+    const scanner = scanned(start);
+    const block = Buffer.from(repeated.repeat(100));
+    let eventBytes = start.endsWith('\n\n') ? 0 : start.length;
+    while (eventBytes + block.length <= MAXIMUM_EVENT_BYTES) {
+      scanner.scan(block);
+      eventBytes += block.length;
+      if (scanner.isEventTooLarge) break;
+    }
+    t.false(scanner.isEventTooLarge, `${eventBytes} bytes`);
+    scanner.scan(block);
+    t.true(scanner.isEventTooLarge);
+  });
+}
+
+test('a stream of events is not too large, whatever its length', (t) => {
+  const scanner = new EventScanner();
+  const event = Buffer.from(`data: ${'x'.repeat(MAXIMUM_EVENT_BYTES / 4)}\n\n`);
+  for (let count = 0; count < 100; count += 1) {
+    scanner.scan(event.subarray(0, 1_000));
+    t.false(scanner.isEventTooLarge);
+    scanner.scan(Buffer.concat([event.subarray(1_000), event.subarray(0, 10)]));
+    t.false(scanner.isEventTooLarge);
+    scanner.scan(event.subarray(10));
+    t.false(scanner.isEventTooLarge);
+  }
+});
+
 /** Splits the text into chunks of the given sizes, repeated. */
 function chunksOf(text: string, sizes: readonly number[]): string[] {
   const chunks: string[] = [];
