Log the age of the coordinator lease and why announced load commands are not sent

Cause: load commands that go out seconds after the lease was taken could not be explained: no line told how long a write of the lease took, and a load command that was announced and then abandoned left no trace. Change: lease_taken and lease_call_failed have the duration of the call, lease_write_late tells of a write that was acknowledged too late to send commands under it, weights_ordered has the age of the last renewal, and weights_order_abandoned gives the reason.

--- a/src/coordination/gateway/lease-keeper.ts
+++ b/src/coordination/gateway/lease-keeper.ts
@@ -38,6 +38,7 @@
   private isCalling = false;
   private failures = 0;
   private nextCallMs = -Infinity;
+  private writeStartMs: number | undefined;
 
   constructor(
     private readonly kind: string,
@@ -54,6 +55,11 @@
     return mayAct ? this.lease.fencingToken : undefined;
   }
 
+  /** Time since the last acknowledged write of this router began, in whole milliseconds. */
+  get renewalAgeMs(): number | undefined {
+    return this.writeStartMs === undefined ? undefined : this.millisecondsSince(this.writeStartMs);
+  }
+
   /** Whether this router has not yet read the lease. */
   get isUnknown(): boolean {
     return this.lease.next(this.time) === LeaseStep.Read;
@@ -73,11 +79,13 @@
   async advance(): Promise<void> {
     if (this.isCalling || this.clock.now() < this.nextCallMs) return;
     this.isCalling = true;
+    const step = this.lease.next(this.time);
+    const startMs = this.clock.now();
     try {
-      await this.call(this.lease.next(this.time));
+      await this.call(step);
       this.failures = 0;
     } catch (cause) {
-      this.noteFailure(cause);
+      this.noteFailure(cause, step, startMs);
     } finally {
       this.isCalling = false;
     }
@@ -87,13 +95,23 @@
     return { nowMs: this.clock.now(), elapsed: this.clock.elapsed() };
   }
 
-  private noteFailure(cause: unknown): void {
+  private millisecondsSince(startMs: number): number {
+    return Math.round(this.clock.now() - startMs);
+  }
+
+  private noteFailure(cause: unknown, step: LeaseStep, startMs: number): void {
     this.lease.invalidate();
     this.failures += 1;
     const pauseMs = Math.min(MAXIMUM_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (this.failures - 1));
     this.nextCallMs = this.clock.now() + pauseMs;
     const reason = describeProtocolError(toProtocolError(cause, 'store'));
-    this.logger.warn('lease_call_failed', { reason, failures: this.failures, pause_ms: pauseMs });
+    this.logger.warn('lease_call_failed', {
+      step,
+      reason,
+      took_ms: this.millisecondsSince(startMs),
+      failures: this.failures,
+      pause_ms: pauseMs,
+    });
   }
 
   private async call(step: LeaseStep): Promise<void> {
@@ -110,9 +128,8 @@
     const isSameEra = result.era === eraBefore && this.eras.newest === eraBefore;
     if (result.kind === 'written' && isSameEra) {
       this.lease.recordWrite({ record, position: result.object.position }, startedAt);
-      if (step !== LeaseStep.Renew) {
-        this.logger.info('lease_taken', { token: record.fencingToken, step, era: result.era });
-      }
+      this.writeStartMs = startedAt.nowMs;
+      this.logWrite(step, record, result.era);
       return;
     }
     const present = result.kind === 'conflict' ? result.present : undefined;
@@ -127,6 +144,13 @@
     });
   }
 
+  /** Logs a takeover, and a write that was acknowledged too late to send commands under it. */
+  private logWrite(step: LeaseStep, { fencingToken }: LeaseRecord, era: number): void {
+    const fields = { token: fencingToken, step, era, took_ms: this.renewalAgeMs };
+    if (step !== LeaseStep.Renew) this.logger.info('lease_taken', fields);
+    if (this.activeToken === undefined) this.logger.warn('lease_write_late', fields);
+  }
+
   private write(step: LeaseStep, record: LeaseRecord): Promise<WriteResult> {
     if (step === LeaseStep.Create) return this.store.create(this.kind, LEASE_NAME, record);
     return this.store.replace(this.kind, LEASE_NAME, record, this.lease.position);
--- a/src/coordination/gateway/load-command-sender.ts
+++ b/src/coordination/gateway/load-command-sender.ts
@@ -48,6 +48,18 @@
 
 const POLL_PERIOD_MS = 200;
 
+/** Why an announced load command is not sent. */
+enum AbandonReason {
+  /** The engine is no longer listed. */
+  EngineGone = 'engine-gone',
+  /** This router is stopping. */
+  Leaving = 'leaving',
+  /** The engine did not report its sequence number. */
+  SequenceUnknown = 'sequence-unknown',
+  /** The lease expired or was lost after the announcement. */
+  LeaseExpired = 'lease-expired',
+}
+
 /** Sends the load commands of one router and follows their progress. */
 export class LoadCommandSender {
   private readonly commands = new LoadCommands();
@@ -92,7 +104,8 @@
   /** Announces that an engine will load a version, then sends it the load command. */
   async send(engine: Engine, model: string, version: number): Promise<void> {
     const { id } = engine.record;
-    this.commands.add(id, model, version, this.now);
+    const announcedMs = this.now;
+    this.commands.add(id, model, version, announcedMs);
     // Lets the other routers stop sending to the engine before it rejects requests.
     this.parts.health.noteLoading(id, this.now);
     this.settings.announce();
@@ -103,8 +116,8 @@
     ]);
     const expectedSequence = engine.observedLoadCommands ?? sequence;
     const fencingToken = this.parts.lease.activeToken;
-    const maySend = this.isPresent(engine) && !this.isLeaving;
-    if (expectedSequence === undefined || fencingToken === undefined || !maySend) {
+    if (expectedSequence === undefined || fencingToken === undefined || !this.maySendTo(engine)) {
+      this.logAbandoned(engine, model, version, expectedSequence, announcedMs);
       this.abandonCommand(id);
       return;
     }
@@ -112,11 +125,10 @@
     this.parts.statistics.orders += 1;
     const { holder } = this.settings;
     const request = { model, version, holder, fencingToken, expectedSequence };
-    this.handleResult(
-      engine,
-      request,
-      await this.parts.engines.sendLoadCommand(engine.record, request),
-    );
+    const leaseAgeMs = this.parts.lease.renewalAgeMs;
+    const result = await this.parts.engines.sendLoadCommand(engine.record, request);
+    this.logSent(id, request, result, leaseAgeMs);
+    this.handleResult(engine, request, result);
   }
 
   /** Polls the engines that are executing load commands. */
@@ -157,22 +169,59 @@
     return this.parts.registry.find(engine.record.id) !== undefined;
   }
 
-  private handleResult(
-    engine: Engine,
-    request: LoadCommandRequest,
+  private maySendTo(engine: Engine): boolean {
+    return this.isPresent(engine) && !this.isLeaving;
+  }
+
+  private logSent(
+    engineId: string,
+    { model, version, expectedSequence, fencingToken }: LoadCommandRequest,
     result: LoadCommandResult,
+    leaseAgeMs: number | undefined,
   ): void {
-    const { id } = engine.record;
-    const { model, version, expectedSequence, fencingToken } = request;
     this.parts.logger.info('weights_ordered', {
-      engine: id,
+      engine: engineId,
       model,
       version,
       sequence: expectedSequence,
       token: fencingToken,
+      lease_age_ms: leaseAgeMs,
       result: result.kind,
       status: result.kind === 'rejected' ? result.status : undefined,
     });
+  }
+
+  private logAbandoned(
+    engine: Engine,
+    model: string,
+    version: number,
+    sequence: number | undefined,
+    announcedMs: number,
+  ): void {
+    this.parts.logger.info('weights_order_abandoned', {
+      engine: engine.record.id,
+      model,
+      version,
+      reason: this.abandonReason(engine, sequence),
+      waited_ms: Math.round(this.now - announcedMs),
+      lease_age_ms: this.parts.lease.renewalAgeMs,
+    });
+  }
+
+  private abandonReason(engine: Engine, sequence: number | undefined): AbandonReason {
+    if (!this.isPresent(engine)) return AbandonReason.EngineGone;
+    if (this.isLeaving) return AbandonReason.Leaving;
+    if (sequence === undefined) return AbandonReason.SequenceUnknown;
+    return AbandonReason.LeaseExpired;
+  }
+
+  private handleResult(
+    engine: Engine,
+    request: LoadCommandRequest,
+    result: LoadCommandResult,
+  ): void {
+    const { id } = engine.record;
+    const { model, version, expectedSequence } = request;
     const startedAtMs = 'startedAtMs' in result ? result.startedAtMs : undefined;
     const isOfIncarnation = this.parts.incarnations.acceptResponse(
       engine.record,
--- a/src/operator/request-timeline.ts
+++ b/src/operator/request-timeline.ts
@@ -27,6 +27,7 @@
   'engine_limit',
   'engine_limit_lifted',
   'weights_ordered',
+  'weights_order_abandoned',
   'weights_loaded',
 ]);
 /** Events that explain why a request exceeded its tenant's quota, from any router. */
--- a/test/gateway/load-command-announcement.test.ts
+++ b/test/gateway/load-command-announcement.test.ts
@@ -19,11 +19,15 @@
 });
 
 test('no load command is sent if the lease was lost after the announcement', async (t) => {
-  const { clock, coordinator, lease, health, announcedMs, sentMs } = coordinatorHarness();
+  const { clock, coordinator, lease, log, health, announcedMs, sentMs } = coordinatorHarness();
   while (announcedMs.length === 0) await clock.advance(10);
   lease.activeToken = undefined;
   await clock.advance(ANNOUNCEMENT_MS + 50);
   t.deepEqual(sentMs, []);
+  t.deepEqual(
+    log.of('weights_order_abandoned').map(({ reason }) => reason),
+    ['lease-expired'],
+  );
   t.false(health.isLoading('engine-0', clock.now()));
   coordinator.stop();
 });
--- a/test/helpers/coordinator-harness.ts
+++ b/test/helpers/coordinator-harness.ts
@@ -12,7 +12,6 @@
   LoadCommandRequest,
   WeightState,
 } from '../../src/protocol/inference/port.js';
-import { NoopLogger } from '../../src/runtime/logger.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
 import { EngineHealth } from '../../src/state/routing/engine-health.js';
 import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
@@ -21,6 +20,7 @@
 import { SendRate } from '../../src/state/routing/send-rate.js';
 import { StoreOutages } from '../../src/state/routing/store-outages.js';
 import { WeightVersions } from '../../src/state/routing/weight-versions.js';
+import { RecordedLog } from './engine-list-harness.js';
 import { engineRecord } from './engine-record.js';
 
 const MODEL = 'model-a';
@@ -41,8 +41,8 @@
   const registry = new EngineRegistry();
   const restarts: EngineRestart[] = [];
   const statistics = new GatewayStatistics();
-  const logger = new NoopLogger();
-  const incarnations = new EngineIncarnationTracker(registry, statistics, logger);
+  const log = new RecordedLog();
+  const incarnations = new EngineIncarnationTracker(registry, statistics, log);
   incarnations.connect({
     onChanged: () => undefined,
     onEntry: () => undefined,
@@ -55,6 +55,7 @@
     activeToken: 7 as number | undefined,
     heldRevision: 1,
     isUnknown: false,
+    renewalAgeMs: 0,
     observePosition: () => undefined,
     advance: () => Promise.resolve(),
   };
@@ -83,7 +84,7 @@
       requestRate: new SendRate(),
       statistics,
       clock,
-      logger,
+      logger: log,
     },
     {
       holder: 'router-0',
@@ -112,6 +113,7 @@
     registry,
     incarnations,
     lease,
+    log,
     health,
     announcedMs,
     sentMs,
