Renew the lease again if it expires before an announced load command is sent

Cause: the time to act under a renewal had to cover the rest of the call to the store, the announcement and the question for the engine's sequence number. With slow calls the lease had always expired by then, and the command was abandoned with a growing pause: a write of 225 ms and an announcement of 150 ms never led to a load command with a time to act of 300 ms. Change: the holder renews an expired lease at the moment of the send; load commands that are sent together share the call. It never takes a lease there.

--- a/src/coordination/gateway/lease-keeper.ts
+++ b/src/coordination/gateway/lease-keeper.ts
@@ -35,7 +35,7 @@
 
 /** Maintains the lease for one router. */
 export class LeaseKeeper {
-  private isCalling = false;
+  private pendingCall: Promise<void> | undefined;
   private failures = 0;
   private nextCallMs = -Infinity;
   private writeStartMs: number | undefined;
@@ -75,10 +75,25 @@
     this.lease.recordReportedWrite(position, this.clock.now());
   }
 
-  /** Makes the next due call, if any; resolves when it has succeeded or failed. */
+  /**
+   * Makes the next due call, if any, or awaits the one in progress; resolves when it has succeeded or
+   * failed.
+   */
   async advance(): Promise<void> {
-    if (this.isCalling || this.clock.now() < this.nextCallMs) return;
-    this.isCalling = true;
+    if (this.clock.now() >= this.nextCallMs) this.pendingCall ??= this.makeCall();
+    await this.pendingCall;
+  }
+
+  /**
+   * Returns the fencing token after the renewal of a lease that this router holds and whose time to
+   * act has passed; undefined if load commands are not allowed.
+   */
+  async renewedToken(): Promise<number | undefined> {
+    if (this.lease.next(this.time) === LeaseStep.Renew) await this.advance();
+    return this.activeToken;
+  }
+
+  private async makeCall(): Promise<void> {
     const step = this.lease.next(this.time);
     const startMs = this.clock.now();
     try {
@@ -87,7 +102,7 @@
     } catch (cause) {
       this.noteFailure(cause, step, startMs);
     } finally {
-      this.isCalling = false;
+      this.pendingCall = undefined;
     }
   }
 
--- a/src/coordination/gateway/load-command-sender.ts
+++ b/src/coordination/gateway/load-command-sender.ts
@@ -115,7 +115,8 @@
       sleep(this.parts.clock, this.settings.announcementMs()),
     ]);
     const expectedSequence = engine.observedLoadCommands ?? sequence;
-    const fencingToken = this.parts.lease.activeToken;
+    // The lease may have expired meanwhile, as its time to act also covers slow calls to the store.
+    const fencingToken = await this.parts.lease.renewedToken();
     if (expectedSequence === undefined || fencingToken === undefined || !this.maySendTo(engine)) {
       this.logAbandoned(engine, model, version, expectedSequence, announcedMs);
       this.abandonCommand(id);
--- a/test/gateway/lease-log.test.ts
+++ b/test/gateway/lease-log.test.ts
@@ -1,39 +1,20 @@
 /** Orders of weights that are delayed by a slow store must be explained by the log. */
 import test from 'ava';
 import { LeaseKeeper } from '../../src/coordination/gateway/lease-keeper.js';
-import type { ObjectStorePort, WriteResult } from '../../src/protocol/object-store/port.js';
-import { type Clock, sleep } from '../../src/runtime/clock.js';
-import { StorePosition } from '../../src/runtime/store-position.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
 import { StoreEras } from '../../src/state/routing/store-eras.js';
 import { WeightLease } from '../../src/state/routing/weight-lease.js';
 import { RecordedLog } from '../helpers/engine-list-harness.js';
+import { slowLeaseStore } from '../helpers/slow-lease-store.js';
 
 const ACT_MS = 300;
-const ERA = 1;
-
-/** A store that holds no lease, and acknowledges writes after a delay. */
-function slowStore(clock: Clock, writeMs: number): ObjectStorePort {
-  let revision = 0;
-  const write = async (_kind: string, name: string, spec: unknown): Promise<WriteResult> => {
-    await sleep(clock, writeMs);
-    revision += 1;
-    const position = new StorePosition(ERA, revision);
-    return { kind: 'written', era: ERA, object: { name, position, spec } };
-  };
-  const read = () => Promise.resolve({ era: ERA, object: undefined });
-  return { read, create: write, replace: write } as unknown as ObjectStorePort;
-}
-
 async function takeLease(writeMs: number) {
   const clock = new VirtualClock();
   const eras = new StoreEras(true);
-  eras.observe(ERA, clock.now());
-  await clock.advance(10_000);
   const settings = { holder: 'router-0', life: 'life-0', leaseMs: 3_000, actMs: ACT_MS };
   const lease = new WeightLease(settings, eras);
   const log = new RecordedLog();
-  const store = slowStore(clock, writeMs);
+  const store = slowLeaseStore(clock, writeMs);
   const keeper = new LeaseKeeper('leases', lease, eras, store, clock, log);
   await keeper.advance();
   void keeper.advance();
--- a/test/helpers/coordinator-harness.ts
+++ b/test/helpers/coordinator-harness.ts
@@ -31,6 +31,8 @@
 export interface CoordinatorOptions {
   readonly startedAtMs?: number;
   readonly isKnownService?: boolean;
+  /** Creates the lease; by default, a stub that always holds it. */
+  createLease?(clock: VirtualClock): LeaseKeeper;
   state?(): Partial<WeightState>;
   sendLoadCommand?(): Promise<LoadCommandResult>;
 }
@@ -56,6 +58,7 @@
     heldRevision: 1,
     isUnknown: false,
     renewalAgeMs: 0,
+    renewedToken: () => Promise.resolve(lease.activeToken),
     observePosition: () => undefined,
     advance: () => Promise.resolve(),
   };
@@ -80,7 +83,7 @@
       health,
       cachedPrefixes: new CachedPrefixes(),
       engines: engines as unknown as InferencePort,
-      lease: lease as unknown as LeaseKeeper,
+      lease: options.createLease?.(clock) ?? (lease as unknown as LeaseKeeper),
       requestRate: new SendRate(),
       statistics,
       clock,
