--- a/test/helpers/coordinator-harness.ts
+++ b/test/helpers/coordinator-harness.ts
@@ -12,7 +12,6 @@
   LoadCommandRequest,
   WeightState,
 } from '../../src/protocol/inference/port.js';
-import { NoopLogger } from '../../src/runtime/logger.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
 import { EngineHealth } from '../../src/state/routing/engine-health.js';
 import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
@@ -21,6 +20,7 @@
 import { SendRate } from '../../src/state/routing/send-rate.js';
 import { StoreOutages } from '../../src/state/routing/store-outages.js';
 import { WeightVersions } from '../../src/state/routing/weight-versions.js';
+import { RecordedLog } from './engine-list-harness.js';
 import { engineRecord } from './engine-record.js';
 
 const MODEL = 'model-a';
@@ -31,6 +31,8 @@
 export interface CoordinatorOptions {
   readonly startedAtMs?: number;
   readonly isKnownService?: boolean;
+  /** Creates the lease; by default, a stub that always holds it. */
+  createLease?(clock: VirtualClock): LeaseKeeper;
   state?(): Partial<WeightState>;
   sendLoadCommand?(): Promise<LoadCommandResult>;
 }
@@ -41,8 +43,8 @@
   const registry = new EngineRegistry();
   const restarts: EngineRestart[] = [];
   const statistics = new GatewayStatistics();
-  const logger = new NoopLogger();
-  const incarnations = new EngineIncarnationTracker(registry, statistics, logger);
+  const log = new RecordedLog();
+  const incarnations = new EngineIncarnationTracker(registry, statistics, log);
   incarnations.connect({
     onChanged: () => undefined,
     onEntry: () => undefined,
@@ -55,6 +57,8 @@
     activeToken: 7 as number | undefined,
     heldRevision: 1,
     isUnknown: false,
+    renewalAgeMs: 0,
+    renewedToken: () => Promise.resolve(lease.activeToken),
     observePosition: () => undefined,
     advance: () => Promise.resolve(),
   };
@@ -79,11 +83,11 @@
       health,
       cachedPrefixes: new CachedPrefixes(),
       engines: engines as unknown as InferencePort,
-      lease: lease as unknown as LeaseKeeper,
+      lease: options.createLease?.(clock) ?? (lease as unknown as LeaseKeeper),
       requestRate: new SendRate(),
       statistics,
       clock,
-      logger,
+      logger: log,
     },
     {
       holder: 'router-0',
@@ -112,6 +116,7 @@
     registry,
     incarnations,
     lease,
+    log,
     health,
     announcedMs,
     sentMs,
