Try another engine for a begun stream after 2.2 s of silence

Cause: a sound engine may be silent for up to two seconds, and all engines of a service together. Change: the stall timeout is 2.2 s; callers wait for at least four.

--- a/src/coordination/gateway/send-timeouts.ts
+++ b/src/coordination/gateway/send-timeouts.ts
@@ -10,10 +10,10 @@
 const RESPONSE_TIMEOUT_FACTOR = 1.25;
 const MINIMUM_RESPONSE_TIMEOUT_MS = 300;
 /**
- * Pause in a resumable stream after which another engine continues it. A sound engine may be silent
- * for little more than a second; callers wait at least 2 s.
+ * Pause in a resumable stream after which another engine is tried. A sound engine may be silent for
+ * up to 2 s, and callers of streams wait for twice that.
  */
-const STALL_TIMEOUT_MS = 1_500;
+const STALL_TIMEOUT_MS = 2_200;
 
 /** The timeout of the current send; at most one timer is active. */
 export class SendTimeouts {
