Log the inputs of the estimate with each too-late rejection

Cause: a router that alone rejects most generations as too late could not be told from one with slow engines: no line gave the inputs of the estimate. Change: request_too_late has the expected times, the ratio of measured to expected first tokens, the pause between chunks and the age of the last sample.

--- a/src/coordination/gateway/call-dispatch.ts
+++ b/src/coordination/gateway/call-dispatch.ts
@@ -5,7 +5,7 @@
 import { RejectionReason } from '../../state/routing/rejection.js';
 import { SendAttempt } from './admission/waiting-call.js';
 import type { CallEnding } from './call-ending.js';
-import { logQuotaDenial, logSend } from './call-log.js';
+import { logQuotaDenial, logSend, logTooLate } from './call-log.js';
 import { type CallRecord, MINIMUM_BUDGET_MS } from './call-record.js';
 import { CallState } from './call-state.js';
 import { CallWaiting } from './call-waiting.js';
@@ -212,6 +212,7 @@
     const verdict = call.context.rejections.admit(generation, placement, call.remainingMs);
     call.isSample = verdict.kind === 'sample';
     if (verdict.kind !== 'too-late') return true;
+    logTooLate(call.request.id, placement, verdict, call.context.logger);
     this.ending.reject(RejectionReason.TooLate, { excessMs: verdict.excessMs });
     return false;
   }
--- a/src/coordination/gateway/call-log.ts
+++ b/src/coordination/gateway/call-log.ts
@@ -9,6 +9,7 @@
 import type { GatewayContext } from './gateway-context.js';
 import type { CallRecord } from './call-record.js';
 import type { QuotaDenial } from './quota/tenant-quotas.js';
+import type { TooLateVerdict } from './rejections.js';
 import type { InboundRequest } from './reply.js';
 
 /** Logs that a request is sent to an engine, with the inputs of the decision. */
@@ -50,6 +51,25 @@
   return { tenant: grant?.tenant?.name, charge: charged.charge, charged_to: charged.source };
 }
 
+/** Logs that a placed generation is expected to miss its deadline, with the inputs of the estimate. */
+export function logTooLate(
+  requestId: string,
+  { engine, expectedMs }: Placement,
+  { excessMs, finishMs, inputs }: TooLateVerdict,
+  logger: Logger,
+): void {
+  logger.info('request_too_late', {
+    request: requestId,
+    engine: engine.record.id,
+    first_token_ms: Math.round(expectedMs),
+    finish_ms: Math.round(finishMs),
+    excess_ms: Math.round(excessMs),
+    first_token_ratio: inputs?.firstTokenRatio.toFixed(2),
+    pause_ms: inputs?.pauseMs?.toFixed(1),
+    age_ms: inputs && Math.round(inputs.ageMs),
+  });
+}
+
 /**
  * Logs that a request exceeds its tenant's limit, with the account level or that no quota owner was
  * reachable.
--- a/src/coordination/gateway/rejections.ts
+++ b/src/coordination/gateway/rejections.ts
@@ -4,7 +4,11 @@
  */
 import type { Clock } from '../../runtime/clock.js';
 import type { RandomSource } from '../../runtime/random.js';
-import { FinishEstimate, type FinishSample } from '../../state/routing/finish-estimate.js';
+import {
+  FinishEstimate,
+  type FinishEstimateInputs,
+  type FinishSample,
+} from '../../state/routing/finish-estimate.js';
 import {
   DEFAULT_ENGINE_SPEEDS,
   type EngineSpeedView,
@@ -59,7 +63,16 @@
   | { readonly kind: 'admitted' }
   /** Expected to miss its deadline, but sent to check the estimate. */
   | { readonly kind: 'sample' }
-  | { readonly kind: 'too-late'; readonly excessMs: number };
+  | TooLateVerdict;
+
+/** A generation is expected to miss its deadline. */
+export interface TooLateVerdict {
+  readonly kind: 'too-late';
+  readonly excessMs: number;
+  /** Expected time from send to the last token. */
+  readonly finishMs: number;
+  readonly inputs: FinishEstimateInputs | undefined;
+}
 
 /**
  * Share of the remaining time within which a generation must be expected to end. The margin covers
@@ -100,7 +113,8 @@
       return { kind: 'sample' };
     }
     statistics.tooLateRejections += 1;
-    return { kind: 'too-late', excessMs: finishMs - limitMs };
+    const inputs = this.estimate.inputsOf(model, now);
+    return { kind: 'too-late', excessMs: finishMs - limitMs, finishMs, inputs };
   }
 
   /** Returns the response to a rejected request that did not run. */
--- a/src/state/routing/finish-estimate.ts
+++ b/src/state/routing/finish-estimate.ts
@@ -15,6 +15,16 @@
   readonly outputTokens: number;
 }
 
+/** What an estimate is made from, for the log. */
+export interface FinishEstimateInputs {
+  /** Time since the last response, in milliseconds. */
+  readonly ageMs: number;
+  /** Measured time to first token divided by the expected time. */
+  readonly firstTokenRatio: number;
+  /** Pause between two chunks at an engine of the default speed; undefined before the first. */
+  readonly pauseMs: number | undefined;
+}
+
 /** Weight of the latest response in the moving averages. */
 const SMOOTHING_FACTOR = 0.06;
 /** Weight of the latest pause between two chunks, of which there are many per second. */
@@ -95,6 +105,14 @@
     const streamingMs = outputTokens * estimate.chunksPerToken * (estimate.pauseMs ?? 0) * slowness;
     return expectedMs * estimate.firstTokenRatio + streamingMs;
   }
+
+  /** The inputs of the estimates for a model; undefined before its first response. */
+  inputsOf(model: string, nowMs: number): FinishEstimateInputs | undefined {
+    const estimate = this.models.get(model);
+    if (!estimate) return undefined;
+    const { updatedAtMs, firstTokenRatio, pauseMs } = estimate;
+    return { ageMs: nowMs - updatedAtMs, firstTokenRatio, pauseMs };
+  }
 }
 
 /** Exponential moving average. */
--- a/test/gateway/rejection.test.ts
+++ b/test/gateway/rejection.test.ts
@@ -157,4 +157,5 @@
   t.is(statistics.tooLateSamples, samples);
   const [first] = verdicts.filter(({ kind }) => kind === 'too-late');
   t.like(first, { kind: 'too-late' });
+  t.true(first?.kind === 'too-late' && (first.inputs?.firstTokenRatio ?? 0) > 1);
 });
