--- a/test/helpers/ingress-harness.ts
+++ b/test/helpers/ingress-harness.ts
@@ -1,4 +1,4 @@
-/** An ingress on a socket of the loopback interface whose router only records the requests. */
+/** An ingress on a socket of the loopback interface whose router records the requests. */
 import net from 'node:net';
 import type { ExecutionContext } from 'ava';
 import { Ingress } from '../../platform/ingress.js';
@@ -22,10 +22,11 @@
   readonly requests: { request: InboundRequest; reply: Reply }[];
 }
 
-/** Starts an ingress with a node that only records the requests; without `memory`, unbounded. */
+/** Starts an ingress with a node that records the requests; without `memory`, unbounded. */
 export async function startIngress(
   t: ExecutionContext,
   memory?: ByteBudget,
+  onRequest: (reply: Reply) => void = () => undefined,
 ): Promise<IngressHarness> {
   const requests: IngressHarness['requests'] = [];
   const limits = {
@@ -37,7 +38,10 @@
   const node = {
     limits,
     memory,
-    handle: (request: InboundRequest, reply: Reply) => requests.push({ request, reply }),
+    handle: (request: InboundRequest, reply: Reply) => {
+      requests.push({ request, reply });
+      onRequest(reply);
+    },
   } as unknown as GatewayNode;
   const ingress = new Ingress(node, new SystemClock());
   const port = await ingress.listen('127.0.0.1:0');
--- a/test/platform/ingress-connections.test.ts
+++ b/test/platform/ingress-connections.test.ts
@@ -15,13 +15,19 @@
 /** Node.js holds an idle connection for this much longer than it states. */
 const NODE_HOLDS_LONGER_MS = 1_000;
 
-function respond(harness: IngressHarness, index: number): void {
-  const reply = harness.requests[index]?.reply as Reply;
+/** The head of a request with a body of 4 bytes. */
+const POST = GET.replace('GET', 'POST').replace('\r\n\r\n', '\r\nContent-Length: 4\r\n\r\n');
+
+function respondAtOnce(reply: Reply): void {
   reply.begin(200, [], { kind: BodyFraming.Length, bytes: 2 });
   reply.write(Buffer.from('ok'));
   reply.end();
 }
 
+function respond(harness: IngressHarness, index: number): void {
+  respondAtOnce(harness.requests[index]?.reply as Reply);
+}
+
 /** Sends the request with the given index and answers it. */
 async function exchange(harness: IngressHarness, client: TestClient, index: number): Promise<void> {
   const start = client.received().length;
@@ -211,7 +217,7 @@
 for (const [status, bytes] of [
   [400, 'invalid\r\n\r\n'],
   [408, 'GET /a/ HTTP/1.1\r\nHost: h\r\n'],
-  [408, GET.replace('GET', 'POST').replace('\r\n\r\n', '\r\nContent-Length: 4\r\n\r\nab')],
+  [408, `${POST}ab`],
   [431, `GET /a/ HTTP/1.1\r\nX-Long: ${'x'.repeat(70_000)}`],
 ] as const) {
   test(`${bytes.slice(0, 60)} alone on a connection is rejected with ${status}`, async (t) => {
@@ -226,3 +232,30 @@
     t.is(harness.requests.length, 1);
   });
 }
+
+for (const [name, sent, waiting] of [
+  ['head', GET.slice(0, 30), GET.slice(30)],
+  ['body', POST + 'ab', 'cd'],
+  ['head of an invalid request', 'GET /a/ HTTP/1.1\r\n', 'Host: h\r\n\r\n'],
+] as const) {
+  test.serial(
+    `a ${name} that waits in its socket when its time ends gets one response`,
+    async (t) => {
+      const harness = await startIngress(t, undefined, respondAtOnce);
+      harness.limits.headerTimeoutMs = 300;
+      harness.limits.idleTimeoutMs = 600;
+      const other = connect(harness.port);
+      other.socket.write(GET);
+      await waitUntil(() => other.received().endsWith('ok'));
+      const client = connect(harness.port);
+      client.socket.write(sent);
+      await wait(100);
+      client.socket.write(waiting);
+      holdEventLoop(1_500);
+      await wait(200);
+      const statuses = client.received().match(/HTTP\/1\.1 \d+/g);
+      t.deepEqual(statuses, [name.includes('invalid') ? 'HTTP/1.1 400' : 'HTTP/1.1 200']);
+      for (const { socket } of [client, other]) socket.destroy();
+    },
+  );
+}
