--- a/test/platform/responses-without-end.test.ts
+++ b/test/platform/responses-without-end.test.ts
@@ -17,7 +17,7 @@
 } from '../helpers/endless-peer.js';
 import { REQUEST, RESPONSE_HEAD, SEND_OPTIONS } from '../helpers/exchange-fixtures.js';
 
-const FAILURE_TIMEOUT_MS = 1_500;
+const OUTCOME_TIMEOUT_MS = 1_500;
 const CLOSE_TIMEOUT_MS = 1_500;
 /** The limit, and what the kernel buffers on both sides of up to two connections. */
 const MAXIMUM_SENT_BYTES = 33_554_432;
@@ -81,12 +81,14 @@
   },
 ];
 
-/** Sends a request; resolves to its failure, or to undefined if there is none in time. */
-function failureOf(
+/** How an exchange ended, or that it has not ended in time. */
+type Outcome = ExchangeFailure | 'whole' | 'pending';
+
+function outcomeOf(
   { address }: Pick<EndlessPeer, 'address'>,
   forwarder?: string,
   client = new EngineClient(),
-): Promise<ExchangeFailure | undefined> {
+): Promise<Outcome> {
   const options = forwarder
     ? { ...SEND_OPTIONS, forwarder: { address: forwarder, keepsDirectConnections: false } }
     : SEND_OPTIONS;
@@ -96,13 +98,17 @@
       onNotice: () => undefined,
       onHead: () => undefined,
       onChunk: () => undefined,
-      onEnd: () => resolve(undefined),
+      onEnd: () => resolve('whole'),
       onFailure: resolve,
     });
-    setTimeout(() => resolve(undefined), FAILURE_TIMEOUT_MS);
+    setTimeout(() => resolve('pending'), OUTCOME_TIMEOUT_MS);
   });
 }
 
+function kindOf(outcome: Outcome): string {
+  return typeof outcome === 'string' ? outcome : outcome.kind;
+}
+
 /** Returns HOST:PORT. */
 async function listen(t: ExecutionContext, server: net.Server): Promise<string> {
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
@@ -126,16 +132,16 @@
     test.serial(`a response without end is given up ${path}: ${title}`, async (t) => {
       const peer = await startEndlessPeer(t, response);
       const forwarder = isForwarded ? await startForwarder(t) : undefined;
-      let failure: ExchangeFailure | undefined;
+      let outcome: Outcome = 'pending';
       const startedMs = Date.now();
       const growth = await peakBufferGrowth(async () => {
-        failure = await failureOf(peer, forwarder);
+        outcome = await outcomeOf(peer, forwarder);
         await holdsWithin(() => peer.openConnections === 0, CLOSE_TIMEOUT_MS);
       });
       t.log(`${Date.now() - startedMs} ms; sent ${peer.sentBytes}; growth ${growth}`);
-      t.log(failure);
-      t.is(failure?.kind, expected);
-      t.false('isDisconnect' in (failure ?? {}));
+      t.log(outcome);
+      t.is(kindOf(outcome), expected);
+      t.false(typeof outcome === 'object' && 'isDisconnect' in outcome);
       t.is(peer.openConnections, 0);
       t.true(peer.sentBytes < MAXIMUM_SENT_BYTES, `sent ${peer.sentBytes}`);
       t.true(growth < MAXIMUM_GROWTH_BYTES, `memory grew by ${growth}`);
@@ -143,12 +149,26 @@
   }
 }
 
+for (const isForwarded of [false, true]) {
+  const path = isForwarded ? 'through a forwarder' : 'directly';
+  test.serial(
+    `bytes without end after a whole response close its connection ${path}`,
+    async (t) => {
+      const start = `${RESPONSE_HEAD}Content-Length: 5\r\n\r\nhello`;
+      const peer = await startEndlessPeer(t, { start, repeated: 'x' });
+      const forwarder = isForwarded ? await startForwarder(t) : undefined;
+      t.is(await outcomeOf(peer, forwarder), 'whole');
+      t.true(await holdsWithin(() => peer.openConnections === 0, CLOSE_TIMEOUT_MS));
+      t.true(peer.sentBytes < MAXIMUM_SENT_BYTES, `sent ${peer.sentBytes}`);
+    },
+  );
+}
+
 test.serial(
   'the connection of a rejection whose body does not end is closed after a while',
   async (t) => {
     const peer = await startEndlessPeer(t, { start: `${REJECTION}\r\nbody`, repeated: '' });
-    const failure = await failureOf(peer);
-    t.is(failure?.kind, 'refused');
+    t.is(kindOf(await outcomeOf(peer)), 'refused');
     t.true(await holdsWithin(() => peer.openConnections === 0, CLOSE_TIMEOUT_MS));
   },
 );
@@ -165,7 +185,7 @@
   const client = new EngineClient();
   const address = await listen(t, server);
   for (let request = 0; request < REQUESTS; request += 1) {
-    t.is((await failureOf({ address }, undefined, client))?.kind, 'refused');
+    t.is(kindOf(await outcomeOf({ address }, undefined, client)), 'refused');
     await new Promise((resolve) => setTimeout(resolve, PAUSE_MS));
   }
   t.is(connections, 1);
@@ -180,7 +200,7 @@
   });
   const endpoint = { id: 'engine-1', name: 'engine-1', address: await listen(t, server) };
   let receivedBytes = 0;
-  const failure = await new Promise<ExchangeFailure | undefined>((resolve) => {
+  const outcome = await new Promise<Outcome>((resolve) => {
     const exchange = new EngineClient().send(endpoint, REQUEST, SEND_OPTIONS, {
       onNotice: () => undefined,
       onHead: () => {
@@ -188,10 +208,10 @@
         setTimeout(() => exchange.resume(), PAUSE_MS);
       },
       onChunk: (chunk) => (receivedBytes += chunk.length),
-      onEnd: () => resolve(undefined),
+      onEnd: () => resolve('whole'),
       onFailure: resolve,
     });
   });
-  t.is(failure, undefined);
+  t.is(outcome, 'whole');
   t.is(receivedBytes, CHUNKS);
 });
