--- a/test/platform/forwarding-without-end.test.ts
+++ b/test/platform/forwarding-without-end.test.ts
@@ -13,7 +13,13 @@
   type ForwardingListener,
 } from '../../src/protocol/peer/forwarding-port.js';
 import { TcpForwarding } from '../../src/protocol/peer/forwarding-server.js';
-import { holdsWithin, peakBufferGrowth, writeWithoutEnd } from '../helpers/endless-peer.js';
+import { encodeForwardRequest } from '../../src/protocol/peer/forwarding-codec.js';
+import {
+  holdsWithin,
+  peakBufferGrowth,
+  startEndlessPeer,
+  writeWithoutEnd,
+} from '../helpers/endless-peer.js';
 
 const WAIT_MS = 3_000;
 const SETTLE_MS = 300;
@@ -113,3 +119,48 @@
     t.is(pair.listener.openConnections, 0);
   });
 }
+
+for (const repeated of ['x', '\0']) {
+  test.serial(
+    `a forwarder that replies without end is given up: ${JSON.stringify(repeated)}`,
+    async (t) => {
+      const peer = await startEndlessPeer(t, { start: '', repeated });
+      const target = { engineId: 'engine-1', address: '127.0.0.1:1' };
+      const result = await new Promise((resolve) => {
+        openForwardedConnection(peer.address, target, resolve);
+      });
+      t.true(result instanceof ForwardingError);
+      t.true(await holdsWithin(() => peer.openConnections === 0, WAIT_MS));
+      t.true(peer.sentBytes < MAXIMUM_TAKEN_BYTES);
+    },
+  );
+}
+
+const REFUSED_START = Buffer.from(
+  encodeForwardRequest({ engineId: 'engine-1', address: '127.0.0.1:1' }),
+).toString('latin1');
+
+for (const [title, start] of [
+  ['without a request', ''],
+  ['after a refused request', REFUSED_START],
+] as const) {
+  test.serial(
+    `a connection that writes without end ${title} is closed by the forwarder`,
+    async (t) => {
+      const listener = await new TcpForwarding().listen('127.0.0.1:0', {
+        decide: () => ForwardingDecision.Refused,
+        onConnected: () => undefined,
+      });
+      const [host, port] = listener.address.split(':');
+      const socket = net.connect(Number(port), host);
+      socket.on('error', () => undefined);
+      t.teardown(() => {
+        socket.destroy();
+        listener.close();
+      });
+      writeWithoutEnd(socket, { start, repeated: 'x' });
+      t.true(await holdsWithin(() => socket.destroyed, WAIT_MS));
+      t.true(takenBytes(socket) < MAXIMUM_TAKEN_BYTES);
+    },
+  );
+}
