Pause the runs of silent engines in simulation

Cause: a silent engine went on with its runs and only its messages were late, so a run could be complete before the engine crashed, and its response still arrived whole.

Change: the steps of a run wait while its engine is silent.

--- a/src/lab/gateway-simulation/simulated-exchange.ts
+++ b/src/lab/gateway-simulation/simulated-exchange.ts
@@ -276,10 +276,17 @@
     this.schedule(EVENT_INTERVAL_MS, () => this.sendEvent(index + 1, isCut));
   }
 
-  /** Schedules a step of the run, which is skipped if the run has ended by then. */
+  /**
+   * Schedules a step of the run, which is skipped if the run has ended by then, and which waits while
+   * the engine is silent.
+   */
   private schedule(delayMs: number, action: () => void): void {
     this.clock.setTimer(delayMs, () => {
-      if (this.engine?.running.has(this)) action();
+      const { engine } = this;
+      if (!engine?.running.has(this)) return;
+      const silentMs = engine.silentUntilMs - this.clock.now();
+      if (silentMs > 0) this.schedule(silentMs, action);
+      else action();
     });
   }
 
@@ -293,7 +300,7 @@
     if (this.isEnded || !this.willComplete || !engine?.isRunning || !observed) return;
     const isStream = this.request.target.startsWith('/stream');
     const runMs = serviceMsOf(engine) + (isStream ? STREAM_EVENTS * EVENT_INTERVAL_MS : 0);
-    const sentMs = Math.max(observed.startedMs + runMs, engine.silentUntilMs);
+    const sentMs = Math.max(observed.startedMs, engine.silentUntilMs) + runMs;
     observed.givenUp = { atMs: this.clock.now(), completeMs: sentMs + NETWORK_DELAY_MS };
   }
 
