Fuzz begun streams whose prompt part is quarantined meanwhile

Cause: in simulation, every stream with a crashing part crashes its engine, so one that is cut by a quarantine although its engine is sound was not found.

Change: a part can be harmless in some prompts. A command lets such streams begin at engines that then are silent for a while, and lets the part crash other engines until it is quarantined.

--- a/fuzz/gateway-main.ts
+++ b/fuzz/gateway-main.ts
@@ -3,7 +3,7 @@
  * gateway's fuzz test with any seed and number of runs.
  */
 import { brittleEngineCommands } from './brittle-engine-commands.js';
-import { crashingPartCommands } from './crashing-part-commands.js';
+import { crashingPartCommands, quarantinedStreamCommands } from './crashing-part-commands.js';
 import { engineBuildCommands } from './engine-build-commands.js';
 import { engineCutCommands } from './engine-cut-commands.js';
 import { engineRestartCommands } from './engine-restart-commands.js';
@@ -28,6 +28,7 @@
   ['framing', responseFramingCommands],
   ['builds', engineBuildCommands],
   ['parts', crashingPartCommands],
+  ['quarantined-streams', quarantinedStreamCommands],
   ['silent-engines', silentEngineCommands],
 ]);
 
--- a/src/lab/gateway-simulation/simulation-fixtures.ts
+++ b/src/lab/gateway-simulation/simulation-fixtures.ts
@@ -192,6 +192,8 @@
 
 /** Prefix of prompt parts that crash every engine beginning to respond to a prompt with one. */
 export const CRASHING_PART = 'crashing-part';
+/** In the text of a prompt, keeps a crashing part from crashing the engine. */
+export const HARMLESS_TEXT = 'harmless';
 /** The part that prompts share unless their bodies list others. */
 const DEFAULT_SHARED_PART = 'shared';
 /** A body that lists the shared parts of its prompt. */
