Check that the fuzz test on silent engines finds routers that give up

Cause: nothing showed that the rule on begun responses finds a router that gives up live responses for another reason than the known one.

The view of a mutation gets the deployment's clock. Routes are removed beside silent engines more often.

--- a/fuzz/silent-engine-commands.ts
+++ b/fuzz/silent-engine-commands.ts
@@ -57,9 +57,8 @@
     name: 'publishWeights',
     start: (simulation) => simulation.publishWeights(),
   }),
-  fc
-    .tuple(requestKind, fc.option(routeTimeoutMs, { nil: undefined }))
-    .map(([kind, timeoutMs]) => routeChange(kind, timeoutMs)),
+  fc.tuple(requestKind, routeTimeoutMs).map(([kind, timeoutMs]) => routeChange(kind, timeoutMs)),
+  requestKind.map((kind) => routeChange(kind, undefined)),
   fc
     .tuple(engine, fc.integer({ min: 1, max: 5 }))
     .map(([first, count]) => rejections(first, count)),
--- a/src/lab/gateway-simulation/gateway-simulation.ts
+++ b/src/lab/gateway-simulation/gateway-simulation.ts
@@ -90,7 +90,7 @@
     this.fleet = new SimulatedFleet(this.clock, this.store, (subject) =>
       this.acknowledgements.push({ kind: 'engine-draining', subject, atMs: this.now }),
     );
-    this.changeView = mutation.makeView?.() ?? ((view) => view);
+    this.changeView = mutation.makeView?.(this.clock) ?? ((view) => view);
     this.network = new SimulatedNetwork(this.clock, new SeededRandom(seed));
     this.sockets = new SimulatedSockets(this.network);
     this.forwarders = new SimulatedForwarders(this.network, this.engineLinks);
--- a/src/lab/gateway-simulation/simulation-mutation.ts
+++ b/src/lab/gateway-simulation/simulation-mutation.ts
@@ -3,6 +3,7 @@
 import type { ObjectDecoder } from '../../coordination/gateway/object-decoder.js';
 import type { InferencePort } from '../../protocol/inference/port.js';
 import type { TenantLimit } from '../../state/routing/quota/tenant-limit.js';
+import type { Clock } from '../../runtime/clock.js';
 import type { Logger } from '../../runtime/logger.js';
 import type { DatagramTransport } from '../../transport/datagram-transport.js';
 
@@ -16,8 +17,11 @@
 export interface SimulationMutation {
   readonly settings?: Partial<GatewaySettings>;
   readonly decoder?: (decoder: ObjectDecoder) => ObjectDecoder;
-  /** Called once per deployment; the result is applied to the view of each router at its start. */
-  readonly makeView?: () => (view: RouterView) => RouterView;
+  /**
+   * Called once per deployment, with its clock; the result is applied to the view of each router at
+   * its start.
+   */
+  readonly makeView?: (clock: Clock) => (view: RouterView) => RouterView;
   /** Limit of each tenant; undefined: no limit. */
   readonly tenantLimit?: TenantLimit;
   /** Receives the log lines of all routers. */
--- a/test/gateway/silent-engine-fuzz.test.ts
+++ b/test/gateway/silent-engine-fuzz.test.ts
@@ -4,7 +4,9 @@
  */
 import test from 'ava';
 import { fuzzGateway } from '../../fuzz/gateway-run.js';
+import { declareMutations } from '../../fuzz/gateway-suite.js';
 import { silentEngineCommands } from '../../fuzz/silent-engine-commands.js';
+import { SILENT_ENGINE_MUTATIONS } from '../../fuzz/silent-engine-mutations.js';
 import { countNeedlessFailures } from '../../src/lab/gateway-simulation/completion-oracle.js';
 import { findBreaches } from '../../src/lab/gateway-simulation/gateway-oracle.js';
 import { GatewaySimulation } from '../../src/lab/gateway-simulation/gateway-simulation.js';
@@ -27,6 +29,8 @@
   });
 }
 
+declareMutations(SILENT_ENGINE_MUTATIONS, silentEngineCommands);
+
 test.serial('requests are answered while engines are silent by turns and together', async (t) => {
   const SILENT_MS = [300, 700, 1_200];
   const PERIOD_MS = 3_000;
