Soak real engines that are silent for a while

Engines report the end of each run, and whether they broke it off. A new promise: an accepted request ends without a complete response only if an engine of it broke off, ended or had a faulty link, it crashes engines, its time had passed, or its router was interrupted, cut off from engines or past its grace.

--- /dev/null
+++ b/soak/completion-oracle.ts
@@ -0,0 +1,105 @@
+/** Checks that requests that routers have accepted get complete responses. */
+import type { CallRecord } from './callers.js';
+import type { SoakRecord, Violation } from './oracle.js';
+import { BOUNDS, DisturbanceKind, type RouterProcess, SLACK_MS } from './router-process.js';
+
+/** A router may end a request this long before the caller sees its time pass. */
+const DEADLINE_SLACK_MS = 100;
+/** A connection may close without a response this soon after a request that no engine received. */
+const LOSS_SLACK_MS = 400;
+/** Time until the soak learns that the process of an engine has ended. */
+const EXIT_DELAY_MS = 300;
+/** Configurations that were replaced this long before a request may still apply to it. */
+const CONFIGURATION_AGE_MS = BOUNDS.revoke_ms + SLACK_MS;
+
+/**
+ * Returns the calls that ended without a complete response although no engine broke off, no time
+ * had passed, and their router was neither interrupted nor cut off from engines.
+ */
+export function judgeCompletion(record: SoakRecord): Violation[] {
+  const { calls, observations, routers } = record;
+  const routersByAddress = new Map(routers.map((router) => [router.frontendAddress, router]));
+  const crashing = new Set(observations.crashes.map(({ requestId }) => requestId));
+  const runs = groupBy(observations.runs, ({ requestId }) => requestId);
+  const runEnds = new Map(
+    observations.runEnds.map((end) => [`${end.requestId} ${end.engineId}`, end]),
+  );
+  return calls.flatMap((call) => {
+    const { id, sentMs, endedMs, failure } = call;
+    const own = runs.get(id) ?? [];
+    const router = routersByAddress.get(call.router);
+    if (failure === undefined || endedMs === undefined || !router) return [];
+    if (own.length === 0 && endedMs - sentMs <= LOSS_SLACK_MS) return [];
+    if (failure === 'deadline' || endedMs - sentMs >= timeLimitMs(record, call, endedMs)) return [];
+    if (crashing.has(id) || wasFaulty(router, sentMs, endedMs)) return [];
+    const isBrokenOff = own.some(({ engineId }) => {
+      // An engine that has ended may report no end.
+      const end = runEnds.get(`${id} ${engineId}`);
+      return !end || end.isBrokenOff || hadEngineFault(record, engineId, sentMs, endedMs);
+    });
+    if (isBrokenOff) return [];
+    const engines = own.map(
+      ({ engineId, startedMs }) => `${engineId} after ${startedMs - sentMs} ms`,
+    );
+    const detail = `${id} (${call.kind}) at ${router.options.name}: status ${call.status}, ${failure} after ${endedMs - sentMs} ms, sent at ${sentMs}; at ${engines.join(', ')}`;
+    return [{ promise: 'response-completed' as const, detail }];
+  });
+}
+
+/** Shortest time-out of a route that may apply to a call, in milliseconds. */
+function timeLimitMs(
+  { observations }: SoakRecord,
+  { sentMs }: CallRecord,
+  endedMs: number,
+): number {
+  const changes = observations.routeTimeouts;
+  const applicable = changes.filter(({ atMs }, index) => {
+    const replacedMs = changes[index + 1]?.atMs ?? Infinity;
+    return atMs <= endedMs && replacedMs + CONFIGURATION_AGE_MS >= sentMs;
+  });
+  return Math.min(...applicable.map(({ timeoutMs }) => timeoutMs)) - DEADLINE_SLACK_MS;
+}
+
+/** Whether a router was down, frozen, stopped past its grace or cut off from engines in a span. */
+function wasFaulty(router: RouterProcess, fromMs: number, toMs: number): boolean {
+  const overlaps = (startedMs: number, untilMs: number | undefined): boolean =>
+    startedMs <= toMs && fromMs <= (untilMs ?? Infinity);
+  const wasInterrupted = router.disturbances.some(
+    ({ kind, fromMs: startedMs, untilMs }) =>
+      kind !== DisturbanceKind.StoreLink && overlaps(startedMs, untilMs),
+  );
+  const wasCut = router.engineCuts.some((cut) => overlaps(cut.fromMs, cut.untilMs));
+  const graceMs = BOUNDS.grace_s * 1_000;
+  const wasStopped = router.stops.some(
+    (atMs) => fromMs <= atMs + graceMs && toMs >= atMs + graceMs - DEADLINE_SLACK_MS,
+  );
+  return wasInterrupted || wasCut || wasStopped;
+}
+
+/** Whether an engine's process ended, or the link to it was faulty, in a span. */
+function hadEngineFault(
+  { observations }: SoakRecord,
+  engineId: string,
+  fromMs: number,
+  toMs: number,
+): boolean {
+  const [name] = engineId.split('@');
+  const hasEnded = observations.engineExits.some(
+    (exit) => exit.name === name && fromMs <= exit.atMs && exit.atMs <= toMs + EXIT_DELAY_MS,
+  );
+  if (hasEnded) return true;
+  return observations.engineFaults.some(
+    ({ linkTo, fromMs: startedMs, untilMs }) =>
+      linkTo === name && startedMs <= toMs && fromMs <= untilMs + SLACK_MS,
+  );
+}
+
+function groupBy<Item>(items: readonly Item[], keyOf: (item: Item) => string): Map<string, Item[]> {
+  const groups = new Map<string, Item[]>();
+  for (const item of items) {
+    const group = groups.get(keyOf(item));
+    if (group) group.push(item);
+    else groups.set(keyOf(item), [item]);
+  }
+  return groups;
+}
--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -12,6 +12,7 @@
   ReportedLimit,
   ReportedNotice,
   ReportedRun,
+  ReportedRunEnd,
   StoreCommand,
 } from './messages.js';
 import { MALFORMED_NAME_PREFIX } from './malformed-entries.js';
@@ -23,6 +24,9 @@
 /** Events reported by engines, and changes and faults made by the soak. */
 export interface Observations {
   readonly runs: ReportedRun[];
+  readonly runEnds: ReportedRunEnd[];
+  /** Times at which processes of engines ended, by the name of the engine. */
+  readonly engineExits: { readonly name: string; readonly atMs: number }[];
   readonly arrivals: {
     readonly requestId: string;
     readonly engineId: string;
@@ -51,6 +55,8 @@
     readonly atMs: number;
     untilMs: number | undefined;
   }[];
+  /** Time-outs of all routes, from the time at which each may apply. */
+  readonly routeTimeouts: { readonly timeoutMs: number; readonly atMs: number }[];
   /** Spans in which an engine, or the link to it, was faulty. */
   readonly engineFaults: {
     readonly fromMs: number;
@@ -84,11 +90,16 @@
 /** Delay from the return of a restored store to the operator's rewrite of lost objects. */
 const REWRITE_DELAY_MS = 100;
 
+const ROUTE_TIMEOUT_MS = 3_000;
+const IDLE_TIMEOUT_MS = 15_000;
+
 /** A running deployment of routers, engines and a store. */
 export class Deployment {
   readonly routers: RouterProcess[] = [];
   readonly observations: Observations = {
     runs: [],
+    runEnds: [],
+    engineExits: [],
     arrivals: [],
     notices: [],
     limits: [],
@@ -99,6 +110,7 @@
     crashes: [],
     misdirectedRequests: [],
     keyRemovals: [],
+    routeTimeouts: [{ timeoutMs: ROUTE_TIMEOUT_MS, atMs: 0 }],
     engineFaults: [],
     storeFaults: [],
   };
@@ -106,6 +118,7 @@
   readonly fleet: EngineFleet;
   private readonly hasTenantQuotas: boolean;
   private configurationVersion = 0;
+  private idleTimeoutMs = IDLE_TIMEOUT_MS;
   private weightsVersion = 1;
   private malformedEntryCount = 0;
   private readonly removedKeys = new Set<string>();
@@ -231,6 +244,18 @@
     }
   }
 
+  /** Changes the time-out of all routes. */
+  setRouteTimeout(timeoutMs: number): Promise<void> {
+    this.observations.routeTimeouts.push({ timeoutMs, atMs: Date.now() });
+    return this.writeConfiguration();
+  }
+
+  /** Changes the time after which routers close idle connections. */
+  setIdleTimeout(timeoutMs: number): Promise<void> {
+    this.idleTimeoutMs = timeoutMs;
+    return this.writeConfiguration();
+  }
+
   async publishWeights(): Promise<void> {
     this.weightsVersion += 1;
     await this.write(WireKind.weights, MODEL, { model: MODEL, version: this.weightsVersion });
@@ -312,9 +337,10 @@
         .map(({ key }) => key),
       ...(this.hasTenantQuotas && name === LIMITED_TENANT ? TENANT_LIMIT : {}),
     }));
+    const { timeoutMs = ROUTE_TIMEOUT_MS } = this.observations.routeTimeouts.at(-1) ?? {};
     return {
       version: this.configurationVersion,
-      routes: (Object.keys(CALL_PATHS) as CallKind[]).map(routeOf),
+      routes: (Object.keys(CALL_PATHS) as CallKind[]).map((kind) => routeOf(kind, timeoutMs)),
       services: [
         { name: Service.plain, max_connections: 200 },
         {
@@ -334,13 +360,13 @@
         max_header_bytes: 16_384,
         max_body_bytes: 1_000_000,
         header_timeout_ms: 3_000,
-        idle_timeout_ms: 15_000,
+        idle_timeout_ms: this.idleTimeoutMs,
       },
     };
   }
 }
 
-function routeOf(kind: CallKind): object {
+function routeOf(kind: CallKind, timeoutMs: number): object {
   const isStream = kind.startsWith('stream');
   return {
     name: kind,
@@ -349,7 +375,7 @@
     service: isStream ? Service.generation : Service.plain,
     kind: isStream ? 'streaming' : kind === 'plain-safe' ? 'safe' : 'unsafe',
     resumable: kind === 'stream-resumable',
-    timeout_ms: 3_000,
+    timeout_ms: timeoutMs,
     target_latency_ms: 400,
     priority: isStream ? 1 : 0,
     max_attempts: 3,
--- a/soak/engine-fleet.ts
+++ b/soak/engine-fleet.ts
@@ -96,6 +96,12 @@
     send(engine, { kind: 'ask-pause', backoffMs });
   }
 
+  /** Pauses the engine's process for a while; its connections stay open. */
+  silence({ child }: Engine, forMs: number): void {
+    child.kill('SIGSTOP');
+    setTimeout(() => child.kill('SIGCONT'), forMs);
+  }
+
   /** Makes the engine announce a limit on requests per second; undefined ends that. */
   setRateLimit(engine: Engine, perSecond: number | undefined): void {
     send(engine, { kind: 'limit', perSecond: perSecond ?? null });
@@ -229,6 +235,7 @@
     const { child } = engine;
     child.on('message', (message) => this.handleReport(engine, message as EngineReport));
     child.once('exit', () => {
+      this.parts.observations.engineExits.push({ name: engine.name, atMs: Date.now() });
       if (engine.isLeaving) engine.proxy.close();
       else if (!engine.isRestarting && !this.isEnded) this.restartCrashed(engine);
     });
@@ -259,9 +266,10 @@
   }
 
   private handleReport(engine: Engine, report: EngineReport): void {
-    const { runs, arrivals, notices, limits, drains, loadCommands, crashes, misdirectedRequests } =
-      this.parts.observations;
+    const { runs, runEnds, arrivals, notices, limits, drains } = this.parts.observations;
+    const { loadCommands, crashes, misdirectedRequests } = this.parts.observations;
     if (report.kind === 'run') runs.push(report);
+    if (report.kind === 'run-end') runEnds.push(report);
     if (report.kind === 'arrival') arrivals.push(report);
     if (report.kind === 'notice') notices.push(report);
     if (report.kind === 'limit') limits.push(report);
--- a/soak/engine-program.ts
+++ b/soak/engine-program.ts
@@ -47,6 +47,8 @@
 let weightsVersion = Number(process.argv[6] ?? 1);
 let loading: number | undefined;
 let sequence = 0;
+/** Responses that this engine broke off. */
+const brokenOff = new WeakSet<ServerResponse>();
 let highestFencingToken = 0;
 
 function report(message: EngineReport): void {
@@ -149,6 +151,7 @@
     return;
   }
   reportRun(request, requestId);
+  response.once('close', () => reportRunEnd(response, requestId));
   response.once('close', room.take());
   scheduleCrash(request, body, requestId);
   const isUnanswered = body.startsWith(CRASHING_BODY_PREFIX) && service !== Service.generation;
@@ -222,6 +225,17 @@
   });
 }
 
+function reportRunEnd(response: ServerResponse, requestId: string): void {
+  const isBrokenOff = brokenOff.has(response);
+  report({ kind: 'run-end', requestId, engineId: incarnationId, isBrokenOff });
+}
+
+/** Closes the connection within a response. */
+function breakOff(response: ServerResponse): void {
+  brokenOff.add(response);
+  response.destroy();
+}
+
 function sendPlainResponse(
   response: ServerResponse,
   status: number,
@@ -234,7 +248,7 @@
   response.writeHead(status, headers);
   if (behavior === EngineBehavior.Truncating) {
     response.write(body.slice(0, body.length / 2));
-    setTimeout(() => response.destroy(), 1);
+    setTimeout(() => breakOff(response), 1);
   } else response.end(body);
 }
 
@@ -260,7 +274,7 @@
     if (number > cutAfter) {
       clearInterval(timer);
       // The stream ends within an event.
-      response.write(`id: ${number}\ndata: `, () => response.destroy());
+      response.write(`id: ${number}\ndata: `, () => breakOff(response));
       return;
     }
     response.write(`id: ${number}\nevent: ${build}\ndata: ${requestId} ${number}\n\n`);
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -66,6 +66,11 @@
     default: false,
     describe: 'give a tenant a limit, and let it exceed it while routers pause',
   })
+  .option('silent-engines', {
+    type: 'boolean',
+    default: false,
+    describe: 'let sound engines be silent for a while beside planned operations',
+  })
   .option('program', {
     type: 'string',
     array: true,
@@ -105,6 +110,7 @@
       hasBrittleEngines: options.brittleEngines,
       hasCrashingParts: options.crashingParts,
       hasTenantQuotas: options.tenantQuotas,
+      hasSilentEngines: options.silentEngines,
       callers: options.callers,
       folder,
       programs: options.program,
--- a/soak/messages.ts
+++ b/soak/messages.ts
@@ -51,6 +51,16 @@
   readonly startedMs: number;
 }
 
+/** The end of an execution; an engine that ends during it reports none. */
+export interface ReportedRunEnd {
+  readonly kind: 'run-end';
+  readonly requestId: string;
+  /** Identifier of the engine's incarnation. */
+  readonly engineId: string;
+  /** Whether the engine broke off the response. */
+  readonly isBrokenOff: boolean;
+}
+
 /** A response with headers on the engine's own state: draining, retry delay, rate limit. */
 export interface ReportedNotice {
   readonly kind: 'notice';
@@ -96,6 +106,7 @@
       readonly service: string;
       readonly atMs: number;
     }
+  | ReportedRunEnd
   | ReportedNotice
   | ReportedLimit
   | ReportedFall
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -206,6 +206,7 @@
       hasBrittleEngines: mutation.promise === 'brittle-engines-spared',
       hasCrashingParts: mutation.name.includes('prompt parts'),
       hasTenantQuotas: mutation.promise === 'tenant-limit',
+      hasSilentEngines: mutation.promise === 'response-completed',
       callers: 12,
       folder: runFolder,
       programs: [program],
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -3,6 +3,7 @@
 import type { Observations } from './deployment.js';
 import { CRASHING_PART_PREFIX, type ReportedRun } from './messages.js';
 import { judgeBrittleEngines } from './brittle-engine-oracle.js';
+import { judgeCompletion } from './completion-oracle.js';
 import { judgeEngineCuts } from './engine-cut-oracle.js';
 import { judgeLimits } from './limit-oracle.js';
 import { judgeNotices } from './notice-oracle.js';
@@ -33,6 +34,7 @@
   | 'served-while-cut'
   | 'brittle-engines-spared'
   | 'tenant-limit'
+  | 'response-completed'
   | 'recovery';
 
 /** A broken promise. */
@@ -49,6 +51,8 @@
   readonly routers: readonly RouterProcess[];
   /** Whether a tenant has a limit. */
   readonly hasTenantQuotas: boolean;
+  /** Whether engines are silent for a while. */
+  readonly hasSilentEngines: boolean;
   /** Newest version of the weights and the versions of the engines after the last fault. */
   readonly finalWeights: {
     readonly published: number;
@@ -117,6 +121,7 @@
       ...judgeEngineCuts(this.record, (...args) => this.isDisturbed(...args)),
       ...judgeBrittleEngines(this.record),
       ...(this.record.hasTenantQuotas ? judgeTenantQuotas(this.record) : []),
+      ...(this.record.hasSilentEngines ? judgeCompletion(this.record) : []),
       ...judgeBuilds(this.record.calls),
       ...this.judgeRecovery(),
     ];
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -11,6 +11,7 @@
 import { ENGINE_RESTART_STEPS } from './engine-restart-steps.js';
 import { ENGINE_NOTICE_STEPS } from './engine-notice-steps.js';
 import { DisturbanceKind } from './router-process.js';
+import { SILENT_ENGINE_STEPS } from './silent-engine-steps.js';
 import { STORE_RESTORATION_STEPS } from './store-restoration-steps.js';
 import { ProxyMode } from './tcp-proxy.js';
 import { TENANT_QUOTA_STEPS } from './tenant-quota-steps.js';
@@ -46,6 +47,8 @@
   readonly hasCrashingParts: boolean;
   /** Whether a tenant exceeds its limit while routers pause. */
   readonly hasTenantQuotas: boolean;
+  /** Whether sound engines are silent for a while. */
+  readonly hasSilentEngines: boolean;
 }
 
 /** Number of routers without unplanned faults, so that some requests succeed at all times. */
@@ -236,6 +239,7 @@
     hasBrittleEngines,
     hasCrashingParts,
     hasTenantQuotas,
+    hasSilentEngines,
   }: ScheduleOptions,
 ): Step[] {
   const factories = [
@@ -248,6 +252,7 @@
     ...(hasBrittleEngines ? BRITTLE_ENGINE_STEPS : []),
     ...(hasCrashingParts ? CRASHING_PART_STEPS : []),
     ...(hasTenantQuotas ? TENANT_QUOTA_STEPS : []),
+    ...(hasSilentEngines ? SILENT_ENGINE_STEPS : []),
   ];
   const MAXIMUM_GAP_MS = 2_000;
   const steps: Step[] = [];
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -32,6 +32,8 @@
   readonly hasCrashingParts: boolean;
   /** Whether a tenant has a limit, and exceeds it while routers pause. */
   readonly hasTenantQuotas: boolean;
+  /** Whether sound engines are silent for a while. */
+  readonly hasSilentEngines: boolean;
   readonly callers: number;
   /** Directory of settings, logs and, after a violation, the evidence. */
   readonly folder: string;
@@ -100,6 +102,7 @@
       observations: deployment.observations,
       routers: deployment.routers,
       hasTenantQuotas,
+      hasSilentEngines: options.hasSilentEngines,
       finalWeights: {
         published: deployment.publishedVersion,
         engines: weightsOf(deployment.fleet.running),
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -27,6 +27,8 @@
   readonly hasCrashingParts?: boolean;
   /** Whether a tenant exceeds its limit while routers pause. */
   readonly hasTenantQuotas?: boolean;
+  /** Whether sound engines are silent for a while; likewise. */
+  readonly hasSilentEngines?: boolean;
   /** Whether routers run the production build and the current build side by side. */
   readonly isMixed?: boolean;
   /** Cause of the broken promise. */
@@ -93,6 +95,13 @@
   hasTenantQuotas: true,
   cause: 'none: the short soak of a tenant far above its limit',
 };
+const SILENT_ENGINES: RegressionSeed = {
+  seed: 15,
+  seconds: 14,
+  routers: 4,
+  hasSilentEngines: true,
+  cause: 'none: the short soak of silent engines',
+};
 /** Without restorations of the store, because the earlier build does not support store eras. */
 const MIXED: RegressionSeed = {
   seed: 4,
@@ -114,6 +123,7 @@
   BRITTLE,
   CRASHING_PARTS,
   TENANT_QUOTAS,
+  SILENT_ENGINES,
   MIXED,
   ...REGRESSIONS,
 ]) {
@@ -121,7 +131,11 @@
   const { hasEngineLives = false, hasEngineNotices = false } = regression;
   const { hasEngineLimits = false, hasStoreRestorations = false, isMixed = false } = regression;
   const { hasEngineCuts = false, hasBrittleEngines = false } = regression;
-  const { hasCrashingParts = false, hasTenantQuotas = false } = regression;
+  const {
+    hasCrashingParts = false,
+    hasTenantQuotas = false,
+    hasSilentEngines = false,
+  } = regression;
   test.serial(`no promise is broken in a soak with seed ${seed} (${cause})`, async (t) => {
     t.timeout(170_000);
     const folder = mkdtempSync(join(tmpdir(), `peatspan-soak-${seed}-`));
@@ -139,6 +153,7 @@
       hasBrittleEngines,
       hasCrashingParts,
       hasTenantQuotas,
+      hasSilentEngines,
       callers: 8,
       folder,
       programs: earlier ? [earlier.program, BUNDLE] : [BUNDLE],
