Keep one run at a time when a silent engine's request is tried elsewhere

Change: a second engine that may have run the request replaces the silent one, and the send of a generation without any event is cancelled first, as before, provided the configuration still allows the request.

--- a/src/coordination/gateway/call-failover.ts
+++ b/src/coordination/gateway/call-failover.ts
@@ -8,7 +8,7 @@
 import type { CallRecord } from './call-record.js';
 import type { CallRetries } from './call-retries.js';
 import { recordFailedSend } from './failed-send.js';
-import type { Grant } from './request-admission.js';
+import { type Grant, admitRequest } from './request-admission.js';
 import type { Send } from './send.js';
 import { SendTimeouts, type SendTimeoutReason } from './send-timeouts.js';
 
@@ -91,14 +91,12 @@
     this.tryElsewhere(send, { kind: send.isConnected ? 'unknown' : 'not-sent', reason });
   }
 
-  /**
-   * Sends the request to another engine, if one is available. The silent send stays open, unless it
-   * has no connection or another silent send is open.
-   */
+  /** Sends the request to another engine, if one is available and the configuration allows it. */
   private tryElsewhere(send: Send, failure: ExchangeFailure): void {
     const { call, retries } = this;
     const { context, silent } = call;
-    if (!send.isConnected || silent.isOpen) {
+    if (admitRequest(call.request, context).kind !== 'granted') return;
+    if (!this.mayStayOpen(send)) {
       if (retries.canFailOver(send)) this.actions.failSend(send, failure);
       return;
     }
@@ -113,6 +111,16 @@
     this.actions.sendAgain();
   }
 
+  /**
+   * Whether the send may stay open while another engine is tried: one at a time, and not that of a
+   * generation without any event, which may begin at both engines in the same moment.
+   */
+  private mayStayOpen(send: Send): boolean {
+    const { call } = this;
+    const mayBegin = call.request.generation !== undefined && !call.hasBegun;
+    return send.isConnected && !call.silent.isOpen && !mayBegin;
+  }
+
   private noteReturned(send: Send, reason: string): void {
     const { call } = this;
     call.context.statistics.silentSendsReturned += 1;
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -176,6 +176,8 @@
     // What the silent engine has written of an event is kept until it has failed or was replaced.
     if (!call.silent.isOpen) call.response.discardPending();
     this.noteFailure(send, failure);
+    // An engine that may have run the request has taken the place of the silent one.
+    if (failure.kind === 'unknown' || failure.kind === 'cut') call.silent.release();
     // Another engine is being tried, or the crash has quarantined the request, which ends it.
     if (isSilent || call.isFinished) return;
     this.failover.stopTimeout();
