Fail a stream over an event without end

Cause: an event without end in a resumable stream was held up to a 16th of the memory budget, its engine was paused, and the stream went on elsewhere only as stalled. Other streams passed it on until their deadline.

A resumable stream goes on at another engine, others end.

--- a/src/coordination/gateway/call-response.ts
+++ b/src/coordination/gateway/call-response.ts
@@ -62,6 +62,11 @@
     return this.mode.isResumable ? this.boundary.isWithinEvent : this.scanner.isWithinEvent;
   }
 
+  /** Whether the last engine has sent an event that is too large to be one. */
+  get isEventTooLarge(): boolean {
+    return this.mode.isResumable ? this.boundary.isEventTooLarge : this.scanner.isEventTooLarge;
+  }
+
   /** Whether the response is a stream of events. */
   get isStream(): boolean {
     return this.mode.isStream;
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -37,6 +37,7 @@
   reason: 'end-unverified',
   isDisconnect: true,
 };
+const EVENT_TOO_LARGE: ExchangeFailure = { kind: 'cut', reason: 'event-too-large' };
 /** Longer than it takes to detect that the engine of a lost connection has crashed. */
 const CRASH_DETECTION_MS = 30;
 /** A send without a byte for this long on a silent path is made again through another router. */
@@ -125,7 +126,9 @@
     if (call.hasBegun && call.response.isResumable) this.updateStallTimeout();
     const mayReadOn = call.response.handleChunk(chunk, call.now);
     if (call.response.hasPassedEvent && !call.requiredBuild) this.noteOrigin(send);
-    if (!mayReadOn) send.pause();
+    // The engine is faulty: the stream goes on at another one, or ends here.
+    if (call.response.isEventTooLarge) this.failSend(send, EVENT_TOO_LARGE);
+    else if (!mayReadOn) send.pause();
   }
 
   failureAtEnd(send: Send): ExchangeFailure | undefined {
