--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -37,6 +37,7 @@
   reason: 'end-unverified',
   isDisconnect: true,
 };
+const EVENT_TOO_LARGE: ExchangeFailure = { kind: 'cut', reason: 'event-too-large' };
 /** Longer than it takes to detect that the engine of a lost connection has crashed. */
 const CRASH_DETECTION_MS = 30;
 
@@ -131,7 +132,9 @@
     if (call.response.isResumable) this.failover.expectNextBytes();
     const mayReadOn = call.response.handleChunk(chunk, call.now);
     if (call.response.hasPassedEvent && !call.requiredBuild) this.noteOrigin(send);
-    if (!mayReadOn) this.stopReading(send);
+    // The engine is faulty: the stream goes on at another one, or ends here.
+    if (call.response.isEventTooLarge) this.failSend(send, EVENT_TOO_LARGE);
+    else if (!mayReadOn) this.stopReading(send);
   }
 
   /** Pauses the engine's response until its caller has taken more of it. */
