Don't send a stream elsewhere after its silent engine has continued

What callers saw: a stream with the events of two engines. While the engine that was to continue a stream was asked which build it runs, the silent one wrote again and served the request; the check then sent it all the same, and both engines wrote to the caller. Change: a check that is no longer the last one, or whose request is at an engine, sends nothing. Result: the new test breaks stream-in-order for 6 of 6 streams before, and passes.

--- a/src/coordination/gateway/call-dispatch.ts
+++ b/src/coordination/gateway/call-dispatch.ts
@@ -21,6 +21,8 @@
 /** Dispatches one request, at its arrival and again after each failed send. */
 export class CallDispatch {
   private readonly waiting: CallWaiting;
+  /** Checks begun before the rest of a stream is sent; only the last one counts. */
+  private checks = 0;
 
   constructor(
     private readonly call: CallRecord,
@@ -152,9 +154,12 @@
   private async continueAt(placed: Placement, grant: Grant, service: Service): Promise<void> {
     const { call } = this;
     const { record } = placed.engine;
+    this.checks += 1;
+    const check = this.checks;
     const model = call.request.generation?.model;
     const isCurrent = model === undefined || (await isRunning(record, model, call.context));
-    if (call.isFinished) return;
+    // A silent engine may have continued meanwhile, or failed and led to another dispatch.
+    if (call.isFinished || call.isAtEngine || check !== this.checks) return;
     if (isCurrent) {
       this.sendWithinQuota(placed, grant, service);
       return;
