Keep a begun response that no other engine can continue at its engine on a silent path

What callers saw: a stream that can't be resumed, joined from two runs, when the router's path to engines fell silent: keeping the send open left out the question whether another may continue it. Result: the new test saw events 1, 2, 1, 2, 3, 4, 5 as a whole response before, and passes.

--- a/src/coordination/gateway/call-failover.ts
+++ b/src/coordination/gateway/call-failover.ts
@@ -95,6 +95,8 @@
   private tryElsewhere(send: Send, failure: ExchangeFailure): void {
     const { call, retries } = this;
     const { context, silent } = call;
+    // No other engine can continue what the caller has received of it.
+    if (call.hasBegun && !call.response.isResumable) return;
     if (admitRequest(call.request, context).kind !== 'granted') return;
     if (!this.mayStayOpen(send)) {
       if (retries.canFailOver(send)) this.actions.failSend(send, failure);
