Don't move a begun response whose prompt part was quarantined meanwhile

What callers saw: a stream of a silent, sound engine was reset when it was to be tried elsewhere and one of its parts had been quarantined since.

--- a/src/coordination/gateway/call-failover.ts
+++ b/src/coordination/gateway/call-failover.ts
@@ -97,6 +97,8 @@
     const { context, silent } = call;
     // No other engine can continue what the caller has received of it.
     if (call.hasBegun && !call.response.isResumable) return;
+    // What an engine has begun of a quarantined request or part may still be completed.
+    if (call.hasBegun && call.crashes.quarantined !== undefined) return;
     if (admitRequest(call.request, context).kind !== 'granted') return;
     if (!this.mayStayOpen(send)) {
       if (retries.canFailOver(send)) this.actions.failSend(send, failure);
