End the overlap of two sends only while another engine has the request

What callers saw: a stream was reset if the second engine rejected it shortly before the overlap ended: the failed send still counted as connected, and the silent one was cancelled.

--- a/src/coordination/gateway/silent-send.ts
+++ b/src/coordination/gateway/silent-send.ts
@@ -65,7 +65,8 @@
     this.timer?.cancel();
     this.timer = this.clock.setTimer(MAXIMUM_OVERLAP_MS, () => {
       // Without a connection, the other engine does not have the request yet.
-      if (this.call.send?.isConnected) this.release();
+      const { send, state } = this.call;
+      if (state === CallState.Sent && send?.isConnected) this.release();
       else this.limitOverlap();
     });
   }
