Don't take a paused send for silent when the path is, and read it on when it serves again

What callers saw: one that read slowly had its stream tried elsewhere on a silent path, and a stream that a router had paused was read on only after the next stall timeout. Result: both tests of paused-send-failover fail before, and pass.

--- a/src/coordination/gateway/call-failover.ts
+++ b/src/coordination/gateway/call-failover.ts
@@ -69,7 +69,8 @@
   failSendWithoutPath(path: EnginePathState): void {
     const { call } = this;
     const { send } = call;
-    if (!send || !call.isAtEngine || send.isForwarded) return;
+    // The engine of a paused send is silent because this router does not read on.
+    if (!send || !call.isAtEngine || send.isForwarded || send.isPaused) return;
     if (!send.isConnected) {
       const failure = {
         kind: 'not-sent',
--- a/src/coordination/gateway/silent-send.ts
+++ b/src/coordination/gateway/silent-send.ts
@@ -96,6 +96,7 @@
     const { send, call } = this;
     if (!send) return false;
     this.forget();
+    if (send.isPaused) send.resume();
     const successor = call.send;
     call.send = send;
     call.state = send.hasHead ? CallState.Responding : CallState.Sent;
