Keep only sends open whose engine has taken the body

Cause: the memory budget counts a body for one engine; what a silent engine did with it was counted for the engine that was tried in its place, so that the budget held less than the router did. Change: without the whole body at its engine, the send is cancelled first, as before. Simulated connections report that they take bodies.

--- a/src/coordination/gateway/call-failover.ts
+++ b/src/coordination/gateway/call-failover.ts
@@ -117,13 +117,14 @@
   }
 
   /**
-   * Whether the send may stay open while another engine is tried: one at a time, and not that of a
-   * generation without any event, which may begin at both engines in the same moment.
+   * Whether the send may stay open while another engine is tried: one at a time, not that of a
+   * generation without any event, which may begin at both engines in the same moment, and none whose
+   * body is still held for its engine.
    */
   private mayStayOpen(send: Send): boolean {
     const { call } = this;
     const mayBegin = call.request.generation !== undefined && !call.hasBegun;
-    return send.isConnected && !call.silent.isOpen && !mayBegin;
+    return send.isConnected && send.hasTakenBody && !call.silent.isOpen && !mayBegin;
   }
 
   private noteReturned(send: Send, reason: string): void {
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -59,8 +59,7 @@
   readonly forwarder: Forwarder | undefined;
   private isClosed = false;
   private hasPaused = false;
-  /** Whether the engine has taken the whole body of the request. */
-  private hasBody = false;
+  private isBodyTaken = false;
   private sender: SenderState | undefined;
 
   constructor(
@@ -96,6 +95,11 @@
     return this.connection !== undefined;
   }
 
+  /** Whether the engine has taken the whole body of the request. */
+  get hasTakenBody(): boolean {
+    return this.isBodyTaken;
+  }
+
   /** Whether the head of a response was received. */
   get hasHead(): boolean {
     return this.headMs !== undefined;
@@ -135,7 +139,7 @@
 
   onBodyTaken(): void {
     if (this.isClosed) return;
-    this.hasBody = true;
+    this.isBodyTaken = true;
     this.request.heldBody?.noteTaken();
   }
 
@@ -339,7 +343,7 @@
     this.observed?.close();
     this.runStartDeadline?.cancel();
     // A body that the engine has taken may be queued at another engine by now.
-    if (!this.hasBody) this.request.heldBody?.leaveEngine();
+    if (!this.isBodyTaken) this.request.heldBody?.leaveEngine();
     this.load.release();
   }
 
--- a/src/lab/gateway-simulation/simulated-exchange.ts
+++ b/src/lab/gateway-simulation/simulated-exchange.ts
@@ -64,7 +64,10 @@
     if (this.isConnected) return;
     this.isConnected = true;
     this.host.deliver(() => {
-      if (!this.isEnded) this.listener.onConnected?.(connection);
+      if (this.isEnded) return;
+      this.listener.onConnected?.(connection);
+      // Bodies are short, so the connection takes them at once.
+      this.listener.onBodyTaken?.();
     });
   }
 
