--- a/src/coordination/gateway/call-dispatch.ts
+++ b/src/coordination/gateway/call-dispatch.ts
@@ -203,7 +203,7 @@
     const { rejections, logger } = call.context;
     const { retryAfterMs } = denial;
     logQuotaDenial(call.request.id, call.grant?.tenant?.name, denial, logger);
-    if (call.silent.tryReturn('quota')) return;
+    if (call.stalled.tryReturn('quota')) return;
     if (call.hasBegun) ending.abort('quota');
     else if (retryAfterMs === undefined) ending.refuse(REQUEST_EXCEEDS_LIMIT);
     else ending.refuse(rejections.overQuota(retryAfterMs));
--- a/src/coordination/gateway/call-ending.ts
+++ b/src/coordination/gateway/call-ending.ts
@@ -34,8 +34,8 @@
 
   /** Ends the request after its caller closed the connection. */
   abandon(): void {
-    const { send, silent, context } = this.call;
-    silent.release();
+    const { send, stalled, context } = this.call;
+    stalled.release();
     send?.cancel();
     context.statistics.abandonedByCaller += 1;
     this.finish('caller-left', 0, send?.engineId);
@@ -44,7 +44,7 @@
   /** Ends the request at its deadline. */
   expire(): void {
     const { call } = this;
-    call.silent.release();
+    call.stalled.release();
     call.send?.cancel();
     if (call.state === CallState.Queued) {
       this.reject(RejectionReason.NoTimeLeft);
@@ -63,7 +63,7 @@
   reject(reason: RejectionReason, details: RejectionDetails = {}): void {
     const { call } = this;
     const { detail = reason, ...estimates } = details;
-    if (call.silent.tryReturn(detail)) return;
+    if (call.stalled.tryReturn(detail)) return;
     call.send?.cancel();
     if (call.hasBegun) this.abort(detail);
     else if (call.mayHaveRun || call.isAtEngine) this.refuse({ status: 502, reason: detail });
@@ -77,7 +77,7 @@
 
   /** Sends a permanent rejection, unless something may have run already; see {@link reject}. */
   deny(response: RouterResponse): void {
-    if (this.call.silent.tryReturn(response.reason)) return;
+    if (this.call.stalled.tryReturn(response.reason)) return;
     if (this.call.hasBegun) this.abort(response.reason);
     else if (this.call.mayHaveRun) this.refuse({ status: 502, reason: response.reason });
     else this.refuse(response);
@@ -88,7 +88,7 @@
    * may have run: no engine will serve it.
    */
   rejectQuarantined(subject: CrashSubject): void {
-    this.call.silent.release();
+    this.call.stalled.release();
     const response =
       subject === CrashSubject.Request ? REQUEST_CRASHES_ENGINES : PROMPT_PART_CRASHES_ENGINES;
     this.call.context.statistics.quarantineRejections += 1;
@@ -100,7 +100,7 @@
   drop(): void {
     const { call } = this;
     if (call.isFinished) return;
-    call.silent.release();
+    call.stalled.release();
     call.send?.cancel();
     if (call.hasBegun) this.abort('slow-reader');
     else this.refuse({ status: 502, reason: 'memory-full' });
@@ -121,7 +121,7 @@
    */
   abort(reason: string): void {
     const { call } = this;
-    if (call.silent.tryReturn(reason)) return;
+    if (call.stalled.tryReturn(reason)) return;
     const { statistics } = call.context;
     statistics.failed += 1;
     statistics.responsesAborted += 1;
@@ -135,7 +135,7 @@
     const { call } = this;
     const isInProgress = call.isAtEngine;
     call.state = CallState.Finished;
-    call.silent.release();
+    call.stalled.release();
     call.place?.leave();
     if (call.service && isInProgress) call.context.queues?.of(call.service).noteSendEnded();
     call.quota.end(call.mayHaveRun || call.hasBegun || isInProgress);
--- a/src/coordination/gateway/call-failover.ts
+++ b/src/coordination/gateway/call-failover.ts
@@ -1,10 +1,10 @@
 /**
- * Sends a request to another engine while the one that has it is silent. The silent send stays open
+ * Sends a request to another engine while the one that has it is silent. The stalled send stays open
  * until the other engine has accepted the request.
  */
 import type { ExchangeFailure } from '../../protocol/inference/port.js';
 import { EnginePathState } from '../../state/routing/engine-path.js';
-import { logSilentSend } from './call-log.js';
+import { logStalledSend } from './call-log.js';
 import type { CallRecord } from './call-record.js';
 import type { CallRetries } from './call-retries.js';
 import { recordFailedSend } from './failed-send.js';
@@ -35,20 +35,20 @@
     private readonly actions: FailoverActions,
   ) {
     this.timeouts = new SendTimeouts(call.context.clock, (reason) => this.onTimeout(reason));
-    call.silent.onReturned = (send, reason) => this.noteReturned(send, reason);
+    call.stalled.onReturned = (send, reason) => this.noteReturned(send, reason);
   }
 
   /** Starts the timeout for the response; called right before a send. */
   noteSend({ route }: Grant): void {
     const { call } = this;
-    call.silent.limitOverlap();
+    call.stalled.limitOverlap();
     if (!call.mayRepeat || call.sends >= route.maximumAttempts) return;
     this.timeouts.startResponseTimeout(route.objectiveMs, call.remainingMs);
   }
 
   /** A silent engine that writes serves the request; the send to another engine is cancelled. */
   noteWritten(send: Send): void {
-    if (this.call.silent.owns(send)) this.call.silent.tryReturn('written');
+    if (this.call.stalled.owns(send)) this.call.stalled.tryReturn('written');
   }
 
   /** Restarts the timeout for the next bytes of a resumable stream; other responses have none. */
@@ -95,7 +95,7 @@
   /** Sends the request to another engine, if one is available and the configuration allows it. */
   private tryElsewhere(send: Send, failure: ExchangeFailure): void {
     const { call, retries } = this;
-    const { context, silent } = call;
+    const { context, stalled } = call;
     // No other engine can continue what the caller has received of it.
     if (call.hasBegun && !call.response.isResumable) return;
     // What an engine has begun of a quarantined request or part may still be completed.
@@ -107,12 +107,12 @@
     }
     if (!retries.tryFailOver(send, failure)) return;
     this.timeouts.cancel();
-    silent.keep(send);
+    stalled.keep(send);
     call.excluded.add(send.engineId);
     call.mayHaveRun = true;
     recordFailedSend(send, failure, context);
-    context.statistics.silentSends += 1;
-    logSilentSend('send_silent', call, send, failure.reason);
+    context.statistics.stalledSends += 1;
+    logStalledSend('send_stalled', call, send, failure.reason);
     this.actions.sendAgain();
   }
 
@@ -124,13 +124,13 @@
   private mayStayOpen(send: Send): boolean {
     const { call } = this;
     const mayBegin = call.request.generation !== undefined && !call.hasBegun;
-    return send.isConnected && send.hasTakenBody && !call.silent.isOpen && !mayBegin;
+    return send.isConnected && send.hasTakenBody && !call.stalled.isOpen && !mayBegin;
   }
 
   private noteReturned(send: Send, reason: string): void {
     const { call } = this;
-    call.context.statistics.silentSendsReturned += 1;
-    logSilentSend('silent_send_returned', call, send, reason);
+    call.context.statistics.stalledSendsReturned += 1;
+    logStalledSend('stalled_send_returned', call, send, reason);
     this.actions.onReturned();
     this.timeouts.restartStallTimeout();
   }
--- a/src/coordination/gateway/call-log.ts
+++ b/src/coordination/gateway/call-log.ts
@@ -129,8 +129,8 @@
 }
 
 /** Logs that a silent engine still has a request that is sent elsewhere, or serves it after all. */
-export function logSilentSend(
-  event: 'send_silent' | 'silent_send_returned',
+export function logStalledSend(
+  event: 'send_stalled' | 'stalled_send_returned',
   call: CallRecord,
   send: Send,
   reason: string,
--- a/src/coordination/gateway/call-record.ts
+++ b/src/coordination/gateway/call-record.ts
@@ -16,7 +16,7 @@
 import type { InboundRequest, Reply } from './reply.js';
 import type { Grant } from './request-admission.js';
 import type { Send } from './send.js';
-import { SilentSend } from './silent-send.js';
+import { StalledSend } from './stalled-send.js';
 
 /** Shortest remaining time in which a send can succeed, in milliseconds. */
 export const MINIMUM_BUDGET_MS = 15;
@@ -49,7 +49,7 @@
   /** Set once an event was passed on; undefined while any build may serve. */
   requiredBuild: BuildRequirement | undefined;
   /** A send whose engine is silent, while the request is sent elsewhere. */
-  readonly silent: SilentSend;
+  readonly stalled: StalledSend;
   readonly response: CallResponse;
   readonly crashes: CallCrashes;
   readonly quota: CallQuota;
@@ -59,7 +59,7 @@
     readonly reply: Reply,
     readonly context: GatewayContext,
   ) {
-    this.silent = new SilentSend(this, context.clock);
+    this.stalled = new StalledSend(this, context.clock);
     this.response = new CallResponse(reply, context.memory?.openResponse(request.id, reply));
     this.crashes = new CallCrashes(request, context.crashes, () => this.grant);
     this.quota = new CallQuota(request, context.quotas);
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -16,8 +16,8 @@
   /** Streams that another engine has continued. */
   resumedStreams = 0;
   /** Sends that stayed open while another engine was tried; those that served their request. */
-  silentSends = 0;
-  silentSendsReturned = 0;
+  stalledSends = 0;
+  stalledSendsReturned = 0;
   /** Streams that callers took up and that were rejected because their build was not known. */
   unknownStreamOrigins = 0;
   /** Cancelled because the engine's weights expired before the request started. */
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -120,7 +120,7 @@
       this.failSend(send, { kind: 'unknown', reason: 'other-build' });
       return;
     }
-    call.silent.release();
+    call.stalled.release();
     if (call.hasBegun) this.context.statistics.resumedStreams += 1;
     else call.response.handleHead(head, this.responseMode(head));
     if (call.response.isStream) this.failover.expectNextBytes();
@@ -174,15 +174,15 @@
 
   onFailure(send: Send, failure: ExchangeFailure): void {
     const { call } = this;
-    const isSilent = call.silent.owns(send);
-    if (isSilent) call.silent.forget();
+    const isStalled = call.stalled.owns(send);
+    if (isStalled) call.stalled.forget();
     // What the silent engine has written of an event is kept until it has failed or was replaced.
-    if (!call.silent.isOpen) call.response.discardPending();
+    if (!call.stalled.isOpen) call.response.discardPending();
     this.noteFailure(send, failure);
     // An engine that may have run the request has taken the place of the silent one.
-    if (failure.kind === 'unknown' || failure.kind === 'cut') call.silent.release();
+    if (failure.kind === 'unknown' || failure.kind === 'cut') call.stalled.release();
     // Another engine is being tried, or the crash has quarantined the request, which ends it.
-    if (isSilent || call.isFinished) return;
+    if (isStalled || call.isFinished) return;
     this.failover.stopTimeout();
     call.state = CallState.Choosing;
     if (isDisconnect(failure) && send.isStarting && call.mayRepeat)
@@ -243,7 +243,7 @@
 
   /** Ends the request because the router shuts down. */
   endForShutdown(): void {
-    this.call.silent.release();
+    this.call.stalled.release();
     if (this.call.hasBegun) this.ending.abort('stopping');
     else this.ending.reject(RejectionReason.Stopping);
   }
@@ -252,9 +252,9 @@
    * Fails the send if only the previous incarnation of the restarted engine can have received it.
    */
   failSendToPreviousIncarnation(restart: EngineRestart): void {
-    const { send, silent, isFinished } = this.call;
+    const { send, stalled, isFinished } = this.call;
     if (isFinished) return;
-    for (const each of [send, silent.current]) {
+    for (const each of [send, stalled.current]) {
       const isAffected = each && belongsToPreviousIncarnation(each, restart, this.context.clock);
       if (isAffected) each.failAsDisconnected('engine-reborn');
     }
--- a/src/coordination/gateway/silent-send.ts
+++ b/src/coordination/gateway/stalled-send.ts
@@ -15,8 +15,8 @@
  */
 const MAXIMUM_OVERLAP_MS = 300;
 
-/** What a silent send changes of its request. */
-export interface SilentSendRequest {
+/** What a stalled send changes of its request. */
+export interface StalledSendRequest {
   /** The current send, or the last one. */
   send: Send | undefined;
   state: CallState;
@@ -24,19 +24,19 @@
   readonly response: Pick<CallResponse, 'discardPending'>;
 }
 
-/** The silent send of one request; at most one at a time. */
-export class SilentSend {
+/** The stalled send of one request; at most one at a time. */
+export class StalledSend {
   /** Called when the request waits for the silent engine again, with the reason. */
   onReturned: (send: Send, reason: string) => void = () => undefined;
   private send: Send | undefined;
   private timer: Timer | undefined;
 
   constructor(
-    private readonly call: SilentSendRequest,
+    private readonly call: StalledSendRequest,
     private readonly clock: Clock,
   ) {}
 
-  /** The silent send; undefined if there is none. */
+  /** The stalled send; undefined if there is none. */
   get current(): Send | undefined {
     return this.send;
   }
@@ -71,7 +71,7 @@
     });
   }
 
-  /** Cancels the silent send, since another engine serves the request or the request has ended. */
+  /** Cancels the stalled send, since another engine serves the request or the request has ended. */
   release(): void {
     const { send } = this;
     if (!send) return;
@@ -80,7 +80,7 @@
     this.call.response.discardPending();
   }
 
-  /** Drops the silent send, which has ended by itself. */
+  /** Drops the stalled send, which has ended by itself. */
   forget(): void {
     this.timer?.cancel();
     this.send = undefined;
@@ -90,7 +90,7 @@
    * Lets the silent engine serve the request, and cancels the send to another one, if there is any.
    *
    * @param reason why the request is not served elsewhere
-   * @returns false if there is no silent send
+   * @returns false if there is no stalled send
    */
   tryReturn(reason: string): boolean {
     const { send, call } = this;
--- a/test/gateway/call-ending.test.ts
+++ b/test/gateway/call-ending.test.ts
@@ -25,7 +25,7 @@
     reply,
     request: { id: 'request', arrivedMs: 0 },
     response: {},
-    silent: { tryReturn: () => false, release: () => undefined },
+    stalled: { tryReturn: () => false, release: () => undefined },
     crashes: {},
     quota: { end: () => undefined },
     context: {
--- a/test/gateway/paused-send-failover.test.ts
+++ b/test/gateway/paused-send-failover.test.ts
@@ -8,7 +8,7 @@
 import type { CallRetries } from '../../src/coordination/gateway/call-retries.js';
 import { CallState } from '../../src/coordination/gateway/call-state.js';
 import type { Send } from '../../src/coordination/gateway/send.js';
-import { SilentSend } from '../../src/coordination/gateway/silent-send.js';
+import { StalledSend } from '../../src/coordination/gateway/stalled-send.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
 import { EnginePathState } from '../../src/state/routing/engine-path.js';
 
@@ -35,7 +35,7 @@
     canSendAgain: true,
     now: PAUSED_MS,
     response: { isResumable: true },
-    silent: { isOpen: true },
+    stalled: { isOpen: true },
   } as unknown as CallRecord;
   const retries = { canFailOver: () => true } as unknown as CallRetries;
   const failover = new CallFailover(call, retries, {
@@ -51,8 +51,8 @@
   const send = pausedSend();
   const response = { discardPending: () => undefined };
   const call = { send: undefined, state: CallState.Choosing, place: undefined, response };
-  const silent = new SilentSend(call, new VirtualClock());
-  silent.keep(send);
-  t.true(silent.tryReturn('no-engine'));
+  const stalled = new StalledSend(call, new VirtualClock());
+  stalled.keep(send);
+  t.true(stalled.tryReturn('no-engine'));
   t.false(send.isPaused);
 });
--- a/test/platform/slow-readers.test.ts
+++ b/test/platform/slow-readers.test.ts
@@ -183,8 +183,8 @@
   await wait(STOPPED_MS);
   caller.socket.resume();
   await waitUntil(() => isComplete(caller));
-  const { silentSends, sends } = router.node.statistics;
-  t.deepEqual([silentSends, sends], [0, 1]);
+  const { stalledSends, sends } = router.node.statistics;
+  t.deepEqual([stalledSends, sends], [0, 1]);
 });
 
 test.serial(
