--- a/test/gateway/quarantine-during-failover.test.ts
+++ b/test/gateway/quarantine-during-failover.test.ts
@@ -4,14 +4,9 @@
  * with it, so that the response was reset although its engine would have completed it.
  */
 import test from 'ava';
-import { CrashSubject } from '../../src/coordination/gateway/crash-guard.js';
 import { GatewaySimulation } from '../../src/lab/gateway-simulation/gateway-simulation.js';
-import {
-  KINDS,
-  SIMULATION_MODEL,
-  bodyWithParts,
-} from '../../src/lab/gateway-simulation/simulation-fixtures.js';
-import { promptPartFingerprintOf } from '../../src/state/routing/request-fingerprint.js';
+import { bodyWithParts } from '../../src/lab/gateway-simulation/simulation-fixtures.js';
+import { storeQuarantine } from '../helpers/stored-quarantine.js';
 
 const SEEDS = [67, 68];
 /** Longer than routers take to list the quarantined parts again. */
@@ -23,19 +18,12 @@
 /** The part is quarantined about this long after the engines have fallen silent. */
 const LEAD_MS = 1_200;
 const GENERATION_ENGINES = [0, 1, 2];
-const BODY = bodyWithParts(['common'], 'text');
+const COMMON_PART = 'common';
+const BODY = bodyWithParts([COMMON_PART], 'text');
 
 async function createWithQuarantine(seed: number): Promise<GatewaySimulation> {
   const simulation = await GatewaySimulation.create(seed);
-  const part = { model: SIMULATION_MODEL, isolatedTenant: undefined, partId: 'common' };
-  simulation.store.put(KINDS.quarantine, promptPartFingerprintOf(part), {
-    tenant: 'tenant-2',
-    route: 'stream-resumable',
-    path: '/stream/stream-resumable/x',
-    subject: CrashSubject.PromptPart,
-    engines: [],
-    quarantinedAtMs: simulation.clock.wallNow(),
-  });
+  storeQuarantine(simulation, COMMON_PART);
   return simulation;
 }
 
--- a/test/gateway/quarantined-responses.test.ts
+++ b/test/gateway/quarantined-responses.test.ts
@@ -3,14 +3,9 @@
  * shared with prompts of engines that crashed.
  */
 import test from 'ava';
-import { CrashSubject } from '../../src/coordination/gateway/crash-guard.js';
 import { GatewaySimulation } from '../../src/lab/gateway-simulation/gateway-simulation.js';
-import {
-  KINDS,
-  SIMULATION_MODEL,
-  bodyWithParts,
-} from '../../src/lab/gateway-simulation/simulation-fixtures.js';
-import { promptPartFingerprintOf } from '../../src/state/routing/request-fingerprint.js';
+import { bodyWithParts } from '../../src/lab/gateway-simulation/simulation-fixtures.js';
+import { storeQuarantine } from '../helpers/stored-quarantine.js';
 
 const SEEDS = [67, 68];
 /** Longer than routers take to list the quarantined parts again. */
@@ -19,22 +14,10 @@
 const STREAMS_A_STEP = 2;
 const COMMON_PART = 'common';
 
-function quarantineInStore(simulation: GatewaySimulation): void {
-  const part = { model: SIMULATION_MODEL, isolatedTenant: undefined, partId: COMMON_PART };
-  simulation.store.put(KINDS.quarantine, promptPartFingerprintOf(part), {
-    tenant: 'tenant-2',
-    route: 'stream-resumable',
-    path: '/stream/stream-resumable/x',
-    subject: CrashSubject.PromptPart,
-    engines: [],
-    quarantinedAtMs: simulation.clock.wallNow(),
-  });
-}
-
 test('a response that has begun is not reset by a quarantine', async (t) => {
   for (const seed of SEEDS) {
     const simulation = await GatewaySimulation.create(seed);
-    quarantineInStore(simulation);
+    storeQuarantine(simulation, COMMON_PART);
     for (let elapsedMs = 0; elapsedMs < RUN_MS; elapsedMs += STEP_MS) {
       for (let count = 0; count < STREAMS_A_STEP; count += 1) {
         const number = (elapsedMs / STEP_MS) * STREAMS_A_STEP + count;
