--- a/test/platform/slow-readers.test.ts
+++ b/test/platform/slow-readers.test.ts
@@ -124,8 +124,6 @@
     );
     for (const { socket } of stopped) socket.destroy();
     await waitUntil(() => router.node.memory?.heldBytes === 0);
-    // The close of a caller for which nothing is held may be read later.
-    await waitUntil(() => router.node.runningCalls === 0);
     t.is(router.node.runningCalls, 0);
   },
 );
