--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -18,6 +18,11 @@
   #sequence = 0;
   #busy = false;
   #running = 0;
+  #answers = 0;
+  /** One in this many answers has neither a length nor chunks and ends with its connection. */
+  unframedOneIn = 0;
+  /** Answers without a length that are being sent: attempt, events sent and events in all. */
+  unframed = new Set();
 
   /**
    * @param options id, service, zone, slots, capacityTokens, model, version, loadMs (time for new
@@ -182,13 +187,19 @@
     record({ what: 'run', engine: id, attempt, tenant, salt, version: this.version, used });
     this.#running += 1;
     response.on('close', () => (this.#running -= 1));
+    this.#answers += 1;
+    const isUnframed = this.unframedOneIn > 0 && this.#answers % this.unframedOneIn === 0;
+    if (isUnframed) {
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+    }
     response.writeHead(200, {
       ...common,
       'Content-Type': 'text/event-stream',
       'X-Peatspan-Response-Seal': `${id}.${attempt}`,
       'X-Peatspan-Weight-Versions': String(this.version),
     });
-    return this.#stream(headers, response);
+    return this.#stream(headers, response, isUnframed);
   }
 
   /** The status of a request that is not run; undefined if it is. */
@@ -199,13 +210,20 @@
     return headers['x-peatspan-model'] !== this.options.model || this.#busy ? 503 : undefined;
   }
 
-  async #stream(headers, response) {
+  async #stream(headers, response, isUnframed) {
     const [, output = '1'] = (headers['x-peatspan-token-usage'] ?? '').split(',');
+    const { id: engine, record, tokenMs } = this.options;
+    const progress = { attempt: headers['x-peatspan-attempt-id'], sent: 0, events: Number(output) };
+    if (isUnframed) this.unframed.add(progress);
     const first = Number(headers['last-event-id'] ?? 0) + 1;
-    for (let event = first; event <= Number(output) && !response.destroyed; event += 1) {
-      await sleep(this.options.tokenMs);
+    for (let event = first; event <= progress.events && !response.destroyed; event += 1) {
+      await sleep(tokenMs);
       response.write(`id: ${event}\ndata: token ${event}\n\n`);
+      progress.sent = event;
     }
+    this.unframed.delete(progress);
+    const isCutByRouter = response.destroyed;
+    record({ what: 'answer ended', engine, isUnframed, isCutByRouter, ...progress });
     response.end();
   }
 
--- a/review/lib/http.mjs
+++ b/review/lib/http.mjs
@@ -41,7 +41,13 @@
     const options = { host, port, method, path, headers, agent: false };
     const request = httpRequest(options, (response) => {
       readBody(response).then(
-        (text) => resolve({ status: response.statusCode, headers: response.headers, body: text }),
+        (body) =>
+          resolve({
+            status: response.statusCode,
+            headers: response.headers,
+            body,
+            isComplete: response.complete,
+          }),
         (error) => resolve({ status: response.statusCode, error: error.message }),
       );
     });
--- a/review/lib/services.mjs
+++ b/review/lib/services.mjs
@@ -108,6 +108,9 @@
     },
     body,
   });
-  recorder.note({ what: 'answered', attempt, status: answer.status, error: answer.error });
-  return { attempt, sentMs: sent.ms, status: answer.status };
+  const { status, error, isComplete } = answer;
+  const events = (answer.body?.match(/^id: /gm) ?? []).length;
+  const seal = answer.headers?.['x-peatspan-response-seal'];
+  recorder.note({ what: 'answered', attempt, status, error, isComplete, events, seal });
+  return { attempt, sentMs: sent.ms, router: router.name, status, error, isComplete, events };
 }
