--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -10,6 +10,8 @@
 
 const ANSWER_MS = 4;
 const PAGE_ITEMS = 500;
+/** The store was never restored from a copy. */
+const ERA = { 'Store-Era': '1' };
 
 export class Store {
   #kinds = new Map();
@@ -90,7 +92,7 @@
     const text = await readBody(request);
     const body = text === '' ? {} : JSON.parse(text);
     const reply = (status, content) =>
-      setTimeout(() => sendJson(response, status, content), ANSWER_MS);
+      setTimeout(() => sendJson(response, status, content, ERA), ANSWER_MS);
     if (request.method === 'GET') this.#read(url, kind, name, reply, response);
     else if (request.method === 'POST') this.#create(kind, body, reply);
     else if (request.method === 'PUT') this.#replace(kind, name, part, body, reply);
