Keep the review's stand-ins beside its three cases

review/lib was a fourth folder; its files move to review/ itself, and only imports and paths change.

--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -4,9 +4,9 @@
  */
 import { Agent, request as httpRequest } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { isDisrupted, runCase } from '../lib/case.mjs';
-import { PlainEngine } from '../lib/plain-engine.mjs';
-import { HOST, PLAIN_PREFIX, PLAIN_SERVICE, plainConfiguration } from '../lib/services.mjs';
+import { isDisrupted, runCase } from '../case.mjs';
+import { PlainEngine } from '../plain-engine.mjs';
+import { HOST, PLAIN_PREFIX, PLAIN_SERVICE, plainConfiguration } from '../services.mjs';
 
 const ZONES = ['hall-karlin', 'hall-vysocany'];
 const ROUTER_IPS = ['127.0.32.1', '127.0.32.2', '127.0.32.3'];
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -3,9 +3,9 @@
  * able to see that its answer ended early.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
-import { isDisrupted, runCase } from '../lib/case.mjs';
-import { Engine } from '../lib/engine.mjs';
-import { MODEL, SERVICE, configuration, generate } from '../lib/services.mjs';
+import { isDisrupted, runCase } from '../case.mjs';
+import { Engine } from '../engine.mjs';
+import { MODEL, SERVICE, configuration, generate } from '../services.mjs';
 
 const ZONES = ['hall-karlin', 'hall-vysocany'];
 const ROUTER_IPS = ['127.0.36.1', '127.0.36.2', '127.0.36.3'];
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # The stand-ins are plain JavaScript; this checks their syntax.
 set -euo pipefail
 cd "$(dirname "$0")"
-for file in lib/*.mjs [0-9]/*.mjs; do node --check "$file"; done
+for file in *.mjs [0-9]/*.mjs; do node --check "$file"; done
--- a/review/lib/deployment.mjs
+++ b/review/deployment.mjs
@@ -13,7 +13,7 @@
 import { fileURLToPath } from 'node:url';
 import { call } from './http.mjs';
 
-const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
+const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..');
 const READY_TIMEOUT_MS = 20_000;
 const RESTART_DELAY_MS = 300;
 
