Continue no stream after an event whose identifier can't be sent

What callers saw: the identifier of an event with one flipped bit (a digit became a control character), then a break of the stream: the router ended, and with it all requests that it was serving.

Cause: EventBoundary took the identifier's bytes as they came, and http.request throws for a Last-Event-Id with a control character. An empty identifier, or events without any, let the next engine begin anew.

Change: a stream goes on only after an event whose identifier a header may hold; otherwise its caller sees it break off, and may take it up itself. Events are passed on unchanged as before.

--- a/src/coordination/gateway/call-failover.ts
+++ b/src/coordination/gateway/call-failover.ts
@@ -97,7 +97,7 @@
     const { call, retries } = this;
     const { context, stalled } = call;
     // No other engine can continue what the caller has received of it.
-    if (call.hasBegun && !call.response.isResumable) return;
+    if (call.hasBegun && !call.response.isContinuable) return;
     // What an engine has begun of a quarantined request or part may still be completed.
     if (call.hasBegun && call.crashes.quarantined !== undefined) return;
     if (admitRequest(call.request, context).kind !== 'granted') return;
--- a/src/coordination/gateway/call-response.ts
+++ b/src/coordination/gateway/call-response.ts
@@ -74,11 +74,16 @@
     return this.mode.isStream;
   }
 
-  /** Whether another engine may continue the response. */
+  /** Whether the route allows that another engine continues the response. */
   get isResumable(): boolean {
     return this.mode.isResumable;
   }
 
+  /** Whether another engine can continue after what the caller has received. */
+  get isContinuable(): boolean {
+    return this.mode.isResumable && this.boundary.isContinuable;
+  }
+
   /** Whether an end would state to the caller that its response is complete. */
   get statesEnd(): boolean {
     return this.framing !== undefined && this.framing.kind !== BodyFraming.Connection;
--- a/src/coordination/gateway/call-retries.ts
+++ b/src/coordination/gateway/call-retries.ts
@@ -63,7 +63,7 @@
 
   /** Decides whether another engine continues a stream. */
   private decideResumption(failure: ExchangeFailure): RetryDecision {
-    if (!this.call.response.isResumable) return { kind: 'abort', detail: failure.reason };
+    if (!this.call.response.isContinuable) return { kind: 'abort', detail: failure.reason };
     if (this.placeWithout() === RejectionReason.NoEngine)
       return { kind: 'abort', detail: RejectionReason.NoEngine };
     if (!this.isRetried(failure)) return { kind: 'abort', detail: failure.reason };
--- a/src/coordination/gateway/event-boundary.ts
+++ b/src/coordination/gateway/event-boundary.ts
@@ -7,6 +7,8 @@
 const IDENTIFIER_FIELD = Buffer.from('id:');
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
+/** A value that a header may hold, from its bytes; without one, a stream would begin anew. */
+const FIELD_VALUE = /^[\t\x20-\x7e\x80-\xff]+$/;
 
 /** Buffers incoming bytes and returns complete events only. */
 export class EventBoundary {
@@ -25,6 +27,15 @@
     return this.hasReturned;
   }
 
+  /**
+   * Whether a stream can go on after the events that were returned: the last one must have an
+   * identifier that a request can state. Bytes of an engine may be spoiled.
+   */
+  get isContinuable(): boolean {
+    if (!this.hasReturned) return true;
+    return this.lastIdentifier !== undefined && FIELD_VALUE.test(this.lastIdentifier);
+  }
+
   /** Number of buffered bytes of an incomplete event. */
   get pendingBytes(): number {
     return this.pending.sizeBytes;
