--- a/src/state/routing/generation.ts
+++ b/src/state/routing/generation.ts
@@ -34,6 +34,9 @@
   return (parts.at(-2) ?? parts.at(-1))?.id ?? '';
 }
 
+/** Text that a header holds as it is, without blanks at its ends. */
+const VISIBLE_ASCII = /^[\x21-\x7e]+$/;
+
 /** Namespace of cached prefixes: the weight version, and the tenant if its prompts are isolated. */
 export function cacheSaltOf(
   model: string,
@@ -41,5 +44,11 @@
   isolatedTenant: string | undefined,
 ): string {
   const base = `${model}@${version}`;
-  return isolatedTenant === undefined ? base : `${base}/${isolatedTenant}`;
+  return isolatedTenant === undefined ? base : `${base}${tenantSuffix(isolatedTenant)}`;
+}
+
+/** Differs for any two names, also at engines that see headers as bytes and without outer blanks. */
+function tenantSuffix(name: string): string {
+  if (VISIBLE_ASCII.test(name)) return `/${name}`;
+  return `~${Buffer.from(name, 'utf16le').toString('hex')}`;
 }
