End only the request whose handler throws

Cause: requests are served in event handlers, timers and promises, and Node.js ends the process for an exception that leaves one. Nothing confined it to its request.

Change: each step of a request runs in its guard: arrival, events of its exchange and of its caller, timers, turns in the queue, answers of peers, changes of the router. A step that throws is logged (request_step_failed with its step and reason) and ends that request: 500 if its caller has nothing yet, a reset otherwise. What it holds at engines, quotas and queues is given back. A response counts as begun only after its head was written. No handler for uncaught exceptions is installed: what it would hide is in no known state.

--- a/src/coordination/gateway/call-dispatch.ts
+++ b/src/coordination/gateway/call-dispatch.ts
@@ -13,10 +13,11 @@
 import type { EngineRoute } from './engine-path/engine-forwarding.js';
 import { REQUEST_EXCEEDS_LIMIT } from './permanent-rejections.js';
 import type { OriginFinding } from './stream-origin-exchange.js';
-import type { QuotaDenial } from './quota/tenant-quotas.js';
+import type { QuotaDecision, QuotaDenial } from './quota/tenant-quotas.js';
 import { type Grant, admitRequest, serviceOf } from './request-admission.js';
 import { engineWaitMs, placeCall, sendOptionsOf } from './call-placement.js';
 import { Send, type SendEvents } from './send.js';
+import { CallStep } from './step-guard.js';
 
 /** Dispatches one request, at its arrival and again after each failed send. */
 export class CallDispatch {
@@ -81,10 +82,14 @@
 
   /** Continues a stream that its caller takes up, once the build that began it is known. */
   private findOrigin({ name }: Service): void {
-    const { request, context } = this.call;
-    context.streamOrigins.find(request.resumes, name, (finding) => {
-      if (!this.call.isFinished && this.applyFinding(finding) && this.admit()) this.dispatch();
-    });
+    const { request, context, guard } = this.call;
+    context.streamOrigins.find(request.resumes, name, (finding) =>
+      guard.run(CallStep.Peer, () => this.onFinding(finding)),
+    );
+  }
+
+  private onFinding(finding: OriginFinding): void {
+    if (!this.call.isFinished && this.applyFinding(finding) && this.admit()) this.dispatch();
   }
 
   /** Restricts the request to the build that began its stream; rejects it if that can't be known. */
@@ -146,7 +151,9 @@
       this.ending.reject(RejectionReason.EnginesUnreachable);
     else if (!this.meetsDeadline(placed)) return;
     else if (call.requiredBuild && mayHaveRestarted(placed.engine.record, call.context))
-      void this.continueAt(placed, grant, service);
+      this.continueAt(placed, grant, service).catch((error: unknown) =>
+        call.guard.fail(CallStep.Exchange, error),
+      );
     else this.sendWithinQuota(placed, grant, service);
   }
 
@@ -188,13 +195,15 @@
 
   /** Sends the request if the tenant's limit allows it. */
   private acquireQuota(placement: Placement, grant: Grant, service: Service): void {
+    const { quota, guard } = this.call;
     let isImmediate = true;
-    this.call.quota.acquire(grant.tenant, (decision) => {
+    const onDecision = (decision: QuotaDecision): void => {
       if (decision.kind === 'denied') this.rejectOverQuota(decision);
       else if (isImmediate) this.sendTo(placement, grant, service);
       // The chosen engine may be outdated by the time the quota owner responds.
       else if (this.admit()) this.dispatch();
-    });
+    };
+    quota.acquire(grant.tenant, (decision) => guard.run(CallStep.Peer, () => onDecision(decision)));
     isImmediate = false;
   }
 
--- a/src/coordination/gateway/call-ending.ts
+++ b/src/coordination/gateway/call-ending.ts
@@ -1,4 +1,5 @@
 /** Ends one request: the router's own response, or the end of the one that was passed on. */
+import { HttpStatus } from '../../protocol/http-status.js';
 import { BodyFraming } from '../../protocol/inference/port.js';
 import { RejectionReason } from '../../state/routing/rejection.js';
 import { logAbort, logFinish } from './call-log.js';
@@ -96,6 +97,16 @@
     else this.refuse(response);
   }
 
+  /** Ends the request after an exception in one of its steps; it may have run. */
+  fail(): void {
+    const { call } = this;
+    if (call.isFinished) return;
+    call.stalled.release();
+    call.send?.cancel();
+    if (call.hasBegun) this.abort('internal-error');
+    else this.refuse({ status: HttpStatus.ServerError, reason: 'internal-error' });
+  }
+
   /** Ends the request because the router holds too many bytes of its response. */
   drop(): void {
     const { call } = this;
@@ -111,8 +122,11 @@
     const { call } = this;
     if (response.status === 503) call.context.statistics.refused += 1;
     else call.context.statistics.failed += 1;
-    call.reply.refuse(response);
-    this.finish(response.reason, response.status, call.send?.engineId);
+    try {
+      call.reply.refuse(response);
+    } finally {
+      this.finish(response.reason, response.status, call.send?.engineId);
+    }
   }
 
   /**
@@ -127,8 +141,11 @@
     statistics.responsesAborted += 1;
     if (!call.wasDisconnected) statistics.connectedResponsesAborted += 1;
     logAbort(call, reason);
-    call.reply.abort();
-    this.finish(`aborted-${reason}`, 0, call.send?.engineId);
+    try {
+      call.reply.abort();
+    } finally {
+      this.finish(`aborted-${reason}`, 0, call.send?.engineId);
+    }
   }
 
   private finish(outcome: string, ownStatus: number, engine: string | undefined): void {
--- a/src/coordination/gateway/call-failover.ts
+++ b/src/coordination/gateway/call-failover.ts
@@ -10,6 +10,7 @@
 import { recordFailedSend } from './failed-send.js';
 import { type Grant, admitRequest } from './request-admission.js';
 import type { Send } from './send.js';
+import { CallStep } from './step-guard.js';
 import { SendTimeouts, type SendTimeoutReason } from './send-timeouts.js';
 
 /** A send without a byte for this long on a silent path is made again through another router. */
@@ -34,7 +35,9 @@
     private readonly retries: CallRetries,
     private readonly actions: FailoverActions,
   ) {
-    this.timeouts = new SendTimeouts(call.context.clock, (reason) => this.onTimeout(reason));
+    this.timeouts = new SendTimeouts(call.context.clock, (reason) =>
+      call.guard.run(CallStep.Timer, () => this.onTimeout(reason)),
+    );
     call.stalled.onReturned = (send, reason) => this.noteReturned(send, reason);
   }
 
--- a/src/coordination/gateway/call-record.ts
+++ b/src/coordination/gateway/call-record.ts
@@ -17,6 +17,7 @@
 import type { Grant } from './request-admission.js';
 import type { Send } from './send.js';
 import { StalledSend } from './stalled-send.js';
+import { StepGuard } from './step-guard.js';
 
 /** Shortest remaining time in which a send can succeed, in milliseconds. */
 export const MINIMUM_BUDGET_MS = 15;
@@ -48,6 +49,8 @@
   isSample = false;
   /** Set once an event was passed on; undefined while any build may serve. */
   requiredBuild: BuildRequirement | undefined;
+  /** Ends the request if one of its steps throws. */
+  readonly guard: StepGuard;
   /** A send whose engine is silent, while the request is sent elsewhere. */
   readonly stalled: StalledSend;
   readonly response: CallResponse;
@@ -59,6 +62,7 @@
     readonly reply: Reply,
     readonly context: GatewayContext,
   ) {
+    this.guard = new StepGuard(request.id, context.logger);
     this.stalled = new StalledSend(this, context.clock);
     this.response = new CallResponse(reply, context.memory?.openResponse(request.id, reply));
     this.crashes = new CallCrashes(request, context.crashes, () => this.grant);
--- a/src/coordination/gateway/call-response.ts
+++ b/src/coordination/gateway/call-response.ts
@@ -176,9 +176,10 @@
 
   private begin(head: ResponseHead): void {
     this.pendingHead = undefined;
-    this.framing = framingOf(head, this.mode);
+    const framing = framingOf(head, this.mode);
+    this.reply.begin(head.status, head.headers, framing);
+    this.framing = framing;
     this.sentStatus = head.status;
-    this.reply.begin(head.status, head.headers, this.framing);
   }
 }
 
--- a/src/coordination/gateway/call-waiting.ts
+++ b/src/coordination/gateway/call-waiting.ts
@@ -6,13 +6,14 @@
 import { RejectionReason } from '../../state/routing/rejection.js';
 import type { RequestQueues } from './admission/request-queues.js';
 import type { ServiceQueue } from './admission/service-queue.js';
-import type { SendAttempt, WaitDemand, WaitingCall } from './admission/waiting-call.js';
+import { SendAttempt, type WaitDemand, type WaitingCall } from './admission/waiting-call.js';
 import type { CallEnding } from './call-ending.js';
 import type { CallRecord } from './call-record.js';
 import { CallState } from './call-state.js';
 import type { RejectionDetails } from './rejections.js';
 import type { Grant } from './request-admission.js';
 import { engineWaitMs } from './call-placement.js';
+import { CallStep } from './step-guard.js';
 
 /** Lets one request wait, and ends it if the queue rejects it. */
 export class CallWaiting implements WaitingCall {
@@ -24,9 +25,15 @@
   constructor(
     private readonly call: CallRecord,
     private readonly ending: CallEnding,
-    readonly trySend: () => SendAttempt,
+    private readonly send: () => SendAttempt,
   ) {}
 
+  trySend(): SendAttempt {
+    let attempt = SendAttempt.Done;
+    this.call.guard.run(CallStep.Queue, () => (attempt = this.send()));
+    return attempt;
+  }
+
   /**
    * Lets the request wait if no engine has capacity or others wait before it; rejects it if it is
    * not expected to be served in time. Returns whether either was the case.
@@ -118,8 +125,9 @@
   }
 
   rejectFromQueue(reason: RejectionReason, details: RejectionDetails): void {
-    const { queues } = this.call.context;
-    if (queues) this.reject(queues, reason, details);
+    const { context, guard } = this.call;
+    const { queues } = context;
+    if (queues) guard.run(CallStep.Queue, () => this.reject(queues, reason, details));
   }
 
   private reject(queues: RequestQueues, reason: RejectionReason, details: RejectionDetails): void {
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -27,6 +27,7 @@
 import type { Grant } from './request-admission.js';
 import type { InboundRequest, Reply } from './reply.js';
 import type { Send, SendEvents } from './send.js';
+import { CallStep } from './step-guard.js';
 
 const SERVER_ERROR = 500;
 /** An engine that responds so has not written a generated response. */
@@ -78,23 +79,37 @@
   }
 
   start(): void {
+    const { guard } = this.call;
+    guard.onFailure = () => this.ending.fail();
+    guard.run(CallStep.Arrival, () => this.begin());
+  }
+
+  private begin(): void {
     const { call } = this;
+    const { guard, response } = call;
     this.context.statistics.requests += 1;
-    this.reply.onClose(() => this.onCallerDisconnect());
-    this.reply.onDrain(() => this.readOn());
-    const { held } = call.response;
-    if (held) {
-      held.onRoom = () => this.readOn();
-      held.onDropped = () => this.ending.drop();
+    this.reply.onClose(() => guard.run(CallStep.Caller, () => this.onCallerDisconnect()));
+    const readOn = (): void => guard.run(CallStep.Caller, () => this.readOn());
+    this.reply.onDrain(readOn);
+    if (response.held) {
+      response.held.onRoom = readOn;
+      response.held.onDropped = () => guard.run(CallStep.Caller, () => this.ending.drop());
     }
     if (!this.dispatch.admit()) return;
     const { route } = call.grant as Grant;
     const limitMs = Math.min(route.timeoutMs, call.request.budgetMs ?? Infinity);
     call.deadlineMs = call.request.arrivedMs + limitMs;
-    this.deadlineTimer = this.context.clock.setTimer(call.remainingMs, () => this.ending.expire());
+    this.deadlineTimer = this.context.clock.setTimer(call.remainingMs, () =>
+      guard.run(CallStep.Timer, () => this.ending.expire()),
+    );
     this.dispatch.dispatch();
   }
 
+  /** Runs a step that a change of the router's state causes. */
+  runStep(action: () => void): void {
+    this.call.guard.run(CallStep.Change, action);
+  }
+
   get isSuspected(): boolean {
     return this.call.crashes.isSuspected;
   }
@@ -172,6 +187,10 @@
     this.ending.complete(send.engineId);
   }
 
+  onError(error: unknown): void {
+    this.call.guard.fail(CallStep.Exchange, error);
+  }
+
   onFailure(send: Send, failure: ExchangeFailure): void {
     const { call } = this;
     const isStalled = call.stalled.owns(send);
@@ -213,7 +232,8 @@
    * engines is not sent to the next ones before it is suspected.
    */
   private retryAfterCrashDetection(failure: ExchangeFailure): void {
-    const retry = (): void => this.retryOrEnd(failure);
+    const { guard } = this.call;
+    const retry = (): void => guard.run(CallStep.Timer, () => this.retryOrEnd(failure));
     this.retryTimer = this.context.clock.setTimer(CRASH_DETECTION_MS, retry);
   }
 
--- a/src/coordination/gateway/running-calls.ts
+++ b/src/coordination/gateway/running-calls.ts
@@ -23,24 +23,28 @@
 
   /** Fails the sends that only the previous incarnation of a restarted engine can have received. */
   failSendsToPreviousIncarnation(restart: EngineRestart): void {
-    for (const call of this.calls) call.failSendToPreviousIncarnation(restart);
+    this.forEach((call) => call.failSendToPreviousIncarnation(restart));
   }
 
   /** Fails direct sends that can't be expected to succeed, because engines can't be reached. */
   failSendsWithoutPath(path: EnginePathState): void {
-    for (const call of this.calls) call.failSendWithoutPath(path);
+    this.forEach((call) => call.failSendWithoutPath(path));
   }
 
   /** Ends calls of a quarantined request or prompt part, so that they reach no further engine. */
   endQuarantined(subject: CrashSubject, fingerprint: string): void {
-    for (const call of this.calls) {
+    this.forEach((call) => {
       if (subject === CrashSubject.Request) call.endIfQuarantined(fingerprint);
       else call.endIfPartQuarantined(fingerprint);
-    }
+    });
   }
 
   /** Ends all requests because the router shuts down. */
   endForShutdown(): void {
-    for (const call of this.calls) call.endForShutdown();
+    this.forEach((call) => call.endForShutdown());
+  }
+
+  private forEach(action: (call: RequestCall) => void): void {
+    for (const call of this.calls) call.runStep(() => action(call));
   }
 }
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -16,6 +16,7 @@
 import { applyEngineNotice } from './engine-notices.js';
 import type { ObservedSend } from './engine-path/engine-path-monitor.js';
 import type { GatewayContext } from './gateway-context.js';
+import { GuardedListener } from './guarded-listener.js';
 import { brittleEngineView, isBrittle } from '../../state/routing/engine-eligibility.js';
 import { type GenerationShape, sharedPartsOf } from '../../state/routing/generation.js';
 import { slownessOf } from '../../state/routing/engine-speeds.js';
@@ -34,6 +35,8 @@
   failureAtEnd(send: Send): ExchangeFailure | undefined;
   onEnd(send: Send): void;
   onFailure(send: Send, failure: ExchangeFailure): void;
+  /** Called if the handling of an event has thrown; the send is of no further use. */
+  onError(error: unknown): void;
 }
 
 /** An engine that crashes as it begins to write is gone within this time of its first bytes. */
@@ -82,10 +85,22 @@
     this.forwarder = options.forwarder;
     if (this.forwarder) context.statistics.forwardedSends += 1;
     else this.observed = context.enginePath.observe(id);
-    this.exchange = context.engines.send(placement.engine.record, request, options, this);
+    this.exchange = this.open(options);
     this.runStartDeadline = this.createRunStartDeadline();
   }
 
+  /** Starts the exchange; what the engine is charged with is given back if that throws. */
+  private open(options: SendOptions): Exchange {
+    const { placement, request, context } = this;
+    const listener = new GuardedListener(this, (error) => this.events.onError(error));
+    try {
+      return context.engines.send(placement.engine.record, request, options, listener);
+    } catch (error) {
+      this.close();
+      throw error;
+    }
+  }
+
   get engineId(): string {
     return this.placement.engine.record.id;
   }
@@ -172,8 +187,8 @@
       return;
     }
     this.endedMs = this.context.clock.now();
-    if (this.bodyFraming === BodyFraming.Connection) void this.checkEnd();
-    else this.complete();
+    if (this.bodyFraming !== BodyFraming.Connection) this.complete();
+    else this.checkEnd().catch((error: unknown) => this.events.onError(error));
   }
 
   /** Completes the send unless the engine has crashed, which ends the connection in the same way. */
@@ -290,7 +305,13 @@
     const { generation, context } = this;
     const { expectedVersion } = this.placement;
     if (!generation || expectedVersion === undefined) return undefined;
-    const withdraw = (): void => this.withdraw();
+    const withdraw = (): void => {
+      try {
+        this.withdraw();
+      } catch (error) {
+        this.events.onError(error);
+      }
+    };
     return new RunStartDeadline(generation.model, expectedVersion, context, withdraw);
   }
 
--- a/src/coordination/gateway/stalled-send.ts
+++ b/src/coordination/gateway/stalled-send.ts
@@ -8,6 +8,7 @@
 import type { CallResponse } from './call-response.js';
 import { CallState } from './call-state.js';
 import type { Send } from './send.js';
+import { CallStep, type StepGuard } from './step-guard.js';
 
 /**
  * An engine that has not rejected a request by then is expected to serve it. Shorter than the time
@@ -22,6 +23,7 @@
   state: CallState;
   readonly place: QueuePlace | undefined;
   readonly response: Pick<CallResponse, 'discardPending'>;
+  readonly guard: StepGuard;
 }
 
 /** The stalled send of one request; at most one at a time. */
@@ -63,12 +65,17 @@
   limitOverlap(): void {
     if (!this.send) return;
     this.timer?.cancel();
-    this.timer = this.clock.setTimer(MAXIMUM_OVERLAP_MS, () => {
-      // Without a connection, the other engine does not have the request yet.
-      const { send, state } = this.call;
-      if (state === CallState.Sent && send?.isConnected) this.release();
-      else this.limitOverlap();
-    });
+    const { guard } = this.call;
+    this.timer = this.clock.setTimer(MAXIMUM_OVERLAP_MS, () =>
+      guard.run(CallStep.Timer, () => this.endOverlap()),
+    );
+  }
+
+  private endOverlap(): void {
+    // Without a connection, the other engine does not have the request yet.
+    const { send, state } = this.call;
+    if (state === CallState.Sent && send?.isConnected) this.release();
+    else this.limitOverlap();
   }
 
   /** Cancels the stalled send, since another engine serves the request or the request has ended. */
--- a/test/gateway/paused-send-failover.test.ts
+++ b/test/gateway/paused-send-failover.test.ts
@@ -8,6 +8,8 @@
 import type { CallRetries } from '../../src/coordination/gateway/call-retries.js';
 import { CallState } from '../../src/coordination/gateway/call-state.js';
 import type { Send } from '../../src/coordination/gateway/send.js';
+import { NoopLogger } from '../../src/runtime/logger.js';
+import { StepGuard } from '../../src/coordination/gateway/step-guard.js';
 import { StalledSend } from '../../src/coordination/gateway/stalled-send.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
 import { EnginePathState } from '../../src/state/routing/engine-path.js';
@@ -34,7 +36,7 @@
     mayRepeat: true,
     canSendAgain: true,
     now: PAUSED_MS,
-    response: { isResumable: true },
+    response: { isResumable: true, isContinuable: true },
     stalled: { isOpen: true },
   } as unknown as CallRecord;
   const retries = { canFailOver: () => true } as unknown as CallRetries;
@@ -50,7 +52,8 @@
 test('a paused send is read on when it serves the request again', (t) => {
   const send = pausedSend();
   const response = { discardPending: () => undefined };
-  const call = { send: undefined, state: CallState.Choosing, place: undefined, response };
+  const guard = new StepGuard('request-1', new NoopLogger());
+  const call = { send: undefined, state: CallState.Choosing, place: undefined, response, guard };
   const stalled = new StalledSend(call, new VirtualClock());
   stalled.keep(send);
   t.true(stalled.tryReturn('no-engine'));
--- a/test/helpers/ingress-harness.ts
+++ b/test/helpers/ingress-harness.ts
@@ -5,6 +5,7 @@
 import type { GatewayNode } from '../../src/coordination/gateway/gateway-node.js';
 import type { InboundRequest, Reply } from '../../src/coordination/gateway/reply.js';
 import { SystemClock } from '../../src/runtime/clock.js';
+import { NoopLogger } from '../../src/runtime/logger.js';
 import type { ByteBudget } from '../../src/state/routing/byte-budget.js';
 import type { IngressLimits } from '../../src/state/routing/configuration.js';
 
@@ -43,7 +44,7 @@
       onRequest(reply);
     },
   } as unknown as GatewayNode;
-  const ingress = new Ingress(node, new SystemClock());
+  const ingress = new Ingress(node, new SystemClock(), new NoopLogger());
   const port = await ingress.listen('127.0.0.1:0');
   t.teardown(() => ingress.close());
   return { ingress, port, limits, requests };
--- a/test/helpers/socket-router.ts
+++ b/test/helpers/socket-router.ts
@@ -84,7 +84,7 @@
       decoder: DECODER,
     },
   );
-  const ingress = new Ingress(node, clock);
+  const ingress = new Ingress(node, clock, recordingLogger(events));
   node.start();
   const port = await ingress.listen('127.0.0.1:0');
   t.teardown(() => {
