Don't end the router for a datagram that can't be handled or sent

An address in a peer's datagram that is not HOST:PORT, or has a port of 0 or above 65535, ended the router at the next datagram to it, and so did any exception in a handler.

Cause: the transport threw in a timer or in the socket's event, and nothing confined it.

Change: a datagram to an address that can't exist is lost like any other that can't be delivered; one whose handler throws is logged (datagram_failed) and dropped.

--- a/src/coordination/gateway/group-membership.ts
+++ b/src/coordination/gateway/group-membership.ts
@@ -137,7 +137,14 @@
       random,
       logger,
     );
-    receive = (datagram) => group.receive(datagram);
+    receive = (datagram) => {
+      try {
+        group.receive(datagram);
+      } catch (error) {
+        // A datagram may be malformed in any field, such as the address to answer to.
+        logger.error('datagram_failed', { bytes: datagram.length, reason: String(error) });
+      }
+    };
     return group;
   }
 
@@ -146,6 +153,11 @@
     return Math.max(this.seeds.length, this.membership.knownCount);
   }
 
+  /** Address at which this router receives datagrams, with the actual port. */
+  get boundAddress(): string {
+    return this.socket.address;
+  }
+
   /** Whether this router has joined the group. */
   get hasJoined(): boolean {
     return this.isStarted;
--- a/src/transport/address.ts
+++ b/src/transport/address.ts
@@ -9,6 +9,11 @@
 
 const ADDRESS_PATTERN = /^(.+):(\d{1,5})$/;
 
+/** Whether a text has the form `HOST:PORT`. */
+export function isAddress(text: string): boolean {
+  return ADDRESS_PATTERN.test(text);
+}
+
 /** Splits `HOST:PORT`; throws a `bad-address` failure if the address is invalid. */
 export function parseAddress(address: string): HostPort {
   const match = ADDRESS_PATTERN.exec(address);
--- a/src/transport/udp-datagram-transport.ts
+++ b/src/transport/udp-datagram-transport.ts
@@ -1,9 +1,11 @@
 /** Datagrams over UDP. */
 import dgram from 'node:dgram';
-import { formatAddress, parseAddress } from './address.js';
+import { type HostPort, formatAddress, isAddress, parseAddress } from './address.js';
 import type { DatagramSocket, DatagramTransport } from './datagram-transport.js';
 import { TransportFailure } from './errors.js';
 
+const HIGHEST_PORT = 65_535;
+
 /** The UDP implementation of {@link DatagramTransport}. */
 export class UdpDatagramTransport implements DatagramTransport {
   bind(address: string, onDatagram: (datagram: Uint8Array) => void): Promise<DatagramSocket> {
@@ -24,6 +26,14 @@
   }
 }
 
+/** Undefined if the text is not HOST:PORT with a port that can be sent to. */
+function destinationOf(address: string): HostPort | undefined {
+  if (!isAddress(address)) return undefined;
+  const destination = parseAddress(address);
+  const isPort = destination.port > 0 && destination.port <= HIGHEST_PORT;
+  return isPort ? destination : undefined;
+}
+
 class BoundUdpSocket implements DatagramSocket {
   private closed = false;
 
@@ -34,8 +44,9 @@
 
   send(address: string, datagram: Uint8Array): void {
     if (this.closed) return;
-    const { host, port } = parseAddress(address);
-    this.socket.send(datagram, port, host);
+    const destination = destinationOf(address);
+    // Peers state addresses. A datagram to one that can't exist is lost, as to one where nobody listens.
+    if (destination) this.socket.send(datagram, destination.port, destination.host);
   }
 
   close(): void {
