Send responses without a length in chunks, so that a router's end is never theirs

Cause: the framing of the engine's response was passed on, so that only the end of the connection ended the response. The system closes the connections of a process that dies in order. The same on related paths: an exit at the end of a stop's grace, large plain responses that are passed on before they are whole, and all responses to callers of HTTP/1.0.

Change: what is passed on as it arrives goes in chunks; the last one is sent when the engine has ended its response in order, between two events, and still accepts connections. A gathered response states its length. If the engine can't be checked, a stream is not stated to be complete: it goes on elsewhere or breaks off (end-unverified), and a gathered response ends with its connection as before. Callers that can't read chunks get the whole response with its length, or 502. PROTOCOL.md keeps status, body and seal; framing is not among what is to arrive unchanged.

--- a/fuzz/response-framing-mutations.ts
+++ b/fuzz/response-framing-mutations.ts
@@ -7,7 +7,7 @@
 export const RESPONSE_FRAMING_MUTATIONS: readonly GatewayMutation[] = [
   {
     name: 'the end of a connection counts as the stated end of a response',
-    rule: 'whole-answer',
+    rule: 'stream-in-order',
     mutation: {
       makeView: () => (view) => ({
         ...view,
--- a/src/coordination/gateway/call-response.ts
+++ b/src/coordination/gateway/call-response.ts
@@ -84,7 +84,7 @@
     return this.mode.isResumable && this.boundary.isContinuable;
   }
 
-  /** Whether an end would state to the caller that its response is complete. */
+  /** Whether an end would state to the caller that its response, which has begun, is complete. */
   get statesEnd(): boolean {
     return this.framing !== undefined && this.framing.kind !== BodyFraming.Connection;
   }
@@ -139,11 +139,16 @@
     if (this.pendingHead) this.begin(this.pendingHead);
   }
 
-  /** Completes the response to the caller after the engine has completed its own. */
-  handleEnd(): void {
+  /**
+   * Completes the response to the caller after the engine has completed its own.
+   *
+   * @param isCertain whether the engine's response is certainly whole; if not, a response that was
+   *   buffered reaches its caller without a statement that it is
+   */
+  handleEnd(isCertain = true): void {
     if (this.buffer) {
-      const { head, chunks } = this.buffer;
-      this.begin(head);
+      const { head, chunks, sizeBytes } = this.buffer;
+      this.begin(head, bufferedFramingOf(head, sizeBytes, isCertain));
       for (const chunk of chunks) this.reply.write(chunk);
     }
     this.beginStream();
@@ -174,18 +179,33 @@
     return buffer.chunks.reduce((_, each) => this.reply.write(each), true);
   }
 
-  private begin(head: ResponseHead): void {
+  private begin(head: ResponseHead, framing = framingOf(head, this.mode)): void {
     this.pendingHead = undefined;
-    const framing = framingOf(head, this.mode);
     this.reply.begin(head.status, head.headers, framing);
     this.framing = framing;
     this.sentStatus = head.status;
   }
 }
 
-/** A response joined from several engines has no length of its own. */
-function framingOf({ framing, contentLength }: ResponseHead, mode: ResponseMode): ReplyFraming {
-  if (framing === BodyFraming.Connection) return { kind: framing };
+/**
+ * Framing of a response that is passed on as it arrives. The system closes the connections of a router
+ * that dies in order, so the end of a connection must never be the end of a response: one without a
+ * length is sent in chunks. One joined from several engines has no length of its own.
+ */
+function framingOf({ contentLength }: ResponseHead, mode: ResponseMode): ReplyFraming {
   if (mode.isResumable || contentLength === undefined) return { kind: BodyFraming.Chunks };
   return { kind: BodyFraming.Length, bytes: contentLength };
 }
+
+/** Framing of a response that was received to its end. */
+function bufferedFramingOf(
+  { framing, contentLength }: ResponseHead,
+  bytes: number,
+  isCertain: boolean,
+): ReplyFraming {
+  if (framing !== BodyFraming.Connection)
+    return contentLength === undefined
+      ? { kind: BodyFraming.Chunks }
+      : { kind: BodyFraming.Length, bytes: contentLength };
+  return isCertain ? { kind: BodyFraming.Length, bytes } : { kind: BodyFraming.Connection };
+}
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -26,18 +26,12 @@
 import { belongsToPreviousIncarnation } from './previous-incarnation.js';
 import type { Grant } from './request-admission.js';
 import type { InboundRequest, Reply } from './reply.js';
-import type { Send, SendEvents } from './send.js';
+import { END_UNVERIFIED, type Send, type SendEvents } from './send.js';
 import { CallStep } from './step-guard.js';
 
 const SERVER_ERROR = 500;
 /** An engine that responds so has not written a generated response. */
 const CLIENT_ERROR = 400;
-/** A response that ended with its connection, whose engine could not be checked. */
-const END_UNVERIFIED: ExchangeFailure = {
-  kind: 'cut',
-  reason: 'end-unverified',
-  isDisconnect: true,
-};
 const EVENT_TOO_LARGE: ExchangeFailure = { kind: 'cut', reason: 'event-too-large' };
 /** Longer than it takes to detect that the engine of a lost connection has crashed. */
 const CRASH_DETECTION_MS = 30;
@@ -114,6 +108,10 @@
     return this.call.crashes.isSuspected;
   }
 
+  get statesEnd(): boolean {
+    return this.call.response.statesEnd;
+  }
+
   onHead(send: Send, head: ResponseHead): void {
     const { call } = this;
     this.failover.noteWritten(send);
@@ -173,15 +171,13 @@
       this.context.statistics.streamsEndedWithinEvent += 1;
       return { kind: 'cut', reason: 'ended-within-event', isDisconnect };
     }
-    if (!isDisconnect) return undefined;
-    if (this.isEmptyStream) return { kind: 'cut', reason: 'ended-before-events', isDisconnect };
-    // Another engine continues the stream, and its response may state where it ends.
-    if (response.statesEnd) return { kind: 'cut', reason: 'end-not-stated', isDisconnect };
+    if (isDisconnect && this.isEmptyStream)
+      return { kind: 'cut', reason: 'ended-before-events', isDisconnect };
     return undefined;
   }
 
   onEnd(send: Send): void {
-    this.call.response.handleEnd();
+    this.call.response.handleEnd(!send.mayBeBrokenOff);
     if (send.mayBeBrokenOff) this.recordPossibleCrash(send, END_UNVERIFIED);
     else this.clearSuspicions();
     this.ending.complete(send.engineId);
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -29,6 +29,8 @@
 export interface SendEvents {
   /** Whether the request was running at a crash and has not been completed since. */
   readonly isSuspected: boolean;
+  /** Whether the end of the response would state to its caller that it is complete. */
+  readonly statesEnd: boolean;
   onHead(send: Send, head: ResponseHead): void;
   onChunk(send: Send, chunk: Uint8Array): void;
   /** Why the response is not whole although its exchange has ended; undefined if it may be whole. */
@@ -42,6 +44,13 @@
 /** An engine that crashes as it begins to write is gone within this time of its first bytes. */
 const RESPONSE_START_MS = 300;
 
+/** A response that ended with its connection, whose engine could not be checked. */
+export const END_UNVERIFIED: ExchangeFailure = {
+  kind: 'cut',
+  reason: 'end-unverified',
+  isDisconnect: true,
+};
+
 /** A send in progress. It emits no events after its end, failure or cancellation. */
 export class Send implements ExchangeListener {
   private readonly exchange: Exchange;
@@ -191,7 +200,10 @@
     else this.checkEnd().catch((error: unknown) => this.events.onError(error));
   }
 
-  /** Completes the send unless the engine has crashed, which ends the connection in the same way. */
+  /**
+   * Completes the send unless the engine has crashed, which ends the connection in the same way. What
+   * can't be checked is not stated to be complete.
+   */
   private async checkEnd(): Promise<void> {
     const { placement, context, connection, forwarder } = this;
     const usedForwarder = connection?.isForwarded ? forwarder?.address : undefined;
@@ -201,6 +213,7 @@
     if (this.isClosed) return;
     if (this.sender === SenderState.Gone)
       this.onFailure({ kind: 'cut', reason: 'engine-gone', isDisconnect: true });
+    else if (this.mayBeBrokenOff && this.events.statesEnd) this.onFailure(END_UNVERIFIED);
     else this.complete();
   }
 
--- a/src/lab/gateway-simulation/simulated-engine.ts
+++ b/src/lab/gateway-simulation/simulated-engine.ts
@@ -29,6 +29,11 @@
   readonly weightsVersion: number;
   readonly startedMs: number;
   endedMs: number | undefined;
+  /**
+   * Whether the engine sent a part of a body without a length, ended the connection in order and went
+   * on: nothing shows that this was not the whole.
+   */
+  wasShortened: boolean;
   /** Set if the router gave up the run although its engine would have completed the response. */
   givenUp: GivenUpRun | undefined;
 }
--- a/src/lab/gateway-simulation/simulated-exchange.ts
+++ b/src/lab/gateway-simulation/simulated-exchange.ts
@@ -254,6 +254,7 @@
     const sent = isCut ? body.slice(0, -1) : body;
     this.deliver(() => this.listener.onChunk(Buffer.from(sent)));
     if (isCut) {
+      if (this.observed) this.observed.wasShortened = this.endsUnnoticed;
       this.disconnect();
       return;
     }
--- a/src/lab/gateway-simulation/simulated-inference.ts
+++ b/src/lab/gateway-simulation/simulated-inference.ts
@@ -338,6 +338,7 @@
       weightsVersion: engine.weightsVersion,
       startedMs: this.clock.now(),
       endedMs: undefined,
+      wasShortened: false,
       givenUp: undefined,
     };
     this.observations.runs.push(run);
--- a/src/protocol/http-status.ts
+++ b/src/protocol/http-status.ts
@@ -14,6 +14,13 @@
   Misdirected = 421,
   TooManyRequests = 429,
   ServerError = 500,
+  BadGateway = 502,
   Unavailable = 503,
   GatewayTimeout = 504,
 }
+
+/** Statuses whose responses have no body. */
+export const BODILESS_STATUSES: ReadonlySet<number> = new Set([
+  HttpStatus.NoContent,
+  HttpStatus.NotModified,
+]);
--- a/test/helpers/scripted-engine.ts
+++ b/test/helpers/scripted-engine.ts
@@ -131,10 +131,12 @@
   t: ExecutionContext,
   port: number,
   { id, path, httpVersion = '1.1' }: CallerRequest,
+  onOpened: (socket: net.Socket) => void = () => undefined,
 ): Promise<ReceivedResponse> {
   return new Promise((resolve) => {
     const socket = net.connect(port, '127.0.0.1');
     t.teardown(() => socket.destroy());
+    onOpened(socket);
     let received = '';
     let isReset = false;
     const finish = (): void => {
