Let routers that have just started know of several builds

What callers saw (a report from a system like ours): all routers were killed at once while two versions of the engines' software served, or right after the old one had left. Streams that were taken up then went on at the other version, with 200 and nothing to show it (ORDER).

Cause: builds and origins of streams were kept in the memory of routers only. A router that had just started took 'not several builds, as far as I have seen' for 'one build only', and the others, just started as well, knew no better. With one router killed the others knew, which is why it held there. Design 0026 said it: 'if nobody knows of the stream and it sees one build, it goes on'.

Change: 'one build only' is a statement about the last minute. A router that has just started takes it from a record in the store, which holds the builds of each service without times, or from a router that can make it; otherwise the stream is rejected with 503, truly not run. The record is written when a build comes or has been gone for a minute, by the first of three routers. Questions between routers name the service, and answers say whether the responder knows of one build only; older routers leave both out.

--- a/fuzz/engine-build-commands.ts
+++ b/fuzz/engine-build-commands.ts
@@ -8,6 +8,9 @@
 
 const GAP_MS = 8;
 const RETURN_MS = 20;
+const OUTAGE_STREAMS_MS = 60;
+/** Time for routers to serve again after all were killed. */
+const OUTAGE_START_MS = 400;
 const build = fc.constantFrom('build-1', 'build-2', 'build-3');
 const callersOf = new WeakMap<GatewaySimulation, ReturningCallers>();
 
@@ -63,6 +66,23 @@
     }),
   );
 
+/**
+ * Kills all routers in the midst of streams; meanwhile an engine ends and others start. Callers return
+ * after the routers.
+ */
+const outageWhileStreaming = fc
+  .tuple(engine, fc.integer({ min: 0, max: 2 }), fc.constantFrom(300, 6_000))
+  .map(([index, started, downMs]) =>
+    command(`outageWhileStreaming(${index}, ${started}, ${downMs})`, async (simulation) => {
+      await sendStreams(simulation, OUTAGE_STREAMS_MS);
+      for (let router = 0; router < ROUTERS; router += 1) simulation.killRouter(router, downMs);
+      simulation.fleet.crash(index);
+      for (let step = 0; step < started; step += 1) simulation.fleet.add(GENERATION_SERVICE);
+      await simulation.clock.advance(downMs + OUTAGE_START_MS);
+      await takeUpStreams(simulation);
+    }),
+  );
+
 const ENGINE_BUILD_COMMANDS: readonly fc.Arbitrary<GatewayCommand>[] = [
   release,
   release,
@@ -70,6 +90,7 @@
   crashWhileStreaming,
   killWhileStreaming,
   killWhileStreaming,
+  outageWhileStreaming,
 ];
 
 /** Generates sequences that combine engines of several builds with every other fault. */
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -18,6 +18,7 @@
 import { Directory } from './directory.js';
 import type { CallerLocation } from './directory-addresses.js';
 import { createCoordinator } from './coordinator-setup.js';
+import { buildRecordSource } from './build-record.js';
 import { CrashProtection } from './crash-protection.js';
 import { followKinds } from './followed-kinds.js';
 import type { GatewayDependencies } from './gateway-dependencies.js';
@@ -149,6 +150,7 @@
       group,
       loads: this.loads,
       observations: this.sharing.observations,
+      builds: buildRecordSource(settings, relay.store, random),
       registry: this.registry,
       configuration: this.configuration,
       homes,
--- a/src/coordination/gateway/group-exchange.ts
+++ b/src/coordination/gateway/group-exchange.ts
@@ -1,5 +1,6 @@
 /** Exchange of loads, observations, tenant quotas and origins of streams between routers. */
 import { LoadCollection, type CollectionParts } from './load-collection.js';
+import type { BuildRecordSource } from './build-record.js';
 import type { GroupMembership } from './group-membership.js';
 import { ObservationExchange, type ObservationParts } from './observation-exchange.js';
 import { GroupQuotaView } from './quota/group-quota-view.js';
@@ -11,6 +12,7 @@
   extends Omit<CollectionParts, 'group'>, Omit<QuotaParts, 'group' | 'clock' | 'logger'> {
   readonly group: GroupMembership;
   readonly observations: ObservationParts;
+  readonly builds: BuildRecordSource;
   /** This router's share of the group's requests, above 0 to 1. */
   shareOfTraffic(): number;
 }
--- a/src/coordination/gateway/object-decoder.ts
+++ b/src/coordination/gateway/object-decoder.ts
@@ -46,4 +46,6 @@
   readonly weightVersions: string;
   readonly leases: string;
   readonly quarantine: string;
+  /** The builds that services have had recently. */
+  readonly builds: string;
 }
--- a/src/coordination/gateway/stream-origin-exchange.ts
+++ b/src/coordination/gateway/stream-origin-exchange.ts
@@ -3,6 +3,10 @@
  * router remembers the streams that began there. While a service has several builds, it also notifies
  * some routers chosen by the attempt's identifier (rendezvous hashing), which are asked when the
  * caller comes back elsewhere. Where a service has one build only, no router is notified.
+ *
+ * That a service has one build only is a statement about the time in which its streams can have begun.
+ * A router that has just started can't make it alone: it takes it from the record in the store, or from
+ * a router that can.
  */
 import { create } from '@bufbuild/protobuf';
 import { type Clock, type Timer, repeat } from '../../runtime/clock.js';
@@ -22,6 +26,7 @@
   StreamOriginQuestionSchema,
 } from '../../protocol/peer/generated/cluster_pb.js';
 import { BuildHistory } from '../../state/routing/build-history.js';
+import { BuildRecord, type BuildRecordSource } from './build-record.js';
 import type { EngineRegistry } from '../../state/routing/engine-registry.js';
 import type { HomeRanking } from '../../state/routing/home-ranking.js';
 import {
@@ -34,7 +39,9 @@
 /** Dependencies of {@link StreamOriginExchange}. */
 export interface StreamOriginParts {
   /** Origins are kept by the routers that may own quota accounts: all routers know the same ones. */
-  readonly group: Pick<QuotaGroup, 'ownAddress' | 'quotaOwnerAddresses' | 'send'>;
+  readonly group: Pick<QuotaGroup, 'ownAddress' | 'quotaOwnerAddresses' | 'isSettled' | 'send'>;
+  /** Where the builds of services are kept for routers that start later. */
+  readonly builds: BuildRecordSource;
   readonly registry: EngineRegistry;
   readonly homes: HomeRanking;
   readonly clock: Clock;
@@ -46,7 +53,7 @@
   | { readonly kind: 'known'; readonly origin: StreamOrigin }
   /** Nobody remembers the stream, and its service has had one build only: any engine may serve. */
   | { readonly kind: 'sole-build' }
-  /** Nobody remembers the stream, and its service has had several builds. */
+  /** Nobody remembers the stream, and its service has had several builds, or it isn't known how many. */
   | { readonly kind: 'unknown' };
 
 /** Receives the finding, at once or some milliseconds later. */
@@ -61,6 +68,12 @@
 /** Many entries of engines may change at once, as at a start. */
 const UPDATE_INTERVAL_MS = 100;
 const MAINTENANCE_INTERVAL_MS = 1_000;
+/** Routers that write the record of builds, in the order of their rank. */
+const RECORD_WRITERS = 3;
+/** Key by which these routers are ranked. */
+const RECORD_KEY = 'builds';
+/** Time that each of them leaves to those before it. */
+const RECORD_TURN_MS = 1_000;
 /** Origins in one datagram. */
 const MAXIMUM_NOTICE_ENTRIES = 24;
 
@@ -71,6 +84,8 @@
   readonly listeners: OnOriginFinding[];
   /** Holders that have not answered. */
   readonly unanswered: Set<string>;
+  /** Whether a holder knows that the service has had one build only. */
+  isSoleBuild: boolean;
   readonly repeatTimer: Timer;
   readonly endTimer: Timer;
 }
@@ -83,13 +98,22 @@
   private readonly pending = new Map<string, PendingQuestion>();
   private registryVersion = -1;
   private updatedMs = -Infinity;
+  /** Time of the last change of the builds. */
+  private buildsChangedMs = -Infinity;
+  private knownBuilds = 0;
+  private readonly startedMs: number;
+  private readonly record: BuildRecord;
   private maintenanceTimer: Timer | undefined;
 
   constructor(private readonly parts: StreamOriginParts) {
-    this.origins = new StreamOrigins(() => parts.clock.now());
+    const { clock, logger, builds } = parts;
+    this.origins = new StreamOrigins(() => clock.now());
+    this.startedMs = clock.now();
+    this.record = new BuildRecord({ ...builds, history: this.history, clock, logger });
   }
 
   start(): void {
+    this.record.start();
     this.maintenanceTimer ??= repeat(this.parts.clock, MAINTENANCE_INTERVAL_MS, () =>
       this.update(),
     );
@@ -110,6 +134,27 @@
       // Streams that began while the service had one build may be taken up from now on.
       this.notifyHolders(this.origins.ownOf(service));
     }
+    this.updateRecord();
+  }
+
+  /** Writes the builds into the record if it is this router's turn. */
+  private updateRecord(): void {
+    const { homes, group, clock } = this.parts;
+    const { version } = this.history;
+    if (version !== this.knownBuilds) this.buildsChangedMs = clock.now();
+    this.knownBuilds = version;
+    if (!group.isSettled || version === 0) return;
+    const { quotaOwnerAddresses: addresses, ownAddress } = group;
+    const writers = homes.first(RECORD_KEY, addresses, (address) => address, RECORD_WRITERS);
+    const rank = writers.indexOf(ownAddress);
+    if (rank < 0 || clock.now() - this.buildsChangedMs < rank * RECORD_TURN_MS) return;
+    void this.record.update();
+  }
+
+  /** Whether every build within the retention is in the history. */
+  private get isHistoryKnown(): boolean {
+    const ageMs = this.parts.clock.now() - this.startedMs;
+    return this.record.isKnown || ageMs >= ORIGIN_RETENTION_MS;
   }
 
   /** Records that the first event of a stream was passed on. */
@@ -131,7 +176,8 @@
       return;
     }
     const holders = attemptId === undefined ? [] : this.otherHoldersOf(attemptId);
-    if (attemptId === undefined || holders.length === 0) onFound(this.findingWithout(service));
+    if (attemptId === undefined || holders.length === 0)
+      onFound(this.findingWithout(service, false));
     else this.ask(attemptId, service, holders, onFound);
   }
 
@@ -143,6 +189,7 @@
 
   stop(): void {
     this.maintenanceTimer?.cancel();
+    this.record.stop();
     for (const question of this.pending.values()) cancelTimers(question);
     this.pending.clear();
   }
@@ -152,8 +199,13 @@
     return this.history.isMixed(service, this.parts.clock.now());
   }
 
-  private findingWithout(service: string): OriginFinding {
-    return { kind: this.isMixed(service) ? 'unknown' : 'sole-build' };
+  /** @param isSoleBuild whether another router knows that the service has had one build only */
+  private findingWithout(service: string, isSoleBuild: boolean): OriginFinding {
+    return { kind: this.hasSoleBuild(service, isSoleBuild) ? 'sole-build' : 'unknown' };
+  }
+
+  private hasSoleBuild(service: string, isStated: boolean): boolean {
+    return !this.isMixed(service) && (isStated || this.isHistoryKnown);
   }
 
   private otherHoldersOf(attemptId: string): string[] {
@@ -209,21 +261,22 @@
       holders,
       listeners: [onFound],
       unanswered: new Set(holders),
-      repeatTimer: clock.setTimer(REPEAT_MS, () => this.sendQuestion(attemptId, holders)),
+      isSoleBuild: false,
+      repeatTimer: clock.setTimer(REPEAT_MS, () => this.sendQuestion(attemptId, question)),
       endTimer: clock.setTimer(ANSWER_TIMEOUT_MS, () => this.end(attemptId)),
     };
     this.pending.set(attemptId, question);
-    this.sendQuestion(attemptId, holders);
+    this.sendQuestion(attemptId, question);
   }
 
-  private sendQuestion(attemptId: string, holders: readonly string[]): void {
+  private sendQuestion(attemptId: string, { service, holders }: PendingQuestion): void {
     const { group } = this.parts;
-    const contents = { attemptId, replyTo: group.ownAddress };
+    const contents = { attemptId, replyTo: group.ownAddress, service };
     const datagram = encodeStreamOriginQuestion(create(StreamOriginQuestionSchema, contents));
     for (const holder of holders) group.send(holder, datagram);
   }
 
-  private answer({ attemptId, replyTo }: StreamOriginQuestion): void {
+  private answer({ attemptId, replyTo, service }: StreamOriginQuestion): void {
     const origin = this.origins.find(attemptId);
     const answer = create(StreamOriginAnswerSchema, {
       attemptId,
@@ -231,6 +284,7 @@
       isKnown: origin !== undefined,
       service: origin?.service ?? '',
       build: origin?.build ?? '',
+      isSoleBuild: service !== '' && this.hasSoleBuild(service, false),
     });
     this.parts.group.send(replyTo, encodeStreamOriginAnswer(answer));
   }
@@ -246,8 +300,11 @@
       return;
     }
     question.unanswered.delete(responder);
+    question.isSoleBuild ||= answer.isSoleBuild;
+    const { unanswered, isSoleBuild } = question;
     // While the service has several builds, the notice may still be on its way.
-    if (question.unanswered.size === 0 && !this.isMixed(question.service)) this.end(attemptId);
+    if (unanswered.size === 0 && this.hasSoleBuild(question.service, isSoleBuild))
+      this.end(attemptId);
   }
 
   private end(attemptId: string, finding?: OriginFinding): void {
@@ -255,11 +312,14 @@
     if (!question) return;
     this.pending.delete(attemptId);
     cancelTimers(question);
-    const found = finding ?? this.findingWithout(question.service);
+    const { service, isSoleBuild } = question;
+    const found = finding ?? this.findingWithout(service, isSoleBuild);
     if (found.kind === 'unknown') {
       this.parts.logger.warn('stream_origin_unknown', {
         resumes: attemptId,
-        service: question.service,
+        service,
+        mixed: this.isMixed(service),
+        history_known: this.isHistoryKnown,
         holders: question.holders.join(','),
         silent: question.unanswered.size,
       });
--- a/src/lab/gateway-simulation/returning-callers.ts
+++ b/src/lab/gateway-simulation/returning-callers.ts
@@ -9,6 +9,9 @@
   readonly attempts: number;
   /** Attempts that an engine answered, also with the end of the stream alone. */
   readonly continued: number;
+  /** Streams that were taken up, and those of them that went on at some attempt. */
+  readonly streams: number;
+  readonly continuedStreams: number;
 }
 
 /** Takes up each stream that was broken off after its first event. */
@@ -37,7 +40,12 @@
       ({ continued, reply }) => continued !== undefined && reply.ending !== undefined,
     );
     const continued = attempts.filter(({ reply }) => reply.status === 200);
-    return { attempts: attempts.length, continued: continued.length };
+    return {
+      attempts: attempts.length,
+      continued: continued.length,
+      streams: streamsOf(attempts),
+      continuedStreams: streamsOf(continued),
+    };
   }
 
   private otherRouter(name: string): number {
@@ -45,6 +53,10 @@
   }
 }
 
+function streamsOf(attempts: readonly ObservedRequest[]): number {
+  return new Set(attempts.map(({ continued }) => continued?.firstAttempt)).size;
+}
+
 function mayReturn({ kind, reply }: ObservedRequest): boolean {
   const isBroken =
     reply.ending === 'aborted' || (reply.ending === 'refused' && reply.status === 503);
--- a/src/lab/gateway-simulation/simulated-engine.ts
+++ b/src/lab/gateway-simulation/simulated-engine.ts
@@ -38,6 +38,13 @@
   givenUp: GivenUpRun | undefined;
 }
 
+/** What a run has not shown yet at its start. */
+export const UNFINISHED_RUN = {
+  endedMs: undefined,
+  wasShortened: false,
+  givenUp: undefined,
+} as const;
+
 /** A run that a router gave up; times in milliseconds. */
 export interface GivenUpRun {
   readonly atMs: number;
--- a/src/lab/gateway-simulation/simulated-inference.ts
+++ b/src/lab/gateway-simulation/simulated-inference.ts
@@ -23,6 +23,7 @@
   type EngineObservations,
   type ObservedRun,
   type SimulatedEngine,
+  UNFINISHED_RUN,
 } from './simulated-engine.js';
 import { crashCauseOf } from './crash-cause.js';
 import { SimulatedExchange, NETWORK_DELAY_MS } from './simulated-exchange.js';
@@ -337,9 +338,7 @@
       salt: options.cacheSalt,
       weightsVersion: engine.weightsVersion,
       startedMs: this.clock.now(),
-      endedMs: undefined,
-      wasShortened: false,
-      givenUp: undefined,
+      ...UNFINISHED_RUN,
     };
     this.observations.runs.push(run);
     const cause = crashCauseOf(request, options.tenant);
--- a/src/lab/gateway-simulation/simulation-fixtures.ts
+++ b/src/lab/gateway-simulation/simulation-fixtures.ts
@@ -49,6 +49,7 @@
   weightVersions: 'weights',
   leases: 'leases',
   quarantine: 'quarantine',
+  builds: 'builds',
 };
 /** All API keys that tenants may have. */
 export const KEYS = new Map([
--- a/src/state/routing/build-history.ts
+++ b/src/state/routing/build-history.ts
@@ -1,14 +1,18 @@
 /**
- * Which builds of each service this router has seen recently. While a service has had one build for as
- * long as a stream can live, every stream began at that build. Pure.
+ * Which builds each service has had recently, as this router has seen or read. While a service has had
+ * one build for as long as a stream can live, every stream began at that build. Pure.
  */
 import type { EngineRecord } from './engine-record.js';
 
+/** Builds by service; names and builds are in order. */
+export type ServiceBuilds = ReadonlyMap<string, readonly string[]>;
+
 /** The builds of all services. Engines whose build is not known say nothing. */
 export class BuildHistory {
   /** Time until which each build was seen, by service and build. */
   private readonly lastSeenMs = new Map<string, Map<string, number>>();
   private present: readonly EngineRecord[] = [];
+  private changes = 0;
 
   /** @param retentionMs time for which a build counts after its last engine has gone */
   constructor(private readonly retentionMs: number) {}
@@ -21,14 +25,19 @@
    */
   update(engines: readonly EngineRecord[], nowMs: number): string[] {
     // Engines that have gone were present until now.
-    for (const record of this.present) this.note(record, nowMs);
+    for (const record of this.present) this.noteEngine(record, nowMs);
     const mixedBefore = this.mixedServices(nowMs);
-    for (const record of engines) this.note(record, nowMs);
+    for (const record of engines) this.noteEngine(record, nowMs);
     this.present = engines;
     this.expire(nowMs);
     return [...this.mixedServices(nowMs)].filter((service) => !mixedBefore.has(service));
   }
 
+  /** Increases whenever a build is added or expires. */
+  get version(): number {
+    return this.changes;
+  }
+
   /** Whether the service has had more than one build within the retention. */
   isMixed(service: string, nowMs: number): boolean {
     const builds = this.lastSeenMs.get(service);
@@ -37,24 +46,37 @@
     return recent.length > 1;
   }
 
-  private mixedServices(nowMs: number): Set<string> {
-    return new Set([...this.lastSeenMs.keys()].filter((service) => this.isMixed(service, nowMs)));
-  }
-
-  private note({ service, build }: EngineRecord, nowMs: number): void {
-    if (build === undefined) return;
+  /** Records that a service has had a build until now, as another router has seen. */
+  note(service: string, build: string, nowMs: number): void {
     let builds = this.lastSeenMs.get(service);
     if (!builds) {
       builds = new Map();
       this.lastSeenMs.set(service, builds);
     }
+    if (!builds.has(build)) this.changes += 1;
     builds.set(build, nowMs);
   }
 
+  /** The builds of all services within the retention, at the time of the last update. */
+  get builds(): ServiceBuilds {
+    const services = [...this.lastSeenMs].filter(([, builds]) => builds.size > 0).sort();
+    return new Map(services.map(([service, builds]) => [service, [...builds.keys()].sort()]));
+  }
+
+  private mixedServices(nowMs: number): Set<string> {
+    return new Set([...this.lastSeenMs.keys()].filter((service) => this.isMixed(service, nowMs)));
+  }
+
+  private noteEngine({ service, build }: EngineRecord, nowMs: number): void {
+    if (build !== undefined) this.note(service, build, nowMs);
+  }
+
   private expire(nowMs: number): void {
     for (const builds of this.lastSeenMs.values()) {
       for (const [build, seenMs] of builds) {
-        if (nowMs - seenMs > this.retentionMs) builds.delete(build);
+        if (nowMs - seenMs <= this.retentionMs) continue;
+        builds.delete(build);
+        this.changes += 1;
       }
     }
   }
--- a/test/gateway/stream-origins.test.ts
+++ b/test/gateway/stream-origins.test.ts
@@ -15,11 +15,13 @@
 import { EngineRegistry } from '../../src/state/routing/engine-registry.js';
 import { HomeRanking } from '../../src/state/routing/home-ranking.js';
 import { engineRecord } from '../helpers/engine-record.js';
+import { StoredBuilds } from '../helpers/stored-builds.js';
 
 const SERVICE = 'generation';
 const DELAY_MS = 2;
 const ANSWERED_MS = 100;
 const ROUTERS = 7;
+const EVERY_ROUTER = Array.from({ length: ROUTERS }, (_, index) => index);
 
 /** Routers that exchange the origins of streams over a network with a delay. */
 class OriginNetwork {
@@ -29,25 +31,38 @@
   private readonly nodes = new Map<string, StreamOriginExchange>();
   private readonly registries = new Map<string, EngineRegistry>();
 
-  private constructor(private readonly homes: HomeRanking) {
-    const addresses = Array.from({ length: ROUTERS }, (_, index) => addressOf(index));
-    for (const address of addresses) {
-      const registry = new EngineRegistry();
-      registry.put(engineRecord('engine-1', undefined, { build: 'v1' }));
-      this.registries.set(address, registry);
-      const send = (to: string, datagram: Uint8Array): void => this.send(address, to, datagram);
-      const group = { ownAddress: address, quotaOwnerAddresses: addresses, send };
-      const { clock } = this;
-      const logger = new NoopLogger();
-      const parts = { group, registry, homes: this.homes, clock, logger };
-      const exchange = new StreamOriginExchange(parts);
-      exchange.start();
-      this.nodes.set(address, exchange);
-    }
+  private constructor(
+    private readonly homes: HomeRanking,
+    private readonly isFirstStart: boolean,
+    readonly store: StoredBuilds,
+  ) {
+    for (const index of EVERY_ROUTER) this.start(index);
+  }
+
+  private start(index: number): void {
+    const address = addressOf(index);
+    const registry = new EngineRegistry();
+    registry.put(engineRecord('engine-1', undefined, { build: 'v1' }));
+    this.registries.set(address, registry);
+    const send = (to: string, datagram: Uint8Array): void => this.send(address, to, datagram);
+    const quotaOwnerAddresses = EVERY_ROUTER.map(addressOf);
+    const group = { ownAddress: address, quotaOwnerAddresses, isSettled: true, send };
+    const { clock, homes } = this;
+    const logger = new NoopLogger();
+    const builds = this.store.sourceFor(this.isFirstStart);
+    const exchange = new StreamOriginExchange({ group, builds, registry, homes, clock, logger });
+    exchange.start();
+    this.nodes.set(address, exchange);
+  }
+
+  /** Ends the process of a router and starts another in its place. */
+  restart(index: number): void {
+    this.node(index).stop();
+    this.start(index);
   }
 
-  static async create(): Promise<OriginNetwork> {
-    return new OriginNetwork(new HomeRanking(await createHasher()));
+  static async create(isFirstStart = true, store = new StoredBuilds()): Promise<OriginNetwork> {
+    return new OriginNetwork(new HomeRanking(await createHasher()), isFirstStart, store);
   }
 
   node(index: number): StreamOriginExchange {
@@ -60,6 +75,11 @@
     for (const index of routers) this.registries.get(addressOf(index))?.put(record);
   }
 
+  /** Removes the engines of the second build. */
+  removeSecondBuild(): void {
+    for (const registry of this.registries.values()) registry.remove('engine-2');
+  }
+
   async find(index: number, attemptId: string | undefined): Promise<OriginFinding | undefined> {
     let found: OriginFinding | undefined;
     this.node(index).find(attemptId, SERVICE, (finding) => (found = finding));
@@ -82,7 +102,6 @@
   return `router-${index}:7000`;
 }
 
-const EVERY_ROUTER = Array.from({ length: ROUTERS }, (_, index) => index);
 const ORIGIN = { service: SERVICE, build: 'v2' };
 
 test('a router finds the build of a stream that began at a router that has died', async (t) => {
@@ -163,3 +182,81 @@
   );
   t.false(history.isMixed(SERVICE, 0));
 });
+
+/** Long enough for all routers to make their calls to the store. */
+const STORED_MS = 5_000;
+const RETENTION_MS = 60_000;
+
+test('the builds are written when one comes and when one has been gone for long enough', async (t) => {
+  const network = await OriginNetwork.create();
+  await network.clock.advance(STORED_MS);
+  t.deepEqual(network.store.stored, { services: [{ name: SERVICE, builds: ['v1'] }] });
+  network.addSecondBuild(EVERY_ROUTER);
+  await network.clock.advance(STORED_MS);
+  t.deepEqual(network.store.stored, { services: [{ name: SERVICE, builds: ['v1', 'v2'] }] });
+  network.removeSecondBuild();
+  await network.clock.advance(RETENTION_MS - STORED_MS);
+  t.deepEqual(network.store.stored, { services: [{ name: SERVICE, builds: ['v1', 'v2'] }] });
+  await network.clock.advance(2 * STORED_MS);
+  t.deepEqual(network.store.stored, { services: [{ name: SERVICE, builds: ['v1'] }] });
+  t.is(network.store.writes, 3);
+  t.true(network.store.reads <= 9, `${network.store.reads} reads`);
+});
+
+test('routers that start later take the builds from the record, however old it is', async (t) => {
+  const earlier = await OriginNetwork.create();
+  earlier.addSecondBuild(EVERY_ROUTER);
+  await earlier.clock.advance(STORED_MS);
+  const later = await OriginNetwork.create(false, earlier.store);
+  await later.clock.advance(1_000);
+  t.deepEqual(await later.find(1, 'attempt-1'), { kind: 'unknown' });
+  t.deepEqual(await later.find(1, undefined), { kind: 'unknown' });
+  await later.clock.advance(RETENTION_MS + STORED_MS);
+  t.deepEqual(await later.find(1, 'attempt-1'), { kind: 'sole-build' });
+  t.deepEqual(later.store.stored, { services: [{ name: SERVICE, builds: ['v1'] }] });
+});
+
+test('a record of one build lets streams go on right after a start', async (t) => {
+  const earlier = await OriginNetwork.create();
+  await earlier.clock.advance(STORED_MS);
+  const later = await OriginNetwork.create(false, earlier.store);
+  await later.clock.advance(100);
+  t.deepEqual(await later.find(1, 'attempt-1'), { kind: 'sole-build' });
+});
+
+test('routers of the first version that keeps a record begin it with what they see', async (t) => {
+  const network = await OriginNetwork.create(false);
+  t.deepEqual(await network.find(1, undefined), { kind: 'sole-build' });
+  await network.clock.advance(STORED_MS);
+  t.deepEqual(network.store.stored, { services: [{ name: SERVICE, builds: ['v1'] }] });
+});
+
+test('routers that have just started, and can not read the record, know of no only build', async (t) => {
+  const network = await OriginNetwork.create(false, new StoredBuilds(true));
+  await network.clock.advance(STORED_MS);
+  t.deepEqual(await network.find(1, 'attempt-1'), { kind: 'unknown' });
+  await network.clock.advance(RETENTION_MS);
+  t.deepEqual(await network.find(1, 'attempt-1'), { kind: 'sole-build' });
+});
+
+test('a record that can not be read is made anew', async (t) => {
+  const store = new StoredBuilds();
+  await store.create('builds', 'main', { services: 'none' });
+  const network = await OriginNetwork.create(false, store);
+  await network.clock.advance(1_000);
+  t.deepEqual(await network.find(1, 'attempt-1'), { kind: 'unknown' });
+  await network.clock.advance(STORED_MS);
+  t.deepEqual(store.stored, { services: [{ name: SERVICE, builds: ['v1'] }] });
+});
+
+test('without the store, a router takes the word of one that has been there for long enough', async (t) => {
+  const network = await OriginNetwork.create(false, new StoredBuilds(true));
+  await network.clock.advance(RETENTION_MS + STORED_MS);
+  network.restart(1);
+  await network.clock.advance(1_000);
+  t.deepEqual(await network.find(1, undefined), { kind: 'unknown' });
+  t.deepEqual(await network.find(1, 'attempt-1'), { kind: 'sole-build' });
+  network.store.isDown = false;
+  await network.clock.advance(2 * STORED_MS);
+  t.deepEqual(await network.find(1, undefined), { kind: 'sole-build' });
+});
