Let engines of the soak spoil their responses, and kill all routers at once

New steps (--spoiled-responses): engines flip one bit after the other of a response's status line, and all routers are killed for 0.3 or 2.5 s while two builds serve. A router that ends by itself is a failure of the soak (no-crash) as before, and so are streams that hold two builds.

--- a/soak/engine-program.ts
+++ b/soak/engine-program.ts
@@ -15,6 +15,7 @@
   type EngineReport,
 } from './messages.js';
 import { EngineRoom } from './engine-room.js';
+import { eventsAfter, sendSpoiledResponse } from './spoiled-responses.js';
 import { STREAM_EVENTS } from './stream-events.js';
 import { MODEL, Service, WireHeader, WireKind, sendJson, callJson, readBody } from './wire.js';
 
@@ -156,20 +157,29 @@
   scheduleCrash(request, body, requestId);
   const isUnanswered = body.startsWith(CRASHING_BODY_PREFIX) && service !== Service.generation;
   if (isUnanswered || behavior === EngineBehavior.Hanging) return;
+  respond(request, response, requestId, `${requestId}:${body}`);
+}
+
+/** Sends the response to a request that was executed. */
+function respond(
+  request: IncomingMessage,
+  response: ServerResponse,
+  requestId: string,
+  plainBody: string,
+): void {
   const status = behavior === EngineBehavior.Failing ? 500 : 200;
   const headers = {
     [WireHeader.attemptId]: requestId,
     [WireHeader.seal]: `${name}.${requestId}`,
     [WireHeader.weightVersions]: String(weightsVersion),
   };
-  if (service === Service.generation && status === 200) {
-    stream(request, response, requestId, headers);
-  } else {
-    setTimeout(
-      () => sendPlainResponse(response, status, headers, `${requestId}:${body}`),
-      plainWorkMs,
-    );
-  }
+  const isStream = service === Service.generation;
+  if (behavior === EngineBehavior.Spoiling) {
+    const lastEvent = Number(request.headers[WireHeader.lastEventId] ?? 0);
+    const body = isStream ? eventsAfter(lastEvent, requestId, build) : plainBody;
+    sendSpoiledResponse(response, headers, body, isStream);
+  } else if (isStream && status === 200) stream(request, response, requestId, headers);
+  else setTimeout(() => sendPlainResponse(response, status, headers, plainBody), plainWorkMs);
 }
 
 /** Reports a request that is addressed to another engine. */
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -71,6 +71,11 @@
     default: false,
     describe: 'let sound engines be silent for a while beside planned operations',
   })
+  .option('spoiled-responses', {
+    type: 'boolean',
+    default: false,
+    describe: 'let engines spoil the heads of responses, and kill all routers at once',
+  })
   .option('program', {
     type: 'string',
     array: true,
@@ -111,6 +116,7 @@
       hasCrashingParts: options.crashingParts,
       hasTenantQuotas: options.tenantQuotas,
       hasSilentEngines: options.silentEngines,
+      hasSpoiledResponses: options.spoiledResponses,
       callers: options.callers,
       folder,
       programs: options.program,
--- a/soak/messages.ts
+++ b/soak/messages.ts
@@ -11,6 +11,8 @@
   Truncating = 'cutting',
   /** Executes requests and never responds. */
   Hanging = 'hanging',
+  /** Executes requests and responds with a flipped bit in the status line. */
+  Spoiling = 'spoiling',
 }
 
 /** What an engine can do at a time. */
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -207,6 +207,7 @@
       hasCrashingParts: mutation.name.includes('prompt parts'),
       hasTenantQuotas: mutation.promise === 'tenant-limit',
       hasSilentEngines: mutation.promise === 'response-completed',
+      hasSpoiledResponses: false,
       callers: 12,
       folder: runFolder,
       programs: [program],
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -11,6 +11,7 @@
 import { ENGINE_RESTART_STEPS } from './engine-restart-steps.js';
 import { ENGINE_NOTICE_STEPS } from './engine-notice-steps.js';
 import { DisturbanceKind } from './router-process.js';
+import { SPOILED_RESPONSE_STEPS } from './spoiled-response-steps.js';
 import { SILENT_ENGINE_STEPS } from './silent-engine-steps.js';
 import { STORE_RESTORATION_STEPS } from './store-restoration-steps.js';
 import { ProxyMode } from './tcp-proxy.js';
@@ -49,6 +50,8 @@
   readonly hasTenantQuotas: boolean;
   /** Whether sound engines are silent for a while. */
   readonly hasSilentEngines: boolean;
+  /** Whether engines spoil the heads of their responses, and all routers are killed at once. */
+  readonly hasSpoiledResponses: boolean;
 }
 
 /** Number of routers without unplanned faults, so that some requests succeed at all times. */
@@ -86,6 +89,15 @@
   }, forMs);
 }
 
+/** Behaviors of every soak; others have steps of their own, so that the seeds before them stay as they are. */
+const COMMON_BEHAVIORS = [
+  EngineBehavior.Healthy,
+  EngineBehavior.Busy,
+  EngineBehavior.Failing,
+  EngineBehavior.Truncating,
+  EngineBehavior.Hanging,
+] as const;
+
 const COMMON_STEPS: readonly StepFactory[] = [
   (random, routers) => {
     const index = drawRouter(random, routers);
@@ -167,7 +179,7 @@
   }),
   (random) => {
     const forMs = drawDuration(random);
-    const behavior = randomElement(random, Object.values(EngineBehavior)) ?? EngineBehavior.Busy;
+    const behavior = randomElement(random, COMMON_BEHAVIORS) ?? EngineBehavior.Busy;
     return {
       name: `an engine is ${behavior} for ${forMs} ms`,
       run: (deployment) => {
@@ -240,6 +252,7 @@
     hasCrashingParts,
     hasTenantQuotas,
     hasSilentEngines,
+    hasSpoiledResponses,
   }: ScheduleOptions,
 ): Step[] {
   const factories = [
@@ -253,6 +266,7 @@
     ...(hasCrashingParts ? CRASHING_PART_STEPS : []),
     ...(hasTenantQuotas ? TENANT_QUOTA_STEPS : []),
     ...(hasSilentEngines ? SILENT_ENGINE_STEPS : []),
+    ...(hasSpoiledResponses ? SPOILED_RESPONSE_STEPS : []),
   ];
   const MAXIMUM_GAP_MS = 2_000;
   const steps: Step[] = [];
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -34,6 +34,8 @@
   readonly hasTenantQuotas: boolean;
   /** Whether sound engines are silent for a while. */
   readonly hasSilentEngines: boolean;
+  /** Whether engines spoil the heads of responses, and all routers are killed at once. */
+  readonly hasSpoiledResponses: boolean;
   readonly callers: number;
   /** Directory of settings, logs and, after a violation, the evidence. */
   readonly folder: string;
--- /dev/null
+++ b/soak/spoiled-response-steps.ts
@@ -0,0 +1,46 @@
+/**
+ * Steps of a soak in which engines spoil the heads of their responses, and in which all routers are
+ * killed at once, while engines of two builds serve.
+ */
+import { randomElement, randomInteger } from '../src/runtime/random.js';
+import { EngineBehavior } from './messages.js';
+import type { StepFactory } from './schedule.js';
+
+const MINIMUM_FAULT_MS = 1_000;
+const MAXIMUM_FAULT_MS = 4_000;
+const DOWN_MS = [300, 2_500] as const;
+
+/** Some engines flip a bit in the status line of each response. */
+const spoilResponses: StepFactory = (random) => {
+  const forMs = MINIMUM_FAULT_MS + randomInteger(random, MAXIMUM_FAULT_MS - MINIMUM_FAULT_MS);
+  const count = 1 + randomInteger(random, 2);
+  return {
+    name: `${count} engines spoil their responses for ${forMs} ms`,
+    run: ({ fleet }) => {
+      fleet.recordFault(forMs);
+      for (let turn = 0; turn < count; turn += 1) {
+        const engine = randomElement(random, fleet.running);
+        if (!engine) return;
+        fleet.setBehavior(engine, EngineBehavior.Spoiling);
+        setTimeout(() => fleet.setBehavior(engine, EngineBehavior.Healthy), forMs);
+      }
+    },
+  };
+};
+
+const killAllRouters: StepFactory = (random) => {
+  const downMs = randomElement(random, DOWN_MS) ?? DOWN_MS[0];
+  return {
+    name: `kill all routers for ${downMs} ms`,
+    run: ({ routers }) => routers.forEach((router) => router.kill(downMs)),
+  };
+};
+
+export const SPOILED_RESPONSE_STEPS: readonly StepFactory[] = [
+  spoilResponses,
+  spoilResponses,
+  spoilResponses,
+  spoilResponses,
+  killAllRouters,
+  killAllRouters,
+];
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -29,6 +29,8 @@
   readonly hasTenantQuotas?: boolean;
   /** Whether sound engines are silent for a while; likewise. */
   readonly hasSilentEngines?: boolean;
+  /** Whether engines spoil the heads of responses and all routers are killed at once; likewise. */
+  readonly hasSpoiledResponses?: boolean;
   /** Whether routers run the production build and the current build side by side. */
   readonly isMixed?: boolean;
   /** Cause of the broken promise. */
@@ -102,6 +104,13 @@
   hasSilentEngines: true,
   cause: 'none: the short soak of silent engines',
 };
+const SPOILED_RESPONSES: RegressionSeed = {
+  seed: 16,
+  seconds: 14,
+  routers: 4,
+  hasSpoiledResponses: true,
+  cause: 'none: the short soak of spoiled responses and outages of all routers',
+};
 /** Without restorations of the store, because the earlier build does not support store eras. */
 const MIXED: RegressionSeed = {
   seed: 4,
@@ -124,6 +133,7 @@
   CRASHING_PARTS,
   TENANT_QUOTAS,
   SILENT_ENGINES,
+  SPOILED_RESPONSES,
   MIXED,
   ...REGRESSIONS,
 ]) {
@@ -135,6 +145,7 @@
     hasCrashingParts = false,
     hasTenantQuotas = false,
     hasSilentEngines = false,
+    hasSpoiledResponses = false,
   } = regression;
   test.serial(`no promise is broken in a soak with seed ${seed} (${cause})`, async (t) => {
     t.timeout(170_000);
@@ -154,6 +165,7 @@
       hasCrashingParts,
       hasTenantQuotas,
       hasSilentEngines,
+      hasSpoiledResponses,
       callers: 8,
       folder,
       programs: earlier ? [earlier.program, BUNDLE] : [BUNDLE],
