--- a/test/platform/malformed-datagrams.test.ts
+++ b/test/platform/malformed-datagrams.test.ts
@@ -23,6 +23,7 @@
 import { SeededRandom } from '../../src/runtime/random.js';
 import type { DatagramSocket } from '../../src/transport/datagram-transport.js';
 import { UdpDatagramTransport } from '../../src/transport/udp-datagram-transport.js';
+import { withFlippedBits } from '../helpers/flipped-bits.js';
 import { wait, waitUntil } from '../helpers/socket-router.js';
 
 const UNUSABLE_ADDRESSES = ['', ':', 'x', '127.0.0.1', '127.0.0.1:0', '127.0.0.1:99999', 'a:b'];
@@ -95,12 +96,7 @@
   const peer = await bind(t);
   const question = create(StreamOriginQuestionSchema, { attemptId: 'a', replyTo: peer.address });
   for (const datagram of [pingOf('member-1', peer.address), encodeStreamOriginQuestion(question)]) {
-    for (let position = 0; position < datagram.length * 8; position += 1) {
-      const flipped = Uint8Array.from(datagram);
-      const index = position >> 3;
-      flipped[index] = (datagram[index] as number) ^ (1 << (position & 7));
-      peer.send(group.boundAddress, flipped);
-    }
+    for (const flipped of withFlippedBits(datagram)) peer.send(group.boundAddress, flipped);
     await wait(PROBES_MS);
   }
   t.true(group.hasJoined);
--- a/test/platform/spoiled-responses.test.ts
+++ b/test/platform/spoiled-responses.test.ts
@@ -10,6 +10,7 @@
 import { BodyFraming } from '../../src/protocol/inference/port.js';
 import { ForwardingDecision } from '../../src/protocol/peer/forwarding-port.js';
 import { TcpForwarding } from '../../src/protocol/peer/forwarding-server.js';
+import { withFlippedBits } from '../helpers/flipped-bits.js';
 import { REQUEST, RESPONSE_HEAD, SEND_OPTIONS } from '../helpers/exchange-fixtures.js';
 import { startScriptedEngine, framedResponse } from '../helpers/scripted-engine.js';
 import { startRouter } from '../helpers/socket-router.js';
@@ -20,17 +21,6 @@
 const SPOILED_TIMEOUT_MS = 300;
 const SOUND_TIMEOUT_MS = 10_000;
 
-/** All responses with one flipped bit. */
-function flippedResponses(response: string): Buffer[] {
-  const bytes = Buffer.from(response, 'latin1');
-  return Array.from({ length: bytes.length * 8 }, (_, position) => {
-    const flipped = Buffer.from(bytes);
-    const index = position >> 3;
-    flipped[index] = (bytes[index] as number) ^ (1 << (position & 7));
-    return flipped;
-  });
-}
-
 async function runAll(count: number, run: (index: number) => Promise<void>): Promise<void> {
   let next = 0;
   const runNext = async (): Promise<void> => {
@@ -74,7 +64,7 @@
           lastEventId: undefined,
           socket: new net.Socket(),
         };
-        const responses = flippedResponses(framedResponse(template, framing, EVENTS));
+        const responses = withFlippedBits(Buffer.from(framedResponse(template, framing, EVENTS)));
         const served = new Set<string>();
         const engine = await startScriptedEngine(t, (request) => {
           const { id, socket } = request;
@@ -136,7 +126,7 @@
   'no flipped bit of a response that another router forwards ends this router',
   async (t) => {
     const sound = `${RESPONSE_HEAD}Content-Length: 5\r\n\r\nhello`;
-    const responses = flippedResponses(sound);
+    const responses = withFlippedBits(Buffer.from(sound));
     const engine = await startScriptedEngine(t, ({ path, socket }) => {
       socket.end(responses[Number(path.slice(1))] ?? Buffer.from(sound));
     });
--- a/test/platform/unreadable-requests.test.ts
+++ b/test/platform/unreadable-requests.test.ts
@@ -5,6 +5,7 @@
 import net, { type AddressInfo } from 'node:net';
 import test, { type ExecutionContext } from 'ava';
 import { startDirectoryServer, startReadinessServer } from '../../platform/auxiliary-servers.js';
+import { withFlippedBits } from '../helpers/flipped-bits.js';
 import { framedResponse, startScriptedEngine } from '../helpers/scripted-engine.js';
 import { type SocketRouter, startRouter } from '../helpers/socket-router.js';
 
@@ -35,19 +36,7 @@
   });
 }
 
-/** The request with each of its bits flipped in turn. */
-function* flippedRequests(request: string): Generator<Buffer> {
-  const bytes = Buffer.from(request, 'latin1');
-  for (let index = 0; index < bytes.length; index += 1) {
-    for (let bit = 0; bit < 8; bit += 1) {
-      const flipped = Buffer.from(bytes);
-      flipped[index] = (bytes[index] as number) ^ (1 << bit);
-      yield flipped;
-    }
-  }
-}
-
-async function sendAll(port: number, requests: Iterable<Buffer>): Promise<void> {
+async function sendAll(port: number, requests: readonly Buffer[]): Promise<void> {
   const iterator = requests[Symbol.iterator]();
   const sendNext = async (): Promise<void> => {
     for (let next = iterator.next(); !next.done; next = iterator.next())
@@ -69,7 +58,7 @@
 
 test('no flipped bit of a request ends the router', async (t) => {
   const { port } = await startServed(t);
-  await sendAll(port, flippedRequests(SOUND_REQUEST));
+  await sendAll(port, withFlippedBits(Buffer.from(SOUND_REQUEST, 'latin1')));
   const response = await exchange(port, Buffer.from(SOUND_REQUEST), 5_000);
   t.is(statusOf(response), 200);
 });
