--- a/test/helpers/scripted-engine.ts
+++ b/test/helpers/scripted-engine.ts
@@ -124,13 +124,14 @@
   readonly id: string;
   readonly path: string;
   readonly httpVersion?: '1.0' | '1.1';
+  readonly method?: 'POST' | 'HEAD';
 }
 
 /** Sends a request on a connection of its own; resolves once its response or connection has ended. */
 export function receive(
   t: ExecutionContext,
   port: number,
-  { id, path, httpVersion = '1.1' }: CallerRequest,
+  { id, path, httpVersion = '1.1', method = 'POST' }: CallerRequest,
   onOpened: (socket: net.Socket) => void = () => undefined,
 ): Promise<ReceivedResponse> {
   return new Promise((resolve) => {
@@ -152,7 +153,7 @@
     socket.on('end', () => (isReset ||= socket.remotePort === undefined));
     socket.on('close', finish);
     socket.write(
-      `POST ${path} HTTP/${httpVersion}\r\nHost: host.example\r\nX-Peatspan-Attempt-Id: ${id}\r\n` +
+      `${method} ${path} HTTP/${httpVersion}\r\nHost: host.example\r\nX-Peatspan-Attempt-Id: ${id}\r\n` +
         'Api-Key: key-1\r\nContent-Length: 0\r\n\r\n',
     );
   });
--- a/test/platform/broken-responses.test.ts
+++ b/test/platform/broken-responses.test.ts
@@ -113,6 +113,26 @@
   }
 });
 
+test('a response without a body, to a caller of HTTP/1.0, states no length of one', async (t) => {
+  const engine = await startScriptedEngine(t, ({ id, path, socket }) => {
+    const status = path.endsWith('none') ? '204 No Content' : '200 OK';
+    const fields = `X-Peatspan-Attempt-Id: ${id}\r\nX-Peatspan-Response-Seal: s\r\n`;
+    socket.write(`HTTP/1.1 ${status}\r\n${fields}\r\n`);
+  });
+  const router = await startRouter(t, [engine.address], {});
+  const none = { id: 'request-1', path: `${PLAIN_PATH}/none`, httpVersion: '1.0' } as const;
+  const head = { id: 'request-2', path: PLAIN_PATH, httpVersion: '1.0', method: 'HEAD' } as const;
+  for (const [request, status] of [
+    [none, 204],
+    [head, 200],
+  ] as const) {
+    const response = await receive(t, router.port, request);
+    t.is(response.status, status);
+    t.notRegex(response.head, /^(content-length|transfer-encoding):/im);
+    t.is(response.body, '');
+  }
+});
+
 test('a large response without chunks, to a caller of HTTP/1.0, states its length', async (t) => {
   const body = 'x'.repeat(900_000);
   for (const framing of FRAMINGS) {
