--- a/src/coordination/gateway/build-record.ts
+++ b/src/coordination/gateway/build-record.ts
@@ -81,8 +81,8 @@
   }
 
   /**
-   * Writes the builds of the history if they are not those of the record. A call fails silently for
-   * this caller and is made again at its next one.
+   * Writes the builds of the history if they are not those of the record. Never rejects: a failed
+   * write is logged, and made again at a later call.
    */
   async update(): Promise<void> {
     const isCurrent = this.recorded && textOf(this.recorded) === textOf(this.parts.history.builds);
