--- a/test/platform/malformed-entries.test.ts
+++ b/test/platform/malformed-entries.test.ts
@@ -29,6 +29,8 @@
   ['no address', { ...VALID_SPEC, address: undefined }],
   ['an address without a port', { ...VALID_SPEC, address: '10.0.0.1' }],
   ['an address with a port out of range', { ...VALID_SPEC, address: '10.0.0.1:70000' }],
+  ['an address with a control character', { ...VALID_SPEC, address: '10.0.0.1\u0000:8080' }],
+  ['an address outside ASCII', { ...VALID_SPEC, address: 'łódź:8080' }],
   ['an address of another type', { ...VALID_SPEC, address: 8_080 }],
   ['an unknown state', { ...VALID_SPEC, state: 'warming' }],
   ['no state', { ...VALID_SPEC, state: undefined }],
