State the end of a generation without a length only if its engine answers

Cause: a listening address was taken for a living engine.

Change: before the end of such a response is stated, an engine of generations is asked for its report, directly or over the forwarding router, and must answer as the incarnation that sent the response. Another one is gone; without an answer the end is not stated. This is one report for each generation without a length, and none else.

--- a/fuzz/change-port.ts
+++ b/fuzz/change-port.ts
@@ -6,6 +6,7 @@
   return {
     send: (...args) => port.send(...args),
     checkListener: (...args) => port.checkListener(...args),
+    checkIncarnation: (...args) => port.checkIncarnation(...args),
     sendLoadCommand: (...args) => port.sendLoadCommand(...args),
     readWeightState: (...args) => port.readWeightState(...args),
     cacheEvents: (...args) => port.cacheEvents(...args),
--- a/src/coordination/gateway/response-end-check.ts
+++ b/src/coordination/gateway/response-end-check.ts
@@ -1,12 +1,14 @@
 /**
  * Checks whether the engine of a response that ended with its connection has crashed. The kernel
  * closes the connections of a process that dies in the same order as the process would have, so the
- * end alone does not show whether the response is whole. An engine that has restarted meanwhile, or
- * that has broken off one response and lives, is not recognised.
+ * end alone does not show whether the response is whole. A proxy before the engine may accept
+ * connections in its place, so an engine of generations must answer, and be the same incarnation. One
+ * that has broken off one response and lives is not recognised.
  */
 import { type Clock, sleep } from '../../runtime/clock.js';
 import {
-  type EngineEndpoint,
+  type DatedEndpoint,
+  IncarnationState,
   type InferencePort,
   ListenerState,
 } from '../../protocol/inference/port.js';
@@ -28,7 +30,7 @@
 
 /** Dependencies of {@link ResponseEndCheck}. */
 export interface ResponseEndCheckParts {
-  readonly engines: Pick<InferencePort, 'checkListener'>;
+  readonly engines: Pick<InferencePort, 'checkListener' | 'checkIncarnation'>;
   readonly clock: Clock;
   readonly access: Pick<CrashDetectorParts, 'checkEngine'>;
 }
@@ -39,33 +41,44 @@
   [ListenerState.Unresponsive]: SenderState.Unknown,
 };
 
+const INCARNATION_STATES: Record<IncarnationState, SenderState> = {
+  [IncarnationState.Same]: SenderState.Present,
+  [IncarnationState.Other]: SenderState.Gone,
+  [IncarnationState.Unknown]: SenderState.Unknown,
+};
+
+/** A response that ended with its connection. */
+export interface EndedResponse {
+  /** Address of the router that forwarded the connection; undefined without one. */
+  readonly forwarder: string | undefined;
+  /**
+   * Whether the request was running at earlier crashes, so that its engine is checked for as long as
+   * after a lost connection.
+   */
+  readonly isSuspected: boolean;
+  /** Whether the engine runs generations, and so can be asked which incarnation it is. */
+  readonly isGeneration: boolean;
+}
+
 /** Looks for evidence that a response without a length was broken off. */
 export class ResponseEndCheck {
   constructor(private readonly parts: ResponseEndCheckParts) {}
 
-  /**
-   * Checks the engine, or the router that forwarded the connection.
-   *
-   * @param forwarder address of the router that forwarded the connection; undefined without one
-   * @param isSuspected whether the request was running at earlier crashes, so that it is checked for as
-   * long as after a lost connection
-   */
-  async checkSender(
-    engine: EngineEndpoint,
-    forwarder: string | undefined,
-    isSuspected: boolean,
-  ): Promise<SenderState> {
+  /** Checks the engine, and the router that forwarded the connection. */
+  async checkSender(engine: DatedEndpoint, response: EndedResponse): Promise<SenderState> {
+    const { forwarder, isSuspected, isGeneration } = response;
     let state = SenderState.Unknown;
     for (const delayMs of isSuspected ? CHECK_DELAYS_MS : [PROCESS_EXIT_MS]) {
       await sleep(this.parts.clock, delayMs);
       state = await this.stateOf(engine, forwarder);
-      if (state !== SenderState.Present) break;
+      if (state !== SenderState.Present) return state;
     }
-    return state;
+    if (!isGeneration) return state;
+    return INCARNATION_STATES[await this.parts.engines.checkIncarnation(engine, forwarder)];
   }
 
   private async stateOf(
-    engine: EngineEndpoint,
+    engine: DatedEndpoint,
     forwarder: string | undefined,
   ): Promise<SenderState> {
     if (forwarder === undefined) {
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -206,10 +206,11 @@
    */
   private async checkEnd(): Promise<void> {
     const { placement, context, connection, forwarder } = this;
-    const usedForwarder = connection?.isForwarded ? forwarder?.address : undefined;
-    const engine = placement.engine.record;
-    const { isSuspected } = this.events;
-    this.sender = await context.responseEnds.checkSender(engine, usedForwarder, isSuspected);
+    this.sender = await context.responseEnds.checkSender(placement.engine.record, {
+      forwarder: connection?.isForwarded ? forwarder?.address : undefined,
+      isSuspected: this.events.isSuspected,
+      isGeneration: this.generation !== undefined,
+    });
     if (this.isClosed) return;
     if (this.sender === SenderState.Gone)
       this.onFailure({ kind: 'cut', reason: 'engine-gone', isDisconnect: true });
--- a/src/lab/gateway-simulation/simulated-engine.ts
+++ b/src/lab/gateway-simulation/simulated-engine.ts
@@ -1,5 +1,5 @@
 /** Simulated engine with injectable faults, and the observations of all engines. */
-import { BodyFraming, type EngineNotice } from '../../protocol/inference/port.js';
+import { BodyFraming, type EngineNotice, type WeightState } from '../../protocol/inference/port.js';
 import { incarnationOf } from '../../state/routing/engine-incarnation.js';
 
 /** How an engine handles requests. */
@@ -347,3 +347,14 @@
   readonly falls: ObservedFall[] = [];
   readonly disconnects: ObservedDisconnect[] = [];
 }
+
+/** The state that an engine reports; none without an engine. */
+export function weightStateOf(engine: SimulatedEngine | undefined): WeightState | undefined {
+  if (!engine) return undefined;
+  return {
+    startedAtMs: engine.startedAtMs,
+    version: engine.weightsVersion,
+    isBusy: engine.isLoading,
+    orderSequence: engine.commandSequence,
+  };
+}
--- a/src/lab/gateway-simulation/simulated-fleet.ts
+++ b/src/lab/gateway-simulation/simulated-fleet.ts
@@ -77,6 +77,8 @@
   restartsUnderName = false;
   /** Whether connections to engines that have ended are ignored instead of refused. */
   ignoresConnections = false;
+  /** Whether proxies accept connections to engines that have ended, and close them. */
+  hasProxies = false;
   /** Build of the engines that start from now on. */
   build = FIRST_BUILD;
   /** Capacity of the engines of a service; unlimited by default. */
--- a/src/lab/gateway-simulation/simulated-inference.ts
+++ b/src/lab/gateway-simulation/simulated-inference.ts
@@ -2,10 +2,12 @@
 import {
   type CacheContents,
   type CacheEventPage,
+  type DatedEndpoint,
   type EngineEndpoint,
   type Exchange,
   type ExchangeListener,
   type ForwardedRequest,
+  IncarnationState,
   type InferencePort,
   ListenerState,
   type LoadCommandResult,
@@ -24,7 +26,9 @@
   type ObservedRun,
   type SimulatedEngine,
   UNFINISHED_RUN,
+  weightStateOf,
 } from './simulated-engine.js';
+import { incarnationStateAt, listenerStateAt } from './simulated-listener.js';
 import { crashCauseOf } from './crash-cause.js';
 import { SimulatedExchange, NETWORK_DELAY_MS } from './simulated-exchange.js';
 import { LoadCommandFault, type SimulatedFleet } from './simulated-fleet.js';
@@ -157,16 +161,23 @@
   }
 
   checkListener({ address }: EngineEndpoint, forwarder?: string): Promise<ListenerState> {
-    return this.respond(() => {
-      const reached = forwarder && this.forwarders?.reach(this.router, forwarder);
-      const link = forwarder === undefined ? this.link : reached ? reached.link : undefined;
-      if (!link) return ListenerState.Unresponsive;
-      if (link.isUnresponsive) return ListenerState.Unresponsive;
-      if (link.cut !== undefined) return ListenerState.Refused;
-      if (this.fleet.partitionAt(address)) return ListenerState.Unresponsive;
-      if (this.fleet.latestAt(address)?.isRunning) return ListenerState.Listening;
-      return this.fleet.ignoresConnections ? ListenerState.Unresponsive : ListenerState.Refused;
-    }, ListenerState.Unresponsive);
+    return this.respond(
+      () => listenerStateAt(this.fleet, this.linkOver(forwarder), address),
+      ListenerState.Unresponsive,
+    );
+  }
+
+  checkIncarnation(endpoint: DatedEndpoint, forwarder?: string): Promise<IncarnationState> {
+    return this.respond(
+      () => incarnationStateAt(this.fleet, this.linkOver(forwarder), endpoint),
+      IncarnationState.Unknown,
+    );
+  }
+
+  /** The link to engines, this router's own or that of a forwarder that it reaches. */
+  private linkOver(forwarder: string | undefined): EngineLink | undefined {
+    if (forwarder === undefined) return this.link;
+    return this.forwarders?.reach(this.router, forwarder)?.link;
   }
 
   sendLoadCommand(
@@ -192,15 +203,7 @@
   readWeightState(endpoint: EngineEndpoint): Promise<WeightState | undefined> {
     return this.respond(() => {
       if (this.isCutFrom(endpoint)) return undefined;
-      const engine = this.engineOf(endpoint);
-      return (
-        engine && {
-          startedAtMs: engine.startedAtMs,
-          version: engine.weightsVersion,
-          isBusy: engine.isLoading,
-          orderSequence: engine.commandSequence,
-        }
-      );
+      return weightStateOf(this.engineOf(endpoint));
     }, undefined);
   }
 
--- a/src/protocol/inference/port.ts
+++ b/src/protocol/inference/port.ts
@@ -157,6 +157,20 @@
   readonly address: string;
 }
 
+/** An engine and its start time in Unix milliseconds, if its entry states one. */
+export interface DatedEndpoint extends EngineEndpoint {
+  readonly startedAtMs: number | undefined;
+}
+
+/** Which incarnation of an engine responds at its address. */
+export enum IncarnationState {
+  Same = 'same',
+  /** Another engine, or the same one after a restart. */
+  Other = 'other',
+  /** None responded. */
+  Unknown = 'unknown',
+}
+
 /** A command to load other weights. */
 export interface LoadCommandRequest {
   readonly model: string;
@@ -234,6 +248,12 @@
    * @param forwarder address of the router that forwards the connection; direct by default
    */
   checkListener(endpoint: EngineEndpoint, forwarder?: string): Promise<ListenerState>;
+  /**
+   * Asks the engine at the address whether it is the given incarnation. Never rejects.
+   *
+   * @param forwarder address of the router that forwards the connection; direct by default
+   */
+  checkIncarnation(endpoint: DatedEndpoint, forwarder?: string): Promise<IncarnationState>;
   /** Sends a load command; resolves also if the engine does not respond. */
   sendLoadCommand(
     endpoint: EngineEndpoint,
--- a/test/gateway/response-end-check.test.ts
+++ b/test/gateway/response-end-check.test.ts
@@ -7,11 +7,11 @@
   ResponseEndCheck,
   SenderState,
 } from '../../src/coordination/gateway/response-end-check.js';
-import { ListenerState } from '../../src/protocol/inference/port.js';
+import { IncarnationState, ListenerState } from '../../src/protocol/inference/port.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
 import { listenerStates } from '../helpers/listener-states.js';
 
-const ENGINE = { id: 'engine-0', name: 'engine-0', address: 'engine-0:1' };
+const ENGINE = { id: 'engine-0', name: 'engine-0', address: 'engine-0:1', startedAtMs: 1 };
 /** All checks are done by then. */
 const LAST_CHECK_MS = 1_000;
 
@@ -19,15 +19,23 @@
 async function checkSender(
   states: readonly ListenerState[],
   isSuspected: boolean,
+  incarnation?: IncarnationState,
 ): Promise<SenderState> {
   const clock = new VirtualClock();
   const nextState = listenerStates(states);
   const ends = new ResponseEndCheck({
-    engines: { checkListener: nextState },
+    engines: {
+      checkListener: nextState,
+      checkIncarnation: () => Promise.resolve(incarnation ?? IncarnationState.Unknown),
+    },
     clock,
     access: { checkEngine: nextState },
   });
-  const checked = ends.checkSender(ENGINE, undefined, isSuspected);
+  const checked = ends.checkSender(ENGINE, {
+    forwarder: undefined,
+    isSuspected,
+    isGeneration: incarnation !== undefined,
+  });
   await clock.advance(LAST_CHECK_MS);
   return checked;
 }
@@ -50,3 +58,11 @@
   const states = [ListenerState.Listening, ListenerState.Refused];
   t.is(await checkSender(states, false), SenderState.Present);
 });
+
+test('an engine of generations is present only if it answers as the same incarnation', async (t) => {
+  const check = (incarnation: IncarnationState): Promise<SenderState> =>
+    checkSender([ListenerState.Listening], false, incarnation);
+  t.is(await check(IncarnationState.Same), SenderState.Present);
+  t.is(await check(IncarnationState.Other), SenderState.Gone);
+  t.is(await check(IncarnationState.Unknown), SenderState.Unknown);
+});
