--- a/test/platform/incarnation-check.test.ts
+++ b/test/platform/incarnation-check.test.ts
@@ -29,7 +29,7 @@
 
 /** The states found directly and over a forwarder. */
 async function statesOf(t: ExecutionContext, address: string): Promise<IncarnationState[]> {
-  const engine = { id: 'engine-1@1000', name: 'engine-1', address, startedAtMs: STARTED_AT_MS };
+  const engine = { id: 'engine-1', name: 'engine-1', address, startedAtMs: STARTED_AT_MS };
   const client = new EngineClient();
   const forwarder = await startForwarder(t);
   const direct = await client.checkIncarnation(engine);
@@ -73,3 +73,12 @@
   );
   t.deepEqual(await statesOf(t, address), twice(IncarnationState.Unknown));
 });
+
+test('an engine whose entry states no start time may state one itself', async (t) => {
+  const server = createServer((_request, response) =>
+    response.end(JSON.stringify({ born: STARTED_AT_MS })),
+  );
+  const address = await listen(t, server);
+  const engine = { id: 'engine-1', name: 'engine-1', address, startedAtMs: undefined };
+  t.is(await new EngineClient().checkIncarnation(engine), IncarnationState.Same);
+});
