--- a/src/coordination/gateway/call-response.ts
+++ b/src/coordination/gateway/call-response.ts
@@ -148,7 +148,8 @@
   handleEnd(isCertain = true): void {
     if (this.buffer) {
       const { head, chunks, sizeBytes } = this.buffer;
-      this.begin(head, bufferedFramingOf(head, sizeBytes, isCertain));
+      const isUnframed = head.framing === BodyFraming.Connection;
+      this.begin(head, isUnframed ? receivedFraming(sizeBytes, isCertain) : undefined);
       for (const chunk of chunks) this.reply.write(chunk);
     }
     this.beginStream();
@@ -197,15 +198,7 @@
   return { kind: BodyFraming.Length, bytes: contentLength };
 }
 
-/** Framing of a response that was received to its end. */
-function bufferedFramingOf(
-  { framing, contentLength }: ResponseHead,
-  bytes: number,
-  isCertain: boolean,
-): ReplyFraming {
-  if (framing !== BodyFraming.Connection)
-    return contentLength === undefined
-      ? { kind: BodyFraming.Chunks }
-      : { kind: BodyFraming.Length, bytes: contentLength };
+/** Framing of a buffered response that ended with its connection. */
+function receivedFraming(bytes: number, isCertain: boolean): ReplyFraming {
   return isCertain ? { kind: BodyFraming.Length, bytes } : { kind: BodyFraming.Connection };
 }
--- a/src/transport/address.ts
+++ b/src/transport/address.ts
@@ -9,16 +9,17 @@
 
 const ADDRESS_PATTERN = /^(.+):(\d{1,5})$/;
 
-/** Whether a text has the form `HOST:PORT`. */
-export function isAddress(text: string): boolean {
-  return ADDRESS_PATTERN.test(text);
+/** Splits `HOST:PORT`; undefined if the text has another form. */
+export function findAddress(text: string): HostPort | undefined {
+  const match = ADDRESS_PATTERN.exec(text);
+  return match?.[1] && match[2] ? { host: match[1], port: Number(match[2]) } : undefined;
 }
 
 /** Splits `HOST:PORT`; throws a `bad-address` failure if the address is invalid. */
 export function parseAddress(address: string): HostPort {
-  const match = ADDRESS_PATTERN.exec(address);
-  if (!match?.[1] || !match[2]) throw new TransportFailure({ kind: 'bad-address', address });
-  return { host: match[1], port: Number(match[2]) };
+  const found = findAddress(address);
+  if (!found) throw new TransportFailure({ kind: 'bad-address', address });
+  return found;
 }
 
 /** Joins host and port. */
--- a/src/transport/udp-datagram-transport.ts
+++ b/src/transport/udp-datagram-transport.ts
@@ -1,6 +1,6 @@
 /** Datagrams over UDP. */
 import dgram from 'node:dgram';
-import { type HostPort, formatAddress, isAddress, parseAddress } from './address.js';
+import { type HostPort, findAddress, formatAddress, parseAddress } from './address.js';
 import type { DatagramSocket, DatagramTransport } from './datagram-transport.js';
 import { TransportFailure } from './errors.js';
 
@@ -28,9 +28,8 @@
 
 /** Undefined if the text is not HOST:PORT with a port that can be sent to. */
 function destinationOf(address: string): HostPort | undefined {
-  if (!isAddress(address)) return undefined;
-  const destination = parseAddress(address);
-  const isPort = destination.port > 0 && destination.port <= HIGHEST_PORT;
+  const destination = findAddress(address);
+  const isPort = destination && destination.port > 0 && destination.port <= HIGHEST_PORT;
   return isPort ? destination : undefined;
 }
 
