Log when a stop signal can have been sent, and what ends at the end of the stop

SignalTimes remembers every 100 ms that the event loop had no signal to handle. No decision changes.

--- a/src/coordination/gateway/call-log.ts
+++ b/src/coordination/gateway/call-log.ts
@@ -157,6 +157,7 @@
     engine_disconnected: call.wasDisconnected,
     engine_idle_ms: send && Math.round(call.now - send.lastActivityMs),
     remaining_ms: Math.round(call.remainingMs),
+    age_ms: Math.round(call.now - call.request.arrivedMs),
     admitted_under: grant?.table.configuration.version,
     configuration: configuration.version,
     path: enginePath.state,
--- /dev/null
+++ b/src/runtime/signal-times.ts
@@ -0,0 +1,40 @@
+/**
+ * Bounds when a signal of the operating system was sent. A process that is short of processor time
+ * handles a signal late, while its sender counts from the moment at which it was sent.
+ */
+import { type Clock, type Timer, repeat } from './clock.js';
+import type { ElapsedInstant } from './elapsed-instant.js';
+
+/** Precision of the bound while the process is not delayed. */
+const CHECK_PERIOD_MS = 100;
+
+/** Remembers when the event loop last had no signal to handle. */
+export class SignalTimes {
+  private lastWithoutSignal: ElapsedInstant;
+  private readonly checks: Timer;
+
+  constructor(private readonly clock: Clock) {
+    this.lastWithoutSignal = clock.elapsed();
+    this.checks = repeat(clock, CHECK_PERIOD_MS, () => this.check());
+  }
+
+  /**
+   * Longest time, in milliseconds, for which the signal that is handled now can have waited. Only
+   * valid within the handler of a signal.
+   */
+  get longestDelayMs(): number {
+    return this.clock.elapsed().since(this.lastWithoutSignal);
+  }
+
+  stop(): void {
+    this.checks.cancel();
+  }
+
+  /** The immediate of a timer runs after the sockets, and signals, of the same iteration. */
+  private check(): void {
+    const instant = this.clock.elapsed();
+    setImmediate(() => {
+      this.lastWithoutSignal = instant;
+    });
+  }
+}
--- a/test/platform/stop-sequence.test.ts
+++ b/test/platform/stop-sequence.test.ts
@@ -54,7 +54,8 @@
   const exit = (): void => {
     hasExited = true;
   };
-  const stop = new StopSequence(node, harness.ingress, clock, logger, GRACE_S, exit);
+  const signals = { longestDelayMs: 0 };
+  const stop = new StopSequence(node, harness.ingress, clock, logger, GRACE_S, signals, exit);
   const exitMs = async (): Promise<number> => {
     const startedMs = clock.now();
     await waitUntil(() => hasExited);
