--- a/test/helpers/socket-router.ts
+++ b/test/helpers/socket-router.ts
@@ -17,7 +17,7 @@
 } from '../../src/lab/gateway-simulation/simulation-fixtures.js';
 import { HostClock } from '../../src/lab/simulation/host-clock.js';
 import type { InferencePort } from '../../src/protocol/inference/port.js';
-import { SystemClock } from '../../src/runtime/clock.js';
+import { type Clock, SystemClock } from '../../src/runtime/clock.js';
 import { createHasher } from '../../src/runtime/hasher.js';
 import type { LogFields, Logger } from '../../src/runtime/logger.js';
 import { SeededRandom } from '../../src/runtime/random.js';
@@ -41,6 +41,9 @@
 /** A running router. */
 export interface SocketRouter {
   readonly node: GatewayNode;
+  readonly ingress: Ingress;
+  readonly clock: Clock;
+  readonly logger: Logger;
   readonly port: number;
   readonly events: readonly LoggedEvent[];
 }
@@ -90,7 +93,8 @@
       decoder: DECODER,
     },
   );
-  const ingress = new Ingress(node, clock, recordingLogger(events));
+  const logger = recordingLogger(events);
+  const ingress = new Ingress(node, clock, logger);
   node.start();
   const port = await ingress.listen('127.0.0.1:0');
   t.teardown(() => {
@@ -98,7 +102,7 @@
     ingress.close();
   });
   await waitUntil(() => node.isReady);
-  return { node, port, events };
+  return { node, ingress, clock, logger, port, events };
 }
 
 function configuration(): ReturnType<typeof simulationConfiguration> {
