--- a/src/coordination/gateway/shutdown.ts
+++ b/src/coordination/gateway/shutdown.ts
@@ -29,7 +29,7 @@
 export class Shutdown {
   private schedule: ShutdownSchedule | undefined;
 
-  constructor(private readonly clock: Clock) {}
+  constructor(private readonly clock: Pick<Clock, 'now'>) {}
 
   /** Sets when the router ends. */
   begin(schedule: ShutdownSchedule): void {
