Divide the table of engine speeds, and name a restart as the others do

What is learned of a whole service and the limits of reports have modules of their own. The log reason engine-reborn is engine-restarted now, as the other lines name it.

--- a/src/coordination/gateway/call-stream-end.ts
+++ b/src/coordination/gateway/call-stream-end.ts
@@ -1,7 +1,7 @@
 /**
  * Judges the ends of the responses to one request: whether a response is whole, was broken off, or ended
  * with its connection, so that nothing shows whether more follows. The rest of a stream that may be taken
- * up can be asked for; what comes, or does not, tells.
+ * up can be asked for; what comes, or does not, shows whether the response was whole.
  */
 import { HttpStatus, isSuccess } from '../../protocol/http-status.js';
 import { isEventStream } from '../../protocol/inference/event-stream.js';
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -291,7 +291,7 @@
     if (isFinished) return;
     for (const each of [send, stalled.current]) {
       const isAffected = each && belongsToPreviousIncarnation(each, restart, this.context.clock);
-      if (isAffected) each.failAsDisconnected('engine-reborn');
+      if (isAffected) each.failAsDisconnected('engine-restarted');
     }
   }
 
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -149,7 +149,7 @@
     return this.bodyFraming;
   }
 
-  /** Whether the response ended with its connection and the check of its engine told nothing. */
+  /** Whether the response ended with its connection and the check of its engine was inconclusive. */
   get mayBeBrokenOff(): boolean {
     return this.sender === SenderState.Unknown;
   }
--- a/src/state/routing/engine-speed-table.ts
+++ b/src/state/routing/engine-speed-table.ts
@@ -10,7 +10,9 @@
   PauseWindow,
   estimatePause,
 } from './pause-window.js';
-import { RecentMedian, medianOf } from './recent-median.js';
+import { medianOf } from './recent-median.js';
+import { limitedEventMs } from './reported-pause-limits.js';
+import { type ServiceRates, ServiceSpeed } from './service-speed.js';
 
 /** Where a belief comes from. */
 export enum SpeedSource {
@@ -52,42 +54,16 @@
   readonly service: string;
 }
 
-/** Believed speeds lie between these multiples of the median of the service. */
-const MAXIMUM_SPEED_RATIO = 3;
-const MINIMUM_SPEED_RATIO = 1 / 8;
 /** Engines with relative speeds below this share of the median are believed slow. */
 const SLOW_RATIO = 1 / 2;
 /** Constant speeds are remembered over pauses of traffic. */
 const BELIEF_LIFETIME_MS = 30_000;
 /** A disturbance may end without traffic, so a slow engine is soon tried as any other. */
 const SLOW_BELIEF_LIFETIME_MS = 6_000;
-/** A reported speed differs at most by this factor from that of this router's own responses. */
-const OWN_TOLERANCE = 1.5;
-/** Own responses of this age are as recent as any report. */
-const OWN_PRECEDENCE_MS = 1_000;
-/** The evidence of own responses must be this recent to contradict a report that an engine is slow. */
-const OWN_EVIDENCE_MS = 1_500;
-/**
- * A report that an engine is fast is doubted for this long after own responses that show otherwise,
- * since such a report attracts work. A report of ordinary speed is believed, so that an engine
- * recovers.
- */
-const FAST_DOUBT_MS = 10_000;
-const ORDINARY_SPEED_RATIO = 1.25;
 /** Own responses replace a reported value that is this much older. */
 const REPORT_LAG_MS = 2_000;
 /** Smallest ratio of two speeds that counts as a change. */
 const CHANGE_RATIO = 1.5;
-const SERVICE_LIFETIME_MS = 60_000;
-const MINIMUM_PREFILL_SAMPLES = 8;
-const MINIMUM_LENGTH_SAMPLES = 8;
-const MAXIMUM_TOKENS_PER_EVENT = 64;
-/** In shorter streams, an incomplete first or last event distorts the tokens per event. */
-const MINIMUM_EVENTS = 4;
-/** Part of an event by which streams end before their last event is full, in the mean. */
-const INCOMPLETE_EVENT = 0.5;
-/** Prefill rates lie within this factor of the default. */
-const MAXIMUM_PREFILL_FACTOR = 16;
 
 interface EngineState {
   service: string;
@@ -107,25 +83,10 @@
   announcedEventMs: number | undefined;
 }
 
-interface ServiceState {
-  medianMs: number | undefined;
-  /** Prompt tokens prefilled in the time of one pause between events. */
-  readonly tokensPerPause: RecentMedian;
-  readonly summaryTokensPerPause: RecentMedian;
-  readonly tokensPerEvent: RecentMedian;
-}
-
-/** Rates of an engine of a service at the median speed. */
-interface ServiceRates {
-  readonly medianMs: number;
-  readonly prefillTokensPerMs: number;
-  readonly tokensPerEvent: number | undefined;
-}
-
 /** Speeds of the engines of all services. */
 export class EngineSpeedTable implements EngineSpeedView {
   private readonly engines = new Map<string, EngineState>();
-  private readonly services = new Map<string, ServiceState>();
+  private readonly services = new Map<string, ServiceSpeed>();
   private listed: readonly KnownEngine[] = [];
   private speeds: ReadonlyMap<string, EngineSpeed> = new Map();
 
@@ -187,29 +148,24 @@
   notePrefill(engine: KnownEngine, tokensPerMs: number, nowMs: number): void {
     const eventMs = this.engines.get(engine.id)?.belief?.eventMs;
     if (eventMs === undefined) return;
-    this.serviceOf(engine.service).tokensPerPause.add(tokensPerMs * eventMs, nowMs);
+    this.serviceOf(engine.service).notePrefill(tokensPerMs, eventMs, nowMs);
   }
 
   /** Records the prefill rate that a collector believes of an engine. */
   noteSummaryPrefill(service: string, tokensPerMs: number, eventMs: number, nowMs: number): void {
-    this.serviceOf(service).summaryTokensPerPause.add(tokensPerMs * eventMs, nowMs);
+    this.serviceOf(service).noteSummaryPrefill(tokensPerMs, eventMs, nowMs);
   }
 
   /** Records the length of a completed response of this router. */
   noteLength(service: string, expectedTokens: number, events: number, nowMs: number): void {
-    if (events < MINIMUM_EVENTS) return;
-    const tokensPerEvent = Math.min(
-      MAXIMUM_TOKENS_PER_EVENT,
-      Math.max(1, expectedTokens / (events - INCOMPLETE_EVENT)),
-    );
-    this.serviceOf(service).tokensPerEvent.add(tokensPerEvent, nowMs);
+    this.serviceOf(service).noteLength(expectedTokens, events, nowMs);
   }
 
   /** Prefill rate learned for an engine's service; undefined if none. */
   learnedPrefillOf(engineId: string, nowMs: number): number | undefined {
     const state = this.engines.get(engineId);
     if (!state?.belief) return undefined;
-    const tokens = tokensPerPauseOf(this.serviceOf(state.service), nowMs);
+    const tokens = this.serviceOf(state.service).prefillPerPause(nowMs);
     return tokens === undefined ? undefined : tokens / state.belief.eventMs;
   }
 
@@ -221,7 +177,7 @@
     this.updateMedians(nowMs);
     for (const [engineId, state] of this.engines) this.updateBelief(engineId, state, nowMs);
     const rates = new Map(
-      [...this.services].map(([name, service]) => [name, ratesOf(service, nowMs)]),
+      [...this.services].map(([name, service]) => [name, service.ratesAt(nowMs)]),
     );
     this.speeds = new Map(
       listed.map((engine) => [engine.id, this.speedOf(engine, rates.get(engine.service))]),
@@ -314,10 +270,10 @@
     return state;
   }
 
-  private serviceOf(name: string): ServiceState {
+  private serviceOf(name: string): ServiceSpeed {
     let service = this.services.get(name);
     if (!service) {
-      service = newServiceState();
+      service = new ServiceSpeed();
       this.services.set(name, service);
     }
     return service;
@@ -339,15 +295,6 @@
   };
 }
 
-function newServiceState(): ServiceState {
-  return {
-    medianMs: undefined,
-    tokensPerPause: new RecentMedian(MINIMUM_PREFILL_SAMPLES, SERVICE_LIFETIME_MS),
-    summaryTokensPerPause: new RecentMedian(1, SERVICE_LIFETIME_MS),
-    tokensPerEvent: new RecentMedian(MINIMUM_LENGTH_SAMPLES, SERVICE_LIFETIME_MS),
-  };
-}
-
 function updateEstimates(state: EngineState, nowMs: number): void {
   if (!state.hasNewPauses) return;
   state.hasNewPauses = false;
@@ -374,49 +321,3 @@
 function isSlowBelief(belief: SpeedBelief | undefined, medianMs: number | undefined): boolean {
   return !!belief && medianMs !== undefined && belief.eventMs * SLOW_RATIO > medianMs;
 }
-
-/** Limits a pause by the median of the service and by this router's own responses. */
-function limitedEventMs(
-  eventMs: number,
-  own: PauseEstimate | undefined,
-  medianMs: number,
-  nowMs: number,
-): number {
-  const shortestMs = Math.max(medianMs / MAXIMUM_SPEED_RATIO, shortestByOwn(own, medianMs, nowMs));
-  const longestMs = Math.min(medianMs / MINIMUM_SPEED_RATIO, longestByOwn(own, nowMs));
-  return Math.min(Math.max(eventMs, shortestMs), Math.max(longestMs, shortestMs));
-}
-
-function shortestByOwn(own: PauseEstimate | undefined, medianMs: number, nowMs: number): number {
-  if (!own) return 0;
-  const ageMs = nowMs - own.observedMs;
-  if (ageMs <= OWN_PRECEDENCE_MS) return own.pauseMs / OWN_TOLERANCE;
-  if (ageMs > FAST_DOUBT_MS) return 0;
-  return Math.min(own.pauseMs / OWN_TOLERANCE, medianMs / ORDINARY_SPEED_RATIO);
-}
-
-function longestByOwn(own: PauseEstimate | undefined, nowMs: number): number {
-  if (!own || nowMs - own.earliestMs > OWN_EVIDENCE_MS) return Infinity;
-  return own.pauseMs * OWN_TOLERANCE;
-}
-
-function ratesOf(service: ServiceState, nowMs: number): ServiceRates | undefined {
-  const { medianMs } = service;
-  if (!medianMs) return undefined;
-  const tokensPerPause = tokensPerPauseOf(service, nowMs);
-  const prefillTokensPerMs =
-    tokensPerPause === undefined
-      ? DEFAULT_ENGINE_SPEED.prefillTokensPerMs
-      : boundedPrefill(tokensPerPause / medianMs);
-  return { medianMs, prefillTokensPerMs, tokensPerEvent: service.tokensPerEvent.at(nowMs) };
-}
-
-function tokensPerPauseOf(service: ServiceState, nowMs: number): number | undefined {
-  return service.tokensPerPause.at(nowMs) ?? service.summaryTokensPerPause.at(nowMs);
-}
-
-function boundedPrefill(tokensPerMs: number): number {
-  const { prefillTokensPerMs } = DEFAULT_ENGINE_SPEED;
-  const lowest = prefillTokensPerMs / MAXIMUM_PREFILL_FACTOR;
-  return Math.min(prefillTokensPerMs * MAXIMUM_PREFILL_FACTOR, Math.max(lowest, tokensPerMs));
-}
