Let a request arrive at a stop when its body has arrived

A stream whose head came early in a stop, and whose body or turn on its connection came after the time for new requests, was begun by the age of its head and cut at the end. What counts is now when the request could be begun.

--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -99,8 +99,7 @@
     const { route } = call.grant as Grant;
     const limitMs = Math.min(route.timeoutMs, call.request.budgetMs ?? Infinity);
     call.deadlineMs = call.request.arrivedMs + limitMs;
-    const { arrivedMs } = call.request;
-    if (!this.context.shutdown.admits({ arrivedMs, deadlineMs: call.deadlineMs })) {
+    if (!this.mayBegin()) {
       this.ending.reject(RejectionReason.Stopping);
       return;
     }
@@ -110,6 +109,16 @@
     this.dispatch.dispatch();
   }
 
+  /**
+   * Whether a stopping router still begins the request. Its head may have arrived long ago: its body, or
+   * the response before it on the connection, may have taken long.
+   */
+  private mayBegin(): boolean {
+    const { deadlineMs, now } = this.call;
+    const { shutdown } = this.context;
+    return !shutdown.isPlanned || shutdown.admits({ arrivedMs: now, deadlineMs });
+  }
+
   /** Runs a step that a change of the router's state causes. */
   runStep(action: () => void): void {
     this.call.guard.run(CallStep.Change, action);
--- a/test/platform/late-requests-at-stops.test.ts
+++ b/test/platform/late-requests-at-stops.test.ts
@@ -34,6 +34,9 @@
 /** A connection that was opened before its request is sent. */
 interface WaitingCaller {
   send(): void;
+  /** Sends the head of a request whose body has one byte. */
+  sendHead(): void;
+  sendBody(): void;
   readonly received: () => string;
   readonly isClosed: () => boolean;
 }
@@ -46,13 +49,16 @@
   socket.on('data', (chunk) => (text += chunk.toString('latin1')));
   socket.on('error', () => undefined);
   socket.on('close', () => (isClosed = true));
-  const send = (): void => {
+  const sendHeadWith = (bodyBytes: number): void => {
     socket.write(
       `POST ${STREAM_PATH} HTTP/1.1\r\nHost: host.example\r\nX-Peatspan-Attempt-Id: ${id}\r\n` +
-        'Api-Key: key-1\r\nContent-Length: 0\r\n\r\n',
+        `Api-Key: key-1\r\nContent-Length: ${bodyBytes}\r\n\r\n`,
     );
   };
-  return { send, received: () => text, isClosed: () => isClosed };
+  const send = (): void => sendHeadWith(0);
+  const sendHead = (): void => sendHeadWith(1);
+  const sendBody = (): void => void socket.write('x');
+  return { send, sendHead, sendBody, received: () => text, isClosed: () => isClosed };
 }
 
 interface Stopping {
@@ -98,6 +104,19 @@
   t.is(sends(), 0);
 });
 
+// Guards against streams that count as early because their head, but not their body, has arrived.
+test('a stream whose body arrives too late to end before the router does is rejected', async (t) => {
+  const { router, stop, sends } = await startStoppable(t);
+  stop();
+  const caller = connect(t, router, 'slow-body');
+  caller.sendHead();
+  await wait(LATE_MS);
+  caller.sendBody();
+  await waitUntil(caller.isClosed);
+  t.regex(caller.received(), /^HTTP\/1\.1 503 .*Retry-After.*"stopping"\}$/s);
+  t.is(sends(), 0);
+});
+
 // Guards against a router that is short of processor time and accepts streams until it is killed.
 test('a stop whose signal was noticed late counts from when it can have been sent', async (t) => {
   const NOTICED_LATE_MS = 2_000;
