--- a/test/platform/ingress-stop.test.ts
+++ b/test/platform/ingress-stop.test.ts
@@ -3,6 +3,7 @@
 import net from 'node:net';
 import { Worker } from 'node:worker_threads';
 import test, { type ExecutionContext } from 'ava';
+import { afterReading } from '../../platform/after-reading.js';
 import type { Reply } from '../../src/coordination/gateway/reply.js';
 import { BodyFraming } from '../../src/protocol/inference/port.js';
 import {
@@ -121,13 +122,16 @@
   },
 );
 
-test.serial(
-  'new connections that wait to be accepted when the router stops listening are served',
-  async (t) => {
-    const CONNECTIONS = 5;
-    const harness = await startIngress(t);
-    const caller = new Worker(
-      `const { parentPort, workerData } = require('node:worker_threads');
+/** Callers on a thread of their own, which open connections while the event loop of the test is held. */
+interface CallerThread {
+  readonly open: (connections: number) => void;
+  /** Responses on the connections that have closed. */
+  readonly responses: readonly string[];
+}
+
+async function startCallers(t: ExecutionContext, { port }: IngressHarness): Promise<CallerThread> {
+  const thread = new Worker(
+    `const { parentPort, workerData } = require('node:worker_threads');
      const net = require('node:net');
      const call = () => {
        let text = '';
@@ -140,22 +144,60 @@
        for (let index = 0; index < count; index += 1) call();
      });
      parentPort.postMessage('ready');`,
-      { eval: true, workerData: { port: harness.port, request: GET } },
-    );
-    t.teardown(() => caller.terminate());
-    await once(caller, 'message');
-    const responses: string[] = [];
-    caller.on('message', (text: string) => responses.push(text));
-    caller.postMessage(CONNECTIONS);
-    holdEventLoop(500);
+    { eval: true, workerData: { port, request: GET } },
+  );
+  t.teardown(() => thread.terminate());
+  await once(thread, 'message');
+  const responses: string[] = [];
+  thread.on('message', (text: string) => responses.push(text));
+  return { open: (connections) => thread.postMessage(connections), responses };
+}
+
+/** Responds to all requests as they arrive, and checks that each connection has received a response. */
+async function assertServed(
+  t: ExecutionContext,
+  harness: IngressHarness,
+  { responses }: CallerThread,
+  connections: number,
+): Promise<void> {
+  for (let index = 0; index < connections; index += 1) {
+    await waitUntil(() => harness.requests.length > index || responses.length > index);
+    t.true(harness.requests.length > index, `connection ${index}`);
+    respond(harness, index);
+  }
+  await waitUntil(() => responses.length === connections);
+  for (const text of responses) t.regex(text, /Connection: close\r\n.*ok$/s);
+}
+
+const CONNECTIONS = 5;
+const HELD_MS = 500;
+
+test.serial(
+  'new connections that wait to be accepted when the router stops listening are served',
+  async (t) => {
+    const harness = await startIngress(t);
+    const callers = await startCallers(t, harness);
+    callers.open(CONNECTIONS);
+    holdEventLoop(HELD_MS);
+    harness.ingress.drain();
+    harness.ingress.close();
+    await assertServed(t, harness, callers, CONNECTIONS);
+  },
+);
+
+// Guards against resets of requests that arrive while a router is paused after its last look for connections.
+test.serial(
+  'connections that arrive while the router is paused right before it stops listening are served',
+  async (t) => {
+    const harness = await startIngress(t);
+    const callers = await startCallers(t, harness);
     harness.ingress.drain();
+    // Runs after the event loop has accepted connections for the last time.
+    afterReading(() => {
+      callers.open(CONNECTIONS);
+      holdEventLoop(HELD_MS);
+    });
     harness.ingress.close();
-    for (let index = 0; index < CONNECTIONS; index += 1) {
-      await waitUntil(() => harness.requests.length > index || responses.length > index);
-      t.true(harness.requests.length > index, `connection ${index}`);
-      respond(harness, index);
-    }
-    await waitUntil(() => responses.length === CONNECTIONS);
-    for (const text of responses) t.regex(text, /Connection: close\r\n.*ok$/s);
+    await assertServed(t, harness, callers, CONNECTIONS);
   },
 );
