Expect responses without a declared length to last as long as recent ones

A stopping router expected a response that is not a generation to end within the objective of its route. For a stream the objective is the time to the first event, so a stream of 2.5 s was begun with 2.1 s left, and its caller saw it cut at the end of the stop. Now the learned time of the service counts if it is longer.

--- a/src/coordination/gateway/call-dispatch.ts
+++ b/src/coordination/gateway/call-dispatch.ts
@@ -241,18 +241,31 @@
    * Whether the response to the placed request may be complete before this router ends; rejects the
    * request if not.
    */
-  private endsBeforeShutdown(placement: Placement, { route }: Grant): boolean {
+  private endsBeforeShutdown(placement: Placement, grant: Grant): boolean {
     const { call } = this;
-    const { shutdown, rejections } = call.context;
+    const { shutdown } = call.context;
     if (!shutdown.isPlanned || !call.isUnstarted) return true;
-    const { generation, arrivedMs } = call.request;
-    const expectedMs = (): number =>
-      generation ? rejections.durationMs(generation, placement) : route.objectiveMs;
+    const { arrivedMs } = call.request;
+    const expectedMs = (): number => this.expectedDurationMs(placement, grant);
     if (shutdown.allows({ arrivedMs, deadlineMs: call.deadlineMs }, expectedMs)) return true;
     this.ending.reject(RejectionReason.Stopping);
     return false;
   }
 
+  /**
+   * Expected time to the end of the response, in milliseconds. The length of a response that is not a
+   * generation is not known: a stream may last much longer than the objective, which is for its begin.
+   */
+  private expectedDurationMs(placement: Placement, { route }: Grant): number {
+    const { request, service, context } = this.call;
+    const { generation } = request;
+    if (generation) return context.rejections.durationMs(generation, placement);
+    const { objectiveMs } = route;
+    const { slots } = placement.engine.record;
+    const learnedMs = service ? context.queues?.plainMs(service, slots, objectiveMs) : undefined;
+    return Math.max(objectiveMs, learnedMs ?? 0);
+  }
+
   /** Whether the placed request may end before its deadline; rejects it if that is not expected. */
   private meetsDeadline(placement: Placement): boolean {
     const { call } = this;
