--- a/test/platform/ingress-stop.test.ts
+++ b/test/platform/ingress-stop.test.ts
@@ -201,3 +201,42 @@
     await assertServed(t, harness, callers, CONNECTIONS);
   },
 );
+
+function isRefused(port: number): Promise<boolean> {
+  const socket = net.connect(port, '127.0.0.1');
+  return new Promise((resolve) => {
+    socket.on('connect', () => {
+      socket.destroy();
+      resolve(false);
+    });
+    socket.on('error', ({ code }: NodeJS.ErrnoException) => resolve(code === 'ECONNREFUSED'));
+  });
+}
+
+// Guards against callers whose connections a busy router accepts shortly before it ends.
+test.serial('steady callers do not keep a stopping router listening', async (t) => {
+  const TURN_MS = 20;
+  const CALLS_PER_TURN = 2;
+  /** The router looks for connections for 1 s; the rest is for a loaded machine. */
+  const LIMIT_MS = 5_000;
+  const harness = await startIngress(t, undefined, (reply) => {
+    holdEventLoop(TURN_MS);
+    reply.refuse({ status: 503, reason: 'stopping' });
+  });
+  const callers = await startCallers(t, harness);
+  const calls = setInterval(() => callers.open(CALLS_PER_TURN), TURN_MS);
+  t.teardown(() => clearInterval(calls));
+  await waitUntil(() => harness.requests.length > 0);
+  harness.ingress.drain();
+  harness.ingress.close();
+  const closedMs = performance.now();
+  while (!(await isRefused(harness.port))) {
+    const openMs = performance.now() - closedMs;
+    if (openMs > LIMIT_MS) {
+      t.fail(`still listens after ${openMs} ms`);
+      return;
+    }
+    await wait(TURN_MS);
+  }
+  t.pass();
+});
