Read what waits in sockets before a check of another process times out

Callers saw whole streams without a length broken off (response_aborted reason=end-unverified), also at planned stops, by routers that were short of processor time: the check whether the engine accepts connections, and its report, timed out although the answer waited in the socket, since timers run before sockets are read.

--- a/src/protocol/peer/forwarded-connection.ts
+++ b/src/protocol/peer/forwarded-connection.ts
@@ -1,5 +1,6 @@
 /** Opens connections to engines through other routers. */
 import net from 'node:net';
+import { startResponseTimeout } from '../../runtime/response-timeout.js';
 import { parseAddress } from '../../transport/address.js';
 import { readFirstFrame } from './first-frame.js';
 import { ForwardStatus, decodeForwardReply, encodeForwardRequest } from './forwarding-codec.js';
@@ -46,7 +47,7 @@
   const settle = (): boolean => {
     if (isSettled) return false;
     isSettled = true;
-    clearTimeout(timer);
+    timeout.cancel();
     return true;
   };
   const fail = (fault: ForwardingFault, reason: string): void => {
@@ -54,7 +55,8 @@
     socket.destroy();
     onOpened(new ForwardingError(fault, `forwarding: ${reason}`));
   };
-  const timer = setTimeout(() => fail(ForwardingFault.Forwarder, 'timeout'), OPEN_TIMEOUT_MS);
+  const onTimeout = (): void => fail(ForwardingFault.Forwarder, 'timeout');
+  const timeout = startResponseTimeout(OPEN_TIMEOUT_MS, onTimeout);
   socket.on('error', onError);
   socket.on('end', onEnd);
   socket.once('connect', () => socket.write(encodeForwardRequest(target)));
--- a/test/platform/ingress-stop.test.ts
+++ b/test/platform/ingress-stop.test.ts
@@ -3,7 +3,7 @@
 import net from 'node:net';
 import { Worker } from 'node:worker_threads';
 import test, { type ExecutionContext } from 'ava';
-import { afterReading } from '../../platform/after-reading.js';
+import { afterReading } from '../../src/runtime/after-reading.js';
 import type { Reply } from '../../src/coordination/gateway/reply.js';
 import { BodyFraming } from '../../src/protocol/inference/port.js';
 import {
--- a/test/platform/json-client.test.ts
+++ b/test/platform/json-client.test.ts
@@ -2,10 +2,13 @@
  * Guards against repeated timeouts on idle connections that no longer respond, and against bytes on
  * idle connections, which belong to no call.
  */
+import { once } from 'node:events';
 import { createServer } from 'node:http';
 import { type AddressInfo, type Socket, createServer as createTcpServer } from 'node:net';
+import { Worker } from 'node:worker_threads';
 import test, { type ExecutionContext } from 'ava';
 import { JsonClient } from '../../platform/json-client.js';
+import { holdEventLoop, wait } from '../helpers/event-loop.js';
 import { holdsWithin, writeWithoutEnd } from '../helpers/endless-peer.js';
 
 const RESPONSE_DELAY_MS = 20;
@@ -96,3 +99,32 @@
   t.true(isClosed);
   t.is((await client.call(CALL)).body, 2);
 });
+
+test.serial(
+  'a response that waits in its socket while the router is delayed is no timeout',
+  async (t) => {
+    const server = new Worker(
+      `const { parentPort, workerData } = require('node:worker_threads');
+     const server = require('node:http').createServer((request, response) => {
+       setTimeout(() => response.end('{}'), workerData.delayMs);
+     });
+     server.listen(0, '127.0.0.1', () => parentPort.postMessage(server.address().port));`,
+      { eval: true, workerData: { delayMs: 4 * RESPONSE_DELAY_MS } },
+    );
+    t.teardown(() => server.terminate());
+    const [port] = (await once(server, 'message')) as [number];
+    const client = new JsonClient(`127.0.0.1:${port}`);
+    t.teardown(() => client.close());
+    const response = client.call({
+      method: 'GET',
+      path: '/',
+      timeoutMs: TIMEOUT_MS,
+      maximumResponseBytes: MAXIMUM_BYTES,
+    });
+    await wait(2 * RESPONSE_DELAY_MS);
+    // Timers run after immediates, and before sockets are read again.
+    await new Promise((resolve) => setImmediate(resolve));
+    holdEventLoop(TIMEOUT_MS);
+    t.is((await response).status, 200);
+  },
+);
