Stay until no connection waits to be accepted

A stopping router that was short of processor time counted itself idle between the requests that it accepted one by one, and exited while connections waited to be accepted: their callers, whose whole requests had waited for up to 3 s, were reset.

--- a/test/platform/stop-sequence.test.ts
+++ b/test/platform/stop-sequence.test.ts
@@ -120,6 +120,19 @@
   await waitUntil(router.hasExited);
 });
 
+// Guards against resets of connections that wait to be accepted, with the requests sent on them.
+test('the exit waits until no connection waits to be accepted', async (t) => {
+  const router = await startStoppableRouter(t);
+  const { ingress } = router;
+  const { close } = ingress;
+  ingress.close = () => undefined;
+  router.stop.begin();
+  await wait(AFTER_CLOSE_MS);
+  t.false(router.hasExited());
+  close.call(ingress);
+  await waitUntil(router.hasExited);
+});
+
 test('a caller that never reads does not hold the router beyond its grace', async (t) => {
   const router = await startStoppableRouter(t);
   await respondToSlowReader(t, router);
