--- a/test/platform/stop-sequence.test.ts
+++ b/test/platform/stop-sequence.test.ts
@@ -7,7 +7,7 @@
 import type { Reply } from '../../src/coordination/gateway/reply.js';
 import { BodyFraming } from '../../src/protocol/inference/port.js';
 import { type Clock, SystemClock } from '../../src/runtime/clock.js';
-import { wait } from '../helpers/event-loop.js';
+import { holdEventLoop, wait } from '../helpers/event-loop.js';
 import {
   GET,
   type IngressHarness,
@@ -33,10 +33,17 @@
   readonly exitMs: () => Promise<number>;
 }
 
-async function startStoppableRouter(t: ExecutionContext): Promise<StopHarness> {
+/** @param onCheck called whenever the router looks whether requests run */
+async function startStoppableRouter(
+  t: ExecutionContext,
+  onCheck: () => void = () => undefined,
+): Promise<StopHarness> {
   const harness = await startIngress(t);
   const node = {
-    runningCalls: 0,
+    get runningCalls() {
+      onCheck();
+      return 0;
+    },
     forwardedConnections: 0,
     leave: () => undefined,
     stop: () => undefined,
@@ -120,6 +127,30 @@
   await waitUntil(router.hasExited);
 });
 
+// Guards against resets of requests that arrive while a router without processor time waits to exit.
+test('a request that arrives while the router is paused between two checks is answered', async (t) => {
+  const PAUSE_MS = 100;
+  let hasPaused = false;
+  const router = await startStoppableRouter(t, () => {
+    if (hasPaused || router.ingress.isListening) return;
+    hasPaused = true;
+    // Runs between this check and the next one.
+    setImmediate(() => {
+      client.socket.write(GET);
+      holdEventLoop(PAUSE_MS);
+    });
+  });
+  const client = connect(router.port);
+  await wait(20);
+  router.stop.begin();
+  await Promise.race([client.closed, waitUntil(() => router.requests.length === 1)]);
+  t.is(router.requests.length, 1);
+  respond(router, Buffer.from('ok'));
+  await client.closed;
+  t.regex(client.received(), /Connection: close\r\n.*ok$/s);
+  await waitUntil(router.hasExited);
+});
+
 // Guards against resets of connections that wait to be accepted, with the requests sent on them.
 test('the exit waits until no connection waits to be accepted', async (t) => {
   const router = await startStoppableRouter(t);
