Show that routers cut off together join streams from two builds

The simulation partitions several routers together, resets callers' connections, and keeps requests to a router that stands still in its sockets.

--- a/src/lab/gateway-simulation/gateway-simulation.ts
+++ b/src/lab/gateway-simulation/gateway-simulation.ts
@@ -144,12 +144,14 @@
     const name = routerName(routerIndex);
     const router = this.routers.get(name);
     const key = KEYS.get(tenant)?.[keyIndex];
-    if (!router?.host.isRunning || key === undefined) return;
+    if (!router || key === undefined) return;
+    if (!router.host.isRunning && !this.mutation.keepsRequestsOfPaused) return;
     const id = `request-${this.requests.length}`;
     const reply = new RecordedReply(this.clock);
     const sentMs = this.now;
     this.requests.push({ id, kind, tenant, key, router: name, sentMs, reply, continued });
-    router.node.handle(inboundRequest(id, kind, key, sentMs, body, continued), reply);
+    const inbound = inboundRequest(id, kind, key, sentMs, body, continued);
+    router.host.deliver(() => router.node.handle(inbound, reply));
   }
 
   /** Closes the caller's connection of one of the last requests. */
@@ -157,6 +159,12 @@
     this.requests.at(-1 - back)?.reply.disconnect();
   }
 
+  /** Resets the callers' connections of a router that goes on running. */
+  resetCallers(index: number): void {
+    const name = routerName(index);
+    for (const request of this.requests) if (request.router === name) request.reply.reset();
+  }
+
   /** Sum of a counter over the running routers. */
   totalOf(counter: 'enginePausesObserved'): number {
     const routers = [...this.routers.values()];
@@ -278,11 +286,20 @@
 
   /** Partitions a router from all others and from the store; callers still reach it. */
   isolateRouter(index: number, forMs: number): void {
-    const name = routerName(index);
     this.cutFromStore(index, forMs);
-    this.disturbances.recordPartition(name, this.now, forMs);
-    this.network.isolate(name);
-    this.clock.setTimer(forMs, () => this.network.reconnect(name));
+    this.partitionRouters([index], forMs);
+  }
+
+  /** Partitions routers from all others, but not from each other, the store, callers and engines. */
+  partitionRouters(indices: readonly number[], forMs: number): void {
+    const names = indices.map(routerName);
+    for (const name of names) {
+      this.disturbances.recordPartition(name, this.now, forMs);
+      this.disturb(name, forMs);
+      const others = this.routerNames.filter((other) => !names.includes(other));
+      for (const other of others) this.network.cut(name, other);
+      this.clock.setTimer(forMs, () => this.network.reconnect(name));
+    }
   }
 
   stopStore(forMs: number): void {
--- a/src/lab/gateway-simulation/recorded-reply.ts
+++ b/src/lab/gateway-simulation/recorded-reply.ts
@@ -88,6 +88,13 @@
     this.setEnding(this.framing?.kind === BodyFraming.Connection ? 'closed' : 'aborted');
   }
 
+  /** Ends the response because its connection was reset between the router and the caller. */
+  reset(): void {
+    if (this.ending) return;
+    this.setEnding('aborted');
+    this.closeListener();
+  }
+
   private finish(ending: ReplyEnd): void {
     this.setEnding(ending);
     this.takenListener(true);
--- a/src/lab/gateway-simulation/simulation-mutation.ts
+++ b/src/lab/gateway-simulation/simulation-mutation.ts
@@ -32,4 +32,6 @@
   readonly countsSuspensions?: boolean;
   /** False: responses of the store carry no eras. */
   readonly seesEras?: boolean;
+  /** True: requests to a router that is paused wait in its sockets; by default they are not sent. */
+  readonly keepsRequestsOfPaused?: boolean;
 }
