--- a/src/coordination/gateway/stream-origin-exchange.ts
+++ b/src/coordination/gateway/stream-origin-exchange.ts
@@ -107,6 +107,7 @@
   readonly unanswered: Set<string>;
   /** Whether a holder knows that the service has had one build only. */
   isSoleBuild: boolean;
+  readonly askedMs: number;
   readonly repeatTimer: Timer;
   readonly endTimer: Timer;
 }
@@ -327,6 +328,7 @@
       listeners: [onFound],
       unanswered: new Set(holders),
       isSoleBuild: false,
+      askedMs: clock.now(),
       repeatTimer: clock.setTimer(REPEAT_MS, () => this.sendQuestion(attemptId, question)),
       endTimer: clock.setTimer(ANSWER_TIMEOUT_MS, () => this.end(attemptId)),
     };
@@ -402,6 +404,14 @@
 
   private report(attemptId: string, question: PendingQuestion, found: OriginFinding): void {
     const { service } = question;
+    this.parts.logger.info('stream_origin_asked', {
+      resumes: attemptId,
+      service,
+      finding: found.kind,
+      asked: question.holders.length,
+      silent: question.unanswered.size,
+      waited_ms: Math.round(this.parts.clock.now() - question.askedMs),
+    });
     if (found.kind === 'unknown') {
       this.parts.logger.warn('stream_origin_unknown', {
         resumes: attemptId,
