--- a/test/gateway/cut-off-routers.test.ts
+++ b/test/gateway/cut-off-routers.test.ts
@@ -189,3 +189,18 @@
     }
   });
 }
+
+// A router that wakes hears from holders where a stream began before it reads the list of engines.
+test.failing('streams that wait at a router that stands still go on when it wakes', async (t) => {
+  for (const by of ['freezeRouter', 'suspendRouter'] as const) {
+    for (const isBeginnerAlive of [true, false]) {
+      for (const seed of SEEDS) {
+        const standing = { routers: [1], by, isBeginnerAlive };
+        const { callers } = await playStandingStill(seed, standing, 2_000);
+        const { attempts, continued } = callers.outcomes;
+        t.true(attempts >= 5, `seed ${seed}: ${attempts}`);
+        t.is(continued, attempts, `seed ${seed}: ${attempts - continued} rejected`);
+      }
+    }
+  }
+});
