Let a stream wait for an engine of its build to be seen

Callers saw 503 no-engine at a router that had just stood still, although holders had told it where the stream began: it heard that before it read the list of engines, which comes in batches. A stream whose build is known waits for up to 400 ms for an engine of it, if the router has seen none within the last minute; where one was seen and has gone, it is rejected at once as before. Requests that begin anew don't wait.

--- a/src/coordination/gateway/call-dispatch.ts
+++ b/src/coordination/gateway/call-dispatch.ts
@@ -103,8 +103,13 @@
   }
 
   private onFinding(finding: OriginFinding, service: string): void {
-    logTakenUp(this.call.request, service, finding, this.call.context);
-    if (!this.call.isFinished && this.applyFinding(finding)) this.dispatchAfterWait();
+    const { request, context, guard, isFinished } = this.call;
+    logTakenUp(request, service, finding, context);
+    if (isFinished || !this.applyFinding(finding)) return;
+    const isKnown = finding.kind === 'known';
+    const wait = isKnown ? context.streamOrigins.engineWait(finding.origin) : undefined;
+    if (wait) void wait.then(() => guard.run(CallStep.Peer, () => this.dispatchAfterWait()));
+    else this.dispatchAfterWait();
   }
 
   /** Restricts the request to the build that began its stream; rejects it if that can't be known. */
--- a/src/coordination/gateway/stream-origin-exchange.ts
+++ b/src/coordination/gateway/stream-origin-exchange.ts
@@ -79,6 +79,9 @@
 /** Time for which streams wait for the first read of the record, after the first that waits. */
 const FIRST_READ_MS = 1_000;
 const FIRST_READ_STEP_MS = 50;
+/** Time that a stream waits for an engine of its build to be seen; changes of engines come in batches. */
+const ENGINE_WAIT_MS = 400;
+const ENGINE_WAIT_STEP_MS = 25;
 /** Many entries of engines may change at once, as at a start. */
 const UPDATE_INTERVAL_MS = 100;
 const MAINTENANCE_INTERVAL_MS = 1_000;
@@ -222,6 +225,36 @@
     else this.ask(attemptId, service, onFound);
   }
 
+  /**
+   * The wait of a stream whose build is known until an engine of it was seen: a router that has been out
+   * of step, such as one that stood still, may hear of the stream before it hears of the engines. Undefined
+   * if it has seen one lately; resolves after `ENGINE_WAIT_MS` in any case.
+   */
+  engineWait({ service, build }: StreamOrigin): Promise<void> | undefined {
+    const isSeen = (): boolean => {
+      if (build === undefined || this.history.hadEngine(service, build)) return true;
+      const engines = this.parts.registry.ofService(service);
+      return engines.some(({ record }) => record.build === build);
+    };
+    if (isSeen()) return undefined;
+    return this.waitUntil(isSeen).then((waitedMs) =>
+      this.parts.logger.info('stream_engine_awaited', {
+        service,
+        build,
+        seen: isSeen(),
+        waited_ms: waitedMs,
+      }),
+    );
+  }
+
+  /** Waits for a condition for at most `ENGINE_WAIT_MS`. */
+  private async waitUntil(isMet: () => boolean): Promise<number> {
+    let waitedMs = 0;
+    for (; !isMet() && waitedMs < ENGINE_WAIT_MS; waitedMs += ENGINE_WAIT_STEP_MS)
+      await sleep(this.parts.clock, ENGINE_WAIT_STEP_MS);
+    return waitedMs;
+  }
+
   receive(body: StreamOriginDatagram): void {
     if (body.case === 'streamOriginNotice') this.receiveNotice(body.value);
     else if (body.case === 'streamOriginQuestion') this.answer(body.value);
--- a/src/state/routing/build-history.ts
+++ b/src/state/routing/build-history.ts
@@ -15,6 +15,8 @@
   readonly firstSeenMs: number;
   /** Time until which it was seen. */
   lastSeenMs: number;
+  /** Whether this router has seen an engine of it. */
+  hadEngine: boolean;
   /** Time at which it last got an engine after it had none; -Infinity if that was not seen. */
   returnedMs: number;
 }
@@ -74,6 +76,11 @@
     );
   }
 
+  /** Whether this router has seen an engine of the build within the retention. */
+  hadEngine(service: string, build: string): boolean {
+    return this.sightings.get(service)?.get(build)?.hadEngine ?? false;
+  }
+
   /** Records that a service has had a build until now, as another router has seen. */
   note(service: string, build: string, nowMs: number): void {
     let builds = this.sightings.get(service);
@@ -86,7 +93,12 @@
       sighting.lastSeenMs = nowMs;
       return;
     }
-    builds.set(build, { firstSeenMs: nowMs, lastSeenMs: nowMs, returnedMs: -Infinity });
+    builds.set(build, {
+      firstSeenMs: nowMs,
+      lastSeenMs: nowMs,
+      hadEngine: false,
+      returnedMs: -Infinity,
+    });
     this.changes += 1;
   }
 
@@ -116,7 +128,9 @@
     const returnedMs = this.returnedMs(service, build, nowMs);
     this.note(service, build, nowMs);
     const sighting = this.sightings.get(service)?.get(build);
-    if (sighting) sighting.returnedMs = returnedMs;
+    if (!sighting) return;
+    sighting.returnedMs = returnedMs;
+    sighting.hadEngine = true;
   }
 
   private expire(nowMs: number): void {
--- a/test/gateway/cut-off-routers.test.ts
+++ b/test/gateway/cut-off-routers.test.ts
@@ -191,7 +191,7 @@
 }
 
 // A router that wakes hears from holders where a stream began before it reads the list of engines.
-test.failing('streams that wait at a router that stands still go on when it wakes', async (t) => {
+test('streams that wait at a router that stands still go on when it wakes', async (t) => {
   for (const by of ['freezeRouter', 'suspendRouter'] as const) {
     for (const isBeginnerAlive of [true, false]) {
       for (const seed of SEEDS) {
