Compare the only builds that routers see before they prove each other right

A router states that it has seen one build of a service; after a release that one router has missed, this is another build than the one that the asking router sees. Their statements counted for each other, so that a stream of neither one's memory would have gone on at the older build. The answer names the build now (the field was empty in such answers; routers of earlier builds ignore it there), and a statement on another build counts as none. A question is put to 64 routers at most.

stream-origin-proofs, routers that see one build each, but not the same: without the comparison 'sole-build', with it 'unknown'.

--- a/src/coordination/gateway/stream-origin-exchange.ts
+++ b/src/coordination/gateway/stream-origin-exchange.ts
@@ -329,12 +329,14 @@
 
   private answer({ attemptId, replyTo, service }: StreamOriginQuestion): void {
     const origin = this.origins.find(attemptId);
+    const seen = this.findingWithout(service, true);
+    const seenBuild = seen.kind === 'sole-build' ? seen.build : undefined;
     const answer = create(StreamOriginAnswerSchema, {
       attemptId,
       responder: this.parts.group.ownAddress,
       isKnown: origin !== undefined,
       service: origin?.service ?? '',
-      build: origin?.build ?? '',
+      build: (origin ? origin.build : seenBuild) ?? '',
       isSoleBuild: service !== '' && this.hasSoleBuild(service, false),
       seesOneBuild: service !== '' && !this.isMixed(service),
     });
--- a/src/coordination/gateway/stream-origin-questions.ts
+++ b/src/coordination/gateway/stream-origin-questions.ts
@@ -62,6 +62,9 @@
 /** Time that a caller waits for a read of the record; another router may know more by then. */
 export const RECORD_TIMEOUT_MS = 150;
 
+/** Routers that are asked for one stream at most; datagrams are limited in a large group. */
+const MAXIMUM_ASKED = 64;
+
 /** By what a finding was made; for logs. */
 enum FindingProof {
   /** A router knows where the stream began. */
@@ -152,11 +155,20 @@
       return;
     }
     question.unanswered.delete(responder);
-    if (isSoleBuild || seesOneBuild) question.statedBy.add(responder);
-    question.isKnownSole ||= isSoleBuild;
+    if ((isSoleBuild || seesOneBuild) && this.isOwnBuild(question.service, build)) {
+      question.statedBy.add(responder);
+      question.isKnownSole ||= isSoleBuild;
+    }
     this.settle(question);
   }
 
+  /** Whether the only build that another router sees is the one that this router sees. */
+  private isOwnBuild(service: string, build: string): boolean {
+    const own = this.parts.knowledge.findingWithout(service, true);
+    // Routers of earlier builds don't state it.
+    return build === '' || (own.kind === 'sole-build' && own.build === build);
+  }
+
   stop(): void {
     for (const question of this.pending.values()) cancelTimers(question);
     this.pending.clear();
@@ -216,7 +228,7 @@
     return knowledge.findingWithout(service, isKnownSole).kind === 'sole-build';
   }
 
-  /** Reads the record; if it can't be read, all routers that have not been asked are asked. */
+  /** Reads the record; if it can't be read, the routers that have not been asked are asked. */
   private readRecord(question: PendingQuestion): void {
     if (question.isReading || question.isRecordRead) return;
     if (this.pending.get(question.attemptId) !== question) return;
@@ -235,6 +247,7 @@
     const { asked } = question;
     const others = this.parts.group.otherRouterAddresses.filter((address) => !asked.has(address));
     if (this.pending.get(question.attemptId) !== question || others.length === 0) return;
+    if (asked.size + others.length > MAXIMUM_ASKED) return;
     this.beginRound(question, others);
   }
 
--- a/test/gateway/stream-origin-proofs.test.ts
+++ b/test/gateway/stream-origin-proofs.test.ts
@@ -4,11 +4,13 @@
  */
 import test from 'ava';
 import { OriginNetwork, SERVICE, addressOf } from '../helpers/origin-network.js';
+import { StoredBuilds } from '../helpers/stored-builds.js';
 
 const ORIGIN = { service: SERVICE, build: 'v2' };
 const SOLE_BUILD = { kind: 'sole-build', build: 'v1' };
 /** Long enough for all routers to make their calls to the store. */
 const STORED_MS = 5_000;
+const RETENTION_MS = 60_000;
 
 // They answer each other that they know of one build, and can't read the record.
 test('routers that are cut off together know of no only build', async (t) => {
@@ -44,3 +46,12 @@
   for (let stream = 0; stream < 10; stream += 1)
     t.deepEqual(await network.find(1, `attempt-${stream}`), { kind: 'unknown' });
 });
+
+// One router still sees the earlier build only, and the others the one that replaced it.
+test('routers that see one build each, but not the same, know of no only build', async (t) => {
+  const network = await OriginNetwork.create(false, new StoredBuilds(true));
+  network.replaceFirstBuild([0, 2, 3, 4, 5, 6]);
+  await network.clock.advance(RETENTION_MS + STORED_MS);
+  t.deepEqual(await network.find(1, 'attempt-1'), { kind: 'unknown' });
+  t.deepEqual(await network.find(0, 'attempt-1'), { kind: 'unknown' });
+});
--- a/test/helpers/origin-network.ts
+++ b/test/helpers/origin-network.ts
@@ -77,6 +77,12 @@
     for (const index of routers) this.registries.get(addressOf(index))?.put(record);
   }
 
+  /** Replaces the engine of the first build by one of the second, as seen by some routers. */
+  replaceFirstBuild(routers: readonly number[]): void {
+    this.addSecondBuild(routers);
+    for (const index of routers) this.registries.get(addressOf(index))?.remove('engine-1');
+  }
+
   /** Removes the engines of the second build. */
   removeSecondBuild(): void {
     for (const registry of this.registries.values()) registry.remove('engine-2');
