Fuzz routers that are out of step while a build of engines joins

'cut-builds' draws routers that are cut off, alone or together, from the others, the store or both, or that stand still, while engines of a build join and streams begin elsewhere, break and are taken up.

--- a/fuzz/engine-build-commands.ts
+++ b/fuzz/engine-build-commands.ts
@@ -62,7 +62,8 @@
     }),
   );
 
-const ENGINE_BUILD_COMMANDS: readonly fc.Arbitrary<GatewayCommand>[] = [
+/** Commands on engines of several builds; repeated ones are drawn more often. */
+export const ENGINE_BUILD_COMMANDS: readonly fc.Arbitrary<GatewayCommand>[] = [
   release,
   release,
   crashWhileStreaming,
--- a/fuzz/gateway-main.ts
+++ b/fuzz/gateway-main.ts
@@ -3,6 +3,7 @@
  * gateway's fuzz test with any seed and number of runs.
  */
 import { brittleEngineCommands } from './brittle-engine-commands.js';
+import { cutBuildCommands } from './cut-build-commands.js';
 import { crashingPartCommands, quarantinedStreamCommands } from './crashing-part-commands.js';
 import {
   buildRecordCommands,
@@ -33,6 +34,7 @@
   ['builds', engineBuildCommands],
   ['build-record', buildRecordCommands],
   ['lasting-builds', lastingBuildCommands],
+  ['cut-builds', cutBuildCommands],
   ['parts', crashingPartCommands],
   ['quarantined-streams', quarantinedStreamCommands],
   ['silent-engines', silentEngineCommands],
--- a/src/lab/gateway-simulation/gateway-simulation.ts
+++ b/src/lab/gateway-simulation/gateway-simulation.ts
@@ -162,6 +162,7 @@
   /** Resets the callers' connections of a router that goes on running. */
   resetCallers(index: number): void {
     const name = routerName(index);
+    this.interrupt(name, 0);
     for (const request of this.requests) if (request.router === name) request.reply.reset();
   }
 
