Read no record for a stream whose service has several builds

Each stream that nobody knows made its router read the record of builds 25 ms after the question, also with several builds in service, where the record decides nothing about one stream. stream-origin-proofs: one read before, none after.

--- a/src/coordination/gateway/stream-origin-questions.ts
+++ b/src/coordination/gateway/stream-origin-questions.ts
@@ -232,6 +232,8 @@
   private readRecord(question: PendingQuestion): void {
     if (question.isReading || question.isRecordRead) return;
     if (this.pending.get(question.attemptId) !== question) return;
+    // With several builds, the record tells nothing about one stream.
+    if (this.parts.knowledge.isMixed(question.service)) return;
     question.isReading = true;
     question.reads += 1;
     const timeout = sleep(this.parts.clock, RECORD_TIMEOUT_MS).then(() => false);
--- a/test/gateway/stream-origin-proofs.test.ts
+++ b/test/gateway/stream-origin-proofs.test.ts
@@ -3,7 +3,7 @@
  * confirm each other, and against their rejection where the record or all routers decide.
  */
 import test from 'ava';
-import { OriginNetwork, SERVICE, addressOf } from '../helpers/origin-network.js';
+import { EVERY_ROUTER, OriginNetwork, SERVICE, addressOf } from '../helpers/origin-network.js';
 import { StoredBuilds } from '../helpers/stored-builds.js';
 
 const ORIGIN = { service: SERVICE, build: 'v2' };
@@ -55,3 +55,17 @@
   t.deepEqual(await network.find(1, 'attempt-1'), { kind: 'unknown' });
   t.deepEqual(await network.find(0, 'attempt-1'), { kind: 'unknown' });
 });
+
+test('a stream that nobody knows is found without a read of the record where that decides nothing', async (t) => {
+  const network = await OriginNetwork.create();
+  await network.clock.advance(STORED_MS);
+  const { store } = network;
+  const readsBefore = store.reads;
+  t.deepEqual(await network.find(1, 'attempt-1'), SOLE_BUILD);
+  t.is(store.reads, readsBefore + 1, 'one build, and not all routers are holders');
+  network.addSecondBuild(EVERY_ROUTER);
+  await network.clock.advance(STORED_MS);
+  const readsOfBoth = store.reads;
+  t.deepEqual(await network.find(1, 'attempt-2'), { kind: 'unknown' });
+  t.is(store.reads, readsOfBoth, 'two builds');
+});
