Limit the depth of JSON texts before they are parsed

What callers saw: routers that read the store for others ended one after the other, and in groups of any size routers ran out of memory, after one entry of an engine that is nested deeply, in any field, known or not.

Cause: JSON.parse reads any depth, but each container takes some 50 bytes, so that an entry of 1 MB takes some 30 MB, in the copy of the list and again in its history of changes for each write. JSON.stringify, with which a reader writes entries for its followers, throws on 4,000 levels; a held query is answered in a timer, where that ends the process.

--- a/src/protocol/peer/relay-codec.ts
+++ b/src/protocol/peer/relay-codec.ts
@@ -2,6 +2,7 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import { BinaryWriter, WireType } from '@bufbuild/protobuf/wire';
 import { StorePosition } from '../../runtime/store-position.js';
+import { limitJsonDepth } from '../json-depth.js';
 import type { ObjectEvent, StoredObject } from '../object-store/port.js';
 import {
   type ObjectAnswer,
@@ -130,7 +131,9 @@
   { name, revision, contents, isGone }: ObjectChange,
   era: number,
 ): ObjectEvent {
-  const spec: unknown = isGone ? undefined : JSON.parse(decoder.decode(contents));
+  // A reader of an earlier version doesn't limit the depth.
+  const text = isGone ? undefined : limitJsonDepth(decoder.decode(contents));
+  const spec: unknown = text === undefined ? undefined : JSON.parse(text);
   const position = new StorePosition(era, Number(revision));
   const object: StoredObject = { name, position, spec };
   return { object, isGone };
--- /dev/null
+++ b/test/odd-entries.test.ts
@@ -0,0 +1,140 @@
+/**
+ * Guards against routers that end, or stop following the store, because another writer left an odd
+ * entry: processes of the bundled program read a store on a socket, directly in a small group and
+ * through readers in a large one.
+ */
+import test, { type ExecutionContext } from 'ava';
+import { platformDecoder } from '../platform/formats.js';
+import { ObjectKind } from '../platform/names.js';
+import {
+  type OddEntry,
+  entryText,
+  nested,
+  nestedEntries,
+  writeConfiguration,
+} from './helpers/odd-entries.js';
+import { positionAt } from './helpers/positions.js';
+import { RawStore } from './helpers/raw-store.js';
+import { type RouterProcess, RouterProcesses, poll } from './helpers/router-processes.js';
+
+/** In a larger group than 12, two readers read the store for the others. */
+const GROUPS = { 'read directly': 3, 'read through others': 14 };
+/** Time within which every router follows another entry. */
+const FOLLOWED_MS = 1_000;
+const WAIT_MS = 5_000;
+const ODD_NAME = 'odd';
+const VALID_ENTRIES = 5;
+/** Ten such entries, kept as they are read, exhaust the memory of a router. */
+const REWRITES = 10;
+
+interface Setup {
+  readonly store: RawStore;
+  readonly group: RouterProcesses;
+  probes: number;
+}
+
+const setups = new Map<string, Setup>();
+
+async function setupOf(way: keyof typeof GROUPS): Promise<Setup> {
+  let setup = setups.get(way);
+  if (!setup) {
+    const store = await RawStore.start();
+    writeConfiguration(store, ObjectKind.configuration);
+    for (let index = 0; index < VALID_ENTRIES; index += 1)
+      store.put(ObjectKind.engines, `engine-${index}`, entryText());
+    const group = await RouterProcesses.start(GROUPS[way], store.address);
+    setup = { store, group, probes: 0 };
+    setups.set(way, setup);
+    // The group is complete and readers are chosen.
+    await new Promise((resolve) => setTimeout(resolve, 4_000));
+  }
+  await setup.group.restartEnded();
+  return setup;
+}
+
+test.after.always(async () => {
+  for (const { store, group } of setups.values()) {
+    await group.stop();
+    store.stop();
+  }
+});
+
+/** Whether the lines show that the router knows the engine. */
+function follows(lines: readonly string[], engine: string, engines: number): boolean {
+  return lines.some(
+    (line) =>
+      (line.includes('event=engine_changed ') && line.includes(` engine=${engine}@`)) ||
+      (line.includes('event=engines_changed ') &&
+        line.includes(' cause=list ') &&
+        Number(/engines=(\d+)/.exec(line)?.[1]) >= engines),
+  );
+}
+
+/** Writes a further entry, and returns after how long all routers knew it, in milliseconds. */
+async function followedMs(setup: Setup, validEntries: number): Promise<number> {
+  const { store, group } = setup;
+  setup.probes += 1;
+  const name = `probe-${setup.probes}`;
+  const seen = new Map(group.routers.map((router) => [router, router.lines.length]));
+  const beganMs = performance.now();
+  store.put(ObjectKind.engines, name, entryText());
+  const isFollowed = (router: RouterProcess): boolean =>
+    follows(router.lines.slice(seen.get(router)), name, validEntries + 1);
+  const areFollowing = await poll(() => group.routers.every(isFollowed), WAIT_MS);
+  const tookMs = areFollowing ? performance.now() - beganMs : Infinity;
+  store.remove(ObjectKind.engines, name);
+  return tookMs;
+}
+
+function isValid({ name = ODD_NAME, spec }: OddEntry): boolean {
+  const object = { name, position: positionAt(1), spec: JSON.parse(spec) as unknown };
+  return platformDecoder.engine(object).kind === 'value';
+}
+
+interface OddWrites {
+  readonly what: string;
+  readonly entries: readonly OddEntry[];
+}
+
+const WRITES: readonly OddWrites[] = [
+  ...[1_000, 10_000, 100_000].map((depth) => ({
+    what: `entries nested ${depth} deep`,
+    entries: nestedEntries(depth),
+  })),
+  ...nestedEntries(500_000).map((entry) => ({ what: entry.what, entries: [entry] })),
+];
+
+function nameOf({ name }: OddEntry, index: number): string {
+  return name ?? `${ODD_NAME}-${index}`;
+}
+
+async function check(t: ExecutionContext, setup: Setup, odd: readonly OddEntry[]): Promise<void> {
+  const { store, group } = setup;
+  store.resetCalls();
+  for (const [index, entry] of odd.entries())
+    store.put(ObjectKind.engines, nameOf(entry, index), entry.spec, entry.revision);
+  const valid = VALID_ENTRIES + odd.filter(isValid).length;
+  const tookMs = [await followedMs(setup, valid), await followedMs(setup, valid)];
+  const { lists, watches, bytes } = store.calls;
+  for (const [index, entry] of odd.entries())
+    store.remove(ObjectKind.engines, nameOf(entry, index));
+  tookMs.push(await followedMs(setup, VALID_ENTRIES));
+  t.log(`${tookMs.map(Math.round).join(', ')} ms; ${lists} lists, ${watches} watches, ${bytes} B`);
+  t.deepEqual(group.exits, []);
+  for (const each of tookMs) t.true(each < FOLLOWED_MS, `followed after ${each} ms`);
+}
+
+for (const way of Object.keys(GROUPS) as (keyof typeof GROUPS)[]) {
+  for (const { what, entries } of WRITES) {
+    test.serial(`${what} end no router and hide no other entry, ${way}`, async (t) => {
+      await check(t, await setupOf(way), entries);
+    });
+  }
+  test.serial(`an entry nested 500000 deep that is written again and again, ${way}`, async (t) => {
+    const setup = await setupOf(way);
+    for (let write = 0; write < REWRITES; write += 1) {
+      const spec = entryText({ unknown: nested(500_000), sequence: String(write) });
+      await check(t, setup, [{ what: 'rewritten', spec }]);
+    }
+  });
+}
