--- a/test/helpers/odd-entries.ts
+++ b/test/helpers/odd-entries.ts
@@ -166,3 +166,18 @@
   });
   return `${spec.slice(0, -1)}${extra}}`;
 }
+
+/** Texts with versions of weights that can't be announced. */
+export const ODD_WEIGHTS: readonly string[] = [
+  ...LARGE_NUMBERS,
+  '4294967296',
+  '-1',
+  '0.5',
+  '1e300',
+  nested(10_000),
+  'null',
+].map((version) => weightsText(MODEL, version));
+
+export function weightsText(model: string, version: string): string {
+  return `{"model":${JSON.stringify(model)},"version":${version}}`;
+}
--- a/test/odd-entries.test.ts
+++ b/test/odd-entries.test.ts
@@ -7,10 +7,13 @@
 import { platformDecoder } from '../platform/formats.js';
 import { ObjectKind } from '../platform/names.js';
 import {
+  MODEL,
+  ODD_WEIGHTS,
   type OddEntry,
   entryText,
   nested,
   nestedEntries,
+  weightsText,
   writeConfiguration,
 } from './helpers/odd-entries.js';
 import { positionAt } from './helpers/positions.js';
@@ -26,6 +29,8 @@
 const VALID_ENTRIES = 5;
 /** Ten such entries, kept as they are read, exhaust the memory of a router. */
 const REWRITES = 10;
+/** Versions are announced within this time. */
+const ANNOUNCED_MS = 400;
 
 interface Setup {
   readonly store: RawStore;
@@ -124,6 +129,21 @@
   for (const each of tookMs) t.true(each < FOLLOWED_MS, `followed after ${each} ms`);
 }
 
+/** Waits until every router has logged a line with all texts since `seen`. */
+function haveLogged(
+  { group }: Setup,
+  seen: ReadonlyMap<RouterProcess, number>,
+  texts: readonly string[],
+): Promise<boolean> {
+  const isLogged = (router: RouterProcess): boolean =>
+    router.lines.slice(seen.get(router)).some((line) => texts.every((text) => line.includes(text)));
+  return poll(() => group.routers.every(isLogged), FOLLOWED_MS);
+}
+
+function seenLines({ group }: Setup): Map<RouterProcess, number> {
+  return new Map(group.routers.map((router) => [router, router.lines.length]));
+}
+
 for (const way of Object.keys(GROUPS) as (keyof typeof GROUPS)[]) {
   for (const { what, entries } of WRITES) {
     test.serial(`${what} end no router and hide no other entry, ${way}`, async (t) => {
@@ -137,4 +157,15 @@
       await check(t, setup, [{ what: 'rewritten', spec }]);
     }
   });
+  test.serial(`odd versions of weights end no router and hide no other, ${way}`, async (t) => {
+    const setup = await setupOf(way);
+    for (const spec of ODD_WEIGHTS) {
+      setup.store.put(ObjectKind.weightVersions, MODEL, spec);
+      await new Promise((resolve) => setTimeout(resolve, ANNOUNCED_MS));
+      t.deepEqual(setup.group.exits, [], spec.slice(0, 100));
+    }
+    const seen = seenLines(setup);
+    setup.store.put(ObjectKind.weightVersions, MODEL, weightsText(MODEL, '3'));
+    t.true(await haveLogged(setup, seen, ['event=weights_named ', `model=${MODEL} version=3 `]));
+  });
 }
