List a kind whose changes are more than a response may hold

What callers saw: routers stopped following the engines, for as long as the store kept its history, after another writer had left many large entries.

Cause: a watch returns all changes since its position. A response above the limit of 16 MiB was taken for an interrupted one, and the same watch was made again at once. Small values take twenty times their text when parsed, so that a response within that limit could fill the heap as well.

Change: such a watch has a result of its own, after which the kind is listed, in pages.

--- a/soak/store-program.ts
+++ b/soak/store-program.ts
@@ -77,7 +77,7 @@
   }
   const requestedPosition = new StorePosition(store.era, Number(since));
   const result = await port.watch(kind, requestedPosition, Number(url.searchParams.get('wait_ms')));
-  if (result.kind === 'history-gone') {
+  if (result.kind !== 'events') {
     sendStoreResponse(response, 410, {});
     return;
   }
--- a/src/coordination/gateway/object-follower.ts
+++ b/src/coordination/gateway/object-follower.ts
@@ -146,6 +146,16 @@
       this.events.onHistoryLost();
       return;
     }
+    if (result.kind === 'too-large') {
+      this.logger.warn('store_changes_too_large', {
+        kind,
+        era: requestedPosition.era,
+        revision: requestedPosition.revision,
+      });
+      // A list has pages, so it can be read whatever its size.
+      this.position = undefined;
+      return;
+    }
     const { proven = callStart, isRelayed = false } = result;
     for (const { object, isGone } of result.events) {
       if (isGone) this.events.onRemoved(object.name, object.position);
--- a/src/protocol/errors.ts
+++ b/src/protocol/errors.ts
@@ -8,6 +8,8 @@
   | { readonly kind: 'unreachable'; readonly address: string; readonly reason: string }
   /** The connection failed after sending; whether the call took effect is unknown. */
   | { readonly kind: 'interrupted'; readonly address: string; readonly reason: string }
+  /** The response is larger than the caller accepts. */
+  | { readonly kind: 'too-large'; readonly address: string; readonly maximumBytes: number }
   /** The other side responded with an error status. */
   | { readonly kind: 'rejected'; readonly status: number; readonly reason: string }
   /** The response does not conform to the protocol. */
@@ -37,6 +39,8 @@
       return `${error.address} is unreachable: ${error.reason}`;
     case 'interrupted':
       return `exchange with ${error.address} was interrupted: ${error.reason}`;
+    case 'too-large':
+      return `response of ${error.address} is larger than ${error.maximumBytes} bytes`;
     case 'rejected':
       return `rejected with status ${error.status}: ${error.reason}`;
     case 'malformed':
--- a/src/protocol/object-store/port.ts
+++ b/src/protocol/object-store/port.ts
@@ -37,7 +37,10 @@
   readonly isGone: boolean;
 }
 
-/** Result of a watch: the changes up to a position, or `history-gone` if some may be missing. */
+/**
+ * Result of a watch: the changes up to a position; `history-gone` if some may be missing, or
+ * `too-large` if they are more than one response may hold.
+ */
 export type WatchResult =
   | (StoreResponse & {
       readonly kind: 'events';
@@ -47,7 +50,8 @@
       /** Whether another router relayed the changes; omitted if they come from the store itself. */
       readonly isRelayed?: boolean;
     })
-  | { readonly kind: 'history-gone' };
+  | { readonly kind: 'history-gone' }
+  | { readonly kind: 'too-large' };
 
 /** Result of a conditional write. */
 export type WriteResult =
--- a/test/platform/object-store-client.test.ts
+++ b/test/platform/object-store-client.test.ts
@@ -213,3 +213,12 @@
   }
   t.like(await client.watch('servers', first.position, 100), { kind: 'events' });
 });
+
+test('a watch with more changes than a response may hold says so', async (t) => {
+  const large = Array.from({ length: 20 }, (_, index) => ({
+    gone: false,
+    object: object(`a-${index}`, index, 'x'.repeat(300_000)),
+  }));
+  const client = await clientOfStore(t, () => ({ status: 200, body: { events: large, at: 30 } }));
+  t.deepEqual(await client.watch('servers', positionAt(1), 100), { kind: 'too-large' });
+});
