Relay the other objects if one can't be written

Cause: the changes of a response are encoded together, in a timer for queries that are held, where an exception ends the process. A follower that can't parse the contents of one object likewise took the whole response for malformed and closed the connection.

Change: each object is encoded and decoded with a result of its own. One whose contents can't be written, or read, is passed on without contents, so that it counts as malformed; the reader logs it once. Since the depth is limited nothing is known to get there; this is the second layer.

Measured: test/gateway/store-relay.test.ts, an object nested 100,000 deep in the reader's copy. Before, the response was never made; after, the follower has it without contents and the other one with its own.

--- a/src/coordination/gateway/store-relay/relay-server.ts
+++ b/src/coordination/gateway/store-relay/relay-server.ts
@@ -5,6 +5,7 @@
  */
 import type { Clock, Timer } from '../../../runtime/clock.js';
 import type { ElapsedInstant } from '../../../runtime/elapsed-instant.js';
+import type { Logger } from '../../../runtime/logger.js';
 import { StorePosition } from '../../../runtime/store-position.js';
 import type { FrameConnection } from '../../../transport/frame-transport.js';
 import type { ObjectEvent } from '../../../protocol/object-store/port.js';
@@ -22,6 +23,9 @@
 /** Longest time for which a query is held, whatever wait it requests. */
 const MAXIMUM_HOLD_MS = 5_000;
 
+/** Characters of a name in the log. */
+const MAXIMUM_NAME_LENGTH = 120;
+
 interface HeldQuery {
   readonly query: RelayQuery;
   readonly connection: FrameConnection;
@@ -36,7 +40,7 @@
   private readonly held = new Map<string, Set<HeldQuery>>();
   private readonly batchedKinds = new Set<string>();
   private readonly connections = new Set<FrameConnection>();
-  private readonly encoder = new ResponseEncoder();
+  private readonly encoder: ResponseEncoder;
   private isStopped = false;
 
   /** @param maximumProofAgeMs with an older proof, queries get a response without being held */
@@ -44,7 +48,15 @@
     private readonly mirrors: ObjectMirrors,
     private readonly maximumProofAgeMs: number,
     private readonly clock: Clock,
-  ) {}
+    logger: Logger,
+  ) {
+    this.encoder = new ResponseEncoder(({ name, position }, error) => {
+      const { revision } = position;
+      const reason = error instanceof Error ? error.message : String(error);
+      const object = name.slice(0, MAXIMUM_NAME_LENGTH);
+      logger.error('relayed_object_unencodable', { object, revision, reason });
+    });
+  }
 
   /** Serves a connection opened by another router. */
   accept(connection: FrameConnection): void {
--- a/src/coordination/gateway/store-relay/response-encoder.ts
+++ b/src/coordination/gateway/store-relay/response-encoder.ts
@@ -1,6 +1,6 @@
 /** Encodes relay responses and caches deflated ones, since most followers request the same. */
 import type { StorePosition } from '../../../runtime/store-position.js';
-import type { ObjectEvent } from '../../../protocol/object-store/port.js';
+import type { ObjectEvent, StoredObject } from '../../../protocol/object-store/port.js';
 import {
   ChangeEncoder,
   type EncodedChanges,
@@ -21,9 +21,14 @@
 
 /** Encoder and cache of one router's relay responses. */
 export class ResponseEncoder {
-  private readonly encoder = new ChangeEncoder();
+  private readonly encoder: ChangeEncoder;
   private readonly deflated = new Map<string, EncodedChanges>();
 
+  /** @param onUnencodable called once for each object that is encoded without its contents */
+  constructor(onUnencodable?: (object: StoredObject, error: unknown) => void) {
+    this.encoder = new ChangeEncoder(onUnencodable);
+  }
+
   /** @param acceptsDeflated whether the requesting router supports deflated changes */
   encode(
     range: ChangeRange,
--- a/src/coordination/gateway/store-relay/store-relay.ts
+++ b/src/coordination/gateway/store-relay/store-relay.ts
@@ -42,7 +42,7 @@
     const { store, frames, clock, random, logger } = dependencies;
     const mirrors = new ObjectMirrors();
     const client = new RelayClient(frames, clock);
-    const server = new RelayServer(mirrors, settings.maximumProofAgeMs, clock);
+    const server = new RelayServer(mirrors, settings.maximumProofAgeMs, clock, logger);
     const { own } = group;
     const listener = await frames.listen(own.gossipAddress, (connection) =>
       server.accept(connection),
--- a/src/protocol/peer/encoded-changes.ts
+++ b/src/protocol/peer/encoded-changes.ts
@@ -30,10 +30,19 @@
 
 const textEncoder = new TextEncoder();
 
+/** JSON text of the contents of an object that can't be encoded, which makes it malformed. */
+const NO_CONTENTS = 'null';
+
 /** Encodes changes. Encoded objects are cached, since a `StoredObject` is immutable. */
 export class ChangeEncoder {
   private readonly encoded = new WeakMap<StoredObject, Uint8Array>();
 
+  /** @param onUnencodable called once for each object that is encoded without its contents */
+  constructor(
+    private readonly onUnencodable: (object: StoredObject, error: unknown) => void = () =>
+      undefined,
+  ) {}
+
   encode(events: readonly ObjectEvent[]): Uint8Array[] {
     return events.map(({ object, isGone }) => (isGone ? encodeRemoval(object) : this.get(object)));
   }
@@ -41,12 +50,21 @@
   private get(object: StoredObject): Uint8Array {
     let bytes = this.encoded.get(object);
     if (!bytes) {
-      const contents = textEncoder.encode(JSON.stringify(object.spec));
-      bytes = encodeChange(object, contents, false);
+      bytes = encodeChange(object, textEncoder.encode(this.textOf(object)), false);
       this.encoded.set(object, bytes);
     }
     return bytes;
   }
+
+  /** An object that can't be written must not keep the others from the followers. */
+  private textOf(object: StoredObject): string {
+    try {
+      return JSON.stringify(object.spec);
+    } catch (error) {
+      this.onUnencodable(object, error);
+      return NO_CONTENTS;
+    }
+  }
 }
 
 /** Compresses the changes unless they are small. */
--- a/src/protocol/peer/relay-codec.ts
+++ b/src/protocol/peer/relay-codec.ts
@@ -126,15 +126,22 @@
   }
 }
 
-/** Throws if the contents are not valid JSON. */
 function decodeChange(
   { name, revision, contents, isGone }: ObjectChange,
   era: number,
 ): ObjectEvent {
-  // A reader of an earlier version doesn't limit the depth.
-  const text = isGone ? undefined : limitJsonDepth(decoder.decode(contents));
-  const spec: unknown = text === undefined ? undefined : JSON.parse(text);
+  const spec = isGone ? undefined : parseContents(contents);
   const position = new StorePosition(era, Number(revision));
   const object: StoredObject = { name, position, spec };
   return { object, isGone };
 }
+
+/** Contents that are not JSON are null, so that they make only their own object malformed. */
+function parseContents(contents: Uint8Array): unknown {
+  try {
+    // A reader of an earlier version doesn't limit the depth.
+    return JSON.parse(limitJsonDepth(decoder.decode(contents)));
+  } catch {
+    return null;
+  }
+}
--- a/test/gateway/store-relay.test.ts
+++ b/test/gateway/store-relay.test.ts
@@ -11,11 +11,13 @@
   decodeRelayFrame,
   encodeRelayQuery,
 } from '../../src/protocol/peer/relay-codec.js';
+import { NoopLogger } from '../../src/runtime/logger.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
 import type { FrameConnection } from '../../src/transport/frame-transport.js';
 import { KIND, RelayHarness, SETTINGS } from '../helpers/relay-harness.js';
 import { ElapsedInstant } from '../../src/runtime/elapsed-instant.js';
 import type { StorePosition } from '../../src/runtime/store-position.js';
+import { nested } from '../helpers/odd-entries.js';
 import { positionAt } from '../helpers/positions.js';
 
 /** Lists at both routers, then lets the reader follow in an endless loop. */
@@ -58,10 +60,36 @@
   t.is(harness.calls[1], 0);
 });
 
+test('an object that its reader can not write hides no other', async (t) => {
+  const { harness, position } = await followedHarness();
+  const follower = harness.stores[1] as RelayedObjectStore;
+  const watch = harness.run(follower.watch(KIND, position, 1_500));
+  // Deeper than `JSON.stringify` can follow.
+  harness.store.put(KIND, 'odd', JSON.parse(nested(100_000)));
+  harness.store.put(KIND, 'second', { value: 2 });
+  const expected = [
+    ['odd', null],
+    ['second', { value: 2 }],
+  ];
+  const result = await watch;
+  if (result instanceof Error || result.kind !== 'events') return t.fail();
+  t.deepEqual(
+    result.events.map(({ object }) => [object.name, object.spec]),
+    expected,
+  );
+  const list = await harness.run(follower.list(KIND, ListFreshness.Current));
+  if (list instanceof Error) return t.fail();
+  t.deepEqual(
+    list.objects.map(({ name, spec }) => [name, spec]),
+    [['first', { value: 1 }], ...expected],
+  );
+  t.is(harness.calls[1], 0);
+});
+
 test('a query gets a response within its wait even if the proof is renewed meanwhile', async (t) => {
   const clock = new VirtualClock();
   const mirrors = new ObjectMirrors();
-  const server = new RelayServer(mirrors, SETTINGS.maximumProofAgeMs, clock);
+  const server = new RelayServer(mirrors, SETTINGS.maximumProofAgeMs, clock, new NoopLogger());
   const mirror = mirrors.of(KIND);
   mirror.applyList([], positionAt(5), clock.elapsed());
   await clock.advance(1_000);
@@ -100,7 +128,7 @@
 test('a query for a position ahead of the mirror is held until the mirror has caught up', async (t) => {
   const clock = new VirtualClock();
   const mirrors = new ObjectMirrors();
-  const server = new RelayServer(mirrors, SETTINGS.maximumProofAgeMs, clock);
+  const server = new RelayServer(mirrors, SETTINGS.maximumProofAgeMs, clock, new NoopLogger());
   const mirror = mirrors.of(KIND);
   mirror.applyList([], positionAt(5), clock.elapsed());
   const responses: RelayMessage[] = [];
--- a/test/helpers/relay-harness.ts
+++ b/test/helpers/relay-harness.ts
@@ -88,7 +88,8 @@
     const port = new SimulatedStorePort(this.store, own.nodeId, host);
     const frames = new SimulatedFrameTransport(this.sockets, own.nodeId, host);
     const mirrors = new ObjectMirrors();
-    const server = new RelayServer(mirrors, SETTINGS.maximumProofAgeMs, host);
+    const logger = new NoopLogger();
+    const server = new RelayServer(mirrors, SETTINGS.maximumProofAgeMs, host, logger);
     const client = new RelayClient(frames, host);
     await frames.listen(own.gossipAddress, (connection) => server.accept(connection));
     const counted = Object.create(port) as SimulatedStorePort;
@@ -96,7 +97,6 @@
       this.calls[index] = (this.calls[index] ?? 0) + 1;
       return port.watch(kind, position, waitMs);
     };
-    const logger = new NoopLogger();
     const group = { working, seeds: working.map((each) => each.gossipAddress) };
     const random = new SeededRandom(100 + index);
     const eras = new StoreEras(true);
