Test odd objects of the other kinds that routers read

Deeply nested values and numbers that are too large, in each place of a configuration, the lease, a record of quarantine and the record of builds, with processes of the bundle that read directly and through others. None ended, all followed the engines and the next configuration within 2 s, and a router that is restarted beside them joins. Nothing had to be mended.

--- a/test/helpers/odd-entries.ts
+++ b/test/helpers/odd-entries.ts
@@ -2,6 +2,7 @@
  * JSON texts of odd entries, as another writer may leave them: deeply nested, with a number that is too
  * large, or with a port out of range.
  */
+import { ObjectKind } from '../../platform/names.js';
 import type { RawStore } from './raw-store.js';
 
 /** The only service of the texts. */
@@ -183,3 +184,45 @@
 export function weightsText(model: string, version: string): string {
   return `{"model":${JSON.stringify(model)},"version":${version}}`;
 }
+
+/** An odd object of a kind that is not that of engines. */
+export interface OddObject {
+  readonly kind: string;
+  readonly name: string;
+  readonly spec: string;
+}
+
+const ODD_VALUES = [nested(10_000), nested(500_000), ...LARGE_NUMBERS, '-1', '"x"', '{}', 'null'];
+
+/** Specs of other kinds with an odd value in each place; `ODD` marks the place. */
+const OTHER_KINDS: readonly OddObject[] = [
+  { kind: ObjectKind.configuration, name: 'other', spec: 'ODD' },
+  { kind: ObjectKind.configuration, name: 'main', spec: 'ODD' },
+  { kind: ObjectKind.configuration, name: 'main', spec: '{"version":ODD}' },
+  { kind: ObjectKind.configuration, name: 'main', spec: configurationText(1, ',"tenants":ODD') },
+  { kind: ObjectKind.configuration, name: 'main', spec: configurationText(1, ',"limits":ODD') },
+  { kind: ObjectKind.leases, name: 'weights', spec: 'ODD' },
+  {
+    kind: ObjectKind.leases,
+    name: 'weights',
+    spec: '{"holder":"x","life":"y","fencingToken":ODD}',
+  },
+  { kind: ObjectKind.quarantine, name: '0f'.repeat(16), spec: 'ODD' },
+  {
+    kind: ObjectKind.quarantine,
+    name: '0e'.repeat(16),
+    spec: '{"tenant":"t","route":"r","path":"/","engines":[],"quarantinedAtMs":ODD}',
+  },
+  { kind: ObjectKind.builds, name: 'main', spec: 'ODD' },
+  {
+    kind: ObjectKind.builds,
+    name: 'main',
+    spec: `{"services":[{"name":"${SERVICE}","builds":ODD}]}`,
+  },
+  { kind: ObjectKind.builds, name: 'main', spec: '{"services":[],"era":ODD}' },
+];
+
+/** Odd objects of all kinds that routers read, except of engines. */
+export const ODD_OBJECTS: readonly OddObject[] = OTHER_KINDS.flatMap((object) =>
+  ODD_VALUES.map((value) => ({ ...object, spec: object.spec.replace('ODD', () => value) })),
+);
--- a/test/odd-entries.test.ts
+++ b/test/odd-entries.test.ts
@@ -15,6 +15,7 @@
   LARGE_ENTRIES,
   MODEL,
   NUMBER_ENTRIES,
+  ODD_OBJECTS,
   ODD_WEIGHTS,
   type OddEntry,
   entryText,
@@ -37,6 +38,9 @@
 const VALID_ENTRIES = 5;
 /** Ten such entries, kept as they are read, exhaust the memory of a router. */
 const REWRITES = 10;
+/** Several odd objects are read together, and each is current for a while. */
+const BETWEEN_OBJECTS_MS = 60;
+const NEXT_VERSION = 7;
 /** Versions are announced within this time. */
 const ANNOUNCED_MS = 400;
 
@@ -216,4 +220,29 @@
     setup.store.put(ObjectKind.weightVersions, MODEL, weightsText(MODEL, '3'));
     t.true(await haveLogged(setup, seen, ['event=weights_named ', `model=${MODEL} version=3 `]));
   });
+  test.serial(
+    `odd objects of the other kinds end no router and hide no other, ${way}`,
+    async (t) => {
+      const setup = await setupOf(way);
+      const { store, group } = setup;
+      for (const { kind, name, spec } of ODD_OBJECTS) {
+        store.put(kind, name, spec);
+        await new Promise((resolve) => setTimeout(resolve, BETWEEN_OBJECTS_MS));
+        t.deepEqual(group.exits, [], `${kind}/${name}: ${spec.slice(0, 200)}`);
+      }
+      t.true((await followedMs(setup, VALID_ENTRIES)) < FOLLOWED_MS);
+      const seen = seenLines(setup);
+      writeConfiguration(store, ObjectKind.configuration, NEXT_VERSION);
+      const texts = ['event=configuration_in_force ', ` version=${NEXT_VERSION} `];
+      t.true(await haveLogged(setup, seen, texts));
+      // A router that starts reads the objects at once.
+      const [restarted] = group.routers;
+      for (const { kind, name, spec } of ODD_OBJECTS)
+        if (kind !== ObjectKind.configuration) store.put(kind, name, spec);
+      await restarted?.end();
+      await group.restartEnded();
+      t.true((await followedMs(setup, VALID_ENTRIES)) < WAIT_MS);
+      t.deepEqual(group.exits, []);
+    },
+  );
 }
