--- a/test/platform/malformed-entries.test.ts
+++ b/test/platform/malformed-entries.test.ts
@@ -98,6 +98,21 @@
   t.is(harness.statistics.oddEntries, 2);
 });
 
+/** The year 9999, and the largest exact integer. */
+for (const born of [253_402_300_799_000, Number.MAX_SAFE_INTEGER]) {
+  test(`an entry that starts at ${born} does not outrank the true one for good`, (t) => {
+    const harness = new EngineListHarness({ decoder: platformDecoder });
+    const specs = [VALID_SPEC, { ...VALID_SPEC, born, address: '10.0.0.9:8080' }, VALID_SPEC];
+    for (const [index, spec] of specs.entries())
+      harness.list.apply({ name: 'i-1', position: positionAt(index + 1), spec });
+    t.like(harness.registry.findByName('i-1')?.record, {
+      startedAtMs: STARTED_AT_MS,
+      address: VALID_SPEC.address,
+    });
+    t.is(harness.statistics.oddEntries, 1);
+  });
+}
+
 test('an entry of a service that is not configured is counted and serves no other service', (t) => {
   const harness = new EngineListHarness({ decoder: platformDecoder, services: ['llm'] });
   const spec = { ...VALID_SPEC, service: 'other' };
