--- a/test/odd-entries.test.ts
+++ b/test/odd-entries.test.ts
@@ -216,6 +216,9 @@
       await new Promise((resolve) => setTimeout(resolve, ANNOUNCED_MS));
       t.deepEqual(setup.group.exits, [], spec.slice(0, 100));
     }
+    // The highest version that can be announced, under the name of another model.
+    setup.store.put(ObjectKind.weightVersions, ODD_NAME, weightsText(MODEL, '4294967295'));
+    await new Promise((resolve) => setTimeout(resolve, ANNOUNCED_MS));
     const seen = seenLines(setup);
     setup.store.put(ObjectKind.weightVersions, MODEL, weightsText(MODEL, '3'));
     t.true(await haveLogged(setup, seen, ['event=weights_named ', `model=${MODEL} version=3 `]));
