Announce at most 64 named versions in a report

While a thousand versions with long names are new, no report of a router arrives, so others don't know its work, its lease and its loads for 15 s.

Cause: all versions of the last 15 s are announced in each report, which must fit into a datagram of 64 KiB.

--- a/src/coordination/gateway/weight-version-discovery.ts
+++ b/src/coordination/gateway/weight-version-discovery.ts
@@ -40,6 +40,9 @@
 /** How long a version is announced; longer than any deadline for replaced weights. */
 const ANNOUNCED_FOR_MS = 15_000;
 
+/** Newest versions that are announced together, so that a report fits into a datagram. */
+const MAXIMUM_ANNOUNCED = 64;
+
 /** The list and the first watch; later watches report changes as they happen. */
 const RESPONSES_UNTIL_FOLLOWED = 2;
 
@@ -125,13 +128,16 @@
   get versionAnnouncements(): WeightVersionAnnouncement[] {
     const { versions, clock } = this.parts;
     const nowMs = clock.now();
-    return versions.models.flatMap((model) =>
+    const announcements = versions.models.flatMap((model) =>
       versions.observedSince(model, nowMs - ANNOUNCED_FOR_MS).map(({ version, namedMs }) => ({
         model,
         version,
         ageMs: Math.max(0, Math.round(nowMs - namedMs)),
       })),
     );
+    if (announcements.length <= MAXIMUM_ANNOUNCED) return announcements;
+    const newestFirst = announcements.sort((left, right) => left.ageMs - right.ageMs);
+    return newestFirst.slice(0, MAXIMUM_ANNOUNCED);
   }
 
   /** Assumed age of versions that may have been named before the start, in milliseconds. */
--- a/test/gateway/weight-version-discovery.test.ts
+++ b/test/gateway/weight-version-discovery.test.ts
@@ -1,7 +1,13 @@
 /** A router must not date a weight version too late, nor earlier than its last proof allows. */
+import { create } from '@bufbuild/protobuf';
 import test from 'ava';
 import { WeightVersionDiscovery } from '../../src/coordination/gateway/weight-version-discovery.js';
 import { DECODER, SIMULATION_MODEL } from '../../src/lab/gateway-simulation/simulation-fixtures.js';
+import { encodeLoadReport } from '../../src/protocol/peer/cluster-codec.js';
+import {
+  LoadReportSchema,
+  NamedWeightsSchema,
+} from '../../src/protocol/peer/generated/cluster_pb.js';
 import { NoopLogger } from '../../src/runtime/logger.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
 import { StoreOutages } from '../../src/state/routing/store-outages.js';
@@ -11,6 +17,7 @@
 const GRACE_MS = 9_000;
 const ASSUMED_AGE_MS = 5_000;
 const START_MS = 20_000;
+const LARGEST_DATAGRAM_BYTES = 65_507;
 
 function namedObject(version: number) {
   return {
@@ -56,6 +63,23 @@
   t.is(announcementCount(), 1);
 });
 
+test('many named versions do not make a report too large for a datagram', async (t) => {
+  const { clock, discovery } = await discoveryHarness();
+  for (let response = 0; response < 2; response += 1)
+    discovery.recordResponse(clock.elapsed(), false);
+  const models = Array.from({ length: 1_000 }, (_, index) => `${index}-${'x'.repeat(196)}`);
+  for (const [index, model] of models.entries()) {
+    await clock.advance(1);
+    const object = { name: model, position: positionAt(index), spec: { model, version: 1 } };
+    discovery.applyChange(object, false);
+  }
+  const announced = discovery.versionAnnouncements;
+  const named = announced.map((announcement) => create(NamedWeightsSchema, announcement));
+  const { byteLength } = encodeLoadReport(create(LoadReportSchema, { named }));
+  t.true(byteLength < LARGEST_DATAGRAM_BYTES / 2, `${byteLength} bytes`);
+  t.is(announced[0]?.model, models.at(-1));
+});
+
 test('an announcement by a router that observed the naming updates the age', async (t) => {
   const { clock, versions, discovery } = await discoveryHarness();
   discovery.applyList([namedObject(1)]);
