--- a/test/helpers/odd-entries.ts
+++ b/test/helpers/odd-entries.ts
@@ -61,7 +61,13 @@
   ];
 }
 
-export const LARGE_NUMBERS = ['1e400', '-1e400', '9007199254740991', '9007199254740993', '1099511627776'];
+export const LARGE_NUMBERS = [
+  '1e400',
+  '-1e400',
+  '9007199254740991',
+  '9007199254740993',
+  '1099511627776',
+];
 const NUMBER_FIELDS = ['slots', 'sequence', 'born', 'version', 'unknown'];
 const ADDRESSES = [
   '127.0.0.1:0',
