--- a/soak/main.ts
+++ b/soak/main.ts
@@ -93,6 +93,11 @@
     describe:
       'let engines send responses behind cut heads and answer requests for the rest of streams wrongly',
   })
+  .option('odd-entries', {
+    type: 'boolean',
+    default: false,
+    describe: 'write entries that are deeply nested, or have odd numbers or ports',
+  })
   .option('program', {
     type: 'string',
     array: true,
@@ -137,6 +142,7 @@
       hasEarlyEnds: options.earlyEnds,
       hasBuildReleases: options.buildReleases,
       hasContradictedResponses: options.contradictedResponses,
+      hasOddEntries: options.oddEntries,
       callers: options.callers,
       folder,
       programs: options.program,
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -241,6 +241,7 @@
       hasEarlyEnds: mutation.name.includes('without a length'),
       hasBuildReleases: false,
       hasContradictedResponses: CONTRADICTIONS.some((word) => mutation.name.includes(word)),
+      hasOddEntries: false,
       callers: 12,
       folder: runFolder,
       programs: [program],
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -11,6 +11,7 @@
   drawFirstRelease,
 } from './build-release-steps.js';
 import { BRITTLE_ENGINE_STEPS } from './brittle-engine-steps.js';
+import { ODD_ENTRY_STEPS } from './odd-entry-steps.js';
 import { CONTRADICTED_RESPONSE_STEPS } from './contradicted-response-steps.js';
 import { CRASHING_PART_STEPS } from './crashing-part-steps.js';
 import { ENGINE_CUT_STEPS } from './engine-cut-steps.js';
@@ -73,6 +74,8 @@
   readonly hasBuildReleases: boolean;
   /** Whether engines send responses behind cut heads, and answer requests for the rest of streams wrongly. */
   readonly hasContradictedResponses: boolean;
+  /** Whether another program writes entries that are deeply nested, or have odd numbers or ports. */
+  readonly hasOddEntries: boolean;
 }
 
 /** Number of routers without unplanned faults, so that some requests succeed at all times. */
@@ -270,6 +273,7 @@
   ['hasEarlyEnds', EARLY_END_STEPS],
   ['hasBuildReleases', BUILD_RELEASE_STEPS],
   ['hasContradictedResponses', CONTRADICTED_RESPONSE_STEPS],
+  ['hasOddEntries', ODD_ENTRY_STEPS],
 ] as const;
 
 /**
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -42,6 +42,8 @@
   readonly hasBuildReleases: boolean;
   /** Whether engines send responses behind cut heads, and answer requests for the rest of streams wrongly. */
   readonly hasContradictedResponses: boolean;
+  /** Whether another program writes entries that are deeply nested, or have odd numbers or ports. */
+  readonly hasOddEntries: boolean;
   readonly callers: number;
   /** Directory of settings, logs and, after a violation, the evidence. */
   readonly folder: string;
--- a/soak/store-program.ts
+++ b/soak/store-program.ts
@@ -9,7 +9,8 @@
 import { SystemClock } from '../src/runtime/clock.js';
 import { StorePosition } from '../src/runtime/store-position.js';
 import type { StoreCommand, StoreReport } from './messages.js';
-import { WireHeader, WireKind, sendJson, readBody } from './wire.js';
+import { withRawSpecs } from './raw-specs.js';
+import { WireHeader, WireKind, sendJsonText, readBody } from './wire.js';
 
 /** An engine's entry expires after three heartbeats without a write. */
 const ENTRY_LIFETIME_MS = 3_600;
@@ -42,7 +43,7 @@
   era = store.era,
 ): void {
   response.setHeader(WireHeader.storeEra, String(era));
-  sendJson(response, status, body);
+  sendJsonText(response, status, withRawSpecs(JSON.stringify(body)));
 }
 
 async function handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/soak/wire.ts
+++ b/soak/wire.ts
@@ -46,7 +46,10 @@
 }
 
 export function sendJson(response: ServerResponse, status: number, body: unknown): void {
-  const text = JSON.stringify(body);
+  sendJsonText(response, status, JSON.stringify(body));
+}
+
+export function sendJsonText(response: ServerResponse, status: number, text: string): void {
   response.writeHead(status, {
     'Content-Type': 'application/json',
     'Content-Length': String(Buffer.byteLength(text)),
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -35,6 +35,8 @@
   /** Whether engines contradict their responses; likewise. */
   readonly hasContradictedResponses?: boolean;
   readonly hasEarlyEnds?: boolean;
+  /** Whether another program writes odd entries; likewise. */
+  readonly hasOddEntries?: boolean;
   /** Whether routers run the production build and the current build side by side. */
   readonly isMixed?: boolean;
   /** Cause of the broken promise. */
@@ -115,6 +117,13 @@
   hasSpoiledResponses: true,
   cause: 'none: the short soak of spoiled responses and outages of all routers',
 };
+const ODD_ENTRIES: RegressionSeed = {
+  seed: 23,
+  seconds: 14,
+  routers: 4,
+  hasOddEntries: true,
+  cause: 'none: the short soak of odd entries of another program',
+};
 /** Without restorations of the store, because the earlier build does not support store eras. */
 const MIXED: RegressionSeed = {
   seed: 4,
@@ -138,6 +147,7 @@
   TENANT_QUOTAS,
   SILENT_ENGINES,
   SPOILED_RESPONSES,
+  ODD_ENTRIES,
   MIXED,
   ...REGRESSIONS,
 ]) {
@@ -153,6 +163,7 @@
     hasBuildReleases = false,
     hasContradictedResponses = false,
     hasEarlyEnds = false,
+    hasOddEntries = false,
   } = regression;
   test.serial(`no promise is broken in a soak with seed ${seed} (${cause})`, async (t) => {
     t.timeout(170_000);
@@ -175,6 +186,7 @@
       hasSpoiledResponses,
       hasBuildReleases,
       hasContradictedResponses,
+      hasOddEntries,
       hasEarlyEnds,
       callers: 8,
       folder,
