Bound the log lines of malformed objects

What callers saw: nothing. The name and the reason of a malformed object of weights or of a configuration, both of another writer's length, stood in the log in full, at each list. They are cut to 120 characters, as those of entries are. Measured: test/platform/malformed-entries.test.ts, two texts of 100,000 characters: over 200,000 before, below 1,000 after.

--- a/src/coordination/gateway/object-decoder.ts
+++ b/src/coordination/gateway/object-decoder.ts
@@ -25,6 +25,9 @@
   weights(object: StoredObject): Decoded<NamedWeights>;
 }
 
+/** Characters of a name or a reason in the log; both may contain untrusted text. */
+const MAXIMUM_TEXT_LENGTH = 120;
+
 /** Returns the decoded value, or undefined; logs a malformed object. */
 export function valueOrLog<Value>(
   decoded: Decoded<Value>,
@@ -34,7 +37,9 @@
   if (decoded.kind === 'value') return decoded.value;
   if (decoded.kind === 'malformed') {
     const { revision } = position;
-    logger.error('object_malformed', { object: name, revision, reason: decoded.reason });
+    const object = name.slice(0, MAXIMUM_TEXT_LENGTH);
+    const reason = decoded.reason.slice(0, MAXIMUM_TEXT_LENGTH);
+    logger.error('object_malformed', { object, revision, reason });
   }
   return undefined;
 }
--- a/test/platform/malformed-entries.test.ts
+++ b/test/platform/malformed-entries.test.ts
@@ -5,6 +5,7 @@
 import fc from 'fast-check';
 import { platformDecoder } from '../../platform/formats.js';
 import { ObjectStoreClient } from '../../platform/object-store-client.js';
+import { valueOrLog } from '../../src/coordination/gateway/object-decoder.js';
 import { ListFreshness } from '../../src/protocol/object-store/port.js';
 import { parseAddress } from '../../src/transport/address.js';
 import { EngineListHarness } from '../helpers/engine-list-harness.js';
@@ -146,6 +147,14 @@
   t.like(harness.log.of('entry_odd').at(-1), { key: 'i-1', suppressed: 2_980 });
 });
 
+test('log lines for malformed objects of other kinds are short', (t) => {
+  const { log } = new EngineListHarness({ decoder: platformDecoder });
+  const LONG = 'x'.repeat(100_000);
+  const object = { name: LONG, position: positionAt(1), spec: { model: LONG, version: LONG } };
+  t.is(valueOrLog({ kind: 'malformed', reason: LONG }, object, log), undefined);
+  t.true(JSON.stringify(log.lines).length < 1_000);
+});
+
 test('every entry is either malformed or decoded to a valid engine record', (t) => {
   const malformed = fc.oneof(fc.anything(), fc.constantFrom('', '::', ':0', 'ready', -1, 1e300));
   const field = fc.constantFrom(...Object.keys(VALID_SPEC));
