Test that a live engine is back after odd entries under its name

Entries nested 100,000 deep, with odd numbers and ports, written over that of a live engine, then the true one again: known to all within 2 s, by routers that read directly and through others. The soak draws its odd entries more often.

--- a/soak/odd-entry-steps.ts
+++ b/soak/odd-entry-steps.ts
@@ -62,32 +62,41 @@
   return (address) => Array.from({ length: count }, () => rawSpec(draw(random, address)));
 }
 
+const addEntries: StepFactory = (random) => {
+  const entries = drawEntries(random);
+  const gapMs = randomElement(random, GAPS_MS) ?? 0;
+  return {
+    name: `another program adds odd entries, every ${gapMs} ms`,
+    run: async (deployment) => {
+      const engine = randomElement(random, deployment.fleet.running);
+      for (const spec of engine ? entries(engine.proxy.address) : []) {
+        await deployment.writeMalformedEntry(spec);
+        await new Promise((resolve) => setTimeout(resolve, gapMs));
+      }
+    },
+  };
+};
+
+const overwriteEntry: StepFactory = (random) => {
+  const entries = drawEntries(random);
+  return {
+    name: "another program overwrites an engine's entry with odd ones",
+    run: async (deployment) => {
+      const engine = randomElement(random, deployment.fleet.running);
+      if (!engine) return;
+      deployment.fleet.recordFault(OVERWRITTEN_ENTRY_MS);
+      for (const spec of entries(engine.proxy.address))
+        await deployment.writeMalformedEntry(spec, engine.name);
+    },
+  };
+};
+
+/** Listed several times, so that most runs have several of them. */
 export const ODD_ENTRY_STEPS: readonly StepFactory[] = [
-  (random) => {
-    const entries = drawEntries(random);
-    const gapMs = randomElement(random, GAPS_MS) ?? 0;
-    return {
-      name: `another program adds odd entries, every ${gapMs} ms`,
-      run: async (deployment) => {
-        const engine = randomElement(random, deployment.fleet.running);
-        for (const spec of engine ? entries(engine.proxy.address) : []) {
-          await deployment.writeMalformedEntry(spec);
-          await new Promise((resolve) => setTimeout(resolve, gapMs));
-        }
-      },
-    };
-  },
-  (random) => {
-    const entries = drawEntries(random);
-    return {
-      name: "another program overwrites an engine's entry with odd ones",
-      run: async (deployment) => {
-        const engine = randomElement(random, deployment.fleet.running);
-        if (!engine) return;
-        deployment.fleet.recordFault(OVERWRITTEN_ENTRY_MS);
-        for (const spec of entries(engine.proxy.address))
-          await deployment.writeMalformedEntry(spec, engine.name);
-      },
-    };
-  },
+  addEntries,
+  addEntries,
+  addEntries,
+  overwriteEntry,
+  overwriteEntry,
+  overwriteEntry,
 ];
--- a/test/helpers/odd-entries.ts
+++ b/test/helpers/odd-entries.ts
@@ -8,6 +8,9 @@
 /** The only service of the texts. */
 export const SERVICE = 'llm';
 export const MODEL = 'model-a';
+/** Of the valid entries. */
+export const TRUE_ADDRESS = '127.0.0.1:9';
+export const TRUE_START_MS = 1_764_720_000_123;
 
 /** An odd entry of an engine. */
 export interface OddEntry {
@@ -27,12 +30,12 @@
 export function entryText(fields: Readonly<Record<string, string | undefined>> = {}): string {
   const valid: Record<string, string | undefined> = {
     service: `"${SERVICE}"`,
-    address: '"127.0.0.1:9"',
+    address: `"${TRUE_ADDRESS}"`,
     zone: '"zone-a"',
     slots: '8',
     state: '"ready"',
     sequence: '1',
-    born: '1764720000123',
+    born: String(TRUE_START_MS),
     version: '"1.0"',
     models: `[{"name":"${MODEL}","version":1}]`,
     ...fields,
@@ -61,7 +64,13 @@
   ];
 }
 
-export const LARGE_NUMBERS = ['1e400', '-1e400', '9007199254740991', '9007199254740993', '1099511627776'];
+export const LARGE_NUMBERS = [
+  '1e400',
+  '-1e400',
+  '9007199254740991',
+  '9007199254740993',
+  '1099511627776',
+];
 const NUMBER_FIELDS = ['slots', 'sequence', 'born', 'version', 'unknown'];
 const ADDRESSES = [
   '127.0.0.1:0',
--- a/test/odd-entries.test.ts
+++ b/test/odd-entries.test.ts
@@ -19,6 +19,8 @@
   ODD_WEIGHTS,
   type OddEntry,
   entryText,
+  TRUE_ADDRESS,
+  TRUE_START_MS,
   nested,
   nestedEntries,
   weightsText,
@@ -36,6 +38,7 @@
 const WAIT_MS = 12_000;
 const ODD_NAME = 'odd';
 const VALID_ENTRIES = 5;
+const LIVE_NAME = 'engine-0';
 /** Ten such entries, kept as they are read, exhaust the memory of a router. */
 const REWRITES = 10;
 /** Several odd objects are read together, and each is current for a while. */
@@ -209,6 +212,20 @@
       }
     });
   }
+  test.serial(`a live engine is back after odd entries under its name, ${way}`, async (t) => {
+    const setup = await setupOf(way);
+    const { store, group } = setup;
+    const odd = [...nestedEntries(100_000), ...NUMBER_ENTRIES, ...ADDRESS_ENTRIES];
+    for (const { spec } of odd) store.put(ObjectKind.engines, LIVE_NAME, spec);
+    await new Promise((resolve) => setTimeout(resolve, ANNOUNCED_MS));
+    const seen = seenLines(setup);
+    // The true entry has the start time that the earlier one had.
+    store.put(ObjectKind.engines, LIVE_NAME, entryText({ sequence: '2' }));
+    const texts = ['event=engine_changed ', ` engine=${LIVE_NAME}@${TRUE_START_MS} `, TRUE_ADDRESS];
+    t.true(await haveLogged(setup, seen, texts));
+    t.true((await followedMs(setup, VALID_ENTRIES)) < FOLLOWED_MS);
+    t.deepEqual(group.exits, []);
+  });
   test.serial(`odd versions of weights end no router and hide no other, ${way}`, async (t) => {
     const setup = await setupOf(way);
     for (const spec of ODD_WEIGHTS) {
