Soak long streams at routers that stop while short of processor time

The check of planned stops had none of the exceptions of rule LOST, so that a stream longer than the grace period could not be drawn, and it left out every call beside the fault of any engine. It now follows the rule: a request that was sent completely and whose connection ends without a complete response between the SIGTERM of the router that took it and 1 s after grace_s, once it ran on an engine or 0.4 s after its last byte. Left out is what the rule leaves out: an engine that broke off, a deadline or time-out that was reached, an unplanned disruption from contact_ms before the request until its end, and, new, "one where the engine was still at work in the last sixth of grace_s on a request sent no later than 3 s after the SIGTERM". Without this exception each stream longer than the grace period would count. Stricter than before: a fault of an engine counts only for requests that ran there (or nowhere), recovery after a fault is contact_ms without the slack of the soak, a restart is no excuse, and neither are suspensions of up to 450 ms, which are a shortage of processor time. A connection that the kernel resets as it ends a killed process had unread bytes, so that its request was not read; such calls are counted and printed.

New steps, on their own switch (--long-streams): streams of 2 to 8 s, callers that send on early and on new connections until the process of the router is gone, bodies in chunks, processes paused for 60 of 160, 100 of 200 and 300 of 400 ms, SIGKILL at grace_s, and second signals, reloads, stops and configurations beside them.

--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -80,6 +80,8 @@
   readonly hasReleases: boolean;
   /** Whether a tenant has a limit. */
   readonly hasTenantQuotas: boolean;
+  /** Whether streams last for seconds, and routers are killed at the end of their grace period. */
+  readonly hasLongStreams: boolean;
 }
 
 const STORE_PROGRAM = fileURLToPath(new URL('./store-program.js', import.meta.url));
@@ -93,6 +95,14 @@
 const REWRITE_DELAY_MS = 100;
 
 const ROUTE_TIMEOUT_MS = 3_000;
+/** Exceeds the length of each stream. */
+const LONG_ROUTE_TIMEOUT_MS = 12_000;
+const GENERATION_SLOTS = 32;
+/** Enough for all callers of a router that stops. */
+export const LONG_STREAM_SLOTS = 256;
+const MAXIMUM_IN_FLIGHT = 12;
+const CACHE_TOKENS = 100_000;
+const LONG_STREAM_CACHE_TOKENS = 1_000_000;
 const IDLE_TIMEOUT_MS = 15_000;
 
 /** A running deployment of routers, engines and a store. */
@@ -112,13 +122,14 @@
     crashes: [],
     misdirectedRequests: [],
     keyRemovals: [],
-    routeTimeouts: [{ timeoutMs: ROUTE_TIMEOUT_MS, atMs: 0 }],
+    routeTimeouts: [],
     engineFaults: [],
     storeFaults: [],
   };
   private readonly storeProxies: TcpProxy[] = [];
   readonly fleet: EngineFleet;
   private readonly hasTenantQuotas: boolean;
+  private readonly hasLongStreams: boolean;
   private configurationVersion = 0;
   private idleTimeoutMs = IDLE_TIMEOUT_MS;
   private weightsVersion = 1;
@@ -133,13 +144,19 @@
     private readonly store: ChildProcess,
     private readonly storeAddress: string,
     private readonly keys: readonly CallerKey[],
-    { plainCapacity, hasUniformEngines, hasReleases, hasTenantQuotas }: DeploymentSize,
+    size: DeploymentSize,
   ) {
+    const { plainCapacity, hasUniformEngines, hasReleases, hasTenantQuotas, hasLongStreams } = size;
     const { observations } = this;
     this.hasTenantQuotas = hasTenantQuotas;
+    this.hasLongStreams = hasLongStreams;
+    const timeoutMs = hasLongStreams ? LONG_ROUTE_TIMEOUT_MS : ROUTE_TIMEOUT_MS;
+    observations.routeTimeouts.push({ timeoutMs, atMs: 0 });
     const publishedVersion = (): number => this.weightsVersion;
     const parts = { storeAddress, observations, publishedVersion };
-    this.fleet = new EngineFleet({ ...parts, plainCapacity, hasUniformEngines, hasReleases });
+    const generationSlots = hasLongStreams ? LONG_STREAM_SLOTS : GENERATION_SLOTS;
+    const capacities = { plainCapacity, generationSlots };
+    this.fleet = new EngineFleet({ ...parts, ...capacities, hasUniformEngines, hasReleases });
   }
 
   /**
@@ -290,7 +307,7 @@
   }
 
   private async startRouters(
-    { routers, hasReleases }: DeploymentSize,
+    { routers, hasReleases, hasLongStreams }: DeploymentSize,
     folder: string,
     programs: readonly string[],
   ): Promise<void> {
@@ -317,6 +334,7 @@
           ...programs.slice(index % programs.length),
           ...programs.slice(0, index % programs.length),
         ],
+        isKilledAfterGrace: hasLongStreams,
         // Only then has the record of builds a beginning within a short soak.
         isFirstStart: hasReleases,
       });
@@ -365,11 +383,11 @@
           name: Service.generation,
           max_connections: 200,
           engine: {
-            slots: 32,
-            kv_capacity_tokens: 100_000,
+            slots: this.hasLongStreams ? LONG_STREAM_SLOTS : GENERATION_SLOTS,
+            kv_capacity_tokens: this.hasLongStreams ? LONG_STREAM_CACHE_TOKENS : CACHE_TOKENS,
             kv_token_bytes: 100,
             link_mbps: 10_000,
-            max_in_flight: 12,
+            max_in_flight: this.hasLongStreams ? LONG_STREAM_SLOTS : MAXIMUM_IN_FLIGHT,
           },
         },
       ],
--- a/soak/engine-fleet.ts
+++ b/soak/engine-fleet.ts
@@ -51,13 +51,14 @@
 /** One in this many responses of a caller has neither a length nor chunks. */
 const UNFRAMED_RESPONSE_INTERVAL = 4;
 const CRASH_RESTART_DELAY_MS = 1_500;
-const GENERATION_CAPACITY: EngineCapacity = { slots: 32, plainWorkMs: 25 };
+const GENERATION_PLAIN_WORK_MS = 25;
 
 /** Dependencies and sizes of {@link EngineFleet}. */
 export interface EngineFleetParts {
   readonly storeAddress: string;
   readonly observations: Observations;
   readonly plainCapacity: EngineCapacity;
+  readonly generationSlots: number;
   /** Whether all engines have one build and give each response a length or chunks. */
   readonly hasUniformEngines: boolean;
   /** Whether engines have the build that was released last, instead of two builds in turn. */
@@ -212,8 +213,9 @@
     { name, service, build, proxy }: Pick<Engine, 'name' | 'service' | 'build' | 'proxy'>,
     version: number,
   ): ChildProcess {
-    const { storeAddress, plainCapacity, hasUniformEngines } = this.parts;
-    const capacity = service === Service.plain ? plainCapacity : GENERATION_CAPACITY;
+    const { storeAddress, plainCapacity, generationSlots, hasUniformEngines } = this.parts;
+    const generation = { slots: generationSlots, plainWorkMs: GENERATION_PLAIN_WORK_MS };
+    const capacity = service === Service.plain ? plainCapacity : generation;
     const { slots, plainWorkMs } = capacity;
     const numbers = [version, slots, plainWorkMs].map(String);
     const entry = [name, service, proxy.address, storeAddress];
--- a/soak/engine-program.ts
+++ b/soak/engine-program.ts
@@ -13,19 +13,21 @@
   EngineBehavior,
   type EngineCommand,
   type EngineReport,
+  type LoadCommand,
 } from './messages.js';
 import { CALL_PATHS } from './callers.js';
 import { EngineRoom } from './engine-room.js';
 import { misbehave } from './misbehaving-responses.js';
 import { endWithConnection } from './spoiled-responses.js';
-import { STREAM_EVENTS } from './stream-events.js';
+import { shapeOf } from './stream-events.js';
 import { MODEL, Service, WireHeader, WireKind, sendJson, callJson, readBody } from './wire.js';
 
 const [name = '', service = '', publicAddress = '', storeAddress = ''] = process.argv.slice(2);
 
 const HEARTBEAT_MS = 1_200;
-const EVENT_GAP_MS = 15;
 const LOAD_MS = 300;
+const MINIMUM_CACHE_TOKENS = 100_000;
+const CACHE_TOKENS_PER_SLOT = 3_000;
 /** How long a draining engine keeps serving after the store has accepted its state. */
 const DRAIN_MS = 9_000;
 const CRASH_DELAY_MS = 40;
@@ -182,6 +184,7 @@
     plainBody,
     isStream,
     isStreamOnce: isStreamOnce(request),
+    shape: shapeOf(request.headers),
     lastEvent: Number(request.headers[WireHeader.lastEventId] ?? 0),
     build,
   });
@@ -245,8 +248,8 @@
 }
 
 function reportRunEnd(response: ServerResponse, requestId: string): void {
-  const isBrokenOff = brokenOff.has(response);
-  report({ kind: 'run-end', requestId, engineId: incarnationId, isBrokenOff });
+  const end = { isBrokenOff: brokenOff.has(response), endedMs: Date.now() };
+  report({ kind: 'run-end', requestId, engineId: incarnationId, ...end });
 }
 
 /** Whether the request is for a stream that may not be resumed. */
@@ -286,10 +289,11 @@
   if (isUnframed(requestId)) endWithConnection(response);
   response.writeHead(200, { ...headers, 'Content-Type': 'text/event-stream' });
   let number = Number(request.headers[WireHeader.lastEventId] ?? 0);
-  const cutAfter = behavior === EngineBehavior.Truncating ? STREAM_EVENTS / 2 : Infinity;
+  const { events, eventGapMs } = shapeOf(request.headers);
+  const cutAfter = behavior === EngineBehavior.Truncating ? events / 2 : Infinity;
   const timer = setInterval(() => {
     // A stream that was broken off after its last event has nothing left but its end.
-    if (number >= STREAM_EVENTS) {
+    if (number >= events) {
       clearInterval(timer);
       response.end();
       return;
@@ -302,10 +306,10 @@
       return;
     }
     response.write(`id: ${number}\nevent: ${build}\ndata: ${requestId} ${number}\n\n`);
-    if (number < STREAM_EVENTS) return;
+    if (number < events) return;
     clearInterval(timer);
     response.end();
-  }, EVENT_GAP_MS);
+  }, eventGapMs);
   response.once('close', () => clearInterval(timer));
 }
 
@@ -315,13 +319,6 @@
   return unframedInterval > 0 && count % unframedInterval === 1;
 }
 
-interface LoadCommand {
-  readonly version: number;
-  readonly holder: string;
-  readonly fencing_token: number;
-  readonly expected_revision?: number;
-}
-
 /** Applies a load command; returns the status of the response. */
 function handleLoadCommand(command: LoadCommand): number {
   if (command.fencing_token < highestFencingToken) return 412;
@@ -358,7 +355,7 @@
     queued: 0,
     running: room.runningRequests,
     kv_used: 0,
-    kv_total: 100_000,
+    kv_total: Math.max(MINIMUM_CACHE_TOKENS, room.slots * CACHE_TOKENS_PER_SLOT),
     handles: 0,
   });
 }
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -93,6 +93,12 @@
     describe:
       'let engines send responses behind cut heads and answer requests for the rest of streams wrongly',
   })
+  .option('long-streams', {
+    type: 'boolean',
+    default: false,
+    describe:
+      'let streams last for seconds, and stop routers that are short of processor time under callers that keep sending',
+  })
   .option('program', {
     type: 'string',
     array: true,
@@ -102,9 +108,11 @@
   })
   .parseAsync();
 
-function report({ seed, calls, outcomes, violations }: SoakResult, folder: string): void {
+function report({ seed, calls, outcomes, unread, violations }: SoakResult, folder: string): void {
   const counts = [...outcomes].map(([outcome, count]) => `${outcome}: ${count}`).join(', ');
-  process.stdout.write(`seed ${seed}: ${calls} calls, ${violations.length} broken; ${counts}\n`);
+  process.stdout.write(
+    `seed ${seed}: ${calls} calls, ${violations.length} broken, ${unread} not read; ${counts}\n`,
+  );
   for (const { promise, detail } of violations.slice(0, 10)) {
     process.stdout.write(`  ${promise}: ${detail}\n`);
   }
@@ -137,6 +145,7 @@
       hasEarlyEnds: options.earlyEnds,
       hasBuildReleases: options.buildReleases,
       hasContradictedResponses: options.contradictedResponses,
+      hasLongStreams: options.longStreams,
       callers: options.callers,
       folder,
       programs: options.program,
--- a/soak/messages.ts
+++ b/soak/messages.ts
@@ -75,6 +75,7 @@
   readonly engineId: string;
   /** Whether the engine broke off the response. */
   readonly isBrokenOff: boolean;
+  readonly endedMs: number;
 }
 
 /** A response with headers on the engine's own state: draining, retry delay, rate limit. */
@@ -110,6 +111,14 @@
   readonly atMs: number;
 }
 
+/** A command to an engine to load a version of its weights, as routers send it. */
+export interface LoadCommand {
+  readonly version: number;
+  readonly holder: string;
+  readonly fencing_token: number;
+  readonly expected_revision?: number;
+}
+
 /** Reports of an engine. */
 export type EngineReport =
   | { readonly kind: 'listening'; readonly port: number }
--- a/soak/misbehaving-responses.ts
+++ b/soak/misbehaving-responses.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from 'node:http';
 import { contradictStream, joinHeads } from './contradicted-responses.js';
 import { EngineBehavior } from './messages.js';
+import { SHORT_STREAM, type StreamShape } from './stream-events.js';
 import { endEarly, eventsAfter, sendSpoiledResponse } from './spoiled-responses.js';
 
 /** A request and what a sound engine would respond. */
@@ -12,6 +13,7 @@
   readonly isStream: boolean;
   /** Whether it is a stream that may not be resumed. */
   readonly isStreamOnce: boolean;
+  readonly shape: StreamShape;
   /** Number of the last event that was received; 0 for a whole stream. */
   readonly lastEvent: number;
   readonly build: string;
@@ -27,6 +29,8 @@
   expected: ExpectedResponse,
 ): MisbehavingResult {
   const { headers, requestId, isStream, isStreamOnce, lastEvent, build } = expected;
+  // The events of spoiled, contradicted and shortened streams are those of short ones.
+  if (expected.shape !== SHORT_STREAM) return undefined;
   const body = isStream ? eventsAfter(lastEvent, requestId, build) : expected.plainBody;
   switch (behavior) {
     case EngineBehavior.Spoiling:
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -109,9 +109,16 @@
     name: 'a planned stop ends the process immediately',
     promise: 'planned-stop',
     file: 'platform/stop-sequence.ts',
-    text: 'this.node.leave();',
+    text: 'this.node.leave(schedule);',
     replacement: 'process.exit(0);',
   },
+  {
+    name: 'a stopping router begins whatever arrives',
+    promise: 'planned-stop',
+    file: 'src/coordination/gateway/shutdown.ts',
+    text: 'this.schedule = schedule;',
+    replacement: 'this.schedule = { ...schedule, endMs: Infinity };',
+  },
   {
     name: 'a partial event is forwarded before the stream is resumed elsewhere',
     promise: 'whole-answer',
@@ -185,6 +192,8 @@
 ];
 /** Words in the names of mutations that are about contradicted responses. */
 const CONTRADICTIONS = ['two heads', 'events again', 'no stream'];
+/** Words in the names of mutations that are about late requests to a router that stops. */
+const STOPS = 'stopping router';
 const SEEDS_PER_MUTATION = 8;
 const SPAN_MS = 20_000;
 
@@ -240,6 +249,7 @@
       hasSpoiledResponses: false,
       hasEarlyEnds: mutation.name.includes('without a length'),
       hasBuildReleases: false,
+      hasLongStreams: mutation.name.includes(STOPS),
       hasContradictedResponses: CONTRADICTIONS.some((word) => mutation.name.includes(word)),
       callers: 12,
       folder: runFolder,
--- a/soak/router-process.ts
+++ b/soak/router-process.ts
@@ -31,6 +31,12 @@
   untilMs: number | undefined;
 }
 
+/** How a process is kept short of processor time, in milliseconds. */
+export interface Throttle {
+  readonly pauseMs: number;
+  readonly periodMs: number;
+}
+
 /** Addresses, settings and builds of a router. */
 export interface RouterOptions {
   readonly name: string;
@@ -41,6 +47,8 @@
   readonly storeAddress: string;
   readonly seeds: readonly string[];
   readonly folder: string;
+  /** Whether the process is killed at the end of its grace period, as the platform does it. */
+  readonly isKilledAfterGrace: boolean;
   /** Files of the program's builds; each start uses the next one. */
   readonly programs: readonly string[];
   /** Whether the settings say, also at restarts, that the deployment starts for the first time. */
@@ -76,6 +84,11 @@
   readonly engineCuts: EngineCut[] = [];
   /** Times of SIGTERM. */
   readonly stops: number[] = [];
+  /** Times of the first SIGTERM of each process that was stopped as planned. */
+  readonly firstStops: number[] = [];
+  /** Times at which a process was killed because it ran at the end of its grace period. */
+  readonly killsAfterGrace: number[] = [];
+  private stoppingChild: ChildProcess | undefined;
   /** Descriptions of unexpected exits. */
   readonly crashes: string[] = [];
   private isExitExpected = false;
@@ -91,6 +104,11 @@
     return `${this.options.ip}:${this.options.ports.frontend}`;
   }
 
+  /** Identifier of the current process; undefined between two. */
+  get processId(): number | undefined {
+    return this.child?.pid;
+  }
+
   get isRunning(): boolean {
     return this.child !== undefined;
   }
@@ -128,9 +146,46 @@
     if (!this.child) return;
     this.isExitExpected = true;
     this.stops.push(Date.now());
+    if (this.stoppingChild !== this.child) this.beginGrace(this.child);
     this.child.kill('SIGTERM');
   }
 
+  private beginGrace(child: ChildProcess): void {
+    this.stoppingChild = child;
+    this.firstStops.push(Date.now());
+    if (!this.options.isKilledAfterGrace) return;
+    setTimeout(() => {
+      if (this.child !== child) return;
+      this.killsAfterGrace.push(Date.now());
+      child.kill('SIGKILL');
+    }, BOUNDS.grace_s * MILLISECONDS_PER_SECOND);
+  }
+
+  /**
+   * Leaves the process short of processor time for a while: suspends it for a part of each period,
+   * which is no fault that a promise allows for. Freezes go on meanwhile.
+   */
+  throttle({ pauseMs, periodMs }: Throttle, forMs: number): void {
+    const { child } = this;
+    if (!child) return;
+    const endMs = Date.now() + forMs;
+    const pause = (): void => {
+      if (this.child !== child || Date.now() >= endMs) return;
+      if (!this.isFrozen) child.kill('SIGSTOP');
+      setTimeout(() => {
+        if (!this.isFrozen) child.kill('SIGCONT');
+      }, pauseMs);
+      setTimeout(pause, periodMs);
+    };
+    pause();
+  }
+
+  private get isFrozen(): boolean {
+    return this.disturbances.some(
+      ({ kind, untilMs }) => kind === DisturbanceKind.Frozen && untilMs === undefined,
+    );
+  }
+
   /** Kills the process with SIGKILL; it restarts after `downMs`. */
   kill(downMs: number): void {
     if (!this.child) return;
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -17,6 +17,12 @@
 import { ENGINE_LIMIT_STEPS } from './engine-limit-steps.js';
 import { ENGINE_RESTART_STEPS } from './engine-restart-steps.js';
 import { ENGINE_NOTICE_STEPS } from './engine-notice-steps.js';
+import {
+  FIRST_LONG_STOP_MS,
+  LONG_STOP_SPAN_MS,
+  LONG_STREAM_STEPS,
+  drawFirstLongStop,
+} from './long-stream-steps.js';
 import { DisturbanceKind } from './router-process.js';
 import { EARLY_END_STEPS, SPOILED_RESPONSE_STEPS } from './spoiled-response-steps.js';
 import { SILENT_ENGINE_STEPS } from './silent-engine-steps.js';
@@ -35,12 +41,19 @@
   takeUps?: number,
 ) => Promise<void>;
 
+/** Starts callers that send to a router until its process has ended. */
+export type PersistentCallerStarter = (router: number, seed: number) => Promise<void>;
+
 /** A fault or operation on the deployment. */
 export interface Step {
   /** Time since the start of the traffic. */
   readonly atMs: number;
   readonly name: string;
-  run(deployment: Deployment, resender: Resender): void | Promise<void>;
+  run(
+    deployment: Deployment,
+    resender: Resender,
+    callPersistently: PersistentCallerStarter,
+  ): void | Promise<void>;
 }
 
 /** Options of a schedule. */
@@ -73,6 +86,8 @@
   readonly hasBuildReleases: boolean;
   /** Whether engines send responses behind cut heads, and answer requests for the rest of streams wrongly. */
   readonly hasContradictedResponses: boolean;
+  /** Whether streams last for seconds, while routers that are short of processor time stop. */
+  readonly hasLongStreams: boolean;
 }
 
 /** Number of routers without unplanned faults, so that some requests succeed at all times. */
@@ -270,6 +285,7 @@
   ['hasEarlyEnds', EARLY_END_STEPS],
   ['hasBuildReleases', BUILD_RELEASE_STEPS],
   ['hasContradictedResponses', CONTRADICTED_RESPONSE_STEPS],
+  ['hasLongStreams', LONG_STREAM_STEPS],
 ] as const;
 
 /**
@@ -277,18 +293,34 @@
  * same steps only with the same options.
  */
 export function makeSchedule(random: RandomSource, options: ScheduleOptions): Step[] {
-  const { routers, spanMs, hasBuildReleases } = options;
+  const { spanMs } = options;
   const factories: StepFactory[] = [
     ...COMMON_STEPS,
     ...OPTIONAL_STEPS.flatMap(([option, steps]) => (options[option] ? steps : [])),
   ];
   const MAXIMUM_GAP_MS = 2_000;
-  const steps: Step[] = hasBuildReleases ? [drawFirstRelease(random, routers)] : [];
-  let atMs = hasBuildReleases ? FIRST_RELEASE_MS + RELEASE_SPAN_MS : 1_000;
+  const { firstSteps, endMs } = drawFirstSteps(random, options);
+  const steps = [...firstSteps];
+  let atMs = endMs;
   while (atMs < spanMs) {
     const createStep = randomElement(random, factories) as StepFactory;
-    steps.push({ atMs, ...createStep(random, routers) });
+    steps.push({ atMs, ...createStep(random, options.routers) });
     atMs += Math.round(random.next() * MAXIMUM_GAP_MS);
   }
   return steps;
 }
+
+/** The steps that come before all others, and when those others begin. */
+function drawFirstSteps(
+  random: RandomSource,
+  { routers, hasBuildReleases, hasLongStreams }: ScheduleOptions,
+): { readonly firstSteps: readonly Step[]; readonly endMs: number } {
+  const releases = hasBuildReleases ? [drawFirstRelease(random, routers)] : [];
+  const stops = hasLongStreams ? [drawFirstLongStop(random, routers)] : [];
+  const endMs = Math.max(
+    1_000,
+    hasBuildReleases ? FIRST_RELEASE_MS + RELEASE_SPAN_MS : 0,
+    hasLongStreams ? FIRST_LONG_STOP_MS + LONG_STOP_SPAN_MS : 0,
+  );
+  return { firstSteps: [...releases, ...stops], endMs };
+}
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -7,8 +7,10 @@
 import { Deployment } from './deployment.js';
 import { weightsOf } from './engine-fleet.js';
 import type { EngineCapacity } from './messages.js';
-import { type Violation, judgeSoak } from './oracle.js';
-import { type Resender, makeSchedule } from './schedule.js';
+import { type SoakRecord, type Violation, judgeSoak } from './oracle.js';
+import { countUnread } from './planned-stop-oracle.js';
+import { PersistentCallers } from './persistent-callers.js';
+import { type PersistentCallerStarter, type Resender, makeSchedule } from './schedule.js';
 
 /** Options of a soak. */
 export interface SoakOptions {
@@ -42,6 +44,8 @@
   readonly hasBuildReleases: boolean;
   /** Whether engines send responses behind cut heads, and answer requests for the rest of streams wrongly. */
   readonly hasContradictedResponses: boolean;
+  /** Whether streams last for seconds, while routers that are short of processor time stop. */
+  readonly hasLongStreams: boolean;
   readonly callers: number;
   /** Directory of settings, logs and, after a violation, the evidence. */
   readonly folder: string;
@@ -58,6 +62,8 @@
   readonly calls: number;
   /** Number of calls by status or failure. */
   readonly outcomes: ReadonlyMap<string, number>;
+  /** Number of calls that routers killed at the end of their grace period had not read. */
+  readonly unread: number;
   readonly steps: readonly string[];
   readonly violations: readonly Violation[];
 }
@@ -82,14 +88,15 @@
 /** Runs a soak; resolves after its processes have ended. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const { seed, spanMs, routers, folder, programs, hasBrittleEngines, hasTenantQuotas } = options;
-  const { hasBuildReleases: hasReleases } = options;
+  const { hasBuildReleases: hasReleases, hasLongStreams } = options;
   mkdirSync(folder, { recursive: true });
   const plainCapacity = hasBrittleEngines ? SCARCE_CAPACITY : AMPLE_CAPACITY;
   // Routers of the earlier build take the end of a connection for a stated end, and know no builds of
   // engines.
   const hasUniformEngines = programs.length > 1;
   const engines = { plainEngines: 2, generationEngines: 3, plainCapacity };
-  const size = { routers, ...engines, hasUniformEngines, hasReleases, hasTenantQuotas };
+  const variants = { hasUniformEngines, hasReleases, hasTenantQuotas, hasLongStreams };
+  const size = { routers, ...engines, ...variants };
   const deployment = await Deployment.start(size, KEYS, folder, programs);
   try {
     const steps = makeSchedule(new SeededRandom(seed), options);
@@ -100,12 +107,18 @@
     traffic.start();
     for (const step of steps) {
       const resend: Resender = (...args) => traffic.resend(...args);
-      setTimeout(() => void Promise.resolve(step.run(deployment, resend)), step.atMs);
+      const callPersistently: PersistentCallerStarter = (...args) =>
+        traffic.callPersistently(...args);
+      const run = (): unknown => step.run(deployment, resend, callPersistently);
+      setTimeout(() => void Promise.resolve(run()), step.atMs);
     }
-    await pause(spanMs + SETTLING_MS);
+    await pause(spanMs);
+    // Those that are asked for now could last longer than the soak.
+    traffic.asksForLongStreams = false;
+    await pause(SETTLING_MS);
     await traffic.stop();
     const finalCalls = await sendFinalCalls(deployment, calls, directoryResponses);
-    const violations = judgeSoak({
+    const record: SoakRecord = {
       calls,
       directoryResponses,
       observations: deployment.observations,
@@ -117,11 +130,14 @@
         engines: weightsOf(deployment.fleet.running),
       },
       finalCalls,
-    });
+    };
+    const violations = judgeSoak(record);
     const names = steps.map(({ atMs, name }) => `${atMs} ms ${name}`);
     if (violations.length > 0)
       writeEvidence(folder, deployment, calls, directoryResponses, names, violations);
-    return { seed, calls: calls.length, outcomes: countOutcomes(calls), steps: names, violations };
+    const outcomes = countOutcomes(calls);
+    const unread = countUnread(record);
+    return { seed, calls: calls.length, outcomes, unread, steps: names, violations };
   } finally {
     await deployment.end();
   }
@@ -129,9 +145,11 @@
 
 /** The callers of a soak. */
 class Traffic {
+  asksForLongStreams = true;
   private isEnded = false;
   private loops: Promise<void>[] = [];
   private resenderCount = 0;
+  private persistentCount = 0;
 
   constructor(
     private readonly options: SoakOptions,
@@ -153,6 +171,7 @@
         random,
         this.calls,
         this.directoryResponses,
+        { asksForLongStreams: () => this.options.hasLongStreams && this.asksForLongStreams },
       );
       while (!this.isEnded) {
         await caller.call();
@@ -177,6 +196,19 @@
     caller.close();
   }
 
+  /** Sends to one router, from callers of its own, until the process of the router has ended. */
+  async callPersistently(index: number, seed: number): Promise<void> {
+    const router = this.deployment.routers[index];
+    if (!router) return;
+    this.persistentCount += 1;
+    const name = `persistent${this.persistentCount}`;
+    const random = new SeededRandom(seed);
+    const callers = new PersistentCallers(name, router, PERMANENT_KEYS, random, this.calls);
+    const calls = callers.run();
+    this.loops.push(calls);
+    await calls;
+  }
+
   async stop(): Promise<void> {
     this.isEnded = true;
     await Promise.all(this.loops);
@@ -248,11 +280,15 @@
   steps: readonly string[],
   violations: readonly Violation[],
 ): void {
-  const disturbances = routers.map(({ options, disturbances: spans, stops }) => ({
-    router: options.name,
-    spans,
-    stops,
-  }));
+  const disturbances = routers.map(
+    ({ options, disturbances: spans, stops, firstStops, killsAfterGrace }) => ({
+      router: options.name,
+      spans,
+      stops,
+      firstStops,
+      killsAfterGrace,
+    }),
+  );
   const evidence = {
     breaches: violations,
     steps,
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -35,6 +35,8 @@
   /** Whether engines contradict their responses; likewise. */
   readonly hasContradictedResponses?: boolean;
   readonly hasEarlyEnds?: boolean;
+  /** Whether streams last for seconds; likewise. */
+  readonly hasLongStreams?: boolean;
   /** Whether routers run the production build and the current build side by side. */
   readonly isMixed?: boolean;
   /** Cause of the broken promise. */
@@ -153,6 +155,7 @@
     hasBuildReleases = false,
     hasContradictedResponses = false,
     hasEarlyEnds = false,
+    hasLongStreams = false,
   } = regression;
   test.serial(`no promise is broken in a soak with seed ${seed} (${cause})`, async (t) => {
     t.timeout(170_000);
@@ -176,6 +179,7 @@
       hasBuildReleases,
       hasContradictedResponses,
       hasEarlyEnds,
+      hasLongStreams,
       callers: 8,
       folder,
       programs: earlier ? [earlier.program, BUNDLE] : [BUNDLE],
