Simulate planned stops as the platform makes them, and judge what they lose

The simulated router was killed at the end of its grace period, and every request that this cut was excused. It now ends in order, 0.4 s before, counts its times from its signal, and may handle that signal late; a process can be short of processor time, and what reaches it meanwhile arrives when it runs. Callers send slow streams to it until it has ended. The new rule, served-at-stop, follows rule LOST: a request that the router has read, whose connection ends without a complete response between the signal and 1 s after grace_s, with the rule's exceptions; what was sent but not read by the end of the process does not count. The rule on responses that have begun leaves the end of a planned stop to it, as it left the kill before.

--- a/src/lab/gateway-simulation/completion-oracle.ts
+++ b/src/lab/gateway-simulation/completion-oracle.ts
@@ -4,7 +4,7 @@
  */
 import type { GatewaySimulation } from './gateway-simulation.js';
 import type { ObservedRun } from './simulated-engine.js';
-import { REQUEST_BUDGET_MS, SIMULATION_BOUNDS } from './simulation-fixtures.js';
+import { SIMULATION_BOUNDS } from './simulation-fixtures.js';
 import type { ObservedRequest } from './simulation-records.js';
 
 /** A response that has begun and that a router ended incomplete. */
@@ -64,8 +64,8 @@
  * Time that a request has: what its caller allows, or the shortest time-out of its route that a
  * router may have applied to it before its end.
  */
-function timeLimitMs(
-  { kind, sentMs }: ObservedRequest,
+export function timeLimitMs(
+  { kind, sentMs, budgetMs }: ObservedRequest,
   endedMs: number,
   { configuration }: GatewaySimulation,
 ): number {
@@ -75,7 +75,7 @@
     const mayApply = atMs <= endedMs && replacedMs + SIMULATION_BOUNDS.revokeMs >= sentMs;
     return mayApply && timeoutMs !== undefined ? [timeoutMs] : [];
   });
-  return Math.min(REQUEST_BUDGET_MS, ...timeoutsMs);
+  return Math.min(budgetMs, ...timeoutsMs);
 }
 
 /** Time at which an engine first broke off its connection, by request. */
@@ -87,7 +87,10 @@
   return firstMs;
 }
 
-/** Whether the router was down, paused, partitioned or cut off from engines during a request. */
+/**
+ * Whether the router was down, paused, partitioned or cut off from engines during a request, or ended it
+ * at the end of a planned stop, which has a rule of its own.
+ */
 function hasRouterFault(
   { disturbances, engineLinks }: GatewaySimulation,
   router: string,
@@ -95,6 +98,7 @@
   untilMs: number,
 ): boolean {
   if (disturbances.wasInterrupted(router, fromMs, untilMs)) return true;
+  if (disturbances.isAtEndOfStop(router, untilMs)) return true;
   if (disturbances.wasPartitioned(router, fromMs, untilMs)) return true;
   return engineLinks.wasCut(router, fromMs, untilMs);
 }
--- a/src/lab/gateway-simulation/disturbances.ts
+++ b/src/lab/gateway-simulation/disturbances.ts
@@ -8,11 +8,24 @@
   readonly router: string;
   readonly fromMs: number;
   readonly untilMs: number;
+  /** Whether planned work, or a shortage of processor time, is its cause. */
+  readonly isNoDisruption?: boolean;
+}
+
+/** A planned stop of a router. */
+export interface PlannedStop {
+  readonly router: string;
+  /** When its signal was sent. */
+  readonly sentMs: number;
+  readonly graceMs: number;
 }
 
 /** Time after a disturbance until the rules apply to the router again. */
 export const RECOVERY_MS = 3_000;
 
+/** Time at the end of the grace period for closing connections, as in `platform/`. */
+export const CLOSE_ALLOWANCE_MS = 400;
+
 /** All disturbances of one deployment. */
 export class Disturbances {
   /** Periods in which a router was down, paused or unable to reach the store. */
@@ -21,6 +34,7 @@
   private readonly partitions: Disturbance[] = [];
   /** Periods from the announcement of a planned stop to the end of the process. */
   private readonly stops: Disturbance[] = [];
+  readonly plannedStops: PlannedStop[] = [];
   /** Periods in which a router's process did not run. */
   private readonly interruptions: Disturbance[] = [];
 
@@ -37,6 +51,7 @@
   /** Records a planned stop, from its announcement to the end of the process. */
   recordStop(router: string, fromMs: number, forMs: number): void {
     this.stops.push({ router, fromMs, untilMs: fromMs + forMs });
+    this.plannedStops.push({ router, sentMs: fromMs, graceMs: forMs });
   }
 
   /** Records that a router's process is down or paused, which is also a disturbance. */
@@ -45,6 +60,22 @@
     this.recordDisturbance(router, fromMs, forMs);
   }
 
+  /**
+   * Records that a router's process is down as planned, or short of processor time. It can't meet its
+   * bounds, but must lose no request.
+   */
+  recordPlannedInterruption(router: string, fromMs: number, forMs: number): void {
+    const period = { router, fromMs, untilMs: fromMs + forMs, isNoDisruption: true };
+    this.interruptions.push(period);
+    this.disturbances.push(period);
+  }
+
+  /** Whether an unplanned fault affected a router between two points in time. */
+  wasDisrupted(router: string, fromMs: number, untilMs: number): boolean {
+    const disruptions = this.disturbances.filter(({ isNoDisruption }) => !isNoDisruption);
+    return overlapsAny(disruptions, router, fromMs, untilMs);
+  }
+
   /** Whether a router is exempt from its bounds at the given time. */
   isDisturbed(router: string, atMs: number): boolean {
     return this.disturbances.some(
@@ -64,6 +95,14 @@
     return overlapsAny(this.stops, router, atMs, atMs);
   }
 
+  /** Whether a planned stop of a router was within the last part of its grace period. */
+  isAtEndOfStop(router: string, atMs: number): boolean {
+    return this.plannedStops.some(({ router: name, sentMs, graceMs }) => {
+      const endMs = sentMs + graceMs;
+      return name === router && endMs - CLOSE_ALLOWANCE_MS <= atMs && atMs <= endMs;
+    });
+  }
+
   /** Whether a router's process was interrupted between two points in time. */
   wasInterrupted(router: string, fromMs: number, untilMs: number): boolean {
     return overlapsAny(this.interruptions, router, fromMs, untilMs);
--- a/src/lab/gateway-simulation/gateway-oracle.ts
+++ b/src/lab/gateway-simulation/gateway-oracle.ts
@@ -10,10 +10,10 @@
 import { type FallBreach, judgeFalls } from './fall-oracle.js';
 import { type LimitBreach, judgeLimits } from './limit-oracle.js';
 import { type NoticeBreach, judgeNotices } from './notice-oracle.js';
+import { type StopBreach, judgeStops } from './stop-oracle.js';
 import { type QuotaBreach, judgeQuotas } from './quota-oracle.js';
 import {
   ISOLATED_TENANT,
-  REQUEST_BUDGET_MS,
   SIMULATION_BOUNDS,
   SIMULATION_MODEL,
   SIMULATION_QUOTA_TOLERANCE,
@@ -38,6 +38,7 @@
   | 'crashes-bounded'
   | 'odd-entry-unused'
   | CompletionBreach['rule']
+  | StopBreach['rule']
   | EnginePathBreach['rule']
   | FallBreach['rule']
   | NoticeBreach['rule']
@@ -82,6 +83,7 @@
     ...judgeMalformedEntries(simulation),
     ...judgeBuilds(simulation),
     ...judgeCompletion(simulation),
+    ...judgeStops(simulation),
     ...judgeEnginePaths(simulation),
     ...judgeFalls(simulation),
     ...judgeNotices(simulation),
@@ -252,7 +254,7 @@
 }
 
 function judgeResponseTime(request: ObservedRequest, simulation: GatewaySimulation): RuleBreach[] {
-  const isLong = simulation.now > request.sentMs + REQUEST_BUDGET_MS + RESPONSE_SLACK_MS;
+  const isLong = simulation.now > request.sentMs + request.budgetMs + RESPONSE_SLACK_MS;
   if (!isLong || request.reply.ending !== undefined) return [];
   return [{ rule: 'answered-in-time', detail: `${request.id} has no complete response` }];
 }
--- a/src/lab/gateway-simulation/gateway-simulation.ts
+++ b/src/lab/gateway-simulation/gateway-simulation.ts
@@ -23,6 +23,13 @@
 import { SimulatedObjectStore } from './simulated-object-store.js';
 import { SimulatedStorePort } from './simulated-store-port.js';
 import { SimulatedForwarders } from './simulated-forwarding.js';
+import {
+  type StoppableRouter,
+  type Throttle,
+  isReachable,
+  runThrottled,
+  sendStopSignal,
+} from './router-stops.js';
 import { SimulatedOperator } from './simulated-operator.js';
 import type { StoredEngine } from './stored-engine.js';
 import {
@@ -32,9 +39,10 @@
   KEYS,
   KINDS,
   PLAIN_SERVICE,
+  REQUEST_BUDGET_MS,
   ROUTERS,
   type RequestKind,
-  SIMULATION_MODEL,
+  type SlowStream,
   inboundRequest,
   routerName,
   simulationSettings,
@@ -47,11 +55,8 @@
 const STARTUP_MS = 1_500;
 const RESTART_MS = 800;
 const SETTLE_MS = 20_000;
-const ACCEPT_AFTER_STOP_MS = 3_000;
 
-interface RunningRouter {
-  readonly node: GatewayNode;
-  readonly host: HostClock;
+interface RunningRouter extends StoppableRouter {
   readonly inference: SimulatedInference;
 }
 
@@ -104,10 +109,7 @@
       if (limit) simulation.configuration.limitChanges.push({ tenant, limit, atMs: 0 });
     }
     simulation.configuration.write();
-    simulation.operator.write(KINDS.weightVersions, SIMULATION_MODEL, {
-      model: SIMULATION_MODEL,
-      version: 1,
-    });
+    simulation.operator.publishWeights();
     for (let index = 0; index < GENERATION_ENGINES; index += 1)
       simulation.fleet.add(GENERATION_SERVICE);
     for (let index = 0; index < PLAIN_ENGINES; index += 1) simulation.fleet.add(PLAIN_SERVICE);
@@ -140,16 +142,25 @@
     keyIndex: number,
     body?: string,
     continued?: ContinuedStream,
+    slowStream?: SlowStream,
   ): void {
     const name = routerName(routerIndex);
     const router = this.routers.get(name);
     const key = KEYS.get(tenant)?.[keyIndex];
-    if (!router?.host.isRunning || key === undefined) return;
+    if (!router || !isReachable(router) || key === undefined) return;
     const id = `request-${this.requests.length}`;
     const reply = new RecordedReply(this.clock);
     const sentMs = this.now;
-    this.requests.push({ id, kind, tenant, key, router: name, sentMs, reply, continued });
-    router.node.handle(inboundRequest(id, kind, key, sentMs, body, continued), reply);
+    const request: ObservedRequest = {
+      ...{ id, kind, tenant, key, router: name, sentMs, readMs: undefined, reply, continued },
+      budgetMs: slowStream?.budgetMs ?? REQUEST_BUDGET_MS,
+    };
+    this.requests.push(request);
+    router.host.deliver(() => {
+      request.readMs = this.now;
+      const inbound = inboundRequest(id, kind, key, this.now, body, continued, slowStream);
+      router.node.handle(inbound, reply);
+    });
   }
 
   /** Closes the caller's connection of one of the last requests. */
@@ -202,16 +213,8 @@
 
   publishWeights(): void {
     if (this.store.isDown) return;
-    const version = this.publishedVersion + 1;
-    this.operator.write(KINDS.weightVersions, SIMULATION_MODEL, {
-      model: SIMULATION_MODEL,
-      version,
-    });
-    this.acknowledgements.push({
-      kind: 'weights-published',
-      subject: `${version}`,
-      atMs: this.now,
-    });
+    const subject = `${this.operator.publishWeights()}`;
+    this.acknowledgements.push({ kind: 'weights-published', subject, atMs: this.now });
   }
 
   /** Kills a router's process and restarts it after `downMs`. */
@@ -220,6 +223,12 @@
     const router = this.routers.get(name);
     if (!router) return;
     this.interrupt(name, downMs);
+    this.endProcess(index, router, downMs);
+  }
+
+  /** Ends a router's process, which restarts after `downMs`. */
+  private endProcess(index: number, router: RunningRouter, downMs: number): void {
+    const name = routerName(index);
     this.routers.delete(name);
     router.host.stop();
     router.inference.breakAll();
@@ -231,23 +240,42 @@
     this.clock.setTimer(downMs, () => void this.startRouter(index, false));
   }
 
-  /** Stops a router gracefully: it leaves the group, serves for `graceMs` and restarts. */
-  stopRouter(index: number, graceMs: number): void {
-    const router = this.routers.get(routerName(index));
-    if (!router?.host.isRunning) return;
-    this.disturbances.recordStop(routerName(index), this.now, graceMs);
-    const nowMs = router.host.now();
-    const acceptUntilMs = nowMs + Math.min(graceMs, ACCEPT_AFTER_STOP_MS);
-    router.node.leave({ acceptUntilMs, endMs: nowMs + graceMs });
+  /**
+   * Stops a router as planned: it leaves the group as soon as it notices its signal, serves, ends its
+   * requests in time, and restarts after `graceMs`.
+   *
+   * @param noticedAfterMs time until it handles its signal, as on a busy machine
+   */
+  stopRouter(index: number, graceMs: number, noticedAfterMs = 0): void {
+    const name = routerName(index);
+    const router = this.routers.get(name);
+    if (!router || router.isStopping || !isReachable(router)) return;
+    router.isStopping = true;
+    this.disturbances.recordStop(name, this.now, graceMs);
+    const signal = { sentMs: this.now, graceMs, change: this.mutation.shutdown };
+    sendStopSignal(router, signal, noticedAfterMs, this.clock);
     this.clock.setTimer(graceMs, () => {
-      if (this.routers.get(routerName(index)) === router) this.killRouter(index, RESTART_MS);
+      if (this.routers.get(name) !== router) return;
+      this.disturbances.recordPlannedInterruption(name, this.now, RESTART_MS);
+      this.endProcess(index, router, RESTART_MS);
     });
   }
 
+  /**
+   * Leaves a router's process short of processor time for a while: it does not run in a part of each
+   * period, and handles what happened then afterwards.
+   */
+  throttleRouter(index: number, throttle: Throttle, forMs: number): void {
+    const name = routerName(index);
+    const router = this.routers.get(name);
+    if (!router?.host.isRunning || router.isThrottled) return;
+    this.disturbances.recordPlannedInterruption(name, this.now, forMs);
+    runThrottled(router, throttle, this.now + forMs, this.clock);
+  }
+
   /** Newest published version of the weights. */
   get publishedVersion(): number {
-    return (this.operator.latestSpec(KINDS.weightVersions, SIMULATION_MODEL) as { version: number })
-      .version;
+    return this.operator.publishedVersion;
   }
 
   freezeRouter(index: number, forMs: number): void {
@@ -393,7 +421,7 @@
         ...this.changeView(view),
       },
     );
-    this.routers.set(name, { node, host, inference });
+    this.routers.set(name, { node, host, inference, isStopping: false, isThrottled: false });
     node.start();
   }
 }
--- a/src/lab/gateway-simulation/simulated-exchange.ts
+++ b/src/lab/gateway-simulation/simulated-exchange.ts
@@ -22,7 +22,7 @@
   type RunningRequest,
   type SimulatedEngine,
 } from './simulated-engine.js';
-import { FIRST_BUILD } from './simulation-fixtures.js';
+import { FIRST_BUILD, eventIntervalOf } from './simulation-fixtures.js';
 
 /** Number of events in each stream. */
 export const STREAM_EVENTS = 5;
@@ -93,6 +93,10 @@
     this.failLocally({ kind, reason: 'forwarder-ended', isDisconnect: true });
   }
 
+  private get eventIntervalMs(): number {
+    return eventIntervalOf(this.request.headers) ?? EVENT_INTERVAL_MS;
+  }
+
   /** Whether the end of the connection is the end of the response, whole or not. */
   private get endsUnnoticed(): boolean {
     return this.hasResponded && this.framing === BodyFraming.Connection;
@@ -283,7 +287,7 @@
       return;
     }
     this.deliver(() => this.listener.onChunk(Buffer.from(text)));
-    this.schedule(EVENT_INTERVAL_MS, () => this.sendEvent(index + 1, isCut));
+    this.schedule(this.eventIntervalMs, () => this.sendEvent(index + 1, isCut));
   }
 
   /**
@@ -317,7 +321,7 @@
     const { engine, observed } = this;
     if (this.isEnded || !this.willComplete || !engine?.isRunning || !observed) return;
     const isStream = this.request.target.startsWith('/stream');
-    const runMs = serviceMsOf(engine) + (isStream ? STREAM_EVENTS * EVENT_INTERVAL_MS : 0);
+    const runMs = serviceMsOf(engine) + (isStream ? STREAM_EVENTS * this.eventIntervalMs : 0);
     const sentMs = Math.max(observed.startedMs, engine.silentUntilMs) + runMs;
     observed.givenUp = { atMs: this.clock.now(), completeMs: sentMs + NETWORK_DELAY_MS };
   }
--- a/src/lab/gateway-simulation/simulation-fixtures.ts
+++ b/src/lab/gateway-simulation/simulation-fixtures.ts
@@ -2,6 +2,7 @@
 import type { GatewaySettings } from '../../coordination/gateway/gateway-settings.js';
 import type { ObjectDecoder, ObjectKinds } from '../../coordination/gateway/object-decoder.js';
 import type { InboundRequest } from '../../coordination/gateway/reply.js';
+import type { HeaderLine } from '../../protocol/inference/port.js';
 import type { RoutingConfiguration } from '../../state/routing/configuration.js';
 import type { TenantLimit } from '../../state/routing/quota/tenant-limit.js';
 import { decodeStoredEngine } from './stored-engine.js';
@@ -218,6 +219,23 @@
   readonly lastEvent: number;
 }
 
+/** A stream that lasts for seconds. */
+export interface SlowStream {
+  /** Time from each event to the next, in milliseconds. */
+  readonly eventIntervalMs: number;
+  /** Time that the caller gives the request. */
+  readonly budgetMs: number;
+}
+
+/** Header with the time between two events of a slow stream. */
+const EVENT_INTERVAL_HEADER = 'Event-Interval-Ms';
+
+/** The time between two events that a request asks for; undefined for that of most streams. */
+export function eventIntervalOf(headers: readonly HeaderLine[]): number | undefined {
+  const value = headers.find(([name]) => name === EVENT_INTERVAL_HEADER)?.[1];
+  return value === undefined ? undefined : Number(value);
+}
+
 /** A caller's request. Requests with the same body count as the same request. */
 export function inboundRequest(
   id: string,
@@ -226,6 +244,7 @@
   arrivedMs: number,
   body = id,
   continued?: ContinuedStream,
+  slowStream?: SlowStream,
 ): InboundRequest {
   const path = `/${pathOf(kind)}/x`;
   const sharedIds = sharedPartIdsOf(body);
@@ -238,10 +257,10 @@
     path,
     host: 'host.example',
     hostHeader: 'host.example',
-    headers: [],
+    headers: slowStream ? [[EVENT_INTERVAL_HEADER, `${slowStream.eventIntervalMs}`]] : [],
     body: Buffer.from(body),
     apiKey: key,
-    budgetMs: REQUEST_BUDGET_MS,
+    budgetMs: slowStream?.budgetMs ?? REQUEST_BUDGET_MS,
     generation: kind.startsWith('stream')
       ? { model: SIMULATION_MODEL, parts, promptTokens: 900, maximumOutputTokens: 10 }
       : undefined,
--- a/src/lab/gateway-simulation/simulation-mutation.ts
+++ b/src/lab/gateway-simulation/simulation-mutation.ts
@@ -1,5 +1,6 @@
 /** Mutations of a simulated deployment. */
 import type { GatewaySettings } from '../../coordination/gateway/gateway-settings.js';
+import type { ShutdownSchedule } from '../../coordination/gateway/shutdown.js';
 import type { ObjectDecoder } from '../../coordination/gateway/object-decoder.js';
 import type { InferencePort } from '../../protocol/inference/port.js';
 import type { TenantLimit } from '../../state/routing/quota/tenant-limit.js';
@@ -28,6 +29,8 @@
   readonly logger?: Logger;
   /** Wraps the transport for datagrams between routers. */
   readonly datagrams?: (transport: DatagramTransport) => DatagramTransport;
+  /** Changes when a router that stops ends, as it believes; `delayMs` is how late it noticed its signal. */
+  readonly shutdown?: (schedule: ShutdownSchedule, delayMs: number) => ShutdownSchedule;
   /** False: the monotonic clock does not advance during a suspension. */
   readonly countsSuspensions?: boolean;
   /** False: responses of the store carry no eras. */
--- a/src/lab/gateway-simulation/simulation-records.ts
+++ b/src/lab/gateway-simulation/simulation-records.ts
@@ -10,6 +10,10 @@
   readonly key: string;
   readonly router: string;
   readonly sentMs: number;
+  /** When the router read it; undefined if its process ended before. */
+  readMs: number | undefined;
+  /** Time that its caller gives it, in milliseconds. */
+  readonly budgetMs: number;
   readonly reply: RecordedReply;
   /** The stream that it continues; undefined for a new request. */
   readonly continued?: ContinuedStream | undefined;
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -117,6 +117,13 @@
   hasSpoiledResponses: true,
   cause: 'none: the short soak of spoiled responses and outages of all routers',
 };
+const LONG_STREAMS: RegressionSeed = {
+  seed: 4,
+  seconds: 14,
+  routers: 4,
+  hasLongStreams: true,
+  cause: 'none: the short soak of streams that a stopping router cannot finish',
+};
 /** Without restorations of the store, because the earlier build does not support store eras. */
 const MIXED: RegressionSeed = {
   seed: 4,
@@ -140,6 +147,7 @@
   TENANT_QUOTAS,
   SILENT_ENGINES,
   SPOILED_RESPONSES,
+  LONG_STREAMS,
   MIXED,
   ...REGRESSIONS,
 ]) {
