Judge a cut of engines without what a stopping router rejects, and state the build of a lost request

With callers that keep sending to a router that stops, the check served-while-cut counted the rejections and refused connections later than 3 s after SIGTERM as failures of the cut.

--- a/soak/engine-cut-oracle.ts
+++ b/soak/engine-cut-oracle.ts
@@ -43,6 +43,8 @@
         const own = routerOf(call);
         if (!own || call.status === HttpStatus.Unauthorized) return false;
         if (call.sentBody.startsWith(CRASHING_BODY_PREFIX)) return false;
+        // A stopping router rejects what callers send to it that don't ask the directory.
+        if (own.hasEndedAcceptance(call.sentMs)) return false;
         const isInPeriod = call.sentMs >= fromMs + DETECTION_MS && call.sentMs < (untilMs ?? 0);
         const { sentMs } = call;
         return isInPeriod && !isDisturbed(own, sentMs, sentMs) && hasRouterWithPath(sentMs);
--- a/soak/router-process.ts
+++ b/soak/router-process.ts
@@ -13,6 +13,8 @@
 import { QUOTA_BOUNDS } from './tenant-quotas.js';
 
 const RESTART_DELAY_MS = 300;
+/** Time after SIGTERM in which a router begins requests. */
+const ACCEPT_AFTER_STOP_MS = 3_000;
 const MILLISECONDS_PER_SECOND = 1_000;
 const CUT_INJECTOR = fileURLToPath(new URL('./engine-cut-injector.js', import.meta.url));
 
@@ -31,6 +33,13 @@
   untilMs: number | undefined;
 }
 
+/** The first SIGTERM of a process. */
+export interface FirstStop {
+  readonly atMs: number;
+  /** File of the build that the process runs. */
+  readonly program: string;
+}
+
 /** How a process is kept short of processor time, in milliseconds. */
 export interface Throttle {
   readonly pauseMs: number;
@@ -78,14 +87,15 @@
   private isEnded = false;
   private restartDelayMs = RESTART_DELAY_MS;
   private startCount = 0;
+  private program = '';
   /** Kills with the restart after them, freezes, and faults of the link to the store. */
   readonly disturbances: Disturbance[] = [];
   /** Periods in which it was cut off from all engines. */
   readonly engineCuts: EngineCut[] = [];
   /** Times of SIGTERM. */
   readonly stops: number[] = [];
-  /** Times of the first SIGTERM of each process that was stopped as planned. */
-  readonly firstStops: number[] = [];
+  /** The first SIGTERM of each process that was stopped as planned. */
+  readonly firstStops: FirstStop[] = [];
   /** Times at which a process was killed because it ran at the end of its grace period. */
   readonly killsAfterGrace: number[] = [];
   private stoppingChild: ChildProcess | undefined;
@@ -121,11 +131,11 @@
     if (this.isEnded || this.child) return;
     const log = createWriteStream(this.logFile, { flags: 'a' });
     const { programs } = this.options;
-    const program = programs[this.startCount % programs.length] as string;
+    this.program = programs[this.startCount % programs.length] as string;
     this.startCount += 1;
     const storePort = this.options.storeAddress.split(':')[1];
     const options = ['--max-old-space-size=200', '--import', CUT_INJECTOR];
-    const child = spawn(process.execPath, [...options, program], {
+    const child = spawn(process.execPath, [...options, this.program], {
       env: {
         PATH: process.env.PATH,
         PEATSPAN_BOOT: this.settingsFile,
@@ -152,7 +162,7 @@
 
   private beginGrace(child: ChildProcess): void {
     this.stoppingChild = child;
-    this.firstStops.push(Date.now());
+    this.firstStops.push({ atMs: Date.now(), program: this.program });
     if (!this.options.isKilledAfterGrace) return;
     setTimeout(() => {
       if (this.child !== child) return;
@@ -227,6 +237,14 @@
     return this.stops.some((stopMs) => stopMs <= atMs && atMs < stopMs + graceMs);
   }
 
+  /** Whether the process may be in a planned stop and begin no further requests. */
+  hasEndedAcceptance(atMs: number): boolean {
+    const graceMs = BOUNDS.grace_s * MILLISECONDS_PER_SECOND;
+    return this.firstStops.some(
+      (stop) => stop.atMs + ACCEPT_AFTER_STOP_MS < atMs && atMs < stop.atMs + graceMs,
+    );
+  }
+
   /** Whether the process is cut off from all engines at a time. */
   isCutAt(atMs: number): boolean {
     return this.wasCutWithin(0, atMs);
