--- a/test/platform/stop-sequence.test.ts
+++ b/test/platform/stop-sequence.test.ts
@@ -23,6 +23,8 @@
 const SPEED = 10;
 /** For late timers of a loaded machine. */
 const TOLERANCE_MS = 3_000;
+/** Shortly before the router accepts no further connections. */
+const BEFORE_CLOSE_MS = 2_900 / SPEED;
 /** Time after which the router no longer accepts connections, and some checks have run. */
 const AFTER_CLOSE_MS = 4_000 / SPEED;
 
@@ -33,10 +35,20 @@
   readonly exitMs: () => Promise<number>;
 }
 
-async function startStoppableRouter(t: ExecutionContext): Promise<StopHarness> {
-  const harness = await startIngress(t);
+/** What a router and its log do in a test. */
+interface StopOptions {
+  readonly runningCalls?: number;
+  readonly onEvent?: (event: string) => void;
+  readonly onRequest?: (reply: Reply) => void;
+}
+
+async function startStoppableRouter(
+  t: ExecutionContext,
+  { runningCalls = 0, onEvent = () => undefined, onRequest }: StopOptions = {},
+): Promise<StopHarness> {
+  const harness = await startIngress(t, undefined, onRequest);
   const node = {
-    runningCalls: 0,
+    runningCalls,
     forwardedConnections: 0,
     leave: () => undefined,
     stop: () => undefined,
@@ -49,7 +61,7 @@
     setTimer: (delayMs, callback) => system.setTimer(delayMs / SPEED, callback),
   };
   const log = (): void => undefined;
-  const logger = { debug: log, info: log, warn: log, error: log };
+  const logger = { debug: log, info: onEvent, warn: log, error: log };
   let hasExited = false;
   const exit = (): void => {
     hasExited = true;
@@ -139,3 +151,25 @@
   await waitUntil(router.hasExited);
   t.is(router.requests.length, 0);
 });
+
+// Guards against connections that a router resets by its exit while they wait to be accepted: one that is
+// short of processor time accepts them slowly, and has no request open in between.
+test('the exit waits for connections that wait to be accepted', async (t) => {
+  const CLIENTS = 8;
+  /** Time that the event loop takes for each request, longer than two checks. */
+  const REQUEST_WORK_MS = 30;
+  const router = await startStoppableRouter(t, {
+    onRequest: (reply) => {
+      const endMs = Date.now() + REQUEST_WORK_MS;
+      while (Date.now() < endMs);
+      reply.refuse({ status: 503, reason: 'stopping' });
+    },
+  });
+  router.stop.begin();
+  await wait(BEFORE_CLOSE_MS);
+  const clients = Array.from({ length: CLIENTS }, () => connect(router.port));
+  for (const { socket } of clients) socket.write(GET);
+  await waitUntil(router.hasExited);
+  t.is(router.requests.length, CLIENTS);
+  for (const client of clients) t.regex(client.received(), /^HTTP\/1\.1 503 /);
+});
