--- a/soak/main.ts
+++ b/soak/main.ts
@@ -98,6 +98,12 @@
     default: false,
     describe: 'write entries that are deeply nested, or have odd numbers or ports',
   })
+  .option('long-streams', {
+    type: 'boolean',
+    default: false,
+    describe:
+      'let streams last for seconds, and stop routers that are short of processor time under callers that keep sending',
+  })
   .option('program', {
     type: 'string',
     array: true,
@@ -107,9 +113,11 @@
   })
   .parseAsync();
 
-function report({ seed, calls, outcomes, violations }: SoakResult, folder: string): void {
+function report({ seed, calls, outcomes, unread, violations }: SoakResult, folder: string): void {
   const counts = [...outcomes].map(([outcome, count]) => `${outcome}: ${count}`).join(', ');
-  process.stdout.write(`seed ${seed}: ${calls} calls, ${violations.length} broken; ${counts}\n`);
+  process.stdout.write(
+    `seed ${seed}: ${calls} calls, ${violations.length} broken, ${unread} not read; ${counts}\n`,
+  );
   for (const { promise, detail } of violations.slice(0, 10)) {
     process.stdout.write(`  ${promise}: ${detail}\n`);
   }
@@ -143,6 +151,7 @@
       hasBuildReleases: options.buildReleases,
       hasContradictedResponses: options.contradictedResponses,
       hasOddEntries: options.oddEntries,
+      hasLongStreams: options.longStreams,
       callers: options.callers,
       folder,
       programs: options.program,
--- a/soak/router-process.ts
+++ b/soak/router-process.ts
@@ -13,6 +13,8 @@
 import { QUOTA_BOUNDS } from './tenant-quotas.js';
 
 const RESTART_DELAY_MS = 300;
+/** Time after SIGTERM in which a router begins requests. */
+const ACCEPT_AFTER_STOP_MS = 3_000;
 const MILLISECONDS_PER_SECOND = 1_000;
 const CUT_INJECTOR = fileURLToPath(new URL('./engine-cut-injector.js', import.meta.url));
 
@@ -31,6 +33,19 @@
   untilMs: number | undefined;
 }
 
+/** The first SIGTERM of a process. */
+export interface FirstStop {
+  readonly atMs: number;
+  /** File of the build that the process runs. */
+  readonly program: string;
+}
+
+/** How a process is kept short of processor time, in milliseconds. */
+export interface Throttle {
+  readonly pauseMs: number;
+  readonly periodMs: number;
+}
+
 /** Addresses, settings and builds of a router. */
 export interface RouterOptions {
   readonly name: string;
@@ -41,6 +56,8 @@
   readonly storeAddress: string;
   readonly seeds: readonly string[];
   readonly folder: string;
+  /** Whether the process is killed at the end of its grace period, as the platform does it. */
+  readonly isKilledAfterGrace: boolean;
   /** Files of the program's builds; each start uses the next one. */
   readonly programs: readonly string[];
   /** Whether the settings say, also at restarts, that the deployment starts for the first time. */
@@ -70,12 +87,18 @@
   private isEnded = false;
   private restartDelayMs = RESTART_DELAY_MS;
   private startCount = 0;
+  private program = '';
   /** Kills with the restart after them, freezes, and faults of the link to the store. */
   readonly disturbances: Disturbance[] = [];
   /** Periods in which it was cut off from all engines. */
   readonly engineCuts: EngineCut[] = [];
   /** Times of SIGTERM. */
   readonly stops: number[] = [];
+  /** The first SIGTERM of each process that was stopped as planned. */
+  readonly firstStops: FirstStop[] = [];
+  /** Times at which a process was killed because it ran at the end of its grace period. */
+  readonly killsAfterGrace: number[] = [];
+  private stoppingChild: ChildProcess | undefined;
   /** Descriptions of unexpected exits. */
   readonly crashes: string[] = [];
   private isExitExpected = false;
@@ -91,6 +114,11 @@
     return `${this.options.ip}:${this.options.ports.frontend}`;
   }
 
+  /** Identifier of the current process; undefined between two. */
+  get processId(): number | undefined {
+    return this.child?.pid;
+  }
+
   get isRunning(): boolean {
     return this.child !== undefined;
   }
@@ -103,11 +131,11 @@
     if (this.isEnded || this.child) return;
     const log = createWriteStream(this.logFile, { flags: 'a' });
     const { programs } = this.options;
-    const program = programs[this.startCount % programs.length] as string;
+    this.program = programs[this.startCount % programs.length] as string;
     this.startCount += 1;
     const storePort = this.options.storeAddress.split(':')[1];
     const options = ['--max-old-space-size=200', '--import', CUT_INJECTOR];
-    const child = spawn(process.execPath, [...options, program], {
+    const child = spawn(process.execPath, [...options, this.program], {
       env: {
         PATH: process.env.PATH,
         PEATSPAN_BOOT: this.settingsFile,
@@ -128,9 +156,46 @@
     if (!this.child) return;
     this.isExitExpected = true;
     this.stops.push(Date.now());
+    if (this.stoppingChild !== this.child) this.beginGrace(this.child);
     this.child.kill('SIGTERM');
   }
 
+  private beginGrace(child: ChildProcess): void {
+    this.stoppingChild = child;
+    this.firstStops.push({ atMs: Date.now(), program: this.program });
+    if (!this.options.isKilledAfterGrace) return;
+    setTimeout(() => {
+      if (this.child !== child) return;
+      this.killsAfterGrace.push(Date.now());
+      child.kill('SIGKILL');
+    }, BOUNDS.grace_s * MILLISECONDS_PER_SECOND);
+  }
+
+  /**
+   * Leaves the process short of processor time for a while: suspends it for a part of each period,
+   * which is no fault that a promise allows for. Freezes go on meanwhile.
+   */
+  throttle({ pauseMs, periodMs }: Throttle, forMs: number): void {
+    const { child } = this;
+    if (!child) return;
+    const endMs = Date.now() + forMs;
+    const pause = (): void => {
+      if (this.child !== child || Date.now() >= endMs) return;
+      if (!this.isFrozen) child.kill('SIGSTOP');
+      setTimeout(() => {
+        if (!this.isFrozen) child.kill('SIGCONT');
+      }, pauseMs);
+      setTimeout(pause, periodMs);
+    };
+    pause();
+  }
+
+  private get isFrozen(): boolean {
+    return this.disturbances.some(
+      ({ kind, untilMs }) => kind === DisturbanceKind.Frozen && untilMs === undefined,
+    );
+  }
+
   /** Kills the process with SIGKILL; it restarts after `downMs`. */
   kill(downMs: number): void {
     if (!this.child) return;
@@ -172,6 +237,14 @@
     return this.stops.some((stopMs) => stopMs <= atMs && atMs < stopMs + graceMs);
   }
 
+  /** Whether the process may be in a planned stop and begin no further requests. */
+  hasEndedAcceptance(atMs: number): boolean {
+    const graceMs = BOUNDS.grace_s * MILLISECONDS_PER_SECOND;
+    return this.firstStops.some(
+      (stop) => stop.atMs + ACCEPT_AFTER_STOP_MS < atMs && atMs < stop.atMs + graceMs,
+    );
+  }
+
   /** Whether the process is cut off from all engines at a time. */
   isCutAt(atMs: number): boolean {
     return this.wasCutWithin(0, atMs);
--- a/src/lab/gateway-simulation/simulated-fleet.ts
+++ b/src/lab/gateway-simulation/simulated-fleet.ts
@@ -12,7 +12,7 @@
   type RunningRequest,
   SimulatedEngine,
 } from './simulated-engine.js';
-import type { SimulatedObjectStore } from './simulated-object-store.js';
+import type { SimulatedObject, SimulatedObjectStore } from './simulated-object-store.js';
 import type { StoredEngine } from './stored-engine.js';
 import { FIRST_BUILD, GENERATION_SERVICE, KINDS, SIMULATION_MODEL } from './simulation-fixtures.js';
 
@@ -119,11 +119,19 @@
   }
 
   /** Whether the incarnation of an entry is running. */
-  isIncarnationRunning({ name, startedAtMs }: StoredEngine): boolean {
+  private isIncarnationRunning({ name, startedAtMs }: StoredEngine): boolean {
     const incarnation = this.latestIncarnation(name);
     return incarnation?.isRunning === true && incarnation.startedAtMs === startedAtMs;
   }
 
+  /** Writes the entries again whose incarnations still run. */
+  rewriteRunning(entries: readonly SimulatedObject[]): void {
+    for (const { name, spec } of entries) {
+      if (this.isIncarnationRunning(spec as StoredEngine))
+        this.store.put(KINDS.engines, name, spec);
+    }
+  }
+
   /** Sets the capacity of all engines of a service, also of those that start later. */
   setCapacity(service: string, capacity: EngineCapacity): void {
     this.capacities.set(service, capacity);
@@ -262,6 +270,7 @@
 
   /** Ends all partitions. */
   heal(): void {
+    this.loadCommandFaults.length = 0;
     for (const address of [...this.partitions.keys()]) this.endPartition(address);
   }
 
--- a/src/lab/gateway-simulation/simulated-object-store.ts
+++ b/src/lab/gateway-simulation/simulated-object-store.ts
@@ -54,6 +54,22 @@
     return this.latest;
   }
 
+  /** Takes the store down for a while. */
+  stopFor(durationMs: number): void {
+    this.isDown = true;
+    this.clock.setTimer(durationMs, () => (this.isDown = false));
+  }
+
+  /** Ends all faults, also those of later calls. */
+  heal(): void {
+    this.isDown = false;
+    this.refusesWrites = false;
+    this.unreachableFor.clear();
+    this.writeFaults.length = 0;
+    this.kindWriteFaults.clear();
+    this.listDelaysMs.length = 0;
+  }
+
   /** Increases with each restoration from an older copy. */
   get era(): number {
     return this.currentEra;
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -37,6 +37,8 @@
   readonly hasEarlyEnds?: boolean;
   /** Whether another program writes odd entries; likewise. */
   readonly hasOddEntries?: boolean;
+  /** Whether streams last for seconds; likewise. */
+  readonly hasLongStreams?: boolean;
   /** Whether routers run the production build and the current build side by side. */
   readonly isMixed?: boolean;
   /** Cause of the broken promise. */
@@ -124,6 +126,13 @@
   hasOddEntries: true,
   cause: 'none: the short soak of odd entries of another program',
 };
+const LONG_STREAMS: RegressionSeed = {
+  seed: 4,
+  seconds: 14,
+  routers: 4,
+  hasLongStreams: true,
+  cause: 'none: the short soak of streams that a stopping router cannot finish',
+};
 /** Without restorations of the store, because the earlier build does not support store eras. */
 const MIXED: RegressionSeed = {
   seed: 4,
@@ -148,6 +157,7 @@
   SILENT_ENGINES,
   SPOILED_RESPONSES,
   ODD_ENTRIES,
+  LONG_STREAMS,
   MIXED,
   ...REGRESSIONS,
 ]) {
@@ -164,6 +174,7 @@
     hasContradictedResponses = false,
     hasEarlyEnds = false,
     hasOddEntries = false,
+    hasLongStreams = false,
   } = regression;
   test.serial(`no promise is broken in a soak with seed ${seed} (${cause})`, async (t) => {
     t.timeout(170_000);
@@ -188,6 +199,7 @@
       hasContradictedResponses,
       hasOddEntries,
       hasEarlyEnds,
+      hasLongStreams,
       callers: 8,
       folder,
       programs: earlier ? [earlier.program, BUNDLE] : [BUNDLE],
