--- a/test/platform/ingress-stop.test.ts
+++ b/test/platform/ingress-stop.test.ts
@@ -240,3 +240,22 @@
   }
   t.pass();
 });
+
+// Guards against resets by a router that is short of processor time: it accepts what waits slowly.
+test.serial('a router accepts what waits for as long as its stop lasts', async (t) => {
+  const TURN_MS = 60;
+  const CALLS = 24;
+  const STOP_MS = 20_000;
+  const harness = await startIngress(t, undefined, (reply) => {
+    holdEventLoop(TURN_MS);
+    reply.refuse({ status: 503, reason: 'stopping' });
+  });
+  const callers = await startCallers(t, harness);
+  callers.open(CALLS);
+  holdEventLoop(HELD_MS);
+  harness.ingress.drain();
+  harness.ingress.close(STOP_MS);
+  await waitUntil(() => harness.requests.length === CALLS);
+  while (!(await isRefused(harness.port))) await wait(TURN_MS);
+  t.is(harness.requests.length, CALLS);
+});
