Give stops of simulated routers the time that their traffic needs

Two tests sent for 7 and 8 s to a router that stops with a grace period of 7.5 and 8 s. It rejects what arrives later than 3 s after its signal unless the deadline is before its end, so that 54 of 167 requests were served by the router that was cut off, and less than 0.9 of those beside the leaving coordinator. Both tests are about something else: the routers serve through others, and engines that were being loaded are used again. The grace period is now 4 s longer than the traffic; shares, traffic and all other checks are unchanged.

--- a/test/gateway/routers-without-engines.test.ts
+++ b/test/gateway/routers-without-engines.test.ts
@@ -77,14 +77,16 @@
 });
 
 test('a router that is about to stop still serves through others when it is cut off', async (t) => {
-  const GRACE_MS = 8_000;
+  const TRAFFIC_MS = 8_000;
+  /** A stopping router rejects what may not end before it does. */
+  const GRACE_MS = TRAFFIC_MS + 4_000;
   const DETECTION_MS = 3_000;
   const simulation = await GatewaySimulation.create(1);
   await sendAllKinds(simulation, BEFORE_MS, GAP_MS);
   simulation.stopRouter(0, GRACE_MS);
   simulation.engineLinks.cut(routerName(0), EngineCut.Silent, CUT_MS);
   const fromMs = simulation.now + DETECTION_MS;
-  await sendAllKinds(simulation, GRACE_MS, GAP_MS);
+  await sendAllKinds(simulation, TRAFFIC_MS, GAP_MS);
   const own = simulation.requests.filter(
     ({ router, sentMs }) => router === routerName(0) && sentMs >= fromMs,
   );
--- a/test/gateway/weight-handover.test.ts
+++ b/test/gateway/weight-handover.test.ts
@@ -35,10 +35,13 @@
 }
 
 test('engines that a leaving coordinator was loading are used again, and another router continues', async (t) => {
+  const TRAFFIC_MS = 7_000;
+  /** A stopping router rejects what may not end before it does. */
+  const GRACE_MS = TRAFFIC_MS + 4_000;
   const simulation = await GatewaySimulation.create(1);
   const holder = await untilFirstLoadCommand(simulation);
-  simulation.stopRouter(holder, 7_500);
-  t.true((await servedShare(simulation, 7_000)) > 0.9);
+  simulation.stopRouter(holder, GRACE_MS);
+  t.true((await servedShare(simulation, TRAFFIC_MS)) > 0.9);
   t.true(simulation.fleet.generationEngines.every((engine) => engine.weightsVersion === 2));
   t.deepEqual(findBreaches(simulation), []);
 });
