--- a/soak/main.ts
+++ b/soak/main.ts
@@ -99,6 +99,11 @@
     describe:
       'let streams last for seconds, and stop routers that are short of processor time under callers that keep sending',
   })
+  .option('odd-entries', {
+    type: 'boolean',
+    default: false,
+    describe: 'write entries that are deeply nested, or have odd numbers or ports',
+  })
   .option('program', {
     type: 'string',
     array: true,
@@ -146,6 +151,7 @@
       hasBuildReleases: options.buildReleases,
       hasContradictedResponses: options.contradictedResponses,
       hasLongStreams: options.longStreams,
+      hasOddEntries: options.oddEntries,
       callers: options.callers,
       folder,
       programs: options.program,
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -251,6 +251,7 @@
       hasBuildReleases: false,
       hasLongStreams: mutation.name.includes(STOPS),
       hasContradictedResponses: CONTRADICTIONS.some((word) => mutation.name.includes(word)),
+      hasOddEntries: false,
       callers: 12,
       folder: runFolder,
       programs: [program],
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -11,6 +11,7 @@
   drawFirstRelease,
 } from './build-release-steps.js';
 import { BRITTLE_ENGINE_STEPS } from './brittle-engine-steps.js';
+import { ODD_ENTRY_STEPS } from './odd-entry-steps.js';
 import { CONTRADICTED_RESPONSE_STEPS } from './contradicted-response-steps.js';
 import { CRASHING_PART_STEPS } from './crashing-part-steps.js';
 import { ENGINE_CUT_STEPS } from './engine-cut-steps.js';
@@ -88,6 +89,8 @@
   readonly hasContradictedResponses: boolean;
   /** Whether streams last for seconds, while routers that are short of processor time stop. */
   readonly hasLongStreams: boolean;
+  /** Whether another program writes entries that are deeply nested, or have odd numbers or ports. */
+  readonly hasOddEntries: boolean;
 }
 
 /** Number of routers without unplanned faults, so that some requests succeed at all times. */
@@ -286,6 +289,7 @@
   ['hasBuildReleases', BUILD_RELEASE_STEPS],
   ['hasContradictedResponses', CONTRADICTED_RESPONSE_STEPS],
   ['hasLongStreams', LONG_STREAM_STEPS],
+  ['hasOddEntries', ODD_ENTRY_STEPS],
 ] as const;
 
 /**
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -46,6 +46,8 @@
   readonly hasContradictedResponses: boolean;
   /** Whether streams last for seconds, while routers that are short of processor time stop. */
   readonly hasLongStreams: boolean;
+  /** Whether another program writes entries that are deeply nested, or have odd numbers or ports. */
+  readonly hasOddEntries: boolean;
   readonly callers: number;
   /** Directory of settings, logs and, after a violation, the evidence. */
   readonly folder: string;
--- a/src/lab/gateway-simulation/simulated-object-store.ts
+++ b/src/lab/gateway-simulation/simulated-object-store.ts
@@ -83,6 +83,16 @@
     return [...this.objectsOf(kind).values()];
   }
 
+  /** Ends all faults. */
+  heal(): void {
+    this.isDown = false;
+    this.refusesWrites = false;
+    this.unreachableFor.clear();
+    this.writeFaults.length = 0;
+    this.kindWriteFaults.clear();
+    this.listDelaysMs.length = 0;
+  }
+
   /** Drops the history, so that watchers must list again. */
   compact(): void {
     this.history = [];
--- a/src/protocol/peer/relay-codec.ts
+++ b/src/protocol/peer/relay-codec.ts
@@ -2,6 +2,7 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import { BinaryWriter, WireType } from '@bufbuild/protobuf/wire';
 import { StorePosition } from '../../runtime/store-position.js';
+import { limitJsonDepth } from '../json-depth.js';
 import type { ObjectEvent, StoredObject } from '../object-store/port.js';
 import {
   type ObjectAnswer,
@@ -125,13 +126,22 @@
   }
 }
 
-/** Throws if the contents are not valid JSON. */
 function decodeChange(
   { name, revision, contents, isGone }: ObjectChange,
   era: number,
 ): ObjectEvent {
-  const spec: unknown = isGone ? undefined : JSON.parse(decoder.decode(contents));
+  const spec = isGone ? undefined : parseContents(contents);
   const position = new StorePosition(era, Number(revision));
   const object: StoredObject = { name, position, spec };
   return { object, isGone };
 }
+
+/** Contents that are not JSON are null, so that they make only their own object malformed. */
+function parseContents(contents: Uint8Array): unknown {
+  try {
+    // A reader of an earlier version doesn't limit the depth.
+    return JSON.parse(limitJsonDepth(decoder.decode(contents)));
+  } catch {
+    return null;
+  }
+}
--- a/test/platform/malformed-entries.test.ts
+++ b/test/platform/malformed-entries.test.ts
@@ -5,6 +5,7 @@
 import fc from 'fast-check';
 import { platformDecoder } from '../../platform/formats.js';
 import { ObjectStoreClient } from '../../platform/object-store-client.js';
+import { valueOrLog } from '../../src/coordination/gateway/object-decoder.js';
 import { ListFreshness } from '../../src/protocol/object-store/port.js';
 import { parseAddress } from '../../src/transport/address.js';
 import { EngineListHarness } from '../helpers/engine-list-harness.js';
@@ -98,6 +99,21 @@
   t.is(harness.statistics.oddEntries, 2);
 });
 
+/** The year 9999, and the largest exact integer. */
+for (const born of [253_402_300_799_000, Number.MAX_SAFE_INTEGER]) {
+  test(`an entry that starts at ${born} does not outrank the true one for good`, (t) => {
+    const harness = new EngineListHarness({ decoder: platformDecoder });
+    const specs = [VALID_SPEC, { ...VALID_SPEC, born, address: '10.0.0.9:8080' }, VALID_SPEC];
+    for (const [index, spec] of specs.entries())
+      harness.list.apply({ name: 'i-1', position: positionAt(index + 1), spec });
+    t.like(harness.registry.findByName('i-1')?.record, {
+      startedAtMs: STARTED_AT_MS,
+      address: VALID_SPEC.address,
+    });
+    t.is(harness.statistics.oddEntries, 1);
+  });
+}
+
 test('an entry of a service that is not configured is counted and serves no other service', (t) => {
   const harness = new EngineListHarness({ decoder: platformDecoder, services: ['llm'] });
   const spec = { ...VALID_SPEC, service: 'other' };
@@ -131,6 +147,14 @@
   t.like(harness.log.of('entry_odd').at(-1), { key: 'i-1', suppressed: 2_980 });
 });
 
+test('log lines for malformed objects of other kinds are short', (t) => {
+  const { log } = new EngineListHarness({ decoder: platformDecoder });
+  const LONG = 'x'.repeat(100_000);
+  const object = { name: LONG, position: positionAt(1), spec: { model: LONG, version: LONG } };
+  t.is(valueOrLog({ kind: 'malformed', reason: LONG }, object, log), undefined);
+  t.true(JSON.stringify(log.lines).length < 1_000);
+});
+
 test('every entry is either malformed or decoded to a valid engine record', (t) => {
   const malformed = fc.oneof(fc.anything(), fc.constantFrom('', '::', ':0', 'ready', -1, 1e300));
   const field = fc.constantFrom(...Object.keys(VALID_SPEC));
