--- a/soak/completion-oracle.ts
+++ b/soak/completion-oracle.ts
@@ -1,6 +1,7 @@
 /** Checks that requests that routers have accepted get complete responses. */
 import type { CallRecord } from './callers.js';
 import type { SoakRecord, Violation } from './oracle.js';
+import { SHORT_STREAM } from './stream-events.js';
 import { BOUNDS, DisturbanceKind, type RouterProcess, SLACK_MS } from './router-process.js';
 
 /** A router may end a request this long before the caller sees its time pass. */
@@ -33,6 +34,8 @@
     if (!router || !isUnanswered(call, own.length)) return [];
     if (crashing.has(id) || endedMs - sentMs >= timeLimitMs(record, call, endedMs)) return [];
     if (hadRouterFault(record, router, sentMs, endedMs)) return [];
+    // The rule on planned stops judges long streams that a router cuts at its end.
+    if (call.shape !== SHORT_STREAM && router.isInLastSixthOfStop(endedMs)) return [];
     const isBrokenOff = own.some(({ engineId }) => {
       // An engine that has ended may report no end.
       const end = runEnds.get(`${id} ${engineId}`);
--- a/soak/router-process.ts
+++ b/soak/router-process.ts
@@ -237,6 +237,14 @@
     return this.stops.some((stopMs) => stopMs <= atMs && atMs < stopMs + graceMs);
   }
 
+  /** Whether the process may be in the last sixth of the grace period of a planned stop. */
+  isInLastSixthOfStop(atMs: number): boolean {
+    const graceMs = BOUNDS.grace_s * MILLISECONDS_PER_SECOND;
+    return this.firstStops.some(
+      (stop) => stop.atMs + (graceMs * 5) / 6 <= atMs && atMs < stop.atMs + graceMs,
+    );
+  }
+
   /** Whether the process may be in a planned stop and begin no further requests. */
   hasEndedAcceptance(atMs: number): boolean {
     const graceMs = BOUNDS.grace_s * MILLISECONDS_PER_SECOND;
