Expect known response times, not long objectives, in a stopping router

A stopping router rejected all requests of a route whose objective is longer than three quarters of what is left, for example of a batch, although their responses take a second: it took the objective for the shortest time of a response. Now it counts only while no response time of the service is known.

--- a/src/coordination/gateway/call-dispatch.ts
+++ b/src/coordination/gateway/call-dispatch.ts
@@ -259,7 +259,8 @@
 
   /**
    * Expected time to the end of the response, in milliseconds. The length of a response that is not a
-   * generation is not known: a stream may last much longer than the objective, which is for its begin.
+   * generation is not known. The objective may be far from it: that of a stream is for its begin, and that
+   * of a batch is much longer.
    */
   private expectedDurationMs(placement: Placement, { route }: Grant): number {
     const { request, service, context } = this.call;
@@ -268,7 +269,7 @@
     const { objectiveMs } = route;
     const { slots } = placement.engine.record;
     const learnedMs = service ? context.queues?.plainMs(service, slots, objectiveMs) : undefined;
-    return Math.max(objectiveMs, learnedMs ?? 0);
+    return learnedMs || objectiveMs;
   }
 
   /** Whether the placed request may end before its deadline; rejects it if that is not expected. */
--- a/test/helpers/socket-router.ts
+++ b/test/helpers/socket-router.ts
@@ -52,16 +52,18 @@
  * Starts a router in front of the engines, HOST:PORT each.
  *
  * @param client connects the router to its engines
+ * @param objectiveMs objective of all routes; by default that of the simulated deployment
  */
 export async function startRouter(
   t: ExecutionContext,
   engines: readonly string[],
   settings: Partial<GatewaySettings>,
   client: InferencePort = new EngineClient(),
+  objectiveMs?: number,
 ): Promise<SocketRouter> {
   const clock = new SystemClock();
   const store = new SimulatedObjectStore(clock);
-  store.put(KINDS.configuration, 'main', configuration());
+  store.put(KINDS.configuration, 'main', configuration(objectiveMs));
   for (const [index, address] of engines.entries()) {
     const name = `engine-${index}`;
     const entry = { name, address, service: PLAIN_SERVICE, zone: 'zone-a', slots: 1_000 };
@@ -105,12 +107,17 @@
   return { node, ingress, clock, logger, port, events };
 }
 
-function configuration(): ReturnType<typeof simulationConfiguration> {
+function configuration(objectiveMs?: number): ReturnType<typeof simulationConfiguration> {
   const base = simulationConfiguration(1, [{ name: 'tenant-1', keys: ['key-1'] }]);
   const targets = [{ service: PLAIN_SERVICE, weight: 1 }];
   return {
     ...base,
-    routes: base.routes.map((route) => ({ ...route, targets, timeoutMs: REQUEST_TIMEOUT_MS })),
+    routes: base.routes.map((route) => ({
+      ...route,
+      targets,
+      timeoutMs: REQUEST_TIMEOUT_MS,
+      objectiveMs: objectiveMs ?? route.objectiveMs,
+    })),
     services: base.services.map((service) => ({ ...service, maximumConnections: 10_000 })),
     limits: { ...base.limits, maximumBodyBytes: BODY_LIMIT },
   };
--- a/test/helpers/stoppable-router.ts
+++ b/test/helpers/stoppable-router.ts
@@ -45,7 +45,11 @@
   readonly sends: string[] = [];
   router!: SocketRouter;
 
-  static async start(t: ExecutionContext, ...engines: Respond[]): Promise<StoppableRouter> {
+  static async start(
+    t: ExecutionContext,
+    engines: readonly Respond[],
+    objectiveMs?: number,
+  ): Promise<StoppableRouter> {
     const stopping = new StoppableRouter();
     const addresses = await Promise.all(
       engines.map((respond) =>
@@ -55,7 +59,7 @@
         }),
       ),
     );
-    stopping.router = await startRouter(t, addresses, {});
+    stopping.router = await startRouter(t, addresses, {}, undefined, objectiveMs);
     return stopping;
   }
 
--- a/test/platform/requests-during-stops.test.ts
+++ b/test/platform/requests-during-stops.test.ts
@@ -28,9 +28,9 @@
 
 // Guards against a stream that is begun when the response before it ends, and cut at the end of the stop.
 test('a request behind a long response on its connection is rejected if it can not end in time', async (t) => {
-  const stopping = await StoppableRouter.start(t, (_request, response) =>
-    streamFor(response, 2_500),
-  );
+  const stopping = await StoppableRouter.start(t, [
+    (_request, response) => streamFor(response, 2_500),
+  ]);
   const caller = new Caller(t, stopping.router);
   caller.send('first');
   caller.send('second');
@@ -53,7 +53,7 @@
       response.end();
     });
   };
-  const stopping = await StoppableRouter.start(t, refuse, refuse);
+  const stopping = await StoppableRouter.start(t, [refuse, refuse]);
   const caller = new Caller(t, stopping.router);
   stopping.stop();
   caller.send('a');
@@ -63,7 +63,7 @@
 
 // Guards against a connection that closes without a response.
 test('a response whose first event does not come before the end is an error', async (t) => {
-  const stopping = await StoppableRouter.start(t, () => undefined);
+  const stopping = await StoppableRouter.start(t, [() => undefined]);
   const caller = new Caller(t, stopping.router);
   stopping.stop();
   caller.send('a');
@@ -76,9 +76,9 @@
   const FIRST_CHUNK_MS = 500;
   const CHUNK_GAP_MS = 150;
   const CHUNKS = 10;
-  const stopping = await StoppableRouter.start(t, (_request, response) =>
-    streamFor(response, 1_500),
-  );
+  const stopping = await StoppableRouter.start(t, [
+    (_request, response) => streamFor(response, 1_500),
+  ]);
   const caller = new Caller(t, stopping.router);
   stopping.stop();
   await stopping.until(FIRST_CHUNK_MS);
@@ -94,9 +94,9 @@
 
 // Guards against a connection that closes although its request has arrived completely.
 test('a body that ends between the last check and the exit is answered with a rejection', async (t) => {
-  const stopping = await StoppableRouter.start(t, (_request, response) =>
-    streamFor(response, 1_500),
-  );
+  const stopping = await StoppableRouter.start(t, [
+    (_request, response) => streamFor(response, 1_500),
+  ]);
   const caller = new Caller(t, stopping.router);
   stopping.stop();
   await stopping.until(500);
@@ -108,3 +108,21 @@
   t.regex(caller.received, REJECTED);
   t.deepEqual(stopping.sends, []);
 });
+
+// Guards against rejections of short responses because the objective of their route is long.
+test('a short response on a route with a long objective is served', async (t) => {
+  const LONG_OBJECTIVE_MS = 8_000;
+  const stopping = await StoppableRouter.start(
+    t,
+    [(_request, response) => streamFor(response, 500)],
+    LONG_OBJECTIVE_MS,
+  );
+  const earlier = new Caller(t, stopping.router);
+  earlier.send('earlier');
+  await waitUntil(() => WHOLE.test(earlier.received));
+  const caller = new Caller(t, stopping.router);
+  stopping.stop();
+  caller.send('a');
+  await waitUntil(() => caller.isClosed);
+  t.regex(caller.received, WHOLE);
+});
