--- a/test/platform/delayed-connections.test.ts
+++ b/test/platform/delayed-connections.test.ts
@@ -30,7 +30,11 @@
       'Api-Key: key-1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n',
   );
   await waitUntil(() => isClosed);
-  t.log(router.events.filter(({ event }) => /^(request|send|engine)/.test(event)).map((e) => JSON.stringify(e).slice(0, 200)));
+  t.log(
+    router.events
+      .filter(({ event }) => /^(request|send|engine)/.test(event))
+      .map((e) => JSON.stringify(e).slice(0, 200)),
+  );
   t.regex(text, /^HTTP\/1\.1 200 /);
   t.false(router.events.some(({ event }) => event === 'send_failed'));
 });
