Test the stop of a router that notices its signal 2.2 s late, with a real process

The pauses of the other runs move the notice by 0.3 s at most, so that they pass also if the times of the stop count from the notice. Guards against requests that are begun after 3 s and cut by the kill.

--- a/test/platform/stops-of-paused-routers.test.ts
+++ b/test/platform/stops-of-paused-routers.test.ts
@@ -32,12 +32,20 @@
 const HELD_SENT_MS = 3_050;
 const HELD_GAP_MS = 50;
 const HELD_CALLERS = 12;
-/** For how long the router is paused in each period. */
-const PAUSES = [
+/** For how long the router is paused in each period, and how long after its signal it notices it. */
+interface Pauses {
+  readonly pausedMs: number;
+  readonly periodMs: number;
+  readonly noticedAfterMs?: number;
+}
+
+const PAUSES: readonly Pauses[] = [
   { pausedMs: 0, periodMs: 400 },
   { pausedMs: 60, periodMs: 160 },
   { pausedMs: 300, periodMs: 400 },
-] as const;
+  // Guards against requests that are begun because the times of the stop count from its notice.
+  { pausedMs: 0, periodMs: 400, noticedAfterMs: 2_200 },
+];
 
 /** One request and what its caller has received. Times count from the signal. */
 interface Call {
@@ -183,8 +191,9 @@
 /** Pauses the process for a part of each period until it has ended. */
 async function pause(
   router: ChildProcess,
-  { pausedMs, periodMs }: (typeof PAUSES)[number],
+  { pausedMs, periodMs, noticedAfterMs }: Pauses,
 ): Promise<void> {
+  if (noticedAfterMs !== undefined) return;
   while (router.exitCode === null && router.signalCode === null) {
     if (pausedMs > 0) router.kill('SIGSTOP');
     await wait(pausedMs);
@@ -194,8 +203,9 @@
 }
 
 for (const [index, times] of PAUSES.entries()) {
-  const { pausedMs, periodMs } = times;
-  test(`no response is lost at the stop of a router that is paused ${pausedMs} of ${periodMs} ms`, async (t) => {
+  const { pausedMs, periodMs, noticedAfterMs = 0 } = times;
+  const late = noticedAfterMs > 0 ? `, and notices it ${noticedAfterMs} ms late` : '';
+  test(`no response is lost at the stop of a router that is paused ${pausedMs} of ${periodMs} ms${late}`, async (t) => {
     const traffic = new Traffic();
     const deployment = await startDeployment(t, `127.0.45.${index + 1}`, (attempt, response) =>
       traffic.run(attempt, response),
@@ -206,14 +216,17 @@
     const exited = once(router, 'exit');
     void pause(router, times);
     await wait(2 * periodMs);
+    if (noticedAfterMs > 0) router.kill('SIGSTOP');
     router.kill('SIGTERM');
     traffic.noteSignal();
+    const resume = setTimeout(() => router.kill('SIGCONT'), noticedAfterMs);
     const kill = setTimeout(() => router.kill('SIGKILL'), GRACE_MS);
     void traffic.keepConnecting(deployment);
     for (let held = 0; held < HELD_CALLERS; held += 1)
       void traffic.callLate(deployment, HELD_SENT_MS + held * HELD_GAP_MS);
     await exited;
     clearTimeout(kill);
+    clearTimeout(resume);
     traffic.end();
     await Promise.all(callers);
     const sent = traffic.calls.filter(({ sentMs }) => sentMs > 0);
