--- a/src/runtime/signal-times.ts
+++ b/src/runtime/signal-times.ts
@@ -5,7 +5,12 @@
 import { type Clock, type Timer, repeat } from './clock.js';
 import type { ElapsedInstant } from './elapsed-instant.js';
 
-/** Precision of the bound while the process is not delayed. */
+/**
+ * Time after which a signal that was sent has reached the event loop if the process runs: as a suspended
+ * process goes on, its other threads may take the signal a few iterations later.
+ */
+const DELIVERY_MS = 50;
+/** Time between two checks, which adds to the bound while the process is not delayed. */
 const CHECK_PERIOD_MS = 100;
 
 /** Remembers when the event loop last had no signal to handle. */
@@ -30,11 +35,13 @@
     this.checks.cancel();
   }
 
-  /** The immediate of a timer runs after the sockets, and signals, of the same iteration. */
+  /** An immediate runs after the sockets, and signals, of its iteration. */
   private check(): void {
     const instant = this.clock.elapsed();
-    setImmediate(() => {
-      this.lastWithoutSignal = instant;
-    });
+    this.clock.setTimer(DELIVERY_MS, () =>
+      setImmediate(() => {
+        this.lastWithoutSignal = instant;
+      }),
+    );
   }
 }
