--- a/test/helpers/stoppable-router.ts
+++ b/test/helpers/stoppable-router.ts
@@ -63,11 +63,11 @@
     return stopping;
   }
 
-  /** Begins the stop, with a grace period of 5 s. */
-  stop(): void {
+  /** Begins the stop, with a grace period of 5 s; the signal may have waited for `longestDelayMs`. */
+  stop(longestDelayMs = 0): void {
     const { node, ingress, clock, logger } = this.router;
     this.startedMs = performance.now();
-    new StopSequence(node, ingress, clock, logger, GRACE_S, { longestDelayMs: 0 }, () => {
+    new StopSequence(node, ingress, clock, logger, GRACE_S, { longestDelayMs }, () => {
       this.hasExited = true;
     }).begin();
   }
