--- a/src/coordination/gateway/stream-origin-questions.ts
+++ b/src/coordination/gateway/stream-origin-questions.ts
@@ -232,7 +232,7 @@
   private readRecord(question: PendingQuestion): void {
     if (question.isReading || question.isRecordRead) return;
     if (this.pending.get(question.attemptId) !== question) return;
-    // With several builds, the record tells nothing about one stream.
+    // With several builds, the record does not show where one stream began.
     if (this.parts.knowledge.isMixed(question.service)) return;
     question.isReading = true;
     question.reads += 1;
