--- a/src/coordination/gateway/build-record.ts
+++ b/src/coordination/gateway/build-record.ts
@@ -204,7 +204,7 @@
     return build === undefined || this.holds(service, build);
   }
 
-  /** Whether the record holds the builds of the history, and was read lately. */
+  /** Whether the record holds the builds of the history, and was read recently. */
   get isFresh(): boolean {
     return this.isCurrent && this.parts.clock.now() - this.readMs < this.refreshMs;
   }
--- a/src/coordination/gateway/stream-origin-exchange.ts
+++ b/src/coordination/gateway/stream-origin-exchange.ts
@@ -228,7 +228,7 @@
   /**
    * The wait of a stream whose build is known until an engine of it was seen: a router that has been out
    * of step, such as one that stood still, may hear of the stream before it hears of the engines. Undefined
-   * if it has seen one lately; resolves after `ENGINE_WAIT_MS` in any case.
+   * if it has seen one recently; resolves after `ENGINE_WAIT_MS` in any case.
    */
   engineWait({ service, build }: StreamOrigin): Promise<void> | undefined {
     const isSeen = (): boolean => {
--- a/src/coordination/gateway/stream-origin-questions.ts
+++ b/src/coordination/gateway/stream-origin-questions.ts
@@ -220,7 +220,7 @@
 
   /**
    * Whether no other router that may still run has seen a second build, so that none has begun a stream
-   * there. A router that has just started counts too: its predecessor has ended, and had told holders.
+   * there. A router that has just started counts too: its predecessor has ended, and had notified holders.
    */
   private isStatedByAll({ statedBy, isKnownSole, service }: PendingQuestion): boolean {
     const { group, knowledge } = this.parts;
