Take a response of a restarted engine for whole if it had restarted before the request

Callers of a router that had just started saw whole streams without a length broken off after their last event: the router addressed the engine as its old entry names it, the process that was started since responded, and the check of the end found another incarnation than the one addressed, so the engine counted as gone. A response over a connection that was opened for it, at least 500 ms (the difference that clocks may have) after the later incarnation has started, comes from that incarnation.

--- a/src/coordination/gateway/previous-incarnation.ts
+++ b/src/coordination/gateway/previous-incarnation.ts
@@ -25,9 +25,6 @@
 ): boolean {
   const { name, startedAtMs: addressedMs } = send.placement.engine.record;
   if (name !== previous.name || !isLaterIncarnation(startedAtMs, addressedMs)) return false;
-  const now = clock.now();
-  const sentWallMs = clock.wallNow() - (now - send.sentMs);
-  return (
-    sentWallMs < startedAtMs - CLOCK_TOLERANCE_MS && now - send.lastActivityMs >= INACTIVITY_MS
-  );
+  const inactiveMs = clock.now() - send.lastActivityMs;
+  return send.sentWallMs < startedAtMs - CLOCK_TOLERANCE_MS && inactiveMs >= INACTIVITY_MS;
 }
--- a/src/coordination/gateway/response-end-check.ts
+++ b/src/coordination/gateway/response-end-check.ts
@@ -2,22 +2,25 @@
  * Checks whether the engine of a response that ended with its connection has crashed. The kernel
  * closes the connections of a process that dies in the same order as the process would have, so the
  * end alone does not show whether the response is whole. A proxy before the engine may accept
- * connections in its place, so an engine of generations must answer, and be the same incarnation. One
- * that has broken off one response and lives is not recognised.
+ * connections in its place, so an engine of generations must answer, and be the incarnation that has sent
+ * the response. One that has broken off one response and lives is not recognised.
  */
 import { type Clock, sleep } from '../../runtime/clock.js';
 import {
   type DatedEndpoint,
+  type IncarnationCheck,
   IncarnationState,
   type InferencePort,
   ListenerState,
 } from '../../protocol/inference/port.js';
+import { isLaterIncarnation } from '../../state/routing/engine-incarnation.js';
 import { EarlyEnds } from '../../state/routing/early-ends.js';
 import {
   CHECK_DELAYS_MS,
   type CrashDetectorParts,
   PROCESS_EXIT_MS,
 } from './engine-crash-detector.js';
+import { CLOCK_TOLERANCE_MS } from './previous-incarnation.js';
 
 /** State of an engine, and of the router that forwarded its connection, after a response has ended. */
 export enum SenderState {
@@ -59,6 +62,11 @@
   readonly isSuspected: boolean;
   /** Whether the engine runs generations, and so can be asked which incarnation it is. */
   readonly isGeneration: boolean;
+  /**
+   * Wall-clock time in Unix milliseconds after which the connection was opened; undefined if an earlier
+   * exchange has opened it.
+   */
+  readonly connectedAfterMs: number | undefined;
 }
 
 /** Looks for evidence that a response without a length was broken off. */
@@ -70,7 +78,7 @@
 
   /** Checks the engine, and the router that forwarded the connection. */
   async checkSender(engine: DatedEndpoint, response: EndedResponse): Promise<SenderState> {
-    const { forwarder, isSuspected, isGeneration } = response;
+    const { forwarder, isSuspected, isGeneration, connectedAfterMs } = response;
     let state = SenderState.Unknown;
     for (const delayMs of isSuspected ? CHECK_DELAYS_MS : [PROCESS_EXIT_MS]) {
       await sleep(this.parts.clock, delayMs);
@@ -78,7 +86,9 @@
       if (state !== SenderState.Present) return state;
     }
     if (!isGeneration) return state;
-    return INCARNATION_STATES[await this.parts.engines.checkIncarnation(engine, forwarder)];
+    const check = await this.parts.engines.checkIncarnation(engine, forwarder);
+    if (hasStartedBefore(check, engine, connectedAfterMs)) return SenderState.Present;
+    return INCARNATION_STATES[check.state];
   }
 
   private async stateOf(
@@ -93,3 +103,18 @@
     return state === ListenerState.Listening ? SenderState.Present : SenderState.Gone;
   }
 }
+
+/**
+ * Whether the engine had restarted before the connection was opened. Then the incarnation that is there
+ * now has sent the response, although the request was addressed to the one before.
+ */
+function hasStartedBefore(
+  { state, startedAtMs }: IncarnationCheck,
+  addressed: DatedEndpoint,
+  connectedAfterMs: number | undefined,
+): boolean {
+  if (state !== IncarnationState.Other) return false;
+  if (startedAtMs === undefined || connectedAfterMs === undefined) return false;
+  const isLater = isLaterIncarnation(startedAtMs, addressed.startedAtMs);
+  return isLater && startedAtMs + CLOCK_TOLERANCE_MS <= connectedAfterMs;
+}
--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -220,6 +220,7 @@
       forwarder: connection?.isForwarded ? forwarder?.address : undefined,
       isSuspected: this.events.isSuspected,
       isGeneration: this.generation !== undefined,
+      connectedAfterMs: connection?.isNew ? this.sentWallMs : undefined,
     });
     if (this.isClosed) return;
     if (this.sender === SenderState.Gone)
@@ -229,6 +230,12 @@
     else this.complete();
   }
 
+  /** Wall-clock time of the send, in Unix milliseconds. */
+  get sentWallMs(): number {
+    const { clock } = this.context;
+    return clock.wallNow() - (clock.now() - this.sentMs);
+  }
+
   /** Ends the send, whose engine has served it well; the rest may be asked for elsewhere. */
   private leaveUnconfirmed(): void {
     const { engineId: engine } = this;
--- a/src/lab/gateway-simulation/simulated-inference.ts
+++ b/src/lab/gateway-simulation/simulated-inference.ts
@@ -7,9 +7,10 @@
   type Exchange,
   type ExchangeListener,
   type ForwardedRequest,
-  IncarnationState,
+  type IncarnationCheck,
   type InferencePort,
   ListenerState,
+  UNKNOWN_INCARNATION,
   type LoadCommandResult,
   type SendOptions,
   type LoadCommandRequest,
@@ -28,7 +29,7 @@
   UNFINISHED_RUN,
   weightStateOf,
 } from './simulated-engine.js';
-import { incarnationStateAt, listenerStateAt } from './simulated-listener.js';
+import { checkIncarnationAt, listenerStateAt } from './simulated-listener.js';
 import { crashCauseOf } from './crash-cause.js';
 import { SimulatedExchange, NETWORK_DELAY_MS } from './simulated-exchange.js';
 import { LoadCommandFault, type SimulatedFleet } from './simulated-fleet.js';
@@ -167,11 +168,9 @@
     );
   }
 
-  checkIncarnation(endpoint: DatedEndpoint, forwarder?: string): Promise<IncarnationState> {
-    return this.respond(
-      () => incarnationStateAt(this.fleet, this.linkOver(forwarder), endpoint),
-      IncarnationState.Unknown,
-    );
+  checkIncarnation(endpoint: DatedEndpoint, forwarder?: string): Promise<IncarnationCheck> {
+    const check = () => checkIncarnationAt(this.fleet, this.linkOver(forwarder), endpoint);
+    return this.respond(check, UNKNOWN_INCARNATION);
   }
 
   /** The link to engines, this router's own or that of a forwarder that it reaches. */
--- a/src/lab/gateway-simulation/simulated-listener.ts
+++ b/src/lab/gateway-simulation/simulated-listener.ts
@@ -1,8 +1,10 @@
 /** Whether connections to a simulated engine are accepted, and which incarnation accepts them. */
 import {
   type DatedEndpoint,
+  type IncarnationCheck,
   IncarnationState,
   ListenerState,
+  UNKNOWN_INCARNATION,
 } from '../../protocol/inference/port.js';
 import type { EngineLink } from './engine-links.js';
 import type { SimulatedFleet } from './simulated-fleet.js';
@@ -21,14 +23,17 @@
 }
 
 /** The incarnation that answers at the address of an engine. */
-export function incarnationStateAt(
+export function checkIncarnationAt(
   fleet: SimulatedFleet,
   link: EngineLink | undefined,
   { address, startedAtMs }: DatedEndpoint,
-): IncarnationState {
+): IncarnationCheck {
   const state = listenerStateAt(fleet, link, address);
-  if (state !== ListenerState.Listening) return IncarnationState.Unknown;
-  const engine = fleet.latestAt(address);
-  if (!engine?.isRunning) return IncarnationState.Unknown;
-  return engine.startedAtMs === startedAtMs ? IncarnationState.Same : IncarnationState.Other;
+  const engine = state === ListenerState.Listening ? fleet.latestAt(address) : undefined;
+  if (!engine?.isRunning) return UNKNOWN_INCARNATION;
+  const isSame = engine.startedAtMs === startedAtMs;
+  return {
+    state: isSame ? IncarnationState.Same : IncarnationState.Other,
+    startedAtMs: engine.startedAtMs,
+  };
 }
--- a/src/protocol/inference/port.ts
+++ b/src/protocol/inference/port.ts
@@ -173,6 +173,19 @@
   Unknown = 'unknown',
 }
 
+/** Which incarnation of an engine responds at its address, and since when. */
+export interface IncarnationCheck {
+  readonly state: IncarnationState;
+  /** Start time of the one that responded, in Unix milliseconds by its clock; undefined if unknown. */
+  readonly startedAtMs: number | undefined;
+}
+
+/** Result of a check that no incarnation has responded to. */
+export const UNKNOWN_INCARNATION: IncarnationCheck = {
+  state: IncarnationState.Unknown,
+  startedAtMs: undefined,
+};
+
 /** A command to load other weights. */
 export interface LoadCommandRequest {
   readonly model: string;
@@ -255,7 +268,7 @@
    *
    * @param forwarder address of the router that forwards the connection; direct by default
    */
-  checkIncarnation(endpoint: DatedEndpoint, forwarder?: string): Promise<IncarnationState>;
+  checkIncarnation(endpoint: DatedEndpoint, forwarder?: string): Promise<IncarnationCheck>;
   /** Sends a load command; resolves also if the engine does not respond. */
   sendLoadCommand(
     endpoint: EngineEndpoint,
--- a/test/gateway/response-end-check.test.ts
+++ b/test/gateway/response-end-check.test.ts
@@ -20,13 +20,16 @@
   states: readonly ListenerState[],
   isSuspected: boolean,
   incarnation?: IncarnationState,
+  startedAtMs?: number,
+  connectedAfterMs?: number,
 ): Promise<SenderState> {
   const clock = new VirtualClock();
   const nextState = listenerStates(states);
   const ends = new ResponseEndCheck({
     engines: {
       checkListener: nextState,
-      checkIncarnation: () => Promise.resolve(incarnation ?? IncarnationState.Unknown),
+      checkIncarnation: () =>
+        Promise.resolve({ state: incarnation ?? IncarnationState.Unknown, startedAtMs }),
     },
     clock,
     access: { checkEngine: nextState },
@@ -35,6 +38,7 @@
     forwarder: undefined,
     isSuspected,
     isGeneration: incarnation !== undefined,
+    connectedAfterMs,
   });
   await clock.advance(LAST_CHECK_MS);
   return checked;
@@ -66,3 +70,22 @@
   t.is(await check(IncarnationState.Other), SenderState.Gone);
   t.is(await check(IncarnationState.Unknown), SenderState.Unknown);
 });
+
+// Guards against a whole response that is broken off because the router learns late of a restart.
+test('an engine that had restarted before the connection was opened has sent the response', async (t) => {
+  const check = (
+    incarnation: IncarnationState,
+    startedAtMs?: number,
+    connectedAfterMs?: number,
+  ): Promise<SenderState> =>
+    checkSender([ListenerState.Listening], false, incarnation, startedAtMs, connectedAfterMs);
+  const { Other, Unknown } = IncarnationState;
+  t.is(await check(Other, 10_000, 10_500), SenderState.Present);
+  // The clocks of the machines may differ by 500 ms.
+  t.is(await check(Other, 10_000, 10_499), SenderState.Gone);
+  t.is(await check(Other, 10_000, 9_000), SenderState.Gone);
+  // A connection that was opened earlier may lead to the process before.
+  t.is(await check(Other, 10_000, undefined), SenderState.Gone);
+  t.is(await check(Other, undefined, 10_500), SenderState.Gone);
+  t.is(await check(Unknown, 10_000, 10_500), SenderState.Unknown);
+});
--- a/test/platform/cut-control-responses.test.ts
+++ b/test/platform/cut-control-responses.test.ts
@@ -101,7 +101,7 @@
     body: REPORT,
     isStatusEnough: true,
     make: async (_store, engines, address) => {
-      const state = await engines.checkIncarnation(engineAt(address));
+      const { state } = await engines.checkIncarnation(engineAt(address));
       return state === IncarnationState.Unknown ? NOTHING : state;
     },
   },
--- a/test/platform/engine-checks-of-paused-routers.test.ts
+++ b/test/platform/engine-checks-of-paused-routers.test.ts
@@ -47,7 +47,7 @@
   const address = await startEngine(t);
   const engine = { id: 'engine@1', name: 'engine', address, startedAtMs: STARTED_AT_MS };
   const client = new EngineClient();
-  t.is(await client.checkIncarnation(engine), IncarnationState.Same);
+  t.is((await client.checkIncarnation(engine)).state, IncarnationState.Same);
 });
 
 test.serial(
--- a/test/platform/incarnation-check.test.ts
+++ b/test/platform/incarnation-check.test.ts
@@ -33,7 +33,7 @@
   const client = new EngineClient();
   const forwarder = await startForwarder(t);
   const direct = await client.checkIncarnation(engine);
-  return [direct, await client.checkIncarnation(engine, forwarder)];
+  return [direct.state, (await client.checkIncarnation(engine, forwarder)).state];
 }
 
 function twice(state: IncarnationState): IncarnationState[] {
@@ -80,7 +80,7 @@
   );
   const address = await listen(t, server);
   const engine = { id: 'engine-1', name: 'engine-1', address, startedAtMs: undefined };
-  t.is(await new EngineClient().checkIncarnation(engine), IncarnationState.Same);
+  t.is((await new EngineClient().checkIncarnation(engine)).state, IncarnationState.Same);
 });
 
 // A proxy answers in place of an engine that has ended, or the report breaks off as the response did.
