Soak: take a crash of its engine within contact_ms before a request for the disruption that it is

The check of planned stops counted streams that a router broke off within 9 s after SIGTERM although their engine had crashed 1.7 to 2.8 s before the request. The rule on losses (RULES, LOST) asks for "no unplanned disruption from contact_ms before the request until its end".

--- a/soak/planned-stop-oracle.ts
+++ b/soak/planned-stop-oracle.ts
@@ -1,4 +1,5 @@
 /** Checks that planned stops of routers lose no request that they have read. */
+import { parseIncarnation } from '../src/state/routing/engine-incarnation.js';
 import type { CallRecord } from './callers.js';
 import { LOSS_SLACK_MS, groupBy, hadEngineFault, timeLimitMs } from './completion-oracle.js';
 import type { ReportedRun, ReportedRunEnd } from './messages.js';
@@ -153,11 +154,29 @@
     const { storeFaults, engineFaults } = this.record.observations;
     const overlaps = ({ fromMs, untilMs = Infinity }: Span): boolean =>
       fromMs <= endedMs && sentMs - BOUNDS.contact_ms <= untilMs;
+    if (runs.some(({ engineId }) => this.hasCrashedBefore(engineId, sentMs))) return true;
     // Those of engines concern a request that has run only if it ran there, see `isBrokenOff`.
     const engines = runs.length === 0 ? engineFaults : [];
     const own = router.disturbances.filter((each) => !isShortSuspension(each));
     return [...own, ...router.engineCuts, ...storeFaults, ...engines].some(overlaps);
   }
+
+  /**
+   * Whether an earlier process of an engine ended within `contact_ms` before a request was sent, without
+   * having drained, so that its router may not know yet of the process that runs the request.
+   */
+  private hasCrashedBefore(engineId: string, sentMs: number): boolean {
+    const { engineExits, drains } = this.record.observations;
+    const name = nameOf(engineId);
+    const exits = engineExits.filter((exit) => exit.name === name);
+    return exits.some(({ atMs }) => {
+      const isRecent = sentMs - BOUNDS.contact_ms <= atMs && atMs <= sentMs;
+      const hasDrained = [...drains].some(
+        ([drainedId, drainedMs]) => nameOf(drainedId) === name && drainedMs <= atMs,
+      );
+      return isRecent && !hasDrained;
+    });
+  }
 }
 
 function isShortSuspension({ kind, fromMs, untilMs }: Disturbance): boolean {
@@ -165,6 +184,11 @@
   return untilMs - fromMs <= SHORTEST_DISRUPTION_MS;
 }
 
+/** The name of an engine, without the start time of its process. */
+function nameOf(engineId: string): string {
+  return parseIncarnation(engineId).name;
+}
+
 function describe({ call, router, runs, stop, bodySentMs, endedMs }: Ending): string {
   const { atMs: stopMs, program } = stop;
   const { id, kind, status, failure, sentMs } = call;
