Take the earlier reading of the wall clock for when a connection was opened

A wall clock that is set forward during a response made its connection look younger than it is, so that an engine that restarts meanwhile could pass for the one that has sent it, and a broken response for whole.

--- a/src/coordination/gateway/send.ts
+++ b/src/coordination/gateway/send.ts
@@ -72,6 +72,8 @@
   /** Undefined while the exchange is, or will be, forwarded by another router. */
   private observed: ObservedSend | undefined;
   private connection: ExchangeConnection | undefined;
+  /** Wall-clock time of the send as of when it opened a connection; undefined if it opened none. */
+  private openingWallMs: number | undefined;
   /** Router through which the request is sent, unless there is an idle direct connection. */
   readonly forwarder: Forwarder | undefined;
   private isClosed = false;
@@ -162,6 +164,7 @@
   onConnected(connection: ExchangeConnection): void {
     if (this.isClosed) return;
     this.connection = connection;
+    if (connection.isNew) this.openingWallMs = this.sentWallMs;
     if (connection.isForwarded) return;
     this.observed ??= this.context.enginePath.observe(this.engineId);
     if (connection.isNew) this.observed.noteNewConnection();
@@ -220,7 +223,7 @@
       forwarder: connection?.isForwarded ? forwarder?.address : undefined,
       isSuspected: this.events.isSuspected,
       isGeneration: this.generation !== undefined,
-      connectedAfterMs: connection?.isNew ? this.sentWallMs : undefined,
+      connectedAfterMs: this.connectedAfterMs,
     });
     if (this.isClosed) return;
     if (this.sender === SenderState.Gone)
@@ -236,6 +239,12 @@
     return clock.wallNow() - (clock.now() - this.sentMs);
   }
 
+  /** The earlier of two readings, so that a wall clock that is set forward meanwhile makes it no later. */
+  private get connectedAfterMs(): number | undefined {
+    const { openingWallMs, sentWallMs } = this;
+    return openingWallMs === undefined ? undefined : Math.min(openingWallMs, sentWallMs);
+  }
+
   /** Ends the send, whose engine has served it well; the rest may be asked for elsewhere. */
   private leaveUnconfirmed(): void {
     const { engineId: engine } = this;
