Bound the delay of a stop signal by monotonic time

Callers with a cached response of the directory got ECONNREFUSED from a router whose wall clock had been set forward up to 150 ms before its stop signal: elapsed time takes such a step for a suspension of the machine, so that the signal counted as sent 30 s before and the router stopped listening at once. Monotonic time counts suspensions of the process, which matter here; a suspended machine suspends the sender too.

--- a/src/runtime/signal-times.ts
+++ b/src/runtime/signal-times.ts
@@ -3,7 +3,6 @@
  * handles a signal late, while its sender counts from the moment at which it was sent.
  */
 import { type Clock, type Timer, repeat } from './clock.js';
-import type { ElapsedInstant } from './elapsed-instant.js';
 
 /**
  * Time after which a signal that was sent has reached the event loop if the process runs: as a suspended
@@ -13,13 +12,16 @@
 /** Time between two checks, which adds to the bound while the process is not delayed. */
 const CHECK_PERIOD_MS = 100;
 
-/** Remembers when the event loop last had no signal to handle. */
+/**
+ * Remembers when the event loop last had no signal to handle. Monotonic time: a wall clock that is set is
+ * no delay, and a suspended machine suspends the sender of its signals too.
+ */
 export class SignalTimes {
-  private lastWithoutSignal: ElapsedInstant;
+  private lastWithoutSignalMs: number;
   private readonly checks: Timer;
 
   constructor(private readonly clock: Clock) {
-    this.lastWithoutSignal = clock.elapsed();
+    this.lastWithoutSignalMs = clock.now();
     this.checks = repeat(clock, CHECK_PERIOD_MS, () => this.check());
   }
 
@@ -28,7 +30,7 @@
    * valid within the handler of a signal.
    */
   get longestDelayMs(): number {
-    return this.clock.elapsed().since(this.lastWithoutSignal);
+    return this.clock.now() - this.lastWithoutSignalMs;
   }
 
   stop(): void {
@@ -37,10 +39,10 @@
 
   /** An immediate runs after the sockets, and signals, of its iteration. */
   private check(): void {
-    const instant = this.clock.elapsed();
+    const nowMs = this.clock.now();
     this.clock.setTimer(DELIVERY_MS, () =>
       setImmediate(() => {
-        this.lastWithoutSignal = instant;
+        this.lastWithoutSignalMs = nowMs;
       }),
     );
   }
--- a/test/platform/stop-times.test.ts
+++ b/test/platform/stop-times.test.ts
@@ -34,6 +34,10 @@
     return { cancel: () => this.timers.delete(key) };
   }
 
+  afterReading(callback: () => void): void {
+    afterReading(callback);
+  }
+
   async step(): Promise<void> {
     this.nowMs += STEP_MS;
     for (const [key, { atMs, callback }] of this.timers) {
