Poll sockets before a forwarder's connection to an engine times out

A router that was asked to forward, and was without the processor for 500 ms meanwhile, answered ENGINE_UNREACHABLE although its connection had opened: timers run before sockets are polled. The router that asked then took the engine for out of reach. The forwarder destroys the connection only if it has still not opened once sockets were polled.

--- a/src/protocol/peer/forwarding-server.ts
+++ b/src/protocol/peer/forwarding-server.ts
@@ -14,6 +14,7 @@
   type ForwardingPort,
   type ForwardingTarget,
 } from './forwarding-port.js';
+import { afterReading } from '../../runtime/after-reading.js';
 
 /** Time until the first frame must have arrived. */
 const REQUEST_TIMEOUT_MS = 1_000;
@@ -93,7 +94,12 @@
     router.once('close', () => (this.forwarded -= 1));
     const engine = net.connect({ host, port, noDelay: true, allowHalfOpen: true });
     let isConnected = false;
-    engine.setTimeout(ENGINE_CONNECT_TIMEOUT_MS, () => engine.destroy());
+    engine.setTimeout(ENGINE_CONNECT_TIMEOUT_MS, () =>
+      // Timers run before sockets are polled: the connection of a delayed forwarder may have opened.
+      afterReading(() => {
+        if (!isConnected) engine.destroy();
+      }),
+    );
     let failure = ForwardStatus.ENGINE_UNREACHABLE;
     engine.on('error', (error: NodeJS.ErrnoException) => {
       if (error.code === 'ECONNREFUSED') failure = ForwardStatus.ENGINE_REFUSED;
