Read sockets before a request is failed over for want of a response

A router without the processor for 500 ms sent a request again although its response waited in the socket: a repeatable generation ran twice and its first response was discarded (the engine's work and a retry lost), another request spent a retry. The timers for the response and for the next bytes of a stream run before sockets are read. Once such a timer has fired, what has arrived is read first, and the request fails over only if that brought nothing; no timer is added to a request.

--- a/src/coordination/gateway/send-timeouts.ts
+++ b/src/coordination/gateway/send-timeouts.ts
@@ -31,13 +31,23 @@
   startResponseTimeout(objectiveMs: number, remainingMs: number): void {
     const timeoutMs = Math.max(MINIMUM_RESPONSE_TIMEOUT_MS, objectiveMs * RESPONSE_TIMEOUT_FACTOR);
     if (timeoutMs >= remainingMs) return;
-    this.timer = this.clock.setTimer(timeoutMs, () => this.onTimeout('no-answer'));
+    this.start(timeoutMs, 'no-answer');
   }
 
   /** Restarts the timeout for the next chunk of a stream. */
   restartStallTimeout(): void {
     this.cancel();
-    this.timer = this.clock.setTimer(STALL_TIMEOUT_MS, () => this.onTimeout('stalled'));
+    this.start(STALL_TIMEOUT_MS, 'stalled');
+  }
+
+  private start(timeoutMs: number, reason: SendTimeoutReason): void {
+    const timer = this.clock.setTimer(timeoutMs, () => {
+      // Timers run before sockets are read: the response of a delayed router may have arrived.
+      this.clock.afterReading(() => {
+        if (this.timer === timer) this.onTimeout(reason);
+      });
+    });
+    this.timer = timer;
   }
 
   cancel(): void {
