Read answers on the origin of a stream before the wait for them ends

Callers that took up a stream got 503 from a router that was held for longer than the 60 ms of the wait, though the holder of the stream's origin had answered. Cause: timers run before sockets are read, so that the wait ended before the answer in the socket was read. Change: the end of the wait reads sockets first, through the node's clock; the simulated one defers nothing. Nothing is added to a question that is answered in time.

--- a/src/coordination/gateway/stream-origin-questions.ts
+++ b/src/coordination/gateway/stream-origin-questions.ts
@@ -196,13 +196,16 @@
         this.send(question, addresses);
         this.readRecord(question);
       }),
-      clock.setTimer(ANSWER_TIMEOUT_MS, () => {
-        question.openRounds -= 1;
-        this.settle(question);
-      }),
+      clock.setTimer(ANSWER_TIMEOUT_MS, () => clock.afterReading(() => this.endRound(question))),
     );
   }
 
+  /** Ends the wait for the answers to one round, after those that have arrived were read. */
+  private endRound(question: PendingQuestion): void {
+    question.openRounds -= 1;
+    this.settle(question);
+  }
+
   /** Ends the question if its finding is certain, or nothing more can make it so. */
   private settle(question: PendingQuestion): void {
     if (this.pending.get(question.attemptId) !== question) return;
--- a/test/gateway/stream-origin-delays.test.ts
+++ b/test/gateway/stream-origin-delays.test.ts
@@ -17,7 +17,7 @@
 /** Longer than a router waits for an answer. */
 const HELD_MS = 100;
 
-test.serial.failing('an answer that waits in the socket of a delayed router is read', async (t) => {
+test.serial('an answer that waits in the socket of a delayed router is read', async (t) => {
   const socket = createSocket('udp4').bind(0, '127.0.0.1');
   await once(socket, 'listening');
   t.teardown(() => socket.close());
