Keep the tolerated clock difference beside the incarnations of engines

response-end-check imported it from previous-incarnation, which imports Send, which imports response-end-check. No behaviour changes; the check of layers failed before.

--- a/src/coordination/gateway/listed-engines.ts
+++ b/src/coordination/gateway/listed-engines.ts
@@ -14,7 +14,7 @@
 import { EngineList } from './engine-list.js';
 import { EngineIncarnationTracker, type EngineRestart } from './engine-incarnation-tracker.js';
 import { FollowedFeeds } from './followed-feeds.js';
-import { CLOCK_TOLERANCE_MS } from './previous-incarnation.js';
+import { CLOCK_TOLERANCE_MS } from '../../state/routing/engine-incarnation.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
 import type { GroupMembership } from './group-membership.js';
 import type { ObjectDecoder } from './object-decoder.js';
--- a/src/coordination/gateway/previous-incarnation.ts
+++ b/src/coordination/gateway/previous-incarnation.ts
@@ -5,12 +5,10 @@
  * to the previous one; only its connection shows the outcome.
  */
 import type { Clock } from '../../runtime/clock.js';
-import { isLaterIncarnation } from '../../state/routing/engine-incarnation.js';
+import { CLOCK_TOLERANCE_MS, isLaterIncarnation } from '../../state/routing/engine-incarnation.js';
 import type { EngineRestart } from './engine-incarnation-tracker.js';
 import type { Send } from './send.js';
 
-/** Upper limit of the clock difference between machines. */
-export const CLOCK_TOLERANCE_MS = 500;
 /**
  * A connection without activity for this long is considered hung. Keeps streams of the new
  * incarnation alive if the engine's clock is far ahead.
--- a/src/coordination/gateway/response-end-check.ts
+++ b/src/coordination/gateway/response-end-check.ts
@@ -13,14 +13,13 @@
   type InferencePort,
   ListenerState,
 } from '../../protocol/inference/port.js';
-import { isLaterIncarnation } from '../../state/routing/engine-incarnation.js';
+import { CLOCK_TOLERANCE_MS, isLaterIncarnation } from '../../state/routing/engine-incarnation.js';
 import { EarlyEnds } from '../../state/routing/early-ends.js';
 import {
   CHECK_DELAYS_MS,
   type CrashDetectorParts,
   PROCESS_EXIT_MS,
 } from './engine-crash-detector.js';
-import { CLOCK_TOLERANCE_MS } from './previous-incarnation.js';
 
 /** State of an engine, and of the router that forwarded its connection, after a response has ended. */
 export enum SenderState {
--- a/src/state/routing/engine-incarnation.ts
+++ b/src/state/routing/engine-incarnation.ts
@@ -12,6 +12,9 @@
   readonly startedAtMs: number | undefined;
 }
 
+/** Upper limit of the clock difference between a router and an engine. */
+export const CLOCK_TOLERANCE_MS = 500;
+
 const INCARNATION_WITH_START = /^(.+)@(\d{1,16})$/;
 
 /** Formats an incarnation as `name@start`, or as the name alone if the start time is unknown. */
