--- a/src/protocol/peer/forwarding-server.ts
+++ b/src/protocol/peer/forwarding-server.ts
@@ -14,7 +14,7 @@
   type ForwardingPort,
   type ForwardingTarget,
 } from './forwarding-port.js';
-import { afterReading } from '../../runtime/after-reading.js';
+import { startResponseTimeout } from '../../runtime/response-timeout.js';
 
 /** Time until the first frame must have arrived. */
 const REQUEST_TIMEOUT_MS = 1_000;
@@ -94,23 +94,20 @@
     router.once('close', () => (this.forwarded -= 1));
     const engine = net.connect({ host, port, noDelay: true, allowHalfOpen: true });
     let isConnected = false;
-    engine.setTimeout(ENGINE_CONNECT_TIMEOUT_MS, () =>
-      // Timers run before sockets are polled: the connection of a delayed forwarder may have opened.
-      afterReading(() => {
-        if (!isConnected) engine.destroy();
-      }),
-    );
+    const timeout = startResponseTimeout(ENGINE_CONNECT_TIMEOUT_MS, () => engine.destroy());
     let failure = ForwardStatus.ENGINE_UNREACHABLE;
     engine.on('error', (error: NodeJS.ErrnoException) => {
       if (error.code === 'ECONNREFUSED') failure = ForwardStatus.ENGINE_REFUSED;
     });
     engine.once('connect', () => {
       isConnected = true;
+      timeout.cancel();
       this.policy.onConnected(target, true);
       router.write(encodeForwardReply(ForwardStatus.CONNECTED));
       join(router, engine);
     });
     engine.once('close', () => {
+      timeout.cancel();
       if (isConnected) return;
       // The router may have left meanwhile; then nothing is known about the engine.
       if (!router.destroyed) this.policy.onConnected(target, false);
@@ -123,7 +120,6 @@
 /** Passes all bytes in both directions, and the way in which either connection ends. */
 function join(router: net.Socket, engine: net.Socket): void {
   router.setTimeout(IDLE_TIMEOUT_MS, () => router.resetAndDestroy());
-  engine.setTimeout(0);
   // A reset must not look like the regular end of a response without a length. One that arrives
   // with the last bytes is reported as a regular end and shows only in the missing remote port.
   engine.on('error', () => router.resetAndDestroy());
