--- a/review/second/engine.mjs
+++ b/review/second/engine.mjs
@@ -14,7 +14,7 @@
 const HEARTBEAT_MS = 1_200;
 const QUEUE_PLACES = 4;
 const IDLE_TIMEOUT_MS = 30_000;
-const EVENTS = 6;
+const EVENTS = settings.events ?? 6;
 
 const LOAD_MS = 600;
 
@@ -30,6 +30,9 @@
 let repeatsRejections = false;
 /** Status with which the next requests fail after they have run; undefined if they don't. */
 let failureStatus;
+/** One in so many streams ends early, in order and between two events; 0 if none does. */
+let earlyInterval = 0;
+let streams = 0;
 /** Kept parts: by salt and part, the tenant whose request made it. */
 const kept = new Map();
 
@@ -158,7 +161,7 @@
     'X-Peatspan-Response-Seal': sealOf(request),
     ...(settings.model && { 'X-Peatspan-Weight-Versions': String(settings.version) }),
   };
-  if (settings.model) stream(response, headers);
+  if (settings.model) stream(request, response, headers);
   else {
     setTimeout(() => {
       const text = `${attemptId} ${request.method} ${request.url} ${body.length}`;
@@ -168,13 +171,27 @@
   }
 }
 
-function stream(response, headers) {
+function stream(request, response, headers) {
+  if (settings.isUnframed) {
+    // Neither a length nor chunks: the answer ends with its connection.
+    response.useChunkedEncodingByDefault = false;
+    response.shouldKeepAlive = false;
+  }
   response.writeHead(200, { ...headers, 'Content-Type': 'text/event-stream' });
-  let number = 0;
+  response.flushHeaders();
+  let number = Number(request.headers['last-event-id'] ?? 0);
+  const isFirst = number === 0;
+  if (isFirst) streams += 1;
+  const isEarly = isFirst && earlyInterval > 0 && streams % earlyInterval === 0;
+  const last = isEarly ? EVENTS / 2 : EVENTS;
+  if (isEarly)
+    report({ kind: 'ends early', attemptId: headers['X-Peatspan-Attempt-Id'], events: last });
   const timer = setInterval(() => {
-    number += 1;
-    response.write(`id: ${number}\ndata: token ${number}\n\n`);
-    if (number < EVENTS) return;
+    if (number < last) {
+      number += 1;
+      response.write(`id: ${number}\ndata: token ${number}\n\n`);
+      return;
+    }
     timer.close();
     response.end();
   }, workMs);
@@ -238,6 +255,7 @@
 process.on('message', (command) => {
   if (command.rejectionsLeft !== undefined) rejectionsLeft = command.rejectionsLeft;
   if (command.failureStatus !== undefined) failureStatus = command.failureStatus ?? undefined;
+  if (command.earlyInterval !== undefined) earlyInterval = command.earlyInterval;
   if (command.repeatsRejections !== undefined) repeatsRejections = command.repeatsRejections;
 });
 process.on('disconnect', () => process.exit(0));
