--- a/scripts/known-red.mjs
+++ b/scripts/known-red.mjs
@@ -2,12 +2,14 @@
 // KNOWN-RED.txt has lines of `TEST TITLES | cause | issue N`, titles separated by `; `. Ava fails if
 // such a test passes. A run that is no test, and fails only at times, stands last as `by hand: ...` and
 // is printed. CI's soak passes over the promise that `knownRed` of soak/regression-seeds.json names, and
-// prints it.
+// prints it. Entries of the issues in `UNCAPPED_ISSUES` name one test a line and do not count.
 import { existsSync, readFileSync, readdirSync } from 'node:fs';
 import { join } from 'node:path';
 
 const LIST = 'KNOWN-RED.txt';
 const MAXIMUM_ENTRIES = 3;
+/** Third field of the entries that stand beyond the maximum, one test a line. */
+const UNCAPPED_ISSUES = new Set(['issue 88']);
 /** Start of the entry of a run that CI does not make. */
 const BY_HAND = 'by hand: ';
 const MARKED_TEST = /test(?:\.serial)?\.failing\(\s*(['"`])(.+?)\1/g;
@@ -33,6 +35,8 @@
 const listed = lines.filter((line) => line.trim() !== '');
 const titles = new Set(listed.flatMap((line) => titlesOf(line.split(' | ')[0])));
 const marked = new Set(markedTitles('test'));
+const isUncapped = (line) => UNCAPPED_ISSUES.has(line.split(' | ')[2]);
+const capped = listed.filter((line) => !isUncapped(line));
 for (const line of listed) console.log(`known to fail: ${line}`);
 
 const regressionSeeds = JSON.parse(readFileSync('soak/regression-seeds.json', 'utf8'));
@@ -53,7 +57,10 @@
   ...listed
     .filter((line) => line.split(' | ').length !== 3)
     .map((line) => `expected \`TEST TITLE | cause | issue N\`: ${line}`),
-  ...(listed.length > MAXIMUM_ENTRIES ? [`more than ${MAXIMUM_ENTRIES} entries`] : []),
+  ...listed
+    .filter((line) => isUncapped(line) && line.split(' | ')[0].includes('; '))
+    .map((line) => `expected one test in the line: ${line}`),
+  ...(capped.length > MAXIMUM_ENTRIES ? [`more than ${MAXIMUM_ENTRIES} entries`] : []),
 ];
 for (const problem of problems) console.error(`${LIST}: ${problem}`);
 process.exitCode = problems.length > 0 ? 1 : 0;
