--- a/test/clients/ingress-crowds.test.ts
+++ b/test/clients/ingress-crowds.test.ts
@@ -23,34 +23,29 @@
 
 const UNKNOWN_KEY = 'key-of-nobody';
 
-test.serial.failing(
-  'a whole body in chunks of one byte is served, and its router lives',
-  async (t) => {
-    const router = await startAlone(t);
-    const upload = wholeUpload(UPLOAD_PATH, API_KEY, 4_160_000, 1);
-    const statusLine = await sendBytes(router.listeners.ingress, upload);
-    await checkRouter(t, router);
-    t.is(statusLine, 'HTTP/1.1 200 OK');
-  },
-);
+test.serial('a whole body in chunks of one byte is served, and its router lives', async (t) => {
+  const router = await startAlone(t);
+  const upload = wholeUpload(UPLOAD_PATH, API_KEY, 4_160_000, 1);
+  const statusLine = await sendBytes(router.listeners.ingress, upload);
+  await checkRouter(t, router);
+  t.is(statusLine, 'HTTP/1.1 200 OK');
+});
 
-test.serial.failing('a router outlives bodies in chunks of one byte without an end', (t) =>
+test.serial('a router outlives bodies in chunks of one byte without an end', (t) =>
   outliveCrowd(t, {
     clients: 60,
     bytesOf: () => unendedUpload(UPLOAD_PATH, API_KEY, 108_000, 1),
   }),
 );
 
-test.serial.failing(
-  'a router outlives bodies in chunks of one byte with a key that nobody has',
-  (t) =>
-    outliveCrowd(t, {
-      clients: 60,
-      bytesOf: () => unendedUpload(UPLOAD_PATH, UNKNOWN_KEY, 108_000, 1),
-    }),
+test.serial('a router outlives bodies in chunks of one byte with a key that nobody has', (t) =>
+  outliveCrowd(t, {
+    clients: 60,
+    bytesOf: () => unendedUpload(UPLOAD_PATH, UNKNOWN_KEY, 108_000, 1),
+  }),
 );
 
-test.serial.failing('a router outlives long bodies in chunks of 24 bytes without an end', (t) =>
+test.serial('a router outlives long bodies in chunks of 24 bytes without an end', (t) =>
   outliveCrowd(t, {
     clients: 12,
     bytesOf: () => unendedUpload(UPLOAD_PATH, API_KEY, 3_800_000, 24),
