--- a/test/clients/ingress-crowds.test.ts
+++ b/test/clients/ingress-crowds.test.ts
@@ -59,14 +59,12 @@
   }),
 );
 
-test.serial.failing(
-  'a router outlives 350 bodies of 100 kB that stop just short of their end',
-  (t) =>
-    outliveCrowd(t, {
-      clients: 350,
-      bytesOf: () => unendedUpload(UPLOAD_PATH, API_KEY, 100_000, 512),
-      ordinaryBodyBytes: 110_000,
-    }),
+test.serial('a router outlives 350 bodies of 100 kB that stop just short of their end', (t) =>
+  outliveCrowd(t, {
+    clients: 350,
+    bytesOf: () => unendedUpload(UPLOAD_PATH, API_KEY, 100_000, 512),
+    ordinaryBodyBytes: 110_000,
+  }),
 );
 
 test.serial('a router outlives pipelined heads that do not wait for their responses', (t) =>
@@ -88,7 +86,7 @@
   }),
 );
 
-test.serial.failing('a router outlives heads of 60 kB without an end', (t) =>
+test.serial('a router outlives heads of 60 kB without an end', (t) =>
   outliveCrowd(t, { clients: 500, bytesOf: () => unendedHead(UPLOAD_PATH, 60_000) }),
 );
 
@@ -106,7 +104,6 @@
   }),
 );
 
-test.serial.failing(
-  'a router outlives more idle connections at its ingress than it has descriptors',
-  (t) => outliveCrowd(t, { clients: 700, bytesOf: () => [] }),
+test.serial('a router outlives more idle connections at its ingress than it has descriptors', (t) =>
+  outliveCrowd(t, { clients: 700, bytesOf: () => [] }),
 );
