Let a body that stands still give way to a newer one where the budget of bodies is short

Callers of ordinary requests got nothing but 503 as long as clients stayed whose bodies fill the budget and stop just short of their end: whoever is there first kept his place for 18 s, and came again. Cause: bodies were admitted and never dropped. While it is being read, a body that has brought less than 1 KB in 500 ms is now dropped for a newer one, the stillest first; then larger ones, the largest first; none where that makes no room. Its client gets the 503 with Retry-After that a refused one gets: nothing of it ran. A complete body is never dropped.

--- a/src/coordination/gateway/memory-budget.ts
+++ b/src/coordination/gateway/memory-budget.ts
@@ -5,7 +5,7 @@
   type BodyShare,
   ByteBudget,
   type ByteBudgetSettings,
-  type DroppedResponse,
+  type DroppedBytes,
 } from '../../state/routing/byte-budget.js';
 import { RejectionReason } from '../../state/routing/rejection.js';
 import type { GatewaySettings } from './gateway-settings.js';
@@ -67,13 +67,30 @@
     );
   }
 
-  /** Counts a request body until an engine has taken it. */
-  openBody(): BodyShare {
-    return this.bytes.openBody();
+  /**
+   * Counts a request body until an engine has taken it.
+   *
+   * @param drop called if the body is dropped for others while it is being read
+   */
+  openBody(requestId: string, drop: (rejection: RouterResponse) => void): BodyShare {
+    return this.bytes.openBody(this.context.clock.now(), ({ bytes, stalledMs }) =>
+      drop(this.refuseBody(requestId, bytes, stalledMs)),
+    );
+  }
+
+  /** Counts more memory of a body that is being read. Returns false if there is no room for it. */
+  growBody(share: BodyShare, bytes: number): boolean {
+    return share.grow(bytes, this.context.clock.now());
+  }
+
+  /** More of a body has arrived, which so does not stand still. */
+  noteProgress(share: BodyShare): void {
+    share.noteProgress(this.context.clock.now());
   }
 
+  /** Whether there is, or can be made, room for a body of so many bytes. */
   admitsBody(bytes: number): boolean {
-    return this.bytes.admitsBody(bytes);
+    return this.bytes.makeRoom(bytes, this.context.clock.now());
   }
 
   /** Whether a body may be sent to the engine. */
@@ -81,13 +98,18 @@
     return this.bytes.hasRoomAt(engineId, bytes);
   }
 
-  /** Refuses a request whose body does not fit; nothing of it has run. */
-  refuseBody(requestId: string, bytes: number): RouterResponse {
+  /**
+   * Refuses a request whose body does not fit, or no longer; nothing of it has run.
+   *
+   * @param stalledMs time without progress of a body that was dropped for others
+   */
+  refuseBody(requestId: string, bytes: number, stalledMs?: number): RouterResponse {
     const { logger, statistics, rejections } = this.context;
     statistics.bodiesOverBudget += 1;
     logger.warn('body_over_budget', {
       request: requestId,
       bytes,
+      stalled_ms: stalledMs === undefined ? undefined : Math.round(stalledMs),
       held_bytes: this.heldBytes,
       held_body_bytes: this.heldBodyBytes,
       budget_bytes: this.totalBytes,
@@ -96,7 +118,7 @@
     return rejections.responseTo({ reason, service: '', priority: 0 });
   }
 
-  private noteDrop(requestId: string, { bytes, stalledMs }: DroppedResponse): void {
+  private noteDrop(requestId: string, { bytes, stalledMs }: DroppedBytes): void {
     const { logger, statistics } = this.context;
     statistics.slowReadersDropped += 1;
     logger.warn('slow_reader_dropped', {
--- a/src/state/routing/byte-budget.ts
+++ b/src/state/routing/byte-budget.ts
@@ -2,8 +2,9 @@
  * Budget of the bytes that a router holds for callers and engines: responses that callers have not
  * taken yet and request bodies that engines have not taken yet. Pure.
  *
- * Bodies are admitted and never dropped, responses are never refused but may be dropped. Bodies get
- * only a part of the budget, so that they can't crowd out the responses.
+ * Bodies are admitted, and dropped only while they are being read: for others, those that stand still
+ * or are larger. Responses are never refused but may be dropped. Bodies get only a part of the budget,
+ * so that they can't crowd out the responses.
  */
 
 /** Bounds in bytes. */
@@ -20,6 +21,8 @@
 /** Share of the budget for one response; 16 stopped callers fill it before one is dropped. */
 const RESPONSE_SHARE = 1 / 16;
 const BODY_SHARE = 0.5;
+/** Time without progress from which a body that is being read counts as standing still. */
+const STALLED_BODY_MS = 500;
 /** Share for the bodies queued at one engine, so that one slow engine can't use up all of it. */
 const ENGINE_BODY_SHARE = BODY_SHARE / 4;
 /** A paused stream continues when its response holds at most this share of its bound. */
@@ -60,9 +63,13 @@
 export interface BodyShare {
   /**
    * Counts bytes that are read, before the body is sent. Returns false, without counting, if there is
-   * no room for them.
+   * no room for them and no other body can be dropped.
    */
-  grow(bytes: number): boolean;
+  grow(bytes: number, nowMs?: number): boolean;
+  /** More of the body has arrived. */
+  noteProgress(nowMs: number): void;
+  /** The whole body has been read. It is not dropped any more. */
+  complete(): void;
   /** The whole body is sent to an engine, for the first time or again. */
   queueAt(engineId: string): void;
   /** The engine has taken the whole body. */
@@ -75,6 +82,8 @@
 /** Decides who may hold more, whose engine is paused and who is dropped. */
 export class ByteBudget {
   private readonly responses = new Set<HeldResponseBytes>();
+  /** Bodies that are being read and can be dropped. */
+  private readonly arriving = new Set<HeldBodyBytes>();
   private readonly queuedByEngine = new Map<string, number>();
   private responseTotal = 0;
   private bodyTotal = 0;
@@ -95,14 +104,20 @@
   }
 
   /** @param drop called at most once, after the bytes of the response were released */
-  openResponse(nowMs: number, drop: (dropped: DroppedResponse) => void): ResponseShare {
+  openResponse(nowMs: number, drop: (dropped: DroppedBytes) => void): ResponseShare {
     const response = new HeldResponseBytes(this, nowMs, drop);
     this.responses.add(response);
     return response;
   }
 
-  openBody(): BodyShare {
-    return new HeldBodyBytes(this);
+  /**
+   * @param drop called at most once, after the bytes of the body were released; without it, the body
+   *   is never dropped
+   */
+  openBody(nowMs = 0, drop?: (dropped: DroppedBytes) => void): BodyShare {
+    const body = new HeldBodyBytes(this, nowMs, drop);
+    if (drop) this.arriving.add(body);
+    return body;
   }
 
   /** Whether there is room for a body of this many bytes. */
@@ -111,6 +126,29 @@
     return this.bodyTotal + bytes <= bodyBytes && this.heldBytes + bytes <= totalBytes;
   }
 
+  /**
+   * Makes room for so many bytes of a body: drops bodies that are being read and stand still, the
+   * stillest first, then larger ones, the largest first. Drops none if that does not suffice.
+   *
+   * @param body the one that grows; undefined if it is not being read yet
+   */
+  makeRoom(bytes: number, nowMs: number, body?: HeldBodyBytes): boolean {
+    if (this.admitsBody(bytes)) return true;
+    const candidates = this.droppableFor(bytes, nowMs, body);
+    const reclaimable = candidates.reduce((sum, each) => sum + each.bytes, 0);
+    if (!this.admitsBody(bytes - reclaimable)) return false;
+    for (const candidate of candidates) {
+      if (this.admitsBody(bytes)) break;
+      candidate.drop(nowMs);
+    }
+    return true;
+  }
+
+  /** The body is not being read any more. */
+  endArrival(body: HeldBodyBytes): void {
+    this.arriving.delete(body);
+  }
+
   /** Whether a body may be sent to the engine; one of any size if it has taken all others. */
   hasRoomAt(engineId: string, bytes: number): boolean {
     const queued = this.queuedAt(engineId);
@@ -144,6 +182,18 @@
     this.responseTotal -= response.bytes;
   }
 
+  /** Sorts the bodies that are being read, which takes place only where there is no room. */
+  private droppableFor(bytes: number, nowMs: number, body?: HeldBodyBytes): HeldBodyBytes[] {
+    const others = [...this.arriving].filter((each) => each !== body && each.bytes > 0);
+    const isStalled = (each: HeldBodyBytes): boolean => nowMs - each.progressMs >= STALLED_BODY_MS;
+    const ownBytes = (body?.bytes ?? 0) + bytes;
+    const stalled = others.filter(isStalled).sort((one, two) => one.progressMs - two.progressMs);
+    const larger = others
+      .filter((each) => !isStalled(each) && each.bytes > ownBytes)
+      .sort((one, two) => two.bytes - one.bytes);
+    return [...stalled, ...larger];
+  }
+
   /**
    * Takes time in proportion to the responses, but only for each one that is dropped. Terminates
    * because each step releases a response that holds bytes.
@@ -166,10 +216,10 @@
   }
 }
 
-/** A response that was dropped. */
-export interface DroppedResponse {
+/** A response or body that was dropped. */
+export interface DroppedBytes {
   readonly bytes: number;
-  /** Time since its caller last took bytes, in milliseconds. */
+  /** Time since its caller last took or sent bytes, in milliseconds. */
   readonly stalledMs: number;
 }
 
@@ -184,7 +234,7 @@
   constructor(
     private readonly budget: ByteBudget,
     public progressMs: number,
-    private readonly onDropped: (dropped: DroppedResponse) => void,
+    private readonly onDropped: (dropped: DroppedBytes) => void,
   ) {}
 
   get mayGrow(): boolean {
@@ -218,21 +268,39 @@
 }
 
 class HeldBodyBytes implements BodyShare {
-  private bytes = 0;
+  bytes = 0;
   private isCounted = true;
   private isReleased = false;
   private engineId: string | undefined;
 
-  constructor(private readonly budget: ByteBudget) {}
+  constructor(
+    private readonly budget: ByteBudget,
+    public progressMs: number,
+    private readonly onDropped?: (dropped: DroppedBytes) => void,
+  ) {}
 
-  grow(bytes: number): boolean {
+  grow(bytes: number, nowMs = 0): boolean {
     const isBeingRead = !this.isReleased && this.isCounted && this.engineId === undefined;
-    if (!isBeingRead || !this.budget.admitsBody(bytes)) return false;
+    if (!isBeingRead || !this.budget.makeRoom(bytes, nowMs, this)) return false;
     this.bytes += bytes;
     this.budget.changeBody(bytes);
     return true;
   }
 
+  noteProgress(nowMs: number): void {
+    this.progressMs = nowMs;
+  }
+
+  complete(): void {
+    this.budget.endArrival(this);
+  }
+
+  drop(nowMs: number): void {
+    const dropped = { bytes: this.bytes, stalledMs: nowMs - this.progressMs };
+    this.release();
+    this.onDropped?.(dropped);
+  }
+
   queueAt(engineId: string): void {
     if (this.isReleased) return;
     this.leaveEngine();
@@ -255,6 +323,7 @@
 
   release(): void {
     if (this.isReleased) return;
+    this.budget.endArrival(this);
     this.leaveEngine();
     this.uncount();
     this.isReleased = true;
--- a/test/clients/ingress-crowds.test.ts
+++ b/test/clients/ingress-crowds.test.ts
@@ -67,6 +67,22 @@
   }),
 );
 
+test.serial('a router outlives 150 bodies that stand still and fill the budget of bodies', (t) =>
+  outliveCrowd(t, {
+    clients: 150,
+    bytesOf: () => unendedUpload(UPLOAD_PATH, API_KEY, 262_000, 524),
+    ordinaryBodyBytes: 110_000,
+  }),
+);
+
+test.serial('a router outlives 150 such bodies with a key that nobody has', (t) =>
+  outliveCrowd(t, {
+    clients: 150,
+    bytesOf: () => unendedUpload(UPLOAD_PATH, UNKNOWN_KEY, 262_000, 524),
+    ordinaryBodyBytes: 110_000,
+  }),
+);
+
 test.serial('a router outlives pipelined heads that do not wait for their responses', (t) =>
   outliveCrowd(t, { clients: 20, bytesOf: () => pipelined(UPLOAD_PATH, API_KEY, 3_000, 600) }),
 );
