--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -18,6 +18,7 @@
 import { Directory } from './directory.js';
 import type { CallerLocation } from './directory-addresses.js';
 import { logClockJump } from './clock-jump-log.js';
+import { logConfiguration } from './configuration-log.js';
 import { createCoordinator } from './coordinator-setup.js';
 import { buildRecordSource } from './build-record.js';
 import { CrashProtection } from './crash-protection.js';
@@ -40,7 +41,8 @@
 import { valueOrLog } from './object-decoder.js';
 import { Rejections } from './rejections.js';
 import { ResponseEndCheck } from './response-end-check.js';
-import type { InboundRequest, Reply } from './reply.js';
+import { rejectionOfHead } from './head-rejection.js';
+import type { InboundRequest, Reply, RequestHead, RouterResponse } from './reply.js';
 import { Shutdown, type ShutdownSchedule } from './shutdown.js';
 import { RunningCalls } from './running-calls.js';
 import { StoreFollowers } from './store-followers.js';
@@ -311,6 +313,14 @@
     return this.directory.resolve(location, this.isReady);
   }
 
+  /**
+   * The rejection that the head of a request requires whatever its body is; undefined if its body may
+   * be read. The configuration is asked again when it is complete.
+   */
+  rejectionOfHead(head: RequestHead): RouterResponse | undefined {
+    return rejectionOfHead(head, this.context);
+  }
+
   /** Serves one request. */
   handle(request: InboundRequest, reply: Reply): void {
     this.calls.start(request, reply, this.context);
@@ -366,12 +376,7 @@
     if (!configuration) return decoded.kind === 'malformed';
     if (!this.configuration.apply(configuration, proven)) return true;
     this.split.retain(new Set(configuration.routes.map((route) => route.name)));
-    logger.info('configuration_in_force', {
-      version: configuration.version,
-      era: object.position.era,
-      revision: object.position.revision,
-      routes: configuration.routes.length,
-    });
+    logConfiguration(configuration, object.position, logger);
     this.joinWhenReady();
     return true;
   }
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -73,6 +73,8 @@
   slowReadersDropped = 0;
   /** Requests refused because their body did not fit into the memory budget. */
   bodiesOverBudget = 0;
+  /** Requests rejected before their body was read, since the configuration does not grant them. */
+  rejectedByHead = 0;
   /** Engines that dropped requests of this router and then refused connections or restarted. */
   engineCrashes = 0;
   /** Engines that were found restarted under the same name. */
--- a/src/coordination/gateway/reply.ts
+++ b/src/coordination/gateway/reply.ts
@@ -28,6 +28,9 @@
   readonly heldBody?: BodyShare | undefined;
 }
 
+/** What the head of a request states that the configuration is asked about. */
+export type RequestHead = Pick<InboundRequest, 'id' | 'host' | 'path' | 'apiKey'>;
+
 /** A response produced by the router itself. */
 export interface RouterResponse {
   readonly status: number;
--- a/src/coordination/gateway/request-admission.ts
+++ b/src/coordination/gateway/request-admission.ts
@@ -6,7 +6,7 @@
 import { RejectionReason } from '../../state/routing/rejection.js';
 import type { RouteTable } from '../../state/routing/route-table.js';
 import type { GatewayContext } from './gateway-context.js';
-import type { InboundRequest, RouterResponse } from './reply.js';
+import type { RequestHead, RouterResponse } from './reply.js';
 
 /** What the configuration grants to a request. */
 export interface Grant {
@@ -28,7 +28,7 @@
 const UNKNOWN_PRIORITY = 0;
 
 /** Checks a request. Called before each dispatch, since the configuration may change in between. */
-export function admitRequest(request: InboundRequest, context: GatewayContext): RequestAdmission {
+export function admitRequest(request: RequestHead, context: GatewayContext): RequestAdmission {
   const table = context.configuration.current;
   if (!table) {
     return rejected(RejectionReason.NoConfiguration, UNKNOWN_PRIORITY);
--- a/test/helpers/ingress-harness.ts
+++ b/test/helpers/ingress-harness.ts
@@ -3,10 +3,10 @@
 import type { ExecutionContext } from 'ava';
 import { Ingress } from '../../platform/ingress.js';
 import type { GatewayNode } from '../../src/coordination/gateway/gateway-node.js';
+import type { MemoryBudget } from '../../src/coordination/gateway/memory-budget.js';
 import type { InboundRequest, Reply } from '../../src/coordination/gateway/reply.js';
 import { SystemClock } from '../../src/runtime/clock.js';
 import { NoopLogger } from '../../src/runtime/logger.js';
-import type { ByteBudget } from '../../src/state/routing/byte-budget.js';
 import type { IngressLimits } from '../../src/state/routing/configuration.js';
 
 /** A request without a body. */
@@ -26,7 +26,7 @@
 /** Starts an ingress with a node that records the requests; without `memory`, unbounded. */
 export async function startIngress(
   t: ExecutionContext,
-  memory?: ByteBudget,
+  memory?: MemoryBudget,
   onRequest: (reply: Reply) => void = () => undefined,
 ): Promise<IngressHarness> {
   const requests: IngressHarness['requests'] = [];
@@ -39,6 +39,7 @@
   const node = {
     limits,
     memory,
+    rejectionOfHead: () => undefined,
     handle: (request: InboundRequest, reply: Reply) => {
       requests.push({ request, reply });
       onRequest(reply);
--- a/test/platform/ingress.test.ts
+++ b/test/platform/ingress.test.ts
@@ -1,6 +1,11 @@
 /** Guards against wrong conversion, limits and connection handling of client requests. */
 import test from 'ava';
-import { ByteBudget, byteBudgetOf } from '../../src/state/routing/byte-budget.js';
+import {
+  MemoryBudget,
+  type MemoryBudgetContext,
+} from '../../src/coordination/gateway/memory-budget.js';
+import { SystemClock } from '../../src/runtime/clock.js';
+import { byteBudgetOf } from '../../src/state/routing/byte-budget.js';
 import { BodyFraming } from '../../src/protocol/inference/port.js';
 import type { InboundRequest, Reply } from '../../src/coordination/gateway/reply.js';
 import { GET, connect, startIngress, waitUntil } from '../helpers/ingress-harness.js';
@@ -152,7 +157,8 @@
 });
 
 test('a pipelined request is not handled, and its body released, when its connection closes before its turn', async (t) => {
-  const memory = new ByteBudget(byteBudgetOf(1_000_000));
+  const context = { clock: new SystemClock() } as unknown as MemoryBudgetContext;
+  const memory = new MemoryBudget(byteBudgetOf(1_000_000), context);
   const harness = await startIngress(t, memory);
   const client = connect(harness.port);
   client.socket.write(GET + GET.replace('GET', 'POST').replace('\r\n\r\n', BODY));
