--- a/test/clients/listener-crowds.test.ts
+++ b/test/clients/listener-crowds.test.ts
@@ -38,7 +38,7 @@
   ),
 );
 
-test.serial.failing('a router outlives pipelined calls of its metrics that are not read', (t) =>
+test.serial('a router outlives pipelined calls of its metrics that are not read', (t) =>
   outliveCrowd(
     t,
     { clients: 20, bytesOf: () => pipelined('/metrics', '', 500, 150), isReading: false },
@@ -46,7 +46,7 @@
   ),
 );
 
-test.serial.failing('a router outlives heads of 15 kB without an end at its directory', (t) =>
+test.serial('a router outlives heads of 15 kB without an end at its directory', (t) =>
   outliveCrowd(
     t,
     { clients: 500, bytesOf: () => unendedHead(DIRECTORY_PATH, 15_000) },
@@ -54,19 +54,16 @@
   ),
 );
 
-test.serial.failing(
-  'a router outlives more idle connections at its directory than descriptors',
-  (t) => outliveCrowd(t, IDLE, 'directory'),
+test.serial('a router outlives more idle connections at its directory than descriptors', (t) =>
+  outliveCrowd(t, IDLE, 'directory'),
 );
 
-test.serial.failing(
-  'a router outlives more idle connections at its readiness than descriptors',
-  (t) => outliveCrowd(t, IDLE, 'readiness'),
+test.serial('a router outlives more idle connections at its readiness than descriptors', (t) =>
+  outliveCrowd(t, IDLE, 'readiness'),
 );
 
-test.serial.failing(
-  'a router outlives more idle connections at its metrics than descriptors',
-  (t) => outliveCrowd(t, IDLE, 'metrics'),
+test.serial('a router outlives more idle connections at its metrics than descriptors', (t) =>
+  outliveCrowd(t, IDLE, 'metrics'),
 );
 
 test.serial.failing('a router outlives more idle connections for frames than descriptors', (t) =>
