--- a/bench/state.ts
+++ b/bench/state.ts
@@ -10,6 +10,7 @@
 import { PrefixDirectory } from '../src/state/prefix-directory.js';
 import { fingerprintOf } from '../src/state/routing/request-fingerprint.js';
 import { type BenchResult, medianMicroseconds } from './result.js';
+import { RequestBody } from '../src/protocol/inference/request-body.js';
 
 const ENGINES = 730;
 const ZONES = ['zone-0', 'zone-1', 'zone-2', 'zone-3', 'zone-4', 'zone-5'];
@@ -49,7 +50,7 @@
     host: 'host.example',
     method: 'POST',
     path: '/chat/x',
-    body,
+    body: RequestBody.of(body),
   };
   const time = medianMicroseconds(40, 10, () => {
     fingerprintOf(identity);
--- a/src/lab/gateway-simulation/crash-cause.ts
+++ b/src/lab/gateway-simulation/crash-cause.ts
@@ -13,7 +13,7 @@
   { body, target }: ForwardedRequest,
   tenant: string | undefined,
 ): Pick<ObservedCrash, 'cause' | 'subject'> | undefined {
-  const text = Buffer.from(body).toString();
+  const text = Buffer.concat(body.pieces).toString();
   if (text.startsWith(CRASHING_BODY)) {
     return { cause: CrashCause.Request, subject: [tenant, target, text].join(' ') };
   }
--- a/src/lab/gateway-simulation/simulation-fixtures.ts
+++ b/src/lab/gateway-simulation/simulation-fixtures.ts
@@ -6,6 +6,7 @@
 import type { RoutingConfiguration } from '../../state/routing/configuration.js';
 import type { TenantLimit } from '../../state/routing/quota/tenant-limit.js';
 import { decodeStoredEngine } from './stored-engine.js';
+import { RequestBody } from '../../protocol/inference/request-body.js';
 
 /** Kinds of request that simulated callers send; each has a route. */
 export const REQUEST_KINDS = [
@@ -258,7 +259,7 @@
     host: 'host.example',
     hostHeader: 'host.example',
     headers: slowStream ? [[EVENT_INTERVAL_HEADER, `${slowStream.eventIntervalMs}`]] : [],
-    body: Buffer.from(body),
+    body: RequestBody.of(Buffer.from(body)),
     apiKey: key,
     budgetMs: slowStream?.budgetMs ?? REQUEST_BUDGET_MS,
     generation: kind.startsWith('stream')
--- a/src/protocol/inference/port.ts
+++ b/src/protocol/inference/port.ts
@@ -1,5 +1,7 @@
 /** Interface to inference engines. An exchange is one attempt to send a request to one engine. */
 
+import type { RequestBody } from './request-body.js';
+
 /** A header line as received; the case of names and duplicate lines are preserved. */
 export type HeaderLine = readonly [name: string, value: string];
 
@@ -12,7 +14,7 @@
   /** `Host` header of the client's request, unchanged. */
   readonly hostHeader: string;
   readonly headers: readonly HeaderLine[];
-  readonly body: Uint8Array;
+  readonly body: RequestBody;
 }
 
 /** Options that differ between attempts. */
--- a/src/runtime/growing-buffer.ts
+++ b/src/runtime/growing-buffer.ts
@@ -10,9 +10,6 @@
   private bytes = Buffer.alloc(0);
   private usedBytes = 0;
 
-  /** @param maximumBytes length of the whole contents, if it is known */
-  constructor(private readonly maximumBytes = Infinity) {}
-
   get length(): number {
     return this.usedBytes;
   }
@@ -22,14 +19,9 @@
     return this.bytes.length;
   }
 
-  /** Bytes of memory that the buffer takes on beyond its present ones to append so many. */
-  growthFor(appendedBytes: number): number {
-    return this.capacityFor(this.usedBytes + appendedBytes) - this.bytes.length;
-  }
-
   append(chunk: Buffer): void {
     const needed = this.usedBytes + chunk.length;
-    if (needed > this.bytes.length) this.grow(this.capacityFor(needed));
+    if (needed > this.bytes.length) this.grow(needed);
     chunk.copy(this.bytes, this.usedBytes);
     this.usedBytes = needed;
   }
@@ -43,13 +35,8 @@
     return this.bytes.toString('utf8', 0, this.usedBytes);
   }
 
-  private capacityFor(neededBytes: number): number {
-    if (neededBytes <= this.bytes.length) return this.bytes.length;
-    const doubled = Math.max(2 * this.bytes.length, INITIAL_BYTES);
-    return Math.max(neededBytes, Math.min(doubled, this.maximumBytes));
-  }
-
-  private grow(capacity: number): void {
+  private grow(neededBytes: number): void {
+    const capacity = Math.max(neededBytes, 2 * this.bytes.length, INITIAL_BYTES);
     const grown = Buffer.allocUnsafe(capacity);
     this.bytes.copy(grown, 0, 0, this.usedBytes);
     this.bytes = grown;
--- a/src/state/routing/request-fingerprint.ts
+++ b/src/state/routing/request-fingerprint.ts
@@ -9,6 +9,7 @@
  * entries.
  */
 import { createHash } from 'node:crypto';
+import type { RequestBody } from '../../protocol/inference/request-body.js';
 
 /** The properties in which equal requests agree. */
 export interface RequestIdentity {
@@ -18,7 +19,7 @@
   readonly method: string;
   /** Without the query. */
   readonly path: string;
-  readonly body: Uint8Array;
+  readonly body: RequestBody;
 }
 
 /** What identifies a prompt part to engines, whatever their weights. */
@@ -38,7 +39,7 @@
 export function fingerprintOf({ tenant, host, method, path, body }: RequestIdentity): string {
   const hash = createHash('sha256');
   hash.update([tenant === undefined ? '-' : `+${tenant}`, host, method, path, ''].join(SEPARATOR));
-  hash.update(body);
+  for (const piece of body.pieces) hash.update(piece);
   return hash.digest().subarray(0, FINGERPRINT_BYTES).toString('hex');
 }
 
--- a/test/gateway/engine-crashes.test.ts
+++ b/test/gateway/engine-crashes.test.ts
@@ -13,6 +13,7 @@
 import { type EngineRecord, EngineRegistry } from '../../src/state/routing/engine-registry.js';
 import { fingerprintOf } from '../../src/state/routing/request-fingerprint.js';
 import { listenerStates } from '../helpers/listener-states.js';
+import { RequestBody } from '../../src/protocol/inference/request-body.js';
 
 const ENGINE = 'engine-0';
 const RUN_DURATION_MS = 80;
@@ -215,7 +216,7 @@
     host: 'host.example',
     method: 'POST',
     path: '/stream/x',
-    body: Buffer.from('prompt'),
+    body: RequestBody.of(Buffer.from('prompt')),
   };
   const fingerprint = fingerprintOf(identity);
   const sameRequest = { ...identity, id: 'another attempt', target: '/stream/x?page=2' };
@@ -226,8 +227,8 @@
     { ...identity, host: 'other.example' },
     { ...identity, method: 'PUT' },
     { ...identity, path: '/stream/y' },
-    { ...identity, body: Buffer.from('prompt!') },
-    { ...identity, path: '/stream/xprompt', body: Buffer.from('') },
+    { ...identity, body: RequestBody.of(Buffer.from('prompt!')) },
+    { ...identity, path: '/stream/xprompt', body: RequestBody.empty },
   ].map(fingerprintOf);
   t.is(new Set([fingerprint, ...others]).size, others.length + 1);
   t.regex(fingerprint, /^[0-9a-f]{32}$/);
--- a/test/helpers/exchange-fixtures.ts
+++ b/test/helpers/exchange-fixtures.ts
@@ -1,5 +1,6 @@
 /** A request and send options for tests of exchanges with engines. */
 import type { ForwardedRequest, SendOptions } from '../../src/protocol/inference/port.js';
+import { RequestBody } from '../../src/protocol/inference/request-body.js';
 
 export const REQUEST: ForwardedRequest = {
   id: 'request-1',
@@ -7,7 +8,7 @@
   target: '/a/b?c=d',
   hostHeader: 'host.example',
   headers: [['X-Peatspan-Attempt-Id', 'request-1']],
-  body: Buffer.from('body'),
+  body: RequestBody.of(Buffer.from('body')),
 };
 
 export const SEND_OPTIONS: SendOptions = {
--- a/test/helpers/limited-router.ts
+++ b/test/helpers/limited-router.ts
@@ -9,7 +9,6 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import type { ExecutionContext } from 'ava';
 import { findFreePorts } from '../../soak/free-ports.js';
 import { listeningPort } from '../../soak/listening-port.js';
 import { BOUNDS } from '../../soak/router-process.js';
@@ -61,6 +60,11 @@
   readonly forwarding: string;
 }
 
+/** Runs what ends a process or a server; the context of a test does. */
+export interface Cleanup {
+  teardown(end: () => void): void;
+}
+
 /** A router under observation. */
 export interface LimitedRouter {
   readonly listeners: Listeners;
@@ -75,7 +79,7 @@
   end: string | undefined;
   private readonly sampler: NodeJS.Timeout;
 
-  constructor(private readonly child: ChildProcess) {
+  constructor(readonly child: ChildProcess) {
     child.once('exit', (code, signal) => (this.end = `code ${code} signal ${signal}`));
     this.sampler = setInterval(() => this.sample(), SAMPLE_MS);
   }
@@ -102,8 +106,13 @@
  * Starts the processes; resolves once the router is ready.
  *
  * @param ip loopback address of the router
+ * @param program file of the bundle; that of the deploy file by default
  */
-export async function startLimitedRouter(t: ExecutionContext, ip: string): Promise<LimitedRouter> {
+export async function startLimitedRouter(
+  t: Cleanup,
+  ip: string,
+  program?: string,
+): Promise<LimitedRouter> {
   const store = fork(STORE_PROGRAM);
   t.teardown(() => store.kill('SIGKILL'));
   const storeAddress = `127.0.0.1:${await listeningPort(store)}`;
@@ -120,7 +129,7 @@
   // The store may end first.
   const heartbeats = setInterval(() => void writeEntries().catch(() => undefined), HEARTBEAT_MS);
   t.teardown(() => clearInterval(heartbeats));
-  return startRouterProcess(t, ip, storeAddress);
+  return startRouterProcess(t, ip, storeAddress, program);
 }
 
 /** Sends one ordinary request on a connection of its own; resolves with its status or error. */
@@ -165,7 +174,7 @@
 }
 
 /** An engine that reads whole bodies and responds with their length. */
-async function startUploadEngine(t: ExecutionContext): Promise<string> {
+async function startUploadEngine(t: Cleanup): Promise<string> {
   const server = createServer((incoming, response) => void respond(incoming, response));
   server.keepAliveTimeout = REQUEST_TIMEOUT_MS;
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
@@ -234,16 +243,18 @@
 }
 
 /** The arguments of Node.js in the deploy file: its options and the program. */
-function deployedArguments(): string[] {
+function deployedArguments(program: string | undefined): string[] {
   const run = RUN.exec(readFileSync(DEPLOYMENT, 'utf8'))?.[1];
   if (run === undefined) throw new Error(`no run command in ${DEPLOYMENT}`);
-  return run.split(' ');
+  const words = run.split(' ');
+  return program === undefined ? words : [...words.slice(0, -1), program];
 }
 
 async function startRouterProcess(
-  t: ExecutionContext,
+  t: Cleanup,
   ip: string,
   storeAddress: string,
+  program: string | undefined,
 ): Promise<LimitedRouter> {
   const first = await findFreePorts([ip], ROUTER_PORTS);
   const folder = mkdtempSync(join(tmpdir(), 'peatspan-clients-'));
@@ -255,7 +266,7 @@
   };
   writeFileSync(file, JSON.stringify(routerSettings(ip, first, listeners, storeAddress)));
   const env = { PATH: process.env.PATH, PEATSPAN_BOOT: file };
-  const child = spawn(process.execPath, deployedArguments(), { env, stdio: 'ignore' });
+  const child = spawn(process.execPath, deployedArguments(program), { env, stdio: 'ignore' });
   const usage = new ProcessUsage(child);
   t.teardown(() => {
     usage.stop();
--- a/test/platform/forwarding.test.ts
+++ b/test/platform/forwarding.test.ts
@@ -18,7 +18,7 @@
 import { REQUEST, RESPONSE_HEAD, SEND_OPTIONS } from '../helpers/exchange-fixtures.js';
 import { TcpForwarding } from '../../src/protocol/peer/forwarding-server.js';
 
-const BODY = Buffer.from(REQUEST.body).toString('latin1');
+const BODY = Buffer.concat(REQUEST.body.pieces).toString('latin1');
 const WAIT_MS = 3_000;
 
 /** An engine that serves each request with a script, and its connections. */
--- a/test/platform/ingress.test.ts
+++ b/test/platform/ingress.test.ts
@@ -32,7 +32,7 @@
   t.is(request.budgetMs, 900);
   t.is(request.resumeAfter, '4');
   t.is(request.resumes, '6');
-  t.is(Buffer.from(request.body).toString(), 'abc');
+  t.is(Buffer.concat(request.body.pieces).toString(), 'abc');
   t.deepEqual(request.generation?.parts, [
     { id: 'aa', tokens: 10 },
     { id: 'bb', tokens: 20 },
--- a/test/platform/request-isolation.test.ts
+++ b/test/platform/request-isolation.test.ts
@@ -7,6 +7,7 @@
 import { inboundRequest } from '../../src/lab/gateway-simulation/simulation-fixtures.js';
 import { framedResponse, receive, startScriptedEngine } from '../helpers/scripted-engine.js';
 import { type SocketRouter, startRouter, waitUntil } from '../helpers/socket-router.js';
+import { RequestBody } from '../../src/protocol/inference/request-body.js';
 
 const PATH = '/stream/stream-resumable/x';
 const EVENTS = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
@@ -79,7 +80,7 @@
   const reply = new ThrowingReply(method);
   const request = inboundRequest(`by-${method}`, 'stream-resumable', key, performance.now());
   const headers = [['X-Peatspan-Attempt-Id', request.id]] as const;
-  router.node.handle({ ...request, headers, body: Buffer.alloc(0) }, reply);
+  router.node.handle({ ...request, headers, body: RequestBody.empty }, reply);
   await waitUntil(() => router.node.runningCalls === 0);
   return reply;
 }
