--- a/bench/state.ts
+++ b/bench/state.ts
@@ -10,7 +10,7 @@
 import { PrefixDirectory } from '../src/state/prefix-directory.js';
 import { fingerprintOf } from '../src/state/routing/request-fingerprint.js';
 import { type BenchResult, medianMicroseconds } from './result.js';
-import { RequestBody } from '../src/protocol/inference/request-body.js';
+import { RequestBody } from '../src/runtime/request-body.js';
 
 const ENGINES = 730;
 const ZONES = ['zone-0', 'zone-1', 'zone-2', 'zone-3', 'zone-4', 'zone-5'];
--- a/src/lab/gateway-simulation/simulation-fixtures.ts
+++ b/src/lab/gateway-simulation/simulation-fixtures.ts
@@ -6,7 +6,7 @@
 import type { RoutingConfiguration } from '../../state/routing/configuration.js';
 import type { TenantLimit } from '../../state/routing/quota/tenant-limit.js';
 import { decodeStoredEngine } from './stored-engine.js';
-import { RequestBody } from '../../protocol/inference/request-body.js';
+import { RequestBody } from '../../runtime/request-body.js';
 
 /** Kinds of request that simulated callers send; each has a route. */
 export const REQUEST_KINDS = [
--- a/src/protocol/inference/port.ts
+++ b/src/protocol/inference/port.ts
@@ -1,6 +1,6 @@
 /** Interface to inference engines. An exchange is one attempt to send a request to one engine. */
 
-import type { RequestBody } from './request-body.js';
+import type { RequestBody } from '../../runtime/request-body.js';
 
 /** A header line as received; the case of names and duplicate lines are preserved. */
 export type HeaderLine = readonly [name: string, value: string];
--- a/src/state/routing/request-fingerprint.ts
+++ b/src/state/routing/request-fingerprint.ts
@@ -9,7 +9,7 @@
  * entries.
  */
 import { createHash } from 'node:crypto';
-import type { RequestBody } from '../../protocol/inference/request-body.js';
+import type { RequestBody } from '../../runtime/request-body.js';
 
 /** The properties in which equal requests agree. */
 export interface RequestIdentity {
--- a/test/gateway/engine-crashes.test.ts
+++ b/test/gateway/engine-crashes.test.ts
@@ -13,7 +13,7 @@
 import { type EngineRecord, EngineRegistry } from '../../src/state/routing/engine-registry.js';
 import { fingerprintOf } from '../../src/state/routing/request-fingerprint.js';
 import { listenerStates } from '../helpers/listener-states.js';
-import { RequestBody } from '../../src/protocol/inference/request-body.js';
+import { RequestBody } from '../../src/runtime/request-body.js';
 
 const ENGINE = 'engine-0';
 const RUN_DURATION_MS = 80;
--- a/test/helpers/exchange-fixtures.ts
+++ b/test/helpers/exchange-fixtures.ts
@@ -1,6 +1,6 @@
 /** A request and send options for tests of exchanges with engines. */
 import type { ForwardedRequest, SendOptions } from '../../src/protocol/inference/port.js';
-import { RequestBody } from '../../src/protocol/inference/request-body.js';
+import { RequestBody } from '../../src/runtime/request-body.js';
 
 export const REQUEST: ForwardedRequest = {
   id: 'request-1',
--- a/test/platform/request-isolation.test.ts
+++ b/test/platform/request-isolation.test.ts
@@ -7,7 +7,7 @@
 import { inboundRequest } from '../../src/lab/gateway-simulation/simulation-fixtures.js';
 import { framedResponse, receive, startScriptedEngine } from '../helpers/scripted-engine.js';
 import { type SocketRouter, startRouter, waitUntil } from '../helpers/socket-router.js';
-import { RequestBody } from '../../src/protocol/inference/request-body.js';
+import { RequestBody } from '../../src/runtime/request-body.js';
 
 const PATH = '/stream/stream-resumable/x';
 const EVENTS = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
