Bound the idle connections to engines, and leave descriptors for them

Cause: half of the descriptors were for accepted connections and half for those to engines, but pools keep up to 24 idle connections an engine beside the ones in use, so that a router with few descriptors could run out of them at EMFILE, where accepting stops for all. At 2,212 descriptors (the smallest machine): 779 accepted and 194 idle; at 4,100: 1,534 and 383.

Not shown by a crowd: none of the tests reaches the limit of idle connections.

--- a/src/transport/connection-limits.ts
+++ b/src/transport/connection-limits.ts
@@ -4,6 +4,8 @@
 export interface ConnectionLimits {
   /** Open at once. */
   readonly connections: number;
+  /** Connections to engines that are kept idle. */
+  readonly idleToEngines: number;
   /** Bytes that they make the router hold beside bodies and responses. */
   readonly bytes: number;
 }
@@ -26,7 +28,9 @@
 /** Smallest limit on descriptors with which a router can serve. */
 export const SMALLEST_DESCRIPTOR_LIMIT = FILE_DESCRIPTORS + 2 * OWN_DESCRIPTORS;
 /** Of the rest; each request that an accepted connection brings may need one to an engine. */
-const ACCEPTED_SHARE = 0.5;
+const ACCEPTED_SHARE = 0.4;
+/** Of the rest, for connections to engines that wait for their next request. */
+const IDLE_SHARE = 0.1;
 /** Share of the machine's memory, beside a quarter for bodies and responses. */
 const MEMORY_SHARE = 0.125;
 /** What is held here lies in the V8 heap for the greater part. */
@@ -48,5 +52,6 @@
     Math.min(memoryMb * BYTES_PER_MEGABYTE * MEMORY_SHARE, heapBytes * HEAP_SHARE),
   );
   const connections = Math.floor(Math.min(available * ACCEPTED_SHARE, bytes / CONNECTION_BYTES));
-  return { connections: Math.max(1, connections), bytes };
+  const idleToEngines = Math.floor(available * IDLE_SHARE);
+  return { connections: Math.max(1, connections), idleToEngines, bytes };
 }
