Start a router with a heap that fits the smallest machine

Cause: the start command let the V8 heap grow to 200 MB, on machines of 178 MB, where a quarter is for bodies and responses; the heap's own limit could never be met before the machine's. It is 100 MB now: with 44.5 MB for bodies and responses and some 30 MB of program and stacks it fits 178 MB, and the busiest router of 300 machines before 3,001 engines took 51 MB in all (CAPACITY). Soak and process tests start routers so too.

--- a/soak/router-process.ts
+++ b/soak/router-process.ts
@@ -134,7 +134,7 @@
     this.program = programs[this.startCount % programs.length] as string;
     this.startCount += 1;
     const storePort = this.options.storeAddress.split(':')[1];
-    const options = ['--max-old-space-size=200', '--import', CUT_INJECTOR];
+    const options = ['--max-old-space-size=100', '--import', CUT_INJECTOR];
     const child = spawn(process.execPath, [...options, this.program], {
       env: {
         PATH: process.env.PATH,
--- a/test/helpers/router-processes.ts
+++ b/test/helpers/router-processes.ts
@@ -31,7 +31,7 @@
 
   start(): void {
     this.exit = undefined;
-    const child = spawn(process.execPath, ['--max-old-space-size=200', PROGRAM], {
+    const child = spawn(process.execPath, ['--max-old-space-size=100', PROGRAM], {
       env: { PATH: process.env.PATH, PEATSPAN_BOOT: this.settingsFile },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
