--- a/test/helpers/client-crowds.ts
+++ b/soak/client-crowds.ts
@@ -1,7 +1,7 @@
-/** Clients that do not behave: crowds that a test lets loose on one listener of a router. */
+/** Clients that do not behave: crowds that come to one listener of a router. */
 import { type Socket, connect } from 'node:net';
-import { HOST } from '../../soak/wire.js';
-import { wait } from './socket-router.js';
+import { setTimeout as pause } from 'node:timers/promises';
+import { HOST } from './wire.js';
 
 /** Pause before a client whose connection was closed opens the next one. */
 const RETURN_MS = 50;
@@ -52,7 +52,7 @@
     await send(crowd, client, socket, closed);
     await closed;
     sockets.delete(socket);
-    await wait(RETURN_MS);
+    await pause(RETURN_MS);
   }
 }
 
@@ -65,7 +65,7 @@
   for (const bytes of bytesOf(client)) {
     if (socket.destroyed) return;
     if (!socket.write(bytes)) await Promise.race([drained(socket), closed]);
-    if (pauseMs !== undefined) await wait(pauseMs);
+    if (pauseMs !== undefined) await pause(pauseMs);
   }
 }
 
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -104,6 +104,11 @@
     default: false,
     describe: 'write entries that are deeply nested, or have odd numbers or ports',
   })
+  .option('client-crowds', {
+    type: 'boolean',
+    default: false,
+    describe: 'let crowds of clients that do not behave come to routers',
+  })
   .option('program', {
     type: 'string',
     array: true,
@@ -152,6 +157,7 @@
       hasContradictedResponses: options.contradictedResponses,
       hasLongStreams: options.longStreams,
       hasOddEntries: options.oddEntries,
+      hasClientCrowds: options.clientCrowds,
       callers: options.callers,
       folder,
       programs: options.program,
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -252,6 +252,7 @@
       hasLongStreams: mutation.name.includes(STOPS),
       hasContradictedResponses: CONTRADICTIONS.some((word) => mutation.name.includes(word)),
       hasOddEntries: false,
+      hasClientCrowds: false,
       callers: 12,
       folder: runFolder,
       programs: [program],
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -10,6 +10,7 @@
   RELEASE_SPAN_MS,
   drawFirstRelease,
 } from './build-release-steps.js';
+import { CLIENT_CROWD_STEPS } from './client-crowd-steps.js';
 import { BRITTLE_ENGINE_STEPS } from './brittle-engine-steps.js';
 import { ODD_ENTRY_STEPS } from './odd-entry-steps.js';
 import { CONTRADICTED_RESPONSE_STEPS } from './contradicted-response-steps.js';
@@ -91,6 +92,8 @@
   readonly hasLongStreams: boolean;
   /** Whether another program writes entries that are deeply nested, or have odd numbers or ports. */
   readonly hasOddEntries: boolean;
+  /** Whether clients that do not behave come to routers. */
+  readonly hasClientCrowds: boolean;
 }
 
 /** Number of routers without unplanned faults, so that some requests succeed at all times. */
@@ -290,6 +293,7 @@
   ['hasContradictedResponses', CONTRADICTED_RESPONSE_STEPS],
   ['hasLongStreams', LONG_STREAM_STEPS],
   ['hasOddEntries', ODD_ENTRY_STEPS],
+  ['hasClientCrowds', CLIENT_CROWD_STEPS],
 ] as const;
 
 /**
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -48,6 +48,8 @@
   readonly hasLongStreams: boolean;
   /** Whether another program writes entries that are deeply nested, or have odd numbers or ports. */
   readonly hasOddEntries: boolean;
+  /** Whether clients that do not behave come to routers. */
+  readonly hasClientCrowds: boolean;
   readonly callers: number;
   /** Directory of settings, logs and, after a violation, the evidence. */
   readonly folder: string;
--- a/test/clients/ingress-crowds.test.ts
+++ b/test/clients/ingress-crowds.test.ts
@@ -17,7 +17,7 @@
   unendedHead,
   unendedUpload,
   wholeUpload,
-} from '../helpers/client-crowds.js';
+} from '../../soak/client-crowds.js';
 import { checkRouter, outliveCrowd, startAlone } from '../helpers/crowd-checks.js';
 import { sendBytes } from '../helpers/raw-client.js';
 
--- a/test/clients/listener-crowds.test.ts
+++ b/test/clients/listener-crowds.test.ts
@@ -3,7 +3,7 @@
  * all of them share its memory, its descriptors and its one thread.
  */
 import test from 'ava';
-import { endlessBody, pipelined, repeated, unendedHead } from '../helpers/client-crowds.js';
+import { endlessBody, pipelined, repeated, unendedHead } from '../../soak/client-crowds.js';
 import { outliveCrowd } from '../helpers/crowd-checks.js';
 import { HOST, WireKind } from '../../soak/wire.js';
 import { encodeRelayQuery } from '../../src/protocol/peer/relay-codec.js';
--- a/test/helpers/crowd-checks.ts
+++ b/test/helpers/crowd-checks.ts
@@ -1,6 +1,6 @@
 /** What must hold while a crowd of clients that do not behave stays at a router, and afterwards. */
 import type { ExecutionContext } from 'ava';
-import { type Crowd, admitCrowd } from './client-crowds.js';
+import { type Crowd, admitCrowd } from '../../soak/client-crowds.js';
 import {
   DESCRIPTOR_BOUND,
   type LimitedRouter,
--- a/test/helpers/raw-client.ts
+++ b/test/helpers/raw-client.ts
@@ -1,6 +1,6 @@
 /** A client that writes bytes as they are. */
 import { connect } from 'node:net';
-import { drained } from './client-crowds.js';
+import { drained } from '../../soak/client-crowds.js';
 
 /** Sends the bytes on a new connection; resolves with the first line of what comes back. */
 export async function sendBytes(address: string, pieces: Iterable<Buffer>): Promise<string> {
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -40,6 +40,8 @@
   readonly hasLongStreams?: boolean;
   /** Whether another program writes odd entries; likewise. */
   readonly hasOddEntries?: boolean;
+  /** Whether clients that do not behave come to routers; likewise. */
+  readonly hasClientCrowds?: boolean;
   /** Whether routers run the production build and the current build side by side. */
   readonly isMixed?: boolean;
   /** Promise that a run breaks at times for an open fault that KNOWN-RED.txt lists. */
@@ -137,6 +139,13 @@
   hasOddEntries: true,
   cause: 'readers ended as they relayed a deeply nested entry',
 };
+const CLIENT_CROWDS: RegressionSeed = {
+  seed: 88,
+  seconds: 14,
+  routers: 4,
+  hasClientCrowds: true,
+  cause: 'none: the short soak of clients that do not behave',
+};
 /** Without restorations of the store, because the earlier build does not support store eras. */
 const MIXED: RegressionSeed = {
   seed: 4,
@@ -162,6 +171,7 @@
   SPOILED_RESPONSES,
   LONG_STREAMS,
   ODD_ENTRIES,
+  CLIENT_CROWDS,
   MIXED,
   ...REGRESSIONS,
 ]) {
@@ -179,6 +189,7 @@
     hasEarlyEnds = false,
     hasLongStreams = false,
     hasOddEntries = false,
+    hasClientCrowds = false,
   } = regression;
   test.serial(`no promise is broken in a soak with seed ${seed} (${cause})`, async (t) => {
     t.timeout(170_000);
@@ -202,6 +213,7 @@
       hasBuildReleases,
       hasContradictedResponses,
       hasOddEntries,
+      hasClientCrowds,
       hasEarlyEnds,
       hasLongStreams,
       callers: 8,
