--- a/test/helpers/limited-router.ts
+++ b/test/helpers/limited-router.ts
@@ -2,24 +2,21 @@
  * A router of the bundled program, started as the deploy file does and with small limits in its
  * settings, with a store and one engine; and what its process takes of the machine.
  */
-import { type ChildProcess, fork, spawn } from 'node:child_process';
+import { type ChildProcess, spawn } from 'node:child_process';
 import { mkdtempSync, readFileSync, readdirSync, rmSync, writeFileSync } from 'node:fs';
 import { type IncomingMessage, type ServerResponse, createServer, request } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { fileURLToPath } from 'node:url';
 import { findFreePorts } from '../../soak/free-ports.js';
-import { listeningPort } from '../../soak/listening-port.js';
 import { BOUNDS } from '../../soak/router-process.js';
 import { HOST, MODEL, Service, WireHeader, WireKind, callJson } from '../../soak/wire.js';
 import { wait } from './socket-router.js';
+import { type Cleanup, keepEntries, startStore } from './stored-deployment.js';
 
-const STORE_PROGRAM = fileURLToPath(new URL('../../soak/store-program.js', import.meta.url));
 const DEPLOYMENT = 'deploy/system.toml';
 const RUN = /^run = "node (.*)"$/m;
 const ROUTER_PORTS = 6;
-const HEARTBEAT_MS = 1_200;
 const POLL_MS = 50;
 const SAMPLE_MS = 20;
 const REQUEST_TIMEOUT_MS = 15_000;
@@ -60,11 +57,6 @@
   readonly forwarding: string;
 }
 
-/** Runs what ends a process or a server; the context of a test does. */
-export interface Cleanup {
-  teardown(end: () => void): void;
-}
-
 /** A router under observation. */
 export interface LimitedRouter {
   readonly listeners: Listeners;
@@ -113,23 +105,13 @@
   ip: string,
   program?: string,
 ): Promise<LimitedRouter> {
-  const store = fork(STORE_PROGRAM);
-  t.teardown(() => store.kill('SIGKILL'));
-  const storeAddress = `127.0.0.1:${await listeningPort(store)}`;
-  const put = (kind: string, name: string, spec: unknown): Promise<unknown> =>
-    callJson(storeAddress, 'PUT', `/objects/${kind}/${name}`, { metadata: { name }, spec });
-  await put(WireKind.weights, MODEL, { model: MODEL, version: 1 });
-  await put(WireKind.configuration, 'main', configuration());
+  const store = await startStore(t, configuration());
   const address = await startUploadEngine(t);
-  const writeEntries = async (): Promise<void> => {
+  await keepEntries(t, async () => {
     for (const service of Object.values(Service))
-      await put(WireKind.engines, `engine-${service}`, engineEntry(service, address));
-  };
-  await writeEntries();
-  // The store may end first.
-  const heartbeats = setInterval(() => void writeEntries().catch(() => undefined), HEARTBEAT_MS);
-  t.teardown(() => clearInterval(heartbeats));
-  return startRouterProcess(t, ip, storeAddress, program);
+      await store.put(WireKind.engines, `engine-${service}`, engineEntry(service, address));
+  });
+  return startRouterProcess(t, ip, store.address, program);
 }
 
 /** Sends one ordinary request on a connection of its own; resolves with its status or error. */
--- a/test/helpers/router-deployment.ts
+++ b/test/helpers/router-deployment.ts
@@ -1,5 +1,5 @@
 /** A router as the platform starts it, in a process of its own, with a store and an engine. */
-import { type ChildProcess, fork, spawn } from 'node:child_process';
+import { type ChildProcess, spawn } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { type IncomingMessage, type ServerResponse, createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -8,15 +8,13 @@
 import { fileURLToPath } from 'node:url';
 import type { ExecutionContext } from 'ava';
 import { findFreePorts } from '../../soak/free-ports.js';
-import { listeningPort } from '../../soak/listening-port.js';
 import { BOUNDS } from '../../soak/router-process.js';
 import { HOST, MODEL, Service, WireHeader, WireKind, callJson, sendJson } from '../../soak/wire.js';
 import { wait } from './socket-router.js';
+import { keepEntries, startStore } from './stored-deployment.js';
 
 const PROGRAM = fileURLToPath(new URL('../../platform/main.js', import.meta.url));
-const STORE_PROGRAM = fileURLToPath(new URL('../../soak/store-program.js', import.meta.url));
 const ROUTER_PORTS = 5;
-const HEARTBEAT_MS = 1_200;
 const POLL_MS = 50;
 const API_KEY = 'key-1';
 const TIMEOUT_MS = 15_000;
@@ -44,21 +42,10 @@
   ip: string,
   run: Run,
 ): Promise<RouterDeployment> {
-  const store = fork(STORE_PROGRAM);
-  t.teardown(() => store.kill('SIGKILL'));
-  const storeAddress = `127.0.0.1:${await listeningPort(store)}`;
-  const put = (kind: string, name: string, spec: unknown): Promise<unknown> =>
-    callJson(storeAddress, 'PUT', `/objects/${kind}/${name}`, { metadata: { name }, spec });
-  await put(WireKind.weights, MODEL, { model: MODEL, version: 1 });
-  await put(WireKind.configuration, 'main', configuration());
+  const store = await startStore(t, configuration());
   const address = await startEngine(t, run);
-  const writeEntry = (): Promise<unknown> =>
-    put(WireKind.engines, 'engine-1', engineEntry(address));
-  await writeEntry();
-  // The store may end first.
-  const heartbeats = setInterval(() => void writeEntry().catch(() => undefined), HEARTBEAT_MS);
-  t.teardown(() => clearInterval(heartbeats));
-  return startRouter(t, ip, storeAddress);
+  await keepEntries(t, () => store.put(WireKind.engines, 'engine-1', engineEntry(address)));
+  return startRouter(t, ip, store.address);
 }
 
 /** The head of a request for a stream of at most so many tokens. */
