Try requests that were in progress as engines failed together before they are quarantined

Cause: each engine that crashes under copies of one request counted against it, so three engines that fail together quarantined whatever was in progress at all of them; and nothing but time ended a quarantine, since a quarantined request is sent nowhere and so can't succeed.

Change: routers tell when the first copy was sent to an engine that crashed. Only runs that were sent after an earlier crash are evidence of their own. A request that was at three crashes, but has fewer such runs, or all within 500 ms, is quarantined provisionally: it gets 503 with a delay, and one router at a time sends it as a trial, by turns that need no agreement. A success lifts the quarantine everywhere; a crash that no other engine shares confirms it. Only confirmed quarantines are stored and end calls in progress. What older builds announce or have stored is provisional, and they see only confirmed ones of ours.

--- a/fuzz/crashing-part-mutations.ts
+++ b/fuzz/crashing-part-mutations.ts
@@ -8,7 +8,13 @@
     rule: 'crashes-bounded',
     mutation: {
       settings: {
-        partQuarantine: { crashes: Infinity, mergedWithinMs: 0, hasSingleCause: true },
+        partQuarantine: {
+          crashes: Infinity,
+          mergedWithinMs: 0,
+          hasSingleCause: true,
+          unprovenWithinMs: 0,
+          hasTrials: false,
+        },
       },
     },
   },
--- a/fuzz/gateway-mutations.ts
+++ b/fuzz/gateway-mutations.ts
@@ -53,7 +53,13 @@
     rule: 'crashes-bounded',
     mutation: {
       settings: {
-        requestQuarantine: { crashes: Infinity, mergedWithinMs: 0, hasSingleCause: false },
+        requestQuarantine: {
+          crashes: Infinity,
+          mergedWithinMs: 0,
+          hasSingleCause: false,
+          unprovenWithinMs: 0,
+          hasTrials: false,
+        },
       },
     },
   },
--- a/src/coordination/gateway/call-crashes.ts
+++ b/src/coordination/gateway/call-crashes.ts
@@ -40,12 +40,12 @@
   }
 
   /**
-   * What of the request is quarantined, if anything; needs no fingerprints while nothing is
+   * What of the request is quarantined for good, if anything; needs no fingerprints while nothing is
    * suspected.
    */
   get quarantined(): CrashSubject | undefined {
     const { guard, partGuard } = this.protection;
-    if (guard.hasSuspects && guard.isQuarantined(this.fingerprint)) return CrashSubject.Request;
+    if (guard.hasSuspects && guard.isConfirmed(this.fingerprint)) return CrashSubject.Request;
     if (!partGuard.hasSuspects) return undefined;
     const isPartQuarantined = this.sharedParts.some(({ fingerprint }) =>
       partGuard.isQuarantined(fingerprint),
@@ -53,6 +53,29 @@
     return isPartQuarantined ? CrashSubject.PromptPart : undefined;
   }
 
+  /** Whether the request, or a part of its prompt, is quarantined for good or provisionally. */
+  get isQuarantined(): boolean {
+    const { guard } = this.protection;
+    const isProvisional = guard.hasSuspects && guard.isQuarantined(this.fingerprint);
+    return isProvisional || this.quarantined !== undefined;
+  }
+
+  /** Whether the request can't be sent by any router before a trial of it has ended. */
+  get awaitsTrial(): boolean {
+    const { guard } = this.protection;
+    return guard.hasSuspects && guard.isTrialPausing(this.fingerprint);
+  }
+
+  /**
+   * Whether the request may be sent now; called right before a send. One in provisional quarantine may
+   * be sent as a trial only.
+   */
+  tryBeginSend(): boolean {
+    const { guard } = this.protection;
+    if (!guard.hasSuspects || !guard.isQuarantined(this.fingerprint)) return true;
+    return guard.tryBeginTrial(this.fingerprint);
+  }
+
   /** Whether the request was running at a crash and has not been completed since. */
   get isSuspected(): boolean {
     const { guard } = this.protection;
--- a/src/coordination/gateway/call-dispatch.ts
+++ b/src/coordination/gateway/call-dispatch.ts
@@ -41,9 +41,10 @@
     const admission = admitRequest(call.request, call.context);
     if (admission.kind === 'granted') {
       call.grant = admission.grant;
-      const { quarantined } = call.crashes;
-      if (quarantined === undefined) return true;
-      ending.rejectQuarantined(quarantined);
+      const { quarantined, awaitsTrial } = call.crashes;
+      if (quarantined !== undefined) ending.rejectQuarantined(quarantined);
+      else if (awaitsTrial) ending.rejectUntilTried();
+      else return true;
       return false;
     }
     if (admission.kind === 'rejected')
@@ -289,6 +290,10 @@
   private sendTo(placement: Placement, grant: Grant, service: Service): void {
     const { call } = this;
     const { request, context } = call;
+    if (!call.crashes.tryBeginSend()) {
+      this.ending.rejectUntilTried();
+      return;
+    }
     this.waiting.noteSend();
     call.sends += 1;
     call.engineRequests = context.loads.at(placement.engine.record.id).requests + 1;
--- a/src/coordination/gateway/call-ending.ts
+++ b/src/coordination/gateway/call-ending.ts
@@ -97,6 +97,12 @@
     else this.refuse(response);
   }
 
+  /** Rejects a request in provisional quarantine until a trial of it has ended. */
+  rejectUntilTried(): void {
+    this.call.context.statistics.trialRejections += 1;
+    this.reject(RejectionReason.AwaitsTrial);
+  }
+
   /** Ends the request after an exception in one of its steps; it may have run. */
   fail(): void {
     const { call } = this;
--- a/src/coordination/gateway/call-failover.ts
+++ b/src/coordination/gateway/call-failover.ts
@@ -102,7 +102,7 @@
     // No other engine can continue what the caller has received of it.
     if (call.hasBegun && !call.response.isContinuable) return;
     // What an engine has begun of a quarantined request or part may still be completed.
-    if (call.hasBegun && call.crashes.quarantined !== undefined) return;
+    if (call.hasBegun && call.crashes.isQuarantined) return;
     if (admitRequest(call.request, context).kind !== 'granted') return;
     if (!this.mayStayOpen(send)) {
       if (retries.canFailOver(send)) this.actions.failSend(send, failure);
--- a/src/coordination/gateway/crash-announcement-codec.ts
+++ b/src/coordination/gateway/crash-announcement-codec.ts
@@ -7,11 +7,15 @@
 import {
   EngineCrashSchema,
   type LoadReport,
+  ProvisionalQuarantineSchema,
   QuarantinedRequestSchema,
 } from '../../protocol/peer/generated/cluster_pb.js';
 
 /** Fields of a load report that carry crash announcements. */
-export type CrashAnnouncementFields = Pick<LoadReport, 'crashes' | 'quarantine'>;
+export type CrashAnnouncementFields = Pick<
+  LoadReport,
+  'crashes' | 'quarantine' | 'provisionalQuarantine'
+>;
 
 /** Fields of a load report that carry crash announcements on requests and prompt parts. */
 export type SuspectAnnouncementFields = CrashAnnouncementFields &
@@ -21,33 +25,56 @@
   requests,
   promptParts,
 }: SuspectAnnouncements): SuspectAnnouncementFields {
+  // Quarantines of prompt parts are never provisional.
   const { crashes: partCrashes, quarantine: partQuarantine } =
     encodeCrashAnnouncements(promptParts);
   return { ...encodeCrashAnnouncements(requests), partCrashes, partQuarantine };
 }
 
 export function decodeSuspectAnnouncements({
-  crashes,
-  quarantine,
   partCrashes,
   partQuarantine,
+  ...requests
 }: SuspectAnnouncementFields): SuspectAnnouncements {
   return {
-    requests: decodeCrashAnnouncements({ crashes, quarantine }),
-    promptParts: decodeCrashAnnouncements({ crashes: partCrashes, quarantine: partQuarantine }),
+    requests: decodeCrashAnnouncements(requests),
+    promptParts: decodeCrashAnnouncements({
+      crashes: partCrashes,
+      quarantine: partQuarantine,
+      provisionalQuarantine: [],
+    }),
   };
 }
 
 export function encodeCrashAnnouncements({
   crashes,
   quarantine,
+  provisional = [],
 }: CrashAnnouncements): CrashAnnouncementFields {
   return {
-    crashes: crashes.map(({ engineId, fingerprints, ageMs }) =>
-      create(EngineCrashSchema, { engineId, fingerprints: fingerprints.map(toBytes), ageMs }),
+    crashes: crashes.map(({ engineId, fingerprints, ageMs, sentAgesMs }) =>
+      create(EngineCrashSchema, {
+        engineId,
+        fingerprints: fingerprints.map(toBytes),
+        ageMs,
+        sentAgesMs: [...(sentAgesMs ?? [])],
+      }),
+    ),
+    quarantine: quarantine.map(({ fingerprint, isCleared, ageMs, isConfirmed = false }) =>
+      create(QuarantinedRequestSchema, {
+        fingerprint: toBytes(fingerprint),
+        isCleared,
+        ageMs,
+        isConfirmed,
+      }),
     ),
-    quarantine: quarantine.map(({ fingerprint, isCleared, ageMs }) =>
-      create(QuarantinedRequestSchema, { fingerprint: toBytes(fingerprint), isCleared, ageMs }),
+    provisionalQuarantine: provisional.map(({ fingerprint, ageMs, trials, trialAgeMs }) =>
+      create(ProvisionalQuarantineSchema, {
+        fingerprint: toBytes(fingerprint),
+        ageMs,
+        trials,
+        trialAgeMs,
+      }),
     ),
   };
 }
@@ -55,18 +82,29 @@
 export function decodeCrashAnnouncements({
   crashes,
   quarantine,
+  provisionalQuarantine,
 }: CrashAnnouncementFields): CrashAnnouncements {
   return {
-    crashes: crashes.map(({ engineId, fingerprints, ageMs }) => ({
+    crashes: crashes.map(({ engineId, fingerprints, ageMs, sentAgesMs }) => ({
       engineId,
       fingerprints: fingerprints.map(toHex),
       ageMs,
+      ...(sentAgesMs.length > 0 && { sentAgesMs }),
     })),
-    quarantine: quarantine.map(({ fingerprint, isCleared, ageMs }) => ({
+    quarantine: quarantine.map(({ fingerprint, isCleared, ageMs, isConfirmed }) => ({
       fingerprint: toHex(fingerprint),
       isCleared,
       ageMs,
+      ...(isConfirmed && { isConfirmed }),
     })),
+    ...(provisionalQuarantine.length > 0 && {
+      provisional: provisionalQuarantine.map(({ fingerprint, ageMs, trials, trialAgeMs }) => ({
+        fingerprint: toHex(fingerprint),
+        ageMs,
+        trials,
+        trialAgeMs,
+      })),
+    }),
   };
 }
 
--- a/src/coordination/gateway/crash-protection.ts
+++ b/src/coordination/gateway/crash-protection.ts
@@ -14,7 +14,7 @@
   DEFAULT_PART_QUARANTINE_POLICY,
   DEFAULT_REQUEST_QUARANTINE_POLICY,
   type QuarantinePolicy,
-} from '../../state/routing/crash-quarantine.js';
+} from '../../state/routing/quarantine-policy.js';
 import { CrashGuard, CrashSubject } from './crash-guard.js';
 import type { EngineRestart } from './engine-incarnation-tracker.js';
 import {
@@ -23,7 +23,7 @@
   type LostRequest,
 } from './engine-crash-detector.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
-import { QuarantineStore } from './quarantine-store.js';
+import { QuarantineStore, type StoredQuarantine } from './quarantine-store.js';
 
 /** Dependencies of {@link CrashProtection}. */
 export interface CrashProtectionParts {
@@ -41,6 +41,8 @@
   readonly logger: Logger;
   /** Sends new announcements to the other routers immediately. */
   announce(): void;
+  /** See {@link CrashGuardParts.trialRank}. */
+  trialRank?(fingerprint: string): number;
   /** See {@link CrashDetectorParts.checkEngine}. */
   checkEngine(endpoint: EngineEndpoint): Promise<ListenerState>;
   /** Aborts the calls of a request, or with a prompt part, that was quarantined. */
@@ -99,7 +101,7 @@
     this.quarantineStore = new QuarantineStore({
       ...parts,
       events: {
-        onStored: (subject, fingerprint, ageMs) => this.noteStored(subject, fingerprint, ageMs),
+        onStored: (stored) => this.noteStored(stored),
         onRemoved: (fingerprint) => {
           for (const subject of SUBJECTS) this.guardOf(subject).noteRemoved(fingerprint);
         },
@@ -182,8 +184,8 @@
     });
   }
 
-  private noteCrash({ engineId, fingerprints, startingParts }: EngineCrash): void {
-    this.guard.noteCrash({ engineId, fingerprints });
+  private noteCrash({ engineId, fingerprints, startingParts, sentMs, atMs }: EngineCrash): void {
+    this.guard.noteCrash({ engineId, fingerprints, sentMs, atMs });
     this.partGuard.noteCrash({ engineId, fingerprints: startingParts });
   }
 
@@ -195,8 +197,8 @@
    * Removes the object of a subject that was cleared since. The router that completed the request
    * may not have known of the quarantine, so any router that lists the object removes it.
    */
-  private noteStored(subject: CrashSubject, fingerprint: string, ageMs: number): void {
-    const isQuarantined = this.guardOf(subject).noteStored(fingerprint, ageMs);
+  private noteStored({ subject, fingerprint, ageMs, isConfirmed }: StoredQuarantine): void {
+    const isQuarantined = this.guardOf(subject).noteStored(fingerprint, ageMs, isConfirmed);
     if (!isQuarantined) this.quarantineStore.remove(fingerprint);
   }
 
@@ -204,10 +206,11 @@
   private addMissing(listed: ReadonlySet<string>): void {
     const now = this.parts.clock.now();
     for (const subject of SUBJECTS) {
-      for (const [fingerprint, sinceMs] of this.guardOf(subject).quarantinedSince) {
+      const guard = this.guardOf(subject);
+      for (const [fingerprint, sinceMs] of guard.quarantinedSince) {
         const ageMs = now - sinceMs;
-        if (ageMs >= ADDED_WITHIN_MS && !listed.has(fingerprint))
-          this.addToStore(subject, fingerprint, ageMs);
+        const isMissing = guard.isConfirmed(fingerprint) && !listed.has(fingerprint);
+        if (isMissing && ageMs >= ADDED_WITHIN_MS) this.addToStore(subject, fingerprint, ageMs);
       }
     }
   }
@@ -218,6 +221,7 @@
       subject,
       engines: this.guardOf(subject).crashedEngines(fingerprint),
       quarantinedAtMs: Math.round(this.parts.clock.wallNow() - ageMs),
+      isConfirmed: true,
     });
   }
 }
--- a/src/coordination/gateway/engine-crash-detector.ts
+++ b/src/coordination/gateway/engine-crash-detector.ts
@@ -21,6 +21,10 @@
   readonly engineId: string;
   /** Fingerprints of the requests; each may be the cause. */
   readonly fingerprints: readonly string[];
+  /** When the first copy of each was sent, in the same order; monotonic, in milliseconds. */
+  readonly sentMs: readonly number[];
+  /** When the first connection broke; monotonic, in milliseconds. */
+  readonly atMs: number;
   /** Fingerprints of prompt parts to which it was beginning to respond; each may be the cause. */
   readonly startingParts: readonly string[];
 }
@@ -82,8 +86,10 @@
     const engine = this.parts.registry.find(engineId);
     const mayBeCrash = engine ? !engine.record.isDraining : this.crashes.isCrashed(engineId);
     if (!mayBeCrash) return;
-    const brokenMs = this.parts.clock.wallNow();
-    const broken = { fingerprint, startingParts, sentMs: brokenMs - ranMs, brokenMs };
+    const { clock } = this.parts;
+    const brokenMs = clock.wallNow();
+    const sentMs = brokenMs - ranMs;
+    const broken = { fingerprint, startingParts, sentMs, brokenMs, brokenAtMs: clock.now() };
     const action = this.crashes.recordBrokenRequest(engineId, broken);
     if (action === BrokenRequestAction.Crashed) this.onCrash(crashOf(engineId, [broken]));
     if (action !== BrokenRequestAction.NeedsCheck || !engine) return;
@@ -149,9 +155,17 @@
 }
 
 function crashOf(engineId: string, broken: readonly BrokenRequest[]): EngineCrash {
+  const firstSentMs = new Map<string, number>();
+  for (const { fingerprint, sentMs, brokenMs, brokenAtMs } of broken) {
+    const sentAtMs = brokenAtMs - (brokenMs - sentMs);
+    const knownMs = firstSentMs.get(fingerprint) ?? Infinity;
+    firstSentMs.set(fingerprint, Math.min(knownMs, sentAtMs));
+  }
   return {
     engineId,
-    fingerprints: [...new Set(broken.map(({ fingerprint }) => fingerprint))],
+    fingerprints: [...firstSentMs.keys()],
+    sentMs: [...firstSentMs.values()],
+    atMs: Math.min(...broken.map(({ brokenAtMs }) => brokenAtMs)),
     startingParts: [...new Set(broken.flatMap(({ startingParts }) => startingParts))],
   };
 }
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -21,7 +21,8 @@
 import { logConfiguration } from './configuration-log.js';
 import { createCoordinator } from './coordinator-setup.js';
 import { buildRecordSource } from './build-record.js';
-import { CrashProtection } from './crash-protection.js';
+import type { CrashProtection } from './crash-protection.js';
+import { createCrashProtection } from './crash-setup.js';
 import { followKinds } from './followed-kinds.js';
 import type { GatewayDependencies } from './gateway-dependencies.js';
 import { type GatewayContext, ServiceRetryBudgets } from './gateway-context.js';
@@ -119,16 +120,12 @@
     const { rollout, beginSlackMs } = settings;
     this.versions = new WeightVersions(rollout.graceMs, this.outages, beginSlackMs);
     this.followers = new StoreFollowers(relay.store, group, this.outages, clock, random, logger);
-    this.crashes = new CrashProtection({
-      ...dependencies,
-      policy: settings.requestQuarantine,
-      partPolicy: settings.partQuarantine,
-      kind: settings.kinds.quarantine,
+    this.crashes = createCrashProtection(settings, dependencies, {
+      group,
+      calls: this.calls,
       registry: this.registry,
       statistics: this.statistics,
-      announce: () => group.reportNow(),
       checkEngine: (endpoint) => this.engineAccess.checkEngine(endpoint),
-      endCalls: (subject, fingerprint) => this.calls.endQuarantined(subject, fingerprint),
     });
     const { registry, health, calls, statistics, outages } = this;
     this.engineAccess = new EngineAccess(
--- a/src/coordination/gateway/gateway-settings.ts
+++ b/src/coordination/gateway/gateway-settings.ts
@@ -1,6 +1,6 @@
 /** Settings of one router of the gateway. Times in milliseconds. */
 import type { ByteBudgetSettings } from '../../state/routing/byte-budget.js';
-import type { QuarantinePolicy } from '../../state/routing/crash-quarantine.js';
+import type { QuarantinePolicy } from '../../state/routing/quarantine-policy.js';
 import type { QuotaTolerance } from '../../state/routing/quota/tenant-limit.js';
 import type { RetryBudgetSettings } from '../../state/routing/shared-retry-budget.js';
 import type { RolloutSettings } from '../../state/routing/weight-rollout.js';
--- a/src/coordination/gateway/gateway-statistics.ts
+++ b/src/coordination/gateway/gateway-statistics.ts
@@ -91,6 +91,9 @@
   /** Requests that were suspected, but not quarantined, and completed. */
   suspicionsCleared = 0;
   quarantineRejections = 0;
+  /** Trials of provisionally quarantined requests, and requests rejected until one has ended. */
+  quarantineTrials = 0;
+  trialRejections = 0;
   /** Requests that exceeded their tenant's limit. */
   quotaDenials = 0;
   /**
--- a/src/coordination/gateway/quarantine-store.ts
+++ b/src/coordination/gateway/quarantine-store.ts
@@ -15,7 +15,7 @@
   type ObjectStorePort,
   type StoredObject,
 } from '../../protocol/object-store/port.js';
-import { QUARANTINE_LIFETIME_MS } from '../../state/routing/crash-quarantine.js';
+import { QUARANTINE_LIFETIME_MS } from '../../state/routing/quarantine-entry.js';
 import { CrashSubject } from './crash-guard.js';
 
 /** A quarantined request or prompt part in the store; its fingerprint is the object's name. */
@@ -31,11 +31,22 @@
   readonly engines: readonly string[];
   /** Wall-clock time in Unix milliseconds. */
   readonly quarantinedAtMs: number;
+  /** Whether no trial is to be made; false in records of builds that make none. */
+  readonly isConfirmed: boolean;
+}
+
+/** The record of a quarantined subject as it was listed. */
+export interface StoredQuarantine {
+  readonly subject: CrashSubject;
+  readonly fingerprint: string;
+  /** Time since its start, in milliseconds. */
+  readonly ageMs: number;
+  readonly isConfirmed: boolean;
 }
 
 /** Receives the results of a list. */
 export interface QuarantineStoreEvents {
-  onStored(subject: CrashSubject, fingerprint: string, ageMs: number): void;
+  onStored(stored: StoredQuarantine): void;
   /** A listed object was removed from the store. */
   onRemoved(fingerprint: string): void;
   /** A list was processed; called after the other events of the list. */
@@ -66,6 +77,7 @@
   promptPart: z.string().optional(),
   engines: z.array(z.string()),
   quarantinedAtMs: z.number(),
+  isConfirmed: z.boolean().default(false),
 });
 
 /** A write that is still to be made. */
@@ -188,7 +200,8 @@
       return;
     }
     this.listed.add(name);
-    this.parts.events.onStored(parsed.data.subject, name, ageMs);
+    const { subject, isConfirmed } = parsed.data;
+    this.parts.events.onStored({ subject, fingerprint: name, ageMs, isConfirmed });
   }
 
   private pauseMs(failures: number): number {
--- a/src/state/rendezvous.ts
+++ b/src/state/rendezvous.ts
@@ -18,6 +18,21 @@
   return weighted.map((entry) => entry.candidate);
 }
 
+/** Number of other candidates that come before one in {@link rankByRendezvous}, without sorting. */
+export function countRankedBefore(
+  hasher: Hasher,
+  key: bigint,
+  candidates: readonly string[],
+  one: string,
+): number {
+  const weight = hasher.hashText(one, key);
+  return candidates.filter((candidate) => {
+    if (candidate === one) return false;
+    const other = hasher.hashText(candidate, key);
+    return other > weight || (other === weight && candidate < one);
+  }).length;
+}
+
 /** Returns the first candidate of {@link rankByRendezvous}, without sorting. */
 export function pickByRendezvous(
   hasher: Hasher,
--- a/src/state/routing/crash-announcement-queue.ts
+++ b/src/state/routing/crash-announcement-queue.ts
@@ -4,13 +4,19 @@
  * requests are repeated in rotation for as long as they stay in quarantine, so that a router that
  * has just started or was partitioned learns all of them within seconds.
  */
+import type { TrialRecord } from './quarantine-trials.js';
 
 /** An engine crash and the requests that failed with it. */
 export interface EngineCrashAnnouncement {
   readonly engineId: string;
   readonly fingerprints: readonly string[];
-  /** Time since the crash was detected, in milliseconds. */
+  /** Time since the crash, in milliseconds. */
   readonly ageMs: number;
+  /**
+   * Time since the first copy of each request was sent there, in milliseconds, in the same order;
+   * undefined if it is not known.
+   */
+  readonly sentAgesMs?: readonly number[];
 }
 
 /** A request that entered or left quarantine. */
@@ -19,12 +25,36 @@
   readonly isCleared: boolean;
   /** Time since that change, in milliseconds. */
   readonly ageMs: number;
+  /** Whether no trial is made of a request in quarantine; undefined if it left the quarantine. */
+  readonly isConfirmed?: boolean;
+}
+
+/** A request in provisional quarantine, and the trials of it. */
+export interface ProvisionalAnnouncement {
+  readonly fingerprint: string;
+  /** Time since it entered quarantine, in milliseconds. */
+  readonly ageMs: number;
+  /** Number of trials that were begun. */
+  readonly trials: number;
+  /** Time since the last one began, in milliseconds; 0 without trials. */
+  readonly trialAgeMs: number;
+}
+
+/** A request in provisional quarantine, as a router knows it. */
+export interface ProvisionalSubject {
+  readonly fingerprint: string;
+  /** Monotonic time, in milliseconds. */
+  readonly sinceMs: number;
+  /** Undefined if no trial was begun. */
+  readonly trials: TrialRecord | undefined;
 }
 
 /** Announcements carried by one report. */
 export interface CrashAnnouncements {
   readonly crashes: readonly EngineCrashAnnouncement[];
   readonly quarantine: readonly QuarantineAnnouncement[];
+  /** Left out if there are none. */
+  readonly provisional?: readonly ProvisionalAnnouncement[];
 }
 
 /** The announcements of one report on requests and on prompt parts. */
@@ -42,9 +72,12 @@
 
 interface PendingCrash extends PendingAnnouncement {
   readonly engineId: string;
-  readonly fingerprints: string[];
+  /** When the first copy of each request was sent, by fingerprint; undefined if not known. */
+  readonly sentMs: Map<string, number | undefined>;
 }
 
+type SentTimes = PendingCrash['sentMs'];
+
 interface PendingClearance extends PendingAnnouncement {
   readonly fingerprint: string;
 }
@@ -81,14 +114,30 @@
     return this.crashes.length > 0 || this.clearances.length > 0;
   }
 
-  /** Queues a crash detected by this router. */
-  addCrash(engineId: string, fingerprints: readonly string[], atMs: number): void {
-    this.enqueueCrash(engineId, fingerprints, atMs, ANNOUNCEMENT_REPEATS);
+  /**
+   * Queues a crash detected by this router.
+   *
+   * @param sentMs when the first copy of each request was sent, in the same order; empty if not known
+   */
+  addCrash(
+    engineId: string,
+    fingerprints: readonly string[],
+    atMs: number,
+    sentMs: readonly number[] = [],
+  ): void {
+    const runs = runsOf(fingerprints, sentMs);
+    this.enqueueCrash({ engineId, sentMs: runs, atMs, remaining: ANNOUNCEMENT_REPEATS });
   }
 
-  /** Queues a crash received from another router, to relay it. */
-  relayCrash(engineId: string, fingerprints: readonly string[], atMs: number): void {
-    this.enqueueCrash(engineId, fingerprints, atMs, RELAY_REPEATS);
+  /** Queues a crash received from another router, to relay it; see {@link addCrash}. */
+  relayCrash(
+    engineId: string,
+    fingerprints: readonly string[],
+    atMs: number,
+    sentMs: readonly number[] = [],
+  ): void {
+    const runs = runsOf(fingerprints, sentMs);
+    this.enqueueCrash({ engineId, sentMs: runs, atMs, remaining: RELAY_REPEATS });
   }
 
   /** Queues the clearance of a request by this router. */
@@ -101,17 +150,12 @@
     this.enqueueClearance(fingerprint, atMs, RELAY_REPEATS);
   }
 
-  private enqueueCrash(
-    engineId: string,
-    fingerprints: readonly string[],
-    atMs: number,
-    remaining: number,
-  ): void {
-    const unmerged = this.mergeIntoPending(engineId, fingerprints, atMs, remaining);
+  private enqueueCrash(crash: PendingCrash): void {
+    const unmerged = [...this.mergeIntoPending(crash)];
     for (let start = 0; start < unmerged.length; start += FINGERPRINTS_PER_ANNOUNCEMENT) {
       if (this.crashes.length >= MAXIMUM_PENDING) this.crashes.shift();
       const batch = unmerged.slice(start, start + FINGERPRINTS_PER_ANNOUNCEMENT);
-      this.crashes.push({ engineId, fingerprints: batch, atMs, remaining });
+      this.crashes.push({ ...crash, sentMs: new Map(batch) });
     }
   }
 
@@ -120,69 +164,101 @@
     this.clearances.push({ fingerprint, atMs, remaining });
   }
 
-  /** Removes and returns the content of the next report. Must be called once per report. */
-  take(quarantinedSince: ReadonlyMap<string, number>, nowMs: number): CrashAnnouncements {
+  /**
+   * Removes and returns the content of the next report. Must be called once per report.
+   *
+   * @param quarantinedSince requests in confirmed quarantine, with its start
+   */
+  take(
+    quarantinedSince: ReadonlyMap<string, number>,
+    nowMs: number,
+    provisional: readonly ProvisionalSubject[] = [],
+  ): CrashAnnouncements {
     const crashes = takeLeastAnnounced(this.crashes, CRASHES_PER_REPORT);
     const clearances = takeLeastAnnounced(this.clearances, CLEARANCES_PER_REPORT);
     this.crashes = this.crashes.filter(({ remaining }) => remaining > 0);
     this.clearances = this.clearances.filter(({ remaining }) => remaining > 0);
     const age = (atMs: number): number => Math.max(0, Math.round(nowMs - atMs));
     return {
-      crashes: crashes.map(({ engineId, fingerprints, atMs }) => ({
-        engineId,
-        fingerprints: [...fingerprints],
-        ageMs: age(atMs),
-      })),
+      crashes: crashes.map((crash) => announcementOf(crash, age)),
       quarantine: [
         ...clearances.map(({ fingerprint, atMs }) => ({
           fingerprint,
           isCleared: true,
           ageMs: age(atMs),
         })),
-        ...this.nextQuarantinedBatch(quarantinedSince).map(([fingerprint, sinceMs]) => ({
+        ...this.nextBatch([...quarantinedSince]).map(([fingerprint, sinceMs]) => ({
           fingerprint,
           isCleared: false,
+          isConfirmed: true,
           ageMs: age(sinceMs),
         })),
       ],
+      ...(provisional.length > 0 && {
+        provisional: this.nextBatch(provisional).map(({ fingerprint, sinceMs, trials }) => ({
+          fingerprint,
+          ageMs: age(sinceMs),
+          trials: trials?.count ?? 0,
+          trialAgeMs: trials ? age(trials.lastMs) : 0,
+        })),
+      }),
     };
   }
 
   /**
    * Merges requests into a pending announcement of the same crash. Returns those that did not fit.
    */
-  private mergeIntoPending(
-    engineId: string,
-    fingerprints: readonly string[],
-    atMs: number,
-    remaining: number,
-  ): readonly string[] {
+  private mergeIntoPending({ engineId, sentMs, atMs, remaining }: PendingCrash): SentTimes {
     const pending = this.crashes.find(
       (crash) =>
         crash.engineId === engineId &&
-        crash.fingerprints.length < FINGERPRINTS_PER_ANNOUNCEMENT &&
+        crash.sentMs.size < FINGERPRINTS_PER_ANNOUNCEMENT &&
         Math.abs(crash.atMs - atMs) <= SAME_CRASH_MS,
     );
-    if (!pending) return fingerprints;
-    const room = FINGERPRINTS_PER_ANNOUNCEMENT - pending.fingerprints.length;
-    const added = fingerprints.filter((each) => !pending.fingerprints.includes(each));
-    if (added.length === 0) return added;
-    pending.fingerprints.push(...added.slice(0, room));
+    if (!pending) return sentMs;
+    const unmerged: SentTimes = new Map();
+    let isChanged = false;
+    for (const [fingerprint, firstMs] of sentMs) {
+      const isKnown = pending.sentMs.has(fingerprint);
+      if (!isKnown && pending.sentMs.size >= FINGERPRINTS_PER_ANNOUNCEMENT) {
+        unmerged.set(fingerprint, firstMs);
+        continue;
+      }
+      const knownMs = pending.sentMs.get(fingerprint);
+      if (isKnown && (firstMs ?? Infinity) >= (knownMs ?? Infinity)) continue;
+      pending.sentMs.set(fingerprint, firstMs);
+      isChanged = true;
+    }
+    if (!isChanged) return unmerged;
     pending.remaining = Math.max(pending.remaining, remaining);
     // Keep the earlier time: a clearance since then applies to the merged announcement too.
     pending.atMs = Math.min(pending.atMs, atMs);
-    return added.slice(room);
+    return unmerged;
   }
 
-  private nextQuarantinedBatch(quarantinedSince: ReadonlyMap<string, number>): [string, number][] {
-    const entries = [...quarantinedSince];
-    if (entries.length <= QUARANTINED_PER_REPORT) return entries;
-    const start = (this.rotation * QUARANTINED_PER_REPORT) % entries.length;
+  private nextBatch<Item>(items: readonly Item[]): readonly Item[] {
+    if (items.length <= QUARANTINED_PER_REPORT) return items;
+    const start = (this.rotation * QUARANTINED_PER_REPORT) % items.length;
     this.rotation += 1;
-    return [...entries.slice(start), ...entries.slice(0, start)].slice(0, QUARANTINED_PER_REPORT);
+    return [...items.slice(start), ...items.slice(0, start)].slice(0, QUARANTINED_PER_REPORT);
   }
 }
 
+function runsOf(fingerprints: readonly string[], sentMs: readonly number[]): SentTimes {
+  return new Map(fingerprints.map((fingerprint, index) => [fingerprint, sentMs[index]]));
+}
+
+function announcementOf(
+  { engineId, sentMs, atMs }: PendingCrash,
+  age: (atMs: number) => number,
+): EngineCrashAnnouncement {
+  const fingerprints = [...sentMs.keys()];
+  const isSentKnown = [...sentMs.values()].some((firstMs) => firstMs !== undefined);
+  if (!isSentKnown) return { engineId, fingerprints, ageMs: age(atMs) };
+  const sentAgesMs = [...sentMs.values()].map((firstMs) => age(firstMs ?? atMs));
+  return { engineId, fingerprints, ageMs: age(atMs), sentAgesMs };
+}
+
 /** Returns the announcements with the most repeats remaining and decrements their counters. */
 function takeLeastAnnounced<Announcement extends PendingAnnouncement>(
   pending: readonly Announcement[],
--- a/src/state/routing/crash-quarantine.ts
+++ b/src/state/routing/crash-quarantine.ts
@@ -7,40 +7,27 @@
  * A crash interrupts every request on the engine, most of which did not cause it. These are not
  * quarantined, because a quarantine requires crashes of several engines, and because one successful
  * completion clears a request.
+ *
+ * Engines that fail together interrupt copies of a popular request at several of them. Such a request
+ * is quarantined provisionally: a trial, one send at a time, confirms or lifts the quarantine.
  */
-
-/** When a request or prompt part counts as the cause of crashes. */
-export interface QuarantinePolicy {
-  /** Number of crashes, of different engines, after which a subject is quarantined. */
-  readonly crashes: number;
-  /**
-   * Crashes within this time of each other count as one, in milliseconds: engines that fail
-   * together have another cause.
-   */
-  readonly mergedWithinMs: number;
-  /** Whether a crash during a quarantined subject is evidence against no other one. */
-  readonly hasSingleCause: boolean;
-}
-
-/**
- * High enough that independent crashes do not quarantine a request: of 3,787 requests of a day on
- * which 11 engines crashed, one was running at two of them and none at three.
- */
-export const DEFAULT_REQUEST_QUARANTINE_POLICY: QuarantinePolicy = {
-  crashes: 3,
-  mergedWithinMs: 0,
-  hasSingleCause: false,
-};
-
-/**
- * For prompt parts. A part is in many requests, so it is at more crashes by chance than a request,
- * and sound parts come with the one that crashes engines.
- */
-export const DEFAULT_PART_QUARANTINE_POLICY: QuarantinePolicy = {
-  crashes: 4,
-  mergedWithinMs: 300,
-  hasSingleCause: true,
-};
+import {
+  type CrashedRun,
+  countDistinctCrashes,
+  crashSpanMs,
+  lastCrashMs,
+  mergeRuns,
+} from './crash-evidence.js';
+import {
+  type QuarantineEntry,
+  createEntry,
+  hasCompleted,
+  lifetimeOf,
+  sharedEnginesOf,
+} from './quarantine-entry.js';
+import { DEFAULT_REQUEST_QUARANTINE_POLICY, type QuarantinePolicy } from './quarantine-policy.js';
+import { QuarantineTrials, type TrialRecord } from './quarantine-trials.js';
+import { EngineCrashTimes, TRIAL_SLACK_MS, haveTrialsFailed } from './trial-verdict.js';
 
 /** The effect of a recorded event. */
 export enum QuarantineChange {
@@ -48,32 +35,20 @@
   /** A crash was recorded that does not quarantine the subject. */
   Suspected = 'suspected',
   Quarantined = 'quarantined',
+  /** The provisional quarantine of the subject is final now. */
+  Confirmed = 'confirmed',
   /** The subject was suspected, but not quarantined, and is cleared. */
   Cleared = 'cleared',
   /** The subject was quarantined and is released. */
   Lifted = 'lifted',
 }
 
-interface Entry {
-  /** Time of each crash, by incarnation of the engine. */
-  readonly crashedMs: Map<string, number>;
-  quarantinedMs: number | undefined;
-  /** Events up to this time are ignored. */
-  clearedMs: number;
-  updatedMs: number;
-}
-
 /** Returns groups of the given engines whose crashes count as one. */
 export type RelatedCrashes = (engineIds: ReadonlySet<string>) => readonly (readonly string[])[];
 
 /** At this size the least recently updated entry that is not quarantined is evicted. */
 const MAXIMUM_ENTRIES = 4_096;
 const MAXIMUM_QUARANTINED = 512;
-/**
- * How long clearances are retained: longer than routers repeat their announcements, and longer than
- * a router that received none takes to read the store again.
- */
-const CLEARANCE_LIFETIME_MS = 120_000;
 /** Number of crashes by which the likelier cause may be behind another subject. */
 const RIVAL_LAG_CRASHES = 2;
 /**
@@ -84,18 +59,16 @@
 const MINIMUM_RIVAL_ENGINE_SHARE = 0.5;
 /** Incarnations that have crashed leave the engine list within seconds. */
 const MAXIMUM_EXPLAINED_CRASHES = 1_024;
-/** A suspected subject without another crash within this time is dropped. */
-const SUSPICION_LIFETIME_MS = 600_000;
-/** Longer than callers retry; the engines may have been repaired by then. */
-export const QUARANTINE_LIFETIME_MS = 1_800_000;
 
 /** The suspected and quarantined requests, or prompt parts, known to one router. */
 export class CrashQuarantine {
   /** By fingerprint, the least recently updated first. */
-  private readonly entries = new Map<string, Entry>();
+  private readonly entries = new Map<string, QuarantineEntry>();
   private readonly quarantined = new Set<string>();
   /** Crashed engines during which a quarantined subject was running. */
   private readonly explainedCrashes = new Set<string>();
+  private readonly engineCrashes = new EngineCrashTimes();
+  private readonly trials = new QuarantineTrials();
 
   /**
    * @param relatedCrashes groups the crashes of engines that count as one, because one request was
@@ -124,6 +97,39 @@
     return this.quarantined.has(fingerprint);
   }
 
+  /** Whether the subject is quarantined for good: no trial will lift the quarantine. */
+  isConfirmed(fingerprint: string): boolean {
+    return this.entries.get(fingerprint)?.isConfirmed ?? false;
+  }
+
+  /** Trials of a quarantined subject; undefined if none was begun. */
+  trialsOf(fingerprint: string): TrialRecord | undefined {
+    return this.trials.recordOf(fingerprint);
+  }
+
+  /** Whether the subject is quarantined provisionally and no trial may begin yet. */
+  isTrialPausing(fingerprint: string, nowMs: number): boolean {
+    const quarantinedMs = this.provisionalSince(fingerprint);
+    if (quarantinedMs === undefined) return false;
+    return this.trials.isPausing(fingerprint, quarantinedMs, nowMs);
+  }
+
+  /**
+   * Begins a trial of a provisionally quarantined subject, which could be sent now, if it is this
+   * router's turn; see {@link QuarantineTrials.tryBegin}.
+   */
+  tryBeginTrial(fingerprint: string, rank: number, nowMs: number): boolean {
+    const quarantinedMs = this.provisionalSince(fingerprint);
+    if (quarantinedMs === undefined) return false;
+    return this.trials.tryBegin(fingerprint, quarantinedMs, rank, nowMs);
+  }
+
+  /** Records trials that another router knows of. Returns whether one of them is new. */
+  noteTrials(fingerprint: string, count: number, lastMs: number): boolean {
+    if (this.provisionalSince(fingerprint) === undefined) return false;
+    return this.trials.note(fingerprint, count, lastMs);
+  }
+
   /** Whether the subject was cleared at or after `atMs`, so that events up to then are ignored. */
   isClearedSince(fingerprint: string, atMs: number): boolean {
     return atMs <= (this.entries.get(fingerprint)?.clearedMs ?? -Infinity);
@@ -131,7 +137,7 @@
 
   /** Engines that crashed while the subject was running. */
   crashedEngines(fingerprint: string): string[] {
-    return [...(this.entries.get(fingerprint)?.crashedMs.keys() ?? [])];
+    return [...(this.entries.get(fingerprint)?.crashes.keys() ?? [])];
   }
 
   /** Number of crashes while the subject was running; those that happened together count once. */
@@ -144,32 +150,45 @@
    * Records that an engine crashed at `atMs` while the subject was running. Returns false if the crash
    * is known, or its cause is. All subjects of a crash must be recorded before one is judged, since
    * they are compared.
+   *
+   * @param sentMs when the first copy that was running there was sent; `atMs` if that is not known
    */
-  recordCrash(fingerprint: string, engineId: string, atMs: number): boolean {
+  recordCrash(fingerprint: string, engineId: string, atMs: number, sentMs = atMs): boolean {
     const entry = this.getOrCreate(fingerprint, atMs);
-    if (atMs <= entry.clearedMs || entry.crashedMs.has(engineId)) return false;
+    this.engineCrashes.record(engineId, atMs);
+    const run = { sentMs, crashedMs: atMs };
+    if (atMs <= entry.clearedMs) return false;
+    const known = entry.crashes.get(engineId);
+    if (known) return this.recordEarlierCopy(entry, engineId, known, run);
     const isQuarantined = this.quarantined.has(fingerprint);
     if (!isQuarantined && this.explainedCrashes.has(engineId)) return false;
-    entry.crashedMs.set(engineId, atMs);
+    entry.crashes.set(engineId, run);
     if (isQuarantined) this.explainCrashes([engineId]);
     return true;
   }
 
-  /** Decides whether the crashes recorded for the subject, of which one was at `atMs`, quarantine it. */
-  judge(fingerprint: string, atMs: number): QuarantineChange {
+  /** Decides whether the crashes recorded for the subject quarantine it, or confirm its quarantine. */
+  judge(fingerprint: string, nowMs: number): QuarantineChange {
     const entry = this.entries.get(fingerprint);
-    if (!entry || this.quarantined.has(fingerprint)) return QuarantineChange.Suspected;
-    const isThresholdReached = this.crashesOf(entry) >= this.policy.crashes;
+    if (!entry || entry.isConfirmed) return QuarantineChange.Suspected;
+    const isProven = this.isProven(fingerprint, entry, nowMs);
+    if (this.quarantined.has(fingerprint)) {
+      if (!isProven) return QuarantineChange.Suspected;
+      this.confirm(fingerprint, entry);
+      return QuarantineChange.Confirmed;
+    }
+    const isThresholdReached =
+      isProven || (this.policy.hasTrials && entry.crashes.size >= this.policy.crashes);
     if (!isThresholdReached || this.hasLikelierCause(entry)) return QuarantineChange.Suspected;
-    this.addToQuarantine(fingerprint, entry, atMs);
-    this.explainCrashes([...entry.crashedMs.keys()]);
+    this.addToQuarantine(fingerprint, entry, lastCrashMs(entry.crashes), isProven);
+    this.explainCrashes([...entry.crashes.keys()]);
     return QuarantineChange.Quarantined;
   }
 
   /** Groups of these engines that crashed while one suspected subject was running at all of them. */
   crashesOfOneSubject(engineIds: ReadonlySet<string>): string[][] {
     return [...this.entries.values()]
-      .map(({ crashedMs }) => [...crashedMs.keys()].filter((each) => engineIds.has(each)))
+      .map(({ crashes }) => [...crashes.keys()].filter((each) => engineIds.has(each)))
       .filter((group) => group.length > 1);
   }
 
@@ -182,17 +201,27 @@
     }
     for (const [fingerprint, entry] of this.entries) {
       if (this.quarantined.has(fingerprint)) continue;
-      for (const engineId of engineIds) entry.crashedMs.delete(engineId);
+      for (const engineId of engineIds) entry.crashes.delete(engineId);
     }
   }
 
-  /** Records that the subject is quarantined by another router or in the store since `sinceMs`. */
-  noteQuarantined(fingerprint: string, sinceMs: number): QuarantineChange {
-    if (this.quarantined.has(fingerprint)) return QuarantineChange.None;
+  /**
+   * Records that the subject is quarantined by another router or in the store since `sinceMs`.
+   *
+   * @param isConfirmed whether no trial is to be made
+   */
+  noteQuarantined(fingerprint: string, sinceMs: number, isConfirmed = true): QuarantineChange {
+    const isFinal = isConfirmed || !this.policy.hasTrials;
+    const present = this.entries.get(fingerprint);
+    if (present && this.quarantined.has(fingerprint)) {
+      if (!isFinal || present.isConfirmed) return QuarantineChange.None;
+      this.confirm(fingerprint, present);
+      return QuarantineChange.Confirmed;
+    }
     const entry = this.getOrCreate(fingerprint, sinceMs);
     if (sinceMs <= entry.clearedMs) return QuarantineChange.None;
-    this.addToQuarantine(fingerprint, entry, sinceMs);
-    this.explainCrashes([...entry.crashedMs.keys()]);
+    this.addToQuarantine(fingerprint, entry, sinceMs, isFinal);
+    this.explainCrashes([...entry.crashes.keys()]);
     return QuarantineChange.Quarantined;
   }
 
@@ -200,12 +229,12 @@
   noteCleared(fingerprint: string, atMs: number): QuarantineChange {
     const entry = this.entries.get(fingerprint);
     if (!entry || atMs <= entry.clearedMs) return QuarantineChange.None;
-    const isSuspected = entry.crashedMs.size > 0;
+    const isSuspected = entry.crashes.size > 0;
     const isLifted = (entry.quarantinedMs ?? Infinity) <= atMs;
     entry.clearedMs = atMs;
     entry.updatedMs = Math.max(entry.updatedMs, atMs);
-    for (const [engineId, crashedMs] of entry.crashedMs) {
-      if (crashedMs <= atMs) entry.crashedMs.delete(engineId);
+    for (const [engineId, { crashedMs }] of entry.crashes) {
+      if (crashedMs <= atMs) entry.crashes.delete(engineId);
     }
     if (isLifted) {
       this.release(fingerprint, entry);
@@ -226,26 +255,46 @@
     return expired;
   }
 
-  private crashesOf({ crashedMs }: Entry): number {
+  /** Start of a provisional quarantine; undefined if the subject is in none. */
+  private provisionalSince(fingerprint: string): number | undefined {
+    if (!this.quarantined.has(fingerprint)) return undefined;
+    const entry = this.entries.get(fingerprint);
+    return entry?.isConfirmed ? undefined : entry?.quarantinedMs;
+  }
+
+  /** Whether the crashes prove that the subject is their cause, so that no trial is needed. */
+  private isProven(fingerprint: string, entry: QuarantineEntry, nowMs: number): boolean {
+    const { crashes, unprovenWithinMs } = this.policy;
+    if (this.crashesOf(entry) >= crashes && crashSpanMs(entry.crashes) >= unprovenWithinMs)
+      return true;
+    const trials = this.trials.recordOf(fingerprint);
+    return haveTrialsFailed(entry.crashes, trials, this.engineCrashes, nowMs);
+  }
+
+  /**
+   * Records an earlier copy at an engine whose crash is known. Returns whether it tells much more than
+   * the one that is known.
+   */
+  private recordEarlierCopy(
+    entry: QuarantineEntry,
+    engineId: string,
+    known: CrashedRun,
+    run: CrashedRun,
+  ): boolean {
+    if (!this.policy.hasTrials) return false;
+    entry.crashes.set(engineId, mergeRuns(known, run));
+    return run.sentMs < known.sentMs - TRIAL_SLACK_MS;
+  }
+
+  private crashesOf({ crashes }: QuarantineEntry): number {
     const { mergedWithinMs } = this.policy;
-    if (mergedWithinMs === 0 || crashedMs.size < 2) return crashedMs.size;
-    const related = this.relatedCrashes(new Set(crashedMs.keys()));
-    const counted: string[] = [];
-    let lastMs = -Infinity;
-    for (const [engineId, atMs] of [...crashedMs].sort(([, left], [, right]) => left - right)) {
-      const isTogether = atMs - lastMs <= mergedWithinMs;
-      const isRelated = related.some(
-        (group) => group.includes(engineId) && counted.some((each) => group.includes(each)),
-      );
-      if (isTogether || isRelated) continue;
-      counted.push(engineId);
-      lastMs = atMs;
-    }
-    return counted.length;
+    if (crashes.size < 2) return crashes.size;
+    const related = this.relatedCrashes(new Set(crashes.keys()));
+    return countDistinctCrashes(crashes, mergedWithinMs, related);
   }
 
   /** Whether another subject that was running at the same crashes is the likelier cause. */
-  private hasLikelierCause(entry: Entry): boolean {
+  private hasLikelierCause(entry: QuarantineEntry): boolean {
     if (!this.policy.hasSingleCause) return false;
     const crashes = this.crashesOf(entry);
     return [...this.entries.values()].some(
@@ -260,25 +309,24 @@
    *
    * @param crashes number of crashes of the other subject
    */
-  private isLikelierCause(rival: Entry, other: Entry, crashes: number): boolean {
+  private isLikelierCause(
+    rival: QuarantineEntry,
+    other: QuarantineEntry,
+    crashes: number,
+  ): boolean {
     if (rival.quarantinedMs !== undefined) return false;
     const sharedEngines = sharedEnginesOf(rival, other);
     if (sharedEngines === undefined) return false;
-    if (sharedEngines < other.crashedMs.size * MINIMUM_RIVAL_ENGINE_SHARE) return false;
+    if (sharedEngines < other.crashes.size * MINIMUM_RIVAL_ENGINE_SHARE) return false;
     if (hasCompleted(rival) !== hasCompleted(other)) return hasCompleted(other);
-    const isRarer = rival.crashedMs.size < other.crashedMs.size;
+    const isRarer = rival.crashes.size < other.crashes.size;
     if (!isRarer) return rival.clearedMs < other.clearedMs;
     return crashes - this.crashesOf(rival) <= RIVAL_LAG_CRASHES;
   }
 
-  private getOrCreate(fingerprint: string, atMs: number): Entry {
+  private getOrCreate(fingerprint: string, atMs: number): QuarantineEntry {
     const present = this.entries.get(fingerprint);
-    const entry = present ?? {
-      crashedMs: new Map<string, number>(),
-      quarantinedMs: undefined,
-      clearedMs: -Infinity,
-      updatedMs: atMs,
-    };
+    const entry = present ?? createEntry(atMs);
     entry.updatedMs = Math.max(entry.updatedMs, atMs);
     this.entries.delete(fingerprint);
     if (this.entries.size >= MAXIMUM_ENTRIES) this.evictOldestSuspect();
@@ -286,8 +334,14 @@
     return entry;
   }
 
-  private addToQuarantine(fingerprint: string, entry: Entry, sinceMs: number): void {
+  private addToQuarantine(
+    fingerprint: string,
+    entry: QuarantineEntry,
+    sinceMs: number,
+    isConfirmed: boolean,
+  ): void {
     entry.quarantinedMs = sinceMs;
+    entry.isConfirmed = isConfirmed;
     if (this.quarantined.size >= MAXIMUM_QUARANTINED) {
       const [oldest] = this.quarantined;
       if (oldest !== undefined) this.drop(oldest);
@@ -295,9 +349,16 @@
     this.quarantined.add(fingerprint);
   }
 
-  private release(fingerprint: string, entry: Entry): void {
+  private confirm(fingerprint: string, entry: QuarantineEntry): void {
+    entry.isConfirmed = true;
+    this.trials.forget(fingerprint);
+  }
+
+  private release(fingerprint: string, entry: QuarantineEntry): void {
     entry.quarantinedMs = undefined;
+    entry.isConfirmed = false;
     this.quarantined.delete(fingerprint);
+    this.trials.forget(fingerprint);
   }
 
   private evictOldestSuspect(): void {
@@ -311,27 +372,6 @@
   private drop(fingerprint: string): void {
     this.entries.delete(fingerprint);
     this.quarantined.delete(fingerprint);
+    this.trials.forget(fingerprint);
   }
 }
-
-function lifetimeOf({ quarantinedMs, crashedMs }: Entry): number {
-  if (quarantinedMs !== undefined) return QUARANTINE_LIFETIME_MS;
-  return crashedMs.size > 0 ? SUSPICION_LIFETIME_MS : CLEARANCE_LIFETIME_MS;
-}
-
-/**
- * Number of crashed engines at which both subjects were running; undefined if the rival was running at
- * a crash without the other one. Crashes that the other one's completion has cleared don't count.
- */
-function sharedEnginesOf(rival: Entry, other: Entry): number | undefined {
-  let shared = 0;
-  for (const [engineId, atMs] of rival.crashedMs) {
-    if (other.crashedMs.has(engineId)) shared += 1;
-    else if (atMs > other.clearedMs) return undefined;
-  }
-  return shared;
-}
-
-function hasCompleted({ clearedMs }: Entry): boolean {
-  return clearedMs !== -Infinity;
-}
--- a/src/state/routing/engine-crashes.ts
+++ b/src/state/routing/engine-crashes.ts
@@ -18,9 +18,11 @@
   Unrelated = 'unrelated',
 }
 
-/** A request whose connection broke; both times in Unix milliseconds. */
+/** A request whose connection broke; times in Unix milliseconds unless stated otherwise. */
 export interface BrokenRequest {
   readonly fingerprint: string;
+  /** Monotonic time at which its connection broke, in milliseconds. */
+  readonly brokenAtMs: number;
   /** Fingerprints of its shared prompt parts if the engine was at most beginning to respond. */
   readonly startingParts: readonly string[];
   readonly sentMs: number;
--- a/src/state/routing/rejection.ts
+++ b/src/state/routing/rejection.ts
@@ -36,6 +36,8 @@
   /** Too little time is left before the caller's deadline to send the request. */
   NoTimeLeft = 'no-time-left',
   Stopping = 'stopping',
+  /** The request may crash engines, and a trial that shows whether it does has not ended. */
+  AwaitsTrial = 'awaits-trial',
   /** The stream that the caller takes up may have begun at another build of the engines. */
   UnknownStreamOrigin = 'unknown-stream-origin',
 }
@@ -134,6 +136,7 @@
   [RejectionReason.AllBusy]: () => MINIMUM_DELAY_MS,
   [RejectionReason.EnginesFull]: () => MINIMUM_DELAY_MS,
   [RejectionReason.NoTimeLeft]: () => MINIMUM_DELAY_MS,
+  [RejectionReason.AwaitsTrial]: () => TRANSIENT_DELAY_MS,
   [RejectionReason.UnknownStreamOrigin]: () => MINIMUM_DELAY_MS,
 };
 
--- a/test/gateway/crash-announcements.test.ts
+++ b/test/gateway/crash-announcements.test.ts
@@ -6,7 +6,7 @@
 import { GatewayStatistics } from '../../src/coordination/gateway/gateway-statistics.js';
 import { NoopLogger } from '../../src/runtime/logger.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
-import { DEFAULT_PART_QUARANTINE_POLICY } from '../../src/state/routing/crash-quarantine.js';
+import { DEFAULT_PART_QUARANTINE_POLICY } from '../../src/state/routing/quarantine-policy.js';
 import { CrashAnnouncementHarness, type Peer } from '../helpers/crash-announcement-harness.js';
 
 const ROUTERS = 60;
--- a/test/helpers/crash-announcement-harness.ts
+++ b/test/helpers/crash-announcement-harness.ts
@@ -14,7 +14,7 @@
 import { SeededRandom } from '../../src/runtime/random.js';
 import { VirtualClock } from '../../src/runtime/virtual-clock.js';
 import { NO_CRASH_ANNOUNCEMENTS } from '../../src/state/routing/crash-announcement-queue.js';
-import { DEFAULT_REQUEST_QUARANTINE_POLICY } from '../../src/state/routing/crash-quarantine.js';
+import { DEFAULT_REQUEST_QUARANTINE_POLICY } from '../../src/state/routing/quarantine-policy.js';
 import { LoadTable } from '../../src/state/routing/load-table.js';
 import { countingDatagrams } from './counting-datagrams.js';
 import { noopGroupEvents } from './noop-group-events.js';
