Count the crashes of engines that fall together with all others

What callers saw: a read that crashes engines was sent on without end where it crashed all engines that a router knew at once, in a deployment of one service.

Cause: a refused connection counts against an engine only if another engine accepts one, since otherwise the router's own path may be interrupted. The check then said "silent", the broken requests were forgotten, and the engine that came back had another identifier, so that no restart explained them later.

Change: such a refusal is a result of its own. The requests are remembered, and held against the engine if its entry lapses within 10 s, or if another engine appears at its address; a router whose path alone is interrupted sees neither, since the engines go on writing their entries. `engine_crashed` says by which evidence.

--- a/src/coordination/gateway/crash-protection.ts
+++ b/src/coordination/gateway/crash-protection.ts
@@ -162,6 +162,11 @@
     this.detector.handleEntry(record);
   }
 
+  /** Handles that an engine's entry has lapsed; see {@link EngineCrashDetector.handleLapse}. */
+  handleLapse(record: EngineRecord): void {
+    this.detector.handleLapse(record);
+  }
+
   /** Drops expired records; must be called periodically. */
   expire(): void {
     for (const subject of SUBJECTS) this.guardOf(subject).expire();
--- a/src/coordination/gateway/engine-crash-detector.ts
+++ b/src/coordination/gateway/engine-crash-detector.ts
@@ -3,7 +3,8 @@
  * router checks whether the engine still accepts connections, and again after a while unless it is
  * refused. The entry of a crashed engine lapses only seconds later. An engine that restarts at once
  * may accept connections before the check; then its new start time shows that the previous
- * incarnation crashed.
+ * incarnation crashed. Where all engines refuse connections, this router's own path may be the cause.
+ * An engine has crashed then if its entry lapses, or if another engine appears at its address.
  */
 import { type Clock, sleep } from '../../runtime/clock.js';
 import type { Logger } from '../../runtime/logger.js';
@@ -16,6 +17,18 @@
 import type { EngineRecord, EngineRegistry } from '../../state/routing/engine-registry.js';
 import type { GatewayStatistics } from './gateway-statistics.js';
 
+/** What shows that an engine crashed; a label in logs. */
+enum CrashEvidence {
+  /** It refuses connections, and others don't. */
+  Refused = 'refused',
+  /** A later incarnation was seen. */
+  Restarted = 'restarted',
+  /** It refused connections as all engines did, and its entry lapsed. */
+  EntryLapsed = 'entry-lapsed',
+  /** It refused connections as all engines did, and another engine is at its address. */
+  AddressReused = 'address-reused',
+}
+
 /** An engine that crashed, and this router's requests that were running there. */
 export interface EngineCrash {
   readonly engineId: string;
@@ -45,8 +58,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   /**
-   * Tests whether the engine's address accepts connections; reports a refusal only if the engine, and
-   * not this router's own path, is its cause.
+   * Tests whether the engine's address accepts connections; reports a refusal as that of the engine
+   * only if this router's own path is not its cause.
    */
   checkEngine(endpoint: EngineEndpoint): Promise<ListenerState>;
 }
@@ -105,23 +118,38 @@
   handleRestart({ id, address, isDraining }: EngineRecord, startedAtMs: number): void {
     if (isDraining) return;
     const broken = this.crashes.recordRestart(id, startedAtMs);
-    if (broken) this.noteCrash(crashOf(id, broken), address);
+    if (broken) this.noteCrash(crashOf(id, broken), address, CrashEvidence.Restarted);
+  }
+
+  /** Handles that the entry of an engine, which was not draining, has lapsed. */
+  handleLapse({ id, address, isDraining }: EngineRecord): void {
+    if (isDraining) this.crashes.forgetBrokenRequests(id);
+    else this.noteGone(id, address, CrashEvidence.EntryLapsed);
   }
 
   /**
    * Handles an engine's entry: it shows a restart also if the entry of the previous incarnation lapsed
-   * before.
+   * before, and that another engine at its address is gone.
    */
   handleEntry({ name, address, startedAtMs }: EngineRecord): void {
+    for (const engineId of this.crashes.refusedAt(address, name))
+      this.noteGone(engineId, address, CrashEvidence.AddressReused);
     const previous = this.crashes.unexplainedIncarnation(name, startedAtMs);
     if (previous === undefined || startedAtMs === undefined) return;
     const broken = this.crashes.recordRestart(previous, startedAtMs) ?? [];
-    if (broken.length > 0) this.noteCrash(crashOf(previous, broken), address);
+    if (broken.length > 0)
+      this.noteCrash(crashOf(previous, broken), address, CrashEvidence.Restarted);
+  }
+
+  private noteGone(engineId: string, address: string, evidence: CrashEvidence): void {
+    const broken = this.crashes.recordGone(engineId, this.parts.clock.wallNow());
+    if (broken.length > 0) this.noteCrash(crashOf(engineId, broken), address, evidence);
   }
 
   /** Checks the engine after each delay until a check is conclusive. */
   private async check({ id, name, address }: EngineRecord): Promise<void> {
     const { registry, clock, logger } = this.parts;
+    let wasRefused = false;
     for (const delayMs of CHECK_DELAYS_MS) {
       await sleep(clock, delayMs);
       const state = await this.parts.checkEngine({ id, name, address });
@@ -131,21 +159,23 @@
         return;
       }
       if (state === ListenerState.Refused) {
-        this.noteCrash(crashOf(id, this.crashes.noteCrashed(id)), address);
+        this.noteCrash(crashOf(id, this.crashes.noteCrashed(id)), address, CrashEvidence.Refused);
         return;
       }
+      wasRefused ||= state === ListenerState.RefusedUnverified;
       logger.info('engine_checked', { engine: id, address, state });
     }
-    this.crashes.noteNotCrashed(id);
+    this.crashes.noteNotCrashed(id, wasRefused ? address : undefined);
   }
 
-  private noteCrash(crash: EngineCrash, address: string): void {
+  private noteCrash(crash: EngineCrash, address: string, evidence: CrashEvidence): void {
     const { engineId, fingerprints, startingParts } = crash;
     const { statistics, logger } = this.parts;
     statistics.engineCrashes += 1;
     logger.warn('engine_crashed', {
       engine: engineId,
       address,
+      evidence,
       broken_requests: fingerprints.length,
       fingerprints: fingerprints.slice(0, MAXIMUM_LOGGED_FINGERPRINTS).join(','),
       starting_parts: startingParts.slice(0, MAXIMUM_LOGGED_FINGERPRINTS).join(','),
--- a/src/coordination/gateway/engine-list.ts
+++ b/src/coordination/gateway/engine-list.ts
@@ -30,6 +30,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   onChanged(): void;
+  /** Called with the last record of an engine whose entry was removed from the store. */
+  onLapsed(record: EngineRecord): void;
   /**
    * Whether the configuration has a service of this name; true while no configuration is loaded.
    */
@@ -210,8 +212,10 @@
   }
 
   private recordRemoval(id: string): void {
+    const record = this.parts.registry.find(id)?.record;
     this.restored.recordRemoved(id);
     this.drop(id);
+    if (record) this.parts.onLapsed(record);
   }
 
   private drop(id: string): void {
--- a/src/coordination/gateway/engine-path/engine-access.ts
+++ b/src/coordination/gateway/engine-path/engine-access.ts
@@ -58,17 +58,21 @@
 
   /**
    * Tests whether an engine's address accepts connections, through another router if this one has no
-   * path. Reports a refusal only if the engine is its cause.
+   * path. Reports a refusal as that of the engine only if another engine accepts connections.
    */
   async checkEngine(endpoint: EngineEndpoint): Promise<ListenerState> {
     const { engines } = this.parts;
+    let state: ListenerState | undefined;
     if (this.hasPath) {
-      const state = await engines.checkListener(endpoint);
+      state = await engines.checkListener(endpoint);
       if (state !== ListenerState.Refused || (await this.path.verify())) return state;
     }
     const route = this.forwarding.routeTo(endpoint.id);
-    if (route.kind !== 'forwarded') return ListenerState.Unresponsive;
-    return engines.checkListener(endpoint, route.forwarder.address);
+    if (route.kind === 'forwarded') return engines.checkListener(endpoint, route.forwarder.address);
+    state ??= await engines.checkListener(endpoint);
+    return state === ListenerState.Refused
+      ? ListenerState.RefusedUnverified
+      : ListenerState.Unresponsive;
   }
 
   start(): void {
--- a/src/coordination/gateway/engine-path/engine-path-monitor.ts
+++ b/src/coordination/gateway/engine-path/engine-path-monitor.ts
@@ -39,6 +39,7 @@
 const PROBE_RESULTS: Record<ListenerState, ProbeResult> = {
   [ListenerState.Listening]: ProbeResult.Connected,
   [ListenerState.Refused]: ProbeResult.Refused,
+  [ListenerState.RefusedUnverified]: ProbeResult.Refused,
   [ListenerState.Unresponsive]: ProbeResult.TimedOut,
 };
 
--- a/src/coordination/gateway/gateway-node.ts
+++ b/src/coordination/gateway/gateway-node.ts
@@ -115,6 +115,7 @@
         this.crashes.handleRestart(restart);
       },
       onEntry: (record) => this.crashes.handleEntry(record),
+      onLapsed: (record) => this.crashes.handleLapse(record),
       failPreviousIncarnation: (restart) => this.calls.failSendsToPreviousIncarnation(restart),
     });
     const { rollout, beginSlackMs } = settings;
--- a/src/coordination/gateway/listed-engines.ts
+++ b/src/coordination/gateway/listed-engines.ts
@@ -48,6 +48,8 @@
   onRestarted(restart: EngineRestart): void;
   /** See {@link IncarnationListener.onEntry}. */
   onEntry(record: EngineRecord): void;
+  /** Called when the entry of an engine was removed from the store, as the engine was last known. */
+  onLapsed(record: EngineRecord): void;
   /**
    * Called at a restart and once more shortly after: sends to the previous incarnation have failed.
    */
@@ -88,6 +90,7 @@
       incarnations: this.incarnations,
       malformed: this.malformedEntries,
       onChanged: () => this.noteChanged(),
+      onLapsed: (record) => this.listener?.onLapsed(record),
       isKnownService: (service) => this.isKnownService(service),
     });
   }
--- a/src/coordination/gateway/response-end-check.ts
+++ b/src/coordination/gateway/response-end-check.ts
@@ -41,6 +41,7 @@
 const SENDER_STATES: Record<ListenerState, SenderState> = {
   [ListenerState.Listening]: SenderState.Present,
   [ListenerState.Refused]: SenderState.Gone,
+  [ListenerState.RefusedUnverified]: SenderState.Unknown,
   [ListenerState.Unresponsive]: SenderState.Unknown,
 };
 
--- a/src/protocol/inference/port.ts
+++ b/src/protocol/inference/port.ts
@@ -104,6 +104,8 @@
   Listening = 'listening',
   /** The connection was refused. */
   Refused = 'refused',
+  /** The connection was refused, perhaps on the way to the engine: no other engine accepts any. */
+  RefusedUnverified = 'refused-unverified',
   /** The connection attempt timed out. */
   Unresponsive = 'silent',
 }
--- a/src/state/routing/engine-crashes.ts
+++ b/src/state/routing/engine-crashes.ts
@@ -35,6 +35,8 @@
 const MAXIMUM_UNEXPLAINED_ENGINES = 256;
 /** A broken request is attributed to a restart that follows within this time. */
 const RESTART_DETECTION_WINDOW_MS = 5_000;
+/** An entry that lapses within this time shows that the engine crashed: some heartbeats, and an outage. */
+const LAPSE_DETECTION_WINDOW_MS = 10_000;
 /**
  * Connections to a crashed process break one after the other within this time, also those that the
  * system accepted after the crash. Longer than the checks of the engine take.
@@ -48,6 +50,8 @@
    * Broken requests at engines that still accepted connections; a later restart may explain them.
    */
   private readonly unexplained = new Map<string, BrokenRequest[]>();
+  /** Addresses of the engines in `unexplained` that refused connections as all engines did. */
+  private readonly refusedAddresses = new Map<string, string>();
   /** Latest incarnation in `unexplained`, by the engine's name; may be outdated. */
   private readonly unexplainedByName = new Map<string, string>();
   /** Crashed incarnations, with the start time of the next incarnation if known. */
@@ -81,13 +85,18 @@
     return this.removeBrokenRequests(this.awaitingCheck, engineId);
   }
 
-  /** Records that the engine accepted a connection or that the check was inconclusive. */
-  noteNotCrashed(engineId: string): void {
+  /**
+   * Records that the engine accepted a connection or that the check was inconclusive.
+   *
+   * @param refusedAddress its address if that refused connections, but no other engine accepted any
+   */
+  noteNotCrashed(engineId: string, refusedAddress?: string): void {
     const broken = this.removeBrokenRequests(this.awaitingCheck, engineId);
     if (broken.length === 0) return;
     const earlier = this.removeBrokenRequests(this.unexplained, engineId);
     this.unexplained.set(engineId, requestsOfLastCrash([...earlier, ...broken]));
     this.nameUnexplained(engineId);
+    if (refusedAddress !== undefined) this.noteRefused(engineId, refusedAddress);
     if (this.unexplained.size <= MAXIMUM_UNEXPLAINED_ENGINES) return;
     const [oldest] = this.unexplained.keys();
     if (oldest !== undefined) this.unexplained.delete(oldest);
@@ -97,6 +106,30 @@
   forgetBrokenRequests(engineId: string): void {
     this.awaitingCheck.delete(engineId);
     this.unexplained.delete(engineId);
+    this.refusedAddresses.delete(engineId);
+  }
+
+  /** Engines other than the named one that refused connections at the address, as all engines did. */
+  refusedAt(address: string, name: string): string[] {
+    return [...this.refusedAddresses]
+      .filter(([id, refused]) => refused === address && parseIncarnation(id).name !== name)
+      .map(([id]) => id);
+  }
+
+  /**
+   * Records that an engine is gone. Returns the requests that its crash interrupted; none if it did not
+   * refuse connections before, or if that crash was already recorded.
+   *
+   * @param nowMs Unix milliseconds
+   */
+  recordGone(engineId: string, nowMs: number): readonly BrokenRequest[] {
+    if (!this.refusedAddresses.delete(engineId)) return [];
+    const broken = this.removeBrokenRequests(this.unexplained, engineId);
+    if (this.crashed.has(engineId)) return [];
+    this.recordCrashed(engineId, undefined);
+    return requestsOfLastCrash(
+      broken.filter(({ brokenMs }) => brokenMs > nowMs - LAPSE_DETECTION_WINDOW_MS),
+    );
   }
 
   /**
@@ -135,6 +168,11 @@
     this.crashed.set(engineId, nextStartedAtMs);
   }
 
+  private noteRefused(engineId: string, address: string): void {
+    if (this.refusedAddresses.size >= MAXIMUM_UNEXPLAINED_ENGINES) this.refusedAddresses.clear();
+    this.refusedAddresses.set(engineId, address);
+  }
+
   private nameUnexplained(engineId: string): void {
     if (this.unexplainedByName.size >= MAXIMUM_UNEXPLAINED_ENGINES) this.unexplainedByName.clear();
     this.unexplainedByName.set(parseIncarnation(engineId).name, engineId);
--- a/test/gateway/engine-crashes.test.ts
+++ b/test/gateway/engine-crashes.test.ts
@@ -234,3 +234,62 @@
   t.is(new Set([fingerprint, ...others]).size, others.length + 1);
   t.regex(fingerprint, /^[0-9a-f]{32}$/);
 });
+
+// All engines of the only service fell together, and none of their crashes was held against the request.
+test('an engine that refuses connections as all others do has crashed once its entry lapses', async (t) => {
+  const { clock, detector, crashes, record, registry } = createDetectorHarness(
+    ListenerState.RefusedUnverified,
+  );
+  detector.recordConnectionLoss(ENGINE, lostRequest('a', RUN_DURATION_MS));
+  await clock.advance(LAST_CHECK_MS);
+  t.deepEqual(crashes, []);
+  registry.remove(ENGINE);
+  detector.handleLapse(record);
+  detector.handleLapse(record);
+  t.deepEqual(crashes, [{ engineId: ENGINE, fingerprints: ['a'], startingParts: [] }]);
+});
+
+test('an engine that refuses connections as all others do has crashed once another one has its address', async (t) => {
+  const { clock, detector, crashes, record } = createDetectorHarness(
+    ListenerState.RefusedUnverified,
+  );
+  detector.recordConnectionLoss(ENGINE, lostRequest('a', RUN_DURATION_MS));
+  await clock.advance(LAST_CHECK_MS);
+  detector.handleEntry({ ...record, id: 'engine-1', name: 'engine-1', address: 'engine-1:1' });
+  t.deepEqual(crashes, []);
+  detector.handleEntry({ ...record, id: 'engine-2', name: 'engine-2' });
+  detector.handleLapse(record);
+  t.deepEqual(crashes, [{ engineId: ENGINE, fingerprints: ['a'], startingParts: [] }]);
+});
+
+// A router whose own path is interrupted takes no engine for crashed, and an engine may leave in silence.
+for (const state of [ListenerState.Listening, ListenerState.Unresponsive]) {
+  test(`an engine whose listener is ${state} has not crashed as its entry lapses`, async (t) => {
+    const { clock, detector, crashes, record } = createDetectorHarness(state);
+    detector.recordConnectionLoss(ENGINE, lostRequest('a', RUN_DURATION_MS));
+    await clock.advance(LAST_CHECK_MS);
+    detector.handleLapse(record);
+    t.deepEqual(crashes, []);
+  });
+}
+
+test('an engine that drains before its entry lapses has not crashed', async (t) => {
+  const { clock, detector, crashes, record } = createDetectorHarness(
+    ListenerState.RefusedUnverified,
+  );
+  detector.recordConnectionLoss(ENGINE, lostRequest('a', RUN_DURATION_MS));
+  await clock.advance(LAST_CHECK_MS);
+  detector.handleLapse({ ...record, isDraining: true });
+  detector.handleLapse(record);
+  t.deepEqual(crashes, []);
+});
+
+test('the entry of an engine that lapses long after a lost connection shows no crash', async (t) => {
+  const { clock, detector, crashes, record } = createDetectorHarness(
+    ListenerState.RefusedUnverified,
+  );
+  detector.recordConnectionLoss(ENGINE, lostRequest('a', RUN_DURATION_MS));
+  await clock.advance(60_000);
+  detector.handleLapse(record);
+  t.deepEqual(crashes, []);
+});
--- a/test/gateway/engines-that-crash-together.test.ts
+++ b/test/gateway/engines-that-crash-together.test.ts
@@ -100,6 +100,8 @@
   readonly description: string;
   readonly copies: number;
   readonly intervalMs: number;
+  /** Whether no other engine, and no other router, shows that the router's own path works. */
+  readonly isAlone: boolean;
   /** Engines that it may end before it is sent to no other one. */
   readonly maximumEngines: number;
 }
@@ -109,21 +111,34 @@
     description: 'one copy at a time',
     copies: 1,
     intervalMs: 240,
+    isAlone: false,
     maximumEngines: 4,
   },
   {
     description: 'several copies at once',
     copies: 6,
     intervalMs: 720,
+    isAlone: false,
+    maximumEngines: 6,
+  },
+  {
+    description: 'several copies at once to all engines that the only router knows',
+    copies: 6,
+    intervalMs: 720,
+    isAlone: true,
     maximumEngines: 6,
   },
 ];
 
-for (const { description, copies, intervalMs, maximumEngines } of CAUSES) {
-  // Crashes that count as one must not let such a read go on.
+for (const { description, copies, intervalMs, isAlone, maximumEngines } of CAUSES) {
+  // All engines of the only service fell together, and their crashes were held against no request.
   test(`a read that crashes engines is stopped if it is sent with ${description}`, async (t) => {
     for (const seed of SEEDS) {
       const fleet = await CrashingFleet.create(seed, 60);
+      if (isAlone) {
+        fleet.removeOtherService();
+        await fleet.keepOneRouter();
+      }
       await fleet.read(BEFORE_MS);
       await fleet.read(AFTER_MS, (elapsedMs) => {
         if (elapsedMs % intervalMs === 0) fleet.sendCrashing(copies);
--- a/test/helpers/engine-list-harness.ts
+++ b/test/helpers/engine-list-harness.ts
@@ -67,6 +67,7 @@
       clock: this.clock,
       logger: this.log,
       onChanged: () => undefined,
+      onLapsed: () => undefined,
       isKnownService: (service) => services?.includes(service) ?? true,
       drainMs,
       entryLifetimeMs: 3_600,
