Keep what tenants made while they shared out of reach of those that are isolated

Cause: all tenants that are not isolated shared one cache salt for ever, whoever they were, so that what a tenant made before it was isolated stayed under the salt of the others, and came into reach again as soon as a tenant left its isolation.

Change: the shared salt names the set of isolated tenants in force, by a digest of their sorted names that is computed once for a configuration; without isolated tenants it is the one of all builds. What lies under it was made by tenants outside that set and is used by tenants outside it, so the rule holds for any order of changes, for restarts, routers that are behind and old copies of the store, with nothing to agree on. The price is that shared parts are read again when the set changes.

The log of a configuration counts the isolated tenants.

--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -69,7 +69,7 @@
           promptTokens: SHARED_TOKENS + UNIQUE_TOKENS,
           maximumOutputTokens: 200,
         },
-        isolatedTenant: undefined,
+        cacheNamespace: '',
         excluded: new Set(),
         zone: 'zone-0',
         gapObjectiveMs,
@@ -126,7 +126,7 @@
     ]),
   );
   loads.receive('summary', 1, engineLoads, 0);
-  const salt = cacheSaltOf(MODEL, 1, undefined);
+  const salt = cacheSaltOf(MODEL, 1, '');
   for (const id of registry.ids) {
     for (let affinityKey = 0; affinityKey < AFFINITY_KEYS; affinityKey += 1) {
       if (random.next() < CACHED_SHARE)
--- a/src/coordination/gateway/call-placement.ts
+++ b/src/coordination/gateway/call-placement.ts
@@ -69,7 +69,7 @@
       candidates,
       profile: service.engine,
       generation: service.engine ? request.generation : undefined,
-      isolatedTenant: grant.tenant?.isIsolated ? grant.tenant.name : undefined,
+      cacheNamespace: grant.table.cacheNamespaces.of(grant.tenant),
       excluded,
       zone: context.zone,
       ...gapPlacementOf(grant, service, context),
--- a/src/coordination/gateway/configuration-log.ts
+++ b/src/coordination/gateway/configuration-log.ts
@@ -5,9 +5,15 @@
 
 /** Logs a configuration that was applied, with its position in the store. */
 export function logConfiguration(
-  { version, routes }: RoutingConfiguration,
+  { version, routes, tenants = [] }: RoutingConfiguration,
   { era, revision }: StorePosition,
   logger: Logger,
 ): void {
-  logger.info('configuration_in_force', { version, era, revision, routes: routes.length });
+  logger.info('configuration_in_force', {
+    version,
+    era,
+    revision,
+    routes: routes.length,
+    isolated_tenants: tenants.filter(({ isIsolated }) => isIsolated).length,
+  });
 }
--- a/src/lab/gateway-simulation/gateway-oracle.ts
+++ b/src/lab/gateway-simulation/gateway-oracle.ts
@@ -1,5 +1,4 @@
 /** Checks a finished run against the rules, by what callers, engines and the operator observed. */
-import { cacheSaltOf } from '../../state/routing/generation.js';
 import { type CompletionBreach, judgeCompletion } from './completion-oracle.js';
 import { RECOVERY_MS } from './disturbances.js';
 import type { GatewaySimulation } from './gateway-simulation.js';
@@ -8,16 +7,12 @@
 import { STREAM_EVENTS, parseStream, streamEventOf, plainBodyOf } from './simulated-exchange.js';
 import { type EnginePathBreach, judgeEnginePaths } from './engine-path-oracle.js';
 import { type FallBreach, judgeFalls } from './fall-oracle.js';
+import { type IsolationBreach, judgeIsolation } from './isolation-oracle.js';
 import { type LimitBreach, judgeLimits } from './limit-oracle.js';
 import { type NoticeBreach, judgeNotices } from './notice-oracle.js';
 import { type StopBreach, judgeStops } from './stop-oracle.js';
 import { type QuotaBreach, judgeQuotas } from './quota-oracle.js';
-import {
-  ISOLATED_TENANT,
-  SIMULATION_BOUNDS,
-  SIMULATION_MODEL,
-  SIMULATION_QUOTA_TOLERANCE,
-} from './simulation-fixtures.js';
+import { SIMULATION_BOUNDS, SIMULATION_QUOTA_TOLERANCE } from './simulation-fixtures.js';
 
 /** The rules that are checked. */
 export type GatewayRule =
@@ -30,7 +25,6 @@
   | 'key-removed'
   | 'engine-drained'
   | 'one-holder'
-  | 'own-salt'
   | 'answered-in-time'
   | 'one-run-at-a-time'
   | 'weights-in-force'
@@ -38,6 +32,7 @@
   | 'crashes-bounded'
   | 'odd-entry-unused'
   | CompletionBreach['rule']
+  | IsolationBreach['rule']
   | StopBreach['rule']
   | EnginePathBreach['rule']
   | FallBreach['rule']
@@ -83,6 +78,7 @@
     ...judgeMalformedEntries(simulation),
     ...judgeBuilds(simulation),
     ...judgeCompletion(simulation),
+    ...judgeIsolation(simulation),
     ...judgeStops(simulation),
     ...judgeEnginePaths(simulation),
     ...judgeFalls(simulation),
@@ -176,7 +172,6 @@
     ...judgeRejection(request, runs),
     ...judgeResponse(request, runs),
     ...judgeKey(request, runs, simulation),
-    ...judgeSalts(request, runs),
     ...judgeResponseTime(request, simulation),
     ...judgeOverlap(request, runs, simulation),
   ];
@@ -243,16 +238,6 @@
   return last?.kind === 'key-removed' ? last.atMs : undefined;
 }
 
-function judgeSalts(request: ObservedRequest, runs: readonly ObservedRun[]): RuleBreach[] {
-  return runs.flatMap((run) => {
-    if (run.salt === undefined) return [];
-    const isolated = request.tenant === ISOLATED_TENANT ? request.tenant : undefined;
-    const expected = cacheSaltOf(SIMULATION_MODEL, run.weightsVersion, isolated);
-    if (run.salt === expected) return [];
-    return [{ rule: 'own-salt' as const, detail: `${request.id}: ${run.salt} for ${expected}` }];
-  });
-}
-
 function judgeResponseTime(request: ObservedRequest, simulation: GatewaySimulation): RuleBreach[] {
   const isLong = simulation.now > request.sentMs + request.budgetMs + RESPONSE_SLACK_MS;
   if (!isLong || request.reply.ending !== undefined) return [];
--- a/src/lab/gateway-simulation/simulated-configuration.ts
+++ b/src/lab/gateway-simulation/simulated-configuration.ts
@@ -5,6 +5,7 @@
 import type { SimulatedObjectStore } from './simulated-object-store.js';
 import type { SimulatedOperator } from './simulated-operator.js';
 import {
+  ISOLATED_TENANT,
   KEYS,
   KINDS,
   REQUEST_KINDS,
@@ -12,7 +13,7 @@
   type RequestKind,
   simulationConfiguration,
 } from './simulation-fixtures.js';
-import type { Acknowledgement, RouteChange } from './simulation-records.js';
+import type { Acknowledgement, IsolationChange, RouteChange } from './simulation-records.js';
 
 /** Changes of the configuration; they have no effect while the store is down. */
 export class SimulatedConfiguration {
@@ -24,6 +25,10 @@
     timeoutMs: ROUTE_TIMEOUT_MS,
     atMs: 0,
   }));
+  /** Changes of tenants' isolation that the store acknowledged, oldest first. */
+  readonly isolationChanges: IsolationChange[] = [
+    { tenant: ISOLATED_TENANT, isIsolated: true, atMs: 0 },
+  ];
   private readonly keys = new Map([...KEYS].map(([tenant, keys]) => [tenant, [...keys]]));
   private version = 0;
 
@@ -54,6 +59,13 @@
     this.write();
   }
 
+  /** Isolates a tenant, or lets it share cached prompts again. */
+  isolateTenant(tenant: string, isIsolated: boolean): void {
+    if (this.store.isDown) return;
+    this.isolationChanges.push({ tenant, isIsolated, atMs: this.clock.now() });
+    this.write();
+  }
+
   /** Changes the time-out of a kind's route; undefined removes the route. */
   changeRoute(kind: RequestKind, timeoutMs: number | undefined): void {
     if (this.store.isDown) return;
@@ -61,12 +73,17 @@
     this.write();
   }
 
+  private isIsolated(name: string): boolean {
+    return this.isolationChanges.findLast(({ tenant }) => tenant === name)?.isIsolated ?? false;
+  }
+
   /** Writes the configuration with all changes. */
   write(): void {
     this.version += 1;
     const tenants = [...this.keys].map(([name, keys]) => ({
       name,
       keys: [...keys],
+      isIsolated: this.isIsolated(name),
       limit: this.limitChanges.findLast(({ tenant }) => tenant === name)?.limit,
     }));
     const timeouts = new Map(this.routeChanges.map(({ kind, timeoutMs }) => [kind, timeoutMs]));
--- a/src/lab/gateway-simulation/simulation-fixtures.ts
+++ b/src/lab/gateway-simulation/simulation-fixtures.ts
@@ -116,13 +116,21 @@
   };
 }
 
+/** A tenant of a configuration; the one that is isolated at the start stays so unless stated. */
+export interface SimulatedTenant {
+  readonly name: string;
+  readonly keys: string[];
+  readonly limit?: TenantLimit | undefined;
+  readonly isIsolated?: boolean;
+}
+
 /**
  * A configuration with a route for each kind of request that has a time-out; the others have no
  * route.
  */
 export function simulationConfiguration(
   version: number,
-  tenants: readonly { name: string; keys: string[]; limit?: TenantLimit | undefined }[],
+  tenants: readonly SimulatedTenant[],
   timeoutsMs: ReadonlyMap<RequestKind, number | undefined> = DEFAULT_TIMEOUTS_MS,
 ): RoutingConfiguration {
   const route = (kind: RequestKind, timeoutMs: number) => ({
@@ -162,12 +170,12 @@
         },
       },
     ],
-    tenants: tenants.map(({ name, keys, limit }) => ({
+    tenants: tenants.map(({ name, keys, limit, isIsolated = name === ISOLATED_TENANT }) => ({
       name,
       keys,
       limit,
       priority: undefined,
-      isIsolated: name === ISOLATED_TENANT,
+      isIsolated,
     })),
     limits: {
       maximumHeaderBytes: 16_384,
--- a/src/lab/gateway-simulation/simulation-records.ts
+++ b/src/lab/gateway-simulation/simulation-records.ts
@@ -37,6 +37,13 @@
   readonly atMs: number;
 }
 
+/** A change of a tenant's isolation that the store acknowledged. */
+export interface IsolationChange {
+  readonly tenant: string;
+  readonly isIsolated: boolean;
+  readonly atMs: number;
+}
+
 /** A change of a kind's route that the store acknowledged. */
 export interface RouteChange {
   readonly kind: RequestKind;
--- a/src/state/routing/generation.ts
+++ b/src/state/routing/generation.ts
@@ -1,4 +1,5 @@
 /** Shape of a generation request: its model, prompt parts and token counts. */
+import type { CacheNamespace } from './cache-namespace.js';
 
 /** Part of a prompt, identified by its content. */
 export interface PromptPart {
@@ -34,21 +35,7 @@
   return (parts.at(-2) ?? parts.at(-1))?.id ?? '';
 }
 
-/** Text that a header holds as it is, without blanks at its ends. */
-const VISIBLE_ASCII = /^[\x21-\x7e]+$/;
-
-/** Namespace of cached prefixes: the weight version, and the tenant if its prompts are isolated. */
-export function cacheSaltOf(
-  model: string,
-  version: number,
-  isolatedTenant: string | undefined,
-): string {
-  const base = `${model}@${version}`;
-  return isolatedTenant === undefined ? base : `${base}${tenantSuffix(isolatedTenant)}`;
-}
-
-/** Differs for any two names, also at engines that see headers as bytes and without outer blanks. */
-function tenantSuffix(name: string): string {
-  if (VISIBLE_ASCII.test(name)) return `/${name}`;
-  return `~${Buffer.from(name, 'utf16le').toString('hex')}`;
+/** Under which engines keep prefixes: the weight version, and who may share them. */
+export function cacheSaltOf(model: string, version: number, namespace: CacheNamespace): string {
+  return `${model}@${version}${namespace}`;
 }
--- a/src/state/routing/placement.ts
+++ b/src/state/routing/placement.ts
@@ -1,5 +1,6 @@
 /** Chooses the engine for a request and the source from which it fetches cached prefixes. Pure. */
 import { type RandomSource, randomInteger } from '../../runtime/random.js';
+import type { CacheNamespace } from './cache-namespace.js';
 import type { CacheStore, EngineProfile } from './configuration.js';
 import { type SlotSharing, isBackingOff, isWithinLimit } from './engine-eligibility.js';
 import type { EngineHealth } from './engine-health.js';
@@ -28,8 +29,7 @@
 export interface PlacementRequest extends SlotSharing {
   readonly profile: EngineProfile | undefined;
   readonly generation: GenerationShape | undefined;
-  /** Tenant with isolated cached prompts; undefined if cached prompts are shared. */
-  readonly isolatedTenant: string | undefined;
+  readonly cacheNamespace: CacheNamespace;
   /** Engines already tried for this request. */
   readonly excluded: ReadonlySet<string>;
   /** Zone of this router. */
--- a/src/state/routing/prompt-sources.ts
+++ b/src/state/routing/prompt-sources.ts
@@ -1,4 +1,5 @@
 /** Finds the holders of a prompt's cached prefix and the best source for an engine. Pure. */
+import type { CacheNamespace } from './cache-namespace.js';
 import type { CacheStore, EngineProfile } from './configuration.js';
 import { DEFAULT_ENGINE_SPEED, type EngineSpeed } from './engine-speeds.js';
 import type { Engine } from './engine-registry.js';
@@ -14,8 +15,7 @@
 /** Input for finding the cached prefixes of one prompt. */
 export interface PromptLookup {
   readonly generation: GenerationShape;
-  /** Tenant with isolated cached prompts; undefined if cached prompts are shared. */
-  readonly isolatedTenant: string | undefined;
+  readonly cacheNamespace: CacheNamespace;
   readonly candidates: readonly Engine[];
   readonly profile: EngineProfile | undefined;
   readonly stores: readonly CacheStore[];
@@ -62,7 +62,7 @@
   ) {}
 
   private saltOf(version: number): string {
-    return cacheSaltOf(this.lookup.generation.model, version, this.lookup.isolatedTenant);
+    return cacheSaltOf(this.lookup.generation.model, version, this.lookup.cacheNamespace);
   }
 
   isReported(holder: string): boolean {
--- a/src/state/routing/route-table.ts
+++ b/src/state/routing/route-table.ts
@@ -1,8 +1,10 @@
 /** Looks up routes by host and path, and tenants by key or name. */
+import { CacheNamespaces } from './cache-namespace.js';
 import type { Route, RoutingConfiguration, Service, Tenant } from './configuration.js';
 
 /** Index of one {@link RoutingConfiguration}. */
 export class RouteTable {
+  readonly cacheNamespaces: CacheNamespaces;
   private readonly routesByHost = new Map<string, Map<string, Route>>();
   private readonly tenantsByKey = new Map<string, Tenant>();
   private readonly tenantsByName = new Map<string, Tenant>();
@@ -10,6 +12,7 @@
   private readonly gapObjectivesMs = new Map<string, number>();
 
   constructor(readonly configuration: RoutingConfiguration) {
+    this.cacheNamespaces = new CacheNamespaces(configuration.tenants ?? []);
     for (const route of configuration.routes) {
       this.indexRoute(route);
       this.indexGapObjective(route);
--- a/test/gateway/placement-by-gaps.test.ts
+++ b/test/gateway/placement-by-gaps.test.ts
@@ -154,7 +154,7 @@
       maximumEventCalls: 12,
     },
     generation: generationOf(3_800, 2_900, 10),
-    isolatedTenant: undefined,
+    cacheNamespace: '',
     excluded: new Set(),
     storePressure: StorePressure.Low,
     zone: 'zone-0',
--- a/test/gateway/placement-shortcuts.test.ts
+++ b/test/gateway/placement-shortcuts.test.ts
@@ -50,7 +50,7 @@
   const property = fc.property(fc.array(anyHolder, { maxLength: 20 }), (holders) => {
     const registry = new EngineRegistry();
     const cachedPrefixes = new CachedPrefixes();
-    const salt = cacheSaltOf(MODEL, 1, undefined);
+    const salt = cacheSaltOf(MODEL, 1, '');
     holders.forEach(({ zone, cachedParts }, index) => {
       const id = `engine-${index}`;
       registry.put(engineRecord(id, undefined, { service: SERVICE, zone: `zone-${zone}` }));
@@ -63,7 +63,7 @@
     const candidates = registry.ofService(SERVICE);
     const generation = { model: MODEL, parts: PARTS, promptTokens: 900, maximumOutputTokens: 9 };
     const bySalt = new CachedPromptsBySalt(
-      { generation, isolatedTenant: undefined, candidates, profile: PROFILE, stores: [] },
+      { generation, cacheNamespace: '', candidates, profile: PROFILE, stores: [] },
       cachedPrefixes,
     );
     const { tokensByHolder, sources } = bySalt.of(1);
--- a/test/gateway/placement.test.ts
+++ b/test/gateway/placement.test.ts
@@ -66,7 +66,7 @@
       promptTokens: 9_200,
       maximumOutputTokens: 10,
     },
-    isolatedTenant: undefined,
+    cacheNamespace: '',
     excluded: new Set(),
     storePressure: StorePressure.Low,
     zone,
--- a/test/helpers/placement-harness.ts
+++ b/test/helpers/placement-harness.ts
@@ -258,7 +258,7 @@
           maximumEventCalls: 8,
         },
         generation,
-        isolatedTenant: undefined,
+        cacheNamespace: '',
         excluded: new Set(),
         zone: router.zone,
         gapObjectiveMs: this.scenario.gapObjectiveMs,
--- a/test/helpers/plain-load.ts
+++ b/test/helpers/plain-load.ts
@@ -70,7 +70,7 @@
         candidates: registry.ofService(SERVICE),
         profile: undefined,
         generation: undefined,
-        isolatedTenant: undefined,
+        cacheNamespace: '',
         excluded: new Set(),
         zone: `zone-${index % BACK_ENDS}`,
         spreadsPlainRequests: load.spreads,
--- a/test/platform/tenant-names.test.ts
+++ b/test/platform/tenant-names.test.ts
@@ -6,6 +6,7 @@
 import test, { type ExecutionContext } from 'ava';
 import { EngineClient } from '../../platform/engine-client.js';
 import { platformDecoder } from '../../platform/formats.js';
+import { CacheNamespaces } from '../../src/state/routing/cache-namespace.js';
 import { cacheSaltOf } from '../../src/state/routing/generation.js';
 import { REQUEST, RESPONSE_HEAD, SEND_OPTIONS } from '../helpers/exchange-fixtures.js';
 
@@ -53,6 +54,12 @@
   }
 });
 
+/** Salt of an isolated tenant's requests. */
+function saltOfIsolated(name: string): string {
+  const tenant = { name, isIsolated: true };
+  return cacheSaltOf('model', 1, new CacheNamespaces([tenant]).of(tenant));
+}
+
 test('isolated tenants have salts of their own that a header holds unchanged', (t) => {
   const names = [
     'a',
@@ -68,10 +75,10 @@
     '~6100',
     '/a',
   ];
-  const salts = names.map((name) => cacheSaltOf('model', 1, name));
+  const salts = names.map((name) => saltOfIsolated(name));
   t.is(new Set(salts).size, new Set(names).size);
   for (const salt of salts) t.regex(salt, /^[\x21-\x7e]+$/);
-  t.is(cacheSaltOf('model', 1, 'sese880'), 'model@1/sese880');
+  t.is(saltOfIsolated('sese880'), 'model@1/sese880');
 });
 
 test('a cache store whose address is none is not used', (t) => {
