Count the crashes of a prompt part by what was in progress, as those of requests

Crashes of a part count as one within 300 ms only, but requests with a common part wait at every engine at every moment.

Change: routers tell when the first request with each part was sent to the engine that crashed, and only a crash after which another one was sent counts, as for requests.

--- a/src/coordination/gateway/crash-protection.ts
+++ b/src/coordination/gateway/crash-protection.ts
@@ -189,9 +189,14 @@
     });
   }
 
-  private noteCrash({ engineId, fingerprints, startingParts, sentMs, atMs }: EngineCrash): void {
+  private noteCrash(crash: EngineCrash): void {
+    const { engineId, fingerprints, sentMs, atMs, startingParts, startingPartsSentMs } = crash;
     this.guard.noteCrash({ engineId, fingerprints, sentMs, atMs });
-    this.partGuard.noteCrash({ engineId, fingerprints: startingParts });
+    this.partGuard.noteCrash({
+      engineId,
+      fingerprints: startingParts,
+      sentMs: startingPartsSentMs,
+    });
   }
 
   private describe(fingerprint: string, description: SubjectDescription): void {
--- a/src/coordination/gateway/engine-crash-detector.ts
+++ b/src/coordination/gateway/engine-crash-detector.ts
@@ -40,6 +40,8 @@
   readonly atMs: number;
   /** Fingerprints of prompt parts to which it was beginning to respond; each may be the cause. */
   readonly startingParts: readonly string[];
+  /** When the first request with each of them was sent, in the same order; as {@link sentMs}. */
+  readonly startingPartsSentMs: readonly number[];
 }
 
 /** A request whose connection to an engine was lost. */
@@ -185,17 +187,24 @@
 }
 
 function crashOf(engineId: string, broken: readonly BrokenRequest[]): EngineCrash {
-  const firstSentMs = new Map<string, number>();
-  for (const { fingerprint, sentMs, brokenMs, brokenAtMs } of broken) {
+  const requests = new Map<string, number>();
+  const parts = new Map<string, number>();
+  for (const request of broken) {
+    const { fingerprint, startingParts, sentMs, brokenMs, brokenAtMs } = request;
     const sentAtMs = brokenAtMs - (brokenMs - sentMs);
-    const knownMs = firstSentMs.get(fingerprint) ?? Infinity;
-    firstSentMs.set(fingerprint, Math.min(knownMs, sentAtMs));
+    noteFirst(requests, fingerprint, sentAtMs);
+    for (const part of startingParts) noteFirst(parts, part, sentAtMs);
   }
   return {
     engineId,
-    fingerprints: [...firstSentMs.keys()],
-    sentMs: [...firstSentMs.values()],
+    fingerprints: [...requests.keys()],
+    sentMs: [...requests.values()],
     atMs: Math.min(...broken.map(({ brokenAtMs }) => brokenAtMs)),
-    startingParts: [...new Set(broken.flatMap(({ startingParts }) => startingParts))],
+    startingParts: [...parts.keys()],
+    startingPartsSentMs: [...parts.values()],
   };
 }
+
+function noteFirst(firstMs: Map<string, number>, fingerprint: string, atMs: number): void {
+  firstMs.set(fingerprint, Math.min(firstMs.get(fingerprint) ?? Infinity, atMs));
+}
--- a/test/gateway/crashing-prompt-part.test.ts
+++ b/test/gateway/crashing-prompt-part.test.ts
@@ -8,6 +8,7 @@
 import type { ObservedRequest } from '../../src/lab/gateway-simulation/simulation-records.js';
 import {
   CRASHING_PART,
+  GENERATION_SERVICE,
   type RequestKind,
   bodyWithParts,
 } from '../../src/lab/gateway-simulation/simulation-fixtures.js';
@@ -125,3 +126,56 @@
     t.true(begun.length >= MINIMUM_BEGUN_SHARE * settled.length, place);
   }
 });
+
+const ROLLING_SEEDS = [91, 92, 93];
+const ROLLING_ENGINES = 6;
+const STREAM_INTERVAL_MS = 40;
+/** Longer than the time within which crashes count as one. */
+const ROLLING_INTERVAL_MS = 700;
+/** Engines write nothing of a response for this long, as under load. */
+const SLOW_BEGIN_MS = 1_500;
+const LISTED_MS = 2_000;
+const WARM_UP_MS = 3_000;
+const BACK_MS = 16_000;
+
+/** Sends streams with the common part to all routers in turn; returns them. */
+async function sendStreams(
+  simulation: GatewaySimulation,
+  forMs: number,
+): Promise<ObservedRequest[]> {
+  const streams: ObservedRequest[] = [];
+  for (let elapsedMs = 0; elapsedMs < forMs; elapsedMs += STREAM_INTERVAL_MS) {
+    const number = simulation.requests.length;
+    const body = bodyWithParts([COMMON_PART, subject(number)], `text-${number}`);
+    simulation.request(number, 'stream-resumable', 'tenant-2', 0, body);
+    const request = simulation.requests.at(-1);
+    if (request) streams.push(request);
+    await simulation.clock.advance(STREAM_INTERVAL_MS);
+  }
+  return streams;
+}
+
+// The streams at each engine were sent before the one before it crashed, so they show no cause.
+test('a part that all prompts share is not quarantined as engines crash one after the other', async (t) => {
+  for (const seed of ROLLING_SEEDS) {
+    const simulation = await GatewaySimulation.create(seed);
+    const { fleet } = simulation;
+    while (fleet.generationEngines.length < ROLLING_ENGINES) fleet.add(GENERATION_SERVICE);
+    const capacity = { slots: 64, queued: 64, serviceMs: SLOW_BEGIN_MS };
+    fleet.setCapacity(GENERATION_SERVICE, capacity);
+    await simulation.clock.advance(LISTED_MS);
+    await sendStreams(simulation, WARM_UP_MS);
+    const engines = [...Array(fleet.size).keys()].filter(
+      (index) => fleet.engine(index).service === GENERATION_SERVICE,
+    );
+    const streams: ObservedRequest[] = [];
+    for (const index of engines) {
+      fleet.crash(index);
+      streams.push(...(await sendStreams(simulation, ROLLING_INTERVAL_MS)));
+    }
+    streams.push(...(await sendStreams(simulation, BACK_MS)));
+    const denied = streams.filter(({ reply }) => reply.own?.status === 422);
+    t.log(`seed ${seed}: ${denied.length} of ${streams.length} denied`);
+    t.is(denied.length, 0, `seed ${seed}`);
+  }
+});
