Take back trials that reach no engine, and let the fuzz crash engines together

Cause: found by the new fuzz commands. While all engines are down but still listed, a trial fails to connect, and used up its turn: the next ones came 2, 6 and 14 s later, and the third met the second crash.

Change: a trial that no engine executed is taken back at its router, and told to others only if it has not failed within 20 ms, so that the next request is one.

--- a/fuzz/gateway-main.ts
+++ b/fuzz/gateway-main.ts
@@ -4,6 +4,7 @@
  */
 import { brittleEngineCommands } from './brittle-engine-commands.js';
 import { cutBuildCommands } from './cut-build-commands.js';
+import { crashesTogetherCommands } from './crashes-together-commands.js';
 import { crashingPartCommands, quarantinedStreamCommands } from './crashing-part-commands.js';
 import {
   buildRecordCommands,
@@ -38,6 +39,7 @@
   ['parts', crashingPartCommands],
   ['quarantined-streams', quarantinedStreamCommands],
   ['silent-engines', silentEngineCommands],
+  ['crashes-together', crashesTogetherCommands],
 ]);
 
 const [seed = '1', runs = '100', focus = ''] = process.argv.slice(2);
--- a/fuzz/gateway-mutations.ts
+++ b/fuzz/gateway-mutations.ts
@@ -15,7 +15,7 @@
 }
 
 /** Creates a mutation that changes each decoded configuration. */
-function changeConfiguration(
+export function changeConfiguration(
   change: (configuration: RoutingConfiguration) => RoutingConfiguration,
 ): SimulationMutation {
   return {
--- a/src/coordination/gateway/call-crashes.ts
+++ b/src/coordination/gateway/call-crashes.ts
@@ -26,6 +26,8 @@
 export class CallCrashes {
   private cachedFingerprint: string | undefined;
   private cachedParts: readonly SharedPart[] | undefined;
+  /** Whether the current send is the trial of a request in provisional quarantine. */
+  private isTrial = false;
 
   constructor(
     private readonly request: InboundRequest,
@@ -73,7 +75,14 @@
   tryBeginSend(): boolean {
     const { guard } = this.protection;
     if (!guard.hasSuspects || !guard.isQuarantined(this.fingerprint)) return true;
-    return guard.tryBeginTrial(this.fingerprint);
+    this.isTrial = guard.tryBeginTrial(this.fingerprint);
+    return this.isTrial;
+  }
+
+  /** Records that a send reached no engine, or none that executed it. */
+  noteNotRun(): void {
+    if (this.isTrial) this.protection.guard.withdrawTrial(this.fingerprint);
+    this.isTrial = false;
   }
 
   /** Whether the request was running at a crash and has not been completed since. */
--- a/src/coordination/gateway/crash-guard.ts
+++ b/src/coordination/gateway/crash-guard.ts
@@ -56,6 +56,8 @@
 
 /** Number of crashes after which this router leaves retries of the request to the caller. */
 const CRASHES_WITHOUT_RETRY = 2;
+/** Time in which a trial shows that its engine is gone; the others need not hold back then. */
+const TRIAL_REACH_MS = 20;
 /** Assumed duration of runs of which another router does not tell when they were sent. */
 const UNTOLD_RUN_MS = 200;
 /** Time for the announcements of crashes that happened within the window. */
@@ -113,13 +115,13 @@
 
   /** Begins a trial of a provisionally quarantined request, unless another router is to make it. */
   tryBeginTrial(fingerprint: string): boolean {
-    const { clock, statistics, logger, subject } = this.parts;
+    const { clock } = this.parts;
     const rank = this.parts.trialRank?.(fingerprint) ?? 0;
-    if (!this.quarantine.tryBeginTrial(fingerprint, rank, clock.now())) return false;
-    statistics.quarantineTrials += 1;
-    const trial = this.quarantine.trialsOf(fingerprint)?.count;
-    logger.info('quarantine_trial', { subject, fingerprint, trial, rank });
-    this.parts.announce();
+    const startedMs = clock.now();
+    if (!this.quarantine.tryBeginTrial(fingerprint, rank, startedMs)) return false;
+    clock.setTimer(TRIAL_REACH_MS, () => {
+      if (this.quarantine.publishTrial(fingerprint, startedMs)) this.reportTrial(fingerprint, rank);
+    });
     return true;
   }
 
@@ -128,6 +130,11 @@
     return this.quarantine.crashCount(fingerprint) >= CRASHES_WITHOUT_RETRY;
   }
 
+  /** Takes a trial of this router back that reached no engine, so that the next request is one. */
+  withdrawTrial(fingerprint: string): void {
+    this.quarantine.withdrawTrial(fingerprint);
+  }
+
   /** Quarantined requests by fingerprint, with the monotonic time of their quarantine. */
   get quarantinedSince(): ReadonlyMap<string, number> {
     return this.quarantine.quarantinedSince;
@@ -176,7 +183,7 @@
     const confirmed = new Map<string, number>();
     const provisional: ProvisionalSubject[] = [];
     for (const [fingerprint, sinceMs] of this.quarantine.quarantinedSince) {
-      const trials = this.quarantine.trialsOf(fingerprint);
+      const trials = this.quarantine.publicTrialsOf(fingerprint);
       if (this.isConfirmed(fingerprint)) confirmed.set(fingerprint, sinceMs);
       else provisional.push({ fingerprint, sinceMs, trials });
     }
@@ -315,6 +322,14 @@
     if (wasConfirmed) this.listener?.onLifted(fingerprint, source);
   }
 
+  private reportTrial(fingerprint: string, rank: number): void {
+    const { subject, statistics, logger } = this.parts;
+    statistics.quarantineTrials += 1;
+    const trial = this.quarantine.trialsOf(fingerprint)?.count;
+    logger.info('quarantine_trial', { subject, fingerprint, trial, rank });
+    this.parts.announce();
+  }
+
   private logLifted(fingerprint: string, cause: QuarantineSource | 'expired'): void {
     this.parts.statistics.quarantineLifted += 1;
     this.parts.logger.info('request_cleared', { subject: this.parts.subject, fingerprint, cause });
--- a/src/coordination/gateway/request-call.ts
+++ b/src/coordination/gateway/request-call.ts
@@ -368,6 +368,7 @@
   private recordFailure(send: Send, failure: ExchangeFailure): void {
     const { call } = this;
     if (recordFailedSend(send, failure, this.context)) call.mayHaveRun = true;
+    else call.crashes.noteNotRun();
     if (failure.kind !== 'not-sent') return;
     call.sends -= 1;
     call.connectFailures += 1;
--- a/src/lab/gateway-simulation/gateway-oracle.ts
+++ b/src/lab/gateway-simulation/gateway-oracle.ts
@@ -1,5 +1,6 @@
 /** Checks a finished run against the rules, by what callers, engines and the operator observed. */
 import { type CompletionBreach, judgeCompletion } from './completion-oracle.js';
+import { REQUEST_CRASHES_ENGINES } from '../../coordination/gateway/permanent-rejections.js';
 import { RECOVERY_MS } from './disturbances.js';
 import type { GatewaySimulation } from './gateway-simulation.js';
 import type { ObservedRequest } from './simulation-records.js';
@@ -12,7 +13,11 @@
 import { type NoticeBreach, judgeNotices } from './notice-oracle.js';
 import { type StopBreach, judgeStops } from './stop-oracle.js';
 import { type QuotaBreach, judgeQuotas } from './quota-oracle.js';
-import { SIMULATION_BOUNDS, SIMULATION_QUOTA_TOLERANCE } from './simulation-fixtures.js';
+import {
+  CRASHING_BODY,
+  SIMULATION_BOUNDS,
+  SIMULATION_QUOTA_TOLERANCE,
+} from './simulation-fixtures.js';
 
 /** The rules that are checked. */
 export type GatewayRule =
@@ -30,6 +35,7 @@
   | 'weights-in-force'
   | 'weights-on-time'
   | 'crashes-bounded'
+  | 'sound-denied'
   | 'odd-entry-unused'
   | CompletionBreach['rule']
   | IsolationBreach['rule']
@@ -61,6 +67,10 @@
 /** Number of engines that a quarantined request may still reach. */
 const MAXIMUM_LATE_CRASHES = 3;
 
+/** Sound requests that may be rejected for good: some, and a share of all. */
+const MAXIMUM_DENIALS = 5;
+const MAXIMUM_DENIED_SHARE = 1 / 500;
+
 /** Returns all rule violations of a run. */
 export function findBreaches(simulation: GatewaySimulation): RuleBreach[] {
   const runsById = groupRuns(simulation.observations.runs);
@@ -75,6 +85,7 @@
     ...judgeWeights(simulation),
     ...judgeRunStarts(simulation),
     ...judgeCrashes(simulation),
+    ...judgeDenials(simulation),
     ...judgeMalformedEntries(simulation),
     ...judgeBuilds(simulation),
     ...judgeCompletion(simulation),
@@ -122,6 +133,20 @@
   });
 }
 
+/** Few requests that crash no engine are rejected as if they did. */
+function judgeDenials({ requests, disturbances }: GatewaySimulation): RuleBreach[] {
+  const denied = requests.filter(
+    ({ reply, body = '', router, sentMs }) =>
+      reply.own?.reason === REQUEST_CRASHES_ENGINES.reason &&
+      !body.startsWith(CRASHING_BODY) &&
+      !disturbances.isDisturbed(router, sentMs),
+  );
+  const allowed = MAXIMUM_DENIALS + requests.length * MAXIMUM_DENIED_SHARE;
+  if (denied.length <= allowed) return [];
+  const detail = `${denied.length} of ${requests.length}, ${denied[0]?.id ?? ''} and others`;
+  return [{ rule: 'sound-denied', detail }];
+}
+
 /** At the end of a run, each engine has the newest published weights. */
 function judgeWeights(simulation: GatewaySimulation): RuleBreach[] {
   const behind = simulation.fleet.generationEngines.filter(
--- a/src/lab/gateway-simulation/gateway-simulation.ts
+++ b/src/lab/gateway-simulation/gateway-simulation.ts
@@ -148,6 +148,7 @@
       ...{ id, kind, tenant, key, router: name, sentMs: this.now, continued },
       reply: new RecordedReply(this.clock),
       readMs: undefined,
+      body,
       budgetMs: slowStream?.budgetMs ?? REQUEST_BUDGET_MS,
     };
     this.requests.push(request);
--- a/src/lab/gateway-simulation/simulation-records.ts
+++ b/src/lab/gateway-simulation/simulation-records.ts
@@ -12,6 +12,8 @@
   readonly sentMs: number;
   /** When the router read it; undefined if its process ended before. */
   readMs: number | undefined;
+  /** Undefined if it is its own. */
+  readonly body: string | undefined;
   /** Time that its caller gives it, in milliseconds. */
   readonly budgetMs: number;
   readonly reply: RecordedReply;
--- a/src/state/routing/crash-quarantine.ts
+++ b/src/state/routing/crash-quarantine.ts
@@ -124,6 +124,21 @@
     return this.trials.tryBegin(fingerprint, quarantinedMs, rank, nowMs);
   }
 
+  /** Trials of a quarantined subject that other routers may be told of; undefined if there are none. */
+  publicTrialsOf(fingerprint: string): TrialRecord | undefined {
+    return this.trials.publicRecordOf(fingerprint);
+  }
+
+  /** See {@link QuarantineTrials.publish}. */
+  publishTrial(fingerprint: string, startedMs: number): boolean {
+    return this.trials.publish(fingerprint, startedMs);
+  }
+
+  /** Takes a trial back that reached no engine. */
+  withdrawTrial(fingerprint: string): void {
+    this.trials.withdraw(fingerprint);
+  }
+
   /** Records trials that another router knows of. Returns whether one of them is new. */
   noteTrials(fingerprint: string, count: number, lastMs: number): boolean {
     if (this.provisionalSince(fingerprint) === undefined) return false;
--- a/src/state/routing/quarantine-trials.ts
+++ b/src/state/routing/quarantine-trials.ts
@@ -20,6 +20,10 @@
 interface Trials extends TrialRecord {
   /** When this router could first have begun the next trial; undefined before. */
   readonly possibleSinceMs: number | undefined;
+  /** What was known before the last trial. */
+  readonly before: Trials | undefined;
+  /** Whether other routers may be told of the last trial. */
+  readonly isPublic: boolean;
 }
 
 /** Time in which copies that are in progress fail or complete, and all routers learn of a quarantine. */
@@ -46,6 +50,25 @@
     return trials && trials.count > 0 ? trials : undefined;
   }
 
+  /** The trials of a subject that other routers may be told of; undefined if there are none. */
+  publicRecordOf(fingerprint: string): TrialRecord | undefined {
+    const trials = this.trials.get(fingerprint);
+    const known = trials?.isPublic === false ? trials.before : trials;
+    return known && known.count > 0 ? known : undefined;
+  }
+
+  /**
+   * Lets other routers be told of the last trial, unless it was withdrawn. Returns whether that is new.
+   *
+   * @param startedMs when the trial began
+   */
+  publish(fingerprint: string, startedMs: number): boolean {
+    const trials = this.trials.get(fingerprint);
+    if (trials?.isPublic !== false || trials.lastMs !== startedMs) return false;
+    this.trials.set(fingerprint, { ...trials, isPublic: true });
+    return true;
+  }
+
   /** Whether no router may begin a trial yet. */
   isPausing(fingerprint: string, quarantinedMs: number, nowMs: number): boolean {
     return nowMs < this.nextMs(fingerprint, quarantinedMs);
@@ -66,15 +89,22 @@
       this.trials.set(fingerprint, { ...before, possibleSinceMs });
       return false;
     }
-    this.record(fingerprint, before.count + 1, nowMs);
+    this.record(fingerprint, before.count + 1, nowMs, false);
     return true;
   }
 
+  /** Takes the last trial back, which this router has begun and which reached no engine. */
+  withdraw(fingerprint: string): void {
+    const before = this.trials.get(fingerprint)?.before;
+    if (before) this.trials.set(fingerprint, before);
+    else this.trials.delete(fingerprint);
+  }
+
   /** Records a trial that another router has begun. Returns whether it was not known. */
   note(fingerprint: string, count: number, startedMs: number): boolean {
     const { count: knownCount, lastMs } = this.trials.get(fingerprint) ?? NO_TRIALS;
     if (count <= knownCount && startedMs <= lastMs + SAME_TRIAL_MS) return false;
-    this.record(fingerprint, Math.max(count, knownCount), Math.max(startedMs, lastMs));
+    this.record(fingerprint, Math.max(count, knownCount), Math.max(startedMs, lastMs), true);
     return true;
   }
 
@@ -83,13 +113,15 @@
     this.trials.delete(fingerprint);
   }
 
-  private record(fingerprint: string, count: number, startedMs: number): void {
-    const { firstMs } = this.trials.get(fingerprint) ?? NO_TRIALS;
+  private record(fingerprint: string, count: number, startedMs: number, isPublic: boolean): void {
+    const known = this.trials.get(fingerprint) ?? NO_TRIALS;
     this.trials.set(fingerprint, {
       count,
-      firstMs: Math.min(firstMs, startedMs),
+      firstMs: Math.min(known.firstMs, startedMs),
       lastMs: startedMs,
       possibleSinceMs: undefined,
+      before: { ...known, before: undefined },
+      isPublic,
     });
   }
 
@@ -105,4 +137,6 @@
   firstMs: Infinity,
   lastMs: -Infinity,
   possibleSinceMs: undefined,
+  before: undefined,
+  isPublic: true,
 };
--- a/test/gateway/quarantine-trials.test.ts
+++ b/test/gateway/quarantine-trials.test.ts
@@ -103,6 +103,20 @@
   t.true(guard.isConfirmed(REQUEST));
 });
 
+// Trials that can't reach an engine used up the turns until the engines were back, and longer.
+test('a trial that reaches no engine is followed by the next one at once', async (t) => {
+  const { clock, guard } = createGuard();
+  await quarantineProvisionally(clock, guard);
+  t.true(guard.tryBeginTrial(REQUEST));
+  guard.withdrawTrial(REQUEST);
+  await clock.advance(JUDGED_MS);
+  t.is(guard.takeAnnouncements().provisional?.[0]?.trials, 0);
+  t.true(guard.tryBeginTrial(REQUEST));
+  await clock.advance(JUDGED_MS);
+  t.is(guard.takeAnnouncements().provisional?.[0]?.trials, 1);
+  t.false(guard.tryBeginTrial(REQUEST));
+});
+
 test('a router holds back while another one makes a trial, and knows its result', async (t) => {
   const { clock, guard } = createGuard();
   await quarantineProvisionally(clock, guard);
