--- a/fuzz/gateway-main.ts
+++ b/fuzz/gateway-main.ts
@@ -16,6 +16,7 @@
 import { engineLimitCommands } from './engine-limit-commands.js';
 import { engineNoticeCommands } from './engine-notice-commands.js';
 import { type CommandSource, gatewayCommands } from './gateway-commands.js';
+import { isolationCommands } from './isolation-commands.js';
 import { fuzzGateway } from './gateway-run.js';
 import { quotaCommands } from './quota-commands.js';
 import { responseFramingCommands } from './response-framing-commands.js';
@@ -40,6 +41,7 @@
   ['quarantined-streams', quarantinedStreamCommands],
   ['silent-engines', silentEngineCommands],
   ['crashes-together', crashesTogetherCommands],
+  ['isolation', isolationCommands],
 ]);
 
 const [seed = '1', runs = '100', focus = ''] = process.argv.slice(2);
