Let the soak crash engines together and change which tenants are isolated

`--joint-crashes` crashes all plain engines at once, or shortly one after the other, while twelve callers repeat one read; `--changing-isolation` isolates tenants and lets them share again, in series and with gaps from 50 ms to 7 s. Two promises come with them: sound-denied (422 for reads that crash nothing, within 5 and one in 500) and isolated-memory (what another tenant made lies under the salt of a run while one of the two is isolated). Two mutations are added.

--- a/soak/deployment.ts
+++ b/soak/deployment.ts
@@ -1,7 +1,12 @@
 /** The processes of one soak: routers, engines, the store, and the proxies between them. */
 import { type ChildProcess, fork } from 'node:child_process';
 import { fileURLToPath } from 'node:url';
-import { CALL_PATHS, type CallKind, type CallerKey } from './callers.js';
+import type { CallerKey } from './callers.js';
+import {
+  GENERATION_SLOTS,
+  LONG_STREAM_SLOTS,
+  deployedConfiguration,
+} from './deployed-configuration.js';
 import { EngineFleet } from './engine-fleet.js';
 import { findFreePorts } from './free-ports.js';
 import { listeningPort } from './listening-port.js';
@@ -19,7 +24,7 @@
 import { BOUNDS, RouterProcess } from './router-process.js';
 import { TcpProxy } from './tcp-proxy.js';
 import { LIMITED_TENANT, TENANT_LIMIT } from './tenant-quotas.js';
-import { HOST, MODEL, Service, WireKind, callJson } from './wire.js';
+import { MODEL, Service, WireKind, callJson } from './wire.js';
 
 /** Events reported by engines, and changes and faults made by the soak. */
 export interface Observations {
@@ -64,6 +69,13 @@
     /** Engine whose link was faulty; undefined if the engine itself was. */
     readonly linkTo: string | undefined;
   }[];
+  /** Changes of tenants' isolation: when each may apply, and when the store had accepted it. */
+  readonly isolationChanges: {
+    readonly tenant: string;
+    readonly isIsolated: boolean;
+    readonly writtenMs: number;
+    readonly atMs: number;
+  }[];
   /** Spans in which the store was faulty. */
   readonly storeFaults: { readonly fromMs: number; untilMs: number | undefined }[];
 }
@@ -97,12 +109,6 @@
 const ROUTE_TIMEOUT_MS = 3_000;
 /** Exceeds the length of each stream. */
 const LONG_ROUTE_TIMEOUT_MS = 12_000;
-const GENERATION_SLOTS = 32;
-/** Enough for all callers of a router that stops. */
-export const LONG_STREAM_SLOTS = 256;
-const MAXIMUM_IN_FLIGHT = 12;
-const CACHE_TOKENS = 100_000;
-const LONG_STREAM_CACHE_TOKENS = 1_000_000;
 const IDLE_TIMEOUT_MS = 15_000;
 
 /** A running deployment of routers, engines and a store. */
@@ -124,6 +130,7 @@
     keyRemovals: [],
     routeTimeouts: [],
     engineFaults: [],
+    isolationChanges: [],
     storeFaults: [],
   };
   private readonly storeProxies: TcpProxy[] = [];
@@ -135,6 +142,7 @@
   private weightsVersion = 1;
   private malformedEntryCount = 0;
   private readonly removedKeys = new Set<string>();
+  private readonly isolatedTenants = new Set<string>();
   private isEnded = false;
   private lastWrite = Promise.resolve();
   private lastToggle = Promise.resolve();
@@ -274,6 +282,19 @@
     }
   }
 
+  /** Isolates a tenant, or lets it share cached prompts again; changes run one after the other. */
+  isolateTenant(tenant: string, isIsolated: boolean): Promise<void> {
+    this.lastToggle = this.lastToggle.then(async () => {
+      const writtenMs = Date.now();
+      if (isIsolated) this.isolatedTenants.add(tenant);
+      else this.isolatedTenants.delete(tenant);
+      await this.writeConfiguration();
+      const change = { tenant, isIsolated, writtenMs, atMs: Date.now() };
+      this.observations.isolationChanges.push(change);
+    });
+    return this.lastToggle;
+  }
+
   /** Changes the time-out of all routes. */
   setRouteTimeout(timeoutMs: number): Promise<void> {
     this.observations.routeTimeouts.push({ timeoutMs, atMs: Date.now() });
@@ -371,52 +392,19 @@
       api_keys: this.keys
         .filter(({ tenant, key }) => tenant === name && !this.removedKeys.has(key))
         .map(({ key }) => key),
+      isolated: this.isolatedTenants.has(name),
       ...(this.hasTenantQuotas && name === LIMITED_TENANT ? TENANT_LIMIT : {}),
     }));
     const { timeoutMs = ROUTE_TIMEOUT_MS } = this.observations.routeTimeouts.at(-1) ?? {};
-    return {
+    return deployedConfiguration({
       version: this.configurationVersion,
-      routes: (Object.keys(CALL_PATHS) as CallKind[]).map((kind) => routeOf(kind, timeoutMs)),
-      services: [
-        { name: Service.plain, max_connections: 200 },
-        {
-          name: Service.generation,
-          max_connections: 200,
-          engine: {
-            slots: this.hasLongStreams ? LONG_STREAM_SLOTS : GENERATION_SLOTS,
-            kv_capacity_tokens: this.hasLongStreams ? LONG_STREAM_CACHE_TOKENS : CACHE_TOKENS,
-            kv_token_bytes: 100,
-            link_mbps: 10_000,
-            max_in_flight: this.hasLongStreams ? LONG_STREAM_SLOTS : MAXIMUM_IN_FLIGHT,
-          },
-        },
-      ],
       tenants,
-      limits: {
-        max_header_bytes: 16_384,
-        max_body_bytes: 1_000_000,
-        header_timeout_ms: 3_000,
-        idle_timeout_ms: this.idleTimeoutMs,
-      },
-    };
+      timeoutMs,
+      idleTimeoutMs: this.idleTimeoutMs,
+      hasLongStreams: this.hasLongStreams,
+    });
   }
 }
 
-function routeOf(kind: CallKind, timeoutMs: number): object {
-  const isStream = kind.startsWith('stream');
-  return {
-    name: kind,
-    host: HOST,
-    path_prefix: CALL_PATHS[kind],
-    service: isStream ? Service.generation : Service.plain,
-    kind: isStream ? 'streaming' : kind === 'plain-safe' ? 'safe' : 'unsafe',
-    resumable: kind === 'stream-resumable',
-    timeout_ms: timeoutMs,
-    target_latency_ms: 400,
-    priority: isStream ? 1 : 0,
-    max_attempts: 3,
-  };
-}
-
 /** Bounds that the oracle checks. */
 export { BOUNDS };
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -109,6 +109,16 @@
     default: false,
     describe: 'let crowds of clients that do not behave come to routers',
   })
+  .option('joint-crashes', {
+    type: 'boolean',
+    default: false,
+    describe: 'let all plain engines crash at once while a popular read is in progress',
+  })
+  .option('changing-isolation', {
+    type: 'boolean',
+    default: false,
+    describe: 'isolate tenants and let them share cached prompts again',
+  })
   .option('program', {
     type: 'string',
     array: true,
@@ -158,6 +168,8 @@
       hasLongStreams: options.longStreams,
       hasOddEntries: options.oddEntries,
       hasClientCrowds: options.clientCrowds,
+      hasJointCrashes: options.jointCrashes,
+      hasChangingIsolation: options.changingIsolation,
       callers: options.callers,
       folder,
       programs: options.program,
--- a/soak/mutations.ts
+++ b/soak/mutations.ts
@@ -21,6 +21,20 @@
 }
 
 const MUTATIONS: readonly Mutation[] = [
+  {
+    name: 'three crashes at one moment quarantine a request for good',
+    promise: 'sound-denied',
+    file: 'src/state/routing/crash-quarantine.ts',
+    text: 'if (this.crashesOf(entry) >= crashes && crashSpanMs(entry.crashes) >= unprovenWithinMs)',
+    replacement: 'if (crashSpanMs(entry.crashes) >= 0 && entry.crashes.size >= crashes)',
+  },
+  {
+    name: 'all tenants that are not isolated share one salt for ever',
+    promise: 'isolated-memory',
+    file: 'src/state/routing/cache-namespace.ts',
+    text: "if (isolated.length === 0) return '';",
+    replacement: "if (isolated.length >= 0) return '';",
+  },
   {
     name: 'the directory lists unresponsive routers until they are declared dead',
     promise: 'directory',
@@ -253,6 +267,8 @@
       hasContradictedResponses: CONTRADICTIONS.some((word) => mutation.name.includes(word)),
       hasOddEntries: false,
       hasClientCrowds: false,
+      hasJointCrashes: mutation.promise === 'sound-denied',
+      hasChangingIsolation: mutation.promise === 'isolated-memory',
       callers: 12,
       folder: runFolder,
       programs: [program],
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -3,6 +3,8 @@
 import type { Observations } from './deployment.js';
 import { CRASHING_PART_PREFIX, type ReportedRun } from './messages.js';
 import { judgeBrittleEngines } from './brittle-engine-oracle.js';
+import { judgeDenials } from './denial-oracle.js';
+import { judgeIsolation } from './isolation-oracle.js';
 import { judgeCompletion } from './completion-oracle.js';
 import { judgeEngineCuts } from './engine-cut-oracle.js';
 import { judgeLimits } from './limit-oracle.js';
@@ -27,6 +29,8 @@
   | 'one-holder'
   | 'no-crash'
   | 'crashes-bounded'
+  | 'sound-denied'
+  | 'isolated-memory'
   | 'weights-in-force'
   | 'odd-entry-unused'
   | 'leaving-engine-unused'
@@ -112,6 +116,10 @@
       ...this.judgeRetryBudget(),
       ...this.judgeLeaseHolders(),
       ...this.judgeCrashes(),
+      ...judgeDenials(calls),
+      ...judgeIsolation(this.record, ({ requestId, startedMs }) =>
+        this.isExempt(requestId, startedMs),
+      ),
       ...routers.flatMap(({ crashes }) => crashes).map((detail) => violation('no-crash', detail)),
       ...this.judgeWeights(),
       ...this.judgeMisdirectedRequests(),
--- a/soak/schedule.ts
+++ b/soak/schedule.ts
@@ -25,6 +25,8 @@
   LONG_STREAM_STEPS,
   drawFirstLongStop,
 } from './long-stream-steps.js';
+import { ISOLATION_STEPS } from './isolation-steps.js';
+import { JOINT_CRASH_STEPS } from './joint-crash-steps.js';
 import { DisturbanceKind } from './router-process.js';
 import { EARLY_END_STEPS, SPOILED_RESPONSE_STEPS } from './spoiled-response-steps.js';
 import { SILENT_ENGINE_STEPS } from './silent-engine-steps.js';
@@ -94,6 +96,10 @@
   readonly hasOddEntries: boolean;
   /** Whether clients that do not behave come to routers. */
   readonly hasClientCrowds: boolean;
+  /** Whether all plain engines crash at once while a popular read is in progress. */
+  readonly hasJointCrashes: boolean;
+  /** Whether configurations isolate tenants and let them share cached prompts again. */
+  readonly hasChangingIsolation: boolean;
 }
 
 /** Number of routers without unplanned faults, so that some requests succeed at all times. */
@@ -294,6 +300,8 @@
   ['hasLongStreams', LONG_STREAM_STEPS],
   ['hasOddEntries', ODD_ENTRY_STEPS],
   ['hasClientCrowds', CLIENT_CROWD_STEPS],
+  ['hasJointCrashes', JOINT_CRASH_STEPS],
+  ['hasChangingIsolation', ISOLATION_STEPS],
 ] as const;
 
 /**
--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -50,6 +50,10 @@
   readonly hasOddEntries: boolean;
   /** Whether clients that do not behave come to routers. */
   readonly hasClientCrowds: boolean;
+  /** Whether all plain engines crash at once while a popular read is in progress. */
+  readonly hasJointCrashes: boolean;
+  /** Whether configurations isolate tenants and let them share cached prompts again. */
+  readonly hasChangingIsolation: boolean;
   readonly callers: number;
   /** Directory of settings, logs and, after a violation, the evidence. */
   readonly folder: string;
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -42,6 +42,10 @@
   readonly hasOddEntries?: boolean;
   /** Whether clients that do not behave come to routers; likewise. */
   readonly hasClientCrowds?: boolean;
+  /** Whether all plain engines crash at once during a popular read; likewise. */
+  readonly hasJointCrashes?: boolean;
+  /** Whether configurations isolate tenants and let them share again; likewise. */
+  readonly hasChangingIsolation?: boolean;
   /** Whether routers run the production build and the current build side by side. */
   readonly isMixed?: boolean;
   /** Promise that a run breaks at times for an open fault that KNOWN-RED.txt lists. */
@@ -146,6 +150,20 @@
   hasClientCrowds: true,
   cause: 'none: the short soak of clients that do not behave',
 };
+const JOINT_CRASHES: RegressionSeed = {
+  seed: 91,
+  seconds: 14,
+  routers: 4,
+  hasJointCrashes: true,
+  cause: 'none: the short soak of engines that crash together during a popular read',
+};
+const CHANGING_ISOLATION: RegressionSeed = {
+  seed: 92,
+  seconds: 14,
+  routers: 4,
+  hasChangingIsolation: true,
+  cause: 'none: the short soak of tenants that are isolated and share again',
+};
 /** Without restorations of the store, because the earlier build does not support store eras. */
 const MIXED: RegressionSeed = {
   seed: 4,
@@ -172,6 +190,8 @@
   LONG_STREAMS,
   ODD_ENTRIES,
   CLIENT_CROWDS,
+  JOINT_CRASHES,
+  CHANGING_ISOLATION,
   MIXED,
   ...REGRESSIONS,
 ]) {
@@ -190,6 +210,8 @@
     hasLongStreams = false,
     hasOddEntries = false,
     hasClientCrowds = false,
+    hasJointCrashes = false,
+    hasChangingIsolation = false,
   } = regression;
   test.serial(`no promise is broken in a soak with seed ${seed} (${cause})`, async (t) => {
     t.timeout(170_000);
@@ -214,6 +236,8 @@
       hasContradictedResponses,
       hasOddEntries,
       hasClientCrowds,
+      hasJointCrashes,
+      hasChangingIsolation,
       hasEarlyEnds,
       hasLongStreams,
       callers: 8,
