--- a/bench/request-cost.ts
+++ b/bench/request-cost.ts
@@ -91,7 +91,7 @@
 const programs = process.argv.slice(2);
 const routers = await Promise.all(
   programs.map((program, index) =>
-    startLimitedRouter({ teardown: (end) => ends.push(end) }, `127.89.0.${index + 1}`, program),
+    startLimitedRouter({ teardown: (end) => ends.push(end) }, `127.89.0.${index + 1}`, { program }),
   ),
 );
 const agent = new http.Agent({ keepAlive: true, maxSockets: CALLERS });
--- a/test/helpers/crowd-checks.ts
+++ b/test/helpers/crowd-checks.ts
@@ -25,12 +25,19 @@
 
 let nextHost = 1;
 
-/** A router at a loopback address of its own. */
-export function startAlone(t: ExecutionContext): Promise<LimitedRouter> {
+/**
+ * A router at a loopback address of its own.
+ *
+ * @param generationEngines addresses of the engines of generations; by default the engine of bodies
+ */
+export function startAlone(
+  t: ExecutionContext,
+  generationEngines?: readonly string[],
+): Promise<LimitedRouter> {
   t.timeout(TEST_TIMEOUT_MS);
   const block = process.pid % 250;
   nextHost += 1;
-  return startLimitedRouter(t, `127.88.${block}.${nextHost}`);
+  return startLimitedRouter(t, `127.88.${block}.${nextHost}`, { generationEngines });
 }
 
 /** Lets a crowd stay at one listener while ordinary requests go to the ingress. */
@@ -62,9 +69,9 @@
 }
 
 /** Sends ordinary requests at a steady rate until the crowd has stayed and one was served. */
-async function sendWhileItStays(
+export async function sendWhileItStays(
   { listeners, usage }: LimitedRouter,
-  bodyBytes: number | undefined,
+  bodyBytes?: number,
 ): Promise<{ sent: number; served: number }> {
   const result = { sent: 0, served: 0 };
   const calls: Promise<void>[] = [];
--- a/test/helpers/endless-peer.ts
+++ b/test/helpers/endless-peer.ts
@@ -30,13 +30,18 @@
   readonly sentBytes: number;
 }
 
+/** The repeated part, as often as one write carries it. */
+export function blockOf({ repeated }: Pick<EndlessResponse, 'repeated'>): Buffer {
+  return Buffer.from(repeated.repeat(Math.ceil(BLOCK_BYTES / repeated.length)), 'latin1');
+}
+
 /** Writes as fast as the connection takes it, until it closes. */
 export function writeWithoutEnd(socket: net.Socket, { start, repeated }: EndlessResponse): void {
   if (repeated === '') {
     socket.write(start, 'latin1');
     return;
   }
-  const block = Buffer.from(repeated.repeat(Math.ceil(BLOCK_BYTES / repeated.length)), 'latin1');
+  const block = blockOf({ repeated });
   const fill = (): void => {
     while (!socket.destroyed && socket.write(block));
   };
--- a/test/helpers/limited-router.ts
+++ b/test/helpers/limited-router.ts
@@ -31,6 +31,10 @@
 export const UPLOAD_PATH = '/upload/x';
 /** Path of the route for generations. */
 export const STREAM_PATH = '/stream/x';
+/** Path of the route for generations that another engine may continue. */
+export const RESUMABLE_PATH = '/resumable/x';
+/** Path of the route for short responses of the engines of generations, which the router buffers. */
+export const READ_PATH = '/read/x';
 /** Limit of the configuration, in bytes. */
 export const MAXIMUM_BODY_BYTES = 4_194_304;
 
@@ -94,22 +98,36 @@
   }
 }
 
+/** Options of {@link startLimitedRouter}. */
+export interface LimitedRouterOptions {
+  /** File of the bundle; that of the deploy file by default. */
+  readonly program?: string | undefined;
+  /** Addresses of the engines of generations; by default that of the engine of bodies. */
+  readonly generationEngines?: readonly string[] | undefined;
+}
+
 /**
  * Starts the processes; resolves once the router is ready.
  *
  * @param ip loopback address of the router
- * @param program file of the bundle; that of the deploy file by default
  */
 export async function startLimitedRouter(
   t: Cleanup,
   ip: string,
-  program?: string,
+  { program, generationEngines }: LimitedRouterOptions = {},
 ): Promise<LimitedRouter> {
   const store = await startStore(t, configuration());
   const address = await startUploadEngine(t);
+  const engines = [
+    { service: Service.plain, address },
+    ...(generationEngines ?? [address]).map((each) => ({
+      service: Service.generation,
+      address: each,
+    })),
+  ];
   await keepEntries(t, async () => {
-    for (const service of Object.values(Service))
-      await store.put(WireKind.engines, `engine-${service}`, engineEntry(service, address));
+    for (const [index, engine] of engines.entries())
+      await store.put(WireKind.engines, `engine-${index}`, engineEntry(engine));
   });
   return startRouterProcess(t, ip, store.address, program);
 }
@@ -184,7 +202,7 @@
   response.end(String(bytes));
 }
 
-function engineEntry(service: string, address: string): object {
+function engineEntry({ service, address }: { service: string; address: string }): object {
   const models = [{ name: MODEL, version: 1 }];
   return { service, address, zone: 'zone-a', slots: SLOTS, state: 'ready', stage: 'both', models };
 }
@@ -206,6 +224,14 @@
         ...{ ...route, name: 'stream', path_prefix: '/stream/', service: Service.generation },
         ...{ kind: 'streaming', resumable: false },
       },
+      {
+        ...{ ...route, name: 'resumable', path_prefix: '/resumable/', max_attempts: 2 },
+        ...{ service: Service.generation, kind: 'streaming', resumable: true },
+      },
+      {
+        ...{ ...route, name: 'read', path_prefix: '/read/', max_attempts: 2 },
+        ...{ service: Service.generation, kind: 'safe' },
+      },
     ],
     services: [
       { name: Service.plain, max_connections: 1_000 },
