--- a/soak/soak-run.ts
+++ b/soak/soak-run.ts
@@ -6,6 +6,7 @@
 import { type CallRecord, Caller, type CallerKey, type DirectoryResponse } from './callers.js';
 import { Deployment } from './deployment.js';
 import { weightsOf } from './engine-fleet.js';
+import { PLAIN_ENGINES_THAT_CRASH } from './joint-crash-steps.js';
 import type { EngineCapacity } from './messages.js';
 import { type SoakRecord, type Violation, judgeSoak } from './oracle.js';
 import { countUnread } from './planned-stop-oracle.js';
@@ -84,6 +85,7 @@
 ];
 /** Keys that are never removed. */
 const PERMANENT_KEYS = KEYS.filter(({ key }) => key.endsWith('a'));
+const PLAIN_ENGINES = 2;
 const AMPLE_CAPACITY: EngineCapacity = { slots: 32, plainWorkMs: 25 };
 /** The callers fill these slots. */
 const SCARCE_CAPACITY: EngineCapacity = { slots: 2, plainWorkMs: 150 };
@@ -102,7 +104,8 @@
   // Routers of the earlier build take the end of a connection for a stated end, and know no builds of
   // engines.
   const hasUniformEngines = programs.length > 1;
-  const engines = { plainEngines: 2, generationEngines: 3, plainCapacity };
+  const plainEngines = options.hasJointCrashes ? PLAIN_ENGINES_THAT_CRASH : PLAIN_ENGINES;
+  const engines = { plainEngines, generationEngines: 3, plainCapacity };
   const variants = { hasUniformEngines, hasReleases, hasTenantQuotas, hasLongStreams };
   const size = { routers, ...engines, ...variants };
   const deployment = await Deployment.start(size, KEYS, folder, programs);
