--- a/test/helpers/stoppable-router.ts
+++ b/test/helpers/stoppable-router.ts
@@ -25,10 +25,10 @@
   }
 
   /** Sends a request, with the head of a chunked body if `isChunked` is set. */
-  send(id: string, isChunked = false): void {
+  send(id: string, isChunked = false, path = STREAM_PATH): void {
     const body = isChunked ? 'Transfer-Encoding: chunked' : 'Content-Length: 0';
     this.socket.write(
-      `POST ${STREAM_PATH} HTTP/1.1\r\nHost: host.example\r\nX-Peatspan-Attempt-Id: ${id}\r\n` +
+      `POST ${path} HTTP/1.1\r\nHost: host.example\r\nX-Peatspan-Attempt-Id: ${id}\r\n` +
         `Api-Key: key-1\r\n${body}\r\n\r\n`,
     );
   }
