--- a/src/coordination/gateway/crash-guard.ts
+++ b/src/coordination/gateway/crash-guard.ts
@@ -58,8 +58,8 @@
 const CRASHES_WITHOUT_RETRY = 2;
 /** Time in which a trial shows that its engine is gone; the others need not hold back then. */
 const TRIAL_REACH_MS = 20;
-/** Assumed duration of runs of which another router does not tell when they were sent. */
-const UNTOLD_RUN_MS = 200;
+/** Assumed duration of runs if another router does not report when they were sent. */
+const ASSUMED_RUN_MS = 200;
 /** Time for the announcements of crashes that happened within the window. */
 const JUDGE_SLACK_MS = 100;
 
@@ -217,7 +217,7 @@
     const now = this.parts.clock.now();
     const atMs = now - ageMs;
     const sentMs = fingerprints.map((_, index) => {
-      const sentAgeMs = sentAgesMs?.[index] ?? ageMs + UNTOLD_RUN_MS;
+      const sentAgeMs = sentAgesMs?.[index] ?? ageMs + ASSUMED_RUN_MS;
       return now - sentAgeMs;
     });
     const crash = { engineId, fingerprints, atMs, sentMs };
--- a/src/state/routing/crash-announcement-queue.ts
+++ b/src/state/routing/crash-announcement-queue.ts
@@ -125,8 +125,8 @@
     atMs: number,
     sentMs: readonly number[] = [],
   ): void {
-    const runs = runsOf(fingerprints, sentMs);
-    this.enqueueCrash({ engineId, sentMs: runs, atMs, remaining: ANNOUNCEMENT_REPEATS });
+    const first = sentTimesOf(fingerprints, sentMs);
+    this.enqueueCrash({ engineId, sentMs: first, atMs, remaining: ANNOUNCEMENT_REPEATS });
   }
 
   /** Queues a crash received from another router, to relay it; see {@link addCrash}. */
@@ -136,8 +136,8 @@
     atMs: number,
     sentMs: readonly number[] = [],
   ): void {
-    const runs = runsOf(fingerprints, sentMs);
-    this.enqueueCrash({ engineId, sentMs: runs, atMs, remaining: RELAY_REPEATS });
+    const first = sentTimesOf(fingerprints, sentMs);
+    this.enqueueCrash({ engineId, sentMs: first, atMs, remaining: RELAY_REPEATS });
   }
 
   /** Queues the clearance of a request by this router. */
@@ -244,7 +244,7 @@
   }
 }
 
-function runsOf(fingerprints: readonly string[], sentMs: readonly number[]): SentTimes {
+function sentTimesOf(fingerprints: readonly string[], sentMs: readonly number[]): SentTimes {
   return new Map(fingerprints.map((fingerprint, index) => [fingerprint, sentMs[index]]));
 }
 
